--- /dev/null
+++ b/.prettierrc.js
@@ -0,0 +1,6 @@
+export default {
+  bracketSpacing: false,
+  singleQuote: true,
+  trailingComma: 'all',
+  arrowParens: 'avoid',
+};
