--- /dev/null
+++ b/packages/common/src/Clock.ts
@@ -0,0 +1,106 @@
+/**
+ * Time as an argument. Code that measures or waits takes a `Clock`; tests pass
+ * one that they advance themselves.
+ */
+
+/** Removes what a `register*` call or a timer added. */
+export type Undo = () => void;
+
+/** A monotonic time source with timers. */
+export interface Clock {
+  /** Milliseconds since an arbitrary fixed point; never goes back. */
+  nowMs(): number;
+  /** Milliseconds since the Unix epoch. */
+  wallMs(): number;
+  /** Calls `run` once after `delayMs`. */
+  after(delayMs: number, run: () => void): Undo;
+  /** Calls `run` every `intervalMs` until undone. */
+  every(intervalMs: number, run: () => void): Undo;
+}
+
+/** Creates the clock of the running process. */
+export function createSystemClock(): Clock {
+  return {
+    nowMs: () => performance.now(),
+    wallMs: () => Date.now(),
+    after: (delayMs, run) => {
+      const timer = setTimeout(run, delayMs);
+      return () => clearTimeout(timer);
+    },
+    every: (intervalMs, run) => {
+      const timer = setInterval(run, intervalMs);
+      return () => clearInterval(timer);
+    },
+  };
+}
+
+/** A clock that stands still until it is advanced. */
+export interface ManualClock extends Clock {
+  /** Moves time forward and runs the timers that fall due, in order. */
+  advance(byMs: number): void;
+}
+
+interface ManualTimer {
+  dueAtMs: number;
+  readonly order: number;
+  readonly intervalMs: number | undefined;
+  readonly run: () => void;
+}
+
+/** Creates a clock for tests, starting at `startMs` for both time scales. */
+export function createManualClock(startMs = 0): ManualClock {
+  let currentMs = startMs;
+  let nextOrder = 0;
+  const timers = new Set<ManualTimer>();
+
+  function add(delayMs: number, run: () => void, repeat: boolean): Undo {
+    const timer: ManualTimer = {
+      dueAtMs: currentMs + delayMs,
+      order: nextOrder++,
+      intervalMs: repeat ? delayMs : undefined,
+      run,
+    };
+    timers.add(timer);
+    return () => timers.delete(timer);
+  }
+
+  function nextDue(limitMs: number): ManualTimer | undefined {
+    let first: ManualTimer | undefined;
+    for (const timer of timers) {
+      if (timer.dueAtMs > limitMs) continue;
+      if (
+        first === undefined ||
+        timer.dueAtMs < first.dueAtMs ||
+        (timer.dueAtMs === first.dueAtMs && timer.order < first.order)
+      ) {
+        first = timer;
+      }
+    }
+    return first;
+  }
+
+  function fire(timer: ManualTimer): void {
+    currentMs = Math.max(currentMs, timer.dueAtMs);
+    if (timer.intervalMs === undefined) timers.delete(timer);
+    else timer.dueAtMs += timer.intervalMs;
+    timer.run();
+  }
+
+  return {
+    nowMs: () => currentMs,
+    wallMs: () => currentMs,
+    after: (delayMs, run) => add(delayMs, run, false),
+    every: (intervalMs, run) => add(intervalMs, run, true),
+    advance: byMs => {
+      const limitMs = currentMs + byMs;
+      for (
+        let timer = nextDue(limitMs);
+        timer !== undefined;
+        timer = nextDue(limitMs)
+      ) {
+        fire(timer);
+      }
+      currentMs = limitMs;
+    },
+  };
+}
--- /dev/null
+++ b/packages/common/src/Hash.ts
@@ -0,0 +1,16 @@
+/**
+ * Non-cryptographic hashing (xxHash64), the same on every instance.
+ */
+import xxhash from 'xxhash-wasm';
+
+const hasher = await xxhash();
+
+/** Returns the 64-bit hash of a string. */
+export function hash64(text: string): bigint {
+  return hasher.h64(text);
+}
+
+/** Returns the index of `key` among `count` partitions. */
+export function partitionOf(key: string, count: number): number {
+  return Number(hash64(key) % BigInt(count));
+}
--- /dev/null
+++ b/packages/common/src/KeyValue.ts
@@ -0,0 +1,56 @@
+/**
+ * The platform's key-value service as the rest of the system uses it.
+ */
+import type {ResultAsync} from 'neverthrow';
+import type {Undo} from './Clock.js';
+import type {PlatformError} from './Errors.js';
+
+/** A key with its value and the revision that last changed it. */
+export interface KeyValue {
+  readonly key: string;
+  readonly value: Uint8Array;
+  readonly modRevision: number;
+}
+
+/** A condition of a transaction: revision 0 means that the key is absent. */
+export interface RevisionCompare {
+  readonly key: string;
+  readonly modRevision: number;
+}
+
+/** Puts and deletes that take effect together, or not at all. */
+export interface KeyValueTransaction {
+  readonly compares: readonly RevisionCompare[];
+  readonly puts: readonly {readonly key: string; readonly value: Uint8Array}[];
+  readonly deletes: readonly string[];
+}
+
+/** The answer to a transaction. */
+export interface TransactionReply {
+  /** False when a compare failed and nothing was changed. */
+  readonly succeeded: boolean;
+  readonly revision: number;
+}
+
+/** A change that a watch reports. */
+export interface WatchEvent {
+  readonly key: string;
+  /** Undefined when the key was deleted. */
+  readonly entry: KeyValue | undefined;
+}
+
+/** Calls of the key-value service. */
+export interface KeyValueStore {
+  get(key: string): ResultAsync<KeyValue | undefined, PlatformError>;
+  /** Reads all keys that start with `prefix`, in key order. */
+  list(prefix: string): ResultAsync<readonly KeyValue[], PlatformError>;
+  transact(
+    transaction: KeyValueTransaction,
+  ): ResultAsync<TransactionReply, PlatformError>;
+  /** Reports changes below `prefix`; reconnects by itself until undone. */
+  watch(
+    prefix: string,
+    onEvents: (events: readonly WatchEvent[]) => void,
+  ): Undo;
+  close(): void;
+}
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,1 +1,85 @@
-export {};
+export type {
+  ClaimEnd,
+  ClaimReference,
+  ClaimReply,
+  ClaimRequest,
+  ClaimStore,
+  StoredOutcome,
+} from './Claims.js';
+export type {Clock, ManualClock, Undo} from './Clock.js';
+export {createManualClock, createSystemClock} from './Clock.js';
+export type {
+  ErrorBody,
+  ErrorDetails,
+  ErrorKind,
+  RunStatus,
+  SettingsFault,
+} from './Errors.js';
+export {
+  answerFor,
+  errorAnswers,
+  isErrorKind,
+  PlatformError,
+  RouterError,
+  SettingsError,
+  toErrorBody,
+} from './Errors.js';
+export {hash64, partitionOf} from './Hash.js';
+export type {
+  ClaimId,
+  ClassId,
+  InstanceId,
+  PermitId,
+  RequestId,
+  ShardId,
+  UpstreamId,
+  WorkspaceId,
+} from './Ids.js';
+export {
+  toClaimId,
+  toClassId,
+  toInstanceId,
+  toPermitId,
+  toRequestId,
+  toShardId,
+  toUpstreamId,
+  toWorkspaceId,
+} from './Ids.js';
+export {invariant} from './Invariant.js';
+export type {
+  KeyValue,
+  KeyValueStore,
+  KeyValueTransaction,
+  RevisionCompare,
+  TransactionReply,
+  WatchEvent,
+} from './KeyValue.js';
+export type {
+  AcquireRequest,
+  AnnouncedPermit,
+  PermitOutcome,
+  PermitRelease,
+  PreemptReason,
+  ProgressSample,
+  QueueSnapshot,
+  RefuseKind,
+  ResumePoint,
+  SchedulerCounters,
+  SchedulerEffect,
+  ShardSnapshot,
+  UpstreamSnapshot,
+  UpstreamState,
+} from './Permits.js';
+export type {RandomSource} from './Random.js';
+export {createProcessRandom, createSeededRandom} from './Random.js';
+export type {
+  ClassMatch,
+  LatencyTarget,
+  OperatorConfig,
+  ServiceClass,
+  Tier,
+  Workspace,
+} from './ServiceClasses.js';
+export {lowestTier} from './ServiceClasses.js';
+export type {UpstreamInfo, UpstreamKind} from './Upstreams.js';
+export {shardOf} from './Upstreams.js';
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export type {InstanceSettings, ListenAddress} from './InstanceSettings.js';
