--- a/packages/common/src/ServiceClasses.ts
+++ b/packages/common/src/ServiceClasses.ts
@@ -1,7 +1,7 @@
 /**
  * Classes of work and workspaces: what operators configure.
  */
-import type {ClassId, WorkspaceId} from './Ids.js';
+import type {ClassId, UpstreamId, WorkspaceId} from './Ids.js';
 
 /** Priority of a class: 1 is the highest, 4 the lowest. */
 export type Tier = 1 | 2 | 3 | 4;
@@ -53,4 +53,18 @@
   readonly version: number;
   readonly classes: readonly ServiceClass[];
   readonly workspaces: readonly Workspace[];
+  /** Upstreams that operators keep free of new work. */
+  readonly drainedUpstreams: readonly UpstreamId[];
+}
+
+/** The operators' configuration as the platform stores it. */
+export interface StoredConfig {
+  readonly version: number;
+  /** Identifies the write, so that a lost response can be resolved. */
+  readonly writeId: string;
+  readonly author: string;
+  readonly changedAtWallMs: number;
+  /** The classes file as the operator wrote it. */
+  readonly classesText: string;
+  readonly drainedUpstreams: readonly UpstreamId[];
 }
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -77,6 +77,7 @@
   LatencyTarget,
   OperatorConfig,
   ServiceClass,
+  StoredConfig,
   Tier,
   Workspace,
 } from './ServiceClasses.js';
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export type {LengthModel} from './LengthModel.js';
+export type {JobStart, UpstreamTracker} from './UpstreamTracker.js';
