--- /dev/null
+++ b/packages/policy/src/Placement.ts
@@ -0,0 +1,49 @@
+/**
+ * Chooses the upstream of a request: the least loaded by limit among those
+ * that have room and have not failed the request already.
+ */
+import type {Tier, UpstreamId} from '@toucanrouter/common';
+import type {UpstreamTracker} from './UpstreamTracker.js';
+
+/** Upstreams that may receive new work. */
+export function liveUpstreams(tracker: UpstreamTracker): readonly UpstreamId[] {
+  return tracker.ids().filter(id => tracker.state(id) !== 'leaving');
+}
+
+/** Tells whether an upstream may receive one more job of `tier`. */
+export function hasRoom(
+  tracker: UpstreamTracker,
+  upstreamId: UpstreamId,
+  tier: Tier,
+  nowMs: number,
+): boolean {
+  if (tracker.state(upstreamId) === 'leaving') return false;
+  return tracker.inFlight(upstreamId) < tracker.limit(upstreamId, tier, nowMs);
+}
+
+/** Upstreams that may receive one more job of `tier`. */
+export function openUpstreams(
+  tracker: UpstreamTracker,
+  tier: Tier,
+  nowMs: number,
+): readonly UpstreamId[] {
+  return tracker.ids().filter(id => hasRoom(tracker, id, tier, nowMs));
+}
+
+/** Returns the least loaded of `candidates`; the first of equals. */
+export function leastLoaded(
+  tracker: UpstreamTracker,
+  candidates: readonly UpstreamId[],
+  tier: Tier,
+  nowMs: number,
+): UpstreamId | undefined {
+  let best: UpstreamId | undefined;
+  let bestLoad = Infinity;
+  for (const id of candidates) {
+    const load = tracker.inFlight(id) / tracker.limit(id, tier, nowMs);
+    if (load >= bestLoad) continue;
+    best = id;
+    bestLoad = load;
+  }
+  return best;
+}
--- /dev/null
+++ b/packages/policy/src/SchedulerClasses.ts
@@ -0,0 +1,53 @@
+/**
+ * The classes of work as a scheduler knows them.
+ */
+import type {
+  ClassId,
+  LatencyTarget,
+  ServiceClass,
+  Tier,
+} from '@toucanrouter/common';
+
+/** What scheduling depends on in a class. */
+export interface ClassPolicy {
+  readonly tier: Tier;
+  readonly target: LatencyTarget;
+  readonly maxWaitMs: number;
+}
+
+/** Identifies a class, with the tier to use when the class is unknown. */
+export interface ClassReference {
+  readonly classId: ClassId;
+  readonly fallbackTier: Tier;
+}
+
+/** Looks up classes by id. */
+export interface SchedulerClasses {
+  set(classes: readonly ServiceClass[]): void;
+  policyOf(reference: ClassReference): ClassPolicy;
+}
+
+/** Creates an empty table; unknown classes get `unknownMaxWaitMs`. */
+export function createSchedulerClasses(
+  unknownMaxWaitMs: number,
+): SchedulerClasses {
+  let known = new Map<ClassId, ServiceClass>();
+  return {
+    set: classes => {
+      known = new Map(classes.map(entry => [entry.id, entry]));
+    },
+    policyOf: ({classId, fallbackTier}) =>
+      known.get(classId) ?? {
+        tier: fallbackTier,
+        target: {},
+        maxWaitMs: unknownMaxWaitMs,
+      },
+  };
+}
+
+/** Wait after which a request of the class misses its target. */
+export function targetWaitMs(policy: ClassPolicy): number {
+  return (
+    policy.target.firstTokenMs ?? policy.target.totalMs ?? policy.maxWaitMs
+  );
+}
--- /dev/null
+++ b/packages/policy/src/SchedulerJobs.ts
@@ -0,0 +1,131 @@
+/**
+ * Start and end of the jobs that hold a permit.
+ */
+import type {
+  AnnouncedPermit,
+  PermitRelease,
+  UpstreamId,
+} from '@toucanrouter/common';
+import {attemptKey} from './Queue.js';
+import type {SchedulerState} from './SchedulerState.js';
+import type {QueuedRequest, RunningJob} from './SchedulerTypes.js';
+
+function start(
+  state: SchedulerState,
+  job: RunningJob,
+  promptTokens: number,
+  nowMs: number,
+): void {
+  const {tier, target} = state.classes.policyOf(job);
+  state.jobs.set(job.permitId, job);
+  state.tracker.started(
+    {
+      permitId: job.permitId,
+      upstreamId: job.upstreamId,
+      classId: job.classId,
+      tier,
+      target,
+      promptTokens,
+    },
+    nowMs,
+  );
+}
+
+/** Gives a waiting request a permit for `upstreamId`. */
+export function grant(
+  state: SchedulerState,
+  entry: QueuedRequest,
+  upstreamId: UpstreamId,
+  nowMs: number,
+): void {
+  const {request} = entry;
+  const permitId = state.options.createPermitId();
+  state.queue.remove(entry);
+  state.permitOfAttempt.set(attemptKey(request), permitId);
+  const job: RunningJob = {
+    permitId,
+    requestId: request.requestId,
+    attempt: request.attempt,
+    holder: request.holder,
+    classId: request.classId,
+    workspaceId: request.workspaceId,
+    fallbackTier: request.fallbackTier,
+    upstreamId,
+    idempotent: request.idempotent,
+    hedge: request.hedge,
+    grantedAtMs: nowMs,
+    resumedTokens: request.resume?.tokens ?? 0,
+    tokens: 0,
+    preempting: undefined,
+  };
+  start(state, job, request.promptTokens, nowMs);
+  state.counters.granted += 1;
+  if (request.hedge) state.counters.hedged += 1;
+  announceGrant(state, job);
+}
+
+/** Tells the holder of a job which permit it has. */
+export function announceGrant(state: SchedulerState, job: RunningJob): void {
+  state.effects.push({
+    kind: 'grant',
+    holder: job.holder,
+    requestId: job.requestId,
+    attempt: job.attempt,
+    permitId: job.permitId,
+    upstreamId: job.upstreamId,
+  });
+}
+
+/** Counts a permit that another scheduler granted. */
+export function adoptPermit(
+  state: SchedulerState,
+  permit: AnnouncedPermit,
+  nowMs: number,
+): void {
+  if (state.jobs.has(permit.permitId)) return;
+  if (state.endedPermits.has(permit.permitId)) return;
+  const job: RunningJob = {
+    permitId: permit.permitId,
+    requestId: permit.requestId,
+    attempt: 0,
+    holder: permit.holder,
+    classId: permit.classId,
+    workspaceId: permit.workspaceId,
+    fallbackTier: permit.fallbackTier,
+    upstreamId: permit.upstreamId,
+    idempotent: permit.idempotent,
+    hedge: false,
+    grantedAtMs: Math.min(permit.grantedAtMs, nowMs),
+    resumedTokens: 0,
+    tokens: permit.tokens,
+    preempting: undefined,
+  };
+  start(state, job, 0, nowMs);
+}
+
+/** Ends a job and returns it; undefined when the permit is not held. */
+export function endJob(
+  state: SchedulerState,
+  release: PermitRelease,
+  nowMs: number,
+): RunningJob | undefined {
+  const job = state.jobs.get(release.permitId);
+  state.endedPermits.set(release.permitId, true);
+  if (job === undefined) return undefined;
+  state.jobs.delete(release.permitId);
+  if (job.attempt > 0) forgetAttempt(state, job);
+  state.tracker.ended(release, nowMs);
+  state.counters.tokens += release.tokens;
+  state.counters.wastedTokens += release.wastedTokens;
+  if (release.outcome === 'completed') {
+    const tokens = job.resumedTokens + release.tokens;
+    state.options.lengths.observe(job.classId, job.workspaceId, tokens);
+  }
+  return job;
+}
+
+function forgetAttempt(state: SchedulerState, job: RunningJob): void {
+  const key = attemptKey(job);
+  state.permitOfAttempt.delete(key);
+  state.endedAttempts.set(key, 'granted');
+}
