--- a/packages/policy/src/Placement.ts
+++ b/packages/policy/src/Placement.ts
@@ -30,6 +30,19 @@
   return tracker.ids().filter(id => hasRoom(tracker, id, tier, nowMs));
 }
 
+/** Slots that live upstreams offer to jobs of `tier`. */
+export function slotCount(
+  tracker: UpstreamTracker,
+  tier: Tier,
+  nowMs: number,
+): number {
+  let slots = 0;
+  for (const id of liveUpstreams(tracker)) {
+    slots += Math.max(0, tracker.limit(id, tier, nowMs));
+  }
+  return slots;
+}
+
 /** Returns the least loaded of `candidates`; the first of equals. */
 export function leastLoaded(
   tracker: UpstreamTracker,
@@ -47,3 +60,27 @@
   }
   return best;
 }
+
+/** What the choice between open upstreams depends on. */
+export interface PlacementWish {
+  readonly tier: Tier;
+  /** Upstreams with room. */
+  readonly open: readonly UpstreamId[];
+  readonly exclude: readonly UpstreamId[];
+  /** Upstreams that may still cache the start of the prompt, best first. */
+  readonly preferred: readonly (UpstreamId | undefined)[];
+}
+
+/** Returns the upstream for a request, if an open one may serve it. */
+export function place(
+  tracker: UpstreamTracker,
+  wish: PlacementWish,
+  nowMs: number,
+): UpstreamId | undefined {
+  const usable = wish.open.filter(id => !wish.exclude.includes(id));
+  for (const id of wish.preferred) {
+    if (id === undefined || !usable.includes(id)) continue;
+    if (tracker.state(id) === 'healthy') return id;
+  }
+  return leastLoaded(tracker, usable, wish.tier, nowMs);
+}
--- a/packages/policy/src/Queue.ts
+++ b/packages/policy/src/Queue.ts
@@ -10,11 +10,14 @@
 } from '@toucanrouter/common';
 import type {ClassQueue} from './QueueOfClass.js';
 import {createClassQueue} from './QueueOfClass.js';
+import type {SlotUsage} from './SchedulerFairness.js';
 import type {QueuedRequest} from './SchedulerTypes.js';
 
 /** All queues of a shard. */
 export interface Queue {
   readonly size: number;
+  /** Requests that were not started by an earlier attempt. */
+  readonly unstartedSize: number;
   add(entry: QueuedRequest): void;
   remove(entry: QueuedRequest): void;
   find(key: string): QueuedRequest | undefined;
@@ -22,6 +25,8 @@
   ofHolder(holder: InstanceId): readonly QueuedRequest[];
   /** All waiting requests, oldest first. */
   entries(): readonly QueuedRequest[];
+  /** Second copies of requests that run already. */
+  hedges(): readonly QueuedRequest[];
   /** The queues that hold at least one request. */
   classQueues(): readonly ClassQueue[];
 }
@@ -39,8 +44,9 @@
   return `${fallbackTier}/${classId}`;
 }
 
-/** Creates an empty queue. */
-export function createQueue(): Queue {
+/** Creates an empty queue, fair by `usage` inside each class. */
+export function createQueue(usage: SlotUsage): Queue {
+  const hedges = new Set<QueuedRequest>();
   const entries = new Map<string, QueuedRequest>();
   const queues = new Map<string, ClassQueue>();
 
@@ -48,7 +54,11 @@
     const key = classKey(request.classId, request.fallbackTier);
     const existing = queues.get(key);
     if (existing !== undefined) return existing;
-    const created = createClassQueue(request.classId, request.fallbackTier);
+    const created = createClassQueue(
+      request.classId,
+      request.fallbackTier,
+      usage,
+    );
     queues.set(key, created);
     return created;
   }
@@ -63,12 +73,20 @@
     get size() {
       return entries.size;
     },
+    get unstartedSize() {
+      return [...queues.values()].reduce(
+        (sum, queue) => sum + queue.unstartedSize,
+        0,
+      );
+    },
     add: entry => {
       entries.set(attemptKey(entry.request), entry);
       queueOf(entry.request).add(entry);
+      if (entry.request.hedge) hedges.add(entry);
     },
     remove: entry => {
       if (!entries.delete(attemptKey(entry.request))) return;
+      hedges.delete(entry);
       const queue = queueOf(entry.request);
       queue.remove(entry);
       if (queue.size > 0) return;
@@ -79,6 +97,7 @@
       select(entry => entry.request.requestId === requestId),
     ofHolder: holder => select(entry => entry.request.holder === holder),
     entries: () => [...entries.values()],
+    hedges: () => [...hedges],
     classQueues: () => [...queues.values()],
   };
 }
--- a/packages/policy/src/QueueOfClass.ts
+++ b/packages/policy/src/QueueOfClass.ts
@@ -1,22 +1,49 @@
 /**
- * The waiting requests of one class: started jobs first, then first come,
- * first served.
+ * The waiting requests of one class: started jobs first, then those of the
+ * workspace that has used the least slot time.
  */
-import type {ClassId, Tier} from '@toucanrouter/common';
+import type {ClassId, Tier, WorkspaceId} from '@toucanrouter/common';
+import type {SlotUsage} from './SchedulerFairness.js';
 import type {QueuedRequest} from './SchedulerTypes.js';
 
+/** The newest request of the workspace with the largest backlog. */
+export interface LargestBacklog {
+  readonly newest: QueuedRequest;
+  readonly size: number;
+}
+
 /** The queue of one class. */
 export interface ClassQueue {
   readonly classId: ClassId;
   /** Tier to use while the class is unknown. */
   readonly fallbackTier: Tier;
   readonly size: number;
+  /** Requests that were not started by an earlier attempt. */
+  readonly unstartedSize: number;
   add(entry: QueuedRequest): void;
   remove(entry: QueuedRequest): void;
   /** Requests in the order in which they are granted. */
   inOrder(): Iterable<QueuedRequest>;
   /** The request that has waited longest. */
   oldest(): QueuedRequest | undefined;
+  largestBacklog(): LargestBacklog | undefined;
+}
+
+type Compare = (a: QueuedRequest, b: QueuedRequest) => number;
+
+const byWaitStart: Compare = (a, b) => a.waitingSinceMs - b.waitingSinceMs;
+
+const byArrival: Compare = (a, b) =>
+  a.request.arrivedAtMs - b.request.arrivedAtMs;
+
+// Requests arrive nearly in order, so the place is near the end.
+function insertSorted(
+  list: QueuedRequest[],
+  entry: QueuedRequest,
+  compare: Compare,
+): void {
+  const last = list.findLastIndex(other => compare(other, entry) <= 0);
+  list.splice(last + 1, 0, entry);
 }
 
 function removeFrom(list: QueuedRequest[], entry: QueuedRequest): void {
@@ -24,44 +51,113 @@
   if (index >= 0) list.splice(index, 1);
 }
 
-function earlier(
-  a: QueuedRequest | undefined,
-  b: QueuedRequest | undefined,
-): QueuedRequest | undefined {
-  if (a === undefined || b === undefined) return a ?? b;
-  return b.waitingSinceMs < a.waitingSinceMs ? b : a;
+function newestOf(list: readonly QueuedRequest[]): QueuedRequest | undefined {
+  let newest: QueuedRequest | undefined;
+  for (const entry of list) {
+    if (newest === undefined || entry.order > newest.order) newest = entry;
+  }
+  return newest;
 }
 
 /** Creates an empty queue of a class. */
 export function createClassQueue(
   classId: ClassId,
   fallbackTier: Tier,
+  usage: SlotUsage,
 ): ClassQueue {
   const started: QueuedRequest[] = [];
-  const waiting: QueuedRequest[] = [];
+  const backlogs = new Map<WorkspaceId, QueuedRequest[]>();
+  let unstartedSize = 0;
+
+  function addUnstarted(entry: QueuedRequest): void {
+    const {workspaceId} = entry.request;
+    unstartedSize += 1;
+    const backlog = backlogs.get(workspaceId);
+    if (backlog !== undefined) {
+      insertSorted(backlog, entry, byWaitStart);
+      return;
+    }
+    usage.resumed(classId, workspaceId);
+    backlogs.set(workspaceId, [entry]);
+  }
+
+  function removeUnstarted(entry: QueuedRequest): void {
+    const {workspaceId} = entry.request;
+    const backlog = backlogs.get(workspaceId);
+    if (backlog === undefined) return;
+    removeFrom(backlog, entry);
+    unstartedSize -= 1;
+    if (backlog.length === 0) backlogs.delete(workspaceId);
+  }
 
-  function listOf(entry: QueuedRequest): QueuedRequest[] {
-    return entry.request.resume === undefined ? waiting : started;
+  function* byUsage(): Iterable<QueuedRequest> {
+    const ranked = [...backlogs]
+      .map(([id, list]) => ({list, usedMs: usage.usedMs(classId, id)}))
+      .sort((a, b) => a.usedMs - b.usedMs || compareHeads(a.list, b.list));
+    for (const {list} of ranked) yield* list;
   }
 
   return {
     classId,
     fallbackTier,
     get size() {
-      return started.length + waiting.length;
+      return started.length + unstartedSize;
+    },
+    get unstartedSize() {
+      return unstartedSize;
     },
     add: entry => {
-      listOf(entry).push(entry);
+      if (entry.request.resume === undefined) addUnstarted(entry);
+      else insertSorted(started, entry, byArrival);
+    },
+    remove: entry => {
+      if (entry.request.resume === undefined) removeUnstarted(entry);
+      else removeFrom(started, entry);
     },
-    remove: entry => removeFrom(listOf(entry), entry),
     *inOrder() {
       yield* started;
-      yield* waiting;
+      yield* byUsage();
     },
-    oldest: () =>
-      [...started, ...waiting].reduce<QueuedRequest | undefined>(
-        earlier,
-        undefined,
-      ),
+    oldest: () => oldestOf(started, backlogs),
+    largestBacklog: () => largestOf(backlogs),
   };
 }
+
+function compareHeads(
+  a: readonly QueuedRequest[],
+  b: readonly QueuedRequest[],
+): number {
+  return (a[0]?.waitingSinceMs ?? 0) - (b[0]?.waitingSinceMs ?? 0);
+}
+
+function oldestOf(
+  started: readonly QueuedRequest[],
+  backlogs: ReadonlyMap<WorkspaceId, readonly QueuedRequest[]>,
+): QueuedRequest | undefined {
+  const heads = [...started];
+  for (const [head] of backlogs.values()) {
+    if (head !== undefined) heads.push(head);
+  }
+  return heads.sort(byWaitStart)[0];
+}
+
+function largestOf(
+  backlogs: ReadonlyMap<WorkspaceId, readonly QueuedRequest[]>,
+): LargestBacklog | undefined {
+  let largest: LargestBacklog | undefined;
+  for (const list of backlogs.values()) {
+    const newest = newestOf(list);
+    if (newest === undefined) continue;
+    const candidate = {newest, size: list.length};
+    if (largest === undefined || evictedFirst(candidate, largest)) {
+      largest = candidate;
+    }
+  }
+  return largest;
+}
+
+/** Tells whether `a` is evicted before `b`: larger backlog, then newer. */
+export function evictedFirst(a: LargestBacklog, b: LargestBacklog): boolean {
+  if (a.size !== b.size) return a.size > b.size;
+  return a.newest.order > b.newest.order;
+}
--- a/packages/policy/src/SchedulerJobs.ts
+++ b/packages/policy/src/SchedulerJobs.ts
@@ -7,7 +7,9 @@
   UpstreamId,
 } from '@toucanrouter/common';
 import {attemptKey} from './Queue.js';
+import {isLong} from './SchedulerLongWork.js';
 import type {SchedulerState} from './SchedulerState.js';
+import {expectedSlotMs} from './SchedulerState.js';
 import type {QueuedRequest, RunningJob} from './SchedulerTypes.js';
 
 function start(
@@ -31,6 +33,43 @@
   );
 }
 
+function freshJob(
+  state: SchedulerState,
+  upstreamId: UpstreamId,
+): Pick<RunningJob, 'chargedMs' | 'long' | 'preemption' | 'suspectKnown'> {
+  // Work that starts on a suspect upstream is a probe, which is not hedged.
+  const suspectKnown = state.tracker.state(upstreamId) === 'suspect';
+  return {chargedMs: 0, long: false, suspectKnown, preemption: undefined};
+}
+
+function chargeStart(state: SchedulerState, job: RunningJob): void {
+  const {classId, workspaceId} = job;
+  state.usage.started(classId, workspaceId);
+  job.chargedMs = expectedSlotMs(state, classId);
+  state.usage.charge(classId, workspaceId, job.chargedMs);
+}
+
+/** Charges a job for the slot time that it has used beyond the estimate. */
+export function chargeRunning(
+  state: SchedulerState,
+  job: RunningJob,
+  nowMs: number,
+): void {
+  const usedMs = nowMs - job.grantedAtMs;
+  if (usedMs <= job.chargedMs) return;
+  chargeDifference(state, job, usedMs);
+}
+
+function chargeDifference(
+  state: SchedulerState,
+  job: RunningJob,
+  usedMs: number,
+): void {
+  const {classId, workspaceId} = job;
+  state.usage.charge(classId, workspaceId, usedMs - job.chargedMs);
+  job.chargedMs = usedMs;
+}
+
 /** Gives a waiting request a permit for `upstreamId`. */
 export function grant(
   state: SchedulerState,
@@ -56,9 +95,14 @@
     grantedAtMs: nowMs,
     resumedTokens: request.resume?.tokens ?? 0,
     tokens: 0,
-    preempting: undefined,
+    ...freshJob(state, upstreamId),
   };
+  job.long = isLong(state, job);
   start(state, job, request.promptTokens, nowMs);
+  chargeStart(state, job);
+  if (request.prefixHash !== undefined) {
+    state.prefixes.set(request.prefixHash, upstreamId);
+  }
   state.counters.granted += 1;
   if (request.hedge) state.counters.hedged += 1;
   announceGrant(state, job);
@@ -98,8 +142,9 @@
     grantedAtMs: Math.min(permit.grantedAtMs, nowMs),
     resumedTokens: 0,
     tokens: permit.tokens,
-    preempting: undefined,
+    ...freshJob(state, permit.upstreamId),
   };
+  job.long = isLong(state, job);
   start(state, job, 0, nowMs);
 }
 
@@ -117,9 +162,12 @@
   state.tracker.ended(release, nowMs);
   state.counters.tokens += release.tokens;
   state.counters.wastedTokens += release.wastedTokens;
+  const slotMs = Math.max(0, nowMs - job.grantedAtMs);
+  chargeDifference(state, job, slotMs);
   if (release.outcome === 'completed') {
     const tokens = job.resumedTokens + release.tokens;
     state.options.lengths.observe(job.classId, job.workspaceId, tokens);
+    state.estimates.observeSlot(job.classId, slotMs);
   }
   return job;
 }
--- /dev/null
+++ b/packages/policy/src/SchedulerLongWork.ts
@@ -0,0 +1,52 @@
+/**
+ * Long jobs: lengths are unknown in advance, so a job counts as long once it
+ * exceeds a quantile of its class and workspace. While short jobs wait, long
+ * jobs hold no more than a share of the slots.
+ */
+import type {Tier, WorkspaceId, ClassId} from '@toucanrouter/common';
+import {slotCount} from './Placement.js';
+import type {SchedulerState} from './SchedulerState.js';
+import type {QueuedRequest, RunningJob} from './SchedulerTypes.js';
+
+function exceedsQuantile(
+  state: SchedulerState,
+  classId: ClassId,
+  workspaceId: WorkspaceId,
+  tokens: number,
+): boolean {
+  const fraction = state.parameters.longLengthQuantile;
+  const {lengths} = state.options;
+  const usual = lengths.quantile(classId, workspaceId, fraction);
+  return usual !== undefined && tokens > usual;
+}
+
+/** Tells whether a running job is longer than most of its kind. */
+export function isLong(state: SchedulerState, job: RunningJob): boolean {
+  const tokens = job.resumedTokens + job.tokens;
+  return exceedsQuantile(state, job.classId, job.workspaceId, tokens);
+}
+
+/** Tells whether a waiting request was long when it stopped. */
+export function isLongRequest(
+  state: SchedulerState,
+  {request}: QueuedRequest,
+): boolean {
+  if (request.resume === undefined) return false;
+  const {classId, workspaceId, resume} = request;
+  return exceedsQuantile(state, classId, workspaceId, resume.tokens);
+}
+
+/** Long jobs above their share of the slots; negative when there is room. */
+export function longExcess(
+  state: SchedulerState,
+  tier: Tier,
+  nowMs: number,
+): number {
+  const slots = slotCount(state.tracker, tier, nowMs);
+  const share = Math.floor(slots * state.parameters.longSlotShare);
+  let running = 0;
+  for (const job of state.jobs.values()) {
+    if (job.long && job.preemption === undefined) running += 1;
+  }
+  return running - Math.max(1, share);
+}
--- /dev/null
+++ b/packages/policy/src/SchedulerOverload.ts
@@ -0,0 +1,179 @@
+/**
+ * Overload: which requests are refused when there are more than can be served,
+ * and what is displaced in their place. A request is refused only after every
+ * request of a lower tier that could be displaced has been.
+ */
+import type {Tier, UpstreamId} from '@toucanrouter/common';
+import {attemptKey} from './Queue.js';
+import type {ClassQueue, LargestBacklog} from './QueueOfClass.js';
+import {evictedFirst} from './QueueOfClass.js';
+import {findVictims, makeRoom, roomFromPending} from './SchedulerPreemption.js';
+import {refuse} from './SchedulerRefusal.js';
+import type {SchedulerState} from './SchedulerState.js';
+import {tierOf} from './SchedulerState.js';
+import type {QueuedRequest} from './SchedulerTypes.js';
+import {estimateWaitMs} from './SchedulerWait.js';
+
+const anyUpstream: readonly UpstreamId[] = [];
+
+/** Refuses or preempts until the queue is within its limit. */
+export function limitQueue(state: SchedulerState, nowMs: number): void {
+  for (;;) {
+    const excess = state.queue.unstartedSize - state.parameters.maxQueued;
+    if (excess <= 0) return;
+    const victim = nextEviction(state);
+    if (victim === undefined) return;
+    const tier = tierOf(state, victim.request);
+    if (victim.request.hedge) {
+      refuse(state, victim, 'overloaded', nowMs);
+      continue;
+    }
+    // A preemption under way will take one request out of the queue.
+    if (excess <= roomFromPending(state, tier, nowMs)) return;
+    if (makeRoom(state, tier, anyUpstream, nowMs)) continue;
+    refuse(state, victim, 'overloaded', nowMs);
+  }
+}
+
+/**
+ * The request that is refused next: a hedge, because its request runs
+ * elsewhere; otherwise, in the lowest tier, the newest request of the
+ * workspace with the largest backlog. Evicting simply the newest request would
+ * let a large workspace that fills the queue have all others refused. Started
+ * jobs are not evicted, because they could not be told "not run".
+ */
+export function nextEviction(state: SchedulerState): QueuedRequest | undefined {
+  const hedge = state.queue.hedges()[0];
+  if (hedge !== undefined) return hedge;
+  let victim: LargestBacklog | undefined;
+  for (const queue of lowestTierQueues(state)) {
+    const candidate = queue.largestBacklog();
+    if (candidate === undefined) continue;
+    if (victim === undefined || evictedFirst(candidate, victim)) {
+      victim = candidate;
+    }
+  }
+  return victim?.newest;
+}
+
+function lowestTierQueues(state: SchedulerState): readonly ClassQueue[] {
+  const queues = state.queue
+    .classQueues()
+    .filter(queue => queue.unstartedSize > 0);
+  const lowest = Math.max(...queues.map(queue => tierOf(state, queue)));
+  return queues.filter(queue => tierOf(state, queue) === lowest);
+}
+
+/**
+ * Refuses requests of the lowest tier that the queue cannot serve in time, so
+ * that their callers learn it at once and not when their patience ends.
+ */
+export function shedEarly(state: SchedulerState, nowMs: number): void {
+  for (;;) {
+    const victim = nextEviction(state);
+    if (victim === undefined || victim.request.hedge) return;
+    if (!isHopeless(state, victim, nowMs)) return;
+    if (couldDisplace(state, victim, nowMs)) return;
+    refuse(state, victim, 'overloaded', nowMs);
+  }
+}
+
+function isHopeless(
+  state: SchedulerState,
+  {request, waitingSinceMs}: QueuedRequest,
+  nowMs: number,
+): boolean {
+  const {tier, maxWaitMs} = state.classes.policyOf(request);
+  const waitMs = estimateWaitMs(state, tier, nowMs);
+  if (waitMs === undefined) return false;
+  const latestMs = waitingSinceMs + maxWaitMs;
+  return nowMs + waitMs > Math.min(latestMs, request.deadlineAtMs);
+}
+
+function couldDisplace(
+  state: SchedulerState,
+  {request}: QueuedRequest,
+  nowMs: number,
+): boolean {
+  const tier = tierOf(state, request);
+  if (roomFromPending(state, tier, nowMs) > 0) return true;
+  const victims = findVictims(
+    state,
+    tier,
+    request.exclude,
+    job => tierOf(state, job) > tier,
+    nowMs,
+  );
+  return victims !== undefined;
+}
+
+/**
+ * Preempts lower tiers for requests that would otherwise be refused soon, and
+ * refuses those that have waited too long when nothing can be displaced.
+ */
+export function resolveUrgent(state: SchedulerState, nowMs: number): void {
+  const urgent = state.queue
+    .entries()
+    .filter(entry => isUrgent(state, entry, nowMs))
+    .sort((a, b) => tierOf(state, a.request) - tierOf(state, b.request));
+  let served = 0;
+  const exhausted = new Set<Tier>();
+  for (const entry of urgent) {
+    const tier = tierOf(state, entry.request);
+    if (!exhausted.has(tier) && serveUrgent(state, entry, served, nowMs)) {
+      served += 1;
+      continue;
+    }
+    if (entry.request.exclude.length === 0) exhausted.add(tier);
+    if (hasWaitedTooLong(state, entry, nowMs)) giveUp(state, entry, nowMs);
+  }
+}
+
+/** Finds a slot for one request more than the `served` before it. */
+function serveUrgent(
+  state: SchedulerState,
+  {request}: QueuedRequest,
+  served: number,
+  nowMs: number,
+): boolean {
+  const tier = tierOf(state, request);
+  if (served < roomFromPending(state, tier, nowMs)) return true;
+  return makeRoom(state, tier, request.exclude, nowMs);
+}
+
+function isUrgent(
+  state: SchedulerState,
+  entry: QueuedRequest,
+  nowMs: number,
+): boolean {
+  if (entry.request.hedge) return false;
+  const leftMs = entry.request.deadlineAtMs - nowMs;
+  if (leftMs <= state.parameters.deadlineLeadMs) return true;
+  return hasWaitedTooLong(state, entry, nowMs);
+}
+
+function hasWaitedTooLong(
+  state: SchedulerState,
+  {request, waitingSinceMs}: QueuedRequest,
+  nowMs: number,
+): boolean {
+  const {maxWaitMs} = state.classes.policyOf(request);
+  const limitMs = maxWaitMs * state.parameters.refuseAfterMaxWaits;
+  return nowMs - waitingSinceMs > limitMs;
+}
+
+function giveUp(
+  state: SchedulerState,
+  entry: QueuedRequest,
+  nowMs: number,
+): void {
+  if (entry.request.resume !== undefined) return;
+  if (state.queue.find(attemptKey(entry.request)) !== entry) return;
+  const tier = tierOf(state, entry.request);
+  for (const other of state.queue.entries()) {
+    if (other.request.resume !== undefined) continue;
+    if (tierOf(state, other.request) <= tier) continue;
+    refuse(state, other, 'overloaded', nowMs);
+  }
+  refuse(state, entry, 'overloaded', nowMs);
+}
--- a/packages/policy/src/SchedulerParameters.ts
+++ b/packages/policy/src/SchedulerParameters.ts
@@ -8,19 +8,74 @@
   readonly maxQueued: number;
   /** Maximum wait of requests whose class the scheduler does not know. */
   readonly unknownClassMaxWaitMs: number;
+  /**
+   * A request that has waited this many times its class's maximum wait is
+   * refused when no lower tier can be displaced for it.
+   */
+  readonly refuseAfterMaxWaits: number;
+  /**
+   * Grants between two slots that one class takes from higher tiers because
+   * its oldest request exceeded the maximum wait. Without an interval, a
+   * backlog of overdue requests would take every slot from higher tiers.
+   */
+  readonly overdueGrantInterval: number;
+  /**
+   * A lower tier is preempted for a request this long before its deadline, so
+   * that the slot is free in time.
+   */
+  readonly deadlineLeadMs: number;
+  /** Fraction of its target that a request waits before others are preempted. */
+  readonly targetRiskFraction: number;
+  /** A job runs at least this long before it is preempted for a target. */
+  readonly minimumRunMs: number;
+  /** Preemptions for targets, per slot of the shard and second. */
+  readonly preemptionsPerSlotSecond: number;
+  /** Preemptions for targets that may come together, per slot of the shard. */
+  readonly preemptionBurstPerSlot: number;
+  /** A preemption that its holder has not answered is repeated after this. */
+  readonly preemptRepeatMs: number;
+  /** Quantile of output length past which a job counts as long. */
+  readonly longLengthQuantile: number;
+  /** Share of the slots that long jobs hold while short jobs wait. */
+  readonly longSlotShare: number;
+  /** Slot time that a job is assumed to need before one of its class ended. */
+  readonly assumedSlotMs: number;
+  /** Period over which the arriving work of each tier is averaged. */
+  readonly arrivalPeriodMs: number;
+  /** Share of capacity that wait estimates always leave to a lower tier. */
+  readonly minimumTierShare: number;
   /** Retry-After values are at least this long. */
   readonly retryAfterMinMs: number;
   /** Retry-After values are at most this long. */
   readonly retryAfterMaxMs: number;
   /** Ended attempts and permits that are remembered to recognise late messages. */
   readonly maxRememberedEnds: number;
+  /** Prompt prefixes whose upstream is remembered. */
+  readonly maxRememberedPrefixes: number;
+  /** Pairs of class and workspace whose use of slots is remembered. */
+  readonly maxRememberedWorkspaces: number;
 }
 
 /** Defaults of all parameters. */
 export const defaultSchedulerParameters: SchedulerParameters = {
   maxQueued: 1000,
   unknownClassMaxWaitMs: 10_000,
+  refuseAfterMaxWaits: 2,
+  overdueGrantInterval: 10,
+  deadlineLeadMs: 300,
+  targetRiskFraction: 0.25,
+  minimumRunMs: 1000,
+  preemptionsPerSlotSecond: 0.02,
+  preemptionBurstPerSlot: 0.25,
+  preemptRepeatMs: 1000,
+  longLengthQuantile: 0.9,
+  longSlotShare: 0.3,
+  assumedSlotMs: 1000,
+  arrivalPeriodMs: 10_000,
+  minimumTierShare: 0.1,
   retryAfterMinMs: 500,
   retryAfterMaxMs: 30_000,
   maxRememberedEnds: 10_000,
+  maxRememberedPrefixes: 10_000,
+  maxRememberedWorkspaces: 10_000,
 };
--- /dev/null
+++ b/packages/policy/src/SchedulerPreemption.ts
@@ -0,0 +1,168 @@
+/**
+ * Preemption: which running jobs give up their slots for a waiting request.
+ */
+import type {PreemptReason, Tier, UpstreamId} from '@toucanrouter/common';
+import {liveUpstreams} from './Placement.js';
+import type {SchedulerState} from './SchedulerState.js';
+import {tierOf} from './SchedulerState.js';
+import type {RunningJob} from './SchedulerTypes.js';
+
+/** Tells whether a running job may be preempted. */
+export type VictimFilter = (job: RunningJob) => boolean;
+
+interface Victim {
+  readonly job: RunningJob;
+  readonly tier: Tier;
+}
+
+/** Tells whether a job may ever be preempted. */
+export function isPreemptible(job: RunningJob): boolean {
+  return job.idempotent && job.preemption === undefined;
+}
+
+/** The jobs of one upstream, as far as preemption is concerned. */
+interface UpstreamJobs {
+  /** Jobs whose holders have been told to give up their slots. */
+  pending: number;
+  readonly victims: Victim[];
+}
+
+function groupJobs(
+  state: SchedulerState,
+  filter: VictimFilter,
+): ReadonlyMap<UpstreamId, UpstreamJobs> {
+  const groups = new Map<UpstreamId, UpstreamJobs>();
+  for (const job of state.jobs.values()) {
+    const group = groups.get(job.upstreamId) ?? {pending: 0, victims: []};
+    groups.set(job.upstreamId, group);
+    if (job.preemption !== undefined) group.pending += 1;
+    if (!isPreemptible(job) || !filter(job)) continue;
+    group.victims.push({job, tier: tierOf(state, job)});
+  }
+  return groups;
+}
+
+/** Slots for `tier` that are free once told holders have given up theirs. */
+export function roomFromPending(
+  state: SchedulerState,
+  tier: Tier,
+  nowMs: number,
+): number {
+  const {tracker} = state;
+  let room = 0;
+  for (const [id, {pending}] of groupJobs(state, () => false)) {
+    if (pending === 0 || tracker.state(id) === 'leaving') continue;
+    const free =
+      tracker.limit(id, tier, nowMs) - tracker.inFlight(id) + pending;
+    room += Math.max(0, Math.min(pending, Math.floor(free)));
+  }
+  return room;
+}
+
+/**
+ * Jobs whose end gives one request of `tier` a slot, or undefined when there
+ * are none. More than one job is needed where an upstream holds more jobs than
+ * its limit allows.
+ */
+export function findVictims(
+  state: SchedulerState,
+  tier: Tier,
+  exclude: readonly UpstreamId[],
+  filter: VictimFilter,
+  nowMs: number,
+): readonly RunningJob[] | undefined {
+  const live = new Set(liveUpstreams(state.tracker));
+  let best: readonly Victim[] | undefined;
+  for (const [id, jobs] of groupJobs(state, filter)) {
+    if (!live.has(id) || exclude.includes(id)) continue;
+    const needed = victimsNeeded(state, id, jobs.pending, tier, nowMs);
+    if (needed > jobs.victims.length) continue;
+    const victims = jobs.victims.sort(compareVictims).slice(0, needed);
+    if (best === undefined || isBetter(victims, best)) best = victims;
+  }
+  return best?.map(victim => victim.job);
+}
+
+function victimsNeeded(
+  state: SchedulerState,
+  upstreamId: UpstreamId,
+  pending: number,
+  tier: Tier,
+  nowMs: number,
+): number {
+  const limit = Math.floor(state.tracker.limit(upstreamId, tier, nowMs));
+  if (limit < 1) return Infinity;
+  const staying = state.tracker.inFlight(upstreamId) - pending;
+  return Math.max(1, staying + 1 - limit);
+}
+
+// The newest job loses the least progress, and older ones run to completion.
+function compareVictims(a: Victim, b: Victim): number {
+  return b.tier - a.tier || b.job.grantedAtMs - a.job.grantedAtMs;
+}
+
+function isBetter(a: readonly Victim[], b: readonly Victim[]): boolean {
+  if (a.length !== b.length) return a.length < b.length;
+  const firstA = a[0];
+  const firstB = b[0];
+  if (firstA === undefined || firstB === undefined) return false;
+  return compareVictims(firstA, firstB) < 0;
+}
+
+/** Tells the holders of `victims` to give up their slots. */
+export function preempt(
+  state: SchedulerState,
+  victims: readonly RunningJob[],
+  reason: PreemptReason,
+  nowMs: number,
+): void {
+  for (const job of victims) {
+    job.preemption = {reason, toldAtMs: nowMs};
+    state.counters.preempted += 1;
+    tellHolder(state, job, reason);
+  }
+}
+
+function tellHolder(
+  state: SchedulerState,
+  job: RunningJob,
+  reason: PreemptReason,
+): void {
+  state.effects.push({
+    kind: 'preempt',
+    holder: job.holder,
+    requestId: job.requestId,
+    permitId: job.permitId,
+    reason,
+  });
+}
+
+/** Repeats preemptions that may have been lost with a link. */
+export function repeatPreemptions(state: SchedulerState, nowMs: number): void {
+  for (const job of state.jobs.values()) {
+    const {preemption} = job;
+    if (preemption === undefined) continue;
+    const elapsedMs = nowMs - preemption.toldAtMs;
+    if (elapsedMs < state.parameters.preemptRepeatMs) continue;
+    preemption.toldAtMs = nowMs;
+    tellHolder(state, job, preemption.reason);
+  }
+}
+
+/**
+ * Preempts lower-tier jobs in place of refusing a request of `tier`. Neither
+ * budget nor minimum run applies: otherwise a higher tier would be refused
+ * while a lower one runs.
+ */
+export function makeRoom(
+  state: SchedulerState,
+  tier: Tier,
+  exclude: readonly UpstreamId[],
+  nowMs: number,
+): boolean {
+  const lower: VictimFilter = job => tierOf(state, job) > tier;
+  const victims = findVictims(state, tier, exclude, lower, nowMs);
+  if (victims === undefined) return false;
+  preempt(state, victims, 'make_room', nowMs);
+  return true;
+}
--- a/packages/policy/src/SchedulerRefusal.ts
+++ b/packages/policy/src/SchedulerRefusal.ts
@@ -2,18 +2,27 @@
  * Refusals: which request is refused, with which error, and when its caller
  * should try again.
  */
-import type {RefuseKind, SchedulerEffect} from '@toucanrouter/common';
+import type {RefuseKind, SchedulerEffect, Tier} from '@toucanrouter/common';
 import {liveUpstreams} from './Placement.js';
 import {attemptKey} from './Queue.js';
 import type {SchedulerState} from './SchedulerState.js';
 import {tierOf} from './SchedulerState.js';
 import type {QueuedRequest} from './SchedulerTypes.js';
+import {estimateWaitMs} from './SchedulerWait.js';
 
-/** Delay that is spread over a range as wide as itself. */
-function retryAfterMs(state: SchedulerState): number {
+/** Spreads retries over a period as long as the shortest delay. */
+function retryAfterMs(
+  state: SchedulerState,
+  tier: Tier,
+  nowMs: number,
+): number {
   const {retryAfterMinMs, retryAfterMaxMs} = state.parameters;
-  const spreadMs = retryAfterMinMs * (1 + state.options.random.next());
-  return Math.round(Math.min(spreadMs, retryAfterMaxMs));
+  const waitMs = estimateWaitMs(state, tier, nowMs) ?? 0;
+  const shortestMs = Math.min(
+    Math.max(waitMs, retryAfterMinMs),
+    retryAfterMaxMs / 2,
+  );
+  return Math.round(shortestMs * (1 + state.options.random.next()));
 }
 
 /** Refuses a waiting request. */
@@ -21,6 +30,7 @@
   state: SchedulerState,
   entry: QueuedRequest,
   error: RefuseKind,
+  nowMs: number,
 ): void {
   const {request} = entry;
   const effect: SchedulerEffect = {
@@ -29,7 +39,7 @@
     requestId: request.requestId,
     attempt: request.attempt,
     error,
-    retryAfterMs: retryAfterMs(state),
+    retryAfterMs: retryAfterMs(state, tierOf(state, request), nowMs),
   };
   state.queue.remove(entry);
   state.endedAttempts.set(attemptKey(request), effect);
@@ -41,45 +51,16 @@
 export function refuseExpired(state: SchedulerState, nowMs: number): void {
   for (const entry of state.queue.entries()) {
     if (entry.request.deadlineAtMs > nowMs) continue;
-    refuse(state, entry, 'deadline_exceeded');
+    refuse(state, entry, 'deadline_exceeded', nowMs);
   }
 }
 
 /** Refuses requests that no live upstream may serve. */
-export function refuseUnplaceable(state: SchedulerState): void {
+export function refuseUnplaceable(state: SchedulerState, nowMs: number): void {
   const live = liveUpstreams(state.tracker);
   for (const entry of state.queue.entries()) {
     const {exclude} = entry.request;
     if (live.some(id => !exclude.includes(id))) continue;
-    refuse(state, entry, 'no_upstream');
-  }
-}
-
-/** Refuses the newest requests of the lowest tier until the queue fits. */
-export function refuseOverflow(state: SchedulerState): void {
-  while (state.queue.size > state.parameters.maxQueued) {
-    const victim = newestOfLowestTier(state);
-    if (victim === undefined) return;
-    refuse(state, victim, 'overloaded');
+    refuse(state, entry, 'no_upstream', nowMs);
   }
 }
-
-function newestOfLowestTier(state: SchedulerState): QueuedRequest | undefined {
-  let victim: QueuedRequest | undefined;
-  for (const entry of state.queue.entries()) {
-    if (victim === undefined || evictedBefore(state, entry, victim)) {
-      victim = entry;
-    }
-  }
-  return victim;
-}
-
-function evictedBefore(
-  state: SchedulerState,
-  a: QueuedRequest,
-  b: QueuedRequest,
-): boolean {
-  const tierDifference = tierOf(state, a.request) - tierOf(state, b.request);
-  if (tierDifference !== 0) return tierDifference > 0;
-  return a.order > b.order;
-}
--- a/packages/policy/src/SchedulerState.ts
+++ b/packages/policy/src/SchedulerState.ts
@@ -2,12 +2,14 @@
  * State of one shard scheduler, shared by the functions that act on it.
  */
 import type {
+  ClassId,
   InstanceId,
   PermitId,
   RandomSource,
   ShardId,
   SchedulerEffect,
   Tier,
+  UpstreamId,
 } from '@toucanrouter/common';
 import type {LengthModel} from './LengthModel.js';
 import type {Queue} from './Queue.js';
@@ -16,8 +18,14 @@
 import {createSchedulerClasses} from './SchedulerClasses.js';
 import type {BoundedMemory} from './SchedulerEnds.js';
 import {createBoundedMemory} from './SchedulerEnds.js';
+import type {SchedulerEstimates} from './SchedulerEstimates.js';
+import {createSchedulerEstimates} from './SchedulerEstimates.js';
+import type {SlotUsage} from './SchedulerFairness.js';
+import {createSlotUsage} from './SchedulerFairness.js';
 import type {SchedulerParameters} from './SchedulerParameters.js';
 import {defaultSchedulerParameters} from './SchedulerParameters.js';
+import type {TokenBucket} from './SchedulerTokenBucket.js';
+import {createTokenBucket} from './SchedulerTokenBucket.js';
 import type {RunningJob} from './SchedulerTypes.js';
 import type {UpstreamTracker} from './UpstreamTracker.js';
 
@@ -44,7 +52,7 @@
 }
 
 /** How an attempt ended; refusals are repeated when the attempt is. */
-export type AttemptEnd = 'canceled' | 'granted' | SchedulerEffect;
+export type AttemptAnswer = 'canceled' | 'granted' | SchedulerEffect;
 
 /** Everything that a shard scheduler remembers. */
 export interface SchedulerState {
@@ -56,9 +64,16 @@
   readonly jobs: Map<PermitId, RunningJob>;
   /** Permits of attempts that run now, by attempt key. */
   readonly permitOfAttempt: Map<string, PermitId>;
-  readonly endedAttempts: BoundedMemory<string, AttemptEnd>;
+  readonly endedAttempts: BoundedMemory<string, AttemptAnswer>;
   readonly endedPermits: BoundedMemory<PermitId, true>;
   readonly counters: MutableCounters;
+  readonly usage: SlotUsage;
+  readonly estimates: SchedulerEstimates;
+  readonly preemptionBudget: TokenBucket;
+  /** Upstream that last served each prompt prefix. */
+  readonly prefixes: BoundedMemory<string, UpstreamId>;
+  /** Count of grants when each class last took a slot from a higher tier. */
+  readonly overdueGrants: BoundedMemory<ClassId, number>;
   /** Effects of the call in progress. */
   effects: SchedulerEffect[];
   nextOrder: number;
@@ -69,12 +84,13 @@
   options: ShardSchedulerOptions,
 ): SchedulerState {
   const parameters = {...defaultSchedulerParameters, ...options.parameters};
+  const usage = createSlotUsage(parameters.maxRememberedWorkspaces);
   return {
     options,
     parameters,
     tracker: options.tracker,
     classes: createSchedulerClasses(parameters.unknownClassMaxWaitMs),
-    queue: createQueue(),
+    queue: createQueue(usage),
     jobs: new Map(),
     permitOfAttempt: new Map(),
     endedAttempts: createBoundedMemory(parameters.maxRememberedEnds),
@@ -87,6 +103,11 @@
       tokens: 0,
       wastedTokens: 0,
     },
+    usage,
+    estimates: createSchedulerEstimates(parameters.arrivalPeriodMs),
+    preemptionBudget: createTokenBucket(),
+    prefixes: createBoundedMemory(parameters.maxRememberedPrefixes),
+    overdueGrants: createBoundedMemory(parameters.maxRememberedWorkspaces),
     effects: [],
     nextOrder: 0,
   };
@@ -104,3 +125,11 @@
 ): readonly RunningJob[] {
   return [...state.jobs.values()].filter(job => job.holder === holder);
 }
+
+/** Slot time that a job of a class is expected to need. */
+export function expectedSlotMs(
+  state: SchedulerState,
+  classId: ClassId,
+): number {
+  return state.estimates.slotMs(classId) ?? state.parameters.assumedSlotMs;
+}
--- /dev/null
+++ b/packages/policy/src/SchedulerTargets.ts
@@ -0,0 +1,87 @@
+/**
+ * Preemption for targets: while a request is about to miss its target, jobs of
+ * lower tiers give up slots, within a budget and after a minimum run.
+ */
+import type {Tier} from '@toucanrouter/common';
+import {slotCount} from './Placement.js';
+import {targetWaitMs} from './SchedulerClasses.js';
+import {longExcess} from './SchedulerLongWork.js';
+import type {VictimFilter} from './SchedulerPreemption.js';
+import {findVictims, preempt, roomFromPending} from './SchedulerPreemption.js';
+import type {SchedulerState} from './SchedulerState.js';
+import {tierOf} from './SchedulerState.js';
+import type {QueuedRequest, RunningJob} from './SchedulerTypes.js';
+
+/** Preempts jobs for waiting requests whose targets are at risk. */
+export function preemptForTargets(state: SchedulerState, nowMs: number): void {
+  const exhausted = new Set<Tier>();
+  const atRisk = requestsAtRisk(state, nowMs);
+  for (const [index, entry] of atRisk.entries()) {
+    const tier = tierOf(state, entry.request);
+    if (exhausted.has(tier)) continue;
+    if (index < roomFromPending(state, tier, nowMs)) continue;
+    if (!preemptFor(state, entry, tier, nowMs)) exhausted.add(tier);
+  }
+}
+
+function requestsAtRisk(
+  state: SchedulerState,
+  nowMs: number,
+): readonly QueuedRequest[] {
+  return state.queue
+    .entries()
+    .filter(entry => isAtRisk(state, entry, nowMs))
+    .sort((a, b) => tierOf(state, a.request) - tierOf(state, b.request));
+}
+
+function isAtRisk(
+  state: SchedulerState,
+  {request, waitingSinceMs}: QueuedRequest,
+  nowMs: number,
+): boolean {
+  if (request.hedge || request.resume !== undefined) return false;
+  const targetMs = targetWaitMs(state.classes.policyOf(request));
+  const riskAfterMs = targetMs * state.parameters.targetRiskFraction;
+  return nowMs - waitingSinceMs >= riskAfterMs;
+}
+
+function preemptFor(
+  state: SchedulerState,
+  {request}: QueuedRequest,
+  tier: Tier,
+  nowMs: number,
+): boolean {
+  const longInExcess = longExcess(state, tier, nowMs) > 0;
+  const filter: VictimFilter = job =>
+    hasRunEnough(state, job, nowMs) &&
+    (tierOf(state, job) > tier ||
+      (longInExcess && job.long && tierOf(state, job) === tier));
+  const victims = findVictims(state, tier, request.exclude, filter, nowMs);
+  if (victims === undefined) return false;
+  if (!takeBudget(state, victims.length, tier, nowMs)) return false;
+  preempt(state, victims, 'meet_target', nowMs);
+  return true;
+}
+
+function hasRunEnough(
+  state: SchedulerState,
+  job: RunningJob,
+  nowMs: number,
+): boolean {
+  return nowMs - job.grantedAtMs >= state.parameters.minimumRunMs;
+}
+
+function takeBudget(
+  state: SchedulerState,
+  count: number,
+  tier: Tier,
+  nowMs: number,
+): boolean {
+  const {preemptionsPerSlotSecond, preemptionBurstPerSlot} = state.parameters;
+  const slots = slotCount(state.tracker, tier, nowMs);
+  const rate = {
+    perSecond: slots * preemptionsPerSlotSecond,
+    burst: Math.max(1, slots * preemptionBurstPerSlot),
+  };
+  return state.preemptionBudget.take(count, rate, nowMs);
+}
--- a/packages/policy/src/SchedulerTypes.ts
+++ b/packages/policy/src/SchedulerTypes.ts
@@ -22,6 +22,13 @@
   readonly waitingSinceMs: number;
 }
 
+/** A preemption that the holder has not answered yet. */
+export interface Preemption {
+  readonly reason: PreemptReason;
+  /** When the holder was last told. */
+  toldAtMs: number;
+}
+
 /** A job that holds a permit. */
 export interface RunningJob {
   readonly permitId: PermitId;
@@ -40,6 +47,12 @@
   readonly resumedTokens: number;
   /** Tokens received under this permit, as last reported. */
   tokens: number;
+  /** Slot time that its workspace was charged so far. */
+  chargedMs: number;
+  /** True once the job is longer than most of its class and workspace. */
+  long: boolean;
+  /** True when the holder knows that the upstream is suspect. */
+  suspectKnown: boolean;
   /** Set while the holder has been told to give the permit up. */
-  preempting: PreemptReason | undefined;
+  preemption: Preemption | undefined;
 }
--- /dev/null
+++ b/packages/policy/src/SchedulerWait.ts
@@ -0,0 +1,36 @@
+/**
+ * Estimates how long a request would wait from the work that is queued before
+ * it and from the work that arrives above its tier.
+ */
+import type {Tier} from '@toucanrouter/common';
+import {slotCount} from './Placement.js';
+import type {SchedulerState} from './SchedulerState.js';
+import {tierOf} from './SchedulerState.js';
+
+/** Wait of the last request of `tier`; undefined until a job has ended. */
+export function estimateWaitMs(
+  state: SchedulerState,
+  tier: Tier,
+  nowMs: number,
+): number | undefined {
+  const workMs = queuedWorkMs(state, tier);
+  if (workMs === undefined) return undefined;
+  const slots = slotCount(state.tracker, tier, nowMs);
+  const above = state.estimates.slotsUsedAbove(tier, nowMs);
+  const left = Math.max(
+    slots - above,
+    slots * state.parameters.minimumTierShare,
+  );
+  return left > 0 ? workMs / left : undefined;
+}
+
+function queuedWorkMs(state: SchedulerState, tier: Tier): number | undefined {
+  let workMs = 0;
+  for (const queue of state.queue.classQueues()) {
+    if (tierOf(state, queue) > tier) continue;
+    const slotMs = state.estimates.slotMs(queue.classId);
+    if (slotMs === undefined) return undefined;
+    workMs += queue.size * slotMs;
+  }
+  return workMs;
+}
--- a/packages/policy/src/ShardScheduler.ts
+++ b/packages/policy/src/ShardScheduler.ts
@@ -15,18 +15,30 @@
   ShardSnapshot,
   UpstreamInfo,
 } from '@toucanrouter/common';
+import {liveUpstreams} from './Placement.js';
 import {attemptKey} from './Queue.js';
 import {dispatch} from './SchedulerDispatch.js';
-import {adoptPermit, announceGrant, endJob} from './SchedulerJobs.js';
 import {
-  refuseExpired,
-  refuseOverflow,
-  refuseUnplaceable,
-} from './SchedulerRefusal.js';
+  adoptPermit,
+  announceGrant,
+  chargeRunning,
+  endJob,
+} from './SchedulerJobs.js';
+import {isLong} from './SchedulerLongWork.js';
+import {limitQueue, resolveUrgent, shedEarly} from './SchedulerOverload.js';
+import {repeatPreemptions} from './SchedulerPreemption.js';
+import {refuse, refuseExpired, refuseUnplaceable} from './SchedulerRefusal.js';
 import {takeSnapshot} from './SchedulerSnapshot.js';
 import type {SchedulerState, ShardSchedulerOptions} from './SchedulerState.js';
-import {createSchedulerState, jobsOf} from './SchedulerState.js';
-import type {RunningJob} from './SchedulerTypes.js';
+import {
+  createSchedulerState,
+  expectedSlotMs,
+  jobsOf,
+  tierOf,
+} from './SchedulerState.js';
+import {tellSuspects} from './SchedulerSuspects.js';
+import {preemptForTargets} from './SchedulerTargets.js';
+import type {QueuedRequest, RunningJob} from './SchedulerTypes.js';
 
 /** Schedules the upstreams of one shard. */
 export interface ShardScheduler {
@@ -60,13 +72,24 @@
 ): ShardScheduler {
   const state = createSchedulerState(options);
 
-  function step(nowMs: number, change: () => void): readonly SchedulerEffect[] {
+  function step(nowMs: number, apply: () => void): readonly SchedulerEffect[] {
     state.effects = [];
-    change();
-    settle(state, nowMs);
+    apply();
+    dispatch(state, nowMs);
+    limitQueue(state, nowMs);
     return state.effects;
   }
 
+  function change(
+    nowMs: number,
+    apply: () => void,
+  ): readonly SchedulerEffect[] {
+    return step(nowMs, () => {
+      apply();
+      reviewQueue(state, nowMs);
+    });
+  }
+
   return {
     acquire: (request, nowMs) =>
       step(nowMs, () => accept(state, request, nowMs)),
@@ -81,22 +104,31 @@
         for (const permit of permits) adoptPermit(state, permit, nowMs);
       }),
     setUpstreams: (upstreams, nowMs) =>
-      step(nowMs, () => state.tracker.setUpstreams(upstreams, nowMs)),
+      change(nowMs, () => state.tracker.setUpstreams(upstreams, nowMs)),
     setClasses: (classes, nowMs) =>
-      step(nowMs, () => state.classes.set(classes)),
+      change(nowMs, () => state.classes.set(classes)),
     dropHolder: (holder, nowMs) =>
       step(nowMs, () => dropHolder(state, holder, nowMs)),
-    tick: nowMs => step(nowMs, () => state.tracker.tick(nowMs)),
+    tick: nowMs => change(nowMs, () => passTime(state, nowMs)),
     snapshot: nowMs => takeSnapshot(state, nowMs),
   };
 }
 
-/** Applies what follows from any change of state. */
-function settle(state: SchedulerState, nowMs: number): void {
+function passTime(state: SchedulerState, nowMs: number): void {
+  state.tracker.tick(nowMs);
+  for (const job of state.jobs.values()) chargeRunning(state, job, nowMs);
+  repeatPreemptions(state, nowMs);
+  tellSuspects(state);
+}
+
+/** Looks at every waiting request; too costly for each message. */
+function reviewQueue(state: SchedulerState, nowMs: number): void {
   refuseExpired(state, nowMs);
-  refuseUnplaceable(state);
+  refuseUnplaceable(state, nowMs);
   dispatch(state, nowMs);
-  refuseOverflow(state);
+  resolveUrgent(state, nowMs);
+  preemptForTargets(state, nowMs);
+  shedEarly(state, nowMs);
 }
 
 function accept(
@@ -107,14 +139,51 @@
   const key = attemptKey(request);
   if (state.queue.find(key) !== undefined) return;
   if (repeatAnswer(state, key)) return;
-  state.queue.add({
+  const entry = {
     request,
     order: state.nextOrder++,
     waitingSinceMs:
       request.resume === undefined
         ? Math.min(request.arrivedAtMs, nowMs)
         : nowMs,
-  });
+  };
+  state.queue.add(entry);
+  countArrival(state, request, nowMs);
+  reviewEntry(state, entry, nowMs);
+}
+
+function countArrival(
+  state: SchedulerState,
+  request: AcquireRequest,
+  nowMs: number,
+): void {
+  const slotMs = expectedSlotMs(state, request.classId);
+  state.estimates.observeArrival(tierOf(state, request), slotMs, nowMs);
+}
+
+function reviewEntry(
+  state: SchedulerState,
+  entry: QueuedRequest,
+  nowMs: number,
+): void {
+  const {exclude, deadlineAtMs} = entry.request;
+  if (deadlineAtMs <= nowMs) {
+    refuse(state, entry, 'deadline_exceeded', nowMs);
+    return;
+  }
+  const live = liveUpstreams(state.tracker);
+  if (live.every(id => exclude.includes(id))) {
+    refuse(state, entry, 'no_upstream', nowMs);
+    return;
+  }
+  const startedSize = state.queue.size - state.queue.unstartedSize;
+  const {resume} = entry.request;
+  if (resume !== undefined && startedSize > state.parameters.maxQueued) {
+    refuse(state, entry, 'overloaded', nowMs);
+    return;
+  }
+  dispatch(state, nowMs);
+  shedEarly(state, nowMs);
 }
 
 /**
@@ -150,8 +219,10 @@
     const job = state.jobs.get(sample.permitId);
     if (job === undefined) continue;
     job.tokens = Math.max(job.tokens, sample.tokens);
+    job.long = isLong(state, job);
     state.tracker.progressed(sample, nowMs);
   }
+  tellSuspects(state);
 }
 
 function dropHolder(
@@ -175,6 +246,8 @@
     },
     nowMs,
   );
-  // A holder that was only paused announces its permits again.
+  // A holder that was only paused announces its permits again, and repeats an
+  // acquire whose grant it did not see.
   state.endedPermits.delete(job.permitId);
+  state.endedAttempts.delete(attemptKey(job));
 }
--- /dev/null
+++ b/packages/policy/src/__tests__/unit/ShardSchedulerFairness.test.ts
@@ -0,0 +1,211 @@
+import type {SchedulerEffect} from '@toucanrouter/common';
+import {toUpstreamId, toWorkspaceId} from '@toucanrouter/common';
+import {expect} from 'chai';
+import type {ShardScheduler} from '../../index.js';
+import {createBoundedMemory} from '../../SchedulerEnds.js';
+import {
+  acquireRequest,
+  brief,
+  grantedPermit,
+  permitRelease,
+  serviceClass,
+  setUp,
+  upstream,
+} from './SchedulerFixtures.js';
+
+const large = toWorkspaceId('large');
+const small = toWorkspaceId('small');
+
+function refusals(effects: readonly SchedulerEffect[]): readonly string[] {
+  return brief(effects).filter(text => text.startsWith('refuse'));
+}
+
+/** Ends the job of the first grant among `effects` at `nowMs`. */
+function finish(
+  scheduler: ShardScheduler,
+  effects: readonly SchedulerEffect[],
+  nowMs: number,
+): readonly SchedulerEffect[] {
+  return scheduler.release(permitRelease(grantedPermit(effects)), nowMs);
+}
+
+describe('ShardScheduler: maximum wait', () => {
+  it('gives an overdue class the next slot before waiting higher tiers', () => {
+    const {scheduler} = setUp();
+    const first = scheduler.acquire(acquireRequest('running', 1, 0), 0);
+    scheduler.acquire(acquireRequest('low', 4, 1), 1);
+    scheduler.acquire(acquireRequest('high', 1, 5000), 5000);
+    const next = finish(scheduler, first, 5100);
+    expect(brief(next)).to.deep.equal(['grant low p2@u1']);
+  });
+
+  it('spaces out such slots, so that a low backlog does not invert the tiers', () => {
+    const {scheduler} = setUp({parameters: {overdueGrantInterval: 5}});
+    let last = scheduler.acquire(acquireRequest('running', 1, 0), 0);
+    for (let i = 0; i < 20; i++) {
+      scheduler.acquire(acquireRequest(`low${i}`, 4, 1), 1);
+      scheduler.acquire(acquireRequest(`high${i}`, 1, 5500), 5500);
+    }
+    const grants: string[] = [];
+    for (let i = 0; i < 10; i++) {
+      last = finish(scheduler, last, 5600 + i);
+      grants.push(...brief(last));
+    }
+    expect(grants.filter(text => text.includes('low'))).to.have.length(2);
+  });
+
+  it('refuses what waited too long, lowest tier first, instead of keeping it', () => {
+    const classes = [serviceClass('t2', 2), serviceClass('t4', 4)];
+    const {scheduler} = setUp({classes});
+    const order = acquireRequest('order', 1, 0, {idempotent: false});
+    scheduler.acquire(order, 0);
+    scheduler.acquire(acquireRequest('mid', 2, 0), 0);
+    scheduler.acquire(acquireRequest('low', 4, 9000), 9000);
+    expect(refusals(scheduler.tick(10_000))).to.deep.equal([]);
+    expect(refusals(scheduler.tick(10_100))).to.deep.equal([
+      'refuse low overloaded',
+      'refuse mid overloaded',
+    ]);
+  });
+});
+
+describe('ShardScheduler: fairness between workspaces', () => {
+  it('alternates by slot time, so that a large workspace does not starve a small one', () => {
+    const {scheduler} = setUp();
+    let last = scheduler.acquire(acquireRequest('first', 2, 0), 0);
+    for (let i = 0; i < 8; i++) {
+      const workspaceId = i < 6 ? large : small;
+      scheduler.acquire(
+        acquireRequest(`${workspaceId}${i}`, 2, 1, {workspaceId}),
+        1,
+      );
+    }
+    const grants: string[] = [];
+    for (let i = 1; i <= 4; i++) {
+      last = finish(scheduler, last, i * 100);
+      grants.push(...last.map(effect => effect.requestId));
+    }
+    expect(grants).to.deep.equal(['large0', 'small6', 'large1', 'small7']);
+  });
+
+  it('counts slot time and not jobs, so that few large jobs do not win', () => {
+    const {scheduler} = setUp();
+    let last = scheduler.acquire(acquireRequest('first', 2, 0), 0);
+    for (let i = 0; i < 40; i++) {
+      const workspaceId = i % 2 === 0 ? large : small;
+      const request = acquireRequest(`${workspaceId}${i}`, 2, 1, {workspaceId});
+      scheduler.acquire(request, 1);
+    }
+    const usedMs = {large: 0, small: 0};
+    let nowMs = 100;
+    for (let i = 0; i < 20; i++) {
+      last = finish(scheduler, last, nowMs);
+      const isLarge = last[0]?.requestId.startsWith('large') ?? false;
+      const jobMs = isLarge ? 400 : 100;
+      usedMs[isLarge ? 'large' : 'small'] += jobMs;
+      nowMs += jobMs;
+    }
+    expect(usedMs.large / usedMs.small).to.be.within(0.5, 2);
+  });
+
+  it('evicts from the larger backlog, so that a full queue still admits others', () => {
+    const {scheduler} = setUp({parameters: {maxQueued: 3}});
+    scheduler.acquire(acquireRequest('first', 2, 0), 0);
+    for (let i = 0; i < 3; i++) {
+      const request = acquireRequest(`large${i}`, 2, 1, {workspaceId: large});
+      scheduler.acquire(request, 1);
+    }
+    const request = acquireRequest('small', 2, 2, {workspaceId: small});
+    expect(brief(scheduler.acquire(request, 2))).to.deep.equal([
+      'refuse large2 overloaded',
+    ]);
+  });
+});
+
+describe('ShardScheduler: early refusals', () => {
+  it('refuses the lowest tier at once when the queue cannot serve it in time', () => {
+    const {scheduler} = setUp();
+    const first = scheduler.acquire(acquireRequest('first', 3, 0), 0);
+    for (let i = 0; i < 6; i++) {
+      scheduler.acquire(acquireRequest(`r${i}`, 3, 1), 1);
+    }
+    // The first job took 1 s, so five of six fit into the maximum wait of 5 s.
+    finish(scheduler, first, 1000);
+    const effects = scheduler.acquire(acquireRequest('late', 3, 1000), 1000);
+    expect(refusals(effects).length).to.be.greaterThan(0);
+    expect(refusals(effects)).to.include('refuse late overloaded');
+  });
+
+  it('spreads Retry-After, so that refused callers do not return together', () => {
+    const {scheduler} = setUp({parameters: {maxQueued: 0}});
+    scheduler.acquire(acquireRequest('first', 3, 0), 0);
+    const delays = new Set<number>();
+    for (let i = 0; i < 20; i++) {
+      for (const effect of scheduler.acquire(
+        acquireRequest(`r${i}`, 3, 1),
+        1,
+      )) {
+        if (effect.kind === 'refuse') delays.add(effect.retryAfterMs);
+      }
+    }
+    expect(delays.size).to.be.greaterThan(15);
+  });
+});
+
+describe('ShardScheduler: placement and stragglers', () => {
+  const u2 = toUpstreamId('u2');
+
+  it('prefers the upstream that cached the prefix, but only while it has room', () => {
+    const {scheduler, tracker} = setUp({
+      upstreams: [upstream('u1'), upstream('u2')],
+      limit: 2,
+    });
+    tracker.setLimit(toUpstreamId('u1'), 0);
+    const warm = acquireRequest('warm', 2, 0, {prefixHash: 'x'});
+    scheduler.acquire(warm, 0);
+    tracker.setLimit(toUpstreamId('u1'), 2);
+    const same = acquireRequest('same', 2, 1, {prefixHash: 'x'});
+    expect(brief(scheduler.acquire(same, 1))).to.deep.equal([
+      'grant same p2@u2',
+    ]);
+    const full = acquireRequest('full', 2, 2, {prefixHash: 'x'});
+    expect(brief(scheduler.acquire(full, 2))).to.deep.equal([
+      'grant full p3@u1',
+    ]);
+  });
+
+  it('reports a suspect upstream once, and only for work that may run twice', () => {
+    const {scheduler, tracker} = setUp({
+      upstreams: [upstream('u2')],
+      limit: 2,
+    });
+    scheduler.acquire(acquireRequest('answer', 1, 0), 0);
+    scheduler.acquire(acquireRequest('order', 1, 0, {idempotent: false}), 0);
+    tracker.setState(u2, 'suspect');
+    expect(brief(scheduler.progress([], 100))).to.deep.equal([
+      'suspect answer',
+    ]);
+    expect(brief(scheduler.tick(200))).to.deep.equal([]);
+  });
+
+  it('refuses a hedge before any request, because its request runs already', () => {
+    const {scheduler} = setUp({parameters: {maxQueued: 1}});
+    scheduler.acquire(acquireRequest('a', 1, 0), 0);
+    const hedge = acquireRequest('a', 1, 0, {attempt: 2, hedge: true});
+    scheduler.acquire(hedge, 1);
+    const effects = scheduler.acquire(acquireRequest('low', 4, 2), 2);
+    expect(brief(effects)).to.deep.equal(['refuse a overloaded']);
+  });
+});
+
+describe('createBoundedMemory', () => {
+  it('forgets the oldest entries, so that no table grows without bound', () => {
+    const memory = createBoundedMemory<string, number>(2);
+    for (const [index, key] of ['a', 'b', 'a', 'c'].entries()) {
+      memory.set(key, index);
+    }
+    expect(memory.size).to.equal(2);
+    expect(memory.has('b')).to.equal(false);
+    expect(memory.get('a')).to.equal(2);
+  });
+});
