--- /dev/null
+++ b/packages/policy/src/TrackedUpstream.ts
@@ -0,0 +1,164 @@
+/**
+ * What the tracker keeps about one incarnation of an upstream.
+ */
+import type {PermitRelease, UpstreamInfo} from '@toucanrouter/common';
+import type {ConcurrencyLimit} from './UpstreamTrackerLimits.js';
+import {createConcurrencyLimit} from './UpstreamTrackerLimits.js';
+import type {MovingAverage} from './MovingAverage.js';
+import {createMovingAverage} from './MovingAverage.js';
+import type {RateEvidence, TokenRateWindow} from './TokenRateWindow.js';
+import {createTokenRateWindow} from './TokenRateWindow.js';
+import type {UpstreamHealth} from './UpstreamTrackerHealth.js';
+import {createUpstreamHealth} from './UpstreamTrackerHealth.js';
+import type {DecodeDelta, TrackedJob} from './UpstreamTrackerJobs.js';
+import type {UpstreamTrackerParameters} from './UpstreamTrackerConstants.js';
+import {
+  latencyMemoryMs,
+  limitWindowMs,
+  maxLatencyShare,
+  maxSampleIntervalMs,
+} from './UpstreamTrackerConstants.js';
+
+/** Observations and state of one upstream. */
+export interface TrackedUpstream {
+  info: UpstreamInfo;
+  leaving: boolean;
+  /** Failed jobs since the last completed one. */
+  failures: number;
+  readonly jobs: Set<TrackedJob>;
+  readonly limit: ConcurrencyLimit;
+  readonly health: UpstreamHealth;
+  readonly rate: TokenRateWindow;
+  /** Token gap while healthy, remembered while idle. */
+  readonly gapMs: MovingAverage;
+  /** First-token time, or time of plain calls, per unit of prompt weight. */
+  readonly responseMs: MovingAverage;
+  /** First-token time as a share of the target. */
+  readonly firstTokenShare: MovingAverage;
+  /** Total time as a share of the target. */
+  readonly totalShare: MovingAverage;
+}
+
+/** Creates the record of an upstream about which nothing is known. */
+export function createTrackedUpstream(
+  info: UpstreamInfo,
+  parameters: UpstreamTrackerParameters,
+): TrackedUpstream {
+  return {
+    info,
+    leaving: info.leaving,
+    failures: 0,
+    jobs: new Set(),
+    limit: createConcurrencyLimit(parameters),
+    health: createUpstreamHealth(parameters),
+    rate: createTokenRateWindow(),
+    gapMs: createMovingAverage(),
+    responseMs: createMovingAverage(),
+    firstTokenShare: createMovingAverage(),
+    totalShare: createMovingAverage(),
+  };
+}
+
+/** Adds decoding to the window of an upstream. */
+export function recordDecode(
+  upstream: TrackedUpstream,
+  delta: DecodeDelta | undefined,
+  nowMs: number,
+): void {
+  if (delta === undefined) return;
+  upstream.rate.add(delta.jobMs, delta.tokens, nowMs);
+  if (delta.tokens > 0) upstream.health.addEvidence(delta.jobMs);
+}
+
+/** Records the first-token time of a job once it is known. */
+export function recordFirstToken(
+  upstream: TrackedUpstream,
+  job: TrackedJob,
+  nowMs: number,
+): void {
+  if (job.firstTokenMs === undefined) return;
+  upstream.responseMs.add(job.firstTokenMs / job.promptWeight, nowMs);
+  const target = job.start.target.firstTokenMs;
+  if (target === undefined) return;
+  const share = Math.min(maxLatencyShare, job.firstTokenMs / target);
+  upstream.firstTokenShare.add(share, nowMs);
+}
+
+/** Records how long a completed job took. */
+export function recordCompletion(
+  upstream: TrackedUpstream,
+  job: TrackedJob,
+  release: PermitRelease,
+  nowMs: number,
+): void {
+  const isService = upstream.info.kind === 'service';
+  if (isService) upstream.responseMs.add(release.serviceMs, nowMs);
+  const target = job.start.target;
+  if (target.totalMs === undefined || target.tokenGapMs !== undefined) return;
+  const share = Math.min(maxLatencyShare, release.serviceMs / target.totalMs);
+  upstream.totalShare.add(share, nowMs);
+}
+
+/** Decoding in the window that limits are adjusted by. */
+export function limitEvidence(
+  upstream: TrackedUpstream,
+  nowMs: number,
+): RateEvidence | undefined {
+  return upstream.rate.evidence(nowMs, undefined, limitWindowMs);
+}
+
+/** Jobs whose holder reported lately that no token has come yet. */
+function waitingJobs(upstream: TrackedUpstream): TrackedJob[] {
+  return [...upstream.jobs].filter(
+    job => job.firstTokenMs === undefined && job.sinceLastTokenMs > 0,
+  );
+}
+
+/** Longest wait for a first token, per unit of prompt weight. */
+export function longestResponseMs(
+  upstream: TrackedUpstream,
+  nowMs: number,
+): number | undefined {
+  const waits = waitingJobs(upstream).map(
+    job => job.sinceLastTokenMs / job.promptWeight,
+  );
+  const recent = upstream.responseMs.recent(nowMs, maxSampleIntervalMs);
+  if (recent !== undefined) waits.push(recent);
+  return waits.length === 0 ? undefined : Math.max(...waits);
+}
+
+/** Mean share of the first-token target that waiting jobs have used up. */
+function waitingShare(upstream: TrackedUpstream): number | undefined {
+  let sum = 0;
+  let count = 0;
+  for (const job of waitingJobs(upstream)) {
+    const target = job.start.target.firstTokenMs;
+    if (target === undefined) continue;
+    sum += Math.min(maxLatencyShare, job.sinceLastTokenMs / target);
+    count += 1;
+  }
+  return count === 0 ? undefined : sum / count;
+}
+
+/**
+ * Latency as a share of the targets; the largest of the shares that were
+ * observed lately.
+ */
+export function latencyPressure(
+  upstream: TrackedUpstream,
+  targetGapMs: number | undefined,
+  nowMs: number,
+): number | undefined {
+  const gapMs = limitEvidence(upstream, nowMs)?.gapMs;
+  const shares = [
+    gapMs !== undefined && targetGapMs !== undefined
+      ? gapMs / targetGapMs
+      : undefined,
+    upstream.firstTokenShare.recent(nowMs, latencyMemoryMs),
+    waitingShare(upstream),
+    upstream.totalShare.recent(nowMs, latencyMemoryMs),
+  ].filter(share => share !== undefined);
+  if (shares.length > 0) return Math.max(...shares);
+  // Work without a target of its own grows the limit as long as tokens come.
+  return gapMs === undefined ? undefined : 0.5;
+}
--- /dev/null
+++ b/packages/policy/src/__tests__/unit/UpstreamFixtures.ts
@@ -0,0 +1,138 @@
+/**
+ * Upstreams with running jobs for tests of the tracker: every 100 ms the
+ * holders report what a given token gap produces.
+ */
+import type {
+  LatencyTarget,
+  PermitOutcome,
+  Tier,
+  UpstreamId,
+  UpstreamInfo,
+} from '@toucanrouter/common';
+import {toClassId, toPermitId, toUpstreamId} from '@toucanrouter/common';
+import type {UpstreamTracker} from '../../index.js';
+
+const sampleIntervalMs = 100;
+
+export function upstreamInfo(
+  name: string,
+  changes: Partial<UpstreamInfo> = {},
+): UpstreamInfo {
+  return {
+    id: toUpstreamId(name),
+    kind: 'engine',
+    serves: 'model',
+    address: '127.0.0.1:1',
+    region: 'region',
+    failureDomain: 'domain',
+    incarnation: 1,
+    leaving: false,
+    ...changes,
+  };
+}
+
+export function upstreamInfos(count: number): UpstreamInfo[] {
+  return Array.from({length: count}, (_, i) => upstreamInfo(`u${i}`));
+}
+
+interface FakeJob {
+  readonly permit: string;
+  readonly upstreamId: UpstreamId;
+  readonly startedAtMs: number;
+  tokens: number;
+  lastTokenAtMs: number;
+}
+
+export interface JobOptions {
+  readonly tier?: Tier;
+  readonly target?: LatencyTarget;
+}
+
+/** Drives a tracker as entries would. */
+export interface FakeEntries {
+  nowMs(): number;
+  start(upstreamId: UpstreamId, options?: JobOptions): string;
+  end(permit: string, outcome: PermitOutcome, serviceMs?: number): void;
+  /** Lets jobs run with the token gap of their upstream. */
+  run(forMs: number, gapMs: (upstreamId: UpstreamId) => number): void;
+}
+
+export function createFakeEntries(tracker: UpstreamTracker): FakeEntries {
+  const jobs = new Map<string, FakeJob>();
+  let nowMs = 0;
+  let nextPermit = 0;
+
+  function start(upstreamId: UpstreamId, options: JobOptions = {}): string {
+    const permit = `p${nextPermit++}`;
+    const tier = options.tier ?? 4;
+    jobs.set(permit, {
+      permit,
+      upstreamId,
+      startedAtMs: nowMs,
+      tokens: 0,
+      lastTokenAtMs: nowMs,
+    });
+    tracker.started(
+      {
+        permitId: toPermitId(permit),
+        upstreamId,
+        classId: toClassId(`class${tier}`),
+        tier,
+        target: options.target ?? {tokenGapMs: 50},
+        promptTokens: 100,
+      },
+      nowMs,
+    );
+    return permit;
+  }
+
+  function decode(job: FakeJob, gapMs: number): void {
+    while (job.lastTokenAtMs + gapMs <= nowMs) {
+      job.lastTokenAtMs += gapMs;
+      job.tokens += 1;
+    }
+  }
+
+  function report(job: FakeJob): void {
+    tracker.progressed(
+      {
+        permitId: toPermitId(job.permit),
+        tokens: job.tokens,
+        firstTokenMs: job.tokens > 0 ? 30 : undefined,
+        sinceLastTokenMs: nowMs - job.lastTokenAtMs,
+      },
+      nowMs,
+    );
+  }
+
+  return {
+    nowMs: () => nowMs,
+    start,
+    end: (permit, outcome, serviceMs) => {
+      const job = jobs.get(permit);
+      if (job === undefined) return;
+      jobs.delete(permit);
+      tracker.ended(
+        {
+          permitId: toPermitId(permit),
+          outcome,
+          tokens: job.tokens,
+          wastedTokens: 0,
+          serviceMs: serviceMs ?? nowMs - job.startedAtMs,
+        },
+        nowMs,
+      );
+    },
+    run: (forMs, gapMs) => {
+      const endMs = nowMs + forMs;
+      while (nowMs + sampleIntervalMs <= endMs) {
+        nowMs += sampleIntervalMs;
+        for (const job of jobs.values()) {
+          decode(job, gapMs(job.upstreamId));
+          report(job);
+        }
+        tracker.tick(nowMs);
+      }
+    },
+  };
+}
