--- /dev/null
+++ b/packages/policy/src/__tests__/unit/Budgets.test.ts
@@ -0,0 +1,77 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {createHedgeBudget, createRetryBudget} from '../../index.js';
+
+describe('createRetryBudget', () => {
+  it('allows a few retries when there are few requests', () => {
+    const budget = createRetryBudget({minRatePerSecond: 0.2});
+    expect(budget.tryRetry(0)).to.equal(true);
+    expect(budget.tryRetry(0)).to.equal(true);
+    expect(budget.tryRetry(0)).to.equal(false);
+    expect(budget.tryRetry(10_000)).to.equal(true);
+  });
+
+  it('never exceeds its share of the requests in any window', () => {
+    const event = fc.record({
+      waitMs: fc.nat(3000),
+      isRetry: fc.boolean(),
+    });
+    fc.assert(
+      fc.property(fc.array(event, {maxLength: 300}), events => {
+        const budget = createRetryBudget();
+        const requests: number[] = [];
+        const retries: number[] = [];
+        let nowMs = 0;
+        for (const {waitMs, isRetry} of events) {
+          nowMs += waitMs;
+          if (!isRetry) {
+            budget.requested(nowMs);
+            requests.push(nowMs);
+          } else if (budget.tryRetry(nowMs)) {
+            retries.push(nowMs);
+          }
+          const recent = (at: number) => at > nowMs - 9000;
+          const allowed =
+            10 + 0.1 * requests.filter(at => at > nowMs - 10_000).length;
+          expect(retries.filter(recent).length).to.be.at.most(allowed);
+        }
+      }),
+      {seed: 7, numRuns: 200},
+    );
+  });
+});
+
+describe('createHedgeBudget', () => {
+  it('never lets second copies exceed 5% of the work', () => {
+    const event = fc.record({tokens: fc.nat(1000), isHedge: fc.boolean()});
+    fc.assert(
+      fc.property(fc.array(event, {maxLength: 300}), events => {
+        const budget = createHedgeBudget();
+        let worked = 0;
+        let hedged = 0;
+        for (const {tokens, isHedge} of events) {
+          if (!isHedge) {
+            budget.worked(tokens);
+            worked += tokens;
+          } else if (budget.tryHedge(tokens)) {
+            hedged += tokens;
+          }
+          expect(hedged).to.be.at.most(worked * 0.05 + 1e-6);
+        }
+      }),
+      {seed: 7, numRuns: 200},
+    );
+  });
+
+  it('repays a second copy that took more than expected', () => {
+    const budget = createHedgeBudget();
+    budget.worked(2000);
+    expect(budget.tryHedge(50)).to.equal(true);
+    budget.settle(50, 150);
+    expect(budget.tryHedge(1)).to.equal(false);
+    budget.worked(1000);
+    expect(budget.tryHedge(1)).to.equal(false);
+    budget.worked(1000);
+    expect(budget.tryHedge(50)).to.equal(true);
+  });
+});
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,5 +1,17 @@
+export type {HedgeBudget, HedgeBudgetParameters} from './HedgeBudget.js';
+export {
+  createHedgeBudget,
+  defaultHedgeBudgetParameters,
+} from './HedgeBudget.js';
 export type {LengthModel} from './LengthModel.js';
 export {createLengthModel} from './LengthModel.js';
+export type {AttemptEnd, RecoveryDecision, RecoveryState} from './Recovery.js';
+export {decideRecovery, maxAttempts} from './Recovery.js';
+export type {RetryBudget, RetryBudgetParameters} from './RetryBudget.js';
+export {
+  createRetryBudget,
+  defaultRetryBudgetParameters,
+} from './RetryBudget.js';
 export type {JobStart, UpstreamTracker} from './UpstreamTracker.js';
 export {createUpstreamTracker} from './UpstreamTracker.js';
 export type {UpstreamTrackerParameters} from './UpstreamTrackerConstants.js';
