--- /dev/null
+++ b/packages/peer/src/PeerProtocol.ts
@@ -0,0 +1,23 @@
+/**
+ * Loads the definition of the protocol between instances.
+ */
+import {fileURLToPath} from 'node:url';
+import {loadPackageDefinition} from '@grpc/grpc-js';
+import {loadSync} from '@grpc/proto-loader';
+import type {ProtoGrpcType} from './generated/peer.js';
+import type {Envelope} from './generated/toucanrouter/peer/v1/Envelope.js';
+
+const definition = loadSync(
+  fileURLToPath(new URL('../proto/peer.proto', import.meta.url)),
+  {longs: Number, enums: String, defaults: true, oneofs: true},
+);
+
+const loaded = loadPackageDefinition(definition) as unknown as ProtoGrpcType;
+
+/** Client constructor and service definition of the protocol. */
+export const {Peer: PeerService} = loaded.toucanrouter.peer.v1;
+
+/** Returns the bytes that an envelope takes on the wire, without framing. */
+export function encodedBytes(envelope: Envelope): number {
+  return PeerService.service.Exchange.requestSerialize(envelope).length;
+}
--- /dev/null
+++ b/packages/peer/src/__tests__/unit/PeerCodec.test.ts
@@ -0,0 +1,132 @@
+import type {
+  AcquireRequest,
+  PermitRelease,
+  SchedulerEffect,
+} from '@toucanrouter/common';
+import {
+  createManualClock,
+  toClassId,
+  toInstanceId,
+  toPermitId,
+  toRequestId,
+  toShardId,
+  toUpstreamId,
+  toWorkspaceId,
+} from '@toucanrouter/common';
+import {expect} from 'chai';
+import type {Envelope, ReceivedEnvelope} from '../../index.js';
+import {
+  createPeerHub,
+  decodeAcquire,
+  decodeEffect,
+  decodeRelease,
+  encodeAcquire,
+  encodeEffect,
+  encodeRelease,
+} from '../../index.js';
+import {PeerService} from '../../PeerProtocol.js';
+
+const shardId = toShardId('engine:kilt-advisor@zilina');
+const holder = toInstanceId('entry-1');
+const {requestSerialize, requestDeserialize} = PeerService.service.Exchange;
+
+function overTheWire(envelope: Envelope): ReceivedEnvelope {
+  return requestDeserialize(requestSerialize(envelope)) as ReceivedEnvelope;
+}
+
+function acquireRequest(): AcquireRequest {
+  return {
+    requestId: toRequestId('r1'),
+    holder,
+    classId: toClassId('fitting'),
+    workspaceId: toWorkspaceId('kosice'),
+    fallbackTier: 2,
+    arrivedAtMs: 900,
+    deadlineAtMs: 4_000,
+    attempt: 2,
+    idempotent: true,
+    promptTokens: 300,
+    prefixHash: 'abc',
+    resume: {upstreamId: toUpstreamId('e1'), tokens: 12},
+    exclude: [toUpstreamId('e2')],
+    hedge: false,
+  };
+}
+
+describe('PeerCodec', () => {
+  it('carries times as ages, so that instances with different clocks agree', () => {
+    const sent = acquireRequest();
+    const {acquire} = overTheWire(encodeAcquire(shardId, sent, 1_000));
+    const received = decodeAcquire(acquire!, holder, 50_000);
+    expect(received).to.deep.equal({
+      ...sent,
+      arrivedAtMs: 49_900,
+      deadlineAtMs: 53_000,
+    });
+  });
+
+  it('carries every effect unchanged', () => {
+    const requestId = toRequestId('r1');
+    const permitId = toPermitId('p1');
+    const effects: SchedulerEffect[] = [
+      {
+        kind: 'grant',
+        holder,
+        requestId,
+        attempt: 1,
+        permitId,
+        upstreamId: toUpstreamId('e1'),
+      },
+      {
+        kind: 'refuse',
+        holder,
+        requestId,
+        attempt: 1,
+        error: 'overloaded',
+        retryAfterMs: 700,
+      },
+      {kind: 'preempt', holder, requestId, permitId, reason: 'make_room'},
+      {kind: 'suspect', holder, requestId, permitId},
+    ];
+    for (const effect of effects) {
+      const wire = overTheWire(encodeEffect(shardId, effect));
+      expect(decodeEffect(wire, holder)?.effect).to.deep.equal(effect);
+    }
+  });
+
+  it('keeps an absent first-token time apart from zero', () => {
+    const release: PermitRelease = {
+      permitId: toPermitId('p1'),
+      outcome: 'completed',
+      tokens: 3,
+      wastedTokens: 0,
+      firstTokenMs: undefined,
+      tokenGapMs: 0,
+      serviceMs: 10,
+    };
+    const wire = overTheWire(encodeRelease(shardId, release));
+    expect(decodeRelease(wire.release!)).to.deep.equal(release);
+  });
+});
+
+describe('PeerHub', () => {
+  it('refuses to start on an address it cannot bind, and names it', async () => {
+    const options = {
+      selfId: holder,
+      clock: createManualClock(),
+      createHeartbeat: () => ({}),
+      onEnvelope: () => undefined,
+    };
+    const first = await createPeerHub({
+      ...options,
+      listen: {host: '127.0.0.1', port: 0},
+    });
+    const hub = first._unsafeUnwrap();
+    const second = await createPeerHub({
+      ...options,
+      listen: {host: '127.0.0.1', port: hub.port},
+    });
+    hub.close();
+    expect(second._unsafeUnwrapErr().message).to.contain(`:${hub.port}`);
+  });
+});
