--- a/packages/common/src/ServiceClasses.ts
+++ b/packages/common/src/ServiceClasses.ts
@@ -26,6 +26,8 @@
   readonly methods: readonly string[];
   /** Path prefixes of plain calls; empty for all. */
   readonly paths: readonly string[];
+  /** True when requests belong to the class only if the caller names it. */
+  readonly onlyWhenNamed?: boolean;
 }
 
 /** A class of work as operators define it. */
--- /dev/null
+++ b/packages/settings/src/ClassesFile.ts
@@ -0,0 +1,147 @@
+/**
+ * Reads the operators' classes file. All faults are reported at once, each
+ * with its line.
+ */
+import type {
+  ServiceClass,
+  SettingsFault,
+  Tier,
+  Workspace,
+} from '@toucanrouter/common';
+import {SettingsError, toClassId, toWorkspaceId} from '@toucanrouter/common';
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import type {ReadClass} from './ClassesRules.js';
+import {checkClass, checkOverlaps} from './ClassesRules.js';
+import type {ClassValues} from './ClassesSchema.js';
+import {classSection, workspaceSection} from './ClassesSchema.js';
+import type {IniSection} from './IniDocument.js';
+import {readIni} from './IniDocument.js';
+import type {FaultList} from './SectionReader.js';
+import {createFaultList, lineOf, readSection} from './SectionReader.js';
+import {namePattern, nameRule} from './SettingsFields.js';
+
+/** Classes and workspaces as operators define them. */
+export interface ClassesFile {
+  readonly classes: readonly ServiceClass[];
+  readonly workspaces: readonly Workspace[];
+}
+
+interface ReadWorkspace {
+  readonly section: IniSection;
+  readonly workspace: Workspace;
+}
+
+/** Reads the classes in `text`; `file` names them in faults. */
+export function parseClasses(
+  text: string,
+  file: string,
+): Result<ClassesFile, SettingsError> {
+  const document = readIni(text, file);
+  const faults = createFaultList(document);
+  const classes: ReadClass[] = [];
+  const workspaces: ReadWorkspace[] = [];
+  for (const section of document.sections) {
+    readNamedSection(section, classes, workspaces, faults);
+  }
+  if (!document.sections.some(({name}) => name.startsWith('class.'))) {
+    faults.add(0, 'no class is defined; add a [class.<name>] section');
+  }
+  checkOverlaps(classes, faults);
+  checkDistinctKeys(workspaces, faults);
+  if (faults.faults.length > 0) return err(toClassesError(faults.faults));
+  return ok({
+    classes: classes.map(({serviceClass}) => serviceClass),
+    workspaces: workspaces.map(({workspace}) => workspace),
+  });
+}
+
+function toClassesError(faults: readonly SettingsFault[]): SettingsError {
+  const sorted = [...faults].sort((a, b) => a.line - b.line);
+  return new SettingsError('config_invalid', sorted);
+}
+
+function readNamedSection(
+  section: IniSection,
+  classes: ReadClass[],
+  workspaces: ReadWorkspace[],
+  faults: FaultList,
+): void {
+  const [kind = '', ...rest] = section.name.split('.');
+  const name = rest.join('.');
+  if (kind !== 'class' && kind !== 'workspace') {
+    faults.add(
+      section.line,
+      `section [${section.name}] is unknown; allowed are [class.<name>] and [workspace.<name>]`,
+    );
+    return;
+  }
+  if (!namePattern.test(name)) {
+    faults.add(section.line, `[${section.name}]: ${nameRule}`);
+  }
+  if (kind === 'class') readClass(name, section, classes, faults);
+  else readWorkspace(name, section, workspaces, faults);
+}
+
+function readClass(
+  name: string,
+  section: IniSection,
+  classes: ReadClass[],
+  faults: FaultList,
+): void {
+  const values = readSection(section, classSection, faults);
+  if (values === undefined) return;
+  checkClass(section, values, faults);
+  classes.push({section, serviceClass: toServiceClass(name, values)});
+}
+
+function toServiceClass(name: string, values: ClassValues): ServiceClass {
+  return {
+    id: toClassId(name),
+    tier: Number(values.priority) as Tier,
+    target: {
+      ...(values.target_first_token && {
+        firstTokenMs: values.target_first_token,
+      }),
+      ...(values.target_token_gap && {tokenGapMs: values.target_token_gap}),
+      ...(values.target_total && {totalMs: values.target_total}),
+    },
+    idempotent: values.idempotent,
+    maxWaitMs: values.max_wait,
+    match: {
+      models: values.models,
+      services: values.services,
+      methods: values.methods,
+      paths: values.paths,
+      ...(values.only_when_named && {onlyWhenNamed: true}),
+    },
+  };
+}
+
+function readWorkspace(
+  name: string,
+  section: IniSection,
+  workspaces: ReadWorkspace[],
+  faults: FaultList,
+): void {
+  const values = readSection(section, workspaceSection, faults);
+  if (values === undefined) return;
+  const workspace = {id: toWorkspaceId(name), keySha256: values.key_sha256};
+  workspaces.push({section, workspace});
+}
+
+function checkDistinctKeys(
+  workspaces: readonly ReadWorkspace[],
+  faults: FaultList,
+): void {
+  const owners = new Map<string, string>();
+  for (const {section, workspace} of workspaces) {
+    const owner = owners.get(workspace.keySha256);
+    owners.set(workspace.keySha256, section.name);
+    if (owner === undefined) continue;
+    faults.add(
+      lineOf(section, 'key_sha256'),
+      `key_sha256 is also the key of [${owner}]; give each workspace its own key`,
+    );
+  }
+}
--- /dev/null
+++ b/packages/settings/src/ClassesRules.ts
@@ -0,0 +1,137 @@
+/**
+ * Rules of a classes file that concern several keys or several classes.
+ */
+import type {ClassMatch, ServiceClass} from '@toucanrouter/common';
+import type {ClassValues} from './ClassesSchema.js';
+import type {IniSection} from './IniDocument.js';
+import type {FaultList} from './SectionReader.js';
+import {lineOf} from './SectionReader.js';
+
+/** A class with the section that it was read from. */
+export interface ReadClass {
+  readonly section: IniSection;
+  readonly serviceClass: ServiceClass;
+}
+
+/** Checks the keys of one class against each other. */
+export function checkClass(
+  section: IniSection,
+  values: ClassValues,
+  faults: FaultList,
+): void {
+  checkTargets(section, values, faults);
+  checkMatch(section, values, faults);
+}
+
+function checkTargets(
+  section: IniSection,
+  values: ClassValues,
+  faults: FaultList,
+): void {
+  const targets = [
+    values.target_first_token,
+    values.target_token_gap,
+    values.target_total,
+  ];
+  if (targets.every(target => target === undefined)) {
+    faults.add(
+      section.line,
+      `[${section.name}] has no target; set target_first_token, target_token_gap or target_total`,
+    );
+    return;
+  }
+  if (values.services.length > 0 && values.target_total === undefined) {
+    faults.add(
+      section.line,
+      `[${section.name}] lists plain services, which send no tokens; set target_total`,
+    );
+  }
+}
+
+function checkMatch(
+  section: IniSection,
+  values: ClassValues,
+  faults: FaultList,
+): void {
+  const {models, services, methods, paths} = values;
+  if (models.length === 0 && services.length === 0) {
+    faults.add(
+      section.line,
+      `[${section.name}] matches no request; list names in models or services`,
+    );
+  }
+  if (models.length > 0 && services.length > 0) {
+    faults.add(
+      lineOf(section, 'services'),
+      `[${section.name}] lists both models and services; make it two classes`,
+    );
+  }
+  if (models.length > 0 && methods.length + paths.length > 0) {
+    const key = methods.length > 0 ? 'methods' : 'paths';
+    faults.add(
+      lineOf(section, key),
+      `${key}: applies only to classes with services; remove it`,
+    );
+  }
+  if (models.length > 0 && !values.idempotent) {
+    faults.add(
+      lineOf(section, 'idempotent'),
+      'idempotent: must be yes for a class with models, since only plain calls are claimed',
+    );
+  }
+}
+
+/** Reports pairs of classes that match the same request. */
+export function checkOverlaps(
+  classes: readonly ReadClass[],
+  faults: FaultList,
+): void {
+  classes.forEach((later, index) => {
+    for (const earlier of classes.slice(0, index)) {
+      const shared = conflict(earlier.serviceClass, later.serviceClass);
+      if (shared === undefined) continue;
+      faults.add(
+        later.section.line,
+        `[${later.section.name}] and [${earlier.section.name}] (line ${earlier.section.line}) both match ${shared}; ${remedy(later.serviceClass)}`,
+      );
+    }
+  });
+}
+
+function remedy(serviceClass: ServiceClass): string {
+  return serviceClass.match.models.length > 0
+    ? 'set only_when_named = yes in all but one of them'
+    : 'narrow the methods or paths';
+}
+
+/**
+ * A caller may choose between classes of one model by name. Plain calls must
+ * have exactly one class, because a name must not turn a call that runs at most
+ * once into one that is retried.
+ */
+function conflict(a: ServiceClass, b: ServiceClass): string | undefined {
+  const service = sharedCall(a.match, b.match);
+  if (service !== undefined) return `service "${service}"`;
+  if (a.match.onlyWhenNamed || b.match.onlyWhenNamed) return undefined;
+  const model = a.match.models.find(name => b.match.models.includes(name));
+  return model === undefined ? undefined : `model "${model}"`;
+}
+
+function sharedCall(a: ClassMatch, b: ClassMatch): string | undefined {
+  const service = a.services.find(name => b.services.includes(name));
+  if (service === undefined) return undefined;
+  const overlaps =
+    intersect(a.methods, b.methods, (x, y) => x === y) &&
+    intersect(a.paths, b.paths, (x, y) => x.startsWith(y) || y.startsWith(x));
+  return overlaps ? service : undefined;
+}
+
+/** An empty list stands for all values. */
+function intersect(
+  a: readonly string[],
+  b: readonly string[],
+  meet: (x: string, y: string) => boolean,
+): boolean {
+  if (a.length === 0 || b.length === 0) return true;
+  return a.some(x => b.some(y => meet(x, y)));
+}
--- /dev/null
+++ b/packages/settings/src/SettingsFields.ts
@@ -0,0 +1,177 @@
+/**
+ * Schemas of single values in settings and classes files. Values are text in
+ * the file; each schema checks the text and converts it.
+ */
+import {z} from 'zod';
+import type {ListenAddress} from './InstanceSettings.js';
+
+const durationUnitsMs: Readonly<Record<string, number>> = {
+  ms: 1,
+  s: 1000,
+  m: 60_000,
+  h: 3_600_000,
+};
+
+const sizeUnitsBytes: Readonly<Record<string, number>> = {
+  B: 1,
+  KiB: 1024,
+  MiB: 1024 * 1024,
+};
+
+const maxPort = 65_535;
+/** Timers of Node.js overflow beyond 2^31 - 1 milliseconds. */
+const maxDurationMs = 86_400_000;
+
+/** Either a value, or the reason why a text is not accepted. */
+type Conversion<T> = {readonly value: T} | {readonly fault: string};
+
+/** Creates a schema from a conversion of text. */
+function textField<T>(convert: (text: string) => Conversion<T>) {
+  return z.string().transform((text, context): T => {
+    const result = convert(text);
+    if ('value' in result) return result.value;
+    context.addIssue({code: 'custom', message: result.fault});
+    return z.NEVER;
+  });
+}
+
+function scaled(
+  text: string,
+  units: Readonly<Record<string, number>>,
+): number | undefined {
+  const match = /^(\d+(?:\.\d+)?)\s*([A-Za-z]+)$/.exec(text);
+  const unit = units[match?.[2] ?? ''];
+  if (match === null || unit === undefined) return undefined;
+  return Number(match[1]) * unit;
+}
+
+function convertDuration(text: string): Conversion<number> {
+  const valueMs = scaled(text, durationUnitsMs);
+  if (valueMs === undefined) {
+    return {
+      fault: `"${text}" is not a duration; write a number with unit ms, s, m or h, such as 400ms or 2s`,
+    };
+  }
+  if (valueMs < 1 || valueMs > maxDurationMs) {
+    return {fault: `"${text}" is out of range; allowed are 1ms to 24h`};
+  }
+  return {value: valueMs};
+}
+
+/** A duration with its unit, in milliseconds. */
+export const durationField = textField(convertDuration);
+
+/** A size with its unit, in bytes. */
+export const sizeField = textField((text): Conversion<number> => {
+  const bytes = scaled(text, sizeUnitsBytes);
+  if (bytes !== undefined && bytes >= 1) return {value: Math.floor(bytes)};
+  return {
+    fault: `"${text}" is not a size; write a number with unit B, KiB or MiB, such as 4MiB`,
+  };
+});
+
+/** A text that is not empty. */
+export const nonEmptyField = textField((text): Conversion<string> =>
+  text === '' ? {fault: 'the value is empty'} : {value: text},
+);
+
+/** Names with letters, digits, `.`, `_` and `-`. */
+export const namePattern = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
+
+/** What `namePattern` accepts, for messages. */
+export const nameRule =
+  'a name has 1 to 63 letters, digits, ".", "_" or "-" and starts with a letter or digit';
+
+/** A name of an instance, region, service and the like. */
+export const nameField = textField((text): Conversion<string> =>
+  namePattern.test(text)
+    ? {value: text}
+    : {fault: `"${text}" is not a name; ${nameRule}`},
+);
+
+/** Creates a schema that accepts one of the given words. */
+export function choiceField<Choice extends string>(choices: readonly Choice[]) {
+  return textField((text): Conversion<Choice> => {
+    const choice = choices.find(candidate => candidate === text);
+    if (choice !== undefined) return {value: choice};
+    return {fault: `"${text}" is not allowed; use ${choices.join(', ')}`};
+  });
+}
+
+/** `yes` or `no`. */
+export const yesNoField = choiceField(['yes', 'no']).transform(
+  choice => choice === 'yes',
+);
+
+function splitList(text: string): readonly string[] {
+  if (text === '') return [];
+  return text.split(',').map(item => item.trim());
+}
+
+/** Creates a schema of a comma-separated list of distinct items. */
+export function listField(
+  accepts: (item: string) => boolean,
+  rule: string,
+): z.ZodType<readonly string[], string> {
+  return textField((text): Conversion<readonly string[]> => {
+    const items = splitList(text);
+    const bad = items.find(item => !accepts(item));
+    if (bad !== undefined) return {fault: `"${bad}" is not allowed; ${rule}`};
+    const twice = items.find((item, index) => items.indexOf(item) !== index);
+    if (twice !== undefined) return {fault: `"${twice}" is listed twice`};
+    return {value: items};
+  });
+}
+
+/** Splits `host:port` and checks both parts. */
+export function convertAddress(text: string): Conversion<ListenAddress> {
+  const match = /^(\[[0-9A-Fa-f:.]+\]|[A-Za-z0-9.-]+):(\d+)$/.exec(text);
+  if (match === null) {
+    return {
+      fault: `"${text}" is not an address; write host:port, such as 127.0.0.1:8080`,
+    };
+  }
+  const port = Number(match[2]);
+  if (port < 1 || port > maxPort) {
+    return {
+      fault: `port ${match[2]} in "${text}" is out of range; allowed are 1 to ${maxPort}`,
+    };
+  }
+  return {value: {host: (match[1] ?? '').replace(/^\[|\]$/g, ''), port}};
+}
+
+/** `host:port` as host and port. */
+export const addressField = textField(convertAddress);
+
+/** `host:port` kept as text. */
+export const addressTextField = textField((text): Conversion<string> => {
+  const result = convertAddress(text);
+  return 'fault' in result ? result : {value: text};
+});
+
+/** Comma-separated `host:port` addresses. */
+export const addressListField = listField(
+  item => 'value' in convertAddress(item),
+  'write host:port with a port from 1 to 65535',
+);
+
+/** An `http:` or `https:` URL. */
+export const urlField = textField((text): Conversion<string> => {
+  const url = URL.canParse(text) ? new URL(text) : undefined;
+  if (url?.protocol === 'http:' || url?.protocol === 'https:') {
+    return {value: text};
+  }
+  return {
+    fault: `"${text}" is not a URL; write http://host:port/path`,
+  };
+});
+
+/** A SHA-256 hash in lower-case hexadecimal. */
+export const sha256Field = textField((text): Conversion<string> =>
+  /^[0-9a-f]{64}$/.test(text)
+    ? {value: text}
+    : {
+        fault:
+          'the value is not a SHA-256 hash; write 64 lower-case hexadecimal digits (printf %s KEY | sha256sum)',
+      },
+);
