--- a/packages/settings/src/ClassesFile.ts
+++ b/packages/settings/src/ClassesFile.ts
@@ -89,9 +89,9 @@
   classes: ReadClass[],
   faults: FaultList,
 ): void {
+  checkClass(section, faults);
   const values = readSection(section, classSection, faults);
   if (values === undefined) return;
-  checkClass(section, values, faults);
   classes.push({section, serviceClass: toServiceClass(name, values)});
 }
 
--- a/packages/settings/src/ClassesRules.ts
+++ b/packages/settings/src/ClassesRules.ts
@@ -2,7 +2,6 @@
  * Rules of a classes file that concern several keys or several classes.
  */
 import type {ClassMatch, ServiceClass} from '@toucanrouter/common';
-import type {ClassValues} from './ClassesSchema.js';
 import type {IniSection} from './IniDocument.js';
 import type {FaultList} from './SectionReader.js';
 import {lineOf} from './SectionReader.js';
@@ -13,34 +12,26 @@
   readonly serviceClass: ServiceClass;
 }
 
-/** Checks the keys of one class against each other. */
-export function checkClass(
-  section: IniSection,
-  values: ClassValues,
-  faults: FaultList,
-): void {
-  checkTargets(section, values, faults);
-  checkMatch(section, values, faults);
+/** Checks the keys of one class against each other, whatever their values. */
+export function checkClass(section: IniSection, faults: FaultList): void {
+  checkTargets(section, faults);
+  checkMatch(section, faults);
 }
 
-function checkTargets(
-  section: IniSection,
-  values: ClassValues,
-  faults: FaultList,
-): void {
-  const targets = [
-    values.target_first_token,
-    values.target_token_gap,
-    values.target_total,
-  ];
-  if (targets.every(target => target === undefined)) {
+function isSet(section: IniSection, key: string): boolean {
+  return section.entries.some(entry => entry.key === key && entry.value !== '');
+}
+
+function checkTargets(section: IniSection, faults: FaultList): void {
+  const targets = ['target_first_token', 'target_token_gap', 'target_total'];
+  if (!targets.some(key => isSet(section, key))) {
     faults.add(
       section.line,
-      `[${section.name}] has no target; set target_first_token, target_token_gap or target_total`,
+      `[${section.name}] has no target; set ${targets.join(', ')}, or some of them`,
     );
     return;
   }
-  if (values.services.length > 0 && values.target_total === undefined) {
+  if (isSet(section, 'services') && !isSet(section, 'target_total')) {
     faults.add(
       section.line,
       `[${section.name}] lists plain services, which send no tokens; set target_total`,
@@ -48,34 +39,36 @@
   }
 }
 
-function checkMatch(
-  section: IniSection,
-  values: ClassValues,
-  faults: FaultList,
-): void {
-  const {models, services, methods, paths} = values;
-  if (models.length === 0 && services.length === 0) {
+function checkMatch(section: IniSection, faults: FaultList): void {
+  const models = isSet(section, 'models');
+  const services = isSet(section, 'services');
+  if (!models && !services) {
     faults.add(
       section.line,
       `[${section.name}] matches no request; list names in models or services`,
     );
   }
-  if (models.length > 0 && services.length > 0) {
+  if (models && services) {
     faults.add(
       lineOf(section, 'services'),
       `[${section.name}] lists both models and services; make it two classes`,
     );
   }
-  if (models.length > 0 && methods.length + paths.length > 0) {
-    const key = methods.length > 0 ? 'methods' : 'paths';
+  if (models) checkModelKeys(section, faults);
+}
+
+function checkModelKeys(section: IniSection, faults: FaultList): void {
+  for (const key of ['methods', 'paths']) {
+    if (!isSet(section, key)) continue;
     faults.add(
       lineOf(section, key),
       `${key}: applies only to classes with services; remove it`,
     );
   }
-  if (models.length > 0 && !values.idempotent) {
+  const idempotent = section.entries.find(({key}) => key === 'idempotent');
+  if (idempotent?.value === 'no') {
     faults.add(
-      lineOf(section, 'idempotent'),
+      idempotent.line,
       'idempotent: must be yes for a class with models, since only plain calls are claimed',
     );
   }
--- a/packages/settings/src/__tests__/unit/ClassesFile.test.ts
+++ b/packages/settings/src/__tests__/unit/ClassesFile.test.ts
@@ -59,6 +59,7 @@
       'target_total = 400',
       'idempotent = maybe',
       'models = m',
+      'services = s',
       '[workspace.w]',
       'key_sha256 = abc',
       '[klass.b]',
@@ -71,11 +72,12 @@
       '3: key "weight" is unknown in [class.a]; allowed are priority, target_first_token, target_token_gap, target_total, idempotent, max_wait, models, services, methods, paths, only_when_named',
       '4: target_total: "400" is not a duration; write a number with unit ms, s, m or h, such as 400ms or 2s',
       '5: idempotent: "maybe" is not allowed; use yes, no',
-      '8: key_sha256: the value is not a SHA-256 hash; write 64 lower-case hexadecimal digits (printf %s KEY | sha256sum)',
-      '9: section [klass.b] is unknown; allowed are [class.<name>] and [workspace.<name>]',
-      '10: section [workspace.w] is a duplicate of line 7; keep one of them',
-      '10: key "key_sha256" is missing in [workspace.w]',
-      '11: "nonsense" is neither a section nor an entry; write [section] or key = value',
+      '7: [class.a] lists both models and services; make it two classes',
+      '9: key_sha256: the value is not a SHA-256 hash; write 64 lower-case hexadecimal digits (printf %s KEY | sha256sum)',
+      '10: section [klass.b] is unknown; allowed are [class.<name>] and [workspace.<name>]',
+      '11: section [workspace.w] is a duplicate of line 8; keep one of them',
+      '11: key "key_sha256" is missing in [workspace.w]',
+      '12: "nonsense" is neither a section nor an entry; write [section] or key = value',
     ]);
   });
 
@@ -83,7 +85,7 @@
     const text =
       '[class.a]\npriority = 1\nidempotent = yes\nmax_wait = 1s\nmodels =\n';
     expect(faultsOf(text)).to.deep.equal([
-      '1: [class.a] has no target; set target_first_token, target_token_gap or target_total',
+      '1: [class.a] has no target; set target_first_token, target_token_gap, target_total, or some of them',
       '1: [class.a] matches no request; list names in models or services',
     ]);
   });
