Record service levels and compute error-budget burn

Counts of good and bad requests lie in one-minute buckets of wall time and latencies in fixed exponential buckets, so that merging instances adds counts and loses nothing. Labels are bounded by workspaces per class.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,3 +1,13 @@
+export type {
+  BurnAlarm,
+  BurnPoint,
+  BurnReport,
+  ClassBurn,
+  LatencyBucket,
+  LatencyQuantiles,
+  ReportSource,
+  WorkspaceBurn,
+} from './BurnReport.js';
 export type {
   ClaimEnd,
   ClaimReference,
--- /dev/null
+++ b/packages/report/src/BurnCalculation.ts
@@ -0,0 +1,183 @@
+/**
+ * Computes the burn report from counts: attainment, error budget and burn rate.
+ */
+import type {
+  BurnAlarm,
+  BurnReport,
+  ClassBurn,
+  ReportSource,
+  WorkspaceBurn,
+} from '@toucanrouter/common';
+import {
+  budgetPeriodMs,
+  defaultObjective,
+  longWindowMs,
+  pageBurnRate,
+  shortWindowMs,
+  ticketBurnRate,
+} from './BurnConstants.js';
+import type {CountSnapshot, CountTotals} from './CountSeries.js';
+import {sumSince, toBurnPoints} from './CountSeries.js';
+import type {HistogramSnapshot} from './LatencyHistogram.js';
+import {
+  mergeHistograms,
+  toLatencyBuckets,
+  toQuantiles,
+} from './LatencyHistogram.js';
+import type {
+  ClassLevels,
+  ServiceLevelSnapshot,
+  WorkspaceLevels,
+} from './ServiceLevelSnapshot.js';
+
+/** What a report depends on besides the counts. */
+export interface BurnReportOptions {
+  /** Share of requests that must meet their target; 0.99 by default. */
+  readonly objective?: number;
+}
+
+interface BurnContext {
+  readonly nowWallMs: number;
+  readonly objective: number;
+  /** Time within the budget period for which there are counts. */
+  readonly coveredMs: number;
+}
+
+/** Computes the report as of the time of the snapshot. */
+export function toBurnReport(
+  snapshot: ServiceLevelSnapshot,
+  options: BurnReportOptions = {},
+): BurnReport {
+  const nowWallMs = snapshot.takenAtWallMs;
+  const objective = options.objective ?? defaultObjective;
+  const coveredMs = coveredTimeMs(snapshot.sources, nowWallMs);
+  const context = {nowWallMs, objective, coveredMs};
+  return {
+    generatedAtWallMs: nowWallMs,
+    objective,
+    budgetPeriodMs,
+    shortWindowMs,
+    longWindowMs,
+    sources: snapshot.sources,
+    classes: snapshot.classes
+      .map(levels => toClassBurn(levels, context))
+      .sort((a, b) => a.tier - b.tier || (a.classId < b.classId ? -1 : 1)),
+  };
+}
+
+function coveredTimeMs(
+  sources: readonly ReportSource[],
+  nowWallMs: number,
+): number {
+  const since = Math.min(...sources.map(({sinceWallMs}) => sinceWallMs));
+  return Math.min(budgetPeriodMs, Math.max(0, nowWallMs - since));
+}
+
+function toClassBurn(levels: ClassLevels, context: BurnContext): ClassBurn {
+  const {counts} = levels;
+  const period = windowTotals(counts, budgetPeriodMs, context);
+  const shortBurnRate = windowBurnRate(counts, shortWindowMs, context);
+  const longBurnRate = windowBurnRate(counts, longWindowMs, context);
+  const budgetRemaining = remainingBudget(period, context);
+  const workspaces = toWorkspaceBurns(levels.workspaces, context);
+  return {
+    classId: levels.classId,
+    tier: levels.tier,
+    target: levels.target,
+    requests: period.good + period.bad,
+    bad: period.bad,
+    attainment: 1 - badShare(period),
+    shortBurnRate,
+    longBurnRate,
+    budgetRemaining,
+    exhaustedInMs: timeToExhaustionMs(budgetRemaining, longBurnRate),
+    alarm: toAlarm(Math.min(shortBurnRate, longBurnRate)),
+    ...latenciesOf(levels.workspaces),
+    points: toBurnPoints(counts),
+    worstWorkspace: workspaces.find(({bad}) => bad > 0),
+    workspaces,
+  };
+}
+
+function windowTotals(
+  counts: CountSnapshot,
+  windowMs: number,
+  context: BurnContext,
+): CountTotals {
+  return sumSince(counts, context.nowWallMs - windowMs);
+}
+
+function windowBurnRate(
+  counts: CountSnapshot,
+  windowMs: number,
+  context: BurnContext,
+): number {
+  return burnRate(windowTotals(counts, windowMs, context), context.objective);
+}
+
+function badShare({good, bad}: CountTotals): number {
+  return good + bad === 0 ? 0 : bad / (good + bad);
+}
+
+/** At a rate of 1 the budget lasts exactly for the budget period. */
+function burnRate(totals: CountTotals, objective: number): number {
+  return badShare(totals) / (1 - objective);
+}
+
+/** Assumes that the rest of the period sees as many requests per second. */
+function remainingBudget(period: CountTotals, context: BurnContext): number {
+  const coveredShare = context.coveredMs / budgetPeriodMs;
+  return 1 - burnRate(period, context.objective) * coveredShare;
+}
+
+/** Below a rate of 1 the budget is regained as fast as it is used. */
+function timeToExhaustionMs(
+  remaining: number,
+  rate: number,
+): number | undefined {
+  if (remaining <= 0) return 0;
+  if (rate <= 1) return undefined;
+  return (remaining * budgetPeriodMs) / rate;
+}
+
+function toAlarm(rate: number): BurnAlarm {
+  if (rate >= pageBurnRate) return 'page';
+  return rate >= ticketBurnRate ? 'ticket' : 'none';
+}
+
+function latenciesOf(
+  workspaces: readonly WorkspaceLevels[],
+): Pick<ClassBurn, 'firstToken' | 'tokenGap' | 'total' | 'totalBuckets'> {
+  const merge = (pick: (levels: WorkspaceLevels) => HistogramSnapshot) =>
+    mergeHistograms(workspaces.map(pick));
+  const total = merge(levels => levels.total);
+  return {
+    firstToken: toQuantiles(merge(levels => levels.firstToken)),
+    tokenGap: toQuantiles(merge(levels => levels.tokenGap)),
+    total: toQuantiles(total),
+    totalBuckets: toLatencyBuckets(total),
+  };
+}
+
+function toWorkspaceBurns(
+  workspaces: readonly WorkspaceLevels[],
+  context: BurnContext,
+): readonly WorkspaceBurn[] {
+  return workspaces
+    .map(levels => toWorkspaceBurn(levels, context))
+    .filter(({requests}) => requests > 0)
+    .sort((a, b) => b.burnRate - a.burnRate || b.bad - a.bad);
+}
+
+function toWorkspaceBurn(
+  levels: WorkspaceLevels,
+  context: BurnContext,
+): WorkspaceBurn {
+  const totals = windowTotals(levels.counts, longWindowMs, context);
+  return {
+    workspaceId: levels.workspaceId,
+    requests: totals.good + totals.bad,
+    bad: totals.bad,
+    burnRate: burnRate(totals, context.objective),
+  };
+}
--- /dev/null
+++ b/packages/report/src/CountSeries.ts
@@ -0,0 +1,98 @@
+/**
+ * Counts of good and bad requests in time buckets. Buckets start at multiples
+ * of their length in wall time, so that those of several instances line up.
+ */
+import type {BurnPoint} from '@toucanrouter/common';
+
+/** Length of a time bucket. */
+export const countBucketMs = 60_000;
+
+/** Start of a bucket with its counts; serialisable. */
+export type CountSnapshot = readonly (readonly [
+  startWallMs: number,
+  good: number,
+  bad: number,
+])[];
+
+/** Counts requests by time. */
+export interface CountSeries {
+  add(good: boolean, wallMs: number): void;
+  snapshot(wallMs: number): CountSnapshot;
+}
+
+interface CountBucket {
+  good: number;
+  bad: number;
+}
+
+/** Creates a series that forgets buckets older than `keepMs`. */
+export function createCountSeries(keepMs: number): CountSeries {
+  const buckets = new Map<number, CountBucket>();
+
+  function prune(wallMs: number): void {
+    for (const start of buckets.keys()) {
+      if (start + countBucketMs + keepMs <= wallMs) buckets.delete(start);
+    }
+  }
+
+  function open(start: number, wallMs: number): CountBucket {
+    prune(wallMs);
+    const bucket = {good: 0, bad: 0};
+    buckets.set(start, bucket);
+    return bucket;
+  }
+
+  return {
+    add: (good, wallMs) => {
+      const start = wallMs - (wallMs % countBucketMs);
+      const bucket = buckets.get(start) ?? open(start, wallMs);
+      if (good) bucket.good++;
+      else bucket.bad++;
+    },
+    snapshot: wallMs => {
+      prune(wallMs);
+      return toSnapshot(buckets);
+    },
+  };
+}
+
+function toSnapshot(buckets: ReadonlyMap<number, CountBucket>): CountSnapshot {
+  return [...buckets]
+    .sort(([a], [b]) => a - b)
+    .map(([start, {good, bad}]) => [start, good, bad] as const);
+}
+
+/** Adds up counts of the same bucket. */
+export function mergeCounts(counts: readonly CountSnapshot[]): CountSnapshot {
+  const buckets = new Map<number, CountBucket>();
+  for (const [start, good, bad] of counts.flat()) {
+    const bucket = buckets.get(start) ?? {good: 0, bad: 0};
+    bucket.good += good;
+    bucket.bad += bad;
+    buckets.set(start, bucket);
+  }
+  return toSnapshot(buckets);
+}
+
+/** Good and bad requests of a span of time. */
+export interface CountTotals {
+  readonly good: number;
+  readonly bad: number;
+}
+
+/** Sums the buckets that ended after `fromWallMs`. */
+export function sumSince(
+  counts: CountSnapshot,
+  fromWallMs: number,
+): CountTotals {
+  const recent = counts.filter(([start]) => start + countBucketMs > fromWallMs);
+  return {
+    good: recent.reduce((sum, [, good]) => sum + good, 0),
+    bad: recent.reduce((sum, [, , bad]) => sum + bad, 0),
+  };
+}
+
+/** Returns the counts as points of a plot. */
+export function toBurnPoints(counts: CountSnapshot): readonly BurnPoint[] {
+  return counts.map(([startWallMs, good, bad]) => ({startWallMs, good, bad}));
+}
--- /dev/null
+++ b/packages/report/src/LatencyHistogram.ts
@@ -0,0 +1,98 @@
+/**
+ * Histograms of latencies with fixed exponential buckets, which all instances
+ * share, so that merging adds counts and loses nothing.
+ */
+import type {LatencyBucket, LatencyQuantiles} from '@toucanrouter/common';
+
+/** Each bucket reaches 5% further than the one before. */
+const bucketGrowth = 1.05;
+const logGrowth = Math.log(bucketGrowth);
+/** The last bucket holds all latencies from about one day. */
+const lastBucket = Math.ceil(Math.log(86_400_000) / logGrowth);
+
+/** Counts by bucket index, in order of index; serialisable. */
+export type HistogramSnapshot = readonly (readonly [
+  index: number,
+  count: number,
+])[];
+
+/** Counts latencies. */
+export interface LatencyHistogram {
+  record(latencyMs: number): void;
+  snapshot(): HistogramSnapshot;
+}
+
+/** Creates an empty histogram; only buckets in use take memory. */
+export function createLatencyHistogram(): LatencyHistogram {
+  const counts = new Map<number, number>();
+  return {
+    record: latencyMs => {
+      const index = bucketOf(latencyMs);
+      counts.set(index, (counts.get(index) ?? 0) + 1);
+    },
+    snapshot: () => sortedEntries(counts),
+  };
+}
+
+/** Bucket 0 holds latencies up to 1 ms. */
+function bucketOf(latencyMs: number): number {
+  if (!(latencyMs > 1)) return 0;
+  return Math.min(lastBucket, Math.ceil(Math.log(latencyMs) / logGrowth));
+}
+
+function upperBoundMs(index: number): number {
+  return bucketGrowth ** index;
+}
+
+function sortedEntries(counts: ReadonlyMap<number, number>): HistogramSnapshot {
+  return [...counts].sort(([a], [b]) => a - b);
+}
+
+/** Adds up histograms. */
+export function mergeHistograms(
+  histograms: readonly HistogramSnapshot[],
+): HistogramSnapshot {
+  const counts = new Map<number, number>();
+  for (const [index, count] of histograms.flat()) {
+    counts.set(index, (counts.get(index) ?? 0) + count);
+  }
+  return sortedEntries(counts);
+}
+
+/** Returns the upper bound of the bucket that holds a quantile; 0 when empty. */
+export function quantileMs(
+  histogram: HistogramSnapshot,
+  fraction: number,
+): number {
+  const rank = Math.ceil(countOf(histogram) * fraction);
+  let seen = 0;
+  for (const [index, count] of histogram) {
+    seen += count;
+    if (seen >= rank) return upperBoundMs(index);
+  }
+  return 0;
+}
+
+function countOf(histogram: HistogramSnapshot): number {
+  return histogram.reduce((sum, [, count]) => sum + count, 0);
+}
+
+/** Returns the quantiles that reports show. */
+export function toQuantiles(histogram: HistogramSnapshot): LatencyQuantiles {
+  return {
+    count: countOf(histogram),
+    p50Ms: quantileMs(histogram, 0.5),
+    p95Ms: quantileMs(histogram, 0.95),
+    p99Ms: quantileMs(histogram, 0.99),
+  };
+}
+
+/** Returns the counts with the upper bounds of their buckets. */
+export function toLatencyBuckets(
+  histogram: HistogramSnapshot,
+): readonly LatencyBucket[] {
+  return histogram.map(([index, count]) => ({
+    upToMs: upperBoundMs(index),
+    count,
+  }));
+}
--- /dev/null
+++ b/packages/report/src/ServiceLevelSnapshot.ts
@@ -0,0 +1,115 @@
+/**
+ * Snapshots of service-level counts and their merge over instances.
+ */
+import type {
+  ClassId,
+  LatencyTarget,
+  ReportSource,
+  Tier,
+  WorkspaceId,
+} from '@toucanrouter/common';
+import type {CountSnapshot} from './CountSeries.js';
+import {mergeCounts} from './CountSeries.js';
+import type {HistogramSnapshot} from './LatencyHistogram.js';
+import {mergeHistograms} from './LatencyHistogram.js';
+
+/** Counts of one workspace within a class. */
+export interface WorkspaceLevels {
+  readonly workspaceId: WorkspaceId;
+  readonly counts: CountSnapshot;
+  readonly firstToken: HistogramSnapshot;
+  readonly tokenGap: HistogramSnapshot;
+  readonly total: HistogramSnapshot;
+}
+
+/** Counts of one class. */
+export interface ClassLevels {
+  readonly classId: ClassId;
+  readonly tier: Tier;
+  readonly target: LatencyTarget;
+  readonly counts: CountSnapshot;
+  readonly workspaces: readonly WorkspaceLevels[];
+}
+
+/** Counts of one or more instances; plain data that survives JSON. */
+export interface ServiceLevelSnapshot {
+  readonly takenAtWallMs: number;
+  readonly sources: readonly ReportSource[];
+  readonly classes: readonly ClassLevels[];
+}
+
+/**
+ * Merges snapshots of different instances. Of two snapshots of the same
+ * instance only the later one counts, so that asking twice doubles nothing.
+ */
+export function mergeSnapshots(
+  snapshots: readonly ServiceLevelSnapshot[],
+): ServiceLevelSnapshot {
+  const latestFirst = [...snapshots].sort(
+    (a, b) => b.takenAtWallMs - a.takenAtWallMs,
+  );
+  const distinct = dropRepeatedSources(latestFirst);
+  return {
+    takenAtWallMs: distinct[0]?.takenAtWallMs ?? 0,
+    sources: distinct
+      .flatMap(({sources}) => sources)
+      .sort((a, b) => (a.instanceId < b.instanceId ? -1 : 1)),
+    classes: mergeClasses(distinct.flatMap(({classes}) => classes)),
+  };
+}
+
+function dropRepeatedSources(
+  latestFirst: readonly ServiceLevelSnapshot[],
+): readonly ServiceLevelSnapshot[] {
+  const seen = new Set<string>();
+  return latestFirst.filter(({sources}) => {
+    const keys = sources.map(sourceKey);
+    if (keys.some(key => seen.has(key))) return false;
+    keys.forEach(key => seen.add(key));
+    return true;
+  });
+}
+
+function sourceKey({instanceId, sinceWallMs}: ReportSource): string {
+  return `${instanceId}@${sinceWallMs}`;
+}
+
+/** Takes tier and target from the latest snapshot that has the class. */
+function mergeClasses(
+  latestFirst: readonly ClassLevels[],
+): readonly ClassLevels[] {
+  return groupBy(latestFirst, ({classId}) => classId).map(group => ({
+    classId: group[0].classId,
+    tier: group[0].tier,
+    target: group[0].target,
+    counts: mergeCounts(group.map(({counts}) => counts)),
+    workspaces: mergeWorkspaces(group.flatMap(({workspaces}) => workspaces)),
+  }));
+}
+
+function mergeWorkspaces(
+  levels: readonly WorkspaceLevels[],
+): readonly WorkspaceLevels[] {
+  return groupBy(levels, ({workspaceId}) => workspaceId).map(group => ({
+    workspaceId: group[0].workspaceId,
+    counts: mergeCounts(group.map(({counts}) => counts)),
+    firstToken: mergeHistograms(group.map(({firstToken}) => firstToken)),
+    tokenGap: mergeHistograms(group.map(({tokenGap}) => tokenGap)),
+    total: mergeHistograms(group.map(({total}) => total)),
+  }));
+}
+
+type NonEmpty<T> = [T, ...T[]];
+
+function groupBy<T>(
+  items: readonly T[],
+  keyOf: (item: T) => string,
+): readonly NonEmpty<T>[] {
+  const groups = new Map<string, NonEmpty<T>>();
+  for (const item of items) {
+    const group = groups.get(keyOf(item));
+    if (group === undefined) groups.set(keyOf(item), [item]);
+    else group.push(item);
+  }
+  return [...groups.values()];
+}
