Add the key-value client, the instance list reader and the platform stand-in

The key-value client speaks the v3 protocol over gRPC without client retries: a retried transaction could take effect twice. A write counts as not sent only when no connection came up within the timeout.

The stand-in imports the proto definition from the platform package and compacts all but the last 1000 to 2000 revisions, so that long load runs do not keep every version of every value.

--- /dev/null
+++ b/packages/platform/src/InstanceListParser.ts
@@ -0,0 +1,150 @@
+/**
+ * Checks of the instance list, which arrives in the service-discovery JSON
+ * format: an array of groups with targets and labels.
+ */
+import type {InstanceId, UpstreamInfo} from '@toucanrouter/common';
+import {toInstanceId, toUpstreamId} from '@toucanrouter/common';
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import {z} from 'zod';
+
+/** A router instance as the list describes it. */
+export interface RouterPeer {
+  readonly instanceId: InstanceId;
+  /** `host:port` of the peer server. */
+  readonly peerAddress: string;
+  readonly region: string;
+  readonly failureDomain: string;
+  readonly incarnation: number;
+  readonly leaving: boolean;
+}
+
+/** The usable entries of one answer of the list. */
+export interface InstanceList {
+  readonly upstreams: readonly UpstreamInfo[];
+  readonly routers: readonly RouterPeer[];
+}
+
+/** An entry that was skipped, and why. */
+export interface ListFault {
+  /** Position in the list, from 0. */
+  readonly index: number;
+  readonly message: string;
+}
+
+/** Result of checking one answer of the list. */
+export interface ParsedInstanceList {
+  readonly list: InstanceList;
+  readonly faults: readonly ListFault[];
+}
+
+const addressSchema = z
+  .string()
+  .regex(/^[^\s]+:\d{1,5}$/, 'expected host:port');
+
+const commonLabels = {
+  id: z.string().min(1),
+  region: z.string().min(1),
+  failure_domain: z.string().min(1),
+  incarnation: z.coerce.number().int().nonnegative(),
+  state: z.enum(['live', 'leaving']),
+};
+
+const labelsSchema = z.discriminatedUnion('role', [
+  z.object({
+    ...commonLabels,
+    role: z.literal('router'),
+    peer_address: addressSchema,
+  }),
+  z.object({
+    ...commonLabels,
+    role: z.literal('engine'),
+    model: z.string().min(1),
+  }),
+  z.object({
+    ...commonLabels,
+    role: z.literal('service'),
+    service: z.string().min(1),
+  }),
+]);
+
+const entrySchema = z.object({
+  targets: z.array(addressSchema).length(1),
+  labels: labelsSchema,
+});
+
+type Entry = z.infer<typeof entrySchema>;
+type Labels = z.infer<typeof labelsSchema>;
+type UpstreamLabels = Exclude<Labels, {role: 'router'}>;
+
+/** Checks an answer; entries with faults are left out and reported. */
+export function parseInstanceList(
+  answer: unknown,
+): Result<ParsedInstanceList, string> {
+  if (!Array.isArray(answer)) return err('instance list: expected an array');
+  const faults: ListFault[] = [];
+  const upstreams = new Map<string, UpstreamInfo>();
+  const routers = new Map<string, RouterPeer>();
+  answer.forEach((item, index) => {
+    const parsed = entrySchema.safeParse(item);
+    if (!parsed.success) {
+      faults.push({index, message: describeIssues(parsed.error)});
+      return;
+    }
+    const {labels} = parsed.data;
+    if (labels.role === 'router') addNewest(routers, labels.id, toPeer(labels));
+    else addNewest(upstreams, labels.id, toUpstream(parsed.data, labels));
+  });
+  const list = {
+    upstreams: [...upstreams.values()],
+    routers: [...routers.values()],
+  };
+  return ok({list, faults});
+}
+
+/**
+ * Keeps one entry for each id: that of the highest incarnation, and of equal
+ * ones the leaving one, because leaving is never reversed.
+ */
+function addNewest<T extends {incarnation: number; leaving: boolean}>(
+  entries: Map<string, T>,
+  id: string,
+  entry: T,
+): void {
+  const known = entries.get(id);
+  if (known !== undefined) {
+    if (known.incarnation > entry.incarnation) return;
+    if (known.incarnation === entry.incarnation && known.leaving) return;
+  }
+  entries.set(id, entry);
+}
+
+function toPeer(labels: Extract<Labels, {role: 'router'}>): RouterPeer {
+  return {
+    instanceId: toInstanceId(labels.id),
+    peerAddress: labels.peer_address,
+    region: labels.region,
+    failureDomain: labels.failure_domain,
+    incarnation: labels.incarnation,
+    leaving: labels.state === 'leaving',
+  };
+}
+
+function toUpstream(entry: Entry, labels: UpstreamLabels): UpstreamInfo {
+  return {
+    id: toUpstreamId(labels.id),
+    kind: labels.role,
+    serves: labels.role === 'engine' ? labels.model : labels.service,
+    address: entry.targets[0] ?? '',
+    region: labels.region,
+    failureDomain: labels.failure_domain,
+    incarnation: labels.incarnation,
+    leaving: labels.state === 'leaving',
+  };
+}
+
+function describeIssues(error: z.ZodError): string {
+  return error.issues
+    .map(issue => `${issue.path.join('.')}: ${issue.message}`)
+    .join('; ');
+}
--- /dev/null
+++ b/packages/platform/src/KeyValueClient.ts
@@ -0,0 +1,150 @@
+/**
+ * Client of the platform's key-value service over gRPC.
+ */
+import {credentials} from '@grpc/grpc-js';
+import type {
+  Clock,
+  KeyValue,
+  KeyValueStore,
+  PlatformError,
+} from '@toucanrouter/common';
+import type {ResultAsync} from 'neverthrow';
+import {okAsync} from 'neverthrow';
+import type {KVClient} from './generated/etcdserverpb/KV.js';
+import type {RangeRequest} from './generated/etcdserverpb/RangeRequest.js';
+import type {RangeResponse__Output} from './generated/etcdserverpb/RangeResponse.js';
+import type {TxnResponse__Output} from './generated/etcdserverpb/TxnResponse.js';
+import type {CallContext} from './KeyValueCall.js';
+import {callUnary} from './KeyValueCall.js';
+import {
+  keepaliveIntervalMs,
+  keepaliveTimeoutMs,
+  listPageKeys,
+  maxBackoffMs,
+  maxReceiveBytes,
+  minBackoffMs,
+} from './KeyValueConstants.js';
+import {loadKeyValueProto} from './KeyValueProto.js';
+import {
+  keyAfter,
+  prefixEnd,
+  toKeyValue,
+  toTxnRequest,
+} from './KeyValueUtils.js';
+import type {Listing} from './KeyValueWatch.js';
+import {startWatch} from './KeyValueWatch.js';
+
+/** Parameters of a key-value client. */
+export interface KeyValueClientOptions {
+  /** `host:port` of the service. */
+  readonly address: string;
+  /** Time after which a call counts as unanswered. */
+  readonly timeoutMs: number;
+  readonly clock: Clock;
+}
+
+const channelOptions = {
+  // A retried transaction could take effect twice.
+  'grpc.enable_retries': 0,
+  'grpc.initial_reconnect_backoff_ms': minBackoffMs,
+  'grpc.min_reconnect_backoff_ms': minBackoffMs,
+  'grpc.max_reconnect_backoff_ms': maxBackoffMs,
+  'grpc.keepalive_time_ms': keepaliveIntervalMs,
+  'grpc.keepalive_timeout_ms': keepaliveTimeoutMs,
+  'grpc.max_receive_message_length': maxReceiveBytes,
+};
+
+/** Creates a client; it connects on the first call. */
+export function createKeyValueClient(
+  options: KeyValueClientOptions,
+): KeyValueStore {
+  const {clock, timeoutMs} = options;
+  const proto = loadKeyValueProto();
+  const security = credentials.createInsecure();
+  const kv = new proto.KV(options.address, security, channelOptions);
+  const watcher = new proto.Watch(options.address, security, channelOptions);
+  const context = {client: kv, clock, timeoutMs};
+  const watches = new Set<() => void>();
+
+  return {
+    get: key =>
+      callRange(kv, context, {key: Buffer.from(key)}).map(response => {
+        const message = response.kvs[0];
+        return message === undefined ? undefined : toKeyValue(message);
+      }),
+
+    list: prefix => listPrefix(kv, context, prefix).map(l => l.entries),
+
+    transact: transaction => {
+      const request = toTxnRequest(transaction);
+      return callUnary<TxnResponse__Output>(context, 'Txn', 'write', answer =>
+        kv.txn(request, answer),
+      ).map(response => ({
+        succeeded: response.succeeded,
+        revision: response.header?.revision ?? 0,
+      }));
+    },
+
+    watch: (prefix, onEvents) => {
+      const stop = startWatch({
+        prefix,
+        clock,
+        timeoutMs,
+        openStream: () => watcher.watch(),
+        listPrefix: listed => listPrefix(kv, context, listed),
+        onEvents,
+      });
+      watches.add(stop);
+      return () => {
+        watches.delete(stop);
+        stop();
+      };
+    },
+
+    close: () => {
+      for (const stop of watches) stop();
+      watches.clear();
+      watcher.close();
+      kv.close();
+    },
+  };
+}
+
+function callRange(
+  kv: KVClient,
+  context: CallContext,
+  request: RangeRequest,
+): ResultAsync<RangeResponse__Output, PlatformError> {
+  return callUnary<RangeResponse__Output>(context, 'Range', 'read', answer =>
+    kv.range(request, answer),
+  );
+}
+
+/** Lists a prefix page by page at the revision of the first page. */
+function listPrefix(
+  kv: KVClient,
+  context: CallContext,
+  prefix: string,
+): ResultAsync<Listing, PlatformError> {
+  const start = Buffer.from(prefix);
+  const rangeEnd = prefixEnd(start);
+
+  function listFrom(
+    key: Uint8Array,
+    revision: number,
+    before: readonly KeyValue[],
+  ): ResultAsync<Listing, PlatformError> {
+    const request = {key, rangeEnd, revision, limit: listPageKeys};
+    return callRange(kv, context, request).andThen(page => {
+      const entries = [...before, ...page.kvs.map(toKeyValue)];
+      const listedRevision = revision || (page.header?.revision ?? 0);
+      const last = page.kvs.at(-1);
+      if (!page.more || last === undefined) {
+        return okAsync({entries, revision: listedRevision});
+      }
+      return listFrom(keyAfter(last.key), listedRevision, entries);
+    });
+  }
+
+  return listFrom(start, 0, []);
+}
--- /dev/null
+++ b/packages/platform/src/KeyValueUtils.ts
@@ -0,0 +1,65 @@
+/**
+ * Conversions between the project's key-value types and the protocol's
+ * messages.
+ */
+import type {
+  KeyValue,
+  KeyValueTransaction,
+  WatchEvent,
+} from '@toucanrouter/common';
+import type {Event__Output} from './generated/etcdserverpb/Event.js';
+import type {KeyValue__Output} from './generated/etcdserverpb/KeyValue.js';
+import type {TxnRequest} from './generated/etcdserverpb/TxnRequest.js';
+
+/** Returns the first key after all keys that start with `prefix`. */
+export function prefixEnd(prefix: Uint8Array): Uint8Array {
+  const end = Uint8Array.from(prefix);
+  for (let i = end.length - 1; i >= 0; i--) {
+    const byte = end[i] ?? 0;
+    if (byte === 0xff) continue;
+    end[i] = byte + 1;
+    return end.subarray(0, i + 1);
+  }
+  return Uint8Array.of(0); // The protocol's notation for "to the last key".
+}
+
+/** Returns the smallest key that is greater than `key`. */
+export function keyAfter(key: Uint8Array): Uint8Array {
+  return Uint8Array.of(...key, 0);
+}
+
+/** Converts an entry of an answer. */
+export function toKeyValue(message: KeyValue__Output): KeyValue {
+  return {
+    key: message.key.toString('utf8'),
+    value: message.value,
+    modRevision: message.modRevision,
+  };
+}
+
+/** Converts an event of a watch. */
+export function toWatchEvent(message: Event__Output): WatchEvent | undefined {
+  if (message.kv === null) return undefined;
+  const entry = toKeyValue(message.kv);
+  const deleted = message.type === 'DELETE';
+  return {key: entry.key, entry: deleted ? undefined : entry};
+}
+
+/** Converts a transaction; a compare with revision 0 means "key is absent". */
+export function toTxnRequest(transaction: KeyValueTransaction): TxnRequest {
+  const puts = transaction.puts.map(put => ({
+    requestPut: {key: Buffer.from(put.key), value: put.value},
+  }));
+  const deletes = transaction.deletes.map(key => ({
+    requestDeleteRange: {key: Buffer.from(key)},
+  }));
+  return {
+    compare: transaction.compares.map(compare => ({
+      result: 'EQUAL',
+      target: 'MOD',
+      key: Buffer.from(compare.key),
+      modRevision: compare.modRevision,
+    })),
+    success: [...puts, ...deletes],
+  };
+}
--- /dev/null
+++ b/packages/platform/src/KeyValueWatch.ts
@@ -0,0 +1,126 @@
+/**
+ * A watch on a key prefix that outlives its connection. After a break it
+ * resumes from the revision after the last one seen. When that revision was
+ * compacted it lists the prefix, reports every entry found, and watches from
+ * there; deletions in the compacted range are not reported.
+ */
+import type {ClientDuplexStream} from '@grpc/grpc-js';
+import type {Clock, KeyValue, Undo, WatchEvent} from '@toucanrouter/common';
+import type {PlatformError} from '@toucanrouter/common';
+import type {ResultAsync} from 'neverthrow';
+import type {WatchRequest} from './generated/etcdserverpb/WatchRequest.js';
+import type {WatchResponse__Output} from './generated/etcdserverpb/WatchResponse.js';
+import {maxBackoffMs, minBackoffMs} from './KeyValueConstants.js';
+import {prefixEnd, toWatchEvent} from './KeyValueUtils.js';
+
+type WatchStream = ClientDuplexStream<WatchRequest, WatchResponse__Output>;
+
+/** Entries below a prefix at one revision. */
+export interface Listing {
+  readonly entries: readonly KeyValue[];
+  readonly revision: number;
+}
+
+/** What a watch needs from the client. */
+export interface WatchOptions {
+  readonly prefix: string;
+  readonly clock: Clock;
+  /** Time after which a watch that was not confirmed is opened again. */
+  readonly timeoutMs: number;
+  readonly openStream: () => WatchStream;
+  readonly listPrefix: (prefix: string) => ResultAsync<Listing, PlatformError>;
+  readonly onEvents: (events: readonly WatchEvent[]) => void;
+}
+
+/** Starts a watch; the returned function ends it. */
+export function startWatch(options: WatchOptions): Undo {
+  const key = Buffer.from(options.prefix);
+  let stopped = false;
+  let stream: WatchStream | undefined;
+  let stopTimer: Undo = () => {};
+  let nextRevision = 0; // 0 asks for changes from now on.
+  let backoffMs = minBackoffMs;
+
+  function connect(): void {
+    const opened = options.openStream();
+    stream = opened;
+    stopTimer = options.clock.after(options.timeoutMs, () => reconnect(opened));
+    opened.on('data', (response: WatchResponse__Output) => {
+      if (stream === opened) receive(response);
+    });
+    opened.on('error', () => reconnect(opened));
+    opened.on('end', () => reconnect(opened));
+    opened.write({
+      createRequest: {
+        key,
+        rangeEnd: prefixEnd(key),
+        startRevision: nextRevision,
+      },
+    });
+  }
+
+  function receive(response: WatchResponse__Output): void {
+    stopTimer();
+    if (response.compactRevision > 0) return relist();
+    if (response.canceled) return reconnect(stream);
+    backoffMs = minBackoffMs;
+    const revision = response.header?.revision ?? 0;
+    nextRevision = nextRevisionAfter(response, revision);
+    const events = response.events
+      .map(toWatchEvent)
+      .filter(event => event !== undefined);
+    if (events.length > 0) options.onEvents(events);
+  }
+
+  function nextRevisionAfter(
+    response: WatchResponse__Output,
+    revision: number,
+  ): number {
+    // The header of a "created" answer is ahead of events still to be sent
+    // when the watch resumes from an earlier revision.
+    if (response.created) return nextRevision || revision + 1;
+    const last = response.events.at(-1)?.kv?.modRevision ?? 0;
+    return Math.max(nextRevision, last + 1);
+  }
+
+  function disconnect(): void {
+    stopTimer();
+    const closing = stream;
+    stream = undefined;
+    closing?.cancel();
+  }
+
+  function retryLater(run: () => void): void {
+    stopTimer = options.clock.after(backoffMs, run);
+    backoffMs = Math.min(backoffMs * 2, maxBackoffMs);
+  }
+
+  function reconnect(broken: WatchStream | undefined): void {
+    if (stopped || stream !== broken) return;
+    disconnect();
+    retryLater(connect);
+  }
+
+  function relist(): void {
+    disconnect();
+    void options.listPrefix(options.prefix).match(
+      listing => {
+        if (stopped) return;
+        nextRevision = listing.revision + 1;
+        const events = listing.entries.map(entry => ({key: entry.key, entry}));
+        if (events.length > 0) options.onEvents(events);
+        connect();
+      },
+      () => {
+        if (!stopped) retryLater(relist);
+      },
+    );
+  }
+
+  connect();
+  return () => {
+    stopped = true;
+    stopTimer();
+    disconnect();
+  };
+}
--- /dev/null
+++ b/packages/platform/src/__tests__/unit/InstanceListReader.test.ts
@@ -0,0 +1,85 @@
+import {createManualClock} from '@toucanrouter/common';
+import type {PlatformStandIn} from '@toucanrouter/standins';
+import {createPlatformStandIn} from '@toucanrouter/standins';
+import {expect} from 'chai';
+import type {InstanceList, ListFault} from '../../index.js';
+import {createInstanceListReader, parseInstanceList} from '../../index.js';
+
+function engine(id: string, more: Record<string, string> = {}) {
+  return {
+    targets: ['127.0.0.1:9001'],
+    labels: {
+      id,
+      role: 'engine',
+      model: 'm',
+      region: 'r',
+      failure_domain: 'd1',
+      incarnation: '3',
+      state: 'live',
+      ...more,
+    },
+  };
+}
+
+function router(id: string) {
+  const labels = {role: 'router', peer_address: '127.0.0.1:9101'};
+  return engine(id, labels);
+}
+
+describe('parseInstanceList', () => {
+  it('skips and reports a bad entry, so that one fault hides no others', () => {
+    const answer = [engine('e1'), engine('e2', {state: 'gone'}), router('r1')];
+    const {list, faults} = parseInstanceList(answer)._unsafeUnwrap();
+    expect(list.upstreams.map(u => u.id)).to.deep.equal(['e1']);
+    expect(list.routers.map(r => r.peerAddress)).to.deep.equal([
+      '127.0.0.1:9101',
+    ]);
+    expect(faults.map(fault => fault.index)).to.deep.equal([1]);
+    expect(faults[0]?.message).to.include('labels.state');
+  });
+
+  it('prefers the newest incarnation and "leaving" among duplicates', () => {
+    const answer = [
+      engine('e1', {state: 'leaving'}),
+      engine('e1'),
+      engine('e2'),
+      engine('e2', {incarnation: '2', state: 'leaving'}),
+    ];
+    const {list} = parseInstanceList(answer)._unsafeUnwrap();
+    expect(list.upstreams.map(u => u.leaving)).to.deep.equal([true, false]);
+  });
+});
+
+describe('createInstanceListReader', () => {
+  let standIn: PlatformStandIn;
+
+  beforeEach(async () => {
+    standIn = await createPlatformStandIn();
+  });
+
+  afterEach(() => standIn.close());
+
+  it('keeps the last good list while the source is down', async () => {
+    const lists: InstanceList[] = [];
+    const errors: string[] = [];
+    const faults: ListFault[] = [];
+    const reader = createInstanceListReader({
+      url: standIn.instanceListUrl,
+      pollMs: 1000,
+      clock: createManualClock(),
+      onList: list => lists.push(list),
+      onFaults: found => faults.push(...found),
+      onError: error => errors.push(error.message),
+    });
+    await reader.poll();
+    standIn.setInstance('e1', engine('e1'));
+    await reader.poll();
+    standIn.setSwitches({listOutage: true});
+    await reader.poll();
+    reader.close();
+    expect(lists.map(list => list.upstreams.length)).to.deep.equal([0, 1]);
+    expect(reader.current()?.upstreams[0]?.address).to.equal('127.0.0.1:9001');
+    expect(errors).to.deep.equal(['instance list: Error: status 503']);
+    expect(faults).to.deep.equal([]);
+  });
+});
--- /dev/null
+++ b/packages/platform/src/__tests__/unit/KeyValueClient.test.ts
@@ -0,0 +1,143 @@
+import type {KeyValueStore, WatchEvent} from '@toucanrouter/common';
+import {createSystemClock} from '@toucanrouter/common';
+import type {PlatformStandIn} from '@toucanrouter/standins';
+import {createPlatformStandIn} from '@toucanrouter/standins';
+import {expect} from 'chai';
+import {createKeyValueClient} from '../../index.js';
+
+const bytes = (text: string) => Buffer.from(text);
+
+function putIf(key: string, modRevision: number, value: string) {
+  return {
+    compares: [{key, modRevision}],
+    puts: [{key, value: bytes(value)}],
+    deletes: [],
+  };
+}
+
+/** Collects watch events and waits for a number of them. */
+function createEventLog() {
+  const seen: string[] = [];
+  let check = () => {};
+  return {
+    seen,
+    add: (events: readonly WatchEvent[]) => {
+      for (const {key, entry} of events) {
+        seen.push(entry ? `${key}=${Buffer.from(entry.value)}` : `${key} gone`);
+      }
+      check();
+    },
+    waitFor: (count: number) =>
+      new Promise<void>(resolve => {
+        check = () => {
+          if (seen.length >= count) resolve();
+        };
+        check();
+      }),
+  };
+}
+
+describe('createKeyValueClient', () => {
+  let standIn: PlatformStandIn;
+  let store: KeyValueStore;
+
+  beforeEach(async () => {
+    standIn = await createPlatformStandIn();
+    store = createKeyValueClient({
+      address: standIn.keyValueAddress,
+      timeoutMs: 250,
+      clock: createSystemClock(),
+    });
+  });
+
+  afterEach(async () => {
+    store.close();
+    await standIn.close();
+  });
+
+  async function put(key: string, value: string) {
+    const entry = (await store.get(key))._unsafeUnwrap();
+    const reply = await store.transact(
+      putIf(key, entry?.modRevision ?? 0, value),
+    );
+    return reply._unsafeUnwrap();
+  }
+
+  it('refuses a write whose compare fails, so that a stale writer is fenced', async () => {
+    const first = (await store.transact(putIf('/k', 0, 'a')))._unsafeUnwrap();
+    const stale = (await store.transact(putIf('/k', 0, 'b')))._unsafeUnwrap();
+    expect([first.succeeded, stale.succeeded]).to.deep.equal([true, false]);
+    const entry = (await store.get('/k'))._unsafeUnwrap();
+    expect(Buffer.from(entry?.value ?? []).toString()).to.equal('a');
+    expect(entry?.modRevision).to.equal(first.revision);
+  });
+
+  it('lists all pages of a prefix in order and nothing beside it', async () => {
+    const keys = Array.from({length: 150}, (_, i) => `/p/${1000 + i}`);
+    for (const key of [...keys, '/q', '/o']) await put(key, 'v');
+    const listed = (await store.list('/p/'))._unsafeUnwrap();
+    expect(listed.map(entry => entry.key)).to.deep.equal(keys);
+  });
+
+  it('says that a write may have taken effect when its answer is lost', async () => {
+    await put('/k', 'a');
+    standIn.setSwitches({loseWriteAnswers: 1});
+    const lost = (
+      await store.transact(putIf('/new', 0, 'b'))
+    )._unsafeUnwrapErr();
+    expect(lost.mayHaveTakenEffect).to.equal(true);
+    expect((await store.get('/new'))._unsafeUnwrap()).to.not.equal(undefined);
+  });
+
+  it('says that a write was not sent when there is no connection', async () => {
+    const unreachable = createKeyValueClient({
+      address: '127.0.0.1:1',
+      timeoutMs: 100,
+      clock: createSystemClock(),
+    });
+    const error = (
+      await unreachable.transact(putIf('/k', 0, 'a'))
+    )._unsafeUnwrapErr();
+    unreachable.close();
+    expect(error.mayHaveTakenEffect).to.equal(false);
+  });
+
+  it('does not lose changes made while the watch was cut', async () => {
+    const log = createEventLog();
+    store.watch('/w/', log.add);
+    while (standIn.counters().watch === 0) await put('/other', 'x');
+    await put('/w/a', '1');
+    await log.waitFor(1);
+    standIn.setSwitches({cutWatches: true});
+    await put('/w/a', '2');
+    await put('/w/b', '3');
+    await log.waitFor(3);
+    expect(log.seen).to.deep.equal(['/w/a=1', '/w/a=2', '/w/b=3']);
+  });
+
+  it('lists again when the changes that it missed were compacted', async () => {
+    const log = createEventLog();
+    store.watch('/w/', log.add);
+    while (standIn.counters().watch === 0) await put('/other', 'x');
+    await put('/w/a', '1');
+    await log.waitFor(1);
+    standIn.setSwitches({cutWatches: true});
+    await put('/w/a', '2');
+    await put('/w/a', '3');
+    standIn.setSwitches({compact: true});
+    await log.waitFor(2);
+    await put('/w/a', '4');
+    await log.waitFor(3);
+    expect(log.seen).to.deep.equal(['/w/a=1', '/w/a=3', '/w/a=4']);
+  });
+
+  it('opens a watch again that the service accepted but never confirmed', async () => {
+    standIn.setSwitches({outage: 'hang', recoverAfterMs: 300});
+    const log = createEventLog();
+    store.watch('/w/', log.add);
+    while (standIn.counters().watch === 0) await store.get('/w/a');
+    await put('/w/a', '1');
+    await log.waitFor(1);
+    expect(log.seen).to.deep.equal(['/w/a=1']);
+  });
+});
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,1 +1,17 @@
-export {};
+export type {
+  InstanceList,
+  ListFault,
+  ParsedInstanceList,
+  RouterPeer,
+} from './InstanceListParser.js';
+export {parseInstanceList} from './InstanceListParser.js';
+export type {
+  InstanceListReader,
+  InstanceListReaderOptions,
+} from './InstanceListReader.js';
+export {createInstanceListReader} from './InstanceListReader.js';
+export {allocateInstanceNumber} from './InstanceNumber.js';
+export type {KeyValueClientOptions} from './KeyValueClient.js';
+export {createKeyValueClient} from './KeyValueClient.js';
+export type {KeyValueHandlers, KeyValueMessages} from './KeyValueMessages.js';
+export {loadKeyValueProto} from './KeyValueProto.js';
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,8 @@
-export {};
+export type {CallCounts} from './platform/Counters.js';
+export type {ListedInstance} from './platform/LaggingInstanceList.js';
+export type {
+  PlatformStandIn,
+  PlatformStandInOptions,
+} from './platform/PlatformStandIn.js';
+export {createPlatformStandIn} from './platform/PlatformStandIn.js';
+export type {SwitchChangeInput, SwitchState} from './platform/Switches.js';
--- /dev/null
+++ b/packages/standins/src/platform/Counters.ts
@@ -0,0 +1,42 @@
+/**
+ * Counts the calls that the platform stand-in received. A watch counts once,
+ * however long it waits.
+ */
+
+/** The calls that are counted. */
+export const countedCalls = [
+  'range',
+  'put',
+  'deleteRange',
+  'txn',
+  'leaseGrant',
+  'leaseKeepAlive',
+  'leaseRevoke',
+  'watch',
+  'instances',
+] as const;
+
+/** One kind of call. */
+export type CountedCall = (typeof countedCalls)[number];
+
+/** Number of calls of each kind since the start. */
+export type CallCounts = Readonly<Record<CountedCall, number>>;
+
+/** Call counters. */
+export interface Counters {
+  add(call: CountedCall): void;
+  counts(): CallCounts;
+}
+
+/** Creates counters at zero. */
+export function createCounters(): Counters {
+  const counts = Object.fromEntries(
+    countedCalls.map(call => [call, 0]),
+  ) as Record<CountedCall, number>;
+  return {
+    add: call => {
+      counts[call]++;
+    },
+    counts: () => ({...counts}),
+  };
+}
--- /dev/null
+++ b/packages/standins/src/platform/KeyValueServer.ts
@@ -0,0 +1,139 @@
+/**
+ * The key-value stand-in as a gRPC server on loopback.
+ */
+import type {sendUnaryData} from '@grpc/grpc-js';
+import {Server, ServerCredentials, status} from '@grpc/grpc-js';
+import type {Clock, Undo} from '@toucanrouter/common';
+import type {KeyValueHandlers} from '@toucanrouter/platform';
+import {loadKeyValueProto} from '@toucanrouter/platform';
+import type {Counters} from './Counters.js';
+import {createCallRunner} from './FaultyCalls.js';
+import type {KeyValueState} from './KeyValueState.js';
+import {createKeyValueState} from './KeyValueState.js';
+import {
+  createTransactionExecutor,
+  StatusError,
+} from './KeyValueTransactions.js';
+import {createLeaseTable} from './LeaseTable.js';
+import type {Switches} from './Switches.js';
+import {createWatchHandler} from './WatchHandler.js';
+
+/** Parameters of the key-value server. */
+export interface KeyValueServerOptions {
+  /** Port on loopback; 0 takes a free one. */
+  readonly port: number;
+  readonly clock: Clock;
+  readonly counters: Counters;
+  readonly switches: Switches;
+}
+
+/** A running key-value server. */
+export interface KeyValueServer {
+  readonly port: number;
+  readonly state: KeyValueState;
+  cutWatches(): void;
+  close(): void;
+}
+
+/** Values of up to 1 MiB and some keys fit a request. */
+const maxRequestBytes = 4 * 1024 * 1024;
+
+/** Starts the server. */
+export async function startKeyValueServer(
+  options: KeyValueServerOptions,
+): Promise<KeyValueServer> {
+  const proto = loadKeyValueProto();
+  const state = createKeyValueState();
+  const leases = createLeaseTable(state, options.clock);
+  const watches = createWatchHandler({...options, state});
+  const server = new Server({
+    'grpc.max_receive_message_length': maxRequestBytes,
+  });
+  const run = createCallRunner(options);
+  const executor = createTransactionExecutor(state, leases);
+
+  const kv: KeyValueHandlers['kv'] = {
+    Range: (call, reply) =>
+      run('range', () => executor.range(call.request), reply),
+    Put: (call, reply) => run('put', () => executor.put(call.request), reply),
+    DeleteRange: (call, reply) =>
+      run('deleteRange', () => executor.deleteRange(call.request), reply),
+    Txn: (call, reply) => run('txn', () => executor.txn(call.request), reply),
+  };
+
+  const lease: KeyValueHandlers['lease'] = {
+    LeaseGrant: (call, reply) => {
+      const {ID, TTL} = call.request;
+      run('leaseGrant', () => grantLease(ID, TTL), reply);
+    },
+    LeaseRevoke: (call, reply) =>
+      run('leaseRevoke', () => revokeLease(call.request.ID), reply),
+    LeaseKeepAlive: stream => {
+      stream.on('data', ({ID}: {ID: number}) =>
+        run('leaseKeepAlive', () => keepAlive(ID), writeTo(stream)),
+      );
+      stream.on('end', () => stream.end());
+    },
+  };
+
+  function header() {
+    return {revision: state.revision()};
+  }
+
+  function grantLease(id: number, ttlSeconds: number) {
+    const granted = leases.grant(id, ttlSeconds);
+    if (granted === undefined) {
+      const details = 'lease already exists';
+      throw new StatusError(status.FAILED_PRECONDITION, details);
+    }
+    return {header: header(), ID: granted.id, TTL: granted.ttlSeconds};
+  }
+
+  function revokeLease(id: number) {
+    if (leases.revoke(id)) return {header: header()};
+    throw new StatusError(status.NOT_FOUND, 'requested lease not found');
+  }
+
+  function keepAlive(id: number) {
+    // The protocol answers a lease that is gone with a time to live of 0.
+    const ttlSeconds = leases.keepAlive(id)?.ttlSeconds ?? 0;
+    return {header: header(), ID: id, TTL: ttlSeconds};
+  }
+
+  server.addService(proto.KV.service, kv);
+  server.addService(proto.Lease.service, lease);
+  server.addService(proto.Watch.service, {Watch: watches.serve});
+  const stopListener: Undo = options.switches.registerOutageListener(
+    watches.cutAll,
+  );
+  const port = await bind(server, options.port);
+  return {
+    port,
+    state,
+    cutWatches: watches.cutAll,
+    close: () => {
+      stopListener();
+      leases.close();
+      server.forceShutdown();
+    },
+  };
+}
+
+function writeTo<Answer>(stream: {
+  write(answer: Answer): void;
+  emit(event: 'error', error: unknown): void;
+}): sendUnaryData<Answer> {
+  return (error, answer) => {
+    if (error) stream.emit('error', error);
+    else if (answer) stream.write(answer);
+  };
+}
+
+function bind(server: Server, port: number): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const address = `127.0.0.1:${port}`;
+    server.bindAsync(address, ServerCredentials.createInsecure(), (e, bound) =>
+      e ? reject(e) : resolve(bound),
+    );
+  });
+}
--- /dev/null
+++ b/packages/standins/src/platform/KeyValueState.ts
@@ -0,0 +1,214 @@
+/**
+ * The multi-version state behind the key-value stand-in: every change has a
+ * revision, and older versions stay readable until they are compacted.
+ */
+import {invariant} from '@toucanrouter/common';
+
+/** One version of a key. */
+export interface VersionedEntry {
+  readonly key: string;
+  readonly value: Buffer;
+  readonly createRevision: number;
+  readonly modRevision: number;
+  /** Counts changes since the key was created; 0 marks a deletion. */
+  readonly version: number;
+  readonly leaseId: number;
+}
+
+/** Keys from `key` up to but not including `end`; only `key` without an end. */
+export interface KeyRange {
+  readonly key: string;
+  readonly end?: string;
+}
+
+/** The entries of a range at one revision. */
+export interface RangeResult {
+  readonly entries: readonly VersionedEntry[];
+  /** Number of entries in the range, of which `entries` may be the first. */
+  readonly count: number;
+}
+
+/** Changes that take effect at one revision. */
+export interface Change {
+  put(key: string, value: Buffer, leaseId: number): void;
+  /** Returns the number of keys deleted. */
+  remove(range: KeyRange): number;
+}
+
+/**
+ * Revisions that stay readable. Older ones are compacted at times, so that a
+ * long run does not keep every version of every value.
+ */
+const keptRevisions = 1000;
+
+/** Called with the versions that one revision wrote. */
+export type CommitListener = (entries: readonly VersionedEntry[]) => void;
+
+/** A read below the compacted revision, or above the current one. */
+export class RevisionError extends Error {
+  readonly reason: 'compacted' | 'future';
+
+  constructor(reason: 'compacted' | 'future') {
+    super(
+      reason === 'compacted'
+        ? 'required revision has been compacted'
+        : 'required revision is a future revision',
+    );
+    this.name = 'RevisionError';
+    this.reason = reason;
+  }
+}
+
+/** Multi-version key-value state. */
+export interface KeyValueState {
+  revision(): number;
+  compactedRevision(): number;
+  get(key: string): VersionedEntry | undefined;
+  /** Reads a range; throws `RevisionError` when the revision is not readable. */
+  range(range: KeyRange, revision?: number, limit?: number): RangeResult;
+  /** Runs `change`; all of its writes share one new revision. */
+  commit<T>(change: (writer: Change) => T): T;
+  /** Returns the versions written from `revision` on, grouped by revision. */
+  changesSince(revision: number): readonly (readonly VersionedEntry[])[];
+  compact(revision: number): void;
+  /** Registers a listener; returns its undo function. */
+  registerCommitListener(listener: CommitListener): () => void;
+}
+
+/** Tells whether a range contains a key. */
+export function rangeContains(range: KeyRange, key: string): boolean {
+  if (range.end === undefined) return key === range.key;
+  return key >= range.key && (range.end === '\0' || key < range.end);
+}
+
+/** Creates an empty state at revision 1, as the protocol's servers start. */
+export function createKeyValueState(): KeyValueState {
+  const versions = new Map<string, VersionedEntry[]>();
+  const listeners = new Set<CommitListener>();
+  let log: (readonly VersionedEntry[])[] = [];
+  let current = 1;
+  let compacted = 0;
+
+  function entryAt(key: string, revision: number): VersionedEntry | undefined {
+    const entry = versions
+      .get(key)
+      ?.findLast(candidate => candidate.modRevision <= revision);
+    return entry === undefined || entry.version === 0 ? undefined : entry;
+  }
+
+  function entriesIn(range: KeyRange, revision: number): VersionedEntry[] {
+    if (range.end === undefined) {
+      const entry = entryAt(range.key, revision);
+      return entry === undefined ? [] : [entry];
+    }
+    return [...versions.keys()]
+      .filter(key => rangeContains(range, key))
+      .sort(compareKeys)
+      .map(key => entryAt(key, revision))
+      .filter(entry => entry !== undefined);
+  }
+
+  function checkReadable(revision: number): void {
+    if (revision < compacted) throw new RevisionError('compacted');
+    if (revision > current) throw new RevisionError('future');
+  }
+
+  function commit<T>(change: (writer: Change) => T): T {
+    const written: VersionedEntry[] = [];
+    const revision = current + 1;
+
+    function write(entry: VersionedEntry): void {
+      const all = versions.get(entry.key) ?? [];
+      versions.set(entry.key, all);
+      const last = all.at(-1);
+      invariant(
+        last === undefined || last.modRevision < revision,
+        `a transaction writes key ${entry.key} at most once`,
+      );
+      all.push(entry);
+      written.push(entry);
+    }
+
+    const result = change({
+      put: (key, value, leaseId) => {
+        const before = entryAt(key, current);
+        write({
+          key,
+          value,
+          createRevision: before?.createRevision ?? revision,
+          modRevision: revision,
+          version: (before?.version ?? 0) + 1,
+          leaseId,
+        });
+      },
+      remove: range => {
+        const removed = entriesIn(range, current);
+        for (const entry of removed) {
+          write({
+            ...entry,
+            value: Buffer.alloc(0),
+            createRevision: 0,
+            modRevision: revision,
+            version: 0,
+            leaseId: 0,
+          });
+        }
+        return removed.length;
+      },
+    });
+    if (written.length > 0) {
+      current = revision;
+      log.push(written);
+      for (const listener of listeners) listener(written);
+      if (current - compacted > 2 * keptRevisions) {
+        compact(current - keptRevisions);
+      }
+    }
+    return result;
+  }
+
+  function compact(revision: number): void {
+    checkReadable(revision);
+    compacted = revision;
+    log = log.filter(([first]) => (first?.modRevision ?? 0) > revision);
+    for (const [key, all] of versions) dropOldVersions(key, all);
+  }
+
+  function dropOldVersions(key: string, all: readonly VersionedEntry[]): void {
+    const kept = all.filter(
+      (entry, i) =>
+        entry.modRevision > compacted ||
+        (entry.version > 0 &&
+          (all[i + 1]?.modRevision ?? Infinity) > compacted),
+    );
+    if (kept.length === 0) versions.delete(key);
+    else versions.set(key, kept);
+  }
+
+  return {
+    revision: () => current,
+    compactedRevision: () => compacted,
+    get: key => entryAt(key, current),
+    range: (range, revision = 0, limit = 0) => {
+      const readRevision = revision || current;
+      checkReadable(readRevision);
+      const all = entriesIn(range, readRevision);
+      const entries = limit > 0 ? all.slice(0, limit) : all;
+      return {entries, count: all.length};
+    },
+    commit,
+    changesSince: revision => {
+      if (revision <= compacted) throw new RevisionError('compacted');
+      return log.filter(([first]) => (first?.modRevision ?? 0) >= revision);
+    },
+    compact,
+    registerCommitListener: listener => {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
+  };
+}
+
+function compareKeys(a: string, b: string): number {
+  return a < b ? -1 : a > b ? 1 : 0;
+}
--- /dev/null
+++ b/packages/standins/src/platform/KeyValueTransactions.ts
@@ -0,0 +1,184 @@
+/**
+ * Executes the requests of the key-value protocol on the stand-in's state.
+ */
+import {status} from '@grpc/grpc-js';
+import type {KeyValueMessages} from '@toucanrouter/platform';
+import type {
+  Change,
+  KeyRange,
+  KeyValueState,
+  VersionedEntry,
+} from './KeyValueState.js';
+import {RevisionError} from './KeyValueState.js';
+import type {LeaseTable} from './LeaseTable.js';
+
+type Compare = KeyValueMessages['compare'];
+type RequestOp = KeyValueMessages['requestOp'];
+
+/** An error with a gRPC status, as handlers return it. */
+export class StatusError extends Error {
+  readonly code: status;
+  readonly details: string;
+
+  constructor(code: status, details: string) {
+    super(details);
+    this.name = 'StatusError';
+    this.code = code;
+    this.details = details;
+  }
+}
+
+/** Executes protocol requests. Failures are thrown as `StatusError`. */
+export interface TransactionExecutor {
+  range(request: KeyValueMessages['range']): KeyValueMessages['rangeAnswer'];
+  put(request: KeyValueMessages['put']): KeyValueMessages['putAnswer'];
+  deleteRange(
+    request: KeyValueMessages['deleteRange'],
+  ): KeyValueMessages['deleteRangeAnswer'];
+  txn(request: KeyValueMessages['txn']): KeyValueMessages['txnAnswer'];
+}
+
+/** Creates an executor on `state`. */
+export function createTransactionExecutor(
+  state: KeyValueState,
+  leases: LeaseTable,
+): TransactionExecutor {
+  function header() {
+    return {revision: state.revision()};
+  }
+
+  function range(
+    request: KeyValueMessages['range'],
+  ): KeyValueMessages['rangeAnswer'] {
+    const wanted = toKeyRange(request.key, request.rangeEnd);
+    const found = readRange(state, wanted, request.revision, request.limit);
+    return {
+      header: header(),
+      kvs: found.entries.map(toMessage),
+      count: found.count,
+      more: found.count > found.entries.length,
+    };
+  }
+
+  function putWith(writer: Change, request: KeyValueMessages['put']): void {
+    if (request.lease !== 0 && !leases.has(request.lease)) {
+      throw new StatusError(status.NOT_FOUND, 'requested lease not found');
+    }
+    writer.put(request.key.toString(), request.value, request.lease);
+  }
+
+  function execute(writer: Change, op: RequestOp) {
+    if (op.requestPut) {
+      putWith(writer, op.requestPut);
+      return {responsePut: {header: header()}};
+    }
+    if (op.requestDeleteRange) {
+      const {key, rangeEnd} = op.requestDeleteRange;
+      const deleted = writer.remove(toKeyRange(key, rangeEnd));
+      return {responseDeleteRange: {header: header(), deleted}};
+    }
+    if (op.requestRange) return {responseRange: range(op.requestRange)};
+    throw new StatusError(status.INVALID_ARGUMENT, 'empty request operation');
+  }
+
+  return {
+    range,
+    put: request => {
+      state.commit(writer => putWith(writer, request));
+      return {header: header()};
+    },
+    deleteRange: request => {
+      const wanted = toKeyRange(request.key, request.rangeEnd);
+      const deleted = state.commit(writer => writer.remove(wanted));
+      return {header: header(), deleted};
+    },
+    txn: request => {
+      const succeeded = request.compare.every(compare =>
+        holds(compare, state.get(compare.key.toString())),
+      );
+      const ops = succeeded ? request.success : request.failure;
+      checkWrittenOnce(ops);
+      const responses = state.commit(writer =>
+        ops.map(op => execute(writer, op)),
+      );
+      return {header: header(), succeeded, responses};
+    },
+  };
+}
+
+/** Converts the range notation of the protocol. */
+export function toKeyRange(key: Buffer, rangeEnd: Buffer): KeyRange {
+  const start = key.toString();
+  return rangeEnd.length === 0
+    ? {key: start}
+    : {key: start, end: rangeEnd.toString()};
+}
+
+/** Converts a version to the protocol's message. */
+export function toMessage(entry: VersionedEntry) {
+  return {
+    key: Buffer.from(entry.key),
+    value: entry.value,
+    createRevision: entry.createRevision,
+    modRevision: entry.modRevision,
+    version: entry.version,
+    lease: entry.leaseId,
+  };
+}
+
+function readRange(
+  state: KeyValueState,
+  range: KeyRange,
+  revision: number,
+  limit: number,
+) {
+  try {
+    return state.range(range, revision, limit);
+  } catch (error) {
+    if (!(error instanceof RevisionError)) throw error;
+    throw new StatusError(status.OUT_OF_RANGE, error.message);
+  }
+}
+
+/** The protocol refuses a transaction that puts the same key twice. */
+function checkWrittenOnce(ops: readonly RequestOp[]): void {
+  const written = new Set<string>();
+  for (const op of ops) {
+    const key = (op.requestPut ?? op.requestDeleteRange)?.key.toString();
+    if (key === undefined) continue;
+    if (written.has(key)) {
+      const details = 'duplicate key given in txn request';
+      throw new StatusError(status.INVALID_ARGUMENT, details);
+    }
+    written.add(key);
+  }
+}
+
+/** Evaluates a compare; an absent key compares as zero. */
+function holds(compare: Compare, entry: VersionedEntry | undefined): boolean {
+  const [actual, expected] = comparedValues(compare, entry);
+  switch (compare.result) {
+    case 'EQUAL':
+      return actual === expected;
+    case 'NOT_EQUAL':
+      return actual !== expected;
+    case 'GREATER':
+      return actual > expected;
+    case 'LESS':
+      return actual < expected;
+  }
+}
+
+function comparedValues(
+  compare: Compare,
+  entry: VersionedEntry | undefined,
+): [actual: number, expected: number] {
+  switch (compare.target) {
+    case 'VERSION':
+      return [entry?.version ?? 0, compare.version ?? 0];
+    case 'CREATE':
+      return [entry?.createRevision ?? 0, compare.createRevision ?? 0];
+    case 'MOD':
+      return [entry?.modRevision ?? 0, compare.modRevision ?? 0];
+  }
+}
--- /dev/null
+++ b/packages/standins/src/platform/LeaseTable.ts
@@ -0,0 +1,85 @@
+/**
+ * Leases of the key-value stand-in. A lease that is not kept alive expires and
+ * deletes the keys attached to it.
+ */
+import type {Clock, Undo} from '@toucanrouter/common';
+import type {KeyValueState} from './KeyValueState.js';
+
+/** A granted lease. */
+export interface Lease {
+  readonly id: number;
+  readonly ttlSeconds: number;
+}
+
+/** Leases and their expiry. */
+export interface LeaseTable {
+  /** Grants a lease; id 0 asks for a new id. Undefined when the id is taken. */
+  grant(id: number, ttlSeconds: number): Lease | undefined;
+  /** Restarts the time to live; undefined when the lease is gone. */
+  keepAlive(id: number): Lease | undefined;
+  /** Ends a lease and deletes its keys; false when it is gone. */
+  revoke(id: number): boolean;
+  has(id: number): boolean;
+  close(): void;
+}
+
+interface RunningLease extends Lease {
+  stopTimer: Undo;
+}
+
+/** Range of all keys. */
+const allKeys = {key: '\0', end: '\0'};
+
+/** Creates an empty table whose expiries change `state`. */
+export function createLeaseTable(
+  state: KeyValueState,
+  clock: Clock,
+): LeaseTable {
+  const leases = new Map<number, RunningLease>();
+  let nextId = 1;
+
+  function startTimer(id: number, ttlSeconds: number): Undo {
+    return clock.after(ttlSeconds * 1000, () => revoke(id));
+  }
+
+  function revoke(id: number): boolean {
+    const lease = leases.get(id);
+    if (lease === undefined) return false;
+    lease.stopTimer();
+    leases.delete(id);
+    const attached = state
+      .range(allKeys)
+      .entries.filter(entry => entry.leaseId === id);
+    state.commit(writer => {
+      for (const entry of attached) writer.remove({key: entry.key});
+    });
+    return true;
+  }
+
+  function freeId(): number {
+    while (leases.has(nextId)) nextId++;
+    return nextId++;
+  }
+
+  return {
+    grant: (requestedId, ttlSeconds) => {
+      if (leases.has(requestedId)) return undefined;
+      const id = requestedId || freeId();
+      const stopTimer = startTimer(id, ttlSeconds);
+      leases.set(id, {id, ttlSeconds, stopTimer});
+      return {id, ttlSeconds};
+    },
+    keepAlive: id => {
+      const lease = leases.get(id);
+      if (lease === undefined) return undefined;
+      lease.stopTimer();
+      lease.stopTimer = startTimer(id, lease.ttlSeconds);
+      return lease;
+    },
+    revoke,
+    has: id => leases.has(id),
+    close: () => {
+      for (const lease of leases.values()) lease.stopTimer();
+    },
+  };
+}
--- /dev/null
+++ b/packages/standins/src/platform/Switches.ts
@@ -0,0 +1,140 @@
+/**
+ * Faults that a test switches on in the platform stand-in.
+ */
+import type {Clock, Undo} from '@toucanrouter/common';
+import {z} from 'zod';
+
+const countSchema = z.number().int().nonnegative();
+
+/** A change of switches; absent fields keep their value. */
+export const switchChangeSchema = z.strictObject({
+  /**
+   * `refuse` answers every call with "unavailable" and cuts watches, `hang`
+   * answers none; true means `refuse`, false `off`.
+   */
+  outage: z
+    .union([z.boolean(), z.enum(['off', 'refuse', 'hang'])])
+    .transform(value =>
+      value === true ? 'refuse' : value === false ? 'off' : value,
+    )
+    .optional(),
+  /** Delay of each call before it takes effect. */
+  delayMs: countSchema.optional(),
+  /** The next N writes take effect but are not answered. */
+  loseWriteAnswers: countSchema.optional(),
+  /** The next N writes are answered "unavailable" after they took effect. */
+  failWriteAnswers: countSchema.optional(),
+  /** The next N writes are refused and do not take effect. */
+  refuseWrites: countSchema.optional(),
+  /** An outage (`refuse`) starts after this time. */
+  failAfterMs: countSchema.optional(),
+  /** The outage, present or coming, ends this long after now. */
+  recoverAfterMs: countSchema.optional(),
+  /** The instance list answers with status 503. */
+  listOutage: z.boolean().optional(),
+  /** Changes of the instance list show after this time. */
+  listLagMs: countSchema.optional(),
+  /** Discards all versions before the current revision. */
+  compact: z.boolean().optional(),
+  /** Cuts all watch streams once. */
+  cutWatches: z.boolean().optional(),
+});
+
+/** A checked change of switches. */
+export type SwitchChange = z.infer<typeof switchChangeSchema>;
+
+/** A change of switches as callers write it. */
+export type SwitchChangeInput = z.input<typeof switchChangeSchema>;
+
+/** State of the switches. */
+export interface SwitchState {
+  readonly outage: 'off' | 'refuse' | 'hang';
+  readonly delayMs: number;
+  readonly loseWriteAnswers: number;
+  readonly failWriteAnswers: number;
+  readonly refuseWrites: number;
+  readonly listOutage: boolean;
+  readonly listLagMs: number;
+}
+
+/** What happens to one write. */
+export type WriteFault = 'none' | 'refuse' | 'lose_answer' | 'fail_answer';
+
+/** Switches of a stand-in. */
+export interface Switches {
+  state(): SwitchState;
+  apply(change: SwitchChange): void;
+  /** Decides the fate of a write and counts it against the switches. */
+  takeWriteFault(): WriteFault;
+  registerOutageListener(listener: () => void): Undo;
+  close(): void;
+}
+
+const initialState: SwitchState = {
+  outage: 'off',
+  delayMs: 0,
+  loseWriteAnswers: 0,
+  failWriteAnswers: 0,
+  refuseWrites: 0,
+  listOutage: false,
+  listLagMs: 0,
+};
+
+/** Creates switches with no fault on. */
+export function createSwitches(clock: Clock, listLagMs: number): Switches {
+  const listeners = new Set<() => void>();
+  const timers = new Set<Undo>();
+  let state: SwitchState = {...initialState, listLagMs};
+
+  function setOutage(outage: SwitchState['outage']): void {
+    state = {...state, outage};
+    if (outage !== 'off') for (const listener of listeners) listener();
+  }
+
+  function setOutageLater(
+    outage: SwitchState['outage'],
+    delayMs: number | undefined,
+  ): void {
+    if (delayMs === undefined) return;
+    timers.add(clock.after(delayMs, () => setOutage(outage)));
+  }
+
+  function take(
+    name: 'refuseWrites' | 'loseWriteAnswers' | 'failWriteAnswers',
+  ): boolean {
+    if (state[name] === 0) return false;
+    state = {...state, [name]: state[name] - 1};
+    return true;
+  }
+
+  return {
+    state: () => state,
+    apply: change => {
+      const kept = {
+        delayMs: change.delayMs ?? state.delayMs,
+        loseWriteAnswers: change.loseWriteAnswers ?? state.loseWriteAnswers,
+        failWriteAnswers: change.failWriteAnswers ?? state.failWriteAnswers,
+        refuseWrites: change.refuseWrites ?? state.refuseWrites,
+        listOutage: change.listOutage ?? state.listOutage,
+        listLagMs: change.listLagMs ?? state.listLagMs,
+      };
+      state = {...state, ...kept};
+      if (change.outage !== undefined) setOutage(change.outage);
+      setOutageLater('refuse', change.failAfterMs);
+      setOutageLater('off', change.recoverAfterMs);
+    },
+    takeWriteFault: () => {
+      if (take('refuseWrites')) return 'refuse';
+      if (take('loseWriteAnswers')) return 'lose_answer';
+      if (take('failWriteAnswers')) return 'fail_answer';
+      return 'none';
+    },
+    registerOutageListener: listener => {
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
+    close: () => {
+      for (const stop of timers) stop();
+    },
+  };
+}
--- /dev/null
+++ b/packages/standins/src/platform/WatchHandler.ts
@@ -0,0 +1,112 @@
+/**
+ * The watch stream of the key-value stand-in.
+ */
+import type {ServerDuplexStream} from '@grpc/grpc-js';
+import type {Undo} from '@toucanrouter/common';
+import type {KeyValueMessages} from '@toucanrouter/platform';
+import type {Counters} from './Counters.js';
+import {unavailable} from './FaultyCalls.js';
+import type {KeyValueState, VersionedEntry} from './KeyValueState.js';
+import {rangeContains} from './KeyValueState.js';
+import {toKeyRange, toMessage} from './KeyValueTransactions.js';
+import type {Switches} from './Switches.js';
+
+type WatchStream = ServerDuplexStream<
+  KeyValueMessages['watch'],
+  KeyValueMessages['watchAnswer']
+>;
+
+/** What watch streams need. */
+export interface WatchHandlerOptions {
+  readonly state: KeyValueState;
+  readonly counters: Counters;
+  readonly switches: Switches;
+}
+
+/** Watch streams of a stand-in. */
+export interface WatchHandler {
+  /** Serves one stream. */
+  serve(stream: WatchStream): void;
+  /** Breaks all open streams. */
+  cutAll(): void;
+}
+
+/** Creates a handler on `state`. */
+export function createWatchHandler(options: WatchHandlerOptions): WatchHandler {
+  const open = new Map<WatchStream, () => void>();
+
+  function serve(stream: WatchStream): void {
+    const watches = new Map<number, Undo>();
+    let nextId = 0;
+
+    function end(): void {
+      for (const stop of watches.values()) stop();
+      watches.clear();
+      open.delete(stream);
+    }
+
+    function cut(): void {
+      end();
+      stream.emit('error', unavailable());
+    }
+
+    function cancel(watchId: number): void {
+      watches.get(watchId)?.();
+      watches.delete(watchId);
+      stream.write({...answerHeader(), watchId, canceled: true});
+    }
+
+    function answerHeader() {
+      return {header: {revision: options.state.revision()}};
+    }
+
+    function create(request: KeyValueMessages['watchCreate']): void {
+      options.counters.add('watch');
+      const watchId = nextId++;
+      stream.write({...answerHeader(), watchId, created: true});
+      const compactRevision = options.state.compactedRevision();
+      const from = request.startRevision || options.state.revision() + 1;
+      if (from <= compactRevision) {
+        const refusal = {watchId, canceled: true, compactRevision};
+        stream.write({...answerHeader(), ...refusal});
+        return;
+      }
+      const range = toKeyRange(request.key, request.rangeEnd);
+
+      function send(entries: readonly VersionedEntry[]): void {
+        const seen = entries.filter(e => rangeContains(range, e.key));
+        if (seen.length === 0) return;
+        const events = seen.map(toEvent);
+        stream.write({...answerHeader(), watchId, events});
+      }
+
+      for (const entries of options.state.changesSince(from)) send(entries);
+      watches.set(watchId, options.state.registerCommitListener(send));
+    }
+
+    open.set(stream, cut);
+    stream.on('data', (request: KeyValueMessages['watch']) => {
+      if (options.switches.state().outage === 'hang') return;
+      if (request.createRequest) create(request.createRequest);
+      else if (request.cancelRequest) cancel(request.cancelRequest.watchId);
+    });
+    stream.on('end', () => {
+      end();
+      stream.end();
+    });
+    stream.on('cancelled', end);
+    if (options.switches.state().outage === 'refuse') cut();
+  }
+
+  return {
+    serve,
+    cutAll: () => {
+      for (const cut of [...open.values()]) cut();
+    },
+  };
+}
+
+function toEvent(entry: VersionedEntry) {
+  const type = entry.version === 0 ? ('DELETE' as const) : ('PUT' as const);
+  return {type, kv: toMessage(entry)};
+}
