Add the model engine and plain service stand-ins

The engine speaks the OpenAI-compatible chat protocol over simulated continuous batching; its answers are a function of the prompt, so that an oracle can recompute them. The plain service echoes calls and counts runs by idempotency key.

--- /dev/null
+++ b/packages/standins/src/__tests__/unit/EngineStandIn.test.ts
@@ -0,0 +1,134 @@
+import {expect} from 'chai';
+import {request} from 'undici';
+import type {EngineStandIn} from '../../index.js';
+import {answerText, createEngineStandIn, lengthMarker} from '../../index.js';
+
+const model = 'test-model';
+
+function bodyOf(tokens: number, more: object = {}): Record<string, unknown> {
+  const content = `measure the waist ${lengthMarker(tokens)}`;
+  return {model, messages: [{role: 'user', content}], stream: true, ...more};
+}
+
+function expectedText(tokens: number): string {
+  const content = `measure the waist ${lengthMarker(tokens)}`;
+  return answerText([{role: 'user', content}]);
+}
+
+interface StreamReply {
+  readonly status: number;
+  readonly text: string;
+  readonly lastId: number;
+  readonly done: boolean;
+  readonly broken: boolean;
+}
+
+async function send(
+  engine: EngineStandIn,
+  body: unknown,
+  headers: Record<string, string> = {},
+): Promise<StreamReply> {
+  const reply = await request(`${engine.url}/v1/chat/completions`, {
+    method: 'POST',
+    body: JSON.stringify(body),
+    headers: {'content-type': 'application/json', ...headers},
+  });
+  let raw = '';
+  let broken = false;
+  try {
+    for await (const chunk of reply.body) raw += String(chunk);
+  } catch {
+    broken = true;
+  }
+  return {...parseStream(raw), status: reply.statusCode, broken};
+}
+
+function parseStream(raw: string) {
+  let text = '';
+  let lastId = -1;
+  for (const event of raw.split('\n\n')) {
+    const id = /^id: (\d+)$/m.exec(event)?.[1];
+    const data = /^data: (\{.*)$/m.exec(event)?.[1];
+    if (id === undefined || data === undefined) continue;
+    lastId = Number(id);
+    text += JSON.parse(data).choices[0]?.delta.content ?? '';
+  }
+  return {text, lastId, done: raw.endsWith('data: [DONE]\n\n')};
+}
+
+describe('createEngineStandIn', () => {
+  let engine: EngineStandIn;
+
+  beforeEach(async () => {
+    const profile = {tokenGapMs: 2, batchLimit: 1};
+    engine = await createEngineStandIn({id: 'e1', model, profile});
+  });
+
+  afterEach(() => engine.close());
+
+  it('streams the answer that the oracle computes, so that checks are exact', async () => {
+    const reply = await send(engine, bodyOf(12), {'x-request-id': 'r1'});
+    expect(reply.text).to.equal(expectedText(12));
+    expect(reply.done).to.equal(true);
+    expect(engine.runs()[0]).to.include({
+      requestId: 'r1',
+      generatedTokens: 12,
+      finished: true,
+    });
+  });
+
+  it('resumes a broken stream after the last event, without generating anew', async () => {
+    engine.switch({breakStreams: {count: 1, afterTokens: 5}});
+    const first = await send(engine, bodyOf(12), {'x-request-id': 'r2'});
+    expect(first.broken).to.equal(true);
+    const second = await send(engine, bodyOf(12), {
+      'x-request-id': 'r2',
+      'last-event-id': String(first.lastId),
+    });
+    expect(first.text + second.text).to.equal(expectedText(12));
+    expect(engine.runs()).to.have.length(1);
+    expect(engine.runs()[0]).to.include({generatedTokens: 12, resumed: 1});
+  });
+
+  it('answers 410 to a resume of a run that it forgot', async () => {
+    const headers = {'x-request-id': 'r3', 'last-event-id': '4'};
+    expect((await send(engine, bodyOf(12), headers)).status).to.equal(410);
+  });
+
+  it('continues a received prefix that ends within a token', async () => {
+    const whole = expectedText(12);
+    const prefix = whole.slice(0, 20);
+    const body = bodyOf(12, {continue_final_message: true});
+    const messages = body['messages'] as unknown[];
+    messages.push({role: 'assistant', content: prefix});
+    const reply = await send(engine, body);
+    expect(prefix + reply.text).to.equal(whole);
+  });
+
+  it('refuses a prefix that is not of this answer, so that mixed answers show', async () => {
+    const body = bodyOf(12, {continue_final_message: true});
+    const messages = body['messages'] as unknown[];
+    messages.push({role: 'assistant', content: 'of another answer '});
+    expect((await send(engine, body)).status).to.equal(400);
+  });
+
+  it('runs waiting jobs by priority, so that an ignored priority shows', async () => {
+    const order: string[] = [];
+    const sendNamed = async (name: string, priority: number) => {
+      await send(engine, bodyOf(8, {priority}), {'x-request-id': name});
+      order.push(name);
+    };
+    await Promise.all([
+      sendNamed('first', 0),
+      sendNamed('low', 9),
+      sendNamed('high', 1),
+    ]);
+    expect(order.indexOf('high')).to.be.lessThan(order.indexOf('low'));
+  });
+
+  it('ends truncated streams cleanly but without an end marker', async () => {
+    engine.switch({truncateStreams: {count: 1, afterTokens: 3}});
+    const reply = await send(engine, bodyOf(12));
+    expect(reply).to.include({broken: false, done: false});
+  });
+});
--- /dev/null
+++ b/packages/standins/src/__tests__/unit/ServiceStandIn.test.ts
@@ -0,0 +1,51 @@
+import {expect} from 'chai';
+import {request} from 'undici';
+import type {ServiceStandIn} from '../../index.js';
+import {createServiceStandIn, serviceAnswer} from '../../index.js';
+
+async function post(service: ServiceStandIn, key: string, token: number) {
+  const reply = await request(`${service.url}/orders`, {
+    method: 'POST',
+    body: '{"cloth":"red"}',
+    headers: {'idempotency-key': key, 'x-fencing-token': String(token)},
+  });
+  return {status: reply.statusCode, body: await reply.body.json()};
+}
+
+describe('createServiceStandIn', () => {
+  let service: ServiceStandIn;
+
+  beforeEach(async () => {
+    service = await createServiceStandIn({
+      id: 's1',
+      service: 'ordering',
+      workMs: 1,
+    });
+  });
+
+  afterEach(() => service.close());
+
+  it('answers as the oracle computes and counts every run of a key', async () => {
+    const call = {method: 'POST', path: '/orders', body: '{"cloth":"red"}'};
+    const first = await post(service, 'k1', 5);
+    expect(first.body).to.deep.equal(serviceAnswer('ordering', call));
+    await post(service, 'k1', 5);
+    expect(service.runs().map(r => r.idempotencyKey)).to.deep.equal([
+      'k1',
+      'k1',
+    ]);
+  });
+
+  it('refuses a stale fencing token without running the call', async () => {
+    await post(service, 'k2', 7);
+    expect((await post(service, 'k2', 6)).status).to.equal(412);
+    expect(service.runs()).to.have.length(1);
+  });
+
+  it('runs a call whose answer it drops, so that lost answers can be tested', async () => {
+    service.switch({dropAnswers: 1});
+    const failure = await post(service, 'k3', 1).catch((e: Error) => e);
+    expect(failure).to.be.instanceOf(Error);
+    expect(service.runs()).to.have.length(1);
+  });
+});
--- /dev/null
+++ b/packages/standins/src/engine/Answers.ts
@@ -0,0 +1,88 @@
+/**
+ * Answers of the model engine stand-in as a function of the prompt, so that
+ * an oracle can recompute them.
+ */
+import {hash64} from '@toucanrouter/common';
+
+/** One message of a chat. */
+export interface ChatMessage {
+  readonly role: string;
+  readonly content: string;
+}
+
+/** Length of an answer whose prompt carries no marker. */
+export const defaultAnswerTokens = 16;
+
+const marker = /\[tokens=(\d+)\]/;
+const charsPerPromptToken = 4;
+
+/** Returns the key of a prompt; equal prompts have equal keys. */
+export function promptKeyOf(messages: readonly ChatMessage[]): string {
+  const plain = messages.map(m => [m.role, m.content]);
+  return hash64(JSON.stringify(plain)).toString(16).padStart(16, '0');
+}
+
+/** Returns the length in tokens that the last marked user message asks for. */
+export function answerLengthOf(messages: readonly ChatMessage[]): number {
+  for (const message of [...messages].reverse()) {
+    if (message.role !== 'user') continue;
+    const found = marker.exec(message.content);
+    if (found !== null) return Number(found[1]);
+  }
+  return defaultAnswerTokens;
+}
+
+/** Returns the marker that asks for an answer of `tokens` tokens. */
+export function lengthMarker(tokens: number): string {
+  return `[tokens=${tokens}]`;
+}
+
+/** Returns the text of token `index` of the answer to a prompt. */
+export function tokenText(promptKey: string, index: number): string {
+  return `${hash64(`${promptKey}:${index}`).toString(36).slice(0, 5)} `;
+}
+
+/** Returns the whole answer to a prompt. */
+export function answerText(messages: readonly ChatMessage[]): string {
+  const promptKey = promptKeyOf(messages);
+  const texts: string[] = [];
+  const length = answerLengthOf(messages);
+  for (let i = 0; i < length; i++) texts.push(tokenText(promptKey, i));
+  return texts.join('');
+}
+
+/** Estimates the number of tokens of a prompt. */
+export function promptTokensOf(messages: readonly ChatMessage[]): number {
+  const chars = messages.reduce((sum, m) => sum + m.content.length, 0);
+  return Math.ceil(chars / charsPerPromptToken);
+}
+
+/** Where generation goes on after a received prefix. */
+export interface ContinuationPoint {
+  /** Index of the first token that is not wholly contained in the prefix. */
+  readonly tokenIndex: number;
+  /** Characters of that token that the prefix contains. */
+  readonly offset: number;
+}
+
+/** Finds the end of `prefix` in the answer; undefined when it is no prefix. */
+export function findContinuation(
+  promptKey: string,
+  length: number,
+  prefix: string,
+): ContinuationPoint | undefined {
+  let position = 0;
+  for (let i = 0; i < length; i++) {
+    const rest = prefix.slice(position);
+    if (rest === '') return {tokenIndex: i, offset: 0};
+    const text = tokenText(promptKey, i);
+    if (rest.length < text.length) {
+      if (!text.startsWith(rest)) return undefined;
+      return {tokenIndex: i, offset: rest.length};
+    }
+    if (!rest.startsWith(text)) return undefined;
+    position += text.length;
+  }
+  if (position < prefix.length) return undefined;
+  return {tokenIndex: length, offset: 0};
+}
--- /dev/null
+++ b/packages/standins/src/engine/ChatRequest.ts
@@ -0,0 +1,89 @@
+/**
+ * Requests in the OpenAI-compatible chat format, as the engine reads them.
+ */
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import {z} from 'zod';
+import type {ChatMessage, ContinuationPoint} from './Answers.js';
+import {
+  answerLengthOf,
+  findContinuation,
+  promptKeyOf,
+  promptTokensOf,
+} from './Answers.js';
+import {defaultPriority} from './EngineConstants.js';
+
+const chatRequestSchema = z.looseObject({
+  model: z.string(),
+  messages: z
+    .array(z.looseObject({role: z.string(), content: z.string()}))
+    .min(1),
+  stream: z.boolean().optional(),
+  stream_options: z
+    .looseObject({include_usage: z.boolean().optional()})
+    .optional(),
+  max_tokens: z.number().int().positive().optional(),
+  max_completion_tokens: z.number().int().positive().optional(),
+  priority: z.number().optional(),
+  continue_final_message: z.boolean().optional(),
+});
+
+/** What a request asks the engine to generate. */
+export interface ChatPlan {
+  readonly model: string;
+  readonly stream: boolean;
+  readonly includeUsage: boolean;
+  readonly priority: number;
+  readonly promptKey: string;
+  /** The text that is processed before the first token. */
+  readonly promptText: string;
+  readonly promptTokens: number;
+  /** First token to generate; above 0 for a continuation. */
+  readonly from: ContinuationPoint;
+  /** Token index at which generation ends. */
+  readonly endToken: number;
+  readonly finishReason: 'length' | 'stop';
+}
+
+/** Reads a request body; the error is a message for the caller. */
+export function planChat(body: unknown): Result<ChatPlan, string> {
+  const parsed = chatRequestSchema.safeParse(body);
+  if (!parsed.success) return err(z.prettifyError(parsed.error));
+  const request = parsed.data;
+  const split = splitPrefix(request.messages, request.continue_final_message);
+  if (split === undefined) {
+    return err('continue_final_message needs a last message of the assistant');
+  }
+  const promptKey = promptKeyOf(split.prompt);
+  const length = answerLengthOf(split.prompt);
+  const from = findContinuation(promptKey, length, split.prefix);
+  if (from === undefined) {
+    return err('the last message is no prefix of the answer');
+  }
+  // As in common engines, the limit counts the tokens of this call only.
+  const limit = request.max_completion_tokens ?? request.max_tokens ?? Infinity;
+  const endToken = Math.min(length, from.tokenIndex + limit);
+  return ok({
+    model: request.model,
+    stream: request.stream ?? false,
+    includeUsage: request.stream_options?.include_usage ?? false,
+    priority: request.priority ?? defaultPriority,
+    promptKey,
+    promptText: request.messages.map(m => m.content).join('\n'),
+    promptTokens: promptTokensOf(request.messages),
+    from,
+    endToken,
+    finishReason: endToken < length ? 'length' : 'stop',
+  });
+}
+
+/** Separates a received prefix from the prompt that it answers. */
+function splitPrefix(
+  messages: readonly ChatMessage[],
+  continues: boolean | undefined,
+): {prompt: readonly ChatMessage[]; prefix: string} | undefined {
+  if (!continues) return {prompt: messages, prefix: ''};
+  const last = messages[messages.length - 1];
+  if (last?.role !== 'assistant' || messages.length < 2) return undefined;
+  return {prompt: messages.slice(0, -1), prefix: last.content};
+}
--- /dev/null
+++ b/packages/standins/src/engine/ChatSinks.ts
@@ -0,0 +1,84 @@
+/**
+ * Writes the events of a run to an HTTP response: as a stream, or as one
+ * document when the run has ended.
+ */
+import type {ServerResponse} from 'node:http';
+import {sendJson} from '../shared/HttpUtils.js';
+import type {EngineRun, RunSink} from './EngineRun.js';
+import type {EngineSwitches} from './EngineSwitches.js';
+
+/** Creates the sink of a streamed answer. */
+export function createStreamSink(
+  response: ServerResponse,
+  switches: EngineSwitches,
+  loadHeader: string,
+): RunSink {
+  response.writeHead(200, {
+    'content-type': 'text/event-stream',
+    'cache-control': 'no-cache',
+    'endpoint-load-metrics': loadHeader,
+  });
+  response.flushHeaders();
+  const plannedCut = takeCut(switches);
+  let tokensSent = 0;
+  let cut = false;
+
+  function cutNow(): void {
+    cut = true;
+    if (plannedCut?.kind === 'truncate') response.end();
+    else response.destroy();
+  }
+
+  return {
+    event: (text, tokens) => {
+      if (cut) return;
+      // A planned cut happens at the latest before the end of the answer.
+      const isEnd = tokens === 0 && tokensSent > 0;
+      if (plannedCut !== undefined && isEnd) return cutNow();
+      response.write(text);
+      tokensSent += tokens;
+      if (plannedCut !== undefined && tokensSent >= plannedCut.afterTokens) {
+        cutNow();
+      }
+    },
+    end: () => {
+      if (!cut) response.end();
+    },
+  };
+}
+
+interface PlannedCut {
+  readonly kind: 'break' | 'truncate';
+  readonly afterTokens: number;
+}
+
+/** Uses up one of the cuts that the switches ask for. */
+function takeCut(switches: EngineSwitches): PlannedCut | undefined {
+  const {breakStreams, truncateStreams} = switches;
+  if (breakStreams.count > 0) {
+    breakStreams.count--;
+    return {kind: 'break', afterTokens: breakStreams.afterTokens};
+  }
+  if (truncateStreams.count > 0) {
+    truncateStreams.count--;
+    return {kind: 'truncate', afterTokens: truncateStreams.afterTokens};
+  }
+  return undefined;
+}
+
+/** Creates the sink of an answer that is sent whole. */
+export function createWholeSink(
+  response: ServerResponse,
+  runOf: () => EngineRun,
+  loadHeader: string,
+): RunSink {
+  return {
+    event: () => undefined,
+    end: () => {
+      const run = runOf();
+      response.setHeader('endpoint-load-metrics', loadHeader);
+      const tokens = run.record.generatedTokens;
+      sendJson(response, 200, run.format.whole(run.text(), tokens));
+    },
+  };
+}
--- /dev/null
+++ b/packages/standins/src/engine/LoadReport.ts
@@ -0,0 +1,37 @@
+/**
+ * The load report of an engine, in the JSON form of the ORCA response header.
+ * It lags: answers carry the report of some time ago.
+ */
+import type {Clock, Undo} from '@toucanrouter/common';
+import type {EngineBatch} from './EngineBatch.js';
+import type {EngineProfile} from './EngineConstants.js';
+
+/** A lagging load report. */
+export interface LoadReport {
+  /** Value of the `endpoint-load-metrics` header. */
+  header(): string;
+  close(): void;
+}
+
+/** Creates a report that is refreshed once per lag time. */
+export function createLoadReport(
+  clock: Clock,
+  profile: EngineProfile,
+  batch: EngineBatch,
+): LoadReport {
+  let current = '';
+  function refresh(): void {
+    const {running, waiting} = batch.load();
+    const report = {
+      application_utilization: running / profile.batchLimit,
+      named_metrics: {
+        num_requests_running: running,
+        num_requests_waiting: waiting,
+      },
+    };
+    current = `JSON ${JSON.stringify(report)}`;
+  }
+  refresh();
+  const stop: Undo = clock.every(profile.loadReportLagMs, refresh);
+  return {header: () => current, close: stop};
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,19 @@
-export {};
+export type {ChatMessage} from './engine/Answers.js';
+export {answerLengthOf, answerText, lengthMarker} from './engine/Answers.js';
+export type {EngineProfile} from './engine/EngineConstants.js';
+export type {EngineRunRecord} from './engine/EngineRun.js';
+export type {
+  EngineStandIn,
+  EngineStandInOptions,
+} from './engine/EngineStandIn.js';
+export {createEngineStandIn} from './engine/EngineStandIn.js';
+export type {EngineSwitchChange} from './engine/EngineSwitches.js';
+export type {ServiceAnswer, ServiceCall} from './service/ServiceAnswers.js';
+export {serviceAnswer} from './service/ServiceAnswers.js';
+export type {ServiceRunRecord} from './service/ServiceRuns.js';
+export type {
+  ServiceStandIn,
+  ServiceStandInOptions,
+} from './service/ServiceStandIn.js';
+export {createServiceStandIn} from './service/ServiceStandIn.js';
+export type {ServiceSwitchChange} from './service/ServiceSwitches.js';
--- /dev/null
+++ b/packages/standins/src/service/ServiceAnswers.ts
@@ -0,0 +1,42 @@
+/**
+ * Answers of the plain service stand-in as a function of the request.
+ */
+import {hash64} from '@toucanrouter/common';
+
+/** The parts of a request that its answer depends on. */
+export interface ServiceCall {
+  readonly method: string;
+  /** Path and query as the service received them. */
+  readonly path: string;
+  readonly body: string;
+}
+
+/** The body of an answer. */
+export interface ServiceAnswer {
+  readonly service: string;
+  readonly method: string;
+  readonly path: string;
+  readonly request_key: string;
+  readonly answer: string;
+}
+
+/** Returns the key of a call; equal calls have equal keys. */
+export function callKeyOf(call: ServiceCall): string {
+  const text = JSON.stringify([call.method, call.path, call.body]);
+  return hash64(text).toString(16).padStart(16, '0');
+}
+
+/** Returns the answer of a service to a call. */
+export function serviceAnswer(
+  service: string,
+  call: ServiceCall,
+): ServiceAnswer {
+  const callKey = callKeyOf(call);
+  return {
+    service,
+    method: call.method,
+    path: call.path,
+    request_key: callKey,
+    answer: hash64(`${service}:${callKey}`).toString(36),
+  };
+}
--- /dev/null
+++ b/packages/standins/src/service/ServiceStandIn.ts
@@ -0,0 +1,233 @@
+/**
+ * Plain service stand-in: answers any call with an echo and counts each run,
+ * by request and by idempotency key.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {createServer} from 'node:http';
+import {
+  closeServer,
+  headerOf,
+  listenOnLoopback,
+  parseJson,
+  readBody,
+  sendJson,
+} from '../shared/HttpUtils.js';
+import type {ListRegistration} from '../shared/ListRegistration.js';
+import {registerInList} from '../shared/ListRegistration.js';
+import type {ServiceCall} from './ServiceAnswers.js';
+import {callKeyOf, serviceAnswer} from './ServiceAnswers.js';
+import type {ServiceRunRecord} from './ServiceRuns.js';
+import {createServiceRuns} from './ServiceRuns.js';
+import type {ServiceSwitchChange} from './ServiceSwitches.js';
+import {
+  applyServiceSwitches,
+  createServiceSwitches,
+  serviceSwitchesSchema,
+} from './ServiceSwitches.js';
+import {createServiceWork} from './ServiceWork.js';
+
+/** How to start a plain service. */
+export interface ServiceStandInOptions {
+  readonly id: string;
+  readonly service: string;
+  /** 0 takes any free port. */
+  readonly port?: number;
+  readonly workMs?: number;
+  /** Calls that run at the same time. */
+  readonly workers?: number;
+  readonly ignoreFencing?: boolean;
+  /** Registers the service in the instance list at this URL. */
+  readonly listUrl?: string;
+  readonly region?: string;
+  readonly failureDomain?: string;
+  readonly incarnation?: number;
+  /** What the `crash` switch does; by default connections are destroyed. */
+  readonly onCrash?: () => void;
+}
+
+/** A running plain service. */
+export interface ServiceStandIn {
+  /** `host:port`. */
+  readonly address: string;
+  readonly url: string;
+  runs(): readonly ServiceRunRecord[];
+  switch(change: ServiceSwitchChange): void;
+  /** Registers as leaving, finishes what runs, and closes. */
+  leave(): Promise<void>;
+  /** Ends all connections at once. */
+  close(): Promise<void>;
+}
+
+const defaultWorkMs = 15;
+const defaultWorkers = 8;
+// Lets routers that poll the list see "leaving" before the port closes.
+const leavingNoticeMs = 3000;
+const drainPollMs = 20;
+
+/** Starts a plain service. */
+export async function createServiceStandIn(
+  options: ServiceStandInOptions,
+): Promise<ServiceStandIn> {
+  const switches = createServiceSwitches();
+  const runs = createServiceRuns();
+  const work = createServiceWork(
+    options.workers ?? defaultWorkers,
+    () => (options.workMs ?? defaultWorkMs) * switches.slowFactor,
+  );
+  const server = createServer((request, response) => {
+    void handle(request, response);
+  });
+  let registration: ListRegistration | undefined;
+
+  async function handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    // A connection that breaks while the body is read leaves nothing to do.
+    const body = await readBody(request).catch(() => undefined);
+    if (body === undefined) return;
+    const method = request.method ?? 'GET';
+    const path = request.url ?? '/';
+    if (method === 'GET' && path === '/runs') {
+      return sendJson(response, 200, {runs: runs.records()});
+    }
+    if (method === 'POST' && path === '/switches') {
+      return handleSwitches(response, parseJson(body));
+    }
+    handleCall(request, response, {method, path, body});
+  }
+
+  function handleCall(
+    request: IncomingMessage,
+    response: ServerResponse,
+    call: ServiceCall,
+  ): void {
+    if (switches.refuse) {
+      return sendError(response, 503, 'the service refuses calls');
+    }
+    const record = toRecord(request, call);
+    work.submit({
+      begin: () => begin(response, record),
+      end: () => end(response, call, record),
+    });
+  }
+
+  function begin(response: ServerResponse, record: ServiceRunRecord): boolean {
+    if (response.destroyed) return false;
+    if (isFenced(record)) {
+      sendError(response, 412, 'the fencing token is stale');
+      return false;
+    }
+    record.answerDropped = switches.dropAnswers > 0;
+    if (record.answerDropped) switches.dropAnswers--;
+    runs.add(record);
+    return true;
+  }
+
+  function isFenced(record: ServiceRunRecord): boolean {
+    const {idempotencyKey, fencingToken} = record;
+    if (options.ignoreFencing) return false;
+    if (idempotencyKey === undefined || fencingToken === undefined) {
+      return false;
+    }
+    return runs.isStale(idempotencyKey, fencingToken);
+  }
+
+  function end(
+    response: ServerResponse,
+    call: ServiceCall,
+    record: ServiceRunRecord,
+  ): void {
+    if (record.answerDropped) response.destroy();
+    else sendJson(response, 200, serviceAnswer(options.service, call));
+  }
+
+  function handleSwitches(response: ServerResponse, body: unknown): void {
+    const change = serviceSwitchesSchema.safeParse(body);
+    if (!change.success) {
+      return sendError(response, 400, change.error.message);
+    }
+    applySwitches(change.data);
+    if (!change.data.crash) sendJson(response, 200, switches);
+  }
+
+  function applySwitches(change: ServiceSwitchChange): void {
+    applyServiceSwitches(switches, change);
+    if (change.crash) (options.onCrash ?? crash)();
+  }
+
+  function crash(): void {
+    registration?.abandon();
+    void close();
+  }
+
+  async function close(): Promise<void> {
+    work.close();
+    server.closeAllConnections();
+    await closeServer(server);
+  }
+
+  async function drain(): Promise<void> {
+    const earliestMs = performance.now() + leavingNoticeMs;
+    while (work.pending() > 0 || performance.now() < earliestMs) {
+      await new Promise(resolve => setTimeout(resolve, drainPollMs));
+    }
+  }
+
+  const address = await listenOnLoopback(server, options.port ?? 0);
+  if (options.listUrl !== undefined) {
+    registration = registerInList({
+      listUrl: options.listUrl,
+      id: options.id,
+      address,
+      labels: {
+        role: 'service',
+        service: options.service,
+        region: options.region ?? 'local',
+        failure_domain: options.failureDomain ?? 'a',
+        incarnation: String(options.incarnation ?? Date.now()),
+      },
+    });
+  }
+
+  return {
+    address,
+    url: `http://${address}`,
+    runs: () => runs.records(),
+    switch: applySwitches,
+    leave: async () => {
+      await registration?.setState('leaving');
+      if (registration !== undefined) await drain();
+      await registration?.remove();
+      await close();
+    },
+    close: async () => {
+      await registration?.remove();
+      await close();
+    },
+  };
+}
+
+function toRecord(
+  request: IncomingMessage,
+  call: ServiceCall,
+): ServiceRunRecord {
+  const token = headerOf(request, 'x-fencing-token');
+  return {
+    requestKey: callKeyOf(call),
+    method: call.method,
+    path: call.path,
+    idempotencyKey: headerOf(request, 'idempotency-key'),
+    fencingToken: token === undefined ? undefined : Number(token),
+    requestId: headerOf(request, 'x-request-id'),
+    answerDropped: false,
+  };
+}
+
+function sendError(
+  response: ServerResponse,
+  status: number,
+  message: string,
+): void {
+  sendJson(response, status, {error: {message, type: 'service_error'}});
+}
--- /dev/null
+++ b/packages/standins/src/shared/ListRegistration.ts
@@ -0,0 +1,79 @@
+/**
+ * Keeps one entry of the platform's instance list up to date.
+ */
+import {request} from 'undici';
+
+/** State of an instance as the list shows it. */
+export type ListedState = 'leaving' | 'live';
+
+/** The entry to register. */
+export interface ListEntry {
+  /** URL of the list; the entry is written to `<listUrl>/<id>`. */
+  readonly listUrl: string;
+  readonly id: string;
+  /** `host:port`. */
+  readonly address: string;
+  /** Labels other than `id` and `state`. */
+  readonly labels: Readonly<Record<string, string>>;
+}
+
+/** A registered entry. */
+export interface ListRegistration {
+  setState(state: ListedState): Promise<void>;
+  /** Stops registering and removes the entry. */
+  remove(): Promise<void>;
+  /** Stops registering and leaves the entry in the list, as a crash does. */
+  abandon(): void;
+}
+
+const registerIntervalMs = 1000;
+const callTimeoutMs = 2000;
+
+/** Registers an entry and repeats this every second until it is removed. */
+export function registerInList(entry: ListEntry): ListRegistration {
+  const url = `${entry.listUrl}/${encodeURIComponent(entry.id)}`;
+  let state: ListedState = 'live';
+
+  async function put(): Promise<void> {
+    const labels = {...entry.labels, id: entry.id, state};
+    await callList(
+      url,
+      'PUT',
+      JSON.stringify({targets: [entry.address], labels}),
+    );
+  }
+
+  const timer = setInterval(() => void put(), registerIntervalMs);
+  void put();
+  return {
+    setState: async next => {
+      state = next;
+      await put();
+    },
+    remove: async () => {
+      clearInterval(timer);
+      await callList(url, 'DELETE', undefined);
+    },
+    abandon: () => clearInterval(timer),
+  };
+}
+
+/** Calls the list; failures are left to the next interval. */
+async function callList(
+  url: string,
+  method: 'DELETE' | 'PUT',
+  body: string | undefined,
+): Promise<void> {
+  try {
+    const reply = await request(url, {
+      method,
+      body,
+      headers: {'content-type': 'application/json'},
+      headersTimeout: callTimeoutMs,
+      bodyTimeout: callTimeoutMs,
+    });
+    await reply.body.dump();
+  } catch {
+    // The list is allowed to have outages; the entry is sent again.
+  }
+}
