--- /dev/null
+++ b/packages/daemon/src/fleet/UpstreamDirectory.ts
@@ -0,0 +1,130 @@
+/**
+ * The upstreams that this instance knows, from the platform's lagging list,
+ * from what peers say and from the operators' drains.
+ */
+import type {
+  ShardId,
+  Undo,
+  UpstreamId,
+  UpstreamInfo,
+  UpstreamKind,
+} from '@toucanrouter/common';
+import {shardOf} from '@toucanrouter/common';
+import {
+  leavingUpstreamsPerHeartbeat,
+  maxLeavingUpstreams,
+} from './FleetConstants.js';
+
+/** An incarnation of an upstream that takes no new work. */
+export interface LeavingUpstream {
+  readonly upstreamId: UpstreamId;
+  readonly incarnation: number;
+}
+
+/** Known upstreams, by id and by shard. */
+export interface UpstreamDirectory {
+  find(upstreamId: UpstreamId): UpstreamInfo | undefined;
+  /** Upstreams of a shard that operators have not drained. */
+  inShard(shardId: ShardId): readonly UpstreamInfo[];
+  /** Shards of a model or plain service, those of `region` first. */
+  shardsOf(kind: UpstreamKind, serves: string, region: string): ShardId[];
+  /** Names of all models or plain services. */
+  served(kind: UpstreamKind): readonly string[];
+  /** Upstreams that are leaving, the latest first, bounded in number. */
+  leaving(): readonly LeavingUpstream[];
+  setListed(upstreams: readonly UpstreamInfo[]): void;
+  markLeaving(leaving: LeavingUpstream): void;
+  setDrained(upstreamIds: readonly UpstreamId[]): void;
+  registerChangeHandler(handler: () => void): Undo;
+}
+
+/** Creates an empty directory. */
+export function createUpstreamDirectory(): UpstreamDirectory {
+  let listed = new Map<UpstreamId, UpstreamInfo>();
+  let drained = new Set<UpstreamId>();
+  // Keyed by id; holds the incarnation that was seen leaving.
+  const leavingIncarnations = new Map<UpstreamId, number>();
+  const handlers = new Set<() => void>();
+
+  function withLeaving(upstream: UpstreamInfo): UpstreamInfo {
+    const incarnation = leavingIncarnations.get(upstream.id);
+    const leaving = upstream.leaving || incarnation === upstream.incarnation;
+    return leaving === upstream.leaving ? upstream : {...upstream, leaving};
+  }
+
+  function notify(): void {
+    for (const handler of handlers) handler();
+  }
+
+  function remember({upstreamId, incarnation}: LeavingUpstream): boolean {
+    const known = leavingIncarnations.get(upstreamId) ?? -1;
+    if (known >= incarnation) return false;
+    leavingIncarnations.delete(upstreamId);
+    leavingIncarnations.set(upstreamId, incarnation);
+    if (leavingIncarnations.size > maxLeavingUpstreams) forgetOldest();
+    return true;
+  }
+
+  function forgetOldest(): void {
+    for (const upstreamId of leavingIncarnations.keys()) {
+      leavingIncarnations.delete(upstreamId);
+      return;
+    }
+  }
+
+  function setListed(upstreams: readonly UpstreamInfo[]): void {
+    for (const {id, incarnation, leaving} of upstreams) {
+      if (leaving) remember({upstreamId: id, incarnation});
+    }
+    listed = new Map(
+      upstreams.map(upstream => [upstream.id, withLeaving(upstream)]),
+    );
+    notify();
+  }
+
+  function markLeaving(leaving: LeavingUpstream): void {
+    if (!remember(leaving)) return;
+    const upstream = listed.get(leaving.upstreamId);
+    if (upstream === undefined) return;
+    listed.set(upstream.id, withLeaving(upstream));
+    notify();
+  }
+
+  return {
+    find: upstreamId => listed.get(upstreamId),
+    inShard: shardId =>
+      [...listed.values()].filter(
+        upstream => shardOf(upstream) === shardId && !drained.has(upstream.id),
+      ),
+    shardsOf: (kind, serves, region) => {
+      const shards = new Map<ShardId, boolean>();
+      for (const upstream of listed.values()) {
+        if (upstream.kind !== kind || upstream.serves !== serves) continue;
+        shards.set(shardOf(upstream), upstream.region === region);
+      }
+      const sorted = [...shards].sort((a, b) => Number(b[1]) - Number(a[1]));
+      return sorted.map(([shardId]) => shardId);
+    },
+    served: kind => {
+      const names = new Set<string>();
+      for (const upstream of listed.values()) {
+        if (upstream.kind === kind) names.add(upstream.serves);
+      }
+      return [...names].sort();
+    },
+    leaving: () =>
+      [...leavingIncarnations]
+        .slice(-leavingUpstreamsPerHeartbeat)
+        .map(([upstreamId, incarnation]) => ({upstreamId, incarnation})),
+    setListed,
+    markLeaving,
+    setDrained: upstreamIds => {
+      drained = new Set(upstreamIds);
+      notify();
+    },
+    registerChangeHandler: handler => {
+      handlers.add(handler);
+      return () => handlers.delete(handler);
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/request/Authenticate.ts
@@ -0,0 +1,46 @@
+/**
+ * Finds the workspace that a call belongs to by its key.
+ */
+import {createHash} from 'node:crypto';
+import type {OperatorConfig, WorkspaceId} from '@toucanrouter/common';
+import {RouterError} from '@toucanrouter/common';
+import {err} from 'neverthrow';
+import type {Filter} from './Exchange.js';
+
+const bearerPattern = /^Bearer +(\S+)$/i;
+
+/** Looks up workspaces by the hash of their key. */
+export interface WorkspaceKeys {
+  /** Takes the workspaces of a new configuration. */
+  apply(config: OperatorConfig): void;
+  find(key: string): WorkspaceId | undefined;
+}
+
+/** Creates an empty key table. */
+export function createWorkspaceKeys(): WorkspaceKeys {
+  let byHash = new Map<string, WorkspaceId>();
+  return {
+    apply: config => {
+      byHash = new Map(config.workspaces.map(w => [w.keySha256, w.id]));
+    },
+    // Looking up a hash leaks no part of a key through its duration.
+    find: key => byHash.get(createHash('sha256').update(key).digest('hex')),
+  };
+}
+
+/** Creates the filter that refuses calls without a valid workspace key. */
+export function createAuthenticateFilter(keys: WorkspaceKeys): Filter {
+  return async (exchange, next) => {
+    const key = bearerPattern.exec(exchange.headers.authorization ?? '')?.[1];
+    const workspaceId = key === undefined ? undefined : keys.find(key);
+    if (workspaceId === undefined) {
+      const message =
+        key === undefined
+          ? 'send the workspace key as "Authorization: Bearer <key>"'
+          : 'the workspace key is not known';
+      return err(new RouterError('unauthenticated', message));
+    }
+    exchange.workspaceId = workspaceId;
+    return next();
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/request/Exchange.ts
@@ -0,0 +1,109 @@
+/**
+ * One call of a caller on its way through the request pipe.
+ */
+import type {IncomingHttpHeaders} from 'node:http';
+import type {
+  ClassId,
+  RequestId,
+  RouterError,
+  ServiceClass,
+  UpstreamKind,
+  WorkspaceId,
+} from '@toucanrouter/common';
+import type {Result} from 'neverthrow';
+import type {CallerResponse} from './CallerResponse.js';
+
+/** What a call is for: a model, or a path of a plain service. */
+export interface CallTarget {
+  readonly kind: UpstreamKind;
+  /** Name of the model or the plain service. */
+  readonly serves: string;
+  readonly method: string;
+  /** Path and query at the upstream. */
+  readonly path: string;
+}
+
+/** Figures of a call that are recorded when it ends. */
+export interface CallFigures {
+  /** Time from arrival to the first token or to the answer of a plain call. */
+  firstTokenMs: number | undefined;
+  /** Mean gap between tokens. */
+  tokenGapMs: number | undefined;
+  tokens: number;
+  wastedTokens: number;
+  /** Time spent waiting for permits. */
+  waitedMs: number;
+  attempts: number;
+}
+
+/** A call with what the filters have found out about it. */
+export interface Exchange {
+  /** Unique in the fleet; upstreams see this id. */
+  readonly requestId: RequestId;
+  /** The caller's own id, given back in the answer. */
+  readonly callerRequestId: string | undefined;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Buffer;
+  readonly target: CallTarget;
+  readonly response: CallerResponse;
+  readonly arrivedAtMs: number;
+  /** After this time the call is not started any more. */
+  readonly deadlineAtMs: number;
+  /** Aborted when the caller has gone. */
+  readonly signal: AbortSignal;
+  readonly figures: CallFigures;
+  workspaceId: WorkspaceId | undefined;
+  serviceClass: ServiceClass | undefined;
+}
+
+/** A filter of the pipe; it calls `next` to pass the call on. */
+export type Filter = (
+  exchange: Exchange,
+  next: () => Promise<Result<void, RouterError>>,
+) => Promise<Result<void, RouterError>>;
+
+/** Runs the filters in order; the last one must not call `next`. */
+export function runPipe(
+  filters: readonly Filter[],
+  exchange: Exchange,
+): Promise<Result<void, RouterError>> {
+  const runFrom = (index: number): Promise<Result<void, RouterError>> => {
+    const filter = filters[index];
+    if (filter === undefined) {
+      throw new Error('Invariant violation: the last filter called next');
+    }
+    return filter(exchange, () => runFrom(index + 1));
+  };
+  return runFrom(0);
+}
+
+/** Returns the class of a call that has passed the classification filter. */
+export function classOf(exchange: Exchange): ServiceClass {
+  if (exchange.serviceClass === undefined) {
+    throw new Error('Invariant violation: the call has not been classified');
+  }
+  return exchange.serviceClass;
+}
+
+/** Returns the workspace of a call that has been authenticated. */
+export function workspaceOf(exchange: Exchange): WorkspaceId {
+  if (exchange.workspaceId === undefined) {
+    throw new Error('Invariant violation: the call has not been authenticated');
+  }
+  return exchange.workspaceId;
+}
+
+/** Class and workspace of a call as far as they are known, for logs. */
+export function logLabels(exchange: Exchange): {
+  readonly requestId: RequestId;
+  readonly callerRequestId: string | undefined;
+  readonly classId: ClassId | undefined;
+  readonly workspaceId: WorkspaceId | undefined;
+} {
+  return {
+    requestId: exchange.requestId,
+    callerRequestId: exchange.callerRequestId,
+    classId: exchange.serviceClass?.id,
+    workspaceId: exchange.workspaceId,
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/request/chat/EngineAttempt.ts
@@ -0,0 +1,121 @@
+/**
+ * One attempt to get an answer from a model engine: sends the call, reads the
+ * stream and hands complete events on. Every way in which it can end is a
+ * value; the caller decides what follows.
+ */
+import type {RequestId, RouterError} from '@toucanrouter/common';
+import {RouterError as RouterErrorClass} from '@toucanrouter/common';
+import type {Result} from 'neverthrow';
+import type {Dispatcher} from 'undici';
+import type {ScannedEvents} from './SseScanner.js';
+import {createSseScanner} from './SseScanner.js';
+
+/** How an attempt ended. */
+export type AttemptEnd =
+  | {readonly kind: 'aborted'}
+  /** The stream ended without a transport error. */
+  | {readonly kind: 'ended'}
+  /** The connection or the stream broke, or the answer was not valid. */
+  | {readonly kind: 'broken'; readonly error: RouterError}
+  /** The engine refused the call before it ran. */
+  | {
+      readonly kind: 'rejected';
+      readonly status: number;
+      readonly body: Buffer;
+      readonly contentType: string;
+    };
+
+/** A call to an engine. */
+export interface EngineCall {
+  readonly dispatcher: Dispatcher;
+  /** `host:port`. */
+  readonly address: string;
+  readonly requestId: RequestId;
+  readonly body: string;
+  /** Resumes the run of the same request after this event. */
+  readonly lastEventId: number | undefined;
+  readonly signal: AbortSignal;
+  /** Receives complete events; a failure ends the attempt as broken. */
+  readonly onEvents: (
+    events: ScannedEvents,
+  ) => Promise<Result<void, RouterError>>;
+}
+
+/** An engine that sends nothing for this long is considered lost. */
+const silentEngineTimeoutMs = 20_000;
+
+const maxErrorBodyBytes = 64 * 1024;
+
+/** Runs one attempt to its end. */
+export async function runEngineAttempt(call: EngineCall): Promise<AttemptEnd> {
+  try {
+    const response = await call.dispatcher.request({
+      origin: `http://${call.address}`,
+      path: '/v1/chat/completions',
+      method: 'POST',
+      headers: headersOf(call),
+      body: call.body,
+      signal: call.signal,
+      headersTimeout: silentEngineTimeoutMs,
+      bodyTimeout: silentEngineTimeoutMs,
+    });
+    if (response.statusCode !== 200) return await readRejection(response);
+    return await readStream(response.body, call);
+  } catch (cause) {
+    if (call.signal.aborted) return {kind: 'aborted'};
+    return {kind: 'broken', error: connectionError(call, cause)};
+  }
+}
+
+function headersOf(call: EngineCall): Record<string, string> {
+  const headers: Record<string, string> = {
+    'content-type': 'application/json',
+    accept: 'text/event-stream',
+    'x-request-id': call.requestId,
+  };
+  if (call.lastEventId !== undefined) {
+    headers['last-event-id'] = String(call.lastEventId);
+  }
+  return headers;
+}
+
+async function readStream(
+  body: AsyncIterable<Buffer>,
+  call: EngineCall,
+): Promise<AttemptEnd> {
+  const scanner = createSseScanner();
+  for await (const chunk of body) {
+    const scanned = scanner.push(chunk);
+    if (scanned === undefined) continue;
+    const taken = await call.onEvents(scanned);
+    if (call.signal.aborted) return {kind: 'aborted'};
+    if (taken.isErr()) return {kind: 'broken', error: taken.error};
+  }
+  return {kind: 'ended'};
+}
+
+async function readRejection(
+  response: Dispatcher.ResponseData,
+): Promise<AttemptEnd> {
+  const parts: Buffer[] = [];
+  let sizeBytes = 0;
+  for await (const chunk of response.body) {
+    const part = chunk as Buffer;
+    sizeBytes += part.length;
+    if (sizeBytes > maxErrorBodyBytes) break;
+    parts.push(part);
+  }
+  const contentType = response.headers['content-type'];
+  return {
+    kind: 'rejected',
+    status: response.statusCode,
+    body: Buffer.concat(parts),
+    contentType: typeof contentType === 'string' ? contentType : 'text/plain',
+  };
+}
+
+function connectionError(call: EngineCall, cause: unknown): RouterError {
+  const reason = cause instanceof Error ? cause.message : String(cause);
+  const message = `the connection to upstream ${call.address} failed: ${reason}`;
+  return new RouterErrorClass('upstream_failed', message, {cause});
+}
--- /dev/null
+++ b/packages/daemon/src/request/chat/SseScanner.ts
@@ -0,0 +1,80 @@
+/**
+ * Splits a stream of server-sent events at event boundaries without decoding
+ * the events, so that complete ones can be relayed as they came.
+ */
+
+/** Complete events that arrived together. */
+export interface ScannedEvents {
+  /** The bytes of all events, with their separators. */
+  readonly bytes: Buffer;
+  readonly events: readonly SseEvent[];
+}
+
+/** One event. */
+export interface SseEvent {
+  /** The event's `id` field when it is a number. */
+  readonly id: number | undefined;
+  /** The event's `data` field. */
+  readonly data: string;
+}
+
+/** Takes chunks of a stream and returns the events that are complete. */
+export interface SseScanner {
+  push(chunk: Buffer): ScannedEvents | undefined;
+  /** True when the stream stopped inside an event. */
+  hasRest(): boolean;
+}
+
+const separator = '\n\n';
+const carriageReturn = 13;
+const idPattern = /^id: ?(\d+)$/m;
+const dataPattern = /^data: ?(.*)$/gm;
+
+/** Creates a scanner at the start of a stream. */
+export function createSseScanner(): SseScanner {
+  let rest: Buffer | undefined;
+
+  function push(chunk: Buffer): ScannedEvents | undefined {
+    const normalised = withoutCarriageReturns(chunk);
+    const buffer =
+      rest === undefined ? normalised : Buffer.concat([rest, normalised]);
+    const lastSeparator = buffer.lastIndexOf(separator);
+    if (lastSeparator < 0) {
+      rest = buffer;
+      return undefined;
+    }
+    const end = lastSeparator + separator.length;
+    rest = end < buffer.length ? buffer.subarray(end) : undefined;
+    const bytes = buffer.subarray(0, end);
+    return {bytes, events: parseEvents(bytes)};
+  }
+
+  return {push, hasRest: () => rest !== undefined};
+}
+
+/** Events may end lines with CR LF; the separator search expects LF. */
+function withoutCarriageReturns(chunk: Buffer): Buffer {
+  if (!chunk.includes(carriageReturn)) return chunk;
+  return Buffer.from(chunk.filter(byte => byte !== carriageReturn));
+}
+
+function parseEvents(bytes: Buffer): SseEvent[] {
+  const events: SseEvent[] = [];
+  for (const text of bytes.toString('utf8').split(separator)) {
+    if (text === '') continue;
+    const id = idPattern.exec(text)?.[1];
+    const lines = [...text.matchAll(dataPattern)].map(match => match[1]);
+    if (lines.length === 0) continue;
+    events.push({
+      id: id === undefined ? undefined : Number(id),
+      data: lines.join('\n'),
+    });
+  }
+  return events;
+}
+
+/** Formats an event with the given fields. */
+export function formatEvent(event: SseEvent): string {
+  const idLine = event.id === undefined ? '' : `id: ${event.id}\n`;
+  return `${idLine}data: ${event.data}${separator}`;
+}
--- /dev/null
+++ b/packages/daemon/src/scheduling/PermitClient.ts
@@ -0,0 +1,397 @@
+/**
+ * The holder's side of scheduling: asks the scheduler of a shard for permits,
+ * keeps those that were granted, reports their progress, and moves to the next
+ * scheduler when the present one is lost or leaving.
+ */
+import type {
+  AcquireRequest,
+  AnnouncedPermit,
+  Clock,
+  InstanceId,
+  PermitId,
+  PermitOutcome,
+  PreemptReason,
+  ProgressSample,
+  RequestId,
+  SchedulerEffect,
+  ShardId,
+  Undo,
+  UpstreamId,
+} from '@toucanrouter/common';
+import {RouterError} from '@toucanrouter/common';
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import type {SchedulerPort} from './SchedulerHost.js';
+import {
+  progressIntervalMs,
+  progressTickMs,
+  resendAcquireAfterMs,
+  stalledAfterMs,
+} from './SchedulingConstants.js';
+
+/** How a job ended, as its holder saw it. */
+export interface JobEnd {
+  readonly outcome: PermitOutcome;
+  readonly wastedTokens: number;
+}
+
+/** Permission to run one job on one upstream. */
+export interface Permit {
+  readonly permitId: PermitId;
+  readonly upstreamId: UpstreamId;
+  /** Counts tokens as they arrive; plain calls count their answer as one. */
+  countTokens(count: number): void;
+  /** Called when the scheduler wants the slot back. */
+  onPreempt: ((reason: PreemptReason) => void) | undefined;
+  /** Called when the upstream is a straggler. */
+  onSuspect: (() => void) | undefined;
+  /** Gives the permit back; later calls change nothing. */
+  release(end: JobEnd): void;
+}
+
+/** A request for a permit without the fields that the client fills in. */
+export type PermitRequest = Omit<AcquireRequest, 'holder'>;
+
+/** What the client needs from the rest of the instance. */
+export interface PermitClientOptions {
+  readonly clock: Clock;
+  readonly selfId: InstanceId;
+  readonly ownerOf: (shardId: ShardId) => InstanceId;
+  /** The port of a scheduler, on this instance or another. */
+  readonly portOf: (scheduler: InstanceId) => SchedulerPort;
+}
+
+/** Permits of the requests that this instance holds. */
+export interface PermitClient {
+  /** Resolves with a permit, a refusal, or `canceled` after an abort. */
+  acquire(
+    shardId: ShardId,
+    request: PermitRequest,
+    signal: AbortSignal,
+  ): Promise<Result<Permit, RouterError>>;
+  /** Handles what a scheduler says. */
+  deliver(shardId: ShardId, from: InstanceId, effect: SchedulerEffect): void;
+  /** Moves to another scheduler where the owner of a shard has changed. */
+  refreshOwners(): void;
+  counts(): {readonly pending: number; readonly held: number};
+  start(): void;
+  close(): void;
+}
+
+interface PendingRequest {
+  readonly request: AcquireRequest;
+  sentAtMs: number;
+  settle(result: Result<Permit, RouterError>): void;
+}
+
+interface HeldPermit extends Permit {
+  readonly request: AcquireRequest;
+  readonly grantedAtMs: number;
+  /** Schedulers that count this permit and must hear of its release. */
+  readonly knownTo: Set<InstanceId>;
+  tokens: number;
+  firstTokenMs: number | undefined;
+  lastTokenAtMs: number;
+  reportedAtMs: number;
+  reportedTokens: number;
+}
+
+interface ShardState {
+  readonly shardId: ShardId;
+  schedulerId: InstanceId;
+  readonly pending: Map<RequestId, PendingRequest>;
+  readonly held: Map<PermitId, HeldPermit>;
+}
+
+/** Creates a client without permits. */
+export function createPermitClient(options: PermitClientOptions): PermitClient {
+  const {clock, selfId} = options;
+  const shards = new Map<ShardId, ShardState>();
+  const undos: Undo[] = [];
+
+  function shardState(shardId: ShardId): ShardState {
+    let shard = shards.get(shardId);
+    if (shard === undefined) {
+      const schedulerId = options.ownerOf(shardId);
+      shard = {shardId, schedulerId, pending: new Map(), held: new Map()};
+      shards.set(shardId, shard);
+    }
+    return shard;
+  }
+
+  function acquire(
+    shardId: ShardId,
+    permitRequest: PermitRequest,
+    signal: AbortSignal,
+  ): Promise<Result<Permit, RouterError>> {
+    if (signal.aborted) return Promise.resolve(err(canceledError()));
+    refreshOwner(shardState(shardId));
+    const shard = shardState(shardId);
+    const request: AcquireRequest = {...permitRequest, holder: selfId};
+    return new Promise(resolve => {
+      const onAbort = () => {
+        if (!shard.pending.has(request.requestId)) return;
+        portFor(shard).cancel(shardId, selfId, request.requestId);
+        settle(err(canceledError()));
+      };
+      const settle = (result: Result<Permit, RouterError>) => {
+        shard.pending.delete(request.requestId);
+        signal.removeEventListener('abort', onAbort);
+        resolve(result);
+      };
+      signal.addEventListener('abort', onAbort);
+      const sentAtMs = clock.nowMs();
+      shard.pending.set(request.requestId, {request, sentAtMs, settle});
+      portFor(shard).acquire(shardId, request);
+    });
+  }
+
+  function portFor(shard: ShardState): SchedulerPort {
+    return options.portOf(shard.schedulerId);
+  }
+
+  function deliver(
+    shardId: ShardId,
+    from: InstanceId,
+    effect: SchedulerEffect,
+  ): void {
+    const shard = shardState(shardId);
+    switch (effect.kind) {
+      case 'grant':
+        grant(shard, from, effect);
+        break;
+      case 'refuse':
+        refuse(shard, from, effect);
+        break;
+      case 'preempt':
+        shard.held.get(effect.permitId)?.onPreempt?.(effect.reason);
+        break;
+      case 'suspect':
+        shard.held.get(effect.permitId)?.onSuspect?.();
+        break;
+    }
+  }
+
+  function grant(
+    shard: ShardState,
+    from: InstanceId,
+    effect: Extract<SchedulerEffect, {kind: 'grant'}>,
+  ): void {
+    if (shard.held.has(effect.permitId)) return;
+    const pending = shard.pending.get(effect.requestId);
+    const current =
+      from === shard.schedulerId && pending?.request.attempt === effect.attempt;
+    if (pending === undefined || !current) {
+      returnUnused(shard, from, effect.permitId);
+      return;
+    }
+    const permit = createHeldPermit(shard, from, effect, pending.request);
+    shard.held.set(permit.permitId, permit);
+    pending.settle(ok(permit));
+  }
+
+  function returnUnused(
+    shard: ShardState,
+    to: InstanceId,
+    permitId: PermitId,
+  ): void {
+    options.portOf(to).release(shard.shardId, {
+      permitId,
+      outcome: 'unused',
+      tokens: 0,
+      wastedTokens: 0,
+      serviceMs: 0,
+    });
+  }
+
+  function refuse(
+    shard: ShardState,
+    from: InstanceId,
+    effect: Extract<SchedulerEffect, {kind: 'refuse'}>,
+  ): void {
+    const pending = shard.pending.get(effect.requestId);
+    if (pending === undefined || from !== shard.schedulerId) return;
+    if (pending.request.attempt !== effect.attempt) return;
+    const {error, retryAfterMs} = effect;
+    const message = refusalMessages[error];
+    pending.settle(err(new RouterError(error, message, {retryAfterMs})));
+  }
+
+  function createHeldPermit(
+    shard: ShardState,
+    from: InstanceId,
+    effect: Extract<SchedulerEffect, {kind: 'grant'}>,
+    request: AcquireRequest,
+  ): HeldPermit {
+    const grantedAtMs = clock.nowMs();
+    const permit: HeldPermit = {
+      permitId: effect.permitId,
+      upstreamId: effect.upstreamId,
+      request,
+      grantedAtMs,
+      knownTo: new Set([from]),
+      tokens: 0,
+      firstTokenMs: undefined,
+      lastTokenAtMs: grantedAtMs,
+      reportedAtMs: grantedAtMs,
+      reportedTokens: 0,
+      onPreempt: undefined,
+      onSuspect: undefined,
+      countTokens: count => countTokens(permit, count),
+      release: end => release(shard, permit, end),
+    };
+    return permit;
+  }
+
+  function countTokens(permit: HeldPermit, count: number): void {
+    const nowMs = clock.nowMs();
+    permit.tokens += count;
+    permit.firstTokenMs ??= nowMs - permit.grantedAtMs;
+    permit.lastTokenAtMs = nowMs;
+  }
+
+  function release(shard: ShardState, permit: HeldPermit, end: JobEnd): void {
+    if (!shard.held.delete(permit.permitId)) return;
+    const {firstTokenMs, grantedAtMs, permitId, tokens} = permit;
+    for (const schedulerId of permit.knownTo) {
+      options.portOf(schedulerId).release(shard.shardId, {
+        permitId,
+        outcome: end.outcome,
+        tokens,
+        wastedTokens: end.wastedTokens,
+        firstTokenMs,
+        tokenGapMs: meanGapMs(permit),
+        serviceMs: clock.nowMs() - grantedAtMs,
+      });
+    }
+  }
+
+  function refreshOwner(shard: ShardState): void {
+    const ownerId = options.ownerOf(shard.shardId);
+    if (ownerId === shard.schedulerId) return;
+    const previous = portFor(shard);
+    for (const {request} of shard.pending.values()) {
+      previous.cancel(shard.shardId, selfId, request.requestId);
+    }
+    shard.schedulerId = ownerId;
+    const next = portFor(shard);
+    next.announce(
+      shard.shardId,
+      selfId,
+      [...shard.held.values()].map(announced),
+    );
+    for (const permit of shard.held.values()) permit.knownTo.add(ownerId);
+    for (const pending of [...shard.pending.values()]) resend(shard, pending);
+  }
+
+  function resend(shard: ShardState, pending: PendingRequest): void {
+    pending.sentAtMs = clock.nowMs();
+    portFor(shard).acquire(shard.shardId, pending.request);
+  }
+
+  function tick(): void {
+    const nowMs = clock.nowMs();
+    for (const shard of [...shards.values()]) {
+      report(shard, nowMs);
+      for (const pending of [...shard.pending.values()]) {
+        if (nowMs - pending.sentAtMs >= resendAcquireAfterMs) {
+          resend(shard, pending);
+        }
+      }
+      if (shard.held.size === 0 && shard.pending.size === 0) {
+        shards.delete(shard.shardId);
+      }
+    }
+  }
+
+  function report(shard: ShardState, nowMs: number): void {
+    const samples: ProgressSample[] = [];
+    for (const permit of shard.held.values()) {
+      if (isReportDue(permit, nowMs)) samples.push(takeSample(permit, nowMs));
+    }
+    if (samples.length === 0) return;
+    portFor(shard).progress(shard.shardId, selfId, samples);
+  }
+
+  return {
+    acquire,
+    deliver,
+    refreshOwners: () => {
+      for (const shard of [...shards.values()]) refreshOwner(shard);
+    },
+    counts: () => {
+      let pending = 0;
+      let held = 0;
+      for (const shard of shards.values()) {
+        pending += shard.pending.size;
+        held += shard.held.size;
+      }
+      return {pending, held};
+    },
+    start: () => {
+      undos.push(clock.every(progressTickMs, tick));
+    },
+    close: () => {
+      for (const undo of undos) undo();
+    },
+  };
+}
+
+const refusalMessages = {
+  deadline_exceeded:
+    'the request could not be started within the caller timeout',
+  no_upstream: 'no upstream is available for this request',
+  overloaded: 'capacity is taken by requests of the same or a higher priority',
+  shutting_down: 'the instance is shutting down',
+} as const;
+
+function canceledError(): RouterError {
+  return new RouterError('canceled', 'the request was canceled');
+}
+
+function meanGapMs(permit: HeldPermit): number | undefined {
+  if (permit.firstTokenMs === undefined || permit.tokens < 2) return undefined;
+  const firstAtMs = permit.grantedAtMs + permit.firstTokenMs;
+  return (permit.lastTokenAtMs - firstAtMs) / (permit.tokens - 1);
+}
+
+function isReportDue(permit: HeldPermit, nowMs: number): boolean {
+  const firstTokenIsNew = permit.tokens > 0 && permit.reportedTokens === 0;
+  return (
+    firstTokenIsNew ||
+    nowMs - permit.lastTokenAtMs >= stalledAfterMs ||
+    nowMs - permit.reportedAtMs >= progressIntervalMs
+  );
+}
+
+function takeSample(permit: HeldPermit, nowMs: number): ProgressSample {
+  const newTokens = permit.tokens - permit.reportedTokens;
+  const elapsedMs = permit.lastTokenAtMs - permit.reportedAtMs;
+  const hasGap = permit.reportedTokens > 0 && newTokens > 0;
+  permit.reportedAtMs = nowMs;
+  permit.reportedTokens = permit.tokens;
+  return {
+    permitId: permit.permitId,
+    tokens: permit.tokens,
+    firstTokenMs: permit.firstTokenMs,
+    sinceLastTokenMs: nowMs - permit.lastTokenAtMs,
+    tokenGapMs: hasGap ? Math.max(0, elapsedMs) / newTokens : undefined,
+  };
+}
+
+function announced(permit: HeldPermit): AnnouncedPermit {
+  const {request} = permit;
+  return {
+    permitId: permit.permitId,
+    requestId: request.requestId,
+    holder: request.holder,
+    classId: request.classId,
+    workspaceId: request.workspaceId,
+    fallbackTier: request.fallbackTier,
+    upstreamId: permit.upstreamId,
+    idempotent: request.idempotent,
+    tokens: permit.tokens,
+    grantedAtMs: permit.grantedAtMs,
+    arrivedAtMs: request.arrivedAtMs,
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/scheduling/SchedulerHost.ts
@@ -0,0 +1,282 @@
+/**
+ * Runs the schedulers of the shards that this instance is asked to schedule.
+ * It accepts requests from any holder: holders decide whom they ask, and two
+ * schedulers for one shard are harmless for a moment.
+ */
+import type {
+  AcquireRequest,
+  AnnouncedPermit,
+  Clock,
+  InstanceId,
+  PermitId,
+  PermitRelease,
+  ProgressSample,
+  RequestId,
+  SchedulerEffect,
+  ServiceClass,
+  ShardId,
+  ShardSnapshot,
+  Undo,
+  UpstreamInfo,
+} from '@toucanrouter/common';
+import type {ShardScheduler} from '@toucanrouter/policy';
+import {
+  discardIdleShardAfterMs,
+  dropSilentHolderAfterMs,
+  dropUnreportedPermitAfterMs,
+  schedulerTickMs,
+  warmUpMs,
+} from './SchedulingConstants.js';
+
+/** Requests of one holder to the scheduler of a shard. */
+export interface SchedulerPort {
+  acquire(shardId: ShardId, request: AcquireRequest): void;
+  cancel(shardId: ShardId, holder: InstanceId, requestId: RequestId): void;
+  progress(
+    shardId: ShardId,
+    holder: InstanceId,
+    samples: readonly ProgressSample[],
+  ): void;
+  release(shardId: ShardId, release: PermitRelease): void;
+  announce(
+    shardId: ShardId,
+    holder: InstanceId,
+    permits: readonly AnnouncedPermit[],
+  ): void;
+}
+
+/** What the host needs from the rest of the instance. */
+export interface SchedulerHostOptions {
+  readonly clock: Clock;
+  readonly selfId: InstanceId;
+  readonly createScheduler: (shardId: ShardId) => ShardScheduler;
+  readonly upstreamsOf: (shardId: ShardId) => readonly UpstreamInfo[];
+  readonly classes: () => readonly ServiceClass[];
+  readonly deliver: (shardId: ShardId, effect: SchedulerEffect) => void;
+  /** Time since a holder was heard; undefined when it never was. */
+  readonly silentForMs: (holder: InstanceId) => number | undefined;
+}
+
+/** The schedulers of one instance. */
+export interface SchedulerHost extends SchedulerPort {
+  refreshUpstreams(): void;
+  refreshClasses(): void;
+  snapshots(): readonly ShardSnapshot[];
+  start(): void;
+  close(): void;
+}
+
+interface PermitRecord {
+  readonly holder: InstanceId;
+  reportedAtMs: number;
+}
+
+interface HostedShard {
+  readonly shardId: ShardId;
+  readonly scheduler: ShardScheduler;
+  readonly permits: Map<PermitId, PermitRecord>;
+  /** Time each holder was first met; it may not have a link yet. */
+  readonly holders: Map<InstanceId, number>;
+  /** Requests held back until the shard has warmed up. */
+  waiting: AcquireRequest[] | undefined;
+  readonly warmAtMs: number;
+  usedAtMs: number;
+}
+
+/** Creates a host without shards. */
+export function createSchedulerHost(
+  options: SchedulerHostOptions,
+): SchedulerHost {
+  const {clock, selfId} = options;
+  const shards = new Map<ShardId, HostedShard>();
+  const undos: Undo[] = [];
+
+  function hosted(shardId: ShardId): HostedShard {
+    const nowMs = clock.nowMs();
+    let shard = shards.get(shardId);
+    if (shard === undefined) {
+      shard = {
+        shardId,
+        scheduler: options.createScheduler(shardId),
+        permits: new Map(),
+        holders: new Map(),
+        waiting: [],
+        warmAtMs: nowMs + warmUpMs,
+        usedAtMs: nowMs,
+      };
+      shards.set(shardId, shard);
+      shard.scheduler.setClasses(options.classes(), nowMs);
+      shard.scheduler.setUpstreams(options.upstreamsOf(shardId), nowMs);
+    }
+    shard.usedAtMs = nowMs;
+    return shard;
+  }
+
+  function meetHolder(shard: HostedShard, holder: InstanceId): void {
+    if (!shard.holders.has(holder)) shard.holders.set(holder, clock.nowMs());
+  }
+
+  function apply(
+    shard: HostedShard,
+    effects: readonly SchedulerEffect[],
+  ): void {
+    for (const effect of effects) {
+      if (effect.kind === 'grant') {
+        const {holder} = effect;
+        const reportedAtMs = clock.nowMs();
+        shard.permits.set(effect.permitId, {holder, reportedAtMs});
+      }
+      options.deliver(shard.shardId, effect);
+    }
+  }
+
+  function acquire(shardId: ShardId, request: AcquireRequest): void {
+    const shard = hosted(shardId);
+    meetHolder(shard, request.holder);
+    if (shard.waiting !== undefined) shard.waiting.push(request);
+    else apply(shard, shard.scheduler.acquire(request, clock.nowMs()));
+  }
+
+  function cancel(
+    shardId: ShardId,
+    _holder: InstanceId,
+    requestId: RequestId,
+  ): void {
+    const shard = shards.get(shardId);
+    if (shard === undefined) return;
+    shard.waiting = shard.waiting?.filter(r => r.requestId !== requestId);
+    apply(shard, shard.scheduler.cancel(requestId, clock.nowMs()));
+  }
+
+  function progress(
+    shardId: ShardId,
+    holder: InstanceId,
+    samples: readonly ProgressSample[],
+  ): void {
+    const shard = hosted(shardId);
+    meetHolder(shard, holder);
+    const nowMs = clock.nowMs();
+    const known = samples.filter(sample => {
+      const record = shard.permits.get(sample.permitId);
+      if (record !== undefined) record.reportedAtMs = nowMs;
+      return record !== undefined;
+    });
+    apply(shard, shard.scheduler.progress(known, nowMs));
+  }
+
+  function release(shardId: ShardId, ended: PermitRelease): void {
+    const shard = shards.get(shardId);
+    if (shard === undefined) return;
+    shard.permits.delete(ended.permitId);
+    apply(shard, shard.scheduler.release(ended, clock.nowMs()));
+  }
+
+  function announce(
+    shardId: ShardId,
+    holder: InstanceId,
+    permits: readonly AnnouncedPermit[],
+  ): void {
+    const shard = hosted(shardId);
+    meetHolder(shard, holder);
+    const nowMs = clock.nowMs();
+    const listed = new Set(permits.map(permit => permit.permitId));
+    for (const [permitId, record] of [...shard.permits]) {
+      if (record.holder === holder && !listed.has(permitId)) {
+        giveBack(shard, permitId);
+      }
+    }
+    for (const {permitId} of permits) {
+      shard.permits.set(permitId, {holder, reportedAtMs: nowMs});
+    }
+    apply(shard, shard.scheduler.adopt(permits, nowMs));
+  }
+
+  function giveBack(shard: HostedShard, permitId: PermitId): void {
+    release(shard.shardId, {
+      permitId,
+      outcome: 'canceled',
+      tokens: 0,
+      wastedTokens: 0,
+      serviceMs: 0,
+    });
+  }
+
+  function dropSilentHolders(shard: HostedShard, nowMs: number): void {
+    for (const [holder, metAtMs] of [...shard.holders]) {
+      if (holder === selfId) continue;
+      const silentMs = options.silentForMs(holder) ?? nowMs - metAtMs;
+      if (silentMs <= dropSilentHolderAfterMs) continue;
+      shard.holders.delete(holder);
+      for (const [permitId, record] of [...shard.permits]) {
+        if (record.holder === holder) shard.permits.delete(permitId);
+      }
+      apply(shard, shard.scheduler.dropHolder(holder, nowMs));
+    }
+  }
+
+  function dropUnreported(shard: HostedShard, nowMs: number): void {
+    for (const [permitId, record] of [...shard.permits]) {
+      if (nowMs - record.reportedAtMs > dropUnreportedPermitAfterMs) {
+        giveBack(shard, permitId);
+      }
+    }
+  }
+
+  function finishWarmUp(shard: HostedShard, nowMs: number): void {
+    if (shard.waiting === undefined || nowMs < shard.warmAtMs) return;
+    const requests = shard.waiting;
+    shard.waiting = undefined;
+    for (const request of requests) {
+      apply(shard, shard.scheduler.acquire(request, nowMs));
+    }
+  }
+
+  function isIdle(shard: HostedShard, nowMs: number): boolean {
+    return (
+      shard.permits.size === 0 &&
+      nowMs - shard.usedAtMs > discardIdleShardAfterMs
+    );
+  }
+
+  function tick(): void {
+    const nowMs = clock.nowMs();
+    for (const shard of [...shards.values()]) {
+      finishWarmUp(shard, nowMs);
+      dropSilentHolders(shard, nowMs);
+      dropUnreported(shard, nowMs);
+      apply(shard, shard.scheduler.tick(nowMs));
+      if (isIdle(shard, nowMs)) shards.delete(shard.shardId);
+    }
+  }
+
+  return {
+    acquire,
+    cancel,
+    progress,
+    release,
+    announce,
+    refreshUpstreams: () => {
+      const nowMs = clock.nowMs();
+      for (const shard of shards.values()) {
+        const upstreams = options.upstreamsOf(shard.shardId);
+        apply(shard, shard.scheduler.setUpstreams(upstreams, nowMs));
+      }
+    },
+    refreshClasses: () => {
+      const nowMs = clock.nowMs();
+      for (const shard of shards.values()) {
+        apply(shard, shard.scheduler.setClasses(options.classes(), nowMs));
+      }
+    },
+    snapshots: () =>
+      [...shards.values()].map(shard =>
+        shard.scheduler.snapshot(clock.nowMs()),
+      ),
+    start: () => {
+      undos.push(clock.every(schedulerTickMs, tick));
+    },
+    close: () => {
+      for (const undo of undos) undo();
+    },
+  };
+}
