--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -12,6 +12,13 @@
   createRetryBudget,
   defaultRetryBudgetParameters,
 } from './RetryBudget.js';
+export type {ClassifiedCall, ModelCall, ServiceCall} from './Classification.js';
+export {classify} from './Classification.js';
+export type {SchedulerParameters} from './SchedulerParameters.js';
+export {defaultSchedulerParameters} from './SchedulerParameters.js';
+export type {ShardSchedulerOptions} from './SchedulerState.js';
+export type {ShardScheduler} from './ShardScheduler.js';
+export {createShardScheduler} from './ShardScheduler.js';
 export type {JobStart, UpstreamTracker} from './UpstreamTracker.js';
 export {createUpstreamTracker} from './UpstreamTracker.js';
 export type {UpstreamTrackerParameters} from './UpstreamTrackerConstants.js';
