--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,9 +1,25 @@
+export type {HedgeBudget, HedgeBudgetParameters} from './HedgeBudget.js';
+export {
+  createHedgeBudget,
+  defaultHedgeBudgetParameters,
+} from './HedgeBudget.js';
+export type {LengthModel} from './LengthModel.js';
+export {createLengthModel} from './LengthModel.js';
+export type {AttemptEnd, RecoveryDecision, RecoveryState} from './Recovery.js';
+export {decideRecovery, maxAttempts} from './Recovery.js';
+export type {RetryBudget, RetryBudgetParameters} from './RetryBudget.js';
+export {
+  createRetryBudget,
+  defaultRetryBudgetParameters,
+} from './RetryBudget.js';
 export type {ClassifiedCall, ModelCall, ServiceCall} from './Classification.js';
 export {classify} from './Classification.js';
-export type {LengthModel} from './LengthModel.js';
 export type {SchedulerParameters} from './SchedulerParameters.js';
 export {defaultSchedulerParameters} from './SchedulerParameters.js';
 export type {ShardSchedulerOptions} from './SchedulerState.js';
 export type {ShardScheduler} from './ShardScheduler.js';
 export {createShardScheduler} from './ShardScheduler.js';
 export type {JobStart, UpstreamTracker} from './UpstreamTracker.js';
+export {createUpstreamTracker} from './UpstreamTracker.js';
+export type {UpstreamTrackerParameters} from './UpstreamTrackerConstants.js';
+export {defaultUpstreamTrackerParameters} from './UpstreamTrackerConstants.js';
