--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,3 +1,5 @@
+export type {ClassifiedCall, ModelCall, ServiceCall} from './Classification.js';
+export {classify} from './Classification.js';
 export type {HedgeBudget, HedgeBudgetParameters} from './HedgeBudget.js';
 export {
   createHedgeBudget,
@@ -12,8 +14,6 @@
   createRetryBudget,
   defaultRetryBudgetParameters,
 } from './RetryBudget.js';
-export type {ClassifiedCall, ModelCall, ServiceCall} from './Classification.js';
-export {classify} from './Classification.js';
 export type {SchedulerParameters} from './SchedulerParameters.js';
 export {defaultSchedulerParameters} from './SchedulerParameters.js';
 export type {ShardSchedulerOptions} from './SchedulerState.js';
