Accept a canceled or unused attempt again

Cause: a holder that moves to another scheduler cancels its attempt at the first and repeats the same attempt when it moves back, and a grant that is lost with a link is given back by the host. The scheduler remembered both as ended, ignored every repetition, and the request waited until its deadline. Ruled out: reordered messages, since the stream of a pair is ordered. Conclusion: only attempts that ran are remembered.

--- a/packages/policy/src/SchedulerJobs.ts
+++ b/packages/policy/src/SchedulerJobs.ts
@@ -3,6 +3,7 @@
  */
 import type {
   AnnouncedPermit,
+  PermitOutcome,
   PermitRelease,
   UpstreamId,
 } from '@toucanrouter/common';
@@ -155,10 +156,14 @@
   nowMs: number,
 ): RunningJob | undefined {
   const job = state.jobs.get(release.permitId);
-  state.endedPermits.set(release.permitId, true);
+  // A permit that was taken from a silent holder counts as canceled; the
+  // holder may announce it again.
+  if (release.outcome !== 'canceled') {
+    state.endedPermits.set(release.permitId, true);
+  }
   if (job === undefined) return undefined;
   state.jobs.delete(release.permitId);
-  if (job.attempt > 0) forgetAttempt(state, job);
+  if (job.attempt > 0) endAttempt(state, job, release.outcome);
   state.tracker.ended(release, nowMs);
   state.counters.tokens += release.tokens;
   state.counters.wastedTokens += release.wastedTokens;
@@ -172,8 +177,18 @@
   return job;
 }
 
-function forgetAttempt(state: SchedulerState, job: RunningJob): void {
+/**
+ * An attempt that ran is not granted again. One whose permit was lost or
+ * returned unused may be: its holder, which moved to another scheduler and
+ * back, repeats it and would otherwise wait until its deadline.
+ */
+function endAttempt(
+  state: SchedulerState,
+  job: RunningJob,
+  outcome: PermitOutcome,
+): void {
   const key = attemptKey(job);
   state.permitOfAttempt.delete(key);
-  state.endedAttempts.set(key, 'granted');
+  if (outcome === 'canceled' || outcome === 'unused') return;
+  state.endedAttempts.set(key, 'nothing');
 }
--- a/packages/policy/src/SchedulerState.ts
+++ b/packages/policy/src/SchedulerState.ts
@@ -51,8 +51,8 @@
   wastedTokens: number;
 }
 
-/** How an attempt ended; refusals are repeated when the attempt is. */
-export type AttemptAnswer = 'canceled' | 'granted' | SchedulerEffect;
+/** What an acquire of an ended attempt is answered with, if anything. */
+export type AttemptAnswer = SchedulerEffect | 'nothing';
 
 /** Everything that a shard scheduler remembers. */
 export interface SchedulerState {
--- a/packages/policy/src/ShardScheduler.ts
+++ b/packages/policy/src/ShardScheduler.ts
@@ -197,16 +197,15 @@
     announceGrant(state, job);
     return true;
   }
-  const end = state.endedAttempts.get(key);
-  if (end === undefined) return false;
-  if (typeof end === 'object') state.effects.push(end);
+  const answer = state.endedAttempts.get(key);
+  if (answer === undefined) return false;
+  if (answer !== 'nothing') state.effects.push(answer);
   return true;
 }
 
 function cancelQueued(state: SchedulerState, requestId: RequestId): void {
   for (const entry of state.queue.ofRequest(requestId)) {
     state.queue.remove(entry);
-    state.endedAttempts.set(attemptKey(entry.request), 'canceled');
   }
 }
 
@@ -246,8 +245,4 @@
     },
     nowMs,
   );
-  // A holder that was only paused announces its permits again, and repeats an
-  // acquire whose grant it did not see.
-  state.endedPermits.delete(job.permitId);
-  state.endedAttempts.delete(attemptKey(job));
 }
