--- a/packages/policy/src/SchedulerOverload.ts
+++ b/packages/policy/src/SchedulerOverload.ts
@@ -170,10 +170,26 @@
   if (entry.request.resume !== undefined) return;
   if (state.queue.find(attemptKey(entry.request)) !== entry) return;
   const tier = tierOf(state, entry.request);
-  for (const other of state.queue.entries()) {
-    if (other.request.resume !== undefined) continue;
-    if (tierOf(state, other.request) <= tier) continue;
+  const lower = state.queue
+    .entries()
+    .filter(other => other.request.resume === undefined)
+    .filter(other => tierOf(state, other.request) > tier)
+    .sort((a, b) => tierOf(state, b.request) - tierOf(state, a.request));
+  for (const other of lower) {
+    // While a slot that only lower tiers may use can be freed for one of them,
+    // none is refused; the next review decides again.
+    if (obtainRoom(state, other, nowMs)) return;
     refuse(state, other, 'overloaded', nowMs);
   }
   refuse(state, entry, 'overloaded', nowMs);
 }
+
+function obtainRoom(
+  state: SchedulerState,
+  {request}: QueuedRequest,
+  nowMs: number,
+): boolean {
+  const tier = tierOf(state, request);
+  if (roomFromPending(state, tier, nowMs) > 0) return true;
+  return makeRoom(state, tier, request.exclude, nowMs);
+}
--- a/packages/policy/src/ShardScheduler.ts
+++ b/packages/policy/src/ShardScheduler.ts
@@ -142,10 +142,10 @@
   const entry = {
     request,
     order: state.nextOrder++,
+    // Later attempts and hedges start a wait of their own: counted from the
+    // arrival, time spent running would make them overdue at once.
     waitingSinceMs:
-      request.resume === undefined
-        ? Math.min(request.arrivedAtMs, nowMs)
-        : nowMs,
+      request.attempt === 1 ? Math.min(request.arrivedAtMs, nowMs) : nowMs,
   };
   state.queue.add(entry);
   countArrival(state, request, nowMs);
--- a/packages/policy/src/__tests__/unit/SchedulerFixtures.ts
+++ b/packages/policy/src/__tests__/unit/SchedulerFixtures.ts
@@ -50,7 +50,8 @@
   const states = new Map<UpstreamId, UpstreamState>();
   let known: readonly UpstreamInfo[] = [];
   const stateOf = (id: UpstreamId): UpstreamState => {
-    if (known.some(info => info.id === id && info.leaving)) return 'leaving';
+    const info = known.find(entry => entry.id === id);
+    if (info === undefined || info.leaving) return 'leaving';
     return states.get(id) ?? 'healthy';
   };
   return {
@@ -65,7 +66,9 @@
     reason: () => 'set by test',
     limit: (id, tier) => {
       const limit = limits.get(id) ?? defaultLimit;
-      if (stateOf(id) === 'healthy') return limit;
+      // The limit of a leaving upstream stays, so that the scheduler's own
+      // check of the state is tested.
+      if (stateOf(id) !== 'suspect') return limit;
       return tier >= 3 ? Math.min(1, limit) : 0;
     },
     inFlight: id =>
