--- a/packages/policy/src/SchedulerOverload.ts
+++ b/packages/policy/src/SchedulerOverload.ts
@@ -10,7 +10,7 @@
 import {findVictims, makeRoom, roomFromPending} from './SchedulerPreemption.js';
 import {refuse} from './SchedulerRefusal.js';
 import type {SchedulerState} from './SchedulerState.js';
-import {tierOf} from './SchedulerState.js';
+import {tierOf, waitingByTier} from './SchedulerState.js';
 import type {QueuedRequest} from './SchedulerTypes.js';
 import {estimateWaitMs} from './SchedulerWait.js';
 
@@ -112,10 +112,7 @@
  * refuses those that have waited too long when nothing can be displaced.
  */
 export function resolveUrgent(state: SchedulerState, nowMs: number): void {
-  const urgent = state.queue
-    .entries()
-    .filter(entry => isUrgent(state, entry, nowMs))
-    .sort((a, b) => tierOf(state, a.request) - tierOf(state, b.request));
+  const urgent = waitingByTier(state, entry => isUrgent(state, entry, nowMs));
   let served = 0;
   const exhausted = new Set<Tier>();
   for (const entry of urgent) {
@@ -170,12 +167,12 @@
   if (entry.request.resume !== undefined) return;
   if (state.queue.find(attemptKey(entry.request)) !== entry) return;
   const tier = tierOf(state, entry.request);
-  const lower = state.queue
-    .entries()
-    .filter(other => other.request.resume === undefined)
-    .filter(other => tierOf(state, other.request) > tier)
-    .sort((a, b) => tierOf(state, b.request) - tierOf(state, a.request));
-  for (const other of lower) {
+  const lower = waitingByTier(
+    state,
+    other =>
+      other.request.resume === undefined && tierOf(state, other.request) > tier,
+  );
+  for (const other of lower.toReversed()) {
     // While a slot that only lower tiers may use can be freed for one of them,
     // none is refused; the next review decides again.
     if (obtainRoom(state, other, nowMs)) return;
--- a/packages/policy/src/SchedulerParameters.ts
+++ b/packages/policy/src/SchedulerParameters.ts
@@ -6,6 +6,8 @@
 export interface SchedulerParameters {
   /** Requests that may wait in one shard before one of them is refused. */
   readonly maxQueued: number;
+  /** Ticks look at every waiting request at most this often. */
+  readonly reviewIntervalMs: number;
   /** Maximum wait of requests whose class the scheduler does not know. */
   readonly unknownClassMaxWaitMs: number;
   /**
@@ -59,6 +61,7 @@
 /** Defaults of all parameters. */
 export const defaultSchedulerParameters: SchedulerParameters = {
   maxQueued: 1000,
+  reviewIntervalMs: 100,
   unknownClassMaxWaitMs: 10_000,
   refuseAfterMaxWaits: 2,
   overdueGrantInterval: 10,
--- a/packages/policy/src/SchedulerState.ts
+++ b/packages/policy/src/SchedulerState.ts
@@ -26,7 +26,7 @@
 import {defaultSchedulerParameters} from './SchedulerParameters.js';
 import type {TokenBucket} from './SchedulerTokenBucket.js';
 import {createTokenBucket} from './SchedulerTokenBucket.js';
-import type {RunningJob} from './SchedulerTypes.js';
+import type {QueuedRequest, RunningJob} from './SchedulerTypes.js';
 import type {UpstreamTracker} from './UpstreamTracker.js';
 
 /** What a shard scheduler is created from. */
@@ -77,6 +77,8 @@
   /** Effects of the call in progress. */
   effects: SchedulerEffect[];
   nextOrder: number;
+  /** When a tick last looked at every waiting request. */
+  reviewedAtMs: number;
 }
 
 /** Creates the state of a scheduler that knows no upstreams and no classes. */
@@ -110,6 +112,7 @@
     overdueGrants: createBoundedMemory(parameters.maxRememberedWorkspaces),
     effects: [],
     nextOrder: 0,
+    reviewedAtMs: -Infinity,
   };
 }
 
@@ -118,6 +121,20 @@
   return state.classes.policyOf(reference).tier;
 }
 
+/** Waiting requests that match, grouped by tier from the highest down. */
+export function waitingByTier(
+  state: SchedulerState,
+  matches: (entry: QueuedRequest) => boolean,
+): readonly QueuedRequest[] {
+  const groups: QueuedRequest[][] = [];
+  for (const entry of state.queue.entries()) {
+    if (!matches(entry)) continue;
+    const tier = tierOf(state, entry.request);
+    (groups[tier] ??= []).push(entry);
+  }
+  return groups.flat();
+}
+
 /** Jobs that an instance holds. */
 export function jobsOf(
   state: SchedulerState,
--- a/packages/policy/src/SchedulerTargets.ts
+++ b/packages/policy/src/SchedulerTargets.ts
@@ -9,13 +9,13 @@
 import type {VictimFilter} from './SchedulerPreemption.js';
 import {findVictims, preempt, roomFromPending} from './SchedulerPreemption.js';
 import type {SchedulerState} from './SchedulerState.js';
-import {tierOf} from './SchedulerState.js';
+import {tierOf, waitingByTier} from './SchedulerState.js';
 import type {QueuedRequest, RunningJob} from './SchedulerTypes.js';
 
 /** Preempts jobs for waiting requests whose targets are at risk. */
 export function preemptForTargets(state: SchedulerState, nowMs: number): void {
   const exhausted = new Set<Tier>();
-  const atRisk = requestsAtRisk(state, nowMs);
+  const atRisk = waitingByTier(state, entry => isAtRisk(state, entry, nowMs));
   for (const [index, entry] of atRisk.entries()) {
     const tier = tierOf(state, entry.request);
     if (exhausted.has(tier)) continue;
@@ -24,16 +24,6 @@
   }
 }
 
-function requestsAtRisk(
-  state: SchedulerState,
-  nowMs: number,
-): readonly QueuedRequest[] {
-  return state.queue
-    .entries()
-    .filter(entry => isAtRisk(state, entry, nowMs))
-    .sort((a, b) => tierOf(state, a.request) - tierOf(state, b.request));
-}
-
 function isAtRisk(
   state: SchedulerState,
   {request, waitingSinceMs}: QueuedRequest,
--- a/packages/policy/src/ShardScheduler.ts
+++ b/packages/policy/src/ShardScheduler.ts
@@ -109,16 +109,20 @@
       change(nowMs, () => state.classes.set(classes)),
     dropHolder: (holder, nowMs) =>
       step(nowMs, () => dropHolder(state, holder, nowMs)),
-    tick: nowMs => change(nowMs, () => passTime(state, nowMs)),
+    tick: nowMs => step(nowMs, () => passTime(state, nowMs)),
     snapshot: nowMs => takeSnapshot(state, nowMs),
   };
 }
 
 function passTime(state: SchedulerState, nowMs: number): void {
   state.tracker.tick(nowMs);
-  for (const job of state.jobs.values()) chargeRunning(state, job, nowMs);
   repeatPreemptions(state, nowMs);
   tellSuspects(state);
+  const sinceReviewMs = nowMs - state.reviewedAtMs;
+  if (sinceReviewMs < state.parameters.reviewIntervalMs) return;
+  state.reviewedAtMs = nowMs;
+  for (const job of state.jobs.values()) chargeRunning(state, job, nowMs);
+  reviewQueue(state, nowMs);
 }
 
 /** Looks at every waiting request; too costly for each message. */
--- a/packages/policy/src/__tests__/unit/SchedulerWorld.ts
+++ b/packages/policy/src/__tests__/unit/SchedulerWorld.ts
@@ -26,7 +26,11 @@
 const answerDelayMs = 20;
 // Time in which the slots of a run are preempted and handed on one by one.
 const handOverMs = 2000;
-export const parameters = {maxQueued: 6, overdueGrantInterval: 4};
+export const parameters = {
+  maxQueued: 6,
+  overdueGrantInterval: 4,
+  reviewIntervalMs: tickMs,
+};
 const holders = [toInstanceId('h0'), toInstanceId('h1')];
 
 /** One step of a run; numbers choose among what exists. */
