Shed by target, and let more work be preempted for targets

Cause: in trials of a shard of 48 slots (fixed limits, 300 s, tiers 1, 3 and 4 with 20, 40 and 40% of the demand) the queue of tier 3 grew to its maximum wait, so most of its answers missed the target; and in bursts of tier 1 to four times its mean demand the preemption budget was spent at once. Conclusion: early refusal goes by the target, and the budget is 0.1 preemptions per slot and second with a burst of half the slots.

--- a/packages/policy/src/SchedulerOverload.ts
+++ b/packages/policy/src/SchedulerOverload.ts
@@ -7,6 +7,7 @@
 import {attemptKey} from './Queue.js';
 import type {ClassQueue, LargestBacklog} from './QueueOfClass.js';
 import {evictedFirst} from './QueueOfClass.js';
+import {targetWaitMs} from './SchedulerClasses.js';
 import {findVictims, makeRoom, roomFromPending} from './SchedulerPreemption.js';
 import {refuse} from './SchedulerRefusal.js';
 import type {SchedulerState} from './SchedulerState.js';
@@ -83,10 +84,16 @@
   {request, waitingSinceMs}: QueuedRequest,
   nowMs: number,
 ): boolean {
-  const {tier, maxWaitMs} = state.classes.policyOf(request);
-  const waitMs = estimateWaitMs(state, tier, nowMs);
+  const policy = state.classes.policyOf(request);
+  const waitMs = estimateWaitMs(state, policy.tier, nowMs);
   if (waitMs === undefined) return false;
-  const latestMs = waitingSinceMs + maxWaitMs;
+  // A queue as long as the maximum wait would make every answer miss its
+  // target; a shorter one serves as many requests, and in time.
+  const patienceMs = Math.min(
+    policy.maxWaitMs,
+    targetWaitMs(policy) * state.parameters.shedTargetFactor,
+  );
+  const latestMs = waitingSinceMs + patienceMs;
   return nowMs + waitMs > Math.min(latestMs, request.deadlineAtMs);
 }
 
--- a/packages/policy/src/SchedulerParameters.ts
+++ b/packages/policy/src/SchedulerParameters.ts
@@ -40,6 +40,11 @@
   readonly longLengthQuantile: number;
   /** Share of the slots that long jobs hold while short jobs wait. */
   readonly longSlotShare: number;
+  /**
+   * The lowest tier is refused early when its estimated wait exceeds its
+   * target this many times, or the maximum wait.
+   */
+  readonly shedTargetFactor: number;
   /** Slot time that a job is assumed to need before one of its class ended. */
   readonly assumedSlotMs: number;
   /** Period over which the arriving work of each tier is averaged. */
@@ -68,11 +73,12 @@
   deadlineLeadMs: 300,
   targetRiskFraction: 0.25,
   minimumRunMs: 1000,
-  preemptionsPerSlotSecond: 0.02,
-  preemptionBurstPerSlot: 0.25,
+  preemptionsPerSlotSecond: 0.1,
+  preemptionBurstPerSlot: 0.5,
   preemptRepeatMs: 1000,
   longLengthQuantile: 0.9,
   longSlotShare: 0.3,
+  shedTargetFactor: 1,
   assumedSlotMs: 1000,
   arrivalPeriodMs: 10_000,
   minimumTierShare: 0.1,
--- a/packages/policy/src/__tests__/unit/ShardSchedulerFairness.test.ts
+++ b/packages/policy/src/__tests__/unit/ShardSchedulerFairness.test.ts
@@ -124,16 +124,29 @@
 
 describe('ShardScheduler: early refusals', () => {
   it('refuses the lowest tier at once when the queue cannot serve it in time', () => {
-    const {scheduler} = setUp();
+    const classes = [serviceClass('t3', 3, {target: {firstTokenMs: 3000}})];
+    const {scheduler} = setUp({classes});
     const first = scheduler.acquire(acquireRequest('first', 3, 0), 0);
-    for (let i = 0; i < 6; i++) {
-      scheduler.acquire(acquireRequest(`r${i}`, 3, 1), 1);
+    for (let i = 0; i < 3; i++) {
+      scheduler.acquire(acquireRequest(`r${i}`, 3, 900), 900);
     }
-    // The first job took 1 s, so five of six fit into the maximum wait of 5 s.
+    // The first job took 1 s, so three waiting requests fit into 3 s.
     finish(scheduler, first, 1000);
-    const effects = scheduler.acquire(acquireRequest('late', 3, 1000), 1000);
-    expect(refusals(effects).length).to.be.greaterThan(0);
-    expect(refusals(effects)).to.include('refuse late overloaded');
+    const third = scheduler.acquire(acquireRequest('third', 3, 1000), 1000);
+    expect(refusals(third)).to.deep.equal([]);
+    const late = scheduler.acquire(acquireRequest('late', 3, 1000), 1000);
+    expect(refusals(late)).to.deep.equal(['refuse late overloaded']);
+  });
+
+  it('queues a request in place of an early refusal while lower work can be displaced', () => {
+    const {scheduler} = setUp();
+    const first = scheduler.acquire(acquireRequest('first', 3, 0), 0);
+    scheduler.acquire(acquireRequest('low', 4, 0), 0);
+    finish(scheduler, first, 1000);
+    for (let i = 0; i < 9; i++) {
+      const request = acquireRequest(`r${i}`, 3, 1000);
+      expect(refusals(scheduler.acquire(request, 1000))).to.deep.equal([]);
+    }
   });
 
   it('spreads Retry-After, so that refused callers do not return together', () => {
--- a/packages/policy/src/__tests__/unit/ShardSchedulerPreemption.test.ts
+++ b/packages/policy/src/__tests__/unit/ShardSchedulerPreemption.test.ts
@@ -101,7 +101,11 @@
   });
 
   it('stays within its budget, so that a burst does not stop all lower work', () => {
-    const parameters = {preemptRepeatMs: 60_000};
+    const parameters = {
+      preemptRepeatMs: 60_000,
+      preemptionsPerSlotSecond: 0.02,
+      preemptionBurstPerSlot: 0.25,
+    };
     const {scheduler} = setUp({limit: 8, parameters});
     startJobs(scheduler, 8, 4);
     for (let i = 0; i < 8; i++) {
