--- /dev/null
+++ b/packages/daemon/src/Metrics.ts
@@ -0,0 +1,133 @@
+/**
+ * Metrics of an instance for Prometheus. Labels are bounded: classes come from
+ * the configuration, error kinds from the closed list.
+ */
+import {
+  collectDefaultMetrics,
+  Counter,
+  Gauge,
+  Histogram,
+  Registry,
+} from 'prom-client';
+import type {EndedCall} from './request/RecordCall.js';
+
+/** Values that are read when metrics are collected. */
+export interface MetricSources {
+  readonly membersAlive: () => number;
+  readonly configVersion: () => number;
+  readonly permitsHeld: () => number;
+  readonly permitsPending: () => number;
+  readonly peerMessagesSent: () => number;
+}
+
+/** The metrics of an instance. */
+export interface Metrics {
+  observeCall(call: EndedCall): void;
+  /** Renders all metrics in the Prometheus text format. */
+  render(): Promise<string>;
+  readonly contentType: string;
+}
+
+const msPerSecond = 1_000;
+const latencyBucketsSeconds = [
+  0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8, 25.6, 51.2,
+];
+const unclassified = 'none';
+
+/** Creates the metrics of an instance. */
+export function createMetrics(sources: MetricSources): Metrics {
+  const registry = new Registry();
+  const registers = [registry];
+  collectDefaultMetrics({register: registry});
+  const requests = new Counter({
+    name: 'toucanrouter_requests_total',
+    help: 'Requests that ended, by class and error kind ("none" when served)',
+    labelNames: ['class', 'error'],
+    registers,
+  });
+  const firstToken = new Histogram({
+    name: 'toucanrouter_first_token_seconds',
+    help: 'Time from arrival to the first token, or to the answer of a plain call',
+    labelNames: ['class'],
+    buckets: latencyBucketsSeconds,
+    registers,
+  });
+  const waited = new Histogram({
+    name: 'toucanrouter_permit_wait_seconds',
+    help: 'Time that a request waited for permits',
+    labelNames: ['class'],
+    buckets: latencyBucketsSeconds,
+    registers,
+  });
+  const tokens = new Counter({
+    name: 'toucanrouter_tokens_total',
+    help: 'Tokens relayed to callers',
+    labelNames: ['class'],
+    registers,
+  });
+  const wasted = new Counter({
+    name: 'toucanrouter_wasted_tokens_total',
+    help: 'Tokens generated and thrown away',
+    labelNames: ['class'],
+    registers,
+  });
+  registerGauges(registry, sources);
+
+  function observeCall({exchange, error}: EndedCall): void {
+    const {figures, serviceClass} = exchange;
+    const labels = {class: serviceClass?.id ?? unclassified};
+    requests.inc({...labels, error: error?.kind ?? 'none'});
+    waited.observe(labels, figures.waitedMs / msPerSecond);
+    tokens.inc(labels, figures.tokens);
+    wasted.inc(labels, figures.wastedTokens);
+    if (figures.firstTokenMs !== undefined) {
+      firstToken.observe(labels, figures.firstTokenMs / msPerSecond);
+    }
+  }
+
+  return {
+    observeCall,
+    render: () => registry.metrics(),
+    contentType: registry.contentType,
+  };
+}
+
+function registerGauges(registry: Registry, sources: MetricSources): void {
+  const gauges: [string, string, () => number][] = [
+    [
+      'toucanrouter_members_alive',
+      'Router instances considered alive',
+      sources.membersAlive,
+    ],
+    [
+      'toucanrouter_config_version',
+      'Version of the configuration in force',
+      sources.configVersion,
+    ],
+    [
+      'toucanrouter_permits_held',
+      'Permits that this instance holds',
+      sources.permitsHeld,
+    ],
+    [
+      'toucanrouter_permits_pending',
+      'Requests of this instance that wait for a permit',
+      sources.permitsPending,
+    ],
+    [
+      'toucanrouter_peer_messages_sent',
+      'Messages sent to other instances since the start',
+      sources.peerMessagesSent,
+    ],
+  ];
+  for (const [name, help, read] of gauges) {
+    new Gauge({
+      name,
+      help,
+      registers: [registry],
+      collect() {
+        this.set(read());
+      },
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/claims/ClaimRouter.ts
@@ -0,0 +1,200 @@
+/**
+ * Reaches the writer of a claim shard wherever it runs. Each call is sent again
+ * to the present owner until it is answered or its time is over; claims and
+ * their ends are idempotent by claim id.
+ */
+import type {
+  ClaimEnd,
+  ClaimReference,
+  ClaimReply,
+  ClaimRequest,
+  ClaimStore,
+  Clock,
+  InstanceId,
+  RouterError,
+} from '@toucanrouter/common';
+import {PlatformError, toClaimId, toWorkspaceId} from '@toucanrouter/common';
+import type {Envelope, ReceivedEnvelope} from '@toucanrouter/peer';
+import {decodeOutcome} from '@toucanrouter/peer';
+import type {Result} from 'neverthrow';
+import {err, ok, ResultAsync} from 'neverthrow';
+
+/** An instance that does not answer within this time is asked again. */
+const answerTimeoutMs = 1_000;
+
+/** What the router needs from the rest of the instance. */
+export interface ClaimRouterOptions {
+  readonly clock: Clock;
+  readonly selfId: InstanceId;
+  /** The writers of this instance. */
+  readonly local: ClaimStore;
+  /** The instance that writes the claim shard of a key. */
+  readonly writerOf: (reference: ClaimReference) => InstanceId;
+  readonly send: (to: InstanceId, envelope: Envelope) => boolean;
+}
+
+/** A claim store for the whole fleet, with its receiving side. */
+export interface ClaimRouter extends ClaimStore {
+  /** Handles claim messages; other messages are left alone. */
+  receive(from: InstanceId, envelope: ReceivedEnvelope): void;
+}
+
+type Answer = Result<ClaimReply | undefined, RouterError>;
+
+/** Creates the claim store of an instance. */
+export function createClaimRouter(options: ClaimRouterOptions): ClaimRouter {
+  const {clock, local, selfId} = options;
+  const waiting = new Map<number, (answer: Answer) => void>();
+  let lastCallId = 0;
+
+  function callRemote(
+    to: InstanceId,
+    createEnvelope: (callId: number) => Envelope,
+  ): Promise<Answer> {
+    const callId = ++lastCallId;
+    return new Promise(resolve => {
+      const settle = (answer: Answer) => {
+        undo();
+        waiting.delete(callId);
+        resolve(answer);
+      };
+      const undo = clock.after(answerTimeoutMs, () =>
+        settle(err(noAnswer(to, true))),
+      );
+      waiting.set(callId, settle);
+      if (!options.send(to, createEnvelope(callId))) {
+        settle(err(noAnswer(to, false)));
+      }
+    });
+  }
+
+  function claim(request: ClaimRequest): ResultAsync<ClaimReply, RouterError> {
+    const writer = options.writerOf(request);
+    if (writer === selfId) return local.claim(request);
+    const {claimId, idempotencyKey, requestHash, workspaceId} = request;
+    const answer = callRemote(writer, callId => ({
+      claimRequest: {callId, claimId, idempotencyKey, requestHash, workspaceId},
+    }));
+    return new ResultAsync(
+      answer.then(result =>
+        result.andThen(reply =>
+          reply === undefined ? err(noAnswer(writer, true)) : ok(reply),
+        ),
+      ),
+    );
+  }
+
+  function end(
+    reference: ClaimReference,
+    claimEnd: ClaimEnd,
+  ): ResultAsync<void, RouterError> {
+    const writer = options.writerOf(reference);
+    if (writer === selfId) return local.end(reference, claimEnd);
+    const outcome =
+      claimEnd.kind === 'completed' ? claimEnd.outcome : undefined;
+    const answer = callRemote(writer, callId => ({
+      claimEnd: {callId, ...reference, end: claimEnd.kind, outcome},
+    }));
+    return new ResultAsync(answer).map(() => undefined);
+  }
+
+  async function serveClaim(
+    from: InstanceId,
+    wire: NonNullable<ReceivedEnvelope['claimRequest']>,
+  ): Promise<void> {
+    const reply = await local.claim({
+      claimId: toClaimId(wire.claimId),
+      workspaceId: toWorkspaceId(wire.workspaceId),
+      idempotencyKey: wire.idempotencyKey,
+      requestHash: wire.requestHash,
+      owner: from,
+    });
+    options.send(from, {claimReply: encodeReply(wire.callId, reply)});
+  }
+
+  async function serveEnd(
+    from: InstanceId,
+    wire: NonNullable<ReceivedEnvelope['claimEnd']>,
+  ): Promise<void> {
+    const reference: ClaimReference = {
+      claimId: toClaimId(wire.claimId),
+      workspaceId: toWorkspaceId(wire.workspaceId),
+      idempotencyKey: wire.idempotencyKey,
+    };
+    const ended = await local.end(reference, decodeEnd(wire));
+    const reply = ended.map(() => undefined);
+    options.send(from, {claimReply: encodeReply(wire.callId, reply)});
+  }
+
+  return {
+    claim,
+    end,
+    receive: (from, envelope) => {
+      const {claimEnd, claimReply, claimRequest} = envelope;
+      if (claimRequest) void serveClaim(from, claimRequest);
+      else if (claimEnd) void serveEnd(from, claimEnd);
+      else if (claimReply) {
+        waiting.get(claimReply.callId)?.(decodeReply(claimReply));
+      }
+    },
+  };
+}
+
+function noAnswer(from: InstanceId, mayHaveTakenEffect: boolean): RouterError {
+  const message = `instance ${from}, which writes the claim, did not answer`;
+  return new PlatformError(message, mayHaveTakenEffect);
+}
+
+function encodeReply(
+  callId: number,
+  reply: Answer,
+): NonNullable<Envelope['claimReply']> {
+  if (reply.isErr()) {
+    const {error} = reply;
+    const mayHaveTakenEffect =
+      error instanceof PlatformError && error.mayHaveTakenEffect;
+    return {callId, error: error.message, mayHaveTakenEffect};
+  }
+  const {value} = reply;
+  if (value === undefined) return {callId};
+  return {
+    callId,
+    result: value.kind,
+    fencingToken: value.kind === 'claimed' ? value.fencingToken : undefined,
+    outcome: value.kind === 'completed' ? value.outcome : undefined,
+  };
+}
+
+function decodeReply(
+  wire: NonNullable<ReceivedEnvelope['claimReply']>,
+): Answer {
+  if (wire.error !== '') {
+    return err(new PlatformError(wire.error, wire.mayHaveTakenEffect));
+  }
+  const outcome = decodeOutcome(wire.outcome);
+  switch (wire.result) {
+    case 'claimed':
+      return ok({kind: 'claimed', fencingToken: wire.fencingToken});
+    case 'completed':
+      return ok(
+        outcome === undefined
+          ? {kind: 'outcome_unknown'}
+          : {kind: 'completed', outcome},
+      );
+    case 'in_progress':
+    case 'key_reused':
+    case 'outcome_unknown':
+      return ok({kind: wire.result});
+    default:
+      return ok(undefined);
+  }
+}
+
+function decodeEnd(wire: NonNullable<ReceivedEnvelope['claimEnd']>): ClaimEnd {
+  const outcome = decodeOutcome(wire.outcome);
+  if (wire.end === 'not_sent') return {kind: 'not_sent'};
+  if (wire.end === 'completed' && outcome !== undefined) {
+    return {kind: 'completed', outcome};
+  }
+  return {kind: 'outcome_unknown'};
+}
--- /dev/null
+++ b/packages/daemon/src/claims/ClaimedCall.ts
@@ -0,0 +1,260 @@
+/**
+ * Runs a call at most once: it claims the idempotency key before the call is
+ * sent, and records afterwards how the call ended.
+ */
+import {createHash} from 'node:crypto';
+import type {
+  ClaimEnd,
+  ClaimReference,
+  ClaimReply,
+  ClaimStore,
+  Clock,
+  InstanceId,
+  RouterError as RouterErrorType,
+} from '@toucanrouter/common';
+import {answerFor, RouterError, toClaimId} from '@toucanrouter/common';
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import type {Exchange} from '../request/Exchange.js';
+import {workspaceOf} from '../request/Exchange.js';
+import type {PlainAnswer} from '../request/plain/PlainCall.js';
+
+/** Pause before a claim or its end is tried again. */
+const retryDelayMs = 100;
+
+/** The end of a claim is tried for this long, also after the answer. */
+const endTimeoutMs = 60_000;
+
+/** An answer that nothing ran waits this long for the claim's release. */
+const releaseWaitMs = 500;
+
+const maxKeyChars = 256;
+
+/** Claims for the calls of one instance. */
+export interface ClaimedCalls {
+  /** Runs `send` at most once for the idempotency key of the call. */
+  run(
+    exchange: Exchange,
+    send: (
+      fencingToken: number,
+    ) => Promise<Result<PlainAnswer, RouterErrorType>>,
+  ): Promise<Result<PlainAnswer, RouterErrorType>>;
+  /** Resolves when the ends of all calls are recorded or given up. */
+  idle(): Promise<void>;
+}
+
+/** Creates the claims of an instance on top of a claim store. */
+export function createClaimedCalls(
+  clock: Clock,
+  selfId: InstanceId,
+  store: ClaimStore,
+): ClaimedCalls {
+  const recording = new Set<Promise<void>>();
+
+  function delay(delayMs: number): Promise<void> {
+    return new Promise(resolve => {
+      clock.after(delayMs, resolve);
+    });
+  }
+
+  async function claim(
+    exchange: Exchange,
+    reference: ClaimReference,
+  ): Promise<Result<ClaimReply, RouterErrorType>> {
+    const request = {
+      ...reference,
+      requestHash: hashOf(exchange),
+      owner: selfId,
+    };
+    for (;;) {
+      const reply = await withinDeadline(exchange, store.claim(request));
+      if (reply.isOk()) return reply;
+      const remainingMs = exchange.deadlineAtMs - clock.nowMs();
+      if (remainingMs <= 0 || exchange.signal.aborted) return reply;
+      await delay(Math.min(retryDelayMs, remainingMs));
+    }
+  }
+
+  function withinDeadline(
+    exchange: Exchange,
+    reply: PromiseLike<Result<ClaimReply, RouterErrorType>>,
+  ): Promise<Result<ClaimReply, RouterErrorType>> {
+    return new Promise(resolve => {
+      const remainingMs = exchange.deadlineAtMs - clock.nowMs();
+      const message =
+        'the claim could not be written within the caller timeout';
+      const undo = clock.after(Math.max(0, remainingMs), () =>
+        resolve(err(new RouterError('platform_unavailable', message))),
+      );
+      void reply.then(result => {
+        undo();
+        resolve(result);
+      });
+    });
+  }
+
+  function recordEnd(reference: ClaimReference, end: ClaimEnd): Promise<void> {
+    const recorded = tryRecordEnd(reference, end);
+    recording.add(recorded);
+    void recorded.then(() => recording.delete(recorded));
+    return recorded;
+  }
+
+  async function tryRecordEnd(
+    reference: ClaimReference,
+    end: ClaimEnd,
+  ): Promise<void> {
+    const giveUpAtMs = clock.nowMs() + endTimeoutMs;
+    for (;;) {
+      const ended = await store.end(reference, end);
+      if (ended.isOk() || clock.nowMs() >= giveUpAtMs) return;
+      await delay(retryDelayMs);
+    }
+  }
+
+  async function runClaimed(
+    exchange: Exchange,
+    reference: ClaimReference,
+    send: () => Promise<Result<PlainAnswer, RouterErrorType>>,
+  ): Promise<Result<PlainAnswer, RouterErrorType>> {
+    const isTooLate = clock.nowMs() >= exchange.deadlineAtMs;
+    if (isTooLate || exchange.signal.aborted) {
+      await release(reference);
+      return err(tooLate());
+    }
+    const answer = await send();
+    if (answer.isOk()) {
+      void recordEnd(reference, completed(answer.value));
+    } else if (wasNotRun(answer.error)) {
+      await release(reference);
+    } else {
+      void recordEnd(reference, {kind: 'outcome_unknown'});
+    }
+    return answer;
+  }
+
+  /** A caller that is told "not run" may use its key again at once. */
+  async function release(reference: ClaimReference): Promise<void> {
+    const released = recordEnd(reference, {kind: 'not_sent'});
+    await Promise.race([released, delay(releaseWaitMs)]);
+  }
+
+  async function run(
+    exchange: Exchange,
+    send: (
+      fencingToken: number,
+    ) => Promise<Result<PlainAnswer, RouterErrorType>>,
+  ): Promise<Result<PlainAnswer, RouterErrorType>> {
+    const key = idempotencyKeyOf(exchange);
+    if (key.isErr()) return err(key.error);
+    const reference: ClaimReference = {
+      claimId: toClaimId(exchange.requestId),
+      workspaceId: workspaceOf(exchange),
+      idempotencyKey: key.value,
+    };
+    const reply = await claim(exchange, reference);
+    if (reply.isErr()) {
+      // The claim may still take effect; it must not block the key.
+      void recordEnd(reference, {kind: 'not_sent'});
+      return err(notClaimed(reply.error));
+    }
+    switch (reply.value.kind) {
+      case 'claimed': {
+        const {fencingToken} = reply.value;
+        return runClaimed(exchange, reference, () => send(fencingToken));
+      }
+      case 'completed':
+        return ok(storedAnswer(reply.value));
+      default:
+        return err(refusedClaim(reply.value.kind));
+    }
+  }
+
+  return {
+    run,
+    idle: async () => {
+      await Promise.all([...recording]);
+    },
+  };
+}
+
+function idempotencyKeyOf(exchange: Exchange): Result<string, RouterErrorType> {
+  const key = exchange.headers['idempotency-key'];
+  if (typeof key !== 'string' || key === '') {
+    const message =
+      'this call must not run twice: send an idempotency-key header, and the same key when you repeat the call';
+    return err(new RouterError('idempotency_key_missing', message));
+  }
+  if (key.length > maxKeyChars) {
+    const message = `the idempotency key is longer than ${maxKeyChars} characters`;
+    return err(new RouterError('bad_request', message));
+  }
+  return ok(key);
+}
+
+function hashOf(exchange: Exchange): string {
+  const {method, path, serves} = exchange.target;
+  return createHash('sha256')
+    .update(`${method}\n${serves}\n${path}\n`)
+    .update(exchange.body)
+    .digest('base64url');
+}
+
+function completed(answer: PlainAnswer): ClaimEnd {
+  const contentType = answer.headers['content-type'];
+  return {
+    kind: 'completed',
+    outcome: {
+      status: answer.status,
+      contentType: typeof contentType === 'string' ? contentType : '',
+      bodyBase64: answer.body.toString('base64'),
+    },
+  };
+}
+
+function storedAnswer(
+  reply: Extract<ClaimReply, {kind: 'completed'}>,
+): PlainAnswer {
+  const {bodyBase64, contentType, status} = reply.outcome;
+  return {
+    status,
+    headers: {'content-type': contentType, 'x-idempotent-replay': 'true'},
+    body: Buffer.from(bodyBase64, 'base64'),
+  };
+}
+
+function refusedClaim(
+  kind: 'in_progress' | 'key_reused' | 'outcome_unknown',
+): RouterErrorType {
+  switch (kind) {
+    case 'in_progress':
+      return new RouterError(
+        'idempotency_key_in_progress',
+        'a call with this idempotency key is in progress or its outcome is not known yet',
+      );
+    case 'key_reused':
+      return new RouterError(
+        'idempotency_key_reused',
+        'this idempotency key was used for a different request',
+      );
+    case 'outcome_unknown':
+      return new RouterError(
+        'outcome_unknown',
+        'a call with this idempotency key was sent and its outcome is not known; it will not be sent again',
+      );
+  }
+}
+
+function notClaimed(cause: RouterErrorType): RouterErrorType {
+  const message = `the call was not sent because its claim could not be written: ${cause.message}`;
+  return new RouterError('platform_unavailable', message, {cause});
+}
+
+function tooLate(): RouterErrorType {
+  const message = 'the call could not be sent within the caller timeout';
+  return new RouterError('deadline_exceeded', message);
+}
+
+function wasNotRun(error: RouterErrorType): boolean {
+  return answerFor(error.kind).runStatus === 'not_run';
+}
--- /dev/null
+++ b/packages/daemon/src/request/RecordCall.ts
@@ -0,0 +1,68 @@
+/**
+ * Records how each call ended: in the log, the metrics and the service-level
+ * figures.
+ */
+import type {Clock, RouterError} from '@toucanrouter/common';
+import type {Result} from 'neverthrow';
+import type {Logger} from '../Logger.js';
+import type {Metrics} from '../Metrics.js';
+import type {Exchange, Filter} from './Exchange.js';
+import {logLabels} from './Exchange.js';
+
+/** A call that has ended. */
+export interface EndedCall {
+  readonly exchange: Exchange;
+  readonly totalMs: number;
+  readonly error: RouterError | undefined;
+}
+
+/** Options of the recording filter. */
+export interface RecordFilterOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  /** Receives each ended call, for the service-level report. */
+  readonly observe: (call: EndedCall) => void;
+}
+
+/** Creates the filter that stands first in each pipe. */
+export function createRecordFilter(options: RecordFilterOptions): Filter {
+  return async (exchange, next) => {
+    const result = await next();
+    const call = endedCall(exchange, result, options.clock.nowMs());
+    options.metrics.observeCall(call);
+    options.observe(call);
+    logCall(options.logger, call);
+    return result;
+  };
+}
+
+function endedCall(
+  exchange: Exchange,
+  result: Result<void, RouterError>,
+  nowMs: number,
+): EndedCall {
+  return {
+    exchange,
+    totalMs: nowMs - exchange.arrivedAtMs,
+    error: result.isErr() ? result.error : undefined,
+  };
+}
+
+function logCall(logger: Logger, {exchange, totalMs, error}: EndedCall): void {
+  const {figures} = exchange;
+  const fields = {
+    ...logLabels(exchange),
+    totalMs: Math.round(totalMs),
+    firstTokenMs: roundedMs(figures.firstTokenMs),
+    waitedMs: Math.round(figures.waitedMs),
+    tokens: figures.tokens,
+    attempts: figures.attempts,
+  };
+  if (error === undefined) logger.debug('request completed', fields);
+  else logger.info('request failed', {...fields, error: error.kind});
+}
+
+function roundedMs(valueMs: number | undefined): number | undefined {
+  return valueMs === undefined ? undefined : Math.round(valueMs);
+}
--- /dev/null
+++ b/packages/daemon/src/request/plain/PlainCall.ts
@@ -0,0 +1,245 @@
+/**
+ * Serves one call of a plain service. An idempotent call is sent again after a
+ * fault; any other call is sent once.
+ */
+import type {IncomingHttpHeaders, OutgoingHttpHeaders} from 'node:http';
+import type {
+  RouterError as RouterErrorType,
+  ShardId,
+  UpstreamId,
+} from '@toucanrouter/common';
+import {RouterError} from '@toucanrouter/common';
+import {decideRecovery} from '@toucanrouter/policy';
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import type {CallTarget, Exchange} from '../Exchange.js';
+import {classOf} from '../Exchange.js';
+import type {GrantedUpstream, UpstreamAccess} from '../UpstreamAccess.js';
+import {acquireUpstream, hasOtherUpstream} from '../UpstreamAccess.js';
+
+/** The whole answer of a plain service. */
+export interface PlainAnswer {
+  readonly status: number;
+  readonly headers: OutgoingHttpHeaders;
+  readonly body: Buffer;
+}
+
+/** Headers that concern one connection and are not passed on. */
+const connectionHeaders = new Set([
+  'connection',
+  'content-length',
+  'expect',
+  'host',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/** Headers of callers that upstreams do not receive. */
+const routerHeaders = new Set([
+  'authorization',
+  'x-fencing-token',
+  'x-request-id',
+  'x-request-timeout-ms',
+  'x-service-class',
+]);
+
+const connectFailureCodes = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+interface PlainState {
+  readonly access: UpstreamAccess;
+  readonly exchange: Exchange;
+  readonly shardId: ShardId;
+  readonly extraHeaders: Readonly<Record<string, string>>;
+  readonly excluded: Set<UpstreamId>;
+  attempts: number;
+}
+
+interface PlainFault {
+  readonly notSent: boolean;
+  readonly cause: unknown;
+}
+
+/** Serves the call; `extraHeaders` are added for the upstream. */
+export async function servePlain(
+  access: UpstreamAccess,
+  exchange: Exchange,
+  shardId: ShardId,
+  extraHeaders: Readonly<Record<string, string>>,
+): Promise<Result<PlainAnswer, RouterErrorType>> {
+  const state: PlainState = {
+    access,
+    exchange,
+    shardId,
+    extraHeaders,
+    excluded: new Set(),
+    attempts: 0,
+  };
+  access.retryBudget.requested(access.clock.nowMs());
+  for (;;) {
+    const granted = await acquireAttempt(state);
+    if (granted.isErr()) return err(afterRefusal(state, granted.error));
+    if (access.clock.nowMs() >= exchange.deadlineAtMs) {
+      granted.value.permit.release({outcome: 'unused', wastedTokens: 0});
+      return err(afterRefusal(state, tooLate()));
+    }
+    const answer = await send(state, granted.value);
+    if (answer.isOk()) return ok(answer.value);
+    if (exchange.signal.aborted && classOf(exchange).idempotent) {
+      return err(new RouterError('canceled', 'the caller has gone'));
+    }
+    const error = recover(state, granted.value, answer.error);
+    if (error !== undefined) return err(error);
+  }
+}
+
+function acquireAttempt(
+  state: PlainState,
+): Promise<Result<GrantedUpstream, RouterErrorType>> {
+  state.attempts += 1;
+  return acquireUpstream(state.access, state.exchange, state.shardId, {
+    attempt: state.attempts,
+    exclude: [...state.excluded],
+    hedge: false,
+    promptTokens: 0,
+    prefixHash: undefined,
+    resume: undefined,
+  });
+}
+
+function tooLate(): RouterErrorType {
+  const message = 'the request could not be started within the caller timeout';
+  return new RouterError('deadline_exceeded', message);
+}
+
+/** After a first attempt nobody can say that the call was not run. */
+function afterRefusal(
+  state: PlainState,
+  error: RouterErrorType,
+): RouterErrorType {
+  if (state.attempts === 1 || error.kind === 'canceled') return error;
+  const message = `no further attempt could be made: ${error.message}`;
+  return new RouterError('upstream_failed', message, {cause: error});
+}
+
+async function send(
+  state: PlainState,
+  granted: GrantedUpstream,
+): Promise<Result<PlainAnswer, PlainFault>> {
+  const {access, exchange} = state;
+  const {permit, upstream} = granted;
+  exchange.figures.attempts += 1;
+  const {idempotent} = classOf(exchange);
+  try {
+    const response = await access.dispatcher.request({
+      origin: `http://${upstream.address}`,
+      path: exchange.target.path,
+      method: exchange.target.method as 'GET',
+      headers: upstreamHeaders(exchange.headers, exchange.requestId, state),
+      body: exchange.body.length > 0 ? exchange.body : null,
+      // Once sent, a call that must not be repeated is seen through to its
+      // answer, so that the outcome can be kept.
+      signal: idempotent ? exchange.signal : undefined,
+    });
+    const body = Buffer.from(await response.body.arrayBuffer());
+    permit.countTokens(1);
+    permit.release({outcome: 'completed', wastedTokens: 0});
+    exchange.figures.firstTokenMs = access.clock.nowMs() - exchange.arrivedAtMs;
+    return ok({
+      status: response.statusCode,
+      headers: callerHeaders(response.headers),
+      body,
+    });
+  } catch (cause) {
+    const outcome = exchange.signal.aborted ? 'canceled' : 'failed';
+    permit.release({outcome, wastedTokens: 0});
+    return err({notSent: wasNotSent(cause), cause});
+  }
+}
+
+function recover(
+  state: PlainState,
+  granted: GrantedUpstream,
+  fault: PlainFault,
+): RouterErrorType | undefined {
+  const {access, exchange, shardId} = state;
+  const nowMs = access.clock.nowMs();
+  const upstreamId = granted.upstream.id;
+  const {idempotent} = classOf(exchange);
+  const decision = decideRecovery(
+    {
+      end: fault.notSent ? 'not_sent' : 'broken',
+      idempotent,
+      attempts: state.attempts,
+      nowMs,
+      deadlineAtMs: exchange.deadlineAtMs,
+      receivedTokens: 0,
+      relayed: false,
+      resumable: false,
+      sameUpstreamUsable: true,
+      resumeFailed: false,
+      continuable: false,
+      otherUpstreamUsable: hasOtherUpstream(access, shardId, upstreamId),
+    },
+    () => access.retryBudget.tryRetry(nowMs),
+  );
+  if (decision.kind !== 'fail') {
+    state.excluded.add(upstreamId);
+    return undefined;
+  }
+  const reason =
+    fault.cause instanceof Error ? fault.cause.message : 'unknown fault';
+  const message = `the call to upstream ${upstreamId} failed: ${reason}`;
+  return new RouterError(decision.error, message, {cause: fault.cause});
+}
+
+function wasNotSent(cause: unknown): boolean {
+  const code = (cause as {code?: unknown} | undefined)?.code;
+  return typeof code === 'string' && connectFailureCodes.has(code);
+}
+
+function upstreamHeaders(
+  headers: IncomingHttpHeaders,
+  requestId: string,
+  state: PlainState,
+): Record<string, string[] | string> {
+  const passed: Record<string, string[] | string> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || connectionHeaders.has(name)) continue;
+    if (!routerHeaders.has(name)) passed[name] = value;
+  }
+  return {...passed, 'x-request-id': requestId, ...state.extraHeaders};
+}
+
+function callerHeaders(
+  headers: Record<string, string[] | string | undefined>,
+): OutgoingHttpHeaders {
+  const passed: OutgoingHttpHeaders = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value !== undefined && !connectionHeaders.has(name)) {
+      passed[name] = value;
+    }
+  }
+  return passed;
+}
+
+/** Returns the path at the upstream of `/services/<service>/<path>`. */
+export function parseServicePath(
+  url: string,
+): Pick<CallTarget, 'path' | 'serves'> | undefined {
+  const match = /^\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/.exec(url);
+  if (match?.[1] === undefined) return undefined;
+  return {
+    serves: decodeURIComponent(match[1]),
+    path: `${match[2] ?? '/'}${match[3] ?? ''}`,
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/server/CallerServer.ts
@@ -0,0 +1,248 @@
+/**
+ * The HTTP server for callers.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Server} from 'node:http';
+import type {HttpBindings} from '@hono/node-server';
+import {createAdaptorServer} from '@hono/node-server';
+import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
+import type {Clock, RequestId} from '@toucanrouter/common';
+import {RouterError} from '@toucanrouter/common';
+import {Hono} from 'hono';
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import type {Logger} from '../Logger.js';
+import {createCallerResponse} from '../request/CallerResponse.js';
+import type {CallTarget, Exchange, Filter} from '../request/Exchange.js';
+import {runPipe} from '../request/Exchange.js';
+import {parseServicePath} from '../request/plain/PlainCall.js';
+
+/** Options of the server for callers. */
+export interface CallerServerOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly createRequestId: () => RequestId;
+  readonly defaultTimeoutMs: number;
+  readonly maxBodyBytes: number;
+  readonly chatPipe: readonly Filter[];
+  readonly plainPipe: readonly Filter[];
+}
+
+/** The server for callers. */
+export interface CallerServer {
+  readonly server: Server;
+  /** Requests in progress. */
+  inProgress(): number;
+  /** Makes each answer close its connection, so that callers go elsewhere. */
+  drainConnections(): void;
+}
+
+type App = {Bindings: HttpBindings};
+
+const minTimeoutMs = 1;
+const maxTimeoutMs = 24 * 60 * 60 * 1_000;
+
+/** Creates the server; the owner makes it listen. */
+export function createCallerServer(options: CallerServerOptions): CallerServer {
+  const {clock, logger} = options;
+  const app = new Hono<App>();
+  let inProgress = 0;
+  let draining = false;
+
+  async function serve(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    pipe: readonly Filter[],
+    findTarget: (body: Buffer) => Result<CallTarget, RouterError>,
+  ): Promise<void> {
+    inProgress += 1;
+    if (draining) outgoing.setHeader('connection', 'close');
+    const arrivedAtMs = clock.nowMs();
+    const requestId = options.createRequestId();
+    const callerRequestId = headerOf(incoming, 'x-request-id');
+    const response = createCallerResponse(outgoing, requestId, callerRequestId);
+    try {
+      const result = await serveRequest(
+        {incoming, outgoing, arrivedAtMs, requestId, callerRequestId, response},
+        pipe,
+        findTarget,
+      );
+      if (result.isErr()) response.sendError(result.error);
+    } catch (cause) {
+      logger.error('request failed unexpectedly', {
+        requestId,
+        error: cause instanceof Error ? (cause.stack ?? cause.message) : '',
+      });
+      const message = 'the router failed; see its log for this request id';
+      response.sendError(new RouterError('internal', message, {cause}));
+    } finally {
+      inProgress -= 1;
+    }
+  }
+
+  async function serveRequest(
+    call: IncomingCall,
+    pipe: readonly Filter[],
+    findTarget: (body: Buffer) => Result<CallTarget, RouterError>,
+  ): Promise<Result<void, RouterError>> {
+    const timeoutMs = timeoutOf(call.incoming, options.defaultTimeoutMs);
+    if (timeoutMs.isErr()) return err(timeoutMs.error);
+    const body = await readBody(call.incoming, options.maxBodyBytes);
+    if (body.isErr()) return err(body.error);
+    const target = findTarget(body.value);
+    if (target.isErr()) return err(target.error);
+    const exchange: Exchange = {
+      requestId: call.requestId,
+      callerRequestId: call.callerRequestId,
+      headers: call.incoming.headers,
+      body: body.value,
+      target: target.value,
+      response: call.response,
+      arrivedAtMs: call.arrivedAtMs,
+      deadlineAtMs: call.arrivedAtMs + timeoutMs.value,
+      signal: callerGone(call.outgoing),
+      figures: {
+        firstTokenMs: undefined,
+        tokenGapMs: undefined,
+        tokens: 0,
+        wastedTokens: 0,
+        waitedMs: 0,
+        attempts: 0,
+      },
+      workspaceId: undefined,
+      serviceClass: undefined,
+    };
+    return runPipe(pipe, exchange);
+  }
+
+  app.post('/v1/chat/completions', async context => {
+    const {incoming, outgoing} = context.env;
+    await serve(
+      incoming,
+      outgoing as ServerResponse,
+      options.chatPipe,
+      chatTarget,
+    );
+    return RESPONSE_ALREADY_SENT;
+  });
+  app.all('/services/*', async context => {
+    const {incoming, outgoing} = context.env;
+    await serve(incoming, outgoing as ServerResponse, options.plainPipe, () =>
+      plainTarget(incoming),
+    );
+    return RESPONSE_ALREADY_SENT;
+  });
+  app.notFound(async context => {
+    const {outgoing} = context.env;
+    const response = createCallerResponse(
+      outgoing as ServerResponse,
+      options.createRequestId(),
+      undefined,
+    );
+    const message = `no such path: ${context.req.path}`;
+    response.sendError(new RouterError('not_found', message));
+    return RESPONSE_ALREADY_SENT;
+  });
+
+  const server = createAdaptorServer({fetch: app.fetch}) as Server;
+  return {
+    server,
+    inProgress: () => inProgress,
+    drainConnections: () => {
+      draining = true;
+      server.closeIdleConnections();
+    },
+  };
+}
+
+interface IncomingCall {
+  readonly incoming: IncomingMessage;
+  readonly outgoing: ServerResponse;
+  readonly arrivedAtMs: number;
+  readonly requestId: RequestId;
+  readonly callerRequestId: string | undefined;
+  readonly response: ReturnType<typeof createCallerResponse>;
+}
+
+function headerOf(incoming: IncomingMessage, name: string): string | undefined {
+  const value = incoming.headers[name];
+  return typeof value === 'string' && value !== '' ? value : undefined;
+}
+
+function timeoutOf(
+  incoming: IncomingMessage,
+  defaultMs: number,
+): Result<number, RouterError> {
+  const text = headerOf(incoming, 'x-request-timeout-ms');
+  if (text === undefined) return ok(defaultMs);
+  const value = Number(text);
+  if (
+    Number.isInteger(value) &&
+    value >= minTimeoutMs &&
+    value <= maxTimeoutMs
+  ) {
+    return ok(value);
+  }
+  const message = `x-request-timeout-ms must be a whole number from ${minTimeoutMs} to ${maxTimeoutMs}`;
+  return err(new RouterError('bad_request', message));
+}
+
+async function readBody(
+  incoming: IncomingMessage,
+  maxBytes: number,
+): Promise<Result<Buffer, RouterError>> {
+  const parts: Buffer[] = [];
+  let sizeBytes = 0;
+  try {
+    for await (const part of incoming) {
+      sizeBytes += (part as Buffer).length;
+      if (sizeBytes > maxBytes) {
+        const message = `the request body is larger than ${maxBytes} bytes`;
+        return err(new RouterError('bad_request', message));
+      }
+      parts.push(part as Buffer);
+    }
+  } catch (cause) {
+    const message = 'the request body was not received whole';
+    return err(new RouterError('canceled', message, {cause}));
+  }
+  return ok(Buffer.concat(parts));
+}
+
+function chatTarget(body: Buffer): Result<CallTarget, RouterError> {
+  const model = modelOf(body);
+  if (model === undefined) {
+    const message = 'the request body must be JSON with a "model" string';
+    return err(new RouterError('bad_request', message));
+  }
+  const path = '/v1/chat/completions';
+  return ok({kind: 'engine', serves: model, method: 'POST', path});
+}
+
+function modelOf(body: Buffer): string | undefined {
+  try {
+    const json = JSON.parse(body.toString('utf8')) as {model?: unknown} | null;
+    return typeof json?.model === 'string' ? json.model : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function plainTarget(
+  incoming: IncomingMessage,
+): Result<CallTarget, RouterError> {
+  const parsed = parseServicePath(incoming.url ?? '/');
+  if (parsed === undefined) {
+    const message = 'use /services/<service>/<path>';
+    return err(new RouterError('not_found', message));
+  }
+  return ok({kind: 'service', method: incoming.method ?? 'GET', ...parsed});
+}
+
+function callerGone(outgoing: ServerResponse): AbortSignal {
+  const controller = new AbortController();
+  outgoing.on('close', () => {
+    if (!outgoing.writableFinished) controller.abort();
+  });
+  return controller.signal;
+}
