Add the configuration store with resolution of unanswered writes

A write without an answer is sent again unchanged, because both copies compare the same revision; the history entry of the proposed version tells whose write took effect.

The property test lets three operators race on a service whose calls are delayed, refused, answered late or never.

--- /dev/null
+++ b/packages/platform/src/ConfigStore.ts
@@ -0,0 +1,140 @@
+/**
+ * The operators' configuration as one versioned value on the platform, changed
+ * by compare-and-swap.
+ */
+import type {
+  Clock,
+  KeyValue,
+  KeyValueStore,
+  PlatformError,
+  StoredConfig,
+  Undo,
+  UpstreamId,
+} from '@toucanrouter/common';
+import {RouterError} from '@toucanrouter/common';
+import {errAsync, okAsync, ResultAsync} from 'neverthrow';
+import type {ConfigChangeResult} from './ConfigChange.js';
+import {writeConfig} from './ConfigChange.js';
+import {
+  configKey,
+  defaultResolveMs,
+  keptVersions,
+  maxConfigBytes,
+} from './ConfigStoreConstants.js';
+import {decodeConfig, encodeConfig, historyKey} from './ConfigStoreUtils.js';
+import {startConfigWatch} from './ConfigWatch.js';
+
+/** A change that an operator asks for. */
+export interface ConfigChangeRequest {
+  /** The version that the operator saw; 0 when there was none. */
+  readonly expectedVersion: number;
+  readonly classesText: string;
+  readonly drainedUpstreams: readonly UpstreamId[];
+  readonly author: string;
+}
+
+/** Parameters of a configuration store. */
+export interface ConfigStoreOptions {
+  readonly store: KeyValueStore;
+  readonly clock: Clock;
+  /** Returns an id that no other write has. */
+  readonly createWriteId: () => string;
+  /** Time within which an unanswered write is resolved; 5 s when absent. */
+  readonly resolveMs?: number;
+}
+
+/** Access to the stored configuration. */
+export interface ConfigStore {
+  /** Reads the current configuration; undefined when there is none. */
+  read(): ResultAsync<StoredConfig | undefined, PlatformError>;
+  /**
+   * Changes the configuration. A `PlatformError` means that nothing was
+   * changed, `config_invalid` that the value is too large to store.
+   */
+  change(
+    request: ConfigChangeRequest,
+  ): ResultAsync<ConfigChangeResult, RouterError>;
+  /** Returns up to `limit` versions, newest first. */
+  history(limit: number): ResultAsync<readonly StoredConfig[], PlatformError>;
+  /** Reports higher versions only, through outages, until undone. */
+  watchConfig(
+    onConfig: (config: StoredConfig) => void,
+    onError?: (error: PlatformError) => void,
+  ): Undo;
+}
+
+/** Creates a configuration store on the key-value service. */
+export function createConfigStore(options: ConfigStoreOptions): ConfigStore {
+  const {store, clock} = options;
+  const resolveMs = options.resolveMs ?? defaultResolveMs;
+
+  function propose(request: ConfigChangeRequest): StoredConfig {
+    return {
+      version: request.expectedVersion + 1,
+      writeId: options.createWriteId(),
+      author: request.author,
+      changedAtWallMs: clock.wallMs(),
+      classesText: request.classesText,
+      drainedUpstreams: request.drainedUpstreams,
+    };
+  }
+
+  function changeFrom(
+    entry: KeyValue | undefined,
+    current: StoredConfig | undefined,
+    proposed: StoredConfig,
+  ): ResultAsync<ConfigChangeResult, PlatformError> {
+    if ((current?.version ?? 0) !== proposed.version - 1) {
+      return okAsync({kind: 'conflict', winner: current});
+    }
+    const context = {store, clock, resolveMs};
+    const revision = entry?.modRevision ?? 0;
+    return new ResultAsync(writeConfig(context, proposed, revision));
+  }
+
+  function readVersions(
+    newest: number,
+    limit: number,
+  ): ResultAsync<readonly StoredConfig[], PlatformError> {
+    const count = Math.min(newest, limit, keptVersions);
+    const reads = Array.from({length: count}, (_, i) =>
+      store.get(historyKey(newest - i)).andThen(decodeConfig),
+    );
+    return ResultAsync.combine(reads).map(found =>
+      found.filter(config => config !== undefined),
+    );
+  }
+
+  return {
+    read: () => store.get(configKey).andThen(decodeConfig),
+
+    change: request => {
+      const proposed = propose(request);
+      const tooLarge = checkSize(proposed);
+      if (tooLarge !== undefined) return errAsync(tooLarge);
+      return store
+        .get(configKey)
+        .andThen(entry =>
+          decodeConfig(entry).asyncAndThen(current =>
+            changeFrom(entry, current, proposed),
+          ),
+        );
+    },
+
+    history: limit =>
+      store
+        .get(configKey)
+        .andThen(decodeConfig)
+        .andThen(current => readVersions(current?.version ?? 0, limit)),
+
+    watchConfig: (onConfig, onError = () => {}) =>
+      startConfigWatch({store, clock, onConfig, onError}),
+  };
+}
+
+function checkSize(config: StoredConfig): RouterError | undefined {
+  const sizeBytes = encodeConfig(config).length;
+  if (sizeBytes <= maxConfigBytes) return undefined;
+  const message = `configuration of ${sizeBytes} bytes exceeds ${maxConfigBytes}`;
+  return new RouterError('config_invalid', message);
+}
--- /dev/null
+++ b/packages/platform/src/ConfigStoreUtils.ts
@@ -0,0 +1,47 @@
+/**
+ * Encoding of stored configurations.
+ */
+import type {KeyValue, StoredConfig} from '@toucanrouter/common';
+import {PlatformError, toUpstreamId} from '@toucanrouter/common';
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import {z} from 'zod';
+import {historyKeyDigits, historyPrefix} from './ConfigStoreConstants.js';
+
+const storedConfigSchema = z.object({
+  version: z.number().int().positive(),
+  writeId: z.string().min(1),
+  author: z.string(),
+  changedAtWallMs: z.number(),
+  classesText: z.string(),
+  drainedUpstreams: z.array(z.string().transform(toUpstreamId)),
+});
+
+/** Returns the key of a version in the history. */
+export function historyKey(version: number): string {
+  return historyPrefix + String(version).padStart(historyKeyDigits, '0');
+}
+
+/** Encodes a configuration as the platform stores it. */
+export function encodeConfig(config: StoredConfig): Uint8Array {
+  return Buffer.from(JSON.stringify(config));
+}
+
+/** Decodes an entry of the platform; an absent one gives undefined. */
+export function decodeConfig(
+  entry: KeyValue | undefined,
+): Result<StoredConfig | undefined, PlatformError> {
+  if (entry === undefined) return ok(undefined);
+  const parsed = storedConfigSchema.safeParse(parseJson(entry.value));
+  if (parsed.success) return ok(parsed.data);
+  const message = `${entry.key} holds no configuration: ${parsed.error.message}`;
+  return err(new PlatformError(message, false));
+}
+
+function parseJson(value: Uint8Array): unknown {
+  try {
+    return JSON.parse(Buffer.from(value).toString('utf8'));
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/platform/src/__tests__/unit/ConfigStore.test.ts
@@ -0,0 +1,228 @@
+import type {RouterError, StoredConfig} from '@toucanrouter/common';
+import {createManualClock} from '@toucanrouter/common';
+import type {ControlledKeyValue, PendingCall} from '@toucanrouter/standins';
+import {createControlledKeyValue} from '@toucanrouter/standins';
+import {expect} from 'chai';
+import fc from 'fast-check';
+import type {Result} from 'neverthrow';
+import type {ConfigChangeResult, ConfigStore} from '../../index.js';
+import {createConfigStore} from '../../index.js';
+
+type Outcome = Result<ConfigChangeResult, RouterError>;
+
+const configKey = '/toucanrouter/config';
+
+const settle = () => new Promise(resolve => setImmediate(resolve));
+
+function request(expectedVersion: number, classesText: string) {
+  return {expectedVersion, classesText, drainedUpstreams: [], author: 'a'};
+}
+
+/** A platform with operators, a watcher and the log of accepted versions. */
+function createWorld(operators: number) {
+  const platform = createControlledKeyValue();
+  const clock = createManualClock();
+  const committed: StoredConfig[] = [];
+  const watched: number[] = [];
+  let writes = 0;
+
+  function createStore(name: string): ConfigStore {
+    return createConfigStore({
+      store: platform.storeFor(name),
+      clock,
+      createWriteId: () => `w${++writes}`,
+    });
+  }
+
+  platform.state.registerCommitListener(entries => {
+    const entry = entries.find(e => e.key === configKey);
+    if (entry) committed.push(JSON.parse(entry.value.toString()));
+  });
+  const stopWatch = createStore('watcher').watchConfig(config =>
+    watched.push(config.version),
+  );
+  const stores = Array.from({length: operators}, (_, i) =>
+    createStore(`operator ${i}`),
+  );
+  return {platform, clock, committed, watched, stopWatch, stores};
+}
+
+type World = ReturnType<typeof createWorld>;
+
+/** Answers every call and passes all retry delays. */
+async function drain(world: World): Promise<void> {
+  for (let i = 0; i < 60; i++) {
+    for (const call of world.platform.pending()) call.answer();
+    await settle();
+    world.clock.advance(500);
+  }
+}
+
+const faults: Record<string, (call: PendingCall) => void> = {
+  execute: call => call.execute(),
+  answer: call => call.answer(),
+  timeOut: call => call.timeOut(),
+  loseAnswer: call => {
+    call.execute();
+    call.timeOut();
+  },
+  refuse: call => call.refuse(),
+};
+
+const stepArbitrary = fc.record({
+  action: fc.constantFrom('change', 'advance', ...Object.keys(faults)),
+  pick: fc.nat(20),
+  staleBy: fc.constantFrom(0, 0, 0, 1),
+});
+
+type Step = typeof stepArbitrary extends fc.Arbitrary<infer T> ? T : never;
+
+async function runStep(
+  world: World,
+  step: Step,
+  change: (operator: number, expectedVersion: number) => void,
+): Promise<void> {
+  const seenVersion = world.committed.at(-1)?.version ?? 0;
+  const calls = world.platform.pending();
+  const call = calls[step.pick % Math.max(calls.length, 1)];
+  const fault = faults[step.action];
+  if (step.action === 'change') {
+    const operator = step.pick % world.stores.length;
+    change(operator, Math.max(0, seenVersion - step.staleBy));
+  } else if (step.action === 'advance') world.clock.advance(400);
+  else if (call && fault) fault(call);
+  await settle();
+}
+
+function checkOutcome(
+  outcome: Outcome,
+  text: string,
+  committed: readonly StoredConfig[],
+): void {
+  const took = committed.some(config => config.classesText === text);
+  if (outcome.isErr()) expect(took, `error for ${text}`).to.equal(false);
+  else if (outcome.value.kind === 'accepted') expect(took).to.equal(true);
+  else if (outcome.value.kind === 'conflict') expect(took).to.equal(false);
+}
+
+describe('createConfigStore', () => {
+  it('never loses or reverts an accepted version and never answers wrongly', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(stepArbitrary, {minLength: 20, maxLength: 120}),
+        async steps => {
+          const world = createWorld(3);
+          const outcomes = new Map<string, Outcome>();
+          let changes = 0;
+          for (const step of steps) {
+            await runStep(world, step, (operator, expectedVersion) => {
+              const text = `change ${++changes}`;
+              void world.stores[operator]
+                ?.change(request(expectedVersion, text))
+                .then(outcome => outcomes.set(text, outcome));
+            });
+          }
+          await drain(world);
+          world.stopWatch();
+          const versions = world.committed.map(config => config.version);
+          expect(versions).to.deep.equal(versions.map((_, i) => i + 1));
+          expect(outcomes.size).to.equal(changes);
+          for (const [text, outcome] of outcomes) {
+            checkOutcome(outcome, text, world.committed);
+          }
+          const ascending = [...new Set(world.watched)].sort((a, b) => a - b);
+          expect(world.watched).to.deep.equal(ascending);
+          expect(world.watched.at(-1)).to.equal(versions.at(-1));
+        },
+      ),
+      {seed: 4711, numRuns: 300},
+    );
+  });
+
+  it('accepts a change whose answer was lost and that was followed by another', async () => {
+    const world = createWorld(2);
+    const first = world.stores[0]?.change(request(0, 'first'));
+    await answerNext(world.platform, 'operator 0');
+    const lost = nextCall(world.platform, 'operator 0');
+    lost?.execute();
+    const second = world.stores[1]?.change(request(1, 'second'));
+    await answerNext(world.platform, 'operator 1');
+    await answerNext(world.platform, 'operator 1');
+    lost?.timeOut();
+    await settle();
+    await drain(world);
+    expect((await first)?._unsafeUnwrap().kind).to.equal('accepted');
+    expect((await second)?._unsafeUnwrap().kind).to.equal('accepted');
+  });
+
+  it('tells the loser of a race which configuration won', async () => {
+    const world = createWorld(2);
+    const changes = world.stores.map((store, i) =>
+      store.change(request(0, `from ${i}`)),
+    );
+    await drain(world);
+    const results = await Promise.all(changes);
+    const kinds = results.map(result => result._unsafeUnwrap());
+    expect(kinds[0]?.kind).to.equal('accepted');
+    expect(kinds[1]).to.deep.include({kind: 'conflict'});
+    if (kinds[1]?.kind !== 'conflict') return;
+    expect(kinds[1].winner?.classesText).to.equal('from 0');
+  });
+
+  it('says "not yet known" while the platform does not answer', async () => {
+    const world = createWorld(1);
+    const change = world.stores[0]?.change(request(0, 'text'));
+    await answerNext(world.platform, 'operator 0');
+    for (let i = 0; i < 30; i++) {
+      for (const call of world.platform.pending()) {
+        if (!call.answered) call.timeOut();
+      }
+      await settle();
+      world.clock.advance(1000);
+    }
+    expect((await change)?._unsafeUnwrap().kind).to.equal('not_yet_known');
+  });
+
+  it('finds a change that was made while the watch was not yet in place', async () => {
+    const world = createWorld(1);
+    const silent = {
+      ...world.platform.storeFor('silent'),
+      watch: () => () => {},
+    };
+    const {clock} = world;
+    const follower = createConfigStore({
+      store: silent,
+      clock,
+      createWriteId: () => '',
+    });
+    const seen: number[] = [];
+    const stop = follower.watchConfig(config => seen.push(config.version));
+    await answerNext(world.platform, 'silent');
+    void world.stores[0]?.change(request(0, 'text'));
+    await drain(world);
+    stop();
+    expect(seen).to.deep.equal([1]);
+  });
+
+  it('returns the newest versions first', async () => {
+    const world = createWorld(1);
+    for (let version = 0; version < 3; version++) {
+      const change = world.stores[0]?.change(request(version, `v${version}`));
+      await drain(world);
+      await change;
+    }
+    const history = world.stores[0]?.history(2);
+    await drain(world);
+    const versions = (await history)?._unsafeUnwrap().map(c => c.version);
+    expect(versions).to.deep.equal([3, 2]);
+  });
+});
+
+function nextCall(platform: ControlledKeyValue, client: string) {
+  return platform.pending().find(call => call.client === client);
+}
+
+async function answerNext(platform: ControlledKeyValue, client: string) {
+  nextCall(platform, client)?.answer();
+  await settle();
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,3 +1,10 @@
+export type {ConfigChangeResult} from './ConfigChange.js';
+export type {
+  ConfigChangeRequest,
+  ConfigStore,
+  ConfigStoreOptions,
+} from './ConfigStore.js';
+export {createConfigStore} from './ConfigStore.js';
 export type {
   InstanceList,
   ListFault,
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,3 +1,8 @@
+export type {
+  ControlledKeyValue,
+  PendingCall,
+} from './platform/ControlledKeyValue.js';
+export {createControlledKeyValue} from './platform/ControlledKeyValue.js';
 export type {CallCounts} from './platform/Counters.js';
 export type {ListedInstance} from './platform/LaggingInstanceList.js';
 export type {
--- /dev/null
+++ b/packages/standins/src/platform/ControlledKeyValue.ts
@@ -0,0 +1,176 @@
+/**
+ * A key-value service in memory whose calls take effect and are answered only
+ * when a test says so. A call may be answered late, lose its answer, or take
+ * effect after its caller was told that it failed.
+ */
+import type {
+  KeyValue,
+  KeyValueStore,
+  KeyValueTransaction,
+  TransactionReply,
+} from '@toucanrouter/common';
+import {PlatformError} from '@toucanrouter/common';
+import {ResultAsync} from 'neverthrow';
+import type {KeyValueState, VersionedEntry} from './KeyValueState.js';
+import {createKeyValueState} from './KeyValueState.js';
+
+/** A call that has not taken effect, or was not answered yet. */
+export interface PendingCall {
+  readonly client: string;
+  readonly kind: 'get' | 'list' | 'transact';
+  /** Lets the call take effect, once. */
+  execute(): void;
+  /** Answers; the call takes effect now if it has not yet. */
+  answer(): void;
+  /**
+   * Tells the caller that the call failed and may have taken effect. If it has
+   * not taken effect it stays pending and may do so later.
+   */
+  timeOut(): void;
+  /**
+   * Tells the caller, unless it has its answer, that the call was not sent, and
+   * discards the call. Without effect once the call took effect.
+   */
+  refuse(): void;
+  readonly executed: boolean;
+  readonly answered: boolean;
+}
+
+/** A key-value service under the control of a test. */
+export interface ControlledKeyValue {
+  readonly state: KeyValueState;
+  /** Creates the store of one client. */
+  storeFor(client: string): KeyValueStore;
+  /** Calls that have not taken effect, or were not answered, oldest first. */
+  pending(): readonly PendingCall[];
+}
+
+/** Creates a controlled service with empty state. */
+export function createControlledKeyValue(): ControlledKeyValue {
+  const state = createKeyValueState();
+  const calls = new Set<PendingCall>();
+
+  function submit<T>(
+    client: string,
+    kind: PendingCall['kind'],
+    run: () => T,
+  ): ResultAsync<T, PlatformError> {
+    const promise = new Promise<T>((resolve, reject) => {
+      calls.add(createPendingCall({client, kind, run, resolve, reject, calls}));
+    });
+    return ResultAsync.fromPromise(promise, error => error as PlatformError);
+  }
+
+  return {
+    state,
+    pending: () => [...calls],
+    storeFor: client => ({
+      get: key => submit(client, 'get', () => readKey(state, key)),
+      list: prefix => submit(client, 'list', () => readPrefix(state, prefix)),
+      transact: transaction =>
+        submit(client, 'transact', () => runTransaction(state, transaction)),
+      watch: (prefix, onEvents) =>
+        state.registerCommitListener(entries => {
+          const seen = entries.filter(entry => entry.key.startsWith(prefix));
+          if (seen.length > 0) onEvents(seen.map(toWatchEvent));
+        }),
+      close: () => {},
+    }),
+  };
+}
+
+interface PendingCallOptions<T> {
+  readonly client: string;
+  readonly kind: PendingCall['kind'];
+  readonly run: () => T;
+  readonly resolve: (value: T) => void;
+  readonly reject: (error: PlatformError) => void;
+  readonly calls: Set<PendingCall>;
+}
+
+function createPendingCall<T>(options: PendingCallOptions<T>): PendingCall {
+  const {kind, calls} = options;
+  let result: {readonly value: T} | undefined;
+  let answered = false;
+
+  function execute(): {readonly value: T} {
+    result ??= {value: options.run()};
+    if (answered) calls.delete(call);
+    return result;
+  }
+
+  function settle(run: () => void): void {
+    if (answered) return;
+    answered = true;
+    run();
+  }
+
+  function fail(mayHaveTakenEffect: boolean): void {
+    const message = `controlled ${kind} call failed`;
+    options.reject(new PlatformError(message, mayHaveTakenEffect));
+  }
+
+  const call: PendingCall = {
+    client: options.client,
+    kind,
+    execute,
+    answer: () => {
+      const {value} = execute();
+      settle(() => options.resolve(value));
+      calls.delete(call);
+    },
+    timeOut: () => {
+      settle(() => fail(kind === 'transact'));
+      if (result !== undefined || kind !== 'transact') calls.delete(call);
+    },
+    refuse: () => {
+      if (result !== undefined) return;
+      settle(() => fail(false));
+      calls.delete(call);
+    },
+    get executed() {
+      return result !== undefined;
+    },
+    get answered() {
+      return answered;
+    },
+  };
+  return call;
+}
+
+function readKey(state: KeyValueState, key: string): KeyValue | undefined {
+  const entry = state.get(key);
+  return entry && toKeyValue(entry);
+}
+
+function readPrefix(state: KeyValueState, prefix: string): KeyValue[] {
+  const end = `${prefix}\u{10ffff}`;
+  return state.range({key: prefix, end}).entries.map(toKeyValue);
+}
+
+function runTransaction(
+  state: KeyValueState,
+  transaction: KeyValueTransaction,
+): TransactionReply {
+  const succeeded = transaction.compares.every(
+    ({key, modRevision}) => (state.get(key)?.modRevision ?? 0) === modRevision,
+  );
+  if (succeeded) {
+    state.commit(writer => {
+      for (const {key, value} of transaction.puts) {
+        writer.put(key, Buffer.from(value), 0);
+      }
+      for (const key of transaction.deletes) writer.remove({key});
+    });
+  }
+  return {succeeded, revision: state.revision()};
+}
+
+function toWatchEvent(entry: VersionedEntry) {
+  const deleted = entry.version === 0;
+  return {key: entry.key, entry: deleted ? undefined : toKeyValue(entry)};
+}
+
+function toKeyValue({key, value, modRevision}: VersionedEntry): KeyValue {
+  return {key, value, modRevision};
+}
