--- a/packages/standins/src/bin/engine.ts
+++ b/packages/standins/src/bin/engine.ts
@@ -4,7 +4,11 @@
 import {parseArgs} from 'node:util';
 import {defaultEngineProfile} from '../engine/EngineConstants.js';
 import {createEngineStandIn} from '../engine/EngineStandIn.js';
-import {exitOnSignal, numberFlag} from '../shared/ProcessUtils.js';
+import {
+  announceReady,
+  exitOnSignal,
+  numberFlag,
+} from '../shared/ProcessUtils.js';
 
 const {values} = parseArgs({
   options: {
@@ -62,4 +66,4 @@
   onCrash: () => process.exit(1),
 });
 exitOnSignal(() => engine.leave());
-process.stdout.write(`listening ${engine.address}\n`);
+announceReady('model engine', engine.address);
--- a/packages/standins/src/bin/service.ts
+++ b/packages/standins/src/bin/service.ts
@@ -3,7 +3,11 @@
  */
 import {parseArgs} from 'node:util';
 import {createServiceStandIn} from '../service/ServiceStandIn.js';
-import {exitOnSignal, numberFlag} from '../shared/ProcessUtils.js';
+import {
+  announceReady,
+  exitOnSignal,
+  numberFlag,
+} from '../shared/ProcessUtils.js';
 
 const {values} = parseArgs({
   options: {
@@ -38,4 +42,4 @@
   onCrash: () => process.exit(1),
 });
 exitOnSignal(() => service.leave());
-process.stdout.write(`listening ${service.address}\n`);
+announceReady('plain service', service.address);
--- /dev/null
+++ b/packages/standins/src/load/LoadDriver.ts
@@ -0,0 +1,90 @@
+/**
+ * Sends a planned load to the entry instances, in rotation, and checks every
+ * answer.
+ */
+import type {ServiceClass} from '@toucanrouter/common';
+import {invariant} from '@toucanrouter/common';
+import {Agent} from 'undici';
+import {callEntry} from './Caller.js';
+import type {PlannedRequest} from './LoadPlan.js';
+import {planLoad} from './LoadPlan.js';
+import type {LoadProfile} from './LoadProfile.js';
+import type {ClassSummary} from './LoadSummary.js';
+import {summarise} from './LoadSummary.js';
+import type {Observation} from './Observation.js';
+import type {OracleFault} from './Oracle.js';
+import {findFaults} from './Oracle.js';
+import type {UpstreamRuns} from './UpstreamRuns.js';
+
+/** What to send, and to which addresses. */
+export interface LoadOptions {
+  readonly profile: LoadProfile;
+  readonly classes: readonly ServiceClass[];
+  /** `host:port` of the entry instances. */
+  readonly entries: readonly string[];
+  readonly seconds: number;
+  readonly seed?: number;
+  readonly rateFactor?: number;
+  readonly tag?: string;
+  /** Reads what the upstreams ran, after the last answer. */
+  readonly readRuns: () => Promise<UpstreamRuns>;
+}
+
+/** The result of a load run. */
+export interface LoadReport {
+  readonly seed: number;
+  readonly seconds: number;
+  readonly summaries: readonly ClassSummary[];
+  readonly faults: readonly OracleFault[];
+  readonly observations: readonly Observation[];
+  readonly runs: UpstreamRuns;
+}
+
+// Upstreams notice an abandoned connection shortly after it closes.
+const settleMs = 300;
+
+/** Runs a load to the end of its last answer. */
+export async function runLoad(options: LoadOptions): Promise<LoadReport> {
+  const seed = options.seed ?? options.profile.load.seed;
+  const plan = planLoad({
+    ...options,
+    seed,
+    rateFactor: options.rateFactor ?? 1,
+    tag: options.tag ?? `${options.profile.load.deployment}-${seed}`,
+  });
+  const observations = await sendPlan(plan, options.entries);
+  await sleep(settleMs);
+  const runs = await options.readRuns();
+  const {classes, seconds} = options;
+  return {
+    seed,
+    seconds,
+    summaries: summarise(classes, observations, runs, seconds),
+    faults: findFaults(observations, runs),
+    observations,
+    runs,
+  };
+}
+
+async function sendPlan(
+  plan: readonly PlannedRequest[],
+  entries: readonly string[],
+): Promise<readonly Observation[]> {
+  const dispatcher = new Agent({connections: null, pipelining: 1});
+  const startMs = performance.now();
+  const calls: Promise<Observation>[] = [];
+  for (const [index, planned] of plan.entries()) {
+    const waitMs = startMs + planned.atMs - performance.now();
+    if (waitMs > 0) await sleep(waitMs);
+    const entry = entries[index % entries.length];
+    invariant(entry !== undefined, 'a load has entry addresses');
+    calls.push(callEntry(planned, entry, dispatcher));
+  }
+  const observations = await Promise.all(calls);
+  await dispatcher.close();
+  return observations;
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/packages/standins/src/load/LoadPlan.ts
@@ -0,0 +1,244 @@
+/**
+ * Plans an open-loop load: the seed decides every request and its time before
+ * the first one is sent, so slow answers do not slow the arrivals down.
+ */
+import type {RandomSource, ServiceClass} from '@toucanrouter/common';
+import {createSeededRandom, hash64, invariant} from '@toucanrouter/common';
+import type {ChatMessage} from '../engine/Answers.js';
+import {lengthMarker} from '../engine/Answers.js';
+import type {ClassLoad, LoadProfile} from './LoadProfile.js';
+import {pickOne, pickWeighted, sampleGap, sampleLength} from './Sampling.js';
+
+/** A workspace whose callers send requests. */
+export interface CallerWorkspace {
+  readonly id: string;
+  readonly key: string;
+  readonly weight: number;
+}
+
+/** A chat request as planned. */
+export interface PlannedChat {
+  readonly kind: 'chat';
+  readonly model: string;
+  readonly messages: readonly ChatMessage[];
+  readonly outputTokens: number;
+  readonly streamed: boolean;
+}
+
+/** A plain call as planned. */
+export interface PlannedCall {
+  readonly kind: 'call';
+  readonly service: string;
+  readonly method: string;
+  /** Path and query below the service. */
+  readonly path: string;
+  readonly body: string;
+  readonly idempotencyKey?: string;
+}
+
+/** One request of the plan. */
+export interface PlannedRequest {
+  readonly requestId: string;
+  readonly atMs: number;
+  readonly classId: string;
+  readonly named: boolean;
+  readonly workspace: CallerWorkspace;
+  readonly timeoutMs: number;
+  /** The caller closes its connection after this time. */
+  readonly abandonAfterMs?: number;
+  readonly content: PlannedCall | PlannedChat;
+}
+
+/** What a plan is made from. */
+export interface LoadPlanOptions {
+  readonly profile: LoadProfile;
+  readonly classes: readonly ServiceClass[];
+  readonly seconds: number;
+  readonly seed: number;
+  /** Multiplies all rates. */
+  readonly rateFactor: number;
+  /** Makes ids and prompts differ from those of other runs. */
+  readonly tag: string;
+}
+
+const millisecondsPerSecond = 1000;
+const charsPerToken = 4;
+// Repeats come while the first order runs and after it has ended.
+const repeatWithinMs = 1500;
+const maxAbandonMs = 1500;
+const seedModulus = 2n ** 31n;
+
+/** Plans all requests in order of time. */
+export function planLoad(options: LoadPlanOptions): readonly PlannedRequest[] {
+  const planned: PlannedRequest[] = [];
+  for (const [classId, load] of Object.entries(options.profile.class)) {
+    const serviceClass = options.classes.find(c => c.id === classId);
+    if (serviceClass === undefined) {
+      throw new Error(`class "${classId}" is not in the classes file`);
+    }
+    planned.push(...planClass(options, serviceClass, load));
+  }
+  return planned.sort((a, b) => a.atMs - b.atMs);
+}
+
+function planClass(
+  options: LoadPlanOptions,
+  serviceClass: ServiceClass,
+  load: ClassLoad,
+): PlannedRequest[] {
+  const random = randomFor(options.seed, serviceClass.id);
+  const planned: PlannedRequest[] = [];
+  const peakRate = peakRateOf(options, load);
+  for (
+    let at = sampleGap(random, peakRate);
+    at < options.seconds;
+    at += sampleGap(random, peakRate)
+  ) {
+    const accepted = random.next() * peakRate < rateAt(options, load, at);
+    if (!accepted) continue;
+    const requestId = `${options.tag}-${serviceClass.id}-${planned.length}`;
+    const earlier = pickRepeated(random, load, planned);
+    const atMs = at * millisecondsPerSecond;
+    planned.push(
+      earlier === undefined
+        ? planRequest(options, serviceClass, load, random, requestId, atMs)
+        : repeatRequest(earlier, requestId, random),
+    );
+  }
+  return planned;
+}
+
+function randomFor(seed: number, classId: string): RandomSource {
+  return createSeededRandom(Number(hash64(`${seed}:${classId}`) % seedModulus));
+}
+
+function peakRateOf(options: LoadPlanOptions, load: ClassLoad): number {
+  const swing = 1 + options.profile.load.swing_depth;
+  const burst = Math.max(1, load.burst_factor);
+  return load.rate_per_second * options.rateFactor * swing * burst;
+}
+
+/** Returns the arrival rate of a class at a time in seconds. */
+export function rateAt(
+  options: LoadPlanOptions,
+  load: ClassLoad,
+  at: number,
+): number {
+  const {swing_depth, swing_seconds} = options.profile.load;
+  const swing = 1 + swing_depth * Math.sin((2 * Math.PI * at) / swing_seconds);
+  const inBurst = at % load.burst_every_seconds < load.burst_seconds;
+  const burst = inBurst ? load.burst_factor : 1;
+  return load.rate_per_second * options.rateFactor * swing * burst;
+}
+
+function planRequest(
+  options: LoadPlanOptions,
+  serviceClass: ServiceClass,
+  load: ClassLoad,
+  random: RandomSource,
+  requestId: string,
+  atMs: number,
+): PlannedRequest {
+  const workspaces = Object.entries(options.profile.workspace).map(
+    ([id, {key, weight}]) => ({id, key, weight}),
+  );
+  const workspace = pickWeighted(random, workspaces);
+  const model = serviceClass.match.models[0];
+  const content =
+    model === undefined
+      ? planCall(serviceClass, load, random, requestId, workspace)
+      : planChat(model, load, random, requestId, workspace);
+  const abandoned = random.next() < load.abandoned_share;
+  return {
+    requestId,
+    atMs,
+    classId: serviceClass.id,
+    named: load.named,
+    workspace,
+    timeoutMs: load.timeout_ms,
+    abandonAfterMs: abandoned ? random.next() * maxAbandonMs : undefined,
+    content,
+  };
+}
+
+function planChat(
+  model: string,
+  load: ClassLoad,
+  random: RandomSource,
+  requestId: string,
+  workspace: CallerWorkspace,
+): PlannedChat {
+  const isLong = random.next() < load.long_share;
+  const length = sampleLength(
+    random,
+    load.output_tokens_median,
+    load.output_tokens_spread,
+  );
+  const outputTokens = Math.round(length * (isLong ? load.long_factor : 1));
+  const promptTokens = sampleLength(
+    random,
+    load.prompt_tokens_median,
+    load.prompt_tokens_spread,
+  );
+  // The start of the prompt is shared by a workspace, as system prompts are.
+  const history = `${workspace.id} `.repeat(
+    Math.ceil((promptTokens * charsPerToken) / (workspace.id.length + 1)),
+  );
+  const question = `${requestId} ${lengthMarker(outputTokens)}`;
+  return {
+    kind: 'chat',
+    model,
+    messages: [
+      {role: 'system', content: history},
+      {role: 'user', content: question},
+    ],
+    outputTokens,
+    streamed: random.next() < load.streamed_share,
+  };
+}
+
+function planCall(
+  serviceClass: ServiceClass,
+  load: ClassLoad,
+  random: RandomSource,
+  requestId: string,
+  workspace: CallerWorkspace,
+): PlannedCall {
+  const service = serviceClass.match.services[0];
+  invariant(service !== undefined, `class ${serviceClass.id} has an upstream`);
+  const path = pickOne(random, load.paths);
+  const hasBody = load.method !== 'GET';
+  return {
+    kind: 'call',
+    service,
+    method: load.method,
+    path: hasBody ? path : `${path}?item=${requestId}`,
+    body: hasBody
+      ? JSON.stringify({workspace: workspace.id, item: requestId})
+      : '',
+    idempotencyKey: serviceClass.idempotent ? undefined : `key-${requestId}`,
+  };
+}
+
+function pickRepeated(
+  random: RandomSource,
+  load: ClassLoad,
+  earlier: readonly PlannedRequest[],
+): PlannedRequest | undefined {
+  if (load.repeated_key_share === 0 || earlier.length === 0) return undefined;
+  if (random.next() >= load.repeated_key_share) return undefined;
+  return earlier[earlier.length - 1];
+}
+
+function repeatRequest(
+  earlier: PlannedRequest,
+  requestId: string,
+  random: RandomSource,
+): PlannedRequest {
+  return {
+    ...earlier,
+    requestId,
+    atMs: earlier.atMs + random.next() * repeatWithinMs,
+    abandonAfterMs: undefined,
+  };
+}
--- /dev/null
+++ b/packages/standins/src/load/Sampling.ts
@@ -0,0 +1,48 @@
+/**
+ * Random variates for load plans.
+ */
+import type {RandomSource} from '@toucanrouter/common';
+import {invariant} from '@toucanrouter/common';
+
+/** Returns a log-normal variate, rounded and at least 1. */
+export function sampleLength(
+  random: RandomSource,
+  median: number,
+  spread: number,
+): number {
+  return Math.max(1, Math.round(median * Math.exp(spread * normal(random))));
+}
+
+/** Returns a standard normal variate (Box-Muller). */
+function normal(random: RandomSource): number {
+  const radius = Math.sqrt(-2 * Math.log(1 - random.next()));
+  return radius * Math.cos(2 * Math.PI * random.next());
+}
+
+/** Returns the wait until the next event of a Poisson process. */
+export function sampleGap(random: RandomSource, ratePerSecond: number): number {
+  return -Math.log(1 - random.next()) / ratePerSecond;
+}
+
+/** Picks an item with a probability in proportion to its weight. */
+export function pickWeighted<T extends {readonly weight: number}>(
+  random: RandomSource,
+  items: readonly T[],
+): T {
+  const total = items.reduce((sum, item) => sum + item.weight, 0);
+  let rest = random.next() * total;
+  for (const item of items) {
+    rest -= item.weight;
+    if (rest < 0) return item;
+  }
+  const last = items[items.length - 1];
+  invariant(last !== undefined, 'a weighted choice has items');
+  return last;
+}
+
+/** Picks an item with equal probability. */
+export function pickOne<T>(random: RandomSource, items: readonly T[]): T {
+  const item = items[Math.floor(random.next() * items.length)];
+  invariant(item !== undefined, 'a choice has items');
+  return item;
+}
--- a/packages/standins/src/shared/ProcessUtils.ts
+++ b/packages/standins/src/shared/ProcessUtils.ts
@@ -22,3 +22,9 @@
   process.on('SIGTERM', onSignal);
   process.on('SIGINT', onSignal);
 }
+
+/** Prints the line from which the starting process reads the address. */
+export function announceReady(name: string, address: string): void {
+  const line = JSON.stringify({msg: `${name} ready`, address});
+  process.stdout.write(`${line}\n`);
+}
