--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,3 +1,11 @@
+export type {CallCounts} from './platform/Counters.js';
+export type {ListedInstance} from './platform/LaggingInstanceList.js';
+export type {
+  PlatformStandIn,
+  PlatformStandInOptions,
+} from './platform/PlatformStandIn.js';
+export {createPlatformStandIn} from './platform/PlatformStandIn.js';
+export type {SwitchChangeInput, SwitchState} from './platform/Switches.js';
 export type {ChatMessage} from './engine/Answers.js';
 export {answerLengthOf, answerText, lengthMarker} from './engine/Answers.js';
 export type {EngineProfile} from './engine/EngineConstants.js';
