Add the administration API with fake-backed tests

Changes are reported as accepted, conflict or not yet known. A write id from the client identifies a change, so that a repeated request is applied once and a conflict with one's own lost write counts as accepted.

--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/admin/AdminApp.test.ts
@@ -0,0 +1,359 @@
+import {writeFileSync} from 'node:fs';
+import type {
+  AdminErrorBody,
+  ConfigAcceptedResponse,
+  ConfigApplyRequest,
+} from '@toucanrouter/common';
+import {errorAnswers, PlatformError} from '@toucanrouter/common';
+import {expect} from 'chai';
+import {errAsync, okAsync} from 'neverthrow';
+import {createAdminApp} from '../../../index.js';
+import type {FakeInstance} from './AdminFixtures.js';
+import {
+  classesText,
+  createFakeInstance,
+  readerToken,
+  swap,
+  writerToken,
+} from './AdminFixtures.js';
+
+interface Answer<T> {
+  readonly status: number;
+  readonly body: T;
+}
+
+async function call<T>(
+  fake: FakeInstance,
+  path: string,
+  body?: unknown,
+  token: string | undefined = writerToken,
+): Promise<Answer<T>> {
+  const response = await createAdminApp(fake.dependencies).request(
+    `/admin/v1${path}`,
+    {
+      method: body === undefined ? 'GET' : 'POST',
+      headers: token === '' ? {} : {authorization: `Bearer ${token}`},
+      body: body === undefined ? undefined : JSON.stringify(body),
+    },
+  );
+  return {status: response.status, body: (await response.json()) as T};
+}
+
+function applyRequest(
+  fields: Partial<ConfigApplyRequest> = {},
+): ConfigApplyRequest {
+  return {
+    classesText: classesText(),
+    expectedVersion: 0,
+    author: 'eva',
+    writeId: 'write-0001',
+    ...fields,
+  };
+}
+
+const apply = (fake: FakeInstance, fields?: Partial<ConfigApplyRequest>) =>
+  call<ConfigAcceptedResponse & AdminErrorBody>(
+    fake,
+    '/config/apply',
+    applyRequest(fields),
+  );
+
+describe('createAdminApp', () => {
+  let fake: FakeInstance;
+  beforeEach(() => {
+    fake = createFakeInstance();
+  });
+  afterEach(() => fake.close());
+
+  it('answers all reads to a reader', async () => {
+    const paths = [
+      '/status',
+      '/requests',
+      '/config',
+      '/config/history',
+      '/config/in-force',
+      '/reports/burn',
+    ];
+    for (const path of paths) {
+      const {status} = await call(fake, path, undefined, readerToken);
+      expect(status, path).to.equal(200);
+    }
+  });
+
+  it('refuses missing and wrong tokens on every path, also unknown ones', async () => {
+    for (const token of ['', 'wrong', `${readerToken}x`]) {
+      for (const path of ['/status', '/nothing']) {
+        const {status, body} = await call<AdminErrorBody>(
+          fake,
+          path,
+          undefined,
+          token,
+        );
+        expect(status).to.equal(401);
+        expect(body.error.type).to.equal('unauthenticated');
+        expect(body.error.message).to.match(/send|check/);
+      }
+    }
+  });
+
+  it('refuses everyone while a token file is empty, instead of accepting an empty token', async () => {
+    writeFileSync(fake.dependencies.writerTokenFile, '\n');
+    const {status, body} = await call<AdminErrorBody>(fake, '/status');
+    expect(status).to.equal(401);
+    expect(body.error.message).to.contain('cannot read its token files');
+  });
+
+  it('takes up a changed token without restart', async () => {
+    writeFileSync(fake.dependencies.writerTokenFile, 'fresh');
+    expect((await call(fake, '/status')).status).to.equal(401);
+    const {status} = await call(fake, '/status', undefined, 'fresh');
+    expect(status).to.equal(200);
+  });
+
+  it('lets a reader change nothing', async () => {
+    for (const path of [
+      '/config/apply',
+      '/upstreams/engine-1/drain',
+      '/upstreams/engine-1/undrain',
+    ]) {
+      const {status, body} = await call<AdminErrorBody>(
+        fake,
+        path,
+        applyRequest(),
+        readerToken,
+      );
+      expect(status).to.equal(403);
+      expect(body.error.run_status).to.equal('not_run');
+    }
+    expect(fake.stored).to.have.length(0);
+  });
+
+  it('answers unknown paths, bad bodies and exceptions from the closed list of kinds', async () => {
+    const failing = createFakeInstance({
+      fleetStatus: () => {
+        throw new Error('bug');
+      },
+    });
+    const answers = [
+      await call<AdminErrorBody>(fake, '/nothing'),
+      await call<AdminErrorBody>(fake, '/config/apply', {author: ''}),
+      await call<AdminErrorBody>(fake, '/config/history?limit=0'),
+      await call<AdminErrorBody>(failing, '/status'),
+    ];
+    failing.close();
+    const kinds = answers.map(({body}) => body.error.type);
+    expect(kinds).to.deep.equal([
+      'not_found',
+      'bad_request',
+      'bad_request',
+      'internal',
+    ]);
+    for (const {status, body} of answers) {
+      expect(status).to.equal(errorAnswers[body.error.type].status);
+    }
+  });
+
+  it('returns all faults of a classes file and changes nothing', async () => {
+    const {status, body} = await apply(fake, {
+      classesText: '[class.quick]\npriority = 9\nweight = 1\n',
+      fileName: 'my.ini',
+    });
+    expect(status).to.equal(422);
+    expect(body.faults?.map(({file, line}) => `${file}:${line}`)).to.include(
+      'my.ini:2',
+    );
+    expect(body.faults).to.have.length.greaterThan(3);
+    expect(fake.stored).to.have.length(0);
+  });
+
+  it('keeps an audit entry of each change with author, time and versions', async () => {
+    const {body} = await apply(fake);
+    expect(body).to.deep.include({
+      outcome: 'accepted',
+      version: 1,
+      changed: true,
+    });
+    expect(fake.audited).to.deep.equal([
+      {
+        action: 'config.apply',
+        atWallMs: fake.dependencies.clock.wallMs(),
+        author: 'eva',
+        fromVersion: 0,
+        toVersion: 1,
+        writeId: 'write-0001',
+        outcome: 'accepted',
+      },
+    ]);
+  });
+
+  it('answers the loser of a race with the winning version and the difference', async () => {
+    await apply(fake);
+    await apply(fake, {
+      expectedVersion: 1,
+      classesText: classesText('2s'),
+      author: 'adam',
+      writeId: 'write-0002',
+    });
+    const {status, body} = await apply(fake, {
+      expectedVersion: 1,
+      classesText: classesText('3s'),
+      writeId: 'write-0003',
+    });
+    expect(status).to.equal(409);
+    expect(body.conflict?.winner).to.deep.include({version: 2, author: 'adam'});
+    expect(body.conflict?.differences).to.deep.equal([
+      {
+        subject: 'class.quick',
+        field: 'target_total',
+        before: '2s',
+        after: '3s',
+      },
+    ]);
+    expect(fake.audited.at(-1)?.outcome).to.equal('conflict');
+  });
+
+  it('accepts a repeated request once, since its first answer may have been lost', async () => {
+    await apply(fake);
+    await apply(fake, {
+      expectedVersion: 1,
+      classesText: classesText('2s'),
+      writeId: 'write-0002',
+    });
+    const {status, body} = await apply(fake);
+    expect(status).to.equal(200);
+    expect(body.version).to.equal(1);
+    expect(fake.stored).to.have.length(2);
+  });
+
+  it('says "not yet known" when a write may have taken effect', async () => {
+    const lost = new PlatformError('no answer', true);
+    const open = [
+      createFakeInstance({changeConfig: () => errAsync(lost)}),
+      createFakeInstance({
+        changeConfig: () => okAsync({kind: 'not_yet_known' as const}),
+      }),
+    ];
+    for (const instance of open) {
+      const {status, body} = await apply(instance);
+      expect(status).to.equal(503);
+      expect(body.error).to.deep.include({
+        type: 'config_unknown',
+        run_status: 'unknown',
+      });
+      expect(body.writeId).to.equal('write-0001');
+      expect(instance.audited[0]?.outcome).to.equal('not_yet_known');
+      instance.close();
+    }
+  });
+
+  it('does not call a conflict lost while the history cannot be read', async () => {
+    const down = new PlatformError('no answer', false);
+    const blind = createFakeInstance({configHistory: () => errAsync(down)});
+    await apply(blind);
+    const {body} = await apply(blind, {writeId: 'write-0002'});
+    expect(body.error.type).to.equal('config_unknown');
+    blind.close();
+  });
+
+  it('says "not run" when the platform refused before writing', async () => {
+    const down = new PlatformError('connection refused', false);
+    const offline = createFakeInstance({changeConfig: () => errAsync(down)});
+    const {body} = await apply(offline);
+    expect(body.error).to.deep.include({
+      type: 'platform_unavailable',
+      run_status: 'not_run',
+    });
+    offline.close();
+  });
+
+  it('keeps drained upstreams when classes are applied', async () => {
+    await apply(fake);
+    const change = {author: 'eva', writeId: 'drain-0001'};
+    const drained = await call(fake, '/upstreams/engine-1/drain', change);
+    expect(drained.status).to.equal(200);
+    await apply(fake, {
+      expectedVersion: 2,
+      classesText: classesText('2s'),
+      writeId: 'write-0002',
+    });
+    expect(fake.stored.at(-1)?.drainedUpstreams).to.deep.equal(['engine-1']);
+    await call(fake, '/upstreams/engine-1/undrain', {
+      ...change,
+      writeId: 'drain-0002',
+    });
+    expect(fake.stored.at(-1)?.drainedUpstreams).to.deep.equal([]);
+    expect(fake.audited.map(({action}) => action)).to.deep.equal([
+      'config.apply',
+      'upstream.drain',
+      'config.apply',
+      'upstream.undrain',
+    ]);
+  });
+
+  it('repeats a drain after a conflict, so that a race loses neither change', async () => {
+    let raced = false;
+    const racing: FakeInstance = createFakeInstance({
+      changeConfig: change => {
+        if (change.drainedUpstreams.length > 0 && !raced) {
+          raced = true;
+          swap(racing.stored, {
+            ...change,
+            classesText: classesText('9s'),
+            drainedUpstreams: [],
+            writeId: 'other-0001',
+          });
+        }
+        return okAsync(swap(racing.stored, change));
+      },
+    });
+    await apply(racing);
+    const {status} = await call(racing, '/upstreams/engine-1/drain', {
+      author: 'eva',
+      writeId: 'drain-0001',
+    });
+    expect(status).to.equal(200);
+    expect(racing.stored.at(-1)).to.deep.include({
+      version: 3,
+      classesText: classesText('9s'),
+      drainedUpstreams: ['engine-1'],
+    });
+    racing.close();
+  });
+
+  it('refuses to drain an upstream that does not exist', async () => {
+    await apply(fake);
+    const {status, body} = await call<AdminErrorBody>(
+      fake,
+      '/upstreams/typo/drain',
+      {author: 'eva', writeId: 'drain-0001'},
+    );
+    expect(status).to.equal(404);
+    expect(body.error.message).to.contain('look up its id in the status');
+  });
+
+  it('lists the instances that lack a version', async () => {
+    await apply(fake);
+    fake.versions.set('router-2', 0);
+    const {body} = await call(fake, '/config/in-force?version=1');
+    expect(body).to.deep.equal({
+      version: 1,
+      inForce: ['router-1'],
+      lagging: [{instanceId: 'router-2', version: 0}],
+    });
+  });
+
+  it('shows each version in the history with its differences', async () => {
+    await apply(fake);
+    await apply(fake, {
+      expectedVersion: 1,
+      classesText: classesText('2s'),
+      writeId: 'write-0002',
+    });
+    const {body} = await call<{versions: {differences?: unknown[]}[]}>(
+      fake,
+      '/config/history?limit=1',
+    );
+    expect(body.versions).to.have.length(1);
+    expect(body.versions[0]?.differences).to.have.length(1);
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/admin/AdminAuthentication.ts
@@ -0,0 +1,88 @@
+/**
+ * Checks bearer tokens against the token files of the instance.
+ */
+import {createHash, timingSafeEqual} from 'node:crypto';
+import {readFile} from 'node:fs/promises';
+import type {AdminRole} from '@toucanrouter/common';
+import {RouterError} from '@toucanrouter/common';
+import type {Result} from 'neverthrow';
+import {err, errAsync, ok, ResultAsync} from 'neverthrow';
+
+/** Paths of the files that hold one token each. */
+export interface TokenFiles {
+  readonly readerTokenFile: string;
+  readonly writerTokenFile: string;
+}
+
+/** Returns the role that an `Authorization` header proves. */
+export function authenticate(
+  files: TokenFiles,
+  header: string | undefined,
+): ResultAsync<AdminRole, RouterError> {
+  const presented = /^Bearer ([^\s]+)$/i.exec(header ?? '')?.[1];
+  if (presented === undefined) return errAsync(missingToken());
+  return ResultAsync.combine([
+    readToken(files.readerTokenFile),
+    readToken(files.writerTokenFile),
+  ]).andThen(([reader, writer]) => roleOf(presented, reader, writer));
+}
+
+function roleOf(
+  presented: string,
+  reader: string,
+  writer: string,
+): Result<AdminRole, RouterError> {
+  const isReader = equalInConstantTime(presented, reader);
+  const isWriter = equalInConstantTime(presented, writer);
+  if (isWriter) return ok('writer');
+  if (isReader) return ok('reader');
+  return err(
+    new RouterError(
+      'unauthenticated',
+      'the bearer token is not the reader or writer token of this instance; check that it comes from the token file of this deployment',
+    ),
+  );
+}
+
+/** Hashing gives both sides the same length, as the comparison requires. */
+function equalInConstantTime(a: string, b: string): boolean {
+  return timingSafeEqual(sha256(a), sha256(b));
+}
+
+function sha256(text: string): Buffer {
+  return createHash('sha256').update(text).digest();
+}
+
+/** An empty file would accept an empty token, so it counts as unreadable. */
+function readToken(file: string): ResultAsync<string, RouterError> {
+  const unreadable = (cause?: unknown) =>
+    new RouterError(
+      'unauthenticated',
+      'this instance cannot read its token files; check reader_token_file and writer_token_file in its settings',
+      {cause},
+    );
+  return ResultAsync.fromPromise(readFile(file, 'utf8'), unreadable).andThen(
+    text => {
+      const token = text.trim();
+      return token === '' ? err(unreadable()) : ok(token);
+    },
+  );
+}
+
+function missingToken(): RouterError {
+  return new RouterError(
+    'unauthenticated',
+    'the request has no bearer token; send "Authorization: Bearer <token>"',
+  );
+}
+
+/** Checks that a role permits changes. */
+export function requireWriter(role: AdminRole): Result<void, RouterError> {
+  if (role === 'writer') return ok();
+  return err(
+    new RouterError(
+      'forbidden',
+      'the reader token permits no changes; use the writer token',
+    ),
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/admin/ConfigChanges.ts
@@ -0,0 +1,300 @@
+/**
+ * Changes of the configuration by compare-and-swap. A change is reported as
+ * accepted, as a conflict, or as not yet known; never as something it is not.
+ */
+import type {
+  AuditEntry,
+  ConfigAcceptedResponse,
+  ConfigApplyRequest,
+  StoredConfig,
+  UpstreamChangeRequest,
+  UpstreamId,
+} from '@toucanrouter/common';
+import {PlatformError, RouterError} from '@toucanrouter/common';
+import {parseClasses} from '@toucanrouter/settings';
+import type {ResultAsync} from 'neverthrow';
+import {err, errAsync, ok, okAsync} from 'neverthrow';
+import type {
+  AdminDependencies,
+  ConfigChange,
+  ConfigChangeOutcome,
+} from './AdminDependencies.js';
+import {ConfigConflictError, ConfigUnknownError} from './AdminErrors.js';
+import {differencesBetween, initialConfig, toSummary} from './ConfigViews.js';
+
+/** Drains commute with other changes, so they are repeated after a conflict. */
+const maxDrainAttempts = 5;
+
+/** Versions that are searched for a write id after a conflict. */
+const historySearchLimit = 100;
+
+type ChangeResult = ResultAsync<ConfigAcceptedResponse, RouterError>;
+type AuditedAction = Pick<AuditEntry, 'action' | 'upstreamId'>;
+
+/** Drains or undrains an upstream. */
+export type UpstreamAction = 'drain' | 'undrain';
+
+/** Changes that operators ask for. */
+export interface ConfigChanges {
+  apply(request: ConfigApplyRequest): ChangeResult;
+  setDrained(
+    upstreamId: UpstreamId,
+    action: UpstreamAction,
+    request: UpstreamChangeRequest,
+  ): ChangeResult;
+}
+
+/** Creates the changes on top of the functions of the instance. */
+export function createConfigChanges(
+  dependencies: AdminDependencies,
+): ConfigChanges {
+  return {
+    apply: request => applyClasses(dependencies, request),
+    setDrained: (upstreamId, action, request) =>
+      setDrained(dependencies, upstreamId, action, request),
+  };
+}
+
+function current(dependencies: AdminDependencies): StoredConfig {
+  return dependencies.currentConfig() ?? initialConfig;
+}
+
+function applyClasses(
+  dependencies: AdminDependencies,
+  request: ConfigApplyRequest,
+): ChangeResult {
+  const {classesText, fileName = 'classes', expectedVersion} = request;
+  const parsed = parseClasses(classesText, fileName);
+  if (parsed.isErr()) return errAsync(parsed.error);
+  return baseOf(dependencies, expectedVersion).andThen(base => {
+    const change = {
+      expectedVersion,
+      writeId: request.writeId,
+      author: request.author,
+      classesText,
+      drainedUpstreams: base.drainedUpstreams,
+    };
+    return write(dependencies, base, change, {action: 'config.apply'});
+  });
+}
+
+/**
+ * Returns the expected version, from which the drained upstreams are kept. An
+ * instance that has another version in force looks it up in the history.
+ */
+function baseOf(
+  dependencies: AdminDependencies,
+  expectedVersion: number,
+): ResultAsync<StoredConfig, RouterError> {
+  const inForce = current(dependencies);
+  if (inForce.version === expectedVersion) return okAsync(inForce);
+  if (expectedVersion === 0) return okAsync(initialConfig);
+  return dependencies.configHistory(historySearchLimit).andThen(history => {
+    const base = history.find(({version}) => version === expectedVersion);
+    if (base !== undefined) return ok(base);
+    const newest = history[0]?.version ?? inForce.version;
+    return err(unknownVersion(expectedVersion, newest));
+  });
+}
+
+function unknownVersion(expected: number, newest: number): RouterError {
+  return new RouterError(
+    'bad_request',
+    `there is no version ${expected} to change; the newest is ${newest}. Show the configuration and apply to the version that it names`,
+  );
+}
+
+function setDrained(
+  dependencies: AdminDependencies,
+  upstreamId: UpstreamId,
+  action: UpstreamAction,
+  request: UpstreamChangeRequest,
+): ChangeResult {
+  const base = current(dependencies);
+  if (action === 'drain' && !dependencies.isKnownUpstream(upstreamId)) {
+    return errAsync(unknownUpstream(upstreamId));
+  }
+  if (base.version === 0) return errAsync(nothingToChange());
+  return attemptDrain(dependencies, upstreamId, action, request, base, 1);
+}
+
+function unknownUpstream(upstreamId: UpstreamId): RouterError {
+  return new RouterError(
+    'not_found',
+    `upstream "${upstreamId}" is not in the instance list; look up its id in the status`,
+  );
+}
+
+function nothingToChange(): RouterError {
+  return new RouterError(
+    'bad_request',
+    'there is no configuration yet; apply a classes file first',
+  );
+}
+
+function attemptDrain(
+  dependencies: AdminDependencies,
+  upstreamId: UpstreamId,
+  action: UpstreamAction,
+  request: UpstreamChangeRequest,
+  base: StoredConfig,
+  attempt: number,
+): ChangeResult {
+  const others = base.drainedUpstreams.filter(id => id !== upstreamId);
+  const change = {
+    ...request,
+    expectedVersion: base.version,
+    classesText: base.classesText,
+    drainedUpstreams:
+      action === 'drain' ? [...others, upstreamId].sort() : others,
+  };
+  const audited = {action: `upstream.${action}`, upstreamId} as const;
+  return write(dependencies, base, change, audited).orElse(error => {
+    const retry =
+      error instanceof ConfigConflictError && attempt < maxDrainAttempts;
+    if (!retry) return errAsync(error);
+    return latest(dependencies).andThen(winner =>
+      attemptDrain(
+        dependencies,
+        upstreamId,
+        action,
+        request,
+        winner,
+        attempt + 1,
+      ),
+    );
+  });
+}
+
+function latest(
+  dependencies: AdminDependencies,
+): ResultAsync<StoredConfig, RouterError> {
+  return dependencies
+    .configHistory(1)
+    .map(([newest]) => newest ?? current(dependencies));
+}
+
+function write(
+  dependencies: AdminDependencies,
+  base: StoredConfig,
+  change: ConfigChange,
+  audited: AuditedAction,
+): ChangeResult {
+  const differences = differencesBetween(base, change);
+  const same = isSame(base, change);
+  const result = same
+    ? confirmUnchanged(dependencies, base)
+    : changeConfig(dependencies, change);
+  return result
+    .andThen(outcome => resolve(dependencies, change, outcome))
+    .map(version => ({
+      outcome: 'accepted' as const,
+      version,
+      changed: !same,
+      differences,
+    }))
+    .andTee(({version}) => audit(dependencies, change, audited, version))
+    .orTee(error => audit(dependencies, change, audited, error));
+}
+
+/** A write whose answer is missing may have taken effect. */
+function changeConfig(
+  dependencies: AdminDependencies,
+  change: ConfigChange,
+): ResultAsync<ConfigChangeOutcome, RouterError> {
+  return dependencies
+    .changeConfig(change)
+    .mapErr(cause =>
+      cause instanceof PlatformError && cause.mayHaveTakenEffect
+        ? new ConfigUnknownError(change.writeId, {cause})
+        : cause,
+    );
+}
+
+function isSame(base: StoredConfig, change: ConfigChange): boolean {
+  return (
+    base.classesText === change.classesText &&
+    base.drainedUpstreams.join() === change.drainedUpstreams.join()
+  );
+}
+
+/** The expected version may have been replaced, also when nothing changes. */
+function confirmUnchanged(
+  dependencies: AdminDependencies,
+  base: StoredConfig,
+): ResultAsync<ConfigChangeOutcome, RouterError> {
+  return latest(dependencies).map(newest =>
+    newest.version === base.version
+      ? {kind: 'accepted', stored: base}
+      : {kind: 'conflict', winner: newest},
+  );
+}
+
+function resolve(
+  dependencies: AdminDependencies,
+  change: ConfigChange,
+  outcome: ConfigChangeOutcome,
+): ResultAsync<number, RouterError> {
+  switch (outcome.kind) {
+    case 'accepted':
+      return okAsync(outcome.stored.version);
+    case 'conflict':
+      return resolveConflict(dependencies, change, outcome.winner);
+    case 'not_yet_known':
+      return errAsync(new ConfigUnknownError(change.writeId));
+  }
+}
+
+/**
+ * A repeated request meets a conflict with its own first attempt, which the
+ * write id tells apart. If the history cannot be read, the result stays open.
+ */
+function resolveConflict(
+  dependencies: AdminDependencies,
+  change: ConfigChange,
+  winner: StoredConfig,
+): ResultAsync<number, RouterError> {
+  if (winner.writeId === change.writeId) return okAsync(winner.version);
+  return dependencies
+    .configHistory(historySearchLimit)
+    .mapErr(cause => new ConfigUnknownError(change.writeId, {cause}))
+    .andThen(history => {
+      const own = history.find(({writeId}) => writeId === change.writeId);
+      if (own !== undefined) return ok(own.version);
+      return err(toConflict(change, winner));
+    });
+}
+
+function toConflict(
+  change: ConfigChange,
+  winner: StoredConfig,
+): ConfigConflictError {
+  return new ConfigConflictError({
+    expectedVersion: change.expectedVersion,
+    winner: toSummary(winner),
+    differences: differencesBetween(winner, change),
+  });
+}
+
+function audit(
+  dependencies: AdminDependencies,
+  change: ConfigChange,
+  audited: AuditedAction,
+  result: RouterError | number,
+): void {
+  dependencies.audit({
+    ...audited,
+    atWallMs: dependencies.clock.wallMs(),
+    author: change.author,
+    fromVersion: change.expectedVersion,
+    toVersion: typeof result === 'number' ? result : undefined,
+    writeId: change.writeId,
+    outcome: toAuditOutcome(result),
+  });
+}
+
+function toAuditOutcome(result: RouterError | number): AuditEntry['outcome'] {
+  if (typeof result === 'number') return 'accepted';
+  if (result.kind === 'config_conflict') return 'conflict';
+  return result.kind === 'config_unknown' ? 'not_yet_known' : 'failed';
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,7 @@
-export {};
+export {createAdminApp} from './admin/AdminApp.js';
+export type {
+  AdminDependencies,
+  ConfigChange,
+  ConfigChangeOutcome,
+  FleetServiceLevels,
+} from './admin/AdminDependencies.js';
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,3 +1,5 @@
+export type {ComparedConfig} from './ClassesDifference.js';
+export {diffConfigs, durationText} from './ClassesDifference.js';
 export type {ClassesFile} from './ClassesFile.js';
 export {parseClasses} from './ClassesFile.js';
 export type {InstanceSettings, ListenAddress} from './InstanceSettings.js';
