--- a/packages/report/src/index.ts
+++ b/packages/report/src/index.ts
@@ -1,7 +1,10 @@
 export type {BurnReportOptions} from './BurnCalculation.js';
 export {toBurnReport} from './BurnCalculation.js';
+export {renderBurnPage} from './BurnPage.js';
+export {renderBurnTable, renderClassesTable} from './BurnTable.js';
 export type {CountSnapshot} from './CountSeries.js';
 export type {HistogramSnapshot} from './LatencyHistogram.js';
+export {formatDuration, formatTime} from './ReportFormat.js';
 export type {
   ObservedOutcome,
   ServiceLevelObservation,
@@ -15,3 +18,5 @@
   WorkspaceLevels,
 } from './ServiceLevelSnapshot.js';
 export {mergeSnapshots} from './ServiceLevelSnapshot.js';
+export type {TableColumn} from './TextTable.js';
+export {renderTable} from './TextTable.js';
