--- /dev/null
+++ b/packages/daemon/src/bin/toucanrouterd.ts
@@ -0,0 +1,88 @@
+#!/usr/bin/env node
+/**
+ * The router daemon: `toucanrouterd --settings FILE [--check]`.
+ */
+import {parseArgs} from 'node:util';
+import {createSystemClock} from '@toucanrouter/common';
+import {loadInstanceSettings} from '@toucanrouter/settings';
+import {startDaemon} from '../Daemon.js';
+import {createLogger} from '../Logger.js';
+
+const usage = `Usage: toucanrouterd --settings FILE [--check]
+
+  --settings FILE  settings of this instance (INI)
+  --check          check the settings, print every fault, and exit
+  --help           show this text
+
+Exit codes: 0 stopped on request or settings valid, 1 failed to start,
+2 wrong arguments or settings.`;
+
+const exitFailed = 1;
+const exitWrongUse = 2;
+
+function fail(message: string, code: number): never {
+  process.stderr.write(`${message}\n`);
+  process.exit(code);
+}
+
+function readArguments(): {settingsFile: string; checkOnly: boolean} {
+  try {
+    const {values} = parseArgs({
+      options: {
+        settings: {type: 'string'},
+        check: {type: 'boolean', default: false},
+        help: {type: 'boolean', default: false},
+      },
+    });
+    if (values.help) {
+      process.stdout.write(`${usage}\n`);
+      process.exit(0);
+    }
+    if (values.settings === undefined) {
+      return fail(`--settings is missing\n\n${usage}`, exitWrongUse);
+    }
+    return {settingsFile: values.settings, checkOnly: values.check};
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    return fail(`${reason}\n\n${usage}`, exitWrongUse);
+  }
+}
+
+const {checkOnly, settingsFile} = readArguments();
+const loaded = loadInstanceSettings(settingsFile);
+if (loaded.isErr()) fail(loaded.error.message, exitWrongUse);
+const settings = loaded.value;
+if (checkOnly) {
+  process.stdout.write(`${settingsFile}: settings are valid\n`);
+  process.exit(0);
+}
+
+const logger = createLogger({
+  format: settings.logFormat,
+  level: settings.logLevel,
+  instanceId: settings.instanceId,
+});
+const clock = createSystemClock();
+let stopRequested = false;
+let stop: (() => void) | undefined;
+
+function requestStop(): void {
+  // A second signal changes nothing: the stop in progress is graceful.
+  if (stopRequested) return;
+  stopRequested = true;
+  stop?.();
+}
+
+process.on('SIGTERM', requestStop);
+process.on('SIGINT', requestStop);
+
+const started = await startDaemon({settings, clock, logger});
+if (started.isErr()) {
+  logger.error('instance failed to start', {error: started.error.message});
+  process.exit(exitFailed);
+}
+const daemon = started.value;
+stop = () => {
+  void daemon.close().then(() => process.exit(0));
+};
+if (stopRequested) stop();
--- /dev/null
+++ b/packages/daemon/src/fleet/ConfigSource.ts
@@ -0,0 +1,88 @@
+/**
+ * Obtains the operators' configuration: at the start from the platform or from
+ * peers, later by a watch that only a few instances of a region keep, so that
+ * the platform's load does not grow with the fleet.
+ */
+import type {Clock, Undo} from '@toucanrouter/common';
+import type {ConfigStore} from '@toucanrouter/platform';
+import type {Logger} from '../Logger.js';
+import type {ConfigHolder} from './ConfigHolder.js';
+import type {Fleet} from './Fleet.js';
+
+/** Instances of a region that watch the platform. */
+const watchersPerRegion = 2;
+
+const watchResource = 'configuration watch';
+const startRetryMs = 200;
+
+/** Peers that answer within this time are heard before the start is over. */
+const peerGraceMs = 500;
+
+/** Keeps the configuration current. */
+export interface ConfigSource {
+  /** Resolves once the configuration in force is known. */
+  start(): Promise<void>;
+  close(): void;
+}
+
+/** Creates the source of an instance's configuration. */
+export function createConfigSource(
+  clock: Clock,
+  logger: Logger,
+  fleet: Fleet,
+  holder: ConfigHolder,
+  store: ConfigStore,
+): ConfigSource {
+  let stopWatch: Undo | undefined;
+  let stopView: Undo | undefined;
+  let closed = false;
+
+  function updateWatch(): void {
+    const rank = fleet.rank(watchResource);
+    const shouldWatch = rank >= 0 && rank < watchersPerRegion;
+    if (shouldWatch && stopWatch === undefined) {
+      stopWatch = store.watchConfig(holder.offer);
+    } else if (!shouldWatch && stopWatch !== undefined) {
+      stopWatch();
+      stopWatch = undefined;
+    }
+  }
+
+  function delay(delayMs: number): Promise<void> {
+    return new Promise(resolve => {
+      clock.after(delayMs, resolve);
+    });
+  }
+
+  async function readFirst(): Promise<void> {
+    const startedAtMs = clock.nowMs();
+    while (!closed) {
+      const read = await store.read();
+      if (read.isOk()) {
+        if (read.value !== undefined) holder.offer(read.value);
+        return;
+      }
+      const waitedMs = clock.nowMs() - startedAtMs;
+      if (holder.inForce().version > 0 && waitedMs >= peerGraceMs) {
+        logger.warn('the platform is unavailable; using configuration of peers', {
+          version: holder.inForce().version,
+        });
+        return;
+      }
+      await delay(startRetryMs);
+    }
+  }
+
+  return {
+    start: async () => {
+      stopView = fleet.registerViewHandler(updateWatch);
+      updateWatch();
+      await readFirst();
+    },
+    close: () => {
+      closed = true;
+      stopView?.();
+      stopWatch?.();
+    },
+  };
+}
--- a/packages/daemon/src/fleet/Fleet.ts
+++ b/packages/daemon/src/fleet/Fleet.ts
@@ -52,6 +52,8 @@
   /** Starts heartbeats over `hub`. */
   start(hub: PeerHub): void;
   alive(): readonly MemberRecord[];
+  /** Other instances, alive or not. */
+  known(): readonly MemberRecord[];
   /** The instance that owns a resource in this region. */
   owner(resource: string): InstanceId;
   /** Rank of this instance for a resource in this region, from 0. */
@@ -204,6 +206,7 @@
       refreshView();
     },
     alive: () => alive,
+    known: () => table.known(),
     owner: resource => ownerRecord(resource)?.instanceId ?? selfId,
     rank: resource => {
       const ranked = rankMembers(resource, inRegion());
--- a/packages/daemon/src/fleet/UpstreamDirectory.ts
+++ b/packages/daemon/src/fleet/UpstreamDirectory.ts
@@ -23,13 +23,12 @@
 
 /** Known upstreams, by id and by shard. */
 export interface UpstreamDirectory {
+  all(): readonly UpstreamInfo[];
   find(upstreamId: UpstreamId): UpstreamInfo | undefined;
   /** Upstreams of a shard that operators have not drained. */
   inShard(shardId: ShardId): readonly UpstreamInfo[];
   /** Shards of a model or plain service, those of `region` first. */
   shardsOf(kind: UpstreamKind, serves: string, region: string): ShardId[];
-  /** Names of all models or plain services. */
-  served(kind: UpstreamKind): readonly string[];
   /** Upstreams that are leaving, the latest first, bounded in number. */
   leaving(): readonly LeavingUpstream[];
   setListed(upstreams: readonly UpstreamInfo[]): void;
@@ -91,6 +90,7 @@
   }
 
   return {
+    all: () => [...listed.values()],
     find: upstreamId => listed.get(upstreamId),
     inShard: shardId =>
       [...listed.values()].filter(
@@ -105,13 +105,6 @@
       const sorted = [...shards].sort((a, b) => Number(b[1]) - Number(a[1]));
       return sorted.map(([shardId]) => shardId);
     },
-    served: kind => {
-      const names = new Set<string>();
-      for (const upstream of listed.values()) {
-        if (upstream.kind === kind) names.add(upstream.serves);
-      }
-      return [...names].sort();
-    },
     leaving: () =>
       [...leavingIncarnations]
         .slice(-leavingUpstreamsPerHeartbeat)
--- /dev/null
+++ b/packages/daemon/src/server/AdminServer.ts
@@ -0,0 +1,36 @@
+/**
+ * The HTTP server for operators: administration API, metrics and health.
+ */
+import type {Server} from 'node:http';
+import {createAdaptorServer} from '@hono/node-server';
+import {Hono} from 'hono';
+import type {AdminDependencies} from '../admin/AdminDependencies.js';
+import {createAdminApp} from '../admin/AdminApp.js';
+import type {Metrics} from '../Metrics.js';
+
+/** Options of the server for operators. */
+export interface AdminServerOptions {
+  readonly admin: AdminDependencies;
+  readonly metrics: Metrics;
+  /** Undefined when the instance is ready, otherwise why it is not. */
+  readonly notReadyReason: () => string | undefined;
+}
+
+/** Creates the server; the owner makes it listen. */
+export function createAdminServer(options: AdminServerOptions): Server {
+  const app = new Hono();
+  app.get('/healthz', context => context.text('ok\n'));
+  app.get('/readyz', context => {
+    const reason = options.notReadyReason();
+    if (reason === undefined) return context.text('ready\n');
+    return context.text(`not ready: ${reason}\n`, 503);
+  });
+  app.get('/metrics', async context => {
+    const body = await options.metrics.render();
+    return context.body(body, 200, {
+      'content-type': options.metrics.contentType,
+    });
+  });
+  app.route('/', createAdminApp(options.admin));
+  return createAdaptorServer({fetch: app.fetch}) as Server;
+}
--- a/packages/platform/src/ConfigStore.ts
+++ b/packages/platform/src/ConfigStore.ts
@@ -31,6 +31,8 @@
   readonly classesText: string;
   readonly drainedUpstreams: readonly UpstreamId[];
   readonly author: string;
+  /** Identifies the write; the store draws an id when it is absent. */
+  readonly writeId?: string;
 }
 
 /** Parameters of a configuration store. */
@@ -71,7 +73,7 @@
   function propose(request: ConfigChangeRequest): StoredConfig {
     return {
       version: request.expectedVersion + 1,
-      writeId: options.createWriteId(),
+      writeId: request.writeId ?? options.createWriteId(),
       author: request.author,
       changedAtWallMs: clock.wallMs(),
       classesText: request.classesText,
