--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -16,7 +16,12 @@
   toPermitId,
   toRequestId,
 } from '@toucanrouter/common';
-import {claimShardOf, createLocalClaimStore} from '@toucanrouter/claims';
+import {
+  claimShardCount,
+  claimShardOf,
+  createClaimWriter,
+  createLocalClaimStore,
+} from '@toucanrouter/claims';
 import {createMemberTable} from '@toucanrouter/membership';
 import type {PeerHub} from '@toucanrouter/peer';
 import {createPeerHub, encodeEffect} from '@toucanrouter/peer';
@@ -60,7 +65,10 @@
 import type {Logger} from './Logger.js';
 import {createMetrics} from './Metrics.js';
 import {createReadiness} from './Readiness.js';
-import {createAuthenticateFilter, createWorkspaceKeys} from './request/Authenticate.js';
+import {
+  createAuthenticateFilter,
+  createWorkspaceKeys,
+} from './request/Authenticate.js';
 import {createClassifyFilter} from './request/ClassifyCall.js';
 import {createRecordFilter} from './request/RecordCall.js';
 import {createChatFilter, createPlainFilter} from './request/ServeFilters.js';
@@ -230,11 +238,21 @@
     leavingUpstreams: directory.leaving,
     onLeavingUpstream: directory.markLeaving,
   });
-  const {host, permits} = createScheduling(clock, selfId, fleet, directory, holder, incarnation);
+  const {host, permits} = createScheduling(
+    clock,
+    selfId,
+    fleet,
+    directory,
+    holder,
+    incarnation,
+  );
+  const writers = Array.from({length: claimShardCount}, (_, shard) =>
+    createClaimWriter({store, shard, clock}),
+  );
   const claims = createClaimRouter({
     clock,
     selfId,
-    local: createLocalClaimStore({store, clock}),
+    local: createLocalClaimStore(writers),
     writerOf: ({idempotencyKey, workspaceId}: ClaimReference) =>
       fleet.owner(`claims ${claimShardOf(workspaceId, idempotencyKey)}`),
     send: fleet.send,
--- a/packages/daemon/src/bin/toucanrouterd.ts
+++ b/packages/daemon/src/bin/toucanrouterd.ts
@@ -49,7 +49,7 @@
 }
 
 const {checkOnly, settingsFile} = readArguments();
-const loaded = loadInstanceSettings(settingsFile);
+const loaded = await loadInstanceSettings(settingsFile);
 if (loaded.isErr()) fail(loaded.error.message, exitWrongUse);
 const settings = loaded.value;
 if (checkOnly) {
@@ -64,13 +64,13 @@
 });
 const clock = createSystemClock();
 let stopRequested = false;
-let stop: (() => void) | undefined;
+let stop = (): void => undefined;
 
 function requestStop(): void {
   // A second signal changes nothing: the stop in progress is graceful.
   if (stopRequested) return;
   stopRequested = true;
-  stop?.();
+  stop();
 }
 
 process.on('SIGTERM', requestStop);
--- a/packages/daemon/src/fleet/ConfigSource.ts
+++ b/packages/daemon/src/fleet/ConfigSource.ts
@@ -64,9 +64,12 @@
       }
       const waitedMs = clock.nowMs() - startedAtMs;
       if (holder.inForce().version > 0 && waitedMs >= peerGraceMs) {
-        logger.warn('the platform is unavailable; using configuration of peers', {
-          version: holder.inForce().version,
-        });
+        logger.warn(
+          'the platform is unavailable; using configuration of peers',
+          {
+            version: holder.inForce().version,
+          },
+        );
         return;
       }
       await delay(startRetryMs);
