Split the daemon's start into instance, servers and life cycle

Plain idempotent calls now give their slot back when it is preempted and move off a straggler within the hedge budget. An owned shard is created when the membership changes, so that its warm-up delays no first request.

--- /dev/null
+++ b/packages/daemon/src/Instance.ts
@@ -0,0 +1,229 @@
+/**
+ * The parts of an instance that do not listen, connected with each other.
+ */
+import {randomBytes} from 'node:crypto';
+import {
+  claimShardCount,
+  claimShardOf,
+  createClaimWriter,
+  createLocalClaimStore,
+} from '@toucanrouter/claims';
+import type {ClaimReference, Clock, KeyValueStore} from '@toucanrouter/common';
+import {createMemberTable} from '@toucanrouter/membership';
+import type {ConfigStore, InstanceList} from '@toucanrouter/platform';
+import {createConfigStore, createKeyValueClient} from '@toucanrouter/platform';
+import {createHedgeBudget, createRetryBudget} from '@toucanrouter/policy';
+import type {ServiceLevelRecorder} from '@toucanrouter/report';
+import {createServiceLevelRecorder} from '@toucanrouter/report';
+import type {InstanceSettings} from '@toucanrouter/settings';
+import {parseClasses} from '@toucanrouter/settings';
+import {Agent} from 'undici';
+import type {ClaimedCalls} from './claims/ClaimedCall.js';
+import {createClaimedCalls} from './claims/ClaimedCall.js';
+import type {ClaimRouter} from './claims/ClaimRouter.js';
+import {createClaimRouter} from './claims/ClaimRouter.js';
+import type {ConfigHolder} from './fleet/ConfigHolder.js';
+import {createConfigHolder} from './fleet/ConfigHolder.js';
+import type {ConfigSource} from './fleet/ConfigSource.js';
+import {createConfigSource} from './fleet/ConfigSource.js';
+import type {Fleet} from './fleet/Fleet.js';
+import {createFleet} from './fleet/Fleet.js';
+import type {FleetInspection} from './fleet/FleetInspection.js';
+import {createFleetInspection} from './fleet/FleetInspection.js';
+import {toMembers} from './fleet/ListedRouters.js';
+import type {UpstreamDirectory} from './fleet/UpstreamDirectory.js';
+import {createUpstreamDirectory} from './fleet/UpstreamDirectory.js';
+import type {Logger} from './Logger.js';
+import type {Readiness} from './Readiness.js';
+import {createReadiness} from './Readiness.js';
+import type {WorkspaceKeys} from './request/Authenticate.js';
+import {createWorkspaceKeys} from './request/Authenticate.js';
+import type {UpstreamAccess} from './request/UpstreamAccess.js';
+import {dispatchSchedulingMessage} from './scheduling/RemoteSchedulerPort.js';
+import type {Scheduling} from './scheduling/Scheduling.js';
+import {createScheduling} from './scheduling/Scheduling.js';
+
+/** What an instance is created with. */
+export interface InstanceOptions {
+  readonly settings: InstanceSettings;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** The parts of an instance. */
+export interface Instance extends Scheduling {
+  readonly access: UpstreamAccess;
+  readonly claimedCalls: ClaimedCalls;
+  readonly configSource: ConfigSource;
+  readonly configStore: ConfigStore;
+  readonly directory: UpstreamDirectory;
+  readonly fleet: Fleet;
+  readonly holder: ConfigHolder;
+  readonly inspection: FleetInspection;
+  readonly keys: WorkspaceKeys;
+  readonly readiness: Readiness;
+  readonly recorder: ServiceLevelRecorder;
+  /** Takes in an answer of the platform's instance list. */
+  takeList(list: InstanceList): void;
+  /** Closes all parts; no request may be in progress. */
+  close(): Promise<void>;
+}
+
+const randomIdBytes = 12;
+const idleConnectionMs = 10_000;
+
+/** Returns an id that starts with `prefix` and differs from all others. */
+export function createRandomId(prefix: string): string {
+  return `${prefix}-${randomBytes(randomIdBytes).toString('hex')}`;
+}
+
+/** Creates the parts and connects them; nothing is started. */
+export function createInstance(options: InstanceOptions): Instance {
+  const {clock, logger, settings} = options;
+  const selfId = settings.instanceId;
+  const incarnation = clock.wallMs();
+  const directory = createUpstreamDirectory();
+  const holder = createConfigHolder(parseClasses, logger);
+  const keys = createWorkspaceKeys();
+  const store = createKeyValueClient({
+    address: settings.keyValueAddress,
+    timeoutMs: settings.platformTimeoutMs,
+    clock,
+  });
+  const configStore = createConfigStore({
+    store,
+    clock,
+    createWriteId: () => createRandomId(selfId),
+  });
+  const fleet = createInstanceFleet(options, incarnation, directory, holder);
+  const config = holder.inForce;
+  const scheduling = createScheduling({
+    clock,
+    config,
+    directory,
+    fleet,
+    incarnation,
+  });
+  const claims = createClaims(clock, fleet, store);
+  const recorder = createServiceLevelRecorder({clock, instanceId: selfId});
+  const inspection = createFleetInspection(clock, fleet, {
+    shards: scheduling.host.snapshots,
+    levels: recorder.snapshot,
+  });
+  const dispatcher = new Agent({
+    pipelining: 1,
+    keepAliveTimeout: idleConnectionMs,
+  });
+  const instance: Instance = {
+    ...scheduling,
+    access: {
+      clock,
+      region: settings.region,
+      directory,
+      permits: scheduling.permits,
+      dispatcher,
+      retryBudget: createRetryBudget(),
+      hedgeBudget: createHedgeBudget(),
+    },
+    claimedCalls: createClaimedCalls(clock, selfId, claims.router),
+    configSource: createConfigSource(clock, logger, fleet, holder, configStore),
+    configStore,
+    directory,
+    fleet,
+    holder,
+    inspection,
+    keys,
+    readiness: createReadiness(),
+    recorder,
+    takeList: list => {
+      directory.setListed(list.upstreams);
+      fleet.listed(toMembers(list.routers, selfId));
+    },
+    close: async () => {
+      instance.configSource.close();
+      scheduling.permits.close();
+      scheduling.host.close();
+      await claims.close();
+      fleet.close();
+      store.close();
+      await dispatcher.close();
+    },
+  };
+  connect(instance, claims.router, clock);
+  return instance;
+}
+
+function createInstanceFleet(
+  {clock, settings}: InstanceOptions,
+  incarnation: number,
+  directory: UpstreamDirectory,
+  holder: ConfigHolder,
+): Fleet {
+  const {host, port} = settings.peers;
+  return createFleet({
+    clock,
+    table: createMemberTable({
+      instanceId: settings.instanceId,
+      peerAddress: `${host}:${port}`,
+      region: settings.region,
+      failureDomain: settings.failureDomain,
+      incarnation,
+      state: 'live',
+    }),
+    seedPeers: settings.seedPeers,
+    currentConfig: holder.stored,
+    offerConfig: holder.offer,
+    leavingUpstreams: directory.leaving,
+    onLeavingUpstream: directory.markLeaving,
+  });
+}
+
+interface Claims {
+  readonly router: ClaimRouter;
+  close(): Promise<void>;
+}
+
+function createClaims(
+  clock: Clock,
+  fleet: Fleet,
+  store: KeyValueStore,
+): Claims {
+  const writers = Array.from({length: claimShardCount}, (_, shard) =>
+    createClaimWriter({store, shard, clock}),
+  );
+  const router = createClaimRouter({
+    clock,
+    selfId: fleet.selfId,
+    local: createLocalClaimStore(writers),
+    writerOf: ({idempotencyKey, workspaceId}: ClaimReference) =>
+      fleet.owner(`claims ${claimShardOf(workspaceId, idempotencyKey)}`),
+    send: fleet.send,
+  });
+  return {
+    router,
+    close: async () => {
+      await Promise.all(writers.map(writer => writer.close()));
+    },
+  };
+}
+
+/** Lets messages, views and changes reach the parts that they concern. */
+function connect(instance: Instance, claims: ClaimRouter, clock: Clock): void {
+  const {directory, fleet, holder, host, inspection, keys, permits} = instance;
+  const receivers = {host, deliver: permits.deliver};
+  fleet.registerEnvelopeHandler((from, envelope) => {
+    dispatchSchedulingMessage(receivers, clock, from, envelope);
+    claims.receive(from, envelope);
+    inspection.receive(from, envelope);
+  });
+  fleet.registerViewHandler(() => {
+    host.warmUp(directory.shards());
+    permits.refreshOwners();
+  });
+  directory.registerChangeHandler(host.refreshUpstreams);
+  holder.registerChangeHandler(config => {
+    keys.apply(config);
+    directory.setDrained(config.drainedUpstreams);
+    host.refreshClasses();
+  });
+}
--- a/packages/daemon/src/fleet/UpstreamDirectory.ts
+++ b/packages/daemon/src/fleet/UpstreamDirectory.ts
@@ -29,6 +29,8 @@
   inShard(shardId: ShardId): readonly UpstreamInfo[];
   /** Shards of a model or plain service, those of `region` first. */
   shardsOf(kind: UpstreamKind, serves: string, region: string): ShardId[];
+  /** All shards that have upstreams. */
+  shards(): readonly ShardId[];
   /** Upstreams that are leaving, the latest first, bounded in number. */
   leaving(): readonly LeavingUpstream[];
   setListed(upstreams: readonly UpstreamInfo[]): void;
@@ -105,6 +107,7 @@
       const sorted = [...shards].sort((a, b) => Number(b[1]) - Number(a[1]));
       return sorted.map(([shardId]) => shardId);
     },
+    shards: () => [...new Set([...listed.values()].map(shardOf))],
     leaving: () =>
       [...leavingIncarnations]
         .slice(-leavingUpstreamsPerHeartbeat)
--- a/packages/daemon/src/request/CallerResponse.ts
+++ b/packages/daemon/src/request/CallerResponse.ts
@@ -49,8 +49,10 @@
       const seconds = Math.ceil(error.retryAfterMs / msPerSecond);
       headers['retry-after'] = String(seconds);
     }
+    const body = JSON.stringify(toErrorBody(error, callerRequestId));
+    headers['content-length'] = Buffer.byteLength(body);
     outgoing.writeHead(status, headers);
-    outgoing.end(JSON.stringify(toErrorBody(error, callerRequestId)));
+    outgoing.end(body);
   }
 
   function sendErrorEvent(error: RouterError): void {
--- a/packages/daemon/src/request/chat/ChatCall.ts
+++ b/packages/daemon/src/request/chat/ChatCall.ts
@@ -226,7 +226,11 @@
   permit.onPreempt = () => abort.abort('preempted');
   const resuming = start === 'resume' && upstream.id === state.lastUpstreamId;
   const effective = start === 'resume' && !resuming ? 'continue' : start;
-  const prefix = effective === 'continue' ? transcript.prefix() : undefined;
+  // Without a token there is no prefix, even if the first event was relayed.
+  const prefix =
+    effective === 'continue' && transcript.tokens > 0
+      ? transcript.prefix()
+      : undefined;
   const end = await runEngineAttempt({
     dispatcher: access.dispatcher,
     address: upstream.address,
@@ -338,7 +342,10 @@
       attempts: state.faults,
       nowMs,
       deadlineAtMs: started ? Infinity : exchange.deadlineAtMs,
-      receivedTokens: transcript.tokens,
+      // The first event carries no token, yet it cannot be relayed twice.
+      receivedTokens: exchange.response.started
+        ? Math.max(1, transcript.tokens)
+        : transcript.tokens,
       relayed: exchange.response.started,
       resumable: transcript.lastEventId !== undefined,
       sameUpstreamUsable:
--- a/packages/daemon/src/request/plain/PlainCall.ts
+++ b/packages/daemon/src/request/plain/PlainCall.ts
@@ -55,17 +55,24 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
+/** A plain call counts as one token in budgets and figures. */
+const callCost = 1;
+
 interface PlainState {
   readonly access: UpstreamAccess;
   readonly exchange: Exchange;
   readonly shardId: ShardId;
   readonly extraHeaders: Readonly<Record<string, string>>;
   readonly excluded: Set<UpstreamId>;
-  attempts: number;
+  permitsAsked: number;
+  /** Attempts that ended in a fault. */
+  faults: number;
+  /** Upstream of the last attempt when that one was preempted. */
+  preemptedOn: UpstreamId | undefined;
 }
 
 interface PlainFault {
-  readonly notSent: boolean;
+  readonly end: 'broken' | 'not_sent' | 'preempted';
   readonly cause: unknown;
 }
 
@@ -82,7 +89,9 @@
     shardId,
     extraHeaders,
     excluded: new Set(),
-    attempts: 0,
+    permitsAsked: 0,
+    faults: 0,
+    preemptedOn: undefined,
   };
   access.retryBudget.requested(access.clock.nowMs());
   for (;;) {
@@ -105,14 +114,18 @@
 function acquireAttempt(
   state: PlainState,
 ): Promise<Result<GrantedUpstream, RouterErrorType>> {
-  state.attempts += 1;
+  state.permitsAsked += 1;
   return acquireUpstream(state.access, state.exchange, state.shardId, {
-    attempt: state.attempts,
+    attempt: state.permitsAsked,
     exclude: [...state.excluded],
     hedge: false,
     promptTokens: 0,
     prefixHash: undefined,
-    resume: undefined,
+    // A preempted call keeps its place at the head of its class.
+    resume:
+      state.preemptedOn === undefined
+        ? undefined
+        : {upstreamId: state.preemptedOn, tokens: 0},
   });
 }
 
@@ -126,7 +139,7 @@
   state: PlainState,
   error: RouterErrorType,
 ): RouterErrorType {
-  if (state.attempts === 1 || error.kind === 'canceled') return error;
+  if (state.permitsAsked === 1 || error.kind === 'canceled') return error;
   const message = `no further attempt could be made: ${error.message}`;
   return new RouterError('upstream_failed', message, {cause: error});
 }
@@ -139,6 +152,8 @@
   const {permit, upstream} = granted;
   exchange.figures.attempts += 1;
   const {idempotent} = classOf(exchange);
+  const abort = new AbortController();
+  if (idempotent) registerAborts(state, granted, abort);
   try {
     const response = await access.dispatcher.request({
       origin: `http://${upstream.address}`,
@@ -148,10 +163,13 @@
       body: exchange.body.length > 0 ? exchange.body : null,
       // Once sent, a call that must not be repeated is seen through to its
       // answer, so that the outcome can be kept.
-      signal: idempotent ? exchange.signal : undefined,
+      signal: idempotent
+        ? AbortSignal.any([exchange.signal, abort.signal])
+        : undefined,
     });
     const body = Buffer.from(await response.body.arrayBuffer());
-    permit.countTokens(1);
+    permit.countTokens(callCost);
+    access.hedgeBudget.worked(callCost);
     permit.release({outcome: 'completed', wastedTokens: 0});
     exchange.figures.firstTokenMs = access.clock.nowMs() - exchange.arrivedAtMs;
     return ok({
@@ -160,12 +178,41 @@
       body,
     });
   } catch (cause) {
-    const outcome = exchange.signal.aborted ? 'canceled' : 'failed';
-    permit.release({outcome, wastedTokens: 0});
-    return err({notSent: wasNotSent(cause), cause});
+    const end = endOf(cause, abort.signal);
+    permit.release({
+      outcome: exchange.signal.aborted ? 'canceled' : outcomes[end],
+      wastedTokens: 0,
+    });
+    return err({end, cause});
   }
 }
 
+const outcomes = {
+  broken: 'failed',
+  not_sent: 'failed',
+  preempted: 'preempted',
+} as const;
+
+function endOf(cause: unknown, abort: AbortSignal): PlainFault['end'] {
+  if (abort.aborted) return 'preempted';
+  return wasNotSent(cause) ? 'not_sent' : 'broken';
+}
+
+/** Lets the scheduler take the slot back, or move the call off a straggler. */
+function registerAborts(
+  state: PlainState,
+  {permit, upstream}: GrantedUpstream,
+  abort: AbortController,
+): void {
+  permit.onPreempt = () => abort.abort();
+  permit.onSuspect = () => {
+    if (!hasOtherUpstream(state.access, state.shardId, upstream.id)) return;
+    if (!state.access.hedgeBudget.tryHedge(callCost)) return;
+    state.excluded.add(upstream.id);
+    abort.abort();
+  };
+}
+
 function recover(
   state: PlainState,
   granted: GrantedUpstream,
@@ -175,11 +222,14 @@
   const nowMs = access.clock.nowMs();
   const upstreamId = granted.upstream.id;
   const {idempotent} = classOf(exchange);
+  const preempted = fault.end === 'preempted';
+  if (!preempted) state.faults += 1;
+  state.preemptedOn = preempted ? upstreamId : undefined;
   const decision = decideRecovery(
     {
-      end: fault.notSent ? 'not_sent' : 'broken',
+      end: fault.end,
       idempotent,
-      attempts: state.attempts,
+      attempts: state.faults,
       nowMs,
       deadlineAtMs: exchange.deadlineAtMs,
       receivedTokens: 0,
@@ -193,7 +243,7 @@
     () => access.retryBudget.tryRetry(nowMs),
   );
   if (decision.kind !== 'fail') {
-    state.excluded.add(upstreamId);
+    if (!preempted) state.excluded.add(upstreamId);
     return undefined;
   }
   const reason =
--- a/packages/daemon/src/scheduling/SchedulerHost.ts
+++ b/packages/daemon/src/scheduling/SchedulerHost.ts
@@ -50,6 +50,8 @@
   readonly clock: Clock;
   readonly selfId: InstanceId;
   readonly createScheduler: (shardId: ShardId) => ShardScheduler;
+  /** Tells whether this instance owns a shard. */
+  readonly isOwned: (shardId: ShardId) => boolean;
   readonly upstreamsOf: (shardId: ShardId) => readonly UpstreamInfo[];
   readonly classes: () => readonly ServiceClass[];
   readonly deliver: (shardId: ShardId, effect: SchedulerEffect) => void;
@@ -59,6 +61,8 @@
 
 /** The schedulers of one instance. */
 export interface SchedulerHost extends SchedulerPort {
+  /** Prepares the schedulers of owned shards before the first request. */
+  warmUp(shardIds: readonly ShardId[]): void;
   refreshUpstreams(): void;
   refreshClasses(): void;
   snapshots(): readonly ShardSnapshot[];
@@ -233,6 +237,7 @@
 
   function isIdle(shard: HostedShard, nowMs: number): boolean {
     return (
+      !options.isOwned(shard.shardId) &&
       shard.permits.size === 0 &&
       nowMs - shard.usedAtMs > discardIdleShardAfterMs
     );
@@ -255,6 +260,11 @@
     progress,
     release,
     announce,
+    warmUp: shardIds => {
+      for (const shardId of shardIds) {
+        if (!shards.has(shardId) && options.isOwned(shardId)) hosted(shardId);
+      }
+    },
     refreshUpstreams: () => {
       const nowMs = clock.nowMs();
       for (const shard of shards.values()) {
--- /dev/null
+++ b/packages/daemon/src/server/Servers.ts
@@ -0,0 +1,96 @@
+/**
+ * The HTTP servers of an instance with the pipes behind them.
+ */
+import type {Server} from 'node:http';
+import type {RequestId} from '@toucanrouter/common';
+import {toRequestId} from '@toucanrouter/common';
+import type {PeerHub} from '@toucanrouter/peer';
+import {createAdminDependencies} from '../admin/AdminWiring.js';
+import type {Instance, InstanceOptions} from '../Instance.js';
+import {createRandomId} from '../Instance.js';
+import type {Metrics} from '../Metrics.js';
+import {createMetrics} from '../Metrics.js';
+import {createAuthenticateFilter} from '../request/Authenticate.js';
+import {createClassifyFilter} from '../request/ClassifyCall.js';
+import type {Filter} from '../request/Exchange.js';
+import {createRecordFilter} from '../request/RecordCall.js';
+import {createChatFilter, createPlainFilter} from '../request/ServeFilters.js';
+import {toObservation} from '../request/ServiceLevels.js';
+import {createAdminServer} from './AdminServer.js';
+import type {CallerServer} from './CallerServer.js';
+import {createCallerServer} from './CallerServer.js';
+
+/** The servers, not listening yet. */
+export interface Servers {
+  readonly admin: Server;
+  readonly callers: CallerServer;
+}
+
+/** Creates the servers of an instance. */
+export function createServers(
+  options: InstanceOptions,
+  instance: Instance,
+  hub: PeerHub,
+): Servers {
+  const {clock, logger, settings} = options;
+  const metrics = createInstanceMetrics(instance, hub);
+  const common = createCommonFilters(options, instance, metrics);
+  const {access, claimedCalls, readiness} = instance;
+  const {servicesIgnoringFencing} = settings;
+  const callers = createCallerServer({
+    clock,
+    logger,
+    createRequestId: (): RequestId =>
+      toRequestId(createRandomId(settings.instanceId)),
+    defaultTimeoutMs: settings.defaultTimeoutMs,
+    maxBodyBytes: settings.maxBodyBytes,
+    chatPipe: [...common, createChatFilter(access)],
+    plainPipe: [
+      ...common,
+      createPlainFilter({
+        access,
+        claims: claimedCalls,
+        servicesIgnoringFencing,
+      }),
+    ],
+  });
+  const admin = createAdminServer({
+    admin: createAdminDependencies(options, instance),
+    metrics,
+    notReadyReason: readiness.reason,
+  });
+  return {admin, callers};
+}
+
+function createCommonFilters(
+  {clock, logger}: InstanceOptions,
+  {holder, keys, recorder}: Instance,
+  metrics: Metrics,
+): readonly Filter[] {
+  return [
+    createRecordFilter({
+      clock,
+      logger,
+      metrics,
+      observe: call => {
+        const observation = toObservation(call);
+        if (observation !== undefined) recorder.record(observation);
+      },
+    }),
+    createAuthenticateFilter(keys),
+    createClassifyFilter(holder.inForce),
+  ];
+}
+
+function createInstanceMetrics(
+  {fleet, holder, permits}: Instance,
+  hub: PeerHub,
+): Metrics {
+  return createMetrics({
+    membersAlive: () => fleet.alive().length,
+    configVersion: () => holder.inForce().version,
+    permitsHeld: () => permits.counts().held,
+    permitsPending: () => permits.counts().pending,
+    peerMessagesSent: () => hub.traffic().sentMessages,
+  });
+}
