--- /dev/null
+++ b/packages/bench/src/FifoScheduler.ts
@@ -0,0 +1,105 @@
+/**
+ * The baseline: one queue in order of arrival and a fixed number of jobs per
+ * upstream. It knows no tiers, refuses nothing and judges no upstream.
+ */
+import type {
+  AcquireRequest,
+  PermitId,
+  PermitRelease,
+  RequestId,
+  SchedulerEffect,
+  UpstreamId,
+  UpstreamInfo,
+} from '@toucanrouter/common';
+import type {ShardScheduler} from '@toucanrouter/policy';
+
+/** What the baseline is created from. */
+export interface FifoSchedulerOptions {
+  readonly jobsPerUpstream: number;
+  readonly createPermitId: () => PermitId;
+}
+
+/** The part of a scheduler that the simulation uses. */
+export type SimulatedScheduler = Pick<
+  ShardScheduler,
+  'acquire' | 'cancel' | 'progress' | 'release' | 'setUpstreams' | 'tick'
+>;
+
+/** Creates the baseline scheduler. */
+export function createFifoScheduler(
+  options: FifoSchedulerOptions,
+): SimulatedScheduler {
+  let queue: AcquireRequest[] = [];
+  const running = new Map<UpstreamId, Set<PermitId>>();
+  const upstreamOf = new Map<PermitId, UpstreamId>();
+
+  function leastLoaded(exclude: readonly UpstreamId[]): UpstreamId | undefined {
+    let best: UpstreamId | undefined;
+    let bestCount = options.jobsPerUpstream;
+    for (const [id, permits] of running) {
+      if (exclude.includes(id) || permits.size >= bestCount) continue;
+      best = id;
+      bestCount = permits.size;
+    }
+    return best;
+  }
+
+  function grant(request: AcquireRequest, upstreamId: UpstreamId) {
+    const permitId = options.createPermitId();
+    running.get(upstreamId)?.add(permitId);
+    upstreamOf.set(permitId, upstreamId);
+    const {holder, requestId, attempt} = request;
+    return {
+      kind: 'grant',
+      holder,
+      requestId,
+      attempt,
+      permitId,
+      upstreamId,
+    } as const;
+  }
+
+  function dispatch(): SchedulerEffect[] {
+    const effects: SchedulerEffect[] = [];
+    for (let next = queue[0]; next !== undefined; next = queue[0]) {
+      const upstreamId = leastLoaded(next.exclude);
+      if (upstreamId === undefined) break;
+      queue.shift();
+      effects.push(grant(next, upstreamId));
+    }
+    return effects;
+  }
+
+  function setUpstreams(infos: readonly UpstreamInfo[]): SchedulerEffect[] {
+    const listed = new Set(infos.map(info => info.id));
+    for (const id of running.keys()) {
+      if (!listed.has(id)) running.delete(id);
+    }
+    for (const id of listed) {
+      if (!running.has(id)) running.set(id, new Set());
+    }
+    return dispatch();
+  }
+
+  return {
+    acquire: request => {
+      queue.push(request);
+      return dispatch();
+    },
+    cancel: (requestId: RequestId) => {
+      queue = queue.filter(request => request.requestId !== requestId);
+      return [];
+    },
+    progress: () => [],
+    release: (release: PermitRelease) => {
+      const upstreamId = upstreamOf.get(release.permitId);
+      upstreamOf.delete(release.permitId);
+      if (upstreamId !== undefined) {
+        running.get(upstreamId)?.delete(release.permitId);
+      }
+      return dispatch();
+    },
+    setUpstreams,
+    tick: () => [],
+  };
+}
--- /dev/null
+++ b/packages/bench/src/Lengths.ts
@@ -0,0 +1,39 @@
+/**
+ * Samples and moments of length distributions.
+ */
+import type {RandomSource} from '@toucanrouter/common';
+import {createSeededRandom} from '@toucanrouter/common';
+import type {LengthSpec} from './Workload.js';
+
+function sampleNormal(random: RandomSource): number {
+  const radius = Math.sqrt(-2 * Math.log(1 - random.next()));
+  return radius * Math.cos(2 * Math.PI * random.next());
+}
+
+/** Draws one length. */
+export function sampleLength(spec: LengthSpec, random: RandomSource): number {
+  const length = spec.median * Math.exp(spec.sigma * sampleNormal(random));
+  return Math.round(Math.min(spec.max, Math.max(1, length)));
+}
+
+/** Means of a length and of its square. */
+export interface LengthMoments {
+  readonly mean: number;
+  readonly meanSquare: number;
+}
+
+const momentSamples = 20_000;
+const momentSeed = 1;
+
+/** Estimates the moments of a distribution from a fixed sample. */
+export function momentsOf(spec: LengthSpec): LengthMoments {
+  const random = createSeededRandom(momentSeed);
+  let sum = 0;
+  let squares = 0;
+  for (let i = 0; i < momentSamples; i++) {
+    const length = sampleLength(spec, random);
+    sum += length;
+    squares += length * length;
+  }
+  return {mean: sum / momentSamples, meanSquare: squares / momentSamples};
+}
--- /dev/null
+++ b/packages/bench/src/Scenarios.ts
@@ -0,0 +1,90 @@
+/**
+ * What happens to a deployment in a run: the load over time, as a multiple of
+ * capacity, and the faults of its engines.
+ */
+
+/** A period in which one engine's steps take longer. */
+export interface EngineFault {
+  readonly kind: 'crash' | 'slow';
+  readonly engine: number;
+  readonly fromMs: number;
+  readonly toMs: number;
+  /** Multiplies the duration of steps; unused for a crash. */
+  readonly factor: number;
+}
+
+/** A named run. */
+export interface Scenario {
+  readonly name: string;
+  readonly durationMs: number;
+  /** Requests that arrive earlier are not measured. */
+  readonly warmupMs: number;
+  readonly peakLoad: number;
+  readonly load: (atMs: number) => number;
+  readonly faults: readonly EngineFault[];
+  /** The period for which figures at the peak are taken. */
+  readonly peak: {readonly fromMs: number; readonly toMs: number};
+}
+
+const durationMs = 120_000;
+const warmupMs = 20_000;
+
+function steady(
+  name: string,
+  load: number,
+  faults: readonly EngineFault[] = [],
+): Scenario {
+  return {
+    name,
+    durationMs,
+    warmupMs,
+    peakLoad: load,
+    load: () => load,
+    faults,
+    peak: {fromMs: warmupMs, toMs: durationMs},
+  };
+}
+
+const swingFromMs = 50_000;
+const swingToMs = 75_000;
+const swingRampMs = 2000;
+const swingBase = 0.6;
+const swingPeak = 2.5;
+
+/** Rises from below capacity to a multiple of it within two seconds. */
+function swingLoad(atMs: number): number {
+  const rise = (atMs - swingFromMs) / swingRampMs;
+  const fall = (swingToMs - atMs) / swingRampMs;
+  const share = Math.min(1, Math.max(0, Math.min(rise, fall)));
+  return swingBase + share * (swingPeak - swingBase);
+}
+
+const slowEngine: EngineFault = {
+  kind: 'slow',
+  engine: 0,
+  fromMs: 40_000,
+  toMs: 80_000,
+  factor: 10,
+};
+
+/** All scenarios, in the order in which they are reported. */
+export const scenarios: readonly Scenario[] = [
+  steady('capacity', 1),
+  steady('double', 2),
+  steady('triple', 3),
+  {
+    ...steady('swing', swingPeak),
+    load: swingLoad,
+    peak: {fromMs: swingFromMs, toMs: swingToMs},
+  },
+  {
+    ...steady('slow', 2, [slowEngine]),
+    peak: {fromMs: slowEngine.fromMs, toMs: slowEngine.toMs},
+  },
+  {
+    ...steady('crash', 1, [
+      {kind: 'crash', engine: 1, fromMs: 50_000, toMs: 70_000, factor: 1},
+    ]),
+    peak: {fromMs: 50_000, toMs: 70_000},
+  },
+];
--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,89 @@
+/**
+ * Command line of the benchmark of decisions.
+ */
+import {parseArgs} from 'node:util';
+import {capacityOf} from './Capacity.js';
+import {measure} from './Measurements.js';
+import type {ReportRow} from './Report.js';
+import {formatReport} from './Report.js';
+import type {Scenario} from './Scenarios.js';
+import {scenarios} from './Scenarios.js';
+import {runScenario} from './Simulation.js';
+import type {Variant} from './Variants.js';
+import {variants} from './Variants.js';
+import type {Workload} from './Workload.js';
+import {loadWorkload} from './Workload.js';
+
+const deployments = ['tkacik', 'plamenik'];
+
+const usage = `Usage: npm run bench -- [options]
+
+  --seed N            seed of arrivals and random choices (default 1)
+  --deployment NAME   ${deployments.join(', ')}
+  --scenario NAME     ${scenarios.map(s => s.name).join(', ')}
+  --variant NAME      ${variants.map(v => v.name).join(', ')}
+
+Options other than --seed may be repeated; without them everything runs.
+`;
+
+interface Named {
+  readonly name: string;
+}
+
+/** Returns the members that were asked for, or all when none was. */
+function select<T extends Named>(
+  what: string,
+  all: readonly T[],
+  wanted: readonly string[] | undefined,
+): readonly T[] {
+  if (wanted === undefined) return all;
+  return wanted.map(name => {
+    const found = all.find(member => member.name === name);
+    if (found !== undefined) return found;
+    const known = all.map(member => member.name).join(', ');
+    throw new Error(`${what} "${name}" is not one of ${known}`);
+  });
+}
+
+function runDeployment(
+  workload: Workload,
+  chosenScenarios: readonly Scenario[],
+  chosenVariants: readonly Variant[],
+  seed: number,
+): ReportRow[] {
+  const capacity = capacityOf(workload);
+  return chosenScenarios.flatMap(scenario =>
+    chosenVariants.map(variant => {
+      const options = {workload, capacity, scenario, variant, seed};
+      const {exchanges} = runScenario(options);
+      const figures = measure(workload, capacity, scenario, exchanges);
+      return {scenario: scenario.name, variant: variant.name, figures};
+    }),
+  );
+}
+
+function main(): void {
+  const {values} = parseArgs({
+    options: {
+      seed: {type: 'string', default: '1'},
+      deployment: {type: 'string', multiple: true},
+      scenario: {type: 'string', multiple: true},
+      variant: {type: 'string', multiple: true},
+      help: {type: 'boolean', default: false},
+    },
+  });
+  if (values.help) {
+    process.stdout.write(usage);
+    return;
+  }
+  const seed = Number(values.seed);
+  const workloads = deployments.map(loadWorkload);
+  const chosenScenarios = select('Scenario', scenarios, values.scenario);
+  const chosenVariants = select('Variant', variants, values.variant);
+  for (const workload of select('Deployment', workloads, values.deployment)) {
+    const rows = runDeployment(workload, chosenScenarios, chosenVariants, seed);
+    process.stdout.write(`${formatReport(workload, rows)}\n`);
+  }
+}
+
+main();
