Add deployments of whole processes and the demo

createDeployment starts platform, upstreams and router instances on loopback and signals each by name. Runs of upstreams are also written to files, so that the runs of a killed process still count. Caller requests may carry max_tokens, which shows a continuation that does not subtract the received prefix.

--- a/packages/standins/src/bin/engine.ts
+++ b/packages/standins/src/bin/engine.ts
@@ -19,6 +19,7 @@
     region: {type: 'string', default: 'local'},
     'failure-domain': {type: 'string', default: 'a'},
     incarnation: {type: 'string'},
+    'runs-file': {type: 'string'},
     'token-gap-ms': {type: 'string'},
     'knee-jobs': {type: 'string'},
     'batch-limit': {type: 'string'},
@@ -63,6 +64,7 @@
       defaults.resumeWindowMs,
     ),
   },
+  runsFile: values['runs-file'],
   onCrash: () => process.exit(1),
 });
 exitOnSignal(() => engine.leave());
--- a/packages/standins/src/bin/service.ts
+++ b/packages/standins/src/bin/service.ts
@@ -18,6 +18,7 @@
     region: {type: 'string', default: 'local'},
     'failure-domain': {type: 'string', default: 'a'},
     incarnation: {type: 'string'},
+    'runs-file': {type: 'string'},
     'work-ms': {type: 'string', default: '15'},
     workers: {type: 'string', default: '8'},
     'ignore-fencing': {type: 'boolean', default: false},
@@ -39,6 +40,7 @@
   workMs: numberFlag('work-ms', values['work-ms']),
   workers: numberFlag('workers', values.workers),
   ignoreFencing: values['ignore-fencing'],
+  runsFile: values['runs-file'],
   onCrash: () => process.exit(1),
 });
 exitOnSignal(() => service.leave());
--- /dev/null
+++ b/packages/standins/src/deployment/AdminClient.ts
@@ -0,0 +1,81 @@
+/**
+ * The administration API, as far as a deployment uses it.
+ */
+import {randomUUID} from 'node:crypto';
+import {request} from 'undici';
+import {writerToken} from './RouterFiles.js';
+
+const callTimeoutMs = 5000;
+
+interface Reply {
+  readonly status: number;
+  readonly text: string;
+}
+
+/** Calls a path; a connection failure is status 0. */
+async function call(
+  address: string,
+  path: string,
+  body?: unknown,
+): Promise<Reply> {
+  try {
+    const reply = await request(`http://${address}${path}`, {
+      method: body === undefined ? 'GET' : 'POST',
+      headers: {
+        authorization: `Bearer ${writerToken}`,
+        'content-type': 'application/json',
+      },
+      body: body === undefined ? undefined : JSON.stringify(body),
+      headersTimeout: callTimeoutMs,
+      bodyTimeout: callTimeoutMs,
+    });
+    return {status: reply.statusCode, text: await reply.body.text()};
+  } catch (error) {
+    return {status: 0, text: String(error)};
+  }
+}
+
+/** Tells whether an instance is ready for callers. */
+export async function isReady(address: string): Promise<boolean> {
+  return (await call(address, '/readyz')).status === 200;
+}
+
+/** Returns the configuration version in effect; 0 when there is none. */
+export async function configVersion(address: string): Promise<number> {
+  const reply = await call(address, '/admin/v1/config');
+  if (reply.status !== 200) return 0;
+  return (JSON.parse(reply.text) as {version?: number}).version ?? 0;
+}
+
+/** Applies a classes file; throws when the instance does not accept it. */
+export async function applyClassesAt(
+  address: string,
+  classesText: string,
+): Promise<void> {
+  const reply = await call(address, '/admin/v1/config/apply', {
+    classesText,
+    expectedVersion: await configVersion(address),
+    author: 'deployment',
+    writeId: randomUUID(),
+  });
+  if (reply.status === 200) return;
+  throw new Error(`classes were not accepted: ${reply.status} ${reply.text}`);
+}
+
+/** Reads a document of the administration API as text. */
+export async function readAdmin(
+  address: string,
+  path: string,
+): Promise<string> {
+  return (await call(address, path)).text;
+}
+
+/** Turns switches of a stand-in; a stand-in that crashes does not answer. */
+export async function postSwitches(
+  address: string,
+  change: object,
+): Promise<void> {
+  const reply = await call(address, '/switches', change);
+  if (reply.status === 200 || 'crash' in change) return;
+  throw new Error(`switches of ${address}: ${reply.status} ${reply.text}`);
+}
--- /dev/null
+++ b/packages/standins/src/deployment/Deployment.ts
@@ -0,0 +1,229 @@
+/**
+ * Starts a whole deployment as processes on loopback: platform, engines, plain
+ * services and router instances. The demo and the process-level tests use it.
+ */
+import {mkdirSync, readFileSync, rmSync} from 'node:fs';
+import {join} from 'node:path';
+import type {ServiceClass} from '@toucanrouter/common';
+import {parseClasses} from '@toucanrouter/settings';
+import type {EngineSwitchChange} from '../engine/EngineSwitches.js';
+import type {LoadOptions, LoadReport} from '../load/LoadDriver.js';
+import {runLoad} from '../load/LoadDriver.js';
+import type {LoadProfile} from '../load/LoadProfile.js';
+import {readLoadProfile} from '../load/LoadProfile.js';
+import type {UpstreamRuns} from '../load/UpstreamRuns.js';
+import type {SwitchChangeInput} from '../platform/Switches.js';
+import type {ServiceSwitchChange} from '../service/ServiceSwitches.js';
+import {
+  applyClassesAt,
+  configVersion,
+  isReady,
+  postSwitches,
+} from './AdminClient.js';
+import {runDirectory, samplesDirectory} from './DeploymentConstants.js';
+import {readDeploymentRuns} from './DeploymentRuns.js';
+import type {DeploymentName, DeploymentShape} from './DeploymentShape.js';
+import {deploymentShapes} from './DeploymentShape.js';
+import type {DeploymentRole} from './MemberPlan.js';
+import {planMembers} from './MemberPlan.js';
+import type {ProcessGroup, StoppedProcess} from './ProcessGroup.js';
+import {createProcessGroup} from './ProcessGroup.js';
+import {writeRouterFiles} from './RouterFiles.js';
+import {waitUntil} from './WaitUntil.js';
+
+/** How to start a deployment. */
+export interface DeploymentOptions {
+  readonly name: DeploymentName;
+  /** Replaces parts of the deployment's usual shape. */
+  readonly shape?: Partial<DeploymentShape>;
+  /** Directory below `.run/`; by default the deployment's name. */
+  readonly directory?: string;
+  /** Delay with which changes of the instance list show. */
+  readonly listLagMs?: number;
+  readonly logLevel?: string;
+}
+
+/** What a load run on a deployment may vary. */
+export type DeploymentLoad = Partial<
+  Pick<LoadOptions, 'entries' | 'profile' | 'rateFactor' | 'seed' | 'tag'>
+> &
+  Pick<LoadOptions, 'seconds'>;
+
+/** Changes of switches of any stand-in. */
+export type AnySwitchChange =
+  EngineSwitchChange | ServiceSwitchChange | SwitchChangeInput;
+
+/** A running deployment. */
+export interface Deployment {
+  readonly name: DeploymentName;
+  readonly classes: readonly ServiceClass[];
+  readonly classesText: string;
+  readonly profile: LoadProfile;
+  names(role: DeploymentRole): readonly string[];
+  /** `host:port` for callers, or of the stand-in's HTTP server. */
+  addressOf(name: string): string;
+  /** `host:port` of a router's administration API. */
+  adminAddressOf(name: string): string;
+  /** Applies a classes file and waits until every router has it in effect. */
+  applyClasses(text: string): Promise<void>;
+  /** Runs a load; several may run at a time. */
+  load(options: DeploymentLoad): Promise<LoadReport>;
+  readRuns(): Promise<UpstreamRuns>;
+  switch(name: string, change: AnySwitchChange): Promise<void>;
+  /** Kills a process (SIGKILL) and waits until it is gone. */
+  kill(name: string): Promise<void>;
+  pause(name: string): void;
+  resume(name: string): void;
+  /** Asks a process to stop (SIGTERM) and waits for its end. */
+  stop(name: string): Promise<StoppedProcess>;
+  /** Starts an ended process again, at the same addresses. */
+  restart(name: string): Promise<void>;
+  /** Stops everything that still runs. */
+  stopAll(): Promise<readonly StoppedProcess[]>;
+}
+
+/** Starts a deployment and waits until every router is ready. */
+export async function createDeployment(
+  options: DeploymentOptions,
+): Promise<Deployment> {
+  const directory = join(runDirectory, options.directory ?? options.name);
+  const group = await prepare(options, directory);
+  const {classes, classesText} = readClasses(options.name);
+  const profile = readLoadProfile(
+    join(samplesDirectory, `${options.name}.load.ini`),
+  );
+  try {
+    await startMembers(group, classesText);
+  } catch (error) {
+    await group.stopAll();
+    throw error;
+  }
+  const tagOf = createTagger(options.name);
+  const readRuns = (): Promise<UpstreamRuns> => readDeploymentRuns(group);
+  return {
+    name: options.name,
+    classes,
+    classesText,
+    profile,
+    names: role => group.ofRole(role).map(plan => plan.name),
+    addressOf: name => group.planOf(name).address,
+    adminAddressOf: name => group.planOf(name).adminAddress ?? '',
+    applyClasses: text => applyClasses(group, text),
+    load: load =>
+      runLoad({
+        profile,
+        classes,
+        entries: group.ofRole('router').map(plan => plan.address),
+        tag: tagOf(load.seed ?? profile.load.seed),
+        readRuns,
+        ...load,
+      }),
+    readRuns,
+    switch: (name, change) => postSwitches(group.planOf(name).address, change),
+    kill: group.kill,
+    pause: name => group.signal(name, 'SIGSTOP'),
+    resume: name => group.signal(name, 'SIGCONT'),
+    stop: group.stop,
+    restart: async name => {
+      await group.start(name);
+      await waitUntilReady(group, name);
+    },
+    stopAll: group.stopAll,
+  };
+}
+
+/** Loads of one deployment differ in their tags, so their requests differ. */
+function createTagger(name: DeploymentName): (seed: number) => string {
+  let loads = 0;
+  return seed => `${name}-${seed}-${++loads}`;
+}
+
+function readClasses(name: DeploymentName) {
+  const file = join(samplesDirectory, `${name}.classes.ini`);
+  const classesText = readFileSync(file, 'utf8');
+  const parsed = parseClasses(classesText, file);
+  if (parsed.isErr()) throw parsed.error;
+  return {classesText, classes: parsed.value.classes};
+}
+
+/** Plans the processes and writes their files. */
+async function prepare(
+  options: DeploymentOptions,
+  directory: string,
+): Promise<ProcessGroup> {
+  const shape = {...deploymentShapes[options.name], ...options.shape};
+  rmSync(directory, {recursive: true, force: true});
+  mkdirSync(directory, {recursive: true});
+  const plan = await planMembers(shape, directory, options.listLagMs ?? 0);
+  writeRouterFiles(
+    {
+      directory,
+      region: shape.region,
+      keyValueAddress: plan.keyValueAddress,
+      instanceListUrl: plan.instanceListUrl,
+      logLevel: options.logLevel ?? 'info',
+    },
+    plan.routers,
+  );
+  return createProcessGroup(plan.members, directory);
+}
+
+async function startMembers(
+  group: ProcessGroup,
+  classesText: string,
+): Promise<void> {
+  const namesOf = (role: DeploymentRole): readonly string[] =>
+    group.ofRole(role).map(plan => plan.name);
+  await group.start('platform');
+  const upstreams = [...namesOf('engine'), ...namesOf('service')];
+  await Promise.all(upstreams.map(group.start));
+  await Promise.all(namesOf('router').map(group.start));
+  await applyWhenServed(group, classesText);
+  await Promise.all(namesOf('router').map(name => waitUntilReady(group, name)));
+}
+
+/** Routers are ready only with a configuration, so the first one comes before. */
+async function applyWhenServed(
+  group: ProcessGroup,
+  classesText: string,
+): Promise<void> {
+  let reason = 'no attempt was made';
+  const accepted = async (): Promise<boolean> => {
+    try {
+      await applyClasses(group, classesText);
+      return true;
+    } catch (error) {
+      reason = String(error);
+      return false;
+    }
+  };
+  await waitUntil('the classes file is accepted', accepted).catch(error => {
+    throw new Error(`${String(error)}; last attempt: ${reason}`);
+  });
+}
+
+async function applyClasses(group: ProcessGroup, text: string): Promise<void> {
+  const [first] = group.runningOf('router');
+  if (first === undefined) throw new Error('no router runs');
+  const address = first.adminAddress ?? '';
+  await applyClassesAt(address, text);
+  const version = await configVersion(address);
+  await waitUntil(`version ${version} is in effect`, async () => {
+    const versions = await Promise.all(
+      group.runningOf('router').map(p => configVersion(p.adminAddress ?? '')),
+    );
+    return versions.every(v => v >= version);
+  });
+}
+
+async function waitUntilReady(
+  group: ProcessGroup,
+  name: string,
+): Promise<void> {
+  const {adminAddress} = group.planOf(name);
+  if (adminAddress === undefined) return;
+  await waitUntil(`${name} is ready`, () => {
+    if (!group.isRunning(name)) throw new Error(`${name} ended early`);
+    return isReady(adminAddress);
+  });
+}
--- /dev/null
+++ b/packages/standins/src/deployment/DeploymentRuns.ts
@@ -0,0 +1,39 @@
+/**
+ * What the upstreams of a deployment ran, including those that ended since.
+ */
+import type {EngineRunRecord} from '../engine/EngineRun.js';
+import type {UpstreamRuns} from '../load/UpstreamRuns.js';
+import {readUpstreamRuns} from '../load/UpstreamRuns.js';
+import type {ServiceRunRecord} from '../service/ServiceRuns.js';
+import {readRunJournal} from '../shared/RunJournal.js';
+import type {DeploymentRole} from './MemberPlan.js';
+import type {ProcessGroup} from './ProcessGroup.js';
+
+/** Asks the upstreams that run and reads the files of the others. */
+export async function readDeploymentRuns(
+  group: ProcessGroup,
+): Promise<UpstreamRuns> {
+  const addressesOf = (role: DeploymentRole): readonly string[] =>
+    group.runningOf(role).map(plan => plan.address);
+  const running = await readUpstreamRuns(
+    addressesOf('engine'),
+    addressesOf('service'),
+  );
+  const engineRuns = readEnded<EngineRunRecord>(group, 'engine');
+  const serviceRuns = readEnded<ServiceRunRecord>(group, 'service');
+  return {
+    engineRuns: [...running.engineRuns, ...engineRuns],
+    serviceRuns: [...running.serviceRuns, ...serviceRuns],
+    unreachable: running.unreachable,
+  };
+}
+
+function readEnded<Record extends object>(
+  group: ProcessGroup,
+  role: DeploymentRole,
+): readonly Record[] {
+  return group
+    .ofRole(role)
+    .filter(plan => !group.isRunning(plan.name))
+    .flatMap(plan => readRunJournal<Record>(plan.runsFile));
+}
--- /dev/null
+++ b/packages/standins/src/deployment/RouterFiles.ts
@@ -0,0 +1,78 @@
+/**
+ * Writes the settings files of router instances.
+ */
+import {writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+
+/** Addresses of one router instance. */
+export interface RouterAddresses {
+  readonly name: string;
+  readonly callers: string;
+  readonly admin: string;
+  readonly peers: string;
+  readonly failureDomain: string;
+}
+
+/** What all router instances of a deployment share. */
+export interface RouterFilesOptions {
+  readonly directory: string;
+  readonly region: string;
+  readonly keyValueAddress: string;
+  readonly instanceListUrl: string;
+  readonly logLevel: string;
+}
+
+/** Token with which deployments change the configuration. */
+export const writerToken = 'deployment-writer';
+
+/** Writes the token files and one settings file for each router. */
+export function writeRouterFiles(
+  options: RouterFilesOptions,
+  routers: readonly RouterAddresses[],
+): void {
+  writeFileSync(join(options.directory, 'writer.token'), `${writerToken}\n`);
+  writeFileSync(join(options.directory, 'reader.token'), 'deployment-reader\n');
+  for (const router of routers) {
+    const others = routers.filter(other => other !== router);
+    const seeds = others.map(other => other.peers);
+    const file = settingsFileOf(options.directory, router.name);
+    writeFileSync(file, settingsText(options, router, seeds));
+  }
+}
+
+/** Returns the path of the settings file of a router. */
+export function settingsFileOf(directory: string, name: string): string {
+  return join(directory, `${name}.ini`);
+}
+
+function settingsText(
+  options: RouterFilesOptions,
+  router: RouterAddresses,
+  seeds: readonly string[],
+): string {
+  return `[instance]
+id = ${router.name}
+region = ${options.region}
+failure_domain = ${router.failureDomain}
+
+[listen]
+callers = ${router.callers}
+admin = ${router.admin}
+peers = ${router.peers}
+
+[platform]
+key_value = ${options.keyValueAddress}
+instance_list = ${options.instanceListUrl}
+instance_list_poll = 500ms
+
+[peers]
+seeds = ${seeds.join(', ')}
+
+[admin]
+reader_token_file = reader.token
+writer_token_file = writer.token
+
+[log]
+level = ${options.logLevel}
+`;
+}
--- a/packages/standins/src/engine/Answers.ts
+++ b/packages/standins/src/engine/Answers.ts
@@ -42,11 +42,14 @@
   return `${hash64(`${promptKey}:${index}`).toString(36).slice(0, 5)} `;
 }
 
-/** Returns the whole answer to a prompt. */
-export function answerText(messages: readonly ChatMessage[]): string {
+/** Returns the whole answer to a prompt, cut after `maxTokens`. */
+export function answerText(
+  messages: readonly ChatMessage[],
+  maxTokens = Infinity,
+): string {
   const promptKey = promptKeyOf(messages);
   const texts: string[] = [];
-  const length = answerLengthOf(messages);
+  const length = Math.min(answerLengthOf(messages), maxTokens);
   for (let i = 0; i < length; i++) texts.push(tokenText(promptKey, i));
   return texts.join('');
 }
--- a/packages/standins/src/engine/EngineRun.ts
+++ b/packages/standins/src/engine/EngineRun.ts
@@ -2,6 +2,7 @@
  * One run of a request on the engine: it keeps every event that it generated,
  * so that a broken stream can be resumed after any of them.
  */
+import type {RunJournal} from '../shared/RunJournal.js';
 import {tokenText} from './Answers.js';
 import type {ChatFormat} from './ChatFormat.js';
 import {doneEvent, toEvent} from './ChatFormat.js';
@@ -47,6 +48,7 @@
   requestId: string,
   plan: ChatPlan,
   format: ChatFormat,
+  journal: RunJournal<EngineRunRecord>,
 ): EngineRun {
   const texts: string[] = [];
   const events: {text: string; tokens: number}[] = [];
@@ -80,6 +82,7 @@
 
   function finish(): void {
     record.finished = true;
+    journal.write(record);
     emit(format.finish(), 0);
     if (plan.includeUsage) emit(format.usage(texts.length), 0);
     sink?.event(doneEvent, 0);
@@ -94,6 +97,7 @@
     prefillTokens: plan.promptTokens,
     onStart: () => {
       record.started = true;
+      journal.write(record);
       if (events.length === 0) emit(format.role(), 0);
     },
     onToken: () => {
--- a/packages/standins/src/engine/EngineRuns.ts
+++ b/packages/standins/src/engine/EngineRuns.ts
@@ -4,6 +4,7 @@
  */
 import type {Clock, Undo} from '@toucanrouter/common';
 import {invariant} from '@toucanrouter/common';
+import type {RunJournal} from '../shared/RunJournal.js';
 import {createChatFormat} from './ChatFormat.js';
 import type {ChatPlan} from './ChatRequest.js';
 import type {EngineBatch} from './EngineBatch.js';
@@ -38,6 +39,7 @@
   profile: EngineProfile,
   switches: EngineSwitches,
   batch: EngineBatch,
+  journal: RunJournal<EngineRunRecord>,
 ): EngineRuns {
   const cache = createPrefixCache(profile.cacheBlocks);
   const resumable = new Map<string, EngineRun>();
@@ -73,7 +75,7 @@
         clock.wallMs() / millisecondsPerSecond,
       );
       const format = createChatFormat(requestId, plan, createdAtSeconds);
-      const run = createEngineRun(requestId, plan, format);
+      const run = createEngineRun(requestId, plan, format, journal);
       const cachedTokens = cache.visit(plan.promptText) / charsPerToken;
       run.prefillTokens = Math.max(0, plan.promptTokens - cachedTokens);
       remember(run);
@@ -104,6 +106,7 @@
       if (!run.record.finished) {
         run.record.cancelled++;
         batch.remove(run);
+        journal.write(run.record);
       }
       keepForAWhile(run);
     },
--- a/packages/standins/src/engine/EngineStandIn.ts
+++ b/packages/standins/src/engine/EngineStandIn.ts
@@ -15,6 +15,7 @@
 } from '../shared/HttpUtils.js';
 import type {ListRegistration} from '../shared/ListRegistration.js';
 import {registerInList} from '../shared/ListRegistration.js';
+import {createRunJournal, readRunJournal} from '../shared/RunJournal.js';
 import type {ChatPlan} from './ChatRequest.js';
 import {planChat} from './ChatRequest.js';
 import {createStreamSink, createWholeSink} from './ChatSinks.js';
@@ -43,6 +44,8 @@
   readonly region?: string;
   readonly failureDomain?: string;
   readonly incarnation?: number;
+  /** Keeps the records of runs in this file, across processes. */
+  readonly runsFile?: string;
   /** What the `crash` switch does; by default connections are destroyed. */
   readonly onCrash?: () => void;
 }
@@ -72,7 +75,9 @@
   const profile = {...defaultEngineProfile, ...options.profile};
   const switches = createEngineSwitches();
   const batch = createEngineBatch(clock, profile, switches);
-  const runs = createEngineRuns(clock, profile, switches, batch);
+  const earlierRuns = readRunJournal<EngineRunRecord>(options.runsFile);
+  const journal = createRunJournal<EngineRunRecord>(options.runsFile);
+  const runs = createEngineRuns(clock, profile, switches, batch, journal);
   const loadReport = createLoadReport(clock, profile, batch);
   const server = createServer((request, response) => {
     void handle(request, response);
@@ -80,6 +85,10 @@
   let unnamedRequests = 0;
   let registration: ListRegistration | undefined;
 
+  function allRuns(): readonly EngineRunRecord[] {
+    return [...earlierRuns, ...runs.records()];
+  }
+
   async function handle(
     request: IncomingMessage,
     response: ServerResponse,
@@ -94,7 +103,7 @@
       case 'GET /v1/models':
         return sendJson(response, 200, modelList(options.model));
       case 'GET /runs':
-        return sendJson(response, 200, {runs: runs.records()});
+        return sendJson(response, 200, {runs: allRuns()});
       case 'GET /load':
         return sendJson(response, 200, batch.load());
       case 'POST /switches':
@@ -205,7 +214,7 @@
   return {
     address,
     url: `http://${address}`,
-    runs: () => runs.records(),
+    runs: allRuns,
     switch: applySwitches,
     leave: async () => {
       await registration?.setState('leaving');
--- a/packages/standins/src/load/LoadPlan.ts
+++ b/packages/standins/src/load/LoadPlan.ts
@@ -21,7 +21,10 @@
   readonly kind: 'chat';
   readonly model: string;
   readonly messages: readonly ChatMessage[];
+  /** Tokens of the whole answer. */
   readonly outputTokens: number;
+  /** Cuts the answer below the length that the prompt asks for. */
+  readonly maxTokens?: number;
   readonly streamed: boolean;
 }
 
@@ -174,7 +177,9 @@
     load.output_tokens_median,
     load.output_tokens_spread,
   );
-  const outputTokens = Math.round(length * (isLong ? load.long_factor : 1));
+  const askedTokens = Math.round(length * (isLong ? load.long_factor : 1));
+  const isCut = random.next() < load.cut_share;
+  const outputTokens = isCut ? Math.ceil(askedTokens / 2) : askedTokens;
   const promptTokens = sampleLength(
     random,
     load.prompt_tokens_median,
@@ -184,7 +189,7 @@
   const history = `${workspace.id} `.repeat(
     Math.ceil((promptTokens * charsPerToken) / (workspace.id.length + 1)),
   );
-  const question = `${requestId} ${lengthMarker(outputTokens)}`;
+  const question = `${requestId} ${lengthMarker(askedTokens)}`;
   return {
     kind: 'chat',
     model,
@@ -193,6 +198,7 @@
       {role: 'user', content: question},
     ],
     outputTokens,
+    maxTokens: isCut ? outputTokens : undefined,
     streamed: random.next() < load.streamed_share,
   };
 }
--- a/packages/standins/src/load/LoadProfile.ts
+++ b/packages/standins/src/load/LoadProfile.ts
@@ -26,6 +26,8 @@
   long_share: share.prefault(0),
   long_factor: positive.prefault(1),
   streamed_share: share.prefault(1),
+  /** Share of answers that the caller's max_tokens cuts in half. */
+  cut_share: share.prefault(0),
   abandoned_share: share.prefault(0),
   /** Whether callers name the class in x-service-class. */
   named: yesNo.prefault('yes'),
--- a/packages/standins/src/service/ServiceRuns.ts
+++ b/packages/standins/src/service/ServiceRuns.ts
@@ -1,6 +1,7 @@
 /**
  * The runs of a plain service, and its check of fencing tokens.
  */
+import {createRunJournal, readRunJournal} from '../shared/RunJournal.js';
 
 /** What `GET /runs` tells about one run. */
 export interface ServiceRunRecord {
@@ -22,9 +23,10 @@
   records(): readonly ServiceRunRecord[];
 }
 
-/** Creates an empty record of runs. */
-export function createServiceRuns(): ServiceRuns {
-  const records: ServiceRunRecord[] = [];
+/** Creates a record of runs that goes on with those in `runsFile`. */
+export function createServiceRuns(runsFile: string | undefined): ServiceRuns {
+  const records = [...readRunJournal<ServiceRunRecord>(runsFile)];
+  const journal = createRunJournal<ServiceRunRecord>(runsFile);
   const highestTokens = new Map<string, number>();
   return {
     isStale: (idempotencyKey, fencingToken) => {
@@ -33,7 +35,10 @@
       highestTokens.set(idempotencyKey, fencingToken);
       return false;
     },
-    add: record => records.push(record),
+    add: record => {
+      records.push(record);
+      journal.write(record);
+    },
     records: () => records,
   };
 }
--- a/packages/standins/src/service/ServiceStandIn.ts
+++ b/packages/standins/src/service/ServiceStandIn.ts
@@ -41,6 +41,8 @@
   readonly region?: string;
   readonly failureDomain?: string;
   readonly incarnation?: number;
+  /** Keeps the records of runs in this file, across processes. */
+  readonly runsFile?: string;
   /** What the `crash` switch does; by default connections are destroyed. */
   readonly onCrash?: () => void;
 }
@@ -69,7 +71,7 @@
   options: ServiceStandInOptions,
 ): Promise<ServiceStandIn> {
   const switches = createServiceSwitches();
-  const runs = createServiceRuns();
+  const runs = createServiceRuns(options.runsFile);
   const work = createServiceWork(
     options.workers ?? defaultWorkers,
     () => (options.workMs ?? defaultWorkMs) * switches.slowFactor,
--- a/packages/standins/src/shared/ListRegistration.ts
+++ b/packages/standins/src/shared/ListRegistration.ts
@@ -33,14 +33,16 @@
 export function registerInList(entry: ListEntry): ListRegistration {
   const url = `${entry.listUrl}/${encodeURIComponent(entry.id)}`;
   let state: ListedState = 'live';
+  let lastPut = Promise.resolve();
 
-  async function put(): Promise<void> {
+  function put(): Promise<void> {
     const labels = {...entry.labels, id: entry.id, state};
-    await callList(
+    lastPut = callList(
       url,
       'PUT',
       JSON.stringify({targets: [entry.address], labels}),
     );
+    return lastPut;
   }
 
   const timer = setInterval(() => void put(), registerIntervalMs);
@@ -52,6 +54,8 @@
     },
     remove: async () => {
       clearInterval(timer);
+      // A put that arrives after the removal would list the entry again.
+      await lastPut;
       await callList(url, 'DELETE', undefined);
     },
     abandon: () => clearInterval(timer),
