Add process-level tests and a load balancer to the load driver

Requests go to ready routers only, and a refused connection is tried on the next one, as on the platform.

--- /dev/null
+++ b/packages/standins/src/__tests__/process/Platform.test.ts
@@ -0,0 +1,40 @@
+import {
+  describeDeployments,
+  expectNoFaults,
+  loadWhile,
+  sleep,
+} from './ProcessFixtures.js';
+
+describeDeployments('failing platform', deployment => {
+  for (const outage of ['refuse', 'hang'] as const) {
+    it(`keeps its word about orders through an outage (${outage})`, async () => {
+      const report = await loadWhile(deployment(), async () => {
+        await deployment().switch('platform', {outage, listOutage: true});
+        await sleep(2000);
+        const over = {outage: 'off', listOutage: false} as const;
+        await deployment().switch('platform', over);
+      });
+      expectNoFaults(report);
+    });
+  }
+
+  it('runs no order twice when answers to writes are lost', async () => {
+    const report = await loadWhile(deployment(), async () => {
+      for (let i = 0; i < 3; i++) {
+        const lost = {loseWriteAnswers: 2, failWriteAnswers: 2};
+        await deployment().switch('platform', lost);
+        await sleep(600);
+      }
+    });
+    expectNoFaults(report);
+  });
+
+  it('keeps its word about orders while the platform is slow', async () => {
+    const report = await loadWhile(deployment(), async () => {
+      await deployment().switch('platform', {delayMs: 400});
+      await sleep(2000);
+      await deployment().switch('platform', {delayMs: 0});
+    });
+    expectNoFaults(report);
+  });
+});
--- /dev/null
+++ b/packages/standins/src/__tests__/process/ProcessFixtures.ts
@@ -0,0 +1,93 @@
+/**
+ * Fixtures of the process-level tests: a deployment with fast engines, and a
+ * load of all of its classes at a small rate.
+ */
+import {expect} from 'chai';
+import type {Deployment} from '../../deployment/Deployment.js';
+import {createDeployment} from '../../deployment/Deployment.js';
+import type {DeploymentName} from '../../deployment/DeploymentShape.js';
+import type {LoadReport} from '../../load/LoadDriver.js';
+import type {LoadProfile} from '../../load/LoadProfile.js';
+
+const names: readonly DeploymentName[] = ['tkacik', 'plamenik'];
+const startTimeoutMs = 120_000;
+const loadSeconds = 4;
+const rateFactor = 0.4;
+const lengthFactor = 0.4;
+
+/** Runs `define` for a deployment of each name that is shared by its tests. */
+export function describeDeployments(
+  title: string,
+  define: (deployment: () => Deployment) => void,
+): void {
+  for (const name of names) {
+    describe(`${title} (${name})`, () => {
+      let deployment: Deployment | undefined;
+
+      before(async function () {
+        this.timeout(startTimeoutMs);
+        deployment = await createDeployment({
+          name,
+          directory: `test-${title.replace(/ /g, '-')}-${name}`,
+          shape: {engineProfile: {tokenGapMs: 5}},
+        });
+      });
+
+      after(async function () {
+        this.timeout(startTimeoutMs);
+        const stopped = (await deployment?.stopAll()) ?? [];
+        const unclean = stopped.filter(({exit}) => exit?.code !== 0);
+        expect(unclean, 'processes that did not stop cleanly').to.deep.equal(
+          [],
+        );
+      });
+
+      define(() => deployment!);
+    });
+  }
+}
+
+/** Runs a load while `disturb` acts on the deployment. */
+export async function loadWhile(
+  deployment: Deployment,
+  disturb: () => Promise<void>,
+): Promise<LoadReport> {
+  const [report] = await Promise.all([
+    deployment.load({
+      profile: shorten(deployment.profile),
+      seconds: loadSeconds,
+      rateFactor,
+    }),
+    sleep(1000).then(disturb),
+  ]);
+  return report;
+}
+
+/** Keeps the classes of a profile but shortens their answers. */
+function shorten(profile: LoadProfile): LoadProfile {
+  const classes = Object.entries(profile.class).map(([id, load]) => [
+    id,
+    {
+      ...load,
+      output_tokens_median: load.output_tokens_median * lengthFactor,
+      long_factor: Math.min(load.long_factor, 2),
+      timeout_ms: Math.min(load.timeout_ms, 15_000),
+    },
+  ]);
+  return {...profile, class: Object.fromEntries(classes)};
+}
+
+/** Expects that the oracle found nothing, and that it had much to look at. */
+export function expectNoFaults(report: LoadReport): void {
+  expect(report.faults, `seed ${report.seed}`).to.deep.equal([]);
+  const idle = report.summaries.filter(summary => summary.completed === 0);
+  expect(
+    idle.map(summary => summary.classId),
+    'classes without a completed request',
+  ).to.deep.equal([]);
+}
+
+/** Waits. */
+export function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
--- a/packages/standins/src/__tests__/unit/LoadDriver.test.ts
+++ b/packages/standins/src/__tests__/unit/LoadDriver.test.ts
@@ -4,6 +4,7 @@
 import {expect} from 'chai';
 import type {EngineStandIn} from '../../index.js';
 import {createEngineStandIn} from '../../index.js';
+import {createFixedPool} from '../../load/EntryPool.js';
 import type {LoadReport} from '../../load/LoadDriver.js';
 import {runLoad} from '../../load/LoadDriver.js';
 import {planLoad} from '../../load/LoadPlan.js';
@@ -51,7 +52,7 @@
   return runLoad({
     profile: chatProfile(),
     classes,
-    entries: [engine.address],
+    entries: createFixedPool([engine.address]),
     seconds: 0.5,
     readRuns: () =>
       Promise.resolve({
--- a/packages/standins/src/bin/load.ts
+++ b/packages/standins/src/bin/load.ts
@@ -4,6 +4,7 @@
 import {readFileSync} from 'node:fs';
 import {parseArgs} from 'node:util';
 import {parseClasses} from '@toucanrouter/settings';
+import {createFixedPool} from '../load/EntryPool.js';
 import {runLoad} from '../load/LoadDriver.js';
 import {readLoadProfile} from '../load/LoadProfile.js';
 import {formatLoadTable} from '../load/LoadTable.js';
@@ -41,7 +42,7 @@
 const report = await runLoad({
   profile: readLoadProfile(required('profile')),
   classes: classes.value.classes,
-  entries: addresses(required('entries')),
+  entries: createFixedPool(addresses(required('entries'))),
   seconds: numberFlag('seconds', values.seconds),
   seed: values.seed === undefined ? undefined : numberFlag('seed', values.seed),
   rateFactor: numberFlag('rate-factor', values['rate-factor']),
--- a/packages/standins/src/deployment/Deployment.ts
+++ b/packages/standins/src/deployment/Deployment.ts
@@ -7,6 +7,8 @@
 import type {ServiceClass} from '@toucanrouter/common';
 import {parseClasses} from '@toucanrouter/settings';
 import type {EngineSwitchChange} from '../engine/EngineSwitches.js';
+import type {EntryPool} from '../load/EntryPool.js';
+import {createCheckedPool} from '../load/EntryPool.js';
 import type {LoadOptions, LoadReport} from '../load/LoadDriver.js';
 import {runLoad} from '../load/LoadDriver.js';
 import type {LoadProfile} from '../load/LoadProfile.js';
@@ -45,7 +47,7 @@
 
 /** What a load run on a deployment may vary. */
 export type DeploymentLoad = Partial<
-  Pick<LoadOptions, 'entries' | 'profile' | 'rateFactor' | 'seed' | 'tag'>
+  Pick<LoadOptions, 'profile' | 'rateFactor' | 'seed' | 'tag'>
 > &
   Pick<LoadOptions, 'seconds'>;
 
@@ -109,15 +111,20 @@
     addressOf: name => group.planOf(name).address,
     adminAddressOf: name => group.planOf(name).adminAddress ?? '',
     applyClasses: text => applyClasses(group, text),
-    load: load =>
-      runLoad({
+    load: async load => {
+      const entries = createRouterPool(group);
+      const tag = tagOf(load.seed ?? profile.load.seed);
+      const report = await runLoad({
         profile,
         classes,
-        entries: group.ofRole('router').map(plan => plan.address),
-        tag: tagOf(load.seed ?? profile.load.seed),
+        entries,
+        tag,
         readRuns,
         ...load,
-      }),
+      });
+      entries.close();
+      return report;
+    },
     readRuns,
     switch: (name, change) => postSwitches(group.planOf(name).address, change),
     kill: group.kill,
@@ -138,6 +145,15 @@
   return seed => `${name}-${seed}-${++loads}`;
 }
 
+/** Offers the routers that are ready, as the platform's load balancer does. */
+function createRouterPool(group: ProcessGroup): EntryPool {
+  const entries = group.ofRole('router').map(({address, adminAddress}) => ({
+    address,
+    isReady: () => isReady(adminAddress ?? ''),
+  }));
+  return createCheckedPool(entries);
+}
+
 function readClasses(name: DeploymentName) {
   const file = join(samplesDirectory, `${name}.classes.ini`);
   const classesText = readFileSync(file, 'utf8');
@@ -189,6 +205,9 @@
 ): Promise<void> {
   let reason = 'no attempt was made';
   const accepted = async (): Promise<boolean> => {
+    for (const {name} of group.ofRole('router')) {
+      if (!group.isRunning(name)) throw new Error(`${name} ended early`);
+    }
     try {
       await applyClasses(group, classesText);
       return true;
--- a/packages/standins/src/load/Caller.ts
+++ b/packages/standins/src/load/Caller.ts
@@ -7,6 +7,7 @@
 import {answerLengthOf, answerText} from '../engine/Answers.js';
 import {parseJson} from '../shared/HttpUtils.js';
 import {serviceAnswer} from '../service/ServiceAnswers.js';
+import type {EntryPool} from './EntryPool.js';
 import type {PlannedCall, PlannedChat, PlannedRequest} from './LoadPlan.js';
 import type {Observation} from './Observation.js';
 import {createStreamReader} from './StreamReader.js';
@@ -17,8 +18,25 @@
 type Reply = Dispatcher.ResponseData;
 type Seen = Omit<Observation, 'entry' | 'planned' | 'totalMs'>;
 
-/** Sends a request and waits for its end. */
+/** Sends a request to one of the entries and waits for its end. */
 export async function callEntry(
+  planned: PlannedRequest,
+  entries: EntryPool,
+  dispatcher: Dispatcher,
+): Promise<Observation> {
+  let seen = await callOnce(planned, entries.next(), dispatcher);
+  // Nothing was sent to an entry that refused the connection.
+  for (let i = 1; i < entries.size() && wasRefused(seen); i++) {
+    seen = await callOnce(planned, entries.next(), dispatcher);
+  }
+  return seen;
+}
+
+function wasRefused({outcome, errorMessage}: Observation): boolean {
+  return outcome === 'broken' && (errorMessage ?? '').includes('ECONNREFUSED');
+}
+
+async function callOnce(
   planned: PlannedRequest,
   entry: string,
   dispatcher: Dispatcher,
--- a/packages/standins/src/load/LoadDriver.ts
+++ b/packages/standins/src/load/LoadDriver.ts
@@ -3,9 +3,9 @@
  * answer.
  */
 import type {ServiceClass} from '@toucanrouter/common';
-import {invariant} from '@toucanrouter/common';
 import {Agent} from 'undici';
 import {callEntry} from './Caller.js';
+import type {EntryPool} from './EntryPool.js';
 import type {PlannedRequest} from './LoadPlan.js';
 import {planLoad} from './LoadPlan.js';
 import type {LoadProfile} from './LoadProfile.js';
@@ -20,8 +20,7 @@
 export interface LoadOptions {
   readonly profile: LoadProfile;
   readonly classes: readonly ServiceClass[];
-  /** `host:port` of the entry instances. */
-  readonly entries: readonly string[];
+  readonly entries: EntryPool;
   readonly seconds: number;
   readonly seed?: number;
   readonly rateFactor?: number;
@@ -68,17 +67,15 @@
 
 async function sendPlan(
   plan: readonly PlannedRequest[],
-  entries: readonly string[],
+  entries: EntryPool,
 ): Promise<readonly Observation[]> {
   const dispatcher = new Agent({connections: null, pipelining: 1});
   const startMs = performance.now();
   const calls: Promise<Observation>[] = [];
-  for (const [index, planned] of plan.entries()) {
+  for (const planned of plan) {
     const waitMs = startMs + planned.atMs - performance.now();
     if (waitMs > 0) await sleep(waitMs);
-    const entry = entries[index % entries.length];
-    invariant(entry !== undefined, 'a load has entry addresses');
-    calls.push(callEntry(planned, entry, dispatcher));
+    calls.push(callEntry(planned, entries, dispatcher));
   }
   const observations = await Promise.all(calls);
   await dispatcher.close();
