--- /dev/null
+++ b/packages/policy/src/SchedulerRefusal.ts
@@ -0,0 +1,66 @@
+/**
+ * Refusals: which request is refused, with which error, and when its caller
+ * should try again.
+ */
+import type {RefuseKind, SchedulerEffect, Tier} from '@toucanrouter/common';
+import {liveUpstreams} from './Placement.js';
+import {attemptKey} from './Queue.js';
+import type {SchedulerState} from './SchedulerState.js';
+import {tierOf} from './SchedulerState.js';
+import type {QueuedRequest} from './SchedulerTypes.js';
+import {estimateWaitMs} from './SchedulerWait.js';
+
+/** Spreads retries over a period as long as the shortest delay. */
+function retryAfterMs(
+  state: SchedulerState,
+  tier: Tier,
+  nowMs: number,
+): number {
+  const {retryAfterMinMs, retryAfterMaxMs} = state.parameters;
+  const waitMs = estimateWaitMs(state, tier, nowMs) ?? 0;
+  const shortestMs = Math.min(
+    Math.max(waitMs, retryAfterMinMs),
+    retryAfterMaxMs / 2,
+  );
+  return Math.round(shortestMs * (1 + state.options.random.next()));
+}
+
+/** Refuses a waiting request. */
+export function refuse(
+  state: SchedulerState,
+  entry: QueuedRequest,
+  error: RefuseKind,
+  nowMs: number,
+): void {
+  const {request} = entry;
+  const effect: SchedulerEffect = {
+    kind: 'refuse',
+    holder: request.holder,
+    requestId: request.requestId,
+    attempt: request.attempt,
+    error,
+    retryAfterMs: retryAfterMs(state, tierOf(state, request), nowMs),
+  };
+  state.queue.remove(entry);
+  state.endedAttempts.set(attemptKey(request), effect);
+  state.counters.refused += 1;
+  state.effects.push(effect);
+}
+
+/** Refuses requests whose callers no longer want the answer. */
+export function refuseExpired(state: SchedulerState, nowMs: number): void {
+  for (const entry of state.queue.entries()) {
+    if (entry.request.deadlineAtMs > nowMs) continue;
+    refuse(state, entry, 'deadline_exceeded', nowMs);
+  }
+}
+
+/** Refuses requests that no live upstream may serve. */
+export function refuseUnplaceable(state: SchedulerState, nowMs: number): void {
+  const live = liveUpstreams(state.tracker);
+  for (const entry of state.queue.entries()) {
+    const {exclude} = entry.request;
+    if (live.some(id => !exclude.includes(id))) continue;
+    refuse(state, entry, 'no_upstream', nowMs);
+  }
+}
