Read only as much history as a conflict needs

Cause: each conflict read up to 100 versions, and each version costs the platform one counted read. A change can only have been stored as the version after the expected one, so the versions since then suffice. Ruled out: not searching at all, since a repeated request would then be told of a conflict with itself.

--- a/packages/daemon/src/__tests__/unit/admin/AdminApp.test.ts
+++ b/packages/daemon/src/__tests__/unit/admin/AdminApp.test.ts
@@ -225,6 +225,36 @@
     expect(fake.stored).to.have.length(2);
   });
 
+  it('shows a stale operator the conflict, however many versions have passed', async () => {
+    for (let version = 0; version < 105; version++) {
+      await apply(fake, {
+        expectedVersion: version,
+        classesText: classesText(`${version + 1}s`),
+        writeId: `write-${1000 + version}`,
+      });
+    }
+    for (const expectedVersion of [0, 1, 103]) {
+      const {status, body} = await apply(fake, {
+        expectedVersion,
+        classesText: classesText('5m'),
+      });
+      expect(status).to.equal(409);
+      expect(body.conflict?.winner.version).to.equal(105);
+    }
+  });
+
+  it('names the newest version when a later one than that is expected', async () => {
+    await apply(fake);
+    const {status, body} = await apply(fake, {
+      expectedVersion: 7,
+      writeId: 'write-0002',
+    });
+    expect(status).to.equal(400);
+    expect(body.error.message).to.contain(
+      'there is no version 7 to change; the newest is 1',
+    );
+  });
+
   it('says "not yet known" when a write may have taken effect', async () => {
     const lost = new PlatformError('no answer', true);
     const open = [
--- a/packages/daemon/src/admin/ConfigChanges.ts
+++ b/packages/daemon/src/admin/ConfigChanges.ts
@@ -25,8 +25,11 @@
 /** Drains commute with other changes, so they are repeated after a conflict. */
 const maxDrainAttempts = 5;
 
-/** Versions that are searched for a write id after a conflict. */
-const historySearchLimit = 100;
+/** Each version of the history costs the platform one read. */
+const maxHistoryReads = 100;
+
+/** An instance lags behind the platform by seconds, thus by few versions. */
+const maxVersionsBehind = 10;
 
 type ChangeResult = ResultAsync<ConfigAcceptedResponse, RouterError>;
 type AuditedAction = Pick<AuditEntry, 'action' | 'upstreamId'>;
@@ -89,7 +92,10 @@
   const inForce = current(dependencies);
   if (inForce.version === expectedVersion) return okAsync(inForce);
   if (expectedVersion === 0) return okAsync(initialConfig);
-  return dependencies.configHistory(historySearchLimit).andThen(history => {
+  if (expectedVersion < inForce.version) {
+    return replacedBase(dependencies, inForce, expectedVersion);
+  }
+  return dependencies.configHistory(maxVersionsBehind).andThen(history => {
     const base = history.find(({version}) => version === expectedVersion);
     if (base !== undefined) return ok(base);
     const newest = history[0]?.version ?? inForce.version;
@@ -97,6 +103,23 @@
   });
 }
 
+/**
+ * A version that was replaced leads to a conflict, or to the acceptance of a
+ * repeated request. Its base only serves to show differences then.
+ */
+function replacedBase(
+  dependencies: AdminDependencies,
+  inForce: StoredConfig,
+  expectedVersion: number,
+): ResultAsync<StoredConfig, RouterError> {
+  const versions = inForce.version - expectedVersion + 1;
+  return dependencies
+    .configHistory(Math.min(versions, maxHistoryReads))
+    .map(history => history.find(entry => entry.version === expectedVersion))
+    .orElse(() => ok(undefined))
+    .map(base => base ?? inForce);
+}
+
 function unknownVersion(expected: number, newest: number): RouterError {
   return new RouterError(
     'bad_request',
@@ -247,20 +270,28 @@
 
 /**
  * A repeated request meets a conflict with its own first attempt, which the
- * write id tells apart. If the history cannot be read, the result stays open.
+ * write id of the version after the expected one tells apart. If that version
+ * cannot be read, the result stays open. A request is repeated within seconds,
+ * so one that is many versions behind is no repetition.
  */
 function resolveConflict(
   dependencies: AdminDependencies,
   change: ConfigChange,
   winner: StoredConfig,
 ): ResultAsync<number, RouterError> {
-  if (winner.writeId === change.writeId) return okAsync(winner.version);
+  const {expectedVersion, writeId} = change;
+  if (winner.writeId === writeId) return okAsync(winner.version);
+  const versionsSince = winner.version - expectedVersion;
+  if (versionsSince < 1 || versionsSince > maxHistoryReads) {
+    return errAsync(toConflict(change, winner));
+  }
   return dependencies
-    .configHistory(historySearchLimit)
-    .mapErr(cause => new ConfigUnknownError(change.writeId, {cause}))
+    .configHistory(versionsSince)
+    .mapErr(cause => new ConfigUnknownError(writeId, {cause}))
     .andThen(history => {
-      const own = history.find(({writeId}) => writeId === change.writeId);
-      if (own !== undefined) return ok(own.version);
+      const next = history.find(({version}) => version === expectedVersion + 1);
+      if (next?.writeId === writeId) return ok(next.version);
+      if (next === undefined) return err(new ConfigUnknownError(writeId));
       return err(toConflict(change, winner));
     });
 }
