--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/SchedulingFixture.ts
@@ -0,0 +1,277 @@
+/**
+ * A small fleet for tests of the permit exchange: real schedulers and permit
+ * clients on several instances, with a manual clock and messages that tests
+ * can lose, repeat and hold back.
+ */
+import type {
+  Clock,
+  InstanceId,
+  ManualClock,
+  SchedulerEffect,
+  ServiceClass,
+  ShardId,
+  UpstreamInfo,
+  RouterError,
+} from '@toucanrouter/common';
+import {
+  createManualClock,
+  createSeededRandom,
+  toClassId,
+  toInstanceId,
+  toPermitId,
+  toRequestId,
+  toShardId,
+  toUpstreamId,
+  toWorkspaceId,
+} from '@toucanrouter/common';
+import {
+  createLengthModel,
+  createShardScheduler,
+  createUpstreamTracker,
+} from '@toucanrouter/policy';
+import type {Permit, PermitClient} from '../../scheduling/PermitClient.js';
+import {createPermitClient} from '../../scheduling/PermitClient.js';
+import type {
+  SchedulerHost,
+  SchedulerPort,
+} from '../../scheduling/SchedulerHost.js';
+import {createSchedulerHost} from '../../scheduling/SchedulerHost.js';
+
+export const shardId: ShardId = toShardId('engine:advisor@here');
+
+export const testClass: ServiceClass = {
+  id: toClassId('quick'),
+  tier: 1,
+  target: {firstTokenMs: 400},
+  idempotent: true,
+  maxWaitMs: 5_000,
+  match: {models: ['advisor'], services: [], methods: [], paths: []},
+};
+
+export function upstreamInfo(name: string): UpstreamInfo {
+  return {
+    id: toUpstreamId(name),
+    kind: 'engine',
+    serves: 'advisor',
+    address: '127.0.0.1:1',
+    region: 'here',
+    failureDomain: 'a',
+    incarnation: 1,
+    leaving: false,
+  };
+}
+
+/** What happened to a request. */
+export interface TestRequest {
+  readonly permits: Permit[];
+  readonly errors: RouterError[];
+  readonly abort: AbortController;
+}
+
+export interface TestInstance {
+  readonly id: InstanceId;
+  readonly host: SchedulerHost;
+  readonly permits: PermitClient;
+  alive: boolean;
+  paused: boolean;
+}
+
+export interface TestFleet {
+  readonly clock: ManualClock;
+  readonly instances: readonly TestInstance[];
+  /** Decides for each message how often it is delivered; once by default. */
+  copies: () => number;
+  /** The instance that all others consider the owner. */
+  owner(): TestInstance;
+  request(instance: TestInstance, name: string): TestRequest;
+  /** Lets time pass and messages and promises settle. */
+  run(forMs: number): Promise<void>;
+  /** Jobs in flight as the owner's scheduler counts them. */
+  inFlight(): number;
+}
+
+const stepMs = 10;
+const silentAfterMs = 500;
+
+export function createTestFleet(
+  instanceCount: number,
+  upstreamCount: number,
+): TestFleet {
+  const clock = createManualClock();
+  const upstreams = Array.from({length: upstreamCount}, (_, i) =>
+    upstreamInfo(`engine-${i}`),
+  );
+  const instances: TestInstance[] = [];
+  const heardAtMs = new Map<InstanceId, number>();
+  const outbox: {to: TestInstance; deliver: () => void}[] = [];
+
+  function send(from: TestInstance, to: TestInstance, deliver: () => void) {
+    if (!from.alive) return;
+    const copies = fleet.copies();
+    for (let i = 0; i < copies; i++) outbox.push({to, deliver});
+  }
+
+  function isBelievedAlive(instance: TestInstance): boolean {
+    const lastMs = heardAtMs.get(instance.id) ?? 0;
+    return clock.nowMs() - lastMs <= silentAfterMs;
+  }
+
+  function owner(): TestInstance {
+    return instances.find(isBelievedAlive) ?? instances[0]!;
+  }
+
+  function add(index: number): void {
+    const id = toInstanceId(`router-${index}`);
+    const own = instanceClock(clock, () => instance.alive && !instance.paused);
+    let lastPermit = 0;
+    const host = createSchedulerHost({
+      clock: own,
+      selfId: id,
+      createScheduler: shard =>
+        createShardScheduler({
+          shardId: shard,
+          tracker: createUpstreamTracker(),
+          lengths: createLengthModel(),
+          random: createSeededRandom(index),
+          createPermitId: () => toPermitId(`${id}.${++lastPermit}`),
+        }),
+      isOwned: () => owner().id === id,
+      upstreamsOf: () => upstreams,
+      classes: () => [testClass],
+      deliver: (shard, effect) => deliverEffect(instance, shard, effect),
+      silentForMs: holder => {
+        const atMs = heardAtMs.get(holder);
+        return atMs === undefined ? undefined : clock.nowMs() - atMs;
+      },
+    });
+    const permits = createPermitClient({
+      clock: own,
+      selfId: id,
+      ownerOf: () => owner().id,
+      portOf: scheduler =>
+        scheduler === id ? host : remotePort(instance, scheduler),
+    });
+    const instance: TestInstance = {
+      id,
+      host,
+      permits,
+      alive: true,
+      paused: false,
+    };
+    instances.push(instance);
+    host.start();
+    permits.start();
+  }
+
+  function byId(id: InstanceId): TestInstance {
+    return instances.find(instance => instance.id === id)!;
+  }
+
+  function deliverEffect(
+    from: TestInstance,
+    shard: ShardId,
+    effect: SchedulerEffect,
+  ): void {
+    const holder = byId(effect.holder);
+    const deliver = () => holder.permits.deliver(shard, from.id, effect);
+    if (holder === from) deliver();
+    else send(from, holder, deliver);
+  }
+
+  function remotePort(from: TestInstance, to: InstanceId): SchedulerPort {
+    const target = byId(to);
+    const post = (call: (host: SchedulerHost) => void) =>
+      send(from, target, () => call(target.host));
+    return {
+      acquire: (...args) => post(host => host.acquire(...args)),
+      cancel: (...args) => post(host => host.cancel(...args)),
+      progress: (...args) => post(host => host.progress(...args)),
+      release: (...args) => post(host => host.release(...args)),
+      announce: (...args) => post(host => host.announce(...args)),
+    };
+  }
+
+  function deliverAll(): void {
+    for (const message of outbox.splice(0)) {
+      if (message.to.paused) outbox.push(message);
+      else if (message.to.alive) message.deliver();
+    }
+  }
+
+  async function run(forMs: number): Promise<void> {
+    const endMs = clock.nowMs() + forMs;
+    while (clock.nowMs() < endMs) {
+      for (const {alive, id, paused} of instances) {
+        if (alive && !paused) heardAtMs.set(id, clock.nowMs());
+      }
+      for (const instance of instances) {
+        if (instance.alive && !instance.paused) {
+          instance.permits.refreshOwners();
+        }
+      }
+      deliverAll();
+      clock.advance(stepMs);
+      deliverAll();
+      await Promise.resolve();
+    }
+  }
+
+  function request(instance: TestInstance, name: string): TestRequest {
+    const made: TestRequest = {
+      permits: [],
+      errors: [],
+      abort: new AbortController(),
+    };
+    void instance.permits
+      .acquire(
+        shardId,
+        {
+          requestId: toRequestId(name),
+          classId: testClass.id,
+          workspaceId: toWorkspaceId('w'),
+          fallbackTier: 1,
+          arrivedAtMs: clock.nowMs(),
+          deadlineAtMs: clock.nowMs() + 60_000,
+          attempt: 1,
+          idempotent: true,
+          promptTokens: 10,
+          exclude: [],
+          hedge: false,
+        },
+        made.abort.signal,
+      )
+      .then(result => {
+        if (result.isOk()) made.permits.push(result.value);
+        else made.errors.push(result.error);
+      });
+    return made;
+  }
+
+  const fleet: TestFleet = {
+    clock,
+    instances,
+    copies: () => 1,
+    owner,
+    request,
+    run,
+    inFlight: () => {
+      const shard = owner().host.snapshots()[0];
+      return (shard?.upstreams ?? []).reduce((sum, u) => sum + u.inFlight, 0);
+    },
+  };
+  for (let i = 0; i < instanceCount; i++) add(i);
+  return fleet;
+}
+
+/** A clock whose timers do nothing while the instance is paused or dead. */
+function instanceClock(clock: ManualClock, runs: () => boolean): Clock {
+  const guard = (run: () => void) => () => {
+    if (runs()) run();
+  };
+  return {
+    nowMs: clock.nowMs,
+    wallMs: clock.wallMs,
+    after: (delayMs, run) => clock.after(delayMs, guard(run)),
+    every: (intervalMs, run) => clock.every(intervalMs, guard(run)),
+  };
+}
