Add the claim writer with fenced group commit, and its fuzzing

Claims of a shard form a log of batches in numbered segments. Each write compares the head's revision; the batch names the revision before it, so the fencing token of every claim can be read back from the log.

Fuzzing found that an operation whose write got no answer was answered from outdated claims while the platform failed: the caller was told 'in progress' although its own claim might be stored, and the key stayed claimed by nobody.

--- /dev/null
+++ b/packages/claims/src/ShardLog.ts
@@ -0,0 +1,244 @@
+/**
+ * The stored log of a claim shard: reading it, and planning the transaction
+ * that appends a batch. Every transaction compares the revision of the head,
+ * so a writer with an outdated view changes nothing.
+ */
+import type {KeyValue, KeyValueTransaction} from '@toucanrouter/common';
+import {PlatformError} from '@toucanrouter/common';
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import {maxExpiredPerWrite} from './ClaimConstants.js';
+import type {ClaimIndex} from './ClaimIndex.js';
+import {createClaimIndex} from './ClaimIndex.js';
+import type {ClaimHead, ClaimRecord, ClaimSegment} from './ClaimRecords.js';
+import {
+  decodeHead,
+  decodeSegment,
+  encodeBatch,
+  encodeHead,
+  encodeRecord,
+  encodeSegment,
+  headKey,
+  segmentKey,
+} from './ClaimRecords.js';
+
+/** Limits of segments. */
+export interface SegmentLimits {
+  readonly maxSegmentBytes: number;
+  readonly maxSegmentAgeMs: number;
+  readonly retentionMs: number;
+}
+
+/** The segment that batches are appended to. */
+export interface OpenSegment {
+  readonly number: number;
+  readonly startedAtWallMs: number;
+  readonly writtenAtWallMs: number;
+  readonly encodedBatches: readonly string[];
+  readonly sizeBytes: number;
+}
+
+/** A segment that no longer grows. */
+export interface ClosedSegment {
+  readonly number: number;
+  readonly writtenAtWallMs: number;
+}
+
+/** What a writer knows of the stored log. */
+export interface LogState {
+  /** Revision of the head; 0 while the shard is empty. */
+  readonly headRevision: number;
+  readonly closed: readonly ClosedSegment[];
+  /** Undefined while the shard is empty. */
+  readonly open: OpenSegment | undefined;
+}
+
+/** A log and the claims that it holds. */
+export interface LoadedShard {
+  readonly log: LogState;
+  readonly claims: ClaimIndex;
+}
+
+/** A transaction that appends a batch, and what it leads to. */
+export interface AppendPlan {
+  readonly transaction: KeyValueTransaction;
+  /** Segment that receives the batch. */
+  readonly segment: number;
+  /** The last segment that the transaction deletes; 0 for none. */
+  readonly deletedThrough: number;
+  /** The state after the transaction succeeded at a revision. */
+  readonly logAt: (revision: number) => LogState;
+}
+
+/** Plans the transaction that appends records. */
+export function planAppend(
+  shard: number,
+  log: LogState,
+  records: readonly ClaimRecord[],
+  limits: SegmentLimits,
+  wallMs: number,
+): AppendPlan {
+  const batch = encodeBatch(log.headRevision, records.map(encodeRecord));
+  const rolls = mustRoll(log.open, batch, limits, wallMs);
+  const open = extend(rolls ? undefined : log.open, batch, wallMs, log.open);
+  const allClosed = rolls && log.open ? [...log.closed, log.open] : log.closed;
+  const expired = findExpired(allClosed, limits, wallMs);
+  const closed = allClosed.slice(expired.length);
+  const head = {first: closed[0]?.number ?? open.number, last: open.number};
+  return {
+    transaction: {
+      compares: [{key: headKey(shard), modRevision: log.headRevision}],
+      puts: [
+        {key: headKey(shard), value: encodeHead(head)},
+        {
+          key: segmentKey(shard, open.number),
+          value: encodeSegment(
+            open.startedAtWallMs,
+            open.writtenAtWallMs,
+            open.encodedBatches,
+          ),
+        },
+      ],
+      deletes: expired.map(segment => segmentKey(shard, segment.number)),
+    },
+    segment: open.number,
+    deletedThrough: expired.at(-1)?.number ?? 0,
+    logAt: headRevision => ({headRevision, closed, open}),
+  };
+}
+
+function mustRoll(
+  open: OpenSegment | undefined,
+  batch: string,
+  limits: SegmentLimits,
+  wallMs: number,
+): boolean {
+  if (open === undefined) return true;
+  const sizeBytes = open.sizeBytes + Buffer.byteLength(batch);
+  if (sizeBytes > limits.maxSegmentBytes) return true;
+  return wallMs - open.startedAtWallMs >= limits.maxSegmentAgeMs;
+}
+
+/** Adds a batch to `open`, or starts the segment after `previous` with it. */
+function extend(
+  open: OpenSegment | undefined,
+  batch: string,
+  wallMs: number,
+  previous: OpenSegment | undefined,
+): OpenSegment {
+  return {
+    number: open?.number ?? (previous?.number ?? 0) + 1,
+    startedAtWallMs: open?.startedAtWallMs ?? wallMs,
+    writtenAtWallMs: wallMs,
+    encodedBatches: [...(open?.encodedBatches ?? []), batch],
+    sizeBytes: (open?.sizeBytes ?? 0) + Buffer.byteLength(batch),
+  };
+}
+
+/** Returns the oldest segments, as far as all of them have expired. */
+function findExpired(
+  closed: readonly ClosedSegment[],
+  limits: SegmentLimits,
+  wallMs: number,
+): readonly ClosedSegment[] {
+  const live = closed.findIndex(
+    segment => wallMs - segment.writtenAtWallMs < limits.retentionMs,
+  );
+  const count = live < 0 ? closed.length : live;
+  return closed.slice(0, Math.min(count, maxExpiredPerWrite));
+}
+
+/** Builds the state of a shard from all of its keys, read at one revision. */
+export function readShard(
+  shard: number,
+  entries: readonly KeyValue[],
+): Result<LoadedShard, PlatformError> {
+  const values = new Map(entries.map(entry => [entry.key, entry]));
+  const headEntry = values.get(headKey(shard));
+  if (headEntry === undefined) return readEmpty(shard, entries);
+  const head = decodeHead(headEntry.value);
+  if (head === undefined) return malformed(headEntry.key);
+  return readSegments(shard, head, values).map(segments => ({
+    log: toLogState(head, headEntry.modRevision, segments),
+    claims: replay(head, headEntry.modRevision, segments),
+  }));
+}
+
+function readEmpty(
+  shard: number,
+  entries: readonly KeyValue[],
+): Result<LoadedShard, PlatformError> {
+  // Without its head the log can not be trusted to be complete.
+  if (entries.length > 0) return malformed(headKey(shard));
+  const log = {headRevision: 0, closed: [], open: undefined};
+  return ok({log, claims: createClaimIndex()});
+}
+
+function readSegments(
+  shard: number,
+  head: ClaimHead,
+  values: ReadonlyMap<string, KeyValue>,
+): Result<readonly ClaimSegment[], PlatformError> {
+  const segments: ClaimSegment[] = [];
+  for (let number = head.first; number <= head.last; number++) {
+    const key = segmentKey(shard, number);
+    const entry = values.get(key);
+    const segment = entry && decodeSegment(entry.value);
+    if (segment === undefined) return malformed(key);
+    segments.push(segment);
+  }
+  return ok(segments);
+}
+
+function toLogState(
+  head: ClaimHead,
+  headRevision: number,
+  segments: readonly ClaimSegment[],
+): LogState {
+  const closed = segments.slice(0, -1).map((segment, i) => ({
+    number: head.first + i,
+    writtenAtWallMs: segment.writtenAtWallMs,
+  }));
+  const last = segments.at(-1);
+  return {headRevision, closed, open: last && toOpen(head.last, last)};
+}
+
+function toOpen(number: number, segment: ClaimSegment): OpenSegment {
+  const encodedBatches = segment.batches.map(batch =>
+    encodeBatch(batch.afterRevision, batch.records.map(encodeRecord)),
+  );
+  const sizeBytes = encodedBatches.reduce(
+    (sum, batch) => sum + Buffer.byteLength(batch),
+    0,
+  );
+  const {startedAtWallMs, writtenAtWallMs} = segment;
+  return {number, startedAtWallMs, writtenAtWallMs, encodedBatches, sizeBytes};
+}
+
+/**
+ * Applies all records in order. The revision of a batch is the one that the
+ * next batch names, or that of the head for the last batch.
+ */
+function replay(
+  head: ClaimHead,
+  headRevision: number,
+  segments: readonly ClaimSegment[],
+): ClaimIndex {
+  const claims = createClaimIndex();
+  const batches = segments.flatMap((segment, i) =>
+    segment.batches.map(batch => ({batch, segment: head.first + i})),
+  );
+  batches.forEach(({batch, segment}, i) => {
+    const next = batches[i + 1];
+    const revision = next?.batch.afterRevision ?? headRevision;
+    for (const record of batch.records) {
+      claims.apply(record, {segment, revision});
+    }
+  });
+  return claims;
+}
+
+function malformed(key: string): Result<never, PlatformError> {
+  const message = `claims: ${key} is missing or malformed`;
+  return err(new PlatformError(message, false));
+}
--- /dev/null
+++ b/packages/claims/src/__tests__/fuzz/ClaimWorld.ts
@@ -0,0 +1,247 @@
+/**
+ * Entries that claim keys through several writers of one shard, on a platform
+ * and a message network that the commands control.
+ */
+import type {ClaimReply, Clock, ManualClock} from '@toucanrouter/common';
+import {
+  createManualClock,
+  toClaimId,
+  toInstanceId,
+  toWorkspaceId,
+} from '@toucanrouter/common';
+import type {ControlledKeyValue, PendingCall} from '@toucanrouter/standins';
+import {createControlledKeyValue} from '@toucanrouter/standins';
+import type {ClaimWriter} from '../../index.js';
+import {createClaimWriter} from '../../index.js';
+import type {ClaimOracle} from './ClaimOracle.js';
+import {createClaimOracle} from './ClaimOracle.js';
+
+/** Small limits, so that segments roll and expire within a case. */
+export const fuzzLimits = {
+  maxSegmentBytes: 700,
+  maxSegmentAgeMs: 4000,
+  retentionMs: 60_000,
+};
+
+/** Time after which a writer fails an operation. */
+export const operationTimeoutMs = 3000;
+
+/** Time after which a caller no longer waits; far below the retention. */
+export const callerTimeoutMs = 20_000;
+
+/** A call of a caller as its entry sees it. */
+export interface Call {
+  readonly claimId: string;
+  readonly key: string;
+  readonly requestHash: string;
+  readonly startedAtMs: number;
+  /** Waiting for the claim, running upstream, over, or lost with its entry. */
+  state: 'waiting' | 'running' | 'done' | 'dead';
+  ran: boolean;
+}
+
+/** A message in the network; delivering it runs `deliver`. */
+export interface Message {
+  readonly to: string;
+  /** False when its loss would be noticed and repaired by its sender. */
+  readonly mayBeLost: () => boolean;
+  readonly deliver: () => void;
+}
+
+/** A writer that can be paused with its timers and messages. */
+export interface WriterProcess {
+  readonly name: string;
+  readonly writer: ClaimWriter;
+  paused: boolean;
+}
+
+/** Everything that the commands act on. */
+export interface ClaimWorld {
+  readonly clock: ManualClock;
+  readonly platform: ControlledKeyValue;
+  readonly oracle: ClaimOracle;
+  readonly writers: readonly WriterProcess[];
+  readonly calls: Call[];
+  readonly messages: Message[];
+  startCall(key: string, requestHash: string, writer: number): void;
+  sendClaim(call: Call, writer: number): void;
+  giveUp(call: Call, writer: number): void;
+  finish(call: Call, how: 'completed' | 'unknown' | 'large', w: number): void;
+  setPaused(writer: number, paused: boolean): void;
+  /** Platform calls of writers that are not paused. */
+  answerable(): readonly PendingCall[];
+}
+
+/** Lets promises settle. */
+export const settle = () => new Promise(resolve => setImmediate(resolve));
+
+/** Creates a world with `writerCount` writers of one shard. */
+export function createClaimWorld(writerCount: number): ClaimWorld {
+  const clock = createManualClock(1000);
+  const platform = createControlledKeyValue();
+  const oracle = createClaimOracle(clock, fuzzLimits.retentionMs);
+  const calls: Call[] = [];
+  const messages: Message[] = [];
+  const writers = Array.from({length: writerCount}, (_, i) =>
+    createWriterProcess(`writer ${i}`, platform, clock),
+  );
+  platform.state.registerCommitListener(oracle.observeCommit);
+
+  function writerAt(index: number): WriterProcess {
+    const process = writers[index % writerCount];
+    if (process === undefined) throw new Error('no writer');
+    return process;
+  }
+
+  function reference(call: Call) {
+    return {
+      claimId: toClaimId(call.claimId),
+      workspaceId: toWorkspaceId('w'),
+      idempotencyKey: call.key,
+    };
+  }
+
+  function sendClaim(call: Call, index: number): void {
+    const process = writerAt(index);
+    const request = {
+      ...reference(call),
+      requestHash: call.requestHash,
+      owner: toInstanceId('entry'),
+    };
+    const deliver = () =>
+      void process.writer.claim(request).then(result =>
+        messages.push({
+          to: 'entry',
+          mayBeLost: () => call.state === 'waiting',
+          deliver: () =>
+            result.match(
+              reply => receive(call, reply),
+              () => giveUp(call, index),
+            ),
+        }),
+      );
+    messages.push({to: process.name, mayBeLost: () => true, deliver});
+  }
+
+  function receive(call: Call, reply: ClaimReply): void {
+    oracle.observeReply(call, reply);
+    const waitedMs = clock.nowMs() - call.startedAtMs;
+    // Holds for an entry that was paused, too: it reads its clock on resuming.
+    if (waitedMs >= callerTimeoutMs) giveUp(call, 0);
+    if (call.state !== 'waiting') return receiveLate(call, reply);
+    if (reply.kind === 'claimed') {
+      call.state = 'running';
+      call.ran = true;
+      oracle.observeRun(call);
+      return;
+    }
+    call.state = 'done';
+    if (reply.kind === 'key_reused') oracle.observeNotRun(call);
+  }
+
+  /** A late claim starts nothing; it is given back unless the call ran. */
+  function receiveLate(call: Call, reply: ClaimReply): void {
+    if (reply.kind !== 'claimed' || call.state !== 'done' || call.ran) return;
+    sendEnd(call, {kind: 'not_sent'}, 0);
+  }
+
+  /** Ends the claim through one writer after the other until one confirms. */
+  function sendEnd(
+    call: Call,
+    end: Parameters<ClaimWriter['end']>[1],
+    index: number,
+  ): void {
+    const process = writerAt(index);
+    const deliver = () =>
+      void process.writer.end(reference(call), end).match(
+        () => oracle.observeEnd(call, end),
+        error => {
+          if (error.kind === 'platform_unavailable') {
+            sendEnd(call, end, index + 1);
+          } else oracle.observeEndError(call, error);
+        },
+      );
+    messages.push({to: process.name, mayBeLost: () => false, deliver});
+  }
+
+  function giveUp(call: Call, index: number): void {
+    if (call.state !== 'waiting') return;
+    call.state = 'done';
+    oracle.observeNotRun(call);
+    sendEnd(call, {kind: 'not_sent'}, index);
+  }
+
+  return {
+    clock,
+    platform,
+    oracle,
+    writers,
+    calls,
+    messages,
+    sendClaim,
+    giveUp,
+    startCall: (key, requestHash, index) => {
+      const claimId = `c${calls.length}`;
+      const call: Call = {
+        claimId,
+        key,
+        requestHash,
+        startedAtMs: clock.nowMs(),
+        state: 'waiting',
+        ran: false,
+      };
+      calls.push(call);
+      sendClaim(call, index);
+    },
+    finish: (call, how, index) => {
+      call.state = 'done';
+      if (how === 'unknown') {
+        return sendEnd(call, {kind: 'outcome_unknown'}, index);
+      }
+      const bodyBase64 =
+        how === 'large'
+          ? 'A'.repeat(12_000)
+          : btoa(`result of ${call.claimId}`);
+      const outcome = {status: 200, contentType: 'text/plain', bodyBase64};
+      sendEnd(call, {kind: 'completed', outcome}, index);
+    },
+    setPaused: (index, paused) => {
+      writerAt(index).paused = paused;
+    },
+    answerable: () =>
+      platform
+        .pending()
+        .filter(call => !writers.some(w => w.name === call.client && w.paused)),
+  };
+}
+
+function createWriterProcess(
+  name: string,
+  platform: ControlledKeyValue,
+  clock: Clock,
+): WriterProcess {
+  const process = {name, paused: false};
+  const writer = createClaimWriter({
+    store: platform.storeFor(name),
+    shard: 0,
+    clock: createPausableClock(clock, () => process.paused),
+    operationTimeoutMs,
+    limits: fuzzLimits,
+  });
+  return Object.assign(process, {writer});
+}
+
+/** A clock whose timers stand still while the process is paused. */
+function createPausableClock(clock: Clock, isPaused: () => boolean): Clock {
+  return {
+    ...clock,
+    after: (delayMs, run) => {
+      let undo = clock.after(delayMs, fire);
+      function fire(): void {
+        if (isPaused()) undo = clock.after(1, fire);
+        else run();
+      }
+      return () => undo();
+    },
+  };
+}
