--- /dev/null
+++ b/packages/daemon/src/Daemon.ts
@@ -0,0 +1,121 @@
+/**
+ * The life of an instance: it starts its parts in an order in which it serves
+ * only with a known configuration, and stops them in one that interrupts no
+ * request.
+ */
+import type {Clock, RouterError} from '@toucanrouter/common';
+import {createPeerHub} from '@toucanrouter/peer';
+import type {InstanceListReader} from '@toucanrouter/platform';
+import {createInstanceListReader} from '@toucanrouter/platform';
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import type {Instance, InstanceOptions} from './Instance.js';
+import {createInstance} from './Instance.js';
+import {closeServer, listen} from './server/Listening.js';
+import type {Servers} from './server/Servers.js';
+import {createServers} from './server/Servers.js';
+
+/** Ports on which an instance listens. */
+export interface DaemonPorts {
+  readonly callersPort: number;
+  readonly adminPort: number;
+  readonly peersPort: number;
+}
+
+/** A running instance. */
+export interface Daemon {
+  readonly ports: DaemonPorts;
+  /** Leaves the fleet, finishes every request in progress and closes. */
+  close(): Promise<void>;
+}
+
+/**
+ * An instance that leaves accepts connections for this long, until the load
+ * balancer has seen that it is not ready.
+ */
+const leaveNoticeMs = 1_500;
+
+const drainPollMs = 20;
+
+/** Starts an instance; resolves when it is ready to serve. */
+export async function startDaemon(
+  options: InstanceOptions,
+): Promise<Result<Daemon, RouterError>> {
+  const {clock, logger, settings} = options;
+  const instance = createInstance(options);
+  const hub = await createPeerHub({
+    selfId: settings.instanceId,
+    listen: settings.peers,
+    clock,
+    createHeartbeat: instance.fleet.createHeartbeat,
+    onEnvelope: instance.fleet.receive,
+  });
+  if (hub.isErr()) return err(hub.error);
+  instance.fleet.start(hub.value);
+  instance.host.start();
+  instance.permits.start();
+  const servers = createServers(options, instance, hub.value);
+  const adminPort = await listen(servers.admin, settings.admin, 'operators');
+  if (adminPort.isErr()) return err(adminPort.error);
+  const reader = startListReader(options, instance);
+  await instance.configSource.start();
+  const {server} = servers.callers;
+  const callersPort = await listen(server, settings.callers, 'callers');
+  if (callersPort.isErr()) return err(callersPort.error);
+  instance.readiness.configKnown();
+  const ports: DaemonPorts = {
+    callersPort: callersPort.value,
+    adminPort: adminPort.value,
+    peersPort: hub.value.port,
+  };
+  logger.info('instance is ready', {...ports});
+  const close = () => stop(options, instance, servers, reader);
+  return ok({ports, close});
+}
+
+function startListReader(
+  {clock, logger, settings}: InstanceOptions,
+  instance: Instance,
+): InstanceListReader {
+  return createInstanceListReader({
+    url: settings.instanceListUrl,
+    pollMs: settings.instanceListPollMs,
+    clock,
+    onList: instance.takeList,
+    onFaults: faults =>
+      logger.warn('instance list entries were skipped', {
+        faults: faults.map(fault => fault.message),
+      }),
+    onError: error =>
+      logger.warn('the instance list is unavailable', {error: error.message}),
+  });
+}
+
+async function stop(
+  {clock, logger}: InstanceOptions,
+  instance: Instance,
+  servers: Servers,
+  reader: InstanceListReader,
+): Promise<void> {
+  const {callers} = servers;
+  const requestsInProgress = callers.inProgress();
+  logger.info('instance is leaving', {requestsInProgress});
+  instance.readiness.leaving();
+  instance.fleet.leave();
+  await delay(clock, leaveNoticeMs);
+  callers.drainConnections();
+  const closed = closeServer(callers.server);
+  while (callers.inProgress() > 0) await delay(clock, drainPollMs);
+  await instance.claimedCalls.idle();
+  await closed;
+  reader.close();
+  await instance.close();
+  await closeServer(servers.admin);
+  logger.info('instance has stopped');
+}
+
+function delay(clock: Clock, delayMs: number): Promise<void> {
+  return new Promise(resolve => {
+    clock.after(delayMs, resolve);
+  });
+}
--- /dev/null
+++ b/packages/policy/src/SchedulerJobs.ts
@@ -0,0 +1,194 @@
+/**
+ * Start and end of the jobs that hold a permit.
+ */
+import type {
+  AnnouncedPermit,
+  PermitOutcome,
+  PermitRelease,
+  UpstreamId,
+} from '@toucanrouter/common';
+import {attemptKey} from './Queue.js';
+import {isLong} from './SchedulerLongWork.js';
+import type {SchedulerState} from './SchedulerState.js';
+import {expectedSlotMs} from './SchedulerState.js';
+import type {QueuedRequest, RunningJob} from './SchedulerTypes.js';
+
+function start(
+  state: SchedulerState,
+  job: RunningJob,
+  promptTokens: number,
+  nowMs: number,
+): void {
+  const {tier, target} = state.classes.policyOf(job);
+  state.jobs.set(job.permitId, job);
+  state.tracker.started(
+    {
+      permitId: job.permitId,
+      upstreamId: job.upstreamId,
+      classId: job.classId,
+      tier,
+      target,
+      promptTokens,
+    },
+    nowMs,
+  );
+}
+
+function freshJob(
+  state: SchedulerState,
+  upstreamId: UpstreamId,
+): Pick<RunningJob, 'chargedMs' | 'long' | 'preemption' | 'suspectKnown'> {
+  // Work that starts on a suspect upstream is a probe, which is not hedged.
+  const suspectKnown = state.tracker.state(upstreamId) === 'suspect';
+  return {chargedMs: 0, long: false, suspectKnown, preemption: undefined};
+}
+
+function chargeStart(state: SchedulerState, job: RunningJob): void {
+  const {classId, workspaceId} = job;
+  state.usage.started(classId, workspaceId);
+  job.chargedMs = expectedSlotMs(state, classId);
+  state.usage.charge(classId, workspaceId, job.chargedMs);
+}
+
+/** Charges a job for the slot time that it has used beyond the estimate. */
+export function chargeRunning(
+  state: SchedulerState,
+  job: RunningJob,
+  nowMs: number,
+): void {
+  const usedMs = nowMs - job.grantedAtMs;
+  if (usedMs <= job.chargedMs) return;
+  chargeDifference(state, job, usedMs);
+}
+
+function chargeDifference(
+  state: SchedulerState,
+  job: RunningJob,
+  usedMs: number,
+): void {
+  const {classId, workspaceId} = job;
+  state.usage.charge(classId, workspaceId, usedMs - job.chargedMs);
+  job.chargedMs = usedMs;
+}
+
+/** Gives a waiting request a permit for `upstreamId`. */
+export function grant(
+  state: SchedulerState,
+  entry: QueuedRequest,
+  upstreamId: UpstreamId,
+  nowMs: number,
+): void {
+  const {request} = entry;
+  const permitId = state.options.createPermitId();
+  state.queue.remove(entry);
+  state.permitOfAttempt.set(attemptKey(request), permitId);
+  const job: RunningJob = {
+    permitId,
+    requestId: request.requestId,
+    attempt: request.attempt,
+    holder: request.holder,
+    classId: request.classId,
+    workspaceId: request.workspaceId,
+    fallbackTier: request.fallbackTier,
+    upstreamId,
+    idempotent: request.idempotent,
+    hedge: request.hedge,
+    grantedAtMs: nowMs,
+    resumedTokens: request.resume?.tokens ?? 0,
+    tokens: 0,
+    ...freshJob(state, upstreamId),
+  };
+  job.long = isLong(state, job);
+  start(state, job, request.promptTokens, nowMs);
+  chargeStart(state, job);
+  if (request.prefixHash !== undefined) {
+    state.prefixes.set(request.prefixHash, upstreamId);
+  }
+  state.counters.granted += 1;
+  if (request.hedge) state.counters.hedged += 1;
+  announceGrant(state, job);
+}
+
+/** Tells the holder of a job which permit it has. */
+export function announceGrant(state: SchedulerState, job: RunningJob): void {
+  state.effects.push({
+    kind: 'grant',
+    holder: job.holder,
+    requestId: job.requestId,
+    attempt: job.attempt,
+    permitId: job.permitId,
+    upstreamId: job.upstreamId,
+  });
+}
+
+/** Counts a permit that another scheduler granted. */
+export function adoptPermit(
+  state: SchedulerState,
+  permit: AnnouncedPermit,
+  nowMs: number,
+): void {
+  if (state.jobs.has(permit.permitId)) return;
+  if (state.endedPermits.has(permit.permitId)) return;
+  const job: RunningJob = {
+    permitId: permit.permitId,
+    requestId: permit.requestId,
+    attempt: 0,
+    holder: permit.holder,
+    classId: permit.classId,
+    workspaceId: permit.workspaceId,
+    fallbackTier: permit.fallbackTier,
+    upstreamId: permit.upstreamId,
+    idempotent: permit.idempotent,
+    hedge: false,
+    grantedAtMs: Math.min(permit.grantedAtMs, nowMs),
+    resumedTokens: 0,
+    tokens: permit.tokens,
+    ...freshJob(state, permit.upstreamId),
+  };
+  job.long = isLong(state, job);
+  start(state, job, 0, nowMs);
+}
+
+/** Ends a job and returns it; undefined when the permit is not held. */
+export function endJob(
+  state: SchedulerState,
+  release: PermitRelease,
+  nowMs: number,
+): RunningJob | undefined {
+  const job = state.jobs.get(release.permitId);
+  // A permit that was taken from a silent holder counts as canceled; the
+  // holder may announce it again.
+  if (release.outcome !== 'canceled') {
+    state.endedPermits.set(release.permitId, true);
+  }
+  if (job === undefined) return undefined;
+  state.jobs.delete(release.permitId);
+  if (job.attempt > 0) endAttempt(state, job, release.outcome);
+  state.tracker.ended(release, nowMs);
+  state.counters.tokens += release.tokens;
+  state.counters.wastedTokens += release.wastedTokens;
+  const slotMs = Math.max(0, nowMs - job.grantedAtMs);
+  chargeDifference(state, job, slotMs);
+  if (release.outcome === 'completed') {
+    const tokens = job.resumedTokens + release.tokens;
+    state.options.lengths.observe(job.classId, job.workspaceId, tokens);
+    state.estimates.observeSlot(job.classId, slotMs);
+  }
+  return job;
+}
+
+/**
+ * An attempt that ran is not granted again. One whose permit was lost or
+ * returned unused may be: its holder, which moved to another scheduler and
+ * back, repeats it and would otherwise wait until its deadline.
+ */
+function endAttempt(
+  state: SchedulerState,
+  job: RunningJob,
+  outcome: PermitOutcome,
+): void {
+  const key = attemptKey(job);
+  state.permitOfAttempt.delete(key);
+  if (outcome === 'canceled' || outcome === 'unused') return;
+  state.endedAttempts.set(key, 'nothing');
+}
--- /dev/null
+++ b/packages/policy/src/ShardScheduler.ts
@@ -0,0 +1,248 @@
+/**
+ * The shard scheduler: a state machine that decides which request may use
+ * which upstream. It starts no timer and reads no clock; each call takes the
+ * time and returns what the holders of the requests must be told.
+ */
+import type {
+  AcquireRequest,
+  AnnouncedPermit,
+  InstanceId,
+  PermitRelease,
+  ProgressSample,
+  RequestId,
+  SchedulerEffect,
+  ServiceClass,
+  ShardSnapshot,
+  UpstreamInfo,
+} from '@toucanrouter/common';
+import {liveUpstreams} from './Placement.js';
+import {attemptKey} from './Queue.js';
+import {dispatch} from './SchedulerDispatch.js';
+import {
+  adoptPermit,
+  announceGrant,
+  chargeRunning,
+  endJob,
+} from './SchedulerJobs.js';
+import {isLong} from './SchedulerLongWork.js';
+import {limitQueue, resolveUrgent, shedEarly} from './SchedulerOverload.js';
+import {repeatPreemptions} from './SchedulerPreemption.js';
+import {refuse, refuseExpired, refuseUnplaceable} from './SchedulerRefusal.js';
+import {takeSnapshot} from './SchedulerSnapshot.js';
+import type {SchedulerState, ShardSchedulerOptions} from './SchedulerState.js';
+import {
+  createSchedulerState,
+  expectedSlotMs,
+  jobsOf,
+  tierOf,
+} from './SchedulerState.js';
+import {tellSuspects} from './SchedulerSuspects.js';
+import {preemptForTargets} from './SchedulerTargets.js';
+import type {QueuedRequest, RunningJob} from './SchedulerTypes.js';
+
+/** Schedules the upstreams of one shard. */
+export interface ShardScheduler {
+  acquire(request: AcquireRequest, nowMs: number): readonly SchedulerEffect[];
+  cancel(requestId: RequestId, nowMs: number): readonly SchedulerEffect[];
+  progress(
+    samples: readonly ProgressSample[],
+    nowMs: number,
+  ): readonly SchedulerEffect[];
+  release(release: PermitRelease, nowMs: number): readonly SchedulerEffect[];
+  adopt(
+    permits: readonly AnnouncedPermit[],
+    nowMs: number,
+  ): readonly SchedulerEffect[];
+  setUpstreams(
+    upstreams: readonly UpstreamInfo[],
+    nowMs: number,
+  ): readonly SchedulerEffect[];
+  setClasses(
+    classes: readonly ServiceClass[],
+    nowMs: number,
+  ): readonly SchedulerEffect[];
+  dropHolder(holder: InstanceId, nowMs: number): readonly SchedulerEffect[];
+  tick(nowMs: number): readonly SchedulerEffect[];
+  snapshot(nowMs: number): ShardSnapshot;
+}
+
+/** Creates a scheduler that knows no upstreams and no classes yet. */
+export function createShardScheduler(
+  options: ShardSchedulerOptions,
+): ShardScheduler {
+  const state = createSchedulerState(options);
+
+  function step(nowMs: number, apply: () => void): readonly SchedulerEffect[] {
+    state.effects = [];
+    apply();
+    dispatch(state, nowMs);
+    limitQueue(state, nowMs);
+    return state.effects;
+  }
+
+  function change(
+    nowMs: number,
+    apply: () => void,
+  ): readonly SchedulerEffect[] {
+    return step(nowMs, () => {
+      apply();
+      reviewQueue(state, nowMs);
+    });
+  }
+
+  return {
+    acquire: (request, nowMs) =>
+      step(nowMs, () => accept(state, request, nowMs)),
+    cancel: (requestId, nowMs) =>
+      step(nowMs, () => cancelQueued(state, requestId)),
+    progress: (samples, nowMs) =>
+      step(nowMs, () => recordProgress(state, samples, nowMs)),
+    release: (release, nowMs) =>
+      step(nowMs, () => endJob(state, release, nowMs)),
+    adopt: (permits, nowMs) =>
+      step(nowMs, () => {
+        for (const permit of permits) adoptPermit(state, permit, nowMs);
+      }),
+    setUpstreams: (upstreams, nowMs) =>
+      change(nowMs, () => state.tracker.setUpstreams(upstreams, nowMs)),
+    setClasses: (classes, nowMs) =>
+      change(nowMs, () => state.classes.set(classes)),
+    dropHolder: (holder, nowMs) =>
+      step(nowMs, () => dropHolder(state, holder, nowMs)),
+    tick: nowMs => change(nowMs, () => passTime(state, nowMs)),
+    snapshot: nowMs => takeSnapshot(state, nowMs),
+  };
+}
+
+function passTime(state: SchedulerState, nowMs: number): void {
+  state.tracker.tick(nowMs);
+  for (const job of state.jobs.values()) chargeRunning(state, job, nowMs);
+  repeatPreemptions(state, nowMs);
+  tellSuspects(state);
+}
+
+/** Looks at every waiting request; too costly for each message. */
+function reviewQueue(state: SchedulerState, nowMs: number): void {
+  refuseExpired(state, nowMs);
+  refuseUnplaceable(state, nowMs);
+  dispatch(state, nowMs);
+  resolveUrgent(state, nowMs);
+  preemptForTargets(state, nowMs);
+  shedEarly(state, nowMs);
+}
+
+function accept(
+  state: SchedulerState,
+  request: AcquireRequest,
+  nowMs: number,
+): void {
+  const key = attemptKey(request);
+  if (state.queue.find(key) !== undefined) return;
+  if (repeatAnswer(state, key)) return;
+  const entry = {
+    request,
+    order: state.nextOrder++,
+    waitingSinceMs:
+      request.resume === undefined
+        ? Math.min(request.arrivedAtMs, nowMs)
+        : nowMs,
+  };
+  state.queue.add(entry);
+  countArrival(state, request, nowMs);
+  reviewEntry(state, entry, nowMs);
+}
+
+function countArrival(
+  state: SchedulerState,
+  request: AcquireRequest,
+  nowMs: number,
+): void {
+  const slotMs = expectedSlotMs(state, request.classId);
+  state.estimates.observeArrival(tierOf(state, request), slotMs, nowMs);
+}
+
+function reviewEntry(
+  state: SchedulerState,
+  entry: QueuedRequest,
+  nowMs: number,
+): void {
+  const {exclude, deadlineAtMs} = entry.request;
+  if (deadlineAtMs <= nowMs) {
+    refuse(state, entry, 'deadline_exceeded', nowMs);
+    return;
+  }
+  const live = liveUpstreams(state.tracker);
+  if (live.every(id => exclude.includes(id))) {
+    refuse(state, entry, 'no_upstream', nowMs);
+    return;
+  }
+  const startedSize = state.queue.size - state.queue.unstartedSize;
+  const {resume} = entry.request;
+  if (resume !== undefined && startedSize > state.parameters.maxQueued) {
+    refuse(state, entry, 'overloaded', nowMs);
+    return;
+  }
+  dispatch(state, nowMs);
+  shedEarly(state, nowMs);
+}
+
+/**
+ * Repeats the answer to an attempt that was answered already, because the
+ * first answer may have been lost with its link.
+ */
+function repeatAnswer(state: SchedulerState, key: string): boolean {
+  const permitId = state.permitOfAttempt.get(key);
+  const job = permitId === undefined ? undefined : state.jobs.get(permitId);
+  if (job !== undefined) {
+    announceGrant(state, job);
+    return true;
+  }
+  const answer = state.endedAttempts.get(key);
+  if (answer === undefined) return false;
+  if (answer !== 'nothing') state.effects.push(answer);
+  return true;
+}
+
+function cancelQueued(state: SchedulerState, requestId: RequestId): void {
+  for (const entry of state.queue.ofRequest(requestId)) {
+    state.queue.remove(entry);
+  }
+}
+
+function recordProgress(
+  state: SchedulerState,
+  samples: readonly ProgressSample[],
+  nowMs: number,
+): void {
+  for (const sample of samples) {
+    const job = state.jobs.get(sample.permitId);
+    if (job === undefined) continue;
+    job.tokens = Math.max(job.tokens, sample.tokens);
+    job.long = isLong(state, job);
+    state.tracker.progressed(sample, nowMs);
+  }
+  tellSuspects(state);
+}
+
+function dropHolder(
+  state: SchedulerState,
+  holder: InstanceId,
+  nowMs: number,
+): void {
+  for (const entry of state.queue.ofHolder(holder)) state.queue.remove(entry);
+  for (const job of jobsOf(state, holder)) dropJob(state, job, nowMs);
+}
+
+function dropJob(state: SchedulerState, job: RunningJob, nowMs: number): void {
+  endJob(
+    state,
+    {
+      permitId: job.permitId,
+      outcome: 'canceled',
+      tokens: job.tokens,
+      wastedTokens: job.tokens,
+      serviceMs: nowMs - job.grantedAtMs,
+    },
+    nowMs,
+  );
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,3 +1,5 @@
+export type {ClassifiedCall, ModelCall, ServiceCall} from './Classification.js';
+export {classify} from './Classification.js';
 export type {HedgeBudget, HedgeBudgetParameters} from './HedgeBudget.js';
 export {
   createHedgeBudget,
@@ -12,6 +14,11 @@
   createRetryBudget,
   defaultRetryBudgetParameters,
 } from './RetryBudget.js';
+export type {SchedulerParameters} from './SchedulerParameters.js';
+export {defaultSchedulerParameters} from './SchedulerParameters.js';
+export type {ShardSchedulerOptions} from './SchedulerState.js';
+export type {ShardScheduler} from './ShardScheduler.js';
+export {createShardScheduler} from './ShardScheduler.js';
 export type {JobStart, UpstreamTracker} from './UpstreamTracker.js';
 export {createUpstreamTracker} from './UpstreamTracker.js';
 export type {UpstreamTrackerParameters} from './UpstreamTrackerConstants.js';
