--- a/packages/claims/src/__tests__/fuzz/ClaimOracle.ts
+++ b/packages/claims/src/__tests__/fuzz/ClaimOracle.ts
@@ -116,9 +116,12 @@
     runsOf: key => runs.get(key)?.length ?? 0,
     observeCommit: entries => {
       for (const {value, modRevision} of entries) {
+        // Retention counts from when the writer sent the write, which may be
+        // long before a delayed write takes effect.
+        const atMs = Number(/"writtenAtWallMs":(\d+)/.exec(`${value}`)?.[1]);
         for (const [, id = ''] of value.toString().matchAll(claimPattern)) {
           if (firstClaims.has(id)) continue;
-          firstClaims.set(id, {revision: modRevision, atMs: clock.wallMs()});
+          firstClaims.set(id, {revision: modRevision, atMs});
         }
       }
     },
