--- a/packages/claims/src/ClaimWriter.ts
+++ b/packages/claims/src/ClaimWriter.ts
@@ -198,11 +198,14 @@
     return true;
   }
 
-  /** Gives the answers that stay right whatever other writers have done. */
+  /**
+   * Gives the answers that stay right whatever other writers have done. An
+   * operation that was sent is left out: its own record may be stored.
+   */
   function giveFinalAnswers(error: PlatformError): false {
     for (const operation of queue) {
       operation.noteFailure(error);
-      if (known === undefined) continue;
+      if (known === undefined || operation.sent) continue;
       const prepared = operation.prepare(known.claims);
       if (prepared.record !== undefined || prepared.needsConfirmation) continue;
       prepared.answerAt(undefined);
