Stop the ramp of a restored upstream at its former limit

Cause: after a suspect was restored, its limit doubled past the former value (32 to 64), overfilled the engine, and made it suspect again. Ruled out: false suspicion as the first cause; a trace showed engines at 64 jobs only after a restoration.

--- a/packages/policy/src/UpstreamTrackerLimits.ts
+++ b/packages/policy/src/UpstreamTrackerLimits.ts
@@ -35,7 +35,8 @@
     // A limit that is not in use says nothing about a higher one.
     if (inFlight < Math.floor(limit)) return;
     const step = pressure < parameters.growBelowPressure / 2 ? 2 : 1;
-    limit = clamp(limit < rampTarget ? limit * 2 : limit + step);
+    const isRamp = limit < rampTarget;
+    limit = clamp(isRamp ? Math.min(rampTarget, limit * 2) : limit + step);
   }
 
   function shrink(pressure: number, inFlight: number): void {
