Let a limit shrink while the highest tier uses its headroom

Cause: a decrease waited until no more jobs ran than the limit, but tier 1 may exceed it by a quarter, so under load the limit never shrank.

--- a/packages/policy/src/UpstreamTrackerLimits.ts
+++ b/packages/policy/src/UpstreamTrackerLimits.ts
@@ -41,18 +41,20 @@
 
   function shrink(pressure: number, inFlight: number): void {
     // Until the jobs above the limit have ended, an earlier decrease has not
-    // taken full effect.
-    if (inFlight > Math.ceil(limit)) return;
+    // taken full effect. Jobs in the headroom of the highest tier stay above it.
+    if (inFlight > forTier(1)) return;
     const factor = Math.max(parameters.maxDecrease, 1 / pressure);
     limit = clamp(Math.min(limit, Math.max(inFlight, 1)) * factor);
     rampTarget = 0;
   }
 
+  function forTier(tier: Tier): number {
+    const headroom = limit * parameters.headroomByTier[tier];
+    return Math.floor(limit) + Math.ceil(headroom);
+  }
+
   return {
-    forTier: tier => {
-      const headroom = limit * parameters.headroomByTier[tier];
-      return Math.floor(limit) + Math.ceil(headroom);
-    },
+    forTier,
     adjust: (pressure, inFlight, nowMs) => {
       adjustedAtMs ??= nowMs;
       if (nowMs - adjustedAtMs < parameters.controlIntervalMs) return;
--- a/packages/policy/src/__tests__/unit/UpstreamTrackerLimits.test.ts
+++ b/packages/policy/src/__tests__/unit/UpstreamTrackerLimits.test.ts
@@ -29,4 +29,11 @@
     adjustFull(limit, 0.6, 1, rampedAtMs);
     expect(limit.forTier(4)).to.equal(34);
   });
+
+  it('shrinks although jobs of the highest tier use its headroom', () => {
+    const limit = createConcurrencyLimit({...defaults, initialLimit: 20});
+    limit.adjust(undefined, 0, 0);
+    limit.adjust(1.2, limit.forTier(1), defaults.controlIntervalMs);
+    expect(limit.forTier(4)).to.be.lessThan(20);
+  });
 });
