Judge first-token times only where no decoding is seen

Cause: engines that decoded at up to three times the median were suspected when a low-tier job waited in them for memory or behind other prompts, which is overload and not a straggler.

--- a/packages/policy/src/UpstreamComparison.ts
+++ b/packages/policy/src/UpstreamComparison.ts
@@ -111,8 +111,9 @@
 }
 
 /**
- * Judges an upstream against `others`. Decoding says more than the time to the
- * first token, which also grows with long prompts, and takes precedence.
+ * Judges an upstream against `others`. The time to the first token counts only
+ * where no decoding is seen, because it also grows with long prompts and while
+ * an engine that decodes at the usual rate has no memory for more jobs.
  */
 export function judgeUpstream(
   upstream: TrackedUpstream,
@@ -121,7 +122,7 @@
   nowMs: number,
 ): Judgement {
   const gap = judgeGap(upstream, others, parameters, nowMs);
-  if (gap !== undefined && gap.verdict !== 'unknown') return gap;
+  if (gap !== undefined) return gap;
   const response = judgeResponse(upstream, others, parameters, nowMs);
-  return response ?? gap ?? {verdict: 'unknown', reason: 'nothing observed'};
+  return response ?? {verdict: 'unknown', reason: 'nothing observed'};
 }
--- a/packages/policy/src/__tests__/unit/UpstreamFixtures.ts
+++ b/packages/policy/src/__tests__/unit/UpstreamFixtures.ts
@@ -39,6 +39,7 @@
   readonly permit: string;
   readonly upstreamId: UpstreamId;
   readonly startedAtMs: number;
+  readonly gapMs: number | undefined;
   tokens: number;
   lastTokenAtMs: number;
 }
@@ -46,6 +47,8 @@
 export interface JobOptions {
   readonly tier?: Tier;
   readonly target?: LatencyTarget;
+  /** Token gap of this job whatever its upstream delivers. */
+  readonly gapMs?: number;
 }
 
 /** Drives a tracker as entries would. */
@@ -69,6 +72,7 @@
       permit,
       upstreamId,
       startedAtMs: nowMs,
+      gapMs: options.gapMs,
       tokens: 0,
       lastTokenAtMs: nowMs,
     });
@@ -128,7 +132,7 @@
       while (nowMs + sampleIntervalMs <= endMs) {
         nowMs += sampleIntervalMs;
         for (const job of jobs.values()) {
-          decode(job, gapMs(job.upstreamId));
+          decode(job, job.gapMs ?? gapMs(job.upstreamId));
           report(job);
         }
         tracker.tick(nowMs);
--- a/packages/policy/src/__tests__/unit/UpstreamTracker.test.ts
+++ b/packages/policy/src/__tests__/unit/UpstreamTracker.test.ts
@@ -72,6 +72,14 @@
     expect(tracker.state(slow)).to.equal('suspect');
   });
 
+  it('does not suspect an engine that decodes as usual but has no room for a job', () => {
+    const {tracker, entries} = setup(6, 4);
+    entries.run(1000, () => 30);
+    entries.start(slow, {gapMs: 60_000});
+    entries.run(2000, id => (id === slow ? 60 : 30));
+    expect(tracker.state(slow)).to.equal('healthy');
+  });
+
   it('does not blame upstreams for a holder that was paused', () => {
     const {tracker, entries, infos} = setup(6, 4);
     entries.run(1000, () => 30);
