Add pages on operations, HTTP API, settings and terms, with their tests

Every command and request on the pages runs against an instance with stand-ins; tables of error kinds, paths, exit codes, metrics and settings are compared with the code.

--- a/packages/cli/src/__tests__/unit/CliFixtures.ts
+++ b/packages/cli/src/__tests__/unit/CliFixtures.ts
@@ -15,7 +15,10 @@
 import type {FakeInstance} from '../../../../daemon/src/__tests__/unit/admin/AdminFixtures.js';
 import {createFakeInstance} from '../../../../daemon/src/__tests__/unit/admin/AdminFixtures.js';
 
-const bin = fileURLToPath(new URL('../../bin/toucanctl.ts', import.meta.url));
+/** Source of the command-line tool. */
+export const toucanctlBin = fileURLToPath(
+  new URL('../../bin/toucanctl.ts', import.meta.url),
+);
 
 type FetchCallback = Parameters<typeof serve>[0]['fetch'];
 
@@ -71,7 +74,8 @@
   return {
     fake,
     address,
-    run: (args, env = {}) => runTool(args, {...baseEnv, ...env}),
+    run: (args, env = {}) =>
+      runProgram(toucanctlBin, args, {env: {...baseEnv, ...env}}),
     write: (name, text) => {
       const file = path.join(directory, name);
       writeFileSync(file, text);
@@ -85,16 +89,22 @@
   };
 }
 
-function runTool(
+/** Runs a program of this repository from its source. */
+export function runProgram(
+  bin: string,
   args: readonly string[],
-  env: Readonly<Record<string, string>>,
+  options: {
+    readonly env: Readonly<Record<string, string>>;
+    readonly cwd?: string;
+  },
 ): Promise<ToolRun> {
-  const command = ['--import=tsx', '--conditions=source', bin, ...args];
+  const tsx = import.meta.resolve('tsx');
+  const command = [`--import=${tsx}`, '--conditions=source', bin, ...args];
   return new Promise(resolve => {
     const child = execFile(
       process.execPath,
       command,
-      {env},
+      options,
       (_error, stdout, stderr) =>
         resolve({code: child.exitCode ?? -1, stdout, stderr}),
     );
--- /dev/null
+++ b/packages/cli/src/__tests__/unit/Pages.test.ts
@@ -0,0 +1,130 @@
+import type {ErrorBody} from '@toucanrouter/common';
+import {errorAnswers} from '@toucanrouter/common';
+import {createAdminApp} from '@toucanrouter/daemon';
+import {parseClasses} from '@toucanrouter/settings';
+import {expect} from 'chai';
+import {createFakeInstance} from '../../../../daemon/src/__tests__/unit/admin/AdminFixtures.js';
+import {createMetrics} from '../../../../daemon/src/Metrics.js';
+import {exitCodes} from '../../index.js';
+import type {PagesBench} from './PagesFixtures.js';
+import {
+  createPagesBench,
+  readBlocks,
+  readRepositoryFile,
+  readTable,
+} from './PagesFixtures.js';
+
+const pages = ['api', 'glossary', 'operations', 'settings'].map(
+  name => `docs/${name}.md`,
+);
+
+describe('examples of the pages', () => {
+  let bench: PagesBench;
+  beforeEach(async () => {
+    bench = await createPagesBench();
+  });
+  afterEach(() => bench.close());
+
+  for (const page of ['docs/settings.md', 'docs/operations.md']) {
+    it(`runs every command of ${page}, so that operators can copy them`, async () => {
+      const blocks = readBlocks(page).filter(b => b.language === 'console');
+      const lines = blocks.flatMap(({text}) => text.trim().split('\n'));
+      expect(lines).to.have.length.greaterThan(0);
+      for (const line of lines) {
+        expect(line).to.match(/^\$ /);
+        const {code, stderr} = await bench.runCommand(line.slice(2));
+        expect(code, `${line}\n${stderr}`).to.equal(0);
+      }
+    });
+  }
+
+  it('gets the answers that docs/api.md gives for its requests', async () => {
+    const apply = 'toucanctl config apply tkacik.classes.ini --expect 0 --wait';
+    expect((await bench.runCommand(apply)).code).to.equal(0);
+    const blocks = readBlocks('docs/api.md').filter(b => b.language === 'http');
+    expect(blocks).to.have.length.greaterThan(0);
+    for (const {info, text} of blocks) {
+      const [status, kind] = info;
+      const answer = await bench.sendRequest(text);
+      expect(answer.status, `${text}\n${answer.text}`).to.equal(Number(status));
+      if (kind === undefined) continue;
+      const {error} = JSON.parse(answer.text) as ErrorBody;
+      expect(error.type).to.equal(kind);
+    }
+  });
+});
+
+describe('pages', () => {
+  it('contain only blocks that a test reads, so that no example goes unchecked', () => {
+    const known = ['console', 'http', 'ini', 'json'];
+    for (const page of pages) {
+      const fences = readRepositoryFile(page).match(/^ *```\w+/gm) ?? [];
+      const blocks = readBlocks(page);
+      expect(blocks).to.have.length(fences.length);
+      for (const {language, text} of blocks) {
+        expect(known).to.include(language);
+        if (language === 'json') JSON.parse(text);
+        if (language !== 'ini') continue;
+        const parsed = parseClasses(text, page);
+        expect(parsed.isOk(), String(parsed.isErr() && parsed.error)).to.equal(
+          true,
+        );
+      }
+    }
+  });
+
+  it('list every error kind with the status and run status of the code', () => {
+    const rows = readTable('docs/api.md', 'Kind').map(row => row.slice(0, 3));
+    const expected = Object.entries(errorAnswers).map(
+      ([kind, {status, runStatus}]) => [kind, String(status), runStatus],
+    );
+    expect(rows).to.deep.equal(expected);
+  });
+
+  it('list every path of the administration API', () => {
+    const fake = createFakeInstance();
+    const routes = createAdminApp(fake.dependencies)
+      .routes.filter(({method}) => method !== 'ALL')
+      .map(({method, path}) => `${method} ${path}`);
+    fake.close();
+    const rows = readTable('docs/api.md', 'Method and path').map(([r]) => r);
+    expect([...rows].sort()).to.deep.equal([...routes].sort());
+  });
+
+  it('list every exit code', () => {
+    const rows = readTable('docs/operations.md', 'Code').map(([code]) => code);
+    const codes = Object.values(exitCodes).map(String);
+    expect(rows).to.deep.equal(codes);
+  });
+
+  it('list every metric of the router', async () => {
+    const zero = () => 0;
+    const metrics = createMetrics({
+      configVersion: zero,
+      membersAlive: zero,
+      peerMessagesSent: zero,
+      permitsHeld: zero,
+      permitsPending: zero,
+    });
+    const text = await metrics.render();
+    const names = [...text.matchAll(/^# TYPE (toucanrouter_\w+) /gm)].map(
+      match => match[1],
+    );
+    const rows = readTable('docs/operations.md', 'Metric').map(([m]) => m);
+    expect(rows).to.have.members(names);
+  });
+
+  it('refer only to pages and samples that exist', () => {
+    for (const page of pages) {
+      const text = readRepositoryFile(page);
+      for (const [, target = ''] of text.matchAll(/\]\((\w+\.md)\)/g)) {
+        readRepositoryFile(`docs/${target}`);
+      }
+      for (const [, target = ''] of text.matchAll(
+        /`((?:samples|packages)\/[\w./-]+\.(?:ini|ts))`/g,
+      )) {
+        readRepositoryFile(target);
+      }
+    }
+  });
+});
