--- a/packages/cli/src/__tests__/unit/Pages.test.ts
+++ b/packages/cli/src/__tests__/unit/Pages.test.ts
@@ -54,6 +54,45 @@
   });
 });
 
+describe('a platform outage as docs/operations.md describes it', () => {
+  let bench: PagesBench;
+  beforeEach(async () => {
+    bench = await createPagesBench();
+  });
+  afterEach(() => bench.close());
+
+  it('keeps reads and idempotent calls going, and refuses the rest as "not run"', async () => {
+    const [model, , lookup, order] = readBlocks('docs/api.md')
+      .filter(({language}) => language === 'http')
+      .map(({text}) => text);
+    const apply = 'toucanctl config apply tkacik.classes.ini --expect';
+    expect((await bench.runCommand(`${apply} 0`)).code).to.equal(0);
+    bench.setOutage(true);
+    for (const text of [model, lookup]) {
+      expect((await bench.sendRequest(text ?? '')).status).to.equal(200);
+    }
+    const impatient = `${order}`.replace('\n', '\nx-request-timeout-ms: 500\n');
+    const refused = await bench.sendRequest(impatient);
+    expect(JSON.parse(refused.text)).to.have.nested.include({
+      'error.type': 'platform_unavailable',
+      'error.run_status': 'not_run',
+    });
+    for (const read of ['config show', 'status', 'requests', 'report burn']) {
+      const {code, stderr} = await bench.runCommand(`toucanctl ${read}`);
+      expect(code, stderr).to.equal(0);
+    }
+    const history = await bench.runCommand('toucanctl config history');
+    expect(history.code).to.equal(exitCodes.failed);
+    const drain = await bench.runCommand('toucanctl upstream drain engine-1');
+    expect(drain.code).to.equal(exitCodes.failed);
+    expect(drain.stderr).to.contain('nothing was changed');
+    bench.setOutage(false);
+    const show = await bench.runCommand('toucanctl config show');
+    expect(show.stdout).to.match(/^; toucanrouter configuration version 1 /);
+    expect((await bench.sendRequest(order ?? '')).status).to.equal(200);
+  });
+});
+
 describe('pages', () => {
   it('contain only blocks that a test reads, so that no example goes unchecked', () => {
     const known = ['console', 'http', 'ini', 'json'];
--- a/packages/cli/src/__tests__/unit/PagesFixtures.ts
+++ b/packages/cli/src/__tests__/unit/PagesFixtures.ts
@@ -92,6 +92,8 @@
   runCommand(line: string): Promise<ToolRun>;
   /** Sends an HTTP example to the API that its path belongs to. */
   sendRequest(text: string): Promise<ExampleAnswer>;
+  /** Makes the key-value service refuse or answer calls. */
+  setOutage(outage: boolean): void;
   close(): Promise<void>;
 }
 
@@ -125,6 +127,7 @@
     runCommand: line => runCommand(line, {cwd: directory, env}),
     sendRequest: text =>
       sendRequest(text, adminUrl, `http://127.0.0.1:${callersPort}`),
+    setOutage: outage => platform.setSwitches({outage}),
     close: async () => {
       await daemon.close();
       await Promise.all(upstreams.map(upstream => upstream.close()));
--- a/packages/report/src/BurnCalculation.ts
+++ b/packages/report/src/BurnCalculation.ts
@@ -18,12 +18,7 @@
 } from './BurnConstants.js';
 import type {CountSnapshot, CountTotals} from './CountSeries.js';
 import {sumSince, toBurnPoints} from './CountSeries.js';
-import type {HistogramSnapshot} from './LatencyHistogram.js';
-import {
-  mergeHistograms,
-  toLatencyBuckets,
-  toQuantiles,
-} from './LatencyHistogram.js';
+import {toLatencyBuckets, toQuantiles} from './LatencyHistogram.js';
 import type {
   ClassLevels,
   ServiceLevelSnapshot,
@@ -92,7 +87,10 @@
     budgetRemaining,
     exhaustedInMs: timeToExhaustionMs(budgetRemaining, longBurnRate),
     alarm: toAlarm(Math.min(shortBurnRate, longBurnRate)),
-    ...latenciesOf(levels.workspaces),
+    firstToken: toQuantiles(levels.firstToken),
+    tokenGap: toQuantiles(levels.tokenGap),
+    total: toQuantiles(levels.total),
+    totalBuckets: toLatencyBuckets(levels.total),
     points: toBurnPoints(counts),
     worstWorkspace: workspaces.find(({bad}) => bad > 0),
     workspaces,
@@ -145,20 +143,6 @@
   return rate >= ticketBurnRate ? 'ticket' : 'none';
 }
 
-function latenciesOf(
-  workspaces: readonly WorkspaceLevels[],
-): Pick<ClassBurn, 'firstToken' | 'tokenGap' | 'total' | 'totalBuckets'> {
-  const merge = (pick: (levels: WorkspaceLevels) => HistogramSnapshot) =>
-    mergeHistograms(workspaces.map(pick));
-  const total = merge(levels => levels.total);
-  return {
-    firstToken: toQuantiles(merge(levels => levels.firstToken)),
-    tokenGap: toQuantiles(merge(levels => levels.tokenGap)),
-    total: toQuantiles(total),
-    totalBuckets: toLatencyBuckets(total),
-  };
-}
-
 function toWorkspaceBurns(
   workspaces: readonly WorkspaceLevels[],
   context: BurnContext,
--- a/packages/report/src/BurnConstants.ts
+++ b/packages/report/src/BurnConstants.ts
@@ -26,5 +26,11 @@
  */
 export const maxWorkspacesPerClass = 2000;
 
+/**
+ * Workspaces of a class that a snapshot shows, those with most misses first.
+ * With 1,300 workspaces a snapshot of all of them took 3.4 MB and 157 ms.
+ */
+export const maxWorkspacesPerSnapshot = 50;
+
 /** Label of the workspaces beyond `maxWorkspacesPerClass`. */
 export const otherWorkspaces = '(other)';
--- a/packages/report/src/CountSeries.ts
+++ b/packages/report/src/CountSeries.ts
@@ -18,6 +18,8 @@
 export interface CountSeries {
   add(good: boolean, wallMs: number): void;
   snapshot(wallMs: number): CountSnapshot;
+  /** Sums the buckets that are kept. */
+  totals(wallMs: number): CountTotals;
 }
 
 interface CountBucket {
@@ -53,6 +55,15 @@
       prune(wallMs);
       return toSnapshot(buckets);
     },
+    totals: wallMs => {
+      prune(wallMs);
+      const totals = {good: 0, bad: 0};
+      for (const {good, bad} of buckets.values()) {
+        totals.good += good;
+        totals.bad += bad;
+      }
+      return totals;
+    },
   };
 }
 
--- a/packages/report/src/ServiceLevelRecorder.ts
+++ b/packages/report/src/ServiceLevelRecorder.ts
@@ -15,6 +15,7 @@
   budgetPeriodMs,
   longWindowMs,
   maxWorkspacesPerClass,
+  maxWorkspacesPerSnapshot,
   otherWorkspaces,
 } from './BurnConstants.js';
 import type {CountSeries} from './CountSeries.js';
@@ -23,8 +24,8 @@
 import {createLatencyHistogram} from './LatencyHistogram.js';
 import type {
   ClassLevels,
+  RecordedLevels,
   ServiceLevelSnapshot,
-  WorkspaceLevels,
 } from './ServiceLevelSnapshot.js';
 
 /** How a request ended. `canceled` means that its caller left. */
@@ -58,8 +59,7 @@
   readonly maxWorkspaces?: number;
 }
 
-interface WorkspaceRecord {
-  readonly workspaceId: WorkspaceId;
+interface LevelRecord {
   readonly counts: CountSeries;
   readonly firstToken: LatencyHistogram;
   readonly tokenGap: LatencyHistogram;
@@ -68,8 +68,8 @@
 
 interface ClassRecord {
   serviceClass: ServiceLevelObservation['serviceClass'];
-  readonly counts: CountSeries;
-  readonly workspaces: Map<WorkspaceId, WorkspaceRecord>;
+  readonly all: LevelRecord;
+  readonly workspaces: Map<WorkspaceId, LevelRecord>;
 }
 
 /** Creates a recorder that counts from now on. */
@@ -99,14 +99,12 @@
       if (good === undefined) return;
       const wallMs = clock.wallMs();
       const record = recordOf(observation);
-      record.counts.add(good, wallMs);
-      const workspace = workspaceOf(
-        record,
-        observation.workspaceId,
-        maxWorkspaces,
-      );
-      workspace.counts.add(good, wallMs);
-      recordLatencies(workspace, observation);
+      const {workspaceId} = observation;
+      const workspace = workspaceOf(record, workspaceId, maxWorkspaces);
+      for (const level of [record.all, workspace]) {
+        level.counts.add(good, wallMs);
+        recordLatencies(level, observation);
+      }
     },
     snapshot: () => ({
       takenAtWallMs: clock.wallMs(),
@@ -166,7 +164,7 @@
 ): ClassRecord {
   return {
     serviceClass,
-    counts: createCountSeries(budgetPeriodMs),
+    all: createLevelRecord(budgetPeriodMs),
     workspaces: new Map(),
   };
 }
@@ -175,7 +173,7 @@
   record: ClassRecord,
   workspaceId: WorkspaceId,
   maxWorkspaces: number,
-): WorkspaceRecord {
+): LevelRecord {
   const {workspaces} = record;
   const known = workspaces.get(workspaceId);
   if (known !== undefined) return known;
@@ -183,15 +181,14 @@
     workspaces.size < maxWorkspaces
       ? workspaceId
       : toWorkspaceId(otherWorkspaces);
-  const workspace = workspaces.get(label) ?? createWorkspaceRecord(label);
+  const workspace = workspaces.get(label) ?? createLevelRecord(longWindowMs);
   workspaces.set(label, workspace);
   return workspace;
 }
 
-function createWorkspaceRecord(workspaceId: WorkspaceId): WorkspaceRecord {
+function createLevelRecord(keepMs: number): LevelRecord {
   return {
-    workspaceId,
-    counts: createCountSeries(longWindowMs),
+    counts: createCountSeries(keepMs),
     firstToken: createLatencyHistogram(),
     tokenGap: createLatencyHistogram(),
     total: createLatencyHistogram(),
@@ -200,14 +197,14 @@
 
 /** Latencies of requests that did not complete would blur those of answers. */
 function recordLatencies(
-  workspace: WorkspaceRecord,
+  level: LevelRecord,
   observation: ServiceLevelObservation,
 ): void {
   if (observation.outcome !== 'completed') return;
   const {firstTokenMs, tokenGapMs, totalMs} = observation;
-  if (firstTokenMs !== undefined) workspace.firstToken.record(firstTokenMs);
-  if (tokenGapMs !== undefined) workspace.tokenGap.record(tokenGapMs);
-  workspace.total.record(totalMs);
+  if (firstTokenMs !== undefined) level.firstToken.record(firstTokenMs);
+  if (tokenGapMs !== undefined) level.tokenGap.record(tokenGapMs);
+  level.total.record(totalMs);
 }
 
 function toClassLevels(record: ClassRecord, wallMs: number): ClassLevels {
@@ -216,22 +213,37 @@
     classId: id,
     tier,
     target,
-    counts: record.counts.snapshot(wallMs),
-    workspaces: [...record.workspaces.values()].map(workspace =>
-      toWorkspaceLevels(workspace, wallMs),
-    ),
+    ...toRecordedLevels(record.all, wallMs),
+    workspaces: worstWorkspaces(record, wallMs).map(([workspaceId, level]) => ({
+      workspaceId,
+      ...toRecordedLevels(level, wallMs),
+    })),
   };
 }
 
-function toWorkspaceLevels(
-  workspace: WorkspaceRecord,
+type WorkspaceEntry = readonly [WorkspaceId, LevelRecord];
+
+function worstWorkspaces(
+  {workspaces}: ClassRecord,
   wallMs: number,
-): WorkspaceLevels {
+): readonly WorkspaceEntry[] {
+  const entries = [...workspaces];
+  if (entries.length <= maxWorkspacesPerSnapshot) return entries;
+  return entries
+    .map(entry => ({entry, totals: entry[1].counts.totals(wallMs)}))
+    .sort(
+      ({totals: a}, {totals: b}) =>
+        b.bad - a.bad || b.good + b.bad - (a.good + a.bad),
+    )
+    .slice(0, maxWorkspacesPerSnapshot)
+    .map(({entry}) => entry);
+}
+
+function toRecordedLevels(level: LevelRecord, wallMs: number): RecordedLevels {
   return {
-    workspaceId: workspace.workspaceId,
-    counts: workspace.counts.snapshot(wallMs),
-    firstToken: workspace.firstToken.snapshot(),
-    tokenGap: workspace.tokenGap.snapshot(),
-    total: workspace.total.snapshot(),
+    counts: level.counts.snapshot(wallMs),
+    firstToken: level.firstToken.snapshot(),
+    tokenGap: level.tokenGap.snapshot(),
+    total: level.total.snapshot(),
   };
 }
--- a/packages/report/src/ServiceLevelSnapshot.ts
+++ b/packages/report/src/ServiceLevelSnapshot.ts
@@ -13,21 +13,25 @@
 import type {HistogramSnapshot} from './LatencyHistogram.js';
 import {mergeHistograms} from './LatencyHistogram.js';
 
-/** Counts of one workspace within a class. */
-export interface WorkspaceLevels {
-  readonly workspaceId: WorkspaceId;
+/** Requests by time, and latencies of completed requests. */
+export interface RecordedLevels {
   readonly counts: CountSnapshot;
   readonly firstToken: HistogramSnapshot;
   readonly tokenGap: HistogramSnapshot;
   readonly total: HistogramSnapshot;
 }
 
-/** Counts of one class. */
-export interface ClassLevels {
+/** Counts of one workspace within a class. */
+export interface WorkspaceLevels extends RecordedLevels {
+  readonly workspaceId: WorkspaceId;
+}
+
+/** Counts of one class over all of its workspaces. */
+export interface ClassLevels extends RecordedLevels {
   readonly classId: ClassId;
   readonly tier: Tier;
   readonly target: LatencyTarget;
-  readonly counts: CountSnapshot;
+  /** The workspaces with most misses in the long window. */
   readonly workspaces: readonly WorkspaceLevels[];
 }
 
@@ -82,7 +86,7 @@
     classId: group[0].classId,
     tier: group[0].tier,
     target: group[0].target,
-    counts: mergeCounts(group.map(({counts}) => counts)),
+    ...mergeLevels(group),
     workspaces: mergeWorkspaces(group.flatMap(({workspaces}) => workspaces)),
   }));
 }
@@ -92,11 +96,17 @@
 ): readonly WorkspaceLevels[] {
   return groupBy(levels, ({workspaceId}) => workspaceId).map(group => ({
     workspaceId: group[0].workspaceId,
+    ...mergeLevels(group),
+  }));
+}
+
+function mergeLevels(group: readonly RecordedLevels[]): RecordedLevels {
+  return {
     counts: mergeCounts(group.map(({counts}) => counts)),
     firstToken: mergeHistograms(group.map(({firstToken}) => firstToken)),
     tokenGap: mergeHistograms(group.map(({tokenGap}) => tokenGap)),
     total: mergeHistograms(group.map(({total}) => total)),
-  }));
+  };
 }
 
 type NonEmpty<T> = [T, ...T[]];
--- a/packages/report/src/__tests__/unit/ServiceLevels.test.ts
+++ b/packages/report/src/__tests__/unit/ServiceLevels.test.ts
@@ -77,6 +77,21 @@
     expect(labels).to.deep.equal(['w0', 'w1', '(other)']);
   });
 
+  it('shows the workspaces with most misses, so that a snapshot stays small', () => {
+    const recorder = createRecorder(createManualClock(startWallMs), 'r1', 2000);
+    for (let n = 0; n < 1300; n++) {
+      const workspaceId = toWorkspaceId(`w${n}`);
+      const outcome = n === 1200 ? 'failed' : 'completed';
+      recorder.record(observation({workspaceId, outcome}));
+    }
+    const snapshot = recorder.snapshot();
+    expect(snapshot.classes[0]?.workspaces).to.have.length(50);
+    const [burn] = toBurnReport(snapshot).classes;
+    expect(burn?.worstWorkspace?.workspaceId).to.equal('w1200');
+    expect(burn?.requests).to.equal(1300);
+    expect(burn?.total.count).to.equal(1299);
+  });
+
   it('forgets counts older than the budget period', () => {
     const clock = createManualClock(startWallMs);
     const recorder = createRecorder(clock);
--- a/packages/report/src/index.ts
+++ b/packages/report/src/index.ts
@@ -14,6 +14,7 @@
 export {createServiceLevelRecorder} from './ServiceLevelRecorder.js';
 export type {
   ClassLevels,
+  RecordedLevels,
   ServiceLevelSnapshot,
   WorkspaceLevels,
 } from './ServiceLevelSnapshot.js';
