Answer unknown administration paths as JSON when mounted

Cause: the instance mounts the administration app in another app, and hono then calls the outer notFound handler, which answers in plain text. A route of the app now answers instead; a test mounts it as the instance does.

--- a/packages/cli/src/commands/Requests.ts
+++ b/packages/cli/src/commands/Requests.ts
@@ -20,7 +20,11 @@
   async run(): Promise<QueuedRequests> {
     const {flags} = await this.parse(Requests);
     const requests = await (await this.connect(flags)).queuedRequests();
-    this.log(renderTable(columns, requests.classes.map(toRow)));
+    this.log(
+      requests.classes.length === 0
+        ? 'no requests are queued or running'
+        : renderTable(columns, requests.classes.map(toRow)),
+    );
     if (requests.unanswered.length > 0) {
       this.log(`\nNo answer from: ${requests.unanswered.join(', ')}`);
     }
--- a/packages/daemon/src/__tests__/unit/admin/AdminApp.test.ts
+++ b/packages/daemon/src/__tests__/unit/admin/AdminApp.test.ts
@@ -6,6 +6,7 @@
 } from '@toucanrouter/common';
 import {errorAnswers, PlatformError} from '@toucanrouter/common';
 import {expect} from 'chai';
+import {Hono} from 'hono';
 import {errAsync, okAsync} from 'neverthrow';
 import {createAdminApp} from '../../../index.js';
 import type {FakeInstance} from './AdminFixtures.js';
@@ -153,6 +154,16 @@
     }
   });
 
+  it('answers unknown paths as JSON also when it is mounted beside other routes', async () => {
+    const server = new Hono().route('/', createAdminApp(fake.dependencies));
+    const response = await server.request('/admin/v1/nothing', {
+      headers: {authorization: `Bearer ${writerToken}`},
+    });
+    const body = (await response.json()) as AdminErrorBody;
+    expect(response.status).to.equal(404);
+    expect(body.error.type).to.equal('not_found');
+  });
+
   it('returns all faults of a classes file and changes nothing', async () => {
     const {status, body} = await apply(fake, {
       classesText: '[class.quick]\npriority = 9\nweight = 1\n',
--- a/packages/daemon/src/admin/AdminApp.ts
+++ b/packages/daemon/src/admin/AdminApp.ts
@@ -45,7 +45,8 @@
   addStatusRoutes(app, dependencies);
   addConfigRoutes(app, dependencies);
   addChangeRoutes(app, createConfigChanges(dependencies));
-  app.notFound(context => toErrorResponse(unknownPath(context.req.path)));
+  // A route, since the app that this one is mounted in has its own notFound.
+  app.all('*', context => toErrorResponse(unknownPath(context.req.path)));
   app.onError(cause => {
     dependencies.logUnexpected(cause);
     return toErrorResponse(unexpected(cause));
