--- a/packages/standins/src/engine/ChatSinks.ts
+++ b/packages/standins/src/engine/ChatSinks.ts
@@ -5,13 +5,14 @@
 import type {ServerResponse} from 'node:http';
 import {sendJson} from '../shared/HttpUtils.js';
 import type {EngineRun, RunSink} from './EngineRun.js';
-import type {EngineSwitches} from './EngineSwitches.js';
+import type {EngineSwitches, StreamCut} from './EngineSwitches.js';
 
 /** Creates the sink of a streamed answer. */
 export function createStreamSink(
   response: ServerResponse,
   switches: EngineSwitches,
   loadHeader: string,
+  isFresh: boolean,
 ): RunSink {
   response.writeHead(200, {
     'content-type': 'text/event-stream',
@@ -19,7 +20,7 @@
     'endpoint-load-metrics': loadHeader,
   });
   response.flushHeaders();
-  const plannedCut = takeCut(switches);
+  const plannedCut = takeCut(switches, isFresh);
   let tokensSent = 0;
   let cut = false;
 
@@ -29,17 +30,24 @@
     else response.destroy();
   }
 
+  function writeLast(text: string): void {
+    cut = true;
+    if (plannedCut?.kind === 'truncate') response.end(text);
+    // The callback comes when the text was sent, so that it is not discarded.
+    else response.write(text, () => response.destroy());
+  }
+
   return {
     event: (text, tokens) => {
       if (cut) return;
       // A planned cut happens at the latest before the end of the answer.
       const isEnd = tokens === 0 && tokensSent > 0;
       if (plannedCut !== undefined && isEnd) return cutNow();
-      response.write(text);
       tokensSent += tokens;
       if (plannedCut !== undefined && tokensSent >= plannedCut.afterTokens) {
-        cutNow();
+        return writeLast(text);
       }
+      response.write(text);
     },
     end: () => {
       if (!cut) response.end();
@@ -52,14 +60,21 @@
   readonly afterTokens: number;
 }
 
+function applies(cut: StreamCut, isFresh: boolean): boolean {
+  return cut.count > 0 && (isFresh || cut.freshOnly !== true);
+}
+
 /** Uses up one of the cuts that the switches ask for. */
-function takeCut(switches: EngineSwitches): PlannedCut | undefined {
+function takeCut(
+  switches: EngineSwitches,
+  isFresh: boolean,
+): PlannedCut | undefined {
   const {breakStreams, truncateStreams} = switches;
-  if (breakStreams.count > 0) {
+  if (applies(breakStreams, isFresh)) {
     breakStreams.count--;
     return {kind: 'break', afterTokens: breakStreams.afterTokens};
   }
-  if (truncateStreams.count > 0) {
+  if (applies(truncateStreams, isFresh)) {
     truncateStreams.count--;
     return {kind: 'truncate', afterTokens: truncateStreams.afterTokens};
   }
--- a/packages/standins/src/engine/EngineStandIn.ts
+++ b/packages/standins/src/engine/EngineStandIn.ts
@@ -140,8 +140,9 @@
     plan: ChatPlan,
   ): void {
     let run: EngineRun | undefined = undefined;
+    const isFresh = plan.from.tokenIndex === 0;
     const sink = plan.stream
-      ? createStreamSink(response, switches, loadReport.header())
+      ? createStreamSink(response, switches, loadReport.header(), isFresh)
       : createWholeSink(response, () => run!, loadReport.header());
     run = runs.start(requestId, plan, sink);
     const started = run;
@@ -157,7 +158,8 @@
     if (!runs.canResume(requestId, plan)) {
       return sendError(response, 410, 'the run is not kept any more');
     }
-    const sink = createStreamSink(response, switches, loadReport.header());
+    const header = loadReport.header();
+    const sink = createStreamSink(response, switches, header, false);
     const run = runs.resume(requestId, lastEventId, sink);
     response.on('close', () => runs.connectionClosed(run, sink));
   }
--- a/packages/standins/src/engine/EngineSwitches.ts
+++ b/packages/standins/src/engine/EngineSwitches.ts
@@ -3,6 +3,13 @@
  */
 import {z} from 'zod';
 
+const cutSchema = z.strictObject({
+  count: z.number().int().nonnegative(),
+  afterTokens: z.number().int().nonnegative(),
+  /** Spares resumed and continued streams. */
+  freshOnly: z.boolean().optional(),
+});
+
 /** The body of `POST /switches`; fields that are absent stay as they are. */
 export const engineSwitchesSchema = z.strictObject({
   /** Multiplies token gap and prefill cost. */
@@ -10,12 +17,7 @@
   /** Exits at once, without an answer. */
   crash: z.literal(true).optional(),
   /** Breaks the next `count` streams after `afterTokens` tokens. */
-  breakStreams: z
-    .strictObject({
-      count: z.number().int().nonnegative(),
-      afterTokens: z.number().int().nonnegative(),
-    })
-    .optional(),
+  breakStreams: cutSchema.optional(),
   /** Generates nothing while true; connections stay open. */
   stall: z.boolean().optional(),
   /** Answers 503 to new requests while true. */
@@ -23,12 +25,7 @@
   /** Forgets runs at once when they break, so that none can be resumed. */
   forgetRuns: z.boolean().optional(),
   /** Ends the next `count` streams cleanly after `afterTokens` tokens, without an end marker. */
-  truncateStreams: z
-    .strictObject({
-      count: z.number().int().nonnegative(),
-      afterTokens: z.number().int().nonnegative(),
-    })
-    .optional(),
+  truncateStreams: cutSchema.optional(),
 });
 
 /** Changes to the switches of an engine. */
@@ -38,6 +35,7 @@
 export interface StreamCut {
   count: number;
   afterTokens: number;
+  freshOnly?: boolean;
 }
 
 /** The switches of an engine. */
--- a/packages/standins/src/load/Caller.ts
+++ b/packages/standins/src/load/Caller.ts
@@ -176,16 +176,22 @@
     readonly message?: {readonly content?: string};
     readonly finish_reason?: string;
   }[];
+  readonly usage?: {readonly completion_tokens?: number};
 }
 
 async function readWhole(reply: Reply, chat: PlannedChat): Promise<Seen> {
   const raw = await reply.body.text();
-  const choice = (parseJson(raw) as WholeAnswer | undefined)?.choices?.[0];
+  const answer = parseJson(raw) as WholeAnswer | undefined;
+  const choice = answer?.choices?.[0];
   const text = choice?.message?.content ?? '';
   const faults = textFaults(text, chat, true);
   if (choice?.finish_reason !== finishReasonOf(chat)) {
     faults.push(`finish reason ${choice?.finish_reason} of a whole answer`);
   }
+  if (answer?.usage?.completion_tokens !== chat.outputTokens) {
+    const counted = answer?.usage?.completion_tokens;
+    faults.push(`usage of ${counted} tokens for ${chat.outputTokens}`);
+  }
   return {outcome: 'completed', status: 200, text, faults};
 }
 
