Close the gaps in relayed event ids after a continuation

Cause: an event left out after the finish reason had been relayed kept its place in the numbering, so the ids that a caller saw jumped (property test, seed 5, path 8:1:2:1:2:1: ids 0..5 then 8). Ruled out: a repeated or lost event; the text was whole. Every event left out now shifts the numbering of those that follow.

--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/Transcript.test.ts
@@ -0,0 +1,173 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {createSseScanner, formatEvent} from '../../request/chat/SseScanner.js';
+import type {Transcript} from '../../request/chat/Transcript.js';
+import {createTranscript} from '../../request/chat/Transcript.js';
+
+const answerId = 'chatcmpl-r1';
+
+interface Answer {
+  readonly choices: readonly {
+    readonly message: {readonly content: string};
+    readonly finish_reason: string;
+  }[];
+  readonly usage: {readonly completion_tokens: number};
+}
+
+function chunk(delta: object, finishReason: string | null, id = answerId) {
+  const choices = [{index: 0, delta, finish_reason: finishReason}];
+  return JSON.stringify({id, choices});
+}
+
+/** The events that an engine sends for `texts`, from the role to the end. */
+function engineEvents(texts: readonly string[]): string[] {
+  const usage = {
+    prompt_tokens: 5,
+    completion_tokens: texts.length,
+    total_tokens: 5 + texts.length,
+  };
+  const data = [
+    chunk({role: 'assistant', content: ''}, null),
+    ...texts.map(content => chunk({content}, null)),
+    chunk({}, 'stop'),
+    JSON.stringify({id: answerId, choices: [], usage}),
+  ];
+  return [
+    ...data.map((text, id) => formatEvent({id, data: text})),
+    formatEvent({id: undefined, data: '[DONE]'}),
+  ];
+}
+
+function feed(transcript: Transcript, stream: string): string {
+  const scanned = createSseScanner().push(Buffer.from(stream));
+  if (scanned === undefined) return '';
+  const taken = transcript.take(scanned);
+  return Buffer.from(taken._unsafeUnwrap()).toString();
+}
+
+function fault(stream: string): string {
+  const transcript = createTranscript(answerId, true);
+  transcript.begin('fresh');
+  const scanned = createSseScanner().push(Buffer.from(stream));
+  const taken = transcript.take(scanned!);
+  return taken.isErr() ? taken.error.message : 'none';
+}
+
+function eventIds(relayed: string): number[] {
+  return [...relayed.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
+}
+
+const texts = ['a ', 'b ', 'c ', 'd '];
+
+describe('createSseScanner', () => {
+  it('finds the same events however the stream is cut into chunks', () => {
+    const stream = Buffer.from(engineEvents(['ž', 'š ', '🧵']).join(''));
+    const cuts = fc.array(fc.nat(stream.length), {maxLength: 8});
+    fc.assert(
+      fc.property(cuts, positions => {
+        const scanner = createSseScanner();
+        const bounds = [0, ...positions.sort((a, b) => a - b), stream.length];
+        const relayed: Buffer[] = [];
+        for (let i = 1; i < bounds.length; i++) {
+          const part = stream.subarray(bounds[i - 1], bounds[i]);
+          const scanned = scanner.push(part);
+          if (scanned !== undefined) relayed.push(scanned.bytes);
+        }
+        return Buffer.concat(relayed).equals(stream);
+      }),
+      {seed: 3, numRuns: 200},
+    );
+  });
+
+  it('accepts lines that end with CR LF', () => {
+    const scanned = createSseScanner().push(
+      Buffer.from('id: 1\r\ndata: x\r\n\r\n'),
+    );
+    expect(scanned?.events).to.deep.equal([{id: 1, data: 'x'}]);
+  });
+});
+
+describe('createTranscript', () => {
+  it('relays an undisturbed answer byte for byte', () => {
+    const transcript = createTranscript(answerId, true);
+    transcript.begin('fresh');
+    const stream = engineEvents(texts).join('');
+    expect(feed(transcript, stream)).to.equal(stream);
+    expect(transcript.complete).to.equal(true);
+  });
+
+  it('leaves out usage that the caller did not ask for', () => {
+    const transcript = createTranscript(answerId, false);
+    transcript.begin('fresh');
+    const relayed = feed(transcript, engineEvents(texts).join(''));
+    expect(relayed).to.not.contain('usage');
+    expect(relayed).to.contain('[DONE]');
+  });
+
+  it('joins any break, resume and continuation into one whole answer', () => {
+    const events = engineEvents(texts);
+    const cut = fc.integer({min: 1, max: events.length - 1});
+    const kind = fc.constantFrom('resume' as const, 'continue' as const);
+    fc.assert(
+      fc.property(fc.array(fc.tuple(cut, kind), {maxLength: 4}), breaks => {
+        const transcript = createTranscript(answerId, true);
+        transcript.begin('fresh');
+        let remaining = events;
+        let relayed = '';
+        for (const [length, next] of breaks) {
+          if (length >= remaining.length) continue;
+          relayed += feed(transcript, remaining.slice(0, length).join(''));
+          remaining =
+            next === 'resume'
+              ? remaining.slice(length)
+              : engineEvents(texts.slice(transcript.tokens));
+          transcript.begin(next);
+        }
+        relayed += feed(transcript, remaining.join(''));
+        const whole = JSON.parse(transcript.toWhole()) as Answer;
+        expect(transcript.complete).to.equal(true);
+        expect(whole.choices[0]?.message.content).to.equal(texts.join(''));
+        expect(whole.choices[0]?.finish_reason).to.equal('stop');
+        expect(whole.usage.completion_tokens).to.equal(texts.length);
+        const ids = eventIds(relayed);
+        expect(ids).to.deep.equal(ids.map((_, i) => i));
+        expect(relayed.match(/"role"/g)).to.have.length(1);
+      }),
+      {seed: 5, numRuns: 300},
+    );
+  });
+
+  it('refuses events of another request, so that answers are never mixed', () => {
+    const other = formatEvent({id: 0, data: chunk({}, null, 'chatcmpl-r11')});
+    expect(fault(other)).to.contain('does not belong to the request');
+  });
+
+  it('refuses a gap in the events, so that no partial answer passes as whole', () => {
+    const events = engineEvents(texts);
+    events.splice(2, 1);
+    expect(fault(events.join(''))).to.contain('event 3 follows event 1');
+  });
+
+  it('refuses an end marker without a finish reason', () => {
+    const events = engineEvents(texts);
+    const end = events[events.length - 1]!;
+    expect(fault(events.slice(0, 3).join('') + end)).to.contain(
+      'no finish reason',
+    );
+  });
+
+  it('joins the parts of tool calls, and does not continue them from text', () => {
+    const call = (args: string, name?: string) =>
+      chunk(
+        {tool_calls: [{index: 0, id: 'c1', function: {name, arguments: args}}]},
+        null,
+      );
+    const data = [call('{"size"', 'cut'), call(':4}'), chunk({}, 'tool_calls')];
+    const transcript = createTranscript(answerId, false);
+    transcript.begin('fresh');
+    feed(transcript, data.map((d, id) => formatEvent({id, data: d})).join(''));
+    expect(transcript.prefix()).to.equal(undefined);
+    const whole = transcript.toWhole();
+    expect(whole).to.contain('"arguments":"{\\"size\\":4}"');
+  });
+});
--- a/packages/daemon/src/request/chat/SseScanner.ts
+++ b/packages/daemon/src/request/chat/SseScanner.ts
@@ -21,8 +21,6 @@
 /** Takes chunks of a stream and returns the events that are complete. */
 export interface SseScanner {
   push(chunk: Buffer): ScannedEvents | undefined;
-  /** True when the stream stopped inside an event. */
-  hasRest(): boolean;
 }
 
 const separator = '\n\n';
@@ -49,7 +47,7 @@
     return {bytes, events: parseEvents(bytes)};
   }
 
-  return {push, hasRest: () => rest !== undefined};
+  return {push};
 }
 
 /** Events may end lines with CR LF; the separator search expects LF. */
--- a/packages/daemon/src/request/chat/Transcript.ts
+++ b/packages/daemon/src/request/chat/Transcript.ts
@@ -111,8 +111,13 @@
       const fault = check(event);
       if (fault !== undefined) return err(fault);
       const text = accept(event);
-      if (text === undefined) changed = true;
-      else relayed.push(text);
+      if (text !== undefined) {
+        relayed.push(text);
+        continue;
+      }
+      changed = true;
+      // Later events close the gap that the event leaves in the ids.
+      if (event.id !== undefined) idOffset -= 1;
     }
     if (!changed && idOffset === 0) return ok(scanned.bytes);
     return ok(Buffer.from(relayed.join('')));
@@ -155,11 +160,8 @@
 
   function acceptChunk(event: SseEvent): string | undefined {
     const isRole = rolePattern.test(event.data);
-    if (isRole && start === 'continue') {
-      // The caller has the role event of the first attempt.
-      idOffset -= 1;
-      return undefined;
-    }
+    // The caller has the role event of the first attempt.
+    if (isRole && start === 'continue') return undefined;
     if (finishPattern.test(event.data)) finished = true;
     else if (!isRole) tokens += 1;
     keep(event.data);
