--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/ClaimedCall.test.ts
@@ -0,0 +1,203 @@
+import type {
+  ClaimEnd,
+  ClaimReply,
+  ClaimStore,
+  ManualClock,
+} from '@toucanrouter/common';
+import {
+  createManualClock,
+  PlatformError,
+  RouterError,
+  toInstanceId,
+  toRequestId,
+  toWorkspaceId,
+} from '@toucanrouter/common';
+import {expect} from 'chai';
+import type {Result} from 'neverthrow';
+import {err, ok, okAsync, ResultAsync} from 'neverthrow';
+import {createClaimedCalls} from '../../claims/ClaimedCall.js';
+import type {Exchange} from '../../request/Exchange.js';
+import type {PlainAnswer} from '../../request/plain/PlainCall.js';
+
+const timeoutMs = 1_000;
+
+const answer: PlainAnswer = {
+  status: 201,
+  headers: {'content-type': 'text/plain'},
+  body: Buffer.from('ordered'),
+};
+
+function createExchange(
+  clock: ManualClock,
+  headers: Record<string, string> = {'idempotency-key': 'k'},
+): Exchange {
+  return {
+    requestId: toRequestId('r1'),
+    callerRequestId: undefined,
+    headers,
+    body: Buffer.from('{}'),
+    target: {kind: 'service', serves: 's', method: 'POST', path: '/orders'},
+    response: undefined as never,
+    arrivedAtMs: clock.nowMs(),
+    deadlineAtMs: clock.nowMs() + timeoutMs,
+    signal: new AbortController().signal,
+    figures: {
+      firstTokenMs: undefined,
+      tokenGapMs: undefined,
+      tokens: 0,
+      wastedTokens: 0,
+      waitedMs: 0,
+      attempts: 0,
+    },
+    workspaceId: toWorkspaceId('w'),
+    serviceClass: undefined,
+  };
+}
+
+type ClaimResult = Result<ClaimReply, RouterError>;
+
+/** A claim store that answers as the test says and keeps the ends. */
+function createFakeStore(claim: () => ClaimResult | Promise<ClaimResult>) {
+  const ends: ClaimEnd['kind'][] = [];
+  const store: ClaimStore = {
+    claim: () => new ResultAsync(Promise.resolve(claim())),
+    end: (_reference, end) => {
+      ends.push(end.kind);
+      return okAsync(undefined);
+    },
+  };
+  return {ends, store};
+}
+
+const claimed: ClaimReply = {kind: 'claimed', fencingToken: 7};
+
+interface Run {
+  readonly kind: string;
+  readonly sends: number;
+  readonly ends: readonly string[];
+}
+
+/** Runs a call to its end, moving the clock until it has one. */
+async function runCall(
+  claim: (clock: ManualClock) => ClaimResult | Promise<ClaimResult>,
+  send: () => Promise<Result<PlainAnswer, RouterError>> = () =>
+    Promise.resolve(ok(answer)),
+  headers?: Record<string, string>,
+): Promise<Run> {
+  const clock = createManualClock();
+  const {ends, store} = createFakeStore(() => claim(clock));
+  const calls = createClaimedCalls(clock, toInstanceId('router-1'), store);
+  let sends = 0;
+  let kind: string | undefined;
+  void calls
+    .run(createExchange(clock, headers), () => {
+      sends += 1;
+      return send();
+    })
+    .then(result => {
+      kind = result.isOk() ? 'answered' : result.error.kind;
+    });
+  for (let i = 0; i < 200 && kind === undefined; i++) {
+    await new Promise(resolve => setImmediate(resolve));
+    clock.advance(20);
+  }
+  clock.advance(10 * timeoutMs);
+  await calls.idle();
+  return {kind: kind ?? 'pending', sends, ends};
+}
+
+describe('createClaimedCalls', () => {
+  it('sends a claimed call once and keeps its outcome', async () => {
+    const run = await runCall(() => ok(claimed));
+    expect(run).to.deep.equal({
+      kind: 'answered',
+      sends: 1,
+      ends: ['completed'],
+    });
+  });
+
+  it('refuses a call without a key, which could not be told from its repetition', async () => {
+    const run = await runCall(() => ok(claimed), undefined, {});
+    expect(run).to.deep.equal({
+      kind: 'idempotency_key_missing',
+      sends: 0,
+      ends: [],
+    });
+  });
+
+  it('never sends after it said "not run", although the claim succeeds later', async () => {
+    const late = (clock: ManualClock) =>
+      new Promise<ClaimResult>(resolve => {
+        clock.after(2 * timeoutMs, () => resolve(ok(claimed)));
+      });
+    expect(await runCall(late)).to.deep.equal({
+      kind: 'platform_unavailable',
+      sends: 0,
+      ends: ['not_sent'],
+    });
+  });
+
+  it('does not send when its instance was paused until the caller timeout had passed', async () => {
+    const pausedMeanwhile = (clock: ManualClock) => {
+      const reply = Promise.resolve<ClaimResult>(ok(claimed));
+      return reply.then(result => {
+        // All timers fire late after a pause, this call's among them.
+        clock.nowMs = () => 10 * timeoutMs;
+        return result;
+      });
+    };
+    const run = await runCall(pausedMeanwhile);
+    expect(run).to.deep.equal({
+      kind: 'deadline_exceeded',
+      sends: 0,
+      ends: ['not_sent'],
+    });
+  });
+
+  it('repeats a claim that failed, within the caller timeout', async () => {
+    let tries = 0;
+    const run = await runCall(() =>
+      ++tries < 3 ? err(new PlatformError('down', true)) : ok(claimed),
+    );
+    expect(run.kind).to.equal('answered');
+    expect(run.sends).to.equal(1);
+  });
+
+  it('releases the key of a call that was not sent', async () => {
+    const run = await runCall(
+      () => ok(claimed),
+      () => Promise.resolve(err(new RouterError('overloaded', 'full'))),
+    );
+    expect(run).to.deep.equal({
+      kind: 'overloaded',
+      sends: 1,
+      ends: ['not_sent'],
+    });
+  });
+
+  it('keeps the key of a call whose answer was lost, so that it cannot run again', async () => {
+    const run = await runCall(
+      () => ok(claimed),
+      () => Promise.resolve(err(new RouterError('outcome_unknown', 'lost'))),
+    );
+    expect(run.ends).to.deep.equal(['outcome_unknown']);
+  });
+
+  for (const reply of [
+    'in_progress',
+    'key_reused',
+    'outcome_unknown',
+  ] as const) {
+    it(`sends nothing when the claim says ${reply}`, async () => {
+      const run = await runCall(() => ok({kind: reply}));
+      expect(run.sends).to.equal(0);
+      expect(run.kind).to.not.equal('answered');
+    });
+  }
+
+  it('gives back the stored outcome without sending', async () => {
+    const outcome = {status: 201, contentType: 'text/plain', bodyBase64: ''};
+    const run = await runCall(() => ok({kind: 'completed', outcome}));
+    expect(run).to.deep.equal({kind: 'answered', sends: 0, ends: []});
+  });
+});
