--- a/packages/policy/src/UpstreamTracker.ts
+++ b/packages/policy/src/UpstreamTracker.ts
@@ -14,6 +14,7 @@
   UpstreamState,
 } from '@toucanrouter/common';
 import {createLeavingRegister} from './LeavingRegister.js';
+import {createTargetMargin} from './TargetMargin.js';
 import {createTargetMemory} from './TargetMemory.js';
 import type {TrackedUpstream} from './TrackedUpstream.js';
 import {
@@ -75,6 +76,7 @@
   const jobs = new Map<PermitId, TrackedJob>();
   const leaving = createLeavingRegister();
   const targets = createTargetMemory(parameters.targetMemoryMs);
+  const margin = createTargetMargin();
   let judgedAtMs = -Infinity;
 
   function setUpstream(info: UpstreamInfo): void {
@@ -155,7 +157,9 @@
     const healthy = members.filter(
       member => member.health.state() === 'healthy',
     );
-    const targetGapMs = targets.tightestGapMs(nowMs);
+    const tightestGapMs = targets.tightestGapMs(nowMs);
+    const targetGapMs =
+      tightestGapMs === undefined ? undefined : tightestGapMs * margin.factor();
     for (const upstream of members) {
       const others = healthy.filter(other => other !== upstream);
       const judgement = judgeUpstream(upstream, others, parameters, nowMs);
@@ -180,6 +184,20 @@
     upstream.health.suspect(reason, nowMs);
   }
 
+  function observeMargin(
+    upstream: TrackedUpstream,
+    job: TrackedJob,
+    release: PermitRelease,
+    nowMs: number,
+  ): void {
+    const targetGapMs = job.start.target.tokenGapMs;
+    const gapMs = release.tokenGapMs;
+    if (targetGapMs === undefined || gapMs === undefined) return;
+    // A straggler misses targets whatever its limit is.
+    if (upstream.health.state() !== 'healthy') return;
+    margin.observe(gapMs > targetGapMs, nowMs);
+  }
+
   function recordSuccess(
     upstream: TrackedUpstream,
     job: TrackedJob,
@@ -188,6 +206,7 @@
   ): void {
     upstream.failures = 0;
     recordCompletion(upstream, job, release, nowMs);
+    observeMargin(upstream, job, release, nowMs);
     upstream.health.addEvidence(parameters.probeEvidenceMs);
   }
 
--- a/packages/policy/src/UpstreamTrackerConstants.ts
+++ b/packages/policy/src/UpstreamTrackerConstants.ts
@@ -112,3 +112,15 @@
 
 /** Upstreams whose leaving is remembered after they left the list. */
 export const maxRememberedLeaving = 4096;
+
+/** Share of jobs that may miss their token gap target because of its variation. */
+export const toleratedMissShare = 0.005;
+
+/** Decrease of the target margin after a miss. */
+export const marginShrinkStep = 0.02;
+
+/** Least time between two decreases of the target margin. */
+export const marginShrinkIntervalMs = 500;
+
+/** The mean token gap may always reach this share of the target. */
+export const minMargin = 0.5;
