Add random faults from a seed for whole deployments

The chaos command kills, pauses, slows and severs processes of a deployment under load; the oracle judges as in the other tests.

--- /dev/null
+++ b/packages/standins/src/bin/chaos.ts
@@ -0,0 +1,59 @@
+/**
+ * Drives a deployment under random faults from a seed and lets the oracle
+ * judge: `chaos --only tkacik --seed 1 --runs 3 --seconds 20`. Exits with 1
+ * when a run shows a fault.
+ */
+import {parseArgs} from 'node:util';
+import {runChaos} from '../deployment/Chaos.js';
+import {createDeployment} from '../deployment/Deployment.js';
+import type {DeploymentName} from '../deployment/DeploymentShape.js';
+import {formatLoadTable} from '../load/LoadTable.js';
+import {numberFlag} from '../shared/ProcessUtils.js';
+
+const {values} = parseArgs({
+  options: {
+    only: {type: 'string', default: 'tkacik'},
+    seed: {type: 'string', default: '1'},
+    runs: {type: 'string', default: '1'},
+    seconds: {type: 'string', default: '20'},
+    'rate-factor': {type: 'string', default: '0.5'},
+  },
+});
+
+const name = values.only as DeploymentName;
+const seconds = numberFlag('seconds', values.seconds);
+const rateFactor = numberFlag('rate-factor', values['rate-factor']);
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+/** Returns the number of faults that the run showed. */
+async function runOnce(seed: number): Promise<number> {
+  const directory = `chaos-${name}-${seed}`;
+  const deployment = await createDeployment({name, directory});
+  try {
+    const [report, events] = await Promise.all([
+      deployment.load({seconds, seed, rateFactor}),
+      runChaos(deployment, seconds, seed),
+    ]);
+    for (const {atMs, what} of events) print(`  ${atMs} ms: ${what}`);
+    print(formatLoadTable(report.summaries));
+    for (const {classId, requestId, message} of report.faults) {
+      print(`FAULT ${classId} ${requestId}: ${message}`);
+    }
+    return report.faults.length;
+  } finally {
+    const stopped = await deployment.stopAll();
+    const unclean = stopped.filter(({exit}) => exit?.code !== 0);
+    if (unclean.length > 0) print(`FAULT stops: ${JSON.stringify(unclean)}`);
+    if (unclean.length > 0) process.exitCode = 1;
+  }
+}
+
+const firstSeed = numberFlag('seed', values.seed);
+const runs = numberFlag('runs', values.runs);
+for (let seed = firstSeed; seed < firstSeed + runs; seed++) {
+  print(`${name}, seed ${seed}, ${seconds} s`);
+  if ((await runOnce(seed)) > 0) process.exitCode = 1;
+}
