--- a/packages/standins/src/bin/engine.ts
+++ b/packages/standins/src/bin/engine.ts
@@ -4,7 +4,11 @@
 import {parseArgs} from 'node:util';
 import {defaultEngineProfile} from '../engine/EngineConstants.js';
 import {createEngineStandIn} from '../engine/EngineStandIn.js';
-import {exitOnSignal, numberFlag} from '../shared/ProcessUtils.js';
+import {
+  announceReady,
+  exitOnSignal,
+  numberFlag,
+} from '../shared/ProcessUtils.js';
 
 const {values} = parseArgs({
   options: {
@@ -15,6 +19,7 @@
     region: {type: 'string', default: 'local'},
     'failure-domain': {type: 'string', default: 'a'},
     incarnation: {type: 'string'},
+    'runs-file': {type: 'string'},
     'token-gap-ms': {type: 'string'},
     'knee-jobs': {type: 'string'},
     'batch-limit': {type: 'string'},
@@ -59,7 +64,8 @@
       defaults.resumeWindowMs,
     ),
   },
+  runsFile: values['runs-file'],
   onCrash: () => process.exit(1),
 });
 exitOnSignal(() => engine.leave());
-process.stdout.write(`listening ${engine.address}\n`);
+announceReady('model engine', engine.address);
--- a/packages/standins/src/bin/service.ts
+++ b/packages/standins/src/bin/service.ts
@@ -3,7 +3,11 @@
  */
 import {parseArgs} from 'node:util';
 import {createServiceStandIn} from '../service/ServiceStandIn.js';
-import {exitOnSignal, numberFlag} from '../shared/ProcessUtils.js';
+import {
+  announceReady,
+  exitOnSignal,
+  numberFlag,
+} from '../shared/ProcessUtils.js';
 
 const {values} = parseArgs({
   options: {
@@ -14,6 +18,7 @@
     region: {type: 'string', default: 'local'},
     'failure-domain': {type: 'string', default: 'a'},
     incarnation: {type: 'string'},
+    'runs-file': {type: 'string'},
     'work-ms': {type: 'string', default: '15'},
     workers: {type: 'string', default: '8'},
     'ignore-fencing': {type: 'boolean', default: false},
@@ -35,7 +40,8 @@
   workMs: numberFlag('work-ms', values['work-ms']),
   workers: numberFlag('workers', values.workers),
   ignoreFencing: values['ignore-fencing'],
+  runsFile: values['runs-file'],
   onCrash: () => process.exit(1),
 });
 exitOnSignal(() => service.leave());
-process.stdout.write(`listening ${service.address}\n`);
+announceReady('plain service', service.address);
