Shed early while a hedge is queued

Cause: early refusal looked at the next request to evict, which is a hedge whenever one waits, and stopped there, so no request was refused early as long as any hedge was queued. Ruled out: the wait estimate, which was right. Before: the new test sees no refusal; after: the third request beyond the target is refused. Conclusion: hedges come first only where the queue is limited.

--- a/packages/policy/src/SchedulerOverload.ts
+++ b/packages/policy/src/SchedulerOverload.ts
@@ -36,16 +36,18 @@
   }
 }
 
+// A hedge is refused first, because its request runs elsewhere.
+function nextEviction(state: SchedulerState): QueuedRequest | undefined {
+  return state.queue.hedges()[0] ?? newestOfLowestTier(state);
+}
+
 /**
- * The request that is refused next: a hedge, because its request runs
- * elsewhere; otherwise, in the lowest tier, the newest request of the
- * workspace with the largest backlog. Evicting simply the newest request would
+ * In the lowest tier, the newest request of the workspace with the largest
+ * backlog. Evicting simply the newest request would
  * let a large workspace that fills the queue have all others refused. Started
  * jobs are not evicted, because they could not be told "not run".
  */
-export function nextEviction(state: SchedulerState): QueuedRequest | undefined {
-  const hedge = state.queue.hedges()[0];
-  if (hedge !== undefined) return hedge;
+function newestOfLowestTier(state: SchedulerState): QueuedRequest | undefined {
   let victim: LargestBacklog | undefined;
   for (const queue of lowestTierQueues(state)) {
     const candidate = queue.largestBacklog();
@@ -71,8 +73,8 @@
  */
 export function shedEarly(state: SchedulerState, nowMs: number): void {
   for (;;) {
-    const victim = nextEviction(state);
-    if (victim === undefined || victim.request.hedge) return;
+    const victim = newestOfLowestTier(state);
+    if (victim === undefined) return;
     if (!isHopeless(state, victim, nowMs)) return;
     if (couldDisplace(state, victim, nowMs)) return;
     refuse(state, victim, 'overloaded', nowMs);
--- a/packages/policy/src/__tests__/unit/ShardSchedulerFairness.test.ts
+++ b/packages/policy/src/__tests__/unit/ShardSchedulerFairness.test.ts
@@ -138,6 +138,19 @@
     expect(refusals(late)).to.deep.equal(['refuse late overloaded']);
   });
 
+  it('refuses early while a hedge waits, which must not hide the lowest tier', () => {
+    const {scheduler} = setUp();
+    const first = scheduler.acquire(acquireRequest('first', 3, 0), 0);
+    scheduler.acquire(acquireRequest('second', 3, 0), 0);
+    finish(scheduler, first, 1000);
+    const hedge = {attempt: 2, hedge: true};
+    scheduler.acquire(acquireRequest('second', 1, 1000, hedge), 1000);
+    const effects = [0, 1, 2].flatMap(i =>
+      scheduler.acquire(acquireRequest(`r${i}`, 3, 1000), 1000),
+    );
+    expect(refusals(effects)).to.include('refuse r2 overloaded');
+  });
+
   it('queues a request in place of an early refusal while lower work can be displaced', () => {
     const {scheduler} = setUp();
     const first = scheduler.acquire(acquireRequest('first', 3, 0), 0);
