--- a/packages/bench/src/Entry.ts
+++ b/packages/bench/src/Entry.ts
@@ -146,9 +146,7 @@
     active.delete(exchange);
     // The answer so far is of no use to a caller that gets no end.
     if (end !== 'completed') exchange.wasted += exchange.received;
-    for (const attempt of [...exchange.attempts.values()]) {
-      drop(exchange, attempt, 'canceled');
-    }
+    dropAll(exchange);
   }
 
   function onDeadline(exchange: Exchange): void {
@@ -274,6 +272,12 @@
     });
   }
 
+  function dropAll(exchange: Exchange): void {
+    for (const attempt of [...exchange.attempts.values()]) {
+      drop(exchange, attempt, 'canceled');
+    }
+  }
+
   function onGrant(
     exchange: Exchange,
     effect: Extract<SchedulerEffect, {kind: 'grant'}>,
@@ -281,15 +285,14 @@
     const hedge = effect.attempt === exchange.hedgeAskedAttempt;
     const {permitId, upstreamId} = effect;
     const attempt = createAttempt(permitId, upstreamId, hedge, loop.nowMs());
-    // What the original received since the second copy was asked for would
-    // be generated again; a second copy is for a job that has nothing yet.
-    const isLateHedge =
-      hedge && (exchange.attempts.size === 0 || exchange.received > 0);
+    const isLateHedge = hedge && exchange.attempts.size === 0;
     if (exchange.end !== undefined || isLateHedge) {
       release(attempt, 'unused');
       return;
     }
     if (!hedge) endWait(exchange);
+    // A copy of a job that has begun continues it, so the original must stop.
+    if (hedge && exchange.received > 0) dropAll(exchange);
     startAttempt(exchange, attempt);
   }
 
@@ -304,21 +307,28 @@
     acquire(exchange, {resume: resumePoint(exchange, attempt.upstreamId)});
   }
 
+  /** Tokens that a copy on another engine processes in addition. */
+  function hedgeCost(exchange: Exchange): number {
+    if (exchange.received > 0) return exchange.received;
+    const {spec, workspace} = exchange.arrival;
+    const classId = toClassId(spec.id);
+    const workspaceId = toWorkspaceId(`w${workspace}`);
+    return lengths.quantile(classId, workspaceId, 0.5) ?? unknownHedgeTokens;
+  }
+
   function onSuspect(
     exchange: Exchange,
     effect: Extract<SchedulerEffect, {kind: 'suspect'}>,
   ): void {
     const attempt = exchange.attempts.get(effect.permitId);
     const asked = exchange.hedgeAskedAttempt !== undefined;
-    if (attempt === undefined || asked || exchange.received > 0) return;
-    const {spec, workspace} = exchange.arrival;
-    const classId = toClassId(spec.id);
-    const expected =
-      lengths.quantile(classId, toWorkspaceId(`w${workspace}`), 0.5) ??
-      unknownHedgeTokens;
+    if (attempt === undefined || asked) return;
+    const expected = hedgeCost(exchange);
     if (!hedges.tryHedge(expected)) return;
     exchange.hedgeAskedAttempt = exchange.asked + 1;
-    acquire(exchange, {hedge: true, exclude: [attempt.upstreamId]});
+    const {upstreamId} = attempt;
+    const resume = resumePoint(exchange, upstreamId);
+    acquire(exchange, {hedge: true, exclude: [upstreamId], resume});
   }
 
   function onRefuse(
