Check the stored claim records themselves in the fuzzing

The oracle now follows what the writers store: no claim of a held key, nothing after a claim's end or release, and each confirmed end is stored.

--- a/packages/claims/src/__tests__/fuzz/ClaimWorld.ts
+++ b/packages/claims/src/__tests__/fuzz/ClaimWorld.ts
@@ -67,6 +67,8 @@
   sendClaim(call: Call, writer: number): void;
   giveUp(call: Call, writer: number): void;
   finish(call: Call, how: 'completed' | 'unknown' | 'large', w: number): void;
+  /** Ends a call that ran once more, in another way than before. */
+  finishAgain(call: Call, writer: number): void;
   setPaused(writer: number, paused: boolean): void;
   /** Platform calls of writers that are not paused. */
   answerable(): readonly PendingCall[];
@@ -85,7 +87,7 @@
   const writers = Array.from({length: writerCount}, (_, i) =>
     createWriterProcess(`writer ${i}`, platform, clock),
   );
-  platform.state.registerCommitListener(oracle.observeCommit);
+  platform.state.registerCommitListener(oracle.stored.observeCommit);
 
   function writerAt(index: number): WriterProcess {
     const process = writers[index % writerCount];
@@ -215,6 +217,12 @@
       const outcome = {status: 200, contentType: 'text/plain', bodyBase64};
       sendEnd(call, {kind: 'completed', outcome}, index);
     },
+    finishAgain: (call, index) => {
+      const kind = oracle.stored.find(call.claimId)?.ended
+        ? 'not_sent'
+        : 'outcome_unknown';
+      sendEnd(call, {kind}, index);
+    },
     setPaused: (index, paused) => {
       writerAt(index).paused = paused;
     },
--- a/packages/claims/src/__tests__/unit/ClaimWriter.test.ts
+++ b/packages/claims/src/__tests__/unit/ClaimWriter.test.ts
@@ -161,6 +161,15 @@
     expect((await world.claim(writer, 'c4')).kind).to.equal('claimed');
   });
 
+  it('does not repeat a claim that another writer released meanwhile', async () => {
+    const world = createWorld();
+    const outdated = world.createWriter('a');
+    await world.claim(outdated, 'c1');
+    await world.end(world.createWriter('b'), 'c1', {kind: 'not_sent'});
+    const [repeated] = await world.finish([outdated.claim(request('c1'))]);
+    expect(repeated?._unsafeUnwrapErr().kind).to.equal('canceled');
+  });
+
   it('refuses a claim that arrives after its owner gave up', async () => {
     const world = createWorld();
     const writer = world.createWriter('a');
