--- a/packages/cli/src/__tests__/unit/PagesFixtures.ts
+++ b/packages/cli/src/__tests__/unit/PagesFixtures.ts
@@ -114,7 +114,7 @@
     await createServiceStandIn({...common, id: 'p-1', service: 'profiles'}),
   ];
   const daemon = await startSample(directory, platform);
-  const {adminPort, callersPort} = daemon.addresses;
+  const {adminPort, callersPort} = daemon.ports;
   const adminUrl = `http://127.0.0.1:${adminPort}`;
   await waitForUpstreams(adminUrl, upstreams.length);
   const env = {
