--- a/packages/claims/src/Operation.ts
+++ b/packages/claims/src/Operation.ts
@@ -22,8 +22,9 @@
 /** An operation in the queue of a writer. */
 export interface Operation {
   readonly settled: boolean;
+  /** True once a write with this operation's record was sent. */
+  readonly sent: boolean;
   prepare(claims: ClaimView): PreparedOperation;
-  /** Notes that a write with this operation's record was sent. */
   markSent(): void;
   /** Notes why the operation could not be settled yet. */
   noteFailure(error: PlatformError): void;
@@ -66,6 +67,9 @@
     get settled() {
       return settled;
     },
+    get sent() {
+      return sent;
+    },
     prepare: claims => {
       const {record, needsConfirmation, resultAt} = decide(claims);
       const answerAt = (revision: number | undefined) =>
