Pass over only_when_named classes when a caller names none

Cause: classification took the first class that serves the call, so a request could fall into a class that the classes file reserves for callers who name it, if that class came first. Ruled out: requiring an order of sections, which the file cannot state. Figures: the new test fails before the change and passes after it.

--- a/packages/policy/src/Classification.ts
+++ b/packages/policy/src/Classification.ts
@@ -27,16 +27,17 @@
 
 /**
  * Returns the class that the caller names if that class serves the call,
- * otherwise the first class in file order that does. A named class must match
- * the method and path as well: otherwise a caller could have an order handled
- * as an idempotent lookup, which may be sent twice.
+ * otherwise the first class in file order that does and need not be named. A
+ * named class must match the method and path as well: otherwise a caller could
+ * have an order handled as an idempotent lookup, which may be sent twice.
  */
 export function classify(
   call: ClassifiedCall,
   classes: readonly ServiceClass[],
 ): ServiceClass | undefined {
   const serving = classes.filter(entry => matches(entry.match, call));
-  return serving.find(entry => entry.id === call.classId) ?? serving[0];
+  const named = serving.find(entry => entry.id === call.classId);
+  return named ?? serving.find(entry => !entry.match.onlyWhenNamed);
 }
 
 function matches(match: ClassMatch, call: ClassifiedCall): boolean {
--- a/packages/policy/src/__tests__/unit/Classification.test.ts
+++ b/packages/policy/src/__tests__/unit/Classification.test.ts
@@ -39,6 +39,16 @@
     expect(idOf({...call, classId: toClassId('orders')})).to.equal('chat');
   });
 
+  it('passes over classes that must be named, also when they come first', () => {
+    const match = {...none, models: ['model'], onlyWhenNamed: true};
+    const named = serviceClass('reports', 1, {match});
+    const call = {kind: 'model', model: 'model'} as const;
+    expect(classify(call, [named, ...classes])?.id).to.equal('chat');
+    expect(classify(call, [named])).to.equal(undefined);
+    const classId = toClassId('reports');
+    expect(classify({...call, classId}, [named])?.id).to.equal('reports');
+  });
+
   it('does not let a caller have an order handled as an idempotent lookup', () => {
     expect(idOf(post('/orders/7', 'lookups'))).to.equal('orders');
   });
