--- /dev/null
+++ b/packages/bench/src/slopes/ChildProcess.ts
@@ -0,0 +1,99 @@
+/**
+ * Child processes of a measurement: started by module, called over the
+ * channel to their parent, bounded in time and ended by their id.
+ */
+import type {ChildProcess} from 'node:child_process';
+import {fork} from 'node:child_process';
+import {extname} from 'node:path';
+import {fileURLToPath} from 'node:url';
+
+/** A child that runs longer ends itself. */
+const maxLifeMs = 180_000;
+
+const answerTimeoutMs = 60_000;
+
+interface Call {
+  readonly id: number;
+  readonly method: string;
+  readonly params: unknown;
+}
+
+interface Answer {
+  readonly id: number;
+  readonly result?: unknown;
+  readonly error?: string;
+}
+
+/** Functions that a child offers to its parent. */
+export type ChildMethods = Readonly<
+  Record<string, (params: never) => Promise<unknown> | unknown>
+>;
+
+/** A child process as its parent sees it. */
+export interface MeasuredChild {
+  call<Result>(method: string, params?: unknown): Promise<Result>;
+  /** Ends the process and waits until it is gone. */
+  stop(): Promise<void>;
+}
+
+/** Starts the module `name` of this directory as a process. */
+export function startChild(name: string): MeasuredChild {
+  const extension = extname(fileURLToPath(import.meta.url));
+  const script = new URL(`./${name}${extension}`, import.meta.url);
+  const child = fork(fileURLToPath(script), []);
+  const waiting = new Map<number, (answer: Answer) => void>();
+  let lastId = 0;
+  child.on('message', (answer: Answer) => waiting.get(answer.id)?.(answer));
+  child.on('exit', () => {
+    const error = `${name} ended`;
+    for (const [id, settle] of [...waiting]) settle({id, error});
+  });
+  return {
+    call: (method, params) =>
+      new Promise((resolve, reject) => {
+        const id = ++lastId;
+        const settle = (answer: Answer): void => {
+          clearTimeout(timer);
+          waiting.delete(id);
+          if (answer.error === undefined) resolve(answer.result as never);
+          else reject(new Error(`${name}.${method}: ${answer.error}`));
+        };
+        const timer = setTimeout(
+          () => settle({id, error: `no answer in ${answerTimeoutMs} ms`}),
+          answerTimeoutMs,
+        );
+        waiting.set(id, settle);
+        child.send({id, method, params} satisfies Call);
+      }),
+    stop: () => stopChild(child),
+  };
+}
+
+function stopChild(child: ChildProcess): Promise<void> {
+  if (child.exitCode !== null || child.signalCode !== null) {
+    return Promise.resolve();
+  }
+  return new Promise(resolve => {
+    child.once('exit', () => resolve());
+    child.kill('SIGKILL');
+  });
+}
+
+/** Answers the calls of the parent; ends the process when the parent goes. */
+export function serveParent(methods: ChildMethods): void {
+  process.on('message', (call: Call) => void answerCall(methods, call));
+  process.on('disconnect', () => process.exit(0));
+  setTimeout(() => process.exit(1), maxLifeMs).unref();
+}
+
+async function answerCall(methods: ChildMethods, call: Call): Promise<void> {
+  const {id, method, params} = call;
+  try {
+    const run = methods[method];
+    if (run === undefined) throw new Error(`${method} is not offered`);
+    const result = await run(params as never);
+    process.send?.({id, result} satisfies Answer);
+  } catch (error) {
+    process.send?.({id, error: String(error)} satisfies Answer);
+  }
+}
--- /dev/null
+++ b/packages/bench/src/slopes/Cost.ts
@@ -0,0 +1,56 @@
+/**
+ * Processor time and memory of code in this process.
+ */
+
+/** Code that has run for this long is compiled. */
+const warmUpMicros = 150_000;
+const milliPerSecond = 1_000;
+
+/** Returns the processor time of this process in microseconds. */
+export function cpuMicros(): number {
+  const {user, system} = process.cpuUsage();
+  return user + system;
+}
+
+/** Returns the mean processor time of one call in microseconds. */
+export function microsPerCall(calls: number, run: () => void): number {
+  for (const endMicros = cpuMicros() + warmUpMicros; cpuMicros() < endMicros;) {
+    run();
+  }
+  collectGarbage();
+  const beforeMicros = cpuMicros();
+  for (let i = 0; i < calls; i++) run();
+  return (cpuMicros() - beforeMicros) / calls;
+}
+
+/** Collects garbage when node was started with --expose-gc. */
+export function collectGarbage(): void {
+  globalThis.gc?.();
+}
+
+/** Returns the bytes on the heap and in buffers that are in use. */
+export function usedBytes(): number {
+  collectGarbage();
+  collectGarbage();
+  const {arrayBuffers, heapUsed} = process.memoryUsage();
+  return heapUsed + arrayBuffers;
+}
+
+/** Returns the bytes that stay in use for what `create` returns. */
+export function bytesHeldBy(create: () => unknown): number {
+  const beforeBytes = usedBytes();
+  const kept = [create()];
+  const heldBytes = usedBytes() - beforeBytes;
+  kept.length = 0;
+  return heldBytes;
+}
+
+/** Waits in real time. */
+export function sleep(delayMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, delayMs));
+}
+
+/** Returns the time of the monotonic clock in seconds. */
+export function nowSeconds(): number {
+  return performance.now() / milliPerSecond;
+}
--- /dev/null
+++ b/packages/bench/src/slopes/LoadedScheduler.ts
@@ -0,0 +1,119 @@
+/**
+ * A shard scheduler with a given number of jobs running and requests queued,
+ * over injected time.
+ */
+import type {PermitId, ServiceClass} from '@toucanrouter/common';
+import {createSeededRandom, toPermitId} from '@toucanrouter/common';
+import type {ShardScheduler} from '@toucanrouter/policy';
+import {
+  createLengthModel,
+  createShardScheduler,
+  createUpstreamTracker,
+} from '@toucanrouter/policy';
+import {
+  sampleAcquire,
+  sampleClassId,
+  sampleRelease,
+  sampleShardId,
+  sampleUpstreams,
+} from './SampleRequests.js';
+
+/** How a scheduler is loaded. */
+export interface SchedulerLoad {
+  readonly upstreams: number;
+  readonly jobsPerUpstream: number;
+  readonly queued: number;
+  readonly workspaces: number;
+}
+
+/** A scheduler under a steady load. */
+export interface LoadedScheduler {
+  /** Ends the oldest job, which grants a queued request, and queues another. */
+  replaceOne(): void;
+  tick(): void;
+  running(): number;
+  queued(): number;
+}
+
+const maxQueued = 1_000_000;
+const stepMs = 0.5;
+const tickMs = 20;
+const seed = 1;
+
+const sampleClass: ServiceClass = {
+  id: sampleClassId,
+  tier: 2,
+  target: {totalMs: 1e9},
+  idempotent: true,
+  maxWaitMs: 1e9,
+  match: {models: ['general-large'], services: [], methods: [], paths: []},
+};
+
+/** Creates a scheduler whose engines each take `jobsPerUpstream` jobs. */
+export function createSampleScheduler(
+  upstreams: number,
+  jobsPerUpstream: number,
+): ShardScheduler {
+  let lastPermit = 0;
+  const scheduler = createShardScheduler({
+    shardId: sampleShardId,
+    tracker: createUpstreamTracker({
+      initialLimit: jobsPerUpstream,
+      minLimit: jobsPerUpstream,
+      maxLimit: jobsPerUpstream,
+      headroomByTier: {1: 0, 2: 0, 3: 0, 4: 0},
+    }),
+    lengths: createLengthModel(),
+    random: createSeededRandom(seed),
+    createPermitId: () =>
+      toPermitId(`router-201.mirsq7ow.${(++lastPermit).toString(36)}`),
+    parameters: {maxQueued},
+  });
+  scheduler.setClasses([sampleClass], 0);
+  scheduler.setUpstreams(sampleUpstreams(upstreams), 0);
+  return scheduler;
+}
+
+/** Fills a scheduler: all slots run a job, and `queued` requests wait. */
+export function createLoadedScheduler(load: SchedulerLoad): LoadedScheduler {
+  const {jobsPerUpstream, queued, upstreams, workspaces} = load;
+  const scheduler = createSampleScheduler(upstreams, jobsPerUpstream);
+  const permits: PermitId[] = [];
+  let nextRequest = 0;
+  let nowMs = 0;
+
+  function take(effects: ReturnType<ShardScheduler['tick']>): void {
+    for (const effect of effects) {
+      if (effect.kind === 'grant') permits.push(effect.permitId);
+    }
+  }
+
+  function acquireOne(): void {
+    const request = sampleAcquire(nextRequest, nextRequest % workspaces, nowMs);
+    nextRequest += 1;
+    take(scheduler.acquire(request, nowMs));
+  }
+
+  function replaceOne(): void {
+    nowMs += stepMs;
+    const permitId = permits.shift();
+    if (permitId !== undefined) {
+      take(scheduler.release(sampleRelease(permitId), nowMs));
+    }
+    acquireOne();
+  }
+
+  for (let i = 0; i < upstreams * jobsPerUpstream + queued; i++) acquireOne();
+  return {
+    replaceOne,
+    tick: () => {
+      nowMs += tickMs;
+      take(scheduler.tick(nowMs));
+    },
+    running: () => permits.length,
+    queued: () =>
+      scheduler
+        .snapshot(nowMs)
+        .queues.reduce((sum, queue) => sum + queue.queued, 0),
+  };
+}
--- /dev/null
+++ b/packages/bench/src/slopes/MembershipSlopes.ts
@@ -0,0 +1,219 @@
+/**
+ * Cost of the fleet view and of heartbeats by number of known members, and of
+ * heartbeats by number of links.
+ */
+import {createManualClock} from '@toucanrouter/common';
+import type {Fleet} from '@toucanrouter/daemon';
+import {
+  createFleet,
+  heartbeatIntervalMs,
+  viewIntervalMs,
+} from '@toucanrouter/daemon';
+import {createMemberTable} from '@toucanrouter/membership';
+import type {Envelope, PeerHub, ReceivedEnvelope} from '@toucanrouter/peer';
+import {startChild} from './ChildProcess.js';
+import {bytesHeldBy, microsPerCall, nowSeconds, sleep} from './Cost.js';
+import type {Point} from './Fit.js';
+import {sampleMember, sampleMembers, sampleResources} from './SampleMembers.js';
+import type {Measurement, Series} from './Series.js';
+import {measurePoints} from './Series.js';
+import {wireBytes} from './WireBytes.js';
+
+const memberCounts = [25, 50, 100, 200, 400];
+const linkCounts = [4, 8, 16, 32];
+const viewCalls = 20;
+const receiveCalls = 2_000;
+const linkSettleMs = 2_000;
+const linkMeasureMs = 3_000;
+
+const idleHub: PeerHub = {
+  port: 0,
+  setTargets: () => {},
+  send: () => true,
+  beat: () => {},
+  linked: () => [],
+  traffic: () => ({sentMessages: 0, receivedMessages: 0}),
+  close: () => {},
+};
+
+interface KnownFleet {
+  readonly fleet: Fleet;
+  /** Applies `viewIntervalMs` of time. */
+  refreshView(): void;
+  receiveAll(): void;
+}
+
+/** Creates a fleet that has heard of `count` members. */
+function createKnownFleet(count: number): KnownFleet {
+  const clock = createManualClock();
+  const fleet = createFleet({
+    clock,
+    table: createMemberTable(sampleMember(0)),
+    seedPeers: [],
+    currentConfig: () => undefined,
+    offerConfig: () => {},
+    leavingUpstreams: () => [],
+    onLeavingUpstream: () => {},
+  });
+  const resources = sampleResources();
+  fleet.registerViewHandler(() => {
+    for (const resource of resources) fleet.owner(resource);
+  });
+  const beats = sampleMembers(count)
+    .slice(1)
+    .map(member => heartbeatOf(member.instanceId, count));
+  const receiveAll = () => {
+    for (const {from, envelope} of beats) fleet.receive(from, envelope);
+  };
+  receiveAll();
+  fleet.start(idleHub);
+  return {
+    fleet,
+    receiveAll,
+    refreshView: () => {
+      clock.advance(viewIntervalMs);
+    },
+  };
+}
+
+interface ReceivedBeat {
+  readonly from: ReturnType<typeof sampleMember>['instanceId'];
+  readonly envelope: ReceivedEnvelope;
+}
+
+/** A heartbeat of a member that passes on four others. */
+function heartbeatOf(from: ReceivedBeat['from'], count: number): ReceivedBeat {
+  const index = Number(from.slice('router-'.length));
+  const passedOn = [1, 2, 3, 4].map(step => (index + step) % count);
+  const heartbeat = {
+    sender: wireMember(index),
+    configVersion: 0,
+    members: passedOn.filter(other => other !== index).map(wireMember),
+    leavingUpstreams: [],
+  };
+  return {from, envelope: {heartbeat} as unknown as ReceivedEnvelope};
+}
+
+function wireMember(index: number) {
+  const {state, ...member} = sampleMember(index);
+  return {...member, leaving: state === 'leaving', heardAgoMs: 40};
+}
+
+function measureView(count: number): Point {
+  const {receiveAll, refreshView} = createKnownFleet(count);
+  const refreshesPerCall = 8;
+  const micros = microsPerCall(viewCalls, () => {
+    receiveAll();
+    for (let i = 0; i < refreshesPerCall; i++) refreshView();
+  });
+  const receiving = createKnownFleet(count);
+  const receiveMicros = microsPerCall(viewCalls * 10, receiving.receiveAll);
+  return {x: count, y: (micros - receiveMicros) / refreshesPerCall};
+}
+
+function measureReceive(count: number): Point {
+  const {fleet} = createKnownFleet(count);
+  const member = sampleMember(1);
+  const {from, envelope} = heartbeatOf(member.instanceId, count);
+  const run = () => fleet.receive(from, envelope);
+  return {x: count, y: microsPerCall(receiveCalls, run)};
+}
+
+function measureCreate(count: number): Point {
+  const {fleet} = createKnownFleet(count);
+  const run = () => fleet.createHeartbeat();
+  return {x: count, y: microsPerCall(receiveCalls, run)};
+}
+
+function measureBytes(entries: number): Point {
+  const heartbeat: Envelope = {
+    heartbeat: {
+      sender: wireMember(0),
+      configVersion: 3_000,
+      members: Array.from({length: entries}, (_, i) => wireMember(i + 100)),
+    },
+  };
+  return {x: entries, y: wireBytes(heartbeat)};
+}
+
+function measureMemory(count: number): Point {
+  return {x: count, y: bytesHeldBy(() => createKnownFleet(count))};
+}
+
+/** Processor time of an instance with real links, per second. */
+async function measureLinks(links: number): Promise<Point> {
+  const instance = startChild('LinkedInstance');
+  const peers = startChild('LinkedPeers');
+  try {
+    const port = await instance.call<number>('start');
+    await peers.call('start', {port, links, heartbeatIntervalMs});
+    await sleep(linkSettleMs);
+    const linked = await instance.call<number>('linked');
+    if (linked !== links) throw new Error(`${linked} links of ${links}`);
+    const beforeMicros = await instance.call<number>('cpu');
+    const startedAtSeconds = nowSeconds();
+    await sleep(linkMeasureMs);
+    const afterMicros = await instance.call<number>('cpu');
+    const seconds = nowSeconds() - startedAtSeconds;
+    return {x: links, y: (afterMicros - beforeMicros) / seconds};
+  } finally {
+    await Promise.all([instance.stop(), peers.stop()]);
+  }
+}
+
+async function run(): Promise<readonly Series[]> {
+  const x = 'known members';
+  return [
+    {
+      key: 'membership.view',
+      title: 'refresh of the view with the owners of 63 shards',
+      x,
+      y: 'µs',
+      points: await measurePoints(memberCounts, measureView),
+    },
+    {
+      key: 'membership.receive',
+      title: 'taking in a decoded heartbeat',
+      x,
+      y: 'µs',
+      points: await measurePoints(memberCounts, measureReceive),
+    },
+    {
+      key: 'membership.create',
+      title: 'building a heartbeat',
+      x,
+      y: 'µs',
+      points: await measurePoints(memberCounts, measureCreate),
+    },
+    {
+      key: 'membership.memory',
+      title: 'memory of the fleet view',
+      x,
+      y: 'bytes',
+      points: await measurePoints(memberCounts, measureMemory),
+    },
+    {
+      key: 'heartbeat.bytes',
+      title: 'one heartbeat',
+      x: 'member entries',
+      y: 'bytes',
+      points: await measurePoints([0, 1, 2, 4, 8], measureBytes),
+    },
+    {
+      key: 'heartbeat.cpu',
+      title:
+        'heartbeats in both directions each 150 ms over real links, few members known',
+      x: 'links',
+      y: 'µs per second',
+      points: await measurePoints(linkCounts, measureLinks),
+    },
+  ];
+}
+
+/** Membership and heartbeats. */
+export const membershipSlopes: Measurement = {
+  name: 'membership',
+  description:
+    'createFleet with an injected clock; heartbeats between two processes',
+  run,
+};
--- /dev/null
+++ b/packages/bench/src/slopes/SimulatedFleet.ts
@@ -0,0 +1,160 @@
+/**
+ * Fleets of the daemon's `createFleet` on one injected clock, with links that
+ * deliver after a fixed delay. Counts what heartbeats and configurations cost.
+ */
+import type {InstanceId, ManualClock, StoredConfig} from '@toucanrouter/common';
+import {createManualClock} from '@toucanrouter/common';
+import type {Fleet} from '@toucanrouter/daemon';
+import {createFleet} from '@toucanrouter/daemon';
+import type {MemberRecord} from '@toucanrouter/membership';
+import {createMemberTable} from '@toucanrouter/membership';
+import type {Envelope, PeerHub, ReceivedEnvelope} from '@toucanrouter/peer';
+import {sampleMember, sampleResources} from './SampleMembers.js';
+
+/** One instance of a simulated fleet. */
+export interface SimulatedInstance {
+  readonly fleet: Fleet;
+  readonly links: () => number;
+  readonly config: () => StoredConfig | undefined;
+  offer(config: StoredConfig): void;
+  /** Configurations that links delivered. */
+  readonly configsReceived: () => number;
+  start(): void;
+}
+
+/** Instances that are linked with each other. */
+export interface SimulatedFleet {
+  readonly clock: ManualClock;
+  readonly instances: readonly SimulatedInstance[];
+}
+
+const deliveryMs = 5;
+
+type Network = Map<InstanceId, Fleet>;
+type LinkTable = Map<InstanceId, Set<InstanceId>>;
+
+function linksOf(table: LinkTable, id: InstanceId): Set<InstanceId> {
+  let links = table.get(id);
+  if (links === undefined) {
+    links = new Set();
+    table.set(id, links);
+  }
+  return links;
+}
+
+/** The receiver's view of a message; the simulation skips the encoding. */
+function toReceived(envelope: Envelope): ReceivedEnvelope {
+  return envelope as unknown as ReceivedEnvelope;
+}
+
+function createSimulatedHub(
+  clock: ManualClock,
+  network: Network,
+  links: LinkTable,
+  self: Fleet,
+): PeerHub {
+  let dialled = new Set<InstanceId>();
+  const own = linksOf(links, self.selfId);
+  let sentMessages = 0;
+
+  function deliver(to: InstanceId, envelope: Envelope): void {
+    sentMessages += 1;
+    clock.after(deliveryMs, () =>
+      network.get(to)?.receive(self.selfId, toReceived(envelope)),
+    );
+  }
+
+  return {
+    port: 0,
+    setTargets: targets => {
+      const wanted = new Set<InstanceId>();
+      for (const {instanceId} of targets) {
+        if (instanceId !== undefined) wanted.add(instanceId);
+      }
+      for (const id of wanted) {
+        own.add(id);
+        linksOf(links, id).add(self.selfId);
+      }
+      for (const id of dialled) {
+        if (wanted.has(id)) continue;
+        own.delete(id);
+        linksOf(links, id).delete(self.selfId);
+      }
+      dialled = wanted;
+    },
+    send: (to, envelope) => {
+      deliver(to, envelope);
+      return true;
+    },
+    beat: () => {
+      const heartbeat = self.createHeartbeat();
+      for (const id of own) deliver(id, {heartbeat});
+    },
+    linked: () => [...own],
+    traffic: () => ({sentMessages, receivedMessages: 0}),
+    close: () => {},
+  };
+}
+
+function createSimulatedInstance(
+  clock: ManualClock,
+  network: Network,
+  links: LinkTable,
+  index: number,
+  members: readonly MemberRecord[],
+): SimulatedInstance {
+  const self = sampleMember(index);
+  let config: StoredConfig | undefined;
+  let configsReceived = 0;
+
+  function offer(offered: StoredConfig): void {
+    if (offered.version > (config?.version ?? 0)) config = offered;
+  }
+
+  const fleet = createFleet({
+    clock,
+    table: createMemberTable(self),
+    seedPeers: [],
+    currentConfig: () => config,
+    offerConfig: offered => {
+      configsReceived += 1;
+      offer(offered);
+    },
+    leavingUpstreams: () => [],
+    onLeavingUpstream: () => {},
+  });
+  network.set(self.instanceId, fleet);
+  const resources = sampleResources();
+  fleet.registerViewHandler(() => {
+    for (const resource of resources) fleet.owner(resource);
+  });
+  fleet.listed(members.map(member => ({...member, incarnation: 0})));
+  return {
+    fleet,
+    links: () => linksOf(links, self.instanceId).size,
+    config: () => config,
+    offer,
+    configsReceived: () => configsReceived,
+    start: () => fleet.start(createSimulatedHub(clock, network, links, fleet)),
+  };
+}
+
+/**
+ * Starts a fleet. Instances start one after the other within 150 ms, so their
+ * heartbeats are spread over the interval.
+ */
+export function createSimulatedFleet(count: number): SimulatedFleet {
+  const startWithinMs = 150;
+  const clock = createManualClock();
+  const network: Network = new Map();
+  const links: LinkTable = new Map();
+  const members = Array.from({length: count}, (_, i) => sampleMember(i));
+  const instances = members.map((_, index) =>
+    createSimulatedInstance(clock, network, links, index, members),
+  );
+  instances.forEach((instance, index) => {
+    clock.after((startWithinMs * index) / count, instance.start);
+  });
+  clock.advance(startWithinMs);
+  return {clock, instances};
+}
--- /dev/null
+++ b/packages/bench/src/slopes/SpreadSlopes.ts
@@ -0,0 +1,115 @@
+/**
+ * How a configuration spreads through a fleet, and how much of the fleet each
+ * instance sees, by number of instances. Everything runs on an injected clock.
+ */
+import {toUpstreamId} from '@toucanrouter/common';
+import type {StoredConfig} from '@toucanrouter/common';
+import type {Point} from './Fit.js';
+import type {Measurement, Series} from './Series.js';
+import type {SimulatedFleet, SimulatedInstance} from './SimulatedFleet.js';
+import {createSimulatedFleet} from './SimulatedFleet.js';
+
+const sizes = [25, 50, 100, 200, 400];
+const settleMs = 4_000;
+const stepMs = 50;
+const giveUpAfterMs = 5_000;
+
+interface Spread {
+  readonly links: Point[];
+  readonly aliveShare: Point[];
+  readonly copies: Point[];
+  readonly allInEffectMs: Point[];
+}
+
+const change: StoredConfig = {
+  version: 1,
+  writeId: 'write',
+  author: 'operator',
+  changedAtWallMs: 0,
+  classesText: '',
+  drainedUpstreams: [toUpstreamId('engine-1')],
+};
+
+function meanOf(
+  fleet: SimulatedFleet,
+  value: (instance: SimulatedInstance) => number,
+): number {
+  const sum = fleet.instances.reduce((total, each) => total + value(each), 0);
+  return sum / fleet.instances.length;
+}
+
+/** Offers a change to one instance and waits until all have it. */
+function spreadChange(fleet: SimulatedFleet): number {
+  const {clock, instances} = fleet;
+  const startedAtMs = clock.nowMs();
+  instances[0]?.offer(change);
+  while (
+    instances.some(instance => instance.config() === undefined) &&
+    clock.nowMs() - startedAtMs < giveUpAfterMs
+  ) {
+    clock.advance(stepMs);
+  }
+  const allInEffectMs = clock.nowMs() - startedAtMs;
+  clock.advance(settleMs - allInEffectMs > 0 ? stepMs * 10 : 0);
+  return allInEffectMs;
+}
+
+function measureSize(size: number, spread: Spread): void {
+  const fleet = createSimulatedFleet(size);
+  fleet.clock.advance(settleMs);
+  const alive = meanOf(fleet, each => each.fleet.alive().length);
+  spread.links.push({x: size, y: meanOf(fleet, each => each.links())});
+  spread.aliveShare.push({x: size, y: alive / size});
+  spread.allInEffectMs.push({x: size, y: spreadChange(fleet)});
+  const copies = meanOf(fleet, each => each.configsReceived());
+  spread.copies.push({x: size, y: copies});
+  for (const instance of fleet.instances) instance.fleet.close();
+}
+
+async function run(): Promise<readonly Series[]> {
+  const spread: Spread = {
+    links: [],
+    aliveShare: [],
+    copies: [],
+    allInEffectMs: [],
+  };
+  for (const size of sizes) measureSize(size, spread);
+  const x = 'instances';
+  return [
+    {
+      key: 'fleet.links',
+      title: 'links of an instance that uses all shards',
+      x,
+      y: 'links, mean',
+      points: spread.links,
+    },
+    {
+      key: 'fleet.alive',
+      title: 'part of the fleet that an instance considers alive',
+      x,
+      y: 'share, mean',
+      points: spread.aliveShare,
+    },
+    {
+      key: 'fleet.copies',
+      title: 'copies of one change that reach an instance',
+      x,
+      y: 'copies, mean',
+      points: spread.copies,
+    },
+    {
+      key: 'fleet.spread',
+      title: 'time until a change is at every instance (5,000 is the limit)',
+      x,
+      y: 'ms',
+      points: spread.allInEffectMs,
+    },
+  ];
+}
+
+/** Spread of configuration and membership. */
+export const spreadSlopes: Measurement = {
+  name: 'spread',
+  description: 'createFleet of the daemon, simulated links, injected clock',
+  run,
+};
--- /dev/null
+++ b/packages/bench/src/slopes/main.ts
@@ -0,0 +1,78 @@
+/**
+ * Command line of the scaling slopes.
+ */
+import {readFileSync} from 'node:fs';
+import {parseArgs} from 'node:util';
+import {machineText} from './Machine.js';
+import {measurements} from './Measurements.js';
+import type {FittedSeries, Measurement} from './Series.js';
+import {fitSeries} from './Series.js';
+import {formatSeries} from './SeriesTable.js';
+
+const usage = `Usage: npm run slopes -- [options]
+
+  --only NAME   ${measurements.map(m => m.name).join(', ')}; may be repeated
+  --json        prints the points and lines as JSON
+  --from FILE   takes the output of an earlier run with --json
+  --capacity    prints the capacity table that follows from the slopes
+`;
+
+function select(names: readonly string[] | undefined): readonly Measurement[] {
+  if (names === undefined) return measurements;
+  return names.map(name => {
+    const found = measurements.find(m => m.name === name);
+    if (found !== undefined) return found;
+    const known = measurements.map(m => m.name).join(', ');
+    throw new Error(`measurement "${name}" is not one of ${known}`);
+  });
+}
+
+async function measureAll(
+  chosen: readonly Measurement[],
+): Promise<readonly FittedSeries[]> {
+  const all: FittedSeries[] = [];
+  for (const {name, run} of chosen) {
+    process.stderr.write(`measuring ${name}\n`);
+    all.push(...(await run()).map(fitSeries));
+  }
+  return all;
+}
+
+interface SavedRun {
+  readonly machine: string;
+  readonly series: readonly FittedSeries[];
+}
+
+async function obtain(
+  from: string | undefined,
+  only: readonly string[] | undefined,
+): Promise<SavedRun> {
+  if (from !== undefined) {
+    return JSON.parse(readFileSync(from, 'utf8')) as SavedRun;
+  }
+  return {machine: machineText(), series: await measureAll(select(only))};
+}
+
+async function main(): Promise<void> {
+  const {values} = parseArgs({
+    options: {
+      only: {type: 'string', multiple: true},
+      json: {type: 'boolean', default: false},
+      from: {type: 'string'},
+      capacity: {type: 'boolean', default: false},
+      help: {type: 'boolean', default: false},
+    },
+  });
+  if (values.help) {
+    process.stdout.write(usage);
+    return;
+  }
+  const run = await obtain(values.from, values.only);
+  if (values.json) {
+    process.stdout.write(`${JSON.stringify(run, undefined, 2)}\n`);
+    return;
+  }
+  process.stdout.write(`${run.machine}\n\n${formatSeries(run.series)}\n`);
+}
+
+await main();
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -5,3 +5,24 @@
   ConfigChangeOutcome,
   FleetServiceLevels,
 } from './admin/AdminDependencies.js';
+export type {Daemon, DaemonPorts} from './Daemon.js';
+export {startDaemon} from './Daemon.js';
+export type {ConfigHolder} from './fleet/ConfigHolder.js';
+export {createConfigHolder} from './fleet/ConfigHolder.js';
+export type {Fleet, FleetOptions} from './fleet/Fleet.js';
+export {createFleet} from './fleet/Fleet.js';
+export {
+  configPushIntervalMs,
+  heartbeatIntervalMs,
+  viewIntervalMs,
+} from './fleet/FleetConstants.js';
+export type {Logger, LogFields} from './Logger.js';
+export {createLogger} from './Logger.js';
+export type {WorkspaceKeys} from './request/Authenticate.js';
+export {createWorkspaceKeys} from './request/Authenticate.js';
+export type {PermitClient} from './scheduling/PermitClient.js';
+export {createPermitClient} from './scheduling/PermitClient.js';
+export {
+  progressIntervalMs,
+  schedulerTickMs,
+} from './scheduling/SchedulingConstants.js';
