--- /dev/null
+++ b/packages/bench/src/slopes/CapacityEvents.ts
@@ -0,0 +1,159 @@
+/**
+ * Derives the work that replacements, takeovers and a partition cause, and the
+ * load on the platform's key-value service.
+ */
+import type {FindFit} from './CapacityModel.js';
+import type {CapacityScale} from './CapacityScale.js';
+import {deriveRates} from './CapacityScale.js';
+import {costAt} from './Fit.js';
+
+/** A figure with its unit and how it was worked out. */
+export interface EventFigure {
+  readonly event: string;
+  readonly value: number;
+  readonly unit: string;
+  readonly reckoning: string;
+}
+
+const secondsPerDay = 86_400;
+const hoursPerDay = 24;
+const watchersPerRegion = 2;
+const maxRefreshSeconds = 300;
+
+/** A shard moves away from an instance that ends, and back when it returns. */
+const movesPerEnd = 2;
+
+/** Figures of takeovers and replacements per day. */
+export function deriveReplacement(
+  scale: CapacityScale,
+  find: FindFit,
+): readonly EventFigure[] {
+  const rates = deriveRates(scale);
+  const moves = scale.instanceEndsPerDay * movesPerEnd;
+  const shardMoves = (moves * rates.shards) / scale.nodes;
+  const claimOwners = scale.claimShards * scale.regions;
+  const claimMoves = (moves * claimOwners) / scale.nodes;
+  const announceBytes = costAt(find('announce.bytes'), rates.shardPermits);
+  const kept = rates.claimsPerShardSecond * scale.claimRetentionSeconds;
+  const configBytes = costAt(find('config.bytes'), scale.workspaces);
+  const copies = costAt(find('fleet.copies'), scale.nodes);
+  return [
+    {
+      event: 'takeovers of shards',
+      value: shardMoves,
+      unit: 'per day',
+      reckoning: 'instance ends × 2 × shards / nodes',
+    },
+    {
+      event: 'announcements of one takeover',
+      value: announceBytes,
+      unit: 'bytes',
+      reckoning: 'all permits of the shard, from all holders',
+    },
+    {
+      event: 'loads of claim shards',
+      value: claimMoves,
+      unit: 'per day',
+      reckoning: 'instance ends × 2 × claim shards × regions / nodes',
+    },
+    {
+      event: 'bytes of one claim shard load',
+      value: costAt(find('claims.stored'), kept),
+      unit: 'bytes',
+      reckoning: 'claims of 24 h',
+    },
+    {
+      event: 'processor time of one claim shard load',
+      value: costAt(find('claims.load'), kept) / 1e6,
+      unit: 's',
+      reckoning: 'claims of 24 h',
+    },
+    {
+      event: 'configuration to one new instance',
+      value: configBytes * (1 + copies),
+      unit: 'bytes',
+      reckoning: 'one read of the platform and a copy from each link at most',
+    },
+    {
+      event: 'configuration to all new instances',
+      value:
+        (configBytes * (1 + copies) * scale.instanceEndsPerDay) / secondsPerDay,
+      unit: 'bytes per second in the fleet',
+      reckoning: 'instance ends × bytes / day',
+    },
+  ];
+}
+
+/** Figures of a partition of one region for an hour. */
+export function derivePartition(
+  scale: CapacityScale,
+  find: FindFit,
+): readonly EventFigure[] {
+  const {regionNodes} = deriveRates(scale);
+  const configBytes = costAt(find('config.bytes'), scale.workspaces);
+  const copies = costAt(find('fleet.copies'), scale.nodes);
+  return [
+    {
+      event: 'changes that the region misses',
+      value: scale.configChangesPerDay / hoursPerDay,
+      unit: 'changes',
+      reckoning: 'changes per day / 24; only the last one is passed on',
+    },
+    {
+      event: 'configuration into the region when it heals',
+      value: regionNodes * copies * configBytes,
+      unit: 'bytes',
+      reckoning: 'nodes of a region × copies × bytes',
+    },
+    {
+      event: 'members to learn anew on each node of the region',
+      value: scale.nodes - regionNodes,
+      unit: 'members',
+      reckoning: 'members of other regions, forgotten after 60 s',
+    },
+  ];
+}
+
+/** Calls to the key-value service per second. */
+export function derivePlatform(
+  scale: CapacityScale,
+  find: FindFit,
+): readonly EventFigure[] {
+  const {claimsPerShardSecond} = deriveRates(scale);
+  const writes = costAt(find('claims.writes'), claimsPerShardSecond);
+  const watchers = watchersPerRegion * scale.regions;
+  return [
+    {
+      event: 'writes of claims',
+      value: writes * scale.claimShards,
+      unit: 'per second',
+      reckoning: 'one writer for each claim shard',
+    },
+    {
+      event: 'attempts to write claims',
+      value: writes * scale.claimShards * scale.regions,
+      unit: 'per second',
+      reckoning:
+        'each region has a writer of its own for each claim shard; all but one fail their compare',
+    },
+    {
+      event: 'writes of configuration changes',
+      value: scale.configChangesPerDay / secondsPerDay,
+      unit: 'per second',
+      reckoning: 'one transaction each',
+    },
+    {
+      event: 'waiting watches',
+      value: watchers,
+      unit: 'watches',
+      reckoning: `${watchersPerRegion} for each region`,
+    },
+    {
+      event: 'reads beside the watches, and at the start of instances',
+      value:
+        watchers / maxRefreshSeconds + scale.instanceEndsPerDay / secondsPerDay,
+      unit: 'per second',
+      reckoning: 'one read in 300 s by each watcher, one for each new instance',
+    },
+  ];
+}
--- /dev/null
+++ b/packages/bench/src/slopes/CapacityScale.ts
@@ -0,0 +1,85 @@
+/**
+ * The design's scale, and what follows from it without a measurement.
+ */
+
+/** Sizes and rates that a fleet must carry. */
+export interface CapacityScale {
+  readonly nodes: number;
+  readonly engines: number;
+  readonly models: number;
+  readonly regions: number;
+  readonly workspaces: number;
+  readonly requestsPerSecond: number;
+  readonly tokensPerSecond: number;
+  readonly firstTokenMs: number;
+  readonly tokenGapMs: number;
+  readonly configChangesPerDay: number;
+  /** Instances that fail, are restarted or replaced. */
+  readonly instanceEndsPerDay: number;
+  /** Share of the requests that must run at most once. */
+  readonly nonIdempotentShare: number;
+  readonly claimShards: number;
+  readonly claimRetentionSeconds: number;
+  readonly listPollsPerSecond: number;
+}
+
+/**
+ * The scale of the design page. It names no share of non-idempotent calls; one
+ * in a hundred is an assumption of the capacity page.
+ */
+export const designScale: CapacityScale = {
+  nodes: 400,
+  engines: 2_100,
+  models: 9,
+  regions: 7,
+  workspaces: 1_300,
+  requestsPerSecond: 28_000,
+  tokensPerSecond: 9_400_000,
+  firstTokenMs: 400,
+  tokenGapMs: 33,
+  configChangesPerDay: 1_700,
+  instanceEndsPerDay: 22 + 840,
+  nonIdempotentShare: 0.01,
+  claimShards: 4,
+  claimRetentionSeconds: 24 * 3_600,
+  listPollsPerSecond: 1,
+};
+
+/** What control may cost on each node. */
+export const controlBudget = {
+  cpuMicrosPerSecond: 22_000,
+  bytesPerSecond: 7_000,
+  memoryBytes: 128_000_000,
+} as const;
+
+/** Rates of a node and of a shard. */
+export interface DerivedRates {
+  readonly nodeRequestsPerSecond: number;
+  readonly nodeTokensPerSecond: number;
+  /** Permits that the requests of a node hold at a time. */
+  readonly nodePermits: number;
+  readonly shards: number;
+  readonly shardRequestsPerSecond: number;
+  readonly shardPermits: number;
+  readonly regionNodes: number;
+  readonly claimsPerShardSecond: number;
+}
+
+/** Works out the rates; a request holds its permit until its last token. */
+export function deriveRates(scale: CapacityScale): DerivedRates {
+  const tokens = scale.tokensPerSecond / scale.requestsPerSecond;
+  const heldMs = scale.firstTokenMs + (tokens - 1) * scale.tokenGapMs;
+  const permits = (scale.requestsPerSecond * heldMs) / 1_000;
+  const shards = scale.models * scale.regions;
+  const claims = scale.requestsPerSecond * scale.nonIdempotentShare;
+  return {
+    nodeRequestsPerSecond: scale.requestsPerSecond / scale.nodes,
+    nodeTokensPerSecond: scale.tokensPerSecond / scale.nodes,
+    nodePermits: permits / scale.nodes,
+    shards,
+    shardRequestsPerSecond: scale.requestsPerSecond / shards,
+    shardPermits: permits / shards,
+    regionNodes: scale.nodes / scale.regions,
+    claimsPerShardSecond: claims / scale.claimShards,
+  };
+}
--- a/packages/bench/src/slopes/Measurements.ts
+++ b/packages/bench/src/slopes/Measurements.ts
@@ -7,6 +7,7 @@
 import {membershipSlopes} from './MembershipSlopes.js';
 import {memorySlopes} from './MemorySlopes.js';
 import {permitSlopes} from './PermitSlopes.js';
+import {relaySlopes} from './RelaySlopes.js';
 import {schedulerSlopes} from './SchedulerSlopes.js';
 import type {Measurement} from './Series.js';
 import {spreadSlopes} from './SpreadSlopes.js';
@@ -16,6 +17,7 @@
   permitSlopes,
   schedulerSlopes,
   membershipSlopes,
+  relaySlopes,
   configSlopes,
   claimSlopes,
   listSlopes,
--- a/packages/bench/src/slopes/MemorySlopes.ts
+++ b/packages/bench/src/slopes/MemorySlopes.ts
@@ -13,7 +13,7 @@
 import type {Measurement, Series} from './Series.js';
 import {measurePoints} from './Series.js';
 
-const queueSizes = [250, 500, 1_000, 2_000];
+const queueSizes = [1_000, 2_000, 4_000, 8_000];
 const permitCounts = [512, 1_024, 2_048, 4_096];
 const shardCounts = [4, 8, 16, 32];
 const upstreamsPerShard = 32;
--- a/packages/bench/src/slopes/SpreadSlopes.ts
+++ b/packages/bench/src/slopes/SpreadSlopes.ts
@@ -10,8 +10,9 @@
 import {createSimulatedFleet} from './SimulatedFleet.js';
 
 const sizes = [25, 50, 100, 200, 400];
-const settleMs = 4_000;
+const settleMs = 6_000;
 const stepMs = 50;
+const lateCopiesMs = 500;
 const giveUpAfterMs = 5_000;
 
 interface Spread {
@@ -50,7 +51,8 @@
     clock.advance(stepMs);
   }
   const allInEffectMs = clock.nowMs() - startedAtMs;
-  clock.advance(settleMs - allInEffectMs > 0 ? stepMs * 10 : 0);
+  // Copies that are on their way still arrive.
+  clock.advance(lateCopiesMs);
   return allInEffectMs;
 }
 
--- a/packages/bench/src/slopes/main.ts
+++ b/packages/bench/src/slopes/main.ts
@@ -3,6 +3,8 @@
  */
 import {readFileSync} from 'node:fs';
 import {parseArgs} from 'node:util';
+import {designScale} from './CapacityScale.js';
+import {createFindFit, formatCapacity} from './CapacityTable.js';
 import {machineText} from './Machine.js';
 import {measurements} from './Measurements.js';
 import type {FittedSeries, Measurement} from './Series.js';
@@ -73,6 +75,9 @@
     return;
   }
   process.stdout.write(`${run.machine}\n\n${formatSeries(run.series)}\n`);
+  if (!values.capacity) return;
+  const tables = formatCapacity(designScale, createFindFit(run.series));
+  process.stdout.write(`\n${tables}\n`);
 }
 
 await main();
