--- a/packages/bench/src/slopes/CapacityModel.ts
+++ b/packages/bench/src/slopes/CapacityModel.ts
@@ -77,6 +77,14 @@
       mechanism: 'runEngineAttempt, SseScanner, Transcript',
       cpuMicrosPerSecond: nodeTokensPerSecond * find('relay.chunks.1').slope,
     },
+    {
+      ...common,
+      ...noCost,
+      work: 'relay, if four tokens share a chunk (in place of the line above)',
+      mechanism: 'runEngineAttempt, SseScanner, Transcript',
+      cpuMicrosPerSecond:
+        (nodeTokensPerSecond / 4) * find('relay.chunks.4').slope,
+    },
     {
       ...common,
       kind: 'permits',
--- a/packages/bench/src/slopes/main.ts
+++ b/packages/bench/src/slopes/main.ts
@@ -1,12 +1,13 @@
 /**
  * Command line of the scaling slopes.
  */
-import {readFileSync} from 'node:fs';
+import {readFileSync, writeFileSync} from 'node:fs';
 import {parseArgs} from 'node:util';
 import {designScale} from './CapacityScale.js';
 import {createFindFit, formatCapacity} from './CapacityTable.js';
 import {machineText} from './Machine.js';
 import {measurements} from './Measurements.js';
+import {replaceOutput} from './PageUpdate.js';
 import type {FittedSeries, Measurement} from './Series.js';
 import {fitSeries} from './Series.js';
 import {formatSeries} from './SeriesTable.js';
@@ -16,7 +17,8 @@
   --only NAME   ${measurements.map(m => m.name).join(', ')}; may be repeated
   --json        prints the points and lines as JSON
   --from FILE   takes the output of an earlier run with --json
-  --capacity    prints the capacity table that follows from the slopes
+  --capacity    prints the capacity tables that follow from the slopes
+  --page FILE   puts slopes and capacity tables between the page's markers
 `;
 
 function select(names: readonly string[] | undefined): readonly Measurement[] {
@@ -55,6 +57,13 @@
   return {machine: machineText(), series: await measureAll(select(only))};
 }
 
+function formatRun(run: SavedRun, withCapacity: boolean): string {
+  const slopes = `### Measured slopes\n\n${run.machine}\n\n${formatSeries(run.series)}\n`;
+  if (!withCapacity) return slopes;
+  const tables = formatCapacity(designScale, createFindFit(run.series));
+  return `${slopes}\n${tables}\n`;
+}
+
 async function main(): Promise<void> {
   const {values} = parseArgs({
     options: {
@@ -62,6 +71,7 @@
       json: {type: 'boolean', default: false},
       from: {type: 'string'},
       capacity: {type: 'boolean', default: false},
+      page: {type: 'string'},
       help: {type: 'boolean', default: false},
     },
   });
@@ -74,10 +84,13 @@
     process.stdout.write(`${JSON.stringify(run, undefined, 2)}\n`);
     return;
   }
-  process.stdout.write(`${run.machine}\n\n${formatSeries(run.series)}\n`);
-  if (!values.capacity) return;
-  const tables = formatCapacity(designScale, createFindFit(run.series));
-  process.stdout.write(`\n${tables}\n`);
+  const output = formatRun(run, values.capacity || values.page !== undefined);
+  if (values.page === undefined) {
+    process.stdout.write(output);
+    return;
+  }
+  const page = readFileSync(values.page, 'utf8');
+  writeFileSync(values.page, replaceOutput(page, output));
 }
 
 await main();
