--- a/packages/standins/src/__tests__/process/ProcessFixtures.ts
+++ b/packages/standins/src/__tests__/process/ProcessFixtures.ts
@@ -83,7 +83,7 @@
   const idle = report.summaries.filter(summary => summary.completed === 0);
   expect(
     idle.map(summary => summary.classId),
-    'classes without a completed request',
+    `classes without a completed request: ${JSON.stringify(idle)}`,
   ).to.deep.equal([]);
 }
 
