--- a/packages/bench/src/slopes/CapacityModel.ts
+++ b/packages/bench/src/slopes/CapacityModel.ts
@@ -99,21 +99,32 @@
       ...common,
       ...noCost,
       kind: 'permits',
-      work: 'progress of each held permit once a second',
+      work: 'progress of each held permit once a second, after the first',
       mechanism: 'PermitClient.report, progressIntervalMs',
-      ...progressCost(find, 'holder', nodePermits, scale.models),
+      ...progressCost(find, 'holder', {
+        permits: nodePermits,
+        requestsPerSecond: nodeRequestsPerSecond,
+        sources: scale.models,
+      }),
     },
   ];
 }
 
-/** Reports of `sources` holders or shards with `permits` samples a second. */
+interface ProgressLoad {
+  readonly permits: number;
+  /** The first report of each request is part of the permit exchange. */
+  readonly requestsPerSecond: number;
+  /** Shards that a holder reports to, or holders that report to a shard. */
+  readonly sources: number;
+}
+
 function progressCost(
   find: FindFit,
   side: 'holder' | 'scheduler',
-  permits: number,
-  sources: number,
+  {permits, requestsPerSecond, sources}: ProgressLoad,
 ): Pick<Cost, 'bytesPerSecond' | 'cpuMicrosPerSecond'> {
-  const samples = (permits * msPerSecond) / progressIntervalMs;
+  const perSecond = msPerSecond / progressIntervalMs;
+  const samples = Math.max(0, permits * perSecond - requestsPerSecond);
   const reports = Math.min(samples, sources * reportsPerShardSecond);
   const costOf = ({intercept, slope}: LineFit) =>
     reports * intercept + samples * slope;
@@ -142,9 +153,13 @@
       ...common,
       ...noCost,
       kind: 'permits',
-      work: 'progress of all permits of the shard',
+      work: 'progress of all permits of the shard, after the first',
       mechanism: 'SchedulerHost.progress, UpstreamTracker.progressed',
-      ...progressCost(find, 'scheduler', shardPermits, regionNodes),
+      ...progressCost(find, 'scheduler', {
+        permits: shardPermits,
+        requestsPerSecond: shardRequestsPerSecond,
+        sources: regionNodes,
+      }),
     },
     {
       ...common,
