Own shards in their region, claim shards in the fleet, and rank owners only when the view changes

Cause: every region prepared schedulers for the shards of all regions and chose its own writer for each claim shard; writers of two regions made each other's compares fail. Hearsay about a member expired before a fleet of 400 could repeat it.

--- a/packages/daemon/src/Instance.ts
+++ b/packages/daemon/src/Instance.ts
@@ -196,7 +196,7 @@
     selfId: fleet.selfId,
     local: createLocalClaimStore(writers),
     writerOf: ({idempotencyKey, workspaceId}: ClaimReference) =>
-      fleet.owner(`claims ${claimShardOf(workspaceId, idempotencyKey)}`),
+      fleet.ownerInFleet(`claims ${claimShardOf(workspaceId, idempotencyKey)}`),
     send: fleet.send,
   });
   return {
@@ -217,7 +217,7 @@
     inspection.receive(from, envelope);
   });
   fleet.registerViewHandler(() => {
-    host.warmUp(directory.shards());
+    host.warmUp(directory.shardsIn(fleet.region));
     permits.refreshOwners();
   });
   directory.registerChangeHandler(host.refreshUpstreams);
--- a/packages/daemon/src/fleet/Fleet.ts
+++ b/packages/daemon/src/fleet/Fleet.ts
@@ -45,6 +45,7 @@
 /** The fleet as one instance sees it. */
 export interface Fleet {
   readonly selfId: InstanceId;
+  readonly region: string;
   /** Builds the heartbeat that opens each link. */
   createHeartbeat(): Heartbeat;
   /** Handles a message that a link delivered. */
@@ -56,6 +57,8 @@
   known(): readonly MemberRecord[];
   /** The instance that owns a resource in this region. */
   owner(resource: string): InstanceId;
+  /** The instance that owns a resource that all regions share. */
+  ownerInFleet(resource: string): InstanceId;
   /** Rank of this instance for a resource in this region, from 0. */
   rank(resource: string): number;
   send(to: InstanceId, envelope: Envelope): boolean;
@@ -94,6 +97,14 @@
   };
 }
 
+/** Two views with the same signature have the same owners. */
+function signatureOf(members: readonly MemberRecord[]): string {
+  return members
+    .map(member => `${member.instanceId} ${member.region} ${member.state}`)
+    .sort()
+    .join('\n');
+}
+
 /** Creates the fleet view of one instance. */
 export function createFleet(options: FleetOptions): Fleet {
   const {clock, table} = options;
@@ -103,8 +114,10 @@
   const versions = new Map<InstanceId, number>();
   const pushedAtMs = new Map<InstanceId, number>();
   const owners = new Map<string, MemberRecord | undefined>();
+  const fleetOwners = new Map<string, MemberRecord | undefined>();
   const undos: Undo[] = [];
   let alive: readonly MemberRecord[] = [table.self()];
+  let viewSignature = '';
   let hub: PeerHub | undefined;
 
   function inRegion(): readonly MemberRecord[] {
@@ -112,20 +125,40 @@
     return alive.filter(member => member.region === region);
   }
 
-  function ownerRecord(resource: string): MemberRecord | undefined {
-    if (!owners.has(resource)) {
-      owners.set(resource, ownerOf(resource, inRegion()));
-    }
-    return owners.get(resource);
+  /** Owners are ranked once for each view that differs from the last one. */
+  function rankedOwner(
+    cache: Map<string, MemberRecord | undefined>,
+    resource: string,
+    members: () => readonly MemberRecord[],
+  ): MemberRecord | undefined {
+    if (!cache.has(resource)) cache.set(resource, ownerOf(resource, members()));
+    return cache.get(resource);
+  }
+
+  const regionOwner = (resource: string) =>
+    rankedOwner(owners, resource, inRegion);
+
+  const fleetOwner = (resource: string) =>
+    rankedOwner(fleetOwners, resource, () => alive);
+
+  function forgetOwners(): void {
+    const used = [...owners.keys()];
+    const fleetUsed = [...fleetOwners.keys()];
+    owners.clear();
+    fleetOwners.clear();
+    used.forEach(regionOwner);
+    fleetUsed.forEach(fleetOwner);
   }
 
   function refreshView(): void {
     const nowMs = clock.nowMs();
     table.expire(nowMs);
     alive = table.alive(nowMs);
-    const used = [...owners.keys()];
-    owners.clear();
-    for (const resource of used) ownerRecord(resource);
+    const signature = signatureOf(alive);
+    if (signature !== viewSignature) {
+      viewSignature = signature;
+      forgetOwners();
+    }
     hub?.setTargets(linkTargets());
     for (const handler of viewHandlers) handler();
   }
@@ -133,7 +166,7 @@
   function linkTargets(): readonly PeerTarget[] {
     const known = table.known();
     const ownerIds = new Set<InstanceId>();
-    for (const owner of owners.values()) {
+    for (const owner of [...owners.values(), ...fleetOwners.values()]) {
       if (owner !== undefined) ownerIds.add(owner.instanceId);
     }
     const members = selectLinks(table.self(), known, ownerIds);
@@ -197,6 +230,7 @@
 
   return {
     selfId,
+    region: table.self().region,
     createHeartbeat,
     receive,
     start: startedHub => {
@@ -207,7 +241,8 @@
     },
     alive: () => alive,
     known: () => table.known(),
-    owner: resource => ownerRecord(resource)?.instanceId ?? selfId,
+    owner: resource => regionOwner(resource)?.instanceId ?? selfId,
+    ownerInFleet: resource => fleetOwner(resource)?.instanceId ?? selfId,
     rank: resource => {
       const ranked = rankMembers(resource, inRegion());
       return ranked.findIndex(member => member.instanceId === selfId);
--- a/packages/daemon/src/fleet/UpstreamDirectory.ts
+++ b/packages/daemon/src/fleet/UpstreamDirectory.ts
@@ -29,8 +29,8 @@
   inShard(shardId: ShardId): readonly UpstreamInfo[];
   /** Shards of a model or plain service, those of `region` first. */
   shardsOf(kind: UpstreamKind, serves: string, region: string): ShardId[];
-  /** All shards that have upstreams. */
-  shards(): readonly ShardId[];
+  /** Shards that have upstreams in a region. */
+  shardsIn(region: string): readonly ShardId[];
   /** Upstreams that are leaving, the latest first, bounded in number. */
   leaving(): readonly LeavingUpstream[];
   setListed(upstreams: readonly UpstreamInfo[]): void;
@@ -107,7 +107,13 @@
       const sorted = [...shards].sort((a, b) => Number(b[1]) - Number(a[1]));
       return sorted.map(([shardId]) => shardId);
     },
-    shards: () => [...new Set([...listed.values()].map(shardOf))],
+    shardsIn: region => [
+      ...new Set(
+        [...listed.values()]
+          .filter(upstream => upstream.region === region)
+          .map(shardOf),
+      ),
+    ],
     leaving: () =>
       [...leavingIncarnations]
         .slice(-leavingUpstreamsPerHeartbeat)
--- a/packages/membership/src/MemberTable.ts
+++ b/packages/membership/src/MemberTable.ts
@@ -8,7 +8,8 @@
 import {
   forgetAfterMs,
   gossipEntriesPerHeartbeat,
-  hearsayValidMs,
+  hearsayValidMsPerMember,
+  minHearsayValidMs,
   suspectAfterMs,
 } from './MemberTableConstants.js';
 
@@ -57,12 +58,17 @@
   return {...first, state: laterState(first.state, second.state)};
 }
 
-function isAlive(row: Row, nowMs: number): boolean {
+/** Time for which hearsay counts in a fleet of `memberCount` instances. */
+export function hearsayValidMs(memberCount: number): number {
+  return Math.max(minHearsayValidMs, memberCount * hearsayValidMsPerMember);
+}
+
+function isAlive(row: Row, nowMs: number, hearsayMs: number): boolean {
   if (row.directAtMs !== undefined) {
     return nowMs - row.directAtMs <= suspectAfterMs;
   }
   if (row.hearsayAtMs === undefined) return false;
-  return nowMs - row.hearsayAtMs <= hearsayValidMs;
+  return nowMs - row.hearsayAtMs <= hearsayMs;
 }
 
 function lastEvidenceMs(row: Row): number {
@@ -101,6 +107,11 @@
     return row;
   }
 
+  function aliveRows(nowMs: number): readonly Row[] {
+    const hearsayMs = hearsayValidMs(rows.size);
+    return [...rows.values()].filter(row => isAlive(row, nowMs, hearsayMs));
+  }
+
   function toEntry(row: Row, nowMs: number): GossipEntry {
     return {
       member: row.member,
@@ -109,7 +120,7 @@
   }
 
   function nextGossip(nowMs: number): readonly GossipEntry[] {
-    const candidates = [...rows.values()].filter(row => isAlive(row, nowMs));
+    const candidates = aliveRows(nowMs);
     const count = Math.min(gossipEntriesPerHeartbeat, candidates.length);
     const entries: GossipEntry[] = [];
     for (let i = 0; i < count; i++) {
@@ -139,12 +150,7 @@
       row.hearsayAtMs = Math.max(row.hearsayAtMs ?? -Infinity, heardAtMs);
     },
     nextGossip,
-    alive: nowMs => [
-      own,
-      ...[...rows.values()]
-        .filter(row => isAlive(row, nowMs))
-        .map(row => row.member),
-    ],
+    alive: nowMs => [own, ...aliveRows(nowMs).map(row => row.member)],
     known: () => [...rows.values()].map(row => row.member),
     silentForMs: (instanceId, nowMs) => {
       const directAtMs = rows.get(instanceId)?.directAtMs;
--- a/packages/membership/src/__tests__/unit/MemberTable.test.ts
+++ b/packages/membership/src/__tests__/unit/MemberTable.test.ts
@@ -55,8 +55,17 @@
   it('accepts hearsay about an instance without a link for a limited time', () => {
     const table = createMemberTable(member('a'));
     table.gossiped({member: member('b'), heardAgoMs: 100}, 100);
-    expect(ids(table.alive(hearsayValidMs))).to.deep.equal(['a', 'b']);
-    expect(ids(table.alive(hearsayValidMs + 1))).to.deep.equal(['a']);
+    expect(ids(table.alive(hearsayValidMs(1)))).to.deep.equal(['a', 'b']);
+    expect(ids(table.alive(hearsayValidMs(1) + 1))).to.deep.equal(['a']);
+  });
+
+  it('keeps an idle member of a large fleet alive between two mentions', () => {
+    const table = createMemberTable(member('a'));
+    for (let i = 0; i < 400; i++) {
+      table.gossiped({member: member(`n${i}`), heardAgoMs: 0}, 0);
+    }
+    const rotationMs = (400 / 4) * 150;
+    expect(table.alive(rotationMs)).to.have.length(401);
   });
 
   it('forgets instances that nobody has heard, so that the table is bounded', () => {
