--- a/packages/bench/src/Simulation.ts
+++ b/packages/bench/src/Simulation.ts
@@ -17,7 +17,6 @@
 import type {Exchange} from './Exchange.js';
 import type {FakeEngine} from './FakeEngine.js';
 import {createFakeEngine} from './FakeEngine.js';
-import type {SimulatedScheduler} from './FifoScheduler.js';
 import type {EngineFault, Scenario} from './Scenarios.js';
 import type {ScheduledGroup, Variant} from './Variants.js';
 import type {Workload} from './Workload.js';
@@ -40,6 +39,7 @@
 const messageDelayMs = 1;
 const progressIntervalMs = 100;
 const tickIntervalMs = 50;
+const forgetIntervalMs = 1000;
 
 /** Time after the last arrival for requests to end. */
 const drainMs = 400_000;
@@ -105,112 +105,136 @@
   }
 }
 
-/** Runs a scenario to its end. */
-export function runScenario(options: RunOptions): RunResult {
-  const {workload, scenario, seed} = options;
+/** The processes of a run and what is known about their requests. */
+interface Run {
+  readonly options: RunOptions;
+  readonly loop: EventLoop;
+  readonly groups: readonly ScheduledGroup[];
+  readonly engines: ReadonlyMap<UpstreamId, FakeEngine>;
+  readonly incarnations: number[];
+  readonly entries: Map<InstanceId, Entry>;
+  /** Requests that may still be in progress. */
+  readonly live: Set<Exchange>;
+  readonly byRequest: Map<string, Exchange>;
+  /** Permits whose holders were told to give them up. */
+  readonly preempting: Set<string>;
+}
+
+function createRun(options: RunOptions): Run {
+  const {workload} = options;
   const loop = createEventLoop();
-  const random = createSeededRandom(seed);
-  const groups = options.variant.createGroups(workload, random);
+  const random = createSeededRandom(options.seed);
   const incarnations = Array.from({length: workload.engines}, () => 1);
-  const engines = new Map(
-    incarnations.map((_, index) => [
-      engineId(index),
-      createFakeEngine(loop, workload.engine),
-    ]),
+  const engines = incarnations.map(
+    (_, index) =>
+      [engineId(index), createFakeEngine(loop, workload.engine)] as const,
   );
-  const entries = new Map<InstanceId, Entry>();
-  const live = new Set<Exchange>();
-  const byRequest = new Map<string, Exchange>();
-  const preempting = new Set<string>();
-
-  function observe(effect: SchedulerEffect): void {
-    if (effect.kind === 'preempt') preempting.add(effect.permitId);
-    if (effect.kind !== 'refuse') return;
-    const exchange = byRequest.get(effect.requestId);
-    if (exchange === undefined || exchange.end !== undefined) return;
-    if (effect.attempt === exchange.hedgeAskedAttempt) return;
-    markRefusal(exchange, live, preempting);
-  }
+  return {
+    options,
+    loop,
+    groups: options.variant.createGroups(workload, random),
+    engines: new Map(engines),
+    incarnations,
+    entries: new Map(),
+    live: new Set(),
+    byRequest: new Map(),
+    preempting: new Set(),
+  };
+}
 
-  function deliver(effects: readonly SchedulerEffect[]): void {
-    for (const effect of effects) {
-      observe(effect);
-      loop.after(messageDelayMs, () =>
-        entries.get(effect.holder)?.onEffect(effect),
-      );
-    }
-  }
+function observe(run: Run, effect: SchedulerEffect): void {
+  if (effect.kind === 'preempt') run.preempting.add(effect.permitId);
+  if (effect.kind !== 'refuse') return;
+  const exchange = run.byRequest.get(effect.requestId);
+  if (exchange === undefined || exchange.end !== undefined) return;
+  if (effect.attempt === exchange.hedgeAskedAttempt) return;
+  markRefusal(exchange, run.live, run.preempting);
+}
 
-  function send(
-    group: ScheduledGroup,
-    call: (
-      scheduler: SimulatedScheduler,
-      nowMs: number,
-    ) => readonly SchedulerEffect[],
-  ): void {
-    loop.after(messageDelayMs, () =>
-      deliver(call(group.scheduler, loop.nowMs())),
+function deliver(run: Run, effects: readonly SchedulerEffect[]): void {
+  for (const effect of effects) {
+    observe(run, effect);
+    run.loop.after(messageDelayMs, () =>
+      run.entries.get(effect.holder)?.onEffect(effect),
     );
   }
+}
 
-  function publishUpstreams(): void {
-    for (const {scheduler, engines: indexes} of groups) {
-      const infos = indexes.map(i => upstreamInfo(i, incarnations[i]!));
-      deliver(scheduler.setUpstreams(infos, loop.nowMs()));
-    }
+function publishUpstreams(run: Run): void {
+  for (const {scheduler, engines} of run.groups) {
+    const infos = engines.map(i => upstreamInfo(i, run.incarnations[i]!));
+    deliver(run, scheduler.setUpstreams(infos, run.loop.nowMs()));
   }
+}
 
-  function createEntryOf(group: ScheduledGroup, index: number): Entry {
-    const id = toInstanceId(`entry${index}`);
-    const entry = createEntry({
-      id,
-      loop,
-      engines,
-      send: call => send(group, call),
-      isMeasured: nowMs =>
-        nowMs >= scenario.warmupMs && nowMs < scenario.durationMs,
+function entryId(index: number): InstanceId {
+  return toInstanceId(`entry${index}`);
+}
+
+function addEntry(run: Run, group: ScheduledGroup, index: number): void {
+  const {loop, engines, options} = run;
+  const {warmupMs, durationMs} = options.scenario;
+  const id = entryId(index);
+  const entry = createEntry({
+    id,
+    loop,
+    engines,
+    send: call =>
+      loop.after(messageDelayMs, () =>
+        deliver(run, call(group.scheduler, loop.nowMs())),
+      ),
+    isMeasured: nowMs => nowMs >= warmupMs && nowMs < durationMs,
+  });
+  run.entries.set(id, entry);
+  every(loop, progressIntervalMs, entry.reportProgress);
+}
+
+function addGroup(run: Run, group: ScheduledGroup): void {
+  for (const index of group.entries) addEntry(run, group, index);
+  every(run.loop, tickIntervalMs, () =>
+    deliver(run, group.scheduler.tick(run.loop.nowMs())),
+  );
+}
+
+function addFaults(run: Run): void {
+  for (const fault of run.options.scenario.faults) {
+    applyFault(run.loop, run.engines, fault, () => {
+      run.incarnations[fault.engine]! += 1;
+      publishUpstreams(run);
     });
-    entries.set(id, entry);
-    every(loop, progressIntervalMs, entry.reportProgress);
-    return entry;
   }
+}
 
-  const entryByIndex = new Map<number, Entry>();
-  for (const group of groups) {
-    for (const index of group.entries) {
-      entryByIndex.set(index, createEntryOf(group, index));
-    }
-    every(loop, tickIntervalMs, () =>
-      deliver(group.scheduler.tick(loop.nowMs())),
-    );
-  }
-  publishUpstreams();
-  for (const fault of scenario.faults) {
-    applyFault(loop, engines, fault, () => {
-      incarnations[fault.engine]! += 1;
-      publishUpstreams();
+function addArrivals(run: Run): void {
+  const {workload, capacity, scenario, seed} = run.options;
+  for (const arrival of drawArrivals(workload, capacity, scenario, seed)) {
+    run.loop.after(arrival.atMs, () => {
+      const entry = run.entries.get(entryId(arrival.entry))!;
+      const exchange = entry.arrive(arrival);
+      run.live.add(exchange);
+      run.byRequest.set(`r${arrival.index}`, exchange);
     });
   }
-  for (const arrival of drawArrivals(
-    workload,
-    options.capacity,
-    scenario,
-    seed,
-  )) {
-    loop.after(arrival.atMs, () => {
-      const exchange = entryByIndex.get(arrival.entry)!.arrive(arrival);
-      live.add(exchange);
-      byRequest.set(`r${arrival.index}`, exchange);
-    });
+}
+
+function forgetEnded(live: Set<Exchange>): void {
+  for (const exchange of live) {
+    if (exchange.end !== undefined) live.delete(exchange);
   }
-  every(loop, 1000, () => {
-    for (const exchange of live) {
-      if (exchange.end !== undefined) live.delete(exchange);
-    }
-  });
-  loop.run(scenario.durationMs);
-  drain(loop, scenario.durationMs, live);
-  return {exchanges: [...byRequest.values()]};
+}
+
+/** Runs a scenario to its end. */
+export function runScenario(options: RunOptions): RunResult {
+  const run = createRun(options);
+  const {durationMs} = options.scenario;
+  for (const group of run.groups) addGroup(run, group);
+  publishUpstreams(run);
+  addFaults(run);
+  addArrivals(run);
+  every(run.loop, forgetIntervalMs, () => forgetEnded(run.live));
+  run.loop.run(durationMs);
+  drain(run.loop, durationMs, run.live);
+  return {exchanges: [...run.byRequest.values()]};
 }
 
 function drain(
