--- a/packages/standins/src/__tests__/unit/LoadDriver.test.ts
+++ b/packages/standins/src/__tests__/unit/LoadDriver.test.ts
@@ -12,6 +12,7 @@
 import {parseLoadProfile, readLoadProfile} from '../../load/LoadProfile.js';
 import type {Observation} from '../../load/Observation.js';
 import {findFaults, runKeyOf} from '../../load/Oracle.js';
+import {serviceRefusalType} from '../../service/ServiceAnswers.js';
 import type {UpstreamRuns} from '../../load/UpstreamRuns.js';
 
 const classes: readonly ServiceClass[] = readClasses('tkacik');
@@ -154,6 +155,16 @@
     expect(findFaults([refusal], runsOf(1))).to.have.length(1);
   });
 
+  it('finds an order that ran although its service refused it', () => {
+    const refused: Observation = {
+      ...refusal,
+      outcome: 'failed',
+      errorType: serviceRefusalType,
+    };
+    expect(findFaults([refused], runsOf(0))).to.have.length(0);
+    expect(findFaults([refused], runsOf(1))).to.have.length(1);
+  });
+
   it('finds an order that ran twice', () => {
     const unknown: Observation = {...refusal, outcome: 'failed'};
     expect(findFaults([unknown], runsOf(1))).to.have.length(0);
--- a/packages/standins/src/service/ServiceAnswers.ts
+++ b/packages/standins/src/service/ServiceAnswers.ts
@@ -20,6 +20,14 @@
   readonly answer: string;
 }
 
+/** Error type of the answer to a call that a service refuses. */
+export const serviceRefusalType = 'service_refused';
+
+/** The answer to a call that a service refuses and does not run. */
+export const serviceRefusal = JSON.stringify({
+  error: {message: 'the service refuses calls', type: serviceRefusalType},
+});
+
 /** Returns the key of a call; equal calls have equal keys. */
 export function callKeyOf(call: ServiceCall): string {
   const text = JSON.stringify([call.method, call.path, call.body]);
--- a/packages/standins/src/service/ServiceStandIn.ts
+++ b/packages/standins/src/service/ServiceStandIn.ts
@@ -15,7 +15,7 @@
 import type {ListRegistration} from '../shared/ListRegistration.js';
 import {registerInList} from '../shared/ListRegistration.js';
 import type {ServiceCall} from './ServiceAnswers.js';
-import {callKeyOf, serviceAnswer} from './ServiceAnswers.js';
+import {callKeyOf, serviceAnswer, serviceRefusal} from './ServiceAnswers.js';
 import type {ServiceRunRecord} from './ServiceRuns.js';
 import {createServiceRuns} from './ServiceRuns.js';
 import type {ServiceSwitchChange} from './ServiceSwitches.js';
@@ -105,7 +105,7 @@
     call: ServiceCall,
   ): void {
     if (switches.refuse) {
-      return sendError(response, 503, 'the service refuses calls');
+      return sendJson(response, 503, parseJson(serviceRefusal));
     }
     const record = toRecord(request, call);
     work.submit({
