Bound every wait by the class's maximum, and displace running lower tiers before a refusal

Cause: a request was refused only after twice its maximum wait, and only jobs whose end gives a slot at once were displaced, so a request was refused while a lower tier ran on an upstream above its limit. Ruled out: preempted jobs that wait to resume; they hold no slot. A class now takes a slot from higher tiers from 0.8 of its maximum wait and is refused at the maximum.

--- a/packages/membership/src/MemberTable.ts
+++ b/packages/membership/src/MemberTable.ts
@@ -4,10 +4,12 @@
  * answers who is considered alive. Time is an argument of every call.
  */
 import type {InstanceId} from '@toucanrouter/common';
+import {partitionOf} from '@toucanrouter/common';
 import type {GossipEntry, MemberRecord, MemberState} from './Member.js';
 import {
   forgetAfterMs,
   gossipEntriesPerHeartbeat,
+  gossipStartRange,
   hearsayValidMsPerMember,
   minHearsayValidMs,
   suspectAfterMs,
@@ -82,7 +84,8 @@
 /** Creates the table of the instance that `self` describes. */
 export function createMemberTable(self: MemberRecord): MemberTable {
   let own = self;
-  let nextGossipIndex = 0;
+  // Instances start at different members, so that together they name all soon.
+  let nextGossipIndex = partitionOf(self.instanceId, gossipStartRange);
   const rows = new Map<InstanceId, Row>();
 
   function upsert(member: MemberRecord, nowMs: number): Row | undefined {
--- a/packages/membership/src/MemberTableConstants.ts
+++ b/packages/membership/src/MemberTableConstants.ts
@@ -23,3 +23,6 @@
 
 /** Member entries in one heartbeat. */
 export const gossipEntriesPerHeartbeat = 4;
+
+/** Range of the members at which the rotation of an instance starts. */
+export const gossipStartRange = 1_024;
--- a/packages/policy/src/SchedulerDispatch.ts
+++ b/packages/policy/src/SchedulerDispatch.ts
@@ -60,7 +60,8 @@
     if (oldest === undefined) continue;
     const policy = state.classes.policyOf(queue);
     const dueAtMs = oldest.waitingSinceMs + targetWaitMs(policy);
-    const overdueAtMs = oldest.waitingSinceMs + policy.maxWaitMs;
+    const overdueAfterMs = policy.maxWaitMs * state.parameters.overdueShare;
+    const overdueAtMs = oldest.waitingSinceMs + overdueAfterMs;
     ranked.push({queue, oldest, tier: policy.tier, dueAtMs, overdueAtMs});
   }
   return ranked.sort((a, b) => a.tier - b.tier || a.dueAtMs - b.dueAtMs);
--- a/packages/policy/src/SchedulerOverload.ts
+++ b/packages/policy/src/SchedulerOverload.ts
@@ -8,7 +8,11 @@
 import type {ClassQueue, LargestBacklog} from './QueueOfClass.js';
 import {evictedFirst} from './QueueOfClass.js';
 import {targetWaitMs} from './SchedulerClasses.js';
-import {findVictims, makeRoom, roomFromPending} from './SchedulerPreemption.js';
+import {
+  findDisplaceable,
+  makeRoom,
+  roomFromPending,
+} from './SchedulerPreemption.js';
 import {refuse} from './SchedulerRefusal.js';
 import type {SchedulerState} from './SchedulerState.js';
 import {tierOf, waitingByTier} from './SchedulerState.js';
@@ -106,13 +110,7 @@
 ): boolean {
   const tier = tierOf(state, request);
   if (roomFromPending(state, tier, nowMs) > 0) return true;
-  const victims = findVictims(
-    state,
-    tier,
-    request.exclude,
-    job => tierOf(state, job) > tier,
-    nowMs,
-  );
+  const victims = findDisplaceable(state, tier, request.exclude, nowMs);
   return victims !== undefined;
 }
 
@@ -164,8 +162,9 @@
   nowMs: number,
 ): boolean {
   const {maxWaitMs} = state.classes.policyOf(request);
-  const limitMs = maxWaitMs * state.parameters.refuseAfterMaxWaits;
-  return nowMs - waitingSinceMs > limitMs;
+  // The next review would come too late for some of those that wait.
+  const limitMs = maxWaitMs - state.parameters.reviewIntervalMs;
+  return nowMs - waitingSinceMs >= limitMs;
 }
 
 function giveUp(
--- a/packages/policy/src/SchedulerParameters.ts
+++ b/packages/policy/src/SchedulerParameters.ts
@@ -11,10 +11,11 @@
   /** Maximum wait of requests whose class the scheduler does not know. */
   readonly unknownClassMaxWaitMs: number;
   /**
-   * A request that has waited this many times its class's maximum wait is
-   * refused when no lower tier can be displaced for it.
+   * Share of its class's maximum wait after which a request takes a slot from
+   * higher tiers. The rest of the wait leaves time for that slot to come;
+   * at the maximum wait the request is refused.
    */
-  readonly refuseAfterMaxWaits: number;
+  readonly overdueShare: number;
   /**
    * Grants between two slots that one class takes from higher tiers because
    * its oldest request exceeded the maximum wait. Without an interval, a
@@ -68,7 +69,7 @@
   maxQueued: 1000,
   reviewIntervalMs: 100,
   unknownClassMaxWaitMs: 10_000,
-  refuseAfterMaxWaits: 2,
+  overdueShare: 0.8,
   overdueGrantInterval: 10,
   deadlineLeadMs: 300,
   targetRiskFraction: 0.25,
--- a/packages/policy/src/SchedulerPreemption.ts
+++ b/packages/policy/src/SchedulerPreemption.ts
@@ -149,6 +149,40 @@
   }
 }
 
+/**
+ * Lower-tier jobs to displace for one request of `tier`: those whose end gives
+ * it a slot or, where upstreams hold more jobs than their limits allow, one
+ * whose end brings a slot nearer. Undefined when no lower tier runs.
+ */
+export function findDisplaceable(
+  state: SchedulerState,
+  tier: Tier,
+  exclude: readonly UpstreamId[],
+  nowMs: number,
+): readonly RunningJob[] | undefined {
+  const lower: VictimFilter = job => tierOf(state, job) > tier;
+  const victims = findVictims(state, tier, exclude, lower, nowMs);
+  if (victims !== undefined) return victims;
+  const job = newestOfLowestTier(state, exclude, lower);
+  return job === undefined ? undefined : [job];
+}
+
+function newestOfLowestTier(
+  state: SchedulerState,
+  exclude: readonly UpstreamId[],
+  filter: VictimFilter,
+): RunningJob | undefined {
+  const live = new Set(liveUpstreams(state.tracker));
+  let best: Victim | undefined;
+  for (const job of state.jobs.values()) {
+    if (!live.has(job.upstreamId) || exclude.includes(job.upstreamId)) continue;
+    if (!isPreemptible(job) || !filter(job)) continue;
+    const victim: Victim = {job, tier: tierOf(state, job)};
+    if (best === undefined || compareVictims(victim, best) < 0) best = victim;
+  }
+  return best?.job;
+}
+
 /**
  * Preempts lower-tier jobs in place of refusing a request of `tier`. Neither
  * budget nor minimum run applies: otherwise a higher tier would be refused
@@ -160,8 +194,7 @@
   exclude: readonly UpstreamId[],
   nowMs: number,
 ): boolean {
-  const lower: VictimFilter = job => tierOf(state, job) > tier;
-  const victims = findVictims(state, tier, exclude, lower, nowMs);
+  const victims = findDisplaceable(state, tier, exclude, nowMs);
   if (victims === undefined) return false;
   preempt(state, victims, 'make_room', nowMs);
   return true;
--- a/packages/policy/src/__tests__/unit/SchedulerWorld.ts
+++ b/packages/policy/src/__tests__/unit/SchedulerWorld.ts
@@ -25,10 +25,11 @@
 export const tickMs = 50;
 const answerDelayMs = 20;
 // Time in which the slots of a run are preempted and handed on one by one.
-const handOverMs = 2000;
+const handOverMs = 2500;
 export const parameters = {
   maxQueued: 6,
   overdueGrantInterval: 4,
+  overdueShare: 0.8,
   reviewIntervalMs: tickMs,
 };
 const holders = [toInstanceId('h0'), toInstanceId('h1')];
@@ -102,13 +103,13 @@
     if (lower.some(isSheddable)) return true;
     return usable(item).some(id => {
       if (tracker.limit(id, tier, nowMs) < 1) return false;
-      const jobs = [...running.values()].filter(job => job.upstreamId === id);
-      const staying = jobs.filter(job => job.stopAtMs === undefined);
-      const victims = staying.filter(
-        job => job.request.idempotent && tierOf(job) > tier,
+      return [...running.values()].some(
+        job =>
+          job.upstreamId === id &&
+          job.stopAtMs === undefined &&
+          job.request.idempotent &&
+          tierOf(job) > tier,
       );
-      const limit = tracker.limit(id, tier, nowMs);
-      return victims.length >= Math.max(1, staying.length + 1 - limit);
     });
   }
 
@@ -122,7 +123,9 @@
     );
     if (!passedOver) return;
     const {classId} = item.request;
-    const isOverdue = nowMs - item.sinceMs >= classOf(item.request).maxWaitMs;
+    const {maxWaitMs} = classOf(item.request);
+    const overdueAfterMs = maxWaitMs * parameters.overdueShare;
+    const isOverdue = nowMs - item.sinceMs >= overdueAfterMs;
     expect(isOverdue, 'grant before a waiting higher tier').to.equal(true);
     const since = totals.granted - (lastOverdue.get(classId) ?? -Infinity);
     expect(since).to.be.at.least(parameters.overdueGrantInterval);
@@ -200,7 +203,7 @@
       expect(open, `${requestId} idles`).to.deep.equal([]);
     if (nowMs > deadlineAtMs + tickMs) expect.fail(`${requestId} expired`);
     if (!isSheddable(item)) return;
-    const boundMs = 2 * classOf(item.request).maxWaitMs + handOverMs;
+    const boundMs = classOf(item.request).maxWaitMs + handOverMs;
     const waitMs = nowMs - item.sinceMs;
     if (waitMs > boundMs) expect.fail(`${requestId} waited ${waitMs} ms`);
   }
