--- a/packages/claims/src/ClaimRecords.ts
+++ b/packages/claims/src/ClaimRecords.ts
@@ -1,7 +1,8 @@
 /**
  * What the platform stores for a claim shard: a head and numbered segments.
  * Segments form a log of batches; each batch is one write. JSON with short
- * field names, checked when it is read.
+ * field names, checked when it is read. With UUIDs as key and claim id a claim
+ * takes 184 bytes, its release 117, and its end 503 with an answer of 200 bytes.
  */
 import type {
   ClaimId,
