--- /dev/null
+++ b/packages/claims/src/__tests__/fuzz/ClaimOracle.ts
@@ -0,0 +1,146 @@
+/**
+ * What must hold of all runs: a map from key to runs, and what callers and
+ * owners were told. Violations are kept until `check` throws the first one.
+ */
+import type {
+  ClaimEnd,
+  ClaimReply,
+  Clock,
+  RouterError,
+} from '@toucanrouter/common';
+import type {StoredRecords} from './StoredRecords.js';
+import {createStoredRecords} from './StoredRecords.js';
+
+interface CallFacts {
+  readonly claimId: string;
+  readonly key: string;
+  readonly requestHash: string;
+}
+
+/** Observes a world. */
+export interface ClaimOracle {
+  readonly stored: StoredRecords;
+  observeRun(call: CallFacts): void;
+  observeNotRun(call: CallFacts): void;
+  observeReply(call: CallFacts, reply: ClaimReply): void;
+  observeEnd(call: CallFacts, end: ClaimEnd): void;
+  observeEndError(call: CallFacts, error: RouterError): void;
+  runsOf(key: string): number;
+  /** Throws the first violation, if there was one. */
+  check(): void;
+  readonly counts: Record<string, number>;
+}
+
+/** Creates an oracle; a key may run again `retentionMs` after its last run. */
+export function createClaimOracle(
+  clock: Clock,
+  retentionMs: number,
+): ClaimOracle {
+  const runs = new Map<string, CallFacts[]>();
+  const notRun = new Set<string>();
+  const counts: Record<string, number> = {};
+  const violations: string[] = [];
+
+  const stored = createStoredRecords(clock, retentionMs, message =>
+    violations.push(message),
+  );
+
+  function expectThat(condition: boolean, message: string): void {
+    if (!condition) violations.push(message);
+  }
+
+  function count(what: string): void {
+    counts[what] = (counts[what] ?? 0) + 1;
+  }
+
+  function lastRun(key: string): CallFacts | undefined {
+    return runs.get(key)?.at(-1);
+  }
+
+  function runOf(call: CallFacts): CallFacts | undefined {
+    return runs.get(call.key)?.find(run => run.claimId === call.claimId);
+  }
+
+  function checkOutcome(call: CallFacts, reply: ClaimReply): void {
+    if (reply.kind !== 'completed') return;
+    const text = atob(reply.outcome.bodyBase64);
+    const run = runs
+      .get(call.key)
+      ?.find(({claimId}) => text === `result of ${claimId}`);
+    expectThat(run !== undefined, `outcome "${text}" belongs to ${call.key}`);
+    const sameBody = run?.requestHash === call.requestHash;
+    expectThat(sameBody, `outcome "${text}" belongs to another body`);
+  }
+
+  /** The token is the revision of the write that stored the claim first. */
+  function checkToken(call: CallFacts, reply: ClaimReply): void {
+    if (reply.kind !== 'claimed') return;
+    const revision = stored.find(call.claimId)?.revision;
+    if (stored.isExpired(call.claimId)) return;
+    expectThat(
+      revision === reply.fencingToken,
+      `token of ${call.claimId} is ${revision}, not ${reply.fencingToken}`,
+    );
+  }
+
+  function checkStoredEnd(call: CallFacts, reply: ClaimReply): void {
+    const run = lastRun(call.key);
+    if (run === undefined || run.claimId === call.claimId) return;
+    // With two generations of a key the answer may be one of the earlier.
+    if (runs.get(call.key)?.length !== 1 || stored.isExpired(run.claimId))
+      return;
+    const outcome = stored.find(run.claimId)?.outcome;
+    if (outcome === undefined) return;
+    const kept =
+      reply.kind === 'completed'
+        ? reply.outcome.bodyBase64 === outcome
+        : reply.kind !== 'outcome_unknown';
+    expectThat(kept, `stored outcome of ${call.key} is kept`);
+  }
+
+  return {
+    counts,
+    check: () => {
+      if (violations[0] !== undefined) throw new Error(violations[0]);
+    },
+    runsOf: key => runs.get(key)?.length ?? 0,
+    stored,
+    observeRun: call => {
+      count('runs');
+      const before = lastRun(call.key);
+      expectThat(
+        before === undefined || stored.isExpired(before.claimId),
+        `key ${call.key} runs once, not for ${before?.claimId} and ${call.claimId}`,
+      );
+      expectThat(!notRun.has(call.claimId), `${call.claimId} was not run`);
+      const all = [...(runs.get(call.key) ?? [])];
+      runs.set(call.key, [...all, {...call}]);
+    },
+    observeNotRun: call => {
+      count('not run');
+      notRun.add(call.claimId);
+      expectThat(runOf(call) === undefined, `${call.claimId} was not run`);
+    },
+    observeReply: (call, reply) => {
+      count(reply.kind);
+      checkOutcome(call, reply);
+      checkToken(call, reply);
+      checkStoredEnd(call, reply);
+    },
+    observeEnd: (call, end) => {
+      count(`end ${end.kind}`);
+      const claim = stored.find(call.claimId);
+      const over = end.kind === 'not_sent' ? claim?.released : claim?.ended;
+      expectThat(over === true, `${end.kind} of ${call.claimId} is stored`);
+    },
+    observeEndError: (call, error) => {
+      count(`end error ${error.kind}`);
+      const refusedRelease =
+        error.kind === 'internal' && stored.find(call.claimId)?.ended === true;
+      expectThat(
+        refusedRelease || stored.isExpired(call.claimId),
+        `end of ${call.claimId} failed: ${error.message}`,
+      );
+    },
+  };
+}
--- a/packages/policy/src/SchedulerOverload.ts
+++ b/packages/policy/src/SchedulerOverload.ts
@@ -7,10 +7,11 @@
 import {attemptKey} from './Queue.js';
 import type {ClassQueue, LargestBacklog} from './QueueOfClass.js';
 import {evictedFirst} from './QueueOfClass.js';
+import {targetWaitMs} from './SchedulerClasses.js';
 import {findVictims, makeRoom, roomFromPending} from './SchedulerPreemption.js';
 import {refuse} from './SchedulerRefusal.js';
 import type {SchedulerState} from './SchedulerState.js';
-import {tierOf} from './SchedulerState.js';
+import {tierOf, waitingByTier} from './SchedulerState.js';
 import type {QueuedRequest} from './SchedulerTypes.js';
 import {estimateWaitMs} from './SchedulerWait.js';
 
@@ -35,16 +36,18 @@
   }
 }
 
+// A hedge is refused first, because its request runs elsewhere.
+function nextEviction(state: SchedulerState): QueuedRequest | undefined {
+  return state.queue.hedges()[0] ?? newestOfLowestTier(state);
+}
+
 /**
- * The request that is refused next: a hedge, because its request runs
- * elsewhere; otherwise, in the lowest tier, the newest request of the
- * workspace with the largest backlog. Evicting simply the newest request would
+ * In the lowest tier, the newest request of the workspace with the largest
+ * backlog. Evicting simply the newest request would
  * let a large workspace that fills the queue have all others refused. Started
  * jobs are not evicted, because they could not be told "not run".
  */
-export function nextEviction(state: SchedulerState): QueuedRequest | undefined {
-  const hedge = state.queue.hedges()[0];
-  if (hedge !== undefined) return hedge;
+function newestOfLowestTier(state: SchedulerState): QueuedRequest | undefined {
   let victim: LargestBacklog | undefined;
   for (const queue of lowestTierQueues(state)) {
     const candidate = queue.largestBacklog();
@@ -70,8 +73,8 @@
  */
 export function shedEarly(state: SchedulerState, nowMs: number): void {
   for (;;) {
-    const victim = nextEviction(state);
-    if (victim === undefined || victim.request.hedge) return;
+    const victim = newestOfLowestTier(state);
+    if (victim === undefined) return;
     if (!isHopeless(state, victim, nowMs)) return;
     if (couldDisplace(state, victim, nowMs)) return;
     refuse(state, victim, 'overloaded', nowMs);
@@ -83,10 +86,16 @@
   {request, waitingSinceMs}: QueuedRequest,
   nowMs: number,
 ): boolean {
-  const {tier, maxWaitMs} = state.classes.policyOf(request);
-  const waitMs = estimateWaitMs(state, tier, nowMs);
+  const policy = state.classes.policyOf(request);
+  const waitMs = estimateWaitMs(state, policy.tier, nowMs);
   if (waitMs === undefined) return false;
-  const latestMs = waitingSinceMs + maxWaitMs;
+  // A queue as long as the maximum wait would make every answer miss its
+  // target; a shorter one serves as many requests, and in time.
+  const patienceMs = Math.min(
+    policy.maxWaitMs,
+    targetWaitMs(policy) * state.parameters.shedTargetFactor,
+  );
+  const latestMs = waitingSinceMs + patienceMs;
   return nowMs + waitMs > Math.min(latestMs, request.deadlineAtMs);
 }
 
@@ -112,10 +121,7 @@
  * refuses those that have waited too long when nothing can be displaced.
  */
 export function resolveUrgent(state: SchedulerState, nowMs: number): void {
-  const urgent = state.queue
-    .entries()
-    .filter(entry => isUrgent(state, entry, nowMs))
-    .sort((a, b) => tierOf(state, a.request) - tierOf(state, b.request));
+  const urgent = waitingByTier(state, entry => isUrgent(state, entry, nowMs));
   let served = 0;
   const exhausted = new Set<Tier>();
   for (const entry of urgent) {
@@ -170,10 +176,26 @@
   if (entry.request.resume !== undefined) return;
   if (state.queue.find(attemptKey(entry.request)) !== entry) return;
   const tier = tierOf(state, entry.request);
-  for (const other of state.queue.entries()) {
-    if (other.request.resume !== undefined) continue;
-    if (tierOf(state, other.request) <= tier) continue;
+  const lower = waitingByTier(
+    state,
+    other =>
+      other.request.resume === undefined && tierOf(state, other.request) > tier,
+  );
+  for (const other of lower.toReversed()) {
+    // While a slot that only lower tiers may use can be freed for one of them,
+    // none is refused; the next review decides again.
+    if (obtainRoom(state, other, nowMs)) return;
     refuse(state, other, 'overloaded', nowMs);
   }
   refuse(state, entry, 'overloaded', nowMs);
 }
+
+function obtainRoom(
+  state: SchedulerState,
+  {request}: QueuedRequest,
+  nowMs: number,
+): boolean {
+  const tier = tierOf(state, request);
+  if (roomFromPending(state, tier, nowMs) > 0) return true;
+  return makeRoom(state, tier, request.exclude, nowMs);
+}
--- a/packages/policy/src/SchedulerParameters.ts
+++ b/packages/policy/src/SchedulerParameters.ts
@@ -6,6 +6,8 @@
 export interface SchedulerParameters {
   /** Requests that may wait in one shard before one of them is refused. */
   readonly maxQueued: number;
+  /** Ticks look at every waiting request at most this often. */
+  readonly reviewIntervalMs: number;
   /** Maximum wait of requests whose class the scheduler does not know. */
   readonly unknownClassMaxWaitMs: number;
   /**
@@ -38,6 +40,11 @@
   readonly longLengthQuantile: number;
   /** Share of the slots that long jobs hold while short jobs wait. */
   readonly longSlotShare: number;
+  /**
+   * The lowest tier is refused early when its estimated wait exceeds its
+   * target this many times, or the maximum wait.
+   */
+  readonly shedTargetFactor: number;
   /** Slot time that a job is assumed to need before one of its class ended. */
   readonly assumedSlotMs: number;
   /** Period over which the arriving work of each tier is averaged. */
@@ -59,17 +66,19 @@
 /** Defaults of all parameters. */
 export const defaultSchedulerParameters: SchedulerParameters = {
   maxQueued: 1000,
+  reviewIntervalMs: 100,
   unknownClassMaxWaitMs: 10_000,
   refuseAfterMaxWaits: 2,
   overdueGrantInterval: 10,
   deadlineLeadMs: 300,
   targetRiskFraction: 0.25,
   minimumRunMs: 1000,
-  preemptionsPerSlotSecond: 0.02,
-  preemptionBurstPerSlot: 0.25,
+  preemptionsPerSlotSecond: 0.1,
+  preemptionBurstPerSlot: 0.5,
   preemptRepeatMs: 1000,
   longLengthQuantile: 0.9,
   longSlotShare: 0.3,
+  shedTargetFactor: 1,
   assumedSlotMs: 1000,
   arrivalPeriodMs: 10_000,
   minimumTierShare: 0.1,
--- /dev/null
+++ b/packages/standins/src/deployment/Chaos.ts
@@ -0,0 +1,162 @@
+/**
+ * Random faults on a running deployment, from a seed: kills, pauses, severed
+ * streams, slow and leaving upstreams, outages and lost answers.
+ */
+import type {RandomSource} from '@toucanrouter/common';
+import {createSeededRandom, hash64} from '@toucanrouter/common';
+import {pickOne} from '../load/Sampling.js';
+import type {AnySwitchChange, Deployment} from './Deployment.js';
+import type {DeploymentRole} from './MemberPlan.js';
+
+/** A fault that was caused. */
+export interface ChaosEvent {
+  readonly atMs: number;
+  readonly what: string;
+}
+
+interface ChaosContext {
+  readonly deployment: Deployment;
+  readonly random: RandomSource;
+  readonly events: ChaosEvent[];
+  readonly startMs: number;
+  /** Processes that are faulty at present. */
+  readonly busy: Set<string>;
+}
+
+/** A fault of one process of a role. */
+interface Fault {
+  readonly role: DeploymentRole;
+  readonly run: (context: ChaosContext, name: string) => Promise<void>;
+}
+
+const minGapMs = 200;
+const maxGapMs = 1200;
+const minFaultMs = 300;
+const maxFaultMs = 2000;
+
+// Faults may coincide, but on different processes.
+const lanes = 2;
+const seedModulus = 2n ** 31n;
+
+/** Causes faults until `seconds` have passed. */
+export async function runChaos(
+  deployment: Deployment,
+  seconds: number,
+  seed: number,
+): Promise<readonly ChaosEvent[]> {
+  const shared = {
+    deployment,
+    events: [] as ChaosEvent[],
+    startMs: performance.now(),
+    busy: new Set<string>(),
+  };
+  const endMs = shared.startMs + seconds * 1000;
+  const runs = Array.from({length: lanes}, (_, lane) => {
+    // Close seeds of the generator give alike first numbers.
+    const laneSeed = Number(hash64(`${seed}:${lane}`) % seedModulus);
+    return runLane({...shared, random: createSeededRandom(laneSeed)}, endMs);
+  });
+  await Promise.all(runs);
+  return shared.events;
+}
+
+async function runLane(context: ChaosContext, endMs: number): Promise<void> {
+  const {busy, deployment, random} = context;
+  while (performance.now() < endMs) {
+    const fault = pickOne(random, faults);
+    const name = pickOne(random, deployment.names(fault.role));
+    if (!busy.has(name)) {
+      busy.add(name);
+      await fault.run(context, name);
+      busy.delete(name);
+    }
+    await sleep(between(random, minGapMs, maxGapMs));
+  }
+}
+
+function record(context: ChaosContext, what: string): void {
+  const atMs = performance.now() - context.startMs;
+  context.events.push({atMs: Math.round(atMs), what});
+}
+
+function between(random: RandomSource, min: number, max: number): number {
+  return min + random.next() * (max - min);
+}
+
+function faultMs(random: RandomSource): number {
+  return between(random, minFaultMs, maxFaultMs);
+}
+
+function createKill(role: DeploymentRole): Fault {
+  const run: Fault['run'] = async (context, name) => {
+    record(context, `kill ${name}`);
+    await context.deployment.kill(name);
+    await sleep(faultMs(context.random));
+    await context.deployment.restart(name);
+  };
+  return {role, run};
+}
+
+function createPause(role: DeploymentRole): Fault {
+  const run: Fault['run'] = async (context, name) => {
+    const pauseMs = faultMs(context.random);
+    record(context, `pause ${name} for ${Math.round(pauseMs)} ms`);
+    context.deployment.pause(name);
+    await sleep(pauseMs);
+    context.deployment.resume(name);
+  };
+  return {role, run};
+}
+
+function createLeave(role: DeploymentRole): Fault {
+  const run: Fault['run'] = async (context, name) => {
+    record(context, `stop ${name}`);
+    const {exit} = await context.deployment.stop(name);
+    if (exit?.code !== 0) record(context, `${name} exited uncleanly`);
+    await context.deployment.restart(name);
+  };
+  return {role, run};
+}
+
+/** Turns switches on, and off again after a while. */
+function createSwitchFault(
+  role: DeploymentRole,
+  on: AnySwitchChange,
+  off?: AnySwitchChange,
+): Fault {
+  const run: Fault['run'] = async (context, name) => {
+    record(context, `${name} ${JSON.stringify(on)}`);
+    await context.deployment.switch(name, on);
+    if (off === undefined) return;
+    await sleep(faultMs(context.random));
+    await context.deployment.switch(name, off);
+  };
+  return {role, run};
+}
+
+const faults: readonly Fault[] = [
+  createKill('engine'),
+  createKill('service'),
+  createKill('router'),
+  createPause('engine'),
+  createPause('service'),
+  createPause('router'),
+  createPause('platform'),
+  createLeave('engine'),
+  createLeave('router'),
+  createSwitchFault('engine', {breakStreams: {count: 4, afterTokens: 3}}),
+  createSwitchFault('engine', {truncateStreams: {count: 4, afterTokens: 3}}),
+  createSwitchFault('engine', {slowFactor: 10}, {slowFactor: 1}),
+  createSwitchFault('engine', {stall: true}, {stall: false}),
+  createSwitchFault('engine', {refuse: true}, {refuse: false}),
+  createSwitchFault('service', {dropAnswers: 2}),
+  createSwitchFault('service', {refuse: true}, {refuse: false}),
+  createSwitchFault('platform', {outage: 'hang'}, {outage: 'off'}),
+  createSwitchFault('platform', {outage: 'refuse'}, {outage: 'off'}),
+  createSwitchFault('platform', {loseWriteAnswers: 3, failWriteAnswers: 3}),
+  createSwitchFault('platform', {delayMs: 300}, {delayMs: 0}),
+];
+
+function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
