Refuse ambiguous service paths, release doubtful claims, leave callers' faults out of service levels

- A path with "." or ".." segments could be classified as an idempotent lookup and resolved to an order by the upstream; it is refused with bad_request, as is a broken percent encoding, which was answered with 500.
- A claim whose first attempt failed and whose second was refused is released: the first could land later and block the key for 24 hours.
- Missing or reused idempotency keys and other faults of callers no longer count as missed targets.

--- a/packages/daemon/src/__tests__/unit/ClaimedCall.test.ts
+++ b/packages/daemon/src/__tests__/unit/ClaimedCall.test.ts
@@ -18,6 +18,7 @@
 import {createClaimedCalls} from '../../claims/ClaimedCall.js';
 import type {Exchange} from '../../request/Exchange.js';
 import type {PlainAnswer} from '../../request/plain/PlainCall.js';
+import {parseServicePath} from '../../request/plain/PlainCall.js';
 
 const timeoutMs = 1_000;
 
@@ -163,6 +164,17 @@
     expect(run.sends).to.equal(1);
   });
 
+  it('releases a failed attempt to claim when a later one is refused, since it may still land', async () => {
+    let tries = 0;
+    const run = await runCall(() =>
+      ++tries < 2
+        ? err(new PlatformError('no answer', true))
+        : ok({kind: 'in_progress'}),
+    );
+    expect(run.kind).to.equal('idempotency_key_in_progress');
+    expect(run.ends).to.deep.equal(['not_sent']);
+  });
+
   it('releases the key of a call that was not sent', async () => {
     const run = await runCall(
       () => ok(claimed),
@@ -201,3 +213,17 @@
     expect(run).to.deep.equal({kind: 'answered', sends: 0, ends: []});
   });
 });
+
+describe('parseServicePath', () => {
+  it('refuses paths that an upstream could resolve to another one, so that no order passes as a lookup', () => {
+    const bad = ['/services/s/lookup/../orders', '/services/s/%2e%2e/x'];
+    const broken = ['/services/%zz/x', '/services/s/a%2f..%2fb'];
+    for (const url of [...bad, ...broken]) {
+      expect(parseServicePath(url), url).to.equal(undefined);
+    }
+    expect(parseServicePath('/services/s/v1.2/a..b?q=..')).to.deep.equal({
+      serves: 's',
+      path: '/v1.2/a..b?q=..',
+    });
+  });
+});
--- a/packages/daemon/src/claims/ClaimedCall.ts
+++ b/packages/daemon/src/claims/ClaimedCall.ts
@@ -66,9 +66,17 @@
       requestHash: hashOf(exchange),
       owner: selfId,
     };
+    let failedBefore = false;
     for (;;) {
       const reply = await withinDeadline(exchange, store.claim(request));
-      if (reply.isOk()) return reply;
+      if (reply.isOk()) {
+        // The failed attempt may land after another claim was released.
+        if (failedBefore && reply.value.kind !== 'claimed') {
+          void recordEnd(reference, {kind: 'not_sent'});
+        }
+        return reply;
+      }
+      failedBefore = true;
       const remainingMs = exchange.deadlineAtMs - clock.nowMs();
       if (remainingMs <= 0 || exchange.signal.aborted) return reply;
       await delay(Math.min(retryDelayMs, remainingMs));
--- a/packages/daemon/src/request/ServiceLevels.ts
+++ b/packages/daemon/src/request/ServiceLevels.ts
@@ -1,7 +1,7 @@
 /**
  * Turns ended calls into observations for the service-level report.
  */
-import type {RouterError} from '@toucanrouter/common';
+import type {ErrorKind, RouterError} from '@toucanrouter/common';
 import {answerFor} from '@toucanrouter/common';
 import type {
   ObservedOutcome,
@@ -9,7 +9,19 @@
 } from '@toucanrouter/report';
 import type {EndedCall} from './RecordCall.js';
 
-/** Returns undefined for a call that belongs to no class or workspace. */
+/** Errors that the caller causes; they say nothing about the service level. */
+const callerFaults: ReadonlySet<ErrorKind> = new Set<ErrorKind>([
+  'bad_request',
+  'idempotency_key_in_progress',
+  'idempotency_key_missing',
+  'idempotency_key_reused',
+  'not_found',
+]);
+
+/**
+ * Returns undefined for a call that belongs to no class or workspace, and for
+ * one that failed through its caller.
+ */
 export function toObservation({
   error,
   exchange,
@@ -17,6 +29,7 @@
 }: EndedCall): ServiceLevelObservation | undefined {
   const {figures, serviceClass, workspaceId} = exchange;
   if (serviceClass === undefined || workspaceId === undefined) return undefined;
+  if (error !== undefined && callerFaults.has(error.kind)) return undefined;
   return {
     serviceClass,
     workspaceId,
--- a/packages/daemon/src/request/plain/PlainCall.ts
+++ b/packages/daemon/src/request/plain/PlainCall.ts
@@ -282,14 +282,31 @@
   return passed;
 }
 
-/** Returns the path at the upstream of `/services/<service>/<path>`. */
+/**
+ * Returns the service and the path at the upstream of
+ * `/services/<service>/<path>`, or undefined when the URL has another form.
+ * Segments `.` and `..` are refused: an upstream that resolves them would see
+ * another path than the one by which the call was classified.
+ */
 export function parseServicePath(
   url: string,
 ): Pick<CallTarget, 'path' | 'serves'> | undefined {
   const match = /^\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/.exec(url);
-  if (match?.[1] === undefined) return undefined;
-  return {
-    serves: decodeURIComponent(match[1]),
-    path: `${match[2] ?? '/'}${match[3] ?? ''}`,
-  };
+  const [, serves, path = '/', query = ''] = match ?? [];
+  if (serves === undefined) return undefined;
+  const segments = [serves, ...path.split('/')].map(decodeSegment);
+  if (segments.some(isUnsafeSegment)) return undefined;
+  return {serves: segments[0] ?? '', path: path + query};
+}
+
+function decodeSegment(segment: string): string | undefined {
+  try {
+    return decodeURIComponent(segment);
+  } catch {
+    return undefined;
+  }
+}
+
+function isUnsafeSegment(segment: string | undefined): boolean {
+  return segment === undefined || /(^|[\\/])\.{1,2}($|[\\/])/.test(segment);
 }
--- a/packages/daemon/src/server/CallerServer.ts
+++ b/packages/daemon/src/server/CallerServer.ts
@@ -233,8 +233,9 @@
 ): Result<CallTarget, RouterError> {
   const parsed = parseServicePath(incoming.url ?? '/');
   if (parsed === undefined) {
-    const message = 'use /services/<service>/<path>';
-    return err(new RouterError('not_found', message));
+    const message =
+      'use /services/<service>/<path>, percent-encoded, without "." and ".." segments';
+    return err(new RouterError('bad_request', message));
   }
   return ok({kind: 'service', method: incoming.method ?? 'GET', ...parsed});
 }
