End started answers at the caller's own timeout, and tell holders of straggling jobs again

Cause: a holder without hedge budget at the first notice was never told again, so its stream stayed on a slowed engine (188 of 189 tokens after 40 s with a caller timeout of 30 s), and a started answer had no time limit. The cost of a move is now the reprocessing of prompt and received tokens, a tenth of generating them.

--- a/packages/daemon/src/__tests__/unit/ClaimedCall.test.ts
+++ b/packages/daemon/src/__tests__/unit/ClaimedCall.test.ts
@@ -84,15 +84,18 @@
   send: () => Promise<Result<PlainAnswer, RouterError>> = () =>
     Promise.resolve(ok(answer)),
   headers?: Record<string, string>,
+  attempts = 1,
 ): Promise<Run> {
   const clock = createManualClock();
   const {ends, store} = createFakeStore(() => claim(clock));
   const calls = createClaimedCalls(clock, toInstanceId('router-1'), store);
+  const exchange = createExchange(clock, headers);
   let sends = 0;
   let kind: string | undefined;
   void calls
-    .run(createExchange(clock, headers), () => {
+    .run(exchange, () => {
       sends += 1;
+      exchange.figures.attempts = attempts;
       return send();
     })
     .then(result => {
@@ -187,6 +190,17 @@
     });
   });
 
+  it('releases the key of a call whose caller left before it was sent', async () => {
+    const left = new RouterError('canceled', 'left');
+    const run = await runCall(
+      () => ok(claimed),
+      () => Promise.resolve(err(left)),
+      undefined,
+      0,
+    );
+    expect(run.ends).to.deep.equal(['not_sent']);
+  });
+
   it('keeps the key of a call whose answer was lost, so that it cannot run again', async () => {
     const run = await runCall(
       () => ok(claimed),
--- a/packages/daemon/src/claims/ClaimedCall.ts
+++ b/packages/daemon/src/claims/ClaimedCall.ts
@@ -133,7 +133,7 @@
     const answer = await send();
     if (answer.isOk()) {
       void recordEnd(reference, completed(answer.value));
-    } else if (wasNotRun(answer.error)) {
+    } else if (wasNotRun(answer.error) || exchange.figures.attempts === 0) {
       await release(reference);
     } else {
       void recordEnd(reference, {kind: 'outcome_unknown'});
--- a/packages/daemon/src/request/Exchange.ts
+++ b/packages/daemon/src/request/Exchange.ts
@@ -5,11 +5,11 @@
 import type {
   ClassId,
   RequestId,
-  RouterError,
   ServiceClass,
   UpstreamKind,
   WorkspaceId,
 } from '@toucanrouter/common';
+import {RouterError} from '@toucanrouter/common';
 import type {Result} from 'neverthrow';
 import type {CallerResponse} from './CallerResponse.js';
 
@@ -49,7 +49,7 @@
   readonly arrivedAtMs: number;
   /** After this time the call is not started any more. */
   readonly deadlineAtMs: number;
-  /** Aborted when the caller has gone. */
+  /** Aborted when the caller has gone or its own timeout has passed. */
   readonly signal: AbortSignal;
   readonly figures: CallFigures;
   workspaceId: WorkspaceId | undefined;
@@ -77,6 +77,25 @@
   return runFrom(0);
 }
 
+/** Reason of an abort because the timeout that the caller set has passed. */
+export const callerTimeout = 'caller timeout';
+
+/** The error of a call whose signal was aborted. */
+export function abortError(exchange: Exchange, ran: boolean): RouterError {
+  if (exchange.signal.reason !== callerTimeout) {
+    return new RouterError('canceled', 'the caller closed the connection');
+  }
+  return ran
+    ? new RouterError(
+        'answer_incomplete',
+        'the answer was not complete within the caller timeout',
+      )
+    : new RouterError(
+        'deadline_exceeded',
+        'the request could not be started within the caller timeout',
+      );
+}
+
 /** Returns the class of a call that has passed the classification filter. */
 export function classOf(exchange: Exchange): ServiceClass {
   if (exchange.serviceClass === undefined) {
--- a/packages/daemon/src/request/chat/ChatCall.ts
+++ b/packages/daemon/src/request/chat/ChatCall.ts
@@ -15,7 +15,7 @@
 import {err, ok} from 'neverthrow';
 import type {JobEnd} from '../../scheduling/PermitClient.js';
 import type {Exchange} from '../Exchange.js';
-import {classOf} from '../Exchange.js';
+import {abortError, classOf} from '../Exchange.js';
 import type {GrantedUpstream, UpstreamAccess} from '../UpstreamAccess.js';
 import {acquireUpstream, hasOtherUpstream} from '../UpstreamAccess.js';
 import type {ChatRequest} from './ChatRequest.js';
@@ -29,6 +29,8 @@
 /** Started work is waited for without a limit of the router's own. */
 const startedWorkTimeoutMs = 24 * 60 * 60 * 1_000;
 
+const promptTokenCost = 0.1;
+
 /** Pause before a started job asks again after a refusal. */
 const startedRetryMs = 500;
 
@@ -84,7 +86,7 @@
     if (granted.isErr()) return err(afterRefusal(state, granted.error));
     const finished = await runWithHedge(state, granted.value, start);
     if (finished.end.kind === 'complete') return ok(finishAnswer(state));
-    if (exchange.signal.aborted) return err(canceled());
+    if (exchange.signal.aborted) return err(abortError(exchange, true));
     const decision = recover(state, finished);
     if (decision.kind === 'fail') return err(failure(decision, finished));
     start = decision.kind === 'restart' ? 'fresh' : decision.kind;
@@ -137,8 +139,9 @@
   state: ChatState,
   error: RouterErrorType,
 ): RouterErrorType {
-  const ran = state.faults > 0 || state.transcript.tokens > 0;
-  if (!ran || error.kind === 'canceled') return error;
+  const ran = state.exchange.figures.attempts > 0;
+  if (error.kind === 'canceled') return abortError(state.exchange, ran);
+  if (!ran) return error;
   const message = `no further attempt could be made: ${error.message}`;
   return new RouterError('upstream_failed', message, {cause: error});
 }
@@ -169,8 +172,14 @@
   return state.winner === second.granted ? second : first;
 }
 
+/**
+ * Extra work of a second copy or a move: the prompt and the received tokens
+ * are processed once more. Engines process a prompt in parallel, so that a
+ * token of it costs about a tenth of a generated one.
+ */
 function hedgeCost(state: ChatState): number {
-  return state.request.promptTokens + state.transcript.tokens;
+  const tokens = state.request.promptTokens + state.transcript.tokens;
+  return Math.ceil(tokens * promptTokenCost);
 }
 
 function moveAway(
@@ -408,7 +417,3 @@
   const headers = {'content-type': 'application/json'};
   exchange.response.sendWhole(200, headers, body);
 }
-
-function canceled(): RouterErrorType {
-  return new RouterError('canceled', 'the caller closed the connection');
-}
--- a/packages/daemon/src/request/plain/PlainCall.ts
+++ b/packages/daemon/src/request/plain/PlainCall.ts
@@ -13,7 +13,7 @@
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 import type {CallTarget, Exchange} from '../Exchange.js';
-import {classOf} from '../Exchange.js';
+import {abortError, classOf} from '../Exchange.js';
 import type {GrantedUpstream, UpstreamAccess} from '../UpstreamAccess.js';
 import {acquireUpstream, hasOtherUpstream} from '../UpstreamAccess.js';
 
@@ -104,7 +104,7 @@
     const answer = await send(state, granted.value);
     if (answer.isOk()) return ok(answer.value);
     if (exchange.signal.aborted && classOf(exchange).idempotent) {
-      return err(new RouterError('canceled', 'the caller has gone'));
+      return err(abortError(exchange, true));
     }
     const error = recover(state, granted.value, answer.error);
     if (error !== undefined) return err(error);
@@ -139,7 +139,9 @@
   state: PlainState,
   error: RouterErrorType,
 ): RouterErrorType {
-  if (state.permitsAsked === 1 || error.kind === 'canceled') return error;
+  const ran = state.exchange.figures.attempts > 0;
+  if (error.kind === 'canceled') return abortError(state.exchange, ran);
+  if (!ran) return error;
   const message = `no further attempt could be made: ${error.message}`;
   return new RouterError('upstream_failed', message, {cause: error});
 }
--- a/packages/daemon/src/server/CallerServer.ts
+++ b/packages/daemon/src/server/CallerServer.ts
@@ -14,7 +14,7 @@
 import type {Logger} from '../Logger.js';
 import {createCallerResponse} from '../request/CallerResponse.js';
 import type {CallTarget, Exchange, Filter} from '../request/Exchange.js';
-import {runPipe} from '../request/Exchange.js';
+import {callerTimeout, runPipe} from '../request/Exchange.js';
 import {parseServicePath} from '../request/plain/PlainCall.js';
 
 /** Options of the server for callers. */
@@ -39,6 +39,7 @@
 
 type App = {Bindings: HttpBindings};
 
+const timeoutHeader = 'x-request-timeout-ms';
 const minTimeoutMs = 1;
 const maxTimeoutMs = 24 * 60 * 60 * 1_000;
 
@@ -100,7 +101,7 @@
       response: call.response,
       arrivedAtMs: call.arrivedAtMs,
       deadlineAtMs: call.arrivedAtMs + timeoutMs.value,
-      signal: callerGone(call.outgoing),
+      signal: createCallerSignal(call, timeoutMs.value),
       figures: {
         firstTokenMs: undefined,
         tokenGapMs: undefined,
@@ -115,6 +116,20 @@
     return runPipe(pipe, exchange);
   }
 
+  /** A timeout of the router's own only limits the wait for a start. */
+  function createCallerSignal(call: IncomingCall, timeoutMs: number) {
+    const controller = new AbortController();
+    const undo =
+      headerOf(call.incoming, timeoutHeader) === undefined
+        ? () => undefined
+        : clock.after(timeoutMs, () => controller.abort(callerTimeout));
+    call.outgoing.on('close', () => {
+      undo();
+      if (!call.outgoing.writableFinished) controller.abort();
+    });
+    return controller.signal;
+  }
+
   app.post('/v1/chat/completions', async context => {
     const {incoming, outgoing} = context.env;
     await serve(
@@ -173,7 +188,7 @@
   incoming: IncomingMessage,
   defaultMs: number,
 ): Result<number, RouterError> {
-  const text = headerOf(incoming, 'x-request-timeout-ms');
+  const text = headerOf(incoming, timeoutHeader);
   if (text === undefined) return ok(defaultMs);
   const value = Number(text);
   if (
@@ -183,7 +198,7 @@
   ) {
     return ok(value);
   }
-  const message = `x-request-timeout-ms must be a whole number from ${minTimeoutMs} to ${maxTimeoutMs}`;
+  const message = `${timeoutHeader} must be a whole number from ${minTimeoutMs} to ${maxTimeoutMs}`;
   return err(new RouterError('bad_request', message));
 }
 
@@ -239,11 +254,3 @@
   }
   return ok({kind: 'service', method: incoming.method ?? 'GET', ...parsed});
 }
-
-function callerGone(outgoing: ServerResponse): AbortSignal {
-  const controller = new AbortController();
-  outgoing.on('close', () => {
-    if (!outgoing.writableFinished) controller.abort();
-  });
-  return controller.signal;
-}
--- a/packages/policy/src/SchedulerJobs.ts
+++ b/packages/policy/src/SchedulerJobs.ts
@@ -37,10 +37,18 @@
 function freshJob(
   state: SchedulerState,
   upstreamId: UpstreamId,
-): Pick<RunningJob, 'chargedMs' | 'long' | 'preemption' | 'suspectKnown'> {
+): Pick<
+  RunningJob,
+  'chargedMs' | 'isProbe' | 'long' | 'preemption' | 'suspectToldAtMs'
+> {
   // Work that starts on a suspect upstream is a probe, which is not hedged.
-  const suspectKnown = state.tracker.state(upstreamId) === 'suspect';
-  return {chargedMs: 0, long: false, suspectKnown, preemption: undefined};
+  return {
+    chargedMs: 0,
+    isProbe: state.tracker.state(upstreamId) === 'suspect',
+    long: false,
+    preemption: undefined,
+    suspectToldAtMs: undefined,
+  };
 }
 
 function chargeStart(state: SchedulerState, job: RunningJob): void {
--- a/packages/policy/src/SchedulerParameters.ts
+++ b/packages/policy/src/SchedulerParameters.ts
@@ -37,6 +37,8 @@
   readonly preemptionBurstPerSlot: number;
   /** A preemption that its holder has not answered is repeated after this. */
   readonly preemptRepeatMs: number;
+  /** A holder is told again that its upstream is suspect after this. */
+  readonly suspectRepeatMs: number;
   /** Quantile of output length past which a job counts as long. */
   readonly longLengthQuantile: number;
   /** Share of the slots that long jobs hold while short jobs wait. */
@@ -77,6 +79,7 @@
   preemptionsPerSlotSecond: 0.1,
   preemptionBurstPerSlot: 0.5,
   preemptRepeatMs: 1000,
+  suspectRepeatMs: 500,
   longLengthQuantile: 0.9,
   longSlotShare: 0.3,
   shedTargetFactor: 1,
--- a/packages/policy/src/SchedulerSuspects.ts
+++ b/packages/policy/src/SchedulerSuspects.ts
@@ -5,14 +5,17 @@
 import type {SchedulerState} from './SchedulerState.js';
 import type {RunningJob} from './SchedulerTypes.js';
 
-/** Tells the holders of short idempotent jobs on suspect upstreams, once. */
-export function tellSuspects(state: SchedulerState): void {
+/**
+ * Tells the holders of short idempotent jobs on suspect upstreams. A holder
+ * without hedge budget at first is told again while the job runs there.
+ */
+export function tellSuspects(state: SchedulerState, nowMs: number): void {
   const {tracker} = state;
   if (!tracker.ids().some(id => tracker.state(id) === 'suspect')) return;
   for (const job of state.jobs.values()) {
-    if (!mayBeHedged(job) || job.suspectKnown) continue;
+    if (!mayBeHedged(job) || wasToldLately(state, job, nowMs)) continue;
     if (tracker.state(job.upstreamId) !== 'suspect') continue;
-    job.suspectKnown = true;
+    job.suspectToldAtMs = nowMs;
     state.effects.push({
       kind: 'suspect',
       holder: job.holder,
@@ -23,6 +26,15 @@
 }
 
 function mayBeHedged(job: RunningJob): boolean {
-  if (!job.idempotent || job.hedge || job.long) return false;
+  if (!job.idempotent || job.hedge || job.isProbe || job.long) return false;
   return job.preemption === undefined;
 }
+
+function wasToldLately(
+  state: SchedulerState,
+  {suspectToldAtMs}: RunningJob,
+  nowMs: number,
+): boolean {
+  if (suspectToldAtMs === undefined) return false;
+  return nowMs - suspectToldAtMs < state.parameters.suspectRepeatMs;
+}
--- a/packages/policy/src/SchedulerTypes.ts
+++ b/packages/policy/src/SchedulerTypes.ts
@@ -52,7 +52,10 @@
   /** True once the job is longer than most of its class and workspace. */
   long: boolean;
   /** True when the holder knows that the upstream is suspect. */
-  suspectKnown: boolean;
+  /** When the holder was last told that the upstream is suspect. */
+  suspectToldAtMs: number | undefined;
+  /** Granted while the upstream was suspect, to probe it. */
+  readonly isProbe: boolean;
   /** Set while the holder has been told to give the permit up. */
   preemption: Preemption | undefined;
 }
--- a/packages/policy/src/ShardScheduler.ts
+++ b/packages/policy/src/ShardScheduler.ts
@@ -117,7 +117,7 @@
 function passTime(state: SchedulerState, nowMs: number): void {
   state.tracker.tick(nowMs);
   repeatPreemptions(state, nowMs);
-  tellSuspects(state);
+  tellSuspects(state, nowMs);
   const sinceReviewMs = nowMs - state.reviewedAtMs;
   if (sinceReviewMs < state.parameters.reviewIntervalMs) return;
   state.reviewedAtMs = nowMs;
@@ -225,7 +225,7 @@
     job.long = isLong(state, job);
     state.tracker.progressed(sample, nowMs);
   }
-  tellSuspects(state);
+  tellSuspects(state, nowMs);
 }
 
 function dropHolder(
