Keep four jobs as the floor of an upstream's limit

Cause: at light load a slow answer shrank a limit to 1, and it only grew again while in use, so tier 4 was shed on a nearly idle fleet. Ruled out: suspicion; the upstreams were healthy (h1/1 in the status).

--- a/packages/policy/src/UpstreamTrackerConstants.ts
+++ b/packages/policy/src/UpstreamTrackerConstants.ts
@@ -7,6 +7,10 @@
 export interface UpstreamTrackerParameters {
   /** Jobs that an upstream may hold before anything is known about it. */
   readonly initialLimit: number;
+  /**
+   * Latency does not depend on the number of jobs below a few, so that a lower
+   * limit would cost throughput and gain nothing.
+   */
   readonly minLimit: number;
   readonly maxLimit: number;
   /** Limits are adjusted once per interval. */
@@ -47,7 +51,7 @@
 /** Parameters for everyday use. */
 export const defaultUpstreamTrackerParameters: UpstreamTrackerParameters = {
   initialLimit: 8,
-  minLimit: 1,
+  minLimit: 4,
   maxLimit: 64,
   controlIntervalMs: 500,
   growBelowPressure: 0.85,
--- a/packages/policy/src/UpstreamTrackerLimits.ts
+++ b/packages/policy/src/UpstreamTrackerLimits.ts
@@ -5,6 +5,9 @@
 import type {Tier} from '@toucanrouter/common';
 import type {UpstreamTrackerParameters} from './UpstreamTrackerConstants.js';
 
+/** Limit with which a restored upstream starts. */
+const restartLimit = 2;
+
 /** The limit of one upstream. */
 export interface ConcurrencyLimit {
   /** Jobs that may run before one more of `tier` is refused. */
@@ -66,7 +69,7 @@
     },
     restart: () => {
       rampTarget = Math.max(rampTarget, limit);
-      limit = clamp(2);
+      limit = restartLimit;
     },
   };
 }
--- a/packages/standins/src/__tests__/process/ProcessFixtures.ts
+++ b/packages/standins/src/__tests__/process/ProcessFixtures.ts
@@ -80,10 +80,15 @@
 /** Expects that the oracle found nothing, and that it had much to look at. */
 export function expectNoFaults(report: LoadReport): void {
   expect(report.faults, `seed ${report.seed}`).to.deep.equal([]);
-  const idle = report.summaries.filter(summary => summary.completed === 0);
+  const idle = report.summaries
+    .filter(summary => summary.completed === 0)
+    .map(summary => summary.classId);
+  const reasons = report.observations
+    .filter(observation => idle.includes(observation.planned.classId))
+    .map(({errorMessage, outcome}) => `${outcome}: ${errorMessage}`);
   expect(
-    idle.map(summary => summary.classId),
-    `classes without a completed request: ${JSON.stringify(idle)}`,
+    idle,
+    `classes without a completed request (${reasons.join('; ')})`,
   ).to.deep.equal([]);
 }
 
