--- a/packages/daemon/src/request/Exchange.ts
+++ b/packages/daemon/src/request/Exchange.ts
@@ -96,6 +96,21 @@
       );
 }
 
+/**
+ * The error of a call that gets no permit. After a first attempt nobody can
+ * say that the call was not run.
+ */
+export function afterRefusal(
+  exchange: Exchange,
+  error: RouterError,
+): RouterError {
+  const ran = exchange.figures.attempts > 0;
+  if (error.kind === 'canceled') return abortError(exchange, ran);
+  if (!ran) return error;
+  const message = `no further attempt could be made: ${error.message}`;
+  return new RouterError('upstream_failed', message, {cause: error});
+}
+
 /** Returns the class of a call that has passed the classification filter. */
 export function classOf(exchange: Exchange): ServiceClass {
   if (exchange.serviceClass === undefined) {
--- a/packages/daemon/src/request/chat/ChatCall.ts
+++ b/packages/daemon/src/request/chat/ChatCall.ts
@@ -15,7 +15,7 @@
 import {err, ok} from 'neverthrow';
 import type {JobEnd} from '../../scheduling/PermitClient.js';
 import type {Exchange} from '../Exchange.js';
-import {abortError, classOf} from '../Exchange.js';
+import {abortError, afterRefusal, classOf} from '../Exchange.js';
 import type {GrantedUpstream, UpstreamAccess} from '../UpstreamAccess.js';
 import {acquireUpstream, hasOtherUpstream} from '../UpstreamAccess.js';
 import type {ChatRequest} from './ChatRequest.js';
@@ -83,7 +83,7 @@
   let start: AttemptStart = 'fresh';
   for (;;) {
     const granted = await acquireNext(state, start);
-    if (granted.isErr()) return err(afterRefusal(state, granted.error));
+    if (granted.isErr()) return err(afterRefusal(exchange, granted.error));
     const finished = await runWithHedge(state, granted.value, start);
     if (finished.end.kind === 'complete') return ok(finishAnswer(state));
     if (exchange.signal.aborted) return err(abortError(exchange, true));
@@ -135,17 +135,6 @@
   });
 }
 
-function afterRefusal(
-  state: ChatState,
-  error: RouterErrorType,
-): RouterErrorType {
-  const ran = state.exchange.figures.attempts > 0;
-  if (error.kind === 'canceled') return abortError(state.exchange, ran);
-  if (!ran) return error;
-  const message = `no further attempt could be made: ${error.message}`;
-  return new RouterError('upstream_failed', message, {cause: error});
-}
-
 /**
  * Runs one attempt and, when its upstream turns out to be a straggler, moves
  * the job or starts a second copy of it, within the hedge budget.
--- a/packages/daemon/src/request/plain/PlainCall.ts
+++ b/packages/daemon/src/request/plain/PlainCall.ts
@@ -13,7 +13,7 @@
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 import type {CallTarget, Exchange} from '../Exchange.js';
-import {abortError, classOf} from '../Exchange.js';
+import {abortError, afterRefusal, classOf} from '../Exchange.js';
 import type {GrantedUpstream, UpstreamAccess} from '../UpstreamAccess.js';
 import {acquireUpstream, hasOtherUpstream} from '../UpstreamAccess.js';
 
@@ -96,10 +96,10 @@
   access.retryBudget.requested(access.clock.nowMs());
   for (;;) {
     const granted = await acquireAttempt(state);
-    if (granted.isErr()) return err(afterRefusal(state, granted.error));
+    if (granted.isErr()) return err(afterRefusal(exchange, granted.error));
     if (access.clock.nowMs() >= exchange.deadlineAtMs) {
       granted.value.permit.release({outcome: 'unused', wastedTokens: 0});
-      return err(afterRefusal(state, tooLate()));
+      return err(afterRefusal(exchange, tooLate()));
     }
     const answer = await send(state, granted.value);
     if (answer.isOk()) return ok(answer.value);
@@ -134,18 +134,6 @@
   return new RouterError('deadline_exceeded', message);
 }
 
-/** After a first attempt nobody can say that the call was not run. */
-function afterRefusal(
-  state: PlainState,
-  error: RouterErrorType,
-): RouterErrorType {
-  const ran = state.exchange.figures.attempts > 0;
-  if (error.kind === 'canceled') return abortError(state.exchange, ran);
-  if (!ran) return error;
-  const message = `no further attempt could be made: ${error.message}`;
-  return new RouterError('upstream_failed', message, {cause: error});
-}
-
 async function send(
   state: PlainState,
   granted: GrantedUpstream,
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -17,7 +17,6 @@
   InstanceListReaderOptions,
 } from './InstanceListReader.js';
 export {createInstanceListReader} from './InstanceListReader.js';
-export {allocateInstanceNumber} from './InstanceNumber.js';
 export type {KeyValueClientOptions} from './KeyValueClient.js';
 export {createKeyValueClient} from './KeyValueClient.js';
 export type {KeyValueHandlers, KeyValueMessages} from './KeyValueMessages.js';
