Split the chat call into attempt, recovery and state; drop a second copy that still waits

An attempt that ended while its second copy was queued waited for that copy's permit, which is served last. The copy is now withdrawn unless it runs.

--- /dev/null
+++ b/packages/daemon/src/request/chat/ChatAttempt.ts
@@ -0,0 +1,129 @@
+/**
+ * One attempt to serve a chat-completion call: it reads the engine's stream
+ * into the transcript and relays it to the caller.
+ */
+import type {RouterError} from '@toucanrouter/common';
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import type {JobEnd} from '../../scheduling/PermitClient.js';
+import {classOf} from '../Exchange.js';
+import type {GrantedUpstream} from '../UpstreamAccess.js';
+import {toUpstreamBody} from './ChatRequest.js';
+import type {ChatState, FinishedAttempt} from './ChatState.js';
+import type {AttemptEnd} from './EngineAttempt.js';
+import {runEngineAttempt} from './EngineAttempt.js';
+import type {ScannedEvents} from './SseScanner.js';
+import type {AttemptStart} from './Transcript.js';
+
+type EndKind = AttemptEnd['kind'] | 'complete' | 'lost_race' | 'preempted';
+
+/**
+ * Runs one attempt and gives its permit back. `onWin` is called when its events
+ * are the first of two attempts that compete.
+ */
+export async function runAttempt(
+  state: ChatState,
+  granted: GrantedUpstream,
+  start: AttemptStart,
+  abort: AbortController,
+  onWin: () => void = () => undefined,
+): Promise<FinishedAttempt> {
+  const {access, exchange, transcript} = state;
+  const {permit, upstream} = granted;
+  exchange.figures.attempts += 1;
+  permit.onPreempt = () => abort.abort('preempted');
+  const resuming = start === 'resume' && upstream.id === state.lastUpstreamId;
+  const effective = start === 'resume' && !resuming ? 'continue' : start;
+  // Without a token there is no prefix, even if the first event was relayed.
+  const prefix =
+    effective === 'continue' && transcript.tokens > 0
+      ? transcript.prefix()
+      : undefined;
+  const end = await runEngineAttempt({
+    dispatcher: access.dispatcher,
+    address: upstream.address,
+    requestId: exchange.requestId,
+    body: toUpstreamBody(state.request, classOf(exchange).tier, prefix),
+    lastEventId: resuming ? transcript.lastEventId : undefined,
+    signal: AbortSignal.any([exchange.signal, abort.signal]),
+    onEvents: events => {
+      if (state.winner === undefined) {
+        state.winner = granted;
+        transcript.begin(effective);
+        onWin();
+      }
+      if (state.winner !== granted) {
+        abort.abort('lost_race');
+        return Promise.resolve(ok(undefined));
+      }
+      return relayEvents(state, granted, events);
+    },
+  });
+  const preempted = abort.signal.reason === 'preempted';
+  const kind = endKind(state, granted, end, preempted);
+  permit.release(jobEnd(state, kind));
+  if (kind === 'complete' || kind === 'lost_race') {
+    return {granted, start: effective, end: {kind}, preempted};
+  }
+  return {granted, start: effective, end, preempted};
+}
+
+async function relayEvents(
+  state: ChatState,
+  granted: GrantedUpstream,
+  events: ScannedEvents,
+): Promise<Result<void, RouterError>> {
+  const {access, exchange, transcript} = state;
+  const tokensBefore = transcript.tokens;
+  const taken = transcript.take(events);
+  if (taken.isErr()) return err(taken.error);
+  const newTokens = transcript.tokens - tokensBefore;
+  if (newTokens > 0) {
+    granted.permit.countTokens(newTokens);
+    access.hedgeBudget.worked(newTokens);
+    noteTokens(state, newTokens);
+  }
+  if (!state.request.streamed || taken.value.length === 0) return ok(undefined);
+  if (!exchange.response.started) exchange.response.startStream();
+  await exchange.response.write(taken.value);
+  return ok(undefined);
+}
+
+function noteTokens(state: ChatState, newTokens: number): void {
+  const {figures, arrivedAtMs} = state.exchange;
+  const sinceArrivalMs = state.access.clock.nowMs() - arrivedAtMs;
+  figures.firstTokenMs ??= sinceArrivalMs;
+  figures.tokens += newTokens;
+  if (figures.tokens > 1) {
+    const streamedMs = sinceArrivalMs - figures.firstTokenMs;
+    figures.tokenGapMs = streamedMs / (figures.tokens - 1);
+  }
+}
+
+function endKind(
+  state: ChatState,
+  granted: GrantedUpstream,
+  end: AttemptEnd,
+  preempted: boolean,
+): EndKind {
+  const lost = state.winner !== undefined && state.winner !== granted;
+  if (lost) return 'lost_race';
+  if (state.transcript.complete) return 'complete';
+  return preempted ? 'preempted' : end.kind;
+}
+
+function jobEnd(state: ChatState, kind: EndKind): JobEnd {
+  const {tokens} = state.transcript;
+  switch (kind) {
+    case 'complete':
+      return {outcome: 'completed', wastedTokens: 0};
+    case 'preempted':
+      return {outcome: 'preempted', wastedTokens: 0};
+    case 'lost_race':
+      return {outcome: 'canceled', wastedTokens: 0};
+    case 'aborted':
+      return {outcome: 'canceled', wastedTokens: tokens};
+    default:
+      return {outcome: 'failed', wastedTokens: 0};
+  }
+}
--- a/packages/daemon/src/request/chat/ChatCall.ts
+++ b/packages/daemon/src/request/chat/ChatCall.ts
@@ -3,27 +3,19 @@
  * a preemption or a fault it resumes on the same engine, continues on another
  * from the received prefix, or starts again, as the recovery policy decides.
  */
-import type {
-  RouterError as RouterErrorType,
-  ShardId,
-  UpstreamId,
-} from '@toucanrouter/common';
-import {RouterError, toRequestId} from '@toucanrouter/common';
-import type {RecoveryDecision} from '@toucanrouter/policy';
-import {decideRecovery} from '@toucanrouter/policy';
+import type {RouterError, ShardId} from '@toucanrouter/common';
+import {toRequestId} from '@toucanrouter/common';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
-import type {JobEnd} from '../../scheduling/PermitClient.js';
 import type {Exchange} from '../Exchange.js';
 import {abortError, afterRefusal, classOf} from '../Exchange.js';
 import type {GrantedUpstream, UpstreamAccess} from '../UpstreamAccess.js';
-import {acquireUpstream, hasOtherUpstream} from '../UpstreamAccess.js';
+import {acquireUpstream} from '../UpstreamAccess.js';
+import {runAttempt} from './ChatAttempt.js';
+import {failure, recover} from './ChatRecovery.js';
 import type {ChatRequest} from './ChatRequest.js';
-import {toUpstreamBody} from './ChatRequest.js';
-import type {AttemptEnd} from './EngineAttempt.js';
-import {runEngineAttempt} from './EngineAttempt.js';
-import type {ScannedEvents} from './SseScanner.js';
-import type {AttemptStart, Transcript} from './Transcript.js';
+import type {ChatState, FinishedAttempt} from './ChatState.js';
+import type {AttemptStart} from './Transcript.js';
 import {createTranscript} from './Transcript.js';
 
 /** Started work is waited for without a limit of the router's own. */
@@ -34,36 +26,13 @@
 /** Pause before a started job asks again after a refusal. */
 const startedRetryMs = 500;
 
-type EndKind = AttemptEnd['kind'] | 'complete' | 'lost_race' | 'preempted';
-
-interface FinishedAttempt {
-  readonly granted: GrantedUpstream;
-  readonly start: AttemptStart;
-  readonly end: AttemptEnd | {readonly kind: 'complete' | 'lost_race'};
-  readonly preempted: boolean;
-}
-
-interface ChatState {
-  readonly access: UpstreamAccess;
-  readonly exchange: Exchange;
-  readonly request: ChatRequest;
-  readonly shardId: ShardId;
-  readonly transcript: Transcript;
-  readonly excluded: Set<UpstreamId>;
-  permitsAsked: number;
-  faults: number;
-  lastUpstreamId: UpstreamId | undefined;
-  /** Set while two attempts compete for the first events. */
-  winner: GrantedUpstream | undefined;
-}
-
 /** Serves the call; resolves when the answer is complete or has failed. */
 export async function serveChat(
   access: UpstreamAccess,
   exchange: Exchange,
   request: ChatRequest,
   shardId: ShardId,
-): Promise<Result<void, RouterErrorType>> {
+): Promise<Result<void, RouterError>> {
   const state: ChatState = {
     access,
     exchange,
@@ -78,6 +47,7 @@
     faults: 0,
     lastUpstreamId: undefined,
     winner: undefined,
+    hedgeRunning: false,
   };
   access.retryBudget.requested(access.clock.nowMs());
   let start: AttemptStart = 'fresh';
@@ -96,7 +66,7 @@
 async function acquireNext(
   state: ChatState,
   start: AttemptStart,
-): Promise<Result<GrantedUpstream, RouterErrorType>> {
+): Promise<Result<GrantedUpstream, RouterError>> {
   const {access, exchange, transcript} = state;
   for (;;) {
     const started = transcript.tokens > 0;
@@ -145,6 +115,7 @@
   start: AttemptStart,
 ): Promise<FinishedAttempt> {
   state.winner = undefined;
+  state.hedgeRunning = false;
   const abort = new AbortController();
   let hedge: Promise<FinishedAttempt | undefined> | undefined;
   const hedgeAbort = new AbortController();
@@ -155,7 +126,8 @@
     else hedge = runHedge(state, granted, hedgeAbort, () => abort.abort());
   };
   const first = await runAttempt(state, granted, start, abort);
-  if (first.end.kind === 'complete') hedgeAbort.abort();
+  // A second copy that still waits for a permit would delay the next attempt.
+  if (first.end.kind === 'complete' || !state.hedgeRunning) hedgeAbort.abort();
   const second = await hedge;
   if (first.end.kind === 'complete' || second === undefined) return first;
   return state.winner === second.granted ? second : first;
@@ -208,194 +180,10 @@
     granted.value.permit.release({outcome: 'unused', wastedTokens: 0});
     return undefined;
   }
+  state.hedgeRunning = true;
   return runAttempt(state, granted.value, 'fresh', abort, onWin);
 }
 
-async function runAttempt(
-  state: ChatState,
-  granted: GrantedUpstream,
-  start: AttemptStart,
-  abort: AbortController,
-  onWin: () => void = () => undefined,
-): Promise<FinishedAttempt> {
-  const {access, exchange, transcript} = state;
-  const {permit, upstream} = granted;
-  exchange.figures.attempts += 1;
-  permit.onPreempt = () => abort.abort('preempted');
-  const resuming = start === 'resume' && upstream.id === state.lastUpstreamId;
-  const effective = start === 'resume' && !resuming ? 'continue' : start;
-  // Without a token there is no prefix, even if the first event was relayed.
-  const prefix =
-    effective === 'continue' && transcript.tokens > 0
-      ? transcript.prefix()
-      : undefined;
-  const end = await runEngineAttempt({
-    dispatcher: access.dispatcher,
-    address: upstream.address,
-    requestId: exchange.requestId,
-    body: toUpstreamBody(state.request, classOf(exchange).tier, prefix),
-    lastEventId: resuming ? transcript.lastEventId : undefined,
-    signal: AbortSignal.any([exchange.signal, abort.signal]),
-    onEvents: events => {
-      if (state.winner === undefined) {
-        state.winner = granted;
-        transcript.begin(effective);
-        onWin();
-      }
-      if (state.winner !== granted) {
-        abort.abort('lost_race');
-        return Promise.resolve(ok(undefined));
-      }
-      return relayEvents(state, granted, events);
-    },
-  });
-  const preempted = abort.signal.reason === 'preempted';
-  const kind = endKind(state, granted, end, preempted);
-  permit.release(jobEnd(state, kind));
-  if (kind === 'complete' || kind === 'lost_race') {
-    return {granted, start: effective, end: {kind}, preempted};
-  }
-  return {granted, start: effective, end, preempted};
-}
-
-async function relayEvents(
-  state: ChatState,
-  granted: GrantedUpstream,
-  events: ScannedEvents,
-): Promise<Result<void, RouterErrorType>> {
-  const {access, exchange, transcript} = state;
-  const tokensBefore = transcript.tokens;
-  const taken = transcript.take(events);
-  if (taken.isErr()) return err(taken.error);
-  const newTokens = transcript.tokens - tokensBefore;
-  if (newTokens > 0) {
-    granted.permit.countTokens(newTokens);
-    access.hedgeBudget.worked(newTokens);
-    noteTokens(state, newTokens);
-  }
-  if (!state.request.streamed || taken.value.length === 0) return ok(undefined);
-  if (!exchange.response.started) exchange.response.startStream();
-  await exchange.response.write(taken.value);
-  return ok(undefined);
-}
-
-function noteTokens(state: ChatState, newTokens: number): void {
-  const {figures, arrivedAtMs} = state.exchange;
-  const sinceArrivalMs = state.access.clock.nowMs() - arrivedAtMs;
-  figures.firstTokenMs ??= sinceArrivalMs;
-  figures.tokens += newTokens;
-  if (figures.tokens > 1) {
-    const streamedMs = sinceArrivalMs - figures.firstTokenMs;
-    figures.tokenGapMs = streamedMs / (figures.tokens - 1);
-  }
-}
-
-function endKind(
-  state: ChatState,
-  granted: GrantedUpstream,
-  end: AttemptEnd,
-  preempted: boolean,
-): EndKind {
-  const lost = state.winner !== undefined && state.winner !== granted;
-  if (lost) return 'lost_race';
-  if (state.transcript.complete) return 'complete';
-  return preempted ? 'preempted' : end.kind;
-}
-
-function jobEnd(state: ChatState, kind: EndKind): JobEnd {
-  const {tokens} = state.transcript;
-  switch (kind) {
-    case 'complete':
-      return {outcome: 'completed', wastedTokens: 0};
-    case 'preempted':
-      return {outcome: 'preempted', wastedTokens: 0};
-    case 'lost_race':
-      return {outcome: 'canceled', wastedTokens: 0};
-    case 'aborted':
-      return {outcome: 'canceled', wastedTokens: tokens};
-    default:
-      return {outcome: 'failed', wastedTokens: 0};
-  }
-}
-
-function recover(
-  state: ChatState,
-  finished: FinishedAttempt,
-): RecoveryDecision {
-  const {access, exchange, transcript} = state;
-  const {granted, preempted} = finished;
-  const nowMs = access.clock.nowMs();
-  const upstreamId = granted.upstream.id;
-  const current = access.directory.find(upstreamId);
-  state.lastUpstreamId = upstreamId;
-  if (!preempted) {
-    state.faults += 1;
-    if (finished.end.kind === 'rejected') state.excluded.add(upstreamId);
-  }
-  const started = transcript.tokens > 0;
-  const decision = decideRecovery(
-    {
-      end: recoveryEnd(finished),
-      idempotent: true,
-      attempts: state.faults,
-      nowMs,
-      deadlineAtMs: started ? Infinity : exchange.deadlineAtMs,
-      // The first event carries no token, yet it cannot be relayed twice.
-      receivedTokens: exchange.response.started
-        ? Math.max(1, transcript.tokens)
-        : transcript.tokens,
-      relayed: exchange.response.started,
-      resumable: transcript.lastEventId !== undefined,
-      sameUpstreamUsable:
-        current !== undefined && !state.excluded.has(upstreamId),
-      resumeFailed: finished.start === 'resume' && !preempted,
-      continuable: transcript.prefix() !== undefined,
-      otherUpstreamUsable: hasOtherUpstream(access, state.shardId, upstreamId),
-    },
-    () => access.retryBudget.tryRetry(nowMs),
-  );
-  if (decision.kind === 'continue' || decision.kind === 'restart') {
-    if (!preempted) state.excluded.add(upstreamId);
-  }
-  if (decision.kind === 'restart') {
-    exchange.figures.wastedTokens += transcript.tokens;
-  }
-  return decision;
-}
-
-function recoveryEnd(
-  finished: FinishedAttempt,
-): 'broken' | 'invalid' | 'not_sent' | 'preempted' | 'refused' {
-  if (finished.preempted) return 'preempted';
-  const {end} = finished;
-  if (end.kind === 'rejected') return 'refused';
-  if (end.kind === 'broken' && end.error.kind === 'answer_incomplete') {
-    return 'invalid';
-  }
-  return 'broken';
-}
-
-function failure(
-  decision: Extract<RecoveryDecision, {kind: 'fail'}>,
-  finished: FinishedAttempt,
-): RouterErrorType {
-  const {end} = finished;
-  if (end.kind === 'rejected' && isCallerFault(end.status)) {
-    const detail = end.body.toString('utf8');
-    const message = `the engine refused the request: ${detail}`;
-    return new RouterError('bad_request', message);
-  }
-  const reason =
-    end.kind === 'broken'
-      ? end.error.message
-      : 'the answer stopped before its end marker';
-  return new RouterError(decision.error, reason);
-}
-
-function isCallerFault(status: number): boolean {
-  return status === 400 || status === 413 || status === 422;
-}
-
 function finishAnswer(state: ChatState): void {
   const {exchange, request, transcript} = state;
   if (request.streamed) {
--- /dev/null
+++ b/packages/daemon/src/request/chat/ChatState.ts
@@ -0,0 +1,34 @@
+/**
+ * State of a chat-completion call over all of its attempts.
+ */
+import type {ShardId, UpstreamId} from '@toucanrouter/common';
+import type {Exchange} from '../Exchange.js';
+import type {GrantedUpstream, UpstreamAccess} from '../UpstreamAccess.js';
+import type {ChatRequest} from './ChatRequest.js';
+import type {AttemptEnd} from './EngineAttempt.js';
+import type {AttemptStart, Transcript} from './Transcript.js';
+
+/** An attempt that has ended. */
+export interface FinishedAttempt {
+  readonly granted: GrantedUpstream;
+  readonly start: AttemptStart;
+  readonly end: AttemptEnd | {readonly kind: 'complete' | 'lost_race'};
+  readonly preempted: boolean;
+}
+
+/** A call in progress. */
+export interface ChatState {
+  readonly access: UpstreamAccess;
+  readonly exchange: Exchange;
+  readonly request: ChatRequest;
+  readonly shardId: ShardId;
+  readonly transcript: Transcript;
+  readonly excluded: Set<UpstreamId>;
+  permitsAsked: number;
+  faults: number;
+  lastUpstreamId: UpstreamId | undefined;
+  /** Set while two attempts compete for the first events. */
+  winner: GrantedUpstream | undefined;
+  /** True once the second copy has a permit. */
+  hedgeRunning: boolean;
+}
