Let an answer that goes on survive any number of broken streams

Cause: an answer whose stream broke three times was given up although each attempt brought it further (process tests: "the answer stopped before its end marker", long-report and pattern-draft when engines cut streams), and a request that broke before its first token failed when the next permit was refused at once. Ruled out: starvation of the lowest tier; its permits were granted. Faults are now counted from the last new token, within the retry budget, and a request that ran once waits for a permit until its deadline. The cuts that a process test did not use up are reset after it; they hit the requests of the next test.

--- a/packages/daemon/src/request/chat/ChatCall.ts
+++ b/packages/daemon/src/request/chat/ChatCall.ts
@@ -45,6 +45,7 @@
     excluded: new Set(),
     permitsAsked: 0,
     faults: 0,
+    tokensBefore: 0,
     lastUpstreamId: undefined,
     winner: undefined,
     hedgeRunning: false,
@@ -54,6 +55,7 @@
   for (;;) {
     const granted = await acquireNext(state, start);
     if (granted.isErr()) return err(afterRefusal(exchange, granted.error));
+    state.tokensBefore = state.transcript.tokens;
     const finished = await runWithHedge(state, granted.value, start);
     if (finished.end.kind === 'complete') return ok(finishAnswer(state));
     if (exchange.signal.aborted) return err(abortError(exchange, true));
@@ -84,9 +86,13 @@
         ? {deadlineAtMs: access.clock.nowMs() + startedWorkTimeoutMs}
         : {}),
     });
-    if (granted.isOk() || !started || exchange.signal.aborted) return granted;
-    // A caller that has part of an answer cannot be told that nothing ran.
-    await sleep(state, granted.error.retryAfterMs ?? startedRetryMs);
+    const accepted = exchange.figures.attempts > 0;
+    if (granted.isOk() || !accepted || exchange.signal.aborted) return granted;
+    const delayMs = granted.error.retryAfterMs ?? startedRetryMs;
+    const isLate = access.clock.nowMs() + delayMs >= exchange.deadlineAtMs;
+    if (!started && isLate) return granted;
+    // A request that ran once cannot be told that it did not, so it waits.
+    await sleep(state, delayMs);
   }
 }
 
--- a/packages/daemon/src/request/chat/ChatRecovery.ts
+++ b/packages/daemon/src/request/chat/ChatRecovery.ts
@@ -19,7 +19,9 @@
   const current = access.directory.find(upstreamId);
   state.lastUpstreamId = upstreamId;
   if (!preempted) {
-    state.faults += 1;
+    // An answer that goes on between faults comes to its end.
+    const progressed = transcript.tokens > state.tokensBefore;
+    state.faults = progressed ? 1 : state.faults + 1;
     if (finished.end.kind === 'rejected') state.excluded.add(upstreamId);
   }
   const started = transcript.tokens > 0;
--- a/packages/daemon/src/request/chat/ChatState.ts
+++ b/packages/daemon/src/request/chat/ChatState.ts
@@ -25,7 +25,10 @@
   readonly transcript: Transcript;
   readonly excluded: Set<UpstreamId>;
   permitsAsked: number;
+  /** Faults in a row without a new token in between. */
   faults: number;
+  /** Tokens received before the attempt in progress. */
+  tokensBefore: number;
   lastUpstreamId: UpstreamId | undefined;
   /** Set while two attempts compete for the first events. */
   winner: GrantedUpstream | undefined;
--- a/packages/standins/src/__tests__/process/ProcessFixtures.ts
+++ b/packages/standins/src/__tests__/process/ProcessFixtures.ts
@@ -33,6 +33,15 @@
         });
       });
 
+      // Cuts that a test did not use up would hit the requests of the next.
+      afterEach(async () => {
+        const none = {count: 0, afterTokens: 0};
+        const change = {breakStreams: none, truncateStreams: none};
+        for (const name of deployment?.names('engine') ?? []) {
+          await deployment?.switch(name, change);
+        }
+      });
+
       after(async function () {
         this.timeout(startTimeoutMs);
         const stopped = (await deployment?.stopAll()) ?? [];
