--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,15 @@
 import gts from 'gts';
 
 export default [
-  {ignores: ['**/dist/', '**/node_modules/', '**/generated/', '.run/']},
+  {
+    ignores: [
+      '**/dist/',
+      '**/node_modules/',
+      '**/generated/',
+      '.run/',
+      'target/',
+    ],
+  },
   ...gts,
   {files: ['**/*.js'], languageOptions: {sourceType: 'module'}},
   {
--- a/packages/bench/src/slopes/ListSlopes.ts
+++ b/packages/bench/src/slopes/ListSlopes.ts
@@ -1,7 +1,7 @@
 /**
  * Cost of one poll of the platform's instance list by number of entries.
  */
-import {parseInstanceList} from '@toucanrouter/platform';
+import {parseInstanceList} from '@toucanrouter/keyvalue';
 import {microsPerCall} from './Cost.js';
 import type {Point} from './Fit.js';
 import {sampleMember} from './SampleMembers.js';
--- a/packages/bench/src/slopes/RelayBench.ts
+++ b/packages/bench/src/slopes/RelayBench.ts
@@ -6,7 +6,7 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {createSystemClock} from '@toucanrouter/common';
-import {createConfigStore, createKeyValueClient} from '@toucanrouter/platform';
+import {createConfigStore, createKeyValueClient} from '@toucanrouter/keyvalue';
 import type {PlatformStandIn} from '@toucanrouter/standins';
 import {createPlatformStandIn} from '@toucanrouter/standins';
 import {Agent} from 'undici';
--- a/packages/cli/src/__tests__/unit/PagesFixtures.ts
+++ b/packages/cli/src/__tests__/unit/PagesFixtures.ts
@@ -23,7 +23,7 @@
 } from '@toucanrouter/standins';
 import {fetch} from 'undici';
 import {startDaemon} from '../../../../daemon/src/Daemon.js';
-import {createLogger} from '../../../../daemon/src/Logger.js';
+import {createLogger} from '@toucanrouter/logging';
 import type {ToolRun} from './CliFixtures.js';
 import {runProgram, toucanctlBin} from './CliFixtures.js';
 
--- a/packages/common/src/Errors.ts
+++ b/packages/common/src/Errors.ts
@@ -16,13 +16,16 @@
 /** The table from error kind to answer. */
 export const errorAnswers = {
   answer_incomplete: {status: 502, runStatus: 'unknown'},
+  answer_timeout: {status: 504, runStatus: 'unknown'},
   bad_request: {status: 400, runStatus: 'not_run'},
+  body_too_large: {status: 413, runStatus: 'not_run'},
   canceled: {status: 499, runStatus: 'unknown'},
   config_conflict: {status: 409, runStatus: 'not_run'},
   config_invalid: {status: 422, runStatus: 'not_run'},
   config_unknown: {status: 503, runStatus: 'unknown'},
   deadline_exceeded: {status: 504, runStatus: 'not_run'},
   forbidden: {status: 403, runStatus: 'not_run'},
+  headers_too_large: {status: 431, runStatus: 'not_run'},
   idempotency_key_in_progress: {status: 409, runStatus: 'unknown'},
   idempotency_key_missing: {status: 400, runStatus: 'not_run'},
   idempotency_key_reused: {status: 422, runStatus: 'not_run'},
--- a/packages/common/src/Ids.ts
+++ b/packages/common/src/Ids.ts
@@ -17,6 +17,8 @@
 export type PermitId = Branded<'PermitId'>;
 /** Names a request of a caller, through all of its attempts. */
 export type RequestId = Branded<'RequestId'>;
+/** Names a service that routes lead to. */
+export type ServiceName = Branded<'ServiceName'>;
 /** Names a set of upstreams that is scheduled as one. */
 export type ShardId = Branded<'ShardId'>;
 /** Names a model engine or a plain service instance. */
@@ -29,6 +31,8 @@
 export const toInstanceId = (value: string): InstanceId => value as InstanceId;
 export const toPermitId = (value: string): PermitId => value as PermitId;
 export const toRequestId = (value: string): RequestId => value as RequestId;
+export const toServiceName = (value: string): ServiceName =>
+  value as ServiceName;
 export const toShardId = (value: string): ShardId => value as ShardId;
 export const toUpstreamId = (value: string): UpstreamId => value as UpstreamId;
 export const toWorkspaceId = (value: string): WorkspaceId =>
--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -5,8 +5,8 @@
  */
 import type {Clock, RouterError} from '@toucanrouter/common';
 import {createPeerHub} from '@toucanrouter/peer';
-import type {InstanceListReader} from '@toucanrouter/platform';
-import {createInstanceListReader} from '@toucanrouter/platform';
+import type {InstanceListReader} from '@toucanrouter/keyvalue';
+import {createInstanceListReader} from '@toucanrouter/keyvalue';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 import type {Instance, InstanceOptions} from './Instance.js';
--- a/packages/daemon/src/__tests__/unit/ConfigHolder.test.ts
+++ b/packages/daemon/src/__tests__/unit/ConfigHolder.test.ts
@@ -5,7 +5,7 @@
 import {err, ok} from 'neverthrow';
 import {createConfigHolder} from '../../fleet/ConfigHolder.js';
 import {createUpstreamDirectory} from '../../fleet/UpstreamDirectory.js';
-import {createLogger} from '../../Logger.js';
+import {createLogger} from '@toucanrouter/logging';
 import {upstreamInfo, shardId} from './SchedulingFixture.js';
 
 function stored(version: number, classesText = ''): StoredConfig {
--- a/packages/daemon/src/admin/AdminWiring.ts
+++ b/packages/daemon/src/admin/AdminWiring.ts
@@ -1,7 +1,7 @@
 /**
  * Connects the administration API with the instance that serves it.
  */
-import type {ConfigChangeResult} from '@toucanrouter/platform';
+import type {ConfigChangeResult} from '@toucanrouter/keyvalue';
 import {okAsync, ResultAsync} from 'neverthrow';
 import type {Instance, InstanceOptions} from '../Instance.js';
 import type {
--- a/packages/daemon/src/bin/toucanrouterd.ts
+++ b/packages/daemon/src/bin/toucanrouterd.ts
@@ -6,7 +6,7 @@
 import {createSystemClock} from '@toucanrouter/common';
 import {loadInstanceSettings} from '@toucanrouter/settings';
 import {startDaemon} from '../Daemon.js';
-import {createLogger} from '../Logger.js';
+import {createLogger} from '@toucanrouter/logging';
 
 const usage = `Usage: toucanrouterd --settings FILE [--check]
 
--- a/packages/daemon/src/fleet/ConfigHolder.ts
+++ b/packages/daemon/src/fleet/ConfigHolder.ts
@@ -11,7 +11,7 @@
   Workspace,
 } from '@toucanrouter/common';
 import type {Result} from 'neverthrow';
-import type {Logger} from '../Logger.js';
+import type {Logger} from '@toucanrouter/logging';
 
 /** Reads the classes file inside a stored configuration. */
 export type ParseClasses = (
--- a/packages/daemon/src/fleet/ConfigSource.ts
+++ b/packages/daemon/src/fleet/ConfigSource.ts
@@ -4,8 +4,8 @@
  * the platform's load does not grow with the fleet.
  */
 import type {Clock, Undo} from '@toucanrouter/common';
-import type {ConfigStore} from '@toucanrouter/platform';
-import type {Logger} from '../Logger.js';
+import type {ConfigStore} from '@toucanrouter/keyvalue';
+import type {Logger} from '@toucanrouter/logging';
 import type {ConfigHolder} from './ConfigHolder.js';
 import type {Fleet} from './Fleet.js';
 
--- a/packages/daemon/src/fleet/ListedRouters.ts
+++ b/packages/daemon/src/fleet/ListedRouters.ts
@@ -3,7 +3,7 @@
  */
 import type {InstanceId} from '@toucanrouter/common';
 import type {MemberRecord} from '@toucanrouter/membership';
-import type {RouterPeer} from '@toucanrouter/platform';
+import type {RouterPeer} from '@toucanrouter/keyvalue';
 
 /**
  * The platform counts incarnations differently from the instances, so that an
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -16,8 +16,8 @@
   heartbeatIntervalMs,
   viewIntervalMs,
 } from './fleet/FleetConstants.js';
-export type {Logger, LogFields} from './Logger.js';
-export {createLogger} from './Logger.js';
+export type {Logger, LogFields} from '@toucanrouter/logging';
+export {createLogger} from '@toucanrouter/logging';
 export type {WorkspaceKeys} from './request/Authenticate.js';
 export {createWorkspaceKeys} from './request/Authenticate.js';
 export type {PermitClient} from './scheduling/PermitClient.js';
--- a/packages/daemon/src/request/RecordCall.ts
+++ b/packages/daemon/src/request/RecordCall.ts
@@ -4,7 +4,7 @@
  */
 import type {Clock, RouterError} from '@toucanrouter/common';
 import type {Result} from 'neverthrow';
-import type {Logger} from '../Logger.js';
+import type {Logger} from '@toucanrouter/logging';
 import type {Metrics} from '../Metrics.js';
 import type {Exchange, Filter} from './Exchange.js';
 import {logLabels} from './Exchange.js';
--- a/packages/daemon/src/server/CallerServer.ts
+++ b/packages/daemon/src/server/CallerServer.ts
@@ -11,7 +11,7 @@
 import {Hono} from 'hono';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
-import type {Logger} from '../Logger.js';
+import type {Logger} from '@toucanrouter/logging';
 import {createCallerResponse} from '../request/CallerResponse.js';
 import type {CallTarget, Exchange, Filter} from '../request/Exchange.js';
 import {callerTimeout, runPipe} from '../request/Exchange.js';
--- /dev/null
+++ b/packages/gateway/src/Gateway.ts
@@ -0,0 +1,249 @@
+/**
+ * An instance of the gateway: it starts its parts, serves requests while it
+ * knows a current configuration, and stops without interrupting requests.
+ */
+import type {Server} from 'node:http';
+import type {
+  Clock,
+  RandomSource,
+  ServiceName,
+  UpstreamId,
+} from '@toucanrouter/common';
+import type {Logger} from '@toucanrouter/logging';
+import type {RetryBudget} from '@toucanrouter/policy';
+import {createRetryBudget} from '@toucanrouter/policy';
+import type {GatewaySettings, ListenAddress} from '@toucanrouter/settings';
+import type {ActiveConfig} from './config/ActiveConfig.js';
+import {createActiveConfig} from './config/ActiveConfig.js';
+import {createConfigAge} from './config/ConfigAge.js';
+import type {Dialect} from './request/Dialect.js';
+import type {EndedRequest} from './request/EndedRequest.js';
+import type {GatewayContext} from './request/GatewayContext.js';
+import {createGatewayMetrics} from './server/GatewayMetrics.js';
+import {createGatewayServer, listenBacklog} from './server/GatewayServer.js';
+import {
+  createMetricsServer,
+  createReadinessServer,
+} from './server/StatusServers.js';
+import type {StateStore} from './state/StateStore.js';
+import type {StateSync} from './state/StateSync.js';
+import {createStateSync} from './state/StateSync.js';
+import {createPromptHomes} from './upstreams/PromptHomes.js';
+import type {UpstreamCondition} from './upstreams/UpstreamCondition.js';
+import {createUpstreamCondition} from './upstreams/UpstreamCondition.js';
+import {createUpstreamConnections} from './upstreams/UpstreamConnections.js';
+import {createUpstreamRegistry} from './upstreams/UpstreamRegistry.js';
+
+/** What a gateway is created with. */
+export interface GatewayOptions {
+  readonly settings: GatewaySettings;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly random: RandomSource;
+  readonly dialect: Dialect;
+  readonly store: StateStore;
+  /** Path at which the load balancer asks. */
+  readonly readinessPath: string;
+}
+
+/** A gateway. */
+export interface Gateway {
+  start(): Promise<void>;
+  /** Applies settings that may change while the gateway runs. */
+  reload(settings: GatewaySettings): void;
+  /** Finishes the requests in progress and closes. */
+  close(): Promise<void>;
+}
+
+/**
+ * Part of the revocation bound after which keys are not accepted without a
+ * confirmation. The rest covers the requests that are on their way, and a
+ * watch that hears of changes late.
+ */
+const maxConfigAgeShare = 0.8;
+/** The load balancer asks once a second and gives up after two answers. */
+const balancerNoticeMs = 2_600;
+/** Time kept at the end of the grace period for closing. */
+const closingMs = 350;
+const drainPollMs = 25;
+/**
+ * Part of the shared repeat budget that one instance uses, since it does not
+ * know what the others spend.
+ */
+const repeatShareMargin = 0.8;
+/** Instances among which the slack of the repeat budget is divided. */
+const assumedInstances = 10;
+const msPerSecond = 1_000;
+
+/** Creates a gateway; nothing is started. */
+export function createGateway(options: GatewayOptions): Gateway {
+  const {clock, logger, store} = options;
+  let {settings} = options;
+  let stopping = false;
+  let refusing = false;
+  const conditions = new Map<UpstreamId, UpstreamCondition>();
+  const budgets = new Map<ServiceName, RetryBudget>();
+  const configAge = createConfigAge(clock);
+  const connections = createUpstreamConnections(clock);
+
+  function conditionOf(id: UpstreamId): UpstreamCondition {
+    const known = conditions.get(id);
+    if (known !== undefined) return known;
+    const condition = createUpstreamCondition(clock.nowMs);
+    conditions.set(id, condition);
+    return condition;
+  }
+
+  function budgetOf(service: ServiceName): RetryBudget {
+    const known = budgets.get(service);
+    if (known !== undefined) return known;
+    const slackPerSecond =
+      (settings.repeatSlack * msPerSecond) / settings.repeatWindowMs;
+    const budget = createRetryBudget({
+      share: settings.repeatShare * repeatShareMargin,
+      minRatePerSecond: (slackPerSecond * repeatShareMargin) / assumedInstances,
+      windowMs: settings.repeatWindowMs,
+    });
+    budgets.set(service, budget);
+    return budget;
+  }
+
+  const config: ActiveConfig = createActiveConfig(next => {
+    gatewayServer.applyLimits(next.limits);
+    logger.info('configuration in force', {
+      configVersion: next.version,
+      routes: next.routes.length,
+      services: next.services.size,
+      configAgeMs: Math.round(configAge.ageMs()),
+    });
+  });
+  const registry = createUpstreamRegistry({
+    clock,
+    onAdded: entry =>
+      logger.info(
+        entry.leaving ? 'upstream is leaving' : 'upstream is usable',
+        {
+          upstream: entry.id,
+          service: entry.service,
+        },
+      ),
+    onRemoved: (entry, reason) => {
+      conditions.delete(entry.id);
+      logger.info('upstream removed', {upstream: entry.id, reason});
+    },
+  });
+  const sync: StateSync = createStateSync({
+    clock,
+    logger,
+    store,
+    config,
+    configAge,
+    registry,
+  });
+  const maxConfigAgeMs = () => settings.revocationMs * maxConfigAgeShare;
+
+  function onEnded(ended: EndedRequest): void {
+    metrics.observe(ended);
+    logger.info('request ended', {
+      ...ended,
+      firstAnswerMs: ended.firstAnswerMs && Math.round(ended.firstAnswerMs),
+      totalMs: Math.round(ended.totalMs),
+    });
+  }
+
+  const context: GatewayContext = {
+    clock,
+    logger,
+    random: options.random,
+    dialect: options.dialect,
+    failureDomain: settings.failureDomain,
+    config,
+    configAge,
+    maxConfigAgeMs,
+    confirmConfig: sync.confirmConfig,
+    registry,
+    conditions: conditionOf,
+    connections,
+    homes: createPromptHomes(),
+    retryBudget: budgetOf,
+    refusing: () => refusing,
+    onEnded,
+  };
+  const gatewayServer = createGatewayServer(context);
+  const metrics = createGatewayMetrics({
+    configVersion: () => config.current()?.version ?? 0,
+    configAgeMs: configAge.ageMs,
+    requestsInProgress: gatewayServer.inProgress,
+    connectionsOpened: connections.opened,
+    storeConnected: sync.connected,
+  });
+
+  function notReadyReason(): string | undefined {
+    if (stopping) return 'the instance is stopping';
+    if (config.current() === undefined) return 'no configuration';
+    if (configAge.ageMs() > maxConfigAgeMs()) return 'the configuration is old';
+    return undefined;
+  }
+
+  const servers: readonly (readonly [Server, ListenAddress])[] = [
+    [gatewayServer.server, settings.callers],
+    [
+      createReadinessServer(options.readinessPath, notReadyReason),
+      settings.readiness,
+    ],
+    [createMetricsServer(metrics), settings.metrics],
+  ];
+
+  const pause = (delayMs: number) =>
+    new Promise<void>(resolve => clock.after(delayMs, resolve));
+
+  async function finishRequests(startedAtMs: number): Promise<void> {
+    const lastMs = startedAtMs + settings.stopGraceMs - closingMs;
+    await pause(balancerNoticeMs);
+    refusing = true;
+    gatewayServer.server.closeIdleConnections();
+    while (gatewayServer.inProgress() > 0 && clock.nowMs() < lastMs) {
+      await pause(drainPollMs);
+    }
+  }
+
+  return {
+    start: async () => {
+      sync.start();
+      await Promise.all(servers.map(([server, at]) => listen(server, at)));
+      logger.info('instance started', {
+        callers: `${settings.callers.host}:${settings.callers.port}`,
+        failureDomain: settings.failureDomain,
+      });
+    },
+    reload: next => {
+      settings = next;
+      budgets.clear();
+      logger.info('settings reloaded', {revocationMs: next.revocationMs});
+    },
+    close: async () => {
+      const startedAtMs = clock.nowMs();
+      stopping = true;
+      gatewayServer.closeAfterAnswers();
+      logger.info('instance is stopping', {
+        requestsInProgress: gatewayServer.inProgress(),
+      });
+      await finishRequests(startedAtMs);
+      sync.close();
+      for (const [server] of servers) server.close();
+      const cutRequests = gatewayServer.inProgress();
+      await connections.close();
+      logger.info('instance stopped', {cutRequests});
+    },
+  };
+}
+
+function listen(server: Server, at: ListenAddress): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(
+      {host: at.host, port: at.port, backlog: listenBacklog},
+      resolve,
+    );
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/request/Admission.ts
@@ -0,0 +1,69 @@
+/**
+ * The first filter of a request: finds its route and its workspace, and
+ * refuses what no configuration allows. An instance that cannot know whether a
+ * key is still valid says that it did not run the request.
+ */
+import {RouterError} from '@toucanrouter/common';
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import type {ConfigInForce} from '../config/ActiveConfig.js';
+import type {GatewayRoute, GatewayWorkspace} from '../config/GatewayConfig.js';
+import type {CallerRequest} from './Dialect.js';
+import type {GatewayContext} from './GatewayContext.js';
+
+/** A request that may be served. */
+export interface Admitted {
+  readonly config: ConfigInForce;
+  readonly route: GatewayRoute;
+  readonly workspace: GatewayWorkspace | undefined;
+  readonly tier: number;
+}
+
+/** An instance without a configuration has one within about this time. */
+const unknownConfigReturnMs = 500;
+
+function unknownConfig(message: string): RouterError {
+  return new RouterError('platform_unavailable', message, {
+    retryAfterMs: unknownConfigReturnMs,
+  });
+}
+
+/** Admits a request under the configuration in force. */
+export async function admit(
+  context: GatewayContext,
+  request: CallerRequest,
+): Promise<Result<Admitted, RouterError>> {
+  if (context.configAge.ageMs() > context.maxConfigAgeMs()) {
+    await context.confirmConfig();
+  }
+  const config = context.config.current();
+  if (config === undefined) {
+    return err(unknownConfig('the configuration is not known yet'));
+  }
+  const route = config.table.find(request.host, request.path);
+  if (route === undefined) {
+    return err(
+      new RouterError(
+        'not_found',
+        `no route for ${request.host}${request.path}`,
+      ),
+    );
+  }
+  if (config.workspacesByKey === undefined || route.anonymous) {
+    return ok({config, route, workspace: undefined, tier: route.tier});
+  }
+  const ageMs = context.configAge.ageMs();
+  if (ageMs > context.maxConfigAgeMs()) {
+    return err(
+      unknownConfig(
+        `the configuration was confirmed ${Math.round(ageMs)} ms ago`,
+      ),
+    );
+  }
+  const workspace =
+    request.key === undefined ? undefined : config.workspaceOf(request.key);
+  if (workspace === undefined) {
+    return err(new RouterError('unauthenticated', 'the key is not known'));
+  }
+  return ok({config, route, workspace, tier: workspace.tier ?? route.tier});
+}
--- /dev/null
+++ b/packages/gateway/src/request/EndedRequest.ts
@@ -0,0 +1,21 @@
+/**
+ * What is recorded of a request when it ends: in the log, and in the metrics.
+ */
+import type {ClassId, ErrorKind, WorkspaceId} from '@toucanrouter/common';
+
+/** A request that ended. */
+export interface EndedRequest {
+  readonly requestId: string;
+  readonly classId: ClassId | undefined;
+  readonly workspaceId: WorkspaceId | undefined;
+  /** How it ended; `served` when an upstream's answer was passed on whole. */
+  readonly outcome: ErrorKind | 'served';
+  readonly status: number;
+  readonly upstreams: readonly string[];
+  readonly firstAnswerMs: number | undefined;
+  readonly totalMs: number;
+  readonly targetLatencyMs: number | undefined;
+  readonly configVersion: number;
+  readonly configAgeMs: number;
+  readonly reason: string | undefined;
+}
--- /dev/null
+++ b/packages/gateway/src/request/GatewayContext.ts
@@ -0,0 +1,42 @@
+/**
+ * What every request of an instance shares.
+ */
+import type {
+  Clock,
+  RandomSource,
+  ServiceName,
+  UpstreamId,
+} from '@toucanrouter/common';
+import type {Logger} from '@toucanrouter/logging';
+import type {RetryBudget} from '@toucanrouter/policy';
+import type {ActiveConfig} from '../config/ActiveConfig.js';
+import type {ConfigAge} from '../config/ConfigAge.js';
+import type {PromptHomes} from '../upstreams/PromptHomes.js';
+import type {UpstreamCondition} from '../upstreams/UpstreamCondition.js';
+import type {UpstreamConnections} from '../upstreams/UpstreamConnections.js';
+import type {UpstreamRegistry} from '../upstreams/UpstreamRegistry.js';
+import type {Dialect} from './Dialect.js';
+import type {EndedRequest} from './EndedRequest.js';
+
+/** The parts of the gateway that requests use. */
+export interface GatewayContext {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly random: RandomSource;
+  readonly dialect: Dialect;
+  readonly failureDomain: string;
+  readonly config: ActiveConfig;
+  readonly configAge: ConfigAge;
+  /** Keys are not accepted when the configuration is older than this. */
+  readonly maxConfigAgeMs: () => number;
+  /** Resolves once the configuration was confirmed, or cannot be soon. */
+  readonly confirmConfig: () => Promise<void>;
+  readonly registry: UpstreamRegistry;
+  readonly conditions: (id: UpstreamId) => UpstreamCondition;
+  readonly connections: UpstreamConnections;
+  readonly homes: PromptHomes;
+  readonly retryBudget: (service: ServiceName) => RetryBudget;
+  /** True once the instance takes no new requests. */
+  readonly refusing: () => boolean;
+  readonly onEnded: (ended: EndedRequest) => void;
+}
--- /dev/null
+++ b/packages/gateway/src/request/RetryAfter.ts
@@ -0,0 +1,33 @@
+/**
+ * When a refused caller should come back. Returns are spread, so that the
+ * callers of one burst do not return as another; callers of urgent classes
+ * come back sooner.
+ */
+import type {RandomSource} from '@toucanrouter/common';
+
+/** What the delay depends on. */
+export interface ReturnTerms {
+  readonly tier: number;
+  readonly targetLatencyMs: number;
+  /** How long the caller still waits. */
+  readonly remainingMs: number;
+  readonly random: RandomSource;
+}
+
+const shortestReturnMs = 100;
+/** Part of the target after which the most urgent class may come back. */
+const targetShare = 0.3;
+/** Each further tier waits longer by this share of the first one's delay. */
+const tierStep = 0.5;
+/** Callers follow the delay up to a third of the time that they have left. */
+const remainingShare = 0.3;
+
+/** Delay until a refused caller should come back, in milliseconds. */
+export function returnDelayMs(terms: ReturnTerms): number {
+  const baseMs = Math.max(
+    shortestReturnMs,
+    terms.targetLatencyMs * targetShare * (1 + tierStep * terms.tier),
+  );
+  const spreadMs = baseMs * (0.5 + terms.random.next());
+  return Math.max(0, Math.min(spreadMs, terms.remainingMs * remainingShare));
+}
--- /dev/null
+++ b/packages/gateway/src/server/GatewayMetrics.ts
@@ -0,0 +1,104 @@
+/**
+ * Metrics of a gateway for Prometheus. Labels are bounded: classes come from
+ * the configuration, outcomes from the closed list of error kinds.
+ */
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {EndedRequest} from '../request/EndedRequest.js';
+
+/** Values that are read when metrics are collected. */
+export interface GatewayMetricSources {
+  readonly configVersion: () => number;
+  readonly configAgeMs: () => number;
+  readonly requestsInProgress: () => number;
+  readonly connectionsOpened: () => number;
+  readonly storeConnected: () => boolean;
+}
+
+/** The metrics of a gateway. */
+export interface GatewayMetrics {
+  observe(ended: EndedRequest): void;
+  /** Renders all metrics in the Prometheus text format. */
+  render(): Promise<string>;
+  readonly contentType: string;
+}
+
+const msPerSecond = 1_000;
+const latencyBucketsSeconds = [
+  0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1, 1.5, 2, 4, 8, 16,
+];
+const unclassified = 'none';
+
+/** Creates the metrics of a gateway. */
+export function createGatewayMetrics(
+  sources: GatewayMetricSources,
+): GatewayMetrics {
+  const registry = new Registry();
+  const registers = [registry];
+  const requests = new Counter({
+    name: 'toucanrouter_requests_total',
+    help: 'Requests that ended, by class and outcome',
+    labelNames: ['class', 'outcome'],
+    registers,
+  });
+  const repeats = new Counter({
+    name: 'toucanrouter_repeats_total',
+    help: 'Upstreams tried after the first one of a request, by class',
+    labelNames: ['class'],
+    registers,
+  });
+  const firstAnswer = new Histogram({
+    name: 'toucanrouter_first_answer_seconds',
+    help: 'Time from arrival to the first event, or to the plain answer',
+    labelNames: ['class'],
+    buckets: latencyBucketsSeconds,
+    registers,
+  });
+  const gauge = (name: string, help: string, value: () => number) =>
+    new Gauge({
+      name,
+      help,
+      registers,
+      collect() {
+        this.set(value());
+      },
+    });
+  gauge(
+    'toucanrouter_config_version',
+    'Version of the configuration in force',
+    sources.configVersion,
+  );
+  gauge(
+    'toucanrouter_config_age_seconds',
+    'Time since the store confirmed the configuration',
+    () =>
+      Math.min(sources.configAgeMs(), Number.MAX_SAFE_INTEGER) / msPerSecond,
+  );
+  gauge(
+    'toucanrouter_requests_in_progress',
+    'Requests that are not answered yet',
+    sources.requestsInProgress,
+  );
+  gauge(
+    'toucanrouter_upstream_connections_opened',
+    'Connections to upstreams opened since the start',
+    sources.connectionsOpened,
+  );
+  gauge('toucanrouter_store_connected', '1 while the store answers', () =>
+    Number(sources.storeConnected()),
+  );
+  return {
+    observe: ended => {
+      const classLabel = ended.classId ?? unclassified;
+      requests.inc({class: classLabel, outcome: ended.outcome});
+      const repeated = ended.upstreams.length - 1;
+      if (repeated > 0) repeats.inc({class: classLabel}, repeated);
+      if (ended.firstAnswerMs === undefined) return;
+      firstAnswer.observe(
+        {class: classLabel},
+        ended.firstAnswerMs / msPerSecond,
+      );
+    },
+    render: () => registry.metrics(),
+    contentType: registry.contentType,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/server/GatewayServer.ts
@@ -0,0 +1,85 @@
+/**
+ * The HTTP server for callers. Its limits follow the configuration in force.
+ */
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {createServer} from 'node:http';
+import {RouterError} from '@toucanrouter/common';
+import type {CallerLimits} from '../config/GatewayConfig.js';
+import {createCallerReply} from '../request/CallerReply.js';
+import type {GatewayContext} from '../request/GatewayContext.js';
+import {serveRequest} from '../request/GatewayRequest.js';
+
+/** The server for callers. */
+export interface GatewayServer {
+  readonly server: Server;
+  inProgress(): number;
+  applyLimits(limits: CallerLimits): void;
+  /** From now on each answer asks the caller to close the connection. */
+  closeAfterAnswers(): void;
+}
+
+/** Read when the server is created, before any configuration is known. */
+const maxHeaderBytes = 64 * 1024;
+const connectionCheckMs = 1_000;
+const maxQueuedConnections = 1_024;
+
+/** Connections queue up to this many while the process starts or is busy. */
+export const listenBacklog = maxQueuedConnections;
+
+function headerBytes({rawHeaders}: IncomingMessage): number {
+  return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+}
+
+/** Creates the server; the owner makes it listen. */
+export function createGatewayServer(context: GatewayContext): GatewayServer {
+  let inProgress = 0;
+  let closing = false;
+  let limits: CallerLimits | undefined;
+
+  async function handle(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (limits !== undefined && headerBytes(message) > limits.maxHeaderBytes) {
+      const reply = createCallerReply({response, closing: () => true});
+      const reason = `the headers exceed ${limits.maxHeaderBytes} bytes`;
+      reply.error(new RouterError('headers_too_large', reason), '');
+      return;
+    }
+    await serveRequest(context, message, response, () => closing);
+  }
+
+  const server = createServer(
+    {
+      maxHeaderSize: maxHeaderBytes,
+      connectionsCheckingInterval: connectionCheckMs,
+      requestTimeout: 0,
+      noDelay: true,
+    },
+    (message, response) => {
+      inProgress += 1;
+      handle(message, response)
+        .catch((error: unknown) => {
+          context.logger.error('request handling failed', {
+            error: error instanceof Error ? error.stack : String(error),
+          });
+          response.destroy();
+        })
+        .finally(() => {
+          inProgress -= 1;
+        });
+    },
+  );
+  return {
+    server,
+    inProgress: () => inProgress,
+    applyLimits: next => {
+      limits = next;
+      server.headersTimeout = next.headerTimeoutMs;
+      server.keepAliveTimeout = next.idleTimeoutMs;
+    },
+    closeAfterAnswers: () => {
+      closing = true;
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/server/StatusServers.ts
@@ -0,0 +1,32 @@
+/**
+ * The HTTP servers for the load balancer and for metrics.
+ */
+import type {Server} from 'node:http';
+import {createAdaptorServer} from '@hono/node-server';
+import {Hono} from 'hono';
+import type {GatewayMetrics} from './GatewayMetrics.js';
+
+/** Answers whether the instance is ready, at `path`. */
+export function createReadinessServer(
+  path: string,
+  notReadyReason: () => string | undefined,
+): Server {
+  const app = new Hono();
+  app.get(path, context => {
+    const reason = notReadyReason();
+    if (reason === undefined) return context.text('ready\n');
+    return context.text(`not ready: ${reason}\n`, 503);
+  });
+  return createAdaptorServer({fetch: app.fetch}) as Server;
+}
+
+/** Serves the metrics of the instance. */
+export function createMetricsServer(metrics: GatewayMetrics): Server {
+  const app = new Hono();
+  app.get('/metrics', async context =>
+    context.body(await metrics.render(), 200, {
+      'content-type': metrics.contentType,
+    }),
+  );
+  return createAdaptorServer({fetch: app.fetch}) as Server;
+}
--- /dev/null
+++ b/packages/gateway/src/state/StateSync.ts
@@ -0,0 +1,192 @@
+/**
+ * Keeps the configuration and the upstreams of this instance up to date, and
+ * knows how old they are. It reads the whole state once and then follows the
+ * changes; the pace bounds the calls, since many upstreams write often.
+ */
+import type {Clock} from '@toucanrouter/common';
+import type {Logger} from '@toucanrouter/logging';
+import type {ActiveConfig} from '../config/ActiveConfig.js';
+import type {ConfigAge, TimeMark} from '../config/ConfigAge.js';
+import type {UpstreamRegistry} from '../upstreams/UpstreamRegistry.js';
+import type {StateChange, StateStore} from './StateStore.js';
+
+/** Options of the synchronization. */
+export interface StateSyncOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly store: StateStore;
+  readonly config: ActiveConfig;
+  readonly configAge: ConfigAge;
+  readonly registry: UpstreamRegistry;
+}
+
+/** Follows the state of the platform until it is closed. */
+export interface StateSync {
+  start(): void;
+  /** Asks the store whether the configuration in force is the newest. */
+  confirmConfig(): Promise<void>;
+  /** True while the last call to the store succeeded. */
+  connected(): boolean;
+  close(): void;
+}
+
+/** Shortest time between two calls; a change is in force within about this. */
+const paceMs = 450;
+/** Longest wait for changes, and so the age of the state on a calm store. */
+const waitMs = 1_000;
+/** A call that gets no answer this long after its wait is given up. */
+const answerTimeoutMs = 700;
+const readAllTimeoutMs = 1_500;
+/** While the store is away calls are short, to notice its return. */
+const probeTimeoutMs = 600;
+const probePauseMs = 250;
+const confirmTimeoutMs = 400;
+/** Confirmations asked for by requests are not repeated faster than this. */
+const confirmPauseMs = 200;
+
+/** Creates a synchronization that has not started. */
+export function createStateSync(options: StateSyncOptions): StateSync {
+  const {clock, config, configAge, logger, registry, store} = options;
+  let revision: number | undefined;
+  let connected = false;
+  let everConnected = false;
+  let closed = false;
+  let confirming: Promise<void> | undefined;
+  let confirmedAtMs = -Infinity;
+
+  function apply(change: StateChange): void {
+    switch (change.kind) {
+      case 'config':
+        config.offer(change.config);
+        return;
+      case 'upstream':
+        registry.put(change.entry);
+        return;
+      case 'upstream_removed':
+        registry.remove(change.id);
+        return;
+      case 'unreadable':
+        logger.warn('unreadable value in the store', {
+          key: change.key,
+          reason: change.reason,
+        });
+        if (change.id !== undefined) registry.remove(change.id);
+    }
+  }
+
+  function applyAll(changes: readonly StateChange[]): void {
+    const entries = changes.flatMap(change =>
+      change.kind === 'upstream' ? [change.entry] : [],
+    );
+    changes.filter(({kind}) => kind !== 'upstream').forEach(apply);
+    registry.replaceAll(entries);
+  }
+
+  function answered(mark: TimeMark): void {
+    configAge.confirmed(mark);
+    if (connected) return;
+    connected = true;
+    registry.storeRegained();
+    logger.info(everConnected ? 'store regained' : 'store connected', {
+      revision,
+      configVersion: config.current()?.version,
+    });
+    everConnected = true;
+  }
+
+  function unanswered(reason: string): void {
+    registry.storeLost();
+    if (!connected) return;
+    connected = false;
+    logger.warn('store lost', {
+      reason,
+      configAgeMs: Math.round(configAge.ageMs()),
+      configVersion: config.current()?.version,
+    });
+  }
+
+  async function readAll(): Promise<boolean> {
+    const mark = configAge.mark();
+    const reading = await store.readAll(
+      everConnected && !connected ? probeTimeoutMs : readAllTimeoutMs,
+    );
+    if (reading.isErr()) {
+      unanswered(reading.error.message);
+      return false;
+    }
+    answered(mark);
+    applyAll(reading.value.changes);
+    revision = reading.value.revision;
+    return true;
+  }
+
+  async function readChanges(after: number): Promise<boolean> {
+    const mark = configAge.mark();
+    const reading = await store.readChanges(
+      after,
+      connected ? waitMs : 0,
+      connected ? waitMs + answerTimeoutMs : probeTimeoutMs,
+    );
+    if (reading.isErr()) {
+      unanswered(reading.error.message);
+      return false;
+    }
+    if (reading.value === 'compacted') {
+      logger.info('history of the store is gone, reading all', {after});
+      revision = undefined;
+      return true;
+    }
+    answered(mark);
+    reading.value.changes.forEach(apply);
+    revision = reading.value.revision;
+    return true;
+  }
+
+  const pause = (delayMs: number) =>
+    new Promise<void>(resolve => clock.after(delayMs, resolve));
+
+  async function run(): Promise<void> {
+    while (!closed) {
+      const startedAtMs = clock.nowMs();
+      const succeeded =
+        revision === undefined ? await readAll() : await readChanges(revision);
+      if (closed) return;
+      if (!succeeded) await pause(probePauseMs);
+      else if (revision !== undefined) {
+        await pause(Math.max(0, paceMs - (clock.nowMs() - startedAtMs)));
+      }
+    }
+  }
+
+  async function confirm(): Promise<void> {
+    const mark = configAge.mark();
+    const reading = await store.readConfig(confirmTimeoutMs);
+    confirmedAtMs = clock.nowMs();
+    if (reading.isErr()) {
+      logger.warn('the age of the configuration is not known', {
+        reason: reading.error.message,
+        configAgeMs: Math.round(configAge.ageMs()),
+      });
+      return;
+    }
+    if (reading.value !== undefined) config.offer(reading.value);
+    configAge.confirmed(mark);
+  }
+
+  return {
+    start: () => void run(),
+    connected: () => connected,
+    confirmConfig: () => {
+      if (clock.nowMs() - confirmedAtMs < confirmPauseMs) {
+        return Promise.resolve();
+      }
+      confirming ??= confirm().finally(() => {
+        confirming = undefined;
+      });
+      return confirming;
+    },
+    close: () => {
+      closed = true;
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/upstreams/UpstreamChoice.ts
@@ -0,0 +1,154 @@
+/**
+ * Chooses the upstream of a request by the time until its first answer there:
+ * prompts that wait ahead of it, tokens of its own that the upstream does not
+ * hold, how slow the upstream is, and how often it fails. Load pattern: many
+ * requests that share long parts of their prompts, beside short urgent ones.
+ */
+import type {UpstreamId} from '@toucanrouter/common';
+import type {EngineShape} from '../config/GatewayConfig.js';
+import type {Prompt} from './Prompt.js';
+import {sharedTokens} from './Prompt.js';
+import type {PromptHomes} from './PromptHomes.js';
+import {placementPart} from './PromptHomes.js';
+import type {UpstreamCondition} from './UpstreamCondition.js';
+import type {UpstreamEntry} from './UpstreamEntry.js';
+
+/** An upstream with its condition. */
+export interface Candidate {
+  readonly entry: UpstreamEntry;
+  readonly condition: UpstreamCondition;
+}
+
+/** What is placed. */
+export interface Placement {
+  readonly prompt: Prompt | undefined;
+  readonly engine: EngineShape | undefined;
+  readonly targetLatencyMs: number;
+  readonly failureDomain: string;
+  readonly homes: PromptHomes;
+  /** Breaks ties; from 0 to 1. */
+  readonly tieBreak: () => number;
+}
+
+/** The chosen upstream, with what is expected of it. */
+export interface Choice {
+  readonly candidate: Candidate;
+  /** Time to the first answer in an ordinary case, for the comparison. */
+  readonly expectedMs: number;
+  /** Prompt tokens that the upstream probably has to read. */
+  readonly tokensToRead: number;
+}
+
+/** Prompt tokens that an engine reads in a millisecond, from the sheets. */
+export const promptTokensPerMs = 100;
+/** Time to a first event on an idle engine, seen on calm days. */
+const idleFirstEventMs = 75;
+/** Time of an ordinary plain call, from the sheets. */
+const plainCallMs = 60;
+/**
+ * A token that is read twice also delays everyone else at that engine, whose
+ * tokens are produced in the same steps.
+ */
+const repeatedReadFactor = 3;
+/** Cost of the bytes of a request between failure domains. */
+const crossDomainMs = 25;
+/** Tokens for which one copy in the whole fleet is better than one a domain. */
+export const fleetWideShareTokens = 1_500;
+/** Delay that each running request adds to the steps of an engine. */
+const runningRequestMs = 1.5;
+/** A failed request costs its caller about this many target latencies. */
+const failureTargets = 3;
+/** Random share of the cost, so that equal upstreams share the load. */
+const tieShare = 0.05;
+
+interface Terms {
+  readonly promptTokens: number;
+  readonly sharedTokens: number;
+  readonly part: string | undefined;
+  readonly home: UpstreamId | undefined;
+}
+
+function termsOf(
+  candidates: readonly Candidate[],
+  {failureDomain, homes, prompt}: Placement,
+): Terms {
+  const part = prompt && placementPart(prompt);
+  if (prompt === undefined || part === undefined) {
+    const promptTokens = prompt?.promptTokens ?? 0;
+    return {promptTokens, sharedTokens: 0, part, home: undefined};
+  }
+  const shared = sharedTokens(prompt);
+  const near = candidates.filter(
+    ({entry}) => entry.failureDomain === failureDomain,
+  );
+  const wide = shared >= fleetWideShareTokens || near.length === 0;
+  const pool = (wide ? candidates : near).map(({entry}) => entry.id);
+  return {
+    promptTokens: prompt.promptTokens,
+    sharedTokens: shared,
+    part,
+    home: homes.homeOf(part, pool),
+  };
+}
+
+function tokensToRead(
+  {entry}: Candidate,
+  {homes}: Placement,
+  terms: Terms,
+  nowMs: number,
+): number {
+  const holdsShared =
+    entry.id === terms.home ||
+    (terms.part !== undefined &&
+      homes.sentRecently(terms.part, entry.id, nowMs));
+  return holdsShared
+    ? terms.promptTokens - terms.sharedTokens
+    : terms.promptTokens;
+}
+
+function expectedMs(candidate: Candidate, placement: Placement, read: number) {
+  const {entry, condition} = candidate;
+  if (placement.engine === undefined) {
+    const occupied = condition.running / Math.max(entry.slots, 1);
+    return plainCallMs * (1 + 2 * occupied);
+  }
+  const ahead = Math.max(0, condition.waitingPromptTokens) + read;
+  return (
+    idleFirstEventMs +
+    ahead / promptTokensPerMs +
+    condition.running * runningRequestMs
+  );
+}
+
+/** Chooses among `candidates`; undefined when there is none. */
+export function chooseUpstream(
+  candidates: readonly Candidate[],
+  placement: Placement,
+  nowMs: number,
+): Choice | undefined {
+  const sound = candidates.filter(({condition}) => !condition.avoided(nowMs));
+  const pool = sound.length > 0 ? sound : candidates;
+  const terms = termsOf(pool, placement);
+  let best: Choice | undefined;
+  let lowestMs = Infinity;
+  for (const candidate of pool) {
+    const {condition, entry} = candidate;
+    const read = tokensToRead(candidate, placement, terms, nowMs);
+    const firstMs = expectedMs(candidate, placement, read);
+    const repeated = read - (terms.promptTokens - terms.sharedTokens);
+    const far = entry.failureDomain !== placement.failureDomain;
+    const costMs =
+      firstMs * condition.slowness(nowMs) +
+      (repeated * (repeatedReadFactor - 1)) / promptTokensPerMs +
+      (far ? crossDomainMs : 0) +
+      condition.failureShare(nowMs) *
+        failureTargets *
+        placement.targetLatencyMs;
+    const spreadMs = costMs * (1 + tieShare * placement.tieBreak());
+    if (spreadMs < lowestMs) {
+      lowestMs = spreadMs;
+      best = {candidate, expectedMs: firstMs, tokensToRead: read};
+    }
+  }
+  return best;
+}
--- /dev/null
+++ b/packages/gateway/src/upstreams/UpstreamCondition.ts
@@ -0,0 +1,139 @@
+/**
+ * What this instance has seen of one upstream: the work it has in flight
+ * there, how fast it answers, and how often its answers fail. Judgements come
+ * from requests only, since health checks and load reports may be wrong.
+ */
+
+/** Work that is in flight at an upstream. */
+export interface WorkInFlight {
+  /** Prompt tokens to read until the first event. */
+  readonly promptTokens: number;
+}
+
+/** What happened to a request at an upstream. */
+export type UpstreamOutcome = 'served' | 'failed' | 'refused' | 'unreachable';
+
+/** The condition of one upstream, as this instance knows it. */
+export interface UpstreamCondition {
+  started(work: WorkInFlight): void;
+  /** The first event or the whole plain answer arrived. */
+  firstAnswer(work: WorkInFlight, observedMs: number, expectedMs: number): void;
+  /** The request left the upstream; `answered` tells if `firstAnswer` came. */
+  ended(work: WorkInFlight, answered: boolean): void;
+  outcome(outcome: UpstreamOutcome, nowMs: number): void;
+  /** Bytes arrived from the upstream, on any connection. */
+  heard(nowMs: number): void;
+  readonly running: number;
+  readonly waitingPromptTokens: number;
+  /** Observed times relative to expected ones; 1 is as expected. */
+  slowness(nowMs: number): number;
+  /** Share of recent requests that failed, from 0 to 1. */
+  failureShare(nowMs: number): number;
+  /** True while the upstream gets no work except when there is no other. */
+  avoided(nowMs: number): boolean;
+  lastHeardMs(): number;
+}
+
+/** Weight of the newest observation in the averages. */
+const averageWeight = 0.2;
+/** Old judgements fade, so that a recovered upstream is tried again. */
+const fadeHalfLifeMs = 3_000;
+/** Bounds of a single observation of slowness. */
+const minSlowness = 0.5;
+const maxSlowness = 12;
+/** First pause after an upstream could not be reached; doubles each time. */
+const firstAvoidanceMs = 400;
+const maxAvoidanceMs = 3_200;
+/** Refusals follow bursts that pass quickly. */
+const refusalPauseMs = 150;
+/** Failures in a row after which an upstream is avoided. */
+const failuresBeforeAvoidance = 3;
+
+/** An average that fades towards a resting value. */
+interface FadingAverage {
+  observe(value: number, nowMs: number): void;
+  value(nowMs: number): number;
+}
+
+function createFadingAverage(resting: number): FadingAverage {
+  let current = resting;
+  let atMs = 0;
+  const value = (nowMs: number) => {
+    const faded = 0.5 ** (Math.max(0, nowMs - atMs) / fadeHalfLifeMs);
+    return resting + (current - resting) * faded;
+  };
+  return {
+    value,
+    observe: (observed, nowMs) => {
+      const before = value(nowMs);
+      current = before + (observed - before) * averageWeight;
+      atMs = nowMs;
+    },
+  };
+}
+
+/** Creates the condition of an upstream that has not been used yet. */
+export function createUpstreamCondition(now: () => number): UpstreamCondition {
+  const slowness = createFadingAverage(1);
+  const failures = createFadingAverage(0);
+  let running = 0;
+  let waitingPromptTokens = 0;
+  let heardAtMs = -Infinity;
+  let avoidedUntilMs = -Infinity;
+  let unreachableInRow = 0;
+  let failuresInRow = 0;
+
+  function avoidFor(inRow: number, nowMs: number): void {
+    const pauseMs = firstAvoidanceMs * 2 ** Math.min(inRow, 8);
+    avoidedUntilMs = nowMs + Math.min(pauseMs, maxAvoidanceMs);
+  }
+
+  return {
+    get running() {
+      return running;
+    },
+    get waitingPromptTokens() {
+      return waitingPromptTokens;
+    },
+    started: work => {
+      running += 1;
+      waitingPromptTokens += work.promptTokens;
+    },
+    firstAnswer: (work, observedMs, expectedMs) => {
+      waitingPromptTokens -= work.promptTokens;
+      const ratio = observedMs / Math.max(expectedMs, 1);
+      const bounded = Math.min(Math.max(ratio, minSlowness), maxSlowness);
+      slowness.observe(bounded, now());
+    },
+    ended: (work, answered) => {
+      running -= 1;
+      if (!answered) waitingPromptTokens -= work.promptTokens;
+    },
+    outcome: (outcome, nowMs) => {
+      if (outcome === 'unreachable') {
+        avoidFor(unreachableInRow, nowMs);
+        unreachableInRow += 1;
+        return;
+      }
+      unreachableInRow = 0;
+      if (outcome === 'refused') {
+        avoidedUntilMs = Math.max(avoidedUntilMs, nowMs + refusalPauseMs);
+        return;
+      }
+      failures.observe(outcome === 'failed' ? 1 : 0, nowMs);
+      failuresInRow = outcome === 'failed' ? failuresInRow + 1 : 0;
+      if (failuresInRow >= failuresBeforeAvoidance) {
+        avoidFor(failuresInRow - failuresBeforeAvoidance, nowMs);
+      } else if (outcome === 'served') {
+        avoidedUntilMs = -Infinity;
+      }
+    },
+    heard: nowMs => {
+      heardAtMs = nowMs;
+    },
+    slowness: slowness.value,
+    failureShare: failures.value,
+    avoided: nowMs => nowMs < avoidedUntilMs,
+    lastHeardMs: () => heardAtMs,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/upstreams/UpstreamConnections.ts
@@ -0,0 +1,238 @@
+/**
+ * Connections to upstreams. Each `undici` client is one connection with one
+ * request at a time, so that a late or extra answer can only reach the request
+ * that follows it there, where its id gives it away.
+ */
+import type {Socket} from 'node:net';
+import {connect} from 'node:net';
+import type {Clock} from '@toucanrouter/common';
+import type {Dispatcher} from 'undici';
+import {Client} from 'undici';
+
+/** What is sent to an upstream. */
+export interface UpstreamRequest {
+  readonly host: string;
+  readonly port: number;
+  readonly method: string;
+  readonly target: string;
+  readonly headers: string[];
+  readonly body: Buffer;
+  /** Longest idle time of a connection that may carry this request. */
+  readonly maxIdleMs: number;
+}
+
+/** Receives the answer of an upstream; `ended` or `failed` comes last. */
+export interface AnswerReceiver {
+  /** Bytes of the request are on their way. */
+  sent(): void;
+  started(
+    status: number,
+    headers: Readonly<Record<string, string | string[] | undefined>>,
+    rawHeaders: readonly string[],
+  ): void;
+  data(chunk: Buffer): void;
+  ended(): void;
+  failed(error: Error): void;
+}
+
+/** A request at an upstream. */
+export interface UpstreamExchange {
+  pause(): void;
+  resume(): void;
+  /** Closes the connection, which makes the upstream drop the request. */
+  abort(reason: string): void;
+}
+
+/** Sends requests and keeps idle connections. */
+export interface UpstreamConnections {
+  send(request: UpstreamRequest, receiver: AnswerReceiver): UpstreamExchange;
+  /** Connections opened since the start. */
+  opened(): number;
+  close(): Promise<void>;
+}
+
+/** A connection across the farthest failure domains takes a few round trips. */
+export const connectTimeoutMs = 500;
+/** Idle connections may be dropped without notice, so they are kept briefly. */
+const keepIdleMs = 5_000;
+/** Upper bound for what an upstream asks for in its keep-alive header. */
+const maxKeepIdleMs = 10_000;
+const keepAliveProbeMs = 1_000;
+
+interface Connection {
+  readonly client: Client;
+  idleSinceMs: number;
+  socketFailed: boolean;
+}
+
+/** True when the end of the body is not marked by the protocol. */
+function endsWithConnection(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): boolean {
+  return (
+    headers['content-length'] === undefined &&
+    headers['transfer-encoding'] === undefined
+  );
+}
+
+function toText(value: Buffer | string): string {
+  return typeof value === 'string' ? value : value.toString('latin1');
+}
+
+/** Creates connections; nothing is opened before the first request. */
+export function createUpstreamConnections(clock: Clock): UpstreamConnections {
+  const idle = new Map<string, Connection[]>();
+  const all = new Set<Connection>();
+  let openedCount = 0;
+
+  function dial(
+    connection: Connection,
+    options: {hostname: string; port: string},
+    done: (error: Error | null, socket: Socket | null) => void,
+  ): void {
+    openedCount += 1;
+    const socket = connect({
+      host: options.hostname,
+      port: Number(options.port),
+      noDelay: true,
+      keepAlive: true,
+      keepAliveInitialDelay: keepAliveProbeMs,
+    });
+    let settled = false;
+    const settle = (error: Error | null) => {
+      if (settled) return;
+      settled = true;
+      cancelTimeout();
+      done(error, error === null ? socket : null);
+    };
+    const cancelTimeout = clock.after(connectTimeoutMs, () => {
+      socket.destroy();
+      settle(new Error(`no connection within ${connectTimeoutMs} ms`));
+    });
+    socket.once('connect', () => settle(null));
+    // Registered before the client's own handler, which takes a reset at the
+    // end of an answer without length for its end.
+    socket.on('error', error => {
+      connection.socketFailed = true;
+      settle(error);
+    });
+  }
+
+  function forget(address: string, connection: Connection): void {
+    all.delete(connection);
+    const list = idle.get(address);
+    const index = list?.indexOf(connection) ?? -1;
+    if (list !== undefined && index >= 0) list.splice(index, 1);
+    if (list?.length === 0) idle.delete(address);
+  }
+
+  function open(address: string): Connection {
+    const connection: Connection = {
+      client: new Client(`http://${address}`, {
+        pipelining: 1,
+        keepAliveTimeout: keepIdleMs,
+        keepAliveMaxTimeout: maxKeepIdleMs,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        connect: (options, done) =>
+          dial(connection, options, done as Parameters<typeof dial>[2]),
+      }),
+      idleSinceMs: -Infinity,
+      socketFailed: false,
+    };
+    all.add(connection);
+    connection.client.on('disconnect', () => {
+      forget(address, connection);
+      if (!connection.client.destroyed) void connection.client.destroy();
+    });
+    return connection;
+  }
+
+  function take(address: string, maxIdleMs: number): Connection {
+    const list = idle.get(address) ?? [];
+    const oldestMs = clock.nowMs() - maxIdleMs;
+    // The most recently used connection is the least likely to be stale.
+    const newest = list.at(-1);
+    if (newest !== undefined && newest.idleSinceMs >= oldestMs) {
+      list.pop();
+      return newest;
+    }
+    return open(address);
+  }
+
+  function release(address: string, connection: Connection): void {
+    if (connection.client.destroyed || connection.client.closed) return;
+    connection.idleSinceMs = clock.nowMs();
+    const list = idle.get(address) ?? [];
+    list.push(connection);
+    idle.set(address, list);
+  }
+
+  return {
+    opened: () => openedCount,
+    send: (request, receiver) => {
+      const address = `${request.host}:${request.port}`;
+      const connection = take(address, request.maxIdleMs);
+      const {client} = connection;
+      let controller: Dispatcher.DispatchController | undefined;
+      let aborted: string | undefined;
+      let unmarkedEnd = false;
+      let finished = false;
+      const fail = (error: Error) => {
+        if (finished) return;
+        finished = true;
+        if (!client.destroyed) void client.destroy();
+        forget(address, connection);
+        receiver.failed(error);
+      };
+      client.dispatch(
+        {
+          path: request.target,
+          method: request.method as Dispatcher.HttpMethod,
+          headers: request.headers,
+          body: request.body.length > 0 ? request.body : null,
+        },
+        {
+          onRequestStart: started => {
+            controller = started;
+            if (aborted !== undefined) started.abort(new Error(aborted));
+            else receiver.sent();
+          },
+          onResponseStart: (started, status, headers) => {
+            if (status < 200) return;
+            unmarkedEnd = endsWithConnection(headers);
+            const raw = (started.rawHeaders ?? []) as readonly Buffer[];
+            receiver.started(status, headers, raw.map(toText));
+          },
+          onResponseData: (_, chunk) => receiver.data(chunk),
+          onResponseEnd: () => {
+            if (finished) return;
+            if (unmarkedEnd && connection.socketFailed) {
+              fail(new Error('connection reset before the end of the answer'));
+              return;
+            }
+            finished = true;
+            // The client marks itself idle after this callback.
+            queueMicrotask(() => release(address, connection));
+            receiver.ended();
+          },
+          onResponseError: (_, error) => fail(error),
+        },
+      );
+      return {
+        pause: () => controller?.pause(),
+        resume: () => controller?.resume(),
+        abort: reason => {
+          if (finished) return;
+          aborted = reason;
+          if (controller !== undefined) controller.abort(new Error(reason));
+          else void client.destroy();
+          fail(new Error(reason));
+        },
+      };
+    },
+    close: async () => {
+      await Promise.all([...all].map(({client}) => client.destroy()));
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/upstreams/UpstreamRegistry.ts
@@ -0,0 +1,122 @@
+/**
+ * The upstreams that may receive new work. Entries come and go in the store.
+ * While the store is away entries lapse although their upstreams live, so an
+ * entry that disappears around an outage is kept for a grace period.
+ */
+import type {Clock, ServiceName, UpstreamId} from '@toucanrouter/common';
+import type {UpstreamEntry} from './UpstreamEntry.js';
+
+/** Options of a registry. */
+export interface UpstreamRegistryOptions {
+  readonly clock: Clock;
+  readonly onAdded: (entry: UpstreamEntry) => void;
+  readonly onRemoved: (entry: UpstreamEntry, reason: string) => void;
+}
+
+/** The upstreams that this instance knows. */
+export interface UpstreamRegistry {
+  /** Upstreams of a service that take new work. */
+  usable(service: ServiceName): readonly UpstreamEntry[];
+  get(id: UpstreamId): UpstreamEntry | undefined;
+  /** Takes in the present state of one entry. */
+  put(entry: UpstreamEntry): void;
+  /** The entry of an upstream was removed. */
+  remove(id: UpstreamId): void;
+  /** Replaces all entries by a complete reading. */
+  replaceAll(entries: readonly UpstreamEntry[]): void;
+  /** The store does not answer. */
+  storeLost(): void;
+  /** The store answers again. */
+  storeRegained(): void;
+  /** Another upstream answers at the address of this one. */
+  displaced(id: UpstreamId): void;
+}
+
+/**
+ * Entries that lapsed during an outage are back about two seconds after its
+ * end; the rest allows for the delay of the watch.
+ */
+export const lapsedEntryGraceMs = 2_300;
+
+/** Creates a registry without upstreams. */
+export function createUpstreamRegistry(
+  options: UpstreamRegistryOptions,
+): UpstreamRegistry {
+  const {clock} = options;
+  const entries = new Map<UpstreamId, UpstreamEntry>();
+  const missing = new Map<UpstreamId, UpstreamEntry>();
+  const byService = new Map<ServiceName, UpstreamEntry[]>();
+  let storeAway = false;
+  let regainedAtMs = -Infinity;
+
+  function reindex(service: ServiceName): void {
+    const usable = [...entries.values()].filter(
+      entry => entry.service === service && !entry.leaving,
+    );
+    byService.set(service, usable);
+  }
+
+  function drop(id: UpstreamId, reason: string): void {
+    missing.delete(id);
+    const entry = entries.get(id);
+    if (entry === undefined) return;
+    entries.delete(id);
+    reindex(entry.service);
+    options.onRemoved(entry, reason);
+  }
+
+  function put(entry: UpstreamEntry): void {
+    missing.delete(entry.id);
+    const known = entries.get(entry.id);
+    entries.set(entry.id, entry);
+    if (known !== undefined && known.service !== entry.service) {
+      reindex(known.service);
+    }
+    if (known === undefined || known.leaving !== entry.leaving) {
+      options.onAdded(entry);
+    }
+    reindex(entry.service);
+  }
+
+  function inGrace(): boolean {
+    return storeAway || clock.nowMs() - regainedAtMs < lapsedEntryGraceMs;
+  }
+
+  function remove(id: UpstreamId): void {
+    const entry = entries.get(id);
+    if (entry === undefined) return;
+    if (entry.leaving || !inGrace()) {
+      drop(id, 'its entry was removed');
+      return;
+    }
+    if (missing.has(id)) return;
+    missing.set(id, entry);
+    const elapsedMs = storeAway ? 0 : clock.nowMs() - regainedAtMs;
+    clock.after(lapsedEntryGraceMs - elapsedMs, () => {
+      if (missing.has(id)) drop(id, 'its entry did not return');
+    });
+  }
+
+  return {
+    usable: service => byService.get(service) ?? [],
+    get: id => entries.get(id),
+    put,
+    remove,
+    replaceAll: replacement => {
+      const present = new Set(replacement.map(entry => entry.id));
+      replacement.forEach(put);
+      for (const id of [...entries.keys()]) {
+        if (!present.has(id)) remove(id);
+      }
+    },
+    storeLost: () => {
+      storeAway = true;
+    },
+    storeRegained: () => {
+      if (!storeAway) return;
+      storeAway = false;
+      regainedAtMs = clock.nowMs();
+    },
+    displaced: id => drop(id, 'another upstream answers at its address'),
+  };
+}
--- /dev/null
+++ b/packages/settings/src/GatewaySettings.ts
@@ -0,0 +1,106 @@
+/**
+ * The settings file of an instance that runs as a gateway on the users'
+ * platform: its addresses, the store, and the bounds that the platform sets.
+ */
+import type {InstanceId} from '@toucanrouter/common';
+import {SettingsError, toInstanceId} from '@toucanrouter/common';
+import type {Result} from 'neverthrow';
+import {err} from 'neverthrow';
+import {z} from 'zod';
+import type {ListenAddress} from './InstanceSettings.js';
+import type {SectionValues} from './SectionedFile.js';
+import {parseSections, readText} from './SectionedFile.js';
+import {
+  addressField,
+  addressTextField,
+  choiceField,
+  durationField,
+  nameField,
+  numberField,
+} from './SettingsFields.js';
+
+/** Settings of a gateway instance. */
+export interface GatewaySettings {
+  readonly instanceId: InstanceId;
+  readonly failureDomain: string;
+  /** Where callers connect. */
+  readonly callers: ListenAddress;
+  /** Where the load balancer asks whether the instance is ready. */
+  readonly readiness: ListenAddress;
+  readonly metrics: ListenAddress;
+  /** Where other instances send their load, over UDP. */
+  readonly peers: ListenAddress;
+  readonly storeAddress: string;
+  /** A stop is completed within this time. */
+  readonly stopGraceMs: number;
+  /** A revoked key stops working within this time. */
+  readonly revocationMs: number;
+  /** Repeats allowed for each request of a service, in all instances. */
+  readonly repeatShare: number;
+  readonly repeatWindowMs: number;
+  /** Repeats allowed in each window beside that share, in all instances. */
+  readonly repeatSlack: number;
+  readonly logLevel: 'debug' | 'error' | 'info' | 'warn';
+}
+
+/** Sections of the settings file of a gateway by name. */
+export const gatewaySections = {
+  instance: z.strictObject({id: nameField, failure_domain: nameField}),
+  listen: z.strictObject({
+    callers: addressField,
+    readiness: addressField,
+    metrics: addressField,
+    peers: addressField,
+  }),
+  store: z.strictObject({address: addressTextField}),
+  bounds: z.strictObject({
+    stop_grace: durationField.prefault('8s'),
+    revocation: durationField.prefault('5s'),
+    repeat_share: numberField.prefault('0.2'),
+    repeat_window: durationField.prefault('10s'),
+    repeat_slack: numberField.prefault('50'),
+  }),
+  log: z.strictObject({
+    level: choiceField(['debug', 'error', 'info', 'warn']).prefault('info'),
+  }),
+} as const;
+
+function toGatewaySettings(
+  values: SectionValues<typeof gatewaySections>,
+): GatewaySettings {
+  const {bounds, instance, listen, log, store} = values;
+  return {
+    instanceId: toInstanceId(instance.id),
+    failureDomain: instance.failure_domain,
+    callers: listen.callers,
+    readiness: listen.readiness,
+    metrics: listen.metrics,
+    peers: listen.peers,
+    storeAddress: store.address,
+    stopGraceMs: bounds.stop_grace,
+    revocationMs: bounds.revocation,
+    repeatShare: bounds.repeat_share,
+    repeatWindowMs: bounds.repeat_window,
+    repeatSlack: bounds.repeat_slack,
+    logLevel: log.level,
+  };
+}
+
+/** Reads the settings in `text`; `file` names them in faults. */
+export function parseGatewaySettings(
+  text: string,
+  file: string,
+): Result<GatewaySettings, SettingsError> {
+  return parseSections(text, file, gatewaySections).map(toGatewaySettings);
+}
+
+/** Reads the settings file of a gateway. */
+export async function loadGatewaySettings(
+  file: string,
+): Promise<Result<GatewaySettings, SettingsError>> {
+  const text = await readText(file);
+  if (text !== undefined) return parseGatewaySettings(text, file);
+  const message = 'the settings file cannot be read; check path and rights';
+  const fault = {file, line: 0, message};
+  return err(new SettingsError('settings_invalid', [fault]));
+}
--- a/packages/settings/src/InstanceSettingsFile.ts
+++ b/packages/settings/src/InstanceSettingsFile.ts
@@ -2,39 +2,26 @@
  * Reads the settings file of one router instance. All faults are reported at
  * once, each with its line.
  */
-import {readFile} from 'node:fs/promises';
 import path from 'node:path';
 import {SettingsError, toInstanceId} from '@toucanrouter/common';
 import type {Result} from 'neverthrow';
-import {err, ok} from 'neverthrow';
-import type {IniDocument, IniSection} from './IniDocument.js';
+import {err} from 'neverthrow';
 import {readIni} from './IniDocument.js';
-import type {InstanceSettings, ListenAddress} from './InstanceSettings.js';
-import type {
-  InstanceSectionName,
-  InstanceSectionValues,
-} from './InstanceSettingsSchema.js';
+import type {InstanceSettings} from './InstanceSettings.js';
+import type {InstanceSectionValues} from './InstanceSettingsSchema.js';
 import {instanceSections} from './InstanceSettingsSchema.js';
+import {parseSections, readText, sortedError} from './SectionedFile.js';
 import type {FaultList} from './SectionReader.js';
-import {createFaultList, lineOf, readSection} from './SectionReader.js';
-
-const sectionNames = Object.keys(instanceSections) as InstanceSectionName[];
+import {createFaultList} from './SectionReader.js';
 
 /** Reads the settings in `text`; `file` names them in faults. */
 export function parseInstanceSettings(
   text: string,
   file: string,
 ): Result<InstanceSettings, SettingsError> {
-  const document = readIni(text, file);
-  const faults = createFaultList(document);
-  checkSectionNames(document, faults);
-  const values = readSections(document, faults);
-  const listen = document.sections.find(section => section.name === 'listen');
-  if (listen !== undefined && values.listen !== undefined) {
-    checkDistinctAddresses(listen, values.listen, faults);
-  }
-  if (faults.faults.length > 0) return err(toSettingsError(faults));
-  return ok(toInstanceSettings(values as InstanceSectionValues, file));
+  return parseSections(text, file, instanceSections).map(values =>
+    toInstanceSettings(values as InstanceSectionValues, file),
+  );
 }
 
 /** Reads a settings file and checks that the token files can be read. */
@@ -55,14 +42,6 @@
   return err(sortedError([...others, ...tokenFaults.faults]));
 }
 
-async function readText(file: string): Promise<string | undefined> {
-  try {
-    return await readFile(file, 'utf8');
-  } catch {
-    return undefined;
-  }
-}
-
 async function checkTokenFiles(text: string, file: string): Promise<FaultList> {
   const document = readIni(text, file);
   const faults = createFaultList({...document, faults: []});
@@ -80,63 +59,6 @@
   return faults;
 }
 
-function checkSectionNames(document: IniDocument, faults: FaultList): void {
-  for (const section of document.sections) {
-    if (Object.hasOwn(instanceSections, section.name)) continue;
-    faults.add(
-      section.line,
-      `section [${section.name}] is unknown; allowed are ${sectionNames.join(', ')}`,
-    );
-  }
-}
-
-function readSections(
-  document: IniDocument,
-  faults: FaultList,
-): Partial<InstanceSectionValues> {
-  const values: Record<string, unknown> = {};
-  for (const name of sectionNames) {
-    const section = document.sections.find(other => other.name === name);
-    values[name] = readSection(
-      section ?? {name, line: 0, entries: []},
-      instanceSections[name],
-      faults,
-    );
-  }
-  return values as Partial<InstanceSectionValues>;
-}
-
-function checkDistinctAddresses(
-  section: IniSection,
-  listen: InstanceSectionValues['listen'],
-  faults: FaultList,
-): void {
-  const seen = new Map<string, string>();
-  for (const [key, address] of Object.entries(listen)) {
-    const text = addressText(address);
-    const other = seen.get(text);
-    seen.set(text, key);
-    if (other === undefined) continue;
-    faults.add(
-      lineOf(section, key),
-      `${key}: ${text} is also the address of "${other}"; use another port`,
-    );
-  }
-}
-
-function addressText(address: ListenAddress): string {
-  return `${address.host}:${address.port}`;
-}
-
-function toSettingsError(faults: FaultList): SettingsError {
-  return sortedError(faults.faults);
-}
-
-function sortedError(faults: SettingsError['faults']): SettingsError {
-  const sorted = [...faults].sort((a, b) => a.line - b.line);
-  return new SettingsError('settings_invalid', sorted);
-}
-
 function relativeTo(file: string, target: string): string {
   return path.resolve(path.dirname(file), target);
 }
--- /dev/null
+++ b/packages/settings/src/SectionedFile.ts
@@ -0,0 +1,108 @@
+/**
+ * Reads a settings file made of sections with fixed names. All faults are
+ * reported at once, each with its line.
+ */
+import {readFile} from 'node:fs/promises';
+import {SettingsError} from '@toucanrouter/common';
+import type {Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
+import type {z} from 'zod';
+import type {IniDocument, IniSection} from './IniDocument.js';
+import {readIni} from './IniDocument.js';
+import type {ListenAddress} from './InstanceSettings.js';
+import type {FaultList, SectionSchema} from './SectionReader.js';
+import {createFaultList, lineOf, readSection} from './SectionReader.js';
+
+/** Schemas of the sections of a file, by name. */
+export type SectionSchemas = Readonly<Record<string, SectionSchema>>;
+
+/** Values of all sections after their checks. */
+export type SectionValues<Schemas extends SectionSchemas> = {
+  readonly [Name in keyof Schemas]: z.output<Schemas[Name]>;
+};
+
+/** Reads a file; undefined when it cannot be read. */
+export async function readText(file: string): Promise<string | undefined> {
+  try {
+    return await readFile(file, 'utf8');
+  } catch {
+    return undefined;
+  }
+}
+
+/** Reads the sections in `text`; `file` names them in faults. */
+export function parseSections<Schemas extends SectionSchemas>(
+  text: string,
+  file: string,
+  schemas: Schemas,
+): Result<SectionValues<Schemas>, SettingsError> {
+  const document = readIni(text, file);
+  const faults = createFaultList(document);
+  checkSectionNames(document, schemas, faults);
+  const values = readSections(document, schemas, faults);
+  const listen = document.sections.find(section => section.name === 'listen');
+  if (listen !== undefined && values['listen'] !== undefined) {
+    checkDistinctAddresses(listen, values['listen'], faults);
+  }
+  if (faults.faults.length > 0) return err(sortedError(faults.faults));
+  return ok(values as SectionValues<Schemas>);
+}
+
+/** An error with the faults in the order of their lines. */
+export function sortedError(faults: SettingsError['faults']): SettingsError {
+  const sorted = [...faults].sort((a, b) => a.line - b.line);
+  return new SettingsError('settings_invalid', sorted);
+}
+
+function checkSectionNames(
+  document: IniDocument,
+  schemas: SectionSchemas,
+  faults: FaultList,
+): void {
+  for (const section of document.sections) {
+    if (Object.hasOwn(schemas, section.name)) continue;
+    faults.add(
+      section.line,
+      `section [${section.name}] is unknown; allowed are ${Object.keys(schemas).join(', ')}`,
+    );
+  }
+}
+
+function readSections(
+  document: IniDocument,
+  schemas: SectionSchemas,
+  faults: FaultList,
+): Record<string, Record<string, unknown> | undefined> {
+  const values: Record<string, Record<string, unknown> | undefined> = {};
+  for (const [name, schema] of Object.entries(schemas)) {
+    const section = document.sections.find(other => other.name === name);
+    values[name] = readSection(
+      section ?? {name, line: 0, entries: []},
+      schema,
+      faults,
+    );
+  }
+  return values;
+}
+
+function checkDistinctAddresses(
+  section: IniSection,
+  listen: Record<string, unknown>,
+  faults: FaultList,
+): void {
+  const seen = new Map<string, string>();
+  for (const [key, address] of Object.entries(listen)) {
+    const text = addressText(address as ListenAddress);
+    const other = seen.get(text);
+    seen.set(text, key);
+    if (other === undefined) continue;
+    faults.add(
+      lineOf(section, key),
+      `${key}: ${text} is also the address of "${other}"; use another port`,
+    );
+  }
+}
+
+function addressText(address: ListenAddress): string {
+  return `${address.host}:${address.port}`;
+}
--- a/packages/settings/src/SettingsFields.ts
+++ b/packages/settings/src/SettingsFields.ts
@@ -70,6 +70,13 @@
   };
 });
 
+/** A number that is not negative, such as 0.2. */
+export const numberField = textField((text): Conversion<number> => {
+  const value = Number(text);
+  if (text !== '' && Number.isFinite(value) && value >= 0) return {value};
+  return {fault: `"${text}" is not a number from 0; write one such as 0.2`};
+});
+
 /** A text that is not empty. */
 export const nonEmptyField = textField((text): Conversion<string> =>
   text === '' ? {fault: 'the value is empty'} : {value: text},
--- a/packages/standins/src/platform/KeyValueServer.ts
+++ b/packages/standins/src/platform/KeyValueServer.ts
@@ -4,8 +4,8 @@
 import type {sendUnaryData} from '@grpc/grpc-js';
 import {Server, ServerCredentials, status} from '@grpc/grpc-js';
 import type {Clock, Undo} from '@toucanrouter/common';
-import type {KeyValueHandlers} from '@toucanrouter/platform';
-import {loadKeyValueProto} from '@toucanrouter/platform';
+import type {KeyValueHandlers} from '@toucanrouter/keyvalue';
+import {loadKeyValueProto} from '@toucanrouter/keyvalue';
 import type {Counters} from './Counters.js';
 import {createCallRunner} from './FaultyCalls.js';
 import type {KeyValueState} from './KeyValueState.js';
--- a/packages/standins/src/platform/KeyValueTransactions.ts
+++ b/packages/standins/src/platform/KeyValueTransactions.ts
@@ -2,7 +2,7 @@
  * Executes the requests of the key-value protocol on the stand-in's state.
  */
 import {status} from '@grpc/grpc-js';
-import type {KeyValueMessages} from '@toucanrouter/platform';
+import type {KeyValueMessages} from '@toucanrouter/keyvalue';
 import type {
   Change,
   KeyRange,
--- a/packages/standins/src/platform/WatchHandler.ts
+++ b/packages/standins/src/platform/WatchHandler.ts
@@ -3,7 +3,7 @@
  */
 import type {ServerDuplexStream} from '@grpc/grpc-js';
 import type {Undo} from '@toucanrouter/common';
-import type {KeyValueMessages} from '@toucanrouter/platform';
+import type {KeyValueMessages} from '@toucanrouter/keyvalue';
 import type {Counters} from './Counters.js';
 import {unavailable} from './FaultyCalls.js';
 import type {KeyValueState, VersionedEntry} from './KeyValueState.js';
