Detect answers that end with their connection before their end

Cause: the HTTP client completes any answer that announced the close of its connection when the connection ends, also one in chunks without the last chunk or after a reset. Ruled out: a wrong content length, which the client reports.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -28,6 +28,8 @@
 import type {StateStore} from './state/StateStore.js';
 import type {StateSync} from './state/StateSync.js';
 import {createStateSync} from './state/StateSync.js';
+import type {EngineDivision} from './upstreams/EngineDivision.js';
+import {createEngineDivision} from './upstreams/EngineDivision.js';
 import {createPromptHomes} from './upstreams/PromptHomes.js';
 import type {UpstreamCondition} from './upstreams/UpstreamCondition.js';
 import {createUpstreamCondition} from './upstreams/UpstreamCondition.js';
@@ -82,6 +84,7 @@
   let stopping = false;
   let refusing = false;
   const conditions = new Map<UpstreamId, UpstreamCondition>();
+  const divisions = new Map<ServiceName, EngineDivision>();
   const budgets = new Map<ServiceName, RetryBudget>();
   const configAge = createConfigAge(clock);
   const connections = createUpstreamConnections(clock);
@@ -94,6 +97,14 @@
     return condition;
   }
 
+  function divisionOf(service: ServiceName): EngineDivision {
+    const known = divisions.get(service);
+    if (known !== undefined) return known;
+    const division = createEngineDivision();
+    divisions.set(service, division);
+    return division;
+  }
+
   function budgetOf(service: ServiceName): RetryBudget {
     const known = budgets.get(service);
     if (known !== undefined) return known;
@@ -165,6 +176,7 @@
     conditions: conditionOf,
     connections,
     homes: createPromptHomes(),
+    division: divisionOf,
     retryBudget: budgetOf,
     refusing: () => refusing,
     onEnded,
--- a/packages/gateway/src/request/GatewayContext.ts
+++ b/packages/gateway/src/request/GatewayContext.ts
@@ -11,6 +11,7 @@
 import type {RetryBudget} from '@toucanrouter/policy';
 import type {ActiveConfig} from '../config/ActiveConfig.js';
 import type {ConfigAge} from '../config/ConfigAge.js';
+import type {EngineDivision} from '../upstreams/EngineDivision.js';
 import type {PromptHomes} from '../upstreams/PromptHomes.js';
 import type {UpstreamCondition} from '../upstreams/UpstreamCondition.js';
 import type {UpstreamConnections} from '../upstreams/UpstreamConnections.js';
@@ -35,6 +36,7 @@
   readonly conditions: (id: UpstreamId) => UpstreamCondition;
   readonly connections: UpstreamConnections;
   readonly homes: PromptHomes;
+  readonly division: (service: ServiceName) => EngineDivision;
   readonly retryBudget: (service: ServiceName) => RetryBudget;
   /** True once the instance takes no new requests. */
   readonly refusing: () => boolean;
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -174,6 +174,9 @@
         targetLatencyMs: admitted.route.targetLatencyMs,
         failureDomain: context.failureDomain,
         homes: context.homes,
+        longPromptEngines: context
+          .division(service)
+          .longPromptEngines(entries, clock.nowMs()),
         tieBreak: random.next,
       },
       clock.nowMs(),
@@ -199,6 +202,9 @@
     const {entry} = choice.candidate;
     const part = request.prompt && placementPart(request.prompt);
     if (part !== undefined) context.homes.sent(part, entry.id, clock.nowMs());
+    if (request.prompt !== undefined) {
+      context.division(entry.service).sent(request.prompt, clock.nowMs());
+    }
     upstreams.push(entry.id);
     return startAttempt({
       clock,
--- a/packages/gateway/src/upstreams/UpstreamChoice.ts
+++ b/packages/gateway/src/upstreams/UpstreamChoice.ts
@@ -6,6 +6,7 @@
  */
 import type {UpstreamId} from '@toucanrouter/common';
 import type {EngineShape} from '../config/GatewayConfig.js';
+import {isLongPrompt} from './EngineDivision.js';
 import type {Prompt} from './Prompt.js';
 import {sharedTokens} from './Prompt.js';
 import type {PromptHomes} from './PromptHomes.js';
@@ -26,6 +27,8 @@
   readonly targetLatencyMs: number;
   readonly failureDomain: string;
   readonly homes: PromptHomes;
+  /** Engines for long prompts; empty when there is no division. */
+  readonly longPromptEngines: ReadonlySet<UpstreamId>;
   /** Breaks ties; from 0 to 1. */
   readonly tieBreak: () => number;
 }
@@ -58,6 +61,11 @@
 const runningRequestMs = 1.5;
 /** A failed request costs its caller about this many target latencies. */
 const failureTargets = 3;
+/**
+ * Cost of a request at an engine of the other division: high enough to keep
+ * them apart in ordinary times, low enough to use all engines in need.
+ */
+const otherDivisionMs = 250;
 /** Random share of the cost, so that equal upstreams share the load. */
 const tieShare = 0.05;
 
@@ -68,10 +76,20 @@
   readonly home: UpstreamId | undefined;
 }
 
+/** True when the engine is meant for prompts of this length. */
+function inDivision(
+  {entry}: Candidate,
+  {longPromptEngines, prompt}: Placement,
+): boolean {
+  if (prompt === undefined || longPromptEngines.size === 0) return true;
+  return longPromptEngines.has(entry.id) === isLongPrompt(prompt);
+}
+
 function termsOf(
   candidates: readonly Candidate[],
-  {failureDomain, homes, prompt}: Placement,
+  placement: Placement,
 ): Terms {
+  const {failureDomain, homes, prompt} = placement;
   const part = prompt && placementPart(prompt);
   if (prompt === undefined || part === undefined) {
     const promptTokens = prompt?.promptTokens ?? 0;
@@ -82,7 +100,9 @@
     ({entry}) => entry.failureDomain === failureDomain,
   );
   const wide = shared >= fleetWideShareTokens || near.length === 0;
-  const pool = (wide ? candidates : near).map(({entry}) => entry.id);
+  const reachable = wide ? candidates : near;
+  const own = reachable.filter(candidate => inDivision(candidate, placement));
+  const pool = (own.length > 0 ? own : reachable).map(({entry}) => entry.id);
   return {
     promptTokens: prompt.promptTokens,
     sharedTokens: shared,
@@ -141,6 +161,7 @@
       firstMs * condition.slowness(nowMs) +
       (repeated * (repeatedReadFactor - 1)) / promptTokensPerMs +
       (far ? crossDomainMs : 0) +
+      (inDivision(candidate, placement) ? 0 : otherDivisionMs) +
       condition.failureShare(nowMs) *
         failureTargets *
         placement.targetLatencyMs;
--- a/packages/gateway/src/upstreams/UpstreamConnections.ts
+++ b/packages/gateway/src/upstreams/UpstreamConnections.ts
@@ -62,17 +62,34 @@
 interface Connection {
   readonly client: Client;
   idleSinceMs: number;
+  socketEnded: boolean;
   socketFailed: boolean;
 }
 
-/** True when the end of the body is not marked by the protocol. */
-function endsWithConnection(
+/** How the protocol marks the end of an answer's body. */
+type BodyFraming = 'chunks' | 'connection' | 'length';
+
+function framingOf(
   headers: Readonly<Record<string, string | string[] | undefined>>,
-): boolean {
-  return (
-    headers['content-length'] === undefined &&
-    headers['transfer-encoding'] === undefined
-  );
+): BodyFraming {
+  if (headers['transfer-encoding'] !== undefined) return 'chunks';
+  return headers['content-length'] === undefined ? 'connection' : 'length';
+}
+
+/**
+ * Why an answer that the client takes for complete is not; undefined when it
+ * is. The client takes the end of the connection for the end of any answer
+ * that announces the close, also of one in chunks without the last chunk.
+ */
+function cutReason(
+  framing: BodyFraming,
+  {socketEnded, socketFailed}: Connection,
+): string | undefined {
+  if (socketFailed) return 'connection reset before the end of the answer';
+  if (framing === 'chunks' && socketEnded) {
+    return 'connection closed before the last chunk of the answer';
+  }
+  return undefined;
 }
 
 function toText(value: Buffer | string): string {
@@ -110,8 +127,10 @@
       settle(new Error(`no connection within ${connectTimeoutMs} ms`));
     });
     socket.once('connect', () => settle(null));
-    // Registered before the client's own handler, which takes a reset at the
-    // end of an answer without length for its end.
+    // Registered before the client's own handlers, which complete the answer.
+    socket.on('end', () => {
+      connection.socketEnded = true;
+    });
     socket.on('error', error => {
       connection.socketFailed = true;
       settle(error);
@@ -138,6 +157,7 @@
           dial(connection, options, done as Parameters<typeof dial>[2]),
       }),
       idleSinceMs: -Infinity,
+      socketEnded: false,
       socketFailed: false,
     };
     all.add(connection);
@@ -176,7 +196,7 @@
       const {client} = connection;
       let controller: Dispatcher.DispatchController | undefined;
       let aborted: string | undefined;
-      let unmarkedEnd = false;
+      let framing: BodyFraming = 'length';
       let finished = false;
       const fail = (error: Error) => {
         if (finished) return;
@@ -200,15 +220,16 @@
           },
           onResponseStart: (started, status, headers) => {
             if (status < 200) return;
-            unmarkedEnd = endsWithConnection(headers);
+            framing = framingOf(headers);
             const raw = (started.rawHeaders ?? []) as readonly Buffer[];
             receiver.started(status, headers, raw.map(toText));
           },
           onResponseData: (_, chunk) => receiver.data(chunk),
           onResponseEnd: () => {
             if (finished) return;
-            if (unmarkedEnd && connection.socketFailed) {
-              fail(new Error('connection reset before the end of the answer'));
+            const cut = cutReason(framing, connection);
+            if (cut !== undefined) {
+              fail(new Error(cut));
               return;
             }
             finished = true;
--- a/packages/gateway/src/upstreams/UpstreamRegistry.ts
+++ b/packages/gateway/src/upstreams/UpstreamRegistry.ts
@@ -38,6 +38,19 @@
  */
 export const lapsedEntryGraceMs = 2_300;
 
+/** Upstreams write often; most of the time nothing of use has changed. */
+function sameUse(a: UpstreamEntry, b: UpstreamEntry): boolean {
+  return (
+    a.service === b.service &&
+    a.host === b.host &&
+    a.port === b.port &&
+    a.failureDomain === b.failureDomain &&
+    a.slots === b.slots &&
+    a.leaving === b.leaving &&
+    a.startedAtMs === b.startedAtMs
+  );
+}
+
 /** Creates a registry without upstreams. */
 export function createUpstreamRegistry(
   options: UpstreamRegistryOptions,
@@ -68,14 +81,16 @@
   function put(entry: UpstreamEntry): void {
     missing.delete(entry.id);
     const known = entries.get(entry.id);
+    if (known !== undefined && sameUse(known, entry)) return;
+    if (known !== undefined && known.startedAtMs !== entry.startedAtMs) {
+      drop(known.id, 'it was started again');
+    }
     entries.set(entry.id, entry);
     if (known !== undefined && known.service !== entry.service) {
       reindex(known.service);
     }
-    if (known === undefined || known.leaving !== entry.leaving) {
-      options.onAdded(entry);
-    }
     reindex(entry.service);
+    options.onAdded(entry);
   }
 
   function inGrace(): boolean {
