Let instances tell each other their load, and steady the division of engines

Now the instances exchange work and load in flight over UDP, a long prompt costs more on an engine for short ones than the reverse, and the share of work fades over 10 s instead of 4. Ruled out: relay delay.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -16,6 +16,11 @@
 import type {ActiveConfig} from './config/ActiveConfig.js';
 import {createActiveConfig} from './config/ActiveConfig.js';
 import {createConfigAge} from './config/ConfigAge.js';
+import {createLoadExchange} from './peers/LoadExchange.js';
+import type {LoadReport} from './peers/LoadReports.js';
+import {createPeerLoads} from './peers/LoadReports.js';
+import {createPeerDirectory} from './peers/PeerDirectory.js';
+import {createRegistration} from './peers/Registration.js';
 import type {Dialect} from './request/Dialect.js';
 import type {EndedRequest} from './request/EndedRequest.js';
 import type {GatewayContext} from './request/GatewayContext.js';
@@ -87,6 +92,7 @@
   const divisions = new Map<ServiceName, EngineDivision>();
   const budgets = new Map<ServiceName, RetryBudget>();
   const configAge = createConfigAge(clock);
+  const peerLoads = createPeerLoads(clock);
   const connections = createUpstreamConnections(clock);
 
   function conditionOf(id: UpstreamId): UpstreamCondition {
@@ -100,7 +106,11 @@
   function divisionOf(service: ServiceName): EngineDivision {
     const known = divisions.get(service);
     if (known !== undefined) return known;
-    const division = createEngineDivision();
+    const division = createEngineDivision({
+      othersWork: peerLoads.work,
+      onDivided: (longCount, engineCount) =>
+        logger.info('engines divided', {service, longCount, engineCount}),
+    });
     divisions.set(service, division);
     return division;
   }
@@ -143,6 +153,37 @@
       logger.info('upstream removed', {upstream: entry.id, reason});
     },
   });
+  const peers = createPeerDirectory(settings.instanceId);
+  const exchange = createLoadExchange({
+    clock,
+    logger,
+    instanceId: settings.instanceId,
+    listen: settings.peers,
+    peers,
+    loads: peerLoads,
+    ownLoad,
+  });
+  const registration = createRegistration({
+    clock,
+    logger,
+    store,
+    entry: {instanceId: settings.instanceId, address: settings.peers},
+  });
+
+  function ownLoad(): Pick<LoadReport, 'allWork' | 'loads' | 'longWork'> {
+    const loads = [...conditions].map(([upstreamId, condition]) => ({
+      upstreamId,
+      running: condition.running,
+      waitingPromptTokens: condition.waitingPromptTokens,
+    }));
+    const works = [...divisions.values()].map(d => d.work(clock.nowMs()));
+    return {
+      longWork: works.reduce((sum, work) => sum + work.longWork, 0),
+      allWork: works.reduce((sum, work) => sum + work.allWork, 0),
+      loads: loads.filter(({running}) => running > 0),
+    };
+  }
+
   const sync: StateSync = createStateSync({
     clock,
     logger,
@@ -150,6 +191,7 @@
     config,
     configAge,
     registry,
+    peers,
   });
   const maxConfigAgeMs = () => settings.revocationMs * maxConfigAgeShare;
 
@@ -158,6 +200,7 @@
     logger.info('request ended', {
       ...ended,
       firstAnswerMs: ended.firstAnswerMs && Math.round(ended.firstAnswerMs),
+      longestPauseMs: Math.round(ended.longestPauseMs),
       totalMs: Math.round(ended.totalMs),
     });
   }
@@ -174,6 +217,7 @@
     confirmConfig: sync.confirmConfig,
     registry,
     conditions: conditionOf,
+    peerLoads,
     connections,
     homes: createPromptHomes(),
     division: divisionOf,
@@ -222,6 +266,8 @@
   return {
     start: async () => {
       sync.start();
+      exchange.start();
+      registration.start();
       await Promise.all(servers.map(([server, at]) => listen(server, at)));
       logger.info('instance started', {
         callers: `${settings.callers.host}:${settings.callers.port}`,
@@ -242,6 +288,8 @@
       });
       await finishRequests(startedAtMs);
       sync.close();
+      exchange.close();
+      registration.close();
       for (const [server] of servers) server.close();
       const cutRequests = gatewayServer.inProgress();
       await connections.close();
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -10,6 +10,7 @@
 } from './config/GatewayConfig.js';
 export type {Gateway, GatewayOptions} from './Gateway.js';
 export {createGateway} from './Gateway.js';
+export type {PeerEntry} from './peers/PeerDirectory.js';
 export type {
   CallerRequest,
   Dialect,
@@ -18,6 +19,7 @@
 } from './request/Dialect.js';
 export type {
   ChangeReading,
+  LeaseId,
   StateChange,
   StateReading,
   StateStore,
--- /dev/null
+++ b/packages/gateway/src/peers/LoadExchange.ts
@@ -0,0 +1,102 @@
+/**
+ * Sends this instance's load to the others over UDP and takes in theirs.
+ */
+import {createSocket} from 'node:dgram';
+import type {Clock, InstanceId} from '@toucanrouter/common';
+import type {Logger} from '@toucanrouter/logging';
+import type {ListenAddress} from '@toucanrouter/settings';
+import type {LoadReport, PeerLoads} from './LoadReports.js';
+import {decodeReport, encodeReport} from './LoadReports.js';
+import type {PeerDirectory} from './PeerDirectory.js';
+
+/** Options of an exchange. */
+export interface LoadExchangeOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly instanceId: InstanceId;
+  readonly listen: ListenAddress;
+  readonly peers: PeerDirectory;
+  readonly loads: PeerLoads;
+  readonly ownLoad: () => Pick<LoadReport, 'allWork' | 'loads' | 'longWork'>;
+}
+
+/** A running exchange. */
+export interface LoadExchange {
+  start(): void;
+  close(): void;
+}
+
+/** Reports of a few instances are sent at this interval. */
+const shortestIntervalMs = 200;
+/** With many instances the interval grows, so that bytes grow linearly. */
+const intervalPerPeerMs = 20;
+
+/** Creates an exchange that has not started. */
+export function createLoadExchange(options: LoadExchangeOptions): LoadExchange {
+  const {clock, listen, loads, logger, peers} = options;
+  const socket = createSocket('udp4');
+  const startedAtMs = clock.wallMs();
+  let sequence = 0;
+  let closed = false;
+  let wasIdle = false;
+  let sendFailed = false;
+
+  function send(): void {
+    const own = options.ownLoad();
+    const idle = own.loads.length === 0;
+    // One empty report tells that nothing is left; more of them tell nothing.
+    if (idle && wasIdle) return;
+    wasIdle = idle;
+    sequence += 1;
+    const datagram = encodeReport({
+      instanceId: options.instanceId,
+      startedAtMs,
+      sequence,
+      ...own,
+    });
+    for (const {host, port} of peers.others()) {
+      socket.send(datagram, port, host, noteSendResult);
+    }
+  }
+
+  function noteSendResult(error: Error | null): void {
+    const failed = error !== null;
+    if (failed && !sendFailed) {
+      logger.warn('load report not sent', {error: error.message});
+    }
+    sendFailed = failed;
+  }
+
+  function schedule(): void {
+    if (closed) return;
+    const intervalMs = Math.max(
+      shortestIntervalMs,
+      peers.others().length * intervalPerPeerMs,
+    );
+    clock.after(intervalMs, () => {
+      if (closed) return;
+      send();
+      schedule();
+    });
+  }
+
+  socket.on('message', datagram => {
+    const report = decodeReport(datagram);
+    if (report === undefined) {
+      logger.warn('datagram is no load report', {bytes: datagram.length});
+    } else if (report.instanceId !== options.instanceId) loads.receive(report);
+  });
+  socket.on('error', error =>
+    logger.error('load exchange failed', {error: error.message}),
+  );
+  return {
+    start: () => {
+      socket.bind({address: listen.host, port: listen.port, exclusive: true});
+      schedule();
+    },
+    close: () => {
+      closed = true;
+      socket.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/peers/Registration.ts
@@ -0,0 +1,74 @@
+/**
+ * Keeps this instance's entry in the store while it runs, under a lease, so
+ * that the entry of an instance that is gone disappears by itself.
+ */
+import type {Clock} from '@toucanrouter/common';
+import type {Logger} from '@toucanrouter/logging';
+import type {LeaseId, StateStore} from '../state/StateStore.js';
+import type {PeerEntry} from './PeerDirectory.js';
+
+/** Options of a registration. */
+export interface RegistrationOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly store: StateStore;
+  readonly entry: PeerEntry;
+}
+
+/** A registration. */
+export interface Registration {
+  start(): void;
+  close(): void;
+}
+
+/** The others send reports to an instance that is gone for this long. */
+const leaseMs = 12_000;
+const renewalMs = leaseMs / 3;
+const retryMs = 2_000;
+const callTimeoutMs = 800;
+
+/** Creates a registration that has not started. */
+export function createRegistration(options: RegistrationOptions): Registration {
+  const {clock, entry, logger, store} = options;
+  let lease: LeaseId | undefined;
+  let closed = false;
+
+  async function register(): Promise<boolean> {
+    const registered = await store.register(entry, leaseMs, callTimeoutMs);
+    if (registered.isErr()) {
+      logger.warn('instance not registered', {
+        reason: registered.error.message,
+      });
+      return false;
+    }
+    lease = registered.value;
+    logger.info('instance registered', {instanceId: entry.instanceId});
+    return true;
+  }
+
+  async function renew(held: LeaseId): Promise<boolean> {
+    const renewed = await store.renew(held, callTimeoutMs);
+    if (renewed.isErr()) {
+      logger.warn('registration not renewed', {reason: renewed.error.message});
+      return false;
+    }
+    if (!renewed.value) lease = undefined;
+    return renewed.value;
+  }
+
+  async function run(): Promise<void> {
+    while (!closed) {
+      const succeeded = await (lease === undefined ? register() : renew(lease));
+      await new Promise<void>(resolve => {
+        clock.after(succeeded ? renewalMs : retryMs, resolve);
+      });
+    }
+  }
+
+  return {
+    start: () => void run(),
+    close: () => {
+      closed = true;
+    },
+  };
+}
--- a/packages/gateway/src/request/EndedRequest.ts
+++ b/packages/gateway/src/request/EndedRequest.ts
@@ -7,12 +7,16 @@
 export interface EndedRequest {
   readonly requestId: string;
   readonly classId: ClassId | undefined;
+  readonly tier: number | undefined;
+  readonly promptTokens: number | undefined;
   readonly workspaceId: WorkspaceId | undefined;
   /** How it ended; `served` when an upstream's answer was passed on whole. */
   readonly outcome: ErrorKind | 'served';
   readonly status: number;
   readonly upstreams: readonly string[];
   readonly firstAnswerMs: number | undefined;
+  /** Longest pause between the events of a stream. */
+  readonly longestPauseMs: number;
   readonly totalMs: number;
   readonly targetLatencyMs: number | undefined;
   readonly configVersion: number;
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -84,6 +84,8 @@
   let deadlineMs = Infinity;
   let attempt: Attempt | undefined;
   let firstAnswerMs: number | undefined;
+  let longestPauseMs = 0;
+  let lastEventAtMs = Infinity;
   let recorded = false;
   let callerLeft = false;
   let cancelTimeout = (): void => undefined;
@@ -109,11 +111,14 @@
     context.onEnded({
       requestId: request.requestId,
       classId: admittedAs?.route.classId,
+      tier: admittedAs?.tier,
+      promptTokens: request.prompt?.promptTokens,
       workspaceId: admittedAs?.workspace?.workspaceId,
       outcome,
       status,
       upstreams,
       firstAnswerMs,
+      longestPauseMs,
       totalMs: clock.nowMs() - arrivedAtMs,
       targetLatencyMs: admittedAs?.route.targetLatencyMs,
       configVersion: config.current()?.version ?? 0,
@@ -165,6 +170,7 @@
     const candidates = unused.map(entry => ({
       entry,
       condition: context.conditions(entry.id),
+      others: context.peerLoads.at(entry.id),
     }));
     return chooseUpstream(
       candidates,
@@ -174,9 +180,12 @@
         targetLatencyMs: admitted.route.targetLatencyMs,
         failureDomain: context.failureDomain,
         homes: context.homes,
-        longPromptEngines: context
-          .division(service)
-          .longPromptEngines(entries, clock.nowMs()),
+        longPromptEngines:
+          request.prompt === undefined
+            ? new Set()
+            : context
+                .division(service)
+                .longPromptEngines(entries, clock.nowMs()),
         tieBreak: random.next,
       },
       clock.nowMs(),
@@ -228,7 +237,10 @@
       silence: silenceBound(admitted),
       receiver: {
         events: (answer, bytes) => {
-          firstAnswerMs ??= clock.nowMs() - arrivedAtMs;
+          const nowMs = clock.nowMs();
+          firstAnswerMs ??= nowMs - arrivedAtMs;
+          longestPauseMs = Math.max(longestPauseMs, nowMs - lastEventAtMs);
+          lastEventAtMs = nowMs;
           if (!reply.begun) reply.begin(answer.status, answer.headers);
           progress.answerBegun = true;
           return reply.write(bytes);
--- a/packages/gateway/src/state/StateSync.ts
+++ b/packages/gateway/src/state/StateSync.ts
@@ -7,6 +7,7 @@
 import type {Logger} from '@toucanrouter/logging';
 import type {ActiveConfig} from '../config/ActiveConfig.js';
 import type {ConfigAge, TimeMark} from '../config/ConfigAge.js';
+import type {PeerDirectory} from '../peers/PeerDirectory.js';
 import type {UpstreamRegistry} from '../upstreams/UpstreamRegistry.js';
 import type {StateChange, StateStore} from './StateStore.js';
 
@@ -18,6 +19,7 @@
   readonly config: ActiveConfig;
   readonly configAge: ConfigAge;
   readonly registry: UpstreamRegistry;
+  readonly peers: PeerDirectory;
 }
 
 /** Follows the state of the platform until it is closed. */
@@ -46,7 +48,7 @@
 
 /** Creates a synchronization that has not started. */
 export function createStateSync(options: StateSyncOptions): StateSync {
-  const {clock, config, configAge, logger, registry, store} = options;
+  const {clock, config, configAge, logger, peers, registry, store} = options;
   let revision: number | undefined;
   let connected = false;
   let everConnected = false;
@@ -65,6 +67,12 @@
       case 'upstream_removed':
         registry.remove(change.id);
         return;
+      case 'peer':
+        peers.put(change.entry);
+        return;
+      case 'peer_removed':
+        peers.remove(change.id);
+        return;
       case 'unreadable':
         logger.warn('unreadable value in the store', {
           key: change.key,
--- a/packages/gateway/src/upstreams/EngineDivision.ts
+++ b/packages/gateway/src/upstreams/EngineDivision.ts
@@ -12,8 +12,16 @@
 import {sharedTokens} from './Prompt.js';
 import type {UpstreamEntry} from './UpstreamEntry.js';
 
+/** Recent work, in prompt tokens. */
+export interface SeenWork {
+  readonly longWork: number;
+  readonly allWork: number;
+}
+
 /** Keeps the division of the engines of one service. */
 export interface EngineDivision {
+  /** Recent work of this instance. */
+  work(nowMs: number): SeenWork;
   /** Counts the work of a request that is sent to an engine. */
   sent(prompt: Prompt, nowMs: number): void;
   /** Engines for long prompts; empty when there is nothing to divide. */
@@ -30,17 +38,12 @@
 /** Output is usually far shorter than the maximum that a caller allows. */
 const usualOutputShare = 0.5;
 /** Work counts for about this long. */
-const workHalfLifeMs = 4_000;
+const workHalfLifeMs = 10_000;
 /** Share before anything was seen, and how much seen work outweighs it. */
-const initialLongShare = 0.5;
-const initialWorkTokens = 60_000;
-/**
- * Long prompts have longer targets, so their engines may be busier than the
- * others.
- */
-const longDensity = 1.2;
+const initialLongShare = 0.55;
+const initialWorkTokens = 100_000;
 /** The division changes when the share has moved by this part of an engine. */
-const hysteresisEngines = 0.65;
+const hysteresisEngines = 1;
 
 /** True when a prompt delays the others at its engine noticeably. */
 export function isLongPrompt(prompt: Prompt): boolean {
@@ -74,10 +77,19 @@
   return order;
 }
 
+/** Options of a division. */
+export interface EngineDivisionOptions {
+  /** Recent work of the other instances. */
+  readonly othersWork?: () => SeenWork;
+  readonly onDivided?: (longCount: number, engineCount: number) => void;
+}
+
 /** Creates a division that has seen no work. */
-export function createEngineDivision(): EngineDivision {
-  let longWork = initialWorkTokens * initialLongShare;
-  let allWork = initialWorkTokens;
+export function createEngineDivision(
+  options: EngineDivisionOptions = {},
+): EngineDivision {
+  let longWork = 0;
+  let allWork = 0;
   let atMs = 0;
   let dividedEngines: readonly UpstreamEntry[] | undefined;
   let order: readonly UpstreamId[] = [];
@@ -87,19 +99,25 @@
   function fade(nowMs: number): void {
     const kept = 0.5 ** (Math.max(0, nowMs - atMs) / workHalfLifeMs);
     atMs = nowMs;
-    const initialWork = initialWorkTokens * (1 - kept);
-    allWork = allWork * kept + initialWork;
-    longWork = longWork * kept + initialWork * initialLongShare;
+    allWork *= kept;
+    longWork *= kept;
   }
 
   function wantedCount(engineCount: number): number {
-    const share = longWork / allWork;
-    const wanted = (engineCount * share) / (share + (1 - share) * longDensity);
+    const others = options.othersWork?.() ?? {longWork: 0, allWork: 0};
+    const share =
+      (longWork + others.longWork + initialWorkTokens * initialLongShare) /
+      (allWork + others.allWork + initialWorkTokens);
+    const wanted = engineCount * share;
     if (Math.abs(wanted - longCount) < hysteresisEngines) return longCount;
     return Math.min(Math.max(Math.round(wanted), 1), engineCount - 1);
   }
 
   return {
+    work: nowMs => {
+      fade(nowMs);
+      return {longWork, allWork};
+    },
     sent: (prompt, nowMs) => {
       fade(nowMs);
       const work = workOf(prompt);
@@ -118,6 +136,7 @@
       if (changed || count !== longCount) {
         longCount = Math.max(count, 1);
         longSet = new Set(order.slice(0, longCount));
+        options.onDivided?.(longCount, engines.length);
       }
       return longSet;
     },
--- a/packages/gateway/src/upstreams/UpstreamChoice.ts
+++ b/packages/gateway/src/upstreams/UpstreamChoice.ts
@@ -6,6 +6,7 @@
  */
 import type {UpstreamId} from '@toucanrouter/common';
 import type {EngineShape} from '../config/GatewayConfig.js';
+import type {UpstreamLoad} from '../peers/LoadReports.js';
 import {isLongPrompt} from './EngineDivision.js';
 import type {Prompt} from './Prompt.js';
 import {sharedTokens} from './Prompt.js';
@@ -18,6 +19,8 @@
 export interface Candidate {
   readonly entry: UpstreamEntry;
   readonly condition: UpstreamCondition;
+  /** What other instances have in flight there. */
+  readonly others: Pick<UpstreamLoad, 'running' | 'waitingPromptTokens'>;
 }
 
 /** What is placed. */
@@ -62,10 +65,11 @@
 /** A failed request costs its caller about this many target latencies. */
 const failureTargets = 3;
 /**
- * Cost of a request at an engine of the other division: high enough to keep
- * them apart in ordinary times, low enough to use all engines in need.
+ * Cost of a request at an engine of the other division. A long prompt there
+ * delays all requests of the engine, a short one only bears the delay itself.
  */
-const otherDivisionMs = 250;
+const longAmongShortMs = 1_500;
+const shortAmongLongMs = 200;
 /** Random share of the cost, so that equal upstreams share the load. */
 const tieShare = 0.05;
 
@@ -85,6 +89,14 @@
   return longPromptEngines.has(entry.id) === isLongPrompt(prompt);
 }
 
+function divisionMs(candidate: Candidate, placement: Placement): number {
+  if (inDivision(candidate, placement)) return 0;
+  const {prompt} = placement;
+  return prompt !== undefined && isLongPrompt(prompt)
+    ? longAmongShortMs
+    : shortAmongLongMs;
+}
+
 function termsOf(
   candidates: readonly Candidate[],
   placement: Placement,
@@ -127,16 +139,17 @@
 }
 
 function expectedMs(candidate: Candidate, placement: Placement, read: number) {
-  const {entry, condition} = candidate;
+  const {entry, condition, others} = candidate;
+  const running = condition.running + others.running;
   if (placement.engine === undefined) {
-    const occupied = condition.running / Math.max(entry.slots, 1);
+    const occupied = running / Math.max(entry.slots, 1);
     return plainCallMs * (1 + 2 * occupied);
   }
-  const ahead = Math.max(0, condition.waitingPromptTokens) + read;
+  const waiting = condition.waitingPromptTokens + others.waitingPromptTokens;
   return (
     idleFirstEventMs +
-    ahead / promptTokensPerMs +
-    condition.running * runningRequestMs
+    (Math.max(0, waiting) + read) / promptTokensPerMs +
+    running * runningRequestMs
   );
 }
 
@@ -161,7 +174,7 @@
       firstMs * condition.slowness(nowMs) +
       (repeated * (repeatedReadFactor - 1)) / promptTokensPerMs +
       (far ? crossDomainMs : 0) +
-      (inDivision(candidate, placement) ? 0 : otherDivisionMs) +
+      divisionMs(candidate, placement) +
       condition.failureShare(nowMs) *
         failureTargets *
         placement.targetLatencyMs;
