Divide engines three ways, by the work that dominates a request

Engines are now meant for long prompts, short prompts or generation, with headroom for the last two, in an order that moves one engine at most when an engine comes or goes.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -34,7 +34,11 @@
 import type {StateSync} from './state/StateSync.js';
 import {createStateSync} from './state/StateSync.js';
 import type {EngineDivision} from './upstreams/EngineDivision.js';
-import {createEngineDivision} from './upstreams/EngineDivision.js';
+import {
+  addWork,
+  createEngineDivision,
+  noWork,
+} from './upstreams/EngineDivision.js';
 import {createPromptHomes} from './upstreams/PromptHomes.js';
 import type {UpstreamCondition} from './upstreams/UpstreamCondition.js';
 import {createUpstreamCondition} from './upstreams/UpstreamCondition.js';
@@ -108,8 +112,7 @@
     if (known !== undefined) return known;
     const division = createEngineDivision({
       othersWork: peerLoads.work,
-      onDivided: (longCount, engineCount) =>
-        logger.info('engines divided', {service, longCount, engineCount}),
+      onDivided: counts => logger.info('engines divided', {service, ...counts}),
     });
     divisions.set(service, division);
     return division;
@@ -170,7 +173,7 @@
     entry: {instanceId: settings.instanceId, address: settings.peers},
   });
 
-  function ownLoad(): Pick<LoadReport, 'allWork' | 'loads' | 'longWork'> {
+  function ownLoad(): Pick<LoadReport, 'loads' | 'work'> {
     const loads = [...conditions].map(([upstreamId, condition]) => ({
       upstreamId,
       running: condition.running,
@@ -178,8 +181,7 @@
     }));
     const works = [...divisions.values()].map(d => d.work(clock.nowMs()));
     return {
-      longWork: works.reduce((sum, work) => sum + work.longWork, 0),
-      allWork: works.reduce((sum, work) => sum + work.allWork, 0),
+      work: works.reduce(addWork, noWork),
       loads: loads.filter(({running}) => running > 0),
     };
   }
--- a/packages/gateway/src/peers/LoadExchange.ts
+++ b/packages/gateway/src/peers/LoadExchange.ts
@@ -17,7 +17,7 @@
   readonly listen: ListenAddress;
   readonly peers: PeerDirectory;
   readonly loads: PeerLoads;
-  readonly ownLoad: () => Pick<LoadReport, 'allWork' | 'loads' | 'longWork'>;
+  readonly ownLoad: () => Pick<LoadReport, 'loads' | 'work'>;
 }
 
 /** A running exchange. */
--- a/packages/gateway/src/peers/LoadReports.ts
+++ b/packages/gateway/src/peers/LoadReports.ts
@@ -6,6 +6,8 @@
  */
 import type {Clock, InstanceId, UpstreamId} from '@toucanrouter/common';
 import {toInstanceId, toUpstreamId} from '@toucanrouter/common';
+import type {SeenWork} from '../upstreams/EngineDivision.js';
+import {addWork, noWork} from '../upstreams/EngineDivision.js';
 
 /** Work in flight at one upstream. */
 export interface UpstreamLoad {
@@ -22,9 +24,7 @@
   readonly startedAtMs: number;
   /** Grows with each report, since datagrams may overtake each other. */
   readonly sequence: number;
-  /** Recent work of long prompts, and of all, in prompt tokens. */
-  readonly longWork: number;
-  readonly allWork: number;
+  readonly work: SeenWork;
   readonly loads: readonly UpstreamLoad[];
 }
 
@@ -34,7 +34,7 @@
   /** The others' work at an upstream. */
   at(upstreamId: UpstreamId): UpstreamLoad;
   /** The others' recent work. */
-  work(): {readonly longWork: number; readonly allWork: number};
+  work(): SeenWork;
   /** Instances heard from recently. */
   count(): number;
 }
@@ -105,15 +105,10 @@
         }
       );
     },
-    work: () => {
-      let longWork = 0;
-      let allWork = 0;
-      for (const {report} of received.values()) {
-        longWork += report.longWork;
-        allWork += report.allWork;
-      }
-      return {longWork, allWork};
-    },
+    work: () =>
+      [...received.values()]
+        .map(({report}) => report.work)
+        .reduce(addWork, noWork),
     count: () => received.size,
   };
 }
@@ -130,8 +125,9 @@
       report.instanceId,
       report.startedAtMs,
       report.sequence,
-      Math.round(report.longWork),
-      Math.round(report.allWork),
+      Math.round(report.work.long_prompt),
+      Math.round(report.work.short_prompt),
+      Math.round(report.work.generation),
       loads,
     ]),
   );
@@ -160,14 +156,15 @@
     return undefined;
   }
   if (!Array.isArray(value)) return undefined;
-  const [instanceId, startedAtMs, sequence, longWork, allWork, loads] =
+  const [instanceId, startedAtMs, sequence, long, short, generation, loads] =
     value as unknown[];
   if (
     typeof instanceId !== 'string' ||
     !isNumber(startedAtMs) ||
     !isNumber(sequence) ||
-    !isNumber(longWork) ||
-    !isNumber(allWork) ||
+    !isNumber(long) ||
+    !isNumber(short) ||
+    !isNumber(generation) ||
     !Array.isArray(loads)
   ) {
     return undefined;
@@ -176,8 +173,7 @@
     instanceId: toInstanceId(instanceId),
     startedAtMs,
     sequence,
-    longWork,
-    allWork,
+    work: {long_prompt: long, short_prompt: short, generation},
     loads: loads.flatMap(decodeLoad),
   };
 }
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -180,12 +180,10 @@
         targetLatencyMs: admitted.route.targetLatencyMs,
         failureDomain: context.failureDomain,
         homes: context.homes,
-        longPromptEngines:
+        division:
           request.prompt === undefined
-            ? new Set()
-            : context
-                .division(service)
-                .longPromptEngines(entries, clock.nowMs()),
+            ? new Map()
+            : context.division(service).divide(entries, clock.nowMs()),
         tieBreak: random.next,
       },
       clock.nowMs(),
--- a/packages/gateway/src/upstreams/UpstreamChoice.ts
+++ b/packages/gateway/src/upstreams/UpstreamChoice.ts
@@ -7,7 +7,8 @@
 import type {UpstreamId} from '@toucanrouter/common';
 import type {EngineShape} from '../config/GatewayConfig.js';
 import type {UpstreamLoad} from '../peers/LoadReports.js';
-import {isLongPrompt} from './EngineDivision.js';
+import type {WorkKind} from './EngineDivision.js';
+import {workKindOf} from './EngineDivision.js';
 import type {Prompt} from './Prompt.js';
 import {sharedTokens} from './Prompt.js';
 import type {PromptHomes} from './PromptHomes.js';
@@ -30,8 +31,8 @@
   readonly targetLatencyMs: number;
   readonly failureDomain: string;
   readonly homes: PromptHomes;
-  /** Engines for long prompts; empty when there is no division. */
-  readonly longPromptEngines: ReadonlySet<UpstreamId>;
+  /** The work that each engine is meant for; empty without division. */
+  readonly division: ReadonlyMap<UpstreamId, WorkKind>;
   /** Breaks ties; from 0 to 1. */
   readonly tieBreak: () => number;
 }
@@ -58,6 +59,8 @@
 const repeatedReadFactor = 3;
 /** Cost of the bytes of a request between failure domains. */
 const crossDomainMs = 25;
+/** Prompts that are still to be read also stretch the pauses of a chat. */
+const pauseFactor = 3;
 /** Tokens for which one copy in the whole fleet is better than one a domain. */
 export const fleetWideShareTokens = 1_500;
 /** Delay that each running request adds to the steps of an engine. */
@@ -65,13 +68,17 @@
 /** A failed request costs its caller about this many target latencies. */
 const failureTargets = 3;
 /**
- * Cost of a request at an engine of the other division. A long prompt there
- * delays all requests of the engine, a short one only bears the delay itself.
+ * Cost of a request at an engine that is meant for other work, by the kind of
+ * the request and of the engine. A long prompt delays all requests of the
+ * engine; a chat among prompts only bears the delay itself.
  */
-const longAmongShortMs = 1_500;
-const shortAmongLongMs = 200;
+const otherWorkMs: Readonly<Record<WorkKind, Record<WorkKind, number>>> = {
+  long_prompt: {long_prompt: 0, short_prompt: 700, generation: 1_500},
+  short_prompt: {long_prompt: 120, short_prompt: 0, generation: 150},
+  generation: {long_prompt: 250, short_prompt: 60, generation: 0},
+};
 /** Random share of the cost, so that equal upstreams share the load. */
-const tieShare = 0.05;
+const tieShare = 0.1;
 
 interface Terms {
   readonly promptTokens: number;
@@ -80,21 +87,11 @@
   readonly home: UpstreamId | undefined;
 }
 
-/** True when the engine is meant for prompts of this length. */
-function inDivision(
-  {entry}: Candidate,
-  {longPromptEngines, prompt}: Placement,
-): boolean {
-  if (prompt === undefined || longPromptEngines.size === 0) return true;
-  return longPromptEngines.has(entry.id) === isLongPrompt(prompt);
-}
-
-function divisionMs(candidate: Candidate, placement: Placement): number {
-  if (inDivision(candidate, placement)) return 0;
-  const {prompt} = placement;
-  return prompt !== undefined && isLongPrompt(prompt)
-    ? longAmongShortMs
-    : shortAmongLongMs;
+/** Cost of the engine's being meant for other work. */
+function divisionMs({entry}: Candidate, {division, prompt}: Placement): number {
+  const meantFor = division.get(entry.id);
+  if (prompt === undefined || meantFor === undefined) return 0;
+  return otherWorkMs[workKindOf(prompt)][meantFor];
 }
 
 function termsOf(
@@ -113,7 +110,9 @@
   );
   const wide = shared >= fleetWideShareTokens || near.length === 0;
   const reachable = wide ? candidates : near;
-  const own = reachable.filter(candidate => inDivision(candidate, placement));
+  const own = reachable.filter(
+    candidate => divisionMs(candidate, placement) === 0,
+  );
   const pool = (own.length > 0 ? own : reachable).map(({entry}) => entry.id);
   return {
     promptTokens: prompt.promptTokens,
@@ -146,9 +145,13 @@
     return plainCallMs * (1 + 2 * occupied);
   }
   const waiting = condition.waitingPromptTokens + others.waitingPromptTokens;
+  const generates =
+    placement.prompt !== undefined &&
+    workKindOf(placement.prompt) === 'generation';
+  const ahead = Math.max(0, waiting) * (generates ? pauseFactor : 1);
   return (
     idleFirstEventMs +
-    (Math.max(0, waiting) + read) / promptTokensPerMs +
+    (ahead + read) / promptTokensPerMs +
     running * runningRequestMs
   );
 }
