Refuse long prompts that no engine could finish in time

An instance now learns the time between events of each engine and the length of the answers of each class, and refuses a long prompt whose answer would take more than its tier's part of the time left.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -33,6 +33,7 @@
 import type {StateStore} from './state/StateStore.js';
 import type {StateSync} from './state/StateSync.js';
 import {createStateSync} from './state/StateSync.js';
+import {createAnswerLengths} from './upstreams/AnswerLengths.js';
 import type {EngineDivision} from './upstreams/EngineDivision.js';
 import {
   addWork,
@@ -220,6 +221,7 @@
     registry,
     conditions: conditionOf,
     peerLoads,
+    lengths: createAnswerLengths(),
     connections,
     homes: createPromptHomes(),
     division: divisionOf,
--- a/packages/gateway/src/request/Attempt.ts
+++ b/packages/gateway/src/request/Attempt.ts
@@ -9,7 +9,7 @@
   UpstreamExchange,
 } from '../upstreams/UpstreamConnections.js';
 import type {Dialect, UpstreamAnswer} from './Dialect.js';
-import type {EventBoundaries} from './EventBoundaries.js';
+import type {EventBoundaries, WholeEvents} from './EventBoundaries.js';
 import {createEventBoundaries} from './EventBoundaries.js';
 
 /** How an attempt ended. */
@@ -34,7 +34,7 @@
 /** Receives events of a stream as they arrive. */
 export interface StreamReceiver {
   /** Takes whole events; false when the caller reads too slowly. */
-  events(answer: UpstreamAnswer, bytes: Buffer): boolean;
+  events(answer: UpstreamAnswer, whole: WholeEvents): boolean;
   /** Calls `run` when the caller reads again. */
   onDrain(run: () => void): void;
 }
@@ -85,6 +85,7 @@
   const boundaries: EventBoundaries = createEventBoundaries();
   const chunks: Buffer[] = [];
   let wholeBytes = 0;
+  let lastEventAtMs: number | undefined;
   let answer: UpstreamAnswer | undefined;
   let streaming = false;
   let sent = false;
@@ -128,6 +129,14 @@
     condition.firstAnswer(work, observedMs, choice.expectedMs);
   }
 
+  function noteGap(): void {
+    const nowMs = clock.nowMs();
+    if (lastEventAtMs !== undefined) {
+      condition.eventGap(nowMs - lastEventAtMs, nowMs);
+    }
+    lastEventAtMs = nowMs;
+  }
+
   function faultOf(head: UpstreamAnswer): string | undefined {
     if (head.requestId !== undefined && head.requestId !== options.requestId) {
       return `the answer belongs to request ${head.requestId}`;
@@ -163,7 +172,8 @@
     }
     if (whole === undefined) return;
     noteFirstAnswer();
-    if (receiver.events(answer, whole.bytes)) return;
+    noteGap();
+    if (receiver.events(answer, whole)) return;
     exchange.pause();
     cancelSilence();
     receiver.onDrain(() => exchange.resume());
--- a/packages/gateway/src/request/GatewayContext.ts
+++ b/packages/gateway/src/request/GatewayContext.ts
@@ -12,6 +12,7 @@
 import type {ActiveConfig} from '../config/ActiveConfig.js';
 import type {ConfigAge} from '../config/ConfigAge.js';
 import type {PeerLoads} from '../peers/LoadReports.js';
+import type {AnswerLengths} from '../upstreams/AnswerLengths.js';
 import type {EngineDivision} from '../upstreams/EngineDivision.js';
 import type {PromptHomes} from '../upstreams/PromptHomes.js';
 import type {UpstreamCondition} from '../upstreams/UpstreamCondition.js';
@@ -35,6 +36,7 @@
   readonly confirmConfig: () => Promise<void>;
   readonly registry: UpstreamRegistry;
   readonly conditions: (id: UpstreamId) => UpstreamCondition;
+  readonly lengths: AnswerLengths;
   readonly peerLoads: PeerLoads;
   readonly connections: UpstreamConnections;
   readonly homes: PromptHomes;
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -6,6 +6,7 @@
 import type {ErrorKind, ServiceName, UpstreamId} from '@toucanrouter/common';
 import {RouterError} from '@toucanrouter/common';
 import {pickService} from '../config/RouteTable.js';
+import {refusalReason} from '../upstreams/EngineAdmission.js';
 import type {Choice} from '../upstreams/UpstreamChoice.js';
 import {chooseUpstream} from '../upstreams/UpstreamChoice.js';
 import {placementPart} from '../upstreams/PromptHomes.js';
@@ -84,6 +85,7 @@
   let deadlineMs = Infinity;
   let attempt: Attempt | undefined;
   let firstAnswerMs: number | undefined;
+  let eventCount = 0;
   let longestPauseMs = 0;
   let lastEventAtMs = Infinity;
   let recorded = false;
@@ -190,6 +192,23 @@
     );
   }
 
+  /** Only a request that no upstream received is refused for load. */
+  function overloadOf(
+    choice: Choice,
+    {route, tier}: Admitted,
+  ): string | undefined {
+    if (request.prompt === undefined || progress.upstreamsUsed > 0) {
+      return undefined;
+    }
+    const demand = {
+      prompt: request.prompt,
+      tier,
+      usualEvents: context.lengths.usualEvents(route.classId),
+      remainingMs: remainingMs(),
+    };
+    return refusalReason(choice, demand, clock.nowMs());
+  }
+
   function silenceBound({route}: Admitted): SilenceBound | undefined {
     if (route.repeat === 'never') return undefined;
     return {
@@ -234,11 +253,12 @@
         route.repeat === 'never' ? maxIdleUnrepeatableMs : maxIdleRepeatableMs,
       silence: silenceBound(admitted),
       receiver: {
-        events: (answer, bytes) => {
+        events: (answer, {bytes, count}) => {
           const nowMs = clock.nowMs();
           firstAnswerMs ??= nowMs - arrivedAtMs;
           longestPauseMs = Math.max(longestPauseMs, nowMs - lastEventAtMs);
           lastEventAtMs = nowMs;
+          eventCount += count;
           if (!reply.begun) reply.begin(answer.status, answer.headers);
           progress.answerBegun = true;
           return reply.write(bytes);
@@ -274,6 +294,9 @@
       return;
     }
     reply.end();
+    if (admittedAs !== undefined) {
+      context.lengths.completed(admittedAs.route.classId, eventCount);
+    }
     record('served', 200);
   }
 
@@ -298,6 +321,8 @@
         const reason = `no further upstream of ${service}`;
         return reply.begun ? breakOff(kind, reason) : refuse(kind, reason);
       }
+      const overload = overloadOf(choice, admitted);
+      if (overload !== undefined) return refuse('overloaded', overload);
       attempt = send(choice, admitted, body);
       const end = await attempt.end;
       noteEnd(choice, end, attempt);
--- a/packages/gateway/src/upstreams/UpstreamCondition.ts
+++ b/packages/gateway/src/upstreams/UpstreamCondition.ts
@@ -21,6 +21,10 @@
   /** The request left the upstream; `answered` tells if `firstAnswer` came. */
   ended(work: WorkInFlight, answered: boolean): void;
   outcome(outcome: UpstreamOutcome, nowMs: number): void;
+  /** Whole events arrived this long after the ones before them. */
+  eventGap(gapMs: number, nowMs: number): void;
+  /** Usual time between the events of a stream. */
+  meanGapMs(nowMs: number): number;
   /** Bytes arrived from the upstream, on any connection. */
   heard(nowMs: number): void;
   readonly running: number;
@@ -38,6 +42,10 @@
 const averageWeight = 0.2;
 /** Old judgements fade, so that a recovered upstream is tried again. */
 const fadeHalfLifeMs = 3_000;
+/** Many events arrive at once from all streams of an upstream. */
+const gapWeight = 0.06;
+/** Time between events of an engine with little work, from the sheets. */
+const idleGapMs = 30;
 /** Bounds of a single observation of slowness. */
 const minSlowness = 0.5;
 const maxSlowness = 12;
@@ -55,7 +63,10 @@
   value(nowMs: number): number;
 }
 
-function createFadingAverage(resting: number): FadingAverage {
+function createFadingAverage(
+  resting: number,
+  weight = averageWeight,
+): FadingAverage {
   let current = resting;
   let atMs = 0;
   const value = (nowMs: number) => {
@@ -66,7 +77,7 @@
     value,
     observe: (observed, nowMs) => {
       const before = value(nowMs);
-      current = before + (observed - before) * averageWeight;
+      current = before + (observed - before) * weight;
       atMs = nowMs;
     },
   };
@@ -76,6 +87,7 @@
 export function createUpstreamCondition(now: () => number): UpstreamCondition {
   const slowness = createFadingAverage(1);
   const failures = createFadingAverage(0);
+  const gaps = createFadingAverage(idleGapMs, gapWeight);
   let running = 0;
   let waitingPromptTokens = 0;
   let heardAtMs = -Infinity;
@@ -128,6 +140,8 @@
         avoidedUntilMs = -Infinity;
       }
     },
+    eventGap: gaps.observe,
+    meanGapMs: gaps.value,
     heard: nowMs => {
       heardAtMs = nowMs;
     },
