Let the time between events count in the choice of an engine

The learned time between events now counts in the choice, most for requests that generate. Ruled out: prompts beside the chats.

--- a/packages/gateway/src/upstreams/UpstreamChoice.ts
+++ b/packages/gateway/src/upstreams/UpstreamChoice.ts
@@ -61,6 +61,15 @@
 const crossDomainMs = 25;
 /** Prompts that are still to be read also stretch the pauses of a chat. */
 const pauseFactor = 3;
+/**
+ * What a millisecond between events at an engine costs a request: a chat has
+ * many events and short pauses, and a slow engine makes all of them late.
+ */
+const eventGapCost: Readonly<Record<WorkKind, number>> = {
+  long_prompt: 1,
+  short_prompt: 0.5,
+  generation: 4,
+};
 /** Tokens for which one copy in the whole fleet is better than one a domain. */
 export const fleetWideShareTokens = 1_500;
 /** Delay that each running request adds to the steps of an engine. */
@@ -87,6 +96,16 @@
   readonly home: UpstreamId | undefined;
 }
 
+/** Cost of the time between events at the engine. */
+function gapMs(
+  {condition}: Candidate,
+  {prompt}: Placement,
+  nowMs: number,
+): number {
+  if (prompt === undefined) return 0;
+  return condition.meanGapMs(nowMs) * eventGapCost[workKindOf(prompt)];
+}
+
 /** Cost of the engine's being meant for other work. */
 function divisionMs({entry}: Candidate, {division, prompt}: Placement): number {
   const meantFor = division.get(entry.id);
@@ -178,6 +197,7 @@
       (repeated * (repeatedReadFactor - 1)) / promptTokensPerMs +
       (far ? crossDomainMs : 0) +
       divisionMs(candidate, placement) +
+      gapMs(candidate, placement, nowMs) +
       condition.failureShare(nowMs) *
         failureTargets *
         placement.targetLatencyMs;
