Notice a reset that arrives together with the last bytes of an answer

Ruled out with a trace: the framing was read correctly, and no error event came before or after the end. A write after the end fails only after a reset.

--- a/packages/gateway/src/__tests__/unit/UpstreamConnections.test.ts
+++ b/packages/gateway/src/__tests__/unit/UpstreamConnections.test.ts
@@ -93,6 +93,22 @@
     expect((await askOnce(text, reset)).outcome).to.equal('failed');
   });
 
+  it('notices a reset that arrives together with the last bytes', async () => {
+    // The event loop reports such a reset as an orderly end.
+    const server = await startUpstream(socket => {
+      socket.write(`${head}\r\nabc`);
+      socket.resetAndDestroy();
+    });
+    const connections = createUpstreamConnections(createSystemClock());
+    const outcomes: string[] = [];
+    for (let round = 0; round < 20; round++) {
+      outcomes.push((await ask(connections, server)).outcome);
+    }
+    await connections.close();
+    server.close();
+    expect(outcomes).not.to.include('ended');
+  });
+
   it('takes an answer in chunks with its last chunk for whole', async () => {
     const text = `${head}Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n`;
     expect((await askOnce(text, end)).outcome).to.equal('ended');
--- a/packages/gateway/src/upstreams/UpstreamConnections.ts
+++ b/packages/gateway/src/upstreams/UpstreamConnections.ts
@@ -64,6 +64,19 @@
   idleSinceMs: number;
   socketEnded: boolean;
   socketFailed: boolean;
+  /** Tells whether the connection ended in order. */
+  endCheck: Promise<boolean> | undefined;
+}
+
+/**
+ * The event loop reports a reset that arrives together with the last bytes as
+ * an orderly end. Only a write tells them apart: it fails after a reset. An
+ * empty line is nothing to a server, should it still read.
+ */
+function checkOrderlyEnd(socket: Socket): Promise<boolean> {
+  return new Promise(resolve => {
+    socket.write('\r\n', error => resolve(!error));
+  });
 }
 
 /** How the protocol marks the end of an answer's body. */
@@ -130,6 +143,7 @@
     // Registered before the client's own handlers, which complete the answer.
     socket.on('end', () => {
       connection.socketEnded = true;
+      connection.endCheck = checkOrderlyEnd(socket);
     });
     socket.on('error', error => {
       connection.socketFailed = true;
@@ -159,6 +173,7 @@
       idleSinceMs: -Infinity,
       socketEnded: false,
       socketFailed: false,
+      endCheck: undefined,
     };
     all.add(connection);
     connection.client.on('disconnect', () => {
@@ -205,6 +220,13 @@
         forget(address, connection);
         receiver.failed(error);
       };
+      const complete = () => {
+        if (finished) return;
+        finished = true;
+        // The client marks itself idle after this callback.
+        queueMicrotask(() => release(address, connection));
+        receiver.ended();
+      };
       client.dispatch(
         {
           path: request.target,
@@ -232,10 +254,15 @@
               fail(new Error(cut));
               return;
             }
-            finished = true;
-            // The client marks itself idle after this callback.
-            queueMicrotask(() => release(address, connection));
-            receiver.ended();
+            if (framing !== 'connection') {
+              complete();
+              return;
+            }
+            const orderly = connection.endCheck ?? Promise.resolve(false);
+            void orderly.then(ended => {
+              if (ended) complete();
+              else fail(new Error('connection reset at the end of the answer'));
+            });
           },
           onResponseError: (_, error) => fail(error),
         },
