--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/GatewayFixtures.ts
@@ -0,0 +1,143 @@
+import type {ServiceName, UpstreamId} from '@toucanrouter/common';
+import {
+  toClassId,
+  toServiceName,
+  toUpstreamId,
+  toWorkspaceId,
+} from '@toucanrouter/common';
+import type {GatewayConfig, GatewayRoute} from '../../config/GatewayConfig.js';
+import type {Prompt} from '../../upstreams/Prompt.js';
+import {createPromptHomes} from '../../upstreams/PromptHomes.js';
+import type {Candidate, Placement} from '../../upstreams/UpstreamChoice.js';
+import {createUpstreamCondition} from '../../upstreams/UpstreamCondition.js';
+import type {UpstreamEntry} from '../../upstreams/UpstreamEntry.js';
+
+/** The service of all fixtures. */
+export const service: ServiceName = toServiceName('llm');
+
+/** Creates a route of the host `h`. */
+export function createRoute(changes: Partial<GatewayRoute> = {}): GatewayRoute {
+  return {
+    classId: toClassId('chat'),
+    host: 'h',
+    pathPrefix: '/chat/',
+    targets: [{service, weight: 1}],
+    streams: true,
+    repeat: 'resume',
+    maxUpstreams: 2,
+    timeoutMs: 12_000,
+    targetLatencyMs: 400,
+    targetGapMs: 300,
+    tier: 0,
+    anonymous: false,
+    ...changes,
+  };
+}
+
+/** Creates a configuration in which the key `key` belongs to `shop`. */
+export function createConfig(
+  changes: Partial<GatewayConfig> = {},
+): GatewayConfig {
+  return {
+    version: 1,
+    routes: [createRoute()],
+    services: new Map([
+      [
+        service,
+        {
+          name: service,
+          maxConnections: 100,
+          engine: {slots: 64, cacheTokens: 600_000},
+        },
+      ],
+    ]),
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+    workspacesByKey: new Map([
+      ['key', {workspaceId: toWorkspaceId('shop'), tier: undefined}],
+    ]),
+    ...changes,
+  };
+}
+
+/** Creates the entry of an upstream. */
+export function createEntry(
+  id: string,
+  changes: Partial<UpstreamEntry> = {},
+): UpstreamEntry {
+  return {
+    id: toUpstreamId(id),
+    service,
+    host: '127.0.0.1',
+    port: 1,
+    failureDomain: 'a',
+    slots: 64,
+    leaving: false,
+    startedAtMs: 1,
+    ...changes,
+  };
+}
+
+/** Creates entries `e0`, `e1` and so on, over the given failure domains. */
+export function createEntries(
+  count: number,
+  domains: readonly string[] = ['a'],
+): readonly UpstreamEntry[] {
+  return Array.from({length: count}, (_, index) =>
+    createEntry(`e${index}`, {failureDomain: domains[index % domains.length]}),
+  );
+}
+
+/** Creates a candidate that has no work. */
+export function createCandidate(
+  entry: UpstreamEntry,
+  now: () => number = () => 0,
+): Candidate {
+  return {
+    entry,
+    condition: createUpstreamCondition(now),
+    others: {running: 0, waitingPromptTokens: 0},
+  };
+}
+
+/** Creates a prompt with one shared part and one of its own. */
+export function createPrompt(
+  sharedId: string,
+  shared: number,
+  own: number,
+  maxOutputTokens = 300,
+): Prompt {
+  return {
+    parts: [
+      {id: sharedId, tokens: shared},
+      {id: `${sharedId}-own`, tokens: own},
+    ],
+    promptTokens: shared + own,
+    maxOutputTokens,
+  };
+}
+
+/** Creates what is placed: a request of domain `a` without division. */
+export function createPlacement(changes: Partial<Placement> = {}): Placement {
+  return {
+    prompt: undefined,
+    engine: {slots: 64, cacheTokens: 600_000},
+    targetLatencyMs: 400,
+    failureDomain: 'a',
+    homes: createPromptHomes(),
+    division: new Map(),
+    tieBreak: () => 0,
+    ...changes,
+  };
+}
+
+/** Ids of entries. */
+export function idsOf(
+  entries: readonly UpstreamEntry[],
+): readonly UpstreamId[] {
+  return entries.map(({id}) => id);
+}
--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/RepeatRules.test.ts
@@ -0,0 +1,119 @@
+import {createSeededRandom} from '@toucanrouter/common';
+import {expect} from 'chai';
+import type {AttemptEnd} from '../../request/Attempt.js';
+import type {RequestProgress} from '../../request/RepeatRules.js';
+import {nextStep} from '../../request/RepeatRules.js';
+import {returnDelayMs} from '../../request/RetryAfter.js';
+
+function createProgress(
+  changes: Partial<RequestProgress> = {},
+): RequestProgress {
+  return {
+    repeat: 'whole',
+    maxUpstreams: 2,
+    upstreamsUsed: 1,
+    unsentCount: 0,
+    misdirectedCount: 0,
+    mayHaveRun: false,
+    answerBegun: false,
+    lastEventId: undefined,
+    remainingMs: 1_000,
+    ...changes,
+  };
+}
+
+const broken: AttemptEnd = {kind: 'broken', reason: 'reset'};
+const notRun: AttemptEnd = {kind: 'not_run', status: 503};
+const unsent: AttemptEnd = {kind: 'unsent', reason: 'refused'};
+
+function answered(status: number): AttemptEnd {
+  const answer = {
+    status,
+    requestId: 'r',
+    notRun: false,
+    otherUpstream: false,
+    genuine: true,
+    encoded: false,
+    headers: [],
+  };
+  return {kind: 'answered', answer, body: Buffer.alloc(0)};
+}
+
+describe('RepeatRules', () => {
+  it('never repeats a request that may run once after it was sent', () => {
+    const progress = createProgress({repeat: 'never', mayHaveRun: true});
+    expect(nextStep(broken, progress)).to.deep.equal({
+      step: 'refuse',
+      error: 'upstream_failed',
+    });
+  });
+
+  it('does not say "not run" when an earlier upstream may have run it', () => {
+    const progress = createProgress({mayHaveRun: true, upstreamsUsed: 2});
+    expect(nextStep(notRun, progress)).to.deep.equal({
+      step: 'refuse',
+      error: 'upstream_failed',
+    });
+  });
+
+  it('says "not run" when every upstream said so', () => {
+    const progress = createProgress({upstreamsUsed: 2});
+    expect(nextStep(notRun, progress)).to.deep.equal({
+      step: 'refuse',
+      error: 'overloaded',
+    });
+  });
+
+  it('tries another upstream when the request did not leave', () => {
+    const progress = createProgress({repeat: 'never', upstreamsUsed: 0});
+    expect(nextStep(unsent, progress)).to.deep.equal({
+      step: 'repeat',
+      costsBudget: false,
+    });
+  });
+
+  it('continues a broken stream only after an event with an id', () => {
+    const progress = createProgress({repeat: 'resume', answerBegun: true});
+    expect(nextStep(broken, progress).step).to.equal('break_off');
+    expect(nextStep(broken, {...progress, lastEventId: '4'}).step).to.equal(
+      'repeat',
+    );
+  });
+
+  it('repeats an idempotent request after an error, within its upstreams', () => {
+    expect(nextStep(answered(500), createProgress()).step).to.equal('repeat');
+    expect(
+      nextStep(answered(500), createProgress({upstreamsUsed: 2})).step,
+    ).to.equal('pass_on');
+    expect(
+      nextStep(answered(500), createProgress({repeat: 'never'})).step,
+    ).to.equal('pass_on');
+  });
+
+  it('breaks off a stream that an error answer cannot continue', () => {
+    const progress = createProgress({
+      repeat: 'resume',
+      answerBegun: true,
+      lastEventId: '4',
+    });
+    expect(nextStep(answered(500), progress).step).to.equal('break_off');
+  });
+});
+
+describe('RetryAfter', () => {
+  it('spreads the returns, within what callers follow', () => {
+    const random = createSeededRandom(3);
+    const terms = {tier: 1, targetLatencyMs: 600, remainingMs: 1_000, random};
+    const delays = Array.from({length: 100}, () => returnDelayMs(terms));
+    expect(Math.max(...delays)).to.be.at.most(300);
+    expect(new Set(delays).size).to.be.above(50);
+  });
+
+  it('lets urgent classes come back sooner', () => {
+    const random = {next: () => 0.5};
+    const delayOf = (tier: number) =>
+      returnDelayMs({tier, targetLatencyMs: 600, remainingMs: 9_000, random});
+    expect(delayOf(0)).to.be.below(delayOf(1));
+    expect(delayOf(1)).to.be.below(delayOf(2));
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/UpstreamRegistry.test.ts
@@ -0,0 +1,79 @@
+import {createManualClock, toUpstreamId} from '@toucanrouter/common';
+import {expect} from 'chai';
+import {
+  createUpstreamRegistry,
+  lapsedEntryGraceMs,
+} from '../../upstreams/UpstreamRegistry.js';
+import {createEntry, idsOf, service} from './GatewayFixtures.js';
+
+function createRegistry() {
+  const clock = createManualClock(100_000);
+  const removed: string[] = [];
+  const registry = createUpstreamRegistry({
+    clock,
+    onAdded: () => undefined,
+    onRemoved: ({id}) => removed.push(id),
+  });
+  registry.put(createEntry('one'));
+  registry.put(createEntry('two'));
+  return {
+    clock,
+    registry,
+    removed,
+    usable: () => idsOf(registry.usable(service)),
+  };
+}
+
+const one = toUpstreamId('one');
+
+describe('UpstreamRegistry', () => {
+  it('gives no new work to an upstream that is leaving or gone', () => {
+    const {registry, usable} = createRegistry();
+    registry.put(createEntry('one', {leaving: true}));
+    expect(usable()).to.deep.equal(['two']);
+    registry.remove(toUpstreamId('two'));
+    expect(usable()).to.deep.equal([]);
+  });
+
+  it('keeps entries that lapse while the store is away, for a grace period', () => {
+    const {clock, registry, usable} = createRegistry();
+    registry.storeLost();
+    clock.advance(5_000);
+    registry.storeRegained();
+    registry.replaceAll([createEntry('two')]);
+    expect(usable()).to.deep.equal(['one', 'two']);
+    clock.advance(lapsedEntryGraceMs);
+    expect(usable()).to.deep.equal(['two']);
+  });
+
+  it('forgets the grace period of an entry that returns', () => {
+    const {clock, registry, usable} = createRegistry();
+    registry.storeLost();
+    registry.storeRegained();
+    registry.remove(one);
+    registry.put(createEntry('one'));
+    clock.advance(lapsedEntryGraceMs * 2);
+    expect(usable()).to.deep.equal(['one', 'two']);
+  });
+
+  it('removes a leaving upstream at once, also after an outage', () => {
+    const {registry, removed} = createRegistry();
+    registry.storeLost();
+    registry.put(createEntry('one', {leaving: true}));
+    registry.remove(one);
+    expect(removed).to.deep.equal(['one']);
+  });
+
+  it('forgets what it knew of an upstream that starts again under its id', () => {
+    const {registry, removed, usable} = createRegistry();
+    registry.put(createEntry('one', {startedAtMs: 2}));
+    expect(removed).to.deep.equal(['one']);
+    expect(usable()).to.deep.equal(['two', 'one']);
+  });
+
+  it('drops an upstream whose address answers for another one', () => {
+    const {registry, usable} = createRegistry();
+    registry.displaced(one);
+    expect(usable()).to.deep.equal(['two']);
+  });
+});
