--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/StateSync.test.ts
@@ -0,0 +1,159 @@
+import type {ManualClock} from '@toucanrouter/common';
+import {
+  createManualClock,
+  PlatformError,
+  toInstanceId,
+} from '@toucanrouter/common';
+import {createLogger} from '@toucanrouter/logging';
+import {expect} from 'chai';
+import {err, ok, ResultAsync} from 'neverthrow';
+import {createActiveConfig} from '../../config/ActiveConfig.js';
+import {createConfigAge} from '../../config/ConfigAge.js';
+import {createPeerDirectory} from '../../peers/PeerDirectory.js';
+import type {
+  ChangeReading,
+  StateChange,
+  StateReading,
+  StateStore,
+} from '../../state/StateStore.js';
+import {createStateSync} from '../../state/StateSync.js';
+import {createUpstreamRegistry} from '../../upstreams/UpstreamRegistry.js';
+import {createConfig, createEntry, idsOf, service} from './GatewayFixtures.js';
+
+type Answer<T> = T | 'lost';
+
+function answer<T>(value: Answer<T>): ResultAsync<T, PlatformError> {
+  const result =
+    value === 'lost'
+      ? err(new PlatformError('no answer', false))
+      : ok<T, PlatformError>(value);
+  return new ResultAsync(Promise.resolve(result));
+}
+
+/** A store whose next answers are set by the test. */
+function createScriptedStore() {
+  const calls: string[] = [];
+  let all: Answer<StateReading> = {revision: 1, changes: []};
+  const changes: Answer<ChangeReading>[] = [];
+  const store: StateStore = {
+    readAll: () => {
+      calls.push('all');
+      return answer(all);
+    },
+    readChanges: (revision, waitMs) => {
+      calls.push(`after ${revision} wait ${waitMs}`);
+      return answer<ChangeReading>(changes.shift() ?? {revision, changes: []});
+    },
+    readConfig: () => answer(createConfig({version: 9})),
+    register: () => answer(1),
+    renew: () => answer(true),
+  };
+  return {
+    calls,
+    store,
+    next: (reading: Answer<ChangeReading>) => changes.push(reading),
+    holds: (reading: Answer<StateReading>) => {
+      all = reading;
+    },
+  };
+}
+
+/** Lets promises and timers run for `ms`, in small steps. */
+async function run(clock: ManualClock, ms: number): Promise<void> {
+  for (let passed = 0; passed < ms; passed += 50) {
+    for (let turn = 0; turn < 8; turn++) await Promise.resolve();
+    clock.advance(50);
+  }
+}
+
+function createFollowedState() {
+  const clock = createManualClock(1_000);
+  const script = createScriptedStore();
+  const logger = createLogger({
+    format: 'json',
+    level: 'error',
+    instanceId: toInstanceId('i'),
+    write: () => undefined,
+  });
+  const config = createActiveConfig(() => undefined);
+  const configAge = createConfigAge(clock);
+  const registry = createUpstreamRegistry({
+    clock,
+    onAdded: () => undefined,
+    onRemoved: () => undefined,
+  });
+  const sync = createStateSync({
+    clock,
+    logger,
+    store: script.store,
+    config,
+    configAge,
+    registry,
+    peers: createPeerDirectory(toInstanceId('i')),
+  });
+  return {clock, config, configAge, registry, script, sync};
+}
+
+const upstream: StateChange = {kind: 'upstream', entry: createEntry('one')};
+const version2: StateChange = {
+  kind: 'config',
+  config: createConfig({version: 2}),
+};
+
+describe('StateSync', () => {
+  it('reads everything once and then follows the changes', async () => {
+    const {clock, config, registry, script, sync} = createFollowedState();
+    script.holds({revision: 5, changes: [upstream]});
+    script.next({revision: 7, changes: [version2]});
+    sync.start();
+    await run(clock, 600);
+    expect(config.current()?.version).to.equal(2);
+    expect(idsOf(registry.usable(service))).to.deep.equal(['one']);
+    expect(script.calls.slice(0, 2)).to.deep.equal([
+      'all',
+      'after 5 wait 1000',
+    ]);
+    sync.close();
+  });
+
+  it('reads everything again when the history is gone', async () => {
+    const {clock, registry, script, sync} = createFollowedState();
+    script.next('compacted');
+    sync.start();
+    await run(clock, 100);
+    script.holds({revision: 9, changes: [upstream]});
+    await run(clock, 1_000);
+    expect(script.calls.filter(call => call === 'all')).to.have.length(2);
+    expect(registry.usable(service)).to.have.length(1);
+    sync.close();
+  });
+
+  it('does not call the configuration fresh while the store is away', async () => {
+    const {clock, configAge, script, sync} = createFollowedState();
+    sync.start();
+    await run(clock, 100);
+    for (let call = 0; call < 40; call++) script.next('lost');
+    await run(clock, 3_000);
+    expect(sync.connected()).to.equal(false);
+    expect(configAge.ageMs()).to.be.at.least(2_000);
+    sync.close();
+  });
+
+  it('bounds its calls while upstreams write all the time', async () => {
+    const {clock, script, sync} = createFollowedState();
+    sync.start();
+    await run(clock, 10_000);
+    expect(script.calls.length).to.be.at.most(24);
+    sync.close();
+  });
+
+  it('asks for the newest configuration once for many requests', async () => {
+    const {clock, config, configAge, script, sync} = createFollowedState();
+    script.holds('lost');
+    await Promise.all([sync.confirmConfig(), sync.confirmConfig()]);
+    expect(config.current()?.version).to.equal(9);
+    expect(configAge.ageMs()).to.equal(0);
+    clock.advance(0);
+    sync.close();
+  });
+});
--- /dev/null
+++ b/packages/settings/src/__tests__/unit/GatewaySettings.test.ts
@@ -0,0 +1,53 @@
+import {readFileSync} from 'node:fs';
+import {expect} from 'chai';
+import {gatewaySections, parseGatewaySettings} from '../../GatewaySettings.js';
+
+const sample = `
+[instance]
+id = front-1
+failure_domain = a
+[listen]
+callers = 10.0.0.1:8080
+readiness = 10.0.0.1:8081
+metrics = 10.0.0.1:9464
+peers = 10.0.0.1:7340
+[store]
+address = 10.0.0.2:8223
+[bounds]
+stop_grace = 8s
+repeat_share = 0.25
+`;
+
+describe('GatewaySettings', () => {
+  it('reads a file and fills in defaults', () => {
+    const settings = parseGatewaySettings(sample, 'f')._unsafeUnwrap();
+    expect(settings).to.include({
+      instanceId: 'front-1',
+      stopGraceMs: 8_000,
+      revocationMs: 5_000,
+      repeatShare: 0.25,
+    });
+    expect(settings.peers).to.deep.equal({host: '10.0.0.1', port: 7_340});
+  });
+
+  it('names all faults at once, with their lines', () => {
+    const text = sample
+      .replace('8s', '8')
+      .replace('0.25', 'much')
+      .replace('10.0.0.2:8223', 'nowhere');
+    const {faults} = parseGatewaySettings(text, 'f')._unsafeUnwrapErr();
+    expect(faults.map(({line}) => line)).to.deep.equal([11, 13, 14]);
+  });
+
+  it('has every key on the page on settings', () => {
+    const page = readFileSync(
+      new URL('../../../../../docs/settings.md', import.meta.url),
+      'utf8',
+    );
+    for (const [section, schema] of Object.entries(gatewaySections)) {
+      for (const key of Object.keys(schema.shape)) {
+        expect(page).to.contain(`| \`gateway ${section}\` | \`${key}\` |`);
+      }
+    }
+  });
+});
