--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/GatewayRequest.test.ts
@@ -0,0 +1,285 @@
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {createServer, request as sendRequest} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {
+  createSeededRandom,
+  createSystemClock,
+  toInstanceId,
+} from '@toucanrouter/common';
+import {createLogger} from '@toucanrouter/logging';
+import {createRetryBudget} from '@toucanrouter/policy';
+import {expect} from 'chai';
+import {createActiveConfig} from '../../config/ActiveConfig.js';
+import {createConfigAge} from '../../config/ConfigAge.js';
+import type {GatewayRoute} from '../../config/GatewayConfig.js';
+import {createPeerLoads} from '../../peers/LoadReports.js';
+import type {Dialect} from '../../request/Dialect.js';
+import type {EndedRequest} from '../../request/EndedRequest.js';
+import type {GatewayContext} from '../../request/GatewayContext.js';
+import {createGatewayServer} from '../../server/GatewayServer.js';
+import {createAnswerLengths} from '../../upstreams/AnswerLengths.js';
+import {createEngineDivision} from '../../upstreams/EngineDivision.js';
+import {createPromptHomes} from '../../upstreams/PromptHomes.js';
+import {createUpstreamCondition} from '../../upstreams/UpstreamCondition.js';
+import {createUpstreamConnections} from '../../upstreams/UpstreamConnections.js';
+import {createUpstreamRegistry} from '../../upstreams/UpstreamRegistry.js';
+import {createConfig, createEntry, createRoute} from './GatewayFixtures.js';
+
+/** A dialect with header names of the test's own. */
+const dialect: Dialect = {
+  readRequest: message => ({
+    requestId: String(message.headers['id'] ?? ''),
+    method: message.method ?? '',
+    host: 'h',
+    target: message.url ?? '',
+    path: message.url ?? '',
+    key: message.headers.authorization,
+    waitsMs: undefined,
+    prompt: undefined,
+    resumeAfterId: undefined,
+    headers: ['id', String(message.headers['id'] ?? '')],
+  }),
+  upstreamHeaders: (request, terms) => [
+    ...request.headers,
+    ...(terms.resumeAfterId === undefined
+      ? []
+      : ['after', terms.resumeAfterId]),
+  ],
+  readAnswer: (status, headers) => ({
+    status,
+    requestId: headers['id'] as string | undefined,
+    notRun: headers['not-run'] !== undefined,
+    otherUpstream: status === 421,
+    genuine: headers['mark'] !== undefined,
+    encoded: false,
+    headers: [],
+  }),
+};
+
+type Handler = (message: IncomingMessage, response: ServerResponse) => void;
+
+async function startServer(server: Server): Promise<number> {
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  return (server.address() as AddressInfo).port;
+}
+
+/** Starts a gateway in front of one upstream for each handler. */
+async function startGateway(
+  route: Partial<GatewayRoute>,
+  handlers: readonly Handler[],
+) {
+  const clock = createSystemClock();
+  const registry = createUpstreamRegistry({
+    clock,
+    onAdded: () => undefined,
+    onRemoved: () => undefined,
+  });
+  const upstreams = handlers.map(handler => createServer(handler));
+  for (const [index, upstream] of upstreams.entries()) {
+    const port = await startServer(upstream);
+    registry.put(createEntry(`u${index}`, {port}));
+  }
+  const config = createActiveConfig(() => undefined);
+  config.offer(createConfig({routes: [createRoute(route)]}));
+  const configAge = createConfigAge(clock);
+  configAge.confirmed(configAge.mark());
+  const connections = createUpstreamConnections(clock);
+  const conditions = new Map(
+    handlers.map((_, index) => [
+      `u${index}`,
+      createUpstreamCondition(clock.nowMs),
+    ]),
+  );
+  const ended: EndedRequest[] = [];
+  const context: GatewayContext = {
+    clock,
+    logger: createLogger({
+      format: 'json',
+      level: 'error',
+      instanceId: toInstanceId('i'),
+      write: () => undefined,
+    }),
+    random: createSeededRandom(1),
+    dialect,
+    failureDomain: 'a',
+    config,
+    configAge,
+    maxConfigAgeMs: () => 60_000,
+    confirmConfig: () => Promise.resolve(),
+    registry,
+    conditions: id => conditions.get(id)!,
+    lengths: createAnswerLengths(),
+    peerLoads: createPeerLoads(clock),
+    connections,
+    homes: createPromptHomes(),
+    division: () => createEngineDivision(),
+    retryBudget: () => createRetryBudget(),
+    refusing: () => false,
+    onEnded: request => ended.push(request),
+  };
+  const gateway = createGatewayServer(context);
+  const port = await startServer(gateway.server);
+  return {
+    port,
+    ended,
+    close: async () => {
+      await connections.close();
+      for (const server of [gateway.server, ...upstreams]) {
+        server.closeAllConnections();
+        server.close();
+      }
+    },
+  };
+}
+
+interface Answer {
+  readonly status: number;
+  readonly body: string;
+  readonly retryAfter: string | undefined;
+  /** False when the connection broke before the end of the answer. */
+  readonly complete: boolean;
+}
+
+function ask(port: number, path = '/chat/x', key = 'key'): Promise<Answer> {
+  return new Promise((resolve, reject) => {
+    const headers = {id: 'r1', authorization: key};
+    const call = sendRequest(
+      {host: '127.0.0.1', port, path, method: 'POST', headers, agent: false},
+      response => {
+        let body = '';
+        response.on('data', chunk => (body += String(chunk)));
+        response.on('error', () => undefined);
+        response.on('close', () =>
+          resolve({
+            status: response.statusCode ?? 0,
+            body,
+            retryAfter: response.headers['retry-after'],
+            complete: response.complete,
+          }),
+        );
+      },
+    );
+    call.on('error', reject);
+    call.end('body');
+  });
+}
+
+/** Serves one request through a gateway and closes everything. */
+async function serve(
+  route: Partial<GatewayRoute>,
+  handlers: readonly Handler[],
+  path?: string,
+  key?: string,
+) {
+  const gateway = await startGateway(route, handlers);
+  const answer = await ask(gateway.port, path, key);
+  await gateway.close();
+  return {answer, ended: gateway.ended};
+}
+
+const mark = {id: 'r1', mark: 'm'};
+const event = (id: number) => `id: ${id}\ndata: e${id}\n\n`;
+
+/** Sends events after the one that the request names. */
+function streamFrom(last: number, breakAfter?: number): Handler {
+  return (message, response) => {
+    response.writeHead(200, mark);
+    const after = Number(message.headers['after'] ?? 0);
+    for (let id = after + 1; id <= last; id++) {
+      response.write(event(id));
+      if (id !== breakAfter) continue;
+      response.write('id: 99\nda', () => response.destroy());
+      return;
+    }
+    response.end();
+  };
+}
+
+const allEvents = [1, 2, 3, 4].map(event).join('');
+
+describe('GatewayRequest', () => {
+  it('continues a broken stream elsewhere, without a gap or a half event', async () => {
+    const handler = streamFrom(4, 2);
+    const resumed = streamFrom(4);
+    let calls = 0;
+    const either: Handler = (message, response) =>
+      (calls++ === 0 ? handler : resumed)(message, response);
+    const {answer} = await serve({}, [either, either]);
+    expect(answer.body).to.equal(allEvents);
+    expect(answer.complete).to.equal(true);
+  });
+
+  it('breaks off a stream that may not be continued', async () => {
+    const handler = streamFrom(4, 2);
+    const {answer} = await serve({repeat: 'never'}, [handler, handler]);
+    expect(answer.body).to.equal([1, 2].map(event).join(''));
+    expect(answer.complete).to.equal(false);
+  });
+
+  it('sends a request that may run once to one upstream only', async () => {
+    let runs = 0;
+    const handler: Handler = (_, response) => {
+      runs += 1;
+      response.destroy();
+    };
+    const {answer} = await serve({repeat: 'never', streams: false}, [
+      handler,
+      handler,
+    ]);
+    expect(runs).to.equal(1);
+    expect(answer.status).to.equal(502);
+    expect(answer.retryAfter).to.equal(undefined);
+  });
+
+  it('tells when to come back only when nothing ran', async () => {
+    const handler: Handler = (_, response) => {
+      response.writeHead(503, {id: 'r1', 'not-run': '1'});
+      response.end();
+    };
+    const {answer} = await serve({streams: false}, [handler, handler]);
+    expect(answer.status).to.equal(503);
+    expect(Number(answer.retryAfter)).to.be.above(0);
+  });
+
+  it('never passes on an answer that belongs to another request', async () => {
+    const handler: Handler = (_, response) => {
+      response.writeHead(200, {...mark, id: 'other'});
+      response.end('not yours');
+    };
+    const {answer} = await serve({repeat: 'never', streams: false}, [handler]);
+    expect(answer.status).to.equal(502);
+    expect(answer.body).not.to.contain('not yours');
+  });
+
+  it('answers at the time limit of the class when the upstream is silent', async () => {
+    const {answer, ended} = await serve(
+      {repeat: 'never', streams: false, timeoutMs: 150},
+      [() => undefined],
+    );
+    expect(answer.status).to.equal(504);
+    expect(ended[0]?.outcome).to.equal('answer_timeout');
+  });
+
+  it('refuses unknown keys and routes without asking an upstream', async () => {
+    let asked = 0;
+    const handler: Handler = () => {
+      asked += 1;
+    };
+    const unknownKey = await serve({}, [handler], '/chat/x', 'other');
+    expect(unknownKey.answer.status).to.equal(401);
+    const unknownRoute = await serve({}, [handler], '/other/');
+    expect(unknownRoute.answer.status).to.equal(404);
+    expect(asked).to.equal(0);
+  });
+
+  it('records each request once, with its upstreams and the configuration', async () => {
+    const {ended} = await serve({}, [streamFrom(4)]);
+    expect(ended).to.have.length(1);
+    expect(ended[0]).to.include({
+      requestId: 'r1',
+      outcome: 'served',
+      configVersion: 1,
+    });
+    expect(ended[0]?.upstreams).to.deep.equal(['u0']);
+  });
+});
--- a/packages/standins/src/bin/platform.ts
+++ b/packages/standins/src/bin/platform.ts
@@ -4,7 +4,7 @@
  * `platform --kv-port 2379 --http-port 9009 [--list-lag-ms 0]`.
  */
 import {parseArgs} from 'node:util';
-import {createPlatformStandIn} from '../platform/PlatformStandIn.js';
+import {createPlatformStandIn} from '../store/PlatformStandIn.js';
 
 const {values} = parseArgs({
   options: {
--- a/packages/standins/src/deployment/Deployment.ts
+++ b/packages/standins/src/deployment/Deployment.ts
@@ -14,7 +14,7 @@
 import type {LoadProfile} from '../load/LoadProfile.js';
 import {readLoadProfile} from '../load/LoadProfile.js';
 import type {UpstreamRuns} from '../load/UpstreamRuns.js';
-import type {SwitchChangeInput} from '../platform/Switches.js';
+import type {SwitchChangeInput} from '../store/Switches.js';
 import type {ServiceSwitchChange} from '../service/ServiceSwitches.js';
 import {
   applyClassesAt,
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,16 +1,16 @@
 export type {
   ControlledKeyValue,
   PendingCall,
-} from './platform/ControlledKeyValue.js';
-export {createControlledKeyValue} from './platform/ControlledKeyValue.js';
-export type {CallCounts} from './platform/Counters.js';
-export type {ListedInstance} from './platform/LaggingInstanceList.js';
+} from './store/ControlledKeyValue.js';
+export {createControlledKeyValue} from './store/ControlledKeyValue.js';
+export type {CallCounts} from './store/Counters.js';
+export type {ListedInstance} from './store/LaggingInstanceList.js';
 export type {
   PlatformStandIn,
   PlatformStandInOptions,
-} from './platform/PlatformStandIn.js';
-export {createPlatformStandIn} from './platform/PlatformStandIn.js';
-export type {SwitchChangeInput, SwitchState} from './platform/Switches.js';
+} from './store/PlatformStandIn.js';
+export {createPlatformStandIn} from './store/PlatformStandIn.js';
+export type {SwitchChangeInput, SwitchState} from './store/Switches.js';
 export type {ChatMessage} from './engine/Answers.js';
 export {answerLengthOf, answerText, lengthMarker} from './engine/Answers.js';
 export type {EngineProfile} from './engine/EngineConstants.js';
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,10 @@
 #!/usr/bin/env bash
-# Builds everything and runs the demo; arguments are passed on, such as --seconds 20.
+# Installs what is missing, builds everything and runs the demo; arguments are
+# passed on, such as --seconds 20.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+if [ ! -x node_modules/.bin/tsc ]; then
+  npm ci --prefer-offline --ignore-scripts --no-audit --no-fund --loglevel=error
+fi
 npm run --silent build
 exec node packages/standins/dist/bin/demo.js "$@"
