--- a/packages/cli/src/__tests__/unit/Pages.test.ts
+++ b/packages/cli/src/__tests__/unit/Pages.test.ts
@@ -25,7 +25,7 @@
   });
   afterEach(() => bench.close());
 
-  for (const page of ['docs/settings.md', 'docs/operations.md']) {
+  for (const page of ['docs/settings.md', 'docs/OPERATIONS.md']) {
     it(`runs every command of ${page}, so that operators can copy them`, async () => {
       const blocks = readBlocks(page).filter(b => b.language === 'console');
       const lines = blocks.flatMap(({text}) => text.trim().split('\n'));
@@ -54,7 +54,7 @@
   });
 });
 
-describe('a platform outage as docs/operations.md describes it', () => {
+describe('a platform outage as docs/OPERATIONS.md describes it', () => {
   let bench: PagesBench;
   beforeEach(async () => {
     bench = await createPagesBench();
@@ -131,7 +131,7 @@
   });
 
   it('list every exit code', () => {
-    const rows = readTable('docs/operations.md', 'Code').map(([code]) => code);
+    const rows = readTable('docs/OPERATIONS.md', 'Code').map(([code]) => code);
     const codes = Object.values(exitCodes).map(String);
     expect(rows).to.deep.equal(codes);
   });
@@ -149,7 +149,7 @@
     const names = [...text.matchAll(/^# TYPE (toucanrouter_\w+) /gm)].map(
       match => match[1],
     );
-    const rows = readTable('docs/operations.md', 'Metric').map(([m]) => m);
+    const rows = readTable('docs/OPERATIONS.md', 'Metric').map(([m]) => m);
     expect(rows).to.have.members(names);
   });
 
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -4,7 +4,7 @@
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {ErrorKind, ServiceName, UpstreamId} from '@toucanrouter/common';
-import {RouterError} from '@toucanrouter/common';
+import {answerFor, RouterError} from '@toucanrouter/common';
 import {pickService} from '../config/RouteTable.js';
 import {refusalReason} from '../upstreams/EngineAdmission.js';
 import type {Choice} from '../upstreams/UpstreamChoice.js';
@@ -132,7 +132,7 @@
   function failWith(error: RouterError): void {
     if (recorded) return;
     reply.error(error, request.requestId);
-    record(error.kind, 0, error.message);
+    record(error.kind, answerFor(error.kind).status, error.message);
   }
 
   function fail(kind: ErrorKind, reason: string, retryAfterMs?: number): void {
