Send load reports in a few bytes, and look at the store as often as its bounds ask

Cause: 26 instances would send each other 2 KB twice a second, and each call to the store costs more on the grown deployments. Settings that did not change keep the repeat budget at a reload.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -18,7 +18,7 @@
 import {createConfigAge} from './config/ConfigAge.js';
 import {createLoadExchange} from './peers/LoadExchange.js';
 import type {LoadReport} from './peers/LoadReports.js';
-import {createPeerLoads} from './peers/LoadReports.js';
+import {createPeerLoads, shortIdOf} from './peers/LoadReports.js';
 import {createPeerDirectory} from './peers/PeerDirectory.js';
 import {createRegistration} from './peers/Registration.js';
 import type {Dialect} from './request/Dialect.js';
@@ -73,6 +73,11 @@
  * watch that hears of changes late.
  */
 const maxConfigAgeShare = 0.8;
+/**
+ * Part of the tightest bound that passes between two looks at the store: each
+ * look costs a call, and one lost answer must not exceed the bound.
+ */
+const statePaceShare = 0.3;
 /** The load balancer asks once a second and gives up after two answers. */
 const balancerNoticeMs = 2_600;
 /** Time kept at the end of the grace period for closing. */
@@ -175,8 +180,8 @@
   });
 
   function ownLoad(): Pick<LoadReport, 'loads' | 'work'> {
-    const loads = [...conditions].map(([upstreamId, condition]) => ({
-      upstreamId,
+    const loads = [...conditions].map(([id, condition]) => ({
+      upstream: shortIdOf(id),
       running: condition.running,
       waitingPromptTokens: condition.waitingPromptTokens,
     }));
@@ -195,6 +200,9 @@
     configAge,
     registry,
     peers,
+    paceMs: () =>
+      Math.min(settings.configDelayMs, settings.leavingDelayMs) *
+      statePaceShare,
   });
   const maxConfigAgeMs = () => settings.revocationMs * maxConfigAgeShare;
 
@@ -279,8 +287,16 @@
       });
     },
     reload: next => {
+      const before = settings;
       settings = next;
-      budgets.clear();
+      // New budgets forget what was spent, so unchanged ones are kept.
+      if (
+        next.repeatShare !== before.repeatShare ||
+        next.repeatSlack !== before.repeatSlack ||
+        next.repeatWindowMs !== before.repeatWindowMs
+      ) {
+        budgets.clear();
+      }
       logger.info('settings reloaded', {revocationMs: next.revocationMs});
     },
     close: async () => {
--- a/packages/gateway/src/__tests__/unit/StateSync.test.ts
+++ b/packages/gateway/src/__tests__/unit/StateSync.test.ts
@@ -90,6 +90,7 @@
     configAge,
     registry,
     peers: createPeerDirectory(toInstanceId('i')),
+    paceMs: () => 450,
   });
   return {clock, config, configAge, registry, script, sync};
 }
--- a/packages/gateway/src/peers/LoadExchange.ts
+++ b/packages/gateway/src/peers/LoadExchange.ts
@@ -6,7 +6,7 @@
 import type {Logger} from '@toucanrouter/logging';
 import type {ListenAddress} from '@toucanrouter/settings';
 import type {LoadReport, PeerLoads} from './LoadReports.js';
-import {decodeReport, encodeReport} from './LoadReports.js';
+import {decodeReport, encodeReport, shortIdOf} from './LoadReports.js';
 import type {PeerDirectory} from './PeerDirectory.js';
 
 /** Options of an exchange. */
@@ -35,6 +35,7 @@
 export function createLoadExchange(options: LoadExchangeOptions): LoadExchange {
   const {clock, listen, loads, logger, peers} = options;
   const socket = createSocket('udp4');
+  const selfId = shortIdOf(options.instanceId);
   const startedAtMs = clock.wallMs();
   let sequence = 0;
   let closed = false;
@@ -49,7 +50,7 @@
     wasIdle = idle;
     sequence += 1;
     const datagram = encodeReport({
-      instanceId: options.instanceId,
+      instanceId: selfId,
       startedAtMs,
       sequence,
       ...own,
@@ -84,7 +85,7 @@
     const report = decodeReport(datagram);
     if (report === undefined) {
       logger.warn('datagram is no load report', {bytes: datagram.length});
-    } else if (report.instanceId !== options.instanceId) loads.receive(report);
+    } else if (report.instanceId !== selfId) loads.receive(report);
   });
   socket.on('error', error =>
     logger.error('load exchange failed', {error: error.message}),
--- a/packages/gateway/src/state/StateSync.ts
+++ b/packages/gateway/src/state/StateSync.ts
@@ -20,6 +20,8 @@
   readonly configAge: ConfigAge;
   readonly registry: UpstreamRegistry;
   readonly peers: PeerDirectory;
+  /** Shortest time between two calls; a change is known within about this. */
+  readonly paceMs: () => number;
 }
 
 /** Follows the state of the platform until it is closed. */
@@ -32,8 +34,6 @@
   close(): void;
 }
 
-/** Shortest time between two calls; a change is in force within about this. */
-const paceMs = 450;
 /** Longest wait for changes, and so the age of the state on a calm store. */
 const waitMs = 1_000;
 /** A call that gets no answer this long after its wait is given up. */
@@ -161,7 +161,9 @@
       if (closed) return;
       if (!succeeded) await pause(probePauseMs);
       else if (revision !== undefined) {
-        await pause(Math.max(0, paceMs - (clock.nowMs() - startedAtMs)));
+        await pause(
+          Math.max(0, options.paceMs() - (clock.nowMs() - startedAtMs)),
+        );
       }
     }
   }
--- a/packages/gateway/src/upstreams/UpstreamChoice.ts
+++ b/packages/gateway/src/upstreams/UpstreamChoice.ts
@@ -6,7 +6,7 @@
  */
 import type {UpstreamId} from '@toucanrouter/common';
 import type {EngineShape} from '../config/GatewayConfig.js';
-import type {UpstreamLoad} from '../peers/LoadReports.js';
+import type {OthersLoad} from '../peers/LoadReports.js';
 import type {WorkKind} from './EngineDivision.js';
 import {workKindOf} from './EngineDivision.js';
 import type {Prompt} from './Prompt.js';
@@ -21,7 +21,7 @@
   readonly entry: UpstreamEntry;
   readonly condition: UpstreamCondition;
   /** What other instances have in flight there. */
-  readonly others: Pick<UpstreamLoad, 'running' | 'waitingPromptTokens'>;
+  readonly others: OthersLoad;
 }
 
 /** What is placed. */
--- a/packages/settings/src/GatewaySettings.ts
+++ b/packages/settings/src/GatewaySettings.ts
@@ -35,6 +35,10 @@
   readonly stopGraceMs: number;
   /** A revoked key stops working within this time. */
   readonly revocationMs: number;
+  /** A changed configuration is in force within this time. */
+  readonly configDelayMs: number;
+  /** An upstream that leaves gets no new work after this time. */
+  readonly leavingDelayMs: number;
   /** Repeats allowed for each request of a service, in all instances. */
   readonly repeatShare: number;
   readonly repeatWindowMs: number;
@@ -56,6 +60,8 @@
   bounds: z.strictObject({
     stop_grace: durationField.prefault('8s'),
     revocation: durationField.prefault('5s'),
+    config_delay: durationField.prefault('2s'),
+    leaving_delay: durationField.prefault('2s'),
     repeat_share: numberField.prefault('0.2'),
     repeat_window: durationField.prefault('10s'),
     repeat_slack: numberField.prefault('50'),
@@ -79,6 +85,8 @@
     storeAddress: store.address,
     stopGraceMs: bounds.stop_grace,
     revocationMs: bounds.revocation,
+    configDelayMs: bounds.config_delay,
+    leavingDelayMs: bounds.leaving_delay,
     repeatShare: bounds.repeat_share,
     repeatWindowMs: bounds.repeat_window,
     repeatSlack: bounds.repeat_slack,
