Never refuse a long prompt that is more urgent than other work of its service

Only the least urgent classes of a service are refused now, and lengths are guessed from what a request allows. Ruled out: refusals by engines, there was none. The tests fail without the change.

--- a/packages/gateway/src/__tests__/unit/EngineDivision.test.ts
+++ b/packages/gateway/src/__tests__/unit/EngineDivision.test.ts
@@ -1,4 +1,4 @@
-import {createSeededRandom} from '@toucanrouter/common';
+import {createSeededRandom, toClassId} from '@toucanrouter/common';
 import {expect} from 'chai';
 import type {EngineDivision, SeenWork} from '../../upstreams/EngineDivision.js';
 import {
@@ -7,6 +7,7 @@
   noWork,
   workKindOf,
 } from '../../upstreams/EngineDivision.js';
+import {createAnswerLengths} from '../../upstreams/AnswerLengths.js';
 import {refusalReason} from '../../upstreams/EngineAdmission.js';
 import type {Prompt} from '../../upstreams/Prompt.js';
 import type {Candidate} from '../../upstreams/UpstreamChoice.js';
@@ -109,7 +110,12 @@
 });
 
 describe('EngineAdmission', () => {
-  const demand = {prompt: draft, tier: 2, usualEvents: 64, remainingMs: 15_000};
+  const demand = {
+    prompt: draft,
+    leastUrgent: true,
+    usualEvents: 64,
+    remainingMs: 15_000,
+  };
 
   function createBusyChoice(gapMs: number, running: number) {
     const candidate = createCandidate(createEntries(1)[0]!);
@@ -132,13 +138,26 @@
     expect(refusalReason(choice, demand, 0)).to.equal(undefined);
   });
 
-  it('refuses urgent work last, and never what is not a long prompt', () => {
-    const choice = createBusyChoice(130, 20);
-    expect(refusalReason(choice, demand, 0)).to.be.a('string');
-    expect(refusalReason(choice, {...demand, tier: 0}, 0)).to.equal(undefined);
-    const slow = createBusyChoice(900, 20);
-    const urgent = {...demand, prompt: chat, tier: 0};
-    expect(refusalReason(slow, urgent, 0)).to.equal(undefined);
+  it('never refuses what is more urgent than other work of the service', () => {
+    // Short advice with a long prompt was refused while drafts went on.
+    const choice = createBusyChoice(900, 40);
+    const urgent = {...demand, leastUrgent: false, remainingMs: 3_000};
+    expect(refusalReason(choice, urgent, 0)).to.equal(undefined);
+  });
+
+  it('never refuses what is not a long prompt', () => {
+    const choice = createBusyChoice(900, 40);
+    expect(refusalReason(choice, {...demand, prompt: hint}, 0)).to.equal(
+      undefined,
+    );
+  });
+
+  it('guesses the length of an answer from what the request allows', () => {
+    const lengths = createAnswerLengths();
+    const classId = toClassId('advice');
+    expect(lengths.usualEvents(classId, hint)).to.be.below(3);
+    lengths.completed(classId, 5);
+    expect(lengths.usualEvents(classId, hint)).to.equal(5);
   });
 
   it('admits to an engine that is nearly empty, whatever it did before', () => {
--- a/packages/gateway/src/config/ActiveConfig.ts
+++ b/packages/gateway/src/config/ActiveConfig.ts
@@ -1,13 +1,20 @@
 /**
  * The configuration in force on this instance. Versions only move forward.
  */
-import type {GatewayConfig, GatewayWorkspace} from './GatewayConfig.js';
+import type {ServiceName} from '@toucanrouter/common';
+import type {
+  GatewayConfig,
+  GatewayRoute,
+  GatewayWorkspace,
+} from './GatewayConfig.js';
 import type {RouteTable} from './RouteTable.js';
 import {createRouteTable} from './RouteTable.js';
 
 /** A configuration with the tables that requests are looked up in. */
 export interface ConfigInForce extends GatewayConfig {
   readonly table: RouteTable;
+  /** The highest tier number among the routes to a service. */
+  leastUrgentTier(service: ServiceName): number;
   workspaceOf(key: string): GatewayWorkspace | undefined;
 }
 
@@ -18,6 +25,18 @@
   offer(config: GatewayConfig): boolean;
 }
 
+function leastUrgentTiers(
+  routes: readonly GatewayRoute[],
+): ReadonlyMap<ServiceName, number> {
+  const tiers = new Map<ServiceName, number>();
+  for (const {targets, tier} of routes) {
+    for (const {service} of targets) {
+      tiers.set(service, Math.max(tier, tiers.get(service) ?? 0));
+    }
+  }
+  return tiers;
+}
+
 /** Creates a holder without configuration. */
 export function createActiveConfig(
   onChange: (config: ConfigInForce) => void,
@@ -29,9 +48,11 @@
       if (current !== undefined && config.version <= current.version) {
         return false;
       }
+      const leastUrgent = leastUrgentTiers(config.routes);
       current = {
         ...config,
         table: createRouteTable(config.routes),
+        leastUrgentTier: service => leastUrgent.get(service) ?? 0,
         workspaceOf: key => config.workspacesByKey?.get(key),
       };
       onChange(current);
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -195,15 +195,16 @@
   /** Only a request that no upstream received is refused for load. */
   function overloadOf(
     choice: Choice,
-    {route, tier}: Admitted,
+    {config: inForce, route, tier}: Admitted,
   ): string | undefined {
     if (request.prompt === undefined || progress.upstreamsUsed > 0) {
       return undefined;
     }
     const demand = {
       prompt: request.prompt,
-      tier,
-      usualEvents: context.lengths.usualEvents(route.classId),
+      leastUrgent:
+        tier >= inForce.leastUrgentTier(choice.candidate.entry.service),
+      usualEvents: context.lengths.usualEvents(route.classId, request.prompt),
       remainingMs: remainingMs(),
     };
     return refusalReason(choice, demand, clock.nowMs());
--- a/packages/gateway/src/upstreams/EngineAdmission.ts
+++ b/packages/gateway/src/upstreams/EngineAdmission.ts
@@ -12,18 +12,18 @@
 /** What the decision depends on beside the engine. */
 export interface EngineDemand {
   readonly prompt: Prompt;
-  readonly tier: number;
+  /** True when no class of the service is less urgent. */
+  readonly leastUrgent: boolean;
   /** Usual number of events of the answers of this class. */
   readonly usualEvents: number;
   readonly remainingMs: number;
 }
 
 /**
- * Part of the remaining time that an answer may be expected to take, by tier:
- * requests that are already there slow down further, and urgent classes are
- * refused last.
+ * Part of the remaining time that an answer may be expected to take: requests
+ * that are already there slow down further while the prompt is read.
  */
-const timeShareOfTier: readonly number[] = [0.9, 0.7, 0.5];
+const timeShare = 0.5;
 /** An engine with fewer requests than this speeds up soon. */
 const fewRunning = 6;
 
@@ -34,12 +34,13 @@
   nowMs: number,
 ): string | undefined {
   if (workKindOf(demand.prompt) !== 'long_prompt') return undefined;
+  // What is more urgent is left to the engines, which put it first: it must
+  // not be refused while less urgent requests run.
+  if (!demand.leastUrgent) return undefined;
   const {condition, others} = candidate;
   if (condition.running + others.running < fewRunning) return undefined;
-  const share =
-    timeShareOfTier[demand.tier] ?? (timeShareOfTier.at(-1) as number);
   const gapMs = condition.meanGapMs(nowMs);
   const answerMs = expectedMs + demand.usualEvents * gapMs;
-  if (answerMs <= demand.remainingMs * share) return undefined;
+  if (answerMs <= demand.remainingMs * timeShare) return undefined;
   return `the best engine needs about ${Math.round(answerMs)} ms at ${Math.round(gapMs)} ms an event`;
 }
