--- a/packages/gateway/src/__tests__/unit/EngineDivision.test.ts
+++ b/packages/gateway/src/__tests__/unit/EngineDivision.test.ts
@@ -112,6 +112,7 @@
 describe('EngineAdmission', () => {
   const demand = {
     prompt: draft,
+    tier: 2,
     leastUrgent: true,
     usualEvents: 64,
     remainingMs: 15_000,
@@ -145,6 +146,12 @@
     expect(refusalReason(choice, urgent, 0)).to.equal(undefined);
   });
 
+  it('refuses the prompts of urgent workspaces last', () => {
+    const choice = createBusyChoice(140, 20);
+    expect(refusalReason(choice, demand, 0)).to.be.a('string');
+    expect(refusalReason(choice, {...demand, tier: 1}, 0)).to.equal(undefined);
+  });
+
   it('never refuses what is not a long prompt', () => {
     const choice = createBusyChoice(900, 40);
     expect(refusalReason(choice, {...demand, prompt: hint}, 0)).to.equal(
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -202,8 +202,9 @@
     }
     const demand = {
       prompt: request.prompt,
+      tier,
       leastUrgent:
-        tier >= inForce.leastUrgentTier(choice.candidate.entry.service),
+        route.tier >= inForce.leastUrgentTier(choice.candidate.entry.service),
       usualEvents: context.lengths.usualEvents(route.classId, request.prompt),
       remainingMs: remainingMs(),
     };
--- a/packages/gateway/src/upstreams/EngineAdmission.ts
+++ b/packages/gateway/src/upstreams/EngineAdmission.ts
@@ -12,6 +12,8 @@
 /** What the decision depends on beside the engine. */
 export interface EngineDemand {
   readonly prompt: Prompt;
+  /** Effective tier of the request; workspaces may have one of their own. */
+  readonly tier: number;
   /** True when no class of the service is less urgent. */
   readonly leastUrgent: boolean;
   /** Usual number of events of the answers of this class. */
@@ -20,10 +22,15 @@
 }
 
 /**
- * Part of the remaining time that an answer may be expected to take: requests
- * that are already there slow down further while the prompt is read.
+ * Part of the remaining time that an answer may be expected to take, by tier:
+ * requests that are already there slow down further while the prompt is read,
+ * and urgent workspaces are refused last.
  */
-const timeShare = 0.5;
+const timeShareOfTier: readonly number[] = [0.9, 0.65, 0.5];
+
+function timeShare(tier: number): number {
+  return timeShareOfTier[tier] ?? (timeShareOfTier.at(-1) as number);
+}
 /** An engine with fewer requests than this speeds up soon. */
 const fewRunning = 6;
 
@@ -41,6 +48,6 @@
   if (condition.running + others.running < fewRunning) return undefined;
   const gapMs = condition.meanGapMs(nowMs);
   const answerMs = expectedMs + demand.usualEvents * gapMs;
-  if (answerMs <= demand.remainingMs * timeShare) return undefined;
+  if (answerMs <= demand.remainingMs * timeShare(demand.tier)) return undefined;
   return `the best engine needs about ${Math.round(answerMs)} ms at ${Math.round(gapMs)} ms an event`;
 }
--- a/packages/gateway/src/upstreams/UpstreamChoice.ts
+++ b/packages/gateway/src/upstreams/UpstreamChoice.ts
@@ -56,7 +56,7 @@
  * A token that is read twice also delays everyone else at that engine, whose
  * tokens are produced in the same steps.
  */
-const repeatedReadFactor = 3;
+const repeatedReadFactor = 6;
 /** Cost of the bytes of a request between failure domains. */
 const crossDomainMs = 25;
 /** Prompts that are still to be read also stretch the pauses of a chat. */
