--- a/packages/gateway/src/__tests__/unit/RepeatRules.test.ts
+++ b/packages/gateway/src/__tests__/unit/RepeatRules.test.ts
@@ -3,6 +3,7 @@
 import type {AttemptEnd} from '../../request/Attempt.js';
 import type {RequestProgress} from '../../request/RepeatRules.js';
 import {nextStep} from '../../request/RepeatRules.js';
+import {lastRank, upstreamRank} from '../../request/UpstreamRank.js';
 import {returnDelayMs} from '../../request/RetryAfter.js';
 
 function createProgress(
@@ -117,3 +118,22 @@
     expect(delayOf(1)).to.be.below(delayOf(2));
   });
 });
+
+describe('UpstreamRank', () => {
+  it('puts the tier of the workspace first and the class second', () => {
+    const ranks = [
+      upstreamRank(0, 0),
+      upstreamRank(0, 2),
+      upstreamRank(1, 0),
+      upstreamRank(1, 1),
+      upstreamRank(1, 2),
+      upstreamRank(2, 2),
+    ];
+    expect(ranks).to.deep.equal([...ranks].sort((a, b) => a - b));
+    expect(new Set(ranks).size).to.equal(ranks.length);
+  });
+
+  it('stays within what upstreams accept', () => {
+    expect(upstreamRank(7, 7)).to.equal(lastRank);
+  });
+});
--- a/packages/gateway/src/request/Dialect.ts
+++ b/packages/gateway/src/request/Dialect.ts
@@ -30,8 +30,8 @@
   readonly upstreamId: UpstreamId;
   readonly remainingMs: number;
   readonly workspaceId: WorkspaceId | undefined;
-  /** Rank among the requests at the upstream; 0 goes first. */
-  readonly tier: number;
+  /** Rank among the requests at the upstream, from 0, which goes first, to 9. */
+  readonly rank: number;
   readonly resumeAfterId: string | undefined;
 }
 
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -21,6 +21,7 @@
 import type {GatewayContext} from './GatewayContext.js';
 import type {RequestProgress} from './RepeatRules.js';
 import {nextStep} from './RepeatRules.js';
+import {upstreamRank} from './UpstreamRank.js';
 import {returnDelayMs} from './RetryAfter.js';
 
 /**
@@ -246,7 +247,7 @@
         upstreamId: entry.id,
         remainingMs: remainingMs(),
         workspaceId: workspace?.workspaceId,
-        tier: admitted.tier,
+        rank: upstreamRank(admitted.tier, route.tier),
         resumeAfterId: progress.lastEventId,
       }),
       body,
