Pass on the head of a stream that has no further events

Cause: a caller that resumes a stream after its last event gets an empty stream. Ruled out: an answer of another request, the engine's run ended in order. The test fails without the change.

--- a/packages/gateway/src/__tests__/unit/GatewayRequest.test.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayRequest.test.ts
@@ -52,7 +52,7 @@
     otherUpstream: status === 421,
     genuine: headers['mark'] !== undefined,
     encoded: false,
-    headers: [],
+    headers: ['mark', String(headers['mark'] ?? '')],
   }),
 };
 
@@ -136,6 +136,7 @@
   readonly status: number;
   readonly body: string;
   readonly retryAfter: string | undefined;
+  readonly headers: IncomingMessage['headers'];
   /** False when the connection broke before the end of the answer. */
   readonly complete: boolean;
 }
@@ -153,6 +154,7 @@
           resolve({
             status: response.statusCode ?? 0,
             body,
+            headers: response.headers,
             retryAfter: response.headers['retry-after'],
             complete: response.complete,
           }),
@@ -209,6 +211,14 @@
     expect(answer.complete).to.equal(true);
   });
 
+  it('passes on the head of a stream that has no further events', async () => {
+    // A caller that resumes after the last event gets an empty stream.
+    const {answer} = await serve({}, [streamFrom(0)]);
+    expect(answer.status).to.equal(200);
+    expect(answer.headers['mark']).to.equal('m');
+    expect(answer.complete).to.equal(true);
+  });
+
   it('breaks off a stream that may not be continued', async () => {
     const handler = streamFrom(4, 2);
     const {answer} = await serve({repeat: 'never'}, [handler, handler]);
--- a/packages/gateway/src/request/Attempt.ts
+++ b/packages/gateway/src/request/Attempt.ts
@@ -29,7 +29,7 @@
       readonly body: Buffer;
     }
   /** The stream ended, and all of it was passed on. */
-  | {readonly kind: 'streamed'};
+  | {readonly kind: 'streamed'; readonly answer: UpstreamAnswer};
 
 /** Receives events of a stream as they arrive. */
 export interface StreamReceiver {
@@ -192,7 +192,7 @@
     } else if (boundaries.pendingBytes() > 0) {
       settle({kind: 'broken', reason: 'the stream ended within an event'});
     } else {
-      settle({kind: 'streamed'});
+      settle({kind: 'streamed', answer});
     }
   }
 
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -296,6 +296,9 @@
       record('served', end.answer.status);
       return;
     }
+    // A stream that is resumed after its last event has no further events.
+    if (end.kind === 'streamed')
+      reply.begin(end.answer.status, end.answer.headers);
     reply.end();
     if (admittedAs !== undefined) {
       context.lengths.completed(admittedAs.route.classId, eventCount);
