--- a/packages/cli/src/__tests__/unit/Pages.test.ts
+++ b/packages/cli/src/__tests__/unit/Pages.test.ts
@@ -14,7 +14,7 @@
   readTable,
 } from './PagesFixtures.js';
 
-const pages = ['api', 'glossary', 'operations', 'settings'].map(
+const pages = ['api', 'glossary', 'OPERATIONS', 'settings'].map(
   name => `docs/${name}.md`,
 );
 
