Remove code of the gateway that nothing uses, and create map entries in one place

Three lookups that create what is missing were copies of each other, the time at which an upstream was last heard was kept for each chunk and never read, and the listen backlog had two names.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -92,6 +92,18 @@
 const assumedInstances = 10;
 const msPerSecond = 1_000;
 
+function getOrCreate<Key, Value>(
+  values: Map<Key, Value>,
+  key: Key,
+  create: () => Value,
+): Value {
+  const known = values.get(key);
+  if (known !== undefined) return known;
+  const value = create();
+  values.set(key, value);
+  return value;
+}
+
 /** Creates a gateway; nothing is started. */
 export function createGateway(options: GatewayOptions): Gateway {
   const {clock, logger, store} = options;
@@ -105,38 +117,29 @@
   const peerLoads = createPeerLoads(clock);
   const connections = createUpstreamConnections(clock);
 
-  function conditionOf(id: UpstreamId): UpstreamCondition {
-    const known = conditions.get(id);
-    if (known !== undefined) return known;
-    const condition = createUpstreamCondition(clock.nowMs);
-    conditions.set(id, condition);
-    return condition;
-  }
+  const conditionOf = (id: UpstreamId) =>
+    getOrCreate(conditions, id, () => createUpstreamCondition(clock.nowMs));
 
-  function divisionOf(service: ServiceName): EngineDivision {
-    const known = divisions.get(service);
-    if (known !== undefined) return known;
-    const division = createEngineDivision({
-      othersWork: peerLoads.work,
-      onDivided: counts => logger.info('engines divided', {service, ...counts}),
-    });
-    divisions.set(service, division);
-    return division;
-  }
+  const divisionOf = (service: ServiceName) =>
+    getOrCreate(divisions, service, () =>
+      createEngineDivision({
+        othersWork: peerLoads.work,
+        onDivided: counts =>
+          logger.info('engines divided', {service, ...counts}),
+      }),
+    );
 
-  function budgetOf(service: ServiceName): RetryBudget {
-    const known = budgets.get(service);
-    if (known !== undefined) return known;
-    const slackPerSecond =
-      (settings.repeatSlack * msPerSecond) / settings.repeatWindowMs;
-    const budget = createRetryBudget({
-      share: settings.repeatShare * repeatShareMargin,
-      minRatePerSecond: (slackPerSecond * repeatShareMargin) / assumedInstances,
-      windowMs: settings.repeatWindowMs,
+  const budgetOf = (service: ServiceName) =>
+    getOrCreate(budgets, service, () => {
+      const slackPerSecond =
+        (settings.repeatSlack * msPerSecond) / settings.repeatWindowMs;
+      return createRetryBudget({
+        share: settings.repeatShare * repeatShareMargin,
+        minRatePerSecond:
+          (slackPerSecond * repeatShareMargin) / assumedInstances,
+        windowMs: settings.repeatWindowMs,
+      });
     });
-    budgets.set(service, budget);
-    return budget;
-  }
 
   const config: ActiveConfig = createActiveConfig(next => {
     gatewayServer.applyLimits(next.limits);
--- a/packages/gateway/src/request/Attempt.ts
+++ b/packages/gateway/src/request/Attempt.ts
@@ -150,7 +150,6 @@
   }
 
   function takeChunk(chunk: Buffer): void {
-    condition.heard(clock.nowMs());
     if (settled || answer === undefined) return;
     if (!streaming) {
       chunks.push(chunk);
@@ -180,7 +179,6 @@
   }
 
   function takeEnd(): void {
-    condition.heard(clock.nowMs());
     if (settled || answer === undefined) return;
     if (answer.otherUpstream) {
       settle({kind: 'misdirected', reason: 'another upstream answered'});
@@ -212,7 +210,6 @@
         sent = true;
       },
       started: (status, headers, rawHeaders) => {
-        condition.heard(clock.nowMs());
         const head = dialect.readAnswer(status, headers, rawHeaders);
         const fault = faultOf(head);
         if (fault !== undefined) {
--- a/packages/gateway/src/server/GatewayServer.ts
+++ b/packages/gateway/src/server/GatewayServer.ts
@@ -21,10 +21,9 @@
 /** Read when the server is created, before any configuration is known. */
 const maxHeaderBytes = 64 * 1024;
 const connectionCheckMs = 1_000;
-const maxQueuedConnections = 1_024;
 
 /** Connections queue up to this many while the process starts or is busy. */
-export const listenBacklog = maxQueuedConnections;
+export const listenBacklog = 1_024;
 
 function headerBytes({rawHeaders}: IncomingMessage): number {
   return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
--- a/packages/gateway/src/upstreams/UpstreamChoice.ts
+++ b/packages/gateway/src/upstreams/UpstreamChoice.ts
@@ -47,7 +47,7 @@
 }
 
 /** Prompt tokens that an engine reads in a millisecond, from the sheets. */
-export const promptTokensPerMs = 100;
+const promptTokensPerMs = 100;
 /** Time to a first event on an idle engine, seen on calm days. */
 const idleFirstEventMs = 75;
 /** Time of an ordinary plain call, from the sheets. */
@@ -71,7 +71,7 @@
   generation: 4,
 };
 /** Tokens for which one copy in the whole fleet is better than one a domain. */
-export const fleetWideShareTokens = 1_500;
+const fleetWideShareTokens = 1_500;
 /** Delay that each running request adds to the steps of an engine. */
 const runningRequestMs = 1.5;
 /** A failed request costs its caller about this many target latencies. */
--- a/packages/gateway/src/upstreams/UpstreamCondition.ts
+++ b/packages/gateway/src/upstreams/UpstreamCondition.ts
@@ -25,8 +25,6 @@
   eventGap(gapMs: number, nowMs: number): void;
   /** Usual time between the events of a stream. */
   meanGapMs(nowMs: number): number;
-  /** Bytes arrived from the upstream, on any connection. */
-  heard(nowMs: number): void;
   readonly running: number;
   readonly waitingPromptTokens: number;
   /** Observed times relative to expected ones; 1 is as expected. */
@@ -35,7 +33,6 @@
   failureShare(nowMs: number): number;
   /** True while the upstream gets no work except when there is no other. */
   avoided(nowMs: number): boolean;
-  lastHeardMs(): number;
 }
 
 /** Weight of the newest observation in the averages. */
@@ -90,7 +87,6 @@
   const gaps = createFadingAverage(idleGapMs, gapWeight);
   let running = 0;
   let waitingPromptTokens = 0;
-  let heardAtMs = -Infinity;
   let avoidedUntilMs = -Infinity;
   let unreachableInRow = 0;
   let failuresInRow = 0;
@@ -142,12 +138,8 @@
     },
     eventGap: gaps.observe,
     meanGapMs: gaps.value,
-    heard: nowMs => {
-      heardAtMs = nowMs;
-    },
     slowness: slowness.value,
     failureShare: failures.value,
     avoided: nowMs => nowMs < avoidedUntilMs,
-    lastHeardMs: () => heardAtMs,
   };
 }
--- a/packages/gateway/src/upstreams/UpstreamConnections.ts
+++ b/packages/gateway/src/upstreams/UpstreamConnections.ts
@@ -52,7 +52,7 @@
 }
 
 /** A connection across the farthest failure domains takes a few round trips. */
-export const connectTimeoutMs = 500;
+const connectTimeoutMs = 500;
 /** Idle connections may be dropped without notice, so they are kept briefly. */
 const keepIdleMs = 5_000;
 /** Upper bound for what an upstream asks for in its keep-alive header. */
