Keep long prompts at the ranked engines of their shared part, and count slots

A busy home was left for whichever engine looked least busy, a different one for each instance and moment; the division of engines followed a burst of nine seconds with a half life of ten; the wait for a slot was not part of the estimate.

A part now has a ranking of engines that all instances share. A long prompt leaves its home when it would wait about a target latency longer there, and then for the next engine of the ranking. The division follows work with a half life of 4 s and moves by 4% of the engines at least.

Ruled out: memory of the engines (the parts of one engine take a sixth of it), few instances hearing of each other (reports arrive every 0.6 s).

The log line of a request now names its place in the ranking and the estimate that decided.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -213,6 +213,7 @@
     metrics.observe(ended);
     logger.info('request ended', {
       ...ended,
+      expectedMs: ended.expectedMs && Math.round(ended.expectedMs),
       firstAnswerMs: ended.firstAnswerMs && Math.round(ended.firstAnswerMs),
       longestPauseMs: Math.round(ended.longestPauseMs),
       totalMs: Math.round(ended.totalMs),
--- a/packages/gateway/src/__tests__/unit/EngineDivision.test.ts
+++ b/packages/gateway/src/__tests__/unit/EngineDivision.test.ts
@@ -68,6 +68,38 @@
     expect(count(burst)).to.be.above(count(calm));
   });
 
+  it('follows a burst of long prompts within a few seconds', () => {
+    const engines = createEntries(60);
+    const division = createEngineDivision();
+    for (let index = 0; index < 600; index++) {
+      division.sent([chat, hint, draft][index % 3] as Prompt, index * 10);
+    }
+    const before = countsOf(division.divide(engines, 6_000)).long_prompt;
+    for (let index = 0; index < 1_500; index++) {
+      const prompt = [chat, hint, draft, draft, draft][index % 5] as Prompt;
+      division.sent(prompt, 6_000 + index * 2);
+    }
+    const after = countsOf(division.divide(engines, 9_000)).long_prompt;
+    expect(after - before).to.be.above(8);
+  });
+
+  it('stays as it is while requests of a steady mix arrive at random', () => {
+    const random = createSeededRandom(7);
+    const engines = createEntries(60);
+    const division = createEngineDivision();
+    let changes = 0;
+    let last: ReadonlyMap<unknown, keyof SeenWork> = new Map();
+    for (let index = 0; index < 6_000; index++) {
+      const prompt = [chat, hint, draft][Math.floor(random.next() * 3)];
+      division.sent(prompt as Prompt, index * 5);
+      if (index < 2_000) continue;
+      const next = division.divide(engines, index * 5);
+      if (next !== last) changes += 1;
+      last = next;
+    }
+    expect(changes).to.be.below(10);
+  });
+
   it('is the same on instances that know the work of each other', () => {
     const engines = createEntries(10, ['a', 'b', 'c']);
     let othersWork = noWork;
@@ -126,7 +158,7 @@
     for (let index = 0; index < 100; index++) {
       candidate.condition.eventGap(gapMs, 0);
     }
-    return {candidate, expectedMs: 200, tokensToRead: 6_600};
+    return {candidate, expectedMs: 200, tokensToRead: 6_600, homeRank: 0};
   }
 
   it('refuses a long prompt whose answer would take most of its time', () => {
--- a/packages/gateway/src/__tests__/unit/UpstreamChoice.test.ts
+++ b/packages/gateway/src/__tests__/unit/UpstreamChoice.test.ts
@@ -51,6 +51,65 @@
     expect(chosenId(candidates, placement)).not.to.equal(home?.entry.id);
   });
 
+  it('keeps a long part at its home while that is less than a target busier', () => {
+    // Load: many subjects, each asked for every few seconds. Reading a part
+    // again at the least busy engine each time kept all engines busy reading.
+    const candidates = createEntries(60).map(entry => createCandidate(entry));
+    const prompt = createPrompt('draft', 5_400, 6_600);
+    const placement = createPlacement({prompt, targetLatencyMs: 1_500});
+    const home = chooseUpstream(candidates, placement, 0)?.candidate;
+    home?.condition.started({promptTokens: 60_000});
+    expect(chosenId(candidates, placement)).to.equal(home?.entry.id);
+  });
+
+  it('leaves a busy home for the same engine on all instances', () => {
+    const entries = createEntries(60, ['a', 'b', 'c']);
+    const prompt = createPrompt('draft', 5_400, 6_600);
+    const chosen = ['a', 'b', 'c'].map(failureDomain => {
+      const candidates = entries.map(entry => createCandidate(entry));
+      const placement = createPlacement({failureDomain, prompt});
+      const home = chooseUpstream(candidates, placement, 0)?.candidate;
+      home?.condition.started({promptTokens: 300_000});
+      return chosenId(candidates, placement);
+    });
+    expect(new Set(chosen).size).to.equal(1);
+  });
+
+  it('spreads one part with much of the traffic over as few engines as it needs', () => {
+    // Load: one subject gets a quarter of all long prompts within a second.
+    const candidates = createEntries(60).map(entry => createCandidate(entry));
+    const used = new Map<string, number>();
+    const homes = createPromptHomes();
+    for (let index = 0; index < 60; index++) {
+      const prompt = createPrompt('hot', 5_400, 6_600);
+      const placement = createPlacement({homes, prompt});
+      const choice = chooseUpstream(candidates, placement, 0);
+      const {condition, entry} = choice?.candidate as Candidate;
+      condition.started({promptTokens: choice?.tokensToRead ?? 0});
+      homes.sent('hot', entry.id, 0);
+      used.set(entry.id, (used.get(entry.id) ?? 0) + 1);
+    }
+    expect(used.size).to.be.within(2, 8);
+    expect(Math.max(...used.values())).to.be.below(40);
+  });
+
+  it('prefers an engine with a free slot to one that has none', () => {
+    // Load: long answers at engines with 16 slots; reading is not what binds.
+    const [full, free] = createEntries(2).map(entry =>
+      createCandidate({...entry, slots: 16}),
+    ) as [Candidate, Candidate];
+    for (let index = 0; index < 18; index++) {
+      full.condition.started({promptTokens: 0});
+    }
+    free.condition.started({promptTokens: 3_000});
+    for (let index = 0; index < 10; index++) {
+      const prompt = createPrompt(`chat ${index}`, 0, 600);
+      expect(chosenId([full, free], createPlacement({prompt}))).to.equal(
+        free.entry.id,
+      );
+    }
+  });
+
   it('counts the work that other instances have in flight', () => {
     const [first, second] = createEntries(2).map(entry =>
       createCandidate(entry),
@@ -109,8 +168,8 @@
     const lost = ids[3];
     const rest = ids.filter(id => id !== lost);
     for (let part = 0; part < 200; part++) {
-      const before = homes.homeOf(`part ${part}`, ids);
-      const after = homes.homeOf(`part ${part}`, rest);
+      const before = homes.rank(`part ${part}`, ids)[0];
+      const after = homes.rank(`part ${part}`, rest)[0];
       if (before !== lost) expect(after).to.equal(before);
     }
   });
@@ -120,8 +179,8 @@
     const homes = createPromptHomes();
     const counts = new Map<string, number>();
     for (let part = 0; part < 800; part++) {
-      const home = homes.homeOf(`part ${part}`, ids);
-      counts.set(home, (counts.get(home) ?? 0) + 1);
+      const home = homes.rank(`part ${part}`, ids)[0];
+      counts.set(String(home), (counts.get(String(home)) ?? 0) + 1);
     }
     expect(Math.max(...counts.values())).to.be.below(140);
     expect(counts.size).to.equal(8);
--- a/packages/gateway/src/request/EndedRequest.ts
+++ b/packages/gateway/src/request/EndedRequest.ts
@@ -14,6 +14,12 @@
   readonly outcome: ErrorKind | 'served';
   readonly status: number;
   readonly upstreams: readonly string[];
+  /** Time to the first answer that the last choice expected. */
+  readonly expectedMs: number | undefined;
+  /** Prompt tokens that the chosen upstream was expected to read. */
+  readonly tokensToRead: number | undefined;
+  /** Place of the upstream in the ranking of the prompt's shared part. */
+  readonly homeRank: number | undefined;
   readonly firstAnswerMs: number | undefined;
   /** Longest pause between the events of a stream. */
   readonly longestPauseMs: number;
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -85,6 +85,7 @@
   let admittedAs: Admitted | undefined;
   let deadlineMs = Infinity;
   let attempt: Attempt | undefined;
+  let chosen: Choice | undefined;
   let firstAnswerMs: number | undefined;
   let eventCount = 0;
   let longestPauseMs = 0;
@@ -120,6 +121,9 @@
       outcome,
       status,
       upstreams,
+      expectedMs: chosen?.expectedMs,
+      tokensToRead: chosen?.tokensToRead,
+      homeRank: chosen?.homeRank,
       firstAnswerMs,
       longestPauseMs,
       totalMs: clock.nowMs() - arrivedAtMs,
@@ -327,6 +331,7 @@
         const reason = `no further upstream of ${service}`;
         return reply.begun ? breakOff(kind, reason) : refuse(kind, reason);
       }
+      chosen = choice;
       const overload = overloadOf(choice, admitted);
       if (overload !== undefined) return refuse('overloaded', overload);
       attempt = send(choice, admitted, body);
--- a/packages/gateway/src/upstreams/EngineDivision.ts
+++ b/packages/gateway/src/upstreams/EngineDivision.ts
@@ -48,8 +48,8 @@
 const outputTokenWork = 30;
 /** Output is usually far shorter than the maximum that a caller allows. */
 const usualOutputShare = 0.5;
-/** Work counts for about this long. */
-const workHalfLifeMs = 10_000;
+/** Bursts last a few seconds, so work counts for about this long. */
+const workHalfLifeMs = 4_000;
 /** Shares before anything was seen, about those of the known deployments. */
 const initialWork: SeenWork = {
   long_prompt: 55_000,
@@ -65,8 +65,10 @@
   short_prompt: 1.5,
   generation: 1.7,
 };
-/** The division changes when a bound has moved by this many engines. */
-const hysteresisEngines = 1;
+/** A bound of the division moves by at least this share of the engines. */
+const hysteresisShare = 0.04;
+/** A bound of the division moves by at least this many engines. */
+const minHysteresisEngines = 1;
 
 /** No work. */
 export const noWork: SeenWork = {
@@ -114,10 +116,12 @@
 }
 
 /** A whole number that follows a value with hysteresis. */
-function follow(current: number, wanted: number): number {
-  return Math.abs(wanted - current) < hysteresisEngines
-    ? current
-    : Math.round(wanted);
+function follow(current: number, wanted: number, engineCount: number): number {
+  const hysteresis = Math.max(
+    minHysteresisEngines,
+    engineCount * hysteresisShare,
+  );
+  return Math.abs(wanted - current) < hysteresis ? current : Math.round(wanted);
 }
 
 /** Limits a count to what leaves the others at least one engine each. */
@@ -167,11 +171,11 @@
     const wantedGeneration = (engineCount * generationNeed) / all;
     const forShort = engineCount > 2 ? 1 : 0;
     const long = within(
-      follow(longCount, wantedLong),
+      follow(longCount, wantedLong, engineCount),
       engineCount - 1 - forShort,
     );
     const generation = within(
-      follow(generationCount, wantedGeneration),
+      follow(generationCount, wantedGeneration, engineCount),
       engineCount - long - forShort,
     );
     if (long === longCount && generation === generationCount) return false;
--- a/packages/gateway/src/upstreams/PromptHomes.ts
+++ b/packages/gateway/src/upstreams/PromptHomes.ts
@@ -10,8 +10,8 @@
 
 /** Knows which upstreams are likely to hold a shared part. */
 export interface PromptHomes {
-  /** The highest ranked of `upstreams` for a part. */
-  homeOf(partId: string, upstreams: readonly UpstreamId[]): UpstreamId;
+  /** The upstreams of a part; the first one is its home. */
+  rank(partId: string, upstreams: readonly UpstreamId[]): readonly UpstreamId[];
   /** True when this instance sent the part there recently. */
   sentRecently(partId: string, upstream: UpstreamId, nowMs: number): boolean;
   sent(partId: string, upstream: UpstreamId, nowMs: number): void;
@@ -58,18 +58,12 @@
   }
 
   return {
-    homeOf: (partId, upstreams) => {
+    rank: (partId, upstreams) => {
       const partHash = hash32(partId);
-      let home = upstreams[0] as UpstreamId;
-      let highest = -1;
-      for (const upstream of upstreams) {
-        const weight = mix(partHash, hashOf(upstream));
-        if (weight > highest) {
-          highest = weight;
-          home = upstream;
-        }
-      }
-      return home;
+      return upstreams
+        .map(id => ({id, weight: mix(partHash, hashOf(id))}))
+        .sort((a, b) => b.weight - a.weight)
+        .map(({id}) => id);
     },
     sentRecently: (partId, upstream, nowMs) =>
       nowMs - (sentAtMs.get(partId)?.get(upstream) ?? -Infinity) < keptForMs,
--- a/packages/gateway/src/upstreams/UpstreamChoice.ts
+++ b/packages/gateway/src/upstreams/UpstreamChoice.ts
@@ -44,6 +44,8 @@
   readonly expectedMs: number;
   /** Prompt tokens that the upstream probably has to read. */
   readonly tokensToRead: number;
+  /** Place in the ranking of the prompt's shared part, from 0; -1 for none. */
+  readonly homeRank: number;
 }
 
 /** Prompt tokens that an engine reads in a millisecond, from the sheets. */
@@ -53,10 +55,24 @@
 /** Time of an ordinary plain call, from the sheets. */
 const plainCallMs = 60;
 /**
- * A token that is read twice also delays everyone else at that engine, whose
- * tokens are produced in the same steps.
+ * Cost of reading a shared token again, in times of reading it once, by kind.
+ * It delays everyone else at that engine, whose tokens are produced in the same
+ * steps, and takes memory from other parts. The shared part of a long prompt
+ * takes so much that waiting about one target latency at its home is better.
  */
-const repeatedReadFactor = 6;
+const repeatedReadFactor: Readonly<Record<WorkKind, number>> = {
+  long_prompt: 25,
+  short_prompt: 6,
+  generation: 6,
+};
+/**
+ * Cost of each step down the ranking of the engines of a part. All instances
+ * leave a busy home for the same next engine, where the part is then read once,
+ * even if it lies in another failure domain.
+ */
+const rankStepMs = 30;
+/** Engines further down the ranking cost no more than this many steps. */
+const maxRankSteps = 10;
 /** Cost of the bytes of a request between failure domains. */
 const crossDomainMs = 25;
 /** Prompts that are still to be read also stretch the pauses of a chat. */
@@ -74,6 +90,8 @@
 const fleetWideShareTokens = 1_500;
 /** Delay that each running request adds to the steps of an engine. */
 const runningRequestMs = 1.5;
+/** Events of an ordinary answer, from the sheets. */
+const usualAnswerEvents = 40;
 /** A failed request costs its caller about this many target latencies. */
 const failureTargets = 3;
 /**
@@ -93,7 +111,8 @@
   readonly promptTokens: number;
   readonly sharedTokens: number;
   readonly part: string | undefined;
-  readonly home: UpstreamId | undefined;
+  /** Engines of the part, the home first; empty without a part. */
+  readonly ranking: readonly UpstreamId[];
 }
 
 /** Cost of the time between events at the engine. */
@@ -121,7 +140,7 @@
   const part = prompt && placementPart(prompt);
   if (prompt === undefined || part === undefined) {
     const promptTokens = prompt?.promptTokens ?? 0;
-    return {promptTokens, sharedTokens: 0, part, home: undefined};
+    return {promptTokens, sharedTokens: 0, part, ranking: []};
   }
   const shared = sharedTokens(prompt);
   const near = candidates.filter(
@@ -137,7 +156,7 @@
     promptTokens: prompt.promptTokens,
     sharedTokens: shared,
     part,
-    home: homes.homeOf(part, pool),
+    ranking: homes.rank(part, pool),
   };
 }
 
@@ -148,7 +167,7 @@
   nowMs: number,
 ): number {
   const holdsShared =
-    entry.id === terms.home ||
+    entry.id === terms.ranking[0] ||
     (terms.part !== undefined &&
       homes.sentRecently(terms.part, entry.id, nowMs));
   return holdsShared
@@ -156,7 +175,37 @@
     : terms.promptTokens;
 }
 
-function expectedMs(candidate: Candidate, placement: Placement, read: number) {
+/** Cost of the engine's place in the ranking of the prompt's shared part. */
+function rankMs({entry}: Candidate, {ranking}: Terms): number {
+  if (ranking.length === 0) return 0;
+  const rank = ranking.indexOf(entry.id);
+  const steps = rank < 0 ? maxRankSteps : Math.min(rank, maxRankSteps);
+  return steps * rankStepMs;
+}
+
+/**
+ * Time until one of the slots is free, when all are taken. Load pattern: long
+ * answers on engines with few slots, where requests wait for a slot long
+ * before reading prompts takes all of an engine's time.
+ */
+function slotWaitMs(
+  {condition, entry}: Candidate,
+  running: number,
+  nowMs: number,
+): number {
+  const slots = Math.max(entry.slots, 1);
+  const waiting = running + 1 - slots;
+  if (waiting <= 0) return 0;
+  const answerMs = usualAnswerEvents * condition.meanGapMs(nowMs);
+  return (waiting * answerMs) / slots;
+}
+
+function expectedMs(
+  candidate: Candidate,
+  placement: Placement,
+  read: number,
+  nowMs: number,
+): number {
   const {entry, condition, others} = candidate;
   const running = condition.running + others.running;
   if (placement.engine === undefined) {
@@ -171,7 +220,8 @@
   return (
     idleFirstEventMs +
     (ahead + read) / promptTokensPerMs +
-    running * runningRequestMs
+    running * runningRequestMs +
+    slotWaitMs(candidate, running, nowMs)
   );
 }
 
@@ -184,17 +234,22 @@
   const sound = candidates.filter(({condition}) => !condition.avoided(nowMs));
   const pool = sound.length > 0 ? sound : candidates;
   const terms = termsOf(pool, placement);
+  const repeatFactor =
+    placement.prompt === undefined
+      ? 1
+      : repeatedReadFactor[workKindOf(placement.prompt)];
   let best: Choice | undefined;
   let lowestMs = Infinity;
   for (const candidate of pool) {
     const {condition, entry} = candidate;
     const read = tokensToRead(candidate, placement, terms, nowMs);
-    const firstMs = expectedMs(candidate, placement, read);
+    const firstMs = expectedMs(candidate, placement, read, nowMs);
     const repeated = read - (terms.promptTokens - terms.sharedTokens);
     const far = entry.failureDomain !== placement.failureDomain;
     const costMs =
       firstMs * condition.slowness(nowMs) +
-      (repeated * (repeatedReadFactor - 1)) / promptTokensPerMs +
+      (repeated * (repeatFactor - 1)) / promptTokensPerMs +
+      rankMs(candidate, terms) +
       (far ? crossDomainMs : 0) +
       divisionMs(candidate, placement) +
       gapMs(candidate, placement, nowMs) +
@@ -204,7 +259,12 @@
     const spreadMs = costMs * (1 + tieShare * placement.tieBreak());
     if (spreadMs < lowestMs) {
       lowestMs = spreadMs;
-      best = {candidate, expectedMs: firstMs, tokensToRead: read};
+      best = {
+        candidate,
+        expectedMs: firstMs,
+        tokensToRead: read,
+        homeRank: terms.ranking.indexOf(entry.id),
+      };
     }
   }
   return best;
