--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -17,8 +17,8 @@
 import {createActiveConfig} from './config/ActiveConfig.js';
 import {createConfigAge} from './config/ConfigAge.js';
 import {createLoadExchange} from './peers/LoadExchange.js';
-import type {LoadReport} from './peers/LoadReports.js';
-import {createPeerLoads, shortIdOf} from './peers/LoadReports.js';
+import type {LoadReport, UpstreamLoad} from './peers/LoadReports.js';
+import {createPeerLoads, upstreamShortIdOf} from './peers/LoadReports.js';
 import {createPeerDirectory} from './peers/PeerDirectory.js';
 import {createRegistration} from './peers/Registration.js';
 import type {Dialect} from './request/Dialect.js';
@@ -36,9 +36,9 @@
 import {createAnswerLengths} from './upstreams/AnswerLengths.js';
 import type {EngineDivision} from './upstreams/EngineDivision.js';
 import {
-  addWork,
+  addCounts,
   createEngineDivision,
-  noWork,
+  noCount,
 } from './upstreams/EngineDivision.js';
 import {createPromptHomes} from './upstreams/PromptHomes.js';
 import type {UpstreamCondition} from './upstreams/UpstreamCondition.js';
@@ -77,7 +77,7 @@
  * Part of the tightest bound that passes between two looks at the store: each
  * look costs a call, and one lost answer must not exceed the bound.
  */
-const statePaceShare = 0.3;
+const statePaceShare = 0.5;
 /** The load balancer asks once a second and gives up after two answers. */
 const balancerNoticeMs = 2_600;
 /** Time kept at the end of the grace period for closing. */
@@ -92,6 +92,13 @@
 const assumedInstances = 10;
 const msPerSecond = 1_000;
 
+/** Failures are told for a while after the last request. */
+const minReportedFailures = 0.5;
+
+function worthReporting({failed, running}: UpstreamLoad): boolean {
+  return running > 0 || failed >= minReportedFailures;
+}
+
 function getOrCreate<Key, Value>(
   values: Map<Key, Value>,
   key: Key,
@@ -123,9 +130,13 @@
   const divisionOf = (service: ServiceName) =>
     getOrCreate(divisions, service, () =>
       createEngineDivision({
-        othersWork: peerLoads.work,
+        othersInFlight: peerLoads.inFlight,
         onDivided: counts =>
-          logger.info('engines divided', {service, ...counts}),
+          logger.info('engines divided', {
+            service,
+            ...counts,
+            peers: peerLoads.count(),
+          }),
       }),
     );
 
@@ -182,16 +193,17 @@
     entry: {instanceId: settings.instanceId, address: settings.peers},
   });
 
-  function ownLoad(): Pick<LoadReport, 'loads' | 'work'> {
+  function ownLoad(): Pick<LoadReport, 'inFlight' | 'loads'> {
     const loads = [...conditions].map(([id, condition]) => ({
-      upstream: shortIdOf(id),
+      upstream: upstreamShortIdOf(id),
       running: condition.running,
       waitingPromptTokens: condition.waitingPromptTokens,
+      ...condition.outcomes(clock.nowMs()),
     }));
-    const works = [...divisions.values()].map(d => d.work(clock.nowMs()));
+    const counts = [...divisions.values()].map(d => d.inFlight());
     return {
-      work: works.reduce(addWork, noWork),
-      loads: loads.filter(({running}) => running > 0),
+      inFlight: counts.reduce(addCounts, noCount),
+      loads: loads.filter(worthReporting),
     };
   }
 
--- a/packages/gateway/src/__tests__/unit/EngineDivision.test.ts
+++ b/packages/gateway/src/__tests__/unit/EngineDivision.test.ts
@@ -1,10 +1,13 @@
 import {createSeededRandom, toClassId} from '@toucanrouter/common';
 import {expect} from 'chai';
-import type {EngineDivision, SeenWork} from '../../upstreams/EngineDivision.js';
+import type {
+  CountByKind,
+  EngineDivision,
+} from '../../upstreams/EngineDivision.js';
 import {
-  addWork,
+  addCounts,
   createEngineDivision,
-  noWork,
+  noCount,
   workKindOf,
 } from '../../upstreams/EngineDivision.js';
 import {createAnswerLengths} from '../../upstreams/AnswerLengths.js';
@@ -22,92 +25,152 @@
 const chat = createPrompt('chat', 200, 600, 300);
 const draft = createPrompt('draft', 5_400, 6_600, 400);
 const hint = createPrompt('hint', 570, 1_800, 20);
+const smallDraft = createPrompt('draft', 5_400, 1_800, 1_100);
 
-function countsOf(division: ReadonlyMap<unknown, keyof SeenWork>): SeenWork {
+function countsOf(
+  division: ReadonlyMap<unknown, keyof CountByKind>,
+): CountByKind {
   return [...division.values()].reduce(
-    (sum, kind) => addWork(sum, {...noWork, [kind]: 1}),
-    noWork,
+    (sum, kind) => addCounts(sum, {...noCount, [kind]: 1}),
+    noCount,
   );
 }
 
-/** Sends `count` requests of a mix, as in a burst of one class. */
-function sendMix(
+/** Puts `count` requests of each prompt at the engines; returns the undo. */
+function registerMix(
   division: EngineDivision,
   prompts: readonly Prompt[],
   count: number,
-): void {
-  for (let index = 0; index < count; index++) {
-    division.sent(prompts[index % prompts.length] as Prompt, index * 20);
-  }
+): () => void {
+  const undos = prompts.flatMap(prompt =>
+    Array.from({length: count}, () => division.registerRequest(prompt)),
+  );
+  return () => undos.forEach(undo => undo());
 }
 
 describe('EngineDivision', () => {
-  it('tells long prompts, short prompts and generation apart', () => {
+  it('tells long, medium and interactive requests apart', () => {
     expect(workKindOf(draft)).to.equal('long_prompt');
-    expect(workKindOf(hint)).to.equal('short_prompt');
-    expect(workKindOf(chat)).to.equal('generation');
+    expect(workKindOf(hint)).to.equal('medium_prompt');
+    expect(workKindOf(chat)).to.equal('interactive');
+  });
+
+  it('does not count shared tokens, which an engine reads once', () => {
+    // Load: half of the drafts add little to a long shared part. Behind drafts
+    // with 40,000 tokens of their own they waited for seconds.
+    expect(workKindOf(smallDraft)).to.equal('medium_prompt');
   });
 
   it('leaves at least one engine for each kind of work', () => {
     const engines = createEntries(4);
     const division = createEngineDivision();
-    sendMix(division, [draft], 500);
+    registerMix(division, [draft], 500);
     const counts = countsOf(division.divide(engines, 10_000));
-    expect(counts.generation).to.be.at.least(1);
-    expect(counts.short_prompt).to.be.at.least(1);
+    expect(counts.interactive).to.be.at.least(1);
+    expect(counts.medium_prompt).to.be.at.least(1);
+  });
+
+  it('keeps engines for chats and medium prompts before any has arrived', () => {
+    // An instance that has just started must not send long prompts everywhere.
+    const engines = createEntries(60);
+    const counts = countsOf(createEngineDivision().divide(engines, 90_000));
+    expect(counts.interactive).to.be.above(10);
+    expect(counts.medium_prompt).to.be.above(10);
   });
 
-  it('gives long prompts more engines while they arrive in a burst', () => {
-    const engines = createEntries(12);
-    const calm = createEngineDivision();
-    sendMix(calm, [chat, chat, hint, draft], 400);
-    const burst = createEngineDivision();
-    sendMix(burst, [chat, draft, draft, draft, draft], 400);
-    const count = (division: EngineDivision) =>
-      countsOf(division.divide(engines, 8_000)).long_prompt;
-    expect(count(burst)).to.be.above(count(calm));
+  it('gives long prompts the engines that chats do not need', () => {
+    const engines = createEntries(60);
+    const division = createEngineDivision();
+    division.divide(engines, 0);
+    registerMix(division, [chat, hint], 60);
+    registerMix(division, [draft], 900);
+    const counts = countsOf(division.divide(engines, 60_000));
+    expect(counts.long_prompt + counts.medium_prompt).to.be.above(40);
+    expect(counts.long_prompt).to.be.above(counts.medium_prompt);
   });
 
-  it('follows a burst of long prompts within a few seconds', () => {
+  it('gives chats more engines as soon as they arrive in a burst', () => {
+    // Load: chats come at three times the usual rate while the engines are
+    // still full of long prompts of the burst before.
     const engines = createEntries(60);
     const division = createEngineDivision();
-    for (let index = 0; index < 600; index++) {
-      division.sent([chat, hint, draft][index % 3] as Prompt, index * 10);
-    }
-    const before = countsOf(division.divide(engines, 6_000)).long_prompt;
-    for (let index = 0; index < 1_500; index++) {
-      const prompt = [chat, hint, draft, draft, draft][index % 5] as Prompt;
-      division.sent(prompt, 6_000 + index * 2);
-    }
-    const after = countsOf(division.divide(engines, 9_000)).long_prompt;
+    division.divide(engines, 0);
+    registerMix(division, [chat], 60);
+    registerMix(division, [draft], 900);
+    const before = countsOf(division.divide(engines, 60_000)).interactive;
+    registerMix(division, [chat], 150);
+    const after = countsOf(division.divide(engines, 60_500)).interactive;
     expect(after - before).to.be.above(8);
   });
 
-  it('stays as it is while requests of a steady mix arrive at random', () => {
+  it('leaves chats their engines for a few seconds after a burst', () => {
+    const engines = createEntries(60);
+    const division = createEngineDivision();
+    const unregister = registerMix(division, [chat], 200);
+    const during = countsOf(division.divide(engines, 60_000)).interactive;
+    unregister();
+    const soon = countsOf(division.divide(engines, 60_500)).interactive;
+    const later = countsOf(division.divide(engines, 80_000)).interactive;
+    expect(soon).to.be.above(during * 0.8);
+    expect(later).to.be.below(during * 0.3);
+  });
+
+  it('always leaves half of the engines to medium and long prompts', () => {
+    const engines = createEntries(60);
+    const division = createEngineDivision();
+    registerMix(division, [chat], 5_000);
+    expect(countsOf(division.divide(engines, 0)).long_prompt).to.be.at.least(
+      18,
+    );
+  });
+
+  it('keeps drafts with little of their own away from very long prompts', () => {
+    const engines = createEntries(60);
+    const division = createEngineDivision();
+    registerMix(division, [draft, smallDraft], 300);
+    const kinds = division.divide(engines, 0);
+    const candidates = engines.map(entry => createCandidate(entry));
+    for (let index = 0; index < 40; index++) {
+      const prompt = createPrompt(`draft ${index}`, 5_400, 1_800);
+      const placement = createPlacement({division: kinds, prompt});
+      const choice = chooseUpstream(candidates, placement, 0);
+      const {condition, entry} = choice?.candidate as Candidate;
+      expect(kinds.get(entry.id)).to.equal('medium_prompt');
+      condition.started({promptTokens: choice?.tokensToRead ?? 0});
+    }
+  });
+
+  it('stays as it is while requests of a steady mix come and go', () => {
     const random = createSeededRandom(7);
     const engines = createEntries(60);
     const division = createEngineDivision();
+    const undos: (() => void)[] = [];
     let changes = 0;
-    let last: ReadonlyMap<unknown, keyof SeenWork> = new Map();
+    let last: ReadonlyMap<unknown, keyof CountByKind> = new Map();
     for (let index = 0; index < 6_000; index++) {
       const prompt = [chat, hint, draft][Math.floor(random.next() * 3)];
-      division.sent(prompt as Prompt, index * 5);
+      undos.push(division.registerRequest(prompt as Prompt));
+      if (undos.length > 300) {
+        undos.splice(Math.floor(random.next() * 300), 1)[0]?.();
+      }
       if (index < 2_000) continue;
       const next = division.divide(engines, index * 5);
       if (next !== last) changes += 1;
       last = next;
     }
-    expect(changes).to.be.below(10);
+    expect(changes).to.be.below(20);
   });
 
-  it('is the same on instances that know the work of each other', () => {
+  it('is the same on instances that know what others have in flight', () => {
     const engines = createEntries(10, ['a', 'b', 'c']);
-    let othersWork = noWork;
-    const here = createEngineDivision({othersWork: () => othersWork});
-    const there = createEngineDivision({othersWork: () => here.work(8_000)});
-    sendMix(here, [draft, chat], 400);
-    sendMix(there, [chat, hint], 400);
-    othersWork = there.work(8_000);
+    const here: EngineDivision = createEngineDivision({
+      othersInFlight: () => there.inFlight(),
+    });
+    const there: EngineDivision = createEngineDivision({
+      othersInFlight: () => here.inFlight(),
+    });
+    registerMix(here, [draft, chat], 40);
+    registerMix(there, [chat, hint], 20);
     expect([...here.divide(engines, 8_000)]).to.deep.equal([
       ...there.divide(engines, 8_000),
     ]);
@@ -135,7 +198,7 @@
       const prompt = createPrompt(`draft ${index}`, 5_400, 6_600);
       const choice = chooseUpstream(candidates, {...placement, prompt}, 0);
       const {condition, entry} = choice?.candidate as Candidate;
-      expect(division.get(entry.id)).not.to.equal('generation');
+      expect(division.get(entry.id)).not.to.equal('interactive');
       condition.started({promptTokens: choice?.tokensToRead ?? 0});
     }
   });
@@ -147,7 +210,9 @@
     tier: 2,
     leastUrgent: true,
     usualEvents: 64,
+    usualGapMs: 40,
     remainingMs: 15_000,
+    targetLatencyMs: 1_500,
   };
 
   function createBusyChoice(gapMs: number, running: number) {
@@ -184,6 +249,38 @@
     expect(refusalReason(choice, {...demand, tier: 1}, 0)).to.equal(undefined);
   });
 
+  it('refuses a long prompt whose first event would come far too late', () => {
+    // Load: drafts at twice the rate that the engines' slots can take; every
+    // one of them was answered, and every one was late.
+    const choice = {...createBusyChoice(40, 40), expectedMs: 2_600};
+    expect(refusalReason(choice, demand, 0)).to.be.a('string');
+    const soon = {...choice, expectedMs: 1_400};
+    expect(refusalReason(soon, demand, 0)).to.equal(undefined);
+  });
+
+  it('refuses while all engines together are slow, before it saw this one', () => {
+    // Load: many instances; each sees an engine's events only now and then.
+    const choice = createBusyChoice(40, 20);
+    const slow = {...demand, usualGapMs: 150};
+    expect(refusalReason(choice, slow, 0)).to.be.a('string');
+  });
+
+  it('learns how long answers occupy a slot', () => {
+    const lengths = createAnswerLengths();
+    const before = lengths.usualAnswerMs();
+    for (let index = 0; index < 100; index++) {
+      lengths.completed(toClassId('draft'), 40, 6_000);
+    }
+    expect(lengths.usualAnswerMs()).to.be.within(before + 3_000, 6_000);
+  });
+
+  it('refuses a draft that adds little to a long shared part, too', () => {
+    const choice = createBusyChoice(200, 20);
+    expect(refusalReason(choice, {...demand, prompt: smallDraft}, 0)).to.be.a(
+      'string',
+    );
+  });
+
   it('never refuses what is not a long prompt', () => {
     const choice = createBusyChoice(900, 40);
     expect(refusalReason(choice, {...demand, prompt: hint}, 0)).to.equal(
@@ -195,7 +292,7 @@
     const lengths = createAnswerLengths();
     const classId = toClassId('advice');
     expect(lengths.usualEvents(classId, hint)).to.be.below(3);
-    lengths.completed(classId, 5);
+    lengths.completed(classId, 5, 400);
     expect(lengths.usualEvents(classId, hint)).to.equal(5);
   });
 
--- a/packages/gateway/src/__tests__/unit/GatewayFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayFixtures.ts
@@ -6,6 +6,7 @@
   toWorkspaceId,
 } from '@toucanrouter/common';
 import type {GatewayConfig, GatewayRoute} from '../../config/GatewayConfig.js';
+import {noLoad} from '../../peers/LoadReports.js';
 import type {Prompt} from '../../upstreams/Prompt.js';
 import {createPromptHomes} from '../../upstreams/PromptHomes.js';
 import type {Candidate, Placement} from '../../upstreams/UpstreamChoice.js';
@@ -100,7 +101,7 @@
   return {
     entry,
     condition: createUpstreamCondition(now),
-    others: {running: 0, waitingPromptTokens: 0},
+    others: noLoad,
   };
 }
 
@@ -127,8 +128,10 @@
     prompt: undefined,
     engine: {slots: 64, cacheTokens: 600_000},
     targetLatencyMs: 400,
+    repeatable: true,
     failureDomain: 'a',
     homes: createPromptHomes(),
+    usualAnswerMs: 1_500,
     division: new Map(),
     tieBreak: () => 0,
     ...changes,
--- a/packages/gateway/src/__tests__/unit/LoadReports.test.ts
+++ b/packages/gateway/src/__tests__/unit/LoadReports.test.ts
@@ -7,6 +7,7 @@
   encodeReport,
   reportLifetimeMs,
   shortIdOf,
+  upstreamShortIdOf,
 } from '../../peers/LoadReports.js';
 
 const engine = toUpstreamId('engine');
@@ -16,9 +17,15 @@
     instanceId: shortIdOf('one'),
     startedAtMs: 1,
     sequence: 1,
-    work: {long_prompt: 3, short_prompt: 2, generation: 1},
+    inFlight: {interactive: 1, long_prompt: 3, medium_prompt: 2},
     loads: [
-      {upstream: shortIdOf(engine), running: 4, waitingPromptTokens: 128},
+      {
+        upstream: upstreamShortIdOf(engine),
+        running: 4,
+        waitingPromptTokens: 1_024,
+        failed: 2,
+        served: 7,
+      },
     ],
     ...changes,
   };
@@ -30,6 +37,14 @@
     expect(decodeReport(encodeReport(report))).to.deep.equal(report);
   });
 
+  it('keep the ratio of failures when there are many outcomes', () => {
+    const [load] = createReport().loads;
+    const loads = [{...load!, failed: 60, served: 30}];
+    const decoded = decodeReport(encodeReport(createReport({loads})));
+    expect(decoded?.loads[0]?.failed).to.equal(15);
+    expect(decoded?.loads[0]?.served).to.be.within(7, 8);
+  });
+
   it('are not decoded from other datagrams', () => {
     const report = encodeReport(createReport());
     const others = [
@@ -48,7 +63,9 @@
     loads.receive(createReport());
     loads.receive(createReport({instanceId: shortIdOf('two')}));
     expect(loads.at(engine).running).to.equal(8);
-    expect(loads.work().long_prompt).to.equal(6);
+    expect(loads.at(engine).failed).to.equal(4);
+    expect(loads.at(engine).served).to.equal(14);
+    expect(loads.inFlight().long_prompt).to.equal(6);
   });
 
   it('do not count after an instance fell silent', () => {
--- a/packages/gateway/src/__tests__/unit/UpstreamChoice.test.ts
+++ b/packages/gateway/src/__tests__/unit/UpstreamChoice.test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import type {Candidate} from '../../upstreams/UpstreamChoice.js';
 import {chooseUpstream} from '../../upstreams/UpstreamChoice.js';
+import {noLoad} from '../../peers/LoadReports.js';
 import {createPromptHomes} from '../../upstreams/PromptHomes.js';
 import {
   createCandidate,
@@ -116,7 +117,7 @@
     ) as [Candidate, Candidate];
     const prompt = createPrompt('chat', 0, 600);
     const placement = createPlacement({prompt});
-    const busy = {running: 30, waitingPromptTokens: 60_000};
+    const busy = {...noLoad, running: 30, waitingPromptTokens: 60_000};
     expect(chosenId([{...first, others: busy}, second], placement)).to.equal(
       second.entry.id,
     );
@@ -161,6 +162,96 @@
   });
 });
 
+describe('UpstreamChoice with the experience of other instances', () => {
+  // Load: an engine fails half of its requests; each of 26 instances sends it
+  // one every few seconds.
+  it('leaves an engine that fails the requests of others, even a home', () => {
+    const candidates = createEntries(20).map(entry => createCandidate(entry));
+    const prompt = createPrompt('draft', 5_400, 6_600);
+    const placement = createPlacement({
+      prompt,
+      repeatable: false,
+      targetLatencyMs: 2_000,
+    });
+    const home = chooseUpstream(candidates, placement, 0)?.candidate;
+    const known = candidates.map(candidate =>
+      candidate === home
+        ? {...candidate, others: {...noLoad, failed: 5, served: 5}}
+        : candidate,
+    );
+    expect(chosenId(known, placement)).not.to.equal(home?.entry.id);
+  });
+
+  it('sends nothing that may run once to an engine that fails half of it', () => {
+    // Load: the failing engine looks idle, since failed requests end at once.
+    const [grey, ...good] = createEntries(6).map(entry =>
+      createCandidate(entry),
+    ) as [Candidate, ...Candidate[]];
+    for (const {condition} of good) {
+      for (let index = 0; index < 30; index++) {
+        condition.started({promptTokens: 6_600});
+      }
+    }
+    const candidates = [
+      {...grey, others: {...noLoad, failed: 20, served: 20}},
+      ...good,
+    ];
+    for (let index = 0; index < 20; index++) {
+      const prompt = createPrompt(`draft ${index}`, 5_400, 6_600);
+      const placement = createPlacement({prompt, repeatable: false});
+      const id = chosenId(candidates, {...placement, targetLatencyMs: 2_000});
+      expect(id).not.to.equal(grey.entry.id);
+    }
+  });
+
+  it('takes a single failure among many answers for no proof', () => {
+    const candidates = createEntries(20).map(entry => createCandidate(entry));
+    const prompt = createPrompt('draft', 5_400, 6_600);
+    const placement = createPlacement({
+      prompt,
+      repeatable: false,
+      targetLatencyMs: 2_000,
+    });
+    const home = chooseUpstream(candidates, placement, 0)?.candidate;
+    const known = candidates.map(candidate =>
+      candidate === home
+        ? {...candidate, others: {...noLoad, failed: 1, served: 9}}
+        : candidate,
+    );
+    expect(chosenId(known, placement)).to.equal(home?.entry.id);
+  });
+
+  it('does not move all requests after a chance failure of a service', () => {
+    // Load: a service fails one in seven requests at any upstream.
+    const [first, second] = createEntries(2).map(entry =>
+      createCandidate(entry),
+    ) as [Candidate, Candidate];
+    const unlucky = {...first, others: {...noLoad, failed: 6, served: 24}};
+    const lucky = {...second, others: {...noLoad, failed: 3, served: 27}};
+    lucky.condition.started({promptTokens: 0});
+    const placement = createPlacement({engine: undefined});
+    expect(chosenId([unlucky, lucky], placement)).to.equal(first.entry.id);
+  });
+
+  it('believes its own failures where all others are served', () => {
+    const [grey, good] = createEntries(2).map(entry =>
+      createCandidate(entry),
+    ) as [Candidate, Candidate];
+    const served = {...noLoad, served: 60};
+    for (let index = 0; index < 2; index++) grey.condition.outcome('failed', 0);
+    const placement = createPlacement({engine: undefined});
+    expect(
+      chosenId(
+        [
+          {...grey, others: served},
+          {...good, others: served},
+        ],
+        placement,
+      ),
+    ).to.equal(good.entry.id);
+  });
+});
+
 describe('PromptHomes', () => {
   it('moves only the parts of an upstream that is lost', () => {
     const ids = idsOf(createEntries(10));
--- a/packages/gateway/src/peers/LoadExchange.ts
+++ b/packages/gateway/src/peers/LoadExchange.ts
@@ -17,7 +17,7 @@
   readonly listen: ListenAddress;
   readonly peers: PeerDirectory;
   readonly loads: PeerLoads;
-  readonly ownLoad: () => Pick<LoadReport, 'loads' | 'work'>;
+  readonly ownLoad: () => Pick<LoadReport, 'inFlight' | 'loads'>;
 }
 
 /** A running exchange. */
@@ -29,7 +29,7 @@
 /** Reports of a few instances are sent at this interval. */
 const shortestIntervalMs = 200;
 /** With many instances the interval grows, so that bytes grow linearly. */
-const intervalPerPeerMs = 20;
+const intervalPerPeerMs = 10;
 
 /** Creates an exchange that has not started. */
 export function createLoadExchange(options: LoadExchangeOptions): LoadExchange {
--- a/packages/gateway/src/peers/LoadReports.ts
+++ b/packages/gateway/src/peers/LoadReports.ts
@@ -6,27 +6,40 @@
  */
 import type {Clock, UpstreamId} from '@toucanrouter/common';
 import {hash64} from '@toucanrouter/common';
-import type {SeenWork} from '../upstreams/EngineDivision.js';
-import {addWork, noWork} from '../upstreams/EngineDivision.js';
+import type {CountByKind} from '../upstreams/EngineDivision.js';
+import {addCounts, noCount} from '../upstreams/EngineDivision.js';
 
 declare const shortIdBrand: unique symbol;
+declare const upstreamShortIdBrand: unique symbol;
 
-/** Hash of an id, which stands for it in reports. */
+/** Hash of an instance's id, which stands for it in reports. */
 export type ShortId = number & {readonly [shortIdBrand]: true};
+/** Hash of an upstream's id; the many upstreams of a report take less. */
+export type UpstreamShortId = number & {readonly [upstreamShortIdBrand]: true};
 
 const shortIdMask = 0xffffffffn;
+const upstreamShortIdMask = 0xffffn;
 
-/** The short form of an id; a clash would only make an estimate worse. */
+/** The short form of an instance's id. */
 export function shortIdOf(id: string): ShortId {
   return Number(hash64(id) & shortIdMask) as ShortId;
 }
 
+/** The short form of an upstream; a clash only makes an estimate worse. */
+export function upstreamShortIdOf(id: UpstreamId): UpstreamShortId {
+  return Number(hash64(id) & upstreamShortIdMask) as UpstreamShortId;
+}
+
 /** Work in flight at one upstream. */
 export interface UpstreamLoad {
-  readonly upstream: ShortId;
+  readonly upstream: UpstreamShortId;
   readonly running: number;
   /** Prompt tokens of requests that have no first answer yet. */
   readonly waitingPromptTokens: number;
+  /** Requests that failed there recently; older ones count less. */
+  readonly failed: number;
+  /** Requests that were served there recently; older ones count less. */
+  readonly served: number;
 }
 
 /** What one instance tells. */
@@ -36,22 +49,29 @@
   readonly startedAtMs: number;
   /** Grows with each report, since datagrams may overtake each other. */
   readonly sequence: number;
-  readonly work: SeenWork;
+  /** Requests at engines. */
+  readonly inFlight: CountByKind;
   readonly loads: readonly UpstreamLoad[];
 }
 
 /** The others' work in flight at an upstream. */
 export type OthersLoad = Omit<UpstreamLoad, 'upstream'>;
 
-const noLoad: OthersLoad = {running: 0, waitingPromptTokens: 0};
+/** No load. */
+export const noLoad: OthersLoad = {
+  running: 0,
+  waitingPromptTokens: 0,
+  failed: 0,
+  served: 0,
+};
 
 /** Loads of other instances. */
 export interface PeerLoads {
   receive(report: LoadReport): void;
   /** The others' work at an upstream. */
   at(upstreamId: UpstreamId): OthersLoad;
-  /** The others' recent work. */
-  work(): SeenWork;
+  /** The others' requests at engines. */
+  inFlight(): CountByKind;
   /** Instances heard from recently. */
   count(): number;
 }
@@ -73,24 +93,26 @@
 /** Creates an empty table of the others' loads. */
 export function createPeerLoads(clock: Clock): PeerLoads {
   const received = new Map<ShortId, Received>();
-  const shortIds = new Map<UpstreamId, ShortId>();
-  const totals = new Map<ShortId, OthersLoad>();
-  let work: SeenWork = noWork;
+  const shortIds = new Map<UpstreamId, UpstreamShortId>();
+  const totals = new Map<UpstreamShortId, OthersLoad>();
+  let inFlight: CountByKind = noCount;
   let validUntilMs = -Infinity;
 
-  function shortIdOfUpstream(id: UpstreamId): ShortId {
+  function shortIdOfUpstream(id: UpstreamId): UpstreamShortId {
     const known = shortIds.get(id);
     if (known !== undefined) return known;
-    const shortId = shortIdOf(id);
+    const shortId = upstreamShortIdOf(id);
     shortIds.set(id, shortId);
     return shortId;
   }
 
-  function add({running, upstream, waitingPromptTokens}: UpstreamLoad): void {
+  function add({upstream, ...load}: UpstreamLoad): void {
     const total = totals.get(upstream) ?? noLoad;
     totals.set(upstream, {
-      running: total.running + running,
-      waitingPromptTokens: total.waitingPromptTokens + waitingPromptTokens,
+      running: total.running + load.running,
+      waitingPromptTokens: total.waitingPromptTokens + load.waitingPromptTokens,
+      failed: total.failed + load.failed,
+      served: total.served + load.served,
     });
   }
 
@@ -99,7 +121,7 @@
     const nowMs = clock.nowMs();
     if (nowMs < validUntilMs) return;
     totals.clear();
-    work = noWork;
+    inFlight = noCount;
     validUntilMs = Infinity;
     for (const [instanceId, {receivedAtMs, report}] of received) {
       const expiresAtMs = receivedAtMs + reportLifetimeMs;
@@ -108,7 +130,7 @@
         continue;
       }
       validUntilMs = Math.min(validUntilMs, expiresAtMs);
-      work = addWork(work, report.work);
+      inFlight = addCounts(inFlight, report.inFlight);
       report.loads.forEach(add);
     }
   }
@@ -124,9 +146,9 @@
       refresh();
       return totals.get(shortIdOfUpstream(upstreamId)) ?? noLoad;
     },
-    work: () => {
+    inFlight: () => {
       refresh();
-      return work;
+      return inFlight;
     },
     count: () => {
       refresh();
@@ -136,13 +158,24 @@
 }
 
 /** Layout of a datagram; reports are sent often, so each byte counts. */
-const formatVersion = 1;
-const headerBytes = 30;
-const loadBytes = 7;
-const maxRunning = 0xff;
+const formatVersion = 4;
+const headerBytes = 23;
+const loadBytes = 5;
+const maxCount = 0xff;
 /** Waiting tokens are sent in units of this many. */
-const tokenUnit = 64;
-const maxTokenUnits = 0xffff;
+const tokenUnit = 512;
+/** Failed and served requests take half a byte each. */
+const maxOutcomes = 0xf;
+
+function toCount(value: number): number {
+  return Math.min(Math.max(0, Math.round(value)), maxCount);
+}
+
+/** Large counts are scaled down together, which keeps their ratio. */
+function packOutcomes({failed, served}: UpstreamLoad): number {
+  const scale = Math.min(1, maxOutcomes / Math.max(failed, served, 1));
+  return (Math.round(failed * scale) << 4) | Math.round(served * scale);
+}
 
 /** Encodes a report as a datagram. */
 export function encodeReport(report: LoadReport): Buffer {
@@ -151,15 +184,15 @@
   datagram.writeUInt32BE(report.instanceId, 1);
   datagram.writeDoubleBE(report.startedAtMs, 5);
   datagram.writeUInt32BE(report.sequence, 13);
-  datagram.writeUInt32BE(Math.round(report.work.long_prompt), 17);
-  datagram.writeUInt32BE(Math.round(report.work.short_prompt), 21);
-  datagram.writeUInt32BE(Math.round(report.work.generation), 25);
-  report.loads.forEach(({running, upstream, waitingPromptTokens}, index) => {
+  datagram.writeUInt16BE(report.inFlight.long_prompt, 17);
+  datagram.writeUInt16BE(report.inFlight.medium_prompt, 19);
+  datagram.writeUInt16BE(report.inFlight.interactive, 21);
+  report.loads.forEach((load, index) => {
     const at = headerBytes + index * loadBytes;
-    const units = Math.round(Math.max(0, waitingPromptTokens) / tokenUnit);
-    datagram.writeUInt32BE(upstream, at);
-    datagram.writeUInt8(Math.min(running, maxRunning), at + 4);
-    datagram.writeUInt16BE(Math.min(units, maxTokenUnits), at + 5);
+    datagram.writeUInt16BE(load.upstream, at);
+    datagram.writeUInt8(toCount(load.running), at + 2);
+    datagram.writeUInt8(toCount(load.waitingPromptTokens / tokenUnit), at + 3);
+    datagram.writeUInt8(packOutcomes(load), at + 4);
   });
   return datagram;
 }
@@ -172,19 +205,21 @@
   const loads: UpstreamLoad[] = [];
   for (let at = headerBytes; at < datagram.length; at += loadBytes) {
     loads.push({
-      upstream: datagram.readUInt32BE(at) as ShortId,
-      running: datagram.readUInt8(at + 4),
-      waitingPromptTokens: datagram.readUInt16BE(at + 5) * tokenUnit,
+      upstream: datagram.readUInt16BE(at) as UpstreamShortId,
+      running: datagram.readUInt8(at + 2),
+      waitingPromptTokens: datagram.readUInt8(at + 3) * tokenUnit,
+      failed: datagram.readUInt8(at + 4) >> 4,
+      served: datagram.readUInt8(at + 4) & maxOutcomes,
     });
   }
   return {
     instanceId: datagram.readUInt32BE(1) as ShortId,
     startedAtMs: datagram.readDoubleBE(5),
     sequence: datagram.readUInt32BE(13),
-    work: {
-      long_prompt: datagram.readUInt32BE(17),
-      short_prompt: datagram.readUInt32BE(21),
-      generation: datagram.readUInt32BE(25),
+    inFlight: {
+      long_prompt: datagram.readUInt16BE(17),
+      medium_prompt: datagram.readUInt16BE(19),
+      interactive: datagram.readUInt16BE(21),
     },
     loads,
   };
--- a/packages/gateway/src/request/Attempt.ts
+++ b/packages/gateway/src/request/Attempt.ts
@@ -21,7 +21,12 @@
   /** The upstream states that it did not run the request. */
   | {readonly kind: 'not_run'; readonly status: number}
   /** The request may have run; its answer is missing or useless. */
-  | {readonly kind: 'broken'; readonly reason: string}
+  | {
+      readonly kind: 'broken';
+      readonly reason: string;
+      /** True when it was given up because the upstream sent nothing. */
+      readonly silent?: boolean;
+    }
   /** A whole answer that was not streamed. */
   | {
       readonly kind: 'answered';
@@ -116,7 +121,9 @@
     cancelSilence = clock.after(boundMs, () => {
       const reason = `silent for ${Math.round(boundMs)} ms`;
       abandon(
-        sent ? {kind: 'broken', reason} : {kind: 'unsent', reason},
+        sent
+          ? {kind: 'broken', reason, silent: true}
+          : {kind: 'unsent', reason},
         reason,
       );
     });
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -85,11 +85,12 @@
   let admittedAs: Admitted | undefined;
   let deadlineMs = Infinity;
   let attempt: Attempt | undefined;
+  let sentAtMs = arrivedAtMs;
   let chosen: Choice | undefined;
   let firstAnswerMs: number | undefined;
   let eventCount = 0;
   let longestPauseMs = 0;
-  let lastEventAtMs = Infinity;
+  let lastEventAtMs = 0;
   let recorded = false;
   let callerLeft = false;
   let cancelTimeout = (): void => undefined;
@@ -185,8 +186,10 @@
         prompt: request.prompt,
         engine: admitted.config.services.get(service)?.engine,
         targetLatencyMs: admitted.route.targetLatencyMs,
+        repeatable: admitted.route.repeat !== 'never',
         failureDomain: context.failureDomain,
         homes: context.homes,
+        usualAnswerMs: context.lengths.usualAnswerMs(),
         division:
           request.prompt === undefined
             ? new Map()
@@ -210,7 +213,9 @@
       tier,
       leastUrgent:
         route.tier >= inForce.leastUrgentTier(choice.candidate.entry.service),
+      targetLatencyMs: route.targetLatencyMs,
       usualEvents: context.lengths.usualEvents(route.classId, request.prompt),
+      usualGapMs: context.lengths.usualGapMs(route.classId),
       remainingMs: remainingMs(),
     };
     return refusalReason(choice, demand, clock.nowMs());
@@ -235,10 +240,8 @@
     const {entry} = choice.candidate;
     const part = request.prompt && placementPart(request.prompt);
     if (part !== undefined) context.homes.sent(part, entry.id, clock.nowMs());
-    if (request.prompt !== undefined) {
-      context.division(entry.service).sent(request.prompt, clock.nowMs());
-    }
     upstreams.push(entry.id);
+    sentAtMs = clock.nowMs();
     return startAttempt({
       clock,
       connections: context.connections,
@@ -263,7 +266,11 @@
         events: (answer, {bytes, count}) => {
           const nowMs = clock.nowMs();
           firstAnswerMs ??= nowMs - arrivedAtMs;
-          longestPauseMs = Math.max(longestPauseMs, nowMs - lastEventAtMs);
+          if (eventCount > 0) {
+            const pauseMs = nowMs - lastEventAtMs;
+            longestPauseMs = Math.max(longestPauseMs, pauseMs);
+            context.lengths.eventGap(route.classId, pauseMs / count);
+          }
           lastEventAtMs = nowMs;
           eventCount += count;
           if (!reply.begun) reply.begin(answer.status, answer.headers);
@@ -287,8 +294,9 @@
     if (end.kind === 'unsent') condition.outcome('unreachable', nowMs);
     else if (end.kind === 'misdirected') context.registry.displaced(entry.id);
     else if (end.kind === 'not_run') condition.outcome('refused', nowMs);
-    else if (end.kind === 'broken') condition.outcome('failed', nowMs);
-    else if (end.kind === 'answered' && end.answer.status >= 500) {
+    else if (end.kind === 'broken') {
+      condition.outcome(end.silent === true ? 'silent' : 'failed', nowMs);
+    } else if (end.kind === 'answered' && end.answer.status >= 500) {
       condition.outcome('failed', nowMs);
     } else condition.outcome('served', nowMs);
   }
@@ -305,7 +313,9 @@
       reply.begin(end.answer.status, end.answer.headers);
     reply.end();
     if (admittedAs !== undefined) {
-      context.lengths.completed(admittedAs.route.classId, eventCount);
+      const {classId} = admittedAs.route;
+      const durationMs = clock.nowMs() - sentAtMs;
+      context.lengths.completed(classId, eventCount, durationMs);
     }
     record('served', 200);
   }
@@ -334,8 +344,12 @@
       chosen = choice;
       const overload = overloadOf(choice, admitted);
       if (overload !== undefined) return refuse('overloaded', overload);
+      const unregister =
+        request.prompt &&
+        context.division(service).registerRequest(request.prompt);
       attempt = send(choice, admitted, body);
       const end = await attempt.end;
+      unregister?.();
       noteEnd(choice, end, attempt);
       if (recorded || callerLeft) return;
       const next = nextStep(end, currentProgress(admitted));
--- a/packages/gateway/src/upstreams/EngineAdmission.ts
+++ b/packages/gateway/src/upstreams/EngineAdmission.ts
@@ -1,11 +1,11 @@
 /**
- * Refuses long prompts that no engine could finish in time. Load pattern: a
- * burst of long prompts. Each engine reads them between the tokens of its
- * running requests; once reading takes nearly all of its time, the requests
- * that run produce almost nothing, and all of them fail late. A request that
- * is refused at once has not run, and its caller can come back.
+ * Refuses long prompts that no engine could answer in time. Load pattern: a
+ * burst of long prompts that lasts longer than the engines' queues. Once all
+ * slots are taken, every further prompt makes all that follow it late; and once
+ * reading takes nearly all of an engine's time, the requests that run produce
+ * almost nothing and fail late. A request that is refused at once has not run,
+ * and its caller can come back when the burst is over.
  */
-import {workKindOf} from './EngineDivision.js';
 import type {Prompt} from './Prompt.js';
 import type {Choice} from './UpstreamChoice.js';
 
@@ -18,7 +18,10 @@
   readonly leastUrgent: boolean;
   /** Usual number of events of the answers of this class. */
   readonly usualEvents: number;
+  /** Usual time between events of this class at present, at all engines. */
+  readonly usualGapMs: number;
   readonly remainingMs: number;
+  readonly targetLatencyMs: number;
 }
 
 /**
@@ -31,6 +34,13 @@
 function timeShare(tier: number): number {
   return timeShareOfTier[tier] ?? (timeShareOfTier.at(-1) as number);
 }
+/** Prompts below this size are soon read and are left to the engines. */
+const minRefusedTokens = 4_000;
+/**
+ * Target latencies within which the first event must be expected. Estimates
+ * are rough, so an answer that may come in time is tried.
+ */
+const firstAnswerTargets = 1.5;
 /** An engine with fewer requests than this speeds up soon. */
 const fewRunning = 6;
 
@@ -40,13 +50,17 @@
   demand: EngineDemand,
   nowMs: number,
 ): string | undefined {
-  if (workKindOf(demand.prompt) !== 'long_prompt') return undefined;
+  if (demand.prompt.promptTokens < minRefusedTokens) return undefined;
   // What is more urgent is left to the engines, which put it first: it must
   // not be refused while less urgent requests run.
   if (!demand.leastUrgent) return undefined;
   const {condition, others} = candidate;
   if (condition.running + others.running < fewRunning) return undefined;
-  const gapMs = condition.meanGapMs(nowMs);
+  const latestFirstMs = demand.targetLatencyMs * firstAnswerTargets;
+  if (expectedMs > latestFirstMs) {
+    return `the best engine needs about ${Math.round(expectedMs)} ms to the first event`;
+  }
+  const gapMs = Math.max(condition.meanGapMs(nowMs), demand.usualGapMs);
   const answerMs = expectedMs + demand.usualEvents * gapMs;
   if (answerMs <= demand.remainingMs * timeShare(demand.tier)) return undefined;
   return `the best engine needs about ${Math.round(answerMs)} ms at ${Math.round(gapMs)} ms an event`;
--- a/packages/gateway/src/upstreams/EngineDivision.ts
+++ b/packages/gateway/src/upstreams/EngineDivision.ts
@@ -1,11 +1,13 @@
 /**
  * Divides the engines of a service by the kind of work that they do best side
- * by side. Load pattern: prompts of many thousand tokens and short prompts
- * with short answers, beside chats whose events may pause for a few hundred
- * milliseconds. An engine reads a prompt in chunks between the tokens of the
- * other requests, so prompts in a row make every chat there late. All
- * instances order the engines alike and know each other's work, so that they
- * agree on the division without further messages.
+ * by side. Load pattern: prompts of up to tens of thousands of tokens beside
+ * chats whose events may pause for a few hundred milliseconds. An engine reads
+ * a prompt in chunks between the tokens of the other requests, so prompts in a
+ * row make every chat there late, and a very long one holds up the shorter ones
+ * behind it. Interactive requests get the engines that their requests in flight
+ * need, which follows a burst within a second; medium and long prompts share
+ * the others. All instances order the engines alike and know what the others
+ * have in flight, so that they agree on the division without further messages.
  */
 import type {UpstreamId} from '@toucanrouter/common';
 import {hash64} from '@toucanrouter/common';
@@ -14,20 +16,20 @@
 import type {UpstreamEntry} from './UpstreamEntry.js';
 
 /**
- * What dominates the work of a request: a long prompt, a short prompt with
- * little output, or the steady generation of output.
+ * What dominates the work of a request: steady output after a short prompt, a
+ * prompt of a few steps of an engine, or one of many.
  */
-export type WorkKind = 'generation' | 'long_prompt' | 'short_prompt';
+export type WorkKind = 'interactive' | 'long_prompt' | 'medium_prompt';
 
-/** Recent work by kind, in prompt tokens. */
-export type SeenWork = Readonly<Record<WorkKind, number>>;
+/** A number for each kind of work. */
+export type CountByKind = Readonly<Record<WorkKind, number>>;
 
 /** Keeps the division of the engines of one service. */
 export interface EngineDivision {
-  /** Recent work of this instance. */
-  work(nowMs: number): SeenWork;
-  /** Counts the work of a request that is sent to an engine. */
-  sent(prompt: Prompt, nowMs: number): void;
+  /** Requests of this instance that are at an engine. */
+  inFlight(): CountByKind;
+  /** Counts a request that is sent to an engine; returns its undo. */
+  registerRequest(prompt: Prompt): () => void;
   /** The kind of work that each engine is meant for. */
   divide(
     engines: readonly UpstreamEntry[],
@@ -37,70 +39,74 @@
 
 /** Options of a division. */
 export interface EngineDivisionOptions {
-  /** Recent work of the other instances. */
-  readonly othersWork?: () => SeenWork;
-  readonly onDivided?: (counts: SeenWork) => void;
+  /** Requests of the other instances that are at an engine. */
+  readonly othersInFlight?: () => CountByKind;
+  readonly onDivided?: (engines: CountByKind) => void;
 }
 
-/** Prompts of this many tokens take several steps of an engine to read. */
-const longPromptTokens = 4_000;
+/** Reading a prompt of this size delays the tokens of a chat noticeably. */
+const mediumPromptTokens = 4_000;
 /** Engine time of an output token, in token times of a prompt. */
 const outputTokenWork = 30;
 /** Output is usually far shorter than the maximum that a caller allows. */
-const usualOutputShare = 0.5;
-/** Bursts last a few seconds, so work counts for about this long. */
-const workHalfLifeMs = 4_000;
-/** Shares before anything was seen, about those of the known deployments. */
-const initialWork: SeenWork = {
-  long_prompt: 55_000,
-  short_prompt: 13_000,
-  generation: 32_000,
-};
+const usualOutputShare = 0.3;
 /**
- * Engines for each unit of work. Long prompts have long targets and may queue;
- * the others arrive in clumps, and a few at once already stretch the pauses.
+ * A prompt with this many tokens beside the shared ones takes several steps of
+ * an engine to read.
  */
-const headroom: SeenWork = {
-  long_prompt: 1,
-  short_prompt: 1.5,
-  generation: 1.7,
-};
+const longPromptTokens = 6_000;
+
+/** Part of an engine's slots that interactive requests in flight fill. */
+const interactiveSlotShare = 0.5;
+/** More interactive requests than this stretch the steps of an engine. */
+const maxInteractivePerEngine = 12;
+/**
+ * Engines for interactive requests beyond the mean need, in square roots of
+ * that need: requests arrive in clumps, and a clump weighs more among few
+ * engines.
+ */
+const interactiveSafetyFactor = 1;
+/** Part of the engines that interactive requests get at most. */
+const maxInteractiveShare = 0.5;
+/** Part of the engines that they get before anything was seen. */
+const initialInteractiveShare = 0.25;
+/** A long prompt takes this many times the engine time of a medium one. */
+const longPromptWeight = 1.5;
+/** Requests of each kind that are assumed for each engine, to steady shares. */
+const assumedPerEngine = 1;
+/** A need that has fallen is kept up for about this long. */
+const needHalfLifeMs = 2_000;
 /** A bound of the division moves by at least this share of the engines. */
-const hysteresisShare = 0.04;
+const hysteresisShare = 0.05;
 /** A bound of the division moves by at least this many engines. */
 const minHysteresisEngines = 1;
 
-/** No work. */
-export const noWork: SeenWork = {
+/** Zero for each kind. */
+export const noCount: CountByKind = {
+  interactive: 0,
   long_prompt: 0,
-  short_prompt: 0,
-  generation: 0,
+  medium_prompt: 0,
 };
 
-/** Adds work of each kind. */
-export function addWork(a: SeenWork, b: SeenWork): SeenWork {
+/** Adds up counts of each kind. */
+export function addCounts(a: CountByKind, b: CountByKind): CountByKind {
   return {
+    interactive: a.interactive + b.interactive,
     long_prompt: a.long_prompt + b.long_prompt,
-    short_prompt: a.short_prompt + b.short_prompt,
-    generation: a.generation + b.generation,
+    medium_prompt: a.medium_prompt + b.medium_prompt,
   };
 }
 
-function outputWork({maxOutputTokens}: Prompt): number {
-  return maxOutputTokens * usualOutputShare * outputTokenWork;
-}
-
-/** The kind of work that dominates a request. */
+/** The kind of work that a request is. */
 export function workKindOf(prompt: Prompt): WorkKind {
-  if (prompt.promptTokens >= longPromptTokens) return 'long_prompt';
-  return outputWork(prompt) > prompt.promptTokens
-    ? 'generation'
-    : 'short_prompt';
-}
-
-function workOf(prompt: Prompt): number {
-  const toRead = prompt.promptTokens - sharedTokens(prompt) / 2;
-  return toRead + outputWork(prompt);
+  const ownTokens = prompt.promptTokens - sharedTokens(prompt);
+  if (ownTokens >= longPromptTokens) return 'long_prompt';
+  const outputWork =
+    prompt.maxOutputTokens * usualOutputShare * outputTokenWork;
+  return prompt.promptTokens < mediumPromptTokens &&
+    outputWork > prompt.promptTokens
+    ? 'interactive'
+    : 'medium_prompt';
 }
 
 /**
@@ -116,101 +122,122 @@
 }
 
 /** A whole number that follows a value with hysteresis. */
-function follow(current: number, wanted: number, engineCount: number): number {
+function follow(count: number, wanted: number, engineCount: number): number {
   const hysteresis = Math.max(
     minHysteresisEngines,
     engineCount * hysteresisShare,
   );
-  return Math.abs(wanted - current) < hysteresis ? current : Math.round(wanted);
+  return Math.abs(wanted - count) < hysteresis ? count : Math.round(wanted);
+}
+
+/** Engines that interactive requests in flight need. */
+function interactiveNeed(
+  inFlight: number,
+  slots: number,
+  engineCount: number,
+): number {
+  const perEngine = Math.min(
+    slots * interactiveSlotShare,
+    maxInteractivePerEngine,
+  );
+  const mean = inFlight / Math.max(perEngine, 1);
+  return Math.min(
+    mean + interactiveSafetyFactor * Math.sqrt(mean),
+    engineCount * maxInteractiveShare,
+  );
 }
 
-/** Limits a count to what leaves the others at least one engine each. */
+/** Part of the other engines that long prompts need. */
+function longShare(inFlight: CountByKind, engineCount: number): number {
+  const assumed = assumedPerEngine * engineCount;
+  const long = (inFlight.long_prompt + assumed) * longPromptWeight;
+  return long / (long + inFlight.medium_prompt + assumed);
+}
+
+/** Limits a count to at least one engine and at most `most`. */
 function within(count: number, most: number): number {
   return Math.max(1, Math.min(count, most));
 }
 
-/** Creates a division that has seen no work. */
+/** Creates a division that has seen no requests. */
 export function createEngineDivision(
   options: EngineDivisionOptions = {},
 ): EngineDivision {
-  let own: SeenWork = noWork;
-  let atMs = 0;
+  let own: CountByKind = noCount;
   let dividedEngines: readonly UpstreamEntry[] | undefined;
   let order: readonly UpstreamId[] = [];
-  let longCount = 0;
-  let generationCount = 0;
+  let counts: CountByKind = noCount;
   let division: ReadonlyMap<UpstreamId, WorkKind> = new Map();
-
-  function fade(nowMs: number): void {
-    const kept = 0.5 ** (Math.max(0, nowMs - atMs) / workHalfLifeMs);
-    atMs = nowMs;
-    own = {
-      long_prompt: own.long_prompt * kept,
-      short_prompt: own.short_prompt * kept,
-      generation: own.generation * kept,
-    };
+  let need: number | undefined;
+  let needAtMs = 0;
+
+  /** The need of interactive requests, which falls slowly. */
+  function heldNeed(wanted: number, engineCount: number, nowMs: number) {
+    const before =
+      need === undefined
+        ? engineCount * initialInteractiveShare
+        : need * 0.5 ** (Math.max(0, nowMs - needAtMs) / needHalfLifeMs);
+    needAtMs = nowMs;
+    need = Math.max(wanted, before);
+    return need;
   }
 
-  function kindAt(index: number, engineCount: number): WorkKind {
-    if (index < longCount) return 'long_prompt';
-    return index < engineCount - generationCount
-      ? 'short_prompt'
-      : 'generation';
-  }
-
-  function recount(engineCount: number): boolean {
-    const seen = addWork(
-      addWork(own, options.othersWork?.() ?? noWork),
-      initialWork,
+  function count(
+    engines: readonly UpstreamEntry[],
+    nowMs: number,
+  ): CountByKind {
+    const inFlight = addCounts(own, options.othersInFlight?.() ?? noCount);
+    const slots = engines[0]?.slots ?? 1;
+    const all = engines.length;
+    const wanted = heldNeed(
+      interactiveNeed(inFlight.interactive, slots, all),
+      all,
+      nowMs,
     );
-    const longNeed = seen.long_prompt * headroom.long_prompt;
-    const generationNeed = seen.generation * headroom.generation;
-    const all =
-      longNeed + generationNeed + seen.short_prompt * headroom.short_prompt;
-    const wantedLong = (engineCount * longNeed) / all;
-    const wantedGeneration = (engineCount * generationNeed) / all;
-    const forShort = engineCount > 2 ? 1 : 0;
-    const long = within(
-      follow(longCount, wantedLong, engineCount),
-      engineCount - 1 - forShort,
+    const interactive = within(
+      follow(counts.interactive, wanted, all),
+      all - 1,
     );
-    const generation = within(
-      follow(generationCount, wantedGeneration, engineCount),
-      engineCount - long - forShort,
+    const rest = all - interactive;
+    const wantedLong = rest * longShare(inFlight, all);
+    const long = within(
+      follow(counts.long_prompt, wantedLong, all),
+      Math.max(1, rest - 1),
     );
-    if (long === longCount && generation === generationCount) return false;
-    longCount = long;
-    generationCount = generation;
-    return true;
+    return {interactive, long_prompt: long, medium_prompt: rest - long};
+  }
+
+  function kindAt(index: number): WorkKind {
+    if (index < counts.long_prompt) return 'long_prompt';
+    return index < counts.long_prompt + counts.medium_prompt
+      ? 'medium_prompt'
+      : 'interactive';
   }
 
   return {
-    work: nowMs => {
-      fade(nowMs);
-      return own;
-    },
-    sent: (prompt, nowMs) => {
-      fade(nowMs);
+    inFlight: () => own,
+    registerRequest: prompt => {
       const kind = workKindOf(prompt);
-      own = {...own, [kind]: own[kind] + workOf(prompt)};
+      own = {...own, [kind]: own[kind] + 1};
+      return () => {
+        own = {...own, [kind]: own[kind] - 1};
+      };
     },
     divide: (engines, nowMs) => {
       if (engines.length < 2) return new Map();
-      fade(nowMs);
       const changed = engines !== dividedEngines;
       if (changed) {
         order = inOrder(engines);
         dividedEngines = engines;
       }
-      if (!recount(engines.length) && !changed) return division;
-      division = new Map(
-        order.map((id, index) => [id, kindAt(index, engines.length)]),
-      );
-      options.onDivided?.({
-        long_prompt: longCount,
-        short_prompt: engines.length - longCount - generationCount,
-        generation: generationCount,
-      });
+      const next = count(engines, nowMs);
+      const moved =
+        next.interactive !== counts.interactive ||
+        next.long_prompt !== counts.long_prompt;
+      if (!moved && !changed) return division;
+      counts = next;
+      division = new Map(order.map((id, index) => [id, kindAt(index)]));
+      options.onDivided?.(counts);
       return division;
     },
   };
--- a/packages/gateway/src/upstreams/UpstreamChoice.ts
+++ b/packages/gateway/src/upstreams/UpstreamChoice.ts
@@ -13,7 +13,7 @@
 import {sharedTokens} from './Prompt.js';
 import type {PromptHomes} from './PromptHomes.js';
 import {placementPart} from './PromptHomes.js';
-import type {UpstreamCondition} from './UpstreamCondition.js';
+import type {RecentOutcomes, UpstreamCondition} from './UpstreamCondition.js';
 import type {UpstreamEntry} from './UpstreamEntry.js';
 
 /** An upstream with its condition. */
@@ -29,8 +29,12 @@
   readonly prompt: Prompt | undefined;
   readonly engine: EngineShape | undefined;
   readonly targetLatencyMs: number;
+  /** True when a failed attempt may be followed by another. */
+  readonly repeatable: boolean;
   readonly failureDomain: string;
   readonly homes: PromptHomes;
+  /** Usual time that an answer occupies a slot of an engine. */
+  readonly usualAnswerMs: number;
   /** The work that each engine is meant for; empty without division. */
   readonly division: ReadonlyMap<UpstreamId, WorkKind>;
   /** Breaks ties; from 0 to 1. */
@@ -55,20 +59,20 @@
 /** Time of an ordinary plain call, from the sheets. */
 const plainCallMs = 60;
 /**
- * Cost of reading a shared token again, in times of reading it once, by kind.
- * It delays everyone else at that engine, whose tokens are produced in the same
- * steps, and takes memory from other parts. The shared part of a long prompt
- * takes so much that waiting about one target latency at its home is better.
+ * Cost of reading a shared token again, in times of reading it once. It delays
+ * everyone else at that engine, whose tokens are produced in the same steps.
  */
-const repeatedReadFactor: Readonly<Record<WorkKind, number>> = {
-  long_prompt: 25,
-  short_prompt: 6,
-  generation: 6,
-};
+const repeatedReadFactor = 6;
+/**
+ * The same for long shared parts, which also take much memory from others:
+ * waiting about one target latency at the part's home is better.
+ */
+const repeatedLongReadFactor = 25;
 /**
- * Cost of each step down the ranking of the engines of a part. All instances
+ * Cost of each step down the ranking of the engines of a prompt. All instances
  * leave a busy home for the same next engine, where the part is then read once,
- * even if it lies in another failure domain.
+ * even if it lies in another failure domain. Requests of different rankings do
+ * not all go to the engine that the last load reports showed to be idle.
  */
 const rankStepMs = 30;
 /** Engines further down the ranking cost no more than this many steps. */
@@ -82,27 +86,35 @@
  * many events and short pauses, and a slow engine makes all of them late.
  */
 const eventGapCost: Readonly<Record<WorkKind, number>> = {
+  interactive: 3,
   long_prompt: 1,
-  short_prompt: 0.5,
-  generation: 4,
+  medium_prompt: 1,
 };
 /** Tokens for which one copy in the whole fleet is better than one a domain. */
 const fleetWideShareTokens = 1_500;
 /** Delay that each running request adds to the steps of an engine. */
 const runningRequestMs = 1.5;
-/** Events of an ordinary answer, from the sheets. */
-const usualAnswerEvents = 40;
-/** A failed request costs its caller about this many target latencies. */
-const failureTargets = 3;
+/** What a failure costs the caller, in target latencies, if it is repeated. */
+const repeatedFailureTargets = 3;
+/** The same for a request that may run once, and is lost by a failure. */
+const finalFailureTargets = 12;
 /**
- * Cost of a request at an engine that is meant for other work, by the kind of
- * the request and of the engine. A long prompt delays all requests of the
- * engine; a chat among prompts only bears the delay itself.
+ * What a request bears itself at an engine that is meant for other work, by the
+ * kind of the request and of the engine.
  */
 const otherWorkMs: Readonly<Record<WorkKind, Record<WorkKind, number>>> = {
-  long_prompt: {long_prompt: 0, short_prompt: 700, generation: 1_500},
-  short_prompt: {long_prompt: 120, short_prompt: 0, generation: 150},
-  generation: {long_prompt: 250, short_prompt: 60, generation: 0},
+  interactive: {interactive: 0, medium_prompt: 150, long_prompt: 300},
+  medium_prompt: {interactive: 30, medium_prompt: 0, long_prompt: 300},
+  long_prompt: {interactive: 0, medium_prompt: 0, long_prompt: 0},
+};
+/**
+ * What others bear while an engine that is meant for them reads the prompt, in
+ * times of reading it.
+ */
+const harmFactor: Readonly<Record<WorkKind, Record<WorkKind, number>>> = {
+  interactive: {interactive: 0, medium_prompt: 0, long_prompt: 0},
+  medium_prompt: {interactive: 8, medium_prompt: 0, long_prompt: 0},
+  long_prompt: {interactive: 8, medium_prompt: 4, long_prompt: 0},
 };
 /** Random share of the cost, so that equal upstreams share the load. */
 const tieShare = 0.1;
@@ -111,7 +123,7 @@
   readonly promptTokens: number;
   readonly sharedTokens: number;
   readonly part: string | undefined;
-  /** Engines of the part, the home first; empty without a part. */
+  /** Engines in the order of preference; the first is the part's home. */
   readonly ranking: readonly UpstreamId[];
 }
 
@@ -129,7 +141,9 @@
 function divisionMs({entry}: Candidate, {division, prompt}: Placement): number {
   const meantFor = division.get(entry.id);
   if (prompt === undefined || meantFor === undefined) return 0;
-  return otherWorkMs[workKindOf(prompt)][meantFor];
+  const kind = workKindOf(prompt);
+  const readMs = prompt.promptTokens / promptTokensPerMs;
+  return otherWorkMs[kind][meantFor] + harmFactor[kind][meantFor] * readMs;
 }
 
 function termsOf(
@@ -138,25 +152,30 @@
 ): Terms {
   const {failureDomain, homes, prompt} = placement;
   const part = prompt && placementPart(prompt);
-  if (prompt === undefined || part === undefined) {
-    const promptTokens = prompt?.promptTokens ?? 0;
-    return {promptTokens, sharedTokens: 0, part, ranking: []};
-  }
-  const shared = sharedTokens(prompt);
-  const near = candidates.filter(
-    ({entry}) => entry.failureDomain === failureDomain,
-  );
-  const wide = shared >= fleetWideShareTokens || near.length === 0;
-  const reachable = wide ? candidates : near;
-  const own = reachable.filter(
+  const shared = prompt === undefined ? 0 : sharedTokens(prompt);
+  const own = candidates.filter(
     candidate => divisionMs(candidate, placement) === 0,
   );
-  const pool = (own.length > 0 ? own : reachable).map(({entry}) => entry.id);
+  const pool = own.length > 0 ? own : candidates;
+  const isNear = ({entry}: Candidate) => entry.failureDomain === failureDomain;
+  // What shares nothing has a ranking of its own.
+  const key = part ?? String(placement.tieBreak());
+  const rank = (some: readonly Candidate[]) =>
+    homes.rank(
+      key,
+      some.map(({entry}) => entry.id),
+    );
   return {
-    promptTokens: prompt.promptTokens,
+    promptTokens: prompt?.promptTokens ?? 0,
     sharedTokens: shared,
     part,
-    ranking: homes.rank(part, pool),
+    ranking:
+      shared >= fleetWideShareTokens
+        ? rank(pool)
+        : [
+            ...rank(pool.filter(isNear)),
+            ...rank(pool.filter(candidate => !isNear(candidate))),
+          ],
   };
 }
 
@@ -167,17 +186,86 @@
   nowMs: number,
 ): number {
   const holdsShared =
-    entry.id === terms.ranking[0] ||
-    (terms.part !== undefined &&
+    terms.part !== undefined &&
+    (entry.id === terms.ranking[0] ||
       homes.sentRecently(terms.part, entry.id, nowMs));
   return holdsShared
     ? terms.promptTokens - terms.sharedTokens
     : terms.promptTokens;
 }
 
-/** Cost of the engine's place in the ranking of the prompt's shared part. */
+/**
+ * Outcomes that are assumed before any is seen, so that a first failure is no
+ * proof.
+ */
+const assumedOutcomes = 3;
+
+/** A single failure is chance even where none is usual. */
+const chanceFloor = 0.25;
+/** Deviations from the usual number of failures that chance may explain. */
+const chanceDeviations = 2;
+
+function allOutcomes({condition, others}: Candidate, nowMs: number) {
+  const own = condition.outcomes(nowMs);
+  return {
+    failed: own.failed + others.failed,
+    served: own.served + others.served,
+  };
+}
+
+/** Recent outcomes at all `candidates`. */
+function totalOutcomes(
+  candidates: readonly Candidate[],
+  nowMs: number,
+): RecentOutcomes {
+  let failed = 0;
+  let served = 0;
+  for (const candidate of candidates) {
+    const outcomes = allOutcomes(candidate, nowMs);
+    failed += outcomes.failed;
+    served += outcomes.served;
+  }
+  return {failed, served};
+}
+
+/** Share of requests that failed beyond what chance explains. */
+function excessShare(
+  {failed, served}: RecentOutcomes,
+  usualShare: number,
+): number {
+  const count = failed + served;
+  const usual = usualShare * count;
+  const excess =
+    failed - usual - chanceDeviations * Math.sqrt(usual + chanceFloor);
+  return Math.max(0, excess) / (count + assumedOutcomes);
+}
+
+/**
+ * Share of requests that fail at the upstream beyond the usual. Load pattern:
+ * an upstream fails part of its requests; each of many instances sends it a
+ * request every few seconds, and would have to lose several of its own to
+ * notice. Some requests of a service fail at any upstream, and must not move
+ * all instances to the same one. An upstream may also fail the requests of one
+ * failure domain only, so the worse of this instance's and of everyone's
+ * experience counts.
+ */
+function failureShare(
+  candidate: Candidate,
+  total: RecentOutcomes,
+  nowMs: number,
+): number {
+  const here = allOutcomes(candidate, nowMs);
+  const failedElsewhere = total.failed - here.failed;
+  const elsewhere = failedElsewhere + total.served - here.served;
+  const usualShare = failedElsewhere / (elsewhere + assumedOutcomes);
+  return Math.max(
+    excessShare(candidate.condition.outcomes(nowMs), usualShare),
+    excessShare(here, usualShare),
+  );
+}
+
+/** Cost of the engine's place in the ranking of the prompt. */
 function rankMs({entry}: Candidate, {ranking}: Terms): number {
-  if (ranking.length === 0) return 0;
   const rank = ranking.indexOf(entry.id);
   const steps = rank < 0 ? maxRankSteps : Math.min(rank, maxRankSteps);
   return steps * rankStepMs;
@@ -189,22 +277,19 @@
  * before reading prompts takes all of an engine's time.
  */
 function slotWaitMs(
-  {condition, entry}: Candidate,
+  {entry}: Candidate,
+  {usualAnswerMs}: Placement,
   running: number,
-  nowMs: number,
 ): number {
   const slots = Math.max(entry.slots, 1);
-  const waiting = running + 1 - slots;
-  if (waiting <= 0) return 0;
-  const answerMs = usualAnswerEvents * condition.meanGapMs(nowMs);
-  return (waiting * answerMs) / slots;
+  const waiting = Math.max(0, running + 1 - slots);
+  return (waiting * usualAnswerMs) / slots;
 }
 
 function expectedMs(
   candidate: Candidate,
   placement: Placement,
   read: number,
-  nowMs: number,
 ): number {
   const {entry, condition, others} = candidate;
   const running = condition.running + others.running;
@@ -213,15 +298,15 @@
     return plainCallMs * (1 + 2 * occupied);
   }
   const waiting = condition.waitingPromptTokens + others.waitingPromptTokens;
-  const generates =
+  const interactive =
     placement.prompt !== undefined &&
-    workKindOf(placement.prompt) === 'generation';
-  const ahead = Math.max(0, waiting) * (generates ? pauseFactor : 1);
+    workKindOf(placement.prompt) === 'interactive';
+  const ahead = Math.max(0, waiting) * (interactive ? pauseFactor : 1);
   return (
     idleFirstEventMs +
     (ahead + read) / promptTokensPerMs +
     running * runningRequestMs +
-    slotWaitMs(candidate, running, nowMs)
+    slotWaitMs(candidate, placement, running)
   );
 }
 
@@ -234,16 +319,17 @@
   const sound = candidates.filter(({condition}) => !condition.avoided(nowMs));
   const pool = sound.length > 0 ? sound : candidates;
   const terms = termsOf(pool, placement);
+  const total = totalOutcomes(pool, nowMs);
   const repeatFactor =
-    placement.prompt === undefined
-      ? 1
-      : repeatedReadFactor[workKindOf(placement.prompt)];
+    terms.sharedTokens >= fleetWideShareTokens
+      ? repeatedLongReadFactor
+      : repeatedReadFactor;
   let best: Choice | undefined;
   let lowestMs = Infinity;
   for (const candidate of pool) {
     const {condition, entry} = candidate;
     const read = tokensToRead(candidate, placement, terms, nowMs);
-    const firstMs = expectedMs(candidate, placement, read, nowMs);
+    const firstMs = expectedMs(candidate, placement, read);
     const repeated = read - (terms.promptTokens - terms.sharedTokens);
     const far = entry.failureDomain !== placement.failureDomain;
     const costMs =
@@ -253,8 +339,8 @@
       (far ? crossDomainMs : 0) +
       divisionMs(candidate, placement) +
       gapMs(candidate, placement, nowMs) +
-      condition.failureShare(nowMs) *
-        failureTargets *
+      failureShare(candidate, total, nowMs) *
+        (placement.repeatable ? repeatedFailureTargets : finalFailureTargets) *
         placement.targetLatencyMs;
     const spreadMs = costMs * (1 + tieShare * placement.tieBreak());
     if (spreadMs < lowestMs) {
--- a/packages/gateway/src/upstreams/UpstreamCondition.ts
+++ b/packages/gateway/src/upstreams/UpstreamCondition.ts
@@ -11,7 +11,20 @@
 }
 
 /** What happened to a request at an upstream. */
-export type UpstreamOutcome = 'served' | 'failed' | 'refused' | 'unreachable';
+export type UpstreamOutcome =
+  | 'failed'
+  | 'refused'
+  | 'served'
+  /** Given up for silence: the upstream hangs, or it has too much work. */
+  | 'silent'
+  | 'unreachable';
+
+/** Recent outcomes at an upstream; older ones count less. */
+export interface RecentOutcomes {
+  /** Requests that failed, or could not be sent. */
+  readonly failed: number;
+  readonly served: number;
+}
 
 /** The condition of one upstream, as this instance knows it. */
 export interface UpstreamCondition {
@@ -29,8 +42,8 @@
   readonly waitingPromptTokens: number;
   /** Observed times relative to expected ones; 1 is as expected. */
   slowness(nowMs: number): number;
-  /** Share of recent requests that failed, from 0 to 1. */
-  failureShare(nowMs: number): number;
+  /** What this instance saw of the upstream recently. */
+  outcomes(nowMs: number): RecentOutcomes;
   /** True while the upstream gets no work except when there is no other. */
   avoided(nowMs: number): boolean;
 }
@@ -80,10 +93,31 @@
   };
 }
 
+/** A count in which older events weigh less. */
+interface FadingCount {
+  add(nowMs: number): void;
+  value(nowMs: number): number;
+}
+
+function createFadingCount(): FadingCount {
+  let count = 0;
+  let atMs = 0;
+  const value = (nowMs: number) =>
+    count * 0.5 ** (Math.max(0, nowMs - atMs) / fadeHalfLifeMs);
+  return {
+    value,
+    add: nowMs => {
+      count = value(nowMs) + 1;
+      atMs = nowMs;
+    },
+  };
+}
+
 /** Creates the condition of an upstream that has not been used yet. */
 export function createUpstreamCondition(now: () => number): UpstreamCondition {
   const slowness = createFadingAverage(1);
-  const failures = createFadingAverage(0);
+  const failed = createFadingCount();
+  const served = createFadingCount();
   const gaps = createFadingAverage(idleGapMs, gapWeight);
   let running = 0;
   let waitingPromptTokens = 0;
@@ -119,6 +153,7 @@
     },
     outcome: (outcome, nowMs) => {
       if (outcome === 'unreachable') {
+        failed.add(nowMs);
         avoidFor(unreachableInRow, nowMs);
         unreachableInRow += 1;
         return;
@@ -128,8 +163,9 @@
         avoidedUntilMs = Math.max(avoidedUntilMs, nowMs + refusalPauseMs);
         return;
       }
-      failures.observe(outcome === 'failed' ? 1 : 0, nowMs);
-      failuresInRow = outcome === 'failed' ? failuresInRow + 1 : 0;
+      if (outcome === 'failed') failed.add(nowMs);
+      else if (outcome === 'served') served.add(nowMs);
+      failuresInRow = outcome === 'served' ? 0 : failuresInRow + 1;
       if (failuresInRow >= failuresBeforeAvoidance) {
         avoidFor(failuresInRow - failuresBeforeAvoidance, nowMs);
       } else if (outcome === 'served') {
@@ -139,7 +175,10 @@
     eventGap: gaps.observe,
     meanGapMs: gaps.value,
     slowness: slowness.value,
-    failureShare: failures.value,
+    outcomes: nowMs => ({
+      failed: failed.value(nowMs),
+      served: served.value(nowMs),
+    }),
     avoided: nowMs => nowMs < avoidedUntilMs,
   };
 }
