Keep prompts of all sizes together, and agree on the division of engines

The logs show one draft in five outside the ranking of its own kind: the engines of medium prompts were full while those of long prompts were not, each spilled draft chose the engine that looked idle, and instances moved the bounds at different moments.

Prompts of all sizes now share the engines that chats do not need. The ranking of a part goes on over the engines of the other kind. Instances take over the counts of the one with the lowest id, which each load report carries; one that hears from nobody counts for itself.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -18,7 +18,11 @@
 import {createConfigAge} from './config/ConfigAge.js';
 import {createLoadExchange} from './peers/LoadExchange.js';
 import type {LoadReport, UpstreamLoad} from './peers/LoadReports.js';
-import {createPeerLoads, upstreamShortIdOf} from './peers/LoadReports.js';
+import {
+  createPeerLoads,
+  shortIdOf,
+  upstreamShortIdOf,
+} from './peers/LoadReports.js';
 import {createPeerDirectory} from './peers/PeerDirectory.js';
 import {createRegistration} from './peers/Registration.js';
 import type {Dialect} from './request/Dialect.js';
@@ -122,6 +126,7 @@
   const budgets = new Map<ServiceName, RetryBudget>();
   const configAge = createConfigAge(clock);
   const peerLoads = createPeerLoads(clock);
+  const selfId = shortIdOf(settings.instanceId);
   const connections = createUpstreamConnections(clock);
 
   const conditionOf = (id: UpstreamId) =>
@@ -131,6 +136,7 @@
     getOrCreate(divisions, service, () =>
       createEngineDivision({
         othersInFlight: peerLoads.inFlight,
+        leadingCounts: () => peerLoads.leadingEngines(selfId),
         onDivided: counts =>
           logger.info('engines divided', {
             service,
@@ -193,16 +199,20 @@
     entry: {instanceId: settings.instanceId, address: settings.peers},
   });
 
-  function ownLoad(): Pick<LoadReport, 'inFlight' | 'loads'> {
+  function ownLoad(): Omit<
+    LoadReport,
+    'instanceId' | 'sequence' | 'startedAtMs'
+  > {
     const loads = [...conditions].map(([id, condition]) => ({
       upstream: upstreamShortIdOf(id),
       running: condition.running,
       waitingPromptTokens: condition.waitingPromptTokens,
       ...condition.outcomes(clock.nowMs()),
     }));
-    const counts = [...divisions.values()].map(d => d.inFlight());
+    const all = [...divisions.values()];
     return {
-      inFlight: counts.reduce(addCounts, noCount),
+      inFlight: all.map(d => d.inFlight()).reduce(addCounts, noCount),
+      engines: all.map(d => d.counts()).reduce(addCounts, noCount),
       loads: loads.filter(worthReporting),
     };
   }
--- a/packages/gateway/src/peers/LoadExchange.ts
+++ b/packages/gateway/src/peers/LoadExchange.ts
@@ -17,7 +17,10 @@
   readonly listen: ListenAddress;
   readonly peers: PeerDirectory;
   readonly loads: PeerLoads;
-  readonly ownLoad: () => Pick<LoadReport, 'inFlight' | 'loads'>;
+  readonly ownLoad: () => Omit<
+    LoadReport,
+    'instanceId' | 'sequence' | 'startedAtMs'
+  >;
 }
 
 /** A running exchange. */
--- a/packages/gateway/src/peers/LoadReports.ts
+++ b/packages/gateway/src/peers/LoadReports.ts
@@ -51,6 +51,8 @@
   readonly sequence: number;
   /** Requests at engines. */
   readonly inFlight: CountByKind;
+  /** Engines of each kind in the division of this instance. */
+  readonly engines: CountByKind;
   readonly loads: readonly UpstreamLoad[];
 }
 
@@ -72,6 +74,11 @@
   at(upstreamId: UpstreamId): OthersLoad;
   /** The others' requests at engines. */
   inFlight(): CountByKind;
+  /**
+   * The division of the instance that the others follow: the lowest id among
+   * those heard from. Undefined when that is `selfId`, or nobody is heard from.
+   */
+  leadingEngines(selfId: ShortId): CountByKind | undefined;
   /** Instances heard from recently. */
   count(): number;
 }
@@ -150,6 +157,14 @@
       refresh();
       return inFlight;
     },
+    leadingEngines: selfId => {
+      refresh();
+      const leader = [...received.keys()].reduce(
+        (lowest, id) => (id < lowest ? id : lowest),
+        selfId,
+      );
+      return received.get(leader)?.report.engines;
+    },
     count: () => {
       refresh();
       return received.size;
@@ -158,8 +173,8 @@
 }
 
 /** Layout of a datagram; reports are sent often, so each byte counts. */
-const formatVersion = 4;
-const headerBytes = 23;
+const formatVersion = 6;
+const headerBytes = 25;
 const loadBytes = 5;
 const maxCount = 0xff;
 /** Waiting tokens are sent in units of this many. */
@@ -177,6 +192,18 @@
   return (Math.round(failed * scale) << 4) | Math.round(served * scale);
 }
 
+function writeCounts(datagram: Buffer, counts: CountByKind, at: number): void {
+  datagram.writeUInt16BE(counts.prompt, at);
+  datagram.writeUInt16BE(counts.interactive, at + 2);
+}
+
+function readCounts(datagram: Buffer, at: number): CountByKind {
+  return {
+    prompt: datagram.readUInt16BE(at),
+    interactive: datagram.readUInt16BE(at + 2),
+  };
+}
+
 /** Encodes a report as a datagram. */
 export function encodeReport(report: LoadReport): Buffer {
   const datagram = Buffer.alloc(headerBytes + report.loads.length * loadBytes);
@@ -184,9 +211,8 @@
   datagram.writeUInt32BE(report.instanceId, 1);
   datagram.writeDoubleBE(report.startedAtMs, 5);
   datagram.writeUInt32BE(report.sequence, 13);
-  datagram.writeUInt16BE(report.inFlight.long_prompt, 17);
-  datagram.writeUInt16BE(report.inFlight.medium_prompt, 19);
-  datagram.writeUInt16BE(report.inFlight.interactive, 21);
+  writeCounts(datagram, report.inFlight, 17);
+  writeCounts(datagram, report.engines, 21);
   report.loads.forEach((load, index) => {
     const at = headerBytes + index * loadBytes;
     datagram.writeUInt16BE(load.upstream, at);
@@ -216,11 +242,8 @@
     instanceId: datagram.readUInt32BE(1) as ShortId,
     startedAtMs: datagram.readDoubleBE(5),
     sequence: datagram.readUInt32BE(13),
-    inFlight: {
-      long_prompt: datagram.readUInt16BE(17),
-      medium_prompt: datagram.readUInt16BE(19),
-      interactive: datagram.readUInt16BE(21),
-    },
+    inFlight: readCounts(datagram, 17),
+    engines: readCounts(datagram, 21),
     loads,
   };
 }
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -145,12 +145,13 @@
     failWith(new RouterError(kind, reason, {retryAfterMs}));
   }
 
-  function refuse(kind: ErrorKind, reason: string): void {
+  function refuse(kind: ErrorKind, reason: string, busyMs = 0): void {
     const notRun = kind === 'overloaded' || kind === 'no_upstream';
     if (!notRun || admittedAs === undefined) return fail(kind, reason);
     const delayMs = returnDelayMs({
       tier: admittedAs.tier,
       targetLatencyMs: admittedAs.route.targetLatencyMs,
+      busyMs,
       remainingMs: remainingMs(),
       random,
     });
@@ -343,7 +344,9 @@
       }
       chosen = choice;
       const overload = overloadOf(choice, admitted);
-      if (overload !== undefined) return refuse('overloaded', overload);
+      if (overload !== undefined) {
+        return refuse('overloaded', overload, choice.expectedMs);
+      }
       const unregister =
         request.prompt &&
         context.division(service).registerRequest(request.prompt);
--- a/packages/gateway/src/request/RetryAfter.ts
+++ b/packages/gateway/src/request/RetryAfter.ts
@@ -1,7 +1,8 @@
 /**
  * When a refused caller should come back. Returns are spread, so that the
  * callers of one burst do not return as another; callers of urgent classes
- * come back sooner.
+ * come back sooner. Callers that are refused for load come back when what waits
+ * at the upstreams may be done.
  */
 import type {RandomSource} from '@toucanrouter/common';
 
@@ -9,6 +10,8 @@
 export interface ReturnTerms {
   readonly tier: number;
   readonly targetLatencyMs: number;
+  /** Time until the upstreams may have done what waits there; 0 if unknown. */
+  readonly busyMs: number;
   /** How long the caller still waits. */
   readonly remainingMs: number;
   readonly random: RandomSource;
@@ -26,6 +29,7 @@
 export function returnDelayMs(terms: ReturnTerms): number {
   const baseMs = Math.max(
     shortestReturnMs,
+    terms.busyMs,
     terms.targetLatencyMs * targetShare * (1 + tierStep * terms.tier),
   );
   const spreadMs = baseMs * (0.5 + terms.random.next());
--- a/packages/gateway/src/upstreams/EngineDivision.ts
+++ b/packages/gateway/src/upstreams/EngineDivision.ts
@@ -3,11 +3,11 @@
  * by side. Load pattern: prompts of up to tens of thousands of tokens beside
  * chats whose events may pause for a few hundred milliseconds. An engine reads
  * a prompt in chunks between the tokens of the other requests, so prompts in a
- * row make every chat there late, and a very long one holds up the shorter ones
- * behind it. Interactive requests get the engines that their requests in flight
- * need, which follows a burst within a second; medium and long prompts share
- * the others. All instances order the engines alike and know what the others
- * have in flight, so that they agree on the division without further messages.
+ * row make every chat there late. Interactive requests get the engines that
+ * their requests in flight need, which follows a burst within a second; prompts
+ * get the others. All instances order the engines alike and know what the
+ * others have in flight; they take over the counts of one of them, since a
+ * prompt whose engine differs from instance to instance is read once at each.
  */
 import type {UpstreamId} from '@toucanrouter/common';
 import {hash64} from '@toucanrouter/common';
@@ -16,10 +16,10 @@
 import type {UpstreamEntry} from './UpstreamEntry.js';
 
 /**
- * What dominates the work of a request: steady output after a short prompt, a
- * prompt of a few steps of an engine, or one of many.
+ * What dominates the work of a request: steady output after a short prompt, or
+ * the reading of the prompt.
  */
-export type WorkKind = 'interactive' | 'long_prompt' | 'medium_prompt';
+export type WorkKind = 'interactive' | 'prompt';
 
 /** A number for each kind of work. */
 export type CountByKind = Readonly<Record<WorkKind, number>>;
@@ -28,6 +28,8 @@
 export interface EngineDivision {
   /** Requests of this instance that are at an engine. */
   inFlight(): CountByKind;
+  /** Engines of each kind at present. */
+  counts(): CountByKind;
   /** Counts a request that is sent to an engine; returns its undo. */
   registerRequest(prompt: Prompt): () => void;
   /** The kind of work that each engine is meant for. */
@@ -41,20 +43,17 @@
 export interface EngineDivisionOptions {
   /** Requests of the other instances that are at an engine. */
   readonly othersInFlight?: () => CountByKind;
+  /** The division of the instance that the others follow; undefined if none. */
+  readonly leadingCounts?: () => CountByKind | undefined;
   readonly onDivided?: (engines: CountByKind) => void;
 }
 
 /** Reading a prompt of this size delays the tokens of a chat noticeably. */
-const mediumPromptTokens = 4_000;
+const longPromptTokens = 4_000;
 /** Engine time of an output token, in token times of a prompt. */
 const outputTokenWork = 30;
 /** Output is usually far shorter than the maximum that a caller allows. */
 const usualOutputShare = 0.3;
-/**
- * A prompt with this many tokens beside the shared ones takes several steps of
- * an engine to read.
- */
-const longPromptTokens = 6_000;
 
 /** Part of an engine's slots that interactive requests in flight fill. */
 const interactiveSlotShare = 0.5;
@@ -70,10 +69,8 @@
 const maxInteractiveShare = 0.5;
 /** Part of the engines that they get before anything was seen. */
 const initialInteractiveShare = 0.25;
-/** A long prompt takes this many times the engine time of a medium one. */
-const longPromptWeight = 1.5;
-/** Requests of each kind that are assumed for each engine, to steady shares. */
-const assumedPerEngine = 1;
+/** The engines of another division may differ by this part and still fit. */
+const fittingShare = 0.1;
 /** A need that has fallen is kept up for about this long. */
 const needHalfLifeMs = 2_000;
 /** A bound of the division moves by at least this share of the engines. */
@@ -82,31 +79,24 @@
 const minHysteresisEngines = 1;
 
 /** Zero for each kind. */
-export const noCount: CountByKind = {
-  interactive: 0,
-  long_prompt: 0,
-  medium_prompt: 0,
-};
+export const noCount: CountByKind = {interactive: 0, prompt: 0};
 
 /** Adds up counts of each kind. */
 export function addCounts(a: CountByKind, b: CountByKind): CountByKind {
   return {
     interactive: a.interactive + b.interactive,
-    long_prompt: a.long_prompt + b.long_prompt,
-    medium_prompt: a.medium_prompt + b.medium_prompt,
+    prompt: a.prompt + b.prompt,
   };
 }
 
 /** The kind of work that a request is. */
 export function workKindOf(prompt: Prompt): WorkKind {
-  const ownTokens = prompt.promptTokens - sharedTokens(prompt);
-  if (ownTokens >= longPromptTokens) return 'long_prompt';
   const outputWork =
     prompt.maxOutputTokens * usualOutputShare * outputTokenWork;
-  return prompt.promptTokens < mediumPromptTokens &&
+  return prompt.promptTokens < longPromptTokens &&
     outputWork > prompt.promptTokens
     ? 'interactive'
-    : 'medium_prompt';
+    : 'prompt';
 }
 
 /**
@@ -147,16 +137,10 @@
   );
 }
 
-/** Part of the other engines that long prompts need. */
-function longShare(inFlight: CountByKind, engineCount: number): number {
-  const assumed = assumedPerEngine * engineCount;
-  const long = (inFlight.long_prompt + assumed) * longPromptWeight;
-  return long / (long + inFlight.medium_prompt + assumed);
-}
-
-/** Limits a count to at least one engine and at most `most`. */
-function within(count: number, most: number): number {
-  return Math.max(1, Math.min(count, most));
+/** Counts for `all` engines; each kind has at least one. */
+function fitted(interactive: number, all: number): CountByKind {
+  const count = Math.max(1, Math.min(interactive, all - 1));
+  return {interactive: count, prompt: all - count};
 }
 
 /** Creates a division that has seen no requests. */
@@ -189,33 +173,27 @@
     const inFlight = addCounts(own, options.othersInFlight?.() ?? noCount);
     const slots = engines[0]?.slots ?? 1;
     const all = engines.length;
-    const wanted = heldNeed(
-      interactiveNeed(inFlight.interactive, slots, all),
-      all,
-      nowMs,
-    );
-    const interactive = within(
-      follow(counts.interactive, wanted, all),
-      all - 1,
-    );
-    const rest = all - interactive;
-    const wantedLong = rest * longShare(inFlight, all);
-    const long = within(
-      follow(counts.long_prompt, wantedLong, all),
-      Math.max(1, rest - 1),
-    );
-    return {interactive, long_prompt: long, medium_prompt: rest - long};
+    const wanted = interactiveNeed(inFlight.interactive, slots, all);
+    const held = heldNeed(wanted, all, nowMs);
+    return fitted(follow(counts.interactive, held, all), all);
   }
 
-  function kindAt(index: number): WorkKind {
-    if (index < counts.long_prompt) return 'long_prompt';
-    return index < counts.long_prompt + counts.medium_prompt
-      ? 'medium_prompt'
-      : 'interactive';
+  /** The counts of the leading instance, as far as they fit these engines. */
+  function followedCounts(all: number): CountByKind | undefined {
+    const leading = options.leadingCounts?.();
+    if (leading === undefined) return undefined;
+    const differing = Math.abs(leading.interactive + leading.prompt - all);
+    return differing <= all * fittingShare
+      ? fitted(leading.interactive, all)
+      : undefined;
   }
 
+  const kindAt = (index: number): WorkKind =>
+    index < counts.prompt ? 'prompt' : 'interactive';
+
   return {
     inFlight: () => own,
+    counts: () => counts,
     registerRequest: prompt => {
       const kind = workKindOf(prompt);
       own = {...own, [kind]: own[kind] + 1};
@@ -230,10 +208,9 @@
         order = inOrder(engines);
         dividedEngines = engines;
       }
-      const next = count(engines, nowMs);
-      const moved =
-        next.interactive !== counts.interactive ||
-        next.long_prompt !== counts.long_prompt;
+      const ownCounts = count(engines, nowMs);
+      const next = followedCounts(engines.length) ?? ownCounts;
+      const moved = next.interactive !== counts.interactive;
       if (!moved && !changed) return division;
       counts = next;
       division = new Map(order.map((id, index) => [id, kindAt(index)]));
--- a/packages/gateway/src/upstreams/UpstreamChoice.ts
+++ b/packages/gateway/src/upstreams/UpstreamChoice.ts
@@ -87,8 +87,7 @@
  */
 const eventGapCost: Readonly<Record<WorkKind, number>> = {
   interactive: 3,
-  long_prompt: 1,
-  medium_prompt: 1,
+  prompt: 1,
 };
 /** Tokens for which one copy in the whole fleet is better than one a domain. */
 const fleetWideShareTokens = 1_500;
@@ -98,24 +97,13 @@
 const repeatedFailureTargets = 3;
 /** The same for a request that may run once, and is lost by a failure. */
 const finalFailureTargets = 12;
+/** What an interactive request bears at an engine that is meant for prompts. */
+const amongPromptsMs = 150;
 /**
- * What a request bears itself at an engine that is meant for other work, by the
- * kind of the request and of the engine.
+ * What interactive requests bear while an engine that is meant for them reads a
+ * prompt, in times of reading it.
  */
-const otherWorkMs: Readonly<Record<WorkKind, Record<WorkKind, number>>> = {
-  interactive: {interactive: 0, medium_prompt: 150, long_prompt: 300},
-  medium_prompt: {interactive: 30, medium_prompt: 0, long_prompt: 300},
-  long_prompt: {interactive: 0, medium_prompt: 0, long_prompt: 0},
-};
-/**
- * What others bear while an engine that is meant for them reads the prompt, in
- * times of reading it.
- */
-const harmFactor: Readonly<Record<WorkKind, Record<WorkKind, number>>> = {
-  interactive: {interactive: 0, medium_prompt: 0, long_prompt: 0},
-  medium_prompt: {interactive: 8, medium_prompt: 0, long_prompt: 0},
-  long_prompt: {interactive: 8, medium_prompt: 4, long_prompt: 0},
-};
+const promptHarmFactor = 12;
 /** Random share of the cost, so that equal upstreams share the load. */
 const tieShare = 0.1;
 
@@ -142,8 +130,10 @@
   const meantFor = division.get(entry.id);
   if (prompt === undefined || meantFor === undefined) return 0;
   const kind = workKindOf(prompt);
-  const readMs = prompt.promptTokens / promptTokensPerMs;
-  return otherWorkMs[kind][meantFor] + harmFactor[kind][meantFor] * readMs;
+  if (kind === meantFor) return 0;
+  return kind === 'interactive'
+    ? amongPromptsMs
+    : (prompt.promptTokens / promptTokensPerMs) * promptHarmFactor;
 }
 
 function termsOf(
@@ -157,6 +147,7 @@
     candidate => divisionMs(candidate, placement) === 0,
   );
   const pool = own.length > 0 ? own : candidates;
+  const beyond = candidates.filter(candidate => !pool.includes(candidate));
   const isNear = ({entry}: Candidate) => entry.failureDomain === failureDomain;
   // What shares nothing has a ranking of its own.
   const key = part ?? String(placement.tieBreak());
@@ -165,17 +156,18 @@
       key,
       some.map(({entry}) => entry.id),
     );
+  const inPool =
+    shared >= fleetWideShareTokens
+      ? rank(pool)
+      : [
+          ...rank(pool.filter(isNear)),
+          ...rank(pool.filter(candidate => !isNear(candidate))),
+        ];
   return {
     promptTokens: prompt?.promptTokens ?? 0,
     sharedTokens: shared,
     part,
-    ranking:
-      shared >= fleetWideShareTokens
-        ? rank(pool)
-        : [
-            ...rank(pool.filter(isNear)),
-            ...rank(pool.filter(candidate => !isNear(candidate))),
-          ],
+    ranking: [...inPool, ...rank(beyond)],
   };
 }
 
