--- a/packages/gateway/src/upstreams/EngineDivision.ts
+++ b/packages/gateway/src/upstreams/EngineDivision.ts
@@ -12,7 +12,6 @@
 import type {UpstreamId} from '@toucanrouter/common';
 import {hash64} from '@toucanrouter/common';
 import type {Prompt} from './Prompt.js';
-import {sharedTokens} from './Prompt.js';
 import type {UpstreamEntry} from './UpstreamEntry.js';
 
 /**
