Split the choice of a request's upstream and the judgement of failures into modules

GatewayRequest was one closure of 400 lines; where its attempts go, and what their ends tell of an upstream, stand by themselves now. Urgent workspaces are refused last also for a late first event.

--- a/packages/gateway/src/__tests__/unit/EngineDivision.test.ts
+++ b/packages/gateway/src/__tests__/unit/EngineDivision.test.ts
@@ -250,6 +250,9 @@
     // one of them was answered, and every one was late.
     const choice = {...createBusyChoice(40, 40), expectedMs: 2_600};
     expect(refusalReason(choice, demand, 0)).to.be.a('string');
+    const between = {...choice, expectedMs: 2_000};
+    expect(refusalReason(between, demand, 0)).to.be.a('string');
+    expect(refusalReason(between, {...demand, tier: 0}, 0)).to.equal(undefined);
     const soon = {...choice, expectedMs: 1_400};
     expect(refusalReason(soon, demand, 0)).to.equal(undefined);
   });
--- a/packages/gateway/src/request/Attempt.ts
+++ b/packages/gateway/src/request/Attempt.ts
@@ -4,6 +4,7 @@
  */
 import type {Clock} from '@toucanrouter/common';
 import type {Choice} from '../upstreams/UpstreamChoice.js';
+import type {UpstreamOutcome} from '../upstreams/UpstreamCondition.js';
 import type {
   UpstreamConnections,
   UpstreamExchange,
@@ -36,6 +37,27 @@
   /** The stream ended, and all of it was passed on. */
   | {readonly kind: 'streamed'; readonly answer: UpstreamAnswer};
 
+/** Statuses from this one on are failures of the upstream itself. */
+export const firstServerError = 500;
+
+/** What an end tells of the upstream; a misdirected request tells nothing. */
+export function outcomeOf(
+  end: Exclude<AttemptEnd, {kind: 'misdirected'}>,
+): UpstreamOutcome {
+  switch (end.kind) {
+    case 'unsent':
+      return 'unreachable';
+    case 'not_run':
+      return 'refused';
+    case 'broken':
+      return end.silent === true ? 'silent' : 'failed';
+    case 'answered':
+      return end.answer.status >= firstServerError ? 'failed' : 'served';
+    case 'streamed':
+      return 'served';
+  }
+}
+
 /** Receives events of a stream as they arrive. */
 export interface StreamReceiver {
   /** Takes whole events; false when the caller reads too slowly. */
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -3,23 +3,22 @@
  * on, and repeats or continues it elsewhere as far as its class allows.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {ErrorKind, ServiceName, UpstreamId} from '@toucanrouter/common';
+import type {ErrorKind, UpstreamId} from '@toucanrouter/common';
 import {answerFor, RouterError} from '@toucanrouter/common';
 import {pickService} from '../config/RouteTable.js';
-import {refusalReason} from '../upstreams/EngineAdmission.js';
 import type {Choice} from '../upstreams/UpstreamChoice.js';
-import {chooseUpstream} from '../upstreams/UpstreamChoice.js';
 import {placementPart} from '../upstreams/PromptHomes.js';
 import type {Admitted} from './Admission.js';
 import {admit} from './Admission.js';
 import type {Attempt, AttemptEnd, SilenceBound} from './Attempt.js';
-import {startAttempt} from './Attempt.js';
+import {outcomeOf, startAttempt} from './Attempt.js';
 import {readBody} from './CallerBody.js';
 import type {CallerReply} from './CallerReply.js';
 import {createCallerReply} from './CallerReply.js';
 import type {CallerRequest} from './Dialect.js';
 import type {GatewayContext} from './GatewayContext.js';
 import type {RequestProgress} from './RepeatRules.js';
+import {createRequestPlacement} from './RequestPlacement.js';
 import {nextStep} from './RepeatRules.js';
 import {upstreamRank} from './UpstreamRank.js';
 import {returnDelayMs} from './RetryAfter.js';
@@ -173,55 +172,6 @@
     attempt?.cancel(reason);
   }
 
-  function choose(service: ServiceName, admitted: Admitted) {
-    const entries = context.registry.usable(service);
-    const unused = entries.filter(entry => !upstreams.includes(entry.id));
-    const candidates = unused.map(entry => ({
-      entry,
-      condition: context.conditions(entry.id),
-      others: context.peerLoads.at(entry.id),
-    }));
-    return chooseUpstream(
-      candidates,
-      {
-        prompt: request.prompt,
-        engine: admitted.config.services.get(service)?.engine,
-        targetLatencyMs: admitted.route.targetLatencyMs,
-        repeatable: admitted.route.repeat !== 'never',
-        failureDomain: context.failureDomain,
-        homes: context.homes,
-        usualAnswerMs: context.lengths.usualAnswerMs(),
-        division:
-          request.prompt === undefined
-            ? new Map()
-            : context.division(service).divide(entries, clock.nowMs()),
-        tieBreak: random.next,
-      },
-      clock.nowMs(),
-    );
-  }
-
-  /** Only a request that no upstream received is refused for load. */
-  function overloadOf(
-    choice: Choice,
-    {config: inForce, route, tier}: Admitted,
-  ): string | undefined {
-    if (request.prompt === undefined || progress.upstreamsUsed > 0) {
-      return undefined;
-    }
-    const demand = {
-      prompt: request.prompt,
-      tier,
-      leastUrgent:
-        route.tier >= inForce.leastUrgentTier(choice.candidate.entry.service),
-      targetLatencyMs: route.targetLatencyMs,
-      usualEvents: context.lengths.usualEvents(route.classId, request.prompt),
-      usualGapMs: context.lengths.usualGapMs(route.classId),
-      remainingMs: remainingMs(),
-    };
-    return refusalReason(choice, demand, clock.nowMs());
-  }
-
   function silenceBound({route}: Admitted): SilenceBound | undefined {
     if (route.repeat === 'never') return undefined;
     return {
@@ -284,7 +234,6 @@
   }
 
   function noteEnd(choice: Choice, end: AttemptEnd, ended: Attempt): void {
-    const nowMs = clock.nowMs();
     const {condition, entry} = choice.candidate;
     progress.lastEventId = ended.lastEventId() ?? progress.lastEventId;
     if (end.kind === 'unsent') progress.unsentCount += 1;
@@ -292,14 +241,8 @@
     else progress.upstreamsUsed += 1;
     progress.mayHaveRun ||= end.kind === 'broken' || end.kind === 'answered';
     if (callerLeft || recorded) return;
-    if (end.kind === 'unsent') condition.outcome('unreachable', nowMs);
-    else if (end.kind === 'misdirected') context.registry.displaced(entry.id);
-    else if (end.kind === 'not_run') condition.outcome('refused', nowMs);
-    else if (end.kind === 'broken') {
-      condition.outcome(end.silent === true ? 'silent' : 'failed', nowMs);
-    } else if (end.kind === 'answered' && end.answer.status >= 500) {
-      condition.outcome('failed', nowMs);
-    } else condition.outcome('served', nowMs);
+    if (end.kind === 'misdirected') context.registry.displaced(entry.id);
+    else condition.outcome(outcomeOf(end), clock.nowMs());
   }
 
   function passOn(end: AttemptEnd): void {
@@ -333,17 +276,26 @@
   async function run(admitted: Admitted, body: Buffer): Promise<void> {
     const service = pickService(admitted.route, random);
     if (service === undefined) return refuse('no_upstream', 'no service');
+    const placement = createRequestPlacement({
+      context,
+      request,
+      admitted,
+      service,
+    });
     const budget = context.retryBudget(service);
     budget.requested(clock.nowMs());
     while (!recorded && !callerLeft) {
-      const choice = choose(service, admitted);
+      const choice = placement.choose(upstreams);
       if (choice === undefined) {
         const kind = progress.mayHaveRun ? 'upstream_failed' : 'no_upstream';
         const reason = `no further upstream of ${service}`;
         return reply.begun ? breakOff(kind, reason) : refuse(kind, reason);
       }
       chosen = choice;
-      const overload = overloadOf(choice, admitted);
+      const overload =
+        progress.upstreamsUsed > 0
+          ? undefined
+          : placement.overload(choice, remainingMs());
       if (overload !== undefined) {
         return refuse('overloaded', overload, choice.expectedMs);
       }
--- a/packages/gateway/src/request/RepeatRules.ts
+++ b/packages/gateway/src/request/RepeatRules.ts
@@ -5,6 +5,7 @@
 import type {ErrorKind} from '@toucanrouter/common';
 import type {RepeatRule} from '../config/GatewayConfig.js';
 import type {AttemptEnd} from './Attempt.js';
+import {firstServerError} from './Attempt.js';
 
 /** How far a request has come. */
 export interface RequestProgress {
@@ -91,8 +92,6 @@
   }
 }
 
-const firstServerError = 500;
-
 function afterAnswer(status: number, progress: RequestProgress): NextStep {
   const repeatable = progress.repeat === 'whole' && !progress.answerBegun;
   if (status >= firstServerError && repeatable && canUseAnother(progress)) {
--- a/packages/gateway/src/upstreams/EngineAdmission.ts
+++ b/packages/gateway/src/upstreams/EngineAdmission.ts
@@ -31,16 +31,19 @@
  */
 const timeShareOfTier: readonly number[] = [0.9, 0.65, 0.5];
 
-function timeShare(tier: number): number {
-  return timeShareOfTier[tier] ?? (timeShareOfTier.at(-1) as number);
+/** The value of a tier; the last one holds for all tiers after it. */
+function ofTier(values: readonly number[], tier: number): number {
+  return values[tier] ?? (values.at(-1) as number);
 }
+
 /** Prompts below this size are soon read and are left to the engines. */
 const minRefusedTokens = 4_000;
 /**
- * Target latencies within which the first event must be expected. Estimates
- * are rough, so an answer that may come in time is tried.
+ * Target latencies within which the first event must be expected, by tier.
+ * Estimates are rough, so an answer that may come in time is tried.
  */
-const firstAnswerTargets = 1.5;
+const firstAnswerTargetsOfTier: readonly number[] = [2, 1.5, 1.25];
+
 /** An engine with fewer requests than this speeds up soon. */
 const fewRunning = 6;
 
@@ -56,12 +59,14 @@
   if (!demand.leastUrgent) return undefined;
   const {condition, others} = candidate;
   if (condition.running + others.running < fewRunning) return undefined;
-  const latestFirstMs = demand.targetLatencyMs * firstAnswerTargets;
+  const latestFirstMs =
+    demand.targetLatencyMs * ofTier(firstAnswerTargetsOfTier, demand.tier);
   if (expectedMs > latestFirstMs) {
     return `the best engine needs about ${Math.round(expectedMs)} ms to the first event`;
   }
   const gapMs = Math.max(condition.meanGapMs(nowMs), demand.usualGapMs);
   const answerMs = expectedMs + demand.usualEvents * gapMs;
-  if (answerMs <= demand.remainingMs * timeShare(demand.tier)) return undefined;
+  if (answerMs <= demand.remainingMs * ofTier(timeShareOfTier, demand.tier))
+    return undefined;
   return `the best engine needs about ${Math.round(answerMs)} ms at ${Math.round(gapMs)} ms an event`;
 }
--- a/packages/gateway/src/upstreams/UpstreamChoice.ts
+++ b/packages/gateway/src/upstreams/UpstreamChoice.ts
@@ -13,7 +13,8 @@
 import {sharedTokens} from './Prompt.js';
 import type {PromptHomes} from './PromptHomes.js';
 import {placementPart} from './PromptHomes.js';
-import type {RecentOutcomes, UpstreamCondition} from './UpstreamCondition.js';
+import {failureShare, totalOutcomes} from './FailureShare.js';
+import type {UpstreamCondition} from './UpstreamCondition.js';
 import type {UpstreamEntry} from './UpstreamEntry.js';
 
 /** An upstream with its condition. */
@@ -186,76 +187,6 @@
     : terms.promptTokens;
 }
 
-/**
- * Outcomes that are assumed before any is seen, so that a first failure is no
- * proof.
- */
-const assumedOutcomes = 3;
-
-/** A single failure is chance even where none is usual. */
-const chanceFloor = 0.25;
-/** Deviations from the usual number of failures that chance may explain. */
-const chanceDeviations = 2;
-
-function allOutcomes({condition, others}: Candidate, nowMs: number) {
-  const own = condition.outcomes(nowMs);
-  return {
-    failed: own.failed + others.failed,
-    served: own.served + others.served,
-  };
-}
-
-/** Recent outcomes at all `candidates`. */
-function totalOutcomes(
-  candidates: readonly Candidate[],
-  nowMs: number,
-): RecentOutcomes {
-  let failed = 0;
-  let served = 0;
-  for (const candidate of candidates) {
-    const outcomes = allOutcomes(candidate, nowMs);
-    failed += outcomes.failed;
-    served += outcomes.served;
-  }
-  return {failed, served};
-}
-
-/** Share of requests that failed beyond what chance explains. */
-function excessShare(
-  {failed, served}: RecentOutcomes,
-  usualShare: number,
-): number {
-  const count = failed + served;
-  const usual = usualShare * count;
-  const excess =
-    failed - usual - chanceDeviations * Math.sqrt(usual + chanceFloor);
-  return Math.max(0, excess) / (count + assumedOutcomes);
-}
-
-/**
- * Share of requests that fail at the upstream beyond the usual. Load pattern:
- * an upstream fails part of its requests; each of many instances sends it a
- * request every few seconds, and would have to lose several of its own to
- * notice. Some requests of a service fail at any upstream, and must not move
- * all instances to the same one. An upstream may also fail the requests of one
- * failure domain only, so the worse of this instance's and of everyone's
- * experience counts.
- */
-function failureShare(
-  candidate: Candidate,
-  total: RecentOutcomes,
-  nowMs: number,
-): number {
-  const here = allOutcomes(candidate, nowMs);
-  const failedElsewhere = total.failed - here.failed;
-  const elsewhere = failedElsewhere + total.served - here.served;
-  const usualShare = failedElsewhere / (elsewhere + assumedOutcomes);
-  return Math.max(
-    excessShare(candidate.condition.outcomes(nowMs), usualShare),
-    excessShare(here, usualShare),
-  );
-}
-
 /** Cost of the engine's place in the ranking of the prompt. */
 function rankMs({entry}: Candidate, {ranking}: Terms): number {
   const rank = ranking.indexOf(entry.id);
