Let load reports count for as long as the next one may take

Cause: the interval grows with the number of instances and exceeded the lifetime of 1.5 s from 150 instances on, so that each instance was left with its own view most of the time. The test with 300 instances failed before.

--- a/packages/gateway/src/__tests__/unit/LoadReports.test.ts
+++ b/packages/gateway/src/__tests__/unit/LoadReports.test.ts
@@ -5,6 +5,7 @@
   createPeerLoads,
   decodeReport,
   encodeReport,
+  reportIntervalMs,
   reportLifetimeMs,
   shortIdOf,
   upstreamShortIdOf,
@@ -80,7 +81,7 @@
     expect(loads.leadingEngines(follower)).to.equal(undefined);
     loads.receive(createReport({instanceId: leader, engines}));
     expect(loads.leadingEngines(follower)).to.deep.equal(engines);
-    clock.advance(reportLifetimeMs + 1);
+    clock.advance(reportLifetimeMs(1) + 1);
     expect(loads.leadingEngines(follower)).to.equal(undefined);
   });
 
@@ -88,11 +89,25 @@
     const clock = createManualClock();
     const loads = createPeerLoads(clock);
     loads.receive(createReport());
-    clock.advance(reportLifetimeMs + 1);
+    clock.advance(reportLifetimeMs(1) + 1);
     expect(loads.at(engine).running).to.equal(0);
     expect(loads.count()).to.equal(0);
   });
 
+  it('of many instances come rarely and count until the next one is due', () => {
+    // Load: 300 instances report every 3 s; reports that counted for 1.5 s left
+    // each instance alone with its own view half of the time.
+    const clock = createManualClock();
+    const loads = createPeerLoads(clock);
+    for (let index = 0; index < 300; index++) {
+      loads.receive(createReport({instanceId: shortIdOf(`instance ${index}`)}));
+    }
+    clock.advance(reportIntervalMs(300));
+    expect(loads.count()).to.equal(300);
+    clock.advance(reportIntervalMs(300) * 3);
+    expect(loads.count()).to.equal(0);
+  });
+
   it('that were overtaken are ignored, those of a new start are not', () => {
     const loads = createPeerLoads(createManualClock());
     loads.receive(createReport({sequence: 5}));
--- a/packages/gateway/src/peers/LoadExchange.ts
+++ b/packages/gateway/src/peers/LoadExchange.ts
@@ -6,7 +6,12 @@
 import type {Logger} from '@toucanrouter/logging';
 import type {ListenAddress} from '@toucanrouter/settings';
 import type {LoadReport, PeerLoads} from './LoadReports.js';
-import {decodeReport, encodeReport, shortIdOf} from './LoadReports.js';
+import {
+  decodeReport,
+  encodeReport,
+  reportIntervalMs,
+  shortIdOf,
+} from './LoadReports.js';
 import type {PeerDirectory} from './PeerDirectory.js';
 
 /** Options of an exchange. */
@@ -29,11 +34,6 @@
   close(): void;
 }
 
-/** Reports of a few instances are sent at this interval. */
-const shortestIntervalMs = 200;
-/** With many instances the interval grows, so that bytes grow linearly. */
-const intervalPerPeerMs = 10;
-
 /** Creates an exchange that has not started. */
 export function createLoadExchange(options: LoadExchangeOptions): LoadExchange {
   const {clock, listen, loads, logger, peers} = options;
@@ -73,11 +73,7 @@
 
   function schedule(): void {
     if (closed) return;
-    const intervalMs = Math.max(
-      shortestIntervalMs,
-      peers.others().length * intervalPerPeerMs,
-    );
-    clock.after(intervalMs, () => {
+    clock.after(reportIntervalMs(peers.others().length), () => {
       if (closed) return;
       send();
       schedule();
--- a/packages/gateway/src/peers/LoadReports.ts
+++ b/packages/gateway/src/peers/LoadReports.ts
@@ -83,8 +83,27 @@
   count(): number;
 }
 
-/** A report older than this no longer describes what is in flight. */
-export const reportLifetimeMs = 1_500;
+/** Reports of a few instances are sent at this interval. */
+const shortestIntervalMs = 200;
+/** With many instances the interval grows, so that bytes grow linearly. */
+const intervalPerPeerMs = 10;
+/** A report of a few instances describes what is in flight for this long. */
+const shortestLifetimeMs = 1_500;
+/** Intervals after which an instance that is not heard from is left out. */
+const missedIntervals = 3;
+
+/** Time between the reports of an instance that has this many peers. */
+export function reportIntervalMs(peerCount: number): number {
+  return Math.max(shortestIntervalMs, peerCount * intervalPerPeerMs);
+}
+
+/** An older report no longer describes what is in flight. */
+export function reportLifetimeMs(peerCount: number): number {
+  return Math.max(
+    shortestLifetimeMs,
+    reportIntervalMs(peerCount) * missedIntervals,
+  );
+}
 
 interface Received {
   readonly report: LoadReport;
@@ -127,11 +146,12 @@
   function refresh(): void {
     const nowMs = clock.nowMs();
     if (nowMs < validUntilMs) return;
+    const lifetimeMs = reportLifetimeMs(received.size);
     totals.clear();
     inFlight = noCount;
     validUntilMs = Infinity;
     for (const [instanceId, {receivedAtMs, report}] of received) {
-      const expiresAtMs = receivedAtMs + reportLifetimeMs;
+      const expiresAtMs = receivedAtMs + lifetimeMs;
       if (expiresAtMs <= nowMs) {
         received.delete(instanceId);
         continue;
