Divide the slack of the repeat budget by the instances that run

Cause: each instance took a tenth of the slack, so that 26 to 31 instances together could repeat 580 requests in a window in which 370 are allowed, when a service loses many answers. The test with 31 instances fails with the fixed tenth.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -11,7 +11,6 @@
 } from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
 import type {RetryBudget} from '@toucanrouter/policy';
-import {createRetryBudget} from '@toucanrouter/policy';
 import type {GatewaySettings, ListenAddress} from '@toucanrouter/settings';
 import type {ActiveConfig} from './config/ActiveConfig.js';
 import {createActiveConfig} from './config/ActiveConfig.js';
@@ -28,6 +27,7 @@
 import type {Dialect} from './request/Dialect.js';
 import type {EndedRequest} from './request/EndedRequest.js';
 import type {GatewayContext} from './request/GatewayContext.js';
+import {createRepeatBudget} from './request/RepeatBudget.js';
 import {createGatewayMetrics} from './server/GatewayMetrics.js';
 import {createGatewayServer, listenBacklog} from './server/GatewayServer.js';
 import {
@@ -87,15 +87,6 @@
 /** Time kept at the end of the grace period for closing. */
 const closingMs = 350;
 const drainPollMs = 25;
-/**
- * Part of the shared repeat budget that one instance uses, since it does not
- * know what the others spend.
- */
-const repeatShareMargin = 0.8;
-/** Instances among which the slack of the repeat budget is divided. */
-const assumedInstances = 10;
-const msPerSecond = 1_000;
-
 /** Failures are told for a while after the last request. */
 const minReportedFailures = 0.5;
 
@@ -147,16 +138,9 @@
     );
 
   const budgetOf = (service: ServiceName) =>
-    getOrCreate(budgets, service, () => {
-      const slackPerSecond =
-        (settings.repeatSlack * msPerSecond) / settings.repeatWindowMs;
-      return createRetryBudget({
-        share: settings.repeatShare * repeatShareMargin,
-        minRatePerSecond:
-          (slackPerSecond * repeatShareMargin) / assumedInstances,
-        windowMs: settings.repeatWindowMs,
-      });
-    });
+    getOrCreate(budgets, service, () =>
+      createRepeatBudget(settings, () => peers.others().length + 1),
+    );
 
   const config: ActiveConfig = createActiveConfig(next => {
     gatewayServer.applyLimits(next.limits);
--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/RepeatBudget.test.ts
@@ -0,0 +1,32 @@
+import {expect} from 'chai';
+import {createRepeatBudget} from '../../request/RepeatBudget.js';
+
+const bounds = {repeatShare: 0.2, repeatSlack: 170, repeatWindowMs: 10_000};
+
+/** Repeats of `instanceCount` instances that use all that they may. */
+function repeatsOf(instanceCount: number, requestsEach: number): number {
+  let repeats = 0;
+  for (let instance = 0; instance < instanceCount; instance++) {
+    const budget = createRepeatBudget(bounds, () => instanceCount);
+    for (let request = 0; request < requestsEach; request++) {
+      budget.requested(5_000);
+    }
+    while (budget.tryRetry(5_000)) repeats += 1;
+  }
+  return repeats;
+}
+
+describe('RepeatBudget', () => {
+  it('keeps any number of instances within the bound that they share', () => {
+    // Load: every answer of a service is lost; 31 instances with 32 requests
+    // each in a window. With a slack for 10 instances they exceeded the bound.
+    for (const instanceCount of [1, 5, 10, 31, 100]) {
+      const allowed = 0.2 * instanceCount * 32 + 170;
+      expect(repeatsOf(instanceCount, 32)).to.be.at.most(allowed);
+    }
+  });
+
+  it('lets an instance without requests repeat a few', () => {
+    expect(repeatsOf(5, 0)).to.be.above(20);
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/request/RepeatBudget.ts
@@ -0,0 +1,41 @@
+/**
+ * The part of the shared repeat budget that one instance may use. All instances
+ * together must stay within a share of the requests and a fixed slack, and none
+ * knows what the others spend, so the slack is divided among those that run.
+ */
+import type {RetryBudget} from '@toucanrouter/policy';
+import {createRetryBudget} from '@toucanrouter/policy';
+
+/** What the operators allow to all instances together. */
+export interface SharedRepeatBounds {
+  /** Repeats for each request to a service. */
+  readonly repeatShare: number;
+  /** Repeats in a window in addition. */
+  readonly repeatSlack: number;
+  readonly repeatWindowMs: number;
+}
+
+/**
+ * Part of the bounds that is used: instances restart with a new budget, and
+ * requests are counted in another window than their repeats.
+ */
+const usedShare = 0.8;
+/** An instance may not know all others yet, so the slack is never cut larger. */
+const minAssumedInstances = 10;
+const msPerSecond = 1_000;
+
+/** Creates the budget of one instance for one service. */
+export function createRepeatBudget(
+  bounds: SharedRepeatBounds,
+  instanceCount: () => number,
+): RetryBudget {
+  const slackPerSecond =
+    (bounds.repeatSlack * msPerSecond) / bounds.repeatWindowMs;
+  return createRetryBudget({
+    share: bounds.repeatShare * usedShare,
+    minRatePerSecond: () =>
+      (slackPerSecond * usedShare) /
+      Math.max(minAssumedInstances, instanceCount()),
+    windowMs: bounds.repeatWindowMs,
+  });
+}
--- a/packages/policy/src/RetryBudget.ts
+++ b/packages/policy/src/RetryBudget.ts
@@ -7,8 +7,11 @@
 export interface RetryBudgetParameters {
   /** Retries allowed per recent request. */
   readonly share: number;
-  /** Retries allowed in addition, so that few requests can be retried too. */
-  readonly minRatePerSecond: number;
+  /**
+   * Retries allowed in addition, so that few requests can be retried too; asked
+   * for at each retry.
+   */
+  readonly minRatePerSecond: () => number;
   /** Requests and retries older than this no longer count. */
   readonly windowMs: number;
 }
@@ -16,7 +19,7 @@
 /** Parameters for everyday use. */
 export const defaultRetryBudgetParameters: RetryBudgetParameters = {
   share: 0.1,
-  minRatePerSecond: 1,
+  minRatePerSecond: () => 1,
   windowMs: 10_000,
 };
 
@@ -31,6 +34,8 @@
 /** The window is divided into this many parts that expire one by one. */
 const windowParts = 10;
 
+const msPerSecond = 1_000;
+
 interface WindowPart {
   readonly index: number;
   requests: number;
@@ -43,7 +48,6 @@
 ): RetryBudget {
   const parameters = {...defaultRetryBudgetParameters, ...overrides};
   const partMs = parameters.windowMs / windowParts;
-  const minRetries = (parameters.minRatePerSecond * parameters.windowMs) / 1000;
   let parts: WindowPart[] = [];
 
   function current(nowMs: number): WindowPart {
@@ -68,6 +72,8 @@
       const part = current(nowMs);
       const requests = sum(p => p.requests);
       const retries = sum(p => p.retries);
+      const minRetries =
+        (parameters.minRatePerSecond() * parameters.windowMs) / msPerSecond;
       if (retries + 1 > minRetries + requests * parameters.share) return false;
       part.retries += 1;
       return true;
--- a/packages/policy/src/__tests__/unit/Budgets.test.ts
+++ b/packages/policy/src/__tests__/unit/Budgets.test.ts
@@ -4,7 +4,7 @@
 
 describe('createRetryBudget', () => {
   it('allows a few retries when there are few requests', () => {
-    const budget = createRetryBudget({minRatePerSecond: 0.2});
+    const budget = createRetryBudget({minRatePerSecond: () => 0.2});
     expect(budget.tryRetry(0)).to.equal(true);
     expect(budget.tryRetry(0)).to.equal(true);
     expect(budget.tryRetry(0)).to.equal(false);
