Let short prompts leave full engines for those of chats

Cause: short advice (tier 1) ran for as long as the drafts (tier 2) at its engine were read, 0.5 to 0.9 s an event in a burst, and 269 of 5,000 missed their time limit. What chats bear from a prompt now grows with the square of its size up to one step of an engine, so that the shortest go to the engines of chats.

--- a/packages/gateway/src/__tests__/unit/EngineDivision.test.ts
+++ b/packages/gateway/src/__tests__/unit/EngineDivision.test.ts
@@ -1,3 +1,4 @@
+import type {UpstreamId} from '@toucanrouter/common';
 import {createSeededRandom, toClassId} from '@toucanrouter/common';
 import {expect} from 'chai';
 import type {
@@ -116,6 +117,26 @@
     expect(countsOf(division.divide(engines, 0)).prompt).to.equal(30);
   });
 
+  it('lets short prompts leave engines that are full of long ones', () => {
+    // Load: short advice that must be complete within 3 s, in a burst of
+    // drafts; it ran for as long as the drafts' prompts were read.
+    const engines = createEntries(12);
+    const kinds = createEngineDivision().divide(engines, 0);
+    const candidates = engines.map(entry => createCandidate(entry));
+    for (const {condition, entry} of candidates) {
+      if (kinds.get(entry.id) === 'prompt') {
+        condition.started({promptTokens: 60_000});
+      }
+    }
+    const place = (prompt: Prompt) => {
+      const placement = createPlacement({division: kinds, prompt});
+      const choice = chooseUpstream(candidates, placement, 0);
+      return kinds.get(choice?.candidate.entry.id as UpstreamId);
+    };
+    expect(place(createPrompt('advice', 300, 900, 20))).to.equal('interactive');
+    expect(place(createPrompt('draft', 5_400, 6_600, 400))).to.equal('prompt');
+  });
+
   it('stays as it is while requests of a steady mix come and go', () => {
     const random = createSeededRandom(7);
     const engines = createEntries(60);
--- a/packages/gateway/src/upstreams/UpstreamChoice.ts
+++ b/packages/gateway/src/upstreams/UpstreamChoice.ts
@@ -102,9 +102,11 @@
 const amongPromptsMs = 150;
 /**
  * What interactive requests bear while an engine that is meant for them reads a
- * prompt, in times of reading it.
+ * prompt of at least one step, in times of reading it.
  */
 const promptHarmFactor = 12;
+/** Prompt tokens that an engine reads in one step; fewer hardly delay others. */
+const tokensPerStep = 4_000;
 /** Random share of the cost, so that equal upstreams share the load. */
 const tieShare = 0.1;
 
@@ -132,9 +134,10 @@
   if (prompt === undefined || meantFor === undefined) return 0;
   const kind = workKindOf(prompt);
   if (kind === meantFor) return 0;
-  return kind === 'interactive'
-    ? amongPromptsMs
-    : (prompt.promptTokens / promptTokensPerMs) * promptHarmFactor;
+  if (kind === 'interactive') return amongPromptsMs;
+  const {promptTokens} = prompt;
+  const harm = promptHarmFactor * Math.min(1, promptTokens / tokensPerStep);
+  return (promptTokens / promptTokensPerMs) * harm;
 }
 
 function termsOf(
