Probe a store that stays away ever less often

Each of 31 instances asked four times a second during the outage, requests asked in addition for the newest configuration, and the registration was tried every two seconds.

Pauses now double up to a second; while the store is known to be away, requests leave it to the probes to find its return.

--- a/packages/gateway/src/__tests__/unit/StateSync.test.ts
+++ b/packages/gateway/src/__tests__/unit/StateSync.test.ts
@@ -44,7 +44,10 @@
       calls.push(`after ${revision} wait ${waitMs}`);
       return answer<ChangeReading>(changes.shift() ?? {revision, changes: []});
     },
-    readConfig: () => answer(createConfig({version: 9})),
+    readConfig: () => {
+      calls.push('config');
+      return answer(createConfig({version: 9}));
+    },
     register: () => answer(1),
     renew: () => answer(true),
   };
@@ -148,6 +151,34 @@
     sync.close();
   });
 
+  it('probes a store that stays away ever less often', async () => {
+    // Load: 31 instances that ask four times a second during an outage of
+    // eight seconds made three times the calls of a calm day.
+    const {clock, script, sync} = createFollowedState();
+    sync.start();
+    await run(clock, 100);
+    const before = script.calls.length;
+    for (let call = 0; call < 60; call++) script.next('lost');
+    await run(clock, 8_000);
+    expect(script.calls.length - before).to.be.within(7, 12);
+    script.next({revision: 2, changes: []});
+    sync.close();
+  });
+
+  it('leaves it to the probes to find the return of the store', async () => {
+    const {clock, script, sync} = createFollowedState();
+    sync.start();
+    await run(clock, 100);
+    for (let call = 0; call < 60; call++) script.next('lost');
+    await run(clock, 1_000);
+    for (let request = 0; request < 20; request++) {
+      await sync.confirmConfig();
+      await run(clock, 100);
+    }
+    expect(script.calls).not.to.include('config');
+    sync.close();
+  });
+
   it('asks for the newest configuration once for many requests', async () => {
     const {clock, config, configAge, script, sync} = createFollowedState();
     script.holds('lost');
--- a/packages/gateway/src/peers/Registration.ts
+++ b/packages/gateway/src/peers/Registration.ts
@@ -24,7 +24,7 @@
 /** The others send reports to an instance that is gone for this long. */
 const leaseMs = 12_000;
 const renewalMs = leaseMs / 3;
-const retryMs = 2_000;
+const retryMs = 4_000;
 const callTimeoutMs = 800;
 
 /** Creates a registration that has not started. */
--- a/packages/gateway/src/state/StateSync.ts
+++ b/packages/gateway/src/state/StateSync.ts
@@ -41,11 +41,18 @@
 const readAllTimeoutMs = 1_500;
 /** While the store is away calls are short, to notice its return. */
 const probeTimeoutMs = 600;
-const probePauseMs = 250;
+const firstProbePauseMs = 250;
+/** All calls count, also refused ones, so a longer outage is probed less. */
+const maxProbePauseMs = 1_000;
 const confirmTimeoutMs = 400;
 /** Confirmations asked for by requests are not repeated faster than this. */
 const confirmPauseMs = 200;
 
+function probePauseMs(failuresInRow: number): number {
+  const doubled = firstProbePauseMs * 2 ** (failuresInRow - 1);
+  return Math.min(doubled, maxProbePauseMs);
+}
+
 /** Creates a synchronization that has not started. */
 export function createStateSync(options: StateSyncOptions): StateSync {
   const {clock, config, configAge, logger, peers, registry, store} = options;
@@ -55,6 +62,7 @@
   let closed = false;
   let confirming: Promise<void> | undefined;
   let confirmedAtMs = -Infinity;
+  let failuresInRow = 0;
 
   function apply(change: StateChange): void {
     switch (change.kind) {
@@ -159,7 +167,8 @@
       const succeeded =
         revision === undefined ? await readAll() : await readChanges(revision);
       if (closed) return;
-      if (!succeeded) await pause(probePauseMs);
+      failuresInRow = succeeded ? 0 : failuresInRow + 1;
+      if (!succeeded) await pause(probePauseMs(failuresInRow));
       else if (revision !== undefined) {
         await pause(
           Math.max(0, options.paceMs() - (clock.nowMs() - startedAtMs)),
@@ -187,7 +196,9 @@
     start: () => void run(),
     connected: () => connected,
     confirmConfig: () => {
-      if (clock.nowMs() - confirmedAtMs < confirmPauseMs) {
+      // While the store is known to be away, the probes find its return.
+      const probing = everConnected && !connected;
+      if (probing || clock.nowMs() - confirmedAtMs < confirmPauseMs) {
         return Promise.resolve();
       }
       confirming ??= confirm().finally(() => {
