--- a/packages/gateway/src/upstreams/EngineAdmission.ts
+++ b/packages/gateway/src/upstreams/EngineAdmission.ts
@@ -66,7 +66,7 @@
   }
   const gapMs = Math.max(condition.meanGapMs(nowMs), demand.usualGapMs);
   const answerMs = expectedMs + demand.usualEvents * gapMs;
-  if (answerMs <= demand.remainingMs * ofTier(timeShareOfTier, demand.tier))
-    return undefined;
+  const latestMs = demand.remainingMs * ofTier(timeShareOfTier, demand.tier);
+  if (answerMs <= latestMs) return undefined;
   return `the best engine needs about ${Math.round(answerMs)} ms at ${Math.round(gapMs)} ms an event`;
 }
--- a/packages/gateway/src/upstreams/UpstreamChoice.ts
+++ b/packages/gateway/src/upstreams/UpstreamChoice.ts
@@ -114,8 +114,8 @@
   readonly promptTokens: number;
   readonly sharedTokens: number;
   readonly part: string | undefined;
-  /** Engines in the order of preference; the first is the part's home. */
-  readonly ranking: readonly UpstreamId[];
+  /** Place of each engine in the order of preference; 0 is the part's home. */
+  readonly ranks: ReadonlyMap<UpstreamId, number>;
 }
 
 /** Cost of the time between events at the engine. */
@@ -140,6 +140,17 @@
   return (promptTokens / promptTokensPerMs) * harm;
 }
 
+/** Splits a list in two: the items for which `test` holds, and the others. */
+function split<T>(
+  items: readonly T[],
+  test: (item: T) => boolean,
+): readonly [readonly T[], readonly T[]] {
+  const held: T[] = [];
+  const others: T[] = [];
+  for (const item of items) (test(item) ? held : others).push(item);
+  return [held, others];
+}
+
 function termsOf(
   candidates: readonly Candidate[],
   placement: Placement,
@@ -147,12 +158,14 @@
   const {failureDomain, homes, prompt} = placement;
   const part = prompt && placementPart(prompt);
   const shared = prompt === undefined ? 0 : sharedTokens(prompt);
-  const own = candidates.filter(
+  const [own, beyond] = split(
+    candidates,
     candidate => divisionMs(candidate, placement) === 0,
   );
-  const pool = own.length > 0 ? own : candidates;
-  const beyond = candidates.filter(candidate => !pool.includes(candidate));
-  const isNear = ({entry}: Candidate) => entry.failureDomain === failureDomain;
+  const [near, far] = split(
+    own,
+    ({entry}) => entry.failureDomain === failureDomain,
+  );
   // What shares nothing has a ranking of its own.
   const key = part ?? String(placement.tieBreak());
   const rank = (some: readonly Candidate[]) =>
@@ -160,18 +173,15 @@
       key,
       some.map(({entry}) => entry.id),
     );
-  const inPool =
-    shared >= fleetWideShareTokens
-      ? rank(pool)
-      : [
-          ...rank(pool.filter(isNear)),
-          ...rank(pool.filter(candidate => !isNear(candidate))),
-        ];
+  const preferred =
+    shared >= fleetWideShareTokens ? rank(own) : [...rank(near), ...rank(far)];
   return {
     promptTokens: prompt?.promptTokens ?? 0,
     sharedTokens: shared,
     part,
-    ranking: [...inPool, ...rank(beyond)],
+    ranks: new Map(
+      [...preferred, ...rank(beyond)].map((id, place) => [id, place]),
+    ),
   };
 }
 
@@ -183,7 +193,7 @@
 ): number {
   const holdsShared =
     terms.part !== undefined &&
-    (entry.id === terms.ranking[0] ||
+    (terms.ranks.get(entry.id) === 0 ||
       homes.sentRecently(terms.part, entry.id, nowMs));
   return holdsShared
     ? terms.promptTokens - terms.sharedTokens
@@ -191,9 +201,8 @@
 }
 
 /** Cost of the engine's place in the ranking of the prompt. */
-function rankMs({entry}: Candidate, {ranking}: Terms): number {
-  const rank = ranking.indexOf(entry.id);
-  const steps = rank < 0 ? maxRankSteps : Math.min(rank, maxRankSteps);
+function rankMs({entry}: Candidate, {ranks}: Terms): number {
+  const steps = Math.min(ranks.get(entry.id) ?? maxRankSteps, maxRankSteps);
   return steps * rankStepMs;
 }
 
@@ -275,7 +284,7 @@
         candidate,
         expectedMs: firstMs,
         tokensToRead: read,
-        homeRank: terms.ranking.indexOf(entry.id),
+        homeRank: terms.ranks.get(entry.id) ?? -1,
       };
     }
   }
