Keep one copy of the delay, the connection headers and the short hash

They stand in common now; each relay adds its own header names to the list.

Ruled out: the ranking of membership in place of that of prompts. Membership hashes one text for each member when its view changes, the gateway ranks all engines for each request and mixes two hashes that it keeps; taking over the other hash would also move every prompt to another engine.

--- a/packages/claims/src/ClaimWriter.ts
+++ b/packages/claims/src/ClaimWriter.ts
@@ -19,7 +19,7 @@
   KeyValueStore,
   PlatformError,
 } from '@toucanrouter/common';
-import {invariant, RouterError} from '@toucanrouter/common';
+import {delay, invariant, RouterError} from '@toucanrouter/common';
 import type {ResultAsync} from 'neverthrow';
 import {errAsync} from 'neverthrow';
 import type {Batch} from './Batch.js';
@@ -241,7 +241,3 @@
 function answerAll(batch: Batch, revision: number | undefined): void {
   for (const {answerAt} of batch.prepared) answerAt(revision);
 }
-
-function delay(clock: Clock, delayMs: number): Promise<void> {
-  return new Promise(resolve => clock.after(delayMs, resolve));
-}
--- a/packages/common/src/Clock.ts
+++ b/packages/common/src/Clock.ts
@@ -18,6 +18,13 @@
   every(intervalMs: number, run: () => void): Undo;
 }
 
+/** Resolves after `delayMs`. */
+export function delay(clock: Clock, delayMs: number): Promise<void> {
+  return new Promise(resolve => {
+    clock.after(delayMs, resolve);
+  });
+}
+
 /** Creates the clock of the running process. */
 export function createSystemClock(): Clock {
   return {
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -44,7 +44,7 @@
   StoredOutcome,
 } from './Claims.js';
 export type {Clock, ManualClock, Undo} from './Clock.js';
-export {createManualClock, createSystemClock} from './Clock.js';
+export {createManualClock, createSystemClock, delay} from './Clock.js';
 export type {
   ErrorBody,
   ErrorDetails,
@@ -61,7 +61,8 @@
   SettingsError,
   toErrorBody,
 } from './Errors.js';
-export {hash64, partitionOf} from './Hash.js';
+export {hash32, hash64, partitionOf} from './Hash.js';
+export {connectionHeaders} from './HttpHeaders.js';
 export type {
   ClaimId,
   ClassId,
--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -3,7 +3,8 @@
  * only with a known configuration, and stops them in one that interrupts no
  * request.
  */
-import type {Clock, RouterError} from '@toucanrouter/common';
+import type {RouterError} from '@toucanrouter/common';
+import {delay} from '@toucanrouter/common';
 import {createPeerHub} from '@toucanrouter/peer';
 import type {InstanceListReader} from '@toucanrouter/keyvalue';
 import {createInstanceListReader} from '@toucanrouter/keyvalue';
@@ -113,9 +114,3 @@
   await closeServer(servers.admin);
   logger.info('instance has stopped');
 }
-
-function delay(clock: Clock, delayMs: number): Promise<void> {
-  return new Promise(resolve => {
-    clock.after(delayMs, resolve);
-  });
-}
--- a/packages/daemon/src/claims/ClaimedCall.ts
+++ b/packages/daemon/src/claims/ClaimedCall.ts
@@ -12,7 +12,7 @@
   InstanceId,
   RouterError as RouterErrorType,
 } from '@toucanrouter/common';
-import {answerFor, RouterError, toClaimId} from '@toucanrouter/common';
+import {answerFor, delay, RouterError, toClaimId} from '@toucanrouter/common';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 import type {Exchange} from '../request/Exchange.js';
@@ -51,12 +51,6 @@
 ): ClaimedCalls {
   const recording = new Set<Promise<void>>();
 
-  function delay(delayMs: number): Promise<void> {
-    return new Promise(resolve => {
-      clock.after(delayMs, resolve);
-    });
-  }
-
   async function claim(
     exchange: Exchange,
     reference: ClaimReference,
@@ -79,7 +73,7 @@
       failedBefore = true;
       const remainingMs = exchange.deadlineAtMs - clock.nowMs();
       if (remainingMs <= 0 || exchange.signal.aborted) return reply;
-      await delay(Math.min(retryDelayMs, remainingMs));
+      await delay(clock, Math.min(retryDelayMs, remainingMs));
     }
   }
 
@@ -116,7 +110,7 @@
     for (;;) {
       const ended = await store.end(reference, end);
       if (ended.isOk() || clock.nowMs() >= giveUpAtMs) return;
-      await delay(retryDelayMs);
+      await delay(clock, retryDelayMs);
     }
   }
 
@@ -144,7 +138,7 @@
   /** A caller that is told "not run" may use its key again at once. */
   async function release(reference: ClaimReference): Promise<void> {
     const released = recordEnd(reference, {kind: 'not_sent'});
-    await Promise.race([released, delay(releaseWaitMs)]);
+    await Promise.race([released, delay(clock, releaseWaitMs)]);
   }
 
   async function run(
--- a/packages/daemon/src/fleet/ConfigSource.ts
+++ b/packages/daemon/src/fleet/ConfigSource.ts
@@ -4,6 +4,7 @@
  * the platform's load does not grow with the fleet.
  */
 import type {Clock, Undo} from '@toucanrouter/common';
+import {delay} from '@toucanrouter/common';
 import type {ConfigStore} from '@toucanrouter/keyvalue';
 import type {Logger} from '@toucanrouter/logging';
 import type {ConfigHolder} from './ConfigHolder.js';
@@ -48,12 +49,6 @@
     }
   }
 
-  function delay(delayMs: number): Promise<void> {
-    return new Promise(resolve => {
-      clock.after(delayMs, resolve);
-    });
-  }
-
   async function readFirst(): Promise<void> {
     const startedAtMs = clock.nowMs();
     while (!closed) {
@@ -72,7 +67,7 @@
         );
         return;
       }
-      await delay(startRetryMs);
+      await delay(clock, startRetryMs);
     }
   }
 
--- a/packages/daemon/src/request/plain/PlainCall.ts
+++ b/packages/daemon/src/request/plain/PlainCall.ts
@@ -8,7 +8,7 @@
   ShardId,
   UpstreamId,
 } from '@toucanrouter/common';
-import {RouterError} from '@toucanrouter/common';
+import {connectionHeaders, RouterError} from '@toucanrouter/common';
 import {decideRecovery} from '@toucanrouter/policy';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
@@ -24,19 +24,12 @@
   readonly body: Buffer;
 }
 
-/** Headers that concern one connection and are not passed on. */
-const connectionHeaders = new Set([
-  'connection',
+/** Headers that are set anew for each connection. */
+const ownHeaders: ReadonlySet<string> = new Set([
+  ...connectionHeaders,
   'content-length',
   'expect',
   'host',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
 ]);
 
 /** Headers of callers that upstreams do not receive. */
@@ -254,7 +247,7 @@
 ): Record<string, string[] | string> {
   const passed: Record<string, string[] | string> = {};
   for (const [name, value] of Object.entries(headers)) {
-    if (value === undefined || connectionHeaders.has(name)) continue;
+    if (value === undefined || ownHeaders.has(name)) continue;
     if (!routerHeaders.has(name)) passed[name] = value;
   }
   return {...passed, 'x-request-id': requestId, ...state.extraHeaders};
@@ -265,7 +258,7 @@
 ): OutgoingHttpHeaders {
   const passed: OutgoingHttpHeaders = {};
   for (const [name, value] of Object.entries(headers)) {
-    if (value !== undefined && !connectionHeaders.has(name)) {
+    if (value !== undefined && !ownHeaders.has(name)) {
       passed[name] = value;
     }
   }
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -9,6 +9,7 @@
   ServiceName,
   UpstreamId,
 } from '@toucanrouter/common';
+import {delay} from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
 import type {RetryBudget} from '@toucanrouter/policy';
 import type {GatewaySettings, ListenAddress} from '@toucanrouter/settings';
@@ -272,16 +273,13 @@
     [createMetricsServer(metrics), settings.metrics],
   ];
 
-  const pause = (delayMs: number) =>
-    new Promise<void>(resolve => clock.after(delayMs, resolve));
-
   async function finishRequests(startedAtMs: number): Promise<void> {
     const lastMs = startedAtMs + settings.stopGraceMs - closingMs;
-    await pause(balancerNoticeMs);
+    await delay(clock, balancerNoticeMs);
     refusing = true;
     gatewayServer.server.closeIdleConnections();
     while (gatewayServer.inProgress() > 0 && clock.nowMs() < lastMs) {
-      await pause(drainPollMs);
+      await delay(clock, drainPollMs);
     }
   }
 
--- a/packages/gateway/src/peers/LoadReports.ts
+++ b/packages/gateway/src/peers/LoadReports.ts
@@ -5,7 +5,7 @@
  * hears from no other one decides on its own work.
  */
 import type {Clock, UpstreamId} from '@toucanrouter/common';
-import {hash64} from '@toucanrouter/common';
+import {hash32} from '@toucanrouter/common';
 import type {CountByKind} from '../upstreams/EngineDivision.js';
 import {addCounts, noCount} from '../upstreams/EngineDivision.js';
 
@@ -17,17 +17,16 @@
 /** Hash of an upstream's id; the many upstreams of a report take less. */
 export type UpstreamShortId = number & {readonly [upstreamShortIdBrand]: true};
 
-const shortIdMask = 0xffffffffn;
-const upstreamShortIdMask = 0xffffn;
+const upstreamShortIdMask = 0xffff;
 
 /** The short form of an instance's id. */
 export function shortIdOf(id: string): ShortId {
-  return Number(hash64(id) & shortIdMask) as ShortId;
+  return hash32(id) as ShortId;
 }
 
 /** The short form of an upstream; a clash only makes an estimate worse. */
 export function upstreamShortIdOf(id: UpstreamId): UpstreamShortId {
-  return Number(hash64(id) & upstreamShortIdMask) as UpstreamShortId;
+  return (hash32(id) & upstreamShortIdMask) as UpstreamShortId;
 }
 
 /** Work in flight at one upstream. */
--- a/packages/gateway/src/peers/Registration.ts
+++ b/packages/gateway/src/peers/Registration.ts
@@ -3,6 +3,7 @@
  * that the entry of an instance that is gone disappears by itself.
  */
 import type {Clock} from '@toucanrouter/common';
+import {delay} from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
 import type {LeaseId, StateStore} from '../state/StateStore.js';
 import type {PeerEntry} from './PeerDirectory.js';
@@ -59,9 +60,7 @@
   async function run(): Promise<void> {
     while (!closed) {
       const succeeded = await (lease === undefined ? register() : renew(lease));
-      await new Promise<void>(resolve => {
-        clock.after(succeeded ? renewalMs : retryMs, resolve);
-      });
+      await delay(clock, succeeded ? renewalMs : retryMs);
     }
   }
 
--- a/packages/gateway/src/state/StateSync.ts
+++ b/packages/gateway/src/state/StateSync.ts
@@ -4,6 +4,7 @@
  * changes; the pace bounds the calls, since many upstreams write often.
  */
 import type {Clock} from '@toucanrouter/common';
+import {delay} from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
 import type {ActiveConfig} from '../config/ActiveConfig.js';
 import type {ConfigAge, TimeMark} from '../config/ConfigAge.js';
@@ -158,9 +159,6 @@
     return true;
   }
 
-  const pause = (delayMs: number) =>
-    new Promise<void>(resolve => clock.after(delayMs, resolve));
-
   async function run(): Promise<void> {
     while (!closed) {
       const startedAtMs = clock.nowMs();
@@ -168,9 +166,10 @@
         revision === undefined ? await readAll() : await readChanges(revision);
       if (closed) return;
       failuresInRow = succeeded ? 0 : failuresInRow + 1;
-      if (!succeeded) await pause(probePauseMs(failuresInRow));
+      if (!succeeded) await delay(clock, probePauseMs(failuresInRow));
       else if (revision !== undefined) {
-        await pause(
+        await delay(
+          clock,
           Math.max(0, options.paceMs() - (clock.nowMs() - startedAtMs)),
         );
       }
--- a/packages/gateway/src/upstreams/PromptHomes.ts
+++ b/packages/gateway/src/upstreams/PromptHomes.ts
@@ -5,7 +5,7 @@
  * elsewhere, because the first choice was busy, is remembered for a while.
  */
 import type {UpstreamId} from '@toucanrouter/common';
-import {hash64} from '@toucanrouter/common';
+import {hash32} from '@toucanrouter/common';
 import type {Prompt} from './Prompt.js';
 
 /** Knows which upstreams are likely to hold a shared part. */
@@ -22,12 +22,6 @@
 /** Bounds the memory of parts; the oldest ones are forgotten. */
 const maxRememberedParts = 4_000;
 
-const maxUint32 = 0xffffffff;
-
-function hash32(text: string): number {
-  return Number(hash64(text) & BigInt(maxUint32));
-}
-
 /** Mixes two hashes into one; the finalizer of MurmurHash3. */
 function mix(left: number, right: number): number {
   let hash = (left ^ right) >>> 0;
--- a/packages/keyvalue/src/ConfigChange.ts
+++ b/packages/keyvalue/src/ConfigChange.ts
@@ -11,7 +11,7 @@
   KeyValueTransaction,
   StoredConfig,
 } from '@toucanrouter/common';
-import {PlatformError} from '@toucanrouter/common';
+import {delay, PlatformError} from '@toucanrouter/common';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 import {
@@ -131,7 +131,3 @@
   const message = `version ${proposed.version} is not in the history`;
   return new PlatformError(message, true);
 }
-
-function delay(clock: Clock, delayMs: number): Promise<void> {
-  return new Promise(resolve => clock.after(delayMs, resolve));
-}
