Work out once what is the same for all engines of a choice

Cause: for each request the choice worked out the recent outcomes of each engine three times, the kind of the request up to four times an engine, and three rankings with the hash of the same part; decay by a half life was written out three times.

The failure shares of all engines come from one pass, the ranking is made once and then ordered by group, and the kind stands among the terms of the choice.

The tests are as they were.

--- a/packages/gateway/src/upstreams/EngineDivision.ts
+++ b/packages/gateway/src/upstreams/EngineDivision.ts
@@ -11,6 +11,7 @@
  */
 import type {UpstreamId} from '@toucanrouter/common';
 import {hash64} from '@toucanrouter/common';
+import {keptShare} from './Fading.js';
 import type {Prompt} from './Prompt.js';
 import type {UpstreamEntry} from './UpstreamEntry.js';
 
@@ -159,7 +160,7 @@
     const before =
       need === undefined
         ? engineCount * initialInteractiveShare
-        : need * 0.5 ** (Math.max(0, nowMs - needAtMs) / needHalfLifeMs);
+        : need * keptShare(nowMs - needAtMs, needHalfLifeMs);
     needAtMs = nowMs;
     need = Math.max(wanted, before);
     return need;
--- a/packages/gateway/src/upstreams/FailureShare.ts
+++ b/packages/gateway/src/upstreams/FailureShare.ts
@@ -7,6 +7,7 @@
  * failure domain only.
  */
 import type {OthersLoad} from '../peers/LoadReports.js';
+import {noLoad} from '../peers/LoadReports.js';
 import type {RecentOutcomes, UpstreamCondition} from './UpstreamCondition.js';
 
 /** An upstream with what this instance and the others saw of it. */
@@ -26,27 +27,8 @@
 /** Deviations from the usual number of failures that chance may explain. */
 const chanceDeviations = 2;
 
-function allOutcomes({condition, others}: OutcomeSource, nowMs: number) {
-  const own = condition.outcomes(nowMs);
-  return {
-    failed: own.failed + others.failed,
-    served: own.served + others.served,
-  };
-}
-
-/** Recent outcomes at all `sources`. */
-export function totalOutcomes(
-  sources: readonly OutcomeSource[],
-  nowMs: number,
-): RecentOutcomes {
-  let failed = 0;
-  let served = 0;
-  for (const source of sources) {
-    const outcomes = allOutcomes(source, nowMs);
-    failed += outcomes.failed;
-    served += outcomes.served;
-  }
-  return {failed, served};
+function add(a: RecentOutcomes, b: RecentOutcomes): RecentOutcomes {
+  return {failed: a.failed + b.failed, served: a.served + b.served};
 }
 
 /** Share of requests that failed beyond what chance explains. */
@@ -61,21 +43,37 @@
   return Math.max(0, excess) / (count + assumedOutcomes);
 }
 
+/** Share of failures in `total`, leaving out those in `here`. */
+function shareElsewhere(total: RecentOutcomes, here: RecentOutcomes): number {
+  const failed = total.failed - here.failed;
+  const count = failed + total.served - here.served;
+  return failed / (count + assumedOutcomes);
+}
+
 /**
- * Share of requests that fail at the upstream beyond the usual. The worse of
+ * Share of requests that fail at each upstream beyond the usual. The worse of
  * this instance's and of everyone's experience counts.
  */
-export function failureShare(
-  source: OutcomeSource,
-  total: RecentOutcomes,
+export function failureShares<Source extends OutcomeSource>(
+  sources: readonly Source[],
   nowMs: number,
-): number {
-  const here = allOutcomes(source, nowMs);
-  const failedElsewhere = total.failed - here.failed;
-  const elsewhere = failedElsewhere + total.served - here.served;
-  const usualShare = failedElsewhere / (elsewhere + assumedOutcomes);
-  return Math.max(
-    excessShare(source.condition.outcomes(nowMs), usualShare),
-    excessShare(here, usualShare),
+): ReadonlyMap<Source, number> {
+  const seen = sources.map(source => {
+    const own = source.condition.outcomes(nowMs);
+    return {source, own, all: add(own, source.others)};
+  });
+  const total = seen.reduce<RecentOutcomes>(
+    (sum, {all}) => add(sum, all),
+    noLoad,
+  );
+  return new Map(
+    seen.map(({all, own, source}) => {
+      const usualShare = shareElsewhere(total, all);
+      const share = Math.max(
+        excessShare(own, usualShare),
+        excessShare(all, usualShare),
+      );
+      return [source, share];
+    }),
   );
 }
--- a/packages/gateway/src/upstreams/UpstreamChoice.ts
+++ b/packages/gateway/src/upstreams/UpstreamChoice.ts
@@ -13,7 +13,7 @@
 import {sharedTokens} from './Prompt.js';
 import type {PromptHomes} from './PromptHomes.js';
 import {placementPart} from './PromptHomes.js';
-import {failureShare, totalOutcomes} from './FailureShare.js';
+import {failureShares} from './FailureShare.js';
 import type {UpstreamCondition} from './UpstreamCondition.js';
 import type {UpstreamEntry} from './UpstreamEntry.js';
 
@@ -110,7 +110,10 @@
 /** Random share of the cost, so that equal upstreams share the load. */
 const tieShare = 0.1;
 
+/** What is the same for all engines in one choice. */
 interface Terms {
+  /** Undefined for a call to a plain service. */
+  readonly kind: WorkKind | undefined;
   readonly promptTokens: number;
   readonly sharedTokens: number;
   readonly part: string | undefined;
@@ -119,70 +122,65 @@
 }
 
 /** Cost of the time between events at the engine. */
-function gapMs(
-  {condition}: Candidate,
-  {prompt}: Placement,
-  nowMs: number,
-): number {
-  if (prompt === undefined) return 0;
-  return condition.meanGapMs(nowMs) * eventGapCost[workKindOf(prompt)];
+function gapMs({condition}: Candidate, {kind}: Terms, nowMs: number): number {
+  return kind === undefined
+    ? 0
+    : condition.meanGapMs(nowMs) * eventGapCost[kind];
 }
 
 /** Cost of the engine's being meant for other work. */
-function divisionMs({entry}: Candidate, {division, prompt}: Placement): number {
+function divisionMs(
+  {entry}: Candidate,
+  {division}: Placement,
+  {kind, promptTokens}: Pick<Terms, 'kind' | 'promptTokens'>,
+): number {
   const meantFor = division.get(entry.id);
-  if (prompt === undefined || meantFor === undefined) return 0;
-  const kind = workKindOf(prompt);
+  if (kind === undefined || meantFor === undefined) return 0;
   if (kind === meantFor) return 0;
   if (kind === 'interactive') return amongPromptsMs;
-  const {promptTokens} = prompt;
   const harm = promptHarmFactor * Math.min(1, promptTokens / tokensPerStep);
   return (promptTokens / promptTokensPerMs) * harm;
 }
 
-/** Splits a list in two: the items for which `test` holds, and the others. */
-function split<T>(
-  items: readonly T[],
-  test: (item: T) => boolean,
-): readonly [readonly T[], readonly T[]] {
-  const held: T[] = [];
-  const others: T[] = [];
-  for (const item of items) (test(item) ? held : others).push(item);
-  return [held, others];
+/**
+ * Ranks the engines: those meant for the request before others, and for short
+ * parts those of the own failure domain before far ones.
+ */
+function ranksOf(
+  candidates: readonly Candidate[],
+  placement: Placement,
+  terms: Omit<Terms, 'ranks'>,
+): ReadonlyMap<UpstreamId, number> {
+  const {failureDomain, homes, tieBreak} = placement;
+  const wide = terms.sharedTokens >= fleetWideShareTokens;
+  const groupOf = (candidate: Candidate) => {
+    if (divisionMs(candidate, placement, terms) > 0) return 2;
+    return wide || candidate.entry.failureDomain === failureDomain ? 0 : 1;
+  };
+  const groups = new Map(
+    candidates.map(candidate => [candidate.entry.id, groupOf(candidate)]),
+  );
+  const group = (id: UpstreamId) => groups.get(id) ?? 0;
+  // What shares nothing has a ranking of its own.
+  const key = terms.part ?? String(tieBreak());
+  const ranked = homes
+    .rank(key, [...groups.keys()])
+    .toSorted((a, b) => group(a) - group(b));
+  return new Map(ranked.map((id, place) => [id, place]));
 }
 
 function termsOf(
   candidates: readonly Candidate[],
   placement: Placement,
 ): Terms {
-  const {failureDomain, homes, prompt} = placement;
-  const part = prompt && placementPart(prompt);
-  const shared = prompt === undefined ? 0 : sharedTokens(prompt);
-  const [own, beyond] = split(
-    candidates,
-    candidate => divisionMs(candidate, placement) === 0,
-  );
-  const [near, far] = split(
-    own,
-    ({entry}) => entry.failureDomain === failureDomain,
-  );
-  // What shares nothing has a ranking of its own.
-  const key = part ?? String(placement.tieBreak());
-  const rank = (some: readonly Candidate[]) =>
-    homes.rank(
-      key,
-      some.map(({entry}) => entry.id),
-    );
-  const preferred =
-    shared >= fleetWideShareTokens ? rank(own) : [...rank(near), ...rank(far)];
-  return {
+  const {prompt} = placement;
+  const terms = {
+    kind: prompt && workKindOf(prompt),
     promptTokens: prompt?.promptTokens ?? 0,
-    sharedTokens: shared,
-    part,
-    ranks: new Map(
-      [...preferred, ...rank(beyond)].map((id, place) => [id, place]),
-    ),
+    sharedTokens: prompt === undefined ? 0 : sharedTokens(prompt),
+    part: prompt && placementPart(prompt),
   };
+  return {...terms, ranks: ranksOf(candidates, placement, terms)};
 }
 
 function tokensToRead(
@@ -224,6 +222,7 @@
 function expectedMs(
   candidate: Candidate,
   placement: Placement,
+  {kind}: Terms,
   read: number,
 ): number {
   const {entry, condition, others} = candidate;
@@ -233,10 +232,8 @@
     return plainCallMs * (1 + 2 * occupied);
   }
   const waiting = condition.waitingPromptTokens + others.waitingPromptTokens;
-  const interactive =
-    placement.prompt !== undefined &&
-    workKindOf(placement.prompt) === 'interactive';
-  const ahead = Math.max(0, waiting) * (interactive ? pauseFactor : 1);
+  const ahead =
+    Math.max(0, waiting) * (kind === 'interactive' ? pauseFactor : 1);
   return (
     idleFirstEventMs +
     (ahead + read) / promptTokensPerMs +
@@ -254,7 +251,7 @@
   const sound = candidates.filter(({condition}) => !condition.avoided(nowMs));
   const pool = sound.length > 0 ? sound : candidates;
   const terms = termsOf(pool, placement);
-  const total = totalOutcomes(pool, nowMs);
+  const failures = failureShares(pool, nowMs);
   const repeatFactor =
     terms.sharedTokens >= fleetWideShareTokens
       ? repeatedLongReadFactor
@@ -264,7 +261,7 @@
   for (const candidate of pool) {
     const {condition, entry} = candidate;
     const read = tokensToRead(candidate, placement, terms, nowMs);
-    const firstMs = expectedMs(candidate, placement, read);
+    const firstMs = expectedMs(candidate, placement, terms, read);
     const repeated = read - (terms.promptTokens - terms.sharedTokens);
     const far = entry.failureDomain !== placement.failureDomain;
     const costMs =
@@ -272,9 +269,9 @@
       (repeated * (repeatFactor - 1)) / promptTokensPerMs +
       rankMs(candidate, terms) +
       (far ? crossDomainMs : 0) +
-      divisionMs(candidate, placement) +
-      gapMs(candidate, placement, nowMs) +
-      failureShare(candidate, total, nowMs) *
+      divisionMs(candidate, placement, terms) +
+      gapMs(candidate, terms, nowMs) +
+      (failures.get(candidate) ?? 0) *
         (placement.repeatable ? repeatedFailureTargets : finalFailureTargets) *
         placement.targetLatencyMs;
     const spreadMs = costMs * (1 + tieShare * placement.tieBreak());
--- a/packages/gateway/src/upstreams/UpstreamCondition.ts
+++ b/packages/gateway/src/upstreams/UpstreamCondition.ts
@@ -3,6 +3,7 @@
  * there, how fast it answers, and how often its answers fail. Judgements come
  * from requests only, since health checks and load reports may be wrong.
  */
+import {keptShare} from './Fading.js';
 
 /** Work that is in flight at an upstream. */
 export interface WorkInFlight {
@@ -80,8 +81,8 @@
   let current = resting;
   let atMs = 0;
   const value = (nowMs: number) => {
-    const faded = 0.5 ** (Math.max(0, nowMs - atMs) / fadeHalfLifeMs);
-    return resting + (current - resting) * faded;
+    const kept = keptShare(nowMs - atMs, fadeHalfLifeMs);
+    return resting + (current - resting) * kept;
   };
   return {
     value,
@@ -103,7 +104,7 @@
   let count = 0;
   let atMs = 0;
   const value = (nowMs: number) =>
-    count * 0.5 ** (Math.max(0, nowMs - atMs) / fadeHalfLifeMs);
+    count * keptShare(nowMs - atMs, fadeHalfLifeMs);
   return {
     value,
     add: nowMs => {
