Let the repeat rules decide when the budget allows no repeat

Cause: the end of a request's loop decided anew, in a nested condition, what the repeat rules decide when they give up: whether an answer is passed on, a stream broken off, or the request refused, and with which error.

Ruled out: handing the budget to nextStep, as the daemon's recovery does. The log would no longer tell that a repeat was wanted.

Behaviour is unchanged; the new test states it.

--- a/packages/gateway/src/__tests__/unit/RepeatRules.test.ts
+++ b/packages/gateway/src/__tests__/unit/RepeatRules.test.ts
@@ -2,7 +2,7 @@
 import {expect} from 'chai';
 import type {AttemptEnd} from '../../request/Attempt.js';
 import type {RequestProgress} from '../../request/RepeatRules.js';
-import {nextStep} from '../../request/RepeatRules.js';
+import {nextStep, stepWithoutRepeat} from '../../request/RepeatRules.js';
 import {lastRank, upstreamRank} from '../../request/UpstreamRank.js';
 import {returnDelayMs} from '../../request/RetryAfter.js';
 
@@ -91,6 +91,25 @@
     ).to.equal('pass_on');
   });
 
+  it('tells the truth when the budget allows no repeat', () => {
+    // "Not run" for a request that may have run would be a false promise, and
+    // an answer that is there must not be withheld.
+    const mayHaveRun = createProgress({mayHaveRun: true});
+    const begun = createProgress({mayHaveRun: true, answerBegun: true});
+    expect(stepWithoutRepeat(broken, mayHaveRun)).to.deep.equal({
+      step: 'refuse',
+      error: 'upstream_failed',
+    });
+    expect(stepWithoutRepeat(notRun, createProgress())).to.deep.equal({
+      step: 'refuse',
+      error: 'overloaded',
+    });
+    expect(stepWithoutRepeat(answered(500), mayHaveRun).step).to.equal(
+      'pass_on',
+    );
+    expect(stepWithoutRepeat(broken, begun).step).to.equal('break_off');
+  });
+
   it('breaks off a stream that an error answer cannot continue', () => {
     const progress = createProgress({
       repeat: 'resume',
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -19,7 +19,7 @@
 import type {GatewayContext} from './GatewayContext.js';
 import type {RequestProgress} from './RepeatRules.js';
 import {createRequestPlacement} from './RequestPlacement.js';
-import {nextStep} from './RepeatRules.js';
+import {nextStep, stepWithoutRepeat} from './RepeatRules.js';
 import {upstreamRank} from './UpstreamRank.js';
 import {returnDelayMs} from './RetryAfter.js';
 
@@ -307,31 +307,28 @@
       unregister?.();
       noteEnd(choice, end, attempt);
       if (recorded || callerLeft) return;
-      const next = nextStep(end, currentProgress(admitted));
+      const progressNow = currentProgress(admitted);
+      const wanted = nextStep(end, progressNow);
       const reason = 'reason' in end ? end.reason : end.kind;
-      if (next.step === 'pass_on') return passOn(end);
+      if (wanted.step === 'pass_on') return passOn(end);
       const affordable =
-        next.step === 'repeat' &&
-        (!next.costsBudget || budget.tryRetry(clock.nowMs()));
+        wanted.step === 'repeat' &&
+        (!wanted.costsBudget || budget.tryRetry(clock.nowMs()));
       logger.info('attempt did not serve the request', {
         requestId: request.requestId,
         upstream: choice.candidate.entry.id,
         ended: end.kind,
         reason,
-        next: next.step,
+        next: wanted.step,
         affordable,
         remainingMs: Math.round(remainingMs()),
       });
       if (affordable) continue;
-      if (end.kind === 'answered' && !reply.begun) return passOn(end);
-      if (reply.begun) return breakOff('answer_incomplete', reason);
-      const kind =
-        next.step === 'refuse'
-          ? next.error
-          : progress.mayHaveRun
-            ? 'upstream_failed'
-            : 'overloaded';
-      return refuse(kind, reason);
+      const last =
+        wanted.step === 'repeat' ? stepWithoutRepeat(end, progressNow) : wanted;
+      if (last.step === 'pass_on') return passOn(end);
+      if (last.step === 'break_off') return breakOff(last.error, reason);
+      return refuse(last.error, reason);
     }
   }
 
--- a/packages/gateway/src/request/RepeatRules.ts
+++ b/packages/gateway/src/request/RepeatRules.ts
@@ -28,7 +28,10 @@
 
 /** What to do next. */
 export type NextStep =
-  | {readonly step: 'repeat'; readonly costsBudget: boolean}
+  LastStep | {readonly step: 'repeat'; readonly costsBudget: boolean};
+
+/** A step that ends the request. */
+export type LastStep =
   | {readonly step: 'pass_on'}
   | {readonly step: 'break_off'; readonly error: ErrorKind}
   | {readonly step: 'refuse'; readonly error: ErrorKind};
@@ -39,7 +42,7 @@
 const minRemainingMs = 30;
 
 /** The answer that is true when no further attempt is made. */
-function giveUp(progress: RequestProgress, notRun: ErrorKind): NextStep {
+function giveUp(progress: RequestProgress, notRun: ErrorKind): LastStep {
   if (progress.answerBegun) {
     return {step: 'break_off', error: 'answer_incomplete'};
   }
@@ -49,6 +52,16 @@
   };
 }
 
+/** What follows `end` when the repeat budget allows no further attempt. */
+export function stepWithoutRepeat(
+  end: AttemptEnd,
+  progress: RequestProgress,
+): LastStep {
+  return end.kind === 'answered' && !progress.answerBegun
+    ? {step: 'pass_on'}
+    : giveUp(progress, 'overloaded');
+}
+
 function canUseAnother(progress: RequestProgress): boolean {
   return (
     progress.upstreamsUsed < progress.maxUpstreams &&
