--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -17,7 +17,7 @@
 import {createActiveConfig} from './config/ActiveConfig.js';
 import {createConfigAge} from './config/ConfigAge.js';
 import {createLoadExchange} from './peers/LoadExchange.js';
-import type {LoadReport, UpstreamLoad} from './peers/LoadReports.js';
+import type {ReportedWork, UpstreamLoad} from './peers/LoadReports.js';
 import {
   createPeerLoads,
   shortIdOf,
@@ -27,6 +27,7 @@
 import {createRegistration} from './peers/Registration.js';
 import type {Dialect} from './request/Dialect.js';
 import type {EndedRequest} from './request/EndedRequest.js';
+import {getOrCreate} from './GetOrCreate.js';
 import type {GatewayContext} from './request/GatewayContext.js';
 import {createRepeatBudget} from './request/RepeatBudget.js';
 import {createGatewayMetrics} from './server/GatewayMetrics.js';
@@ -95,18 +96,6 @@
   return running > 0 || failed >= minReportedFailures;
 }
 
-function getOrCreate<Key, Value>(
-  values: Map<Key, Value>,
-  key: Key,
-  create: () => Value,
-): Value {
-  const known = values.get(key);
-  if (known !== undefined) return known;
-  const value = create();
-  values.set(key, value);
-  return value;
-}
-
 /** Creates a gateway; nothing is started. */
 export function createGateway(options: GatewayOptions): Gateway {
   const {clock, logger, store} = options;
@@ -175,7 +164,7 @@
     listen: settings.peers,
     peers,
     loads: peerLoads,
-    ownLoad,
+    ownWork,
   });
   const registration = createRegistration({
     clock,
@@ -184,10 +173,7 @@
     entry: {instanceId: settings.instanceId, address: settings.peers},
   });
 
-  function ownLoad(): Omit<
-    LoadReport,
-    'instanceId' | 'sequence' | 'startedAtMs'
-  > {
+  function ownWork(): ReportedWork {
     const loads = [...conditions].map(([id, condition]) => ({
       upstream: upstreamShortIdOf(id),
       running: condition.running,
--- a/packages/gateway/src/peers/LoadExchange.ts
+++ b/packages/gateway/src/peers/LoadExchange.ts
@@ -5,7 +5,7 @@
 import type {Clock, InstanceId} from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
 import type {ListenAddress} from '@toucanrouter/settings';
-import type {LoadReport, PeerLoads} from './LoadReports.js';
+import type {PeerLoads, ReportedWork} from './LoadReports.js';
 import {
   decodeReport,
   encodeReport,
@@ -22,10 +22,7 @@
   readonly listen: ListenAddress;
   readonly peers: PeerDirectory;
   readonly loads: PeerLoads;
-  readonly ownLoad: () => Omit<
-    LoadReport,
-    'instanceId' | 'sequence' | 'startedAtMs'
-  >;
+  readonly ownWork: () => ReportedWork;
 }
 
 /** A running exchange. */
@@ -46,7 +43,7 @@
   let sendFailed = false;
 
   function send(): void {
-    const own = options.ownLoad();
+    const own = options.ownWork();
     const idle = own.loads.length === 0;
     // One empty report tells that nothing is left; more of them tell nothing.
     if (idle && wasIdle) return;
--- a/packages/gateway/src/peers/LoadReports.ts
+++ b/packages/gateway/src/peers/LoadReports.ts
@@ -6,6 +6,7 @@
  */
 import type {Clock, UpstreamId} from '@toucanrouter/common';
 import {hash32} from '@toucanrouter/common';
+import {getOrCreate} from '../GetOrCreate.js';
 import type {CountByKind} from '../upstreams/EngineDivision.js';
 import {addCounts, noCount} from '../upstreams/EngineDivision.js';
 
@@ -41,13 +42,8 @@
   readonly served: number;
 }
 
-/** What one instance tells. */
-export interface LoadReport {
-  readonly instanceId: ShortId;
-  /** Start of the process; a report of an earlier start is ignored. */
-  readonly startedAtMs: number;
-  /** Grows with each report, since datagrams may overtake each other. */
-  readonly sequence: number;
+/** What one instance tells of its work. */
+export interface ReportedWork {
   /** Requests at engines. */
   readonly inFlight: CountByKind;
   /** Engines of each kind in the division of this instance. */
@@ -55,6 +51,15 @@
   readonly loads: readonly UpstreamLoad[];
 }
 
+/** What one instance sends to the others. */
+export interface LoadReport extends ReportedWork {
+  readonly instanceId: ShortId;
+  /** Start of the process; a report of an earlier start is ignored. */
+  readonly startedAtMs: number;
+  /** Grows with each report, since datagrams may overtake each other. */
+  readonly sequence: number;
+}
+
 /** The others' work in flight at an upstream. */
 export type OthersLoad = Omit<UpstreamLoad, 'upstream'>;
 
@@ -123,13 +128,8 @@
   let inFlight: CountByKind = noCount;
   let validUntilMs = -Infinity;
 
-  function shortIdOfUpstream(id: UpstreamId): UpstreamShortId {
-    const known = shortIds.get(id);
-    if (known !== undefined) return known;
-    const shortId = upstreamShortIdOf(id);
-    shortIds.set(id, shortId);
-    return shortId;
-  }
+  const shortIdOfUpstream = (id: UpstreamId) =>
+    getOrCreate(shortIds, id, () => upstreamShortIdOf(id));
 
   function add({upstream, ...load}: UpstreamLoad): void {
     const total = totals.get(upstream) ?? noLoad;
--- a/packages/gateway/src/upstreams/PromptHomes.ts
+++ b/packages/gateway/src/upstreams/PromptHomes.ts
@@ -6,6 +6,7 @@
  */
 import type {UpstreamId} from '@toucanrouter/common';
 import {hash32} from '@toucanrouter/common';
+import {getOrCreate} from '../GetOrCreate.js';
 import type {Prompt} from './Prompt.js';
 
 /** Knows which upstreams are likely to hold a shared part. */
@@ -43,13 +44,8 @@
   const upstreamHashes = new Map<UpstreamId, number>();
   const sentAtMs = new Map<string, Map<UpstreamId, number>>();
 
-  function hashOf(upstream: UpstreamId): number {
-    const known = upstreamHashes.get(upstream);
-    if (known !== undefined) return known;
-    const hash = hash32(upstream);
-    upstreamHashes.set(upstream, hash);
-    return hash;
-  }
+  const hashOf = (upstream: UpstreamId) =>
+    getOrCreate(upstreamHashes, upstream, () => hash32(upstream));
 
   return {
     rank: (partId, upstreams) => {
