Remove what the configuration of a service decoded for nothing

Cause: the limit of connections and the slots and memory of engines were decoded and carried to the choice, which only asked whether there were any; slots come from the entries of the engines. A service says now whether it serves models. Two tests of the choice shared twelve lines; a fixture holds them.

Behaviour and assertions are unchanged.

--- a/packages/gateway/src/__tests__/unit/GatewayFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayFixtures.ts
@@ -47,8 +47,7 @@
         service,
         {
           name: service,
-          maxConnections: 100,
-          engine: {slots: 64, cacheTokens: 600_000},
+          servesModels: true,
         },
       ],
     ]),
@@ -126,7 +125,7 @@
 export function createPlacement(changes: Partial<Placement> = {}): Placement {
   return {
     prompt: undefined,
-    engine: {slots: 64, cacheTokens: 600_000},
+    servesModels: true,
     targetLatencyMs: 400,
     repeatable: true,
     failureDomain: 'a',
--- a/packages/gateway/src/__tests__/unit/UpstreamChoice.test.ts
+++ b/packages/gateway/src/__tests__/unit/UpstreamChoice.test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import type {Candidate} from '../../upstreams/UpstreamChoice.js';
 import {chooseUpstream} from '../../upstreams/UpstreamChoice.js';
+import type {OthersLoad} from '../../peers/LoadReports.js';
 import {noLoad} from '../../peers/LoadReports.js';
 import {createPromptHomes} from '../../upstreams/PromptHomes.js';
 import {
@@ -19,6 +20,21 @@
   return chooseUpstream(candidates, placement, 0)?.candidate.entry.id;
 }
 
+/** Where a draft goes when other instances saw `others` at its home. */
+function chooseWithOutcomesAtHome(others: OthersLoad) {
+  const candidates = createEntries(20).map(entry => createCandidate(entry));
+  const placement = createPlacement({
+    prompt: createPrompt('draft', 5_400, 6_600),
+    repeatable: false,
+    targetLatencyMs: 2_000,
+  });
+  const home = chosenId(candidates, placement);
+  const known = candidates.map(candidate =>
+    candidate.entry.id === home ? {...candidate, others} : candidate,
+  );
+  return {home, chosen: chosenId(known, placement)};
+}
+
 describe('UpstreamChoice', () => {
   it('sends prompts that share a long part to one engine, from all instances', () => {
     const entries = createEntries(8, ['a', 'b']);
@@ -144,7 +160,7 @@
       createCandidate(entry),
     ) as [Candidate, Candidate];
     lost.condition.outcome('unreachable', 0);
-    const placement = createPlacement({engine: undefined});
+    const placement = createPlacement({servesModels: false});
     expect(chosenId([lost, good], placement)).to.equal(good.entry.id);
     expect(chosenId([lost], placement)).to.equal(lost.entry.id);
   });
@@ -157,7 +173,7 @@
     grey.condition.outcome('served', 0);
     grey.condition.outcome('failed', 0);
     expect(
-      chosenId([grey, good], createPlacement({engine: undefined})),
+      chosenId([grey, good], createPlacement({servesModels: false})),
     ).to.equal(good.entry.id);
   });
 });
@@ -166,20 +182,9 @@
   // Load: an engine fails half of its requests; each of 26 instances sends it
   // one every few seconds.
   it('leaves an engine that fails the requests of others, even a home', () => {
-    const candidates = createEntries(20).map(entry => createCandidate(entry));
-    const prompt = createPrompt('draft', 5_400, 6_600);
-    const placement = createPlacement({
-      prompt,
-      repeatable: false,
-      targetLatencyMs: 2_000,
-    });
-    const home = chooseUpstream(candidates, placement, 0)?.candidate;
-    const known = candidates.map(candidate =>
-      candidate === home
-        ? {...candidate, others: {...noLoad, failed: 5, served: 5}}
-        : candidate,
-    );
-    expect(chosenId(known, placement)).not.to.equal(home?.entry.id);
+    const others = {...noLoad, failed: 5, served: 5};
+    const {chosen, home} = chooseWithOutcomesAtHome(others);
+    expect(chosen).not.to.equal(home);
   });
 
   it('sends nothing that may run once to an engine that fails half of it', () => {
@@ -205,20 +210,9 @@
   });
 
   it('takes a single failure among many answers for no proof', () => {
-    const candidates = createEntries(20).map(entry => createCandidate(entry));
-    const prompt = createPrompt('draft', 5_400, 6_600);
-    const placement = createPlacement({
-      prompt,
-      repeatable: false,
-      targetLatencyMs: 2_000,
-    });
-    const home = chooseUpstream(candidates, placement, 0)?.candidate;
-    const known = candidates.map(candidate =>
-      candidate === home
-        ? {...candidate, others: {...noLoad, failed: 1, served: 9}}
-        : candidate,
-    );
-    expect(chosenId(known, placement)).to.equal(home?.entry.id);
+    const others = {...noLoad, failed: 1, served: 9};
+    const {chosen, home} = chooseWithOutcomesAtHome(others);
+    expect(chosen).to.equal(home);
   });
 
   it('does not move all requests after a chance failure of a service', () => {
@@ -229,7 +223,7 @@
     const unlucky = {...first, others: {...noLoad, failed: 6, served: 24}};
     const lucky = {...second, others: {...noLoad, failed: 3, served: 27}};
     lucky.condition.started({promptTokens: 0});
-    const placement = createPlacement({engine: undefined});
+    const placement = createPlacement({servesModels: false});
     expect(chosenId([unlucky, lucky], placement)).to.equal(first.entry.id);
   });
 
@@ -239,7 +233,7 @@
     ) as [Candidate, Candidate];
     const served = {...noLoad, served: 60};
     for (let index = 0; index < 2; index++) grey.condition.outcome('failed', 0);
-    const placement = createPlacement({engine: undefined});
+    const placement = createPlacement({servesModels: false});
     expect(
       chosenId(
         [
--- a/packages/gateway/src/config/GatewayConfig.ts
+++ b/packages/gateway/src/config/GatewayConfig.ts
@@ -37,19 +37,11 @@
   readonly anonymous: boolean;
 }
 
-/** What the configuration says of the model engines of a service. */
-export interface EngineShape {
-  readonly slots: number;
-  readonly cacheTokens: number;
-}
-
 /** A service that routes lead to. */
 export interface GatewayService {
   readonly name: ServiceName;
-  /** Connections that one upstream accepts from all callers together. */
-  readonly maxConnections: number;
-  /** Present when the upstreams are model engines. */
-  readonly engine: EngineShape | undefined;
+  /** True when the upstreams are model engines. */
+  readonly servesModels: boolean;
 }
 
 /** What callers may send, and how long they may take. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,5 @@
 export type {
   CallerLimits,
-  EngineShape,
   GatewayConfig,
   GatewayRoute,
   GatewayService,
--- a/packages/gateway/src/request/RequestPlacement.ts
+++ b/packages/gateway/src/request/RequestPlacement.ts
@@ -57,7 +57,7 @@
         candidates,
         {
           prompt,
-          engine: config.services.get(service)?.engine,
+          servesModels: config.services.get(service)?.servesModels === true,
           targetLatencyMs: route.targetLatencyMs,
           repeatable: route.repeat !== 'never',
           failureDomain: context.failureDomain,
--- a/packages/gateway/src/upstreams/UpstreamChoice.ts
+++ b/packages/gateway/src/upstreams/UpstreamChoice.ts
@@ -5,7 +5,6 @@
  * requests that share long parts of their prompts, beside short urgent ones.
  */
 import type {UpstreamId} from '@toucanrouter/common';
-import type {EngineShape} from '../config/GatewayConfig.js';
 import type {OthersLoad} from '../peers/LoadReports.js';
 import type {WorkKind} from './EngineDivision.js';
 import {workKindOf} from './EngineDivision.js';
@@ -28,7 +27,8 @@
 /** What is placed. */
 export interface Placement {
   readonly prompt: Prompt | undefined;
-  readonly engine: EngineShape | undefined;
+  /** True when the candidates are model engines. */
+  readonly servesModels: boolean;
   readonly targetLatencyMs: number;
   /** True when a failed attempt may be followed by another. */
   readonly repeatable: boolean;
@@ -227,7 +227,7 @@
 ): number {
   const {entry, condition, others} = candidate;
   const running = condition.running + others.running;
-  if (placement.engine === undefined) {
+  if (!placement.servesModels) {
     const occupied = running / Math.max(entry.slots, 1);
     return plainCallMs * (1 + 2 * occupied);
   }
