--- a/packages/gateway/src/request/CallerReply.ts
+++ b/packages/gateway/src/request/CallerReply.ts
@@ -10,7 +10,6 @@
 /** Sends the answer of one request. */
 export interface CallerReply {
   readonly begun: boolean;
-  readonly closed: boolean;
   whole(status: number, headers: readonly string[], body: Buffer): void;
   begin(status: number, headers: readonly string[]): void;
   /** Sends a part; false when the caller reads too slowly. */
@@ -48,9 +47,6 @@
     get begun() {
       return response.headersSent;
     },
-    get closed() {
-      return response.destroyed || response.writableEnded;
-    },
     whole: (status, headers, body) => {
       if (!open()) return;
       head(status, headers);
--- a/packages/gateway/src/upstreams/UpstreamRegistry.ts
+++ b/packages/gateway/src/upstreams/UpstreamRegistry.ts
@@ -17,7 +17,6 @@
 export interface UpstreamRegistry {
   /** Upstreams of a service that take new work. */
   usable(service: ServiceName): readonly UpstreamEntry[];
-  get(id: UpstreamId): UpstreamEntry | undefined;
   /** Takes in the present state of one entry. */
   put(entry: UpstreamEntry): void;
   /** The entry of an upstream was removed. */
@@ -114,7 +113,6 @@
 
   return {
     usable: service => byService.get(service) ?? [],
-    get: id => entries.get(id),
     put,
     remove,
     replaceAll: replacement => {
