--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -3,12 +3,7 @@
  * its configuration is current, and drains requests before it stops.
  */
 import type {Server} from 'node:http';
-import type {
-  Clock,
-  RandomSource,
-  ServiceName,
-  UpstreamId,
-} from '@toucanrouter/common';
+import type {Clock, RandomSource, ServiceName} from '@toucanrouter/common';
 import {delay} from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
 import type {RetryBudget} from '@toucanrouter/policy';
@@ -17,14 +12,9 @@
 import {createActiveConfig} from './config/ActiveConfig.js';
 import {createConfigAge} from './config/ConfigAge.js';
 import {createLoadExchange} from './peers/LoadExchange.js';
-import type {ReportedWork, UpstreamLoad} from './peers/LoadReports.js';
-import {
-  createPeerLoadTable,
-  shortIdOf,
-  upstreamShortIdOf,
-} from './peers/LoadReports.js';
 import {createPeerDirectory} from './peers/PeerDirectory.js';
 import {createRegistration} from './peers/Registration.js';
+import {shortIdOf} from './peers/ShortIds.js';
 import type {Dialect} from './request/Dialect.js';
 import type {EndedRequest} from './request/EndedRequest.js';
 import {getOrCreate} from './GetOrCreate.js';
@@ -39,17 +29,8 @@
 import type {StateStore} from './state/StateStore.js';
 import type {StateSync} from './state/StateSync.js';
 import {createStateSync} from './state/StateSync.js';
-import {createResponseStats} from './upstreams/ResponseStats.js';
-import type {EnginePools} from './upstreams/EnginePools.js';
-import {
-  addCounts,
-  createEnginePools,
-  zeroCounts,
-} from './upstreams/EnginePools.js';
-import {createPrefixAffinity} from './upstreams/PrefixAffinity.js';
-import type {UpstreamHealth} from './upstreams/UpstreamHealth.js';
-import {createUpstreamHealth} from './upstreams/UpstreamHealth.js';
 import {createUpstreamConnections} from './upstreams/UpstreamConnections.js';
+import {createUpstreamKnowledge} from './upstreams/UpstreamKnowledge.js';
 import {createUpstreamRegistry} from './upstreams/UpstreamRegistry.js';
 
 /** Options of a gateway. */
@@ -93,43 +74,29 @@
 /** Time reserved at the end of the grace period for closing. */
 const closeReserveMs = 350;
 const drainPollMs = 25;
-/** Decayed failures below this count are no longer reported to peers. */
-const minReportedFailures = 0.5;
-
-function isReportable({failed, running}: UpstreamLoad): boolean {
-  return running > 0 || failed >= minReportedFailures;
-}
-
+/** Callers that still send requests do so within this time of each other. */
+const minQuietMs = 300;
+/** The same while connections are open on which a request may be on its way. */
+const minQuietWithConnectionsMs = 1_000;
 /** Creates a gateway; nothing is started. */
 export function createGateway(options: GatewayOptions): Gateway {
   const {clock, logger, store} = options;
   let {settings} = options;
   let stopping = false;
   let draining = false;
-  const healthByUpstream = new Map<UpstreamId, UpstreamHealth>();
-  const poolsByService = new Map<ServiceName, EnginePools>();
   const budgetsByService = new Map<ServiceName, RetryBudget>();
   const configAge = createConfigAge(clock);
-  const peerLoads = createPeerLoadTable(clock);
-  const selfId = shortIdOf(settings.instanceId);
-  const connections = createUpstreamConnections(clock);
-
-  const upstreamHealthOf = (id: UpstreamId) =>
-    getOrCreate(healthByUpstream, id, () => createUpstreamHealth(clock.nowMs));
-
-  const enginePoolsOf = (service: ServiceName) =>
-    getOrCreate(poolsByService, service, () =>
-      createEnginePools({
-        peersInFlight: peerLoads.inFlight,
-        leaderPoolSizes: () => peerLoads.leaderPoolSizes(selfId),
-        onAssigned: counts =>
-          logger.info('engines divided', {
-            service,
-            ...counts,
-            peers: peerLoads.peerCount(),
-          }),
+  const knowledge = createUpstreamKnowledge({
+    clock,
+    selfId: shortIdOf(settings.instanceId),
+    onPoolsAssigned: (service, engines) =>
+      logger.info('engines divided', {
+        service,
+        ...engines,
+        peers: knowledge.peerLoads.peerCount(),
       }),
-    );
+  });
+  const connections = createUpstreamConnections(clock);
 
   const retryBudgetOf = (service: ServiceName) =>
     getOrCreate(budgetsByService, service, () =>
@@ -156,7 +123,7 @@
         },
       ),
     onRemoved: (entry, reason) => {
-      healthByUpstream.delete(entry.id);
+      knowledge.forget(entry.id);
       logger.info('upstream removed', {upstream: entry.id, reason});
     },
   });
@@ -167,8 +134,8 @@
     instanceId: settings.instanceId,
     listen: settings.peers,
     peers,
-    loads: peerLoads,
-    localWork,
+    takeWork: knowledge.takeReport,
+    onReport: knowledge.receiveReport,
   });
   const registration = createRegistration({
     clock,
@@ -177,25 +144,6 @@
     entry: {instanceId: settings.instanceId, address: settings.peers},
   });
 
-  function localWork(): ReportedWork {
-    const loads = [...healthByUpstream].map(([id, health]) => ({
-      upstream: upstreamShortIdOf(id),
-      running: health.running,
-      waitingPromptTokens: health.waitingPromptTokens,
-      ...health.recentOutcomes(clock.nowMs()),
-    }));
-    const pools = [...poolsByService.values()];
-    return {
-      inFlight: pools
-        .map(pool => pool.inFlight())
-        .reduce(addCounts, zeroCounts),
-      poolSizes: pools
-        .map(pool => pool.poolSizes())
-        .reduce(addCounts, zeroCounts),
-      loads: loads.filter(isReportable),
-    };
-  }
-
   const sync: StateSync = createStateSync({
     clock,
     logger,
@@ -232,12 +180,9 @@
     maxConfigAgeMs,
     confirmConfig: sync.confirmConfig,
     registry,
-    healthOf: upstreamHealthOf,
-    peerLoads,
-    responseStats: createResponseStats(),
+    knowledge,
+    reportSoon: exchange.reportSoon,
     connections,
-    prefixAffinity: createPrefixAffinity(),
-    enginePools: enginePoolsOf,
     retryBudget: retryBudgetOf,
     isDraining: () => draining,
     onEnded,
@@ -267,13 +212,31 @@
     [createMetricsServer(metrics), settings.metrics],
   ];
 
+  /**
+   * A request may have been sent on an open connection and not have been read
+   * yet, so the process ends only once the callers are quiet.
+   */
+  function isDrained(): boolean {
+    const requiredQuietMs =
+      gatewayServer.openConnections() === 0
+        ? minQuietMs
+        : minQuietWithConnectionsMs;
+    return (
+      gatewayServer.inProgress() === 0 &&
+      gatewayServer.quietMs() >= requiredQuietMs
+    );
+  }
+
   async function drainRequests(startedAtMs: number): Promise<void> {
     const endMs = startedAtMs + settings.stopGraceMs - closeReserveMs;
     await delay(clock, loadBalancerDelayMs);
     draining = true;
     gatewayServer.server.closeIdleConnections();
-    while (gatewayServer.inProgress() > 0 && clock.nowMs() < endMs) {
+    while (!isDrained() && clock.nowMs() < endMs) {
       await delay(clock, drainPollMs);
+      if (gatewayServer.quietMs() >= minQuietMs) {
+        gatewayServer.server.closeIdleConnections();
+      }
     }
   }
 
@@ -313,8 +276,11 @@
       sync.close();
       exchange.close();
       registration.close();
-      for (const [server] of servers) server.close();
       const cutRequests = gatewayServer.inProgress();
+      for (const [server] of servers) {
+        server.close();
+        server.closeAllConnections();
+      }
       await connections.close();
       logger.info('instance stopped', {cutRequests});
     },
--- a/packages/gateway/src/__tests__/unit/EventSplitter.test.ts
+++ b/packages/gateway/src/__tests__/unit/EventSplitter.test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import fc from 'fast-check';
 import {createEventSplitter} from '../../request/EventSplitter.js';
 
 describe('EventSplitter', () => {
@@ -19,4 +20,37 @@
       expect(splitter.pendingBytes()).to.equal('id: 3\ndata: c'.length);
     }
   });
+
+  it('does not count comments as events', () => {
+    const splitter = createEventSplitter();
+    expect(splitter.push(Buffer.from(': ping\n\n'))).to.equal(undefined);
+    expect(splitter.push(Buffer.from('\n\n'))).to.equal(undefined);
+    const first = splitter.push(Buffer.from('id: 1\ndata: a\n\n: ping\n\n'));
+    expect(first?.count).to.equal(1);
+    expect(String(first?.bytes)).to.contain('ping');
+    const comment = splitter.push(Buffer.from(': ping\n\n'));
+    expect(comment?.count).to.equal(0);
+    expect(String(comment?.bytes)).to.equal(': ping\n\n');
+    expect(splitter.pendingBytes()).to.equal(0);
+  });
+
+  it('passes on every byte in order, wherever chunks are cut', () => {
+    const stream = ': a\n\nid: 1\r\ndata: x\r\n\r\n: b\n\n\ndata: y\n\n: c\n\n';
+    fc.assert(
+      fc.property(fc.array(fc.integer({min: 1, max: 9})), sizes => {
+        const splitter = createEventSplitter();
+        let passed = '';
+        let at = 0;
+        for (const size of [...sizes, stream.length]) {
+          const completed = splitter.push(
+            Buffer.from(stream.slice(at, at + size)),
+          );
+          passed += completed?.bytes.toString() ?? '';
+          at += size;
+        }
+        expect(passed).to.equal(stream);
+        expect(splitter.lastEventId()).to.equal('1');
+      }),
+    );
+  });
 });
--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/Gateway.test.ts
@@ -0,0 +1,198 @@
+import type {Server} from 'node:http';
+import {createServer, request as sendRequest} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {createServer as createTcpServer} from 'node:net';
+import type {RandomSource} from '@toucanrouter/common';
+import {
+  createSeededRandom,
+  createSystemClock,
+  delay,
+  PlatformError,
+  toInstanceId,
+} from '@toucanrouter/common';
+import {createLogger} from '@toucanrouter/logging';
+import type {GatewaySettings} from '@toucanrouter/settings';
+import {expect} from 'chai';
+import {errAsync, okAsync} from 'neverthrow';
+import type {Gateway} from '../../Gateway.js';
+import {createGateway} from '../../Gateway.js';
+import type {StateChange, StateStore} from '../../state/StateStore.js';
+import {createConfig, createEntry, createRoute} from './GatewayFixtures.js';
+import {testDialect} from './TestDialect.js';
+
+const clock = createSystemClock();
+const host = '127.0.0.1';
+/** The load balancer opens no connections later than this after a stop. */
+const loadBalancerDelayMs = 2_600;
+const maxResponseMs = 150;
+/** Callers send their request within this time of opening a connection. */
+const maxUnusedMs = 250;
+
+async function freePort(): Promise<number> {
+  const server = createTcpServer();
+  await new Promise<void>(resolve => server.listen(0, host, resolve));
+  const {port} = server.address() as AddressInfo;
+  await new Promise(resolve => server.close(resolve));
+  return port;
+}
+
+/** Creates a store with one upstream and one route, which never changes. */
+function createFixedStore(upstreamPort: number): StateStore {
+  const changes: readonly StateChange[] = [
+    {
+      kind: 'config',
+      config: createConfig({
+        routes: [createRoute({streams: false, retryPolicy: 'never'})],
+        limits: {
+          maxHeaderBytes: 16_384,
+          maxBodyBytes: 100_000,
+          headerTimeoutMs: 3_000,
+          idleTimeoutMs: 15_000,
+        },
+        workspacesByKey: undefined,
+      }),
+    },
+    {kind: 'upstream', entry: createEntry('u', {host, port: upstreamPort})},
+  ];
+  return {
+    readAll: () => okAsync({revision: 1, changes}),
+    readChanges: revision => okAsync({revision, changes: []}),
+    readConfig: () => okAsync(undefined),
+    register: () => errAsync(new PlatformError('not supported', false)),
+    renew: () => okAsync(true),
+  };
+}
+
+async function createSettings(): Promise<GatewaySettings> {
+  const address = async () => ({host, port: await freePort()});
+  return {
+    instanceId: toInstanceId('i'),
+    failureDomain: 'a',
+    callers: await address(),
+    readiness: await address(),
+    metrics: await address(),
+    peers: await address(),
+    storeAddress: 'unused',
+    stopGraceMs: 8_000,
+    revocationDelayMs: 5_000,
+    configDelayMs: 2_000,
+    leavingDelayMs: 2_000,
+    retryShare: 0.2,
+    retryWindowMs: 10_000,
+    retryAllowance: 50,
+    logLevel: 'error',
+  };
+}
+
+/** Starts an upstream that responds after a random time. */
+async function startUpstream(random: RandomSource): Promise<Server> {
+  const server = createServer((message, response) => {
+    message.resume();
+    const id = String(message.headers['id']);
+    setTimeout(() => {
+      response.writeHead(200, {id, mark: 'm'});
+      response.end(id);
+    }, random.next() * maxResponseMs);
+  });
+  await new Promise<void>(resolve => server.listen(0, host, resolve));
+  return server;
+}
+
+/**
+ * Opens a connection, sends a request some time later, its body in two parts,
+ * and resolves to the response or the error.
+ */
+async function sendInParts(
+  port: number,
+  id: string,
+  random: RandomSource,
+): Promise<string> {
+  const message = sendRequest({
+    host,
+    port,
+    path: '/chat/x',
+    method: 'POST',
+    headers: {id, host: 'h', 'content-length': 20_000},
+    agent: false,
+  });
+  const answered = new Promise<string>(resolve => {
+    message.on('error', error => resolve(`error: ${error.message}`));
+    message.on('response', response => {
+      let body = '';
+      response.on('data', chunk => (body += String(chunk)));
+      response.on('error', () => undefined);
+      response.on('close', () =>
+        resolve(
+          response.complete
+            ? `${response.statusCode} ${response.statusCode === 200 ? body : ''}`
+            : 'cut within the response',
+        ),
+      );
+    });
+  });
+  await new Promise<void>(resolve =>
+    message.on('socket', socket => socket.once('connect', () => resolve())),
+  );
+  await delay(clock, random.next() * maxUnusedMs);
+  message.write(Buffer.alloc(10_000));
+  await delay(clock, random.next() * 60);
+  message.end(Buffer.alloc(10_000));
+  return answered;
+}
+
+async function stopUnderLoad(seed: number): Promise<readonly string[]> {
+  const random = createSeededRandom(seed);
+  const upstream = await startUpstream(random);
+  const settings = await createSettings();
+  const {port} = settings.callers;
+  const gateway: Gateway = createGateway({
+    settings,
+    clock,
+    logger: createLogger({
+      format: 'json',
+      level: 'error',
+      instanceId: settings.instanceId,
+      write: () => undefined,
+    }),
+    random,
+    dialect: testDialect,
+    store: createFixedStore((upstream.address() as AddressInfo).port),
+    readinessPath: '/ready',
+  });
+  await gateway.start();
+  await delay(clock, 100);
+  const answers: Promise<string>[] = [];
+  const faults: string[] = [];
+  const startedAtMs = clock.nowMs();
+  const stopAfterMs = 200 + random.next() * 200;
+  let stopped: Promise<void> | undefined;
+  for (let index = 0; ; index++) {
+    const elapsedMs = clock.nowMs() - startedAtMs;
+    if (elapsedMs > stopAfterMs) stopped ??= gateway.close();
+    if (elapsedMs > stopAfterMs + loadBalancerDelayMs) break;
+    const id = `${seed}-${index}`;
+    const answer = sendInParts(port, id, random).then(text => {
+      const isServed = text === `200 ${id}`;
+      const isRefused = text.startsWith('503');
+      if (!isServed && !isRefused) faults.push(`${id}: ${text}`);
+      return text;
+    });
+    answers.push(answer);
+    await delay(clock, random.next() * 12);
+  }
+  await Promise.all(answers);
+  await stopped;
+  upstream.closeAllConnections();
+  upstream.close();
+  return faults;
+}
+
+describe('Gateway', () => {
+  it('answers every request that was accepted while it stops under load', async () => {
+    // Bodies are still being sent, and requests are still being read, when the
+    // last response has been sent.
+    const seeds = Array.from({length: 8}, (_, index) => index + 1);
+    const faults = await Promise.all(seeds.map(stopUnderLoad));
+    expect(faults.flat()).to.deep.equal([]);
+  });
+});
--- a/packages/gateway/src/__tests__/unit/GatewayFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayFixtures.ts
@@ -7,6 +7,8 @@
 } from '@toucanrouter/common';
 import type {GatewayConfig, GatewayRoute} from '../../config/GatewayConfig.js';
 import {zeroLoad} from '../../peers/LoadReports.js';
+import type {EngineModel} from '../../upstreams/EngineModel.js';
+import {createEngineModel} from '../../upstreams/EngineModel.js';
 import type {Prompt} from '../../upstreams/Prompt.js';
 import {createPrefixAffinity} from '../../upstreams/PrefixAffinity.js';
 import type {
@@ -16,6 +18,8 @@
 import {createUpstreamHealth} from '../../upstreams/UpstreamHealth.js';
 import type {UpstreamEntry} from '../../upstreams/UpstreamEntry.js';
 
+const idleEventGapMs = 30;
+
 /** The service of all fixtures. */
 export const service: ServiceName = toServiceName('llm');
 
@@ -102,7 +106,7 @@
 ): Candidate {
   return {
     entry,
-    health: createUpstreamHealth(now),
+    health: createUpstreamHealth(now, () => idleEventGapMs),
     peerLoad: zeroLoad,
   };
 }
@@ -124,6 +128,17 @@
   };
 }
 
+/** Creates a model that has learned a prefill speed of 100 tokens a ms. */
+export function createLearnedModel(): EngineModel {
+  const model = createEngineModel();
+  for (let index = 0; index < 96; index++) {
+    const prefilledTokens = [200, 800, 2_000, 6_000][index % 4] ?? 0;
+    const observedMs = 75 + prefilledTokens / 100;
+    model.observeFirstEvent({prefilledTokens, observedMs});
+  }
+  return model;
+}
+
 /** Creates the input of a request in failure domain `a`, without pools. */
 export function createPlacement(
   changes: Partial<PlacementInput> = {},
@@ -135,6 +150,7 @@
     retryable: true,
     failureDomain: 'a',
     prefixAffinity: createPrefixAffinity(),
+    engineModel: createLearnedModel(),
     averageResponseMs: 1_500,
     enginePools: new Map(),
     tieBreak: () => 0,
--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/TestDialect.ts
@@ -0,0 +1,32 @@
+import type {Dialect} from '../../request/Dialect.js';
+
+/** A wire format with short header names. */
+export const testDialect: Dialect = {
+  readRequest: message => ({
+    requestId: String(message.headers['id'] ?? ''),
+    method: message.method ?? '',
+    host: 'h',
+    target: message.url ?? '',
+    path: message.url ?? '',
+    key: message.headers.authorization,
+    callerTimeoutMs: undefined,
+    prompt: undefined,
+    resumeAfterId: undefined,
+    headers: ['id', String(message.headers['id'] ?? '')],
+  }),
+  upstreamHeaders: (request, attributes) => [
+    ...request.headers,
+    ...(attributes.resumeAfterId === undefined
+      ? []
+      : ['after', attributes.resumeAfterId]),
+  ],
+  readResponse: (status, headers) => ({
+    status,
+    requestId: headers['id'] as string | undefined,
+    notRun: headers['not-run'] !== undefined,
+    misdirected: status === 421,
+    stamped: headers['mark'] !== undefined,
+    contentEncoded: false,
+    headers: ['mark', String(headers['mark'] ?? '')],
+  }),
+};
--- a/packages/gateway/src/__tests__/unit/UpstreamConnections.test.ts
+++ b/packages/gateway/src/__tests__/unit/UpstreamConnections.test.ts
@@ -113,4 +113,84 @@
     const text = `${head}Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n`;
     expect((await sendToUpstream(text, end)).outcome).to.equal('ended');
   });
+
+  it('never gives a second response to the next request on a connection', async () => {
+    // The second copy comes in the same segment, late, or only in part.
+    const answer = (body: string) =>
+      `HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n${body}`;
+    const partOfAnswer = answer('a1').slice(0, 20);
+    for (const extra of [answer('a1'), partOfAnswer, 'no response at all']) {
+      for (const extraDelayMs of [0, 5, 20]) {
+        let connectionCount = 0;
+        const server = createServer(socket => {
+          connectionCount += 1;
+          const body = connectionCount === 1 ? 'a1' : 'b1';
+          socket.on('error', () => undefined);
+          socket.once('data', () => {
+            if (extraDelayMs === 0 && connectionCount === 1) {
+              socket.write(answer(body) + extra);
+              return;
+            }
+            socket.write(answer(body));
+            if (connectionCount > 1) return;
+            setTimeout(() => socket.write(extra), extraDelayMs);
+          });
+        });
+        await new Promise<void>(resolve =>
+          server.listen(0, '127.0.0.1', resolve),
+        );
+        const connections = createUpstreamConnections(createSystemClock());
+        const first = await send(connections, server);
+        expect(first.body).to.equal('a1');
+        await new Promise(resolve => setTimeout(resolve, 40));
+        const second = await send(connections, server);
+        expect(second).to.deep.equal({outcome: 'ended', body: 'b1'});
+        await connections.close();
+        server.close();
+      }
+    }
+  });
+
+  it('fails a response whose head never ends', async () => {
+    const line = `X-Filler: ${'x'.repeat(1_000)}\r\n`;
+    const endless = (socket: Socket) => {
+      socket.write('HTTP/1.1 200 OK\r\n');
+      const timer = setInterval(() => socket.write(line.repeat(8)), 1);
+      socket.once('close', () => clearInterval(timer));
+    };
+    const server = await startUpstream(endless);
+    const connections = createUpstreamConnections(createSystemClock());
+    expect((await send(connections, server)).outcome).to.equal('failed');
+    await connections.close();
+    server.close();
+  });
+
+  it('fails a response that is preceded by interim responses without end', async () => {
+    const interim = 'HTTP/1.1 102 Processing\r\n\r\n';
+    const endless = (socket: Socket) => {
+      const timer = setInterval(() => socket.write(interim.repeat(4)), 1);
+      socket.once('close', () => clearInterval(timer));
+    };
+    const server = await startUpstream(endless);
+    const connections = createUpstreamConnections(createSystemClock());
+    expect((await send(connections, server)).outcome).to.equal('failed');
+    await connections.close();
+    server.close();
+  });
+
+  it('fails a response whose trailers never end', async () => {
+    const trailer = `X-Filler: ${'x'.repeat(1_000)}\r\n`;
+    const endless = (socket: Socket) => {
+      const text =
+        'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Filler\r\n';
+      socket.write(`${text}\r\n3\r\nabc\r\n0\r\n`);
+      const timer = setInterval(() => socket.write(trailer.repeat(8)), 1);
+      socket.once('close', () => clearInterval(timer));
+    };
+    const server = await startUpstream(endless);
+    const connections = createUpstreamConnections(createSystemClock());
+    expect((await send(connections, server)).outcome).to.equal('failed');
+    await connections.close();
+    server.close();
+  });
 });
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -9,13 +9,24 @@
 } from './config/GatewayConfig.js';
 export type {Gateway, GatewayOptions} from './Gateway.js';
 export {createGateway} from './Gateway.js';
+export {decodeReport, encodeReport} from './peers/LoadReportCodec.js';
 export type {PeerEntry} from './peers/PeerDirectory.js';
+export type {ReportSchedule} from './peers/ReportSchedule.js';
+export {createReportSchedule} from './peers/ReportSchedule.js';
+export {shortIdOf} from './peers/ShortIds.js';
 export type {
   CallerRequest,
   Dialect,
   UpstreamRequestAttributes,
   UpstreamResponse,
 } from './request/Dialect.js';
+export type {
+  PlacementContext,
+  RequestPlacement,
+} from './request/RequestPlacement.js';
+export {createRequestPlacement} from './request/RequestPlacement.js';
+export {retryDelayMs} from './request/RetryAfter.js';
+export {upstreamPriority} from './request/UpstreamPriority.js';
 export type {
   LeaseId,
   StateChange,
@@ -23,6 +34,11 @@
   StateUpdate,
   WatchResult,
 } from './state/StateStore.js';
+export type {EngineModel} from './upstreams/EngineModel.js';
+export {createEngineModel, initialEstimates} from './upstreams/EngineModel.js';
 export type {Prompt, PromptSegment} from './upstreams/Prompt.js';
 export {parsePromptSegments} from './upstreams/Prompt.js';
+export type {Choice} from './upstreams/UpstreamChoice.js';
 export type {UpstreamEntry} from './upstreams/UpstreamEntry.js';
+export type {UpstreamKnowledge} from './upstreams/UpstreamKnowledge.js';
+export {createUpstreamKnowledge} from './upstreams/UpstreamKnowledge.js';
--- a/packages/gateway/src/peers/LoadExchange.ts
+++ b/packages/gateway/src/peers/LoadExchange.ts
@@ -5,14 +5,12 @@
 import type {Clock, InstanceId} from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
 import type {ListenAddress} from '@toucanrouter/settings';
-import type {PeerLoadTable, ReportedWork} from './LoadReports.js';
-import {
-  decodeReport,
-  encodeReport,
-  reportIntervalMs,
-  shortIdOf,
-} from './LoadReports.js';
+import {decodeReport, encodeReport} from './LoadReportCodec.js';
+import type {LoadReport, ReportedWork} from './LoadReports.js';
 import type {PeerDirectory} from './PeerDirectory.js';
+import type {ReportSchedule} from './ReportSchedule.js';
+import {createReportSchedule} from './ReportSchedule.js';
+import {shortIdOf} from './ShortIds.js';
 
 /** Options of an exchange. */
 export interface LoadExchangeOptions {
@@ -21,30 +19,33 @@
   readonly instanceId: InstanceId;
   readonly listen: ListenAddress;
   readonly peers: PeerDirectory;
-  readonly loads: PeerLoadTable;
-  readonly localWork: () => ReportedWork;
+  /** Returns the work to report; called once for each report that is sent. */
+  readonly takeWork: () => ReportedWork;
+  /** Receives the reports of peers. */
+  readonly onReport: (report: LoadReport) => void;
 }
 
 /** A running exchange. */
 export interface LoadExchange {
   start(): void;
+  /** Sends a report as soon as the rate limit allows. */
+  reportSoon(): void;
   close(): void;
 }
 
 /** Creates an exchange that has not started. */
 export function createLoadExchange(options: LoadExchangeOptions): LoadExchange {
-  const {clock, listen, loads, logger, peers} = options;
+  const {clock, listen, logger, peers} = options;
   const socket = createSocket('udp4');
   const selfId = shortIdOf(options.instanceId);
   const startedAtMs = clock.wallMs();
   let sequence = 0;
-  let closed = false;
   let wasIdle = false;
   let sendFailed = false;
 
   function send(): void {
-    const work = options.localWork();
-    const idle = work.loads.length === 0;
+    const work = options.takeWork();
+    const idle = work.loads.length === 0 && work.sentPrefixes.length === 0;
     // One empty report clears the load at the peers; further ones are redundant.
     if (idle && wasIdle) return;
     wasIdle = idle;
@@ -70,14 +71,11 @@
     sendFailed = failed;
   }
 
-  function schedule(): void {
-    if (closed) return;
-    clock.after(reportIntervalMs(peers.addresses().length), () => {
-      if (closed) return;
-      send();
-      schedule();
-    });
-  }
+  const schedule: ReportSchedule = createReportSchedule({
+    clock,
+    peerCount: () => peers.addresses().length,
+    send,
+  });
 
   socket.on('message', datagram => {
     const report = decodeReport(datagram);
@@ -85,7 +83,7 @@
       logger.warn('ignored a datagram that is not a valid load report', {
         bytes: datagram.length,
       });
-    } else if (report.instanceId !== selfId) loads.receive(report);
+    } else if (report.instanceId !== selfId) options.onReport(report);
   });
   socket.on('error', error =>
     logger.error('socket of the load exchange failed', {error: error.message}),
@@ -93,10 +91,11 @@
   return {
     start: () => {
       socket.bind({address: listen.host, port: listen.port, exclusive: true});
-      schedule();
+      schedule.start();
     },
+    reportSoon: schedule.reportSoon,
     close: () => {
-      closed = true;
+      schedule.close();
       socket.close();
     },
   };
--- a/packages/gateway/src/peers/LoadReports.ts
+++ b/packages/gateway/src/peers/LoadReports.ts
@@ -4,31 +4,14 @@
  * engine's load. Reports are hints: an instance that receives none decides by
  * its own work in flight.
  */
-import type {Clock, UpstreamId} from '@toucanrouter/common';
-import {hash32} from '@toucanrouter/common';
+import type {Clock, ServiceName, UpstreamId} from '@toucanrouter/common';
 import {getOrCreate} from '../GetOrCreate.js';
+import type {EngineEstimates} from '../upstreams/EngineModel.js';
 import type {WorkKindCounts} from '../upstreams/EnginePools.js';
 import {addCounts, zeroCounts} from '../upstreams/EnginePools.js';
-
-declare const shortIdBrand: unique symbol;
-declare const upstreamShortIdBrand: unique symbol;
-
-/** Hash of an instance's id, which identifies the instance in reports. */
-export type ShortId = number & {readonly [shortIdBrand]: true};
-/** Short hash of an upstream's id; a report contains many of them. */
-export type UpstreamShortId = number & {readonly [upstreamShortIdBrand]: true};
-
-const upstreamShortIdMask = 0xffff;
-
-/** Returns the hash of an instance's id. */
-export function shortIdOf(id: string): ShortId {
-  return hash32(id) as ShortId;
-}
-
-/** Returns the hash of an upstream's id; a collision only skews an estimate. */
-export function upstreamShortIdOf(id: UpstreamId): UpstreamShortId {
-  return (hash32(id) & upstreamShortIdMask) as UpstreamShortId;
-}
+import type {SentPrefix} from '../upstreams/PrefixAffinity.js';
+import type {ServiceShortId, ShortId, UpstreamShortId} from './ShortIds.js';
+import {serviceShortIdOf, upstreamShortIdOf} from './ShortIds.js';
 
 /** Work in flight and recent outcomes on one upstream. */
 export interface UpstreamLoad {
@@ -42,13 +25,23 @@
   readonly served: number;
 }
 
+/** What one instance learned about the upstreams of a service. */
+export interface ServiceEstimates extends EngineEstimates {
+  readonly service: ServiceShortId;
+}
+
 /** The work that one instance reports. */
 export interface ReportedWork {
   /** Requests in flight on engines. */
   readonly inFlight: WorkKindCounts;
+  /** Engines that the work offered to this instance keeps busy. */
+  readonly offered: WorkKindCounts;
   /** Engines in each pool, as this instance assigned them. */
   readonly poolSizes: WorkKindCounts;
   readonly loads: readonly UpstreamLoad[];
+  readonly estimates: readonly ServiceEstimates[];
+  /** Long prefixes that were sent to engines since the previous report. */
+  readonly sentPrefixes: readonly SentPrefix[];
 }
 
 /** A report that one instance sends to its peers. */
@@ -77,6 +70,13 @@
   loadAt(upstreamId: UpstreamId): PeerLoad;
   /** Returns the requests that peers have in flight on engines. */
   inFlight(): WorkKindCounts;
+  /** Returns the engines that the work offered to peers keeps busy. */
+  offered(): WorkKindCounts;
+  /**
+   * Returns what peers learned about a service. The result is the same object
+   * until a report changes.
+   */
+  estimatesOf(service: ServiceName): readonly EngineEstimates[];
   /**
    * Returns the pool sizes of the leader, the instance with the lowest id among
    * this one and those with a current report. Undefined when this instance
@@ -112,6 +112,8 @@
   );
 }
 
+const noEstimates: readonly EngineEstimates[] = [];
+
 interface ReceivedReport {
   readonly report: LoadReport;
   readonly receivedAtMs: number;
@@ -128,7 +130,9 @@
   const received = new Map<ShortId, ReceivedReport>();
   const shortIds = new Map<UpstreamId, UpstreamShortId>();
   const totals = new Map<UpstreamShortId, PeerLoad>();
+  const estimates = new Map<ServiceShortId, EngineEstimates[]>();
   let inFlight: WorkKindCounts = zeroCounts;
+  let offered: WorkKindCounts = zeroCounts;
   let validUntilMs = -Infinity;
 
   const shortIdOfUpstream = (id: UpstreamId) =>
@@ -150,7 +154,9 @@
     if (nowMs < validUntilMs) return;
     const lifetimeMs = reportLifetimeMs(received.size);
     totals.clear();
+    estimates.clear();
     inFlight = zeroCounts;
+    offered = zeroCounts;
     validUntilMs = Infinity;
     for (const [instanceId, {receivedAtMs, report}] of received) {
       const expiresAtMs = receivedAtMs + lifetimeMs;
@@ -160,6 +166,10 @@
       }
       validUntilMs = Math.min(validUntilMs, expiresAtMs);
       inFlight = addCounts(inFlight, report.inFlight);
+      offered = addCounts(offered, report.offered);
+      for (const {service, ...learned} of report.estimates) {
+        getOrCreate(estimates, service, () => []).push(learned);
+      }
       report.loads.forEach(addToTotals);
     }
   }
@@ -179,6 +189,14 @@
       rebuildTotals();
       return inFlight;
     },
+    offered: () => {
+      rebuildTotals();
+      return offered;
+    },
+    estimatesOf: service => {
+      rebuildTotals();
+      return estimates.get(serviceShortIdOf(service)) ?? noEstimates;
+    },
     leaderPoolSizes: selfId => {
       rebuildTotals();
       const leader = [...received.keys()].reduce(
@@ -193,86 +211,3 @@
     },
   };
 }
-
-/** Datagram layout; it is compact because reports are sent often. */
-const formatVersion = 6;
-const headerBytes = 25;
-const loadBytes = 5;
-const maxByte = 0xff;
-/** Waiting prompt tokens are encoded in units of this many. */
-const tokensPerUnit = 512;
-/** Failed and served requests are encoded in half a byte each. */
-const maxOutcomes = 0xf;
-
-function clampToByte(value: number): number {
-  return Math.min(Math.max(0, Math.round(value)), maxByte);
-}
-
-/** Packs both counts into a byte; large ones are scaled to keep their ratio. */
-function packOutcomes({failed, served}: UpstreamLoad): number {
-  const scale = Math.min(1, maxOutcomes / Math.max(failed, served, 1));
-  return (Math.round(failed * scale) << 4) | Math.round(served * scale);
-}
-
-function writeCounts(
-  datagram: Buffer,
-  counts: WorkKindCounts,
-  at: number,
-): void {
-  datagram.writeUInt16BE(counts.prompt, at);
-  datagram.writeUInt16BE(counts.interactive, at + 2);
-}
-
-function readCounts(datagram: Buffer, at: number): WorkKindCounts {
-  return {
-    prompt: datagram.readUInt16BE(at),
-    interactive: datagram.readUInt16BE(at + 2),
-  };
-}
-
-/** Encodes a report as a datagram. */
-export function encodeReport(report: LoadReport): Buffer {
-  const datagram = Buffer.alloc(headerBytes + report.loads.length * loadBytes);
-  datagram.writeUInt8(formatVersion, 0);
-  datagram.writeUInt32BE(report.instanceId, 1);
-  datagram.writeDoubleBE(report.startedAtMs, 5);
-  datagram.writeUInt32BE(report.sequence, 13);
-  writeCounts(datagram, report.inFlight, 17);
-  writeCounts(datagram, report.poolSizes, 21);
-  report.loads.forEach((load, index) => {
-    const at = headerBytes + index * loadBytes;
-    datagram.writeUInt16BE(load.upstream, at);
-    datagram.writeUInt8(clampToByte(load.running), at + 2);
-    datagram.writeUInt8(
-      clampToByte(load.waitingPromptTokens / tokensPerUnit),
-      at + 3,
-    );
-    datagram.writeUInt8(packOutcomes(load), at + 4);
-  });
-  return datagram;
-}
-
-/** Decodes a datagram; returns undefined if it is not a valid report. */
-export function decodeReport(datagram: Buffer): LoadReport | undefined {
-  const loadsLength = datagram.length - headerBytes;
-  if (loadsLength < 0 || loadsLength % loadBytes !== 0) return undefined;
-  if (datagram.readUInt8(0) !== formatVersion) return undefined;
-  const loads: UpstreamLoad[] = [];
-  for (let at = headerBytes; at < datagram.length; at += loadBytes) {
-    loads.push({
-      upstream: datagram.readUInt16BE(at) as UpstreamShortId,
-      running: datagram.readUInt8(at + 2),
-      waitingPromptTokens: datagram.readUInt8(at + 3) * tokensPerUnit,
-      failed: datagram.readUInt8(at + 4) >> 4,
-      served: datagram.readUInt8(at + 4) & maxOutcomes,
-    });
-  }
-  return {
-    instanceId: datagram.readUInt32BE(1) as ShortId,
-    startedAtMs: datagram.readDoubleBE(5),
-    sequence: datagram.readUInt32BE(13),
-    inFlight: readCounts(datagram, 17),
-    poolSizes: readCounts(datagram, 21),
-    loads,
-  };
-}
--- a/packages/gateway/src/request/Attempt.ts
+++ b/packages/gateway/src/request/Attempt.ts
@@ -13,6 +13,8 @@
 import type {Dialect, UpstreamResponse} from './Dialect.js';
 import type {CompleteEvents, EventSplitter} from './EventSplitter.js';
 import {createEventSplitter} from './EventSplitter.js';
+import type {StallLimits} from './StallWatch.js';
+import {createStallWatch} from './StallWatch.js';
 
 /** How an attempt ended. */
 export type AttemptResult =
@@ -26,7 +28,7 @@
   | {
       readonly kind: 'broken';
       readonly reason: string;
-      /** True when the attempt exceeded an idle timeout. */
+      /** True when the attempt was abandoned because it made no progress. */
       readonly stalled?: boolean;
     }
   /** A complete response that was not streamed. */
@@ -66,8 +68,15 @@
 
 /** Receives events of a stream as they arrive. */
 export interface StreamReceiver {
-  /** Receives complete events; false asks to pause until the drain. */
-  events(response: UpstreamResponse, completed: CompleteEvents): boolean;
+  /**
+   * Receives complete events and the time since the previous ones, if the
+   * upstream determined it. False asks to pause until the drain.
+   */
+  events(
+    response: UpstreamResponse,
+    completed: CompleteEvents,
+    gapMs: number | undefined,
+  ): boolean;
   /** Calls `run` once the caller accepts data again. */
   onDrain(run: () => void): void;
 }
@@ -87,17 +96,17 @@
   readonly streams: boolean;
   /** Longest idle time of a connection that may carry the request. */
   readonly maxIdleMs: number;
-  /** Undefined when the request may not be retried. */
-  readonly idleTimeouts: IdleTimeouts | undefined;
+  readonly stallLimits: StallLimits;
+  /**
+   * Returns whether a stalled attempt should be abandoned, because another one
+   * can take its place. Without one, waiting is all that can help the caller.
+   */
+  readonly mayAbandon: (lastEventId: string | undefined) => boolean;
+  /** Called with the time to the first event, or to a plain response. */
+  readonly onFirstResponse: (observedMs: number) => void;
   readonly receiver: StreamReceiver;
 }
 
-/** How long an upstream may send no data for a request that can be retried. */
-export interface IdleTimeouts {
-  readonly firstResponseMs: number;
-  readonly betweenEventsMs: number;
-}
-
 /** A running attempt. */
 export interface Attempt {
   readonly result: Promise<AttemptResult>;
@@ -120,13 +129,11 @@
   const splitter: EventSplitter = createEventSplitter();
   const chunks: Buffer[] = [];
   let bufferedBytes = 0;
-  let lastEventAtMs: number | undefined;
   let response: UpstreamResponse | undefined;
   let streaming = false;
   let sent = false;
   let firstResponseRecorded = false;
   let finished = false;
-  let cancelIdleTimer = (): void => undefined;
   let resolveResult: (result: AttemptResult) => void = () => undefined;
   const result = new Promise<AttemptResult>(resolve => {
     resolveResult = resolve;
@@ -135,7 +142,7 @@
   function finish(result: AttemptResult): void {
     if (finished) return;
     finished = true;
-    cancelIdleTimer();
+    stallWatch.close();
     health.requestEnded(work, firstResponseRecorded);
     resolveResult(result);
   }
@@ -145,18 +152,17 @@
     exchange.abort(reason);
   }
 
-  function restartIdleTimer(timeoutMs: number): void {
-    cancelIdleTimer();
-    if (options.idleTimeouts === undefined) return;
-    cancelIdleTimer = clock.after(timeoutMs, () => {
-      const reason = `silent for ${Math.round(timeoutMs)} ms`;
-      abort(
-        sent
-          ? {kind: 'broken', reason, stalled: true}
-          : {kind: 'unsent', reason},
-        reason,
-      );
-    });
+  function onStalled(silentMs: number): boolean {
+    const reason = `no progress for ${Math.round(silentMs)} ms`;
+    if (!sent) {
+      abort({kind: 'unsent', reason}, reason);
+      return true;
+    }
+    if (options.mayAbandon(splitter.lastEventId())) {
+      abort({kind: 'broken', reason, stalled: true}, reason);
+      return true;
+    }
+    return false;
   }
 
   function recordFirstResponse(): void {
@@ -164,21 +170,23 @@
     firstResponseRecorded = true;
     const observedMs = clock.nowMs() - startedAtMs;
     health.recordFirstResponse(work, observedMs, choice.expectedMs);
+    options.onFirstResponse(observedMs);
   }
 
-  function recordEventGap(): void {
-    const nowMs = clock.nowMs();
-    if (lastEventAtMs !== undefined) {
-      health.recordEventGap(nowMs - lastEventAtMs, nowMs);
-    }
-    lastEventAtMs = nowMs;
-  }
-
-  function invalidReason(head: UpstreamResponse): string | undefined {
+  /**
+   * On a reused connection, a late second response to the previous request may
+   * come first. Only the request id shows whose response it is, so a statement
+   * without an id that the request did not run cannot be trusted there.
+   */
+  function invalidReason(
+    head: UpstreamResponse,
+    isReused: boolean,
+  ): string | undefined {
     if (head.requestId !== undefined && head.requestId !== options.requestId) {
       return `the response belongs to request ${head.requestId}`;
     }
-    if (head.misdirected || head.notRun) return undefined;
+    const isAnonymous = head.requestId === undefined && isReused;
+    if ((head.misdirected || head.notRun) && !isAnonymous) return undefined;
     if (head.requestId === undefined) return 'the response has no request id';
     if (!head.stamped) return `status ${head.status} without an upstream stamp`;
     if (head.contentEncoded) return 'the response has a content encoding';
@@ -196,9 +204,6 @@
       }
       return;
     }
-    if (options.idleTimeouts !== undefined) {
-      restartIdleTimer(options.idleTimeouts.betweenEventsMs);
-    }
     const completed = splitter.push(chunk);
     if (splitter.pendingBytes() > maxPendingEventBytes) {
       const reason = `an event exceeds ${maxPendingEventBytes} bytes`;
@@ -206,12 +211,16 @@
       return;
     }
     if (completed === undefined) return;
-    recordFirstResponse();
-    recordEventGap();
-    if (receiver.events(response, completed)) return;
+    const gapMs = completed.count > 0 ? stallWatch.progress() : undefined;
+    if (completed.count > 0) recordFirstResponse();
+    if (gapMs !== undefined) health.recordEventGap(gapMs, clock.nowMs());
+    if (receiver.events(response, completed, gapMs)) return;
     exchange.pause();
-    cancelIdleTimer();
-    receiver.onDrain(() => exchange.resume());
+    stallWatch.pause();
+    receiver.onDrain(() => {
+      exchange.resume();
+      stallWatch.resume();
+    });
   }
 
   function handleEnd(): void {
@@ -231,6 +240,11 @@
   }
 
   health.requestStarted(work);
+  const stallWatch = createStallWatch({
+    clock,
+    limits: options.stallLimits,
+    onStalled,
+  });
   const exchange: UpstreamExchange = connections.send(
     {
       host: entry.host,
@@ -245,9 +259,9 @@
       sent: () => {
         sent = true;
       },
-      started: (status, headers, rawHeaders) => {
+      started: (status, headers, rawHeaders, isReused) => {
         const head = dialect.readResponse(status, headers, rawHeaders);
-        const invalid = invalidReason(head);
+        const invalid = invalidReason(head, isReused);
         if (invalid !== undefined) {
           abort({kind: 'broken', reason: invalid}, invalid);
           return;
@@ -265,9 +279,6 @@
         ),
     },
   );
-  if (options.idleTimeouts !== undefined) {
-    restartIdleTimer(options.idleTimeouts.firstResponseMs);
-  }
   return {
     result,
     lastEventId: splitter.lastEventId,
--- a/packages/gateway/src/request/CallerResponse.ts
+++ b/packages/gateway/src/request/CallerResponse.ts
@@ -72,6 +72,10 @@
         const seconds = (error.retryAfterMs / msPerSecond).toFixed(3);
         headers.push('Retry-After', seconds);
       }
+      // The rest of a body that is too large is not read.
+      if (error.kind === 'body_too_large' && !options.isClosing()) {
+        headers.push('Connection', 'close');
+      }
       writeHead(errorResponseFor(error.kind).status, headers);
       response.end(body);
     },
--- a/packages/gateway/src/request/EventSplitter.ts
+++ b/packages/gateway/src/request/EventSplitter.ts
@@ -4,9 +4,10 @@
  * another upstream can resume after the last complete one.
  */
 
-/** Complete events that arrived together. */
+/** Complete events, or comments between events, that arrived together. */
 export interface CompleteEvents {
   readonly bytes: Buffer;
+  /** Number of events; 0 if there are only comments. */
   readonly count: number;
 }
 
@@ -22,14 +23,34 @@
 
 const newline = 0x0a;
 const carriageReturn = 0x0d;
+/** A block without any of these fields is a comment, or means nothing. */
+const eventFields: readonly Buffer[] = [Buffer.from('data'), Buffer.from('id')];
 const emptyBuffer = Buffer.alloc(0);
 const idLine = /^id:\s*(.*?)\r?$/gm;
 
-/** Finds the end of the last blank line of `bytes` and counts blank lines. */
-function lastBoundary(bytes: Buffer): {end: number; count: number} {
+/** Blocks of lines that end with a blank line. */
+interface CompleteBlocks {
+  /** End of the last complete block. */
+  readonly end: number;
+  /** End of the last event; comment blocks are no events. */
+  readonly eventEnd: number;
+  /** Number of events. */
+  readonly count: number;
+}
+
+function hasEventField(line: Buffer): boolean {
+  return eventFields.some(
+    field => line.subarray(0, field.length).compare(field) === 0,
+  );
+}
+
+/** Finds the complete blocks at the start of `bytes`. */
+function findBlocks(bytes: Buffer): CompleteBlocks {
   let end = 0;
+  let eventEnd = 0;
   let count = 0;
   let lineStart = 0;
+  let hasField = false;
   for (
     let index = bytes.indexOf(newline);
     index >= 0;
@@ -38,26 +59,35 @@
     const blank =
       index === lineStart ||
       (index === lineStart + 1 && bytes[lineStart] === carriageReturn);
+    if (!blank) hasField ||= hasEventField(bytes.subarray(lineStart, index));
     lineStart = index + 1;
     if (!blank) continue;
     end = lineStart;
+    if (!hasField) continue;
+    eventEnd = lineStart;
     count += 1;
+    hasField = false;
   }
-  return {end, count};
+  return {end, eventEnd, count};
 }
 
 /** Creates a splitter for one stream. */
 export function createEventSplitter(): EventSplitter {
   let pending: Buffer = emptyBuffer;
   let lastEventId: string | undefined;
+  let started = false;
   return {
     push: chunk => {
       const bytes =
         pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
-      const {count, end} = lastBoundary(bytes);
-      pending = bytes.subarray(end);
-      if (count === 0) return undefined;
-      const complete = bytes.subarray(0, end);
+      const {count, end, eventEnd} = findBlocks(bytes);
+      started ||= count > 0;
+      // Comments before the first event wait for it: the response of another
+      // upstream may still replace this one.
+      const completeEnd = started ? end : eventEnd;
+      pending = bytes.subarray(completeEnd);
+      if (completeEnd === 0) return undefined;
+      const complete = bytes.subarray(0, completeEnd);
       for (const match of complete.toString('latin1').matchAll(idLine)) {
         lastEventId = match[1];
       }
--- a/packages/gateway/src/request/GatewayContext.ts
+++ b/packages/gateway/src/request/GatewayContext.ts
@@ -1,22 +1,13 @@
 /**
  * State and services that all requests of an instance share.
  */
-import type {
-  Clock,
-  RandomSource,
-  ServiceName,
-  UpstreamId,
-} from '@toucanrouter/common';
+import type {Clock, RandomSource, ServiceName} from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
 import type {RetryBudget} from '@toucanrouter/policy';
 import type {ActiveConfig} from '../config/ActiveConfig.js';
 import type {ConfigAge} from '../config/ConfigAge.js';
-import type {PeerLoadTable} from '../peers/LoadReports.js';
-import type {ResponseStats} from '../upstreams/ResponseStats.js';
-import type {EnginePools} from '../upstreams/EnginePools.js';
-import type {PrefixAffinity} from '../upstreams/PrefixAffinity.js';
-import type {UpstreamHealth} from '../upstreams/UpstreamHealth.js';
 import type {UpstreamConnections} from '../upstreams/UpstreamConnections.js';
+import type {UpstreamKnowledge} from '../upstreams/UpstreamKnowledge.js';
 import type {UpstreamRegistry} from '../upstreams/UpstreamRegistry.js';
 import type {Dialect} from './Dialect.js';
 import type {EndedRequest} from './EndedRequest.js';
@@ -35,12 +26,10 @@
   /** Resolves once the store confirmed the configuration or the attempt failed. */
   readonly confirmConfig: () => Promise<void>;
   readonly registry: UpstreamRegistry;
-  readonly healthOf: (id: UpstreamId) => UpstreamHealth;
-  readonly responseStats: ResponseStats;
-  readonly peerLoads: PeerLoadTable;
+  readonly knowledge: UpstreamKnowledge;
+  /** Reports this instance's work to its peers without waiting long. */
+  readonly reportSoon: () => void;
   readonly connections: UpstreamConnections;
-  readonly prefixAffinity: PrefixAffinity;
-  readonly enginePools: (service: ServiceName) => EnginePools;
   readonly retryBudget: (service: ServiceName) => RetryBudget;
   /** True once the instance accepts no new requests. */
   readonly isDraining: () => boolean;
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -8,10 +8,9 @@
 import {errorResponseFor, RouterError} from '@toucanrouter/common';
 import {pickService} from '../config/RouteTable.js';
 import type {Choice} from '../upstreams/UpstreamChoice.js';
-import {placementPrefixId} from '../upstreams/PrefixAffinity.js';
 import type {AdmittedRequest} from './Admission.js';
 import {admit} from './Admission.js';
-import type {Attempt, AttemptResult, IdleTimeouts} from './Attempt.js';
+import type {Attempt, AttemptResult} from './Attempt.js';
 import {outcomeOf, startAttempt} from './Attempt.js';
 import {readBody} from './CallerBody.js';
 import type {CallerResponse} from './CallerResponse.js';
@@ -19,10 +18,12 @@
 import type {CallerRequest} from './Dialect.js';
 import type {GatewayContext} from './GatewayContext.js';
 import type {RequestProgress} from './RetryDecision.js';
+import type {RequestPlacement} from './RequestPlacement.js';
 import {createRequestPlacement} from './RequestPlacement.js';
 import {nextStep, stepWithoutRetry} from './RetryDecision.js';
 import {upstreamPriority} from './UpstreamPriority.js';
 import {retryDelayMs} from './RetryAfter.js';
+import type {StallLimits} from './StallWatch.js';
 
 /**
  * Time after the deadline during which the upstream's own response is still
@@ -32,12 +33,14 @@
 /** Shorter, because a request lost on a stale connection cannot be retried. */
 const maxIdleNonRetryableMs = 1_500;
 const maxIdleRetryableMs = 5_000;
-/** Timeout for the first response of a retryable request, in target latencies. */
-const firstResponseTimeoutTargets = 3;
-const minFirstResponseTimeoutMs = 400;
-/** Idle timeout between the events of a retryable request, in target gaps. */
-const eventTimeoutGaps = 3;
-const minEventTimeoutMs = 700;
+/** Time until the first response after which an attempt has stalled, in targets. */
+const firstResponseTargets = 3;
+/** The same, as a multiple of the time that was expected. */
+const expectedResponseFactor = 3;
+const minFirstResponseLimitMs = 400;
+/** Time between events after which an attempt has stalled, in target gaps. */
+const betweenEventsGaps = 3;
+const minBetweenEventsLimitMs = 700;
 const shutdownRetryAfterMs = 50;
 
 /** Serves a request from its head to the end of its response. */
@@ -84,7 +87,7 @@
   request: CallerRequest,
   callerResponse: CallerResponse,
 ): RequestHandler {
-  const {clock, config, configAge, logger, random} = context;
+  const {clock, config, configAge, knowledge, logger, random} = context;
   const arrivedAtMs = clock.nowMs();
   const upstreams: UpstreamId[] = [];
   let admittedRequest: AdmittedRequest | undefined;
@@ -95,7 +98,6 @@
   let firstAnswerMs: number | undefined;
   let eventCount = 0;
   let longestPauseMs = 0;
-  let lastEventAtMs = 0;
   let recorded = false;
   let callerDisconnected = false;
   let cancelTimeout = (): void => undefined;
@@ -178,32 +180,61 @@
     attempt?.cancel(reason);
   }
 
-  function idleTimeoutsFor({route}: AdmittedRequest): IdleTimeouts | undefined {
-    if (route.retryPolicy === 'never') return undefined;
+  function stallLimitsFor(
+    {route}: AdmittedRequest,
+    choice: Choice,
+  ): StallLimits {
     return {
-      firstResponseMs: Math.max(
-        minFirstResponseTimeoutMs,
-        route.targetLatencyMs * firstResponseTimeoutTargets,
+      firstEventMs: Math.max(
+        minFirstResponseLimitMs,
+        route.targetLatencyMs * firstResponseTargets,
+        choice.expectedMs * expectedResponseFactor,
       ),
       betweenEventsMs: Math.max(
-        minEventTimeoutMs,
-        (route.targetGapMs ?? 0) * eventTimeoutGaps,
+        minBetweenEventsLimitMs,
+        (route.targetGapMs ?? 0) * betweenEventsGaps,
       ),
     };
   }
 
+  /**
+   * A stalled attempt is abandoned only if the class and the budget allow
+   * another one, and an upstream is left that should respond within the limit.
+   */
+  function canReplaceStalled(
+    admitted: AdmittedRequest,
+    placement: RequestPlacement,
+    limits: StallLimits,
+    lastEventId: string | undefined,
+  ): boolean {
+    const decision = nextStep(
+      {kind: 'broken', reason: 'stalled'},
+      {
+        ...snapshotProgress(admitted),
+        upstreamsUsed: progress.upstreamsUsed + 1,
+        mayHaveRun: true,
+        lastEventId: lastEventId ?? progress.lastEventId,
+      },
+    );
+    if (decision.step !== 'repeat') return false;
+    const {service} = placement;
+    if (!context.retryBudget(service).canRetry(clock.nowMs())) return false;
+    const next = placement.choose(upstreams);
+    return next !== undefined && next.expectedMs < limits.firstEventMs;
+  }
+
   function startUpstreamAttempt(
     choice: Choice,
     admitted: AdmittedRequest,
     body: Buffer,
+    placement: RequestPlacement,
   ): Attempt {
     const {route, workspace} = admitted;
-    const {entry} = choice.candidate;
-    const prefixId = request.prompt && placementPrefixId(request.prompt);
-    if (prefixId !== undefined)
-      context.prefixAffinity.recordSent(prefixId, entry.id, clock.nowMs());
+    const {entry, health} = choice.candidate;
     upstreams.push(entry.id);
     sentAtMs = clock.nowMs();
+    const stallLimits = stallLimitsFor(admitted, choice);
+    let stallRecorded = route.retryPolicy === 'never';
     return startAttempt({
       clock,
       connections: context.connections,
@@ -225,17 +256,27 @@
         route.retryPolicy === 'never'
           ? maxIdleNonRetryableMs
           : maxIdleRetryableMs,
-      idleTimeouts: idleTimeoutsFor(admitted),
+      stallLimits,
+      mayAbandon: lastEventId => {
+        if (canReplaceStalled(admitted, placement, stallLimits, lastEventId)) {
+          return true;
+        }
+        if (!stallRecorded) health.recordOutcome('silent', clock.nowMs());
+        stallRecorded = true;
+        return false;
+      },
+      onFirstResponse: observedMs =>
+        placement.recordFirstResponse(choice, observedMs),
       receiver: {
-        events: (response, {bytes, count}) => {
-          const nowMs = clock.nowMs();
-          firstAnswerMs ??= nowMs - arrivedAtMs;
-          if (eventCount > 0) {
-            const gapMs = nowMs - lastEventAtMs;
+        events: (response, {bytes, count}, gapMs) => {
+          firstAnswerMs ??= clock.nowMs() - arrivedAtMs;
+          if (gapMs !== undefined) {
+            const perEventMs = gapMs / count;
+            const {responseStats} = knowledge;
             longestPauseMs = Math.max(longestPauseMs, gapMs);
-            context.responseStats.recordEventGap(route.classId, gapMs / count);
+            responseStats.recordEventGap(route.classId, perEventMs);
+            knowledge.engineModel(entry.service).observeEventGap(perEventMs);
           }
-          lastEventAtMs = nowMs;
           eventCount += count;
           if (!callerResponse.started)
             callerResponse.start(response.status, response.headers);
@@ -285,7 +326,7 @@
     if (admittedRequest !== undefined) {
       const {classId} = admittedRequest.route;
       const durationMs = clock.nowMs() - sentAtMs;
-      context.responseStats.recordCompleted(classId, eventCount, durationMs);
+      knowledge.responseStats.recordCompleted(classId, eventCount, durationMs);
     }
     record('served', 200);
   }
@@ -306,11 +347,14 @@
     const service = pickService(admitted.route, random);
     if (service === undefined)
       return refuse('no_upstream', 'the route has no target service');
-    const placement = createRequestPlacement({
-      context,
-      request,
-      admitted,
+    const {config: configInForce, route, tier} = admitted;
+    const placement = createRequestPlacement(context, {
+      prompt: request.prompt,
+      route,
+      tier,
       service,
+      servesModels: configInForce.services.get(service)?.servesModels === true,
+      leastUrgent: route.tier >= configInForce.leastUrgentTier(service),
     });
     const budget = context.retryBudget(service);
     budget.recordRequest(clock.nowMs());
@@ -324,6 +368,7 @@
           : refuse(kind, reason);
       }
       lastChoice = choice;
+      if (upstreams.length === 0) placement.recordOffered(choice);
       const overloadReason =
         progress.upstreamsUsed > 0
           ? undefined
@@ -331,12 +376,10 @@
       if (overloadReason !== undefined) {
         return refuse('overloaded', overloadReason, choice.expectedMs);
       }
-      const unregister =
-        request.prompt &&
-        context.enginePools(service).registerRequest(request.prompt);
-      attempt = startUpstreamAttempt(choice, admitted, body);
+      const recordEnd = placement.recordSent(choice);
+      attempt = startUpstreamAttempt(choice, admitted, body, placement);
       const result = await attempt.result;
-      unregister?.();
+      recordEnd();
       recordResult(choice, result, attempt);
       if (recorded || callerDisconnected) return;
       const progressNow = snapshotProgress(admitted);
--- a/packages/gateway/src/request/RequestPlacement.ts
+++ b/packages/gateway/src/request/RequestPlacement.ts
@@ -1,67 +1,105 @@
 /**
  * Places the attempts of one request on upstreams. It collects the inputs of
- * upstream selection and load shedding.
+ * upstream selection and load shedding, and records what placement learns from.
  */
 import type {ServiceName, UpstreamId} from '@toucanrouter/common';
+import type {GatewayRoute} from '../config/GatewayConfig.js';
 import {refusalReason} from '../upstreams/EngineAdmission.js';
+import {placementPrefixId} from '../upstreams/PrefixAffinity.js';
+import type {Prompt} from '../upstreams/Prompt.js';
 import type {Choice} from '../upstreams/UpstreamChoice.js';
-import {chooseUpstream} from '../upstreams/UpstreamChoice.js';
-import type {AdmittedRequest} from './Admission.js';
-import type {CallerRequest} from './Dialect.js';
+import {
+  chooseUpstream,
+  hasFleetWidePrefix,
+} from '../upstreams/UpstreamChoice.js';
 import type {GatewayContext} from './GatewayContext.js';
 
-/** Options of a placement. */
-export interface RequestPlacementOptions {
-  readonly context: GatewayContext;
-  readonly request: CallerRequest;
-  readonly admitted: AdmittedRequest;
+/** The parts of the context that a placement depends on. */
+export type PlacementContext = Pick<
+  GatewayContext,
+  'clock' | 'failureDomain' | 'knowledge' | 'random' | 'reportSoon'
+> & {
+  readonly registry: Pick<GatewayContext['registry'], 'usable'>;
+};
+
+/** The properties of an admitted request that its placement depends on. */
+export interface PlacedRequest {
+  readonly prompt: Prompt | undefined;
+  readonly route: GatewayRoute;
+  /** Tier of the workspace, or else of the route. */
+  readonly tier: number;
   readonly service: ServiceName;
+  /** True when the upstreams of the service are model engines. */
+  readonly servesModels: boolean;
+  /** True when no other class of the service is less urgent. */
+  readonly leastUrgent: boolean;
 }
 
 /** Chooses the upstreams for the attempts of one request. */
 export interface RequestPlacement {
+  readonly service: ServiceName;
   /** Returns the best upstream not in `used`, or undefined if none is left. */
   choose(used: readonly UpstreamId[]): Choice | undefined;
   /** Returns why the request is shed, or undefined if it is admitted. */
   overloadReason(choice: Choice, remainingMs: number): string | undefined;
+  /** Records work that is offered to the engines, also if it is shed. */
+  recordOffered(choice: Choice): void;
+  /** Records that the request is sent; returns a function for its end. */
+  recordSent(choice: Choice): () => void;
+  /** Learns from the time between sending and the first response. */
+  recordFirstResponse(choice: Choice, observedMs: number): void;
 }
 
+/** Peers learn soon of work whose prefill takes at least this time. */
+const minReportedPrefillMs = 30;
+
 /** Creates the placement of a request. */
 export function createRequestPlacement(
-  options: RequestPlacementOptions,
+  context: PlacementContext,
+  request: PlacedRequest,
 ): RequestPlacement {
-  const {admitted, context, request, service} = options;
-  const {config, route, tier} = admitted;
-  const {clock, responseStats} = context;
-  const {prompt} = request;
+  const {clock, knowledge} = context;
+  const {prompt, route, service} = request;
+  const {prefixAffinity, responseStats} = knowledge;
+  const engineModel = knowledge.engineModel(service);
 
   function assignPools() {
     return prompt === undefined
       ? new Map()
-      : context
+      : knowledge
           .enginePools(service)
           .assign(context.registry.usable(service), clock.nowMs());
   }
 
+  function recordPrefix(sentPrompt: Prompt, upstream: UpstreamId): void {
+    const prefixId = placementPrefixId(sentPrompt);
+    if (prefixId === undefined) return;
+    if (hasFleetWidePrefix(sentPrompt, engineModel)) {
+      prefixAffinity.recordAndReport(prefixId, upstream, clock.nowMs());
+    } else prefixAffinity.recordSent(prefixId, upstream, clock.nowMs());
+  }
+
   return {
+    service,
     choose: used => {
       const entries = context.registry
         .usable(service)
         .filter(({id}) => !used.includes(id));
       const candidates = entries.map(entry => ({
         entry,
-        health: context.healthOf(entry.id),
-        peerLoad: context.peerLoads.loadAt(entry.id),
+        health: knowledge.healthOf(entry),
+        peerLoad: knowledge.peerLoads.loadAt(entry.id),
       }));
       return chooseUpstream(
         candidates,
         {
           prompt,
-          servesModels: config.services.get(service)?.servesModels === true,
+          servesModels: request.servesModels,
           targetLatencyMs: route.targetLatencyMs,
           retryable: route.retryPolicy !== 'never',
           failureDomain: context.failureDomain,
-          prefixAffinity: context.prefixAffinity,
+          prefixAffinity,
+          engineModel,
           averageResponseMs: responseStats.averageResponseMs(),
           enginePools: assignPools(),
           tieBreak: context.random.next,
@@ -73,8 +111,9 @@
       if (prompt === undefined) return undefined;
       const input = {
         prompt,
-        tier,
-        leastUrgent: route.tier >= config.leastUrgentTier(service),
+        engineModel,
+        tier: request.tier,
+        leastUrgent: request.leastUrgent,
         targetLatencyMs: route.targetLatencyMs,
         expectedEvents: responseStats.expectedEvents(route.classId, prompt),
         averageEventGapMs: responseStats.averageEventGapMs(route.classId),
@@ -82,5 +121,24 @@
       };
       return refusalReason(choice, input, clock.nowMs());
     },
+    recordOffered: ({uncachedPromptTokens}) => {
+      if (prompt === undefined) return;
+      const prefillMs = engineModel.prefillMs(uncachedPromptTokens);
+      knowledge
+        .enginePools(service)
+        .recordOffered(prompt, prefillMs, clock.nowMs());
+    },
+    recordSent: ({candidate, uncachedPromptTokens}) => {
+      if (prompt === undefined) return () => undefined;
+      recordPrefix(prompt, candidate.entry.id);
+      const prefillMs = engineModel.prefillMs(uncachedPromptTokens);
+      if (prefillMs >= minReportedPrefillMs) context.reportSoon();
+      return knowledge.enginePools(service).registerRequest(prompt);
+    },
+    recordFirstResponse: (choice, observedMs) => {
+      if (!choice.isUnqueued) return;
+      const prefilledTokens = choice.uncachedPromptTokens;
+      engineModel.observeFirstEvent({prefilledTokens, observedMs});
+    },
   };
 }
--- a/packages/gateway/src/server/GatewayServer.ts
+++ b/packages/gateway/src/server/GatewayServer.ts
@@ -16,6 +16,10 @@
   applyLimits(limits: CallerLimits): void;
   /** Makes each further response close its connection. */
   closeAfterResponses(): void;
+  /** Connections of callers that are open. */
+  openConnections(): number;
+  /** Time since the latest request arrived. */
+  quietMs(): number;
 }
 
 /**
@@ -36,6 +40,8 @@
 export function createGatewayServer(context: GatewayContext): GatewayServer {
   let inProgress = 0;
   let closing = false;
+  let openConnections = 0;
+  let lastRequestAtMs = context.clock.nowMs();
   let limits: CallerLimits | undefined;
 
   async function handle(
@@ -66,6 +72,7 @@
     },
     (message, response) => {
       inProgress += 1;
+      lastRequestAtMs = context.clock.nowMs();
       handle(message, response)
         .catch((error: unknown) => {
           context.logger.error(
@@ -81,9 +88,17 @@
         });
     },
   );
+  server.on('connection', socket => {
+    openConnections += 1;
+    socket.once('close', () => {
+      openConnections -= 1;
+    });
+  });
   return {
     server,
     inProgress: () => inProgress,
+    openConnections: () => openConnections,
+    quietMs: () => context.clock.nowMs() - lastRequestAtMs,
     applyLimits: next => {
       limits = next;
       server.headersTimeout = next.headerTimeoutMs;
--- a/packages/gateway/src/upstreams/EngineAdmission.ts
+++ b/packages/gateway/src/upstreams/EngineAdmission.ts
@@ -6,12 +6,14 @@
  * almost no tokens and fail late. A request that is refused at once has not
  * run, and its caller can retry after the burst.
  */
+import type {EngineModel} from './EngineModel.js';
 import type {Prompt} from './Prompt.js';
 import type {Choice} from './UpstreamChoice.js';
 
 /** The properties of a request that admission depends on. */
 export interface AdmissionInput {
   readonly prompt: Prompt;
+  readonly engineModel: EngineModel;
   /** Effective tier of the request; the workspace may override the route's. */
   readonly tier: number;
   /** True when no other class of the service is less urgent. */
@@ -36,35 +38,51 @@
   return values[tier] ?? (values.at(-1) as number);
 }
 
-/** Shorter prompts have a short prefill and are always admitted. */
-const minRefusedPromptTokens = 4_000;
 /**
- * Latest expected time to the first event, in target latencies, by tier.
- * Estimates are rough, so these bounds exceed the target itself.
+ * Prompts whose prefill takes a smaller share of the target latency are always
+ * admitted.
  */
-const maxFirstEventTargetsByTier: readonly number[] = [2, 1.5, 1.25];
+const minRefusedPrefillTargets = 0.025;
+/**
+ * Latest expected time to the first event, in target latencies, by tier. The
+ * rest covers requests that other instances send to the engine at the same
+ * time, and moments in which it is slow.
+ */
+const maxFirstEventTargetsByTier: readonly number[] = [0.8, 0.6, 0.6];
+/**
+ * A prompt that waits for others for a shorter time, in target latencies, is
+ * admitted however long its own prefill takes: later it would take as long.
+ */
+const minRefusedQueueTargets = 0.15;
 
-/** An engine with fewer requests than this soon speeds up, so it admits all. */
+/** An engine with fewer requests than this soon generates faster again. */
 const minBusyRequests = 6;
 
 /** Returns why the request is refused, or undefined when it is admitted. */
 export function refusalReason(
-  {candidate, expectedMs}: Choice,
+  {candidate, expectedMs, uncachedPromptTokens}: Choice,
   input: AdmissionInput,
   nowMs: number,
 ): string | undefined {
-  if (input.prompt.promptTokens < minRefusedPromptTokens) return undefined;
+  const prefillMs = input.engineModel.prefillMs(input.prompt.promptTokens);
+  if (prefillMs < minRefusedPrefillTargets * input.targetLatencyMs) {
+    return undefined;
+  }
   // More urgent requests must not be refused while less urgent ones run. The
   // engines schedule the more urgent ones first.
   if (!input.leastUrgent) return undefined;
-  const {health, peerLoad} = candidate;
-  if (health.running + peerLoad.running < minBusyRequests) return undefined;
+  const {engineModel, targetLatencyMs, tier} = input;
+  const queueMs = expectedMs - engineModel.firstEventMs(uncachedPromptTokens);
   const maxFirstEventMs =
-    input.targetLatencyMs *
-    valueForTier(maxFirstEventTargetsByTier, input.tier);
-  if (expectedMs > maxFirstEventMs) {
+    targetLatencyMs * valueForTier(maxFirstEventTargetsByTier, tier);
+  if (
+    expectedMs > maxFirstEventMs &&
+    queueMs > minRefusedQueueTargets * targetLatencyMs
+  ) {
     return `the best engine needs about ${Math.round(expectedMs)} ms to the first event`;
   }
+  const {health, peerLoad} = candidate;
+  if (health.running + peerLoad.running < minBusyRequests) return undefined;
   const eventGapMs = Math.max(
     health.averageEventGapMs(nowMs),
     input.averageEventGapMs,
--- a/packages/gateway/src/upstreams/EnginePools.ts
+++ b/packages/gateway/src/upstreams/EnginePools.ts
@@ -5,11 +5,11 @@
  * milliseconds. An engine prefills a prompt in chunks between the tokens of the
  * other requests, so consecutive prompts delay every chat on that engine.
  *
- * The interactive pool is sized by the interactive requests in flight, which
- * follows a burst within a second; the prompt pool gets the other engines. All
- * instances order the engines alike, know what their peers have in flight, and
- * adopt the pool sizes of one leader: if instances sent a prompt to different
- * engines, each of those engines would prefill it.
+ * The pools are sized by the engines that each kind of work needs: so many that
+ * prefill takes a bounded share of their time, and that slots are left. All
+ * instances order the engines alike, know what their peers have in flight and
+ * were offered, and adopt the pool sizes of one leader: if instances sent a
+ * prompt to different engines, each of those engines would prefill it.
  */
 import type {UpstreamId} from '@toucanrouter/common';
 import {hash64} from '@toucanrouter/common';
@@ -30,6 +30,10 @@
 export interface EnginePools {
   /** Requests that this instance has in flight on engines. */
   inFlight(): WorkKindCounts;
+  /** Engines that the work offered to this instance keeps busy. */
+  offered(nowMs: number): WorkKindCounts;
+  /** Records the prefill time of a request, also if it is refused for load. */
+  recordOffered(prompt: Prompt, prefillMs: number, nowMs: number): void;
   /** Current number of engines in each pool. */
   poolSizes(): WorkKindCounts;
   /** Counts a request that is sent to an engine; returns a function to undo. */
@@ -45,6 +49,8 @@
 export interface EnginePoolsOptions {
   /** Requests that peers have in flight on engines. */
   readonly peersInFlight?: () => WorkKindCounts;
+  /** Engines that the work offered to peers keeps busy. */
+  readonly peersOffered?: () => WorkKindCounts;
   /** Pool sizes of the leader; undefined when this instance follows none. */
   readonly leaderPoolSizes?: () => WorkKindCounts | undefined;
   /** Called when the pool sizes or the engines changed. */
@@ -58,23 +64,26 @@
 /** Responses are usually far shorter than the maximum that a caller allows. */
 const expectedOutputShare = 0.3;
 
-/** Share of an engine's slots that interactive requests may occupy. */
-const interactiveSlotShare = 0.5;
-/** More interactive requests than this lengthen the steps of an engine. */
-const maxInteractivePerEngine = 12;
 /**
- * Interactive engines in reserve, as a multiple of the square root of the mean
- * demand: arrivals vary randomly, relatively more so with few engines.
+ * Largest share of an engine's time that prefill should take, by kind of work.
+ * Beyond it, a moment in which an engine is slow delays every running stream.
  */
-const interactiveSafetyFactor = 1;
-/** Upper bound of the interactive pool, as a share of the engines. */
-const maxInteractiveEngineShare = 0.5;
-/** Size of the interactive pool before any request, as a share of engines. */
-const initialInteractiveEngineShare = 0.25;
+const maxPrefillShare: WorkKindCounts = {interactive: 0.3, prompt: 0.7};
+/** Largest share of an engine's slots that requests should occupy. */
+const maxSlotShare = 0.5;
+/** Engines in reserve, as a multiple of the square root of the mean need. */
+const reserveFactor = 1;
+/** Size of the interactive pool without demand, as a share of the engines. */
+const initialInteractiveEngineShare = 0.2;
+/** Bounds of the interactive pool, as a share of the engines. */
+const minInteractiveEngineShare = 0.1;
+const maxInteractiveEngineShare = 0.75;
+/** Below this demand, in engines, the pools keep their initial sizes. */
+const minDemandEngines = 0.3;
+/** Half-life of the offered work. */
+const offeredHalfLifeMs = 1_500;
 /** Sizes of a leader are adopted if its engine count differs by at most this. */
 const maxLeaderDifferenceShare = 0.1;
-/** Half-life of the interactive demand after it has fallen. */
-const demandHalfLifeMs = 2_000;
 /** Smallest change of the pool sizes, as a share of the engines. */
 const hysteresisShare = 0.05;
 /** Smallest change of the pool sizes, in engines. */
@@ -127,19 +136,42 @@
   return Math.abs(wanted - count) < hysteresis ? count : Math.round(wanted);
 }
 
-/** Estimates the engines that the interactive requests in flight need. */
-function interactiveDemand(
-  inFlight: number,
+/** The work of all instances, by kind. */
+interface Demand {
+  readonly inFlight: WorkKindCounts;
+  readonly offered: WorkKindCounts;
+}
+
+/**
+ * Estimates the engines that one kind of work needs, with a reserve: arrivals
+ * vary, relatively more so with few engines.
+ */
+function enginesNeeded(
+  kind: WorkKind,
+  {inFlight, offered}: Demand,
   slots: number,
-  engineCount: number,
 ): number {
-  const perEngine = Math.min(
-    slots * interactiveSlotShare,
-    maxInteractivePerEngine,
+  const mean = Math.max(
+    offered[kind] / maxPrefillShare[kind],
+    inFlight[kind] / Math.max(1, slots * maxSlotShare),
   );
-  const mean = inFlight / Math.max(perEngine, 1);
+  return mean + reserveFactor * Math.sqrt(mean);
+}
+
+/** Divides the engines in proportion to what both kinds of work need. */
+function interactiveEngines(
+  demand: Demand,
+  slots: number,
+  engineCount: number,
+): number {
+  const interactive = enginesNeeded('interactive', demand, slots);
+  const total = interactive + enginesNeeded('prompt', demand, slots);
+  if (total < minDemandEngines) {
+    return engineCount * initialInteractiveEngineShare;
+  }
+  const wanted = (engineCount * interactive) / total;
   return Math.min(
-    mean + interactiveSafetyFactor * Math.sqrt(mean),
+    Math.max(wanted, engineCount * minInteractiveEngineShare),
     engineCount * maxInteractiveEngineShare,
   );
 }
@@ -159,34 +191,40 @@
   let order: readonly UpstreamId[] = [];
   let sizes: WorkKindCounts = zeroCounts;
   let assignment: ReadonlyMap<UpstreamId, WorkKind> = new Map();
-  let demand: number | undefined;
-  let demandAtMs = 0;
-
-  /** Follows a rising demand at once and a falling one by half-life decay. */
-  function smoothedDemand(current: number, engineCount: number, nowMs: number) {
-    const decayed =
-      demand === undefined
-        ? engineCount * initialInteractiveEngineShare
-        : demand * decayFactor(nowMs - demandAtMs, demandHalfLifeMs);
-    demandAtMs = nowMs;
-    demand = Math.max(current, decayed);
-    return demand;
+  let offeredMs: WorkKindCounts = zeroCounts;
+  let offeredAtMs = 0;
+
+  function decayedOfferedMs(nowMs: number): WorkKindCounts {
+    const left = decayFactor(nowMs - offeredAtMs, offeredHalfLifeMs);
+    return {
+      interactive: offeredMs.interactive * left,
+      prompt: offeredMs.prompt * left,
+    };
+  }
+
+  /** The decayed sum divided by its mean age is the work in each millisecond. */
+  function ownOffered(nowMs: number): WorkKindCounts {
+    const {interactive, prompt} = decayedOfferedMs(nowMs);
+    const meanAgeMs = offeredHalfLifeMs / Math.LN2;
+    return {interactive: interactive / meanAgeMs, prompt: prompt / meanAgeMs};
   }
 
   function computeSizes(
     engines: readonly UpstreamEntry[],
     nowMs: number,
   ): WorkKindCounts {
-    const inFlight = addCounts(
-      ownInFlight,
-      options.peersInFlight?.() ?? zeroCounts,
-    );
+    const demand = {
+      inFlight: addCounts(ownInFlight, options.peersInFlight?.() ?? zeroCounts),
+      offered: addCounts(
+        ownOffered(nowMs),
+        options.peersOffered?.() ?? zeroCounts,
+      ),
+    };
     const slots = engines[0]?.slots ?? 1;
     const engineCount = engines.length;
-    const current = interactiveDemand(inFlight.interactive, slots, engineCount);
-    const smoothed = smoothedDemand(current, engineCount, nowMs);
+    const wanted = interactiveEngines(demand, slots, engineCount);
     return toPoolSizes(
-      applyHysteresis(sizes.interactive, smoothed, engineCount),
+      applyHysteresis(sizes.interactive, wanted, engineCount),
       engineCount,
     );
   }
@@ -208,6 +246,13 @@
 
   return {
     inFlight: () => ownInFlight,
+    offered: ownOffered,
+    recordOffered: (prompt, prefillMs, nowMs) => {
+      const kind = workKindOf(prompt);
+      const earlier = decayedOfferedMs(nowMs);
+      offeredMs = {...earlier, [kind]: earlier[kind] + prefillMs};
+      offeredAtMs = nowMs;
+    },
     poolSizes: () => sizes,
     registerRequest: prompt => {
       const kind = workKindOf(prompt);
--- a/packages/gateway/src/upstreams/UpstreamChoice.ts
+++ b/packages/gateway/src/upstreams/UpstreamChoice.ts
@@ -7,6 +7,7 @@
  */
 import type {UpstreamId} from '@toucanrouter/common';
 import type {PeerLoad} from '../peers/LoadReports.js';
+import type {EngineModel} from './EngineModel.js';
 import type {WorkKind} from './EnginePools.js';
 import {workKindOf} from './EnginePools.js';
 import type {Prompt} from './Prompt.js';
@@ -35,6 +36,8 @@
   readonly retryable: boolean;
   readonly failureDomain: string;
   readonly prefixAffinity: PrefixAffinity;
+  /** Learned speed of the upstreams. */
+  readonly engineModel: EngineModel;
   /** Average time that a response occupies a slot of an engine. */
   readonly averageResponseMs: number;
   /** The pool of each engine; empty when engines are not split into pools. */
@@ -52,14 +55,13 @@
   readonly uncachedPromptTokens: number;
   /** Position in the ranking for the prompt prefix, from 0; -1 if not ranked. */
   readonly preferenceRank: number;
+  /**
+   * True if the time to the first response shows the speed of the upstream: the
+   * request is not expected to queue, and its uncached tokens are known well.
+   */
+  readonly isUnqueued: boolean;
 }
 
-/** Prefill speed of an engine. */
-const prefillTokensPerMs = 100;
-/** Time to the first event on an idle engine. */
-const idleFirstEventMs = 75;
-/** Duration of a call to an idle plain service. */
-const plainServiceCallMs = 60;
 /**
  * Cost of a prefix-cache miss, as a multiple of the prefill time of the missing
  * tokens. The extra prefill delays all other requests on that engine, because
@@ -72,13 +74,13 @@
  */
 const longPrefixMissCostFactor = 25;
 /**
- * Cost of each step down the ranking of engines for a prompt. When the
- * preferred engine is busy, all instances fall back to the same next engine,
- * even in another failure domain, so the prefix is prefilled there only once.
- * Requests with different rankings do not all move to the engine that the
- * latest load reports showed as idle.
+ * Cost of each step down the ranking of engines for a prompt, in target
+ * latencies. When the preferred engine is busy, all instances fall back to the
+ * same next engine, even in another failure domain, so the prefix is prefilled
+ * there only once. Requests with different rankings do not all move to the
+ * engine that the latest load reports showed as idle.
  */
-const rankStepCostMs = 30;
+const rankStepCostTargets = 0.02;
 /** Upper bound of the rank cost, in steps. */
 const maxRankSteps = 10;
 /** Cost of transferring a request to another failure domain. */
@@ -94,25 +96,32 @@
   prompt: 1,
 };
 /**
- * Prefixes of at least this size are cached once in the fleet rather than once
- * in each failure domain.
+ * Prefixes that take at least this time to prefill are cached once in the fleet
+ * rather than once in each failure domain, and reported to peers.
  */
-const minFleetWidePrefixTokens = 1_500;
-/** Delay that each running request adds to the first event. */
-const runningRequestDelayMs = 1.5;
+const minFleetWidePrefillMs = 15;
+/** Cost of each running request, in target latencies. */
+const runningRequestCostTargets = 0.015;
 /** Cost of a failed attempt that can be retried, in target latencies. */
 const retryableFailureCostTargets = 3;
 /** The same for a request that may run only once and is lost by a failure. */
 const finalFailureCostTargets = 12;
-/** Cost of an interactive request on an engine of the prompt pool. */
-const promptPoolCostMs = 150;
 /**
- * Cost of prefilling a prompt of at least one step in the interactive pool, as
- * a multiple of its prefill time: it delays the interactive requests there.
+ * Cost of an interactive request on an engine of the prompt pool, in target
+ * latencies.
+ */
+const promptPoolCostTargets = 0.4;
+/**
+ * Cost of prefilling a long prompt in the interactive pool, as a multiple of
+ * its prefill time: it delays the interactive requests there.
  */
 const interactivePoolPrefillFactor = 12;
-/** Prefill tokens in one engine step; shorter prompts hardly delay others. */
-const promptTokensPerStep = 4_000;
+/** Shorter prefill hardly delays the streams on an engine. */
+const noticeablePrefillMs = 40;
+/** Share of the slots up to which requests are not expected to queue. */
+const maxUnqueuedSlotShare = 0.25;
+/** Share of a prompt up to which it matters little whether it is cached. */
+const maxUncertainPromptShare = 0.3;
 /** Random increase of a cost, so that equal upstreams share the load. */
 const maxJitterShare = 0.1;
 
@@ -123,6 +132,10 @@
   readonly promptTokens: number;
   readonly sharedPrefixTokens: number;
   readonly prefixId: string | undefined;
+  /** True for a prefix that is cached once in the fleet. */
+  readonly hasFleetWidePrefix: boolean;
+  /** True if an instance recently sent the prefix to the engine. */
+  readonly sentRecently: (upstream: UpstreamId) => boolean;
   /** Position of each engine in the order of preference, from 0. */
   readonly ranks: ReadonlyMap<UpstreamId, number>;
 }
@@ -141,17 +154,16 @@
 /** Cost of placing a request in the pool for the other kind of work. */
 function poolMismatchCostMs(
   {entry}: Candidate,
-  {enginePools}: PlacementInput,
+  {engineModel, enginePools, targetLatencyMs}: PlacementInput,
   {kind, promptTokens}: Pick<RequestTraits, 'kind' | 'promptTokens'>,
 ): number {
   const pool = enginePools.get(entry.id);
   if (kind === undefined || pool === undefined) return 0;
   if (kind === pool) return 0;
-  if (kind === 'interactive') return promptPoolCostMs;
-  const factor =
-    interactivePoolPrefillFactor *
-    Math.min(1, promptTokens / promptTokensPerStep);
-  return (promptTokens / prefillTokensPerMs) * factor;
+  if (kind === 'interactive') return promptPoolCostTargets * targetLatencyMs;
+  const prefillMs = engineModel.prefillMs(promptTokens);
+  const noticeableShare = Math.min(1, prefillMs / noticeablePrefillMs);
+  return prefillMs * interactivePoolPrefillFactor * noticeableShare;
 }
 
 /**
@@ -165,10 +177,10 @@
   traits: Omit<RequestTraits, 'ranks'>,
 ): ReadonlyMap<UpstreamId, number> {
   const {failureDomain, prefixAffinity, tieBreak} = placement;
-  const fleetWide = traits.sharedPrefixTokens >= minFleetWidePrefixTokens;
   const groupOf = (candidate: Candidate) => {
     if (poolMismatchCostMs(candidate, placement, traits) > 0) return 2;
-    return fleetWide || candidate.entry.failureDomain === failureDomain ? 0 : 1;
+    const isNear = candidate.entry.failureDomain === failureDomain;
+    return traits.hasFleetWidePrefix || isNear ? 0 : 1;
   };
   const groups = new Map(
     candidates.map(candidate => [candidate.entry.id, groupOf(candidate)]),
@@ -182,16 +194,33 @@
   return new Map(ranked.map((id, place) => [id, place]));
 }
 
+/** True for a prompt whose prefix is cached once in the fleet. */
+export function hasFleetWidePrefix(
+  prompt: Prompt,
+  engineModel: EngineModel,
+): boolean {
+  const prefillMs = engineModel.prefillMs(sharedPrefixTokens(prompt));
+  return prefillMs >= minFleetWidePrefillMs;
+}
+
 function traitsOf(
   candidates: readonly Candidate[],
   placement: PlacementInput,
+  nowMs: number,
 ): RequestTraits {
-  const {prompt} = placement;
+  const {engineModel, prefixAffinity, prompt} = placement;
+  const prefixId = prompt && placementPrefixId(prompt);
   const traits = {
     kind: prompt && workKindOf(prompt),
     promptTokens: prompt?.promptTokens ?? 0,
     sharedPrefixTokens: prompt === undefined ? 0 : sharedPrefixTokens(prompt),
-    prefixId: prompt && placementPrefixId(prompt),
+    prefixId,
+    hasFleetWidePrefix:
+      prompt !== undefined && hasFleetWidePrefix(prompt, engineModel),
+    sentRecently:
+      prefixId === undefined
+        ? () => false
+        : prefixAffinity.sentRecently(prefixId, nowMs),
   };
   return {
     ...traits,
@@ -199,25 +228,74 @@
   };
 }
 
+/**
+ * Peers do not report short prefixes, so those count as cached by the preferred
+ * engine.
+ */
 function estimateUncachedTokens(
   {entry}: Candidate,
-  {prefixAffinity}: PlacementInput,
   traits: RequestTraits,
-  nowMs: number,
 ): number {
+  const isPreferred = traits.ranks.get(entry.id) === 0;
   const isPrefixCached =
     traits.prefixId !== undefined &&
-    (traits.ranks.get(entry.id) === 0 ||
-      prefixAffinity.sentRecently(traits.prefixId, entry.id, nowMs));
+    ((isPreferred && !traits.hasFleetWidePrefix) ||
+      traits.sentRecently(entry.id));
   return isPrefixCached
     ? traits.promptTokens - traits.sharedPrefixTokens
     : traits.promptTokens;
 }
 
+/**
+ * A prefix that is cached once in the fleet has one ranking for all failure
+ * domains, so where a request comes from does not count.
+ */
+function domainCostMs(
+  {entry}: Candidate,
+  {failureDomain}: PlacementInput,
+  traits: RequestTraits,
+): number {
+  const isNear = entry.failureDomain === failureDomain;
+  return isNear || traits.hasFleetWidePrefix ? 0 : crossDomainCostMs;
+}
+
+/** Spreads requests over engines without a queue. */
+function runningCostMs(
+  candidate: Candidate,
+  {servesModels, targetLatencyMs}: PlacementInput,
+): number {
+  return servesModels
+    ? runningAt(candidate) * runningRequestCostTargets * targetLatencyMs
+    : 0;
+}
+
 /** Cost of the engine's position in the ranking. */
-function rankCostMs({entry}: Candidate, {ranks}: RequestTraits): number {
+function rankCostMs(
+  {entry}: Candidate,
+  {targetLatencyMs}: PlacementInput,
+  {ranks}: RequestTraits,
+): number {
   const steps = Math.min(ranks.get(entry.id) ?? maxRankSteps, maxRankSteps);
-  return steps * rankStepCostMs;
+  return steps * rankStepCostTargets * targetLatencyMs;
+}
+
+function runningAt({health, peerLoad}: Candidate): number {
+  return health.running + peerLoad.running;
+}
+
+function waitingTokensAt({health, peerLoad}: Candidate): number {
+  return Math.max(0, health.waitingPromptTokens + peerLoad.waitingPromptTokens);
+}
+
+function isUnqueued(candidate: Candidate, traits: RequestTraits): boolean {
+  const {promptTokens, sharedPrefixTokens: uncertainTokens} = traits;
+  const {entry} = candidate;
+  return (
+    waitingTokensAt(candidate) === 0 &&
+    runningAt(candidate) < entry.slots * maxUnqueuedSlotShare &&
+    (uncertainTokens <= promptTokens * maxUncertainPromptShare ||
+      traits.sentRecently(entry.id))
+  );
 }
 
 /**
@@ -241,21 +319,17 @@
   {kind}: RequestTraits,
   uncachedTokens: number,
 ): number {
-  const {entry, health, peerLoad} = candidate;
-  const running = health.running + peerLoad.running;
+  const {engineModel} = placement;
+  const running = runningAt(candidate);
   if (!placement.servesModels) {
-    const occupancy = running / Math.max(entry.slots, 1);
-    return plainServiceCallMs * (1 + 2 * occupancy);
+    const occupancy = running / Math.max(candidate.entry.slots, 1);
+    return engineModel.firstEventMs(0) * (1 + 2 * occupancy);
   }
-  const waitingTokens =
-    health.waitingPromptTokens + peerLoad.waitingPromptTokens;
   const queuedTokens =
-    Math.max(0, waitingTokens) *
+    waitingTokensAt(candidate) *
     (kind === 'interactive' ? interactiveQueueFactor : 1);
   return (
-    idleFirstEventMs +
-    (queuedTokens + uncachedTokens) / prefillTokensPerMs +
-    running * runningRequestDelayMs +
+    engineModel.firstEventMs(queuedTokens + uncachedTokens) +
     slotWaitMs(candidate, placement, running)
   );
 }
@@ -268,22 +342,16 @@
 ): Choice | undefined {
   const healthy = candidates.filter(({health}) => !health.isEjected(nowMs));
   const eligible = healthy.length > 0 ? healthy : candidates;
-  const traits = traitsOf(eligible, placement);
+  const traits = traitsOf(eligible, placement, nowMs);
   const failureRates = excessFailureRates(eligible, nowMs);
-  const missCostFactor =
-    traits.sharedPrefixTokens >= minFleetWidePrefixTokens
-      ? longPrefixMissCostFactor
-      : prefixMissCostFactor;
+  const missCostFactor = traits.hasFleetWidePrefix
+    ? longPrefixMissCostFactor
+    : prefixMissCostFactor;
   let best: Choice | undefined;
   let lowestCostMs = Infinity;
   for (const candidate of eligible) {
     const {health, entry} = candidate;
-    const uncachedTokens = estimateUncachedTokens(
-      candidate,
-      placement,
-      traits,
-      nowMs,
-    );
+    const uncachedTokens = estimateUncachedTokens(candidate, traits);
     const firstResponseMs = estimateFirstResponseMs(
       candidate,
       placement,
@@ -292,12 +360,13 @@
     );
     const missedPrefixTokens =
       uncachedTokens - (traits.promptTokens - traits.sharedPrefixTokens);
-    const crossDomain = entry.failureDomain !== placement.failureDomain;
     const costMs =
       firstResponseMs * health.slowdownFactor(nowMs) +
-      (missedPrefixTokens * (missCostFactor - 1)) / prefillTokensPerMs +
-      rankCostMs(candidate, traits) +
-      (crossDomain ? crossDomainCostMs : 0) +
+      placement.engineModel.prefillMs(missedPrefixTokens) *
+        (missCostFactor - 1) +
+      runningCostMs(candidate, placement) +
+      rankCostMs(candidate, placement, traits) +
+      domainCostMs(candidate, placement, traits) +
       poolMismatchCostMs(candidate, placement, traits) +
       eventGapCostMs(candidate, traits, nowMs) +
       (failureRates.get(candidate) ?? 0) *
@@ -313,6 +382,7 @@
         expectedMs: firstResponseMs,
         uncachedPromptTokens: uncachedTokens,
         preferenceRank: traits.ranks.get(entry.id) ?? -1,
+        isUnqueued: isUnqueued(candidate, traits),
       };
     }
   }
--- a/packages/gateway/src/upstreams/UpstreamConnections.ts
+++ b/packages/gateway/src/upstreams/UpstreamConnections.ts
@@ -29,6 +29,8 @@
     status: number,
     headers: Readonly<Record<string, string | string[] | undefined>>,
     rawHeaders: readonly string[],
+    /** True if the connection carried another request before. */
+    isReused: boolean,
   ): void;
   data(chunk: Buffer): void;
   ended(): void;
@@ -58,9 +60,13 @@
 /** Upper bound for the timeout in an upstream's `Keep-Alive` header. */
 const maxKeepAliveTimeoutMs = 10_000;
 const tcpKeepAliveDelayMs = 1_000;
+/** An upstream that sends more interim (1xx) responses has failed. */
+const maxInterimResponses = 16;
 
 interface Connection {
   readonly client: Client;
+  /** True once a request was completed on the connection. */
+  reused: boolean;
   idleSinceMs: number;
   socketEnded: boolean;
   socketFailed: boolean;
@@ -173,6 +179,7 @@
         connect: (options, done) =>
           dial(connection, options, done as Parameters<typeof dial>[2]),
       }),
+      reused: false,
       idleSinceMs: -Infinity,
       socketEnded: false,
       socketFailed: false,
@@ -200,6 +207,7 @@
 
   function release(address: string, connection: Connection): void {
     if (connection.client.destroyed || connection.client.closed) return;
+    connection.reused = true;
     connection.idleSinceMs = clock.nowMs();
     const list = idleByAddress.get(address) ?? [];
     list.push(connection);
@@ -215,6 +223,7 @@
       let controller: Dispatcher.DispatchController | undefined;
       let abortReason: string | undefined;
       let framing: BodyFraming = 'length';
+      let interimResponses = 0;
       let finished = false;
       const fail = (error: Error) => {
         if (finished) return;
@@ -245,10 +254,24 @@
             else handler.sent();
           },
           onResponseStart: (started, status, headers) => {
-            if (status < 200) return;
+            if (status < 200) {
+              interimResponses += 1;
+              if (interimResponses <= maxInterimResponses) return;
+              const error = new Error(
+                `more than ${maxInterimResponses} interim responses`,
+              );
+              started.abort(error);
+              fail(error);
+              return;
+            }
             framing = framingOf(headers);
             const raw = (started.rawHeaders ?? []) as readonly Buffer[];
-            handler.started(status, headers, raw.map(toText));
+            handler.started(
+              status,
+              headers,
+              raw.map(toText),
+              connection.reused,
+            );
           },
           onResponseData: (_, chunk) => handler.data(chunk),
           onResponseEnd: () => {
--- a/packages/gateway/src/upstreams/UpstreamHealth.ts
+++ b/packages/gateway/src/upstreams/UpstreamHealth.ts
@@ -58,8 +58,6 @@
 const decayHalfLifeMs = 3_000;
 /** Lower than the default, because all streams contribute many gaps. */
 const eventGapSmoothingFactor = 0.06;
-/** Event gap of an engine with little load; the average decays towards it. */
-const idleEventGapMs = 30;
 /** Bounds of a single observation of the slowdown factor. */
 const minSlowdownFactor = 0.5;
 const maxSlowdownFactor = 12;
@@ -78,14 +76,14 @@
 }
 
 function createDecayingAverage(
-  baseline: number,
+  baseline: () => number,
   smoothing = smoothingFactor,
 ): DecayingAverage {
-  let current = baseline;
+  let current = baseline();
   let updatedAtMs = 0;
   const value = (nowMs: number) => {
     const remainingShare = decayFactor(nowMs - updatedAtMs, decayHalfLifeMs);
-    return baseline + (current - baseline) * remainingShare;
+    return baseline() + (current - baseline()) * remainingShare;
   };
   return {
     value,
@@ -117,9 +115,15 @@
   };
 }
 
-/** Creates the health of an upstream without observations. */
-export function createUpstreamHealth(clockNowMs: () => number): UpstreamHealth {
-  const slowdown = createDecayingAverage(1);
+/**
+ * Creates the health of an upstream without observations. The average event gap
+ * decays towards `idleEventGapMs`, that of an engine with little load.
+ */
+export function createUpstreamHealth(
+  clockNowMs: () => number,
+  idleEventGapMs: () => number,
+): UpstreamHealth {
+  const slowdown = createDecayingAverage(() => 1);
   const failed = createDecayingCount();
   const served = createDecayingCount();
   const eventGaps = createDecayingAverage(
--- a/packages/policy/src/RetryBudget.ts
+++ b/packages/policy/src/RetryBudget.ts
@@ -27,6 +27,8 @@
 export interface RetryBudget {
   /** Records a request of a caller, but not its retries. */
   recordRequest(nowMs: number): void;
+  /** Returns whether the budget has a retry left, without spending it. */
+  canRetry(nowMs: number): boolean;
   /** Spends one retry of the budget, or returns false when there is none. */
   tryRetry(nowMs: number): boolean;
 }
@@ -66,18 +68,24 @@
     return buckets.reduce((total, bucket) => total + count(bucket), 0);
   }
 
+  function canRetry(nowMs: number): boolean {
+    // Expires the buckets that left the window.
+    currentBucket(nowMs);
+    const requests = sum(entry => entry.requests);
+    const retries = sum(entry => entry.retries);
+    const minRetries =
+      (parameters.minRatePerSecond() * parameters.windowMs) / msPerSecond;
+    return retries + 1 <= minRetries + requests * parameters.share;
+  }
+
   return {
     recordRequest: nowMs => {
       currentBucket(nowMs).requests += 1;
     },
+    canRetry,
     tryRetry: nowMs => {
-      const bucket = currentBucket(nowMs);
-      const requests = sum(entry => entry.requests);
-      const retries = sum(entry => entry.retries);
-      const minRetries =
-        (parameters.minRatePerSecond() * parameters.windowMs) / msPerSecond;
-      if (retries + 1 > minRetries + requests * parameters.share) return false;
-      bucket.retries += 1;
+      if (!canRetry(nowMs)) return false;
+      currentBucket(nowMs).retries += 1;
       return true;
     },
   };
