Read the store through one instance of each failure domain

Change: in failure domains of four instances or more, the instance that ranks first reads the store, and the others read its state by waiting HTTP requests on the port of the load reports; the second one stands in when the first does not respond, and whoever finds none reads the store itself. Only items that say something new are passed on. A response states how the last confirmation lies to the arrival of its request, so an age is right whichever process was suspended in between; a state that is older than half of the allowed delay is not accepted, since its source may be cut off without knowing it.

Ruled out: longer intervals alone (a change must be in force within 2 to 4 s); pushing changes (a receiver cannot tell how old a message is after a suspension).

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -26,6 +26,9 @@
   createMetricsServer,
   createReadinessServer,
 } from './server/StatusServers.js';
+import {createRelayClient} from './state/RelayClient.js';
+import {createRelayServer} from './state/RelayServer.js';
+import {createStateLog} from './state/StateLog.js';
 import type {StateStore} from './state/StateStore.js';
 import type {StateSync} from './state/StateSync.js';
 import {createStateSync} from './state/StateSync.js';
@@ -60,12 +63,6 @@
  * changes that the watch receives late.
  */
 const maxConfigAgeShare = 0.8;
-/**
- * Interval between calls to the store, as a share of the shortest delay bound.
- * A longer interval saves calls, but one lost response must not exceed the
- * bound.
- */
-const storeCallIntervalShare = 0.5;
 /**
  * Time until the load balancer stops sending requests: it checks once a second
  * and removes an instance after two failed checks.
@@ -128,6 +125,8 @@
     },
   });
   const peers = createPeerDirectory(settings.instanceId);
+  const stateLog = createStateLog(clock);
+  const relays = createRelayClient();
   const exchange = createLoadExchange({
     clock,
     logger,
@@ -141,20 +140,34 @@
     clock,
     logger,
     store,
-    entry: {instanceId: settings.instanceId, address: settings.peers},
+    entry: {
+      instanceId: settings.instanceId,
+      address: settings.peers,
+      failureDomain: settings.failureDomain,
+    },
   });
 
   const sync: StateSync = createStateSync({
     clock,
     logger,
+    instanceId: settings.instanceId,
+    failureDomain: settings.failureDomain,
     store,
+    relays,
+    log: stateLog,
     config,
     configAge,
     registry,
     peers,
-    minCallIntervalMs: () =>
-      Math.min(settings.configDelayMs, settings.leavingDelayMs) *
-      storeCallIntervalShare,
+    changeDelayMs: () =>
+      Math.min(settings.configDelayMs, settings.leavingDelayMs),
+  });
+  const relayServer = createRelayServer({
+    clock,
+    log: stateLog,
+    configAge,
+    isConnected: sync.connected,
+    regainedAgoMs: sync.regainedAgoMs,
   });
   const maxConfigAgeMs = () => settings.revocationDelayMs * maxConfigAgeShare;
 
@@ -210,6 +223,8 @@
       settings.readiness,
     ],
     [createMetricsServer(metrics), settings.metrics],
+    // Load reports use the same port over UDP.
+    [relayServer, settings.peers],
   ];
 
   /**
@@ -281,6 +296,7 @@
         server.close();
         server.closeAllConnections();
       }
+      await relays.close();
       await connections.close();
       logger.info('instance stopped', {cutRequests});
     },
--- a/packages/gateway/src/__tests__/unit/Gateway.test.ts
+++ b/packages/gateway/src/__tests__/unit/Gateway.test.ts
@@ -54,9 +54,11 @@
     },
     {kind: 'upstream', entry: createEntry('u', {host, port: upstreamPort})},
   ];
+  const items = changes.map((_, index) => ({key: `${index}`, value: ''}));
   return {
-    readAll: () => okAsync({revision: 1, changes}),
-    readChanges: revision => okAsync({revision, changes: []}),
+    decode: ({key}) => changes[Number(key)],
+    readAll: () => okAsync({revision: 1, items}),
+    readChanges: revision => okAsync({revision, items: []}),
     readConfig: () => okAsync(undefined),
     register: () => errAsync(new PlatformError('not supported', false)),
     renew: () => okAsync(true),
--- a/packages/gateway/src/__tests__/unit/StateSync.test.ts
+++ b/packages/gateway/src/__tests__/unit/StateSync.test.ts
@@ -1,8 +1,10 @@
 import type {ManualClock} from '@toucanrouter/common';
 import {
   createManualClock,
+  hash64,
   PlatformError,
   toInstanceId,
+  toUpstreamId,
 } from '@toucanrouter/common';
 import {createLogger} from '@toucanrouter/logging';
 import {expect} from 'chai';
@@ -10,10 +12,15 @@
 import {createActiveConfig} from '../../config/ActiveConfig.js';
 import {createConfigAge} from '../../config/ConfigAge.js';
 import {createPeerDirectory} from '../../peers/PeerDirectory.js';
+import type {RelayClient} from '../../state/RelayClient.js';
+import type {RelayResponse} from '../../state/RelayServer.js';
+import {createStateLog} from '../../state/StateLog.js';
+import {relayRole} from '../../state/StateRelay.js';
 import type {
   StateChange,
   StateStore,
   StateUpdate,
+  StoredItem,
   WatchResult,
 } from '../../state/StateStore.js';
 import {createStateSync} from '../../state/StateSync.js';
@@ -30,12 +37,29 @@
   return new ResultAsync(Promise.resolve(result));
 }
 
+const changesByValue = new Map<string, StateChange>();
+
+/** Creates an item that decodes to `change`. */
+function itemOf(key: string, change: StateChange): StoredItem {
+  const value = `value ${changesByValue.size}`;
+  changesByValue.set(value, change);
+  return {key, value};
+}
+
+/** Decodes removals of upstreams, and the values of {@link itemOf}. */
+function decode({key, value}: StoredItem): StateChange | undefined {
+  return value === undefined
+    ? {kind: 'upstream_removed', id: toUpstreamId(key)}
+    : changesByValue.get(value);
+}
+
 /** Creates a store whose next results are set by the test. */
 function createScriptedStore() {
   const calls: string[] = [];
-  let snapshot: ScriptedResult<StateUpdate> = {revision: 1, changes: []};
+  let snapshot: ScriptedResult<StateUpdate> = {revision: 1, items: []};
   const watchResults: ScriptedResult<WatchResult>[] = [];
   const store: StateStore = {
+    decode,
     readAll: () => {
       calls.push('all');
       return resultOf(snapshot);
@@ -43,12 +67,12 @@
     readChanges: (revision, waitMs) => {
       calls.push(`after ${revision} wait ${waitMs}`);
       return resultOf<WatchResult>(
-        watchResults.shift() ?? {revision, changes: []},
+        watchResults.shift() ?? {revision, items: []},
       );
     },
     readConfig: () => {
       calls.push('config');
-      return resultOf(createConfig({version: 9}));
+      return resultOf({revision: 3, items: [version(9)]});
     },
     register: () => resultOf(1),
     renew: () => resultOf(true),
@@ -67,18 +91,23 @@
 /** Lets promises and timers run for `ms`, in small steps. */
 async function advance(clock: ManualClock, ms: number): Promise<void> {
   for (let passed = 0; passed < ms; passed += 50) {
-    for (let turn = 0; turn < 8; turn++) await Promise.resolve();
+    for (let turn = 0; turn < 12; turn++) await Promise.resolve();
     clock.advance(50);
   }
 }
 
-function createSyncedState() {
+type RelayRead = RelayClient['read'];
+
+const noRelay: RelayRead = () => resultOf<RelayResponse>('lost');
+
+function createSyncedState(read: RelayRead = noRelay, selfId = 'i') {
   const clock = createManualClock(1_000);
   const script = createScriptedStore();
+  const instanceId = toInstanceId(selfId);
   const logger = createLogger({
     format: 'json',
     level: 'error',
-    instanceId: toInstanceId('i'),
+    instanceId,
     write: () => undefined,
   });
   const config = createActiveConfig(() => undefined);
@@ -88,32 +117,52 @@
     onAdded: () => undefined,
     onRemoved: () => undefined,
   });
+  const peers = createPeerDirectory(instanceId);
+  const log = createStateLog(clock);
   const sync = createStateSync({
     clock,
     logger,
+    instanceId,
+    failureDomain: 'a',
     store: script.store,
+    relays: {read},
+    log,
     config,
     configAge,
     registry,
-    peers: createPeerDirectory(toInstanceId('i')),
-    minCallIntervalMs: () => 450,
+    peers,
+    changeDelayMs: () => 2_000,
   });
-  return {clock, config, configAge, registry, script, sync};
+  return {clock, config, configAge, log, peers, registry, script, sync};
+}
+
+const upstream = itemOf('one', {kind: 'upstream', entry: createEntry('one')});
+
+function version(number: number): StoredItem {
+  const config = createConfig({version: number});
+  return itemOf('config', {kind: 'config', config});
 }
 
-const upstream: StateChange = {kind: 'upstream', entry: createEntry('one')};
-const version2: StateChange = {
-  kind: 'config',
-  config: createConfig({version: 2}),
-};
+function peerItems(id: string): readonly StoredItem[] {
+  const instanceId = toInstanceId(id);
+  const address = {host: '127.0.0.1', port: 1};
+  return [
+    itemOf(`peer ${id}`, {kind: 'peer', entry: {instanceId, address}}),
+    itemOf(`domain ${id}`, {
+      kind: 'peer_domain',
+      id: instanceId,
+      failureDomain: 'a',
+    }),
+  ];
+}
 
 describe('StateSync', () => {
   it('reads a full snapshot once and then follows changes', async () => {
     const {clock, config, registry, script, sync} = createSyncedState();
-    script.setSnapshot({revision: 5, changes: [upstream]});
-    script.queueResult({revision: 7, changes: [version2]});
+    script.setSnapshot({revision: 5, items: [upstream]});
+    script.queueResult({revision: 7, items: [version(2)]});
     sync.start();
-    await advance(clock, 600);
+    await advance(clock, 1_100);
     expect(config.current()?.version).to.equal(2);
     expect(idsOf(registry.usable(service))).to.deep.equal(['one']);
     expect(script.calls.slice(0, 2)).to.deep.equal([
@@ -128,13 +177,27 @@
     script.queueResult('compacted');
     sync.start();
     await advance(clock, 100);
-    script.setSnapshot({revision: 9, changes: [upstream]});
+    script.setSnapshot({revision: 9, items: [upstream]});
     await advance(clock, 1_000);
     expect(script.calls.filter(call => call === 'all')).to.have.length(2);
     expect(registry.usable(service)).to.have.length(1);
     sync.close();
   });
 
+  it('drops what a full snapshot no longer contains', async () => {
+    // A snapshot replaced the upstreams only, so peers that had left stayed.
+    const {clock, peers, registry, script, sync} = createSyncedState();
+    script.setSnapshot({revision: 5, items: [upstream, ...peerItems('p')]});
+    script.queueResult('compacted');
+    sync.start();
+    await advance(clock, 100);
+    expect(peers.addresses()).to.have.length(1);
+    script.setSnapshot({revision: 9, items: []});
+    await advance(clock, 2_500);
+    expect(registry.usable(service)).to.deep.equal([]);
+    sync.close();
+  });
+
   it('lets the configuration age during an outage of the store', async () => {
     const {clock, configAge, script, sync} = createSyncedState();
     sync.start();
@@ -150,7 +213,7 @@
     const {clock, script, sync} = createSyncedState();
     sync.start();
     await advance(clock, 10_000);
-    expect(script.calls.length).to.be.at.most(24);
+    expect(script.calls.length).to.be.at.most(12);
     sync.close();
   });
 
@@ -164,7 +227,7 @@
     for (let call = 0; call < 60; call++) script.queueResult('lost');
     await advance(clock, 8_000);
     expect(script.calls.length - before).to.be.within(7, 12);
-    script.queueResult({revision: 2, changes: []});
+    script.queueResult({revision: 2, items: []});
     sync.close();
   });
 
@@ -191,4 +254,212 @@
     clock.advance(0);
     sync.close();
   });
+
+  it('passes on a configuration that a request confirmed', async () => {
+    const {log, script, sync} = createSyncedState();
+    script.setSnapshot('lost');
+    log.advance(2);
+    await sync.confirmConfig();
+    log.advance(4);
+    expect(log.since(2)?.items).to.have.length(1);
+    sync.close();
+  });
+});
+
+describe('StateSync through another instance', () => {
+  const domainPeers = ['p1', 'p2', 'p3', 'p4'].flatMap(peerItems);
+  /** The id that comes last of these, so that it reads through the others. */
+  const lastId = ['p1', 'p2', 'p3', 'p4', 'i', 'j', 'k', 'l', 'm'].reduce(
+    (last, id) => (hash64(id) > hash64(last) ? id : last),
+  );
+
+  function responseAt(
+    revision: number,
+    changes: Partial<RelayResponse> = {},
+  ): RelayResponse {
+    return {
+      revision,
+      complete: false,
+      items: [],
+      confirmedAfterMs: -100,
+      regainedAgoMs: null,
+      ...changes,
+    };
+  }
+
+  async function startWithPeers(read: RelayRead) {
+    const state = createSyncedState(read, lastId);
+    const items = domainPeers.filter(({key}) => !key.endsWith(` ${lastId}`));
+    state.script.setSnapshot({revision: 5, items});
+    state.sync.start();
+    await advance(state.clock, 1_100);
+    return state;
+  }
+
+  it('makes no calls to the store while another instance responds', async () => {
+    const {clock, configAge, script, sync} = await startWithPeers(
+      (_, revision) => resultOf(responseAt(revision)),
+    );
+    const before = script.calls.length;
+    await advance(clock, 20_000);
+    expect(script.calls.length).to.equal(before);
+    expect(configAge.ageMs()).to.be.below(500);
+    expect(sync.connected()).to.equal(true);
+    sync.close();
+  });
+
+  it('applies what the other instance passes on', async () => {
+    const {clock, config, registry, sync} = await startWithPeers(
+      (_, revision) =>
+        resultOf(
+          revision < 8
+            ? responseAt(8, {items: [upstream, version(4)]})
+            : responseAt(revision),
+        ),
+    );
+    await advance(clock, 500);
+    expect(config.current()?.version).to.equal(4);
+    expect(idsOf(registry.usable(service))).to.deep.equal(['one']);
+    sync.close();
+  });
+
+  it('reads the store when no other instance responds', async () => {
+    const {clock, script, sync} = await startWithPeers(noRelay);
+    const before = script.calls.length;
+    await advance(clock, 5_000);
+    expect(script.calls.length - before).to.be.within(4, 7);
+    sync.close();
+  });
+
+  it('reads the store when the state of the others is old', async () => {
+    // The other instance is cut off from the store and has not noticed it yet.
+    const {clock, configAge, script, sync} = await startWithPeers(
+      (_, revision) =>
+        resultOf(responseAt(revision, {confirmedAfterMs: -1_500})),
+    );
+    const before = script.calls.length;
+    await advance(clock, 5_000);
+    expect(script.calls.length - before).to.be.above(3);
+    expect(configAge.ageMs()).to.be.below(1_500);
+    sync.close();
+  });
+
+  it('counts the age that the other instance states', async () => {
+    const {clock, configAge, sync} = await startWithPeers((_, revision) =>
+      resultOf(responseAt(revision, {confirmedAfterMs: -700})),
+    );
+    await advance(clock, 1_000);
+    expect(configAge.ageMs()).to.be.within(650, 1_000);
+    sync.close();
+  });
+
+  it('keeps entries that expired in an outage that only the other instance noticed', async () => {
+    let removed = false;
+    const {clock, registry, sync} = await startWithPeers((_, revision) => {
+      if (revision < 8) return resultOf(responseAt(8, {items: [upstream]}));
+      if (!removed) return resultOf(responseAt(revision));
+      const items = [{key: 'one', value: undefined}];
+      return resultOf(responseAt(revision, {items, regainedAgoMs: 300}));
+    });
+    await advance(clock, 500);
+    removed = true;
+    await advance(clock, 1_000);
+    expect(idsOf(registry.usable(service))).to.deep.equal(['one']);
+    sync.close();
+  });
+});
+
+describe('relayRole', () => {
+  const peersOf = (ids: readonly string[]) =>
+    ids.map(id => ({
+      instanceId: toInstanceId(id),
+      address: {host: '127.0.0.1', port: 1},
+    }));
+
+  it('lets every instance of a small failure domain read the store', () => {
+    const role = relayRole(toInstanceId('a'), peersOf(['b', 'c']));
+    expect(role.sources).to.deep.equal([]);
+    expect(role.readsForOthers).to.equal(false);
+  });
+
+  it('has one reader in each failure domain, and no circles', () => {
+    const ids = Array.from({length: 20}, (_, index) => `instance ${index}`);
+    const roles = new Map(
+      ids.map(id => [
+        id,
+        relayRole(toInstanceId(id), peersOf(ids.filter(other => other !== id))),
+      ]),
+    );
+    const readers = ids.filter(id => roles.get(id)?.readsForOthers);
+    expect(readers).to.have.length(1);
+    for (const id of ids) {
+      for (const {instanceId} of roles.get(id)?.sources ?? []) {
+        expect(hash64(instanceId) < hash64(id)).to.equal(true);
+      }
+    }
+  });
+});
+
+describe('StateLog', () => {
+  const entry = (slots: number): StateChange => ({
+    kind: 'upstream',
+    entry: createEntry('one', {slots}),
+  });
+
+  function createLog() {
+    const clock = createManualClock();
+    return {clock, log: createStateLog(clock)};
+  }
+
+  it('does not pass on rewrites that say nothing new', () => {
+    // Load: 71 upstreams write 60 heartbeats a second.
+    const {log} = createLog();
+    log.record({key: 'one', value: 'seq 1'}, entry(8), 1);
+    log.advance(1);
+    log.record({key: 'one', value: 'seq 2'}, entry(8), 2);
+    log.advance(2);
+    expect(log.since(1)?.items).to.deep.equal([]);
+    log.record({key: 'one', value: 'seq 3'}, entry(4), 3);
+    log.advance(3);
+    expect(log.since(1)?.items).to.have.length(1);
+  });
+
+  it('passes on the removal of an item that it knew', () => {
+    const {log} = createLog();
+    const removal: StateChange = {
+      kind: 'upstream_removed',
+      id: toUpstreamId('one'),
+    };
+    log.record({key: 'one', value: 'seq 1'}, entry(8), 1);
+    log.advance(1);
+    log.record({key: 'one', value: undefined}, removal, 2);
+    log.record({key: 'unknown', value: undefined}, removal, 2);
+    log.advance(2);
+    expect(log.since(1)?.items).to.deep.equal([{key: 'one', value: undefined}]);
+  });
+
+  it('sends everything to a peer that may have missed a removal', () => {
+    const {clock, log} = createLog();
+    const removal: StateChange = {
+      kind: 'upstream_removed',
+      id: toUpstreamId('one'),
+    };
+    log.record({key: 'one', value: 'seq 1'}, entry(8), 1);
+    log.record({key: 'two', value: 'seq 1'}, entry(8), 1);
+    log.advance(1);
+    log.record({key: 'one', value: undefined}, removal, 2);
+    log.advance(2);
+    clock.advance(60_000);
+    log.advance(3);
+    const missed = log.since(1);
+    expect(missed?.complete).to.equal(true);
+    expect(missed?.items.map(({key}) => key)).to.deep.equal(['two']);
+    expect(log.since(2)?.complete).to.equal(false);
+  });
+
+  it('has nothing for a peer that is ahead', () => {
+    const {log} = createLog();
+    log.advance(4);
+    expect(log.since(5)).to.equal(undefined);
+  });
 });
--- a/packages/gateway/src/__tests__/unit/UpstreamRegistry.test.ts
+++ b/packages/gateway/src/__tests__/unit/UpstreamRegistry.test.ts
@@ -40,7 +40,7 @@
     registry.storeLost();
     clock.advance(5_000);
     registry.storeRegained();
-    registry.replaceAll([createEntry('two')]);
+    registry.remove(one);
     expect(usable()).to.deep.equal(['one', 'two']);
     clock.advance(lapsedEntryGraceMs);
     expect(usable()).to.deep.equal(['two']);
@@ -56,6 +56,22 @@
     expect(usable()).to.deep.equal(['one', 'two']);
   });
 
+  it('gives an entry that lapses twice a whole grace period each time', () => {
+    // The timer of the first lapse evicted the entry during the second one.
+    const {clock, registry, usable} = createRegistry();
+    registry.storeLost();
+    registry.storeRegained();
+    registry.remove(one);
+    registry.put(createEntry('one'));
+    clock.advance(lapsedEntryGraceMs - 300);
+    registry.storeLost();
+    registry.remove(one);
+    clock.advance(1_000);
+    expect(usable()).to.deep.equal(['one', 'two']);
+    clock.advance(lapsedEntryGraceMs);
+    expect(usable()).to.deep.equal(['two']);
+  });
+
   it('removes a leaving upstream at once, even during an outage', () => {
     const {registry, removed} = createRegistry();
     registry.storeLost();
--- a/packages/gateway/src/config/ConfigAge.ts
+++ b/packages/gateway/src/config/ConfigAge.ts
@@ -14,6 +14,11 @@
   confirmed(mark: TimeMark): void;
   /** Age in milliseconds; infinite before the first confirmation. */
   ageMs(): number;
+  /**
+   * Time from `mark` to the last confirmation; negative if that was earlier. It
+   * is never more than the real time, also if the process was suspended.
+   */
+  confirmedAfterMs(mark: TimeMark): number;
 }
 
 /** A point in time on the monotonic clock and on the wall clock. */
@@ -28,6 +33,23 @@
  */
 const wallClockToleranceMs = 200;
 
+/** Returns a mark that lies `byMs` later. */
+export function shiftMark(mark: TimeMark, byMs: number): TimeMark {
+  return {
+    monotonicMs: mark.monotonicMs + byMs,
+    wallMs: mark.wallMs + byMs,
+  };
+}
+
+/** Time between two marks by the clock that shows more. */
+function elapsedMs(from: TimeMark, to: TimeMark): number {
+  const runningMs = to.monotonicMs - from.monotonicMs;
+  const elapsedWallMs = to.wallMs - from.wallMs;
+  return elapsedWallMs > runningMs + wallClockToleranceMs
+    ? elapsedWallMs
+    : runningMs;
+}
+
 /** Creates an age without a confirmation. */
 export function createConfigAge(clock: Clock): ConfigAge {
   let lastConfirmation: TimeMark | undefined;
@@ -45,14 +67,15 @@
         lastConfirmation = mark;
       }
     },
-    ageMs: () => {
-      if (lastConfirmation === undefined) return Infinity;
-      const {monotonicMs, wallMs} = now();
-      const runningMs = monotonicMs - lastConfirmation.monotonicMs;
-      const elapsedWallMs = wallMs - lastConfirmation.wallMs;
-      return elapsedWallMs > runningMs + wallClockToleranceMs
-        ? elapsedWallMs
-        : runningMs;
+    ageMs: () =>
+      lastConfirmation === undefined
+        ? Infinity
+        : elapsedMs(lastConfirmation, now()),
+    confirmedAfterMs: mark => {
+      if (lastConfirmation === undefined) return -Infinity;
+      return lastConfirmation.monotonicMs >= mark.monotonicMs
+        ? lastConfirmation.monotonicMs - mark.monotonicMs
+        : -elapsedMs(lastConfirmation, mark);
     },
   };
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -28,10 +28,12 @@
 export {retryDelayMs} from './request/RetryAfter.js';
 export {upstreamPriority} from './request/UpstreamPriority.js';
 export type {
+  InstanceEntry,
   LeaseId,
   StateChange,
   StateStore,
   StateUpdate,
+  StoredItem,
   WatchResult,
 } from './state/StateStore.js';
 export type {EngineModel} from './upstreams/EngineModel.js';
--- a/packages/gateway/src/peers/PeerDirectory.ts
+++ b/packages/gateway/src/peers/PeerDirectory.ts
@@ -13,18 +13,44 @@
 /** The addresses of peers. */
 export interface PeerDirectory {
   put(entry: PeerEntry): void;
+  /** Sets the failure domain of a peer, or removes it. */
+  putDomain(instanceId: InstanceId, failureDomain: string | undefined): void;
   remove(instanceId: InstanceId): void;
   addresses(): readonly ListenAddress[];
+  /** Returns the peers of a failure domain. */
+  inDomain(failureDomain: string): readonly PeerEntry[];
 }
 
 /** Creates a directory that leaves out the instance `selfId`. */
 export function createPeerDirectory(selfId: InstanceId): PeerDirectory {
   const entries = new Map<InstanceId, ListenAddress>();
+  const domains = new Map<InstanceId, string>();
+  let addresses: readonly ListenAddress[] = [];
+
+  const refresh = () => {
+    addresses = [...entries.values()];
+  };
+
   return {
     put: ({address, instanceId}) => {
-      if (instanceId !== selfId) entries.set(instanceId, address);
+      if (instanceId === selfId) return;
+      entries.set(instanceId, address);
+      refresh();
+    },
+    putDomain: (instanceId, failureDomain) => {
+      if (failureDomain === undefined) domains.delete(instanceId);
+      else domains.set(instanceId, failureDomain);
+    },
+    remove: instanceId => {
+      entries.delete(instanceId);
+      refresh();
     },
-    remove: instanceId => entries.delete(instanceId),
-    addresses: () => [...entries.values()],
+    addresses: () => addresses,
+    inDomain: failureDomain =>
+      [...entries].flatMap(([instanceId, address]) =>
+        domains.get(instanceId) === failureDomain
+          ? [{instanceId, address}]
+          : [],
+      ),
   };
 }
--- a/packages/gateway/src/peers/Registration.ts
+++ b/packages/gateway/src/peers/Registration.ts
@@ -5,15 +5,14 @@
 import type {Clock} from '@toucanrouter/common';
 import {delay} from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
-import type {LeaseId, StateStore} from '../state/StateStore.js';
-import type {PeerEntry} from './PeerDirectory.js';
+import type {InstanceEntry, LeaseId, StateStore} from '../state/StateStore.js';
 
 /** Options of a registration. */
 export interface RegistrationOptions {
   readonly clock: Clock;
   readonly logger: Logger;
   readonly store: StateStore;
-  readonly entry: PeerEntry;
+  readonly entry: InstanceEntry;
 }
 
 /** Keeps this instance registered until it is closed. */
--- /dev/null
+++ b/packages/gateway/src/state/RelayClient.ts
@@ -0,0 +1,84 @@
+/**
+ * Reads the state of the store through another instance.
+ */
+import {PlatformError} from '@toucanrouter/common';
+import type {ListenAddress} from '@toucanrouter/settings';
+import {err, ok, ResultAsync} from 'neverthrow';
+import type {Result} from 'neverthrow';
+import {Agent, request} from 'undici';
+import {z} from 'zod';
+import type {RelayResponse} from './RelayServer.js';
+import {relayPath} from './RelayServer.js';
+
+/** Reads from other instances until it is closed. */
+export interface RelayClient {
+  /** Waits up to `waitMs` for items after `revision`. */
+  read(
+    address: ListenAddress,
+    revision: number,
+    waitMs: number,
+    timeoutMs: number,
+  ): ResultAsync<RelayResponse, PlatformError>;
+  close(): Promise<void>;
+}
+
+const responseSchema = z.object({
+  revision: z.number(),
+  complete: z.boolean(),
+  items: z.array(
+    z
+      .object({key: z.string(), value: z.string().optional()})
+      .transform(({key, value}) => ({key, value})),
+  ),
+  confirmedAfterMs: z.number(),
+  regainedAgoMs: z.number().nullable(),
+});
+
+/** Bounds memory; a full snapshot of a large fleet is far smaller. */
+const maxResponseBytes = 16 * 1024 * 1024;
+const keepAliveTimeoutMs = 10_000;
+const statusOk = 200;
+
+function failure(address: ListenAddress, reason: string): PlatformError {
+  const instance = `${address.host}:${address.port}`;
+  return new PlatformError(`instance ${instance}: ${reason}`, false);
+}
+
+/** Creates a client without connections. */
+export function createRelayClient(): RelayClient {
+  const dispatcher = new Agent({
+    pipelining: 1,
+    connections: 1,
+    keepAliveTimeout: keepAliveTimeoutMs,
+    maxResponseSize: maxResponseBytes,
+  });
+
+  async function read(
+    address: ListenAddress,
+    path: string,
+    timeoutMs: number,
+  ): Promise<Result<RelayResponse, PlatformError>> {
+    try {
+      const response = await request(
+        `http://${address.host}:${address.port}${path}`,
+        {dispatcher, signal: AbortSignal.timeout(timeoutMs)},
+      );
+      const text = await response.body.text();
+      if (response.statusCode !== statusOk) {
+        return err(failure(address, `status ${response.statusCode}`));
+      }
+      return ok(responseSchema.parse(JSON.parse(text)));
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      return err(failure(address, reason));
+    }
+  }
+
+  return {
+    read: (address, revision, waitMs, timeoutMs) => {
+      const path = `${relayPath}?after=${revision}&wait_ms=${waitMs}`;
+      return new ResultAsync(read(address, path, timeoutMs));
+    },
+    close: () => dispatcher.destroy(),
+  };
+}
--- a/packages/gateway/src/state/StateStore.ts
+++ b/packages/gateway/src/state/StateStore.ts
@@ -16,6 +16,11 @@
   | {readonly kind: 'upstream_removed'; readonly id: UpstreamId}
   | {readonly kind: 'peer'; readonly entry: PeerEntry}
   | {readonly kind: 'peer_removed'; readonly id: InstanceId}
+  | {
+      readonly kind: 'peer_domain';
+      readonly id: InstanceId;
+      readonly failureDomain: string | undefined;
+    }
   /** A value that cannot be decoded; `id` is set for the entry of an upstream. */
   | {
       readonly kind: 'unreadable';
@@ -24,24 +29,38 @@
       readonly id: UpstreamId | undefined;
     };
 
-/** Changes, or a full snapshot, and the revision that they lead to. */
+/** An item of the store; its value is undefined if it was removed. */
+export interface StoredItem {
+  readonly key: string;
+  readonly value: string | undefined;
+}
+
+/** Changed items, or a full snapshot, and the revision that they lead to. */
 export interface StateUpdate {
   readonly revision: number;
-  readonly changes: readonly StateChange[];
+  readonly items: readonly StoredItem[];
 }
 
 /** Changes after a revision; `compacted` if the store no longer keeps them. */
 export type WatchResult = StateUpdate | 'compacted';
 
+/** The entry of this instance in the store. */
+export interface InstanceEntry extends PeerEntry {
+  readonly failureDomain: string;
+}
+
 /** Id of a lease in the store. */
 export type LeaseId = number;
 
 /** Reads the platform's state and registers this instance. */
 export interface StateStore {
+  /** Decodes one item; undefined if the gateway does not use it. */
+  decode(item: StoredItem): StateChange | undefined;
   readAll(timeoutMs: number): ResultAsync<StateUpdate, PlatformError>;
+  /** Reads the configuration and the revision of its latest change. */
   readConfig(
     timeoutMs: number,
-  ): ResultAsync<GatewayConfig | undefined, PlatformError>;
+  ): ResultAsync<StateUpdate | undefined, PlatformError>;
   /** Waits up to `waitMs` for changes after `revision`. */
   readChanges(
     revision: number,
@@ -50,7 +69,7 @@
   ): ResultAsync<WatchResult, PlatformError>;
   /** Writes the entry of this instance under a new lease. */
   register(
-    entry: PeerEntry,
+    entry: InstanceEntry,
     leaseMs: number,
     timeoutMs: number,
   ): ResultAsync<LeaseId, PlatformError>;
--- a/packages/gateway/src/state/StateSync.ts
+++ b/packages/gateway/src/state/StateSync.ts
@@ -1,29 +1,38 @@
 /**
  * Synchronizes the configuration, upstreams and peers with the store, and tracks
  * the age of the configuration. It reads a full snapshot once and then follows
- * changes. A minimum interval bounds the number of calls, since many upstreams
- * write often.
+ * changes: through another instance of the failure domain where there is one,
+ * and else from the store itself, with a minimum interval that bounds the number
+ * of calls.
  */
-import type {Clock} from '@toucanrouter/common';
+import type {Clock, InstanceId} from '@toucanrouter/common';
 import {delay} from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
 import type {ActiveConfig} from '../config/ActiveConfig.js';
 import type {ConfigAge, TimeMark} from '../config/ConfigAge.js';
-import type {PeerDirectory} from '../peers/PeerDirectory.js';
+import {shiftMark} from '../config/ConfigAge.js';
+import type {PeerDirectory, PeerEntry} from '../peers/PeerDirectory.js';
 import type {UpstreamRegistry} from '../upstreams/UpstreamRegistry.js';
-import type {StateChange, StateStore} from './StateStore.js';
+import type {RelayClient} from './RelayClient.js';
+import type {StateLog} from './StateLog.js';
+import {relayRole} from './StateRelay.js';
+import type {StateChange, StateStore, StoredItem} from './StateStore.js';
 
 /** Options of the synchronization. */
 export interface StateSyncOptions {
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly instanceId: InstanceId;
+  readonly failureDomain: string;
   readonly store: StateStore;
+  readonly relays: Pick<RelayClient, 'read'>;
+  readonly log: StateLog;
   readonly config: ActiveConfig;
   readonly configAge: ConfigAge;
   readonly registry: UpstreamRegistry;
   readonly peers: PeerDirectory;
-  /** Minimum time between calls; a change arrives within about this time. */
-  readonly minCallIntervalMs: () => number;
+  /** Time within which a change in the store must be in force. */
+  readonly changeDelayMs: () => number;
 }
 
 /** Follows the state in the store until it is closed. */
@@ -31,11 +40,20 @@
   start(): void;
   /** Verifies with the store that the newest configuration is in force. */
   confirmConfig(): Promise<void>;
-  /** True while the last call to the store succeeded. */
+  /** True while the last read of the state succeeded. */
   connected(): boolean;
+  /** Time since the end of the last outage; undefined if there was none. */
+  regainedAgoMs(): number | undefined;
   close(): void;
 }
 
+/**
+ * Minimum time between calls to the store, as a share of the delay within which
+ * changes must be in force. A longer one saves calls, but one lost response must
+ * not exceed the delay. Instances that read for others call more often.
+ */
+const callIntervalShare = 0.5;
+const relayCallIntervalShare = 0.25;
 /**
  * Longest wait of a watch call. Without changes, the configuration is confirmed
  * once per wait.
@@ -52,6 +70,19 @@
 const confirmTimeoutMs = 400;
 /** Minimum time between confirmations that requests trigger. */
 const minConfirmIntervalMs = 200;
+/** Waits at another instance are short, so that its silence is noticed soon. */
+const relayWaitMs = 600;
+const relayTimeoutMs = relayWaitMs + 300;
+/**
+ * Oldest confirmation that is accepted from another instance, as a share of the
+ * delay within which changes must be in force. Beyond it, that instance may have
+ * lost the store without having noticed.
+ */
+const maxRelayAgeShare = 0.5;
+/** Minimum time between reads from another instance. */
+const minRelayIntervalMs = 100;
+/** An instance that failed to respond is not asked for this time. */
+const relayBackoffMs = 3_000;
 
 function probeDelayMs(consecutiveFailures: number): number {
   const backoffMs = initialProbeDelayMs * 2 ** (consecutiveFailures - 1);
@@ -60,7 +91,9 @@
 
 /** Creates a synchronization that has not started. */
 export function createStateSync(options: StateSyncOptions): StateSync {
-  const {clock, config, configAge, logger, peers, registry, store} = options;
+  const {clock, config, configAge, log, logger, peers, registry, store} =
+    options;
+  const relayFailedAtMs = new Map<InstanceId, number>();
   let revision: number | undefined;
   let connected = false;
   let everConnected = false;
@@ -68,6 +101,8 @@
   let confirming: Promise<void> | undefined;
   let lastConfirmAtMs = -Infinity;
   let consecutiveFailures = 0;
+  let regainedAtMs: number | undefined;
+  let currentRelay: InstanceId | undefined;
 
   function apply(change: StateChange): void {
     switch (change.kind) {
@@ -83,6 +118,9 @@
       case 'peer':
         peers.put(change.entry);
         return;
+      case 'peer_domain':
+        peers.putDomain(change.id, change.failureDomain);
+        return;
       case 'peer_removed':
         peers.remove(change.id);
         return;
@@ -95,18 +133,36 @@
     }
   }
 
-  function applyAll(changes: readonly StateChange[]): void {
-    const entries = changes.flatMap(change =>
-      change.kind === 'upstream' ? [change.entry] : [],
-    );
-    changes.filter(({kind}) => kind !== 'upstream').forEach(apply);
-    registry.replaceAll(entries);
+  function applyItems(items: readonly StoredItem[], atRevision: number): void {
+    for (const item of items) {
+      const change = store.decode(item);
+      if (change === undefined) continue;
+      apply(change);
+      log.record(item, change, atRevision);
+    }
+  }
+
+  function applyUpdate(items: readonly StoredItem[], nextRevision: number) {
+    applyItems(items, nextRevision);
+    revision = nextRevision;
+    log.advance(nextRevision);
+  }
+
+  /** Applies a full snapshot: what it does not contain has been removed. */
+  function applySnapshot(items: readonly StoredItem[], nextRevision: number) {
+    const present = new Set(items.map(({key}) => key));
+    const removed = log
+      .keys()
+      .filter(key => !present.has(key))
+      .map(key => ({key, value: undefined}));
+    applyUpdate([...removed, ...items], nextRevision);
   }
 
   function onStoreResponse(mark: TimeMark): void {
     configAge.confirmed(mark);
     if (connected) return;
     connected = true;
+    if (everConnected) regainedAtMs = clock.nowMs();
     registry.storeRegained();
     logger.info(everConnected ? 'store regained' : 'store connected', {
       revision,
@@ -136,8 +192,7 @@
       return false;
     }
     onStoreResponse(mark);
-    applyAll(update.value.changes);
-    revision = update.value.revision;
+    applySnapshot(update.value.items, update.value.revision);
     return true;
   }
 
@@ -160,27 +215,112 @@
       return true;
     }
     onStoreResponse(mark);
-    update.value.changes.forEach(apply);
-    revision = update.value.revision;
+    applyUpdate(update.value.items, update.value.revision);
     return true;
   }
 
+  function noteRelay(relay: PeerEntry | undefined): void {
+    if (relay?.instanceId === currentRelay) return;
+    currentRelay = relay?.instanceId;
+    logger.info(
+      relay === undefined
+        ? 'the store is read directly'
+        : 'the store is read through another instance',
+      {relay: currentRelay},
+    );
+  }
+
+  function noteRelayFailure({instanceId}: PeerEntry, reason: string): void {
+    relayFailedAtMs.set(instanceId, clock.nowMs());
+    logger.info('reading the state through another instance failed', {
+      relay: instanceId,
+      reason,
+    });
+  }
+
+  async function readFrom(relay: PeerEntry, after: number): Promise<boolean> {
+    const mark = configAge.mark();
+    const response = await options.relays.read(
+      relay.address,
+      after,
+      relayWaitMs,
+      relayTimeoutMs,
+    );
+    if (response.isErr()) {
+      noteRelayFailure(relay, response.error.message);
+      return false;
+    }
+    const {complete, confirmedAfterMs, items, regainedAgoMs} = response.value;
+    if (-confirmedAfterMs > options.changeDelayMs() * maxRelayAgeShare) {
+      noteRelayFailure(relay, 'its state is old');
+      return false;
+    }
+    onStoreResponse(shiftMark(mark, confirmedAfterMs));
+    // The other instance may have noticed an outage that this one missed.
+    if (regainedAgoMs !== null) registry.storeRegained(regainedAgoMs);
+    const update = complete ? applySnapshot : applyUpdate;
+    update(items, response.value.revision);
+    return true;
+  }
+
+  function relaysToTry(): readonly PeerEntry[] {
+    const {sources} = currentRole();
+    const earliestMs = clock.nowMs() - relayBackoffMs;
+    return sources.filter(
+      ({instanceId}) =>
+        (relayFailedAtMs.get(instanceId) ?? -Infinity) < earliestMs,
+    );
+  }
+
+  function currentRole() {
+    const {failureDomain, instanceId} = options;
+    return relayRole(instanceId, peers.inDomain(failureDomain));
+  }
+
+  /** Reads through another instance; returns false if none responded. */
+  async function readThroughRelays(): Promise<boolean> {
+    if (revision === undefined) return false;
+    for (const relay of relaysToTry()) {
+      if (closed) return false;
+      if (await readFrom(relay, revision)) {
+        noteRelay(relay);
+        return true;
+      }
+    }
+    return false;
+  }
+
+  async function readStore(): Promise<boolean> {
+    noteRelay(undefined);
+    return revision === undefined ? readAll() : readChanges(revision);
+  }
+
+  function callIntervalMs(): number {
+    const share = currentRole().readsForOthers
+      ? relayCallIntervalShare
+      : callIntervalShare;
+    return options.changeDelayMs() * share;
+  }
+
+  async function waitSince(startedAtMs: number, intervalMs: number) {
+    const elapsedMs = clock.nowMs() - startedAtMs;
+    await delay(clock, Math.max(0, intervalMs - elapsedMs));
+  }
+
   async function run(): Promise<void> {
     while (!closed) {
       const startedAtMs = clock.nowMs();
-      const succeeded =
-        revision === undefined ? await readAll() : await readChanges(revision);
+      if (await readThroughRelays()) {
+        consecutiveFailures = 0;
+        await waitSince(startedAtMs, minRelayIntervalMs);
+        continue;
+      }
+      const succeeded = await readStore();
       if (closed) return;
       consecutiveFailures = succeeded ? 0 : consecutiveFailures + 1;
       if (!succeeded) await delay(clock, probeDelayMs(consecutiveFailures));
       else if (revision !== undefined) {
-        await delay(
-          clock,
-          Math.max(
-            0,
-            options.minCallIntervalMs() - (clock.nowMs() - startedAtMs),
-          ),
-        );
+        await waitSince(startedAtMs, callIntervalMs());
       }
     }
   }
@@ -196,13 +336,17 @@
       });
       return;
     }
-    if (latest.value !== undefined) config.applyIfNewer(latest.value);
+    if (latest.value !== undefined) {
+      applyItems(latest.value.items, latest.value.revision);
+    }
     configAge.confirmed(mark);
   }
 
   return {
     start: () => void run(),
     connected: () => connected,
+    regainedAgoMs: () =>
+      regainedAtMs === undefined ? undefined : clock.nowMs() - regainedAtMs,
     confirmConfig: () => {
       // During an outage the probes detect when the store is back.
       const probing = everConnected && !connected;
--- a/packages/gateway/src/upstreams/UpstreamRegistry.ts
+++ b/packages/gateway/src/upstreams/UpstreamRegistry.ts
@@ -22,12 +22,10 @@
   put(entry: UpstreamEntry): void;
   /** Handles the removal of an entry from the store. */
   remove(id: UpstreamId): void;
-  /** Replaces all entries by a complete snapshot of the store. */
-  replaceAll(entries: readonly UpstreamEntry[]): void;
   /** Starts an outage, during which entries that disappear are kept. */
   storeLost(): void;
-  /** Ends an outage; the grace period starts. */
-  storeRegained(): void;
+  /** Ends an outage, `agoMs` ago; the grace period starts then. */
+  storeRegained(agoMs?: number): void;
   /** Removes an upstream whose address now belongs to another one. */
   addressReassigned(id: UpstreamId): void;
 }
@@ -57,7 +55,7 @@
 ): UpstreamRegistry {
   const {clock} = options;
   const entries = new Map<UpstreamId, UpstreamEntry>();
-  const lapsed = new Map<UpstreamId, UpstreamEntry>();
+  const cancelEvictions = new Map<UpstreamId, () => void>();
   const byService = new Map<ServiceName, UpstreamEntry[]>();
   let storeDown = false;
   let regainedAtMs = -Infinity;
@@ -69,8 +67,13 @@
     byService.set(service, usable);
   }
 
+  function cancelEviction(id: UpstreamId): void {
+    cancelEvictions.get(id)?.();
+    cancelEvictions.delete(id);
+  }
+
   function evict(id: UpstreamId, reason: string): void {
-    lapsed.delete(id);
+    cancelEviction(id);
     const entry = entries.get(id);
     if (entry === undefined) return;
     entries.delete(id);
@@ -79,7 +82,7 @@
   }
 
   function put(entry: UpstreamEntry): void {
-    lapsed.delete(entry.id);
+    cancelEviction(entry.id);
     const previous = entries.get(entry.id);
     if (previous !== undefined && isUnchanged(previous, entry)) return;
     if (previous !== undefined && previous.startedAtMs !== entry.startedAtMs) {
@@ -104,33 +107,26 @@
       evict(id, 'its entry was removed');
       return;
     }
-    if (lapsed.has(id)) return;
-    lapsed.set(id, entry);
+    if (cancelEvictions.has(id)) return;
     const elapsedMs = storeDown ? 0 : clock.nowMs() - regainedAtMs;
-    clock.after(lapsedEntryGraceMs - elapsedMs, () => {
-      if (lapsed.has(id))
-        evict(id, 'its entry did not return within the grace period');
-    });
+    const cancel = clock.after(lapsedEntryGraceMs - elapsedMs, () =>
+      evict(id, 'its entry did not return within the grace period'),
+    );
+    cancelEvictions.set(id, cancel);
   }
 
   return {
     usable: service => byService.get(service) ?? [],
     put,
     remove,
-    replaceAll: replacement => {
-      const present = new Set(replacement.map(entry => entry.id));
-      replacement.forEach(put);
-      for (const id of [...entries.keys()]) {
-        if (!present.has(id)) remove(id);
-      }
-    },
     storeLost: () => {
       storeDown = true;
     },
-    storeRegained: () => {
-      if (!storeDown) return;
+    storeRegained: (agoMs = 0) => {
+      if (storeDown || agoMs > 0) {
+        regainedAtMs = Math.max(regainedAtMs, clock.nowMs() - agoMs);
+      }
       storeDown = false;
-      regainedAtMs = clock.nowMs();
     },
     addressReassigned: id =>
       evict(id, 'another upstream answers at its address'),
