Count a completed response without a first token by its total time

Callers' view: a late response without a first token (a plain call) counted as within its target, so the burn report showed too few bad requests.

Cause: for completed requests the recorder compared only the fields that were set, while for canceled ones the total time stands in for a missing first token.

Evidence: the test counts two such responses, one late; before, none was bad. The fix uses the same comparison for both outcomes.

--- a/packages/report/src/ServiceLevelRecorder.ts
+++ b/packages/report/src/ServiceLevelRecorder.ts
@@ -131,7 +131,7 @@
 ): boolean | undefined {
   switch (observation.outcome) {
     case 'completed':
-      return isWithinTarget(observation);
+      return !isLate(observation);
     case 'canceled':
       return isLate(observation) ? false : undefined;
     case 'failed':
--- a/packages/report/src/__tests__/unit/ServiceLevels.test.ts
+++ b/packages/report/src/__tests__/unit/ServiceLevels.test.ts
@@ -57,6 +57,14 @@
     expect(counts).to.deep.equal({requests: 4, bad: 3});
   });
 
+  it('counts a response without a first token by its total time', () => {
+    const counts = countRequests([
+      observation({firstTokenMs: undefined, totalMs: 300}),
+      observation({firstTokenMs: undefined, totalMs: 500}),
+    ]);
+    expect(counts).to.deep.equal({requests: 2, bad: 1});
+  });
+
   it('ignores requests canceled within the target, but counts those canceled after it as bad', () => {
     const counts = countRequests([
       observation(),
