Pass on the age of gossip about a member that was never heard of directly

Cause: the age of a gossip entry was measured from the time at which this instance first listed the member, if that was later than the gossip itself. Each hop made the evidence younger, so an instance that had gone could be kept alive by its peers.

Evidence: the test passes on gossip of 900 ms after 200 ms more; the age was 200 ms before and is 1,100 ms now. Eviction still counts from the first listing.

--- a/packages/membership/src/MemberTable.ts
+++ b/packages/membership/src/MemberTable.ts
@@ -77,14 +77,18 @@
   return nowMs - row.lastGossipAtMs <= ttlMs;
 }
 
-function lastEvidenceAtMs(row: Row): number {
+function lastHeardAtMs(row: Row): number {
   return Math.max(
     row.lastHeartbeatAtMs ?? -Infinity,
     row.lastGossipAtMs ?? -Infinity,
-    row.firstSeenAtMs,
   );
 }
 
+/** A listed member that was never heard of is kept as long as the others. */
+function lastEvidenceAtMs(row: Row): number {
+  return Math.max(lastHeardAtMs(row), row.firstSeenAtMs);
+}
+
 /** Creates the table of the instance that has the record `self`. */
 export function createMemberTable(self: MemberRecord): MemberTable {
   let selfRecord = self;
@@ -123,7 +127,7 @@
   function toGossipEntry(row: Row, nowMs: number): GossipEntry {
     return {
       member: row.member,
-      heardAgoMs: Math.max(0, nowMs - lastEvidenceAtMs(row)),
+      heardAgoMs: Math.max(0, nowMs - lastHeardAtMs(row)),
     };
   }
 
--- a/packages/membership/src/__tests__/unit/MemberTable.test.ts
+++ b/packages/membership/src/__tests__/unit/MemberTable.test.ts
@@ -68,6 +68,13 @@
     expect(table.alive(rotationMs)).to.have.length(401);
   });
 
+  it('passes on the age of gossip about a new member, so that it does not grow younger with each hop', () => {
+    const table = createMemberTable(member('a'));
+    table.recordGossip({member: member('b'), heardAgoMs: 900}, 1_000);
+    const [entry] = table.nextGossip(1_200);
+    expect(entry?.heardAgoMs).to.equal(1_100);
+  });
+
   it('evicts instances without evidence of liveness, so that the table is bounded', () => {
     const table = createMemberTable(member('a'));
     table.recordHeartbeat(member('b'), 0);
