Do not hedge a job that probes an upstream

Cause: a job counted as a probe if its upstream was suspect when it started, but probes start in the state "probing", so they were hedged like other jobs, and the hedge hid how the upstream responds.

--- a/packages/policy/src/SchedulerJobs.ts
+++ b/packages/policy/src/SchedulerJobs.ts
@@ -41,10 +41,10 @@
   RunningJob,
   'chargedMs' | 'isLong' | 'isProbe' | 'preemption' | 'suspectNotifiedAtMs'
 > {
-  // A job that starts on a suspect upstream is a probe, which is not hedged.
+  // A hedge would hide how the upstream responds to a probe.
   return {
     chargedMs: 0,
-    isProbe: state.tracker.state(upstreamId) === 'suspect',
+    isProbe: state.tracker.state(upstreamId) === 'probing',
     isLong: false,
     preemption: undefined,
     suspectNotifiedAtMs: undefined,
--- a/packages/policy/src/__tests__/unit/ShardSchedulerFairness.test.ts
+++ b/packages/policy/src/__tests__/unit/ShardSchedulerFairness.test.ts
@@ -200,6 +200,19 @@
     ]);
   });
 
+  it('does not hedge a job that probes an upstream', () => {
+    // Probes start in the state "probing"; a hedge would hide their result.
+    const {scheduler, tracker} = setUp({
+      upstreams: [upstream('u1'), upstream('u2')],
+    });
+    const u1 = toUpstreamId('u1');
+    tracker.setState(toUpstreamId('u2'), 'leaving');
+    tracker.setState(u1, 'probing');
+    scheduler.acquire(acquireRequest('probe', 4, 0, {idempotent: true}), 0);
+    tracker.setState(u1, 'suspect');
+    expect(summarize(scheduler.tick(100))).to.deep.equal([]);
+  });
+
   it('reports a suspect upstream once, and only for idempotent jobs', () => {
     const {scheduler, tracker} = setUp({
       upstreams: [upstream('u2')],
