--- a/packages/logging/src/__tests__/unit/RateLimitedLogWriter.test.ts
+++ b/packages/logging/src/__tests__/unit/RateLimitedLogWriter.test.ts
@@ -16,7 +16,7 @@
   return {clock, lines, written};
 }
 
-describe('BoundedLines', () => {
+describe('RateLimitedLogWriter', () => {
   it('drops lines beyond the rate limit and logs their number, so that the loss is visible', () => {
     const {clock, lines, written} = createTestWriter(() => true);
     for (let line = 0; line < 10; line++) lines.add(`line ${line}`, false);
