Return an error instead of a truncated document for a response too large to store

Callers' view: a caller that did not stream got status 200 with the first 8 MiB characters of its response, framed as whole.

Cause: the transcript stops storing chunks at its limit, and the document was built from what was stored.

Evidence: the test receives 10 MiB; the document was returned before and is an error now. A streamed response is relayed whole as before.

--- a/packages/daemon/src/__tests__/unit/Transcript.test.ts
+++ b/packages/daemon/src/__tests__/unit/Transcript.test.ts
@@ -125,7 +125,7 @@
         }
         relayed += feed(transcript, remaining.join(''));
         const completion = JSON.parse(
-          transcript.toCompletion(),
+          transcript.toCompletion()._unsafeUnwrap(),
         ) as ChatCompletion;
         expect(transcript.complete).to.equal(true);
         expect(completion.choices[0]?.message.content).to.equal(texts.join(''));
@@ -163,6 +163,19 @@
     );
   });
 
+  it('returns no document for a response that is too large to be stored whole', () => {
+    // The stored part was returned with status 200, without the rest.
+    const transcript = createTranscript(responseId, false);
+    transcript.begin('fresh');
+    const content = 'x'.repeat(1024 * 1024);
+    for (let id = 0; id < 10; id++) {
+      feed(transcript, formatEvent({id, data: chunk({content}, null)}));
+    }
+    const last = formatEvent({id: 10, data: chunk({}, 'stop')});
+    feed(transcript, last);
+    expect(transcript.toCompletion().isErr()).to.equal(true);
+  });
+
   it('merges the deltas of tool calls, and offers no prefix, as text cannot continue a tool call', () => {
     const call = (args: string, name?: string) =>
       chunk(
@@ -174,7 +187,7 @@
     transcript.begin('fresh');
     feed(transcript, data.map((d, id) => formatEvent({id, data: d})).join(''));
     expect(transcript.prefix()).to.equal(undefined);
-    const completion = transcript.toCompletion();
+    const completion = transcript.toCompletion()._unsafeUnwrap();
     expect(completion).to.contain('"arguments":"{\\"size\\":4}"');
   });
 });
--- a/packages/daemon/src/request/chat/ChatCall.ts
+++ b/packages/daemon/src/request/chat/ChatCall.ts
@@ -61,7 +61,7 @@
     if (granted.isErr()) return err(permitError(exchange, granted.error));
     state.tokensBeforeAttempt = state.transcript.tokens;
     const finished = await runWithHedge(state, granted.value, start);
-    if (finished.end.kind === 'complete') return ok(finishResponse(state));
+    if (finished.end.kind === 'complete') return finishResponse(state);
     if (exchange.signal.aborted) return err(abortError(exchange, true));
     const decision = recover(state, finished);
     if (decision.kind === 'fail') return err(toCallerError(decision, finished));
@@ -195,13 +195,14 @@
   return runAttempt(state, granted.value, 'fresh', abort, onWin);
 }
 
-function finishResponse(state: ChatState): void {
+function finishResponse(state: ChatState): Result<void, RouterError> {
   const {exchange, request, transcript} = state;
   if (request.streamed) {
     exchange.response.endStream();
-    return;
+    return ok(undefined);
   }
-  const body = Buffer.from(transcript.toCompletion());
-  const headers = {'content-type': 'application/json'};
-  exchange.response.send(200, headers, body);
+  return transcript.toCompletion().map(completion => {
+    const headers = {'content-type': 'application/json'};
+    exchange.response.send(200, headers, Buffer.from(completion));
+  });
 }
--- a/packages/daemon/src/request/chat/Transcript.ts
+++ b/packages/daemon/src/request/chat/Transcript.ts
@@ -27,8 +27,11 @@
   receive(scanned: ScannedEvents): Result<Uint8Array, RouterError>;
   /** Undefined if the response cannot be continued from its text. */
   prefix(): ReceivedPrefix | undefined;
-  /** Returns the response as one JSON document for a non-streaming caller. */
-  toCompletion(): string;
+  /**
+   * Returns the response as one JSON document for a non-streaming caller, or an
+   * error if it was too large to be stored whole.
+   */
+  toCompletion(): Result<string, RouterError>;
 }
 
 const finishPattern = /"finish_reason"\s*:\s*"/;
@@ -38,7 +41,7 @@
   /"(tool_calls|function_call|logprobs)"\s*:\s*[[{]/;
 const endMarker = '[DONE]';
 
-/** Larger responses are relayed but can no longer be continued. */
+/** Larger responses are relayed, but cannot be continued or returned whole. */
 const maxStoredChars = 8 * 1024 * 1024;
 
 interface Chunk {
@@ -215,13 +218,18 @@
       .join('');
   }
 
-  function toCompletion(): string {
+  function toCompletion(): Result<string, RouterError> {
+    if (storedChars > maxStoredChars) {
+      return err(
+        invalidError(`it exceeds ${maxStoredChars} characters; stream it`),
+      );
+    }
     const chunks = storedChunks.map(data => JSON.parse(data) as Chunk & object);
     const last = chunks[chunks.length - 1];
     const finishReason = chunks
       .map(chunk => chunk.choices[0]?.finish_reason)
       .find(reason => typeof reason === 'string');
-    return JSON.stringify({
+    const completion = {
       ...last,
       object: 'chat.completion',
       choices: [
@@ -232,7 +240,8 @@
         },
       ],
       usage: totalUsage(),
-    });
+    };
+    return ok(JSON.stringify(completion));
   }
 
   return {
