End the wait for another permit at once if the call was canceled before

Cause: the wait subscribed to the call's signal without looking at its state, so a call that was canceled just before waited the whole delay; each wait also left a listener on the signal.

--- a/packages/common/src/Clock.ts
+++ b/packages/common/src/Clock.ts
@@ -25,6 +25,24 @@
   });
 }
 
+/** Resolves after `delayMs`, or as soon as `signal` is aborted. */
+export function delayOrAbort(
+  clock: Clock,
+  delayMs: number,
+  signal: AbortSignal,
+): Promise<void> {
+  return new Promise(resolve => {
+    const finish = () => {
+      cancelTimer();
+      signal.removeEventListener('abort', finish);
+      resolve();
+    };
+    const cancelTimer = clock.after(delayMs, finish);
+    signal.addEventListener('abort', finish);
+    if (signal.aborted) finish();
+  });
+}
+
 /** Creates the clock of the running process. */
 export function createSystemClock(): Clock {
   return {
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -44,7 +44,12 @@
   StoredResponse,
 } from './Claims.js';
 export type {Clock, ManualClock, Undo} from './Clock.js';
-export {createManualClock, createSystemClock, delay} from './Clock.js';
+export {
+  createManualClock,
+  createSystemClock,
+  delay,
+  delayOrAbort,
+} from './Clock.js';
 export type {
   ErrorBody,
   ErrorDetails,
--- a/packages/daemon/src/request/chat/ChatCall.ts
+++ b/packages/daemon/src/request/chat/ChatCall.ts
@@ -4,7 +4,7 @@
  * same engine, continue on another from the received prefix, or restart.
  */
 import type {RouterError, ShardId} from '@toucanrouter/common';
-import {toRequestId} from '@toucanrouter/common';
+import {delayOrAbort, toRequestId} from '@toucanrouter/common';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 import type {Exchange} from '../Exchange.js';
@@ -98,25 +98,10 @@
     if (!started && exceedsDeadline) return granted;
     // After an attempt the refusal may not be returned as "not run", so the
     // permit is requested again.
-    await sleep(state, delayMs);
+    await delayOrAbort(access.clock, delayMs, exchange.signal);
   }
 }
 
-function sleep(state: ChatState, delayMs: number): Promise<void> {
-  const {access, exchange} = state;
-  return new Promise(resolve => {
-    const undo = access.clock.after(delayMs, resolve);
-    exchange.signal.addEventListener(
-      'abort',
-      () => {
-        undo();
-        resolve();
-      },
-      {once: true},
-    );
-  });
-}
-
 /**
  * Runs one attempt. If its upstream becomes a straggler, the call is moved to
  * another upstream or hedged, within the hedge budget.
