Keep a stalled attempt until another one has delivered an event

Callers' view: an engine fell silent for about a second and went on. The gateway had already given the attempt up and asked another engine; when that one refused the request or broke off, the caller's stream was cut in the middle, or the request was answered 502, although the first engine was about to go on.

Cause: a stalled attempt was ended before its replacement had shown that it works. Silence was treated like a failure, although it proves nothing about the engine.

Change: AttemptRace keeps the stalled attempt and runs one beside it. The first one that delivers an event goes on and the others are canceled in the same turn of the event loop, so that events come once and two engines never generate the same stream side by side for longer than a cancellation takes. A replacement that fails is discarded, and the request keeps waiting for the first engine. What may be asked twice, and how often, is decided as before: by the class, its number of upstreams and the retry budget.

Evidence: two tests failed before, with a cut stream (1 of 4 events) and with status 502: a pause of 1.2 s after the first event beside an engine that refuses, and a first event after 700 ms beside an engine that breaks off. Two more tests cover the race itself: a paused engine that goes on first (the replacement is canceled, no event comes twice) and a replacement that delivers first.

Ruled out: longer limits alone (a pause may always be longer); ending the stalled attempt when the replacement is accepted (it may still fail before its first event).

--- a/packages/gateway/src/__tests__/unit/GatewayRequest.test.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayRequest.test.ts
@@ -161,6 +161,28 @@
 
 const allEvents = [1, 2, 3, 4].map(event).join('');
 
+/** Streams all events with a pause after the first. */
+function pausing(pauseMs: number): Handler {
+  return (_, response) => {
+    response.writeHead(200, upstreamHead);
+    response.write(event(1));
+    setTimeout(() => response.end([2, 3, 4].map(event).join('')), pauseMs);
+  };
+}
+
+const refuse: Handler = (_, response) => {
+  response.writeHead(503, {id: 'r1', 'not-run': '1'});
+  response.end();
+};
+
+/** Two upstreams; whichever is asked first uses the first handler. */
+function inOrder(first: Handler, second: Handler): readonly Handler[] {
+  let calls = 0;
+  const handler: Handler = (message, response) =>
+    (calls++ === 0 ? first : second)(message, response);
+  return [handler, handler];
+}
+
 describe('GatewayRequest', () => {
   it('resumes a broken stream on another upstream without missing or partial events', async () => {
     const handler = streamFrom(4, 2);
@@ -201,6 +223,71 @@
     expect(response.body).to.equal(allEvents);
   });
 
+  // Guards against cutting off a caller whose upstream only paused.
+  it('completes a stream after a pause of its upstream although the upstream asked meanwhile refuses it', async () => {
+    const {response} = await serve(
+      {targetGapMs: 50},
+      inOrder(pausing(1_200), refuse),
+    );
+    expect(response.body).to.equal(allEvents);
+    expect(response.complete).to.equal(true);
+  });
+
+  // Guards against failing a request that a slow upstream is about to answer.
+  it('passes on the response of a slow upstream although the upstream asked meanwhile breaks off', async () => {
+    const slow: Handler = (message, response) => {
+      setTimeout(() => streamFrom(4)(message, response), 700);
+    };
+    const breakOff: Handler = (_, response) => response.destroy();
+    const {response} = await serve(
+      {targetLatencyMs: 50},
+      inOrder(slow, breakOff),
+    );
+    expect(response.status).to.equal(200);
+    expect(response.body).to.equal(allEvents);
+  });
+
+  // Guards against events that come twice when a stalled upstream goes on.
+  it('passes on each event once when a paused upstream goes on before the one asked meanwhile', async () => {
+    let replacementClosed = false;
+    const slowReplacement: Handler = (message, response) => {
+      message.socket.once('close', () => (replacementClosed = true));
+      setTimeout(() => streamFrom(4)(message, response), 1_000);
+    };
+    const {response} = await serve(
+      {targetGapMs: 50},
+      inOrder(pausing(1_000), slowReplacement),
+    );
+    expect(response.body).to.equal(allEvents);
+    expect(response.complete).to.equal(true);
+    expect(replacementClosed).to.equal(true);
+  });
+
+  // Guards against two upstreams that generate the same stream side by side.
+  it('cancels a stalled upstream as soon as another one delivers an event', async () => {
+    let canceledAfterMs = Infinity;
+    let replacedAtMs = Infinity;
+    const silent: Handler = (message, response) => {
+      response.writeHead(200, upstreamHead);
+      response.write(event(1));
+      message.socket.once('close', () => {
+        canceledAfterMs = performance.now() - replacedAtMs;
+      });
+    };
+    const replacement: Handler = (message, response) => {
+      replacedAtMs = performance.now();
+      response.writeHead(200, upstreamHead);
+      response.write(event(2));
+      setTimeout(() => response.end(event(3) + event(4)), 600);
+    };
+    const {response} = await serve(
+      {targetGapMs: 50},
+      inOrder(silent, replacement),
+    );
+    expect(response.body).to.equal(allEvents);
+    expect(canceledAfterMs).to.be.below(400);
+  });
+
   it('waits for a slow upstream when a request may run only once', async () => {
     const slow: Handler = (message, response) => {
       setTimeout(() => streamFrom(4)(message, response), 600);
--- a/packages/gateway/src/request/Attempt.ts
+++ b/packages/gateway/src/request/Attempt.ts
@@ -25,12 +25,7 @@
   /** The upstream states that it did not run the request. */
   | {readonly kind: 'not_run'; readonly status: number}
   /** The request may have run; its response is missing or invalid. */
-  | {
-      readonly kind: 'broken';
-      readonly reason: string;
-      /** True when the attempt was abandoned because it made no progress. */
-      readonly stalled?: boolean;
-    }
+  | {readonly kind: 'broken'; readonly reason: string}
   /** A complete response that was not streamed. */
   | {
       readonly kind: 'answered';
@@ -56,7 +51,7 @@
     case 'not_run':
       return 'refused';
     case 'broken':
-      return result.stalled === true ? 'silent' : 'failed';
+      return 'failed';
     case 'answered':
       return result.response.status >= minServerErrorStatus
         ? 'failed'
@@ -97,11 +92,8 @@
   /** Longest idle time of a connection that may carry the request. */
   readonly maxIdleMs: number;
   readonly stallLimits: StallLimits;
-  /**
-   * Returns whether a stalled attempt should be abandoned, because another one
-   * can take its place. Without one, waiting is all that can help the caller.
-   */
-  readonly mayAbandon: (lastEventId: string | undefined) => boolean;
+  /** Called when a sent request makes no progress, and again while it lasts. */
+  readonly onStalled: (lastEventId: string | undefined) => void;
   /** Called with the time to the first event, or to a plain response. */
   readonly onFirstResponse: (observedMs: number) => void;
   readonly receiver: StreamReceiver;
@@ -158,11 +150,8 @@
       abort({kind: 'unsent', reason}, reason);
       return true;
     }
-    if (options.mayAbandon(splitter.lastEventId())) {
-      abort({kind: 'broken', reason, stalled: true}, reason);
-      return true;
-    }
-    return false;
+    options.onStalled(splitter.lastEventId());
+    return finished;
   }
 
   function recordFirstResponse(): void {
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -12,6 +12,12 @@
 import {admit} from './Admission.js';
 import type {Attempt, AttemptResult} from './Attempt.js';
 import {outcomeOf, startAttempt} from './Attempt.js';
+import type {
+  AttemptObserver,
+  AttemptRace,
+  EndedAttempt,
+} from './AttemptRace.js';
+import {startAttemptRace} from './AttemptRace.js';
 import {readBody} from './CallerBody.js';
 import type {CallerResponse} from './CallerResponse.js';
 import {createCallerResponse} from './CallerResponse.js';
@@ -92,7 +98,7 @@
   const upstreams: UpstreamId[] = [];
   let admittedRequest: AdmittedRequest | undefined;
   let deadlineMs = Infinity;
-  let attempt: Attempt | undefined;
+  let attempts: AttemptRace | undefined;
   let sentAtMs = arrivedAtMs;
   let lastChoice: Choice | undefined;
   let firstAnswerMs: number | undefined;
@@ -172,12 +178,12 @@
 
   function onTimeout(): void {
     if (recorded) return;
-    const mayHaveRun = progress.mayHaveRun || attempt?.wasSent() === true;
+    const mayHaveRun = progress.mayHaveRun || attempts?.wasSent() === true;
     const reason = `no complete response within ${Math.round(deadlineMs - arrivedAtMs)} ms`;
     if (callerResponse.started) abortResponse('answer_timeout', reason);
     else if (mayHaveRun) fail('answer_timeout', reason);
     else refuse('overloaded', reason);
-    attempt?.cancel(reason);
+    attempts?.cancel(reason);
   }
 
   function stallLimitsFor(
@@ -198,29 +204,42 @@
   }
 
   /**
-   * A stalled attempt is abandoned only if the class and the budget allow
-   * another one, and an upstream is left that should respond within the limit.
+   * Chooses an upstream to ask beside a stalled one, if the class and the budget
+   * allow it and one is left that should respond within the limit.
    */
-  function canReplaceStalled(
+  function chooseBesideStalled(
     admitted: AdmittedRequest,
     placement: RequestPlacement,
-    limits: StallLimits,
+    stalled: Choice,
     lastEventId: string | undefined,
-  ): boolean {
+    runningCount: number,
+  ): Choice | undefined {
     const decision = nextStep(
       {kind: 'broken', reason: 'stalled'},
       {
         ...snapshotProgress(admitted),
-        upstreamsUsed: progress.upstreamsUsed + 1,
+        upstreamsUsed: progress.upstreamsUsed + runningCount,
         mayHaveRun: true,
         lastEventId: lastEventId ?? progress.lastEventId,
       },
     );
-    if (decision.step !== 'repeat') return false;
-    const {service} = placement;
-    if (!context.retryBudget(service).canRetry(clock.nowMs())) return false;
+    if (decision.step !== 'repeat') return undefined;
     const next = placement.choose(upstreams);
-    return next !== undefined && next.expectedMs < limits.firstEventMs;
+    if (next === undefined) return undefined;
+    const {firstEventMs} = stallLimitsFor(admitted, stalled);
+    if (next.expectedMs >= firstEventMs) return undefined;
+    if (!context.retryBudget(placement.service).tryRetry(clock.nowMs())) {
+      return undefined;
+    }
+    progress.lastEventId = lastEventId ?? progress.lastEventId;
+    logger.info('attempt has stalled; another upstream is asked as well', {
+      requestId: request.requestId,
+      stalled: stalled.candidate.entry.id,
+      upstream: next.candidate.entry.id,
+      lastEventId,
+      remainingMs: Math.round(remainingMs()),
+    });
+    return next;
   }
 
   function startUpstreamAttempt(
@@ -228,14 +247,16 @@
     admitted: AdmittedRequest,
     body: Buffer,
     placement: RequestPlacement,
+    observer: AttemptObserver,
   ): Attempt {
     const {route, workspace} = admitted;
     const {entry, health} = choice.candidate;
     upstreams.push(entry.id);
+    lastChoice = choice;
     sentAtMs = clock.nowMs();
-    const stallLimits = stallLimitsFor(admitted, choice);
+    const recordEnd = placement.recordSent(choice);
     let stallRecorded = route.retryPolicy === 'never';
-    return startAttempt({
+    const attempt = startAttempt({
       clock,
       connections: context.connections,
       dialect: context.dialect,
@@ -256,19 +277,17 @@
         route.retryPolicy === 'never'
           ? maxIdleNonRetryableMs
           : maxIdleRetryableMs,
-      stallLimits,
-      mayAbandon: lastEventId => {
-        if (canReplaceStalled(admitted, placement, stallLimits, lastEventId)) {
-          return true;
-        }
+      stallLimits: stallLimitsFor(admitted, choice),
+      onStalled: lastEventId => {
         if (!stallRecorded) health.recordOutcome('silent', clock.nowMs());
         stallRecorded = true;
-        return false;
+        observer.onStalled(lastEventId);
       },
       onFirstResponse: observedMs =>
         placement.recordFirstResponse(choice, observedMs),
       receiver: {
         events: (response, {bytes, count}, gapMs) => {
+          if (count > 0) observer.onProgress();
           firstAnswerMs ??= clock.nowMs() - arrivedAtMs;
           if (gapMs !== undefined) {
             const perEventMs = gapMs / count;
@@ -286,27 +305,39 @@
         onDrain: callerResponse.onDrain,
       },
     });
+    void attempt.result.then(recordEnd);
+    return attempt;
   }
 
-  function recordResult(
-    choice: Choice,
-    result: AttemptResult,
-    finishedAttempt: Attempt,
-  ): void {
+  function recordResult({
+    choice,
+    result,
+    attempt,
+    superseded,
+  }: EndedAttempt): void {
     const {health, entry} = choice.candidate;
-    progress.lastEventId =
-      finishedAttempt.lastEventId() ?? progress.lastEventId;
+    progress.lastEventId = attempt.lastEventId() ?? progress.lastEventId;
     if (result.kind === 'unsent') progress.notSentCount += 1;
     else if (result.kind === 'misdirected') progress.misdirectedCount += 1;
     else progress.upstreamsUsed += 1;
     progress.mayHaveRun ||=
       result.kind === 'broken' || result.kind === 'answered';
-    if (callerDisconnected || recorded) return;
+    if (callerDisconnected || recorded || superseded) return;
     if (result.kind === 'misdirected')
       context.registry.addressReassigned(entry.id);
     else health.recordOutcome(outcomeOf(result), clock.nowMs());
   }
 
+  function logDiscarded({choice, result, superseded}: EndedAttempt): void {
+    logger.info('attempt ended while another one goes on', {
+      requestId: request.requestId,
+      upstream: choice.candidate.entry.id,
+      ended: result.kind,
+      reason: 'reason' in result ? result.reason : result.kind,
+      superseded,
+    });
+  }
+
   function passOnResult(result: AttemptResult): void {
     if (result.kind === 'answered') {
       firstAnswerMs ??= clock.nowMs() - arrivedAtMs;
@@ -376,11 +407,28 @@
       if (overloadReason !== undefined) {
         return refuse('overloaded', overloadReason, choice.expectedMs);
       }
-      const recordEnd = placement.recordSent(choice);
-      attempt = startUpstreamAttempt(choice, admitted, body, placement);
-      const result = await attempt.result;
-      recordEnd();
-      recordResult(choice, result, attempt);
+      attempts = startAttemptRace({
+        choice,
+        start: (next, observer) =>
+          startUpstreamAttempt(next, admitted, body, placement, observer),
+        chooseAnother: (lastEventId, runningCount) =>
+          chooseBesideStalled(
+            admitted,
+            placement,
+            choice,
+            lastEventId,
+            runningCount,
+          ),
+        isFinal: result =>
+          nextStep(result, snapshotProgress(admitted)).step === 'pass_on',
+        onDiscarded: discarded => {
+          recordResult(discarded);
+          logDiscarded(discarded);
+        },
+      });
+      const ended = await attempts.ended;
+      const {result} = ended;
+      recordResult(ended);
       if (recorded || callerDisconnected) return;
       const progressNow = snapshotProgress(admitted);
       const decision = nextStep(result, progressNow);
@@ -391,7 +439,7 @@
         (!decision.costsBudget || budget.tryRetry(clock.nowMs()));
       logger.info('attempt did not serve the request', {
         requestId: request.requestId,
-        upstream: choice.candidate.entry.id,
+        upstream: ended.choice.candidate.entry.id,
         ended: result.kind,
         reason,
         next: decision.step,
@@ -414,7 +462,7 @@
     onCallerClosed: () => {
       if (recorded) return;
       callerDisconnected = true;
-      attempt?.cancel('the caller left');
+      attempts?.cancel('the caller left');
       record('canceled', 0, 'the caller left');
     },
     onAdmitted: admitted => {
