Send responses completely to slow callers before connections are closed

Callers' view: during a planned stop a caller that read slowly lost the end of its response, although the instance had it whole and had seconds left.

Cause: Node.js counts a connection as idle once its response was ended, also while its last part waits for the caller. Both request paths close idle connections in a planned stop, and server.close() does so by itself. Requests in progress were counted only until their handler returned, so a stop did not wait for the rest either.

Change: spareUnsentResponses replaces closeIdleConnections of a server: a connection is idle when no response on it is unsent and nothing arrived since the last one. The gateway counts a request as in progress until its response was handed over completely, which also ends the count of requests whose caller left while their body was read.

--- /dev/null
+++ b/packages/common/src/UnsentResponses.ts
@@ -0,0 +1,44 @@
+/**
+ * Keeps an HTTP server from cutting responses when it closes idle connections.
+ * Node.js counts a connection as idle once its response was ended, although a
+ * slow caller may not have received the last part yet, and also closes such
+ * connections when the server is closed.
+ */
+import type {Server} from 'node:http';
+import type {Socket} from 'node:net';
+
+interface Connection {
+  /** Responses whose last byte was not handed to the operating system. */
+  unsentResponses: number;
+  /** Bytes read when the latest response was sent; later ones are a request. */
+  bytesReadWhenIdle: number;
+}
+
+/**
+ * Makes `server.closeIdleConnections` and `server.close` spare connections with
+ * a response that was not sent completely, or on which a request arrives.
+ */
+export function spareUnsentResponses(server: Server): void {
+  const connections = new Map<Socket, Connection>();
+  server.on('connection', (socket: Socket) => {
+    connections.set(socket, {unsentResponses: 0, bytesReadWhenIdle: 0});
+    socket.once('close', () => connections.delete(socket));
+  });
+  server.prependListener('request', ({socket}, response) => {
+    const connection = connections.get(socket);
+    if (connection === undefined) return;
+    connection.unsentResponses += 1;
+    response.once('close', () => {
+      connection.unsentResponses -= 1;
+      connection.bytesReadWhenIdle = socket.bytesRead;
+    });
+  });
+  server.closeIdleConnections = () => {
+    for (const [socket, connection] of connections) {
+      const isIdle =
+        connection.unsentResponses === 0 &&
+        connection.bytesReadWhenIdle === socket.bytesRead;
+      if (isIdle) socket.destroy();
+    }
+  };
+}
--- /dev/null
+++ b/packages/common/src/__tests__/unit/UnsentResponses.test.ts
@@ -0,0 +1,55 @@
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import {connect} from 'node:net';
+import {expect} from 'chai';
+import {spareUnsentResponses} from '../../index.js';
+
+const host = '127.0.0.1';
+
+/** Starts a server that responds to each request with `bodyBytes` bytes. */
+async function startServer(bodyBytes: number) {
+  const server = createServer((message, response) => {
+    message.resume();
+    message.once('end', () => response.end(Buffer.alloc(bodyBytes)));
+  });
+  spareUnsentResponses(server);
+  server.listen(0, host);
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  const socket: Socket = connect({host, port});
+  await once(server, 'connection');
+  return {server, socket};
+}
+
+const bodyHead = 'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n';
+
+describe('spareUnsentResponses', () => {
+  it('closes a connection without a request, and one whose response was received', async () => {
+    for (const request of ['', `${bodyHead}ab`]) {
+      const {server, socket} = await startServer(1);
+      if (request !== '') {
+        socket.write(request);
+        await once(socket, 'data');
+      }
+      socket.resume();
+      server.close();
+      await once(server, 'close');
+      socket.destroy();
+    }
+  });
+
+  it('keeps a connection on which a head or a body is arriving', async () => {
+    for (const part of ['POST / HT', `${bodyHead}a`]) {
+      const {server, socket} = await startServer(1);
+      socket.write(part);
+      await new Promise(resolve => setTimeout(resolve, 50));
+      server.closeIdleConnections();
+      socket.write(`${bodyHead}ab`.slice(part.length));
+      const [response] = (await once(socket, 'data')) as [Buffer];
+      expect(response.toString()).to.match(/^HTTP\/1\.1 200 /);
+      socket.destroy();
+      server.close();
+    }
+  });
+});
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -127,5 +127,6 @@
   Workspace,
 } from './ServiceClasses.js';
 export {lowestTier} from './ServiceClasses.js';
+export {spareUnsentResponses} from './UnsentResponses.js';
 export type {UpstreamInfo, UpstreamKind} from './Upstreams.js';
 export {shardOf} from './Upstreams.js';
--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/CallerServer.test.ts
@@ -0,0 +1,67 @@
+import {once} from 'node:events';
+import type {IncomingMessage} from 'node:http';
+import {request as sendRequest} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {
+  createSystemClock,
+  delay,
+  toInstanceId,
+  toRequestId,
+} from '@toucanrouter/common';
+import {createLogger} from '@toucanrouter/logging';
+import {expect} from 'chai';
+import {ok} from 'neverthrow';
+import type {Filter} from '../../request/Exchange.js';
+import {createCallerServer} from '../../server/CallerServer.js';
+import {closeServer} from '../../server/Listening.js';
+
+const clock = createSystemClock();
+const host = '127.0.0.1';
+
+/** Starts a server whose calls to plain services are served by `filter`. */
+async function startServer(filter: Filter) {
+  const callers = createCallerServer({
+    clock,
+    logger: createLogger({
+      format: 'json',
+      level: 'error',
+      instanceId: toInstanceId('i'),
+      write: () => undefined,
+    }),
+    createRequestId: () => toRequestId('r'),
+    defaultTimeoutMs: 10_000,
+    maxBodyBytes: 1_000,
+    chatPipeline: [],
+    plainPipeline: [filter],
+  });
+  callers.server.listen(0, host);
+  await once(callers.server, 'listening');
+  return {callers, port: (callers.server.address() as AddressInfo).port};
+}
+
+describe('createCallerServer', () => {
+  // Guards against a planned stop that cuts the response to a slow caller.
+  it('sends a response completely to a caller that reads slowly while it is closed', async () => {
+    const body = Buffer.alloc(12 * 1024 * 1024);
+    const {callers, port} = await startServer(exchange => {
+      exchange.response.send(200, {}, body);
+      return Promise.resolve(ok(undefined));
+    });
+    const message = sendRequest({host, port, path: '/services/s/x'});
+    message.end();
+    const [response] = (await once(message, 'response')) as [IncomingMessage];
+    response.pause();
+    await delay(clock, 100);
+    callers.drainConnections();
+    const closed = closeServer(callers.server);
+    await delay(clock, 100);
+    let bodyBytes = 0;
+    response.on('data', (chunk: Buffer) => (bodyBytes += chunk.length));
+    response.on('error', () => undefined);
+    response.resume();
+    await once(response, 'close');
+    callers.server.closeAllConnections();
+    await closed;
+    expect(bodyBytes).to.equal(body.length);
+  });
+});
--- a/packages/daemon/src/server/CallerServer.ts
+++ b/packages/daemon/src/server/CallerServer.ts
@@ -8,7 +8,7 @@
 import {createAdaptorServer} from '@hono/node-server';
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import type {Clock, RequestId} from '@toucanrouter/common';
-import {RouterError} from '@toucanrouter/common';
+import {RouterError, spareUnsentResponses} from '@toucanrouter/common';
 import {Hono} from 'hono';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
@@ -167,6 +167,7 @@
   });
 
   const server = createAdaptorServer({fetch: app.fetch}) as Server;
+  spareUnsentResponses(server);
   return {
     server,
     requestsInProgress: () => inProgress,
--- a/packages/gateway/src/__tests__/unit/Gateway.test.ts
+++ b/packages/gateway/src/__tests__/unit/Gateway.test.ts
@@ -1,4 +1,5 @@
-import type {Server} from 'node:http';
+import {once} from 'node:events';
+import type {IncomingMessage, Server} from 'node:http';
 import {createServer, request as sendRequest} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {createServer as createTcpServer} from 'node:net';
@@ -100,6 +101,28 @@
   return server;
 }
 
+/**
+ * Sends a request, starts to read its response only when `mayRead` resolves, and
+ * resolves to the number of body bytes and whether the response was complete.
+ */
+async function readLate(
+  port: number,
+  mayRead: Promise<void>,
+): Promise<{readonly bodyBytes: number; readonly complete: boolean}> {
+  const headers = {id: 'late', host: 'h'};
+  const message = sendRequest({host, port, path: '/chat/x', headers});
+  message.end();
+  const [response] = (await once(message, 'response')) as [IncomingMessage];
+  response.pause();
+  await mayRead;
+  let bodyBytes = 0;
+  response.on('data', (chunk: Buffer) => (bodyBytes += chunk.length));
+  response.on('error', () => undefined);
+  response.resume();
+  await new Promise<void>(resolve => response.once('close', () => resolve()));
+  return {bodyBytes, complete: response.complete};
+}
+
 /**
  * Opens a connection, sends a request some time later, its body in two parts,
  * and resolves to the response or the error.
@@ -142,12 +165,13 @@
   return answered;
 }
 
-async function stopUnderLoad(seed: number): Promise<readonly string[]> {
-  const random = createSeededRandom(seed);
-  const upstream = await startUpstream(random);
+/** Starts a gateway in front of one upstream. */
+async function startGateway(
+  upstream: Server,
+  random: RandomSource,
+): Promise<{readonly gateway: Gateway; readonly port: number}> {
   const settings = await createSettings();
-  const {port} = settings.callers;
-  const gateway: Gateway = createGateway({
+  const gateway = createGateway({
     settings,
     clock,
     logger: createLogger({
@@ -163,6 +187,13 @@
   });
   await gateway.start();
   await delay(clock, 100);
+  return {gateway, port: settings.callers.port};
+}
+
+async function stopUnderLoad(seed: number): Promise<readonly string[]> {
+  const random = createSeededRandom(seed);
+  const upstream = await startUpstream(random);
+  const {gateway, port} = await startGateway(upstream, random);
   const answers: Promise<string>[] = [];
   const faults: string[] = [];
   const startedAtMs = clock.nowMs();
@@ -197,4 +228,26 @@
     const faults = await Promise.all(seeds.map(stopUnderLoad));
     expect(faults.flat()).to.deep.equal([]);
   });
+
+  // Guards against a planned stop that cuts the response to a slow caller.
+  it('sends a response completely to a caller that reads slowly while it stops', async () => {
+    const sentBytes = 7 * 1024 * 1024;
+    const upstream = createServer((_, response) => {
+      response.writeHead(200, {id: 'late', mark: 'm'});
+      response.end(Buffer.alloc(sentBytes));
+    });
+    await new Promise<void>(resolve => upstream.listen(0, host, resolve));
+    const random = createSeededRandom(1);
+    const {gateway, port} = await startGateway(upstream, random);
+    let stopped: Promise<void> | undefined;
+    const mayRead = delay(clock, 200).then(() => {
+      stopped = gateway.close();
+      return delay(clock, loadBalancerDelayMs + 1_000);
+    });
+    const received = await readLate(port, mayRead);
+    await stopped;
+    upstream.closeAllConnections();
+    upstream.close();
+    expect(received).to.deep.equal({bodyBytes: sentBytes, complete: true});
+  });
 });
--- a/packages/gateway/src/server/GatewayServer.ts
+++ b/packages/gateway/src/server/GatewayServer.ts
@@ -3,7 +3,7 @@
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
-import {RouterError} from '@toucanrouter/common';
+import {RouterError, spareUnsentResponses} from '@toucanrouter/common';
 import type {CallerLimits} from '../config/GatewayConfig.js';
 import {createCallerResponse} from '../request/CallerResponse.js';
 import type {GatewayContext} from '../request/GatewayContext.js';
@@ -12,6 +12,7 @@
 /** The server for callers. */
 export interface GatewayServer {
   readonly server: Server;
+  /** Requests whose response is not sent completely. */
   inProgress(): number;
   applyLimits(limits: CallerLimits): void;
   /** Makes each further response close its connection. */
@@ -73,21 +74,21 @@
     (message, response) => {
       inProgress += 1;
       lastRequestAtMs = context.clock.nowMs();
-      handle(message, response)
-        .catch((error: unknown) => {
-          context.logger.error(
-            'request handling failed; the connection was closed',
-            {
-              error: error instanceof Error ? error.stack : String(error),
-            },
-          );
-          response.destroy();
-        })
-        .finally(() => {
-          inProgress -= 1;
-        });
+      response.once('close', () => {
+        inProgress -= 1;
+      });
+      handle(message, response).catch((error: unknown) => {
+        context.logger.error(
+          'request handling failed; the connection was closed',
+          {
+            error: error instanceof Error ? error.stack : String(error),
+          },
+        );
+        response.destroy();
+      });
     },
   );
+  spareUnsentResponses(server);
   server.on('connection', socket => {
     openConnections += 1;
     socket.once('close', () => {
