Decide which prompt segment crashes upstreams and block it

A segment of a prompt may crash each engine that starts to answer it. Nothing knew that an engine ended under a request, so each further request with the segment, and each repeat, ended another engine.

The new module of the policy package finds such a segment from the upstreams that ended under requests waiting for their first event. A segment is convicted after three incidents with two requests if no request with it received an event meanwhile. Crashes at one moment count as one incident, the narrowest segment is blamed, and a first event anywhere lifts a verdict. A verdict ends by itself and lets one request per interval pass; a further crash doubles it. Crashes, verdicts and first events are exchanged with peers as data with ages.

No caller uses the module yet; its own unit and property tests pass.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -7,6 +7,32 @@
 } from './HedgeBudget.js';
 export type {LengthModel} from './LengthModel.js';
 export {createLengthModel} from './LengthModel.js';
+export type {
+  BlockedSegment,
+  PromptQuarantine,
+  PromptQuarantineOptions,
+} from './PromptQuarantine.js';
+export {createPromptQuarantine} from './PromptQuarantine.js';
+export type {
+  ClearingReason,
+  Conviction,
+  QuarantineLimits,
+  QuarantineReport,
+  ReportedClearing,
+  ReportedCrash,
+  ReportedVerdict,
+  RequestHash,
+  SegmentHash,
+  UpstreamCrash,
+  UpstreamStartHash,
+  WaitingRequest,
+} from './PromptQuarantineTypes.js';
+export {
+  defaultQuarantineLimits,
+  requestHashOf,
+  segmentHashOf,
+  upstreamStartHashOf,
+} from './PromptQuarantineTypes.js';
 export type {
   AttemptEndReason,
   RecoveryDecision,
