Stop sending prompts that crash each engine that answers them

Callers saw engines of a service end one after the other: one segment of a prompt crashed each engine that began to answer it, and both retries and new requests with the segment went on to the next engine, at every instance. Sound requests on these engines were cut off or had to be retried.

The cause: a broken connection only counted against the health of the engine. Nothing recorded that the engine had ended, which requests had waited there, or what their prompts had in common, and instances did not tell each other.

Now a connection that breaks before the first event of a prompt leads to one probe of the upstream; a refused connection shows that its process ended. The requests that waited there are evidence for the prompt quarantine of the policy package, which each attempt passes before it is sent, new or repeated. Crashes, verdicts and first events go to the peers in datagrams of their own kind, which builds without a quarantine ignore and which are accepted only from registered addresses of peers. A refused request that was not sent gets 503 prompt_quarantined with the time until the verdict ends; one that may have run ends as upstream_failed.

With this change sound requests that share the caller and the first segment are served at the first attempt.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -11,6 +11,7 @@
 import type {ActiveConfig} from './config/ActiveConfig.js';
 import {createActiveConfig} from './config/ActiveConfig.js';
 import {createConfigAge} from './config/ConfigAge.js';
+import type {LoadExchange} from './peers/LoadExchange.js';
 import {createLoadExchange} from './peers/LoadExchange.js';
 import {createPeerDirectory} from './peers/PeerDirectory.js';
 import {createRegistration} from './peers/Registration.js';
@@ -19,6 +20,7 @@
 import type {EndedRequest} from './request/EndedRequest.js';
 import {getOrCreate} from './GetOrCreate.js';
 import type {GatewayContext} from './request/GatewayContext.js';
+import {createPromptGuard} from './request/PromptGuard.js';
 import {createSharedRetryBudget} from './request/SharedRetryBudget.js';
 import {createGatewayMetrics} from './server/GatewayMetrics.js';
 import {createGatewayServer, listenBacklog} from './server/GatewayServer.js';
@@ -34,6 +36,7 @@
 import {createStateSync} from './state/StateSync.js';
 import {createUpstreamConnections} from './upstreams/UpstreamConnections.js';
 import {createUpstreamKnowledge} from './upstreams/UpstreamKnowledge.js';
+import {probeUpstream} from './upstreams/UpstreamProbe.js';
 import {createUpstreamRegistry} from './upstreams/UpstreamRegistry.js';
 
 /** Options of a gateway. */
@@ -127,7 +130,21 @@
   const peers = createPeerDirectory(settings.instanceId);
   const stateLog = createStateLog(clock);
   const relays = createRelayClient();
-  const exchange = createLoadExchange({
+  const promptGuard = createPromptGuard({
+    clock,
+    logger,
+    random: options.random,
+    probe: entry => probeUpstream(clock, entry),
+    isUsable: entry =>
+      registry
+        .usable(entry.service)
+        .some(
+          ({id, startedAtMs}) =>
+            id === entry.id && startedAtMs === entry.startedAtMs,
+        ),
+    onNews: () => exchange.reportQuarantineSoon(),
+  });
+  const exchange: LoadExchange = createLoadExchange({
     clock,
     logger,
     instanceId: settings.instanceId,
@@ -135,6 +152,8 @@
     peers,
     takeWork: knowledge.takeReport,
     onReport: knowledge.receiveReport,
+    takeQuarantine: promptGuard.takeReport,
+    onQuarantine: promptGuard.receiveReport,
   });
   const registration = createRegistration({
     clock,
@@ -196,6 +215,7 @@
     knowledge,
     reportSoon: exchange.reportSoon,
     connections,
+    promptGuard,
     retryBudget: retryBudgetOf,
     isDraining: () => draining,
     onEnded,
@@ -207,6 +227,8 @@
     requestsInProgress: gatewayServer.inProgress,
     connectionsOpened: connections.opened,
     storeConnected: sync.connected,
+    crashCount: promptGuard.crashCount,
+    quarantinedCount: promptGuard.blockedCount,
   });
 
   function notReadyReason(): string | undefined {
@@ -223,7 +245,7 @@
       settings.readiness,
     ],
     [createMetricsServer(metrics), settings.metrics],
-    // Load reports use the same port over UDP.
+    // Reports to peers use the same port over UDP.
     [relayServer, settings.peers],
   ];
 
@@ -290,6 +312,7 @@
       await drainRequests(startedAtMs);
       sync.close();
       exchange.close();
+      promptGuard.close();
       registration.close();
       const cutRequests = gatewayServer.inProgress();
       for (const [server] of servers) {
--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/CrashDetector.test.ts
@@ -0,0 +1,81 @@
+import {createManualClock} from '@toucanrouter/common';
+import type {UpstreamCrash} from '@toucanrouter/policy';
+import {requestHashOf, segmentHashOf} from '@toucanrouter/policy';
+import {expect} from 'chai';
+import {createCrashDetector} from '../../upstreams/CrashDetector.js';
+import type {ProbeResult} from '../../upstreams/UpstreamProbe.js';
+import {createEntry} from './GatewayFixtures.js';
+
+const waiting = (id: string) => ({
+  request: requestHashOf(id),
+  segments: [segmentHashOf('part')],
+});
+
+function createFixture(result: ProbeResult, usable = true) {
+  const clock = createManualClock();
+  const crashes: UpstreamCrash[] = [];
+  let probeCount = 0;
+  const detector = createCrashDetector({
+    clock,
+    probe: () => {
+      probeCount += 1;
+      return Promise.resolve(result);
+    },
+    isUsable: () => usable,
+    onCrash: crash => crashes.push(crash),
+  });
+  return {
+    detector,
+    crashes,
+    probeCount: () => probeCount,
+    settle: async () => {
+      clock.advance(1_000);
+      await new Promise(resolve => setImmediate(resolve));
+    },
+  };
+}
+
+describe('createCrashDetector', () => {
+  it('probes once for all requests that broke at an upstream', async () => {
+    const fixture = createFixture('refused');
+    const entry = createEntry('e');
+    fixture.detector.connectionBroke(entry, waiting('a'));
+    fixture.detector.connectionBroke(entry, waiting('b'));
+    await fixture.settle();
+    fixture.detector.connectionBroke(entry, waiting('c'));
+    await fixture.settle();
+    expect(fixture.probeCount()).to.equal(1);
+    expect(fixture.crashes.map(({requests}) => requests.length)).to.deep.equal([
+      2, 1,
+    ]);
+    expect(fixture.crashes[1]?.atMs).to.equal(fixture.crashes[0]?.atMs);
+  });
+
+  for (const result of ['accepted', 'unknown'] as const) {
+    it(`reports no crash if the probe is ${result}`, async () => {
+      const fixture = createFixture(result);
+      fixture.detector.connectionBroke(createEntry('e'), waiting('a'));
+      await fixture.settle();
+      expect(fixture.crashes).to.have.length(0);
+    });
+  }
+
+  it('reports no crash of an upstream that is leaving', async () => {
+    const fixture = createFixture('refused', false);
+    fixture.detector.connectionBroke(createEntry('e'), waiting('a'));
+    await fixture.settle();
+    expect(fixture.probeCount()).to.equal(0);
+    expect(fixture.crashes).to.have.length(0);
+  });
+
+  it('reports a crash of an upstream that started again under its id', async () => {
+    const fixture = createFixture('refused');
+    for (const startedAtMs of [1, 2]) {
+      const entry = createEntry('e', {startedAtMs});
+      fixture.detector.connectionBroke(entry, waiting('a'));
+      await fixture.settle();
+    }
+    const upstreams = fixture.crashes.map(({upstream}) => upstream);
+    expect(new Set(upstreams).size).to.equal(2);
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/CrashingPrompts.test.ts
@@ -0,0 +1,306 @@
+import type {Server} from 'node:http';
+import {createServer, request as sendRequest} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {createServer as createTcpServer} from 'node:net';
+import {
+  createSeededRandom,
+  createSystemClock,
+  delay,
+  PlatformError,
+  toInstanceId,
+} from '@toucanrouter/common';
+import {createLogger} from '@toucanrouter/logging';
+import type {GatewaySettings} from '@toucanrouter/settings';
+import {expect} from 'chai';
+import {errAsync, okAsync, ResultAsync} from 'neverthrow';
+import {createGateway} from '../../Gateway.js';
+import type {Dialect} from '../../request/Dialect.js';
+import type {
+  StateChange,
+  StateStore,
+  StoredItem,
+} from '../../state/StateStore.js';
+import {parsePromptSegments} from '../../upstreams/Prompt.js';
+import {createConfig, createEntry, createRoute} from './GatewayFixtures.js';
+import {testDialect} from './TestDialect.js';
+
+const clock = createSystemClock();
+const host = '127.0.0.1';
+const engineCount = 12;
+const gatewayCount = 2;
+/** Time from a request to the first event, or to the crash. */
+const prefillMs = 60;
+const replacementDelayMs = 200;
+/** Time in which a crash becomes known to all instances. */
+const contactMs = 500;
+const crashesBeforeVerdict = 5;
+const maxLaterArrivals = 3;
+const crashingSegment = 'crashing';
+
+/** Reads the segments of a prompt from a header. */
+const promptDialect: Dialect = {
+  ...testDialect,
+  readRequest: message => {
+    const request = testDialect.readRequest(message);
+    const segments = parsePromptSegments(String(message.headers['parts']));
+    return {
+      ...request,
+      prompt: {segments, promptTokens: 300, maxOutputTokens: 10},
+      headers: [...request.headers, 'parts', String(message.headers['parts'])],
+    };
+  },
+};
+
+/** A store whose items are published while gateways follow it. */
+function createLiveStore() {
+  const changes: StateChange[] = [];
+  const waiting = new Set<() => void>();
+  const itemsFrom = (revision: number): readonly StoredItem[] =>
+    changes.slice(revision).map((_, index) => ({
+      key: `${revision + index}`,
+      value: '',
+    }));
+  const updateFrom = (revision: number) => ({
+    revision: changes.length,
+    items: itemsFrom(revision),
+  });
+  async function waitForChange(revision: number, waitMs: number) {
+    if (changes.length === revision) {
+      await new Promise<void>(resolve => {
+        const cancel = clock.after(waitMs, resolve);
+        waiting.add(() => {
+          cancel();
+          resolve();
+        });
+      });
+    }
+    return updateFrom(revision);
+  }
+  const store: StateStore = {
+    decode: ({key}) => changes[Number(key)],
+    readAll: () => okAsync(updateFrom(0)),
+    readChanges: (revision, waitMs) =>
+      ResultAsync.fromSafePromise(waitForChange(revision, waitMs)),
+    readConfig: () => okAsync(undefined),
+    register: () => errAsync(new PlatformError('not supported', false)),
+    renew: () => okAsync(true),
+  };
+  return {
+    store,
+    publish: (change: StateChange) => {
+      changes.push(change);
+      for (const notify of waiting) notify();
+      waiting.clear();
+    },
+  };
+}
+
+interface Arrival {
+  readonly requestId: string;
+  readonly atMs: number;
+}
+
+/**
+ * Starts engines that stream one event. An engine ends when it begins to answer
+ * a prompt with the crashing segment, and another one takes its place.
+ */
+function createEngines(publish: (change: StateChange) => void) {
+  const servers = new Set<Server>();
+  const arrivals: Arrival[] = [];
+  const crashTimesMs: number[] = [];
+  let startedCount = 0;
+  let closed = false;
+
+  function crash(server: Server, id: string): void {
+    if (!servers.delete(server)) return;
+    crashTimesMs.push(clock.nowMs());
+    server.close();
+    server.closeAllConnections();
+    clock.after(replacementDelayMs, () => {
+      const {id: removedId} = createEntry(id);
+      publish({kind: 'upstream_removed', id: removedId});
+      if (!closed) void start();
+    });
+  }
+
+  async function start(): Promise<void> {
+    const id = `engine-${startedCount++}`;
+    const server = createServer((message, response) => {
+      message.resume();
+      const requestId = String(message.headers['id']);
+      arrivals.push({requestId, atMs: clock.nowMs()});
+      const crashes = String(message.headers['parts']).includes(
+        crashingSegment,
+      );
+      setTimeout(() => {
+        if (crashes) {
+          crash(server, id);
+          return;
+        }
+        response.writeHead(200, {id: requestId, mark: 'm'});
+        response.end('id: 1\ndata: e\n\n');
+      }, prefillMs);
+    });
+    await new Promise<void>(resolve => server.listen(0, host, resolve));
+    servers.add(server);
+    const {port} = server.address() as AddressInfo;
+    publish({kind: 'upstream', entry: createEntry(id, {host, port})});
+  }
+
+  return {
+    start,
+    arrivals,
+    crashTimesMs,
+    close: () => {
+      closed = true;
+      for (const server of servers) {
+        server.close();
+        server.closeAllConnections();
+      }
+    },
+  };
+}
+
+async function freePort(): Promise<number> {
+  const server = createTcpServer();
+  await new Promise<void>(resolve => server.listen(0, host, resolve));
+  const {port} = server.address() as AddressInfo;
+  await new Promise(resolve => server.close(resolve));
+  return port;
+}
+
+async function createSettings(index: number): Promise<GatewaySettings> {
+  const address = async () => ({host, port: await freePort()});
+  return {
+    instanceId: toInstanceId(`i${index}`),
+    failureDomain: 'a',
+    callers: await address(),
+    readiness: await address(),
+    metrics: await address(),
+    peers: await address(),
+    storeAddress: 'unused',
+    stopGraceMs: 3_000,
+    revocationDelayMs: 60_000,
+    configDelayMs: 2_000,
+    leavingDelayMs: 2_000,
+    retryShare: 0.2,
+    retryWindowMs: 10_000,
+    retryAllowance: 50,
+    logLevel: 'error',
+  };
+}
+
+/** Starts gateways that know each other, with engines behind them. */
+async function startFleet() {
+  const {publish, store} = createLiveStore();
+  publish({
+    kind: 'config',
+    config: createConfig({
+      routes: [createRoute({maxUpstreams: 3, targetLatencyMs: 1_000})],
+    }),
+  });
+  const engines = createEngines(publish);
+  for (let index = 0; index < engineCount; index += 1) await engines.start();
+  const settings = await Promise.all(
+    Array.from({length: gatewayCount}, (_, index) => createSettings(index)),
+  );
+  for (const {instanceId, peers} of settings) {
+    publish({kind: 'peer', entry: {instanceId, address: peers}});
+  }
+  const gateways = settings.map((own, index) =>
+    createGateway({
+      settings: own,
+      clock,
+      logger: createLogger({
+        format: 'json',
+        level: 'error',
+        instanceId: own.instanceId,
+        write: () => undefined,
+      }),
+      random: createSeededRandom(index + 1),
+      dialect: promptDialect,
+      store,
+      readinessPath: '/ready',
+    }),
+  );
+  await Promise.all(gateways.map(gateway => gateway.start()));
+  await delay(clock, 100);
+  return {
+    engines,
+    ports: settings.map(({callers}) => callers.port),
+    close: async () => {
+      await Promise.all(gateways.map(gateway => gateway.close()));
+      engines.close();
+    },
+  };
+}
+
+interface Answer {
+  readonly status: number;
+  readonly retryAfter: string | undefined;
+}
+
+function send(port: number, id: string, parts: string): Promise<Answer> {
+  return new Promise((resolve, reject) => {
+    const headers = {id, parts, authorization: 'key'};
+    const call = sendRequest(
+      {host, port, path: '/chat/x', method: 'POST', headers, agent: false},
+      response => {
+        response.resume();
+        response.on('error', () => undefined);
+        response.on('close', () =>
+          resolve({
+            status: response.statusCode ?? 0,
+            retryAfter: response.headers['retry-after'],
+          }),
+        );
+      },
+    );
+    call.on('error', reject);
+    call.end('body');
+  });
+}
+
+describe('Gateway with prompts that crash engines', () => {
+  // Guards against a prompt segment that crashes one engine after the other,
+  // by new requests and by retries, at all instances.
+  it('stops sending requests with a crashing segment and serves those that share the rest', async () => {
+    const fleet = await startFleet();
+    const {arrivals, crashTimesMs} = fleet.engines;
+    const answers = new Map<string, Promise<Answer>>();
+    const sentAtMs = new Map<string, number>();
+    const startedAtMs = clock.nowMs();
+    for (let index = 0; clock.nowMs() - startedAtMs < 4_000; index += 1) {
+      const port = fleet.ports[index % gatewayCount] ?? 0;
+      const crashes = index % 5 === 0;
+      const id = `${crashes ? 'crashing' : 'sound'}-${index}`;
+      const part = crashes ? crashingSegment : `part-${index % 3}`;
+      sentAtMs.set(id, clock.nowMs());
+      answers.set(id, send(port, id, `class:100,${part}:100,${id}:100`));
+      await delay(clock, 30);
+    }
+    const statuses = new Map<string, Answer>();
+    for (const [id, answer] of answers) statuses.set(id, await answer);
+    await fleet.close();
+
+    const fifthCrashMs = crashTimesMs[crashesBeforeVerdict - 1] ?? startedAtMs;
+    const calmMs = Math.max(fifthCrashMs, startedAtMs + 1_000) + contactMs;
+    const late = [...sentAtMs].filter(([, atMs]) => atMs > calmMs);
+    const isCrashing = (id: string) => id.startsWith('crashing');
+    const lateArrivals = arrivals.filter(
+      ({atMs, requestId}) => isCrashing(requestId) && atMs > calmMs,
+    );
+    expect(lateArrivals.length).to.be.at.most(maxLaterArrivals);
+    const lateCrashing = late.filter(([id]) => isCrashing(id));
+    expect(lateCrashing.length).to.be.at.least(10);
+    for (const [id] of lateCrashing) {
+      expect(statuses.get(id)?.status, id).to.equal(503);
+      expect(Number(statuses.get(id)?.retryAfter), id).to.be.at.least(1);
+    }
+    for (const [id] of late.filter(([lateId]) => !isCrashing(lateId))) {
+      expect(statuses.get(id)?.status, id).to.equal(200);
+      const sendCount = arrivals.filter(({requestId}) => requestId === id);
+      expect(sendCount.length, id).to.equal(1);
+    }
+  });
+});
--- a/packages/gateway/src/__tests__/unit/GatewayRequest.test.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayRequest.test.ts
@@ -15,6 +15,7 @@
 import {shortIdOf} from '../../peers/ShortIds.js';
 import type {EndedRequest} from '../../request/EndedRequest.js';
 import type {GatewayContext} from '../../request/GatewayContext.js';
+import {createPromptGuard} from '../../request/PromptGuard.js';
 import {createGatewayServer} from '../../server/GatewayServer.js';
 import {createUpstreamConnections} from '../../upstreams/UpstreamConnections.js';
 import {createUpstreamKnowledge} from '../../upstreams/UpstreamKnowledge.js';
@@ -52,15 +53,17 @@
   configAge.confirmed(configAge.mark());
   const connections = createUpstreamConnections(clock);
   const ended: EndedRequest[] = [];
+  const logger = createLogger({
+    format: 'json',
+    level: 'error',
+    instanceId: toInstanceId('i'),
+    write: () => undefined,
+  });
+  const random = createSeededRandom(1);
   const context: GatewayContext = {
     clock,
-    logger: createLogger({
-      format: 'json',
-      level: 'error',
-      instanceId: toInstanceId('i'),
-      write: () => undefined,
-    }),
-    random: createSeededRandom(1),
+    logger,
+    random,
     dialect: testDialect,
     failureDomain: 'a',
     config,
@@ -71,6 +74,14 @@
     knowledge: createUpstreamKnowledge({clock, selfId: shortIdOf('i')}),
     reportSoon: () => undefined,
     connections,
+    promptGuard: createPromptGuard({
+      clock,
+      logger,
+      random,
+      probe: () => Promise.resolve('unknown'),
+      isUsable: () => true,
+      onNews: () => undefined,
+    }),
     retryBudget: () => createRetryBudget(),
     isDraining: () => false,
     onEnded: request => ended.push(request),
--- a/packages/gateway/src/peers/LoadExchange.ts
+++ b/packages/gateway/src/peers/LoadExchange.ts
@@ -1,13 +1,20 @@
 /**
- * Exchanges load reports with peers over UDP.
+ * Exchanges load reports and quarantine reports with peers over UDP.
  */
+import type {RemoteInfo} from 'node:dgram';
 import {createSocket} from 'node:dgram';
 import type {Clock, InstanceId} from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
+import type {QuarantineReport} from '@toucanrouter/policy';
 import type {ListenAddress} from '@toucanrouter/settings';
 import {decodeReport, encodeReport} from './LoadReportCodec.js';
 import type {LoadReport, ReportedWork} from './LoadReports.js';
 import type {PeerDirectory} from './PeerDirectory.js';
+import {
+  decodeQuarantineReport,
+  encodeQuarantineReport,
+  isQuarantineReport,
+} from './QuarantineCodec.js';
 import type {ReportSchedule} from './ReportSchedule.js';
 import {createReportSchedule} from './ReportSchedule.js';
 import {shortIdOf} from './ShortIds.js';
@@ -23,6 +30,10 @@
   readonly takeWork: () => ReportedWork;
   /** Receives the reports of peers. */
   readonly onReport: (report: LoadReport) => void;
+  /** Returns what peers should know of the quarantine, if anything. */
+  readonly takeQuarantine: () => QuarantineReport | undefined;
+  /** Receives the quarantine reports of peers. */
+  readonly onQuarantine: (report: QuarantineReport) => void;
 }
 
 /** A running exchange. */
@@ -30,6 +41,8 @@
   start(): void;
   /** Sends a report as soon as the rate limit allows. */
   reportSoon(): void;
+  /** The same for a quarantine report. */
+  reportQuarantineSoon(): void;
   close(): void;
 }
 
@@ -56,15 +69,25 @@
       sequence,
       ...work,
     });
+    sendToPeers(datagram);
+  }
+
+  function sendToPeers(datagram: Buffer): void {
     for (const {host, port} of peers.addresses()) {
       socket.send(datagram, port, host, logSendError);
     }
   }
 
+  function sendQuarantine(): void {
+    const report = options.takeQuarantine();
+    if (report === undefined) return;
+    encodeQuarantineReport(report).forEach(sendToPeers);
+  }
+
   function logSendError(error: Error | null): void {
     const failed = error !== null;
     if (failed && !sendFailed) {
-      logger.warn('sending load reports to peers failed', {
+      logger.warn('sending reports to peers failed', {
         error: error.message,
       });
     }
@@ -76,8 +99,24 @@
     peerCount: () => peers.addresses().length,
     send,
   });
+  const quarantineSchedule: ReportSchedule = createReportSchedule({
+    clock,
+    peerCount: () => peers.addresses().length,
+    send: sendQuarantine,
+  });
 
-  socket.on('message', datagram => {
+  function receiveQuarantine(datagram: Buffer, sender: RemoteInfo): void {
+    // A forged verdict would block sound requests.
+    if (!peers.isPeerAddress({host: sender.address, port: sender.port})) return;
+    const report = decodeQuarantineReport(datagram);
+    if (report !== undefined) options.onQuarantine(report);
+  }
+
+  socket.on('message', (datagram, sender) => {
+    if (isQuarantineReport(datagram)) {
+      receiveQuarantine(datagram, sender);
+      return;
+    }
     const report = decodeReport(datagram);
     if (report === undefined) {
       logger.warn('ignored a datagram that is not a valid load report', {
@@ -92,10 +131,13 @@
     start: () => {
       socket.bind({address: listen.host, port: listen.port, exclusive: true});
       schedule.start();
+      quarantineSchedule.start();
     },
     reportSoon: schedule.reportSoon,
+    reportQuarantineSoon: quarantineSchedule.reportSoon,
     close: () => {
       schedule.close();
+      quarantineSchedule.close();
       socket.close();
     },
   };
--- a/packages/gateway/src/peers/PeerDirectory.ts
+++ b/packages/gateway/src/peers/PeerDirectory.ts
@@ -17,6 +17,8 @@
   putDomain(instanceId: InstanceId, failureDomain: string | undefined): void;
   remove(instanceId: InstanceId): void;
   addresses(): readonly ListenAddress[];
+  /** Returns whether a peer is registered with this address. */
+  isPeerAddress(address: ListenAddress): boolean;
   /** Returns the peers of a failure domain. */
   inDomain(failureDomain: string): readonly PeerEntry[];
 }
@@ -26,9 +28,13 @@
   const entries = new Map<InstanceId, ListenAddress>();
   const domains = new Map<InstanceId, string>();
   let addresses: readonly ListenAddress[] = [];
+  let addressTexts: ReadonlySet<string> = new Set();
+
+  const toText = ({host, port}: ListenAddress) => `${host}:${port}`;
 
   const refresh = () => {
     addresses = [...entries.values()];
+    addressTexts = new Set(addresses.map(toText));
   };
 
   return {
@@ -46,6 +52,7 @@
       refresh();
     },
     addresses: () => addresses,
+    isPeerAddress: address => addressTexts.has(toText(address)),
     inDomain: failureDomain =>
       [...entries].flatMap(([instanceId, address]) =>
         domains.get(instanceId) === failureDomain
--- /dev/null
+++ b/packages/gateway/src/peers/QuarantineCodec.ts
@@ -0,0 +1,186 @@
+/**
+ * Datagram format of quarantine reports. The first byte differs from those of
+ * load reports, so that instances of builds without a quarantine ignore them. A
+ * report is split over datagrams that fit into one packet.
+ */
+import type {
+  QuarantineReport,
+  ReportedClearing,
+  ReportedCrash,
+  ReportedVerdict,
+  RequestHash,
+  SegmentHash,
+  UpstreamStartHash,
+  WaitingRequest,
+} from '@toucanrouter/policy';
+
+const formatVersion = 0x51;
+const crashTag = 1;
+const verdictTag = 2;
+const clearingTag = 3;
+
+/** Fits into one packet on common networks. */
+const maxDatagramBytes = 1_200;
+const hashBytes = 4;
+const timeBytes = 4;
+const tagBytes = 1;
+const countBytes = 1;
+const versionBytes = 1;
+const crashHeaderBytes = tagBytes + hashBytes + timeBytes + countBytes;
+const maxByte = 0xff;
+const maxUint32 = 0xffffffff;
+
+function timeToUint32(ms: number): number {
+  return Math.min(Math.max(0, Math.round(ms)), maxUint32);
+}
+
+function uint32s(...values: readonly number[]): Buffer {
+  const buffer = Buffer.alloc(values.length * hashBytes);
+  values.forEach((value, index) =>
+    buffer.writeUInt32BE(value, index * hashBytes),
+  );
+  return buffer;
+}
+
+function encodeRequest({request, segments}: WaitingRequest): Buffer {
+  const included = segments.slice(0, maxByte);
+  return Buffer.concat([
+    uint32s(request),
+    Buffer.of(included.length),
+    uint32s(...included),
+  ]);
+}
+
+/** Encodes a crash; one with many requests is split, which peers merge. */
+function encodeCrash({ageMs, requests, upstream}: ReportedCrash): Buffer[] {
+  const maxBytes = maxDatagramBytes - versionBytes - crashHeaderBytes;
+  const groups: Buffer[][] = [];
+  let groupBytes = Infinity;
+  for (const request of requests.map(encodeRequest)) {
+    if (request.length > maxBytes) continue;
+    const fits = groupBytes + request.length <= maxBytes;
+    if (!fits) groups.push([]);
+    groups.at(-1)?.push(request);
+    groupBytes = (fits ? groupBytes : 0) + request.length;
+  }
+  return groups.map(group =>
+    Buffer.concat([
+      Buffer.of(crashTag),
+      uint32s(upstream, timeToUint32(ageMs)),
+      Buffer.of(group.length),
+      ...group,
+    ]),
+  );
+}
+
+function encodeVerdict(verdict: ReportedVerdict): Buffer {
+  return Buffer.concat([
+    Buffer.of(verdictTag),
+    uint32s(
+      verdict.segment,
+      timeToUint32(verdict.ageMs),
+      timeToUint32(verdict.evidenceAgeMs),
+      timeToUint32(verdict.remainingMs),
+    ),
+  ]);
+}
+
+function encodeClearing({ageMs, segment}: ReportedClearing): Buffer {
+  return Buffer.concat([
+    Buffer.of(clearingTag),
+    uint32s(segment, timeToUint32(ageMs)),
+  ]);
+}
+
+/** Encodes a report as datagrams. */
+export function encodeQuarantineReport(
+  report: QuarantineReport,
+): readonly Buffer[] {
+  const items = [
+    ...report.clearings.map(encodeClearing),
+    ...report.verdicts.map(encodeVerdict),
+    ...report.crashes.flatMap(encodeCrash),
+  ];
+  const datagrams: Buffer[] = [];
+  for (const item of items) {
+    const last = datagrams.at(-1);
+    if (last !== undefined && last.length + item.length <= maxDatagramBytes) {
+      datagrams[datagrams.length - 1] = Buffer.concat([last, item]);
+    } else {
+      datagrams.push(Buffer.concat([Buffer.of(formatVersion), item]));
+    }
+  }
+  return datagrams;
+}
+
+/** Returns whether a datagram claims to be a quarantine report. */
+export function isQuarantineReport(datagram: Buffer): boolean {
+  return datagram.length > 0 && datagram.readUInt8(0) === formatVersion;
+}
+
+/** Reads a datagram from its start; throws a `RangeError` after its end. */
+function createReader(datagram: Buffer) {
+  let at = versionBytes;
+  return {
+    isAtEnd: () => at >= datagram.length,
+    byte: () => datagram.readUInt8(at++),
+    uint32: () => {
+      const value = datagram.readUInt32BE(at);
+      at += hashBytes;
+      return value;
+    },
+  };
+}
+
+type Reader = ReturnType<typeof createReader>;
+
+function readCrash(reader: Reader): ReportedCrash {
+  const upstream = reader.uint32() as UpstreamStartHash;
+  const ageMs = reader.uint32();
+  const requests = Array.from({length: reader.byte()}, () => ({
+    request: reader.uint32() as RequestHash,
+    segments: Array.from(
+      {length: reader.byte()},
+      () => reader.uint32() as SegmentHash,
+    ),
+  }));
+  return {upstream, ageMs, requests};
+}
+
+function readVerdict(reader: Reader): ReportedVerdict {
+  return {
+    segment: reader.uint32() as SegmentHash,
+    ageMs: reader.uint32(),
+    evidenceAgeMs: reader.uint32(),
+    remainingMs: reader.uint32(),
+  };
+}
+
+function readClearing(reader: Reader): ReportedClearing {
+  return {segment: reader.uint32() as SegmentHash, ageMs: reader.uint32()};
+}
+
+/** Decodes a datagram; returns undefined if it is not a valid report. */
+export function decodeQuarantineReport(
+  datagram: Buffer,
+): QuarantineReport | undefined {
+  if (!isQuarantineReport(datagram)) return undefined;
+  if (datagram.length > maxDatagramBytes) return undefined;
+  const reader = createReader(datagram);
+  const crashes: ReportedCrash[] = [];
+  const verdicts: ReportedVerdict[] = [];
+  const clearings: ReportedClearing[] = [];
+  try {
+    while (!reader.isAtEnd()) {
+      const tag = reader.byte();
+      if (tag === crashTag) crashes.push(readCrash(reader));
+      else if (tag === verdictTag) verdicts.push(readVerdict(reader));
+      else if (tag === clearingTag) clearings.push(readClearing(reader));
+      else return undefined;
+    }
+  } catch (error) {
+    if (error instanceof RangeError) return undefined;
+    throw error;
+  }
+  return {crashes, verdicts, clearings};
+}
--- a/packages/gateway/src/request/EndedRequest.ts
+++ b/packages/gateway/src/request/EndedRequest.ts
@@ -31,4 +31,6 @@
   readonly configVersion: number;
   readonly configAgeMs: number;
   readonly reason: string | undefined;
+  /** The prompt segment for which the request was refused. */
+  readonly quarantinedSegment: string | undefined;
 }
--- a/packages/gateway/src/request/GatewayContext.ts
+++ b/packages/gateway/src/request/GatewayContext.ts
@@ -11,6 +11,7 @@
 import type {UpstreamRegistry} from '../upstreams/UpstreamRegistry.js';
 import type {Dialect} from './Dialect.js';
 import type {EndedRequest} from './EndedRequest.js';
+import type {PromptGuard} from './PromptGuard.js';
 
 /** The dependencies of request handling. */
 export interface GatewayContext {
@@ -30,6 +31,7 @@
   /** Reports this instance's work to its peers without waiting long. */
   readonly reportSoon: () => void;
   readonly connections: UpstreamConnections;
+  readonly promptGuard: PromptGuard;
   readonly retryBudget: (service: ServiceName) => RetryBudget;
   /** True once the instance accepts no new requests. */
   readonly isDraining: () => boolean;
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -17,6 +17,7 @@
 import {createCallerResponse} from './CallerResponse.js';
 import type {CallerRequest} from './Dialect.js';
 import type {GatewayContext} from './GatewayContext.js';
+import type {BlockedPrompt} from './PromptGuard.js';
 import type {RequestProgress} from './RetryDecision.js';
 import type {RequestPlacement} from './RequestPlacement.js';
 import {createRequestPlacement} from './RequestPlacement.js';
@@ -98,6 +99,7 @@
   let firstAnswerMs: number | undefined;
   let eventCount = 0;
   let longestPauseMs = 0;
+  let quarantinedSegment: string | undefined;
   let recorded = false;
   let callerDisconnected = false;
   let cancelTimeout = (): void => undefined;
@@ -110,6 +112,8 @@
     lastEventId: request.resumeAfterId,
   };
 
+  const guarded = context.promptGuard.guard(request.requestId, request.prompt);
+
   const remainingMs = () => deadlineMs - clock.nowMs();
 
   function record(
@@ -139,6 +143,7 @@
       configVersion: config.current()?.version ?? 0,
       configAgeMs: Math.round(configAge.ageMs()),
       reason,
+      quarantinedSegment,
     });
   }
 
@@ -165,6 +170,14 @@
     fail(kind, reason, delayMs);
   }
 
+  function refuseBlocked({remainingMs: blockedMs, segmentId}: BlockedPrompt) {
+    quarantinedSegment = segmentId;
+    const reason = `the prompt segment ${segmentId} crashes upstreams`;
+    if (callerResponse.started) abortResponse('answer_incomplete', reason);
+    else if (progress.mayHaveRun) fail('upstream_failed', reason);
+    else fail('prompt_quarantined', reason, blockedMs);
+  }
+
   function abortResponse(kind: ErrorKind, reason: string): void {
     callerResponse.abort();
     record(kind, 0, reason);
@@ -232,6 +245,7 @@
     const {route, workspace} = admitted;
     const {entry, health} = choice.candidate;
     upstreams.push(entry.id);
+    guarded.attemptStarted(entry);
     sentAtMs = clock.nowMs();
     const stallLimits = stallLimitsFor(admitted, choice);
     let stallRecorded = route.retryPolicy === 'never';
@@ -277,6 +291,7 @@
             responseStats.recordEventGap(route.classId, perEventMs);
             knowledge.engineModel(entry.service).observeEventGap(perEventMs);
           }
+          if (count > 0) guarded.eventsReceived();
           eventCount += count;
           if (!callerResponse.started)
             callerResponse.start(response.status, response.headers);
@@ -302,6 +317,7 @@
     progress.mayHaveRun ||=
       result.kind === 'broken' || result.kind === 'answered';
     if (callerDisconnected || recorded) return;
+    guarded.attemptEnded(result);
     if (result.kind === 'misdirected')
       context.registry.addressReassigned(entry.id);
     else health.recordOutcome(outcomeOf(result), clock.nowMs());
@@ -359,6 +375,8 @@
     const budget = context.retryBudget(service);
     budget.recordRequest(clock.nowMs());
     while (!recorded && !callerDisconnected) {
+      const blocked = guarded.tryPass();
+      if (blocked !== undefined) return refuseBlocked(blocked);
       const choice = placement.choose(upstreams);
       if (choice === undefined) {
         const kind = progress.mayHaveRun ? 'upstream_failed' : 'no_upstream';
--- /dev/null
+++ b/packages/gateway/src/request/PromptGuard.ts
@@ -0,0 +1,193 @@
+/**
+ * Keeps requests away from upstreams that their prompt would crash. It tells the
+ * quarantine what happens to requests with a prompt, and logs its verdicts.
+ */
+import type {Clock, RandomSource} from '@toucanrouter/common';
+import type {Logger} from '@toucanrouter/logging';
+import type {
+  Conviction,
+  QuarantineReport,
+  SegmentHash,
+} from '@toucanrouter/policy';
+import {
+  createBoundedMap,
+  createPromptQuarantine,
+  requestHashOf,
+  segmentHashOf,
+  upstreamStartHashOf,
+} from '@toucanrouter/policy';
+import {createCrashDetector} from '../upstreams/CrashDetector.js';
+import type {Prompt} from '../upstreams/Prompt.js';
+import {sharedSegments} from '../upstreams/Prompt.js';
+import type {UpstreamEntry} from '../upstreams/UpstreamEntry.js';
+import type {ProbeResult} from '../upstreams/UpstreamProbe.js';
+import type {AttemptResult} from './Attempt.js';
+
+/** Options of a guard. */
+export interface PromptGuardOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly random: RandomSource;
+  readonly probe: (entry: UpstreamEntry) => Promise<ProbeResult>;
+  /** Returns whether this process of the upstream still takes new work. */
+  readonly isUsable: (entry: UpstreamEntry) => boolean;
+  /** There is something new to report to peers. */
+  readonly onNews: () => void;
+}
+
+/** A request that must not be sent. */
+export interface BlockedPrompt {
+  readonly segmentId: string;
+  /** Time until requests with the segment may be sent again. */
+  readonly remainingMs: number;
+}
+
+/** Guards the attempts of one request. */
+export interface GuardedRequest {
+  /** Returns why the next attempt must not be made, or undefined. */
+  tryPass(): BlockedPrompt | undefined;
+  attemptStarted(entry: UpstreamEntry): void;
+  /** Records events of a successful response to the current attempt. */
+  eventsReceived(): void;
+  attemptEnded(result: AttemptResult): void;
+}
+
+/** Guards the requests of an instance. */
+export interface PromptGuard {
+  guard(requestId: string, prompt: Prompt | undefined): GuardedRequest;
+  /** Returns what peers should know now; undefined if there is nothing. */
+  takeReport(): QuarantineReport | undefined;
+  receiveReport(report: QuarantineReport): void;
+  /** Returns the number of segments that are blocked now. */
+  blockedCount(): number;
+  /** Returns the number of upstreams that ended under requests. */
+  crashCount(): number;
+  close(): void;
+}
+
+/** Bounds the ids that are kept to name hashes in the log. */
+const maxNameCount = 1_024;
+const hexRadix = 16;
+const hashHexLength = 8;
+
+function isSuccess(result: AttemptResult): boolean {
+  if (result.kind === 'streamed') return true;
+  if (result.kind !== 'answered') return false;
+  const {status} = result.response;
+  return status >= 200 && status < 300;
+}
+
+const unguarded: GuardedRequest = {
+  tryPass: () => undefined,
+  attemptStarted: () => undefined,
+  eventsReceived: () => undefined,
+  attemptEnded: () => undefined,
+};
+
+/** Creates a guard that blocks nothing yet. */
+export function createPromptGuard(options: PromptGuardOptions): PromptGuard {
+  const {clock, logger} = options;
+  const names = createBoundedMap<number, string>(maxNameCount);
+
+  const nameOf = (hash: number) =>
+    names.get(hash) ?? hash.toString(hexRadix).padStart(hashHexLength, '0');
+
+  function logConviction(conviction: Conviction): void {
+    logger.warn('prompt segment quarantined', {
+      segment: nameOf(conviction.segment),
+      upstreams: conviction.upstreams.map(nameOf),
+      requests: conviction.requests.map(nameOf),
+      blockedMs: Math.round(conviction.durationMs),
+      reportedByPeer: conviction.adopted,
+    });
+  }
+
+  const quarantine = createPromptQuarantine({
+    random: options.random,
+    onConvicted: logConviction,
+    onCleared: (segment, reason) =>
+      logger.info('prompt segment cleared', {segment: nameOf(segment), reason}),
+    onExpired: segment =>
+      logger.info('prompt segment is no longer quarantined', {
+        segment: nameOf(segment),
+      }),
+    onNews: options.onNews,
+  });
+  const detector = createCrashDetector({
+    clock,
+    probe: options.probe,
+    isUsable: options.isUsable,
+    onCrash: crash => {
+      logger.info('upstream ended under waiting requests', {
+        upstream: nameOf(crash.upstream),
+        requests: crash.requests.map(({request}) => nameOf(request)),
+      });
+      quarantine.recordCrash(crash, clock.nowMs());
+    },
+  });
+
+  function createGuardedRequest(
+    requestId: string,
+    ids: readonly string[],
+  ): GuardedRequest {
+    const segments: readonly SegmentHash[] = ids.map(segmentHashOf);
+    let entry: UpstreamEntry | undefined;
+    let answered = false;
+
+    function recordAnswer(): void {
+      if (answered || entry === undefined) return;
+      answered = true;
+      quarantine.recordFirstEvent(
+        upstreamStartHashOf(entry.id, entry.startedAtMs),
+        segments,
+        clock.nowMs(),
+      );
+    }
+
+    function recordBroken(brokenEntry: UpstreamEntry): void {
+      const request = requestHashOf(requestId);
+      names.set(request, requestId);
+      names.set(
+        upstreamStartHashOf(brokenEntry.id, brokenEntry.startedAtMs),
+        brokenEntry.id,
+      );
+      ids.forEach((id, index) => names.set(segments[index] ?? 0, id));
+      detector.connectionBroke(brokenEntry, {request, segments});
+    }
+
+    return {
+      tryPass: () => {
+        const blocked = quarantine.tryPass(segments, clock.nowMs());
+        if (blocked === undefined) return undefined;
+        const {remainingMs, segment} = blocked;
+        const segmentId = ids[segments.indexOf(segment)] ?? nameOf(segment);
+        return {segmentId, remainingMs};
+      },
+      attemptStarted: started => {
+        entry = started;
+        answered = false;
+      },
+      eventsReceived: recordAnswer,
+      attemptEnded: result => {
+        if (isSuccess(result)) recordAnswer();
+        if (result.kind !== 'broken' || result.stalled === true) return;
+        if (!answered && entry !== undefined) recordBroken(entry);
+      },
+    };
+  }
+
+  return {
+    guard: (requestId, prompt) => {
+      const ids =
+        prompt === undefined ? [] : sharedSegments(prompt).map(({id}) => id);
+      return ids.length === 0
+        ? unguarded
+        : createGuardedRequest(requestId, ids);
+    },
+    takeReport: () => quarantine.takeReport(clock.nowMs()),
+    receiveReport: report => quarantine.receive(report, clock.nowMs()),
+    blockedCount: () => quarantine.blockedCount(clock.nowMs()),
+    crashCount: quarantine.crashCount,
+    close: detector.close,
+  };
+}
--- a/packages/gateway/src/server/GatewayMetrics.ts
+++ b/packages/gateway/src/server/GatewayMetrics.ts
@@ -12,6 +12,10 @@
   readonly requestsInProgress: () => number;
   readonly connectionsOpened: () => number;
   readonly storeConnected: () => boolean;
+  /** Upstreams that ended under requests. */
+  readonly crashCount: () => number;
+  /** Prompt segments that are blocked now. */
+  readonly quarantinedCount: () => number;
 }
 
 /** The metrics of a gateway. */
@@ -86,6 +90,16 @@
   gauge('toucanrouter_store_connected', '1 while the store answers', () =>
     Number(sources.storeConnected()),
   );
+  gauge(
+    'toucanrouter_upstream_crashes',
+    'Upstreams that ended under requests waiting for their first event',
+    sources.crashCount,
+  );
+  gauge(
+    'toucanrouter_prompt_segments_quarantined',
+    'Prompt segments whose requests are refused now',
+    sources.quarantinedCount,
+  );
   return {
     observe: ended => {
       const classLabel = ended.classId ?? noClassLabel;
