--- a/packages/gateway/src/request/Attempt.ts
+++ b/packages/gateway/src/request/Attempt.ts
@@ -105,6 +105,7 @@
   /** Id of the last event that was passed on. */
   lastEventId(): string | undefined;
   wasSent(): boolean;
+  wasCanceled(): boolean;
   cancel(reason: string): void;
 }
 
@@ -126,6 +127,7 @@
   let sent = false;
   let firstResponseRecorded = false;
   let finished = false;
+  let canceled = false;
   let resolveResult: (result: AttemptResult) => void = () => undefined;
   const result = new Promise<AttemptResult>(resolve => {
     resolveResult = resolve;
@@ -272,6 +274,10 @@
     result,
     lastEventId: splitter.lastEventId,
     wasSent: () => sent,
-    cancel: reason => abort({kind: 'broken', reason}, reason),
+    wasCanceled: () => canceled,
+    cancel: reason => {
+      canceled ||= !finished;
+      abort({kind: 'broken', reason}, reason);
+    },
   };
 }
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -23,6 +23,7 @@
 import {createCallerResponse} from './CallerResponse.js';
 import type {CallerRequest} from './Dialect.js';
 import type {GatewayContext} from './GatewayContext.js';
+import type {BlockedPrompt} from './PromptGuard.js';
 import type {RequestProgress} from './RetryDecision.js';
 import type {RequestPlacement} from './RequestPlacement.js';
 import {createRequestPlacement} from './RequestPlacement.js';
@@ -104,6 +105,7 @@
   let firstAnswerMs: number | undefined;
   let eventCount = 0;
   let longestPauseMs = 0;
+  let quarantinedSegment: string | undefined;
   let recorded = false;
   let callerDisconnected = false;
   let cancelTimeout = (): void => undefined;
@@ -116,6 +118,8 @@
     lastEventId: request.resumeAfterId,
   };
 
+  const guarded = context.promptGuard.guard(request.requestId, request.prompt);
+
   const remainingMs = () => deadlineMs - clock.nowMs();
 
   function record(
@@ -145,6 +149,7 @@
       configVersion: config.current()?.version ?? 0,
       configAgeMs: Math.round(configAge.ageMs()),
       reason,
+      quarantinedSegment,
     });
   }
 
@@ -171,6 +176,14 @@
     fail(kind, reason, delayMs);
   }
 
+  function refuseBlocked({remainingMs: blockedMs, segmentId}: BlockedPrompt) {
+    quarantinedSegment = segmentId;
+    const reason = `the prompt segment ${segmentId} crashes upstreams`;
+    if (callerResponse.started) abortResponse('answer_incomplete', reason);
+    else if (progress.mayHaveRun) fail('upstream_failed', reason);
+    else fail('prompt_quarantined', reason, blockedMs);
+  }
+
   function abortResponse(kind: ErrorKind, reason: string): void {
     callerResponse.abort();
     record(kind, 0, reason);
@@ -224,6 +237,7 @@
       },
     );
     if (decision.step !== 'repeat') return undefined;
+    if (guarded.tryPass() !== undefined) return undefined;
     const next = placement.choose(upstreams);
     if (next === undefined) return undefined;
     const {firstEventMs} = stallLimitsFor(admitted, stalled);
@@ -253,6 +267,7 @@
     const {entry, health} = choice.candidate;
     upstreams.push(entry.id);
     lastChoice = choice;
+    const guardedAttempt = guarded.startAttempt(entry);
     sentAtMs = clock.nowMs();
     const recordEnd = placement.recordSent(choice);
     let stallRecorded = route.retryPolicy === 'never';
@@ -287,7 +302,10 @@
         placement.recordFirstResponse(choice, observedMs),
       receiver: {
         events: (response, {bytes, count}, gapMs) => {
-          if (count > 0) observer.onProgress();
+          if (count > 0) {
+            observer.onProgress();
+            guardedAttempt.eventsReceived();
+          }
           firstAnswerMs ??= clock.nowMs() - arrivedAtMs;
           if (gapMs !== undefined) {
             const perEventMs = gapMs / count;
@@ -305,7 +323,10 @@
         onDrain: callerResponse.onDrain,
       },
     });
-    void attempt.result.then(recordEnd);
+    void attempt.result.then(result => {
+      recordEnd();
+      if (!attempt.wasCanceled()) guardedAttempt.ended(result);
+    });
     return attempt;
   }
 
@@ -390,6 +411,8 @@
     const budget = context.retryBudget(service);
     budget.recordRequest(clock.nowMs());
     while (!recorded && !callerDisconnected) {
+      const blocked = guarded.tryPass();
+      if (blocked !== undefined) return refuseBlocked(blocked);
       const choice = placement.choose(upstreams);
       if (choice === undefined) {
         const kind = progress.mayHaveRun ? 'upstream_failed' : 'no_upstream';
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,3 +1,5 @@
+export type {BoundedMap} from './BoundedMap.js';
+export {createBoundedMap} from './BoundedMap.js';
 export type {ClassifiedCall, ModelCall, ServiceCall} from './Classification.js';
 export {classify} from './Classification.js';
 export type {HedgeBudget, HedgeBudgetParameters} from './HedgeBudget.js';
@@ -7,6 +9,32 @@
 } from './HedgeBudget.js';
 export type {LengthModel} from './LengthModel.js';
 export {createLengthModel} from './LengthModel.js';
+export type {
+  BlockedSegment,
+  PromptQuarantine,
+  PromptQuarantineOptions,
+} from './PromptQuarantine.js';
+export {createPromptQuarantine} from './PromptQuarantine.js';
+export type {
+  ClearingReason,
+  Conviction,
+  QuarantineLimits,
+  QuarantineReport,
+  ReportedClearing,
+  ReportedCrash,
+  ReportedVerdict,
+  RequestHash,
+  SegmentHash,
+  UpstreamCrash,
+  UpstreamStartHash,
+  WaitingRequest,
+} from './PromptQuarantineTypes.js';
+export {
+  defaultQuarantineLimits,
+  requestHashOf,
+  segmentHashOf,
+  upstreamStartHashOf,
+} from './PromptQuarantineTypes.js';
 export type {
   AttemptEndReason,
   RecoveryDecision,
