Keep connections whose first request is yet to arrive during a planned stop

Callers' view: a caller that had just connected got a reset instead of an answer while an instance stopped.

--- a/packages/common/src/UnsentResponses.ts
+++ b/packages/common/src/UnsentResponses.ts
@@ -10,18 +10,26 @@
 interface Connection {
   /** Responses whose last byte was not handed to the operating system. */
   unsentResponses: number;
-  /** Bytes read when the latest response was sent; later ones are a request. */
-  bytesReadWhenIdle: number;
+  /**
+   * Bytes read when the latest response was sent; further ones are a request.
+   * Undefined before the first response: the caller opened the connection to
+   * send a request, which is on its way.
+   */
+  bytesReadWhenIdle: number | undefined;
 }
 
 /**
  * Makes `server.closeIdleConnections` and `server.close` spare connections with
- * a response that was not sent completely, or on which a request arrives.
+ * a response that was not sent completely, or on which a request arrives or is
+ * yet to arrive for the first time.
  */
 export function spareUnsentResponses(server: Server): void {
   const connections = new Map<Socket, Connection>();
   server.on('connection', (socket: Socket) => {
-    connections.set(socket, {unsentResponses: 0, bytesReadWhenIdle: 0});
+    connections.set(socket, {
+      unsentResponses: 0,
+      bytesReadWhenIdle: undefined,
+    });
     socket.once('close', () => connections.delete(socket));
   });
   server.prependListener('request', ({socket}, response) => {
