Test that a broken stream is never continued with another upstream's error

Other operators saw the text of an error, at times its whole head, in the middle of a stream that had begun on one upstream and was continued on the next. Here it does not happen: an error response ends the attempt without events, and the caller's response is cut off.

The test sends seven kinds of error from the second upstream over plain sockets (500, 400, refusals, another upstream's answer, a response without the stamp, no response at all) and finds the events of the first upstream only, and an incomplete response, each time.

The gateway of these tests moves to fixtures of its own, since its upstreams may now be plain sockets. No test of GatewayRequest changes.

--- a/packages/gateway/src/__tests__/unit/GatewayRequest.test.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayRequest.test.ts
@@ -1,131 +1,23 @@
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createServer, request as sendRequest} from 'node:http';
-import type {AddressInfo} from 'node:net';
-import {
-  createSeededRandom,
-  createSystemClock,
-  toInstanceId,
-} from '@toucanrouter/common';
-import {createLogger} from '@toucanrouter/logging';
-import {createRetryBudget} from '@toucanrouter/policy';
 import {expect} from 'chai';
-import {createActiveConfig} from '../../config/ActiveConfig.js';
-import {createConfigAge} from '../../config/ConfigAge.js';
 import type {GatewayRoute} from '../../config/GatewayConfig.js';
-import {shortIdOf} from '../../peers/ShortIds.js';
-import type {EndedRequest} from '../../request/EndedRequest.js';
-import type {GatewayContext} from '../../request/GatewayContext.js';
-import {createGatewayServer} from '../../server/GatewayServer.js';
-import {createUpstreamConnections} from '../../upstreams/UpstreamConnections.js';
-import {createUpstreamKnowledge} from '../../upstreams/UpstreamKnowledge.js';
-import {createUpstreamRegistry} from '../../upstreams/UpstreamRegistry.js';
-import {createConfig, createEntry, createRoute} from './GatewayFixtures.js';
-import {testDialect} from './TestDialect.js';
+import {
+  sendRequestTo,
+  startGateway as startGatewayServer,
+} from './GatewayServerFixtures.js';
 
-/** A dialect with header names that only this test uses. */
 type Handler = (message: IncomingMessage, response: ServerResponse) => void;
 
-async function startServer(server: Server): Promise<number> {
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
-  return (server.address() as AddressInfo).port;
-}
-
 /** Starts a gateway in front of one upstream for each handler. */
-async function startGateway(
+function startGateway(
   route: Partial<GatewayRoute>,
   handlers: readonly Handler[],
 ) {
-  const clock = createSystemClock();
-  const registry = createUpstreamRegistry({
-    clock,
-    onAdded: () => undefined,
-    onRemoved: () => undefined,
-  });
-  const upstreams = handlers.map(handler => createServer(handler));
-  for (const [index, upstream] of upstreams.entries()) {
-    const port = await startServer(upstream);
-    registry.put(createEntry(`u${index}`, {port}));
-  }
-  const config = createActiveConfig(() => undefined);
-  config.applyIfNewer(createConfig({routes: [createRoute(route)]}));
-  const configAge = createConfigAge(clock);
-  configAge.confirmed(configAge.mark());
-  const connections = createUpstreamConnections(clock);
-  const ended: EndedRequest[] = [];
-  const context: GatewayContext = {
-    clock,
-    logger: createLogger({
-      format: 'json',
-      level: 'error',
-      instanceId: toInstanceId('i'),
-      write: () => undefined,
-    }),
-    random: createSeededRandom(1),
-    dialect: testDialect,
-    failureDomain: 'a',
-    config,
-    configAge,
-    maxConfigAgeMs: () => 60_000,
-    confirmConfig: () => Promise.resolve(),
-    registry,
-    knowledge: createUpstreamKnowledge({clock, selfId: shortIdOf('i')}),
-    reportSoon: () => undefined,
-    connections,
-    retryBudget: () => createRetryBudget(),
-    isDraining: () => false,
-    onEnded: request => ended.push(request),
-  };
-  const gateway = createGatewayServer(context);
-  const port = await startServer(gateway.server);
-  return {
-    port,
-    ended,
-    close: async () => {
-      await connections.close();
-      for (const server of [gateway.server, ...upstreams]) {
-        server.closeAllConnections();
-        server.close();
-      }
-    },
-  };
-}
-
-interface CallerResponse {
-  readonly status: number;
-  readonly body: string;
-  readonly retryAfter: string | undefined;
-  readonly headers: IncomingMessage['headers'];
-  /** False when the connection closed before the end of the response. */
-  readonly complete: boolean;
-}
-
-function sendRequestTo(
-  port: number,
-  path = '/chat/x',
-  key = 'key',
-): Promise<CallerResponse> {
-  return new Promise((resolve, reject) => {
-    const headers = {id: 'r1', authorization: key};
-    const call = sendRequest(
-      {host: '127.0.0.1', port, path, method: 'POST', headers, agent: false},
-      response => {
-        let body = '';
-        response.on('data', chunk => (body += String(chunk)));
-        response.on('error', () => undefined);
-        response.on('close', () =>
-          resolve({
-            status: response.statusCode ?? 0,
-            body,
-            headers: response.headers,
-            retryAfter: response.headers['retry-after'],
-            complete: response.complete,
-          }),
-        );
-      },
-    );
-    call.on('error', reject);
-    call.end('body');
-  });
+  return startGatewayServer(
+    route,
+    handlers.map(handler => createServer(handler)),
+  );
 }
 
 /** Serves one request through a new gateway and closes it. */
--- a/packages/gateway/src/__tests__/unit/TestDialect.ts
+++ b/packages/gateway/src/__tests__/unit/TestDialect.ts
@@ -1,5 +1,7 @@
 import type {Dialect} from '../../request/Dialect.js';
 
+const passedOnHeaders = ['mark', 'content-length', 'content-type'];
+
 /** A wire format with short header names. */
 export const testDialect: Dialect = {
   readRequest: message => ({
@@ -27,6 +29,8 @@
     misdirected: status === 421,
     stamped: headers['mark'] !== undefined,
     contentEncoded: false,
-    headers: ['mark', String(headers['mark'] ?? '')],
+    headers: passedOnHeaders.flatMap(name =>
+      headers[name] === undefined ? [] : [name, String(headers[name])],
+    ),
   }),
 };
--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/UpstreamFaults.test.ts
@@ -0,0 +1,77 @@
+import type {Server, Socket} from 'node:net';
+import {createServer} from 'node:net';
+import {expect} from 'chai';
+import type {GatewayRoute} from '../../config/GatewayConfig.js';
+import {sendRequestTo, startGateway} from './GatewayServerFixtures.js';
+
+/** Writes the response to the request with the given number, from 1. */
+type Respond = (socket: Socket, requestNumber: number) => void;
+
+/** Creates an upstream that counts the requests of all its connections. */
+function createRawUpstream(respond: Respond): Server {
+  let requestCount = 0;
+  return createServer({noDelay: true}, socket => {
+    socket.on('error', () => undefined);
+    socket.on('data', data => {
+      if (!data.toString().startsWith('POST')) return;
+      requestCount += 1;
+      respond(socket, requestCount);
+    });
+  });
+}
+
+/** Creates two upstreams that count their requests together. */
+function createRawPair(respond: Respond): readonly Server[] {
+  let requestCount = 0;
+  const next = (socket: Socket) => respond(socket, ++requestCount);
+  return [createRawUpstream(next), createRawUpstream(next)];
+}
+
+const event = (id: number) => `id: ${id}\ndata: e${id}\n\n`;
+const eventStream = 'Content-Type: text/event-stream\r\n';
+const streamHead = `HTTP/1.1 200 OK\r\nid: r1\r\nmark: m\r\n${eventStream}\r\n`;
+const firstEvents = event(1) + event(2);
+
+/** Sends two events of a stream and closes the connection within the third. */
+function breakStream(socket: Socket): void {
+  socket.end(`${streamHead}${firstEvents}id: 3\nda`);
+}
+
+/** Serves one request through a new gateway and closes it. */
+async function serve(route: Partial<GatewayRoute>, respond: Respond) {
+  const gateway = await startGateway(route, createRawPair(respond));
+  const response = await sendRequestTo(gateway.port);
+  await gateway.close();
+  return response;
+}
+
+/** Resumes the stream that the first upstream broke with `response`. */
+function serveResumed(response: string) {
+  return serve({}, (socket, requestNumber) => {
+    if (requestNumber === 1) breakStream(socket);
+    else socket.end(response);
+  });
+}
+
+describe('upstream faults', () => {
+  // Guards against an upstream's error in the middle of a stream that has started.
+  it('breaks off a stream that another upstream continues with an error', async () => {
+    const heads = [
+      'HTTP/1.1 500 Error\r\nid: r1\r\nmark: m',
+      'HTTP/1.1 400 Bad\r\nid: r1\r\nmark: m',
+      'HTTP/1.1 400 Bad\r\nid: r1\r\nnot-run: 1',
+      'HTTP/1.1 503 Full\r\nid: r1\r\nnot-run: 1',
+      'HTTP/1.1 421 Other\r\nid: r1',
+      'HTTP/1.1 502 Bad',
+      'not a response',
+    ];
+    for (const head of heads) {
+      const response = await serveResumed(
+        `${head}\r\n${eventStream}Content-Length: 15\r\n\r\ndata: failure\n\n`,
+      );
+      expect(response.status).to.equal(200);
+      expect(response.body).to.equal(firstEvents);
+      expect(response.complete).to.equal(false);
+    }
+  });
+});
