Do not announce the length of an upstream's stream to its caller

Callers' view: a stream that began with a Content-Length, broke off and was resumed on another upstream was cut at the length of the first upstream, or ended as complete before its last event. The bytes beyond it are no part of a response and can spoil the next one on the connection.

Cause: the headers of the first upstream were passed on whole, but the events of the other one may differ from the missing ones in size.

Evidence: the test resumes with a comment between two events; the caller received a part of the fourth event before and receives all of it now.

Why it works: a stream is passed on in chunks, so its end is marked by the router alone, and only after the last attempt has ended as complete.

--- a/packages/gateway/src/__tests__/unit/UpstreamFaults.test.ts
+++ b/packages/gateway/src/__tests__/unit/UpstreamFaults.test.ts
@@ -31,6 +31,7 @@
 const eventStream = 'Content-Type: text/event-stream\r\n';
 const streamHead = `HTTP/1.1 200 OK\r\nid: r1\r\nmark: m\r\n${eventStream}\r\n`;
 const firstEvents = event(1) + event(2);
+const allEvents = firstEvents + event(3) + event(4);
 
 /** Sends two events of a stream and closes the connection within the third. */
 function breakStream(socket: Socket): void {
@@ -54,6 +55,22 @@
 }
 
 describe('upstream faults', () => {
+  // Guards against a resumed stream that exceeds the length its first upstream announced.
+  it('frames a stream on its own when the first upstream announced a length', async () => {
+    const response = await serve({}, (socket, requestNumber) => {
+      const comment = ': resumed\n';
+      if (requestNumber > 1) {
+        socket.end(`${streamHead}${event(3)}${comment}${event(4)}`);
+        return;
+      }
+      const length = `Content-Length: ${allEvents.length}\r\n`;
+      const head = streamHead.replace('\r\n', `\r\n${length}`);
+      socket.end(head + firstEvents);
+    });
+    expect(response.body.replace(': resumed\n', '')).to.equal(allEvents);
+    expect(response.complete).to.equal(true);
+  });
+
   // Guards against an upstream's error in the middle of a stream that has started.
   it('breaks off a stream that another upstream continues with an error', async () => {
     const heads = [
--- a/packages/gateway/src/request/CallerResponse.ts
+++ b/packages/gateway/src/request/CallerResponse.ts
@@ -11,6 +11,7 @@
 export interface CallerResponse {
   readonly started: boolean;
   send(status: number, headers: readonly string[], body: Buffer): void;
+  /** Starts a stream, whose length is not known in advance. */
   start(status: number, headers: readonly string[]): void;
   /** Writes a chunk; false under backpressure from the caller. */
   write(chunk: Buffer): boolean;
@@ -23,6 +24,18 @@
 
 const msPerSecond = 1_000;
 
+/**
+ * Returns the headers without the length that the first upstream announced. The
+ * rest of a stream may come from another upstream, whose events can differ in
+ * size.
+ */
+function withoutLength(headers: readonly string[]): string[] {
+  return headers.filter((_, index) => {
+    const name = headers[index - (index % 2)] ?? '';
+    return name.toLowerCase() !== 'content-length';
+  });
+}
+
 /** Options of a caller response. */
 export interface CallerResponseOptions {
   readonly response: ServerResponse;
@@ -55,7 +68,7 @@
       response.end(body);
     },
     start: (status, headers) => {
-      if (canStart()) writeHead(status, headers);
+      if (canStart()) writeHead(status, withoutLength(headers));
     },
     write: chunk => response.write(chunk),
     end: () => response.end(),
