Do not end a stream as complete with another upstream's document

Callers' view: a stream began, broke off, and the next upstream answered 200 with something else than an event stream, such as an empty document or the text of an error. The stream ended as complete without its last events, or with a part of that text as events.

Cause: on a streaming route each successful response was taken for a stream, whatever type it announced, and one without any event is a stream that has nothing left to send.

Evidence: the test continues a broken stream with an empty text, an error text and a text that holds an event; the first one ended as complete before. All three break the caller's stream off now.

Why it works: a response that announces another type is read whole. As the first response it is passed on as it is; after a stream has begun it cannot be passed on, and the stream is cut. A response that announces no type is taken for a stream as before.

--- a/packages/gateway/src/__tests__/unit/RetryDecision.test.ts
+++ b/packages/gateway/src/__tests__/unit/RetryDecision.test.ts
@@ -37,6 +37,7 @@
     notRun: false,
     misdirected: false,
     stamped: true,
+    mayBeEventStream: false,
     contentEncoded: false,
     headers: [],
   };
--- a/packages/gateway/src/__tests__/unit/TestDialect.ts
+++ b/packages/gateway/src/__tests__/unit/TestDialect.ts
@@ -28,6 +28,8 @@
     notRun: headers['not-run'] !== undefined,
     misdirected: status === 421,
     stamped: headers['mark'] !== undefined,
+    mayBeEventStream:
+      (headers['content-type'] ?? 'text/event-stream') === 'text/event-stream',
     contentEncoded: false,
     headers: passedOnHeaders.flatMap(name =>
       headers[name] === undefined ? [] : [name, String(headers[name])],
--- a/packages/gateway/src/__tests__/unit/UpstreamFaults.test.ts
+++ b/packages/gateway/src/__tests__/unit/UpstreamFaults.test.ts
@@ -71,6 +71,18 @@
     expect(response.complete).to.equal(true);
   });
 
+  // Guards against a broken stream that ends as complete with another upstream's error.
+  it('breaks off a stream that another upstream continues with no event stream', async () => {
+    const json =
+      'HTTP/1.1 200 OK\r\nid: r1\r\nmark: m\r\nContent-Type: text/plain';
+    for (const body of ['', 'internal error\n\n', `data\n\n${event(3)}`]) {
+      const head = `${json}\r\nContent-Length: ${body.length}\r\n\r\n`;
+      const response = await serveResumed(head + body);
+      expect(response.body).to.equal(firstEvents);
+      expect(response.complete).to.equal(false);
+    }
+  });
+
   // Guards against an upstream's error in the middle of a stream that has started.
   it('breaks off a stream that another upstream continues with an error', async () => {
     const heads = [
--- a/packages/gateway/src/request/Attempt.ts
+++ b/packages/gateway/src/request/Attempt.ts
@@ -92,7 +92,7 @@
   readonly target: string;
   readonly headers: string[];
   readonly body: Buffer;
-  /** True when a successful response is a stream of server-sent events. */
+  /** True when a successful response should be a stream of server-sent events. */
   readonly streams: boolean;
   /** Longest idle time of a connection that may carry the request. */
   readonly maxIdleMs: number;
@@ -267,7 +267,11 @@
           return;
         }
         response = head;
-        streaming = options.streams && status >= 200 && status < 300;
+        streaming =
+          options.streams &&
+          head.mayBeEventStream &&
+          status >= 200 &&
+          status < 300;
       },
       data: handleChunk,
       ended: handleEnd,
--- a/packages/gateway/src/request/Dialect.ts
+++ b/packages/gateway/src/request/Dialect.ts
@@ -46,6 +46,8 @@
   readonly misdirected: boolean;
   /** True when the response has the stamp that only upstreams set. */
   readonly stamped: boolean;
+  /** False when the head names a type other than server-sent events. */
+  readonly mayBeEventStream: boolean;
   /** True when the body has a content encoding. */
   readonly contentEncoded: boolean;
   /** Headers to pass on, as alternating names and values. */
