Do not pass on events that a resumed stream repeats

Callers' view: a stream broke off, and the upstream that should have continued it began again from its first event, or from the last one that the caller already had. Events came twice.

Cause: the router asked for the events after the last one, but took whatever came for them.

Evidence: the test resumes a stream after its second event with events from the first or the second one on; the caller received these twice before. Now it receives the first two events, and its stream is cut.

Why it works: ids of events increase within a stream, so the first event of a continuation must have a later id than the last event that was passed on. If it does not, the attempt ends without passing on any event and another upstream is tried as far as the route allows.

--- a/packages/gateway/src/__tests__/unit/UpstreamFaults.test.ts
+++ b/packages/gateway/src/__tests__/unit/UpstreamFaults.test.ts
@@ -103,4 +103,17 @@
       expect(response.complete).to.equal(false);
     }
   });
+
+  // Guards against events that a caller receives twice.
+  it('breaks off a stream that another upstream starts again', async () => {
+    for (const first of [1, 2]) {
+      const rest = [1, 2, 3, 4]
+        .slice(first - 1)
+        .map(event)
+        .join('');
+      const response = await serveResumed(streamHead + rest);
+      expect(response.body).to.equal(firstEvents);
+      expect(response.complete).to.equal(false);
+    }
+  });
 });
--- a/packages/gateway/src/request/Attempt.ts
+++ b/packages/gateway/src/request/Attempt.ts
@@ -94,6 +94,8 @@
   readonly body: Buffer;
   /** True when a successful response should be a stream of server-sent events. */
   readonly streams: boolean;
+  /** Id of the last event that the caller received from earlier attempts. */
+  readonly passedOnEventId: string | undefined;
   /** Longest idle time of a connection that may carry the request. */
   readonly maxIdleMs: number;
   readonly stallLimits: StallLimits;
@@ -126,7 +128,7 @@
   const {health, entry} = choice.candidate;
   const startedAtMs = clock.nowMs();
   const work = {promptTokens: choice.uncachedPromptTokens};
-  const splitter: EventSplitter = createEventSplitter();
+  const splitter: EventSplitter = createEventSplitter(options.passedOnEventId);
   const chunks: Buffer[] = [];
   let bufferedBytes = 0;
   let response: UpstreamResponse | undefined;
@@ -205,6 +207,11 @@
       return;
     }
     const completed = splitter.push(chunk);
+    if (splitter.repeatsEvents()) {
+      const reason = 'the stream repeats events of an earlier attempt';
+      abort({kind: 'broken', reason}, reason);
+      return;
+    }
     if (splitter.pendingBytes() > maxPendingEventBytes) {
       const reason = `an event exceeds ${maxPendingEventBytes} bytes`;
       abort({kind: 'broken', reason}, reason);
--- a/packages/gateway/src/request/EventSplitter.ts
+++ b/packages/gateway/src/request/EventSplitter.ts
@@ -15,6 +15,8 @@
 export interface EventSplitter {
   /** Adds bytes and returns the events that they complete. */
   push(chunk: Buffer): CompleteEvents | undefined;
+  /** True once an event came that the caller already has; it is not returned. */
+  repeatsEvents(): boolean;
   /** Number of buffered bytes of an incomplete event. */
   pendingBytes(): number;
   /** Id of the last complete event that has one. */
@@ -71,11 +73,36 @@
   return {end, eventEnd, count};
 }
 
-/** Creates a splitter for one stream. */
-export function createEventSplitter(): EventSplitter {
+function eventIds(bytes: Buffer): readonly string[] {
+  const matches = bytes.toString('latin1').matchAll(idLine);
+  return [...matches].map(([, id = '']) => id);
+}
+
+/** Returns whether an event follows another one; ids of events increase. */
+function isLaterId(id: string, previousId: string): boolean {
+  return id !== previousId && !(Number(id) < Number(previousId));
+}
+
+/**
+ * Creates a splitter for one stream. If the stream continues another one, its
+ * first event must follow the event `previousEventId`.
+ */
+export function createEventSplitter(previousEventId?: string): EventSplitter {
   let pending: Buffer = emptyBuffer;
   let lastEventId: string | undefined;
   let started = false;
+  let repeatsEvents = false;
+
+  function isRepeated(ids: readonly string[]): boolean {
+    const [firstId] = ids;
+    return (
+      previousEventId !== undefined &&
+      lastEventId === undefined &&
+      firstId !== undefined &&
+      !isLaterId(firstId, previousEventId)
+    );
+  }
+
   return {
     push: chunk => {
       const bytes =
@@ -88,11 +115,13 @@
       pending = bytes.subarray(completeEnd);
       if (completeEnd === 0) return undefined;
       const complete = bytes.subarray(0, completeEnd);
-      for (const match of complete.toString('latin1').matchAll(idLine)) {
-        lastEventId = match[1];
-      }
+      const ids = eventIds(complete);
+      repeatsEvents ||= isRepeated(ids);
+      if (repeatsEvents) return undefined;
+      lastEventId = ids.at(-1) ?? lastEventId;
       return {bytes: complete, count};
     },
+    repeatsEvents: () => repeatsEvents,
     pendingBytes: () => pending.length,
     lastEventId: () => lastEventId,
   };
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -252,6 +252,9 @@
       }),
       body,
       streams: route.streams,
+      passedOnEventId: progress.responseStarted
+        ? progress.lastEventId
+        : undefined,
       maxIdleMs:
         route.retryPolicy === 'never'
           ? maxIdleNonRetryableMs
