Do not take a second copy of a refusal for the refusal of a repeated request id

Callers' view: a caller used a request id again after a refusal. The upstream wrote its earlier refusal once more on the same connection while it ran the new request, and the caller was told 503, not run.

Cause: on a reused connection only the request id shows to which request a response belongs, and the id was the same.

Evidence: the test writes four forms of the second copy (503 and 421, with the id and without) on the connection of the first refusal, for a request with the same id and for one with another id. With the same id the copy was returned as 503 before. Such a request is now sent on another connection and is served. With another id the copy was distrusted already: 502, which promises nothing.

Why it works: a connection remembers the ids of requests that were answered with an error and carries no request with one of them. It is closed once it has 65 of them, so that the ids stay bounded and many refusals still share a connection.

--- a/packages/gateway/src/__tests__/unit/UpstreamConnections.test.ts
+++ b/packages/gateway/src/__tests__/unit/UpstreamConnections.test.ts
@@ -31,6 +31,7 @@
     let body = '';
     connections.send(
       {
+        requestId: 'r1',
         host: '127.0.0.1',
         port,
         method: 'GET',
--- a/packages/gateway/src/__tests__/unit/UpstreamFaults.test.ts
+++ b/packages/gateway/src/__tests__/unit/UpstreamFaults.test.ts
@@ -38,6 +38,14 @@
   socket.end(`${streamHead}${firstEvents}id: 3\nda`);
 }
 
+function emptyResponse(status: string, ...headers: string[]): string {
+  const lines = [...headers, 'Content-Length: 0', '', ''];
+  return [`HTTP/1.1 ${status}`, ...lines].join('\r\n');
+}
+
+/** A route whose requests may run only once. */
+const onceRoute: Partial<GatewayRoute> = {retryPolicy: 'never', streams: false};
+
 /** Serves one request through a new gateway and closes it. */
 async function serve(route: Partial<GatewayRoute>, respond: Respond) {
   const gateway = await startGateway(route, createRawPair(respond));
@@ -116,4 +124,36 @@
       expect(response.complete).to.equal(false);
     }
   });
+
+  // Guards against "not run" for a request that runs, after a second copy of an earlier refusal.
+  it('does not take a second copy of a refusal for the refusal of another request', async () => {
+    const refusal = emptyResponse('503 Full', 'id: r1', 'not-run: 1');
+    const copies = [
+      refusal,
+      emptyResponse('503 Full', 'not-run: 1'),
+      emptyResponse('421 Other', 'id: r1'),
+      emptyResponse('421 Other'),
+    ];
+    const served = emptyResponse('200 OK', 'id: r1', 'mark: m');
+    for (const copy of copies) {
+      const secondAnswers: number[] = [];
+      for (const secondId of ['r1', 'r2']) {
+        let firstSocket: Socket | undefined;
+        const upstream = createRawUpstream((socket, requestNumber) => {
+          firstSocket ??= socket;
+          if (requestNumber === 1) socket.write(refusal);
+          else socket.write(socket === firstSocket ? copy : served);
+        });
+        const gateway = await startGateway(onceRoute, [upstream]);
+        const send = (id: string) =>
+          sendRequestTo(gateway.port, '/chat/x', 'key', id);
+        expect((await send('r1')).status).to.equal(503);
+        secondAnswers.push((await send(secondId)).status);
+        await gateway.close();
+      }
+      // A request with an id of its own may have run; a repeated id is sent on
+      // another connection.
+      expect(secondAnswers).to.deep.equal([200, 502]);
+    }
+  });
 });
--- a/packages/gateway/src/request/Attempt.ts
+++ b/packages/gateway/src/request/Attempt.ts
@@ -254,6 +254,7 @@
   });
   const exchange: UpstreamExchange = connections.send(
     {
+      requestId: options.requestId,
       host: entry.host,
       port: entry.port,
       method: options.method,
--- a/packages/gateway/src/upstreams/UpstreamConnections.ts
+++ b/packages/gateway/src/upstreams/UpstreamConnections.ts
@@ -11,6 +11,8 @@
 
 /** A request to an upstream. */
 export interface UpstreamRequest {
+  /** Names the request in its response; callers may use an id again. */
+  readonly requestId: string;
   readonly host: string;
   readonly port: number;
   readonly method: string;
@@ -60,11 +62,19 @@
 /** Upper bound for the timeout in an upstream's `Keep-Alive` header. */
 const maxKeepAliveTimeoutMs = 10_000;
 const tcpKeepAliveDelayMs = 1_000;
+/** Bounds the ids to remember; a connection with more errors is closed. */
+const maxFailedRequestsPerConnection = 64;
+const minErrorStatus = 400;
 /** An upstream that sends more interim (1xx) responses has failed. */
 const maxInterimResponses = 16;
 
 interface Connection {
   readonly client: Client;
+  /**
+   * Ids of requests that were answered with an error. A second copy of such a
+   * response could pass for the response to a request with the same id.
+   */
+  readonly failedRequestIds: Set<string>;
   /** True once a request was completed on the connection. */
   reused: boolean;
   idleSinceMs: number;
@@ -179,6 +189,7 @@
         connect: (options, done) =>
           dial(connection, options, done as Parameters<typeof dial>[2]),
       }),
+      failedRequestIds: new Set(),
       reused: false,
       idleSinceMs: -Infinity,
       socketEnded: false,
@@ -193,20 +204,27 @@
     return connection;
   }
 
-  function acquire(address: string, maxIdleMs: number): Connection {
+  function acquire(address: string, request: UpstreamRequest): Connection {
     const list = idleByAddress.get(address) ?? [];
-    const minIdleSinceMs = clock.nowMs() - maxIdleMs;
+    const minIdleSinceMs = clock.nowMs() - request.maxIdleMs;
     // The most recently used connection is the least likely to be stale.
-    const newest = list.at(-1);
-    if (newest !== undefined && newest.idleSinceMs >= minIdleSinceMs) {
-      list.pop();
-      return newest;
+    for (let index = list.length - 1; index >= 0; index--) {
+      const connection = list[index];
+      if (connection === undefined) break;
+      if (connection.idleSinceMs < minIdleSinceMs) break;
+      if (connection.failedRequestIds.has(request.requestId)) continue;
+      list.splice(index, 1);
+      return connection;
     }
     return open(address);
   }
 
   function release(address: string, connection: Connection): void {
     if (connection.client.destroyed || connection.client.closed) return;
+    if (connection.failedRequestIds.size > maxFailedRequestsPerConnection) {
+      void connection.client.destroy();
+      return;
+    }
     connection.reused = true;
     connection.idleSinceMs = clock.nowMs();
     const list = idleByAddress.get(address) ?? [];
@@ -218,7 +236,7 @@
     opened: () => openedCount,
     send: (request, handler) => {
       const address = `${request.host}:${request.port}`;
-      const connection = acquire(address, request.maxIdleMs);
+      const connection = acquire(address, request);
       const {client} = connection;
       let controller: Dispatcher.DispatchController | undefined;
       let abortReason: string | undefined;
@@ -265,6 +283,9 @@
               return;
             }
             framing = framingOf(headers);
+            if (status >= minErrorStatus) {
+              connection.failedRequestIds.add(request.requestId);
+            }
             const raw = (started.rawHeaders ?? []) as readonly Buffer[];
             handler.started(
               status,
