Test that no response with a cut head, and no part of a second response, is used

One test cuts a head at every byte, after an interim response, with each way of framing the body, by a close and by a reset, on new and on reused connections: each attempt fails without a head. The other one writes each prefix of a second response, in one segment with the first response or while the connection is idle: the next request is sent on another connection.

--- a/packages/gateway/src/__tests__/unit/UpstreamConnections.test.ts
+++ b/packages/gateway/src/__tests__/unit/UpstreamConnections.test.ts
@@ -8,6 +8,8 @@
 interface Received {
   readonly outcome: 'ended' | 'failed';
   readonly body: string;
+  /** True if the head of the response was received. */
+  readonly started: boolean;
 }
 
 /** Starts an upstream that calls `respond` on the first data of a connection. */
@@ -29,6 +31,7 @@
   const {port} = server.address() as AddressInfo;
   return new Promise(resolve => {
     let body = '';
+    let started = false;
     connections.send(
       {
         requestId: 'r1',
@@ -42,12 +45,14 @@
       },
       {
         sent: () => undefined,
-        started: () => undefined,
+        started: () => {
+          started = true;
+        },
         data: chunk => {
           body += chunk.toString();
         },
-        ended: () => resolve({outcome: 'ended', body}),
-        failed: () => resolve({outcome: 'failed', body}),
+        ended: () => resolve({outcome: 'ended', body, started}),
+        failed: () => resolve({outcome: 'failed', body, started}),
       },
     );
   });
@@ -72,6 +77,44 @@
 const reset = (socket: Socket) => socket.resetAndDestroy();
 const head = 'HTTP/1.1 200 OK\r\nConnection: close\r\n';
 
+const served = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok';
+const endNow = (socket: Socket, text: string) => socket.end(text);
+const resetNow = (socket: Socket, text: string) =>
+  socket.write(text, () => socket.resetAndDestroy());
+
+/**
+ * Sends a request for each length up to `maxLength` to an upstream that writes
+ * that many bytes of `text` and closes, on a new or on a reused connection.
+ */
+async function sendCut(
+  text: string,
+  maxLength: number,
+  close: (socket: Socket, text: string) => void,
+  isReused: boolean,
+): Promise<readonly Received[]> {
+  let length = 0;
+  const server = createServer(socket => {
+    let first = isReused;
+    socket.on('error', () => undefined);
+    socket.on('data', data => {
+      if (!data.toString().startsWith('GET')) return;
+      if (first) socket.write(served);
+      else close(socket, text.slice(0, length));
+      first = false;
+    });
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const connections = createUpstreamConnections(createSystemClock());
+  const received: Received[] = [];
+  for (; length <= maxLength; length++) {
+    if (isReused) await send(connections, server);
+    received.push(await send(connections, server));
+  }
+  await connections.close();
+  server.close();
+  return received;
+}
+
 describe('UpstreamConnections', () => {
   it('fails a chunked response without its last chunk', async () => {
     const text = `${head}Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n`;
@@ -90,6 +133,7 @@
     expect(await sendToUpstream(text, end)).to.deep.equal({
       outcome: 'ended',
       body: 'abc',
+      started: true,
     });
     expect((await sendToUpstream(text, reset)).outcome).to.equal('failed');
   });
@@ -145,7 +189,11 @@
         expect(first.body).to.equal('a1');
         await new Promise(resolve => setTimeout(resolve, 40));
         const second = await send(connections, server);
-        expect(second).to.deep.equal({outcome: 'ended', body: 'b1'});
+        expect(second).to.deep.equal({
+          outcome: 'ended',
+          body: 'b1',
+          started: true,
+        });
         await connections.close();
         server.close();
       }
@@ -194,4 +242,55 @@
     await connections.close();
     server.close();
   });
+
+  // Guards against a response whose head was cut off but that counts as complete.
+  it('fails a response whose head is cut off at any byte', async () => {
+    const interim = 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n';
+    const framings = [
+      'Content-Length: 3\r\n',
+      'Transfer-Encoding: chunked\r\n',
+      'Connection: close\r\n',
+      '',
+    ];
+    for (const framing of framings) {
+      const text = `${interim}HTTP/1.1 200 OK\r\n${framing}X-A: b\r\n\r\n`;
+      const whole = text.length;
+      for (const close of [endNow, resetNow]) {
+        for (const reused of [false, true]) {
+          const received = await sendCut(text, whole - 1, close, reused);
+          const outcomes = received.map(({outcome}) => outcome);
+          expect(new Set(outcomes)).to.deep.equal(new Set(['failed']));
+          expect(received.every(({started}) => !started)).to.equal(true);
+        }
+      }
+    }
+  });
+
+  // Guards against bytes of an earlier response that reach the next request.
+  it('reuses no connection on which a part of a second response arrived', async () => {
+    const copy = 'HTTP/1.1 503 Full\r\nContent-Length: 1\r\n\r\nx';
+    for (let length = 1; length <= copy.length; length++) {
+      for (const isLate of [false, true]) {
+        const sockets = new Set<Socket>();
+        const server = await startUpstream(socket => {
+          sockets.add(socket);
+          if (sockets.size > 1) {
+            socket.write(served);
+            return;
+          }
+          const extra = copy.slice(0, length);
+          if (isLate) socket.write(served, () => socket.write(extra));
+          else socket.write(served + extra);
+        });
+        const connections = createUpstreamConnections(createSystemClock());
+        await send(connections, server);
+        await new Promise(resolve => setTimeout(resolve, 5));
+        const second = await send(connections, server);
+        expect(second).to.include({outcome: 'ended', body: 'ok'});
+        expect(sockets.size).to.equal(2);
+        await connections.close();
+        server.close();
+      }
+    }
+  });
 });
