Reset the connection of a broken response that only its end would delimit

Callers' view: a caller that speaks HTTP/1.0 gets its stream neither with a length nor in chunks. When the stream broke off it saw the same as at the end of a whole one.

Cause: a broken response was ended by closing the connection, which is how such a body ends.

Evidence: the test reads a broken stream over HTTP/1.0; it ended by a close before and ends by a reset now. In chunks the missing last chunk shows the same, so nothing changes there.

--- a/packages/gateway/src/__tests__/unit/UpstreamFaults.test.ts
+++ b/packages/gateway/src/__tests__/unit/UpstreamFaults.test.ts
@@ -1,5 +1,5 @@
 import type {Server, Socket} from 'node:net';
-import {createServer} from 'node:net';
+import {connect, createServer} from 'node:net';
 import {expect} from 'chai';
 import type {GatewayRoute} from '../../config/GatewayConfig.js';
 import {sendRequestTo, startGateway} from './GatewayServerFixtures.js';
@@ -156,4 +156,23 @@
       expect(secondAnswers).to.deep.equal([200, 502]);
     }
   });
+
+  // Guards against a broken stream that looks complete to an HTTP/1.0 caller.
+  it('resets the connection of a broken stream that only its end would delimit', async () => {
+    const gateway = await startGateway(
+      {retryPolicy: 'never'},
+      createRawPair(breakStream),
+    );
+    const ended = await new Promise<string>(resolve => {
+      const caller = connect(gateway.port, '127.0.0.1');
+      caller.resume();
+      caller.on('end', () => resolve('end'));
+      caller.on('error', () => resolve('reset'));
+      caller.write(
+        'POST /chat/x HTTP/1.0\r\nid: r1\r\nAuthorization: key\r\n\r\n',
+      );
+    });
+    await gateway.close();
+    expect(ended).to.equal('reset');
+  });
 });
--- a/packages/gateway/src/request/CallerResponse.ts
+++ b/packages/gateway/src/request/CallerResponse.ts
@@ -92,7 +92,13 @@
       writeHead(errorResponseFor(error.kind).status, headers);
       response.end(body);
     },
-    abort: () => response.destroy(),
+    abort: () => {
+      // Only a reset shows that a body without a length or chunks is incomplete.
+      if (response.headersSent && !response.chunkedEncoding) {
+        response.socket?.resetAndDestroy();
+      }
+      response.destroy();
+    },
     onDrain: run => response.once('drain', run),
   };
 }
