--- a/packages/gateway/src/__tests__/unit/TestDialect.ts
+++ b/packages/gateway/src/__tests__/unit/TestDialect.ts
@@ -1,5 +1,7 @@
 import type {Dialect} from '../../request/Dialect.js';
 
+const passedOnHeaders = ['mark', 'content-length', 'content-type'];
+
 /** A wire format with short header names. */
 export const testDialect: Dialect = {
   readRequest: message => ({
@@ -26,7 +28,11 @@
     notRun: headers['not-run'] !== undefined,
     misdirected: status === 421,
     stamped: headers['mark'] !== undefined,
+    mayBeEventStream:
+      (headers['content-type'] ?? 'text/event-stream') === 'text/event-stream',
     contentEncoded: false,
-    headers: ['mark', String(headers['mark'] ?? '')],
+    headers: passedOnHeaders.flatMap(name =>
+      headers[name] === undefined ? [] : [name, String(headers[name])],
+    ),
   }),
 };
