Give gateways under test ports that no connection can take

Cause: the test took its ports from the range from which the operating system also assigns the local ports of connections, of which this test opens hundreds.

The ports now lie below that range and are still checked first. What the test expects is unchanged.

--- a/packages/gateway/src/__tests__/unit/Gateway.test.ts
+++ b/packages/gateway/src/__tests__/unit/Gateway.test.ts
@@ -5,6 +5,7 @@
 import {createServer as createTcpServer} from 'node:net';
 import type {RandomSource} from '@toucanrouter/common';
 import {
+  createProcessRandom,
   createSeededRandom,
   createSystemClock,
   delay,
@@ -29,12 +30,23 @@
 /** Callers send their request within this time of opening a connection. */
 const maxUnusedMs = 250;
 
-async function freePort(): Promise<number> {
-  const server = createTcpServer();
-  await new Promise<void>(resolve => server.listen(0, host, resolve));
-  const {port} = server.address() as AddressInfo;
-  await new Promise(resolve => server.close(resolve));
-  return port;
+/** Below the ports that the operating system assigns to connections. */
+const minPort = 15_000;
+const maxPort = 30_000;
+
+/** Returns a port that no process uses, and that no connection can take. */
+async function freePort(random: RandomSource): Promise<number> {
+  for (;;) {
+    const port = minPort + Math.floor(random.next() * (maxPort - minPort));
+    const server = createTcpServer();
+    const isFree = await new Promise<boolean>(resolve => {
+      server.once('error', () => resolve(false));
+      server.listen(port, host, () => resolve(true));
+    });
+    if (!isFree) continue;
+    await new Promise(resolve => server.close(resolve));
+    return port;
+  }
 }
 
 /** Creates a store with one upstream and one route, which never changes. */
@@ -67,7 +79,8 @@
 }
 
 async function createSettings(): Promise<GatewaySettings> {
-  const address = async () => ({host, port: await freePort()});
+  const random = createProcessRandom();
+  const address = async () => ({host, port: await freePort(random)});
   return {
     instanceId: toInstanceId('i'),
     failureDomain: 'a',
