Do not report "not run" for a chat call that an engine failed while running it

Callers' view: an engine answered 500 or 502 in the middle of its work, no other engine could be tried, and the caller got 503 with the run status not_run.

Cause: each status but 200 was taken for a rejection before the run.

Evidence: the test has an engine answer with eleven statuses; 500, 502, 504 and 302 counted as rejections before. They end the attempt as broken now, which leads to another attempt as before, or to 502 with the run status unknown.

Why it works: only the statuses that say that a call is not accepted, 4xx and 503, are rejections.

A second test cuts the head of a response at every byte, by a close and by a reset: each such attempt ended as broken already.

--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/EngineAttempt.test.ts
@@ -0,0 +1,77 @@
+import type {AddressInfo, Socket} from 'node:net';
+import {createServer} from 'node:net';
+import {toRequestId} from '@toucanrouter/common';
+import {expect} from 'chai';
+import {ok} from 'neverthrow';
+import {Agent} from 'undici';
+import type {AttemptEnd} from '../../request/chat/EngineAttempt.js';
+import {runEngineAttempt} from '../../request/chat/EngineAttempt.js';
+
+/** Runs one attempt for each of `responses`, which an engine writes raw. */
+async function runAttempts(
+  responses: readonly string[],
+  close: (socket: Socket, text: string) => void,
+): Promise<readonly AttemptEnd[]> {
+  let text = '';
+  const server = createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => close(socket, text));
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const dispatcher = new Agent({pipelining: 1});
+  const ends: AttemptEnd[] = [];
+  for (text of responses) {
+    const end = await runEngineAttempt({
+      dispatcher,
+      address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+      requestId: toRequestId('r1'),
+      body: '{}',
+      lastEventId: undefined,
+      signal: new AbortController().signal,
+      onEvents: () => Promise.resolve(ok(undefined)),
+    });
+    ends.push(end);
+  }
+  await dispatcher.destroy();
+  server.close();
+  return ends;
+}
+
+const endNow = (socket: Socket, text: string) => socket.end(text);
+const resetNow = (socket: Socket, text: string) =>
+  socket.write(text, () => socket.resetAndDestroy());
+
+function emptyResponse(status: number): string {
+  return `HTTP/1.1 ${status} X\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`;
+}
+
+describe('EngineAttempt', () => {
+  // Guards against "not run" for a call that an engine failed while running it.
+  it('takes only statuses that an engine returns before a run for rejections', async () => {
+    const statuses = [400, 404, 410, 413, 422, 429, 503, 500, 502, 504, 302];
+    const ends = await runAttempts(statuses.map(emptyResponse), endNow);
+    const rejected = statuses.filter(
+      (_, index) => ends[index]?.kind === 'rejected',
+    );
+    expect(rejected).to.deep.equal([400, 404, 410, 413, 422, 429, 503]);
+    expect(ends.slice(7).map(({kind}) => kind)).to.deep.equal(
+      Array.from({length: 4}, () => 'broken'),
+    );
+  });
+
+  // Guards against a response whose head was cut off but that counts as complete.
+  it('ends as broken when the head of the response is cut off at any byte', async () => {
+    for (const framing of ['Connection: close', 'Content-Length: 0']) {
+      for (const status of [200, 503]) {
+        const text = `HTTP/1.1 ${status} X\r\n${framing}\r\nX-A: b\r\n\r\n`;
+        const cuts = Array.from(text, (_, length) => text.slice(0, length));
+        for (const close of [endNow, resetNow]) {
+          const ends = await runAttempts(cuts, close);
+          expect(new Set(ends.map(({kind}) => kind))).to.deep.equal(
+            new Set(['broken']),
+          );
+        }
+      }
+    }
+  });
+});
--- a/packages/daemon/src/request/chat/EngineAttempt.ts
+++ b/packages/daemon/src/request/chat/EngineAttempt.ts
@@ -45,6 +45,7 @@
 const engineIdleTimeoutMs = 20_000;
 
 const maxErrorBodyBytes = 64 * 1024;
+const serviceUnavailableStatus = 503;
 
 /** Runs one attempt to its end. */
 export async function runEngineAttempt(call: EngineCall): Promise<AttemptEnd> {
@@ -59,14 +60,25 @@
       headersTimeout: engineIdleTimeoutMs,
       bodyTimeout: engineIdleTimeoutMs,
     });
-    if (response.statusCode !== 200) return await readRejection(response);
-    return await readStream(response.body, call);
+    const {statusCode} = response;
+    if (isRejection(statusCode)) return await readRejection(response);
+    if (statusCode === 200) return await readStream(response.body, call);
+    await response.body.dump();
+    return {kind: 'broken', error: statusError(call, statusCode)};
   } catch (cause) {
     if (call.signal.aborted) return {kind: 'aborted'};
     return {kind: 'broken', error: connectionError(call, cause)};
   }
 }
 
+/**
+ * Returns whether an engine returns a status before it runs a call. Any other
+ * error status may come from an engine that failed during the run.
+ */
+function isRejection(status: number): boolean {
+  return (status >= 400 && status < 500) || status === serviceUnavailableStatus;
+}
+
 function toHeaders(call: EngineCall): Record<string, string> {
   const headers: Record<string, string> = {
     'content-type': 'application/json',
@@ -114,6 +126,11 @@
   };
 }
 
+function statusError(call: EngineCall, status: number): RouterError {
+  const message = `upstream ${call.address} returned status ${status}`;
+  return new RouterErrorClass('upstream_failed', message);
+}
+
 function connectionError(call: EngineCall, cause: unknown): RouterError {
   const reason = cause instanceof Error ? cause.message : String(cause);
   const message = `the connection to upstream ${call.address} failed: ${reason}`;
