Do not report "not run" for a chat call of which an earlier attempt may have run

Callers' view: a stream broke off and the engine that should have continued it answered 400, for example because it does not accept the received prefix. The stream ended with an error event that held the engine's text and said bad_request, not_run, although tokens had been received. The same status was possible when a competing attempt had been sent and the other one was rejected.

Cause: the error was made from the last attempt alone.

Without an earlier attempt nothing changes.

Why it works: the state of the call records whether any attempt, a competing one too, ended other than by a rejection.

--- a/packages/daemon/src/request/chat/ChatAttempt.ts
+++ b/packages/daemon/src/request/chat/ChatAttempt.ts
@@ -59,6 +59,7 @@
       return relayEvents(state, granted, events);
     },
   });
+  state.mayHaveRun ||= end.kind !== 'rejected';
   const preempted = abort.signal.reason === 'preempted';
   const kind = endKindOf(state, granted, end, preempted);
   permit.release(toJobEnd(state, kind));
--- a/packages/daemon/src/request/chat/ChatCall.ts
+++ b/packages/daemon/src/request/chat/ChatCall.ts
@@ -51,6 +51,7 @@
     faults: 0,
     tokensBeforeAttempt: 0,
     lastUpstreamId: undefined,
+    mayHaveRun: false,
     winner: undefined,
     hedgeRunning: false,
   };
@@ -64,7 +65,9 @@
     if (finished.end.kind === 'complete') return finishResponse(state);
     if (exchange.signal.aborted) return err(abortError(exchange, true));
     const decision = recover(state, finished);
-    if (decision.kind === 'fail') return err(toCallerError(decision, finished));
+    if (decision.kind === 'fail') {
+      return err(toCallerError(state, decision, finished));
+    }
     start = decision.kind === 'restart' ? 'fresh' : decision.kind;
   }
 }
--- a/packages/daemon/src/request/chat/ChatRecovery.ts
+++ b/packages/daemon/src/request/chat/ChatRecovery.ts
@@ -1,7 +1,7 @@
 /**
  * Recovery of a chat-completion call after an attempt that ended early.
  */
-import {RouterError} from '@toucanrouter/common';
+import {errorResponseFor, RouterError} from '@toucanrouter/common';
 import type {RecoveryDecision} from '@toucanrouter/policy';
 import {decideRecovery} from '@toucanrouter/policy';
 import {hasOtherUpstream} from '../UpstreamAccess.js';
@@ -70,11 +70,12 @@
 
 /** Returns the error of a call that is not retried. */
 export function toCallerError(
+  {mayHaveRun}: Pick<ChatState, 'mayHaveRun'>,
   decision: Extract<RecoveryDecision, {kind: 'fail'}>,
   finished: FinishedAttempt,
 ): RouterError {
   const {end} = finished;
-  if (end.kind === 'rejected' && isCallerError(end.status)) {
+  if (!mayHaveRun && end.kind === 'rejected' && isCallerError(end.status)) {
     const detail = end.body.toString('utf8');
     const message = `the engine refused the request: ${detail}`;
     return new RouterError('bad_request', message);
@@ -83,7 +84,9 @@
     end.kind === 'broken'
       ? end.error.message
       : 'the response ended before its end marker';
-  return new RouterError(decision.error, reason);
+  const claimsNotRun = errorResponseFor(decision.error).runStatus === 'not_run';
+  const kind = mayHaveRun && claimsNotRun ? 'upstream_failed' : decision.error;
+  return new RouterError(kind, reason);
 }
 
 function isCallerError(status: number): boolean {
--- a/packages/daemon/src/request/chat/ChatState.ts
+++ b/packages/daemon/src/request/chat/ChatState.ts
@@ -30,6 +30,8 @@
   /** Tokens received before the attempt in progress. */
   tokensBeforeAttempt: number;
   lastUpstreamId: UpstreamId | undefined;
+  /** True once an attempt ended other than by a rejection. */
+  mayHaveRun: boolean;
   /** The attempt that delivered events first; a competing one is discarded. */
   winner: GrantedUpstream | undefined;
   /** True once the hedge has a permit. */
