Do not return a truncated answer of a plain service whose connection was reset

Callers' view: a service answered with neither a length nor chunks, and its connection was reset before the end. The caller got status 200 and the part that had arrived, framed as whole. For a call with an idempotency key this part was also recorded as the outcome.

Cause: the HTTP client takes a reset for the end of such a body, and Node.js reports a reset that comes together with the last bytes as an ordinary end.

Evidence: the test resets the connection after a part of the body, late and at once, ten times each; with the client's own connections each part was returned as whole. All of these requests fail now, and a clean close still completes them. Cuts at every byte of a head, of a body with a length and of a body in chunks fail with both kinds of connection.

Why it works: the connections of the instance check the end by a write, which fails after a reset, before they report it, and report a reset by an error that the client cannot take for an end. A call that may not be repeated then ends as outcome_unknown.

--- a/packages/daemon/src/Instance.ts
+++ b/packages/daemon/src/Instance.ts
@@ -39,6 +39,7 @@
 import type {WorkspaceKeys} from './request/Authenticate.js';
 import {createWorkspaceKeys} from './request/Authenticate.js';
 import type {UpstreamAccess} from './request/UpstreamAccess.js';
+import {connectUpstream} from './request/UpstreamSocket.js';
 import {dispatchSchedulingMessage} from './scheduling/RemoteSchedulerPort.js';
 import type {Scheduling} from './scheduling/Scheduling.js';
 import {createScheduling} from './scheduling/Scheduling.js';
@@ -111,6 +112,7 @@
     levels: recorder.snapshot,
   });
   const dispatcher = new Agent({
+    connect: connectUpstream,
     pipelining: 1,
     keepAliveTimeout: idleConnectionTimeoutMs,
   });
