Treat a malformed chunk of an engine as an invalid response

Callers' view: when an engine had sent a chunk that is not valid JSON, or has no choices, the call ended with the error "internal" instead of being resumed on the same engine or ended as incomplete, and a document was answered with status 500 "internal".

Cause: the transcript stores chunks as text and parses them when a prefix or a document is needed. Parsing threw there, outside of the attempt that reports faults of engines as values.

Change: a response with such a chunk has no prefix, and its document is an error like that of any other invalid response.

Evidence: the test failed before with the SyntaxError of JSON.parse.

--- a/packages/daemon/src/__tests__/unit/Transcript.test.ts
+++ b/packages/daemon/src/__tests__/unit/Transcript.test.ts
@@ -176,6 +176,22 @@
     expect(transcript.toCompletion().isErr()).to.equal(true);
   });
 
+  // Guards against a call that fails as an internal error because an engine sent a malformed chunk.
+  it('offers neither a prefix nor a document of a response with a malformed chunk', () => {
+    const malformed = [
+      `{"id":"${responseId}","choices":[{`,
+      JSON.stringify({id: responseId}),
+    ];
+    for (const data of malformed) {
+      const transcript = createTranscript(responseId, false);
+      transcript.begin('fresh');
+      feed(transcript, formatEvent({id: 0, data}));
+      feed(transcript, formatEvent({id: 1, data: chunk({}, 'stop')}));
+      expect(transcript.prefix()).to.equal(undefined);
+      expect(transcript.toCompletion().isErr()).to.equal(true);
+    }
+  });
+
   it('merges the deltas of tool calls, and offers no prefix, as text cannot continue a tool call', () => {
     const call = (args: string, name?: string) =>
       chunk(
--- a/packages/daemon/src/request/chat/Transcript.ts
+++ b/packages/daemon/src/request/chat/Transcript.ts
@@ -212,10 +212,17 @@
     storedChunks.push(data);
   }
 
-  function joinText(): string {
-    return storedChunks
-      .map(data => (JSON.parse(data) as Chunk).choices[0]?.delta?.content ?? '')
-      .join('');
+  /** Parses the stored chunks; returns undefined if one is malformed. */
+  function parseChunks(): Chunk[] | undefined {
+    const chunks = storedChunks.map(parseChunk);
+    return chunks.every(chunk => chunk !== undefined) ? chunks : undefined;
+  }
+
+  function prefix(): ReceivedPrefix | undefined {
+    const chunks = continuable ? parseChunks() : undefined;
+    if (chunks === undefined) return undefined;
+    const text = chunks.map(chunk => chunk.choices[0]?.delta?.content ?? '');
+    return {text: text.join(''), tokens};
   }
 
   function toCompletion(): Result<string, RouterError> {
@@ -224,7 +231,8 @@
         invalidError(`it exceeds ${maxStoredChars} characters; stream it`),
       );
     }
-    const chunks = storedChunks.map(data => JSON.parse(data) as Chunk & object);
+    const chunks = parseChunks();
+    if (chunks === undefined) return err(invalidError('a chunk is malformed'));
     const last = chunks[chunks.length - 1];
     const finishReason = chunks
       .map(chunk => chunk.choices[0]?.finish_reason)
@@ -256,11 +264,20 @@
     },
     begin,
     receive,
-    prefix: () => (continuable ? {text: joinText(), tokens} : undefined),
+    prefix,
     toCompletion,
   };
 }
 
+function parseChunk(data: string): Chunk | undefined {
+  try {
+    const chunk = JSON.parse(data) as Partial<Chunk> | null;
+    return Array.isArray(chunk?.choices) ? (chunk as Chunk) : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
 /** Merges the deltas of all chunks into one message. */
 function mergeDeltas(chunks: readonly Chunk[]): object {
   const deltas = chunks.map(chunk => chunk.choices[0]?.delta ?? {});
