Keep a stream on a suspect upstream until another one has granted a slot

Callers' view: an engine fell silent for a moment or was slow, and the stream of a chat completion stood still without end or was ended with an error, although the engine was about to go on.

Cause: the call gave up its running attempt as soon as the scheduler reported the upstream as suspect, excluded the upstream, and only then asked for a permit elsewhere. With no other upstream in service it ended with an error. With all others full it waited until the caller left. A response that no other engine can continue, such as a call of a tool, was broken off.

Change: the permit is requested first, as a hedge, within the hedge budget and beside the running attempt. The attempt is ended only when the permit has been granted, and the next attempt uses that permit. If the upstream goes on and completes, breaks off or is preempted, the request is withdrawn, and a permit whose grant crosses the withdrawal is released unused. A response that cannot be continued elsewhere stays where it is. The reserved budget of a move that does not take place is returned, so that a later notification can try again.

--- a/packages/daemon/src/request/chat/ChatCall.ts
+++ b/packages/daemon/src/request/chat/ChatCall.ts
@@ -53,8 +53,20 @@
     lastUpstreamId: undefined,
     winner: undefined,
     hedgeRunning: false,
+    reserved: undefined,
   };
   access.retryBudget.recordRequest(access.clock.nowMs());
+  try {
+    return await runAttempts(state);
+  } finally {
+    state.reserved?.permit.release({outcome: 'unused', wastedTokens: 0});
+  }
+}
+
+async function runAttempts(
+  state: ChatState,
+): Promise<Result<void, RouterError>> {
+  const {exchange} = state;
   let start: AttemptStart = 'fresh';
   for (;;) {
     const granted = await acquireAttempt(state, start);
@@ -73,7 +85,9 @@
   state: ChatState,
   start: AttemptStart,
 ): Promise<Result<GrantedUpstream, RouterError>> {
-  const {access, exchange, transcript} = state;
+  const {access, exchange, reserved, transcript} = state;
+  state.reserved = undefined;
+  if (reserved !== undefined) return ok(reserved);
   for (;;) {
     const started = transcript.tokens > 0;
     const granted = await acquireUpstream(access, exchange, state.shardId, {
@@ -115,16 +129,27 @@
   state.hedgeRunning = false;
   const abort = new AbortController();
   let hedge: Promise<FinishedAttempt | undefined> | undefined;
+  let move: Promise<void> | undefined;
   const hedgeAbort = new AbortController();
   granted.permit.onSuspect = () => {
-    if (hedge !== undefined || !classOf(state.exchange).idempotent) return;
-    if (!state.access.hedgeBudget.tryHedge(hedgeCost(state))) return;
-    if (state.transcript.tokens > 0) moveToOtherUpstream(state, granted, abort);
-    else hedge = runHedge(state, granted, hedgeAbort, () => abort.abort());
+    if (hedge !== undefined || move !== undefined) return;
+    if (!classOf(state.exchange).idempotent) return;
+    if (state.transcript.tokens > 0) {
+      // A later notification may find a free slot or more budget.
+      move = moveToOtherUpstream(
+        state,
+        granted,
+        abort,
+        hedgeAbort.signal,
+      ).finally(() => (move = undefined));
+    } else if (state.access.hedgeBudget.tryHedge(hedgeCost(state))) {
+      hedge = runHedge(state, granted, hedgeAbort, () => abort.abort());
+    }
   };
   const first = await runAttempt(state, granted, start, abort);
   // A hedge that still waits for a permit would delay the next attempt.
   if (first.end.kind === 'complete' || !state.hedgeRunning) hedgeAbort.abort();
+  await move;
   const second = await hedge;
   if (first.end.kind === 'complete' || second === undefined) return first;
   return state.winner === second.granted ? second : first;
@@ -139,13 +164,50 @@
   return Math.ceil(tokens * promptTokenCostFactor);
 }
 
-function moveToOtherUpstream(
+/**
+ * Moves a call whose stream has begun once another upstream has a slot for it.
+ * Until then the running attempt goes on, because its upstream may only pause.
+ */
+async function moveToOtherUpstream(
   state: ChatState,
-  granted: GrantedUpstream,
+  running: GrantedUpstream,
   abort: AbortController,
-): void {
-  state.excluded.add(granted.upstream.id);
-  abort.abort('preempted');
+  withdrawn: AbortSignal,
+): Promise<void> {
+  const {access, exchange, request, transcript} = state;
+  const cost = hedgeCost(state);
+  if (abort.signal.aborted || !canContinueElsewhere(state)) return;
+  if (!access.hedgeBudget.tryHedge(cost)) return;
+  const signal = AbortSignal.any([exchange.signal, abort.signal, withdrawn]);
+  const granted = await acquireUpstream(
+    access,
+    exchange,
+    state.shardId,
+    {
+      attempt: ++state.permitsRequested,
+      hedge: true,
+      exclude: [...state.excluded, running.upstream.id],
+      promptTokens: request.promptTokens + transcript.tokens,
+      prefixHash: request.prefixHash,
+      resume: {upstreamId: running.upstream.id, tokens: transcript.tokens},
+      deadlineAtMs: access.clock.nowMs() + startedPermitTimeoutMs,
+    },
+    signal,
+  );
+  if (granted.isOk() && !signal.aborted && canContinueElsewhere(state)) {
+    state.reserved = granted.value;
+    state.excluded.add(running.upstream.id);
+    abort.abort('preempted');
+    return;
+  }
+  access.hedgeBudget.adjustReservation(cost, 0);
+  if (granted.isErr()) return;
+  granted.value.permit.release({outcome: 'unused', wastedTokens: 0});
+}
+
+/** Returns whether another upstream can serve the rest, or the call afresh. */
+function canContinueElsewhere({exchange, transcript}: ChatState): boolean {
+  return !exchange.response.started || transcript.prefix() !== undefined;
 }
 
 async function runHedge(
--- a/packages/daemon/src/request/chat/ChatRecovery.ts
+++ b/packages/daemon/src/request/chat/ChatRecovery.ts
@@ -43,7 +43,9 @@
         currentUpstream !== undefined && !state.excluded.has(upstreamId),
       resumeFailed: finished.start === 'resume' && !preempted,
       continuable: transcript.prefix() !== undefined,
-      otherUpstreamUsable: hasOtherUpstream(access, state.shardId, upstreamId),
+      otherUpstreamUsable:
+        state.reserved !== undefined ||
+        hasOtherUpstream(access, state.shardId, upstreamId),
     },
     () => access.retryBudget.tryRetry(nowMs),
   );
--- a/packages/daemon/src/request/chat/ChatState.ts
+++ b/packages/daemon/src/request/chat/ChatState.ts
@@ -34,4 +34,6 @@
   winner: GrantedUpstream | undefined;
   /** True once the hedge has a permit. */
   hedgeRunning: boolean;
+  /** Permit of the upstream that the call moves to. */
+  reserved: GrantedUpstream | undefined;
 }
