End a request whose caller left before its body was read

Operators' view: after callers had disconnected while their requests waited for a confirmation of the configuration, requests in progress were counted that no longer existed, and a planned stop waited for them until the end of its grace period.

Cause: the body is read after the admission, which may wait for the store. If the connection closed meanwhile, its message had been destroyed already. Its events do not come again, so the read never ended.

Change: reading the body of a destroyed message fails at once. The outcome has been recorded as canceled by then.

Evidence: the test failed before with one request still in progress, 100 ms after the admission had ended, for a caller that had sent a part of its body. It also covers a body that was sent completely and not yet read.

--- a/packages/gateway/src/__tests__/unit/GatewayRequest.test.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayRequest.test.ts
@@ -4,6 +4,7 @@
 import {
   createSeededRandom,
   createSystemClock,
+  delay,
   toInstanceId,
 } from '@toucanrouter/common';
 import {createLogger} from '@toucanrouter/logging';
@@ -34,6 +35,7 @@
 async function startGateway(
   route: Partial<GatewayRoute>,
   handlers: readonly Handler[],
+  changes: Partial<GatewayContext> = {},
 ) {
   const clock = createSystemClock();
   const registry = createUpstreamRegistry({
@@ -74,12 +76,14 @@
     retryBudget: () => createRetryBudget(),
     isDraining: () => false,
     onEnded: request => ended.push(request),
+    ...changes,
   };
   const gateway = createGatewayServer(context);
   const port = await startServer(gateway.server);
   return {
     port,
     ended,
+    inProgress: gateway.inProgress,
     close: async () => {
       await connections.close();
       for (const server of [gateway.server, ...upstreams]) {
@@ -430,6 +434,33 @@
     expect(performance.now() - startedAtMs).to.be.below(2_000);
   });
 
+  // Guards against a stop that waits for a request whose caller has left.
+  it('ends a request whose caller leaves before its body is read', async () => {
+    const confirmMs = 200;
+    for (const sentBytes of [1, 4]) {
+      const gateway = await startGateway({anonymous: true}, [streamFrom(4)], {
+        maxConfigAgeMs: () => -1,
+        confirmConfig: () => delay(createSystemClock(), confirmMs),
+      });
+      const message = sendRequest({
+        host: '127.0.0.1',
+        port: gateway.port,
+        path: '/chat/x',
+        method: 'POST',
+        headers: {id: 'r1', 'content-length': 4},
+      });
+      message.on('error', () => undefined);
+      message.write('body'.slice(0, sentBytes));
+      await delay(createSystemClock(), confirmMs / 2);
+      const before = gateway.inProgress();
+      message.destroy();
+      await delay(createSystemClock(), confirmMs);
+      const after = gateway.inProgress();
+      await gateway.close();
+      expect({before, after}).to.deep.equal({before: 1, after: 0});
+    }
+  });
+
   it('responds at the timeout of the class when the upstream does not', async () => {
     const {response, ended} = await serve(
       {retryPolicy: 'never', streams: false, timeoutMs: 150},
--- a/packages/gateway/src/request/CallerBody.ts
+++ b/packages/gateway/src/request/CallerBody.ts
@@ -19,6 +19,10 @@
     let bytes = 0;
     const finish = () => resolve(ok(Buffer.concat(chunks)));
     if (message.complete && message.readableLength === 0) return finish();
+    const fail = (reason: string) =>
+      resolve(err(new RouterError('bad_request', reason)));
+    // The events of a connection that has closed already do not come again.
+    if (message.destroyed) return fail('the caller closed the connection');
     message.on('data', (chunk: Buffer) => {
       bytes += chunk.length;
       if (bytes <= maxBodyBytes) {
@@ -30,8 +34,6 @@
       resolve(err(new RouterError('body_too_large', reason)));
     });
     message.once('end', finish);
-    message.once('error', error =>
-      resolve(err(new RouterError('bad_request', error.message))),
-    );
+    message.once('error', error => fail(error.message));
   });
 }
