--- a/packages/gateway/src/__tests__/unit/GatewayRequest.test.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayRequest.test.ts
@@ -1,7 +1,9 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createServer, request as sendRequest} from 'node:http';
+import {createSystemClock, delay} from '@toucanrouter/common';
 import {expect} from 'chai';
 import type {GatewayRoute} from '../../config/GatewayConfig.js';
+import type {GatewayContext} from '../../request/GatewayContext.js';
 import {
   sendRequestTo,
   startGateway as startGatewayServer,
@@ -13,10 +15,12 @@
 function startGateway(
   route: Partial<GatewayRoute>,
   handlers: readonly Handler[],
+  changes: Partial<GatewayContext> = {},
 ) {
   return startGatewayServer(
     route,
     handlers.map(handler => createServer(handler)),
+    changes,
   );
 }
 
@@ -322,6 +326,33 @@
     expect(performance.now() - startedAtMs).to.be.below(2_000);
   });
 
+  // Guards against a stop that waits for a request whose caller has left.
+  it('ends a request whose caller leaves before its body is read', async () => {
+    const confirmMs = 200;
+    for (const sentBytes of [1, 4]) {
+      const gateway = await startGateway({anonymous: true}, [streamFrom(4)], {
+        maxConfigAgeMs: () => -1,
+        confirmConfig: () => delay(createSystemClock(), confirmMs),
+      });
+      const message = sendRequest({
+        host: '127.0.0.1',
+        port: gateway.port,
+        path: '/chat/x',
+        method: 'POST',
+        headers: {id: 'r1', 'content-length': 4},
+      });
+      message.on('error', () => undefined);
+      message.write('body'.slice(0, sentBytes));
+      await delay(createSystemClock(), confirmMs / 2);
+      const before = gateway.inProgress();
+      message.destroy();
+      await delay(createSystemClock(), confirmMs);
+      const after = gateway.inProgress();
+      await gateway.close();
+      expect({before, after}).to.deep.equal({before: 1, after: 0});
+    }
+  });
+
   it('responds at the timeout of the class when the upstream does not', async () => {
     const {response, ended} = await serve(
       {retryPolicy: 'never', streams: false, timeoutMs: 150},
--- a/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
@@ -34,6 +34,7 @@
 export async function startGateway(
   route: Partial<GatewayRoute>,
   upstreams: readonly Server[],
+  changes: Partial<GatewayContext> = {},
 ) {
   const clock = createSystemClock();
   const registry = createUpstreamRegistry({
@@ -83,12 +84,14 @@
     retryBudget: () => createRetryBudget(),
     isDraining: () => false,
     onEnded: request => ended.push(request),
+    ...changes,
   };
   const gateway = createGatewayServer(context);
   const port = await startServer(gateway.server);
   return {
     port,
     ended,
+    inProgress: gateway.inProgress,
     close: async () => {
       await connections.close();
       gateway.server.closeAllConnections();
