Let the engine stand-in crash when it begins to answer a given text

No test could show what one prompt that ends each engine does to a fleet: the fault switches end an engine at once, or cut a number of streams whatever they answer. The switch `crashOnText` ends the engine in place of the first event of each answer to a prompt that contains the text, and of no other.

--- a/packages/standins/src/__tests__/unit/EngineStandIn.test.ts
+++ b/packages/standins/src/__tests__/unit/EngineStandIn.test.ts
@@ -126,6 +126,21 @@
     expect(order.indexOf('high')).to.be.lessThan(order.indexOf('low'));
   });
 
+  it('crashes in place of the first token of a prompt with the text of the fault, and of no other', async () => {
+    engine.switch({crashOnText: 'collar'});
+    expect(await send(engine, bodyOf(3))).to.include({done: true});
+    const messages = [
+      {role: 'system', content: 'measure the collar'},
+      {role: 'user', content: lengthMarker(3)},
+    ];
+    const crashed = await send(engine, bodyOf(3, {messages}));
+    expect(crashed).to.include({broken: true, text: ''});
+    const refused = await send(engine, bodyOf(3)).catch(
+      (error: NodeJS.ErrnoException) => error.code,
+    );
+    expect(refused).to.equal('ECONNREFUSED');
+  });
+
   it('ends truncated streams cleanly but without the end marker', async () => {
     engine.switch({truncateStreams: {count: 1, afterTokens: 3}});
     const response = await send(engine, bodyOf(12));
--- a/packages/standins/src/engine/EngineRun.ts
+++ b/packages/standins/src/engine/EngineRun.ts
@@ -45,12 +45,16 @@
   text(): string;
 }
 
-/** Creates a run that has not generated any token. */
+/**
+ * Creates a run that has not generated any token. If `crash` is defined, the run
+ * sends no event and calls it in place of the first token.
+ */
 export function createEngineRun(
   requestId: string,
   plan: ChatPlan,
   format: ChatFormat,
   journal: RunJournal<EngineRunRecord>,
+  crash: (() => void) | undefined,
 ): EngineRun {
   const texts: string[] = [];
   const events: {text: string; tokens: number}[] = [];
@@ -100,9 +104,14 @@
     onStart: () => {
       record.started = true;
       journal.write(record);
-      if (events.length === 0) emit(format.role(), 0);
+      const isFirstStart = events.length === 0;
+      if (isFirstStart && crash === undefined) emit(format.role(), 0);
     },
     onToken: () => {
+      if (crash !== undefined) {
+        crash();
+        return true;
+      }
       const total = plan.endToken - plan.from.tokenIndex;
       if (texts.length < total) generate();
       if (texts.length < total) return false;
--- a/packages/standins/src/engine/EngineRuns.ts
+++ b/packages/standins/src/engine/EngineRuns.ts
@@ -32,13 +32,14 @@
 const charsPerToken = 4;
 const millisecondsPerSecond = 1000;
 
-/** Creates the registry of an engine's runs. */
+/** Creates the registry of an engine's runs. `crash` ends the engine. */
 export function createEngineRuns(
   clock: Clock,
   profile: EngineProfile,
   switches: EngineSwitches,
   batch: EngineBatch,
   journal: RunJournal<EngineRunRecord>,
+  crash: () => void,
 ): EngineRuns {
   const cache = createPrefixCache(profile.cacheBlocks);
   const resumableRuns = new Map<string, EngineRun>();
@@ -62,6 +63,11 @@
     );
   }
 
+  function crashesOn({promptText}: ChatPlan): boolean {
+    const {crashOnText} = switches;
+    return crashOnText !== '' && promptText.includes(crashOnText);
+  }
+
   function track(run: EngineRun): void {
     resumableRuns.set(run.record.requestId, run);
     records.push(run.record);
@@ -74,7 +80,13 @@
         clock.wallMs() / millisecondsPerSecond,
       );
       const format = createChatFormat(requestId, plan, createdAtSeconds);
-      const run = createEngineRun(requestId, plan, format, journal);
+      const run = createEngineRun(
+        requestId,
+        plan,
+        format,
+        journal,
+        crashesOn(plan) ? crash : undefined,
+      );
       const cachedTokens =
         cache.matchAndInsert(plan.promptText) / charsPerToken;
       run.prefillTokens = Math.max(0, plan.promptTokens - cachedTokens);
--- a/packages/standins/src/engine/EngineStandIn.ts
+++ b/packages/standins/src/engine/EngineStandIn.ts
@@ -76,7 +76,14 @@
   const batch = createEngineBatch(clock, profile, switches);
   const earlierRuns = readRunJournal<EngineRunRecord>(options.runsFile);
   const journal = createRunJournal<EngineRunRecord>(options.runsFile);
-  const runs = createEngineRuns(clock, profile, switches, batch, journal);
+  const runs = createEngineRuns(
+    clock,
+    profile,
+    switches,
+    batch,
+    journal,
+    options.onCrash ?? crash,
+  );
   const loadReport = createLoadReport(clock, profile, batch);
   const server = createServer((request, response) => {
     void handle(request, response);
--- a/packages/standins/src/engine/EngineSwitches.ts
+++ b/packages/standins/src/engine/EngineSwitches.ts
@@ -16,6 +16,11 @@
   slowFactor: z.number().positive().optional(),
   /** Crashes immediately, without a response. */
   crash: z.literal(true).optional(),
+  /**
+   * Crashes in place of the first token of a prompt that contains this text; an
+   * empty text ends the fault.
+   */
+  crashOnText: z.string().optional(),
   /**
    * Breaks the connections of the next `count` streams after `afterTokens`
    * tokens.
@@ -47,6 +52,7 @@
 }
 
 export interface EngineSwitches {
+  crashOnText: string;
   slowFactor: number;
   stall: boolean;
   refuse: boolean;
@@ -58,6 +64,7 @@
 /** Creates switches with no fault active. */
 export function createEngineSwitches(): EngineSwitches {
   return {
+    crashOnText: '',
     slowFactor: 1,
     stall: false,
     refuse: false,
@@ -73,6 +80,9 @@
   change: EngineSwitchChange,
 ): void {
   if (change.slowFactor !== undefined) switches.slowFactor = change.slowFactor;
+  if (change.crashOnText !== undefined) {
+    switches.crashOnText = change.crashOnText;
+  }
   if (change.stall !== undefined) switches.stall = change.stall;
   if (change.refuse !== undefined) switches.refuse = change.refuse;
   if (change.forgetRuns !== undefined) switches.forgetRuns = change.forgetRuns;
