Count a hedge that fails among the attempts of its call

What callers saw: one chat call whose prompt ends each engine that begins to answer it could end twice as many engines as a call may make failed attempts.

Cause: an attempt on a suspect upstream is hedged, and when both copies failed only the end of the first reached the recovery decision. The failure of the other counted neither as an attempt nor against its upstream, which a later attempt could choose again; a copy that broke after the other had received its first event was released as "canceled", so the scheduler did not learn of it.

Evidence: the new test runs one call against engine stand-ins that crash on its prompt, with each upstream reported as a straggler.

Why this works: a copy that failed counts as an attempt and its upstream is excluded, and a call is hedged only while both copies can fail within its limit.

--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/ChatCallFixture.ts
@@ -0,0 +1,211 @@
+/**
+ * Chat-completion calls against engine stand-ins on loopback: several entry
+ * instances, permits that a fake scheduler grants in rotation, and engines that
+ * are replaced under another id after they ended.
+ */
+import type {UpstreamInfo} from '@toucanrouter/common';
+import {
+  createSystemClock,
+  RouterError,
+  toPermitId,
+  toRequestId,
+  toShardId,
+  toWorkspaceId,
+} from '@toucanrouter/common';
+import {createHedgeBudget, createRetryBudget} from '@toucanrouter/policy';
+import type {EngineStandIn} from '@toucanrouter/standins';
+import {createEngineStandIn} from '@toucanrouter/standins';
+import {err, ok} from 'neverthrow';
+import {Agent} from 'undici';
+import {createUpstreamDirectory} from '../../fleet/UpstreamDirectory.js';
+import {serveChat} from '../../request/chat/ChatCall.js';
+import {parseChatRequest} from '../../request/chat/ChatRequest.js';
+import type {Exchange} from '../../request/Exchange.js';
+import type {UpstreamAccess} from '../../request/UpstreamAccess.js';
+import type {
+  Permit,
+  PermitClient,
+  PermitRequest,
+} from '../../scheduling/PermitClient.js';
+import {testClass, upstreamInfo} from './SchedulingFixture.js';
+
+/** How a call ended: `answered`, or the kind of its error. */
+export interface CallOutcome {
+  readonly kind: string;
+  readonly attempts: number;
+  readonly retryAfterMs: number | undefined;
+}
+
+/** Messages of a prompt, outermost first. */
+export type TestPrompt = readonly string[];
+
+export interface ChatFleet {
+  /** Engines that have ended so far. */
+  crashCount(): number;
+  /** Permits that were requested so far. */
+  permitCount(): number;
+  /** Runs one call at an entry instance to its end. */
+  call(entryIndex: number, prompt: TestPrompt): Promise<CallOutcome>;
+  close(): Promise<void>;
+}
+
+export interface ChatFleetOptions {
+  readonly entryCount: number;
+  readonly engineCount: number;
+  /** Engines crash in place of the first token of a prompt with this text. */
+  readonly crashOnText: string;
+  /** The scheduler reports each upstream as a straggler once it is sent work. */
+  readonly suspectsAll?: boolean;
+}
+
+interface TestEngine {
+  readonly info: UpstreamInfo;
+  readonly standIn: EngineStandIn;
+}
+
+const model = 'advisor';
+const shardId = toShardId(`engine:${model}@here`);
+const profile = {tokenGapMs: 1, prefillMsPerToken: 0};
+const deadlineMs = 5_000;
+
+/** Starts the engines and creates the entry instances. */
+export async function createChatFleet(
+  options: ChatFleetOptions,
+): Promise<ChatFleet> {
+  const clock = createSystemClock();
+  const directory = createUpstreamDirectory();
+  const engines: TestEngine[] = [];
+  const started: Promise<void>[] = [];
+  let engineIds = 0;
+  let crashes = 0;
+  let permits = 0;
+  let calls = 0;
+
+  async function startEngine(): Promise<void> {
+    const name = `engine-${++engineIds}`;
+    const standIn: EngineStandIn = await createEngineStandIn({
+      id: name,
+      model,
+      profile,
+      onCrash: () => replaceEngine(engine),
+    });
+    const info = {...upstreamInfo(name), address: standIn.address};
+    const engine = {info, standIn};
+    standIn.switch({crashOnText: options.crashOnText});
+    engines.push(engine);
+    directory.setListed(engines.map(entry => entry.info));
+  }
+
+  function replaceEngine(engine: TestEngine): void {
+    crashes += 1;
+    engines.splice(engines.indexOf(engine), 1);
+    void engine.standIn.close();
+    started.push(startEngine());
+  }
+
+  function grant({exclude}: PermitRequest): Permit | undefined {
+    permits += 1;
+    const candidates = engines.filter(({info}) => !exclude.includes(info.id));
+    const engine = candidates[permits % candidates.length];
+    if (engine === undefined) return undefined;
+    const permit: Permit = {
+      permitId: toPermitId(`permit-${permits}`),
+      upstreamId: engine.info.id,
+      recordTokens: () => undefined,
+      onPreempt: undefined,
+      onSuspect: undefined,
+      release: () => undefined,
+    };
+    if (options.suspectsAll) setImmediate(() => permit.onSuspect?.());
+    return permit;
+  }
+
+  function createAccess(): UpstreamAccess {
+    const client: Pick<PermitClient, 'acquire'> = {
+      acquire: (_shardId, request) => {
+        const permit = grant(request);
+        const message = 'no engine is left';
+        return Promise.resolve(
+          permit === undefined
+            ? err(new RouterError('no_upstream', message))
+            : ok(permit),
+        );
+      },
+    };
+    return {
+      clock,
+      region: 'here',
+      directory,
+      permits: client as PermitClient,
+      dispatcher: new Agent(),
+      retryBudget: createRetryBudget(),
+      hedgeBudget: {...createHedgeBudget(), tryHedge: () => true},
+    };
+  }
+
+  function createExchange(body: Buffer): Exchange {
+    const nowMs = clock.nowMs();
+    return {
+      requestId: toRequestId(`request-${++calls}`),
+      callerRequestId: undefined,
+      headers: {},
+      body,
+      target: {kind: 'engine', serves: model, method: 'POST', path: '/'},
+      response: {
+        started: false,
+        startStream: () => undefined,
+        write: () => Promise.resolve(),
+        endStream: () => undefined,
+        send: () => undefined,
+        sendError: () => undefined,
+      },
+      arrivedAtMs: nowMs,
+      deadlineAtMs: nowMs + deadlineMs,
+      signal: new AbortController().signal,
+      stats: {
+        firstTokenMs: undefined,
+        tokenGapMs: undefined,
+        tokens: 0,
+        wastedTokens: 0,
+        waitedMs: 0,
+        attempts: 0,
+      },
+      workspaceId: toWorkspaceId('w'),
+      serviceClass: testClass,
+    };
+  }
+
+  const entries = Array.from({length: options.entryCount}, createAccess);
+
+  async function call(
+    entryIndex: number,
+    prompt: TestPrompt,
+  ): Promise<CallOutcome> {
+    await Promise.all(started);
+    const messages = prompt.map(content => ({role: 'user', content}));
+    const body = Buffer.from(JSON.stringify({model, messages, max_tokens: 2}));
+    const request = parseChatRequest(body)._unsafeUnwrap();
+    const exchange = createExchange(body);
+    const access = entries[entryIndex]!;
+    const result = await serveChat(access, exchange, request, shardId);
+    return {
+      kind: result.isOk() ? 'answered' : result.error.kind,
+      attempts: exchange.stats.attempts,
+      retryAfterMs: result.isErr() ? result.error.retryAfterMs : undefined,
+    };
+  }
+
+  for (let i = 0; i < options.engineCount; i++) await startEngine();
+  return {
+    crashCount: () => crashes,
+    permitCount: () => permits,
+    call,
+    close: async () => {
+      await Promise.all(started);
+      await Promise.all(engines.map(({standIn}) => standIn.close()));
+      await Promise.all(
+        entries.map(({dispatcher}) => (dispatcher as Agent).destroy()),
+      );
+    },
+  };
+}
--- a/packages/daemon/src/request/chat/ChatAttempt.ts
+++ b/packages/daemon/src/request/chat/ChatAttempt.ts
@@ -107,7 +107,7 @@
   preempted: boolean,
 ): EndKind {
   const lostRace = state.winner !== undefined && state.winner !== granted;
-  if (lostRace) return 'lost_race';
+  if (lostRace) return end.kind === 'broken' ? 'broken' : 'lost_race';
   if (state.transcript.complete) return 'complete';
   return preempted ? 'preempted' : end.kind;
 }
--- a/packages/daemon/src/request/chat/ChatCall.ts
+++ b/packages/daemon/src/request/chat/ChatCall.ts
@@ -12,7 +12,12 @@
 import type {GrantedUpstream, UpstreamAccess} from '../UpstreamAccess.js';
 import {acquireUpstream} from '../UpstreamAccess.js';
 import {runAttempt} from './ChatAttempt.js';
-import {recover, toCallerError} from './ChatRecovery.js';
+import {
+  mayHedge,
+  recordFailedCopy,
+  recover,
+  toCallerError,
+} from './ChatRecovery.js';
 import type {ChatRequest} from './ChatRequest.js';
 import type {ChatState, FinishedAttempt} from './ChatState.js';
 import type {AttemptStart} from './Transcript.js';
@@ -118,8 +123,10 @@
   const hedgeAbort = new AbortController();
   granted.permit.onSuspect = () => {
     if (hedge !== undefined || !classOf(state.exchange).idempotent) return;
+    const started = state.transcript.tokens > 0;
+    if (!started && !mayHedge(state)) return;
     if (!state.access.hedgeBudget.tryHedge(hedgeCost(state))) return;
-    if (state.transcript.tokens > 0) moveToOtherUpstream(state, granted, abort);
+    if (started) moveToOtherUpstream(state, granted, abort);
     else hedge = runHedge(state, granted, hedgeAbort, () => abort.abort());
   };
   const first = await runAttempt(state, granted, start, abort);
@@ -127,7 +134,10 @@
   if (first.end.kind === 'complete' || !state.hedgeRunning) hedgeAbort.abort();
   const second = await hedge;
   if (first.end.kind === 'complete' || second === undefined) return first;
-  return state.winner === second.granted ? second : first;
+  const [leading, other] =
+    state.winner === second.granted ? [second, first] : [first, second];
+  recordFailedCopy(state, other);
+  return leading;
 }
 
 /**
--- a/packages/daemon/src/request/chat/ChatRecovery.ts
+++ b/packages/daemon/src/request/chat/ChatRecovery.ts
@@ -3,7 +3,7 @@
  */
 import {RouterError} from '@toucanrouter/common';
 import type {RecoveryDecision} from '@toucanrouter/policy';
-import {decideRecovery} from '@toucanrouter/policy';
+import {decideRecovery, maxAttempts} from '@toucanrouter/policy';
 import {hasOtherUpstream} from '../UpstreamAccess.js';
 import type {ChatState, FinishedAttempt} from './ChatState.js';
 
@@ -56,6 +56,30 @@
   return decision;
 }
 
+const failedEndKinds: ReadonlySet<string> = new Set([
+  'broken',
+  'ended',
+  'rejected',
+]);
+
+/** Attempts that fail together when an attempt and its hedge both fail. */
+const attemptsWithHedge = 2;
+
+/** Returns whether a hedge that fails keeps the call within its attempts. */
+export function mayHedge(state: ChatState): boolean {
+  return state.faults + attemptsWithHedge <= maxAttempts;
+}
+
+/** Counts an attempt that failed beside the one on whose end `recover` decides. */
+export function recordFailedCopy(
+  state: ChatState,
+  {end, granted}: FinishedAttempt,
+): void {
+  if (!failedEndKinds.has(end.kind)) return;
+  state.faults += 1;
+  state.excluded.add(granted.upstream.id);
+}
+
 function endReasonOf(
   finished: FinishedAttempt,
 ): 'broken' | 'invalid' | 'not_sent' | 'preempted' | 'refused' {
