Refuse chat prompts that crash the engines of their model

What callers saw: requests of one kind ended engine after engine. An entry instance sent each call whose prompt ends engines to up to three of them, the limit of failed attempts, and the next call of the kind likewise, without end.

Cause: nothing in the chat path knew that an engine had ended under a call. An end counted against the health of that engine only, which was gone anyway.

Why this works: a connection that breaks before the first token is followed by a probe of the engine's address. If the engine refuses connections, its end is evidence for the prompt quarantine against the messages of the prompt except the last; a first token clears them. The segments are the single messages with their model, because the hash for cache affinity covers a fixed number of characters: it includes the last message of a short prompt and nothing but the first of a long one. A blocked call is refused before it asks for a permit, and once more when it gets one, since a verdict may come while it waits.

Each entry instance judges alone so far.

--- a/packages/cli/src/__tests__/unit/Pages.test.ts
+++ b/packages/cli/src/__tests__/unit/Pages.test.ts
@@ -149,6 +149,8 @@
       peerMessagesSent: zero,
       permitsHeld: zero,
       permitsPending: zero,
+      crashCount: zero,
+      quarantinedCount: zero,
     });
     const text = await metrics.render();
     const names = [...text.matchAll(/^# TYPE (toucanrouter_\w+) /gm)].map(
--- a/packages/common/src/Errors.ts
+++ b/packages/common/src/Errors.ts
@@ -34,6 +34,7 @@
   outcome_unknown: {status: 502, runStatus: 'unknown'},
   overloaded: {status: 503, runStatus: 'not_run'},
   platform_unavailable: {status: 503, runStatus: 'not_run'},
+  prompt_quarantined: {status: 503, runStatus: 'not_run'},
   settings_invalid: {status: 400, runStatus: 'not_run'},
   shutting_down: {status: 503, runStatus: 'not_run'},
   unauthenticated: {status: 401, runStatus: 'not_run'},
--- a/packages/daemon/src/Instance.ts
+++ b/packages/daemon/src/Instance.ts
@@ -9,6 +9,7 @@
   createLocalClaimStore,
 } from '@toucanrouter/claims';
 import type {ClaimReference, Clock, KeyValueStore} from '@toucanrouter/common';
+import {createProcessRandom} from '@toucanrouter/common';
 import {createMemberTable} from '@toucanrouter/membership';
 import type {ConfigStore, InstanceList} from '@toucanrouter/keyvalue';
 import {createConfigStore, createKeyValueClient} from '@toucanrouter/keyvalue';
@@ -38,6 +39,8 @@
 import {createReadiness} from './Readiness.js';
 import type {WorkspaceKeys} from './request/Authenticate.js';
 import {createWorkspaceKeys} from './request/Authenticate.js';
+import {probeEngine} from './request/chat/EngineProbe.js';
+import {createPromptGuard} from './request/chat/PromptGuard.js';
 import type {UpstreamAccess} from './request/UpstreamAccess.js';
 import {dispatchSchedulingMessage} from './scheduling/RemoteSchedulerPort.js';
 import type {Scheduling} from './scheduling/Scheduling.js';
@@ -114,6 +117,14 @@
     pipelining: 1,
     keepAliveTimeout: idleConnectionTimeoutMs,
   });
+  const promptGuard = createPromptGuard({
+    clock,
+    logger,
+    random: createProcessRandom(),
+    probe: address => probeEngine(clock, address),
+    find: directory.find,
+    onNews: () => undefined,
+  });
   const instance: Instance = {
     ...scheduling,
     access: {
@@ -124,6 +135,7 @@
       dispatcher,
       retryBudget: createRetryBudget(),
       hedgeBudget: createHedgeBudget(),
+      promptGuard,
     },
     claimedCalls: createClaimedCalls(clock, selfId, claims.router),
     configSource: createConfigSource(clock, logger, fleet, holder, configStore),
@@ -141,6 +153,7 @@
     },
     close: async () => {
       instance.configSource.close();
+      promptGuard.close();
       scheduling.permits.close();
       scheduling.host.close();
       await claims.close();
--- a/packages/daemon/src/Metrics.ts
+++ b/packages/daemon/src/Metrics.ts
@@ -18,6 +18,10 @@
   readonly permitsHeld: () => number;
   readonly permitsPending: () => number;
   readonly peerMessagesSent: () => number;
+  /** Engines that ended under calls of this instance. */
+  readonly crashCount: () => number;
+  /** Prompt segments that are blocked now. */
+  readonly quarantinedCount: () => number;
 }
 
 /** The metrics of an instance. */
@@ -119,6 +123,16 @@
       'Messages sent to other instances since the start',
       sources.peerMessagesSent,
     ],
+    [
+      'toucanrouter_upstream_crashes',
+      'Engines that ended under requests waiting for their first token',
+      sources.crashCount,
+    ],
+    [
+      'toucanrouter_prompt_segments_quarantined',
+      'Prompt segments whose requests are refused now',
+      sources.quarantinedCount,
+    ],
   ];
   for (const [name, help, read] of gauges) {
     new Gauge({
--- a/packages/daemon/src/__tests__/unit/ChatCall.test.ts
+++ b/packages/daemon/src/__tests__/unit/ChatCall.test.ts
@@ -23,6 +23,38 @@
   }
 }
 
+/** Crashes after which requests of their kind are still allowed. */
+const toleratedCrashes = 5;
+/** Requests of the kind that may be sent after instances had time to react. */
+const maxLateCrashes = 3;
+const reactionMs = 4_000;
+const callIntervalMs = 1_000;
+const callCount = 30;
+
+/**
+ * Sends calls in turn to the entry instances, of which each crashes engines,
+ * each followed by a sound one. Returns the crashes after the reaction time.
+ */
+async function crashEngines(
+  fleet: ChatFleet,
+  entryCount: number,
+): Promise<number> {
+  let crashesBefore: number | undefined;
+  for (let index = 0; index < callCount; index++) {
+    const entryIndex = index % entryCount;
+    await fleet.call(entryIndex, ['be brief', crashOnText, `ask ${index}`]);
+    await fleet.settle();
+    const sound = await fleet.call(entryIndex, ['be brief', `ask ${index}`]);
+    expect(sound).to.include({kind: 'answered', attempts: 1});
+    fleet.advance(callIntervalMs);
+    if (crashesBefore !== undefined) continue;
+    if (fleet.crashCount() < toleratedCrashes) continue;
+    crashesBefore = fleet.crashCount();
+    fleet.advance(reactionMs);
+  }
+  return fleet.crashCount() - (crashesBefore ?? 0);
+}
+
 describe('serveChat', () => {
   it('answers a prompt that no engine crashes on at the first attempt', () =>
     withFleet({}, async fleet => {
@@ -45,4 +77,30 @@
       expect(outcome.kind).to.equal('upstream_failed');
       expect(fleet.crashCount()).to.be.at.most(maxAttempts);
     }));
+
+  // Guards against requests of one kind that end engine after engine.
+  it('refuses a prompt that crashes engines, and answers those that share its other messages', () =>
+    withFleet({}, async fleet => {
+      const crashedLate = await crashEngines(fleet, 1);
+      expect(crashedLate).to.be.at.most(maxLateCrashes);
+      const permitsBefore = fleet.permitCount();
+      const outcome = await fleet.call(0, crashingPrompt);
+      expect(outcome).to.include({kind: 'prompt_quarantined', attempts: 0});
+      expect(outcome.retryAfterMs).to.be.greaterThan(0);
+      expect(fleet.permitCount()).to.equal(permitsBefore);
+    }));
+
+  it('blocks no prompt for connections that break at engines that live', () =>
+    withFleet({}, async fleet => {
+      for (let index = 0; index < 10; index++) {
+        fleet.switchEngines({breakStreams: {count: 5, afterTokens: 0}});
+        await fleet.call(0, ['be brief', `measure ${index}`]);
+        await fleet.settle();
+        fleet.advance(callIntervalMs);
+      }
+      fleet.switchEngines({breakStreams: {count: 0, afterTokens: 0}});
+      expect(fleet.blockedCount(0)).to.equal(0);
+      const outcome = await fleet.call(0, ['be brief', 'measure it']);
+      expect(outcome.kind).to.equal('answered');
+    }));
 });
--- a/packages/daemon/src/__tests__/unit/ChatCallFixture.ts
+++ b/packages/daemon/src/__tests__/unit/ChatCallFixture.ts
@@ -3,22 +3,28 @@
  * instances, permits that a fake scheduler grants in rotation, and engines that
  * are replaced under another id after they ended.
  */
-import type {UpstreamInfo} from '@toucanrouter/common';
+import type {Clock, UpstreamInfo} from '@toucanrouter/common';
 import {
+  createSeededRandom,
   createSystemClock,
+  delay,
   RouterError,
   toPermitId,
   toRequestId,
   toShardId,
   toWorkspaceId,
 } from '@toucanrouter/common';
+import type {Logger} from '@toucanrouter/logging';
 import {createHedgeBudget, createRetryBudget} from '@toucanrouter/policy';
-import type {EngineStandIn} from '@toucanrouter/standins';
+import type {EngineStandIn, EngineSwitchChange} from '@toucanrouter/standins';
 import {createEngineStandIn} from '@toucanrouter/standins';
 import {err, ok} from 'neverthrow';
 import {Agent} from 'undici';
 import {createUpstreamDirectory} from '../../fleet/UpstreamDirectory.js';
 import {serveChat} from '../../request/chat/ChatCall.js';
+import {probeEngine} from '../../request/chat/EngineProbe.js';
+import type {PromptGuard} from '../../request/chat/PromptGuard.js';
+import {createPromptGuard} from '../../request/chat/PromptGuard.js';
 import {parseChatRequest} from '../../request/chat/ChatRequest.js';
 import type {Exchange} from '../../request/Exchange.js';
 import type {UpstreamAccess} from '../../request/UpstreamAccess.js';
@@ -46,6 +52,14 @@
   permitCount(): number;
   /** Runs one call at an entry instance to its end. */
   call(entryIndex: number, prompt: TestPrompt): Promise<CallOutcome>;
+  /** Moves the clock by which the entry instances judge prompts. */
+  advance(byMs: number): void;
+  /** Waits until the entry instances have judged all broken connections. */
+  settle(): Promise<void>;
+  /** Changes the fault switches of all engines. */
+  switchEngines(change: EngineSwitchChange): void;
+  /** Returns the number of segments that an entry instance blocks. */
+  blockedCount(entryIndex: number): number;
   close(): Promise<void>;
 }
 
@@ -67,12 +81,29 @@
 const shardId = toShardId(`engine:${model}@here`);
 const profile = {tokenGapMs: 1, prefillMsPerToken: 0};
 const deadlineMs = 5_000;
+const settlePollMs = 5;
+const silentLogger: Logger = {
+  debug: () => undefined,
+  error: () => undefined,
+  info: () => undefined,
+  warn: () => undefined,
+};
 
 /** Starts the engines and creates the entry instances. */
 export async function createChatFleet(
   options: ChatFleetOptions,
 ): Promise<ChatFleet> {
   const clock = createSystemClock();
+  let offsetMs = 0;
+  let pendingProbes = 0;
+  const guardClock: Clock = {
+    ...clock,
+    nowMs: () => clock.nowMs() + offsetMs,
+    after: (_delayMs, run) => {
+      pendingProbes += 1;
+      return clock.after(0, run);
+    },
+  };
   const directory = createUpstreamDirectory();
   const engines: TestEngine[] = [];
   const started: Promise<void>[] = [];
@@ -120,6 +151,21 @@
     return permit;
   }
 
+  function createGuard(): PromptGuard {
+    return createPromptGuard({
+      clock: guardClock,
+      logger: silentLogger,
+      random: createSeededRandom(1),
+      probe: async address => {
+        const result = await probeEngine(clock, address);
+        pendingProbes -= 1;
+        return result;
+      },
+      find: directory.find,
+      onNews: () => undefined,
+    });
+  }
+
   function createAccess(): UpstreamAccess {
     const client: Pick<PermitClient, 'acquire'> = {
       acquire: (_shardId, request) => {
@@ -140,6 +186,7 @@
       dispatcher: new Agent(),
       retryBudget: createRetryBudget(),
       hedgeBudget: {...createHedgeBudget(), tryHedge: () => true},
+      promptGuard: createGuard(),
     };
   }
 
@@ -200,6 +247,17 @@
     crashCount: () => crashes,
     permitCount: () => permits,
     call,
+    advance: byMs => {
+      offsetMs += byMs;
+    },
+    settle: async () => {
+      do await delay(clock, settlePollMs);
+      while (pendingProbes > 0);
+    },
+    switchEngines: change => {
+      for (const {standIn} of engines) standIn.switch(change);
+    },
+    blockedCount: index => entries[index]!.promptGuard.blockedCount(),
     close: async () => {
       await Promise.all(started);
       await Promise.all(engines.map(({standIn}) => standIn.close()));
--- a/packages/daemon/src/request/UpstreamAccess.ts
+++ b/packages/daemon/src/request/UpstreamAccess.ts
@@ -14,6 +14,7 @@
   PermitClient,
   PermitRequest,
 } from '../scheduling/PermitClient.js';
+import type {PromptGuard} from './chat/PromptGuard.js';
 import type {Exchange} from './Exchange.js';
 import {classOf, workspaceOf} from './Exchange.js';
 
@@ -26,6 +27,7 @@
   readonly dispatcher: Dispatcher;
   readonly retryBudget: RetryBudget;
   readonly hedgeBudget: HedgeBudget;
+  readonly promptGuard: PromptGuard;
 }
 
 /** A permit and the upstream that it grants a slot on. */
--- a/packages/daemon/src/request/chat/ChatAttempt.ts
+++ b/packages/daemon/src/request/chat/ChatAttempt.ts
@@ -39,6 +39,15 @@
     effectiveStart === 'continue' && transcript.tokens > 0
       ? transcript.prefix()
       : undefined;
+  let answered = false;
+  const recordAnswer = () => {
+    if (answered) return;
+    answered = true;
+    access.promptGuard.firstTokenReceived(
+      upstream,
+      state.request.sharedSegments,
+    );
+  };
   const end = await runEngineAttempt({
     dispatcher: access.dispatcher,
     address: upstream.address,
@@ -56,11 +65,19 @@
         abort.abort('lost_race');
         return Promise.resolve(ok(undefined));
       }
-      return relayEvents(state, granted, events);
+      return relayEvents(state, granted, events, recordAnswer);
     },
   });
+  if (!answered && closedByEngine(end)) {
+    access.promptGuard.connectionBroke(
+      upstream,
+      exchange.requestId,
+      state.request.sharedSegments,
+    );
+  }
   const preempted = abort.signal.reason === 'preempted';
   const kind = endKindOf(state, granted, end, preempted);
+  if (kind === 'complete') recordAnswer();
   permit.release(toJobEnd(state, kind));
   if (kind === 'complete' || kind === 'lost_race') {
     return {granted, start: effectiveStart, end: {kind}, preempted};
@@ -68,10 +85,19 @@
   return {granted, start: effectiveStart, end, preempted};
 }
 
+/** Returns whether the engine may have ended while the request waited there. */
+function closedByEngine(end: AttemptEnd): boolean {
+  if (end.kind === 'broken') {
+    return end.connected && end.error.kind === 'upstream_failed';
+  }
+  return end.kind === 'ended';
+}
+
 async function relayEvents(
   state: ChatState,
   granted: GrantedUpstream,
   events: ScannedEvents,
+  onTokens: () => void,
 ): Promise<Result<void, RouterError>> {
   const {access, exchange, transcript} = state;
   const tokensBefore = transcript.tokens;
@@ -79,6 +105,7 @@
   if (bytes.isErr()) return err(bytes.error);
   const newTokens = transcript.tokens - tokensBefore;
   if (newTokens > 0) {
+    onTokens();
     granted.permit.recordTokens(newTokens);
     access.hedgeBudget.recordWork(newTokens);
     recordTokens(state, newTokens);
--- a/packages/daemon/src/request/chat/ChatCall.ts
+++ b/packages/daemon/src/request/chat/ChatCall.ts
@@ -81,6 +81,8 @@
   const {access, exchange, transcript} = state;
   for (;;) {
     const started = transcript.tokens > 0;
+    const refusal = access.promptGuard.check(state.request.sharedSegments);
+    if (refusal !== undefined) return err(refusal);
     const granted = await acquireUpstream(access, exchange, state.shardId, {
       attempt: ++state.permitsRequested,
       hedge: false,
@@ -95,8 +97,9 @@
         ? {deadlineAtMs: access.clock.nowMs() + startedPermitTimeoutMs}
         : {}),
     });
+    if (granted.isOk()) return passGuard(state, granted.value);
     const attempted = exchange.stats.attempts > 0;
-    if (granted.isOk() || !attempted || exchange.signal.aborted) return granted;
+    if (!attempted || exchange.signal.aborted) return granted;
     const delayMs = granted.error.retryAfterMs ?? startedRetryDelayMs;
     const exceedsDeadline =
       access.clock.nowMs() + delayMs >= exchange.deadlineAtMs;
@@ -107,6 +110,20 @@
   }
 }
 
+/**
+ * Returns the permit unused if the prompt was quarantined while the call waited
+ * for it.
+ */
+function passGuard(
+  {access, request}: ChatState,
+  granted: GrantedUpstream,
+): Result<GrantedUpstream, RouterError> {
+  const refusal = access.promptGuard.tryPass(request.sharedSegments);
+  if (refusal === undefined) return ok(granted);
+  granted.permit.release({outcome: 'unused', wastedTokens: 0});
+  return err(refusal);
+}
+
 /**
  * Runs one attempt. If its upstream becomes a straggler, the call is moved to
  * another upstream or hedged, within the hedge budget.
@@ -182,6 +199,7 @@
     signal,
   );
   if (granted.isErr()) return undefined;
+  if (passGuard(state, granted.value).isErr()) return undefined;
   if (state.winner !== undefined || signal.aborted) {
     granted.value.permit.release({outcome: 'unused', wastedTokens: 0});
     return undefined;
--- a/packages/daemon/src/request/chat/ChatRequest.ts
+++ b/packages/daemon/src/request/chat/ChatRequest.ts
@@ -3,9 +3,11 @@
  * the router needs their fields, and builds the bodies of upstream requests.
  */
 import {hash64, RouterError} from '@toucanrouter/common';
+import type {SegmentHash} from '@toucanrouter/policy';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 import {z} from 'zod';
+import {sharedSegmentsOf} from './PromptSegments.js';
 
 const chatBodySchema = z.looseObject({
   model: z.string().min(1),
@@ -29,6 +31,8 @@
   readonly wantsUsage: boolean;
   readonly promptTokens: number;
   readonly prefixHash: string;
+  /** Parts of the prompt that other requests may share. */
+  readonly sharedSegments: readonly SegmentHash[];
 }
 
 const charsPerToken = 4;
@@ -55,6 +59,7 @@
     wantsUsage: parsed.data.stream_options?.include_usage ?? false,
     promptTokens: Math.ceil(prompt.length / charsPerToken),
     prefixHash: hash64(prompt.slice(0, prefixHashChars)).toString(36),
+    sharedSegments: sharedSegmentsOf(parsed.data.model, parsed.data.messages),
   });
 }
 
--- a/packages/daemon/src/request/chat/EngineAttempt.ts
+++ b/packages/daemon/src/request/chat/EngineAttempt.ts
@@ -7,6 +7,7 @@
 import {RouterError as RouterErrorClass} from '@toucanrouter/common';
 import type {Result} from 'neverthrow';
 import type {Dispatcher} from 'undici';
+import {errors} from 'undici';
 import type {ScannedEvents} from './SseScanner.js';
 import {createSseScanner} from './SseScanner.js';
 
@@ -16,7 +17,12 @@
   /** The stream ended without a transport error. */
   | {readonly kind: 'ended'}
   /** The connection or the stream broke, or the response was not valid. */
-  | {readonly kind: 'broken'; readonly error: RouterError}
+  | {
+      readonly kind: 'broken';
+      readonly error: RouterError;
+      /** False if no connection could be opened. */
+      readonly connected: boolean;
+    }
   /** The engine rejected the call before it ran. */
   | {
       readonly kind: 'rejected';
@@ -63,7 +69,8 @@
     return await readStream(response.body, call);
   } catch (cause) {
     if (call.signal.aborted) return {kind: 'aborted'};
-    return {kind: 'broken', error: connectionError(call, cause)};
+    const error = connectionError(call, cause);
+    return {kind: 'broken', error, connected: !isConnectError(cause)};
   }
 }
 
@@ -89,7 +96,9 @@
     if (scanned === undefined) continue;
     const handled = await call.onEvents(scanned);
     if (call.signal.aborted) return {kind: 'aborted'};
-    if (handled.isErr()) return {kind: 'broken', error: handled.error};
+    if (handled.isErr()) {
+      return {kind: 'broken', error: handled.error, connected: true};
+    }
   }
   return {kind: 'ended'};
 }
@@ -114,6 +123,13 @@
   };
 }
 
+function isConnectError(cause: unknown): boolean {
+  if (cause instanceof errors.ConnectTimeoutError) return true;
+  return (
+    cause instanceof Error && 'syscall' in cause && cause.syscall === 'connect'
+  );
+}
+
 function connectionError(call: EngineCall, cause: unknown): RouterError {
   const reason = cause instanceof Error ? cause.message : String(cause);
   const message = `the connection to upstream ${call.address} failed: ${reason}`;
--- a/packages/daemon/src/server/Servers.ts
+++ b/packages/daemon/src/server/Servers.ts
@@ -83,7 +83,7 @@
 }
 
 function createInstanceMetrics(
-  {fleet, holder, permits}: Instance,
+  {access, fleet, holder, permits}: Instance,
   hub: PeerHub,
 ): Metrics {
   return createMetrics({
@@ -92,5 +92,7 @@
     permitsHeld: () => permits.counts().held,
     permitsPending: () => permits.counts().pending,
     peerMessagesSent: () => hub.traffic().sentMessages,
+    crashCount: access.promptGuard.crashCount,
+    quarantinedCount: access.promptGuard.blockedCount,
   });
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,3 +1,5 @@
+export type {BoundedMap} from './BoundedMap.js';
+export {createBoundedMap} from './BoundedMap.js';
 export type {ClassifiedCall, ModelCall, ServiceCall} from './Classification.js';
 export {classify} from './Classification.js';
 export type {HedgeBudget, HedgeBudgetParameters} from './HedgeBudget.js';
