Exchange evidence on crashing chat prompts between the entry instances

What callers saw: engines went on ending under requests of one kind while each entry instance had to see enough of them end itself.

Cause: the prompt quarantine of an entry instance knew only its own calls.

Evidence: the new test sends 30 calls with a crashing message in turn to three entry instances, each followed by a sound one.

Why this works: instances send a report soon after a crash, a verdict or a clearing, repeat it a few times, and repeat verdicts while they stand, over the links that they keep. Instances of the build before read the new field of the envelope as no message and ignore it. The periodic report also ends verdicts.

--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -55,6 +55,7 @@
   instance.fleet.start(hub.value);
   instance.host.start();
   instance.permits.start();
+  instance.quarantineExchange.start();
   const servers = createServers(options, instance, hub.value);
   const adminPort = await listen(servers.admin, settings.admin, 'operators');
   if (adminPort.isErr()) return err(adminPort.error);
--- a/packages/daemon/src/Instance.ts
+++ b/packages/daemon/src/Instance.ts
@@ -32,6 +32,8 @@
 import type {FleetInspection} from './fleet/FleetInspection.js';
 import {createFleetInspection} from './fleet/FleetInspection.js';
 import {toListedMembers} from './fleet/ListedRouters.js';
+import type {QuarantineExchange} from './fleet/QuarantineExchange.js';
+import {createQuarantineExchange} from './fleet/QuarantineExchange.js';
 import type {UpstreamDirectory} from './fleet/UpstreamDirectory.js';
 import {createUpstreamDirectory} from './fleet/UpstreamDirectory.js';
 import type {Logger} from '@toucanrouter/logging';
@@ -64,6 +66,7 @@
   readonly holder: ConfigHolder;
   readonly inspection: FleetInspection;
   readonly keys: WorkspaceKeys;
+  readonly quarantineExchange: QuarantineExchange;
   readonly readiness: Readiness;
   readonly recorder: ServiceLevelRecorder;
   /** Applies a response of the platform's instance list. */
@@ -123,7 +126,12 @@
     random: createProcessRandom(),
     probe: address => probeEngine(clock, address),
     find: directory.find,
-    onNews: () => undefined,
+    onNews: () => quarantineExchange.notify(),
+  });
+  const quarantineExchange = createQuarantineExchange({
+    clock,
+    fleet,
+    guard: promptGuard,
   });
   const instance: Instance = {
     ...scheduling,
@@ -145,6 +153,7 @@
     holder,
     inspection,
     keys,
+    quarantineExchange,
     readiness: createReadiness(),
     recorder,
     applyInstanceList: list => {
@@ -153,6 +162,7 @@
     },
     close: async () => {
       instance.configSource.close();
+      quarantineExchange.close();
       promptGuard.close();
       scheduling.permits.close();
       scheduling.host.close();
@@ -232,6 +242,7 @@
     dispatchSchedulingMessage(receivers, clock, from, envelope);
     claims.receive(from, envelope);
     inspection.receive(from, envelope);
+    instance.quarantineExchange.receive(from, envelope);
   });
   fleet.registerViewHandler(() => {
     host.warmUp(directory.shardsIn(fleet.region));
--- a/packages/daemon/src/__tests__/unit/ChatCall.test.ts
+++ b/packages/daemon/src/__tests__/unit/ChatCall.test.ts
@@ -90,6 +90,16 @@
       expect(fleet.permitCount()).to.equal(permitsBefore);
     }));
 
+  // Guards against entry instances that each have to see engines end themselves.
+  it('refuses a prompt at each entry instance once engines ended under calls of any', () =>
+    withFleet({entryCount: 3}, async fleet => {
+      expect(await crashEngines(fleet, 3)).to.be.at.most(maxLateCrashes);
+      for (let entryIndex = 0; entryIndex < 3; entryIndex++) {
+        const outcome = await fleet.call(entryIndex, crashingPrompt);
+        expect(outcome).to.include({kind: 'prompt_quarantined', attempts: 0});
+      }
+    }));
+
   it('blocks no prompt for connections that break at engines that live', () =>
     withFleet({}, async fleet => {
       for (let index = 0; index < 10; index++) {
--- a/packages/daemon/src/__tests__/unit/ChatCallFixture.ts
+++ b/packages/daemon/src/__tests__/unit/ChatCallFixture.ts
@@ -3,23 +3,27 @@
  * instances, permits that a fake scheduler grants in rotation, and engines that
  * are replaced under another id after they ended.
  */
-import type {Clock, UpstreamInfo} from '@toucanrouter/common';
+import type {Clock, InstanceId, UpstreamInfo} from '@toucanrouter/common';
 import {
   createSeededRandom,
   createSystemClock,
   delay,
   RouterError,
+  toInstanceId,
   toPermitId,
   toRequestId,
   toShardId,
   toWorkspaceId,
 } from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
+import type {ReceivedEnvelope} from '@toucanrouter/peer';
 import {createHedgeBudget, createRetryBudget} from '@toucanrouter/policy';
 import type {EngineStandIn, EngineSwitchChange} from '@toucanrouter/standins';
 import {createEngineStandIn} from '@toucanrouter/standins';
 import {err, ok} from 'neverthrow';
 import {Agent} from 'undici';
+import type {QuarantineExchange} from '../../fleet/QuarantineExchange.js';
+import {createQuarantineExchange} from '../../fleet/QuarantineExchange.js';
 import {createUpstreamDirectory} from '../../fleet/UpstreamDirectory.js';
 import {serveChat} from '../../request/chat/ChatCall.js';
 import {probeEngine} from '../../request/chat/EngineProbe.js';
@@ -72,6 +76,12 @@
   readonly suspectsAll?: boolean;
 }
 
+interface TestEntry {
+  readonly id: InstanceId;
+  readonly access: UpstreamAccess;
+  readonly exchange: QuarantineExchange;
+}
+
 interface TestEngine {
   readonly info: UpstreamInfo;
   readonly standIn: EngineStandIn;
@@ -104,6 +114,17 @@
       return clock.after(0, run);
     },
   };
+  let pendingNews = 0;
+  const newsClock: Clock = {
+    ...clock,
+    after: (_delayMs, run) => {
+      pendingNews += 1;
+      return clock.after(0, () => {
+        pendingNews -= 1;
+        run();
+      });
+    },
+  };
   const directory = createUpstreamDirectory();
   const engines: TestEngine[] = [];
   const started: Promise<void>[] = [];
@@ -151,7 +172,26 @@
     return permit;
   }
 
-  function createGuard(): PromptGuard {
+  function createEntry(index: number): TestEntry {
+    const selfId = toInstanceId(`router-${index}`);
+    const guard = createGuard(() => exchange.notify());
+    const exchange = createQuarantineExchange({
+      clock: newsClock,
+      guard,
+      fleet: {
+        selfId,
+        alive: () => entries.map(entry => ({instanceId: entry.id})),
+        send: (to, envelope) => {
+          const peer = entries.find(({id}) => id === to);
+          peer?.exchange.receive(selfId, envelope as ReceivedEnvelope);
+          return peer !== undefined;
+        },
+      },
+    });
+    return {id: selfId, access: createAccess(guard), exchange};
+  }
+
+  function createGuard(onNews: () => void): PromptGuard {
     return createPromptGuard({
       clock: guardClock,
       logger: silentLogger,
@@ -162,11 +202,11 @@
         return result;
       },
       find: directory.find,
-      onNews: () => undefined,
+      onNews,
     });
   }
 
-  function createAccess(): UpstreamAccess {
+  function createAccess(promptGuard: PromptGuard): UpstreamAccess {
     const client: Pick<PermitClient, 'acquire'> = {
       acquire: (_shardId, request) => {
         const permit = grant(request);
@@ -186,7 +226,7 @@
       dispatcher: new Agent(),
       retryBudget: createRetryBudget(),
       hedgeBudget: {...createHedgeBudget(), tryHedge: () => true},
-      promptGuard: createGuard(),
+      promptGuard,
     };
   }
 
@@ -222,7 +262,9 @@
     };
   }
 
-  const entries = Array.from({length: options.entryCount}, createAccess);
+  const entries = Array.from({length: options.entryCount}, (_, index) =>
+    createEntry(index),
+  );
 
   async function call(
     entryIndex: number,
@@ -233,7 +275,7 @@
     const body = Buffer.from(JSON.stringify({model, messages, max_tokens: 2}));
     const request = parseChatRequest(body)._unsafeUnwrap();
     const exchange = createExchange(body);
-    const access = entries[entryIndex]!;
+    const {access} = entries[entryIndex]!;
     const result = await serveChat(access, exchange, request, shardId);
     return {
       kind: result.isOk() ? 'answered' : result.error.kind,
@@ -252,17 +294,17 @@
     },
     settle: async () => {
       do await delay(clock, settlePollMs);
-      while (pendingProbes > 0);
+      while (pendingProbes > 0 || pendingNews > 0);
     },
     switchEngines: change => {
       for (const {standIn} of engines) standIn.switch(change);
     },
-    blockedCount: index => entries[index]!.promptGuard.blockedCount(),
+    blockedCount: index => entries[index]!.access.promptGuard.blockedCount(),
     close: async () => {
       await Promise.all(started);
       await Promise.all(engines.map(({standIn}) => standIn.close()));
       await Promise.all(
-        entries.map(({dispatcher}) => (dispatcher as Agent).destroy()),
+        entries.map(({access}) => (access.dispatcher as Agent).destroy()),
       );
     },
   };
--- a/packages/peer/src/__tests__/unit/PeerCodec.test.ts
+++ b/packages/peer/src/__tests__/unit/PeerCodec.test.ts
@@ -54,6 +54,31 @@
 }
 
 describe('PeerCodec', () => {
+  it('keeps hashes and times of a quarantine report', () => {
+    const hash = 0xffffffff;
+    const quarantineReport = {
+      crashes: [
+        {
+          upstream: hash,
+          ageMs: 20,
+          requests: [{request: 1, segments: [2, hash]}],
+        },
+      ],
+      verdicts: [
+        {segment: hash, ageMs: 1, evidenceAgeMs: 5_000, remainingMs: 60_000},
+      ],
+      clearings: [{segment: 3, ageMs: 0}],
+    };
+    const received = roundTrip({quarantineReport});
+    expect(received.quarantineReport).to.deep.equal(quarantineReport);
+  });
+
+  it('reads a message of a later build as none, so that it can be ignored', () => {
+    const unknownField = Buffer.from([0xa2, 0x06, 0x00]);
+    const received = requestDeserialize(unknownField) as ReceivedEnvelope;
+    expect(received.message).to.equal(undefined);
+  });
+
   it('sends times as durations, so that instances with different clocks agree on them', () => {
     const sent = acquireRequest();
     const {acquire} = roundTrip(encodeAcquire(shardId, sent, 1_000));
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -10,6 +10,7 @@
   Member as WireMember,
   Member__Output as ReceivedMember,
 } from './generated/toucanrouter/peer/v1/Member.js';
+export type {QuarantineReport__Output as ReceivedQuarantineReport} from './generated/toucanrouter/peer/v1/QuarantineReport.js';
 export {
   decodeAcquire,
   decodeConfig,
