--- a/packages/daemon/src/Instance.ts
+++ b/packages/daemon/src/Instance.ts
@@ -9,6 +9,7 @@
   createLocalClaimStore,
 } from '@toucanrouter/claims';
 import type {ClaimReference, Clock, KeyValueStore} from '@toucanrouter/common';
+import {createProcessRandom} from '@toucanrouter/common';
 import {createMemberTable} from '@toucanrouter/membership';
 import type {ConfigStore, InstanceList} from '@toucanrouter/keyvalue';
 import {createConfigStore, createKeyValueClient} from '@toucanrouter/keyvalue';
@@ -31,6 +32,8 @@
 import type {FleetInspection} from './fleet/FleetInspection.js';
 import {createFleetInspection} from './fleet/FleetInspection.js';
 import {toListedMembers} from './fleet/ListedRouters.js';
+import type {QuarantineExchange} from './fleet/QuarantineExchange.js';
+import {createQuarantineExchange} from './fleet/QuarantineExchange.js';
 import type {UpstreamDirectory} from './fleet/UpstreamDirectory.js';
 import {createUpstreamDirectory} from './fleet/UpstreamDirectory.js';
 import type {Logger} from '@toucanrouter/logging';
@@ -38,6 +41,8 @@
 import {createReadiness} from './Readiness.js';
 import type {WorkspaceKeys} from './request/Authenticate.js';
 import {createWorkspaceKeys} from './request/Authenticate.js';
+import {probeEngine} from './request/chat/EngineProbe.js';
+import {createPromptGuard} from './request/chat/PromptGuard.js';
 import type {UpstreamAccess} from './request/UpstreamAccess.js';
 import {connectUpstream} from './request/UpstreamSocket.js';
 import {dispatchSchedulingMessage} from './scheduling/RemoteSchedulerPort.js';
@@ -62,6 +67,7 @@
   readonly holder: ConfigHolder;
   readonly inspection: FleetInspection;
   readonly keys: WorkspaceKeys;
+  readonly quarantineExchange: QuarantineExchange;
   readonly readiness: Readiness;
   readonly recorder: ServiceLevelRecorder;
   /** Applies a response of the platform's instance list. */
@@ -116,6 +122,19 @@
     pipelining: 1,
     keepAliveTimeout: idleConnectionTimeoutMs,
   });
+  const promptGuard = createPromptGuard({
+    clock,
+    logger,
+    random: createProcessRandom(),
+    probe: address => probeEngine(clock, address),
+    find: directory.find,
+    onNews: () => quarantineExchange.notify(),
+  });
+  const quarantineExchange = createQuarantineExchange({
+    clock,
+    fleet,
+    guard: promptGuard,
+  });
   const instance: Instance = {
     ...scheduling,
     access: {
@@ -126,6 +145,7 @@
       dispatcher,
       retryBudget: createRetryBudget(),
       hedgeBudget: createHedgeBudget(),
+      promptGuard,
     },
     claimedCalls: createClaimedCalls(clock, selfId, claims.router),
     configSource: createConfigSource(clock, logger, fleet, holder, configStore),
@@ -135,6 +155,7 @@
     holder,
     inspection,
     keys,
+    quarantineExchange,
     readiness: createReadiness(),
     recorder,
     applyInstanceList: list => {
@@ -143,6 +164,8 @@
     },
     close: async () => {
       instance.configSource.close();
+      quarantineExchange.close();
+      promptGuard.close();
       scheduling.permits.close();
       scheduling.host.close();
       await claims.close();
@@ -221,6 +244,7 @@
     dispatchSchedulingMessage(receivers, clock, from, envelope);
     claims.receive(from, envelope);
     inspection.receive(from, envelope);
+    instance.quarantineExchange.receive(from, envelope);
   });
   fleet.registerViewHandler(() => {
     host.warmUp(directory.shardsIn(fleet.region));
--- a/packages/daemon/src/__tests__/unit/SuspectUpstreamsFixture.ts
+++ b/packages/daemon/src/__tests__/unit/SuspectUpstreamsFixture.ts
@@ -7,17 +7,21 @@
 import type {AddressInfo} from 'node:net';
 import type {RequestId, UpstreamId, UpstreamInfo} from '@toucanrouter/common';
 import {
+  createSeededRandom,
   createSystemClock,
   RouterError,
+  toInstanceId,
   toPermitId,
   toRequestId,
   toWorkspaceId,
 } from '@toucanrouter/common';
+import {createLogger} from '@toucanrouter/logging';
 import {createHedgeBudget, createRetryBudget} from '@toucanrouter/policy';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 import {Agent} from 'undici';
 import {createUpstreamDirectory} from '../../fleet/UpstreamDirectory.js';
+import {createPromptGuard} from '../../request/chat/PromptGuard.js';
 import {formatEvent} from '../../request/chat/SseScanner.js';
 import type {CallTarget, Exchange} from '../../request/Exchange.js';
 import type {UpstreamAccess} from '../../request/UpstreamAccess.js';
@@ -236,6 +240,19 @@
     dispatcher,
     retryBudget: createRetryBudget(),
     hedgeBudget,
+    promptGuard: createPromptGuard({
+      clock,
+      logger: createLogger({
+        format: 'json',
+        level: 'error',
+        instanceId: toInstanceId('i'),
+        write: () => undefined,
+      }),
+      random: createSeededRandom(1),
+      probe: () => Promise.resolve('unknown'),
+      find: directory.find,
+      onNews: () => undefined,
+    }),
   };
   const result = await options.serve(access, exchange);
   undoLimit();
--- a/packages/daemon/src/request/chat/ChatCall.ts
+++ b/packages/daemon/src/request/chat/ChatCall.ts
@@ -12,7 +12,12 @@
 import type {GrantedUpstream, UpstreamAccess} from '../UpstreamAccess.js';
 import {acquireUpstream} from '../UpstreamAccess.js';
 import {runAttempt} from './ChatAttempt.js';
-import {recover, toCallerError} from './ChatRecovery.js';
+import {
+  mayHedge,
+  recordFailedCopy,
+  recover,
+  toCallerError,
+} from './ChatRecovery.js';
 import type {ChatRequest} from './ChatRequest.js';
 import type {ChatState, FinishedAttempt} from './ChatState.js';
 import type {AttemptStart} from './Transcript.js';
@@ -93,6 +98,8 @@
   if (reserved !== undefined) return ok(reserved);
   for (;;) {
     const started = transcript.tokens > 0;
+    const refusal = access.promptGuard.check(state.request.sharedSegments);
+    if (refusal !== undefined) return err(refusal);
     const granted = await acquireUpstream(access, exchange, state.shardId, {
       attempt: ++state.permitsRequested,
       hedge: false,
@@ -107,8 +114,9 @@
         ? {deadlineAtMs: access.clock.nowMs() + startedPermitTimeoutMs}
         : {}),
     });
+    if (granted.isOk()) return passGuard(state, granted.value);
     const attempted = exchange.stats.attempts > 0;
-    if (granted.isOk() || !attempted || exchange.signal.aborted) return granted;
+    if (!attempted || exchange.signal.aborted) return granted;
     const delayMs = granted.error.retryAfterMs ?? startedRetryDelayMs;
     const exceedsDeadline =
       access.clock.nowMs() + delayMs >= exchange.deadlineAtMs;
@@ -119,6 +127,20 @@
   }
 }
 
+/**
+ * Returns the permit unused if the prompt was quarantined while the call waited
+ * for it.
+ */
+function passGuard(
+  {access, request}: ChatState,
+  granted: GrantedUpstream,
+): Result<GrantedUpstream, RouterError> {
+  const refusal = access.promptGuard.tryPass(request.sharedSegments);
+  if (refusal === undefined) return ok(granted);
+  granted.permit.release({outcome: 'unused', wastedTokens: 0});
+  return err(refusal);
+}
+
 /**
  * Runs one attempt. If its upstream becomes a straggler, the call is moved to
  * another upstream or hedged, within the hedge budget.
@@ -145,7 +167,10 @@
         abort,
         hedgeAbort.signal,
       ).finally(() => (move = undefined));
-    } else if (state.access.hedgeBudget.tryHedge(hedgeCost(state))) {
+    } else if (
+      mayHedge(state) &&
+      state.access.hedgeBudget.tryHedge(hedgeCost(state))
+    ) {
       hedge = runHedge(state, granted, hedgeAbort, () => abort.abort());
     }
   };
@@ -155,7 +180,10 @@
   await move;
   const second = await hedge;
   if (first.end.kind === 'complete' || second === undefined) return first;
-  return state.winner === second.granted ? second : first;
+  const [leading, other] =
+    state.winner === second.granted ? [second, first] : [first, second];
+  recordFailedCopy(state, other);
+  return leading;
 }
 
 /**
@@ -237,6 +265,7 @@
     signal,
   );
   if (granted.isErr()) return undefined;
+  if (passGuard(state, granted.value).isErr()) return undefined;
   if (state.winner !== undefined || signal.aborted) {
     granted.value.permit.release({outcome: 'unused', wastedTokens: 0});
     return undefined;
