Keep a plain call on a suspect upstream until another one has granted a slot

Callers' view: an idempotent call of a plain service failed with 502 although its upstream, which had only been slow or silent for a moment, was about to answer.

The running attempt was aborted before another upstream had a slot for the call, and a permit that is refused after an attempt ends the call.

Change: the permit is requested first, as a hedge, beside the running attempt, which is ended only when it has been granted. A response or a fault withdraws the request, and a permit that is granted too late is released unused.

Evidence: two tests failed before with upstream_failed: another permit that is refused, and one that is granted only when its request is withdrawn. The test of a move that is granted at once passed before and after.

--- /dev/null
+++ b/packages/daemon/src/__tests__/unit/PlainCallSuspects.test.ts
@@ -0,0 +1,69 @@
+import {expect} from 'chai';
+import type {Exchange} from '../../request/Exchange.js';
+import {servePlain} from '../../request/plain/PlainCall.js';
+import type {UpstreamAccess} from '../../request/UpstreamAccess.js';
+import {shardId} from './SchedulingFixture.js';
+import type {
+  EndedCall,
+  PermitDecision,
+  UpstreamHandler,
+} from './SuspectUpstreamsFixture.js';
+import {runCall, upstreamName} from './SuspectUpstreamsFixture.js';
+
+const pauseMs = 200;
+const suspectAfterMs = 50;
+
+/** A plain service that answers after `delayMs`. */
+function answering(delayMs: number): UpstreamHandler {
+  return (_message, _body, response) => {
+    setTimeout(() => response.end('done'), delayMs);
+  };
+}
+
+/** Runs a call of two upstreams, of which the first is slow and suspect. */
+function runSuspectCall(decideHedge?: PermitDecision): Promise<EndedCall> {
+  const serve = (access: UpstreamAccess, exchange: Exchange) =>
+    servePlain(access, exchange, shardId, {});
+  return runCall({
+    handlers: [answering(pauseMs), answering(0)],
+    target: {kind: 'service', serves: 'tool', method: 'GET', path: '/'},
+    body: '',
+    serve,
+    decide: ({exclude}) => (exclude.length > 0 ? decideHedge : undefined),
+    onGranted: permit => {
+      if (permit.upstreamId !== upstreamName(0)) return;
+      setTimeout(() => permit.onSuspect?.(), suspectAfterMs);
+    },
+  });
+}
+
+function releaseOutcomes(call: EndedCall): (string | undefined)[] {
+  const permits = call.permitRequests.flatMap(({permit}) => permit ?? []);
+  for (const {releases} of permits) expect(releases).to.have.length(1);
+  return permits.map(({releases}) => releases[0]?.outcome);
+}
+
+describe('servePlain on a suspect upstream', () => {
+  // Guards against failing a call whose upstream only paused when no other one has a slot.
+  it('returns the response of a slow upstream when no other permit is granted', async () => {
+    for (const decision of ['refuse', 'wait'] as const) {
+      const call = await runSuspectCall(decision);
+      expect(call.kind).to.equal('answered');
+      expect(releaseOutcomes(call)).to.deep.equal(['completed']);
+    }
+  });
+
+  // Guards against a permit that stays taken when its grant crosses the end of the call.
+  it('releases a permit that is granted when the slow upstream has answered', async () => {
+    const call = await runSuspectCall('grant_when_withdrawn');
+    await new Promise(resolve => setImmediate(resolve));
+    expect(call.kind).to.equal('answered');
+    expect(releaseOutcomes(call)).to.deep.equal(['completed', 'unused']);
+  });
+
+  it('moves to another upstream once its permit is granted', async () => {
+    const call = await runSuspectCall();
+    expect(call.kind).to.equal('answered');
+    expect(releaseOutcomes(call)).to.deep.equal(['preempted', 'completed']);
+  });
+});
--- a/packages/daemon/src/request/plain/PlainCall.ts
+++ b/packages/daemon/src/request/plain/PlainCall.ts
@@ -62,6 +62,8 @@
   faults: number;
   /** Upstream of the last attempt if that attempt was preempted. */
   preemptedUpstreamId: UpstreamId | undefined;
+  /** Permit of the upstream that the call moves to. */
+  reserved: GrantedUpstream | undefined;
 }
 
 interface PlainFault {
@@ -85,8 +87,20 @@
     permitsRequested: 0,
     faults: 0,
     preemptedUpstreamId: undefined,
+    reserved: undefined,
   };
   access.retryBudget.recordRequest(access.clock.nowMs());
+  try {
+    return await runAttempts(state);
+  } finally {
+    state.reserved?.permit.release({outcome: 'unused', wastedTokens: 0});
+  }
+}
+
+async function runAttempts(
+  state: PlainState,
+): Promise<Result<PlainResponse, RouterErrorType>> {
+  const {access, exchange} = state;
   for (;;) {
     const granted = await acquireAttempt(state);
     if (granted.isErr()) return err(permitError(exchange, granted.error));
@@ -104,9 +118,12 @@
   }
 }
 
-function acquireAttempt(
+async function acquireAttempt(
   state: PlainState,
 ): Promise<Result<GrantedUpstream, RouterErrorType>> {
+  const {reserved} = state;
+  state.reserved = undefined;
+  if (reserved !== undefined) return ok(reserved);
   state.permitsRequested += 1;
   return acquireUpstream(state.access, state.exchange, state.shardId, {
     attempt: state.permitsRequested,
@@ -136,7 +153,8 @@
   exchange.stats.attempts += 1;
   const {idempotent} = classOf(exchange);
   const abort = new AbortController();
-  if (idempotent) registerAborts(state, granted, abort);
+  const withdrawal = new AbortController();
+  if (idempotent) registerAborts(state, granted, abort, withdrawal.signal);
   try {
     const response = await access.dispatcher.request({
       origin: `http://${upstream.address}`,
@@ -167,6 +185,8 @@
       wastedTokens: 0,
     });
     return err({endReason, cause});
+  } finally {
+    withdrawal.abort();
   }
 }
 
@@ -187,18 +207,62 @@
 /** Aborts the attempt on preemption, or to move the call off a straggler. */
 function registerAborts(
   state: PlainState,
-  {permit, upstream}: GrantedUpstream,
+  granted: GrantedUpstream,
   abort: AbortController,
+  withdrawn: AbortSignal,
 ): void {
+  const {permit, upstream} = granted;
+  let moving = false;
   permit.onPreempt = () => abort.abort();
   permit.onSuspect = () => {
+    if (moving || abort.signal.aborted) return;
     if (!hasOtherUpstream(state.access, state.shardId, upstream.id)) return;
     if (!state.access.hedgeBudget.tryHedge(callCostTokens)) return;
-    state.excluded.add(upstream.id);
-    abort.abort();
+    moving = true;
+    void moveToOtherUpstream(state, granted, abort, withdrawn).finally(
+      () => (moving = false),
+    );
   };
 }
 
+/**
+ * Moves the call once another upstream has a slot for it. Until then the
+ * running attempt goes on, because its upstream may only pause.
+ */
+async function moveToOtherUpstream(
+  state: PlainState,
+  running: GrantedUpstream,
+  abort: AbortController,
+  withdrawn: AbortSignal,
+): Promise<void> {
+  const {access, exchange, shardId} = state;
+  const signal = AbortSignal.any([exchange.signal, abort.signal, withdrawn]);
+  state.permitsRequested += 1;
+  const granted = await acquireUpstream(
+    access,
+    exchange,
+    shardId,
+    {
+      attempt: state.permitsRequested,
+      exclude: [...state.excluded, running.upstream.id],
+      hedge: true,
+      promptTokens: 0,
+      prefixHash: undefined,
+      resume: {upstreamId: running.upstream.id, tokens: 0},
+    },
+    signal,
+  );
+  if (granted.isOk() && !signal.aborted) {
+    state.reserved = granted.value;
+    state.excluded.add(running.upstream.id);
+    abort.abort();
+    return;
+  }
+  access.hedgeBudget.adjustReservation(callCostTokens, 0);
+  if (granted.isErr()) return;
+  granted.value.permit.release({outcome: 'unused', wastedTokens: 0});
+}
+
 function recover(
   state: PlainState,
   granted: GrantedUpstream,
@@ -224,7 +288,9 @@
       sameUpstreamUsable: true,
       resumeFailed: false,
       continuable: false,
-      otherUpstreamUsable: hasOtherUpstream(access, shardId, upstreamId),
+      otherUpstreamUsable:
+        state.reserved !== undefined ||
+        hasOtherUpstream(access, shardId, upstreamId),
     },
     () => access.retryBudget.tryRetry(nowMs),
   );
