Complete a response without a body whose connection stays open

Callers' view: a request that an upstream had answered with 204 or 304 and without a length was answered 502, or was sent once more.

Cause: a response with neither a length nor chunks was taken for one that ends with its connection, so that it counted as reset while its connection was still open. Responses with these statuses, and those to HEAD requests, have no body and end with their headers.

Change: such responses have a framing of their own and are complete when the client reports their end.

Evidence: the test of a 204 response failed before. 304 and HEAD follow the same rule and have no test of their own.

--- a/packages/gateway/src/__tests__/unit/UpstreamConnections.test.ts
+++ b/packages/gateway/src/__tests__/unit/UpstreamConnections.test.ts
@@ -72,6 +72,12 @@
 const head = 'HTTP/1.1 200 OK\r\nConnection: close\r\n';
 
 describe('UpstreamConnections', () => {
+  // Guards against failing a response whose status allows no body.
+  it('completes a response without a body on a connection that stays open', async () => {
+    const text = 'HTTP/1.1 204 No Content\r\n\r\n';
+    expect((await sendToUpstream(text, end)).outcome).to.equal('ended');
+  });
+
   it('fails a chunked response without its last chunk', async () => {
     const text = `${head}Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n`;
     expect((await sendToUpstream(text, end)).outcome).to.equal('failed');
--- a/packages/gateway/src/upstreams/UpstreamConnections.ts
+++ b/packages/gateway/src/upstreams/UpstreamConnections.ts
@@ -86,11 +86,17 @@
 }
 
 /** How HTTP marks the end of a response body. */
-type BodyFraming = 'chunks' | 'connection' | 'length';
+type BodyFraming = 'chunks' | 'connection' | 'length' | 'none';
+
+/** Statuses whose responses have no body, whatever their headers say. */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 function framingOf(
+  method: string,
+  status: number,
   headers: Readonly<Record<string, string | string[] | undefined>>,
 ): BodyFraming {
+  if (method === 'HEAD' || bodilessStatuses.has(status)) return 'none';
   if (headers['transfer-encoding'] !== undefined) return 'chunks';
   return headers['content-length'] === undefined ? 'connection' : 'length';
 }
@@ -264,7 +270,7 @@
               fail(error);
               return;
             }
-            framing = framingOf(headers);
+            framing = framingOf(request.method, status, headers);
             const raw = (started.rawHeaders ?? []) as readonly Buffer[];
             handler.started(
               status,
