Wait for the evidence of peers before a prompt segment is blamed

With a segment in many requests of a class, one instance blamed a sound segment that shared the class: the requests that had crashed the last upstream waited at other instances and were not known yet, and answers of the sound segment had been seen only by peers. Sound requests with it were refused.

A crash now counts for a verdict only after the time in which peers report theirs, instances tell their peers of suspected segments that were answered there before, and a verdict is lifted once another one explains its crashes better. The new test failed before: the sound segment was blocked at the third crash.

--- a/packages/policy/src/CrashEvidence.ts
+++ b/packages/policy/src/CrashEvidence.ts
@@ -127,7 +127,11 @@
     recordPeerAnswer: (segment, atMs) => {
       const previous = answers.get(segment) ?? noAnswers;
       if (previous.lastAtMs >= atMs) return;
-      answers.set(segment, {...previous, lastAtMs: atMs});
+      answers.set(segment, {
+        lastAtMs: atMs,
+        count: decayedCount(previous, atMs) + 1,
+        countedAtMs: atMs,
+      });
     },
     answeredAtMs: segment => (answers.get(segment) ?? noAnswers).lastAtMs,
     bySegment: nowMs => {
--- a/packages/policy/src/PromptQuarantine.ts
+++ b/packages/policy/src/PromptQuarantine.ts
@@ -5,6 +5,7 @@
  * crashes, verdicts and first events as data; all times are passed in.
  */
 import type {RandomSource} from '@toucanrouter/common';
+import {createBoundedMap} from './BoundedMap.js';
 import type {RecordedCrash, SegmentEvidence} from './CrashEvidence.js';
 import {countIncidents, createCrashEvidence} from './CrashEvidence.js';
 import type {
@@ -113,7 +114,11 @@
   const crashReportsLeft = new Map<UpstreamStartHash, number>();
   const clearingReportsLeft = new Map<SegmentHash, number>();
   let suspects = new Set<SegmentHash>();
+  const vouchedAtMs = createBoundedMap<SegmentHash, number>(
+    limits.maxAnsweredCount,
+  );
   let ownCrashCount = 0;
+  let evaluateAtMs = Infinity;
 
   function setBounded<Key, Value>(
     map: Map<Key, Value>,
@@ -234,7 +239,10 @@
     }
     return (
       against.requests.size >= limits.minRequestCount &&
-      countIncidents(crashes, limits.separationMs) >= limits.minIncidentCount &&
+      countIncidents(
+        crashes.filter(({atMs}) => atMs <= nowMs - limits.settleMs),
+        limits.separationMs,
+      ) >= limits.minIncidentCount &&
       !isAmbiguous(against, all)
     );
   }
@@ -256,7 +264,26 @@
     }
   }
 
+  /** Tells peers of suspects that were answered here before the crashes. */
+  function vouch(nowMs: number): void {
+    let news = false;
+    for (const segment of suspects) {
+      const answeredAtMs = evidence.answeredAtMs(segment);
+      if (answeredAtMs < nowMs - limits.evidenceWindowMs) continue;
+      if (answeredAtMs <= (vouchedAtMs.get(segment) ?? -Infinity)) continue;
+      vouchedAtMs.set(segment, answeredAtMs);
+      reportClearing(segment);
+      news = true;
+    }
+    if (news) options.onNews?.();
+  }
+
+  function evaluateIfDue(nowMs: number): void {
+    if (nowMs >= evaluateAtMs) evaluate(nowMs);
+  }
+
   function evaluate(nowMs: number): void {
+    evaluateAtMs = Infinity;
     const all = evidence.bySegment(nowMs);
     for (;;) {
       const guilty = [...all.values()].filter(against =>
@@ -283,6 +310,17 @@
         )
         .map(({segment}) => segment),
     );
+    for (const segment of [...verdicts.keys()]) {
+      const against = verdicts.has(segment) ? all.get(segment) : undefined;
+      if (against !== undefined) liftExplained(against, all);
+    }
+    vouch(nowMs);
+  }
+
+  /** Evaluates new evidence now, and again once peers have reported. */
+  function evidenceAdded(nowMs: number): void {
+    evaluate(nowMs);
+    evaluateAtMs = nowMs + limits.settleMs;
   }
 
   function reportClearing(segment: SegmentHash): void {
@@ -435,7 +473,7 @@
       const crash = {upstream, atMs: nowMs - ageMs, requests};
       changed = evidence.addCrash(crash) || changed;
     }
-    if (changed) evaluate(nowMs);
+    if (changed) evidenceAdded(nowMs);
   }
 
   function receiveClearing(
@@ -454,6 +492,7 @@
 
   return {
     tryPass: (segments, nowMs) => {
+      evaluateIfDue(nowMs);
       const blocked = blockedSegment(segments, nowMs);
       if (blocked !== undefined || verdicts.size === 0) return blocked;
       for (const segment of segments) {
@@ -486,10 +525,11 @@
         limits.reportCount,
         limits.maxCrashCount,
       );
-      evaluate(nowMs);
+      evidenceAdded(nowMs);
       options.onNews?.();
     },
     takeReport: nowMs => {
+      evaluateIfDue(nowMs);
       forgetOldVerdicts(nowMs);
       const crashes = takeCrashes(nowMs);
       const reportedVerdicts = takeVerdicts(nowMs);
@@ -509,6 +549,9 @@
         receiveVerdict(verdict, nowMs);
       }
       receiveCrashes(report.crashes.slice(0, count), nowMs);
+      if (report.verdicts.length > 0 && evaluateAtMs === Infinity) {
+        evaluate(nowMs);
+      }
     },
     blockedCount: nowMs =>
       [...verdicts.values()].filter(verdict => nowMs < verdict.blockedUntilMs)
--- a/packages/policy/src/PromptQuarantineTypes.ts
+++ b/packages/policy/src/PromptQuarantineTypes.ts
@@ -78,7 +78,10 @@
   readonly remainingMs: number;
 }
 
-/** A segment with which a request received its first event. */
+/**
+ * A segment with which a request received its first event. An event before a
+ * crash does not clear a segment, but makes others more likely to blame.
+ */
 export interface ReportedClearing {
   readonly segment: SegmentHash;
   readonly ageMs: number;
@@ -97,6 +100,8 @@
   readonly evidenceWindowMs: number;
   /** Crashes within this time of each other count as one incident. */
   readonly separationMs: number;
+  /** Time in which peers report what they know of a crash. */
+  readonly settleMs: number;
   readonly minIncidentCount: number;
   readonly minRequestCount: number;
   /** Incidents from which on a first event of a segment is told to peers. */
@@ -124,7 +129,8 @@
 /** Limits for a fleet of any size. */
 export const defaultQuarantineLimits: QuarantineLimits = {
   evidenceWindowMs: 120_000,
-  separationMs: 300,
+  separationMs: 200,
+  settleMs: 200,
   minIncidentCount: 3,
   minRequestCount: 2,
   suspicionIncidentCount: 2,
--- a/packages/policy/src/__tests__/unit/PromptQuarantine.test.ts
+++ b/packages/policy/src/__tests__/unit/PromptQuarantine.test.ts
@@ -235,6 +235,45 @@
     }
   });
 
+  // Guards against blaming a shared segment whose answers only peers have seen,
+  // while the requests that crashed the upstreams waited at other instances.
+  it('waits for what peers know of the crashes and of answered segments', () => {
+    const settleMs = 200;
+    const fixtures = [1, 2].map(seed =>
+      createQuarantineFixture({settleMs}, seed),
+    );
+    const [first, second] = fixtures as [QuarantineFixture, QuarantineFixture];
+    second.quarantine.recordFirstEvent(
+      upstream('live'),
+      segments('sound'),
+      500,
+    );
+    for (const [index, atMs] of [1_000, 2_000, 3_000, 4_000].entries()) {
+      first.quarantine.recordCrash(
+        crash(`up-${index}`, atMs, [`sound-${index}`, 'sound']),
+        atMs,
+      );
+      expect(isBlocked(first, ['sound'], atMs)).to.equal(false);
+      second.quarantine.recordCrash(
+        crash(
+          `up-${index}`,
+          atMs,
+          [`bad-${index}`, 'bad'],
+          [`bad-too-${index}`, 'bad'],
+        ),
+        atMs,
+      );
+      for (const delayMs of [10, 20, settleMs + 10]) {
+        exchangeReport(second, [first], atMs + delayMs);
+        exchangeReport(first, [second], atMs + delayMs);
+      }
+      for (const fixture of fixtures) {
+        expect(isBlocked(fixture, ['bad'], atMs + 500)).to.equal(index >= 2);
+        expect(isBlocked(fixture, ['sound'], atMs + 500)).to.equal(false);
+      }
+    }
+  });
+
   it('tells an instance that starts later of a verdict with its remaining time', () => {
     const fixtures = [1, 2, 3].map(seed => createQuarantineFixture({}, seed));
     const [first, second, third] = fixtures as [
--- a/packages/policy/src/__tests__/unit/QuarantineFixtures.ts
+++ b/packages/policy/src/__tests__/unit/QuarantineFixtures.ts
@@ -25,7 +25,7 @@
   readonly expired: SegmentHash[];
 }
 
-/** Creates an instance. */
+/** Creates an instance that convicts at once. */
 export function createQuarantineFixture(
   limits: Partial<QuarantineLimits> = {},
   seed = 1,
@@ -34,7 +34,7 @@
   const cleared: SegmentHash[] = [];
   const expired: SegmentHash[] = [];
   const quarantine = createPromptQuarantine({
-    limits,
+    limits: {settleMs: 0, ...limits},
     random: createSeededRandom(seed),
     onConvicted: conviction => convictions.push(conviction),
     onCleared: segment => cleared.push(segment),
