Do not exclude a suspect upstream before another one has accepted the call

Callers' view: an engine fell silent for a moment, the other one granted a slot and then rejected the call, and the stream stood still until its caller left, although the first engine could go on.

Cause: a granted slot is not an accepted call, but the suspect upstream was excluded at the grant. With the other one excluded by its rejection nothing was left.

Now it is resumed on the first engine. The reserved permit alone decides where the next attempt goes, so the exclusion had no other use.

--- a/packages/daemon/src/__tests__/unit/ChatCallSuspects.test.ts
+++ b/packages/daemon/src/__tests__/unit/ChatCallSuspects.test.ts
@@ -8,6 +8,7 @@
 import type {EndedCall, TestCallOptions} from './SuspectUpstreamsFixture.js';
 import {
   engine,
+  rejecting,
   relayedIds,
   relayedTokens,
   responseTokens,
@@ -66,6 +67,15 @@
     expect(releaseOutcomes(call)).to.deep.equal(['completed']);
   });
 
+  // Guards against ending a stream that only paused when the upstream that granted a slot rejects it.
+  it('completes a stream after a pause although the other upstream rejects it', async () => {
+    const call = await runSuspectCall({
+      handlers: [pausing, rejecting],
+      limitMs: 5_000,
+    });
+    expectWholeStream(call);
+  });
+
   // Guards against giving up a stream that only paused while all other upstreams are full.
   it('completes a stream after a pause while another permit is awaited, and withdraws that request', async () => {
     const call = await runSuspectCall({
--- a/packages/daemon/src/request/chat/ChatCall.ts
+++ b/packages/daemon/src/request/chat/ChatCall.ts
@@ -226,8 +226,8 @@
     signal,
   );
   if (granted.isOk() && !signal.aborted && canContinueElsewhere(state)) {
+    // The suspect upstream is not excluded: the other one may reject the call.
     state.reserved = granted.value;
-    state.excluded.add(running.upstream.id);
     abort.abort('preempted');
     return;
   }
