Let instances probe a quarantined segment at different times

Callers' view: when a verdict ended, each instance let a request with the crashing segment pass at the same moment.

Cause: peers adopt a verdict with its remaining time, so only the instance that convicted had a random part in it.

--- a/packages/policy/src/PromptQuarantine.ts
+++ b/packages/policy/src/PromptQuarantine.ts
@@ -79,6 +79,8 @@
   /** The first crash on which the conviction rests. */
   readonly evidenceAtMs: number;
   readonly blockedUntilMs: number;
+  /** Later than that where a peer convicted, so that not all probe at once. */
+  readonly passFromMs: number;
   readonly durationMs: number;
   probedAtMs: number;
   expiryReported: boolean;
@@ -156,12 +158,14 @@
   ): void {
     const jitter = 1 + options.random.next() * limits.jitterShare;
     const {crashes, requests, segment} = against;
+    const blockedUntilMs =
+      nowMs + Math.min(durationMs * jitter, limits.maxBlockedMs);
     putVerdict({
       segment,
       convictedAtMs: nowMs,
       evidenceAtMs: crashes[0]?.atMs ?? nowMs,
-      blockedUntilMs:
-        nowMs + Math.min(durationMs * jitter, limits.maxBlockedMs),
+      blockedUntilMs,
+      passFromMs: blockedUntilMs,
       durationMs,
       probedAtMs: -Infinity,
       expiryReported: false,
@@ -334,8 +338,8 @@
 
   function forgetOldVerdicts(nowMs: number): void {
     for (const [segment, verdict] of verdicts) {
-      const {blockedUntilMs} = verdict;
-      if (nowMs < blockedUntilMs) continue;
+      const {blockedUntilMs, passFromMs} = verdict;
+      if (nowMs < passFromMs) continue;
       if (!verdict.expiryReported) {
         verdict.expiryReported = true;
         options.onExpired?.(segment);
@@ -348,7 +352,7 @@
 
   function remainingMs(verdict: Verdict, nowMs: number): number {
     return Math.max(
-      verdict.blockedUntilMs - nowMs,
+      verdict.passFromMs - nowMs,
       verdict.probedAtMs + limits.probeIntervalMs - nowMs,
     );
   }
@@ -440,6 +444,8 @@
       return;
     }
     const remaining = Math.min(reported.remainingMs, limits.maxBlockedMs);
+    const delayMs =
+      options.random.next() * limits.jitterShare * limits.blockedMs;
     const durationMs = Math.max(
       limits.blockedMs,
       Math.min(previous === undefined ? 0 : previous.durationMs * 2, remaining),
@@ -449,6 +455,7 @@
       convictedAtMs,
       evidenceAtMs,
       blockedUntilMs: nowMs + remaining,
+      passFromMs: nowMs + Math.min(remaining + delayMs, limits.maxBlockedMs),
       durationMs,
       probedAtMs: -Infinity,
       expiryReported: false,
