Ask a further upstream at once when the one beside a stalled attempt refuses

Callers' view: an engine stalled, the one asked beside it refused at once, and a third one that was free was asked only after another stall.

Cause: only a stall led to another attempt beside the running one.

--- a/packages/gateway/src/request/AttemptRace.ts
+++ b/packages/gateway/src/request/AttemptRace.ts
@@ -28,6 +28,11 @@
   readonly superseded: boolean;
 }
 
+interface RunningAttempt extends PlacedAttempt {
+  /** True while it makes no progress. */
+  stalled: boolean;
+}
+
 /** Options of a race. */
 export interface AttemptRaceOptions {
   readonly choice: Choice;
@@ -58,19 +63,19 @@
 
 /** Starts the first attempt. */
 export function startAttemptRace(options: AttemptRaceOptions): AttemptRace {
-  const running: PlacedAttempt[] = [];
+  const running: RunningAttempt[] = [];
   let resolveEnded: (ended: EndedAttempt) => void = () => undefined;
   const ended = new Promise<EndedAttempt>(resolve => {
     resolveEnded = resolve;
   });
 
-  function remove(placed: PlacedAttempt): boolean {
+  function remove(placed: RunningAttempt): boolean {
     const index = running.indexOf(placed);
     if (index >= 0) running.splice(index, 1);
     return index >= 0;
   }
 
-  function cancelOthers(winner: PlacedAttempt): void {
+  function cancelOthers(winner: RunningAttempt): void {
     for (const placed of running.filter(other => other !== winner)) {
       remove(placed);
       const kind = placed.attempt.wasSent() ? 'broken' : 'unsent';
@@ -80,10 +85,17 @@
     }
   }
 
-  function onEnded(placed: PlacedAttempt, result: AttemptResult): void {
+  function askAnother(lastEventId: string | undefined): void {
+    const another = options.chooseAnother(lastEventId, running.length);
+    if (another !== undefined) start(another);
+  }
+
+  function onEnded(placed: RunningAttempt, result: AttemptResult): void {
     if (!remove(placed)) return;
-    if (running.length > 0 && !options.isFinal(result)) {
+    const newest = running.at(-1);
+    if (newest !== undefined && !options.isFinal(result)) {
       options.onDiscarded({...placed, result, superseded: false});
+      if (newest.stalled) askAnother(newest.attempt.lastEventId());
       return;
     }
     cancelOthers(placed);
@@ -92,15 +104,17 @@
 
   function start(choice: Choice): void {
     const attempt = options.start(choice, {
-      onProgress: () => cancelOthers(placed),
+      onProgress: () => {
+        placed.stalled = false;
+        if (running.length > 1) cancelOthers(placed);
+      },
       onStalled: lastEventId => {
+        placed.stalled = true;
         // Only the newest one counts, since the others are known to stall.
-        if (running.at(-1) !== placed) return;
-        const another = options.chooseAnother(lastEventId, running.length);
-        if (another !== undefined) start(another);
+        if (running.at(-1) === placed) askAnother(lastEventId);
       },
     });
-    const placed: PlacedAttempt = {choice, attempt};
+    const placed: RunningAttempt = {choice, attempt, stalled: false};
     running.push(placed);
     void attempt.result.then(result => onEnded(placed, result));
   }
