Count a stalled attempt once, and record the attempt that served the request

Cause: since a stalled attempt goes on, its later break counted as a second failure of the same upstream, two of the three before ejection; a slow caller that drained after the end of an attempt restarted its stall timer; and the duration and the estimates in the record came from the attempt that was started last instead of the one that served.

--- a/packages/gateway/src/request/Attempt.ts
+++ b/packages/gateway/src/request/Attempt.ts
@@ -149,6 +149,7 @@
   }
 
   function onStalled(silentMs: number): boolean {
+    if (finished) return true;
     const reason = `no progress for ${Math.round(silentMs)} ms`;
     if (!sent) {
       abort({kind: 'unsent', reason}, reason);
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -100,7 +100,8 @@
   let admittedRequest: AdmittedRequest | undefined;
   let deadlineMs = Infinity;
   let attempts: AttemptRace | undefined;
-  let sentAtMs = arrivedAtMs;
+  const sentAtMs = new Map<UpstreamId, number>();
+  const stalledUpstreams = new Set<UpstreamId>();
   let lastChoice: Choice | undefined;
   let firstAnswerMs: number | undefined;
   let eventCount = 0;
@@ -268,9 +269,8 @@
     upstreams.push(entry.id);
     lastChoice = choice;
     const guardedAttempt = guarded.startAttempt(entry);
-    sentAtMs = clock.nowMs();
+    sentAtMs.set(entry.id, clock.nowMs());
     const recordEnd = placement.recordSent(choice);
-    let stallRecorded = route.retryPolicy === 'never';
     const attempt = startAttempt({
       clock,
       connections: context.connections,
@@ -297,8 +297,10 @@
           : maxIdleRetryableMs,
       stallLimits: stallLimitsFor(admitted, choice),
       onStalled: lastEventId => {
-        if (!stallRecorded) health.recordOutcome('silent', clock.nowMs());
-        stallRecorded = true;
+        if (route.retryPolicy !== 'never' && !stalledUpstreams.has(entry.id)) {
+          stalledUpstreams.add(entry.id);
+          health.recordOutcome('silent', clock.nowMs());
+        }
         observer.onStalled(lastEventId);
       },
       onFirstResponse: observedMs =>
@@ -347,6 +349,8 @@
     progress.mayHaveRun ||=
       result.kind === 'broken' || result.kind === 'answered';
     if (callerDisconnected || recorded || superseded) return;
+    // A stall has been recorded as the failure of this attempt.
+    if (result.kind === 'broken' && stalledUpstreams.has(entry.id)) return;
     if (result.kind === 'misdirected')
       context.registry.addressReassigned(entry.id);
     else health.recordOutcome(outcomeOf(result), clock.nowMs());
@@ -380,7 +384,8 @@
     callerResponse.end();
     if (admittedRequest !== undefined) {
       const {classId} = admittedRequest.route;
-      const durationMs = clock.nowMs() - sentAtMs;
+      const sent = lastChoice && sentAtMs.get(lastChoice.candidate.entry.id);
+      const durationMs = clock.nowMs() - (sent ?? arrivedAtMs);
       knowledge.responseStats.recordCompleted(classId, eventCount, durationMs);
     }
     record('served', 200);
@@ -454,6 +459,7 @@
       });
       const ended = await attempts.ended;
       const {result} = ended;
+      lastChoice = ended.choice;
       recordResult(ended);
       if (recorded || callerDisconnected) return;
       const progressNow = snapshotProgress(admitted);
