Decide in one place whether an upstream ended under its requests

The detectors of both request paths were copies of each other. The one of the policy package takes the probe, the identity of a process and whether it may be used as functions; the daemon keeps its second sign, a newer process with the same id.

--- a/packages/daemon/src/request/chat/PromptGuard.ts
+++ b/packages/daemon/src/request/chat/PromptGuard.ts
@@ -16,11 +16,11 @@
   SegmentHash,
 } from '@toucanrouter/policy';
 import {
+  createCrashDetector,
   createPromptQuarantine,
   requestHashOf,
   upstreamStartHashOf,
 } from '@toucanrouter/policy';
-import {createCrashDetector} from './CrashDetector.js';
 import type {ProbeResult} from './EngineProbe.js';
 
 /** Options of a guard. */
@@ -102,10 +102,20 @@
       }),
     onNews: options.onNews,
   });
+  /** True once a process with the same id has taken the place of `engine`. */
+  function isReplaced({id, incarnation}: UpstreamInfo): boolean {
+    const current = options.find(id);
+    return current !== undefined && current.incarnation > incarnation;
+  }
+
   const detector = createCrashDetector({
     clock,
-    probe: options.probe,
-    find: options.find,
+    startHashOf: ({id, incarnation}: UpstreamInfo) =>
+      upstreamStartHashOf(id, incarnation),
+    hasEnded: async engine =>
+      (await options.probe(engine.address)) === 'refused' || isReplaced(engine),
+    isUsable: engine =>
+      !engine.leaving && options.find(engine.id)?.leaving !== true,
     onCrash: crash => quarantine.recordCrash(crash, clock.nowMs()),
   });
 
--- a/packages/gateway/src/__tests__/unit/CrashDetector.test.ts
+++ b/packages/gateway/src/__tests__/unit/CrashDetector.test.ts
@@ -1,9 +1,14 @@
 import {createManualClock} from '@toucanrouter/common';
 import type {UpstreamCrash} from '@toucanrouter/policy';
-import {requestHashOf, segmentHashOf} from '@toucanrouter/policy';
+import {
+  createCrashDetector,
+  requestHashOf,
+  segmentHashOf,
+  upstreamStartHashOf,
+} from '@toucanrouter/policy';
 import {expect} from 'chai';
-import {createCrashDetector} from '../../upstreams/CrashDetector.js';
 import type {ProbeResult} from '../../upstreams/UpstreamProbe.js';
+import type {UpstreamEntry} from '../../upstreams/UpstreamEntry.js';
 import {createEntry} from './GatewayFixtures.js';
 
 const waiting = (id: string) => ({
@@ -17,9 +22,11 @@
   let probeCount = 0;
   const detector = createCrashDetector({
     clock,
-    probe: () => {
+    startHashOf: ({id, startedAtMs}: UpstreamEntry) =>
+      upstreamStartHashOf(id, startedAtMs),
+    hasEnded: () => {
       probeCount += 1;
-      return Promise.resolve(result);
+      return Promise.resolve(result === 'refused');
     },
     isUsable: () => usable,
     onCrash: crash => crashes.push(crash),
--- a/packages/gateway/src/request/PromptGuard.ts
+++ b/packages/gateway/src/request/PromptGuard.ts
@@ -11,12 +11,12 @@
 } from '@toucanrouter/policy';
 import {
   createBoundedMap,
+  createCrashDetector,
   createPromptQuarantine,
   requestHashOf,
   segmentHashOf,
   upstreamStartHashOf,
 } from '@toucanrouter/policy';
-import {createCrashDetector} from '../upstreams/CrashDetector.js';
 import type {Prompt} from '../upstreams/Prompt.js';
 import {sharedSegments} from '../upstreams/Prompt.js';
 import type {UpstreamEntry} from '../upstreams/UpstreamEntry.js';
@@ -121,7 +121,9 @@
   });
   const detector = createCrashDetector({
     clock,
-    probe: options.probe,
+    startHashOf: ({id, startedAtMs}: UpstreamEntry) =>
+      upstreamStartHashOf(id, startedAtMs),
+    hasEnded: async entry => (await options.probe(entry)) === 'refused',
     isUsable: options.isUsable,
     onCrash: crash => {
       logger.info('upstream ended under waiting requests', {
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,3 +1,5 @@
+export type {CrashDetector, CrashDetectorOptions} from './CrashDetector.js';
+export {createCrashDetector} from './CrashDetector.js';
 export type {BoundedMap} from './BoundedMap.js';
 export {createBoundedMap} from './BoundedMap.js';
 export type {ClassifiedCall, ModelCall, ServiceCall} from './Classification.js';
