Measure the crashes of the process test from the fifth one or the last

The test of crashing prompts looked at the calls later than four seconds after the fifth crash, and had nothing to look at if the quarantine came before a fifth. It now records when engines ended and counts from the fifth crash, or from the last if there were fewer, as the operators' rule does. The limits are unchanged.

--- a/packages/standins/src/__tests__/process/CrashingPrompts.test.ts
+++ b/packages/standins/src/__tests__/process/CrashingPrompts.test.ts
@@ -19,6 +19,7 @@
 const callCount = 60;
 
 interface Reply {
+  readonly sentAtMs: number;
   readonly status: number;
   readonly kind: string;
 }
@@ -30,6 +31,7 @@
 ): Promise<Reply> {
   const key = Object.values(deployment.profile.workspace)[0]?.key ?? '';
   const messages = prompt.map(content => ({role: 'user', content}));
+  const sentAtMs = performance.now();
   const response = await request(
     `http://${deployment.addressOf(router)}/v1/chat/completions`,
     {
@@ -43,13 +45,19 @@
     },
   );
   const body = (await response.body.json()) as {error?: {type: string}};
-  return {status: response.statusCode, kind: body.error?.type ?? 'answered'};
+  const kind = body.error?.type ?? 'answered';
+  return {sentAtMs, status: response.statusCode, kind};
+}
+
+/** Returns the time of the last crash that is allowed, if there was one. */
+function lastToleratedCrashAtMs(crashedAtMs: readonly number[]): number {
+  return crashedAtMs.slice(0, toleratedCrashes).at(-1) ?? NaN;
 }
 
 describe('prompts that crash engines', () => {
   let deployment: Deployment;
   let stopped = false;
-  let crashes = 0;
+  const crashedAtMs: number[] = [];
 
   /** Restarts each engine that ended, as the platform does. */
   async function superviseEngine(name: string): Promise<void> {
@@ -57,7 +65,7 @@
       try {
         await deployment.switch(name, {crashOnText});
       } catch {
-        crashes += 1;
+        crashedAtMs.push(performance.now());
         await sleep(1_000);
         if (!stopped) await deployment.restart(name);
       }
@@ -86,12 +94,10 @@
     const supervisors = deployment.names('engine').map(superviseEngine);
     await sleep(500);
     const routers = deployment.names('router');
-    let lateFromMs: number | undefined;
-    let late: Reply[] = [];
-    const lateSound: Reply[] = [];
+    const replies: Reply[] = [];
+    const soundReplies: Reply[] = [];
     for (let index = 0; index < callCount; index++) {
       const router = routers[index % routers.length] ?? '';
-      const isLate = lateFromMs !== undefined && performance.now() > lateFromMs;
       const [reply, sound] = await Promise.all([
         send(deployment, router, ['be brief', crashOnText, `ask ${index}`]),
         send(deployment, router, [
@@ -99,17 +105,16 @@
           `ask ${index} ${lengthMarker(3)}`,
         ]),
       ]);
-      if (isLate) {
-        late = [...late, reply];
-        lateSound.push(sound);
-      }
-      if (lateFromMs === undefined && crashes >= toleratedCrashes) {
-        lateFromMs = performance.now() + reactionMs;
-      }
+      replies.push(reply);
+      soundReplies.push(sound);
       await sleep(callIntervalMs);
     }
     stopped = true;
     await Promise.all(supervisors);
+    const lateFromMs = reactionMs + lastToleratedCrashAtMs(crashedAtMs);
+    const isLate = ({sentAtMs}: Reply) => sentAtMs > lateFromMs;
+    const late = replies.filter(isLate);
+    const lateSound = soundReplies.filter(isLate);
     expect(late).to.not.have.length(0);
     const sent = late.filter(({kind}) => kind !== 'prompt_quarantined');
     expect(sent.length, 'calls that were not refused').to.be.at.most(
