review: a sound stream is given up for an engine that breaks off

Seen: a stream of a resumable route runs at a sound engine that is silent for 1.2 s and would go on. A second engine is asked, sends one event and breaks off. The caller's connection is closed in the middle of the answer.

Cause as far as known: the first event of any attempt cancels the others, so the sound attempt is gone when its replacement fails, and the route's attempts are used up.

Nothing is fixed.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+cd "$(dirname "$0")" && exec node run.js
