--- a/review/2/run.js
+++ b/review/2/run.js
@@ -4,8 +4,8 @@
  */
 import {dirname, join} from 'node:path';
 import {fileURLToPath} from 'node:url';
-import {runCase} from '../lib/case.js';
-import {playCrashingPart} from '../lib/crashing.js';
+import {runCase} from '../case.js';
+import {playCrashingPart} from '../crashing.js';
 
 const here = dirname(fileURLToPath(import.meta.url));
 const crashDelayMs = 20;
--- a/review/3/run.js
+++ b/review/3/run.js
@@ -7,15 +7,11 @@
 import {clearTimeout, setTimeout} from 'node:timers';
 import {dirname, join} from 'node:path';
 import {fileURLToPath} from 'node:url';
-import {broken, held, notRun, runCase, trouble} from '../lib/case.js';
-import {createClient} from '../lib/client.js';
-import {
-  answerSoundly,
-  createTraffic,
-  startDeployment,
-} from '../lib/deployment.js';
-import {answerHeaders} from '../lib/engine.js';
-import {sleep, startRouter} from '../lib/router.js';
+import {broken, held, notRun, runCase, trouble} from '../case.js';
+import {createClient} from '../client.js';
+import {answerSoundly, createTraffic, startDeployment} from '../deployment.js';
+import {answerHeaders} from '../engine.js';
+import {sleep, startRouter} from '../router.js';
 
 const here = dirname(fileURLToPath(import.meta.url));
 const calmMs = 4_000;
--- a/review/4/run.js
+++ b/review/4/run.js
@@ -5,8 +5,8 @@
  */
 import {dirname, join} from 'node:path';
 import {fileURLToPath} from 'node:url';
-import {runCase} from '../lib/case.js';
-import {playCrashingPart} from '../lib/crashing.js';
+import {runCase} from '../case.js';
+import {playCrashingPart} from '../crashing.js';
 
 const here = dirname(fileURLToPath(import.meta.url));
 const partTokens = 100;
--- a/review/5/run.js
+++ b/review/5/run.js
@@ -7,17 +7,17 @@
 import {clearInterval, setInterval} from 'node:timers';
 import {dirname, join} from 'node:path';
 import {fileURLToPath} from 'node:url';
-import {broken, held, notRun, runCase, trouble} from '../lib/case.js';
-import {createClient} from '../lib/client.js';
+import {broken, held, notRun, runCase, trouble} from '../case.js';
+import {createClient} from '../client.js';
 import {
   answerSoundly,
   createTraffic,
   startDeployment,
   streamSoundly,
-} from '../lib/deployment.js';
-import {createEngine} from '../lib/engine.js';
-import {startLink} from '../lib/link.js';
-import {bounds, sleep, startRouter} from '../lib/router.js';
+} from '../deployment.js';
+import {createEngine} from '../engine.js';
+import {startLink} from '../link.js';
+import {bounds, sleep, startRouter} from '../router.js';
 
 const here = dirname(fileURLToPath(import.meta.url));
 const cycles = 6;
--- a/review/lib/link.js
+++ b/review/link.js
@@ -14,7 +14,7 @@
 export async function startLink(port) {
   const child = spawn(
     process.execPath,
-    [join(root, 'review/lib/proxy.js'), '127.0.0.1', String(port)],
+    [join(root, 'review/proxy.js'), '127.0.0.1', String(port)],
     {stdio: ['ignore', 'pipe', 'inherit']},
   );
   const ownPort = await new Promise((resolve, reject) => {
--- a/review/lib/router.js
+++ b/review/router.js
@@ -12,7 +12,7 @@
 import {fileURLToPath} from 'node:url';
 
 /** The root of the repository. */
-export const root = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
+export const root = join(dirname(fileURLToPath(import.meta.url)), '..');
 
 /** Figures of the users' small deployments. */
 export const bounds = {
