policy: clear a prompt segment only by a complete response

Callers saw requests with one segment of a prompt end engine after engine, and the sound answers there broken off, when the engines ended after their first event.

Cause: a first event cleared all segments of its prompt, and the end of a connection after it was not judged. Engines may end at any point of a response. A response without a length ends with its connection, so a crash made it look complete. In the daemon, new tokens also reset the count of failed attempts, so one call could end an engine for every few tokens.

Now only a complete response clears segments; events show that a process lives. A connection that ends at any point of a response makes the detector probe the upstream once for all requests that ended with it, and a response that ended with its connection clears its segments only if the upstream lives. Whatever a crash leaves of a response, it can no longer look like proof of the opposite.

--- a/packages/daemon/src/__tests__/unit/ChatCall.test.ts
+++ b/packages/daemon/src/__tests__/unit/ChatCall.test.ts
@@ -90,6 +90,14 @@
       expect(fleet.permitCount()).to.equal(permitsBefore);
     }));
 
+  // Guards against a first token that clears a prompt whose engines end later.
+  it('refuses a prompt that crashes engines after some tokens', () =>
+    withFleet({crashAfterTokens: 3, maxTokens: 40}, async fleet => {
+      expect(await crashEngines(fleet, 1)).to.be.at.most(maxLateCrashes);
+      const outcome = await fleet.call(0, crashingPrompt);
+      expect(outcome).to.include({kind: 'prompt_quarantined', attempts: 0});
+    }));
+
   // Guards against entry instances that each have to see engines end themselves.
   it('refuses a prompt at each entry instance once engines ended under calls of any', () =>
     withFleet({entryCount: 3}, async fleet => {
--- a/packages/daemon/src/__tests__/unit/ChatCallFixture.ts
+++ b/packages/daemon/src/__tests__/unit/ChatCallFixture.ts
@@ -70,8 +70,12 @@
 export interface ChatFleetOptions {
   readonly entryCount: number;
   readonly engineCount: number;
-  /** Engines crash in place of the first token of a prompt with this text. */
+  /** Engines crash while they answer a prompt with this text. */
   readonly crashOnText: string;
+  /** Tokens before such a crash; 0 if absent. */
+  readonly crashAfterTokens?: number;
+  /** Length of the responses; 2 if absent. */
+  readonly maxTokens?: number;
   /** The scheduler reports each upstream as a straggler once it is sent work. */
   readonly suspectsAll?: boolean;
 }
@@ -143,7 +147,8 @@
     });
     const info = {...upstreamInfo(name), address: standIn.address};
     const engine = {info, standIn};
-    standIn.switch({crashOnText: options.crashOnText});
+    const {crashAfterTokens, crashOnText} = options;
+    standIn.switch({crashOnText, crashAfterTokens});
     engines.push(engine);
     directory.setListed(engines.map(entry => entry.info));
   }
@@ -272,7 +277,10 @@
   ): Promise<CallOutcome> {
     await Promise.all(started);
     const messages = prompt.map(content => ({role: 'user', content}));
-    const body = Buffer.from(JSON.stringify({model, messages, max_tokens: 2}));
+    const {maxTokens = 2} = options;
+    const body = Buffer.from(
+      JSON.stringify({model, messages, max_tokens: maxTokens}),
+    );
     const request = parseChatRequest(body)._unsafeUnwrap();
     const exchange = createExchange(body);
     const {access} = entries[entryIndex]!;
--- a/packages/daemon/src/request/chat/ChatAttempt.ts
+++ b/packages/daemon/src/request/chat/ChatAttempt.ts
@@ -39,15 +39,6 @@
     effectiveStart === 'continue' && transcript.tokens > 0
       ? transcript.prefix()
       : undefined;
-  let answered = false;
-  const recordAnswer = () => {
-    if (answered) return;
-    answered = true;
-    access.promptGuard.firstTokenReceived(
-      upstream,
-      state.request.sharedSegments,
-    );
-  };
   const end = await runEngineAttempt({
     dispatcher: access.dispatcher,
     address: upstream.address,
@@ -65,20 +56,21 @@
         abort.abort('lost_race');
         return Promise.resolve(ok(undefined));
       }
-      return relayEvents(state, granted, events, recordAnswer);
+      return relayEvents(state, granted, events);
     },
   });
   state.mayHaveRun ||= end.kind !== 'rejected';
-  if (!answered && closedByEngine(end)) {
-    access.promptGuard.connectionBroke(
-      upstream,
-      exchange.requestId,
-      state.request.sharedSegments,
-    );
-  }
   const preempted = abort.signal.reason === 'preempted';
   const kind = endKindOf(state, granted, end, preempted);
-  if (kind === 'complete') recordAnswer();
+  const {sharedSegments} = state.request;
+  if (kind === 'complete') {
+    access.promptGuard.answered(upstream, sharedSegments);
+  } else if (closedByEngine(end)) {
+    const {requestId} = exchange;
+    state.breaks.push(
+      access.promptGuard.connectionBroke(upstream, requestId, sharedSegments),
+    );
+  }
   permit.release(toJobEnd(state, kind));
   if (kind === 'complete' || kind === 'lost_race') {
     return {granted, start: effectiveStart, end: {kind}, preempted};
@@ -86,7 +78,7 @@
   return {granted, start: effectiveStart, end, preempted};
 }
 
-/** Returns whether the engine may have ended while the request waited there. */
+/** Returns whether the engine may have ended while the request ran there. */
 function closedByEngine(end: AttemptEnd): boolean {
   if (end.kind === 'broken') {
     return end.connected && end.error.kind === 'upstream_failed';
@@ -98,7 +90,6 @@
   state: ChatState,
   granted: GrantedUpstream,
   events: ScannedEvents,
-  onTokens: () => void,
 ): Promise<Result<void, RouterError>> {
   const {access, exchange, transcript} = state;
   const tokensBefore = transcript.tokens;
@@ -106,7 +97,7 @@
   if (bytes.isErr()) return err(bytes.error);
   const newTokens = transcript.tokens - tokensBefore;
   if (newTokens > 0) {
-    onTokens();
+    access.promptGuard.tokensReceived(granted.upstream);
     granted.permit.recordTokens(newTokens);
     access.hedgeBudget.recordWork(newTokens);
     recordTokens(state, newTokens);
--- a/packages/daemon/src/request/chat/ChatCall.ts
+++ b/packages/daemon/src/request/chat/ChatCall.ts
@@ -54,6 +54,7 @@
     excluded: new Set(),
     permitsRequested: 0,
     faults: 0,
+    breaks: [],
     tokensBeforeAttempt: 0,
     lastUpstreamId: undefined,
     mayHaveRun: false,
@@ -81,7 +82,7 @@
     const finished = await runWithHedge(state, granted.value, start);
     if (finished.end.kind === 'complete') return finishResponse(state);
     if (exchange.signal.aborted) return err(abortError(exchange, true));
-    const decision = recover(state, finished);
+    const decision = await recover(state, finished);
     if (decision.kind === 'fail') {
       return err(toCallerError(state, decision, finished));
     }
--- a/packages/daemon/src/request/chat/ChatRecovery.ts
+++ b/packages/daemon/src/request/chat/ChatRecovery.ts
@@ -7,20 +7,31 @@
 import {hasOtherUpstream} from '../UpstreamAccess.js';
 import type {ChatState, FinishedAttempt} from './ChatState.js';
 
+/**
+ * Returns the number of engines that ended while they ran the call. It waits to
+ * know only when they may be too many, so that other recoveries are not delayed.
+ */
+async function countCrashes({breaks}: ChatState): Promise<number> {
+  if (breaks.length < maxAttempts) return 0;
+  const crashed = await Promise.all(breaks);
+  return crashed.filter(Boolean).length;
+}
+
 /** Decides on the next attempt and records the upstreams to exclude from it. */
-export function recover(
+export async function recover(
   state: ChatState,
   finished: FinishedAttempt,
-): RecoveryDecision {
+): Promise<RecoveryDecision> {
   const {access, exchange, transcript} = state;
   const {granted, preempted} = finished;
+  const crashes = await countCrashes(state);
   const nowMs = access.clock.nowMs();
   const upstreamId = granted.upstream.id;
   const currentUpstream = access.directory.find(upstreamId);
   state.lastUpstreamId = upstreamId;
   if (!preempted) {
     // A response that progresses between faults completes in the end, so only
-    // faults without progress count up.
+    // faults without progress count up, and engines that end under the call.
     const progressed = transcript.tokens > state.tokensBeforeAttempt;
     state.faults = progressed ? 1 : state.faults + 1;
     if (finished.end.kind === 'rejected') state.excluded.add(upstreamId);
@@ -30,7 +41,7 @@
     {
       endReason: endReasonOf(finished),
       idempotent: true,
-      attempts: state.faults,
+      attempts: Math.max(state.faults, crashes),
       nowMs,
       deadlineAtMs: started ? Infinity : exchange.deadlineAtMs,
       // The role event carries no token, but it must not be relayed twice.
--- a/packages/daemon/src/request/chat/ChatState.ts
+++ b/packages/daemon/src/request/chat/ChatState.ts
@@ -27,6 +27,8 @@
   permitsRequested: number;
   /** Consecutive faults without a new token in between. */
   faults: number;
+  /** For each connection that broke, whether its engine has ended. */
+  readonly breaks: Promise<boolean>[];
   /** Tokens received before the attempt in progress. */
   tokensBeforeAttempt: number;
   lastUpstreamId: UpstreamId | undefined;
--- a/packages/daemon/src/request/chat/PromptGuard.ts
+++ b/packages/daemon/src/request/chat/PromptGuard.ts
@@ -44,17 +44,19 @@
    * verdict it lets single calls pass, which show whether it still holds.
    */
   tryPass(segments: readonly SegmentHash[]): RouterError | undefined;
-  /** Records the first token of an attempt. */
-  firstTokenReceived(
-    engine: UpstreamInfo,
-    segments: readonly SegmentHash[],
-  ): void;
-  /** Records a connection that broke before the first token of an attempt. */
+  /** Records tokens that an engine sent. */
+  tokensReceived(engine: UpstreamInfo): void;
+  /** Records a complete response. */
+  answered(engine: UpstreamInfo, segments: readonly SegmentHash[]): void;
+  /**
+   * Records a connection that broke before the end of the response. Resolves to
+   * true if the engine has ended.
+   */
   connectionBroke(
     engine: UpstreamInfo,
     requestId: RequestId,
     segments: readonly SegmentHash[],
-  ): void;
+  ): Promise<boolean>;
   /** Returns what peers should know now; undefined if there is nothing. */
   takeReport(): QuarantineReport | undefined;
   receiveReport(report: QuarantineReport): void;
@@ -130,15 +132,20 @@
         ? undefined
         : blockedError(blocked.remainingMs);
     },
-    firstTokenReceived: ({id, incarnation}, segments) =>
-      quarantine.recordFirstEvent(
+    tokensReceived: ({id, incarnation}) =>
+      quarantine.recordAlive(
+        upstreamStartHashOf(id, incarnation),
+        clock.nowMs(),
+      ),
+    answered: ({id, incarnation}, segments) =>
+      quarantine.recordAnswer(
         upstreamStartHashOf(id, incarnation),
         segments,
         clock.nowMs(),
       ),
-    connectionBroke: (engine, requestId, segments) => {
-      if (segments.length === 0) return;
-      logger.info('connection broke before the first token', {
+    connectionBroke: async (engine, requestId, segments) => {
+      if (segments.length === 0) return false;
+      logger.info('connection broke before the end of the response', {
         requestId,
         upstream: engine.id,
         upstreamHash: toHex(upstreamStartHashOf(engine.id, engine.incarnation)),
@@ -146,7 +153,9 @@
         segments: segments.map(toHex),
       });
       const request = requestHashOf(requestId);
-      detector.connectionBroke(engine, {request, segments});
+      return new Promise(resolve => {
+        detector.connectionEnded(engine, {request, segments}, resolve);
+      });
     },
     takeReport: () => quarantine.takeReport(clock.nowMs()),
     receiveReport: report => quarantine.receive(report, clock.nowMs()),
--- a/packages/gateway/src/__tests__/unit/CrashDetector.test.ts
+++ b/packages/gateway/src/__tests__/unit/CrashDetector.test.ts
@@ -46,10 +46,10 @@
   it('probes once for all requests that broke at an upstream', async () => {
     const fixture = createFixture('refused');
     const entry = createEntry('e');
-    fixture.detector.connectionBroke(entry, waiting('a'));
-    fixture.detector.connectionBroke(entry, waiting('b'));
+    fixture.detector.connectionEnded(entry, waiting('a'));
+    fixture.detector.connectionEnded(entry, waiting('b'));
     await fixture.settle();
-    fixture.detector.connectionBroke(entry, waiting('c'));
+    fixture.detector.connectionEnded(entry, waiting('c'));
     await fixture.settle();
     expect(fixture.probeCount()).to.equal(1);
     expect(fixture.crashes.map(({requests}) => requests.length)).to.deep.equal([
@@ -61,15 +61,34 @@
   for (const result of ['accepted', 'unknown'] as const) {
     it(`reports no crash if the probe is ${result}`, async () => {
       const fixture = createFixture(result);
-      fixture.detector.connectionBroke(createEntry('e'), waiting('a'));
+      fixture.detector.connectionEnded(createEntry('e'), waiting('a'));
       await fixture.settle();
       expect(fixture.crashes).to.have.length(0);
     });
   }
 
+  for (const [name, result, usable, expected] of [
+    ['a crash', 'refused', true, [true, true, true]],
+    ['an upstream that lives', 'accepted', true, [false, false, false]],
+    ['an upstream that is leaving', 'refused', false, [false, false, false]],
+  ] as const) {
+    it(`tells each request of ${name}`, async () => {
+      const {detector, settle} = createFixture(result, usable);
+      const judged: boolean[] = [];
+      const entry = createEntry('e');
+      const record = (crashed: boolean) => judged.push(crashed);
+      detector.connectionEnded(entry, waiting('a'), record);
+      detector.connectionEnded(entry, waiting('b'), record);
+      await settle();
+      detector.connectionEnded(entry, waiting('c'), record);
+      await settle();
+      expect(judged).to.deep.equal(expected);
+    });
+  }
+
   it('reports no crash of an upstream that is leaving', async () => {
     const fixture = createFixture('refused', false);
-    fixture.detector.connectionBroke(createEntry('e'), waiting('a'));
+    fixture.detector.connectionEnded(createEntry('e'), waiting('a'));
     await fixture.settle();
     expect(fixture.probeCount()).to.equal(0);
     expect(fixture.crashes).to.have.length(0);
@@ -79,7 +98,7 @@
     const fixture = createFixture('refused');
     for (const startedAtMs of [1, 2]) {
       const entry = createEntry('e', {startedAtMs});
-      fixture.detector.connectionBroke(entry, waiting('a'));
+      fixture.detector.connectionEnded(entry, waiting('a'));
       await fixture.settle();
     }
     const upstreams = fixture.crashes.map(({upstream}) => upstream);
--- a/packages/gateway/src/__tests__/unit/CrashingPrompts.test.ts
+++ b/packages/gateway/src/__tests__/unit/CrashingPrompts.test.ts
@@ -1,4 +1,4 @@
-import type {Server} from 'node:http';
+import type {Server, ServerResponse} from 'node:http';
 import {createServer, request as sendRequest} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {createServer as createTcpServer} from 'node:net';
@@ -28,8 +28,10 @@
 const host = '127.0.0.1';
 const engineCount = 12;
 const gatewayCount = 2;
-/** Time from a request to the first event, or to the crash. */
+/** Time from a request to the begin of its response, or to the crash. */
 const prefillMs = 60;
+const eventGapMs = 15;
+const eventCount = 6;
 const replacementDelayMs = 200;
 /** Time in which a crash becomes known to all instances. */
 const contactMs = 500;
@@ -100,11 +102,37 @@
   readonly atMs: number;
 }
 
+/** Returns the number of events that are written before a crash. */
+type EventsBeforeCrash = (crashIndex: number) => number;
+
+interface EngineOptions {
+  readonly eventsBeforeCrash: EventsBeforeCrash;
+  readonly prepareResponse: (response: ServerResponse) => void;
+}
+
+async function streamEvents(
+  response: ServerResponse,
+  count: number,
+): Promise<void> {
+  for (let index = 1; index <= count; index += 1) {
+    response.write(`id: ${index}\ndata: e\n\n`);
+    await delay(clock, eventGapMs);
+  }
+}
+
+/** The end of the connection marks the end of the response. */
+function omitLength(response: ServerResponse): void {
+  response.useChunkedEncodingByDefault = false;
+}
+
 /**
- * Starts engines that stream one event. An engine ends when it begins to answer
- * a prompt with the crashing segment, and another one takes its place.
+ * Starts engines that stream events. An engine ends when it answers a prompt with
+ * the crashing segment, and another one takes its place.
  */
-function createEngines(publish: (change: StateChange) => void) {
+function createEngines(
+  publish: (change: StateChange) => void,
+  {eventsBeforeCrash, prepareResponse}: EngineOptions,
+) {
   const servers = new Set<Server>();
   const arrivals: Arrival[] = [];
   const crashTimesMs: number[] = [];
@@ -132,14 +160,19 @@
       const crashes = String(message.headers['parts']).includes(
         crashingSegment,
       );
-      setTimeout(() => {
-        if (crashes) {
-          crash(server, id);
-          return;
+      const respond = async () => {
+        const count = crashes
+          ? eventsBeforeCrash(crashTimesMs.length)
+          : eventCount;
+        if (count > 0) {
+          prepareResponse(response);
+          response.writeHead(200, {id: requestId, mark: 'm'});
+          await streamEvents(response, count);
         }
-        response.writeHead(200, {id: requestId, mark: 'm'});
-        response.end('id: 1\ndata: e\n\n');
-      }, prefillMs);
+        if (crashes) crash(server, id);
+        else response.end();
+      };
+      setTimeout(() => void respond(), prefillMs);
     });
     await new Promise<void>(resolve => server.listen(0, host, resolve));
     servers.add(server);
@@ -191,7 +224,7 @@
 }
 
 /** Starts gateways that know each other, with engines behind them. */
-async function startFleet() {
+async function startFleet(options: EngineOptions) {
   const {publish, store} = createLiveStore();
   publish({
     kind: 'config',
@@ -199,7 +232,7 @@
       routes: [createRoute({maxUpstreams: 3, targetLatencyMs: 1_000})],
     }),
   });
-  const engines = createEngines(publish);
+  const engines = createEngines(publish, options);
   for (let index = 0; index < engineCount; index += 1) await engines.start();
   const settings = await Promise.all(
     Array.from({length: gatewayCount}, (_, index) => createSettings(index)),
@@ -262,10 +295,21 @@
 }
 
 describe('Gateway with prompts that crash engines', () => {
-  // Guards against a prompt segment that crashes one engine after the other,
-  // by new requests and by retries, at all instances.
-  it('stops sending requests with a crashing segment and serves those that share the rest', async () => {
-    const fleet = await startFleet();
+  const none = () => undefined;
+  for (const [moment, eventsBeforeCrash, prepareResponse] of [
+    ['before the first event', () => 0, none],
+    ['after the first event', () => 1, none],
+    ['after some events', (index: number) => 1 + ((index * 3) % 7), none],
+    ['within a response without a length', () => 2, omitLength],
+  ] as const) {
+    // Guards against a prompt segment that crashes one engine after the other,
+    // by new requests and by retries, at all instances.
+    it(`stops sending requests with a segment that crashes engines ${moment} and serves those that share the rest`, () =>
+      checkQuarantine({eventsBeforeCrash, prepareResponse}));
+  }
+
+  async function checkQuarantine(options: EngineOptions): Promise<void> {
+    const fleet = await startFleet(options);
     const {arrivals, crashTimesMs} = fleet.engines;
     const answers = new Map<string, Promise<Answer>>();
     const sentAtMs = new Map<string, number>();
@@ -302,5 +346,5 @@
       const sendCount = arrivals.filter(({requestId}) => requestId === id);
       expect(sendCount.length, id).to.equal(1);
     }
-  });
+  }
 });
--- a/packages/gateway/src/__tests__/unit/RetryDecision.test.ts
+++ b/packages/gateway/src/__tests__/unit/RetryDecision.test.ts
@@ -41,7 +41,8 @@
     contentEncoded: false,
     headers: [],
   };
-  return {kind: 'answered', response, body: Buffer.alloc(0)};
+  const body = Buffer.alloc(0);
+  return {kind: 'answered', response, body, endedByClose: false};
 }
 
 describe('RetryDecision', () => {
--- a/packages/gateway/src/peers/QuarantineCodec.ts
+++ b/packages/gateway/src/peers/QuarantineCodec.ts
@@ -11,7 +11,7 @@
   RequestHash,
   SegmentHash,
   UpstreamStartHash,
-  WaitingRequest,
+  InterruptedRequest,
 } from '@toucanrouter/policy';
 
 const formatVersion = 0x51;
@@ -42,7 +42,7 @@
   return buffer;
 }
 
-function encodeRequest({request, segments}: WaitingRequest): Buffer {
+function encodeRequest({request, segments}: InterruptedRequest): Buffer {
   const included = segments.slice(0, maxByte);
   return Buffer.concat([
     uint32s(request),
--- a/packages/gateway/src/request/Attempt.ts
+++ b/packages/gateway/src/request/Attempt.ts
@@ -31,9 +31,15 @@
       readonly kind: 'answered';
       readonly response: UpstreamResponse;
       readonly body: Buffer;
+      readonly endedByClose: boolean;
     }
   /** The stream completed, and all of its events were passed on. */
-  | {readonly kind: 'streamed'; readonly response: UpstreamResponse};
+  | {
+      readonly kind: 'streamed';
+      readonly response: UpstreamResponse;
+      /** True if only the end of the connection marked the end. */
+      readonly endedByClose: boolean;
+    };
 
 /** Statuses from this one on count as failures of the upstream. */
 export const minServerErrorStatus = 500;
@@ -222,7 +228,7 @@
     });
   }
 
-  function handleEnd(): void {
+  function handleEnd(endedByClose: boolean): void {
     if (finished || response === undefined) return;
     if (response.misdirected) {
       finish({kind: 'misdirected', reason: 'another upstream responded'});
@@ -230,11 +236,12 @@
       finish({kind: 'not_run', status: response.status});
     } else if (!streaming) {
       recordFirstResponse();
-      finish({kind: 'answered', response, body: Buffer.concat(chunks)});
+      const body = Buffer.concat(chunks);
+      finish({kind: 'answered', response, body, endedByClose});
     } else if (splitter.pendingBytes() > 0) {
       finish({kind: 'broken', reason: 'the stream ended within an event'});
     } else {
-      finish({kind: 'streamed', response});
+      finish({kind: 'streamed', response, endedByClose});
     }
   }
 
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -309,7 +309,7 @@
         events: (response, {bytes, count}, gapMs) => {
           if (count > 0) {
             observer.onProgress();
-            guardedAttempt.eventsReceived();
+            guardedAttempt.partReceived();
           }
           firstAnswerMs ??= clock.nowMs() - arrivedAtMs;
           if (gapMs !== undefined) {
--- a/packages/gateway/src/request/PromptGuard.ts
+++ b/packages/gateway/src/request/PromptGuard.ts
@@ -44,8 +44,8 @@
 
 /** Observes one attempt of a request. */
 export interface GuardedAttempt {
-  /** Records events of a successful response. */
-  eventsReceived(): void;
+  /** Records a part of a successful response. */
+  partReceived(): void;
   /** Records an end that the upstream brought about. */
   ended(result: AttemptResult): void;
 }
@@ -75,7 +75,9 @@
 const hexRadix = 16;
 const hashHexLength = 8;
 
-function isSuccess(result: AttemptResult): boolean {
+type SuccessfulResult = Extract<AttemptResult, {kind: 'answered' | 'streamed'}>;
+
+function isSuccess(result: AttemptResult): result is SuccessfulResult {
   if (result.kind === 'streamed') return true;
   if (result.kind !== 'answered') return false;
   const {status} = result.response;
@@ -85,7 +87,7 @@
 const unguarded: GuardedRequest = {
   tryPass: () => undefined,
   startAttempt: () => ({
-    eventsReceived: () => undefined,
+    partReceived: () => undefined,
     ended: () => undefined,
   }),
 };
@@ -126,7 +128,7 @@
     hasEnded: async entry => (await options.probe(entry)) === 'refused',
     isUsable: options.isUsable,
     onCrash: crash => {
-      logger.info('upstream ended under waiting requests', {
+      logger.info('upstream ended under requests', {
         upstream: nameOf(crash.upstream),
         requests: crash.requests.map(({request}) => nameOf(request)),
       });
@@ -139,30 +141,31 @@
     ids: readonly string[],
   ): GuardedRequest {
     const segments: readonly SegmentHash[] = ids.map(segmentHashOf);
-    function recordBroken(brokenEntry: UpstreamEntry): void {
-      const request = requestHashOf(requestId);
-      names.set(request, requestId);
-      names.set(
-        upstreamStartHashOf(brokenEntry.id, brokenEntry.startedAtMs),
-        brokenEntry.id,
-      );
-      ids.forEach((id, index) => names.set(segments[index] ?? 0, id));
-      detector.connectionBroke(brokenEntry, {request, segments});
-    }
-
     function startAttempt(entry: UpstreamEntry): GuardedAttempt {
-      let answered = false;
-      const recordAnswer = () => {
-        if (answered) return;
-        answered = true;
-        const upstream = upstreamStartHashOf(entry.id, entry.startedAtMs);
-        quarantine.recordFirstEvent(upstream, segments, clock.nowMs());
-      };
+      const upstream = upstreamStartHashOf(entry.id, entry.startedAtMs);
+
+      function recordAnswer(): void {
+        quarantine.recordAnswer(upstream, segments, clock.nowMs());
+      }
+
+      function recordConnectionEnd(onSurvived?: () => void): void {
+        const request = requestHashOf(requestId);
+        names.set(request, requestId);
+        names.set(upstream, entry.id);
+        ids.forEach((id, index) => names.set(segments[index] ?? 0, id));
+        detector.connectionEnded(entry, {request, segments}, crashed => {
+          if (!crashed) onSurvived?.();
+        });
+      }
+
       return {
-        eventsReceived: recordAnswer,
+        partReceived: () => quarantine.recordAlive(upstream, clock.nowMs()),
         ended: result => {
-          if (isSuccess(result)) recordAnswer();
-          else if (result.kind === 'broken' && !answered) recordBroken(entry);
+          if (result.kind === 'broken') recordConnectionEnd();
+          else if (!isSuccess(result)) return;
+          // The end of the connection ends such a response, also in a crash.
+          else if (result.endedByClose) recordConnectionEnd(recordAnswer);
+          else recordAnswer();
         },
       };
     }
--- a/packages/gateway/src/upstreams/UpstreamConnections.ts
+++ b/packages/gateway/src/upstreams/UpstreamConnections.ts
@@ -35,7 +35,8 @@
     isReused: boolean,
   ): void;
   data(chunk: Buffer): void;
-  ended(): void;
+  /** `byClose` is true if only the end of the connection marked the end. */
+  ended(byClose: boolean): void;
   failed(error: Error): void;
 }
 
@@ -261,7 +262,7 @@
         finished = true;
         // `undici` marks the client as idle only after this callback.
         queueMicrotask(() => release(address, connection));
-        handler.ended();
+        handler.ended(framing === 'connection');
       };
       client.dispatch(
         {
--- a/packages/policy/src/CrashDetector.ts
+++ b/packages/policy/src/CrashDetector.ts
@@ -1,7 +1,7 @@
 /**
  * Distinguishes the end of an upstream from a fault of one request or of the
- * network. After a connection broke under a request, it is found out once for
- * all requests that broke there whether the upstream's process has ended.
+ * network. After a connection ended under a request, it is found out once for
+ * all requests that ended there whether the upstream's process has ended.
  * Upstreams that are leaving end as planned.
  */
 import type {Clock} from '@toucanrouter/common';
@@ -9,7 +9,7 @@
 import type {
   UpstreamCrash,
   UpstreamStartHash,
-  WaitingRequest,
+  InterruptedRequest,
 } from './PromptQuarantineTypes.js';
 
 /** Options of a detector. */
@@ -27,8 +27,15 @@
 
 /** Detects that upstreams ended. */
 export interface CrashDetector<Upstream> {
-  /** Records a connection that broke before the request's first event. */
-  connectionBroke(upstream: Upstream, waiting: WaitingRequest): void;
+  /**
+   * Records a connection that ended under a request. `onJudged` is called once
+   * it is known whether the upstream crashed.
+   */
+  connectionEnded(
+    upstream: Upstream,
+    request: InterruptedRequest,
+    onJudged?: (crashed: boolean) => void,
+  ): void;
   close(): void;
 }
 
@@ -38,7 +45,8 @@
 
 interface PendingProbe {
   readonly atMs: number;
-  readonly requests: WaitingRequest[];
+  readonly requests: InterruptedRequest[];
+  readonly onJudged: ((crashed: boolean) => void)[];
 }
 
 /** Creates a detector. */
@@ -57,30 +65,46 @@
     const hasEnded = await options.hasEnded(upstream);
     const probed = pending.get(startHash);
     pending.delete(startHash);
-    if (closed || probed === undefined || !hasEnded) return;
-    endedAtMs.set(startHash, probed.atMs);
-    options.onCrash({upstream: startHash, ...probed});
+    if (closed || probed === undefined) return;
+    const {atMs, onJudged, requests} = probed;
+    if (hasEnded) {
+      endedAtMs.set(startHash, atMs);
+      options.onCrash({upstream: startHash, atMs, requests});
+    }
+    for (const notify of onJudged) notify(hasEnded);
   }
 
   return {
-    connectionBroke: (upstream, waiting) => {
+    connectionEnded: (upstream, request, onJudged = () => undefined) => {
       const startHash = options.startHashOf(upstream);
       const atMs = endedAtMs.get(startHash);
       if (atMs !== undefined) {
-        options.onCrash({upstream: startHash, atMs, requests: [waiting]});
+        options.onCrash({upstream: startHash, atMs, requests: [request]});
+        onJudged(true);
         return;
       }
       const probed = pending.get(startHash);
       if (probed !== undefined) {
-        probed.requests.push(waiting);
+        probed.requests.push(request);
+        probed.onJudged.push(onJudged);
+        return;
+      }
+      if (!options.isUsable(upstream)) {
+        onJudged(false);
         return;
       }
-      if (!options.isUsable(upstream)) return;
-      pending.set(startHash, {atMs: clock.nowMs(), requests: [waiting]});
+      pending.set(startHash, {
+        atMs: clock.nowMs(),
+        requests: [request],
+        onJudged: [onJudged],
+      });
       clock.after(probeDelayMs, () => void confirmEnd(upstream, startHash));
     },
     close: () => {
       closed = true;
+      for (const {onJudged} of pending.values()) {
+        for (const notify of onJudged) notify(false);
+      }
       pending.clear();
     },
   };
--- a/packages/policy/src/CrashEvidence.ts
+++ b/packages/policy/src/CrashEvidence.ts
@@ -1,7 +1,8 @@
 /**
  * Evidence on which prompt segment crashes upstreams: the upstreams that ended
- * under requests, and the first events of requests. An event proves that no
- * segment of its prompt crashes an upstream, so it voids all earlier crashes.
+ * under requests, and the responses that were completed. An upstream may crash
+ * after any number of events, so only a complete response proves that no segment
+ * of its prompt crashes upstreams; it voids all earlier crashes.
  */
 import {createBoundedMap} from './BoundedMap.js';
 import type {
@@ -22,29 +23,27 @@
 /** The evidence against one segment. */
 export interface SegmentEvidence {
   readonly segment: SegmentHash;
-  /** Crashes since the last first event, in order of time. */
+  /** Crashes since the last complete response, in order of time. */
   readonly crashes: RecordedCrash[];
   readonly requests: Set<RequestHash>;
   /** Position of the segment in a prompt, from 0. */
   readonly position: number;
-  /** Recent first events with the segment, with half-life decay. */
+  /** Recent complete responses with the segment, with half-life decay. */
   readonly answeredCount: number;
 }
 
-/** Records crashes and first events. */
+/** Records crashes and complete responses. */
 export interface CrashEvidence {
   /** Adds a crash, or requests to it; returns false if that changed nothing. */
   addCrash(crash: UpstreamCrash): boolean;
   crashOf(upstream: UpstreamStartHash): RecordedCrash | undefined;
-  /** Records a first event that this instance received. */
-  recordAnswer(
-    upstream: UpstreamStartHash,
-    segments: readonly SegmentHash[],
-    nowMs: number,
-  ): void;
-  /** Records the time of a first event at a peer. */
+  /** Records that this instance received a part of a response. */
+  recordAlive(upstream: UpstreamStartHash, nowMs: number): void;
+  /** Records a response that this instance received to its end. */
+  recordAnswer(segments: readonly SegmentHash[], nowMs: number): void;
+  /** Records the time of a complete response at a peer. */
   recordPeerAnswer(segment: SegmentHash, atMs: number): void;
-  /** Returns when a first event with the segment was last received. */
+  /** Returns when a response with the segment was last completed. */
   answeredAtMs(segment: SegmentHash): number;
   /** Returns the evidence by segment within the evidence window. */
   bySegment(nowMs: number): ReadonlyMap<SegmentHash, SegmentEvidence>;
@@ -113,8 +112,8 @@
       }
       return recorded.requests.size > countBefore;
     },
-    recordAnswer: (upstream, segments, nowMs) => {
-      aliveAtMs.set(upstream, nowMs);
+    recordAlive: aliveAtMs.set,
+    recordAnswer: (segments, nowMs) => {
       for (const segment of segments) {
         const previous = answers.get(segment) ?? noAnswers;
         answers.set(segment, {
--- a/packages/policy/src/PromptQuarantine.ts
+++ b/packages/policy/src/PromptQuarantine.ts
@@ -1,8 +1,8 @@
 /**
  * Finds prompt segments that crash every upstream that starts to answer them,
  * and blocks requests that contain one. Such a segment is in each of several
- * crashes, and no request with it ever receives an event. Instances exchange
- * crashes, verdicts and first events as data; all times are passed in.
+ * crashes, and no request with it is ever answered to its end. Instances exchange
+ * crashes, verdicts and complete responses as data; all times are passed in.
  */
 import type {RandomSource} from '@toucanrouter/common';
 import {createBoundedMap} from './BoundedMap.js';
@@ -55,13 +55,15 @@
     segments: readonly SegmentHash[],
     nowMs: number,
   ): number | undefined;
-  /** Records the first event of a request. */
-  recordFirstEvent(
+  /** Records that a part of a response was received from an upstream. */
+  recordAlive(upstream: UpstreamStartHash, nowMs: number): void;
+  /** Records that a request was answered to the end of its response. */
+  recordAnswer(
     upstream: UpstreamStartHash,
     segments: readonly SegmentHash[],
     nowMs: number,
   ): void;
-  /** Records that an upstream ended under requests that waited there. */
+  /** Records that an upstream ended under requests that ran there. */
   recordCrash(crash: UpstreamCrash, nowMs: number): void;
   /** Returns what peers should know now; undefined if there is nothing. */
   takeReport(nowMs: number): QuarantineReport | undefined;
@@ -99,7 +101,7 @@
   const incidentsA = countIncidents(a.crashes, separationMs);
   const incidentsB = countIncidents(b.crashes, separationMs);
   if (incidentsA !== incidentsB) return incidentsA > incidentsB;
-  // The narrower segment: requests without it also waited in these crashes.
+  // The narrower segment: requests without it also ran in these crashes.
   if (a.requests.size !== b.requests.size) {
     return a.requests.size < b.requests.size;
   }
@@ -510,8 +512,10 @@
     },
     blockedMs: (segments, nowMs) =>
       blockedSegment(segments, nowMs)?.remainingMs,
-    recordFirstEvent: (upstream, segments, nowMs) => {
-      evidence.recordAnswer(upstream, segments, nowMs);
+    recordAlive: evidence.recordAlive,
+    recordAnswer: (upstream, segments, nowMs) => {
+      evidence.recordAlive(upstream, nowMs);
+      evidence.recordAnswer(segments, nowMs);
       let news = false;
       for (const segment of segments) {
         const suspected = suspects.delete(segment);
--- a/packages/policy/src/PromptQuarantineTypes.ts
+++ b/packages/policy/src/PromptQuarantineTypes.ts
@@ -34,18 +34,18 @@
   return hash32(requestId) as RequestHash;
 }
 
-/** A request that waited for its first event when its upstream ended. */
-export interface WaitingRequest {
+/** A request that ran, or waited to run, when its upstream ended. */
+export interface InterruptedRequest {
   readonly request: RequestHash;
   /** Segments that other requests may share, in the order of the prompt. */
   readonly segments: readonly SegmentHash[];
 }
 
-/** The end of an upstream under requests that waited for their first event. */
+/** The end of an upstream under requests. */
 export interface UpstreamCrash {
   readonly upstream: UpstreamStartHash;
   readonly atMs: number;
-  readonly requests: readonly WaitingRequest[];
+  readonly requests: readonly InterruptedRequest[];
 }
 
 /** The crashes for which a segment is blamed. */
@@ -65,7 +65,7 @@
 export interface ReportedCrash {
   readonly upstream: UpstreamStartHash;
   readonly ageMs: number;
-  readonly requests: readonly WaitingRequest[];
+  readonly requests: readonly InterruptedRequest[];
 }
 
 /** A verdict as told to peers. */
@@ -79,7 +79,7 @@
 }
 
 /**
- * A segment with which a request received its first event. An event before a
+ * A segment with which a request was answered to its end. A response before a
  * crash does not clear a segment, but makes others more likely to blame.
  */
 export interface ReportedClearing {
@@ -104,7 +104,7 @@
   readonly settleMs: number;
   readonly minIncidentCount: number;
   readonly minRequestCount: number;
-  /** Incidents from which on a first event of a segment is told to peers. */
+  /** Incidents from which on an answer with a segment is told to peers. */
   readonly suspicionIncidentCount: number;
   readonly blockedMs: number;
   readonly maxBlockedMs: number;
@@ -112,7 +112,7 @@
   readonly jitterShare: number;
   /** Time between the requests that pass after the end of a verdict. */
   readonly probeIntervalMs: number;
-  /** Half-life of the count of first events of a segment. */
+  /** Half-life of the count of complete responses with a segment. */
   readonly answerHalfLifeMs: number;
   readonly verdictRepeatMs: number;
   /** How often a crash or a clearing is reported. */
--- a/packages/policy/src/__tests__/unit/PromptQuarantine.test.ts
+++ b/packages/policy/src/__tests__/unit/PromptQuarantine.test.ts
@@ -50,7 +50,7 @@
     it(`convicts a segment at the ${position} position after three crashes by two requests`, () => {
       const fixture = createQuarantineFixture();
       const others = prompt.filter(id => id !== 'bad');
-      fixture.quarantine.recordFirstEvent(
+      fixture.quarantine.recordAnswer(
         upstream('live'),
         segments(...others),
         500,
@@ -133,7 +133,7 @@
         crash(grey, atMs, [`r-${index}`, 'x', 'y']),
         atMs,
       );
-      fixture.quarantine.recordFirstEvent(upstream(grey), [], atMs + 500);
+      fixture.quarantine.recordAlive(upstream(grey), atMs + 500);
     }
     expect(fixture.convictions).to.have.length(0);
   });
@@ -146,7 +146,7 @@
         crash(`old-${index}`, atMs, [`r-${index}`, 'x', 'y']),
         atMs,
       );
-      fixture.quarantine.recordFirstEvent(
+      fixture.quarantine.recordAnswer(
         upstream('new'),
         segments('x', 'y'),
         atMs + 400,
@@ -155,6 +155,26 @@
     expect(fixture.convictions).to.have.length(0);
   });
 
+  // Guards against a segment that crashes upstreams after their first events.
+  it('convicts a segment whose requests receive events and no complete response', () => {
+    const fixture = createQuarantineFixture();
+    for (const [index, request] of ['a', 'b', 'c'].entries()) {
+      const atMs = 1_000 * (index + 1);
+      fixture.quarantine.recordAnswer(
+        upstream('live'),
+        segments('shared'),
+        atMs - 100,
+      );
+      fixture.quarantine.recordAlive(upstream(`up-${index}`), atMs - 20);
+      fixture.quarantine.recordCrash(
+        crash(`up-${index}`, atMs, [request, 'shared', 'bad']),
+        atMs,
+      );
+    }
+    expect(isBlocked(fixture, ['bad'], 3_100)).to.equal(true);
+    expect(isBlocked(fixture, ['shared'], 3_100)).to.equal(false);
+  });
+
   it('does not convict on the repeats of one request alone', () => {
     const fixture = createQuarantineFixture();
     for (let index = 0; index < 10; index += 1) {
@@ -189,30 +209,22 @@
     );
   });
 
-  it('lifts a verdict with the first event of a request', () => {
+  it('lifts a verdict with a complete response', () => {
     const fixture = createQuarantineFixture();
     convict(fixture, ['wrong']);
-    fixture.quarantine.recordFirstEvent(
-      upstream('live'),
-      segments('wrong'),
-      4_000,
-    );
+    fixture.quarantine.recordAnswer(upstream('live'), segments('wrong'), 4_000);
     expect(isBlocked(fixture, ['wrong'], 4_000)).to.equal(false);
     expect(fixture.cleared).to.deep.equal(segments('wrong'));
   });
 
-  it('ignores reports of peers about the time before a first event', () => {
+  it('ignores reports of peers about the time before a complete response', () => {
     const peer = createQuarantineFixture();
     const fixture = createQuarantineFixture();
     convict(peer, ['wrong']);
-    fixture.quarantine.recordFirstEvent(
-      upstream('live'),
-      segments('wrong'),
-      3_500,
-    );
+    fixture.quarantine.recordAnswer(upstream('live'), segments('wrong'), 3_500);
     exchangeReport(peer, [fixture], 4_000);
     expect(isBlocked(fixture, ['wrong'], 4_000)).to.equal(false);
-    // The peer learns of the first event and lifts its verdict.
+    // The peer learns of the response and lifts its verdict.
     exchangeReport(fixture, [peer], 4_010);
     expect(isBlocked(peer, ['wrong'], 4_010)).to.equal(false);
   });
@@ -243,11 +255,7 @@
       createQuarantineFixture({settleMs}, seed),
     );
     const [first, second] = fixtures as [QuarantineFixture, QuarantineFixture];
-    second.quarantine.recordFirstEvent(
-      upstream('live'),
-      segments('sound'),
-      500,
-    );
+    second.quarantine.recordAnswer(upstream('live'), segments('sound'), 500);
     for (const [index, atMs] of [1_000, 2_000, 3_000, 4_000].entries()) {
       first.quarantine.recordCrash(
         crash(`up-${index}`, atMs, [`sound-${index}`, 'sound']),
@@ -359,7 +367,7 @@
           nowMs,
         );
       }
-      fixture.quarantine.recordFirstEvent(
+      fixture.quarantine.recordAnswer(
         upstream(`live-${index}`),
         segments(...prompt),
         nowMs,
@@ -369,7 +377,7 @@
     expect(fixture.convictions).to.have.length(1);
   });
 
-  it('never blocks a segment with an event since the first crash behind it', () => {
+  it('never blocks a segment with a complete response since the first crash behind it', () => {
     const event = fc.record({
       kind: fc.constantFrom('crash' as const, 'answer' as const),
       instance: fc.nat(2),
@@ -396,7 +404,7 @@
               nowMs,
             );
           } else {
-            fixture.quarantine.recordFirstEvent(
+            fixture.quarantine.recordAnswer(
               upstream('live'),
               segments(...parts),
               nowMs,
@@ -434,7 +442,7 @@
           const fixture = createQuarantineFixture();
           let nowMs = 10_000;
           let crashCount = 0;
-          fixture.quarantine.recordFirstEvent(
+          fixture.quarantine.recordAnswer(
             upstream('live'),
             segments('class', 'g1', 'g2', 'g3'),
             0,
@@ -442,7 +450,7 @@
           for (const [index, {answered, sound, waitMs}] of steps.entries()) {
             nowMs += waitMs;
             if (answered) {
-              fixture.quarantine.recordFirstEvent(
+              fixture.quarantine.recordAnswer(
                 upstream('live'),
                 segments('class', 'g1', 'g2', 'g3'),
                 nowMs - 1,
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -29,7 +29,7 @@
   SegmentHash,
   UpstreamCrash,
   UpstreamStartHash,
-  WaitingRequest,
+  InterruptedRequest,
 } from './PromptQuarantineTypes.js';
 export {
   defaultQuarantineLimits,
--- a/packages/standins/src/engine/EngineRun.ts
+++ b/packages/standins/src/engine/EngineRun.ts
@@ -45,16 +45,22 @@
   text(): string;
 }
 
+/** A crash that a run causes in place of its next token. */
+export interface RunCrash {
+  readonly afterTokens: number;
+  readonly crash: () => void;
+}
+
 /**
- * Creates a run that has not generated any token. If `crash` is defined, the run
- * sends no event and calls it in place of the first token.
+ * Creates a run that has not generated any token. One that crashes in place of
+ * its first token sends no event.
  */
 export function createEngineRun(
   requestId: string,
   plan: ChatPlan,
   format: ChatFormat,
   journal: RunJournal<EngineRunRecord>,
-  crash: (() => void) | undefined,
+  runCrash: RunCrash | undefined,
 ): EngineRun {
   const texts: string[] = [];
   const events: {text: string; tokens: number}[] = [];
@@ -105,11 +111,11 @@
       record.started = true;
       journal.write(record);
       const isFirstStart = events.length === 0;
-      if (isFirstStart && crash === undefined) emit(format.role(), 0);
+      if (isFirstStart && runCrash?.afterTokens !== 0) emit(format.role(), 0);
     },
     onToken: () => {
-      if (crash !== undefined) {
-        crash();
+      if (runCrash !== undefined && texts.length >= runCrash.afterTokens) {
+        runCrash.crash();
         return true;
       }
       const total = plan.endToken - plan.from.tokenIndex;
--- a/packages/standins/src/engine/EngineRuns.ts
+++ b/packages/standins/src/engine/EngineRuns.ts
@@ -10,7 +10,12 @@
 import type {EngineBatch} from './EngineBatch.js';
 import type {EngineProfile} from './EngineConstants.js';
 import {maxRunRecords} from './EngineConstants.js';
-import type {EngineRun, EngineRunRecord, RunSink} from './EngineRun.js';
+import type {
+  EngineRun,
+  EngineRunRecord,
+  RunCrash,
+  RunSink,
+} from './EngineRun.js';
 import {createEngineRun} from './EngineRun.js';
 import type {EngineSwitches} from './EngineSwitches.js';
 import {createPrefixCache} from './PrefixCache.js';
@@ -63,9 +68,11 @@
     );
   }
 
-  function crashesOn({promptText}: ChatPlan): boolean {
-    const {crashOnText} = switches;
-    return crashOnText !== '' && promptText.includes(crashOnText);
+  function crashOf({promptText}: ChatPlan): RunCrash | undefined {
+    const {crashAfterTokens, crashOnText} = switches;
+    return crashOnText !== '' && promptText.includes(crashOnText)
+      ? {afterTokens: crashAfterTokens, crash}
+      : undefined;
   }
 
   function track(run: EngineRun): void {
@@ -85,7 +92,7 @@
         plan,
         format,
         journal,
-        crashesOn(plan) ? crash : undefined,
+        crashOf(plan),
       );
       const cachedTokens =
         cache.matchAndInsert(plan.promptText) / charsPerToken;
--- a/packages/standins/src/engine/EngineSwitches.ts
+++ b/packages/standins/src/engine/EngineSwitches.ts
@@ -17,10 +17,12 @@
   /** Crashes immediately, without a response. */
   crash: z.literal(true).optional(),
   /**
-   * Crashes in place of the first token of a prompt that contains this text; an
-   * empty text ends the fault.
+   * Crashes while it answers a prompt that contains this text; an empty text
+   * ends the fault.
    */
   crashOnText: z.string().optional(),
+  /** Tokens that it sends before such a crash. */
+  crashAfterTokens: z.number().int().nonnegative().optional(),
   /**
    * Breaks the connections of the next `count` streams after `afterTokens`
    * tokens.
@@ -53,6 +55,7 @@
 
 export interface EngineSwitches {
   crashOnText: string;
+  crashAfterTokens: number;
   slowFactor: number;
   stall: boolean;
   refuse: boolean;
@@ -65,6 +68,7 @@
 export function createEngineSwitches(): EngineSwitches {
   return {
     crashOnText: '',
+    crashAfterTokens: 0,
     slowFactor: 1,
     stall: false,
     refuse: false,
@@ -83,6 +87,9 @@
   if (change.crashOnText !== undefined) {
     switches.crashOnText = change.crashOnText;
   }
+  if (change.crashAfterTokens !== undefined) {
+    switches.crashAfterTokens = change.crashAfterTokens;
+  }
   if (change.stall !== undefined) switches.stall = change.stall;
   if (change.refuse !== undefined) switches.refuse = change.refuse;
   if (change.forgetRuns !== undefined) switches.forgetRuns = change.forgetRuns;
