gateway: remove entries at once after only this instance was cut off

Callers' requests went to engines that had left: an instance that reached the store again after a cut kept entries that were gone for 2.3 s.

Cause: each failed read counted as an outage of the store, in which entries expire although their upstreams live. Whether the store had served others meanwhile was not asked.

The first read after an absence shows how often the entries that are still there were renewed meanwhile. The rate is learned, so the rule depends on no interval of a deployment. Instances that read through another one take over its verdict. If the read shows nothing, the grace period stays below the leaving delay.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -114,6 +114,7 @@
   });
   const registry = createUpstreamRegistry({
     clock,
+    leavingDelayMs: () => settings.leavingDelayMs,
     onAdded: entry =>
       logger.info(
         entry.leaving ? 'upstream is leaving' : 'upstream is usable',
@@ -186,7 +187,7 @@
     log: stateLog,
     configAge,
     isConnected: sync.connected,
-    regainedAgoMs: sync.regainedAgoMs,
+    lastAbsence: sync.lastAbsence,
   });
   const maxConfigAgeMs = () => settings.revocationDelayMs * maxConfigAgeShare;
 
--- a/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
@@ -41,6 +41,7 @@
     clock,
     onAdded: () => undefined,
     onRemoved: () => undefined,
+    leavingDelayMs: () => 2_000,
   });
   for (const [index, upstream] of upstreams.entries()) {
     const port = await startServer(upstream);
--- a/packages/gateway/src/__tests__/unit/StateSync.test.ts
+++ b/packages/gateway/src/__tests__/unit/StateSync.test.ts
@@ -116,6 +116,7 @@
     clock,
     onAdded: () => undefined,
     onRemoved: () => undefined,
+    leavingDelayMs: () => 2_000,
   });
   const peers = createPeerDirectory(instanceId);
   const log = createStateLog(clock);
@@ -266,6 +267,79 @@
   });
 });
 
+describe('StateSync after an absence of the store', () => {
+  const other = itemOf('two', {kind: 'upstream', entry: createEntry('two')});
+  const removal: StoredItem = {key: 'one', value: undefined};
+
+  /** Lets the store be absent for about 4.5 s after `renewals` each second. */
+  async function startAndLoseStore(renewals: readonly StoredItem[]) {
+    const state = createSyncedState();
+    state.script.setSnapshot({revision: 5, items: [upstream, other]});
+    for (let read = 0; read < 8; read++) {
+      state.script.queueResult({revision: 6 + read, items: renewals});
+    }
+    state.sync.start();
+    await advance(state.clock, 8_500);
+    for (let call = 0; call < 5; call++) state.script.queueResult('lost');
+    await advance(state.clock, 3_500);
+    expect(state.sync.connected()).to.equal(false);
+    return state;
+  }
+
+  for (const [name, calmRenewals, renewals, isKept] of [
+    [
+      'removes an entry at once if others were renewed',
+      [upstream, other],
+      [other, other, other, other, removal],
+      false,
+    ],
+    [
+      'removes an entry at once if entries are never renewed',
+      [],
+      [removal],
+      false,
+    ],
+    [
+      'keeps an entry for a grace period if no other was renewed',
+      [upstream, other],
+      [removal, other],
+      true,
+    ],
+    [
+      'keeps an entry for a grace period if all are gone',
+      [upstream, other],
+      [removal, {key: 'two', value: undefined}],
+      true,
+    ],
+  ] as const) {
+    // Guards against requests to upstreams that left while the instance was cut
+    // off, and against the loss of upstreams that live after an outage.
+    it(name, async () => {
+      const state = await startAndLoseStore(calmRenewals);
+      const {clock, registry, script, sync} = state;
+      script.queueResult({revision: 30, items: renewals});
+      await advance(clock, 1_100);
+      expect(sync.connected()).to.equal(true);
+      const usable: readonly string[] = idsOf(registry.usable(service));
+      expect(usable.includes('one')).to.equal(isKept);
+      await advance(clock, 2_500);
+      expect(idsOf(registry.usable(service))).not.to.include('one');
+      sync.close();
+    });
+  }
+
+  it('removes an entry at once that is removed after the store was regained', async () => {
+    const state = await startAndLoseStore([upstream, other]);
+    const {clock, registry, script, sync} = state;
+    const renewals = [upstream, other, upstream, other, upstream, other];
+    script.queueResult({revision: 30, items: [...renewals, upstream, other]});
+    script.queueResult({revision: 31, items: [removal]});
+    await advance(clock, 2_200);
+    expect(idsOf(registry.usable(service))).to.deep.equal(['two']);
+    sync.close();
+  });
+});
+
 describe('StateSync through another instance', () => {
   const domainPeers = ['p1', 'p2', 'p3', 'p4'].flatMap(peerItems);
   /** The id that comes last of these, so that it reads through the others. */
@@ -359,7 +433,9 @@
       if (revision < 8) return resultOf(responseAt(8, {items: [upstream]}));
       if (!removed) return resultOf(responseAt(revision));
       const items = [{key: 'one', value: undefined}];
-      return resultOf(responseAt(revision, {items, regainedAgoMs: 300}));
+      return resultOf(
+        responseAt(revision, {items, regainedAgoMs: 300, absence: 'outage'}),
+      );
     });
     await advance(clock, 500);
     removed = true;
--- a/packages/gateway/src/__tests__/unit/UpstreamRegistry.test.ts
+++ b/packages/gateway/src/__tests__/unit/UpstreamRegistry.test.ts
@@ -6,6 +6,8 @@
 } from '../../upstreams/UpstreamRegistry.js';
 import {createEntry, idsOf, service} from './GatewayFixtures.js';
 
+const leavingDelayMs = 2_000;
+
 function createRegistry() {
   const clock = createManualClock(100_000);
   const removed: string[] = [];
@@ -13,6 +15,7 @@
     clock,
     onAdded: () => undefined,
     onRemoved: ({id}) => removed.push(id),
+    leavingDelayMs: () => leavingDelayMs,
   });
   registry.put(createEntry('one'));
   registry.put(createEntry('two'));
@@ -39,17 +42,38 @@
     const {clock, registry, usable} = createRegistry();
     registry.storeLost();
     clock.advance(5_000);
-    registry.storeRegained();
+    registry.storeRegained('outage');
     registry.remove(one);
     expect(usable()).to.deep.equal(['one', 'two']);
     clock.advance(lapsedEntryGraceMs);
     expect(usable()).to.deep.equal(['two']);
   });
 
+  // Guards against requests to upstreams that left while the instance was cut off.
+  it('removes entries at once after only this instance was cut off from the store', () => {
+    const {clock, registry, usable} = createRegistry();
+    registry.storeLost();
+    clock.advance(5_000);
+    registry.storeRegained('cut_off');
+    registry.remove(one);
+    expect(usable()).to.deep.equal(['two']);
+  });
+
+  it('keeps entries for less than the leaving delay if the reason of an absence is unknown', () => {
+    const {clock, registry, usable} = createRegistry();
+    registry.storeLost();
+    clock.advance(5_000);
+    registry.storeRegained('unknown');
+    registry.remove(one);
+    expect(usable()).to.deep.equal(['one', 'two']);
+    clock.advance(leavingDelayMs - 1);
+    expect(usable()).to.deep.equal(['two']);
+  });
+
   it('cancels the grace period of an entry that returns', () => {
     const {clock, registry, usable} = createRegistry();
     registry.storeLost();
-    registry.storeRegained();
+    registry.storeRegained('outage');
     registry.remove(one);
     registry.put(createEntry('one'));
     clock.advance(lapsedEntryGraceMs * 2);
@@ -60,7 +84,7 @@
     // The timer of the first lapse evicted the entry during the second one.
     const {clock, registry, usable} = createRegistry();
     registry.storeLost();
-    registry.storeRegained();
+    registry.storeRegained('outage');
     registry.remove(one);
     registry.put(createEntry('one'));
     clock.advance(lapsedEntryGraceMs - 300);
--- a/packages/gateway/src/state/RelayClient.ts
+++ b/packages/gateway/src/state/RelayClient.ts
@@ -32,6 +32,7 @@
   ),
   confirmedAfterMs: z.number(),
   regainedAgoMs: z.number().nullable(),
+  absence: z.enum(['outage', 'cut_off', 'unknown']).optional(),
 });
 
 /** Bounds memory; a full snapshot of a large fleet is far smaller. */
--- a/packages/gateway/src/state/RelayServer.ts
+++ b/packages/gateway/src/state/RelayServer.ts
@@ -11,6 +11,7 @@
 import type {ConfigAge} from '../config/ConfigAge.js';
 import type {LoggedItems, StateLog} from './StateLog.js';
 import type {StoredItem} from './StateStore.js';
+import type {EndedAbsence, StoreAbsence} from './StoreAbsence.js';
 
 /** A response to a peer. */
 export interface RelayResponse {
@@ -20,8 +21,13 @@
   readonly items: readonly StoredItem[];
   /** Time from the arrival of the request to the last confirmation. */
   readonly confirmedAfterMs: number;
-  /** Time since the store was regained after an outage; null if never lost. */
+  /**
+   * Time since the end of the last absence of the store that may have made
+   * entries expire; null if there was none.
+   */
   readonly regainedAgoMs: number | null;
+  /** Why the store was absent then; earlier builds do not tell. */
+  readonly absence?: StoreAbsence | undefined;
 }
 
 /** Options of a relay server. */
@@ -31,7 +37,7 @@
   readonly configAge: ConfigAge;
   /** True while this instance reads the store, or an instance that does. */
   readonly isConnected: () => boolean;
-  readonly regainedAgoMs: () => number | undefined;
+  readonly lastAbsence: () => EndedAbsence | undefined;
 }
 
 export const relayPath = '/state';
@@ -88,10 +94,12 @@
         statusUnavailable,
       );
     }
+    const absence = options.lastAbsence();
     const response: RelayResponse = {
       ...logged,
       confirmedAfterMs: configAge.confirmedAfterMs(arrival),
-      regainedAgoMs: options.regainedAgoMs() ?? null,
+      regainedAgoMs: absence?.endedAgoMs ?? null,
+      absence: absence?.reason,
     };
     return context.json(response);
   });
--- a/packages/gateway/src/state/StateSync.ts
+++ b/packages/gateway/src/state/StateSync.ts
@@ -5,7 +5,7 @@
  * and else from the store itself, with a minimum interval that bounds the number
  * of calls.
  */
-import type {Clock, InstanceId} from '@toucanrouter/common';
+import type {Clock, InstanceId, UpstreamId} from '@toucanrouter/common';
 import {delay} from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
 import type {ActiveConfig} from '../config/ActiveConfig.js';
@@ -17,6 +17,12 @@
 import type {StateLog} from './StateLog.js';
 import {relayRole} from './StateRelay.js';
 import type {StateChange, StateStore, StoredItem} from './StateStore.js';
+import type {
+  EndedAbsence,
+  ObservedRenewals,
+  StoreAbsence,
+} from './StoreAbsence.js';
+import {createStoreAbsenceJudge} from './StoreAbsence.js';
 
 /** Options of the synchronization. */
 export interface StateSyncOptions {
@@ -42,8 +48,8 @@
   confirmConfig(): Promise<void>;
   /** True while the last read of the state succeeded. */
   connected(): boolean;
-  /** Time since the end of the last outage; undefined if there was none. */
-  regainedAgoMs(): number | undefined;
+  /** The last absence of the store that may have made entries expire. */
+  lastAbsence(): EndedAbsence | undefined;
   close(): void;
 }
 
@@ -94,6 +100,8 @@
   const {clock, config, configAge, log, logger, peers, registry, store} =
     options;
   const relayFailedAtMs = new Map<InstanceId, number>();
+  const absenceJudge = createStoreAbsenceJudge();
+  let lastReadAtMs: number | undefined;
   let revision: number | undefined;
   let connected = false;
   let everConnected = false;
@@ -101,7 +109,7 @@
   let confirming: Promise<void> | undefined;
   let lastConfirmAtMs = -Infinity;
   let consecutiveFailures = 0;
-  let regainedAtMs: number | undefined;
+  let absenceEnd: {reason: StoreAbsence; atMs: number} | undefined;
   let currentRelay: InstanceId | undefined;
 
   function apply(change: StateChange): void {
@@ -158,13 +166,51 @@
     applyUpdate([...removed, ...items], nextRevision);
   }
 
-  function onStoreResponse(mark: TimeMark): void {
+  /** Counts the renewals of entries that exist before and after `items`. */
+  function countRenewals(
+    items: readonly StoredItem[],
+    elapsedMs: number,
+  ): ObservedRenewals {
+    const removed = new Set<UpstreamId>();
+    const writesById = new Map<UpstreamId, number>();
+    for (const item of items) {
+      const change = store.decode(item);
+      if (change?.kind === 'upstream_removed') removed.add(change.id);
+      if (change?.kind !== 'upstream') continue;
+      const {id} = change.entry;
+      writesById.set(id, (writesById.get(id) ?? 0) + 1);
+    }
+    const survives = (id: UpstreamId) => registry.has(id) && !removed.has(id);
+    return {
+      upstreamCount:
+        registry.size - [...removed].filter(id => registry.has(id)).length,
+      renewalCount: [...writesById]
+        .filter(([id]) => survives(id))
+        .reduce((sum, [, count]) => sum + count, 0),
+      elapsedMs,
+    };
+  }
+
+  function noteAbsenceEnd(reason: StoreAbsence, agoMs: number): void {
+    registry.storeRegained(reason, agoMs);
+    const atMs = clock.nowMs() - agoMs;
+    if (reason !== 'cut_off' && atMs > (absenceEnd?.atMs ?? -Infinity)) {
+      absenceEnd = {reason, atMs};
+    }
+  }
+
+  function onStoreResponse(
+    mark: TimeMark,
+    absence: () => StoreAbsence = () => 'unknown',
+  ): void {
     configAge.confirmed(mark);
     if (connected) return;
     connected = true;
-    if (everConnected) regainedAtMs = clock.nowMs();
-    registry.storeRegained();
+    const reason = absence();
+    if (everConnected) noteAbsenceEnd(reason, 0);
+    else registry.storeRegained(reason);
     logger.info(everConnected ? 'store regained' : 'store connected', {
+      absence: everConnected ? reason : undefined,
       revision,
       configVersion: config.current()?.version,
     });
@@ -193,6 +239,7 @@
     }
     onStoreResponse(mark);
     applySnapshot(update.value.items, update.value.revision);
+    lastReadAtMs = clock.nowMs();
     return true;
   }
 
@@ -214,8 +261,17 @@
       revision = undefined;
       return true;
     }
-    onStoreResponse(mark);
-    applyUpdate(update.value.items, update.value.revision);
+    const {items, revision: nextRevision} = update.value;
+    const nowMs = clock.nowMs();
+    if (lastReadAtMs !== undefined) {
+      const renewals = countRenewals(items, nowMs - lastReadAtMs);
+      if (connected) absenceJudge.observe(renewals);
+      onStoreResponse(mark, () => absenceJudge.judge(renewals));
+    } else {
+      onStoreResponse(mark);
+    }
+    lastReadAtMs = nowMs;
+    applyUpdate(items, nextRevision);
     return true;
   }
 
@@ -250,14 +306,18 @@
       noteRelayFailure(relay, response.error.message);
       return false;
     }
-    const {complete, confirmedAfterMs, items, regainedAgoMs} = response.value;
+    const {absence, complete, confirmedAfterMs, items, regainedAgoMs} =
+      response.value;
     if (-confirmedAfterMs > options.changeDelayMs() * maxRelayAgeShare) {
       noteRelayFailure(relay, 'its state is old');
       return false;
     }
-    onStoreResponse(shiftMark(mark, confirmedAfterMs));
-    // The other instance may have noticed an outage that this one missed.
-    if (regainedAgoMs !== null) registry.storeRegained(regainedAgoMs);
+    // Renewals are not passed on, but the other instance has judged by them.
+    onStoreResponse(shiftMark(mark, confirmedAfterMs), () => 'cut_off');
+    lastReadAtMs = undefined;
+    if (regainedAgoMs !== null) {
+      noteAbsenceEnd(absence ?? 'unknown', regainedAgoMs);
+    }
     const update = complete ? applySnapshot : applyUpdate;
     update(items, response.value.revision);
     return true;
@@ -345,8 +405,11 @@
   return {
     start: () => void run(),
     connected: () => connected,
-    regainedAgoMs: () =>
-      regainedAtMs === undefined ? undefined : clock.nowMs() - regainedAtMs,
+    lastAbsence: () =>
+      absenceEnd && {
+        reason: absenceEnd.reason,
+        endedAgoMs: clock.nowMs() - absenceEnd.atMs,
+      },
     confirmConfig: () => {
       // During an outage the probes detect when the store is back.
       const probing = everConnected && !connected;
--- a/packages/gateway/src/upstreams/UpstreamRegistry.ts
+++ b/packages/gateway/src/upstreams/UpstreamRegistry.ts
@@ -2,9 +2,10 @@
  * The upstreams that may receive new work, as registered in the store. During
  * an outage of the store the leases of entries expire although their upstreams
  * still run, so an entry that disappears around an outage is kept for a grace
- * period.
+ * period. If only this instance was cut off from the store, there is none.
  */
 import type {Clock, ServiceName, UpstreamId} from '@toucanrouter/common';
+import type {StoreAbsence} from '../state/StoreAbsence.js';
 import type {UpstreamEntry} from './UpstreamEntry.js';
 
 /** Options of a registry. */
@@ -12,20 +13,24 @@
   readonly clock: Clock;
   readonly onAdded: (entry: UpstreamEntry) => void;
   readonly onRemoved: (entry: UpstreamEntry, reason: string) => void;
+  /** Time within which upstreams that leave must receive no new work. */
+  readonly leavingDelayMs: () => number;
 }
 
 /** The registered upstreams by service. */
 export interface UpstreamRegistry {
   /** Upstreams of a service that accept new work. */
   usable(service: ServiceName): readonly UpstreamEntry[];
+  has(id: UpstreamId): boolean;
+  readonly size: number;
   /** Adds or replaces one entry. */
   put(entry: UpstreamEntry): void;
   /** Handles the removal of an entry from the store. */
   remove(id: UpstreamId): void;
   /** Starts an outage, during which entries that disappear are kept. */
   storeLost(): void;
-  /** Ends an outage, `agoMs` ago; the grace period starts then. */
-  storeRegained(agoMs?: number): void;
+  /** Ends an absence of the store, `agoMs` ago; a grace period starts then. */
+  storeRegained(absence: StoreAbsence, agoMs?: number): void;
   /** Removes an upstream whose address now belongs to another one. */
   addressReassigned(id: UpstreamId): void;
 }
@@ -35,6 +40,8 @@
  * rest covers the delay of the watch.
  */
 export const lapsedEntryGraceMs = 2_300;
+/** Covers the time in which a removal becomes known and requests arrive. */
+const leavingReserveMs = 250;
 
 /** True when no field differs; upstreams often rewrite an unchanged entry. */
 function isUnchanged(a: UpstreamEntry, b: UpstreamEntry): boolean {
@@ -58,7 +65,7 @@
   const cancelEvictions = new Map<UpstreamId, () => void>();
   const byService = new Map<ServiceName, UpstreamEntry[]>();
   let storeDown = false;
-  let regainedAtMs = -Infinity;
+  let graceEndMs = -Infinity;
 
   function reindex(service: ServiceName): void {
     const usable = [...entries.values()].filter(
@@ -97,7 +104,21 @@
   }
 
   function isInGracePeriod(): boolean {
-    return storeDown || clock.nowMs() - regainedAtMs < lapsedEntryGraceMs;
+    return storeDown || clock.nowMs() < graceEndMs;
+  }
+
+  function graceMs(absence: StoreAbsence): number {
+    switch (absence) {
+      case 'outage':
+        return lapsedEntryGraceMs;
+      case 'cut_off':
+        return 0;
+      case 'unknown':
+        return Math.min(
+          lapsedEntryGraceMs,
+          Math.max(0, options.leavingDelayMs() - leavingReserveMs),
+        );
+    }
   }
 
   function remove(id: UpstreamId): void {
@@ -108,8 +129,10 @@
       return;
     }
     if (cancelEvictions.has(id)) return;
-    const elapsedMs = storeDown ? 0 : clock.nowMs() - regainedAtMs;
-    const cancel = clock.after(lapsedEntryGraceMs - elapsedMs, () =>
+    const remainingMs = storeDown
+      ? lapsedEntryGraceMs
+      : graceEndMs - clock.nowMs();
+    const cancel = clock.after(remainingMs, () =>
       evict(id, 'its entry did not return within the grace period'),
     );
     cancelEvictions.set(id, cancel);
@@ -117,14 +140,19 @@
 
   return {
     usable: service => byService.get(service) ?? [],
+    has: id => entries.has(id),
+    get size() {
+      return entries.size;
+    },
     put,
     remove,
     storeLost: () => {
       storeDown = true;
     },
-    storeRegained: (agoMs = 0) => {
+    storeRegained: (absence, agoMs = 0) => {
       if (storeDown || agoMs > 0) {
-        regainedAtMs = Math.max(regainedAtMs, clock.nowMs() - agoMs);
+        const endMs = clock.nowMs() - agoMs + graceMs(absence);
+        graceEndMs = Math.max(graceEndMs, endMs);
       }
       storeDown = false;
     },
