common: bound the time in which a connection to the store is opened

After the end of a cut, callers' keys were refused for seconds more and engines that had left still got requests, because the instance reached the store late.

Cause: undici cancels a call only once its connection is established. A connection whose first packets were lost is retried by the operating system after 1, 3 and 7 s, and the probes waited for it whatever their timeouts.

Connections are opened within a limit that is not longer than the timeouts of calls, so each call ends in time and the next one dials anew. The clients of peers' state and of the daemon's instance list had the same fault.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -50,6 +50,8 @@
   delay,
   delayOrAbort,
 } from './Clock.js';
+export type {ConnectCallback, ConnectTarget} from './ConnectWithin.js';
+export {connectWithin} from './ConnectWithin.js';
 export type {
   ErrorBody,
   ErrorDetails,
--- a/packages/gateway/src/state/RelayClient.ts
+++ b/packages/gateway/src/state/RelayClient.ts
@@ -1,7 +1,7 @@
 /**
  * Reads the state of the store through another instance.
  */
-import {PlatformError} from '@toucanrouter/common';
+import {connectWithin, PlatformError} from '@toucanrouter/common';
 import type {ListenAddress} from '@toucanrouter/settings';
 import {err, ok, ResultAsync} from 'neverthrow';
 import type {Result} from 'neverthrow';
@@ -38,6 +38,8 @@
 /** Bounds memory; a full snapshot of a large fleet is far smaller. */
 const maxResponseBytes = 16 * 1024 * 1024;
 const keepAliveTimeoutMs = 10_000;
+/** `undici` does not cancel a call before its connection is established. */
+const connectTimeoutMs = 500;
 const statusOk = 200;
 
 function failure(address: ListenAddress, reason: string): PlatformError {
@@ -50,6 +52,7 @@
   const dispatcher = new Agent({
     pipelining: 1,
     connections: 1,
+    connect: connectWithin(connectTimeoutMs),
     keepAliveTimeout: keepAliveTimeoutMs,
     maxResponseSize: maxResponseBytes,
   });
--- a/packages/keyvalue/src/InstanceListReader.ts
+++ b/packages/keyvalue/src/InstanceListReader.ts
@@ -3,9 +3,9 @@
  * is malformed, the last valid list stays in effect.
  */
 import type {Clock} from '@toucanrouter/common';
-import {PlatformError} from '@toucanrouter/common';
+import {connectWithin, PlatformError} from '@toucanrouter/common';
 import {ResultAsync} from 'neverthrow';
-import {request} from 'undici';
+import {Agent, request} from 'undici';
 import type {
   InstanceList,
   InstanceListFault,
@@ -14,6 +14,8 @@
 import {parseInstanceList} from './InstanceListParser.js';
 
 const defaultTimeoutMs = 2000;
+/** `undici` does not cancel a call before its connection is established. */
+const connectTimeoutMs = 500;
 
 export interface InstanceListReaderOptions {
   readonly url: string;
@@ -46,6 +48,7 @@
   let currentList: InstanceList | undefined;
   let lastSuccessAtMs: number | undefined;
   let pendingPoll: Promise<void> | undefined;
+  const dispatcher = new Agent({connect: connectWithin(connectTimeoutMs)});
   let closed = false;
 
   function handleList(parsed: ParsedInstanceList): void {
@@ -61,7 +64,7 @@
   }
 
   function poll(): Promise<void> {
-    pendingPoll ??= fetchList(options)
+    pendingPoll ??= fetchList(options, dispatcher)
       .match(handleList, handleError)
       .finally(() => {
         pendingPoll = undefined;
@@ -78,28 +81,36 @@
     close: () => {
       closed = true;
       stopPolling();
+      void dispatcher.destroy();
     },
   };
 }
 
 function fetchList(
   options: InstanceListReaderOptions,
+  dispatcher: Agent,
 ): ResultAsync<ParsedInstanceList, PlatformError> {
-  return ResultAsync.fromPromise(fetchJson(options), error =>
+  return ResultAsync.fromPromise(fetchJson(options, dispatcher), error =>
     toListError(String(error), error),
   ).andThen(body =>
     parseInstanceList(body).mapErr(message => toListError(message)),
   );
 }
 
-async function fetchJson(options: InstanceListReaderOptions): Promise<unknown> {
+async function fetchJson(
+  options: InstanceListReaderOptions,
+  dispatcher: Agent,
+): Promise<unknown> {
   const abort = new AbortController();
   const timeoutMs = options.timeoutMs ?? defaultTimeoutMs;
   const stopTimer = options.clock.after(timeoutMs, () =>
     abort.abort(new Error(`no response within ${timeoutMs} ms`)),
   );
   try {
-    const response = await request(options.url, {signal: abort.signal});
+    const response = await request(options.url, {
+      dispatcher,
+      signal: abort.signal,
+    });
     if (response.statusCode === 200) return await response.body.json();
     await response.body.dump();
     throw new Error(`status ${response.statusCode}`);
