policy: blame prompt segments at any place of a prompt

Callers' requests with one crashing segment ended engine after engine when the segment came late in the prompt.

Cause: the evidence of a crash kept the first 16 segments of a request, a bound for memory that was a bound on the place. The daemon hashed only the first 16 messages, and datagrams left out requests with many segments.

The bound is now on all segments of a crash together and exceeds what a request head can hold; reports are split and joined.

A test said that the daemon considers the first 16 messages only. That was the fault, so it now asks for all of them; the bound on memory has a test at the evidence.

--- a/packages/daemon/src/__tests__/unit/ChatCall.test.ts
+++ b/packages/daemon/src/__tests__/unit/ChatCall.test.ts
@@ -38,13 +38,14 @@
 async function crashEngines(
   fleet: ChatFleet,
   entryCount: number,
+  earlier: readonly string[] = ['be brief'],
 ): Promise<number> {
   let crashesBefore: number | undefined;
   for (let index = 0; index < callCount; index++) {
     const entryIndex = index % entryCount;
-    await fleet.call(entryIndex, ['be brief', crashOnText, `ask ${index}`]);
+    await fleet.call(entryIndex, [...earlier, crashOnText, `ask ${index}`]);
     await fleet.settle();
-    const sound = await fleet.call(entryIndex, ['be brief', `ask ${index}`]);
+    const sound = await fleet.call(entryIndex, [...earlier, `ask ${index}`]);
     expect(sound).to.include({kind: 'answered', attempts: 1});
     fleet.advance(callIntervalMs);
     if (crashesBefore !== undefined) continue;
@@ -98,6 +99,17 @@
       expect(outcome).to.include({kind: 'prompt_quarantined', attempts: 0});
     }));
 
+  // Guards against a message that is not looked at because of its place.
+  it('refuses a prompt whose fortieth message crashes engines', () =>
+    withFleet({}, async fleet => {
+      const earlier = Array.from({length: 39}, (_, i) => `message ${i}`);
+      expect(await crashEngines(fleet, 1, earlier)).to.be.at.most(
+        maxLateCrashes,
+      );
+      const outcome = await fleet.call(0, [...earlier, ...crashingPrompt]);
+      expect(outcome).to.include({kind: 'prompt_quarantined', attempts: 0});
+    }));
+
   // Guards against entry instances that each have to see engines end themselves.
   it('refuses a prompt at each entry instance once engines ended under calls of any', () =>
     withFleet({entryCount: 3}, async fleet => {
--- a/packages/daemon/src/__tests__/unit/PromptSegments.test.ts
+++ b/packages/daemon/src/__tests__/unit/PromptSegments.test.ts
@@ -1,8 +1,5 @@
 import {expect} from 'chai';
-import {
-  maxSharedSegments,
-  sharedSegmentsOf,
-} from '../../request/chat/PromptSegments.js';
+import {sharedSegmentsOf} from '../../request/chat/PromptSegments.js';
 
 const message = (content: string) => ({role: 'user', content});
 
@@ -30,9 +27,11 @@
     );
   });
 
-  it('is bounded for long conversations', () => {
+  // Guards against a message that crashes engines and is not looked at because
+  // it comes late in a conversation.
+  it('contains each message of a long conversation', () => {
     const messages = Array.from({length: 1_000}, (_, i) => message(`${i}`));
     const segments = sharedSegmentsOf('advisor', messages);
-    expect(segments).to.have.length(maxSharedSegments);
+    expect(new Set(segments).size).to.equal(messages.length - 1);
   });
 });
--- a/packages/daemon/src/request/chat/PromptSegments.ts
+++ b/packages/daemon/src/request/chat/PromptSegments.ts
@@ -5,9 +5,6 @@
 import type {SegmentHash} from '@toucanrouter/policy';
 import {segmentHashOf} from '@toucanrouter/policy';
 
-/** Segments that are considered, outermost first. */
-export const maxSharedSegments = 16;
-
 /**
  * Returns the hashes of the shared segments. A message has the same hash
  * wherever it stands in a prompt, and another one for each model.
@@ -18,6 +15,5 @@
 ): readonly SegmentHash[] {
   return messages
     .slice(0, -1)
-    .slice(0, maxSharedSegments)
     .map(message => segmentHashOf(`${model} ${JSON.stringify(message)}`));
 }
--- a/packages/gateway/src/__tests__/unit/CrashingPrompts.test.ts
+++ b/packages/gateway/src/__tests__/unit/CrashingPrompts.test.ts
@@ -110,6 +110,13 @@
   readonly prepareResponse: (response: ServerResponse) => void;
 }
 
+interface CheckOptions extends EngineOptions {
+  /** Segments of all prompts that come before the one that crashes engines. */
+  readonly sharedSegments: readonly string[];
+}
+
+const longPrompt = Array.from({length: 40}, (_, index) => `shared-${index}`);
+
 async function streamEvents(
   response: ServerResponse,
   count: number,
@@ -296,19 +303,26 @@
 
 describe('Gateway with prompts that crash engines', () => {
   const none = () => undefined;
-  for (const [moment, eventsBeforeCrash, prepareResponse] of [
-    ['before the first event', () => 0, none],
-    ['after the first event', () => 1, none],
-    ['after some events', (index: number) => 1 + ((index * 3) % 7), none],
-    ['within a response without a length', () => 2, omitLength],
+  const short = ['class'];
+  for (const [moment, eventsBeforeCrash, prepareResponse, sharedSegments] of [
+    ['before the first event', () => 0, none, short],
+    ['after the first event', () => 1, none, short],
+    [
+      'after some events',
+      (index: number) => 1 + ((index * 3) % 7),
+      none,
+      short,
+    ],
+    ['within a response without a length', () => 2, omitLength, short],
+    ['and comes late in the prompt', () => 0, none, longPrompt],
   ] as const) {
     // Guards against a prompt segment that crashes one engine after the other,
     // by new requests and by retries, at all instances.
     it(`stops sending requests with a segment that crashes engines ${moment} and serves those that share the rest`, () =>
-      checkQuarantine({eventsBeforeCrash, prepareResponse}));
+      checkQuarantine({eventsBeforeCrash, prepareResponse, sharedSegments}));
   }
 
-  async function checkQuarantine(options: EngineOptions): Promise<void> {
+  async function checkQuarantine(options: CheckOptions): Promise<void> {
     const fleet = await startFleet(options);
     const {arrivals, crashTimesMs} = fleet.engines;
     const answers = new Map<string, Promise<Answer>>();
@@ -320,7 +334,10 @@
       const id = `${crashes ? 'crashing' : 'sound'}-${index}`;
       const part = crashes ? crashingSegment : `part-${index % 3}`;
       sentAtMs.set(id, clock.nowMs());
-      answers.set(id, send(port, id, `class:100,${part}:100,${id}:100`));
+      const prompt = [...options.sharedSegments, part, id]
+        .map(segment => `${segment}:100`)
+        .join(',');
+      answers.set(id, send(port, id, prompt));
       await delay(clock, 30);
     }
     const statuses = new Map<string, Answer>();
--- a/packages/gateway/src/__tests__/unit/QuarantineCodec.test.ts
+++ b/packages/gateway/src/__tests__/unit/QuarantineCodec.test.ts
@@ -24,7 +24,7 @@
       requests: fc.array(
         fc.record({
           request: uint32.map(hash => hash as RequestHash),
-          segments: fc.array(segment, {maxLength: 16}),
+          segments: fc.array(segment, {maxLength: 600}),
         }),
         {minLength: 1, maxLength: 32},
       ),
@@ -43,14 +43,22 @@
   clearings: fc.array(fc.record({segment, ageMs: uint32}), {maxLength: 40}),
 });
 
-/** Joins the parts of split reports; requests are listed with their crash. */
+/**
+ * Joins the parts of split reports, crashes and requests. Segments are listed by
+ * crash and request.
+ */
 function flatten(parts: readonly QuarantineReport[]) {
+  const segmentsByRequest: Record<string, SegmentHash[]> = {};
+  for (const {ageMs, requests, upstream} of parts.flatMap(
+    ({crashes}) => crashes,
+  )) {
+    for (const {request, segments} of requests) {
+      const key = `${upstream} ${ageMs} ${request}`;
+      (segmentsByRequest[key] ??= []).push(...segments);
+    }
+  }
   return {
-    requests: parts.flatMap(({crashes}) =>
-      crashes.flatMap(({ageMs, requests, upstream}) =>
-        requests.map(request => ({...request, upstream, ageMs})),
-      ),
-    ),
+    segmentsByRequest,
     verdicts: parts.flatMap(({verdicts}) => verdicts),
     clearings: parts.flatMap(({clearings}) => clearings),
   };
--- a/packages/gateway/src/peers/QuarantineCodec.ts
+++ b/packages/gateway/src/peers/QuarantineCodec.ts
@@ -27,7 +27,8 @@
 const countBytes = 1;
 const versionBytes = 1;
 const crashHeaderBytes = tagBytes + hashBytes + timeBytes + countBytes;
-const maxByte = 0xff;
+/** Fits into one byte, and several parts into a datagram. */
+const maxSegmentsPerPart = 128;
 const maxUint32 = 0xffffffff;
 
 function timeToUint32(ms: number): number {
@@ -42,13 +43,21 @@
   return buffer;
 }
 
-function encodeRequest({request, segments}: InterruptedRequest): Buffer {
-  const included = segments.slice(0, maxByte);
-  return Buffer.concat([
-    uint32s(request),
-    Buffer.of(included.length),
-    uint32s(...included),
-  ]);
+/** Encodes a request; one with many segments is split, which peers merge. */
+function encodeRequest({request, segments}: InterruptedRequest): Buffer[] {
+  const partCount = Math.max(
+    1,
+    Math.ceil(segments.length / maxSegmentsPerPart),
+  );
+  return Array.from({length: partCount}, (_, index) => {
+    const from = index * maxSegmentsPerPart;
+    const part = segments.slice(from, from + maxSegmentsPerPart);
+    return Buffer.concat([
+      uint32s(request),
+      Buffer.of(part.length),
+      uint32s(...part),
+    ]);
+  });
 }
 
 /** Encodes a crash; one with many requests is split, which peers merge. */
@@ -56,8 +65,7 @@
   const maxBytes = maxDatagramBytes - versionBytes - crashHeaderBytes;
   const groups: Buffer[][] = [];
   let groupBytes = Infinity;
-  for (const request of requests.map(encodeRequest)) {
-    if (request.length > maxBytes) continue;
+  for (const request of requests.flatMap(encodeRequest)) {
     const fits = groupBytes + request.length <= maxBytes;
     if (!fits) groups.push([]);
     groups.at(-1)?.push(request);
--- a/packages/policy/src/PromptQuarantine.ts
+++ b/packages/policy/src/PromptQuarantine.ts
@@ -7,7 +7,11 @@
 import type {RandomSource} from '@toucanrouter/common';
 import {createBoundedMap} from './BoundedMap.js';
 import type {RecordedCrash, SegmentEvidence} from './CrashEvidence.js';
-import {countIncidents, createCrashEvidence} from './CrashEvidence.js';
+import {
+  countIncidents,
+  createCrashEvidence,
+  groupRepresentatives,
+} from './CrashEvidence.js';
 import type {
   ClearingReason,
   Conviction,
@@ -108,6 +112,11 @@
   return a.position > b.position;
 }
 
+/** True if each request with segment `a` in a crash also has segment `b`. */
+function alwaysTogether(a: SegmentEvidence, b: SegmentEvidence): boolean {
+  return [...a.places].every(place => b.allPlaces.has(place));
+}
+
 /** Creates a quarantine without evidence. */
 export function createPromptQuarantine(
   options: PromptQuarantineOptions,
@@ -182,34 +191,21 @@
     });
   }
 
-  function contains(crash: RecordedCrash, segment: SegmentHash): boolean {
-    return [...crash.requests.values()].some(list => list.includes(segment));
-  }
-
   /** Returns the crashes that no better explained verdict accounts for. */
   function unexplained(
     against: SegmentEvidence,
     all: ReadonlyMap<SegmentHash, SegmentEvidence>,
   ): readonly RecordedCrash[] {
-    const better = [...verdicts.keys()].filter(segment => {
-      const other = all.get(segment);
-      return (
-        other !== undefined &&
-        other !== against &&
-        outranks(other, against, limits.separationMs)
+    const better = [...verdicts.keys()]
+      .map(segment => all.get(segment))
+      .filter(
+        other =>
+          other !== undefined &&
+          other !== against &&
+          outranks(other, against, limits.separationMs),
       );
-    });
     return against.crashes.filter(
-      crash => !better.some(segment => contains(crash, segment)),
-    );
-  }
-
-  /** True if each request with segment `a` in a crash also has segment `b`. */
-  function alwaysTogether(a: SegmentEvidence, b: SegmentHash): boolean {
-    return a.crashes.every(crash =>
-      [...crash.requests.values()].every(
-        list => !list.includes(a.segment) || list.includes(b),
-      ),
+      crash => !better.some(other => other?.allCrashes.has(crash)),
     );
   }
 
@@ -220,21 +216,22 @@
    */
   function isAmbiguous(
     against: SegmentEvidence,
-    all: ReadonlyMap<SegmentHash, SegmentEvidence>,
+    groups: readonly SegmentEvidence[],
   ): boolean {
-    return [...all.values()].some(
+    return groups.some(
       other =>
         other !== against &&
         other.answeredCount <= against.answeredCount &&
         against.crashes.every(crash => other.crashes.includes(crash)) &&
-        !alwaysTogether(against, other.segment) &&
-        !alwaysTogether(other, against.segment),
+        !alwaysTogether(against, other) &&
+        !alwaysTogether(other, against),
     );
   }
 
   function shouldConvict(
     against: SegmentEvidence,
     all: ReadonlyMap<SegmentHash, SegmentEvidence>,
+    groups: readonly SegmentEvidence[],
     nowMs: number,
   ): boolean {
     const verdict = verdicts.get(against.segment);
@@ -249,7 +246,7 @@
         crashes.filter(({atMs}) => atMs <= nowMs - limits.settleMs),
         limits.separationMs,
       ) >= limits.minIncidentCount &&
-      !isAmbiguous(against, all)
+      !isAmbiguous(against, groups)
     );
   }
 
@@ -263,7 +260,7 @@
       if (other === undefined || other === by) continue;
       if (
         outranks(by, other, limits.separationMs) &&
-        other.crashes.every(crash => contains(crash, by.segment))
+        other.crashes.every(crash => by.allCrashes.has(crash))
       ) {
         clear(segment, 'explained_by_other_segment');
       }
@@ -290,10 +287,11 @@
 
   function evaluate(nowMs: number): void {
     evaluateAtMs = Infinity;
-    const all = evidence.bySegment(nowMs);
+    const all = evidence.bySegment(nowMs, segment => verdicts.has(segment));
+    const groups = groupRepresentatives(all.values());
     for (;;) {
       const guilty = [...all.values()].filter(against =>
-        shouldConvict(against, all, nowMs),
+        shouldConvict(against, all, groups, nowMs),
       );
       if (guilty.length === 0) break;
       const worst = guilty.reduce((a, b) =>
@@ -334,7 +332,7 @@
       clearingReportsLeft,
       segment,
       limits.reportCount,
-      limits.maxReportItemCount,
+      limits.maxClearingCount,
     );
   }
 
@@ -553,7 +551,8 @@
     },
     receive: (report, nowMs) => {
       const count = limits.maxReportItemCount;
-      for (const clearing of report.clearings.slice(0, count)) {
+      const {maxClearingCount} = limits;
+      for (const clearing of report.clearings.slice(0, maxClearingCount)) {
         receiveClearing(clearing, nowMs);
       }
       for (const verdict of report.verdicts.slice(0, count)) {
--- a/packages/policy/src/PromptQuarantineTypes.ts
+++ b/packages/policy/src/PromptQuarantineTypes.ts
@@ -119,11 +119,14 @@
   readonly reportCount: number;
   readonly maxCrashCount: number;
   readonly maxRequestsPerCrashCount: number;
-  readonly maxSegmentCount: number;
+  /** Bounds the segments of all requests of a crash together. */
+  readonly maxSegmentsPerCrashCount: number;
   readonly maxVerdictCount: number;
   readonly maxAnsweredCount: number;
-  /** Bounds each list of a report, sent or received. */
+  /** Bounds the crashes and the verdicts of a report, sent or received. */
   readonly maxReportItemCount: number;
+  /** Bounds the clearings of a report; a prompt may have hundreds of segments. */
+  readonly maxClearingCount: number;
 }
 
 /** Limits for a fleet of any size. */
@@ -142,9 +145,10 @@
   verdictRepeatMs: 1_000,
   reportCount: 3,
   maxCrashCount: 128,
-  maxRequestsPerCrashCount: 32,
-  maxSegmentCount: 16,
+  maxRequestsPerCrashCount: 128,
+  maxSegmentsPerCrashCount: 8_192,
   maxVerdictCount: 256,
   maxAnsweredCount: 16_384,
   maxReportItemCount: 32,
+  maxClearingCount: 1_024,
 };
--- a/packages/policy/src/__tests__/unit/PromptQuarantine.test.ts
+++ b/packages/policy/src/__tests__/unit/PromptQuarantine.test.ts
@@ -62,6 +62,48 @@
     });
   }
 
+  for (const [place, count] of [
+    [17, 19],
+    [18, 19],
+    [40, 41],
+    [299, 600],
+    [4_000, 4_000],
+  ] as const) {
+    // Guards against a segment that is never blamed because of its place.
+    it(`convicts the segment at place ${place} of ${count}, also at a peer that is told in parts`, () => {
+      const fixtures = [1, 2].map(seed => createQuarantineFixture({}, seed));
+      const [fixture, peer] = fixtures as [
+        QuarantineFixture,
+        QuarantineFixture,
+      ];
+      const prompt = Array.from({length: count}, (_, index) =>
+        index === place - 1 ? 'bad' : `part-${index}`,
+      );
+      const others = prompt.filter(id => id !== 'bad');
+      for (const {quarantine} of fixtures) {
+        quarantine.recordAnswer(upstream('live'), segments(...others), 500);
+      }
+      convict(fixture, prompt);
+      const report = fixture.quarantine.takeReport(3_010);
+      for (const reported of report?.crashes ?? []) {
+        for (const {request, segments: all} of reported.requests) {
+          for (let at = 0; at < all.length; at += 100) {
+            const part = {request, segments: all.slice(at, at + 100)};
+            const crashes = [{...reported, requests: [part]}];
+            const parts = {crashes, verdicts: [], clearings: []};
+            peer.quarantine.receive(parts, 3_020);
+          }
+        }
+      }
+      for (const {quarantine, ...rest} of fixtures) {
+        quarantine.takeReport(3_300);
+        const judged = {quarantine, ...rest};
+        expect(isBlocked(judged, ['bad'], 3_300)).to.equal(true);
+        expect(isBlocked(judged, others, 3_300)).to.equal(false);
+      }
+    });
+  }
+
   for (const prompt of [
     ['shared', 'bad'],
     ['bad', 'shared'],
@@ -377,6 +419,38 @@
     expect(fixture.convictions).to.have.length(1);
   });
 
+  it('keeps a bounded number of segments of prompts with hundreds of parts', () => {
+    const limits = {maxSegmentsPerCrashCount: 1_000, maxCrashCount: 8};
+    const fixture = createQuarantineFixture(limits);
+    const {maxRequestsPerCrashCount} = defaultQuarantineLimits;
+    for (let index = 0; index < 40; index += 1) {
+      const atMs = 1_000 * (index + 1);
+      const requests = Array.from(
+        {length: maxRequestsPerCrashCount},
+        (_, place): readonly [string, ...string[]] => [
+          `r-${index}-${place}`,
+          'bad',
+          ...Array.from(
+            {length: 300},
+            (_unused, part) => `part-${index}-${place}-${part}`,
+          ),
+        ],
+      );
+      fixture.quarantine.recordCrash(
+        crash(`up-${index}`, atMs, ...requests),
+        atMs,
+      );
+    }
+    const report = fixture.quarantine.takeReport(40_100);
+    expect(report?.crashes.length).to.be.at.most(limits.maxCrashCount);
+    for (const {requests} of report?.crashes ?? []) {
+      const count = requests.reduce((sum, r) => sum + r.segments.length, 0);
+      expect(count).to.be.at.most(limits.maxSegmentsPerCrashCount);
+    }
+    expect(isBlocked(fixture, ['bad'], 40_100)).to.equal(true);
+    expect(fixture.convictions).to.have.length(1);
+  });
+
   it('never blocks a segment with a complete response since the first crash behind it', () => {
     const event = fc.record({
       kind: fc.constantFrom('crash' as const, 'answer' as const),
