gateway, daemon: look at each byte of a stream once

Callers of sound engines got no answer while one engine wrote lines that are no event and did not end: the instance used all of its processor.

Cause: each chunk was joined to the bytes of the unfinished event, and all of them were scanned again. The daemon's scanner did the same, without a limit.

The scanners keep their state between chunks and join chunks only for a complete event, so the work grows with the bytes. The daemon gives an event up at 1 MiB as the gateway does.

--- a/packages/daemon/src/request/chat/EngineAttempt.ts
+++ b/packages/daemon/src/request/chat/EngineAttempt.ts
@@ -51,6 +51,7 @@
 const engineIdleTimeoutMs = 20_000;
 
 const maxErrorBodyBytes = 64 * 1024;
+const maxPendingEventBytes = 1024 * 1024;
 const serviceUnavailableStatus = 503;
 
 /** Runs one attempt to its end. */
@@ -106,6 +107,11 @@
   const scanner = createSseScanner();
   for await (const chunk of body) {
     const scanned = scanner.push(chunk);
+    if (scanner.pendingBytes() > maxPendingEventBytes) {
+      const message = `an event of upstream ${call.address} exceeds ${maxPendingEventBytes} bytes`;
+      const error = new RouterErrorClass('answer_incomplete', message);
+      return {kind: 'broken', error, connected: true};
+    }
     if (scanned === undefined) continue;
     const handled = await call.onEvents(scanned);
     if (call.signal.aborted) return {kind: 'aborted'};
--- a/packages/daemon/src/request/chat/SseScanner.ts
+++ b/packages/daemon/src/request/chat/SseScanner.ts
@@ -21,33 +21,51 @@
 /** Accepts the chunks of a stream and returns the events that are complete. */
 export interface SseScanner {
   push(chunk: Buffer): ScannedEvents | undefined;
+  /** Number of buffered bytes of an incomplete event. */
+  pendingBytes(): number;
 }
 
 const separator = '\n\n';
+const newline = 10;
 const carriageReturn = 13;
 const idPattern = /^id: ?(\d+)$/m;
 const dataPattern = /^data: ?(.*)$/gm;
 
 /** Creates a scanner at the start of a stream. */
 export function createSseScanner(): SseScanner {
-  let pending: Buffer | undefined;
+  let pending: Buffer[] = [];
+  let pendingBytes = 0;
+  let endsWithNewline = false;
+
+  /** Returns the end of the last separator in `chunk`, or 0. */
+  function separatorEnd(chunk: Buffer): number {
+    const within = chunk.lastIndexOf(separator);
+    if (within >= 0) return within + separator.length;
+    return endsWithNewline && chunk[0] === newline ? 1 : 0;
+  }
 
   function push(chunk: Buffer): ScannedEvents | undefined {
     const normalized = withoutCarriageReturns(chunk);
-    const buffer =
-      pending === undefined ? normalized : Buffer.concat([pending, normalized]);
-    const lastSeparator = buffer.lastIndexOf(separator);
-    if (lastSeparator < 0) {
-      pending = buffer;
-      return undefined;
+    if (normalized.length === 0) return undefined;
+    const end = separatorEnd(normalized);
+    const endsEvent = end > 0;
+    const rest = endsEvent ? normalized.subarray(end) : normalized;
+    // Joined only when an event is complete, so that the work does not grow with
+    // each chunk of an event that does not end.
+    const bytes = endsEvent
+      ? Buffer.concat([...pending, normalized.subarray(0, end)])
+      : undefined;
+    if (endsEvent) {
+      pending = [];
+      pendingBytes = 0;
     }
-    const end = lastSeparator + separator.length;
-    pending = end < buffer.length ? buffer.subarray(end) : undefined;
-    const bytes = buffer.subarray(0, end);
-    return {bytes, events: parseEvents(bytes)};
+    if (rest.length > 0) pending.push(rest);
+    pendingBytes += rest.length;
+    endsWithNewline = rest.at(-1) === newline;
+    return bytes && {bytes, events: parseEvents(bytes)};
   }
 
-  return {push};
+  return {push, pendingBytes: () => pendingBytes};
 }
 
 /** Lines may end with CR LF, while the separator search expects LF only. */
--- a/packages/gateway/src/__tests__/unit/EventSplitter.test.ts
+++ b/packages/gateway/src/__tests__/unit/EventSplitter.test.ts
@@ -34,6 +34,21 @@
     expect(splitter.pendingBytes()).to.equal(0);
   });
 
+  // Guards against work that grows with the square of an event that does not
+  // end, which took all of an instance's processor (minutes for this test).
+  it('looks at each byte of an endless event once', () => {
+    const splitter = createEventSplitter();
+    const line = Buffer.from('0123456789abcdef\n');
+    const lineCount = 100_000;
+    for (let index = 0; index < lineCount; index += 1) {
+      expect(splitter.push(line)).to.equal(undefined);
+    }
+    expect(splitter.pendingBytes()).to.equal(lineCount * line.length);
+    const completed = splitter.push(Buffer.from('data: end\n\n'));
+    expect(completed?.count).to.equal(1);
+    expect(splitter.pendingBytes()).to.equal(0);
+  });
+
   it('passes on every byte in order, wherever chunks are cut', () => {
     const stream = ': a\n\nid: 1\r\ndata: x\r\n\r\n: b\n\n\ndata: y\n\n: c\n\n';
     fc.assert(
--- a/packages/gateway/src/request/EventSplitter.ts
+++ b/packages/gateway/src/request/EventSplitter.ts
@@ -24,53 +24,87 @@
 }
 
 const newline = 0x0a;
-const carriageReturn = 0x0d;
+/** Bounds the overhead of an event that arrives in many small chunks. */
+const maxPendingChunks = 1_024;
 /** A block without any of these fields is a comment, or means nothing. */
-const eventFields: readonly Buffer[] = [Buffer.from('data'), Buffer.from('id')];
-const emptyBuffer = Buffer.alloc(0);
+const eventFields: readonly string[] = ['data', 'id'];
+const maxFieldLength = Math.max(...eventFields.map(({length}) => length));
 const idLine = /^id:\s*(.*?)\r?$/gm;
 
-/** Blocks of lines that end with a blank line. */
-interface CompleteBlocks {
-  /** End of the last complete block. */
-  readonly end: number;
-  /** End of the last event; comment blocks are no events. */
-  readonly eventEnd: number;
-  /** Number of events. */
-  readonly count: number;
+/** Returns whether a line with this start has a field of an event. */
+function hasEventField(lineStart: string): boolean {
+  return eventFields.some(field => lineStart.startsWith(field));
 }
 
-function hasEventField(line: Buffer): boolean {
-  return eventFields.some(
-    field => line.subarray(0, field.length).compare(field) === 0,
-  );
+/** Finds the ends of blocks, which are lines that end with a blank line. */
+interface BlockScanner {
+  /** Scans the next bytes; returns the number of events that they complete. */
+  scan(chunk: Buffer): number;
+  /** End of the last complete block, after the bytes that were dropped. */
+  end(): number;
+  /** End of the last event; comment blocks are no events. */
+  eventEnd(): number;
+  /** Drops scanned bytes, up to the end of a block. */
+  drop(byteCount: number): void;
 }
 
-/** Finds the complete blocks at the start of `bytes`. */
-function findBlocks(bytes: Buffer): CompleteBlocks {
+/** Creates a scanner that looks at each byte once, however blocks are chunked. */
+function createBlockScanner(): BlockScanner {
+  let scanned = 0;
   let end = 0;
   let eventEnd = 0;
-  let count = 0;
-  let lineStart = 0;
+  let lineStart = '';
+  let lineLength = 0;
   let hasField = false;
-  for (
-    let index = bytes.indexOf(newline);
-    index >= 0;
-    index = bytes.indexOf(newline, index + 1)
-  ) {
-    const blank =
-      index === lineStart ||
-      (index === lineStart + 1 && bytes[lineStart] === carriageReturn);
-    if (!blank) hasField ||= hasEventField(bytes.subarray(lineStart, index));
-    lineStart = index + 1;
-    if (!blank) continue;
-    end = lineStart;
-    if (!hasField) continue;
-    eventEnd = lineStart;
-    count += 1;
+
+  function extendLine(bytes: Buffer): void {
+    if (lineStart.length < maxFieldLength) {
+      const missing = maxFieldLength - lineStart.length;
+      lineStart += bytes.toString('latin1', 0, missing);
+    }
+    lineLength += bytes.length;
+  }
+
+  /** Returns whether the line completes an event. */
+  function endLine(atOffset: number): boolean {
+    const isBlank =
+      lineLength === 0 || (lineLength === 1 && lineStart === '\r');
+    if (!isBlank) hasField ||= hasEventField(lineStart);
+    lineStart = '';
+    lineLength = 0;
+    if (!isBlank) return false;
+    end = atOffset;
+    if (!hasField) return false;
+    eventEnd = atOffset;
     hasField = false;
+    return true;
   }
-  return {end, eventEnd, count};
+
+  return {
+    scan: chunk => {
+      let count = 0;
+      let from = 0;
+      for (
+        let index = chunk.indexOf(newline);
+        index >= 0;
+        index = chunk.indexOf(newline, from)
+      ) {
+        extendLine(chunk.subarray(from, index));
+        from = index + 1;
+        if (endLine(scanned + from)) count += 1;
+      }
+      extendLine(chunk.subarray(from));
+      scanned += chunk.length;
+      return count;
+    },
+    end: () => end,
+    eventEnd: () => eventEnd,
+    drop: byteCount => {
+      scanned -= byteCount;
+      end = Math.max(0, end - byteCount);
+      eventEnd = Math.max(0, eventEnd - byteCount);
+    },
+  };
 }
 
 function eventIds(bytes: Buffer): readonly string[] {
@@ -88,7 +122,9 @@
  * first event must follow the event `previousEventId`.
  */
 export function createEventSplitter(previousEventId?: string): EventSplitter {
-  let pending: Buffer = emptyBuffer;
+  const scanner = createBlockScanner();
+  let pending: Buffer[] = [];
+  let pendingBytes = 0;
   let lastEventId: string | undefined;
   let started = false;
   let repeatsEvents = false;
@@ -105,15 +141,22 @@
 
   return {
     push: chunk => {
-      const bytes =
-        pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
-      const {count, end, eventEnd} = findBlocks(bytes);
+      const count = scanner.scan(chunk);
+      pending.push(chunk);
+      pendingBytes += chunk.length;
+      if (pending.length > maxPendingChunks) pending = [Buffer.concat(pending)];
       started ||= count > 0;
       // Comments before the first event wait for it: the response of another
       // upstream may still replace this one.
-      const completeEnd = started ? end : eventEnd;
-      pending = bytes.subarray(completeEnd);
+      const completeEnd = started ? scanner.end() : scanner.eventEnd();
       if (completeEnd === 0) return undefined;
+      // Joined only now, so that the work does not grow with each chunk of an
+      // event that does not end.
+      const bytes = Buffer.concat(pending);
+      const rest = bytes.subarray(completeEnd);
+      pending = rest.length > 0 ? [rest] : [];
+      pendingBytes = rest.length;
+      scanner.drop(completeEnd);
       const complete = bytes.subarray(0, completeEnd);
       const ids = eventIds(complete);
       repeatsEvents ||= isRepeated(ids);
@@ -122,7 +165,7 @@
       return {bytes: complete, count};
     },
     repeatsEvents: () => repeatsEvents,
-    pendingBytes: () => pending.length,
+    pendingBytes: () => pendingBytes,
     lastEventId: () => lastEventId,
   };
 }
