gateway, daemon: bound the memory of all buffered responses together

Other operators reported engines that write bytes without end: the instance kept them all and ran out of memory, and with it ended the requests of all its callers.

Cause: the gateway bounded single responses only; the daemon read a plain answer to its end, however long.

A budget bounds the bytes that all responses buffer, and gives the largest one up when they exceed it. Endless responses grow until they are the largest, so sound ones survive.

--- /dev/null
+++ b/packages/common/src/__tests__/unit/BufferBudget.test.ts
@@ -0,0 +1,53 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {createBufferBudget} from '../../index.js';
+
+const maxBytes = 1_000;
+
+describe('createBufferBudget', () => {
+  // Guards against responses that fit their own limits and exhaust the memory
+  // together.
+  it('never uses more than its limit, whatever responses grow or end', () => {
+    const step = fc.record({
+      index: fc.nat(9),
+      bytes: fc.nat(2 * maxBytes),
+      ends: fc.boolean(),
+    });
+    fc.assert(
+      fc.property(fc.array(step), steps => {
+        const budget = createBufferBudget(maxBytes);
+        const bytesByIndex = new Map<number, number>();
+        const shares = Array.from({length: 10}, (_, index) =>
+          budget.open(() => bytesByIndex.delete(index)),
+        );
+        shares.forEach((_, index) => bytesByIndex.set(index, 0));
+        for (const {bytes, ends, index} of steps) {
+          if (!bytesByIndex.has(index)) continue;
+          bytesByIndex.set(index, bytes);
+          shares[index]?.resize(bytes);
+          if (ends) {
+            shares[index]?.close();
+            bytesByIndex.delete(index);
+          }
+          const used = [...bytesByIndex.values()].reduce((a, b) => a + b, 0);
+          expect(budget.usedBytes()).to.equal(used);
+          expect(used).to.be.at.most(maxBytes);
+        }
+      }),
+    );
+  });
+
+  it('gives up the largest response and keeps the others', () => {
+    const budget = createBufferBudget(maxBytes);
+    const givenUp: string[] = [];
+    const endless = budget.open(() => givenUp.push('endless'));
+    const small = budget.open(() => givenUp.push('small'));
+    endless.resize(700);
+    small.resize(200);
+    small.resize(400);
+    expect(givenUp).to.deep.equal(['endless']);
+    expect(budget.usedBytes()).to.equal(400);
+    endless.resize(5_000);
+    expect(budget.usedBytes()).to.equal(400);
+  });
+});
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -35,6 +35,8 @@
   ReportSource,
   WorkspaceBurn,
 } from './BurnReport.js';
+export type {BufferBudget, BufferShare} from './BufferBudget.js';
+export {createBufferBudget, defaultBufferBudgetBytes} from './BufferBudget.js';
 export type {
   ClaimEnd,
   ClaimReference,
--- a/packages/daemon/src/Instance.ts
+++ b/packages/daemon/src/Instance.ts
@@ -9,7 +9,7 @@
   createLocalClaimStore,
 } from '@toucanrouter/claims';
 import type {ClaimReference, Clock, KeyValueStore} from '@toucanrouter/common';
-import {createProcessRandom} from '@toucanrouter/common';
+import {createBufferBudget, createProcessRandom} from '@toucanrouter/common';
 import {createMemberTable} from '@toucanrouter/membership';
 import type {ConfigStore, InstanceList} from '@toucanrouter/keyvalue';
 import {createConfigStore, createKeyValueClient} from '@toucanrouter/keyvalue';
@@ -143,6 +143,7 @@
       directory,
       permits: scheduling.permits,
       dispatcher,
+      responseBuffers: createBufferBudget(),
       retryBudget: createRetryBudget(),
       hedgeBudget: createHedgeBudget(),
       promptGuard,
--- a/packages/daemon/src/__tests__/unit/ChatCallFixture.ts
+++ b/packages/daemon/src/__tests__/unit/ChatCallFixture.ts
@@ -5,6 +5,7 @@
  */
 import type {Clock, InstanceId, UpstreamInfo} from '@toucanrouter/common';
 import {
+  createBufferBudget,
   createSeededRandom,
   createSystemClock,
   delay,
@@ -229,6 +230,7 @@
       directory,
       permits: client as PermitClient,
       dispatcher: new Agent(),
+      responseBuffers: createBufferBudget(),
       retryBudget: createRetryBudget(),
       hedgeBudget: {...createHedgeBudget(), tryHedge: () => true},
       promptGuard,
--- a/packages/daemon/src/__tests__/unit/EngineAttempt.test.ts
+++ b/packages/daemon/src/__tests__/unit/EngineAttempt.test.ts
@@ -1,6 +1,6 @@
 import type {AddressInfo, Socket} from 'node:net';
 import {createServer} from 'node:net';
-import {toRequestId} from '@toucanrouter/common';
+import {createBufferBudget, toRequestId} from '@toucanrouter/common';
 import {expect} from 'chai';
 import {ok} from 'neverthrow';
 import {Agent} from 'undici';
@@ -23,6 +23,7 @@
   for (text of responses) {
     const end = await runEngineAttempt({
       dispatcher,
+      responseBuffers: createBufferBudget(),
       address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
       requestId: toRequestId('r1'),
       body: '{}',
@@ -59,6 +60,22 @@
     );
   });
 
+  // Guards against an instance that keeps the bytes of an engine without end.
+  it('ends as broken when an event does not end', async () => {
+    const head = 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n';
+    const writeLines = (socket: Socket, text: string) => {
+      socket.write(text);
+      const lines = 'no event, no end\n'.repeat(1_000);
+      const write = () => {
+        while (!socket.destroyed && socket.write(lines));
+      };
+      socket.on('drain', write);
+      write();
+    };
+    const [end] = await runAttempts([head], writeLines);
+    expect(end?.kind).to.equal('broken');
+  });
+
   // Guards against a response whose head was cut off but that counts as complete.
   it('ends as broken when the head of the response is cut off at any byte', async () => {
     for (const framing of ['Connection: close', 'Content-Length: 0']) {
--- a/packages/daemon/src/__tests__/unit/PlainCallSuspects.test.ts
+++ b/packages/daemon/src/__tests__/unit/PlainCallSuspects.test.ts
@@ -43,6 +43,27 @@
   return permits.map(({releases}) => releases[0]?.outcome);
 }
 
+describe('servePlain', () => {
+  // Guards against an instance that keeps the bytes of a service without end.
+  it('gives up a response that does not end', async () => {
+    const endless: UpstreamHandler = (_message, _body, response) => {
+      const bytes = Buffer.alloc(1024 * 1024);
+      const write = () => {
+        while (!response.destroyed && response.write(bytes));
+      };
+      response.on('drain', write);
+      write();
+    };
+    const call = await runCall({
+      handlers: [endless],
+      target: {kind: 'service', serves: 'tool', method: 'GET', path: '/'},
+      body: '',
+      serve: (access, exchange) => servePlain(access, exchange, shardId, {}),
+    });
+    expect(call.kind).to.equal('upstream_failed');
+  });
+});
+
 describe('servePlain on a suspect upstream', () => {
   // Guards against failing a call whose upstream only paused when no other one has a slot.
   it('returns the response of a slow upstream when no other permit is granted', async () => {
--- a/packages/daemon/src/__tests__/unit/SuspectUpstreamsFixture.ts
+++ b/packages/daemon/src/__tests__/unit/SuspectUpstreamsFixture.ts
@@ -7,6 +7,7 @@
 import type {AddressInfo} from 'node:net';
 import type {RequestId, UpstreamId, UpstreamInfo} from '@toucanrouter/common';
 import {
+  createBufferBudget,
   createSeededRandom,
   createSystemClock,
   RouterError,
@@ -248,6 +249,7 @@
     directory,
     permits: permits as PermitClient,
     dispatcher,
+    responseBuffers: createBufferBudget(),
     retryBudget: createTestRetryBudget(options.retryCount),
     hedgeBudget,
     promptGuard: createPromptGuard({
--- a/packages/daemon/src/request/UpstreamAccess.ts
+++ b/packages/daemon/src/request/UpstreamAccess.ts
@@ -1,7 +1,11 @@
 /**
  * Access to upstreams and their permits for the filters that call upstreams.
  */
-import type {Clock, RouterError as RouterErrorType} from '@toucanrouter/common';
+import type {
+  BufferBudget,
+  Clock,
+  RouterError as RouterErrorType,
+} from '@toucanrouter/common';
 import type {ShardId, UpstreamId, UpstreamInfo} from '@toucanrouter/common';
 import {RouterError} from '@toucanrouter/common';
 import type {HedgeBudget, RetryBudget} from '@toucanrouter/policy';
@@ -25,6 +29,8 @@
   readonly directory: UpstreamDirectory;
   readonly permits: PermitClient;
   readonly dispatcher: Dispatcher;
+  /** Bounds the responses that are buffered at the same time. */
+  readonly responseBuffers: BufferBudget;
   readonly retryBudget: RetryBudget;
   readonly hedgeBudget: HedgeBudget;
   readonly promptGuard: PromptGuard;
--- a/packages/daemon/src/request/chat/ChatAttempt.ts
+++ b/packages/daemon/src/request/chat/ChatAttempt.ts
@@ -41,6 +41,7 @@
       : undefined;
   const end = await runEngineAttempt({
     dispatcher: access.dispatcher,
+    responseBuffers: access.responseBuffers,
     address: upstream.address,
     requestId: exchange.requestId,
     body: toUpstreamBody(state.request, classOf(exchange).tier, prefix),
--- a/packages/daemon/src/request/chat/EngineAttempt.ts
+++ b/packages/daemon/src/request/chat/EngineAttempt.ts
@@ -3,7 +3,13 @@
  * complete events on. Every way in which the attempt can end is returned as a
  * value, on which the recovery policy decides.
  */
-import type {RequestId, RouterError} from '@toucanrouter/common';
+import type {Readable} from 'node:stream';
+import type {
+  BufferBudget,
+  BufferShare,
+  RequestId,
+  RouterError,
+} from '@toucanrouter/common';
 import {RouterError as RouterErrorClass} from '@toucanrouter/common';
 import type {Result} from 'neverthrow';
 import type {Dispatcher} from 'undici';
@@ -34,6 +40,7 @@
 /** A call to an engine. */
 export interface EngineCall {
   readonly dispatcher: Dispatcher;
+  readonly responseBuffers: BufferBudget;
   /** `host:port`. */
   readonly address: string;
   readonly requestId: RequestId;
@@ -101,12 +108,28 @@
 }
 
 async function readStream(
-  body: AsyncIterable<Buffer>,
+  body: Readable,
   call: EngineCall,
+): Promise<AttemptEnd> {
+  const share = call.responseBuffers.open(() =>
+    body.destroy(new Error('the buffered responses exceed their memory')),
+  );
+  try {
+    return await readEvents(body, call, share);
+  } finally {
+    share.close();
+  }
+}
+
+async function readEvents(
+  body: Readable,
+  call: EngineCall,
+  share: BufferShare,
 ): Promise<AttemptEnd> {
   const scanner = createSseScanner();
   for await (const chunk of body) {
-    const scanned = scanner.push(chunk);
+    const scanned = scanner.push(chunk as Buffer);
+    share.resize(scanner.pendingBytes());
     if (scanner.pendingBytes() > maxPendingEventBytes) {
       const message = `an event of upstream ${call.address} exceeds ${maxPendingEventBytes} bytes`;
       const error = new RouterErrorClass('answer_incomplete', message);
--- a/packages/daemon/src/request/plain/PlainCall.ts
+++ b/packages/daemon/src/request/plain/PlainCall.ts
@@ -3,7 +3,9 @@
  * fault; any other call is sent once.
  */
 import type {IncomingHttpHeaders, OutgoingHttpHeaders} from 'node:http';
+import type {Readable} from 'node:stream';
 import type {
+  BufferBudget,
   RouterError as RouterErrorType,
   ShardId,
   UpstreamId,
@@ -168,7 +170,7 @@
         ? AbortSignal.any([exchange.signal, abort.signal])
         : undefined,
     });
-    const body = Buffer.from(await response.body.arrayBuffer());
+    const body = await readBody(response.body, access.responseBuffers);
     permit.recordTokens(callCostTokens);
     access.hedgeBudget.recordWork(callCostTokens);
     permit.release({outcome: 'completed', wastedTokens: 0});
@@ -190,6 +192,27 @@
   }
 }
 
+async function readBody(
+  body: Readable,
+  responseBuffers: BufferBudget,
+): Promise<Buffer> {
+  const share = responseBuffers.open(() =>
+    body.destroy(new Error('the buffered responses exceed their memory')),
+  );
+  const chunks: Buffer[] = [];
+  let sizeBytes = 0;
+  try {
+    for await (const chunk of body) {
+      chunks.push(chunk as Buffer);
+      sizeBytes += (chunk as Buffer).length;
+      share.resize(sizeBytes);
+    }
+    return Buffer.concat(chunks);
+  } finally {
+    share.close();
+  }
+}
+
 const permitOutcomes = {
   broken: 'failed',
   not_sent: 'failed',
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -4,7 +4,7 @@
  */
 import type {Server} from 'node:http';
 import type {Clock, RandomSource, ServiceName} from '@toucanrouter/common';
-import {delay} from '@toucanrouter/common';
+import {createBufferBudget, delay} from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
 import type {RetryBudget} from '@toucanrouter/policy';
 import type {GatewaySettings, ListenAddress} from '@toucanrouter/settings';
@@ -216,6 +216,7 @@
     knowledge,
     reportSoon: exchange.reportSoon,
     connections,
+    responseBuffers: createBufferBudget(),
     promptGuard,
     retryBudget: retryBudgetOf,
     isDraining: () => draining,
--- a/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
@@ -5,6 +5,7 @@
 import {request as sendRequest} from 'node:http';
 import type {AddressInfo, Server} from 'node:net';
 import {
+  createBufferBudget,
   createSeededRandom,
   createSystemClock,
   toInstanceId,
@@ -74,6 +75,7 @@
     knowledge: createUpstreamKnowledge({clock, selfId: shortIdOf('i')}),
     reportSoon: () => undefined,
     connections,
+    responseBuffers: createBufferBudget(),
     promptGuard: createPromptGuard({
       clock,
       logger,
--- a/packages/gateway/src/request/Attempt.ts
+++ b/packages/gateway/src/request/Attempt.ts
@@ -3,7 +3,7 @@
  * belongs to the request, watches for stalls, and reports how the attempt ended.
  * Retries are decided elsewhere.
  */
-import type {Clock} from '@toucanrouter/common';
+import type {BufferBudget, Clock} from '@toucanrouter/common';
 import type {Choice} from '../upstreams/UpstreamChoice.js';
 import type {UpstreamOutcome} from '../upstreams/UpstreamHealth.js';
 import type {
@@ -86,6 +86,8 @@
 export interface AttemptOptions {
   readonly clock: Clock;
   readonly connections: UpstreamConnections;
+  /** Bounds the bytes that all attempts buffer together. */
+  readonly responseBuffers: BufferBudget;
   readonly dialect: Dialect;
   readonly choice: Choice;
   readonly requestId: string;
@@ -145,6 +147,7 @@
     if (finished) return;
     finished = true;
     stallWatch.close();
+    buffered.close();
     health.requestEnded(work, firstResponseRecorded);
     resolveResult(result);
   }
@@ -198,6 +201,7 @@
     if (!streaming) {
       chunks.push(chunk);
       bufferedBytes += chunk.length;
+      buffered.resize(bufferedBytes);
       if (bufferedBytes > maxBufferedResponseBytes) {
         const reason = `the response exceeds ${maxBufferedResponseBytes} bytes`;
         abort({kind: 'broken', reason}, reason);
@@ -205,6 +209,8 @@
       return;
     }
     const completed = splitter.push(chunk);
+    buffered.resize(splitter.pendingBytes());
+    if (finished) return;
     if (splitter.repeatsEvents()) {
       const reason = 'the stream repeats events of an earlier attempt';
       abort({kind: 'broken', reason}, reason);
@@ -245,6 +251,11 @@
     }
   }
 
+  const buffered = options.responseBuffers.open(() => {
+    const reason = 'the responses that are buffered exceed their memory';
+    chunks.length = 0;
+    abort({kind: 'broken', reason}, reason);
+  });
   health.requestStarted(work);
   const stallWatch = createStallWatch({
     clock,
--- a/packages/gateway/src/request/GatewayContext.ts
+++ b/packages/gateway/src/request/GatewayContext.ts
@@ -1,7 +1,12 @@
 /**
  * State and services that all requests of an instance share.
  */
-import type {Clock, RandomSource, ServiceName} from '@toucanrouter/common';
+import type {
+  BufferBudget,
+  Clock,
+  RandomSource,
+  ServiceName,
+} from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
 import type {RetryBudget} from '@toucanrouter/policy';
 import type {ActiveConfig} from '../config/ActiveConfig.js';
@@ -31,6 +36,8 @@
   /** Reports this instance's work to its peers without waiting long. */
   readonly reportSoon: () => void;
   readonly connections: UpstreamConnections;
+  /** Bounds the bytes of responses that are buffered at the same time. */
+  readonly responseBuffers: BufferBudget;
   readonly promptGuard: PromptGuard;
   readonly retryBudget: (service: ServiceName) => RetryBudget;
   /** True once the instance accepts no new requests. */
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -318,6 +318,7 @@
     const attempt = startAttempt({
       clock,
       connections: context.connections,
+      responseBuffers: context.responseBuffers,
       dialect: context.dialect,
       choice,
       requestId: request.requestId,
