--- a/packages/gateway/src/__tests__/unit/StateSync.test.ts
+++ b/packages/gateway/src/__tests__/unit/StateSync.test.ts
@@ -173,6 +173,25 @@
     sync.close();
   });
 
+  // Guards against an instance that stops following the store for ever because
+  // of one item of another writer.
+  it('goes on to follow changes after an item that cannot be applied', async () => {
+    const {clock, config, registry, script, sync} = createSyncedState();
+    const odd = {key: 'odd', value: 'odd'};
+    const {decode: decodeSound} = script.store;
+    script.store.decode = item => {
+      if (item.value === odd.value) throw new RangeError('too deep');
+      return decodeSound(item);
+    };
+    script.setSnapshot({revision: 5, items: [odd, upstream]});
+    script.queueResult({revision: 7, items: [odd, version(2)]});
+    sync.start();
+    await advance(clock, 1_100);
+    expect(idsOf(registry.usable(service))).to.deep.equal(['one']);
+    expect(config.current()?.version).to.equal(2);
+    sync.close();
+  });
+
   it('reads a full snapshot again when the history was compacted', async () => {
     const {clock, registry, script, sync} = createSyncedState();
     script.queueResult('compacted');
--- a/packages/gateway/src/state/StateSync.ts
+++ b/packages/gateway/src/state/StateSync.ts
@@ -90,6 +90,12 @@
 /** An instance that failed to respond is not asked for this time. */
 const relayBackoffMs = 3_000;
 
+function toErrorText(error: unknown): string {
+  return error instanceof Error
+    ? (error.stack ?? error.message)
+    : String(error);
+}
+
 function probeDelayMs(consecutiveFailures: number): number {
   const backoffMs = initialProbeDelayMs * 2 ** (consecutiveFailures - 1);
   return Math.min(backoffMs, maxProbeDelayMs);
@@ -141,12 +147,37 @@
     }
   }
 
+  /** Other writers may have written anything; one item must not stop the rest. */
+  function decode(item: StoredItem): StateChange | undefined {
+    try {
+      return store.decode(item);
+    } catch (error) {
+      return {
+        kind: 'unreadable',
+        key: item.key,
+        reason: toErrorText(error),
+        id: undefined,
+      };
+    }
+  }
+
+  function applyItem(item: StoredItem, atRevision: number): void {
+    const change = decode(item);
+    if (change === undefined) return;
+    apply(change);
+    log.record(item, change, atRevision);
+  }
+
   function applyItems(items: readonly StoredItem[], atRevision: number): void {
     for (const item of items) {
-      const change = store.decode(item);
-      if (change === undefined) continue;
-      apply(change);
-      log.record(item, change, atRevision);
+      try {
+        applyItem(item, atRevision);
+      } catch (error) {
+        logger.error('a value in the store cannot be applied', {
+          key: item.key,
+          error: toErrorText(error),
+        });
+      }
     }
   }
 
@@ -174,7 +205,7 @@
     const removed = new Set<UpstreamId>();
     const writesById = new Map<UpstreamId, number>();
     for (const item of items) {
-      const change = store.decode(item);
+      const change = decode(item);
       if (change?.kind === 'upstream_removed') removed.add(change.id);
       if (change?.kind !== 'upstream') continue;
       const {id} = change.entry;
@@ -367,20 +398,33 @@
     await delay(clock, Math.max(0, intervalMs - elapsedMs));
   }
 
+  async function readOnce(): Promise<void> {
+    const startedAtMs = clock.nowMs();
+    if (await readThroughRelays()) {
+      consecutiveFailures = 0;
+      await waitSince(startedAtMs, minRelayIntervalMs);
+      return;
+    }
+    const succeeded = await readStore();
+    if (closed) return;
+    consecutiveFailures = succeeded ? 0 : consecutiveFailures + 1;
+    if (!succeeded) await delay(clock, probeDelayMs(consecutiveFailures));
+    else if (revision !== undefined) {
+      await waitSince(startedAtMs, callIntervalMs());
+    }
+  }
+
   async function run(): Promise<void> {
     while (!closed) {
-      const startedAtMs = clock.nowMs();
-      if (await readThroughRelays()) {
-        consecutiveFailures = 0;
-        await waitSince(startedAtMs, minRelayIntervalMs);
-        continue;
-      }
-      const succeeded = await readStore();
-      if (closed) return;
-      consecutiveFailures = succeeded ? 0 : consecutiveFailures + 1;
-      if (!succeeded) await delay(clock, probeDelayMs(consecutiveFailures));
-      else if (revision !== undefined) {
-        await waitSince(startedAtMs, callIntervalMs());
+      try {
+        await readOnce();
+      } catch (error) {
+        // The process would go on with its past state if this loop ended.
+        logger.error('reading the state failed unexpectedly', {
+          error: toErrorText(error),
+        });
+        consecutiveFailures += 1;
+        await delay(clock, probeDelayMs(consecutiveFailures));
       }
     }
   }
--- a/packages/keyvalue/src/InstanceListParser.ts
+++ b/packages/keyvalue/src/InstanceListParser.ts
@@ -37,9 +37,14 @@
   readonly faults: readonly InstanceListFault[];
 }
 
+const maxPort = 65_535;
 const addressSchema = z
   .string()
-  .regex(/^[^\s]+:\d{1,5}$/, 'expected host:port');
+  .regex(/^[^\s]+:\d{1,5}$/, 'expected host:port')
+  .refine(address => {
+    const port = Number(address.slice(address.lastIndexOf(':') + 1));
+    return port >= 1 && port <= maxPort;
+  }, 'the port is out of range');
 
 const commonLabels = {
   id: z.string().min(1),
--- a/packages/keyvalue/src/__tests__/unit/InstanceListReader.test.ts
+++ b/packages/keyvalue/src/__tests__/unit/InstanceListReader.test.ts
@@ -42,6 +42,17 @@
     expect(faults[0]?.message).to.include('labels.state');
   });
 
+  // Guards against connections that cannot be opened to any port.
+  it('skips entries whose port is out of range', () => {
+    const body = [0, 70_000, 99_999].map(port => ({
+      ...engineEntry(`e${port}`),
+      targets: [`127.0.0.1:${port}`],
+    }));
+    const {list, faults} = parseInstanceList(body)._unsafeUnwrap();
+    expect(list.upstreams).to.deep.equal([]);
+    expect(faults).to.have.length(body.length);
+  });
+
   it('prefers the newest incarnation and "leaving" among duplicates', () => {
     const body = [
       engineEntry('e1', {state: 'leaving'}),
