gateway: log and count the refusals of upstreams that ask for a pause

The adapter reads the header once, in seconds with fractions, and gives values that cannot be used a reason. Only heads that belong to the request count: on a reused connection a response without an id may be a late copy. Each such refusal is counted by service, and a pause is logged with the id of the request. Nothing acts on it yet.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -121,6 +121,8 @@
 } from './Permits.js';
 export type {RandomSource} from './Random.js';
 export {createProcessRandom, createSeededRandom} from './Random.js';
+export type {RetryAfter} from './RetryAfter.js';
+export {maxRetryAfterMs, readRetryAfter} from './RetryAfter.js';
 export type {
   ClassMatch,
   LatencyTarget,
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -37,6 +37,7 @@
 import {createUpstreamConnections} from './upstreams/UpstreamConnections.js';
 import {createUpstreamKnowledge} from './upstreams/UpstreamKnowledge.js';
 import {probeUpstream} from './upstreams/UpstreamProbe.js';
+import {createUpstreamNotices} from './upstreams/UpstreamNotices.js';
 import {createUpstreamRegistry} from './upstreams/UpstreamRegistry.js';
 
 /** Options of a gateway. */
@@ -145,6 +146,11 @@
         ),
     onNews: () => exchange.reportQuarantineSoon(),
   });
+  const upstreamNotices = createUpstreamNotices({
+    logger,
+    onRefused: (entry, asksForPause) =>
+      metrics.observeRefusal(entry.service, asksForPause),
+  });
   const exchange: LoadExchange = createLoadExchange({
     clock,
     logger,
@@ -218,6 +224,7 @@
     connections,
     responseBuffers: createBufferBudget(),
     promptGuard,
+    upstreamNotices,
     retryBudget: retryBudgetOf,
     isDraining: () => draining,
     onEnded,
--- a/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
@@ -22,6 +22,7 @@
 import {createGatewayServer} from '../../server/GatewayServer.js';
 import {createUpstreamConnections} from '../../upstreams/UpstreamConnections.js';
 import {createUpstreamKnowledge} from '../../upstreams/UpstreamKnowledge.js';
+import {createUpstreamNotices} from '../../upstreams/UpstreamNotices.js';
 import {createUpstreamRegistry} from '../../upstreams/UpstreamRegistry.js';
 import {createConfig, createEntry, createRoute} from './GatewayFixtures.js';
 import {testDialect} from './TestDialect.js';
@@ -84,6 +85,10 @@
       isUsable: () => true,
       onNews: () => undefined,
     }),
+    upstreamNotices: createUpstreamNotices({
+      logger,
+      onRefused: () => undefined,
+    }),
     retryBudget: () => createRetryBudget(),
     isDraining: () => false,
     onEnded: request => ended.push(request),
--- a/packages/gateway/src/__tests__/unit/RetryDecision.test.ts
+++ b/packages/gateway/src/__tests__/unit/RetryDecision.test.ts
@@ -40,6 +40,7 @@
     stamped: true,
     mayBeEventStream: false,
     contentEncoded: false,
+    retryAfter: {delayMs: undefined, problem: undefined},
     headers: [],
   };
   const body = Buffer.alloc(0);
--- a/packages/gateway/src/__tests__/unit/TestDialect.ts
+++ b/packages/gateway/src/__tests__/unit/TestDialect.ts
@@ -1,3 +1,4 @@
+import {readRetryAfter} from '@toucanrouter/common';
 import type {Dialect} from '../../request/Dialect.js';
 
 const passedOnHeaders = ['mark', 'content-length', 'content-type'];
@@ -30,6 +31,7 @@
     stamped: headers['mark'] !== undefined,
     mayBeEventStream:
       (headers['content-type'] ?? 'text/event-stream') === 'text/event-stream',
+    retryAfter: readRetryAfter(headers['retry-after']),
     contentEncoded: false,
     headers: passedOnHeaders.flatMap(name =>
       headers[name] === undefined ? [] : [name, String(headers[name])],
--- a/packages/gateway/src/request/Attempt.ts
+++ b/packages/gateway/src/request/Attempt.ts
@@ -102,6 +102,8 @@
   /** Longest idle time of a connection that may carry the request. */
   readonly maxIdleMs: number;
   readonly stallLimits: StallLimits;
+  /** Called with the head of a response that belongs to the request. */
+  readonly onResponseHead: (head: UpstreamResponse) => void;
   /** Called when a sent request makes no progress, and again while it lasts. */
   readonly onStalled: (lastEventId: string | undefined) => void;
   /** Called with the time to the first event, or to a plain response. */
@@ -176,6 +178,12 @@
     options.onFirstResponse(observedMs);
   }
 
+  function isFromRequest(head: UpstreamResponse, isReused: boolean): boolean {
+    return head.requestId === undefined
+      ? !isReused
+      : head.requestId === options.requestId;
+  }
+
   /**
    * On a reused connection, a late second response to the previous request may
    * come first. Only the request id shows whose response it is, so a statement
@@ -279,6 +287,7 @@
       },
       started: (status, headers, rawHeaders, isReused) => {
         const head = dialect.readResponse(status, headers, rawHeaders);
+        if (isFromRequest(head, isReused)) options.onResponseHead(head);
         const invalid = invalidReason(head, isReused);
         if (invalid !== undefined) {
           abort({kind: 'broken', reason: invalid}, invalid);
--- a/packages/gateway/src/request/Dialect.ts
+++ b/packages/gateway/src/request/Dialect.ts
@@ -3,7 +3,7 @@
  * header names; an adapter translates them.
  */
 import type {IncomingMessage} from 'node:http';
-import type {UpstreamId, WorkspaceId} from '@toucanrouter/common';
+import type {RetryAfter, UpstreamId, WorkspaceId} from '@toucanrouter/common';
 import type {Prompt} from '../upstreams/Prompt.js';
 
 /** A caller's request without its body. */
@@ -48,6 +48,8 @@
   readonly stamped: boolean;
   /** False when the head names a type other than server-sent events. */
   readonly mayBeEventStream: boolean;
+  /** For how long an upstream that rejects the request wants no other one. */
+  readonly retryAfter: RetryAfter;
   /** True when the body has a content encoding. */
   readonly contentEncoded: boolean;
   /** Headers to pass on, as alternating names and values. */
--- a/packages/gateway/src/request/GatewayContext.ts
+++ b/packages/gateway/src/request/GatewayContext.ts
@@ -13,6 +13,7 @@
 import type {ConfigAge} from '../config/ConfigAge.js';
 import type {UpstreamConnections} from '../upstreams/UpstreamConnections.js';
 import type {UpstreamKnowledge} from '../upstreams/UpstreamKnowledge.js';
+import type {UpstreamNotices} from '../upstreams/UpstreamNotices.js';
 import type {UpstreamRegistry} from '../upstreams/UpstreamRegistry.js';
 import type {Dialect} from './Dialect.js';
 import type {EndedRequest} from './EndedRequest.js';
@@ -39,6 +40,7 @@
   /** Bounds the bytes of responses that are buffered at the same time. */
   readonly responseBuffers: BufferBudget;
   readonly promptGuard: PromptGuard;
+  readonly upstreamNotices: UpstreamNotices;
   readonly retryBudget: (service: ServiceName) => RetryBudget;
   /** True once the instance accepts no new requests. */
   readonly isDraining: () => boolean;
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -341,6 +341,8 @@
           ? maxIdleNonRetryableMs
           : maxIdleRetryableMs,
       stallLimits: stallLimitsFor(admitted, choice),
+      onResponseHead: head =>
+        context.upstreamNotices.receive(entry, request.requestId, head),
       onStalled: lastEventId => {
         if (route.retryPolicy !== 'never' && !stalledUpstreams.has(entry.id)) {
           stalledUpstreams.add(entry.id);
--- a/packages/gateway/src/server/GatewayMetrics.ts
+++ b/packages/gateway/src/server/GatewayMetrics.ts
@@ -2,6 +2,7 @@
  * Prometheus metrics of a gateway. The number of label values is bounded:
  * classes come from the configuration and outcomes from the list of error kinds.
  */
+import type {ServiceName} from '@toucanrouter/common';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {EndedRequest} from '../request/EndedRequest.js';
 
@@ -21,6 +22,8 @@
 /** The metrics of a gateway. */
 export interface GatewayMetrics {
   observe(ended: EndedRequest): void;
+  /** Counts a request that an upstream rejected for lack of capacity. */
+  observeRefusal(service: ServiceName, asksForPause: boolean): void;
   /** Renders all metrics in the Prometheus text format. */
   render(): Promise<string>;
   readonly contentType: string;
@@ -50,6 +53,12 @@
     labelNames: ['class'],
     registers,
   });
+  const refusals = new Counter({
+    name: 'toucanrouter_upstream_refusals_total',
+    help: 'Requests that upstreams rejected for lack of capacity, by service and whether they asked for a pause',
+    labelNames: ['service', 'pause'],
+    registers,
+  });
   const firstResponse = new Histogram({
     name: 'toucanrouter_first_answer_seconds',
     help: 'Time from arrival to the first event, or to the plain answer',
@@ -112,6 +121,8 @@
         ended.firstAnswerMs / msPerSecond,
       );
     },
+    observeRefusal: (service, asksForPause) =>
+      refusals.inc({service, pause: String(asksForPause)}),
     render: () => registry.metrics(),
     contentType: registry.contentType,
   };
