policy: record the pauses that upstreams ask for

Neither request path remembers that an upstream wants no further request for some time. This record decides it without network for both: a pause belongs to one process of an upstream, is extended but not shortened, and ends with its time or with the process. Nothing uses it yet.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -57,6 +57,12 @@
 export type {ShardSchedulerOptions} from './SchedulerState.js';
 export type {ShardScheduler} from './ShardScheduler.js';
 export {createShardScheduler} from './ShardScheduler.js';
+export type {
+  PauseChange,
+  UpstreamPauses,
+  UpstreamProcess,
+} from './UpstreamPauses.js';
+export {createUpstreamPauses} from './UpstreamPauses.js';
 export type {JobStart, UpstreamTracker} from './UpstreamTracker.js';
 export {createUpstreamTracker} from './UpstreamTracker.js';
 export type {UpstreamTrackerParameters} from './UpstreamTrackerConstants.js';
