common: read on after the last response of a connection

Callers that were still sending their body lost the response: they saw a failed write or a reset, for a body that is too large and for refusals of an instance that stops.

Cause: after the last response Node.js destroys the socket. While bytes of the caller are unread or on their way, the operating system then resets the connection, and the reset overtakes the response.

Only the server's direction is closed after the last response. What the caller still sends is discarded, unparsed, until it closes too, for a second at most. The servers for callers of both request paths use it.

--- /dev/null
+++ b/packages/common/src/__tests__/unit/LingeringClose.test.ts
@@ -0,0 +1,102 @@
+import {once} from 'node:events';
+import type {Server} from 'node:http';
+import {createServer, request as sendRequest} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import {connect} from 'node:net';
+import {expect} from 'chai';
+import {
+  createSystemClock,
+  delay,
+  lingerAfterLastResponse,
+  maxLingerMs,
+} from '../../index.js';
+
+const host = '127.0.0.1';
+const clock = createSystemClock();
+const chunk = Buffer.alloc(16 * 1024, 'b');
+const rejectedStatus = 413;
+
+/** Starts a server that rejects each request before its body has arrived. */
+async function startRejectingServer(): Promise<Server> {
+  const server = createServer((_, response) => {
+    response.writeHead(rejectedStatus, {connection: 'close'});
+    response.end('too large');
+  });
+  lingerAfterLastResponse(server, clock);
+  server.listen(0, host);
+  await once(server, 'listening');
+  return server;
+}
+
+function portOf(server: Server): number {
+  return (server.address() as AddressInfo).port;
+}
+
+/** Sends a body without end; resolves to the status, or 0 without a response. */
+function sendEndlessBody(port: number): Promise<number> {
+  return new Promise(resolve => {
+    const message = sendRequest({host, port, method: 'POST', agent: false});
+    let status = 0;
+    const timer = setInterval(() => message.write(chunk), 1);
+    message.on('response', response => {
+      status = response.statusCode ?? 0;
+      response.resume();
+    });
+    message.on('error', () => undefined);
+    message.on('close', () => {
+      clearInterval(timer);
+      resolve(status);
+    });
+  });
+}
+
+describe('LingeringClose', () => {
+  // Guards against a reset that overtakes the response to a caller that is
+  // still sending its body.
+  it('delivers the last response to callers that are still sending', async () => {
+    const server = await startRejectingServer();
+    const callers = Array.from({length: 40}, () =>
+      sendEndlessBody(portOf(server)),
+    );
+    const statuses = await Promise.all(callers);
+    server.closeAllConnections();
+    server.close();
+    expect(statuses.filter(status => status !== rejectedStatus)).to.deep.equal(
+      [],
+    );
+  });
+
+  it('serves no further request on a connection that it closes', async () => {
+    const server = await startRejectingServer();
+    let requestCount = 0;
+    server.on('request', () => (requestCount += 1));
+    const socket: Socket = connect({host, port: portOf(server)});
+    socket.on('error', () => undefined);
+    const text = 'GET / HTTP/1.1\r\nhost: h\r\n\r\n';
+    socket.write(text);
+    await once(socket, 'data');
+    socket.write(text);
+    await once(socket, 'close');
+    server.closeAllConnections();
+    server.close();
+    expect(requestCount).to.equal(1);
+  });
+
+  it('cuts off a caller that does not close the connection', async () => {
+    const server = await startRejectingServer();
+    const closed = once(server, 'connection').then(([socket]) =>
+      once(socket as Socket, 'close'),
+    );
+    const socket = connect({host, port: portOf(server), allowHalfOpen: true});
+    socket.on('error', () => undefined);
+    socket.write('GET / HTTP/1.1\r\nhost: h\r\n\r\n');
+    const wasClosed = await Promise.race([
+      closed.then(() => true),
+      delay(clock, maxLingerMs * 10).then(() => false),
+    ]);
+    socket.destroy();
+    server.closeAllConnections();
+    server.close();
+    expect(wasClosed).to.equal(true);
+  });
+});
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -119,6 +119,7 @@
   UpstreamSnapshot,
   UpstreamState,
 } from './Permits.js';
+export {lingerAfterLastResponse, maxLingerMs} from './LingeringClose.js';
 export type {RandomSource} from './Random.js';
 export {createProcessRandom, createSeededRandom} from './Random.js';
 export type {RetryAfter} from './RetryAfter.js';
--- a/packages/daemon/src/server/CallerServer.ts
+++ b/packages/daemon/src/server/CallerServer.ts
@@ -8,7 +8,11 @@
 import {createAdaptorServer} from '@hono/node-server';
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import type {Clock, RequestId} from '@toucanrouter/common';
-import {RouterError, spareUnsentResponses} from '@toucanrouter/common';
+import {
+  lingerAfterLastResponse,
+  RouterError,
+  spareUnsentResponses,
+} from '@toucanrouter/common';
 import {Hono} from 'hono';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
@@ -168,6 +172,7 @@
 
   const server = createAdaptorServer({fetch: app.fetch}) as Server;
   spareUnsentResponses(server);
+  lingerAfterLastResponse(server, clock);
   return {
     server,
     requestsInProgress: () => inProgress,
--- a/packages/gateway/src/server/GatewayServer.ts
+++ b/packages/gateway/src/server/GatewayServer.ts
@@ -3,7 +3,11 @@
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
-import {RouterError, spareUnsentResponses} from '@toucanrouter/common';
+import {
+  lingerAfterLastResponse,
+  RouterError,
+  spareUnsentResponses,
+} from '@toucanrouter/common';
 import type {CallerLimits} from '../config/GatewayConfig.js';
 import {createCallerResponse} from '../request/CallerResponse.js';
 import type {GatewayContext} from '../request/GatewayContext.js';
@@ -89,6 +93,7 @@
     },
   );
   spareUnsentResponses(server);
+  lingerAfterLastResponse(server, context.clock);
   server.on('connection', socket => {
     openConnections += 1;
     socket.once('close', () => {
