daemon: respond to callers whose body is too large

A caller whose body exceeded the limit got neither a response nor the end of its connection.

Cause: the loop that reads the body was left early, which destroys the request and with it the connection that the response needs.

The body is read by an iterator that leaves the request as it is, and the connection closes after the response.

--- a/packages/daemon/src/__tests__/unit/CallerServer.test.ts
+++ b/packages/daemon/src/__tests__/unit/CallerServer.test.ts
@@ -39,7 +39,36 @@
   return {callers, port: (callers.server.address() as AddressInfo).port};
 }
 
+/** Sends a body without end; resolves to the status, or 0 without a response. */
+function sendEndlessBody(port: number): Promise<number> {
+  return new Promise(resolve => {
+    const path = '/services/s/x';
+    const message = sendRequest({host, port, path, method: 'POST'});
+    let status = 0;
+    const timer = setInterval(() => message.write(Buffer.alloc(4_096)), 1);
+    message.on('response', response => {
+      status = response.statusCode ?? 0;
+      response.resume();
+    });
+    message.on('error', () => undefined);
+    message.on('close', () => {
+      clearInterval(timer);
+      resolve(status);
+    });
+  });
+}
+
 describe('createCallerServer', () => {
+  // Guards against a reset in place of the response to a body that is too large.
+  it('responds to a caller whose body exceeds the limit and closes', async () => {
+    const {callers, port} = await startServer(() => Promise.resolve(ok()));
+    const sent = Array.from({length: 10}, () => sendEndlessBody(port));
+    const statuses = await Promise.all(sent);
+    callers.server.closeAllConnections();
+    await closeServer(callers.server);
+    expect(new Set(statuses)).to.deep.equal(new Set([400]));
+  });
+
   // Guards against a planned stop that cuts the response to a slow caller.
   it('sends a response completely to a caller that reads slowly while it is closed', async () => {
     const body = Buffer.alloc(12 * 1024 * 1024);
--- a/packages/daemon/src/server/CallerServer.ts
+++ b/packages/daemon/src/server/CallerServer.ts
@@ -94,7 +94,11 @@
     const timeoutMs = timeoutOf(call.incoming, options.defaultTimeoutMs);
     if (timeoutMs.isErr()) return err(timeoutMs.error);
     const body = await readBody(call.incoming, options.maxBodyBytes);
-    if (body.isErr()) return err(body.error);
+    if (body.isErr()) {
+      // The rest of the body is not read.
+      call.outgoing.setHeader('connection', 'close');
+      return err(body.error);
+    }
     const target = parseTarget(body.value);
     if (target.isErr()) return err(target.error);
     const exchange: Exchange = {
@@ -222,7 +226,8 @@
   const chunks: Buffer[] = [];
   let sizeBytes = 0;
   try {
-    for await (const chunk of incoming) {
+    // Destroying the request would close the connection before the response.
+    for await (const chunk of incoming.iterator({destroyOnReturn: false})) {
       sizeBytes += (chunk as Buffer).length;
       if (sizeBytes > maxBytes) {
         const message = `the request body is larger than ${maxBytes} bytes`;
