gateway, daemon: show the retry budget in metrics and log what it denies

A budget now counts what it spent and denied and reports its allowance and what of it is used. The gateway shows the four values by service, the daemon for its one budget; both log each denial, the gateway also with the id of a request whose upstream is silent. What is allowed does not change.

--- a/packages/cli/src/__tests__/unit/Pages.test.ts
+++ b/packages/cli/src/__tests__/unit/Pages.test.ts
@@ -151,6 +151,12 @@
       permitsPending: zero,
       crashCount: zero,
       quarantinedCount: zero,
+      retryBudget: () => ({
+        spentCount: 0,
+        deniedCount: 0,
+        allowance: 0,
+        usedCount: 0,
+      }),
     });
     const text = await metrics.render();
     const names = [...text.matchAll(/^# TYPE (toucanrouter_\w+) /gm)].map(
--- a/packages/daemon/src/Instance.ts
+++ b/packages/daemon/src/Instance.ts
@@ -144,7 +144,10 @@
       permits: scheduling.permits,
       dispatcher,
       responseBuffers: createBufferBudget(),
-      retryBudget: createRetryBudget(),
+      retryBudget: createRetryBudget({
+        onDenied: status =>
+          logger.info('retry denied for lack of budget', {...status}),
+      }),
       hedgeBudget: createHedgeBudget(),
       promptGuard,
     },
--- a/packages/daemon/src/Metrics.ts
+++ b/packages/daemon/src/Metrics.ts
@@ -9,6 +9,7 @@
   Histogram,
   Registry,
 } from 'prom-client';
+import type {RetryBudgetStatus} from '@toucanrouter/policy';
 import type {FinishedCall} from './request/RecordCall.js';
 
 /** Values that are read when metrics are collected. */
@@ -22,6 +23,7 @@
   readonly crashCount: () => number;
   /** Prompt segments that are blocked now. */
   readonly quarantinedCount: () => number;
+  readonly retryBudget: () => RetryBudgetStatus;
 }
 
 /** The metrics of an instance. */
@@ -133,6 +135,26 @@
       'Prompt segments whose requests are refused now',
       sources.quarantinedCount,
     ],
+    [
+      'toucanrouter_retries_spent',
+      'Retries that the budget of this instance allowed',
+      () => sources.retryBudget().spentCount,
+    ],
+    [
+      'toucanrouter_retries_denied',
+      'Retries denied for lack of budget',
+      () => sources.retryBudget().deniedCount,
+    ],
+    [
+      'toucanrouter_retry_allowance',
+      'Retries that the window allows this instance now',
+      () => sources.retryBudget().allowance,
+    ],
+    [
+      'toucanrouter_retry_allowance_used',
+      'Retries of the window that are spent or set aside',
+      () => sources.retryBudget().usedCount,
+    ],
   ];
   for (const [name, help, read] of gauges) {
     new Gauge({
--- a/packages/daemon/src/server/Servers.ts
+++ b/packages/daemon/src/server/Servers.ts
@@ -94,5 +94,6 @@
     peerMessagesSent: () => hub.traffic().sentMessages,
     crashCount: access.promptGuard.crashCount,
     quarantinedCount: access.promptGuard.blockedCount,
+    retryBudget: () => access.retryBudget.status(access.clock.nowMs()),
   });
 }
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -101,7 +101,12 @@
 
   const retryBudgetOf = (service: ServiceName) =>
     getOrCreate(budgetsByService, service, () =>
-      createSharedRetryBudget(settings, () => peers.addresses().length + 1),
+      createSharedRetryBudget(
+        settings,
+        () => peers.addresses().length + 1,
+        status =>
+          logger.info('retry denied for lack of budget', {service, ...status}),
+      ),
     );
 
   const config: ActiveConfig = createActiveConfig(next => {
@@ -238,6 +243,11 @@
     storeConnected: sync.connected,
     crashCount: promptGuard.crashCount,
     quarantinedCount: promptGuard.blockedCount,
+    retryBudgets: () =>
+      [...budgetsByService].map(([service, budget]) => ({
+        service,
+        ...budget.status(clock.nowMs()),
+      })),
   });
 
   function notReadyReason(): string | undefined {
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -287,7 +287,14 @@
     const {firstEventMs} = stallLimitsFor(admitted, stalled);
     if (next.expectedMs >= firstEventMs) return undefined;
     const budget = context.retryBudget(placement.service);
-    if (!tryHedge(admitted, budget)) return undefined;
+    if (!tryHedge(admitted, budget)) {
+      logger.info('no retry left to ask beside a stalled attempt', {
+        requestId: request.requestId,
+        stalled: stalled.candidate.entry.id,
+        ...budget.status(clock.nowMs()),
+      });
+      return undefined;
+    }
     progress.lastEventId = lastEventId ?? progress.lastEventId;
     logger.info('attempt has stalled; another upstream is asked as well', {
       requestId: request.requestId,
--- a/packages/gateway/src/request/SharedRetryBudget.ts
+++ b/packages/gateway/src/request/SharedRetryBudget.ts
@@ -4,7 +4,7 @@
  * instance does not know what its peers spend, so the allowance is divided
  * evenly among the running instances.
  */
-import type {RetryBudget} from '@toucanrouter/policy';
+import type {RetryBudget, RetryBudgetStatus} from '@toucanrouter/policy';
 import {createRetryBudget} from '@toucanrouter/policy';
 
 /** Limits on the retries of all instances together. */
@@ -30,6 +30,7 @@
 export function createSharedRetryBudget(
   limits: SharedRetryLimits,
   instanceCount: () => number,
+  onDenied: (status: RetryBudgetStatus) => void = () => {},
 ): RetryBudget {
   const allowancePerSecond =
     (limits.retryAllowance * msPerSecond) / limits.retryWindowMs;
@@ -39,5 +40,6 @@
       (allowancePerSecond * safetyFactor) /
       Math.max(minAssumedInstances, instanceCount()),
     windowMs: limits.retryWindowMs,
+    onDenied,
   });
 }
--- a/packages/gateway/src/server/GatewayMetrics.ts
+++ b/packages/gateway/src/server/GatewayMetrics.ts
@@ -3,6 +3,7 @@
  * classes come from the configuration and outcomes from the list of error kinds.
  */
 import type {ServiceName} from '@toucanrouter/common';
+import type {RetryBudgetStatus} from '@toucanrouter/policy';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {EndedRequest} from '../request/EndedRequest.js';
 
@@ -17,6 +18,12 @@
   readonly crashCount: () => number;
   /** Prompt segments that are blocked now. */
   readonly quarantinedCount: () => number;
+  readonly retryBudgets: () => readonly ServiceRetryBudget[];
+}
+
+/** The retry budget of one service. */
+export interface ServiceRetryBudget extends RetryBudgetStatus {
+  readonly service: ServiceName;
 }
 
 /** The metrics of a gateway. */
@@ -35,6 +42,34 @@
 ];
 const noClassLabel = 'none';
 
+/** Name, help and value of what is shown of each service's retry budget. */
+const retryBudgetGauges: readonly (readonly [
+  string,
+  string,
+  (status: RetryBudgetStatus) => number,
+])[] = [
+  [
+    'toucanrouter_retries_spent',
+    'Retries that the budget of this instance allowed, by service',
+    status => status.spentCount,
+  ],
+  [
+    'toucanrouter_retries_denied',
+    'Retries denied for lack of budget, by service',
+    status => status.deniedCount,
+  ],
+  [
+    'toucanrouter_retry_allowance',
+    'Retries that the window allows this instance now, by service',
+    status => status.allowance,
+  ],
+  [
+    'toucanrouter_retry_allowance_used',
+    'Retries of the window that are spent or set aside, by service',
+    status => status.usedCount,
+  ],
+];
+
 /** Creates the metrics of a gateway. */
 export function createGatewayMetrics(
   sources: GatewayMetricSources,
@@ -109,6 +144,20 @@
     'Prompt segments whose requests are refused now',
     sources.quarantinedCount,
   );
+  for (const [name, help, read] of retryBudgetGauges) {
+    new Gauge({
+      name,
+      help,
+      labelNames: ['service'],
+      registers,
+      collect() {
+        this.reset();
+        for (const budget of sources.retryBudgets()) {
+          this.set({service: budget.service}, read(budget));
+        }
+      },
+    });
+  }
   return {
     observe: ended => {
       const classLabel = ended.classId ?? noClassLabel;
--- a/packages/policy/src/RetryBudget.ts
+++ b/packages/policy/src/RetryBudget.ts
@@ -14,6 +14,8 @@
   readonly minRatePerSecond: () => number;
   /** Age up to which requests and retries count. */
   readonly windowMs: number;
+  /** Called for each retry that is denied. */
+  readonly onDenied: (status: RetryBudgetStatus) => void;
 }
 
 /** Default parameters. */
@@ -21,8 +23,21 @@
   share: 0.1,
   minRatePerSecond: () => 1,
   windowMs: 10_000,
+  onDenied: () => {},
 };
 
+/** What a budget has allowed so far. */
+export interface RetryBudgetStatus {
+  /** Retries spent since the budget was created. */
+  readonly spentCount: number;
+  /** Retries and reservations denied since then. */
+  readonly deniedCount: number;
+  /** Retries that the window allows now. */
+  readonly allowance: number;
+  /** Retries of the window that are spent or set aside. */
+  readonly usedCount: number;
+}
+
 /** A retry that is set aside until it is spent or closed. */
 export interface RetryReservation {
   spend(nowMs: number): void;
@@ -40,6 +55,7 @@
   tryRetry(nowMs: number): boolean;
   /** Sets one retry aside, or returns undefined when there is none. */
   reserve(nowMs: number): RetryReservation | undefined;
+  status(nowMs: number): RetryBudgetStatus;
 }
 
 /** Buckets of the sliding window, which expire one by one. */
@@ -61,6 +77,8 @@
   const bucketMs = parameters.windowMs / windowBucketCount;
   let buckets: WindowBucket[] = [];
   let reservedRetries = 0;
+  let spentCount = 0;
+  let deniedCount = 0;
 
   function currentBucket(nowMs: number): WindowBucket {
     const index = Math.floor(nowMs / bucketMs);
@@ -78,16 +96,35 @@
     return buckets.reduce((total, bucket) => total + count(bucket), 0);
   }
 
-  function canRetry(nowMs: number): boolean {
+  function status(nowMs: number): RetryBudgetStatus {
     // Expires the buckets that left the window.
     currentBucket(nowMs);
     const requests = sum(entry => entry.requests);
-    const retries = sum(entry => entry.retries);
     const minRetries =
       (parameters.minRatePerSecond() * parameters.windowMs) / msPerSecond;
-    return (
-      retries + reservedRetries + 1 <= minRetries + requests * parameters.share
-    );
+    return {
+      spentCount,
+      deniedCount,
+      allowance: minRetries + requests * parameters.share,
+      usedCount: sum(entry => entry.retries) + reservedRetries,
+    };
+  }
+
+  function canRetry(nowMs: number): boolean {
+    const {usedCount, allowance} = status(nowMs);
+    return usedCount + 1 <= allowance;
+  }
+
+  function takeRetry(nowMs: number): boolean {
+    if (canRetry(nowMs)) return true;
+    deniedCount += 1;
+    parameters.onDenied(status(nowMs));
+    return false;
+  }
+
+  function spend(nowMs: number): void {
+    currentBucket(nowMs).retries += 1;
+    spentCount += 1;
   }
 
   function createReservation(): RetryReservation {
@@ -102,22 +139,23 @@
       spend: nowMs => {
         if (!open) return;
         close();
-        currentBucket(nowMs).retries += 1;
+        spend(nowMs);
       },
       close,
     };
   }
 
   return {
-    reserve: nowMs => (canRetry(nowMs) ? createReservation() : undefined),
+    reserve: nowMs => (takeRetry(nowMs) ? createReservation() : undefined),
     recordRequest: nowMs => {
       currentBucket(nowMs).requests += 1;
     },
     canRetry,
     tryRetry: nowMs => {
-      if (!canRetry(nowMs)) return false;
-      currentBucket(nowMs).retries += 1;
+      if (!takeRetry(nowMs)) return false;
+      spend(nowMs);
       return true;
     },
+    status,
   };
 }
--- a/packages/policy/src/__tests__/unit/Budgets.test.ts
+++ b/packages/policy/src/__tests__/unit/Budgets.test.ts
@@ -27,6 +27,30 @@
     expect(budget.tryRetry(10_000)).to.equal(true);
   });
 
+  it('reports what it spent and denied, so that a used-up budget can be seen', () => {
+    // Guards against a budget that denies retries without a trace.
+    const denied: number[] = [];
+    const budget = createRetryBudget({
+      minRatePerSecond: () => 0.2,
+      onDenied: ({deniedCount}) => denied.push(deniedCount),
+    });
+    budget.recordRequest(0);
+    budget.reserve(0);
+    expect([budget.tryRetry(0), budget.tryRetry(0)]).to.have.members([
+      true,
+      false,
+    ]);
+    expect(budget.reserve(0)).to.equal(undefined);
+    expect(denied).to.deep.equal([1, 2]);
+    expect(budget.status(0)).to.deep.equal({
+      spentCount: 1,
+      deniedCount: 2,
+      allowance: 2.1,
+      usedCount: 2,
+    });
+    expect(budget.status(10_000)).to.include({spentCount: 1, usedCount: 1});
+  });
+
   it('never exceeds its share of the requests in any window', () => {
     const event = fc.record({
       waitMs: fc.nat(3000),
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -46,6 +46,7 @@
 export type {
   RetryBudget,
   RetryBudgetParameters,
+  RetryBudgetStatus,
   RetryReservation,
 } from './RetryBudget.js';
 export {
