gateway: let each process earn its part of the retry budget

Engines can get more retries than the shared budget allows. A restarted instance began with its whole part, as often as it restarted; a retry was forgotten up to a tenth of a window early, so a part could be used twice in a window; retries of one window rested on requests of two; and an instance that knew no peers yet spent more than its part.

A process now earns retries, by its requests and by the time that it runs. A reserved retry is spent only if it is still covered. `policy` keeps its own sliding window for the daemon; counting, reservations and metrics are shared.

A test expected retries of five instances at the moment of their creation, which is the fault. It now expects as many from instances that run for one window.

Not played with real processes.

--- a/packages/daemon/src/request/chat/ChatRecovery.ts
+++ b/packages/daemon/src/request/chat/ChatRecovery.ts
@@ -83,8 +83,7 @@
   const {access, retryReservation} = state;
   if (retryReservation === undefined) return access.retryBudget.tryRetry(nowMs);
   state.retryReservation = undefined;
-  retryReservation.spend(nowMs);
-  return true;
+  return retryReservation.spend(nowMs);
 }
 
 const failedEndKinds: ReadonlySet<string> = new Set([
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -85,6 +85,7 @@
   let {settings} = options;
   let stopping = false;
   let draining = false;
+  let budgetsStartedAtMs = clock.nowMs();
   const budgetsByService = new Map<ServiceName, RetryBudget>();
   const configAge = createConfigAge(clock);
   const knowledge = createUpstreamKnowledge({
@@ -101,12 +102,13 @@
 
   const retryBudgetOf = (service: ServiceName) =>
     getOrCreate(budgetsByService, service, () =>
-      createSharedRetryBudget(
-        settings,
-        () => peers.addresses().length + 1,
-        status =>
+      createSharedRetryBudget({
+        limits: settings,
+        instanceCount: () => peers.addresses().length + 1,
+        startedAtMs: budgetsStartedAtMs,
+        onDenied: status =>
           logger.info('retry denied for lack of budget', {service, ...status}),
-      ),
+      }),
     );
 
   const config: ActiveConfig = createActiveConfig(next => {
@@ -318,6 +320,7 @@
         next.retryWindowMs !== previous.retryWindowMs
       ) {
         budgetsByService.clear();
+        budgetsStartedAtMs = clock.nowMs();
       }
       logger.info('settings reloaded', {revocationMs: next.revocationDelayMs});
     },
--- a/packages/gateway/src/__tests__/unit/SharedRetryBudget.test.ts
+++ b/packages/gateway/src/__tests__/unit/SharedRetryBudget.test.ts
@@ -7,7 +7,11 @@
 function retriesOf(instanceCount: number, requestsEach: number): number {
   let retries = 0;
   for (let instance = 0; instance < instanceCount; instance++) {
-    const budget = createSharedRetryBudget(limits, () => instanceCount);
+    const budget = createSharedRetryBudget({
+      limits,
+      instanceCount: () => instanceCount,
+      startedAtMs: 5_000 - limits.retryWindowMs,
+    });
     for (let request = 0; request < requestsEach; request++) {
       budget.recordRequest(5_000);
     }
@@ -27,7 +31,7 @@
     }
   });
 
-  it('allows a few retries to instances without counted requests', () => {
+  it('allows a few retries to instances that run for a window without requests', () => {
     expect(retriesOf(5, 0)).to.be.above(20);
   });
 });
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -257,9 +257,9 @@
 
   function tryRetry(budget: RetryBudget): boolean {
     if (returnReservation === undefined) return budget.tryRetry(clock.nowMs());
-    returnReservation.spend(clock.nowMs());
+    const spent = returnReservation.spend(clock.nowMs());
     returnReservation = undefined;
-    return true;
+    return spent;
   }
 
   /**
@@ -476,8 +476,7 @@
       servesModels: configInForce.services.get(service)?.servesModels === true,
       leastUrgent: route.tier >= configInForce.leastUrgentTier(service),
     });
-    const budget = context.retryBudget(service);
-    budget.recordRequest(clock.nowMs());
+    context.retryBudget(service).recordRequest(clock.nowMs());
     while (!recorded && !callerDisconnected) {
       const blocked = guarded.tryPass();
       if (blocked !== undefined) return refuseBlocked(blocked);
@@ -524,7 +523,7 @@
       if (decision.step === 'pass_on') return passOnResult(result);
       const affordable =
         decision.step === 'repeat' &&
-        (!decision.costsBudget || tryRetry(budget));
+        (!decision.costsBudget || tryRetry(context.retryBudget(service)));
       logger.info('attempt did not serve the request', {
         requestId: request.requestId,
         upstream: ended.choice.candidate.entry.id,
--- a/packages/policy/src/RetryBudget.ts
+++ b/packages/policy/src/RetryBudget.ts
@@ -40,7 +40,11 @@
 
 /** A retry that is set aside until it is spent or closed. */
 export interface RetryReservation {
-  spend(nowMs: number): void;
+  /**
+   * Spends the retry. Returns false if it is spent or closed already, or if the
+   * requests that allowed it are too old by now.
+   */
+  spend(nowMs: number): boolean;
   /** Returns the retry to the budget, unless it was spent. */
   close(): void;
 }
@@ -69,16 +73,20 @@
   retries: number;
 }
 
-/** Creates a budget without requests. */
-export function createRetryBudget(
-  overrides: Partial<RetryBudgetParameters> = {},
-): RetryBudget {
-  const parameters = {...defaultRetryBudgetParameters, ...overrides};
+/** How many retries a limit allows, and how many are used. */
+export type RetryUse = Pick<RetryBudgetStatus, 'allowance' | 'usedCount'>;
+
+/** Decides how many retries recent requests allow. */
+export interface RetryLimit {
+  recordRequest(nowMs: number): void;
+  recordRetry(nowMs: number): void;
+  use(nowMs: number): RetryUse;
+}
+
+/** Creates a limit by the requests and retries of one sliding window. */
+function createWindowLimit(parameters: RetryBudgetParameters): RetryLimit {
   const bucketMs = parameters.windowMs / windowBucketCount;
   let buckets: WindowBucket[] = [];
-  let reservedRetries = 0;
-  let spentCount = 0;
-  let deniedCount = 0;
 
   function currentBucket(nowMs: number): WindowBucket {
     const index = Math.floor(nowMs / bucketMs);
@@ -96,17 +104,54 @@
     return buckets.reduce((total, bucket) => total + count(bucket), 0);
   }
 
+  return {
+    recordRequest: nowMs => {
+      currentBucket(nowMs).requests += 1;
+    },
+    recordRetry: nowMs => {
+      currentBucket(nowMs).retries += 1;
+    },
+    use: nowMs => {
+      // Expires the buckets that left the window.
+      currentBucket(nowMs);
+      const requests = sum(entry => entry.requests);
+      const minRetries =
+        (parameters.minRatePerSecond() * parameters.windowMs) / msPerSecond;
+      return {
+        allowance: minRetries + requests * parameters.share,
+        usedCount: sum(entry => entry.retries),
+      };
+    },
+  };
+}
+
+/** Creates a budget without requests. */
+export function createRetryBudget(
+  overrides: Partial<RetryBudgetParameters> = {},
+): RetryBudget {
+  const parameters = {...defaultRetryBudgetParameters, ...overrides};
+  return createRetryBudgetOf(
+    createWindowLimit(parameters),
+    parameters.onDenied,
+  );
+}
+
+/** Creates a budget that allows what `limit` allows. */
+export function createRetryBudgetOf(
+  limit: RetryLimit,
+  onDenied: (status: RetryBudgetStatus) => void,
+): RetryBudget {
+  let reservedCount = 0;
+  let spentCount = 0;
+  let deniedCount = 0;
+
   function status(nowMs: number): RetryBudgetStatus {
-    // Expires the buckets that left the window.
-    currentBucket(nowMs);
-    const requests = sum(entry => entry.requests);
-    const minRetries =
-      (parameters.minRatePerSecond() * parameters.windowMs) / msPerSecond;
+    const {allowance, usedCount} = limit.use(nowMs);
     return {
       spentCount,
       deniedCount,
-      allowance: minRetries + requests * parameters.share,
-      usedCount: sum(entry => entry.retries) + reservedRetries,
+      allowance,
+      usedCount: usedCount + reservedCount,
     };
   }
 
@@ -118,13 +163,15 @@
   function takeRetry(nowMs: number): boolean {
     if (canRetry(nowMs)) return true;
     deniedCount += 1;
-    parameters.onDenied(status(nowMs));
+    onDenied(status(nowMs));
     return false;
   }
 
-  function spend(nowMs: number): void {
-    currentBucket(nowMs).retries += 1;
+  function tryRetry(nowMs: number): boolean {
+    if (!takeRetry(nowMs)) return false;
+    limit.recordRetry(nowMs);
     spentCount += 1;
+    return true;
   }
 
   function createReservation(): RetryReservation {
@@ -132,14 +179,14 @@
     function close(): void {
       if (!open) return;
       open = false;
-      reservedRetries -= 1;
+      reservedCount -= 1;
     }
-    reservedRetries += 1;
+    reservedCount += 1;
     return {
       spend: nowMs => {
-        if (!open) return;
+        if (!open) return false;
         close();
-        spend(nowMs);
+        return tryRetry(nowMs);
       },
       close,
     };
@@ -147,15 +194,9 @@
 
   return {
     reserve: nowMs => (takeRetry(nowMs) ? createReservation() : undefined),
-    recordRequest: nowMs => {
-      currentBucket(nowMs).requests += 1;
-    },
+    recordRequest: limit.recordRequest,
     canRetry,
-    tryRetry: nowMs => {
-      if (!takeRetry(nowMs)) return false;
-      spend(nowMs);
-      return true;
-    },
+    tryRetry,
     status,
   };
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -47,10 +47,13 @@
   RetryBudget,
   RetryBudgetParameters,
   RetryBudgetStatus,
+  RetryLimit,
+  RetryUse,
   RetryReservation,
 } from './RetryBudget.js';
 export {
   createRetryBudget,
+  createRetryBudgetOf,
   defaultRetryBudgetParameters,
 } from './RetryBudget.js';
 export type {SchedulerParameters} from './SchedulerParameters.js';
