gateway, daemon: log how far unanswered requests had come

The gateway logs each request that is cut at the end of a stop with its stage (head read, body read, sent, response started) and the time since its head was read, logs connections that close without a complete answer during a stop, and counts all of them by stage in toucanrouter_unanswered_requests_total. It also logs once for each request why its stalled attempt stays alone. The daemon counts connections that close without a complete answer during a stop.

No behaviour changes.

--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -102,6 +102,7 @@
   const {callers} = servers;
   const requestsInProgress = callers.requestsInProgress();
   logger.info('instance is leaving', {requestsInProgress});
+  const unansweredBefore = callers.unansweredCount();
   instance.readiness.markLeaving();
   instance.fleet.leave();
   await delay(clock, leavingNoticeMs);
@@ -113,5 +114,6 @@
   listReader.close();
   await instance.close();
   await closeServer(servers.admin);
-  logger.info('instance has stopped');
+  const unansweredWhileStopping = callers.unansweredCount() - unansweredBefore;
+  logger.info('instance has stopped', {unansweredWhileStopping});
 }
--- a/packages/daemon/src/server/CallerServer.ts
+++ b/packages/daemon/src/server/CallerServer.ts
@@ -38,6 +38,8 @@
   readonly server: Server;
   /** Returns the number of requests in progress. */
   requestsInProgress(): number;
+  /** Requests whose connection closed before their response was complete. */
+  unansweredCount(): number;
   /** Closes each connection with its next response, so callers reconnect. */
   drainConnections(): void;
 }
@@ -53,6 +55,7 @@
   const {clock, logger} = options;
   const app = new Hono<App>();
   let inProgress = 0;
+  let unanswered = 0;
   let isDraining = false;
 
   async function serve(
@@ -62,6 +65,9 @@
     parseTarget: (body: Buffer) => Result<CallTarget, RouterError>,
   ): Promise<void> {
     inProgress += 1;
+    outgoing.once('close', () => {
+      if (!outgoing.writableFinished) unanswered += 1;
+    });
     if (isDraining) outgoing.setHeader('connection', 'close');
     const arrivedAtMs = clock.nowMs();
     const requestId = options.createRequestId();
@@ -180,6 +186,7 @@
   return {
     server,
     requestsInProgress: () => inProgress,
+    unansweredCount: () => unanswered,
     drainConnections: () => {
       isDraining = true;
       server.closeIdleConnections();
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -236,7 +236,15 @@
     isDraining: () => draining,
     onEnded,
   };
-  const gatewayServer = createGatewayServer(context);
+  let unansweredWhileStopping = 0;
+  const gatewayServer = createGatewayServer(context, unanswered => {
+    metrics.observeUnanswered(unanswered.stage, stopping);
+    if (!stopping) return;
+    unansweredWhileStopping += 1;
+    logger.info('connection closed before the response was complete', {
+      ...unanswered,
+    });
+  });
   const metrics = createGatewayMetrics({
     configVersion: () => config.current()?.version ?? 0,
     configAgeMs: configAge.ageMs,
@@ -337,13 +345,20 @@
       promptGuard.close();
       registration.close();
       const cutRequests = gatewayServer.inProgress();
+      for (const open of gatewayServer.openRequests()) {
+        logger.warn('request is cut at the end of the stop', {
+          requestId: open.requestId,
+          stage: open.stage(),
+          openMs: Math.round(open.openMs()),
+        });
+      }
       for (const [server] of servers) {
         server.close();
         server.closeAllConnections();
       }
       await relays.close();
       await connections.close();
-      logger.info('instance stopped', {cutRequests});
+      logger.info('instance stopped', {cutRequests, unansweredWhileStopping});
     },
   };
 }
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -24,6 +24,7 @@
 import {createCallerResponse} from './CallerResponse.js';
 import type {CallerRequest} from './Dialect.js';
 import type {GatewayContext} from './GatewayContext.js';
+import type {OpenRequest, RequestStage} from './OpenRequest.js';
 import type {BlockedPrompt} from './PromptGuard.js';
 import type {RequestProgress} from './RetryDecision.js';
 import type {RequestPlacement} from './RequestPlacement.js';
@@ -58,10 +59,12 @@
   message: IncomingMessage,
   response: ServerResponse,
   isClosing: () => boolean,
+  onOpened: (open: OpenRequest) => void,
 ): Promise<void> {
   const request = context.dialect.readRequest(message);
   const callerResponse = createCallerResponse({response, isClosing});
   const handler = createRequestHandler(context, request, callerResponse);
+  onOpened(handler);
   response.once('close', handler.onCallerClosed);
   if (context.isDraining()) {
     handler.fail(
@@ -83,7 +86,7 @@
 }
 
 /** Serves one request; its outcome is recorded once. */
-interface RequestHandler {
+interface RequestHandler extends OpenRequest {
   onCallerClosed(): void;
   onAdmitted(admitted: AdmittedRequest): void;
   forward(admitted: AdmittedRequest, body: Buffer): Promise<void>;
@@ -112,6 +115,8 @@
   let longestPauseMs = 0;
   let quarantinedSegment: string | undefined;
   let recorded = false;
+  let bodyRead = false;
+  let unhedgedLogged = false;
   let callerDisconnected = false;
   let cancelTimeout = (): void => undefined;
   const progress = {
@@ -125,6 +130,14 @@
   const guarded = context.promptGuard.guard(request.requestId, request.prompt);
 
   const remainingMs = () => deadlineMs - clock.nowMs();
+  const openMs = () => clock.nowMs() - arrivedAtMs;
+  const mayHaveRun = () => progress.mayHaveRun || attempts?.wasSent() === true;
+
+  function stage(): RequestStage {
+    if (callerResponse.started) return 'response_started';
+    if (mayHaveRun()) return 'sent';
+    return bodyRead ? 'body_read' : 'head_read';
+  }
 
   function record(
     outcome: ErrorKind | 'served',
@@ -149,7 +162,7 @@
       homeRank: lastChoice?.preferenceRank,
       firstAnswerMs,
       longestPauseMs,
-      totalMs: clock.nowMs() - arrivedAtMs,
+      totalMs: openMs(),
       targetLatencyMs: admittedRequest?.route.targetLatencyMs,
       configVersion: config.current()?.version ?? 0,
       configAgeMs: Math.round(configAge.ageMs()),
@@ -196,10 +209,9 @@
 
   function onTimeout(): void {
     if (recorded) return;
-    const mayHaveRun = progress.mayHaveRun || attempts?.wasSent() === true;
     const reason = `no complete response within ${Math.round(deadlineMs - arrivedAtMs)} ms`;
     if (callerResponse.started) abortResponse('answer_timeout', reason);
-    else if (mayHaveRun) fail('answer_timeout', reason);
+    else if (mayHaveRun()) fail('answer_timeout', reason);
     else refuse('overloaded', reason);
     attempts?.cancel(reason);
   }
@@ -262,6 +274,18 @@
     return spent;
   }
 
+  /** Logs once for each request why its stalled attempt stays alone. */
+  function logUnhedged(stalled: Choice, reason: string): undefined {
+    if (unhedgedLogged) return;
+    unhedgedLogged = true;
+    logger.info('attempt has stalled; no other upstream is asked', {
+      requestId: request.requestId,
+      stalled: stalled.candidate.entry.id,
+      reason,
+      remainingMs: Math.round(remainingMs()),
+    });
+  }
+
   /**
    * Chooses an upstream to ask beside a stalled one, if the class and the budget
    * allow it and one is left that should respond within the limit.
@@ -280,20 +304,23 @@
         lastEventId: lastEventId ?? progress.lastEventId,
       },
     );
-    if (decision.step !== 'repeat') return undefined;
-    if (guarded.tryPass() !== undefined) return undefined;
+    if (decision.step !== 'repeat') {
+      return logUnhedged(stalled, 'the class allows no further attempt');
+    }
+    if (guarded.tryPass() !== undefined) {
+      return logUnhedged(stalled, 'a segment of the prompt is blocked');
+    }
     const next = chooseNext(admitted, placement);
-    if (next === undefined) return undefined;
+    if (next === undefined) {
+      return logUnhedged(stalled, 'no other upstream is available');
+    }
     const {firstEventMs} = stallLimitsFor(admitted, stalled);
-    if (next.expectedMs >= firstEventMs) return undefined;
+    if (next.expectedMs >= firstEventMs) {
+      return logUnhedged(stalled, 'the other upstream is expected to stall');
+    }
     const budget = context.retryBudget(placement.service);
     if (!tryHedge(admitted, budget)) {
-      logger.info('no retry left to ask beside a stalled attempt', {
-        requestId: request.requestId,
-        stalled: stalled.candidate.entry.id,
-        ...budget.status(clock.nowMs()),
-      });
-      return undefined;
+      return logUnhedged(stalled, 'the retry budget is exhausted');
     }
     progress.lastEventId = lastEventId ?? progress.lastEventId;
     logger.info('attempt has stalled; another upstream is asked as well', {
@@ -464,6 +491,7 @@
     admitted: AdmittedRequest,
     body: Buffer,
   ): Promise<void> {
+    bodyRead = true;
     const service = pickService(admitted.route, random);
     if (service === undefined)
       return refuse('no_upstream', 'the route has no target service');
@@ -546,6 +574,9 @@
   }
 
   return {
+    requestId: request.requestId,
+    stage,
+    openMs,
     onCallerClosed: () => {
       if (recorded) return;
       callerDisconnected = true;
--- a/packages/gateway/src/server/GatewayMetrics.ts
+++ b/packages/gateway/src/server/GatewayMetrics.ts
@@ -5,6 +5,7 @@
 import type {ServiceName} from '@toucanrouter/common';
 import type {RetryBudgetStatus} from '@toucanrouter/policy';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {RequestStage} from '../request/OpenRequest.js';
 import type {EndedRequest} from '../request/EndedRequest.js';
 
 /** Sources of the values that are read when metrics are collected. */
@@ -31,6 +32,8 @@
   observe(ended: EndedRequest): void;
   /** Counts a request that an upstream rejected for lack of capacity. */
   observeRefusal(service: ServiceName, asksForPause: boolean): void;
+  /** Counts a connection that closed before the response was complete. */
+  observeUnanswered(stage: RequestStage, isStopping: boolean): void;
   /** Renders all metrics in the Prometheus text format. */
   render(): Promise<string>;
   readonly contentType: string;
@@ -94,6 +97,12 @@
     labelNames: ['service', 'pause'],
     registers,
   });
+  const unanswered = new Counter({
+    name: 'toucanrouter_unanswered_requests_total',
+    help: 'Requests whose connection closed before their response was complete, by how far they had come and whether the instance was stopping',
+    labelNames: ['stage', 'stopping'],
+    registers,
+  });
   const firstResponse = new Histogram({
     name: 'toucanrouter_first_answer_seconds',
     help: 'Time from arrival to the first event, or to the plain answer',
@@ -172,6 +181,8 @@
     },
     observeRefusal: (service, asksForPause) =>
       refusals.inc({service, pause: String(asksForPause)}),
+    observeUnanswered: (stage, isStopping) =>
+      unanswered.inc({stage, stopping: String(isStopping)}),
     render: () => registry.metrics(),
     contentType: registry.contentType,
   };
--- a/packages/gateway/src/server/GatewayServer.ts
+++ b/packages/gateway/src/server/GatewayServer.ts
@@ -12,12 +12,15 @@
 import {createCallerResponse} from '../request/CallerResponse.js';
 import type {GatewayContext} from '../request/GatewayContext.js';
 import {serveRequest} from '../request/GatewayRequest.js';
+import type {OpenRequest, UnansweredRequest} from '../request/OpenRequest.js';
 
 /** The server for callers. */
 export interface GatewayServer {
   readonly server: Server;
   /** Requests whose response is not sent completely. */
   inProgress(): number;
+  /** The same requests, as far as their heads were accepted. */
+  openRequests(): readonly OpenRequest[];
   applyLimits(limits: CallerLimits): void;
   /** Makes each further response close its connection. */
   closeAfterResponses(): void;
@@ -41,8 +44,20 @@
   return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 }
 
-/** Creates the server without listening. */
-export function createGatewayServer(context: GatewayContext): GatewayServer {
+function describe(open: OpenRequest): UnansweredRequest {
+  const {requestId} = open;
+  return {requestId, stage: open.stage(), openMs: Math.round(open.openMs())};
+}
+
+/**
+ * Creates the server without listening. `onUnanswered` is called for each
+ * request whose connection closes before its response is complete.
+ */
+export function createGatewayServer(
+  context: GatewayContext,
+  onUnanswered: (request: UnansweredRequest) => void = () => undefined,
+): GatewayServer {
+  const openRequests = new Set<OpenRequest>();
   let inProgress = 0;
   let closing = false;
   let openConnections = 0;
@@ -65,7 +80,15 @@
       );
       return;
     }
-    await serveRequest(context, message, response, () => closing);
+    const isClosing = () => closing;
+    await serveRequest(context, message, response, isClosing, open => {
+      openRequests.add(open);
+      // The listener comes before the one that records the caller's leaving.
+      response.once('close', () => {
+        openRequests.delete(open);
+        if (!response.writableFinished) onUnanswered(describe(open));
+      });
+    });
   }
 
   const server = createServer(
@@ -103,6 +126,7 @@
   return {
     server,
     inProgress: () => inProgress,
+    openRequests: () => [...openRequests],
     openConnections: () => openConnections,
     quietMs: () => context.clock.nowMs() - lastRequestAtMs,
     applyLimits: next => {
