gateway: answer open requests at the end of a stop

A caller whose upstream was silent until the end of the grace period, or of whose body only a part had arrived, saw its connection close without a status. The stop closed all connections without asking what was open on them.

Each open request without a byte of a response now gets its final answer at the end of the grace period: 502 if an upstream may have run it, else 503. The answers leave within a named part of the time that was already set aside for closing, so no request is ended sooner.

Evidence: both tests failed on the code before (the caller received ''). They pass now, and the stop ends within the grace period.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -74,6 +74,11 @@
 const loadBalancerDelayMs = 2_600;
 /** Time reserved at the end of the grace period for closing. */
 const closeReserveMs = 350;
+/**
+ * Part of that time in which the last answers leave the process. Callers get a
+ * final answer to each request that no upstream has begun to answer.
+ */
+const lastAnswersMs = 150;
 const drainPollMs = 25;
 /** Callers that still send requests do so within this time of each other. */
 const minQuietMs = 300;
@@ -306,6 +311,22 @@
     }
   }
 
+  /** Answers the requests that are still open at the end of a stop. */
+  async function answerOpenRequests(): Promise<void> {
+    const endMs = clock.nowMs() + lastAnswersMs;
+    for (const open of gatewayServer.openRequests()) {
+      logger.warn('request is cut at the end of the stop', {
+        requestId: open.requestId,
+        stage: open.stage(),
+        openMs: Math.round(open.openMs()),
+      });
+      open.end('the grace period of the instance is over');
+    }
+    while (gatewayServer.inProgress() > 0 && clock.nowMs() < endMs) {
+      await delay(clock, drainPollMs);
+    }
+  }
+
   return {
     start: async () => {
       sync.start();
@@ -345,13 +366,7 @@
       promptGuard.close();
       registration.close();
       const cutRequests = gatewayServer.inProgress();
-      for (const open of gatewayServer.openRequests()) {
-        logger.warn('request is cut at the end of the stop', {
-          requestId: open.requestId,
-          stage: open.stage(),
-          openMs: Math.round(open.openMs()),
-        });
-      }
+      await answerOpenRequests();
       for (const [server] of servers) {
         server.close();
         server.closeAllConnections();
--- a/packages/gateway/src/__tests__/unit/Gateway.test.ts
+++ b/packages/gateway/src/__tests__/unit/Gateway.test.ts
@@ -1,8 +1,8 @@
 import {once} from 'node:events';
-import type {IncomingMessage, Server} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer, request as sendRequest} from 'node:http';
-import type {AddressInfo} from 'node:net';
-import {createServer as createTcpServer} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+import {connect, createServer as createTcpServer} from 'node:net';
 import type {RandomSource} from '@toucanrouter/common';
 import {
   createProcessRandom,
@@ -16,6 +16,7 @@
 import type {GatewaySettings} from '@toucanrouter/settings';
 import {expect} from 'chai';
 import {errAsync, okAsync} from 'neverthrow';
+import type {GatewayRoute} from '../../config/GatewayConfig.js';
 import type {Gateway} from '../../Gateway.js';
 import {createGateway} from '../../Gateway.js';
 import type {StateChange, StateStore} from '../../state/StateStore.js';
@@ -30,6 +31,10 @@
 /** Callers send their request within this time of opening a connection. */
 const maxUnusedMs = 250;
 
+/** Ends shortly after the load balancer's delay. */
+const shortGraceMs = 3_200;
+const silent = () => undefined;
+
 /** Below the ports that the operating system assigns to connections. */
 const minPort = 15_000;
 const maxPort = 30_000;
@@ -50,12 +55,15 @@
 }
 
 /** Creates a store with one upstream and one route, which never changes. */
-function createFixedStore(upstreamPort: number): StateStore {
+function createFixedStore(
+  upstreamPort: number,
+  route: Partial<GatewayRoute>,
+): StateStore {
   const changes: readonly StateChange[] = [
     {
       kind: 'config',
       config: createConfig({
-        routes: [createRoute({streams: false, retryPolicy: 'never'})],
+        routes: [createRoute({streams: false, retryPolicy: 'never', ...route})],
         limits: {
           maxHeaderBytes: 16_384,
           maxBodyBytes: 100_000,
@@ -78,7 +86,9 @@
   };
 }
 
-async function createSettings(): Promise<GatewaySettings> {
+async function createSettings(
+  changes: Partial<GatewaySettings>,
+): Promise<GatewaySettings> {
   const random = createProcessRandom();
   const address = async () => ({host, port: await freePort(random)});
   return {
@@ -97,6 +107,7 @@
     retryWindowMs: 10_000,
     retryAllowance: 50,
     logLevel: 'error',
+    ...changes,
   };
 }
 
@@ -182,8 +193,12 @@
 async function startGateway(
   upstream: Server,
   random: RandomSource,
+  changes: {
+    readonly settings?: Partial<GatewaySettings>;
+    readonly route?: Partial<GatewayRoute>;
+  } = {},
 ): Promise<{readonly gateway: Gateway; readonly port: number}> {
-  const settings = await createSettings();
+  const settings = await createSettings(changes.settings ?? {});
   const gateway = createGateway({
     settings,
     clock,
@@ -195,7 +210,10 @@
     }),
     random,
     dialect: testDialect,
-    store: createFixedStore((upstream.address() as AddressInfo).port),
+    store: createFixedStore(
+      (upstream.address() as AddressInfo).port,
+      changes.route ?? {},
+    ),
     readinessPath: '/ready',
   });
   await gateway.start();
@@ -233,6 +251,50 @@
   return faults;
 }
 
+/** Sends `text` on a new connection and resolves to all that comes back. */
+async function exchangeText(
+  port: number,
+  text: string,
+): Promise<{readonly received: string; readonly wasReset: boolean}> {
+  const socket: Socket = connect(port, host);
+  let received = '';
+  let wasReset = false;
+  socket.on('data', chunk => (received += String(chunk)));
+  socket.on('error', () => (wasReset = true));
+  socket.write(text);
+  await new Promise<void>(resolve => socket.once('close', () => resolve()));
+  return {received, wasReset};
+}
+
+/**
+ * Sends `text` to a gateway whose upstream runs `handler`, stops the gateway and
+ * resolves to what the caller received.
+ */
+async function exchangeBesideStop(
+  handler: (response: ServerResponse) => void,
+  text: string,
+  route: Partial<GatewayRoute> = {},
+) {
+  const upstream = createServer((message, response) => {
+    message.resume();
+    handler(response);
+  });
+  await new Promise<void>(resolve => upstream.listen(0, host, resolve));
+  const {gateway, port} = await startGateway(upstream, createSeededRandom(1), {
+    settings: {stopGraceMs: shortGraceMs},
+    route,
+  });
+  const exchanged = exchangeText(port, text);
+  await delay(clock, 200);
+  const startedAtMs = clock.nowMs();
+  await gateway.close();
+  const stopMs = clock.nowMs() - startedAtMs;
+  const result = await exchanged;
+  upstream.closeAllConnections();
+  upstream.close();
+  return {...result, stopMs};
+}
+
 describe('Gateway', () => {
   it('answers every request that was accepted while it stops under load', async () => {
     // Bodies are still being sent, and requests are still being read, when the
@@ -263,4 +325,25 @@
     upstream.close();
     expect(received).to.deep.equal({bodyBytes: sentBytes, complete: true});
   });
+
+  // Guards against a stop that closes a connection whose request an upstream has.
+  it('answers at the end of a stop a request whose upstream is still silent', async () => {
+    const {received, stopMs} = await exchangeBesideStop(
+      silent,
+      'GET /chat/x HTTP/1.1\r\nhost: h\r\nid: r1\r\n\r\n',
+    );
+    expect(received).to.match(/^HTTP\/1\.1 502 /);
+    expect(received).to.include('"run_status":"unknown"');
+    expect(stopMs).to.be.below(shortGraceMs);
+  });
+
+  // Guards against a stop that gives no true refusal to a request it did not read.
+  it('refuses at the end of a stop a request whose body is not complete', async () => {
+    const {received} = await exchangeBesideStop(
+      silent,
+      'POST /chat/x HTTP/1.1\r\nhost: h\r\nid: r1\r\ncontent-length: 9\r\n\r\nhalf',
+    );
+    expect(received).to.match(/^HTTP\/1\.1 503 /);
+    expect(received).to.include('"run_status":"not_run"');
+  });
 });
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -573,10 +573,19 @@
     }
   }
 
+  /** Ends the request when the instance can serve it no longer. */
+  function endForStop(reason: string): void {
+    if (recorded || callerResponse.started) return;
+    if (mayHaveRun()) fail('answer_incomplete', reason);
+    else fail('shutting_down', reason, shutdownRetryAfterMs);
+    attempts?.cancel(reason);
+  }
+
   return {
     requestId: request.requestId,
     stage,
     openMs,
+    end: endForStop,
     onCallerClosed: () => {
       if (recorded) return;
       callerDisconnected = true;
@@ -584,6 +593,7 @@
       record('canceled', 0, 'the caller left');
     },
     onAdmitted: admitted => {
+      if (recorded) return;
       admittedRequest = admitted;
       const callerTimeoutMs = Math.min(
         request.callerTimeoutMs ?? Infinity,
--- a/packages/gateway/src/request/OpenRequest.ts
+++ b/packages/gateway/src/request/OpenRequest.ts
@@ -20,6 +20,8 @@
   stage(): RequestStage;
   /** Time since the head of the request was read. */
   openMs(): number;
+  /** Ends the request now: with an error if no part of a response was sent. */
+  end(reason: string): void;
 }
 
 /** A request whose connection closed before its response was complete. */
