gateway: reset streams without chunks that a stop cuts

A caller of HTTP/1.0 took a stream that the end of a stop had cut for complete: only the end of the connection marks the end of such a stream, and the last step of a stop closed connections in the ordinary way.

The stop now breaks off each open response through its request, which resets such a connection, as it does in all other cases.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -79,6 +79,7 @@
  * final answer to each request that no upstream has begun to answer.
  */
 const lastAnswersMs = 150;
+const graceEndReason = 'the grace period of the instance is over';
 const drainPollMs = 25;
 /** Callers that still send requests do so within this time of each other. */
 const minQuietMs = 300;
@@ -311,7 +312,7 @@
     }
   }
 
-  /** Answers the requests that are still open at the end of a stop. */
+  /** Answers or breaks off the requests that are open at the end of a stop. */
   async function answerOpenRequests(): Promise<void> {
     const endMs = clock.nowMs() + lastAnswersMs;
     for (const open of gatewayServer.openRequests()) {
@@ -320,11 +321,14 @@
         stage: open.stage(),
         openMs: Math.round(open.openMs()),
       });
-      open.end('the grace period of the instance is over');
+      open.end(graceEndReason);
     }
     while (gatewayServer.inProgress() > 0 && clock.nowMs() < endMs) {
       await delay(clock, drainPollMs);
     }
+    for (const open of gatewayServer.openRequests()) {
+      open.breakOff(graceEndReason);
+    }
   }
 
   return {
--- a/packages/gateway/src/__tests__/unit/Gateway.test.ts
+++ b/packages/gateway/src/__tests__/unit/Gateway.test.ts
@@ -346,4 +346,18 @@
     expect(received).to.match(/^HTTP\/1\.1 503 /);
     expect(received).to.include('"run_status":"not_run"');
   });
+
+  // Guards against a stream that a stop cuts and that looks complete.
+  it('resets at the end of a stop a stream whose end only the connection shows', async () => {
+    const {received, wasReset} = await exchangeBesideStop(
+      response => {
+        response.writeHead(200, {id: 'r1', mark: 'm'});
+        response.write('id: 1\ndata: e1\n\n');
+      },
+      'GET /chat/x HTTP/1.0\r\nhost: h\r\nid: r1\r\n\r\n',
+      {streams: true, retryPolicy: 'resume'},
+    );
+    expect(received).to.include('data: e1');
+    expect(wasReset).to.equal(true);
+  });
 });
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -586,6 +586,10 @@
     stage,
     openMs,
     end: endForStop,
+    breakOff: reason => {
+      abortResponse('answer_incomplete', reason);
+      attempts?.cancel(reason);
+    },
     onCallerClosed: () => {
       if (recorded) return;
       callerDisconnected = true;
--- a/packages/gateway/src/request/OpenRequest.ts
+++ b/packages/gateway/src/request/OpenRequest.ts
@@ -22,6 +22,8 @@
   openMs(): number;
   /** Ends the request now: with an error if no part of a response was sent. */
   end(reason: string): void;
+  /** Breaks off a response so that it does not look complete. */
+  breakOff(reason: string): void;
 }
 
 /** A request whose connection closed before its response was complete. */
