gateway: answer callers before their own time limit

Callers whose time limit is that of their route, or shorter, got no status when their upstream stayed silent: the final answer came 100 ms after the limit, and its caller had left. It could not know whether its request may have run.

Responses that have begun go on to the limit, and where only the route's timeout binds nothing changes. Retries, and the time granted to upstreams of plain requests, count until the final answer.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -25,6 +25,7 @@
   UpstreamChangeRequest,
   UpstreamStatus,
 } from './AdminApi.js';
+export {answerReserveFor} from './AnswerReserve.js';
 export type {
   BurnAlarm,
   BurnPoint,
--- a/packages/gateway/src/__tests__/unit/GatewayRequest.test.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayRequest.test.ts
@@ -1,13 +1,15 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createServer, request as sendRequest} from 'node:http';
-import {createSystemClock, delay} from '@toucanrouter/common';
+import {answerReserveFor, createSystemClock, delay} from '@toucanrouter/common';
 import {expect} from 'chai';
 import type {GatewayRoute} from '../../config/GatewayConfig.js';
+import type {Dialect} from '../../request/Dialect.js';
 import type {GatewayContext} from '../../request/GatewayContext.js';
 import {
   sendRequestTo,
   startGateway as startGatewayServer,
 } from './GatewayServerFixtures.js';
+import {testDialect} from './TestDialect.js';
 
 type Handler = (message: IncomingMessage, response: ServerResponse) => void;
 
@@ -37,6 +39,37 @@
   return {response, ended: gateway.ended};
 }
 
+/** The wire format of a caller with a time limit of its own. */
+function dialectWithLimit(callerTimeoutMs: number): Dialect {
+  return {
+    ...testDialect,
+    readRequest: message => ({
+      ...testDialect.readRequest(message),
+      callerTimeoutMs,
+    }),
+    upstreamHeaders: (request, attributes) => [
+      ...testDialect.upstreamHeaders(request, attributes),
+      'remaining',
+      String(attributes.remainingMs),
+    ],
+  };
+}
+
+/** Serves one request of a caller with a time limit, and measures its time. */
+async function serveWithin(
+  limitMs: number,
+  route: Partial<GatewayRoute>,
+  handler: Handler,
+) {
+  const dialect = dialectWithLimit(limitMs);
+  const gateway = await startGateway(route, [handler], {dialect});
+  const startedAtMs = performance.now();
+  const response = await sendRequestTo(gateway.port);
+  const tookMs = performance.now() - startedAtMs;
+  await gateway.close();
+  return {response, tookMs, ended: gateway.ended};
+}
+
 const upstreamHead = {id: 'r1', mark: 'm'};
 const event = (id: number) => `id: ${id}\ndata: e${id}\n\n`;
 
@@ -362,6 +395,69 @@
     expect(ended[0]?.outcome).to.equal('answer_timeout');
   });
 
+  // Guards against an answer that comes when its caller has left, and against an
+  // early end of a stream that has begun.
+  it('answers before the limit of its caller only requests without a response', async () => {
+    const limitMs = 2_000;
+    const reserveMs = answerReserveFor(limitMs);
+    const route = {timeoutMs: limitMs};
+    const late: Handler = (_, response) => {
+      response.writeHead(200, upstreamHead);
+      response.write(event(1));
+      setTimeout(() => response.end(event(2)), limitMs - reserveMs / 2);
+    };
+    const begun = await serveWithin(limitMs, route, late);
+    expect(begun.response.body).to.equal(event(1) + event(2));
+    expect(begun.response.complete).to.equal(true);
+    const silent = await serveWithin(limitMs, route, () => undefined);
+    expect(silent.response.status).to.equal(504);
+    expect(silent.tookMs).to.be.below(limitMs);
+    const shortLimitMs = 10;
+    expect(answerReserveFor(shortLimitMs)).to.be.below(shortLimitMs / 2);
+  });
+
+  // Guards against a caller that cannot know that its request was not run.
+  it('refuses a request that was not read completely before the limit of its caller', async () => {
+    const limitMs = 2_000;
+    const dialect = dialectWithLimit(limitMs);
+    const gateway = await startGateway({}, [refuse], {dialect});
+    const startedAtMs = performance.now();
+    const status = await new Promise(resolve => {
+      const call = sendRequest({
+        host: '127.0.0.1',
+        port: gateway.port,
+        path: '/chat/x',
+        method: 'POST',
+        headers: {id: 'r1', authorization: 'key', 'content-length': 9},
+        agent: false,
+      });
+      call.on('response', ({statusCode}) => resolve(statusCode));
+      call.on('error', resolve);
+      call.write('half');
+    });
+    const tookMs = performance.now() - startedAtMs;
+    await gateway.close();
+    expect(status).to.equal(503);
+    expect(tookMs).to.be.below(limitMs);
+  });
+
+  // Guards against an upstream that works on after the last answer it can give,
+  // and against a stream that must end before its caller's limit.
+  it('grants upstreams the time in which their response can reach the caller', async () => {
+    const limitMs = 3_000;
+    const grantedMs = async (streams: boolean) => {
+      let remainingMs = 0;
+      await serveWithin(limitMs, {streams}, (message, response) => {
+        remainingMs = Number(message.headers['remaining']);
+        refuse(message, response);
+      });
+      return remainingMs;
+    };
+    const lastAnswerMs = limitMs - answerReserveFor(limitMs);
+    expect(await grantedMs(false)).to.be.at.most(lastAnswerMs);
+    expect(await grantedMs(true)).to.be.above(lastAnswerMs);
+  });
+
   it('refuses unknown keys and routes without calling an upstream', async () => {
     let upstreamCalls = 0;
     const handler: Handler = () => {
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -5,7 +5,11 @@
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {ErrorKind, UpstreamId} from '@toucanrouter/common';
-import {errorResponseFor, RouterError} from '@toucanrouter/common';
+import {
+  answerReserveFor,
+  errorResponseFor,
+  RouterError,
+} from '@toucanrouter/common';
 import type {RetryBudget, RetryReservation} from '@toucanrouter/policy';
 import {pickService} from '../config/RouteTable.js';
 import type {Choice} from '../upstreams/UpstreamChoice.js';
@@ -36,8 +40,9 @@
 import type {StallLimits} from './StallWatch.js';
 
 /**
- * Time after the deadline during which the upstream's own response is still
- * passed on. An upstream that was sent the deadline responds when it expires.
+ * Time after the timeout of a route during which the upstream's own response is
+ * still passed on, if the caller waits longer. An upstream that was sent the
+ * deadline responds when it expires.
  */
 const timeoutGraceMs = 100;
 /** Shorter, because a request lost on a stale connection cannot be retried. */
@@ -104,6 +109,8 @@
   const upstreams: UpstreamId[] = [];
   let admittedRequest: AdmittedRequest | undefined;
   let deadlineMs = Infinity;
+  /** When a caller that has got no byte of a response gets its final answer. */
+  let answerAtMs = Infinity;
   let attempts: AttemptRace | undefined;
   const sentAtMs = new Map<UpstreamId, number>();
   const stalledUpstreams = new Set<UpstreamId>();
@@ -129,7 +136,12 @@
 
   const guarded = context.promptGuard.guard(request.requestId, request.prompt);
 
-  const remainingMs = () => deadlineMs - clock.nowMs();
+  const untilDeadlineMs = () => deadlineMs - clock.nowMs();
+  /** Time in which a further attempt can still be of use. */
+  const remainingMs = () =>
+    callerResponse.started
+      ? untilDeadlineMs()
+      : Math.min(deadlineMs, answerAtMs) - clock.nowMs();
   const openMs = () => clock.nowMs() - arrivedAtMs;
   const mayHaveRun = () => progress.mayHaveRun || attempts?.wasSent() === true;
 
@@ -188,7 +200,7 @@
       tier: admittedRequest.tier,
       targetLatencyMs: admittedRequest.route.targetLatencyMs,
       backlogMs,
-      remainingMs: remainingMs(),
+      remainingMs: untilDeadlineMs(),
       random,
     });
     fail(kind, reason, delayMs);
@@ -207,15 +219,27 @@
     record(kind, 0, reason);
   }
 
-  function onTimeout(): void {
+  /** Gives its final answer to a caller that has got no byte of a response. */
+  function onAnswerDue(): void {
     if (recorded) return;
-    const reason = `no complete response within ${Math.round(deadlineMs - arrivedAtMs)} ms`;
-    if (callerResponse.started) abortResponse('answer_timeout', reason);
-    else if (mayHaveRun()) fail('answer_timeout', reason);
+    if (callerResponse.started) {
+      const leftMs = untilDeadlineMs() + timeoutGraceMs;
+      cancelTimeout = clock.after(Math.max(0, leftMs), onDeadline);
+      return;
+    }
+    const reason = `no response within ${Math.round(openMs())} ms`;
+    if (mayHaveRun()) fail('answer_timeout', reason);
     else refuse('overloaded', reason);
     attempts?.cancel(reason);
   }
 
+  function onDeadline(): void {
+    if (recorded) return;
+    const reason = `no complete response within ${Math.round(openMs())} ms`;
+    abortResponse('answer_timeout', reason);
+    attempts?.cancel(reason);
+  }
+
   function stallLimitsFor(
     {route}: AdmittedRequest,
     choice: Choice,
@@ -360,7 +384,8 @@
       target: request.target,
       headers: context.dialect.upstreamHeaders(request, {
         upstreamId: entry.id,
-        remainingMs: remainingMs(),
+        // A stream that has begun goes on until the deadline.
+        remainingMs: route.streams ? untilDeadlineMs() : remainingMs(),
         workspaceId: workspace?.workspaceId,
         requestPriority: upstreamPriority(admitted.tier, route.tier),
         resumeAfterId: progress.lastEventId,
@@ -599,13 +624,17 @@
     onAdmitted: admitted => {
       if (recorded) return;
       admittedRequest = admitted;
-      const callerTimeoutMs = Math.min(
-        request.callerTimeoutMs ?? Infinity,
-        admitted.route.timeoutMs,
-      );
-      deadlineMs = arrivedAtMs + callerTimeoutMs;
-      const timeoutMs = remainingMs() + timeoutGraceMs;
-      cancelTimeout = clock.after(Math.max(0, timeoutMs), onTimeout);
+      const {timeoutMs} = admitted.route;
+      const callerLimitMs = request.callerTimeoutMs ?? Infinity;
+      deadlineMs = arrivedAtMs + Math.min(callerLimitMs, timeoutMs);
+      answerAtMs =
+        arrivedAtMs +
+        Math.min(
+          timeoutMs + timeoutGraceMs,
+          callerLimitMs - answerReserveFor(callerLimitMs),
+        );
+      const untilAnswerMs = answerAtMs - clock.nowMs();
+      cancelTimeout = clock.after(Math.max(0, untilAnswerMs), onAnswerDue);
     },
     forward,
     fail,
