gateway: close a connection with its latest request only

While an instance stopped, requests that a caller had sent on a connection before the previous ones were answered ran at an upstream, and the connection closed without an answer to them. Each response closed its connection, and Node.js drops the responses behind such a one.

A response now closes its connection only if no later request was read on it. A request that is read after that one is not passed on.

Evidence: the test failed on the code before (the second response was missing) and passes now.

--- /dev/null
+++ b/packages/common/src/PipelinedRequests.ts
@@ -0,0 +1,46 @@
+/**
+ * Requests that a caller sends on a connection before the previous ones are
+ * answered. Node.js hands over each of them as it is read, but it drops the
+ * responses that follow one with `Connection: close`.
+ */
+import type {Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+
+/** The order of the requests on the connections of a server. */
+export interface PipelinedRequests {
+  /** False for a request that was read after the last one to be answered. */
+  isAccepted(response: ServerResponse): boolean;
+  /**
+   * Returns whether the connection can close with this response. No request that
+   * is read on the connection later is accepted then.
+   */
+  tryClose(response: ServerResponse): boolean;
+}
+
+interface Connection {
+  latest: ServerResponse;
+  isClosing: boolean;
+}
+
+/** Follows the requests of `server`. */
+export function trackPipelinedRequests(server: Server): PipelinedRequests {
+  const bySocket = new WeakMap<Socket, Connection>();
+  const byResponse = new WeakMap<ServerResponse, Connection>();
+  server.prependListener('request', ({socket}, response) => {
+    const known = bySocket.get(socket);
+    if (known?.isClosing === true) return;
+    const connection = known ?? {latest: response, isClosing: false};
+    connection.latest = response;
+    bySocket.set(socket, connection);
+    byResponse.set(response, connection);
+  });
+  return {
+    isAccepted: response => byResponse.has(response),
+    tryClose: response => {
+      const connection = byResponse.get(response);
+      if (connection?.latest !== response) return false;
+      connection.isClosing = true;
+      return true;
+    },
+  };
+}
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -121,6 +121,8 @@
   UpstreamState,
 } from './Permits.js';
 export {lingerAfterLastResponse, maxLingerMs} from './LingeringClose.js';
+export type {PipelinedRequests} from './PipelinedRequests.js';
+export {trackPipelinedRequests} from './PipelinedRequests.js';
 export type {RandomSource} from './Random.js';
 export {createProcessRandom, createSeededRandom} from './Random.js';
 export type {RetryAfter} from './RetryAfter.js';
--- a/packages/gateway/src/__tests__/unit/Gateway.test.ts
+++ b/packages/gateway/src/__tests__/unit/Gateway.test.ts
@@ -360,4 +360,37 @@
     expect(received).to.include('data: e1');
     expect(wasReset).to.equal(true);
   });
+
+  // Guards against a request that an upstream runs and whose connection closes
+  // with the response to the request before it.
+  it('answers all requests that it reads on a connection while it stops', async () => {
+    const random = createSeededRandom(1);
+    const received: string[] = [];
+    const upstream = createServer((message, response) => {
+      const id = String(message.headers['id']);
+      received.push(id);
+      setTimeout(() => {
+        response.writeHead(200, {id, mark: 'm'});
+        response.end(`<${id}>`);
+      }, 200);
+    });
+    await new Promise<void>(resolve => upstream.listen(0, host, resolve));
+    const {gateway, port} = await startGateway(upstream, random);
+    const stopped = gateway.close();
+    const request = (id: string) =>
+      `GET /chat/x HTTP/1.1\r\nhost: h\r\nid: ${id}\r\n\r\n`;
+    const socket = connect(port, host);
+    let text = '';
+    socket.on('data', chunk => (text += String(chunk)));
+    socket.write(request('r1'));
+    await delay(clock, 50);
+    socket.write(request('r2'));
+    await new Promise<void>(resolve => socket.once('close', () => resolve()));
+    await stopped;
+    upstream.closeAllConnections();
+    upstream.close();
+    expect(received).to.deep.equal(['r1', 'r2']);
+    expect(text).to.include('<r1>').and.to.include('<r2>');
+    expect(text.match(/connection: close/gi)).to.have.length(1);
+  });
 });
--- a/packages/gateway/src/server/GatewayServer.ts
+++ b/packages/gateway/src/server/GatewayServer.ts
@@ -7,6 +7,7 @@
   lingerAfterLastResponse,
   RouterError,
   spareUnsentResponses,
+  trackPipelinedRequests,
 } from '@toucanrouter/common';
 import type {CallerLimits} from '../config/GatewayConfig.js';
 import {createCallerResponse} from '../request/CallerResponse.js';
@@ -80,7 +81,7 @@
       );
       return;
     }
-    const isClosing = () => closing;
+    const isClosing = () => closing && pipelined.tryClose(response);
     await serveRequest(context, message, response, isClosing, open => {
       openRequests.add(open);
       // The listener comes before the one that records the caller's leaving.
@@ -99,6 +100,8 @@
       noDelay: true,
     },
     (message, response) => {
+      // Its connection is about to close, and the caller knows that.
+      if (!pipelined.isAccepted(response)) return;
       inProgress += 1;
       lastRequestAtMs = context.clock.nowMs();
       response.once('close', () => {
@@ -117,6 +120,7 @@
   );
   spareUnsentResponses(server);
   lingerAfterLastResponse(server, context.clock);
+  const pipelined = trackPipelinedRequests(server);
   server.on('connection', socket => {
     openConnections += 1;
     socket.once('close', () => {
