daemon: end calls without a response before the caller's timeout

A caller that sets x-request-timeout-ms got the error of an unanswered call at the moment at which it may leave, because the call was aborted at that limit.

The abort now comes a reserve before the limit if the caller has no byte of a response, as in the gateway. A response that has begun goes on to the limit.

--- a/packages/daemon/src/__tests__/unit/CallerServer.test.ts
+++ b/packages/daemon/src/__tests__/unit/CallerServer.test.ts
@@ -10,8 +10,9 @@
 } from '@toucanrouter/common';
 import {createLogger} from '@toucanrouter/logging';
 import {expect} from 'chai';
-import {ok} from 'neverthrow';
+import {err, ok} from 'neverthrow';
 import type {Filter} from '../../request/Exchange.js';
+import {abortError} from '../../request/Exchange.js';
 import {createCallerServer} from '../../server/CallerServer.js';
 import {closeServer} from '../../server/Listening.js';
 
@@ -93,4 +94,27 @@
     await closed;
     expect(bodyBytes).to.equal(body.length);
   });
+
+  // Guards against an answer that comes when its caller has left.
+  it('ends a call without a response before the timeout that its caller set', async () => {
+    const timeoutMs = 2_000;
+    const {callers, port} = await startServer(async exchange => {
+      await new Promise(resolve =>
+        exchange.signal.addEventListener('abort', resolve),
+      );
+      return err(abortError(exchange, true));
+    });
+    const headers = {'x-request-timeout-ms': timeoutMs};
+    const startedAtMs = performance.now();
+    const message = sendRequest({host, port, path: '/services/s/x', headers});
+    message.end();
+    const [response] = (await once(message, 'response')) as [IncomingMessage];
+    const tookMs = performance.now() - startedAtMs;
+    response.resume();
+    await once(response, 'close');
+    callers.server.closeAllConnections();
+    await closeServer(callers.server);
+    expect(response.statusCode).to.equal(502);
+    expect(tookMs).to.be.below(timeoutMs);
+  });
 });
--- a/packages/daemon/src/server/CallerServer.ts
+++ b/packages/daemon/src/server/CallerServer.ts
@@ -9,6 +9,7 @@
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import type {Clock, RequestId} from '@toucanrouter/common';
 import {
+  answerReserveFor,
   lingerAfterLastResponse,
   RouterError,
   spareUnsentResponses,
@@ -133,14 +134,23 @@
 
   /**
    * Only a timeout that the caller set aborts a call in progress. The default
-   * timeout limits no more than the time until the call starts.
+   * timeout limits no more than the time until the call starts. A caller without
+   * any byte of a response gets its error before the timeout, because it may
+   * leave when the timeout has passed; a response that has begun goes on.
    */
   function createCallerSignal(call: IncomingCall, timeoutMs: number) {
     const controller = new AbortController();
-    const undo =
-      headerOf(call.incoming, timeoutHeader) === undefined
-        ? () => undefined
-        : clock.after(timeoutMs, () => controller.abort(callerTimeoutReason));
+    const reserveMs = answerReserveFor(timeoutMs);
+    const abort = () => controller.abort(callerTimeoutReason);
+    let undo = (): void => undefined;
+    if (headerOf(call.incoming, timeoutHeader) !== undefined) {
+      const elapsedMs = clock.nowMs() - call.arrivedAtMs;
+      const untilAnswerMs = Math.max(0, timeoutMs - reserveMs - elapsedMs);
+      undo = clock.after(untilAnswerMs, () => {
+        if (call.response.started) undo = clock.after(reserveMs, abort);
+        else abort();
+      });
+    }
     call.outgoing.on('close', () => {
       undo();
       if (!call.outgoing.writableFinished) controller.abort();
