gateway, daemon: log listeners and signals

Instances are reported to have ended by themselves or not to have started, and the log names neither the listeners that are open nor the signals that came.

Each listener that is opened is logged with its purpose and address, one that cannot be opened with the error code too, and each handled signal by name. Nothing else changes.

--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -52,6 +52,10 @@
     onEnvelope: instance.fleet.receive,
   });
   if (hub.isErr()) return err(hub.error);
+  logger.info('listener opened', {
+    purpose: 'peers',
+    address: `${settings.peers.host}:${hub.value.port}`,
+  });
   instance.fleet.start(hub.value);
   instance.host.start();
   instance.permits.start();
@@ -59,11 +63,19 @@
   const servers = createServers(options, instance, hub.value);
   const adminPort = await listen(servers.admin, settings.admin, 'operators');
   if (adminPort.isErr()) return err(adminPort.error);
+  logger.info('listener opened', {
+    purpose: 'operators',
+    address: `${settings.admin.host}:${adminPort.value}`,
+  });
   const listReader = startListReader(options, instance);
   await instance.configSource.start();
   const {server} = servers.callers;
   const callersPort = await listen(server, settings.callers, 'callers');
   if (callersPort.isErr()) return err(callersPort.error);
+  logger.info('listener opened', {
+    purpose: 'callers',
+    address: `${settings.callers.host}:${callersPort.value}`,
+  });
   instance.readiness.markConfigKnown();
   const ports: DaemonPorts = {
     callersPort: callersPort.value,
--- a/packages/daemon/src/bin/toucanrouterd.ts
+++ b/packages/daemon/src/bin/toucanrouterd.ts
@@ -69,7 +69,8 @@
 let stopRequested = false;
 let stop = (): void => undefined;
 
-function requestStop(): void {
+function requestStop(signal: NodeJS.Signals): void {
+  logger.info('signal received', {signal});
   // Ignores further signals, so that they cannot cut the graceful stop short.
   if (stopRequested) return;
   stopRequested = true;
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -273,17 +273,38 @@
     return undefined;
   }
 
-  const servers: readonly (readonly [Server, ListenAddress])[] = [
-    [gatewayServer.server, settings.callers],
+  const servers: readonly (readonly [string, Server, ListenAddress])[] = [
+    ['callers', gatewayServer.server, settings.callers],
     [
+      'readiness',
       createReadinessServer(options.readinessPath, notReadyReason),
       settings.readiness,
     ],
-    [createMetricsServer(metrics), settings.metrics],
+    ['metrics', createMetricsServer(metrics), settings.metrics],
     // Reports to peers use the same port over UDP.
-    [relayServer, settings.peers],
+    ['peers', relayServer, settings.peers],
   ];
 
+  async function open(
+    purpose: string,
+    server: Server,
+    at: ListenAddress,
+  ): Promise<void> {
+    const fields = {purpose, address: `${at.host}:${at.port}`};
+    try {
+      await listen(server, at);
+      logger.info('listener opened', fields);
+    } catch (error) {
+      const {code, message} = error as NodeJS.ErrnoException;
+      logger.error('listener cannot be opened', {
+        ...fields,
+        code,
+        error: message,
+      });
+      throw error;
+    }
+  }
+
   /**
    * A request may have been sent on an open connection and not have been read
    * yet, so the process ends only once the callers are quiet.
@@ -336,7 +357,7 @@
       sync.start();
       exchange.start();
       registration.start();
-      await Promise.all(servers.map(([server, at]) => listen(server, at)));
+      await Promise.all(servers.map(entry => open(...entry)));
       logger.info('instance started', {
         callers: `${settings.callers.host}:${settings.callers.port}`,
         failureDomain: settings.failureDomain,
@@ -371,7 +392,7 @@
       registration.close();
       const cutRequests = gatewayServer.inProgress();
       await answerOpenRequests();
-      for (const [server] of servers) {
+      for (const [, server] of servers) {
         server.close();
         server.closeAllConnections();
       }
--- a/packages/gateway/src/peers/LoadExchange.ts
+++ b/packages/gateway/src/peers/LoadExchange.ts
@@ -124,8 +124,16 @@
       });
     } else if (report.instanceId !== selfId) options.onReport(report);
   });
-  socket.on('error', error =>
-    logger.error('socket of the load exchange failed', {error: error.message}),
+  const address = `${listen.host}:${listen.port}`;
+  socket.on('listening', () =>
+    logger.info('listener opened', {purpose: 'load reports', address}),
+  );
+  socket.on('error', (error: NodeJS.ErrnoException) =>
+    logger.error('socket of the load exchange failed', {
+      address,
+      code: error.code,
+      error: error.message,
+    }),
   );
   return {
     start: () => {
