gateway: open listeners again whose address is taken at the start

Callers saw an instance that said it was ready (200) while their connections were reset by the holder of the port and, once that was gone, refused for ever. With the port for readiness checks taken no load balancer used the instance; with those for metrics or peers taken they were missing for good.

Cause: each listener was tried once. The error rejected the start, ended as an uncaught exception, and the process went on; readiness knew nothing of the listeners.

A listener (common/Listener) is now tried every 100 ms until it opens or the instance stops. The holder may be a predecessor within its grace period, and an exit would count as a process that ended by itself. The first failure is logged, then one a minute, and the opening. Addresses that are not available yet and a lack of descriptors or memory may pass and are tried again too. The instance is not ready while callers are not accepted, and says so. A stop without a listener for callers has nobody to drain for and ends at once. Errors of an open listener are logged; the second one was an uncaught exception. The UDP socket sends nothing before it is bound, since sending binds it to another port for good.

The fixtures of Gateway.test.ts moved to a file of their own, unchanged.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -123,6 +123,18 @@
 export {lingerAfterLastResponse, maxLingerMs} from './LingeringClose.js';
 export type {PipelinedRequests} from './PipelinedRequests.js';
 export {trackPipelinedRequests} from './PipelinedRequests.js';
+export type {
+  Listener,
+  ListenerOptions,
+  ListenError,
+  ListenTarget,
+  ServerListenerOptions,
+} from './Listener.js';
+export {
+  createListener,
+  createServerListener,
+  isLastingListenError,
+} from './Listener.js';
 export type {RandomSource} from './Random.js';
 export {createProcessRandom, createSeededRandom} from './Random.js';
 export type {RetryAfter} from './RetryAfter.js';
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -3,11 +3,23 @@
  * its configuration is current, and drains requests before it stops.
  */
 import type {Server} from 'node:http';
-import type {Clock, RandomSource, ServiceName} from '@toucanrouter/common';
-import {createBufferBudget, delay} from '@toucanrouter/common';
+import type {
+  Clock,
+  Listener,
+  RandomSource,
+  RouterError,
+  ServiceName,
+} from '@toucanrouter/common';
+import {
+  createBufferBudget,
+  createServerListener,
+  delay,
+  isLastingListenError,
+} from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
 import type {RetryBudget} from '@toucanrouter/policy';
 import type {GatewaySettings, ListenAddress} from '@toucanrouter/settings';
+import {err, ok, Result} from 'neverthrow';
 import type {ActiveConfig} from './config/ActiveConfig.js';
 import {createActiveConfig} from './config/ActiveConfig.js';
 import {createConfigAge} from './config/ConfigAge.js';
@@ -54,7 +66,11 @@
 
 /** A gateway instance. */
 export interface Gateway {
-  start(): Promise<void>;
+  /**
+   * Resolves once callers and the readiness check are served, or with the error
+   * that makes it impossible. A stop ends a start that still waits.
+   */
+  start(): Promise<Result<void, RouterError>>;
   /** Applies settings that may change while the gateway runs. */
   reload(settings: GatewaySettings): void;
   /** Drains the requests in progress within the grace period and closes. */
@@ -268,42 +284,67 @@
 
   function notReadyReason(): string | undefined {
     if (stopping) return 'the instance is stopping';
+    if (!callersListener.isOpen())
+      return 'the listener for callers is not open';
     if (config.current() === undefined) return 'no configuration';
     if (configAge.ageMs() > maxConfigAgeMs()) return 'the configuration is old';
     return undefined;
   }
 
-  const servers: readonly (readonly [string, Server, ListenAddress])[] = [
-    ['callers', gatewayServer.server, settings.callers],
-    [
-      'readiness',
-      createReadinessServer(options.readinessPath, notReadyReason),
-      settings.readiness,
-    ],
-    ['metrics', createMetricsServer(metrics), settings.metrics],
-    // Reports to peers use the same port over UDP.
-    ['peers', relayServer, settings.peers],
-  ];
+  const readinessServer = createReadinessServer(
+    options.readinessPath,
+    notReadyReason,
+  );
+  const metricsServer = createMetricsServer(metrics);
 
-  async function open(
+  /** An instance without a required listener is useless, so it ends. */
+  function createListenerFor(
     purpose: string,
     server: Server,
-    at: ListenAddress,
-  ): Promise<void> {
-    const fields = {purpose, address: `${at.host}:${at.port}`};
-    try {
-      await listen(server, at);
-      logger.info('listener opened', fields);
-    } catch (error) {
-      const {code, message} = error as NodeJS.ErrnoException;
-      logger.error('listener cannot be opened', {
-        ...fields,
-        code,
-        error: message,
-      });
-      throw error;
-    }
+    target: ListenAddress,
+    required: boolean,
+  ): Listener {
+    return createServerListener({
+      clock,
+      log: logger,
+      purpose,
+      server,
+      target,
+      backlog: listenBacklog,
+      isFinal: error => required && isLastingListenError(error),
+    });
   }
+  const callersListener = createListenerFor(
+    'callers',
+    gatewayServer.server,
+    settings.callers,
+    true,
+  );
+  const readinessListener = createListenerFor(
+    'readiness checks',
+    readinessServer,
+    settings.readiness,
+    true,
+  );
+  const metricsListener = createListenerFor(
+    'metrics',
+    metricsServer,
+    settings.metrics,
+    false,
+  );
+  // Reports to peers use the same port over UDP.
+  const peersListener = createListenerFor(
+    'peers',
+    relayServer,
+    settings.peers,
+    false,
+  );
+  const servers: readonly (readonly [Server, Listener])[] = [
+    [gatewayServer.server, callersListener],
+    [readinessServer, readinessListener],
+    [metricsServer, metricsListener],
+    [relayServer, peersListener],
+  ];
 
   /**
    * A request may have been sent on an open connection and not have been read
@@ -357,11 +398,18 @@
       sync.start();
       exchange.start();
       registration.start();
-      await Promise.all(servers.map(entry => open(...entry)));
+      for (const listener of [metricsListener, peersListener]) {
+        void listener.open();
+      }
+      const opened = Result.combine(
+        await Promise.all([callersListener.open(), readinessListener.open()]),
+      );
+      if (opened.isErr()) return err(opened.error);
       logger.info('instance started', {
         callers: `${settings.callers.host}:${settings.callers.port}`,
         failureDomain: settings.failureDomain,
       });
+      return ok(undefined);
     },
     reload: next => {
       const previous = settings;
@@ -385,15 +433,16 @@
       logger.info('instance is stopping', {
         requestsInProgress: gatewayServer.inProgress(),
       });
-      await drainRequests(startedAtMs);
+      // Without a listener there are no callers to wait for.
+      if (callersListener.isOpen()) await drainRequests(startedAtMs);
       sync.close();
       exchange.close();
       promptGuard.close();
       registration.close();
       const cutRequests = gatewayServer.inProgress();
       await answerOpenRequests();
-      for (const [, server] of servers) {
-        server.close();
+      for (const [server, listener] of servers) {
+        listener.close();
         server.closeAllConnections();
       }
       await relays.close();
@@ -402,13 +451,3 @@
     },
   };
 }
-
-function listen(server: Server, at: ListenAddress): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(
-      {host: at.host, port: at.port, backlog: listenBacklog},
-      resolve,
-    );
-  });
-}
--- a/packages/gateway/src/__tests__/unit/Gateway.test.ts
+++ b/packages/gateway/src/__tests__/unit/Gateway.test.ts
@@ -1,30 +1,14 @@
 import {once} from 'node:events';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer, request as sendRequest} from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
-import {connect, createServer as createTcpServer} from 'node:net';
+import type {Socket} from 'node:net';
+import {connect} from 'node:net';
 import type {RandomSource} from '@toucanrouter/common';
-import {
-  createProcessRandom,
-  createSeededRandom,
-  createSystemClock,
-  delay,
-  PlatformError,
-  toInstanceId,
-} from '@toucanrouter/common';
-import {createLogger} from '@toucanrouter/logging';
-import type {GatewaySettings} from '@toucanrouter/settings';
+import {createSeededRandom, delay} from '@toucanrouter/common';
 import {expect} from 'chai';
-import {errAsync, okAsync} from 'neverthrow';
 import type {GatewayRoute} from '../../config/GatewayConfig.js';
-import type {Gateway} from '../../Gateway.js';
-import {createGateway} from '../../Gateway.js';
-import type {StateChange, StateStore} from '../../state/StateStore.js';
-import {createConfig, createEntry, createRoute} from './GatewayFixtures.js';
-import {testDialect} from './TestDialect.js';
+import {clock, host, startGateway} from './RunningGatewayFixtures.js';
 
-const clock = createSystemClock();
-const host = '127.0.0.1';
 /** The load balancer opens no connections later than this after a stop. */
 const loadBalancerDelayMs = 2_600;
 const maxResponseMs = 150;
@@ -35,82 +19,6 @@
 const shortGraceMs = 3_200;
 const silent = () => undefined;
 
-/** Below the ports that the operating system assigns to connections. */
-const minPort = 15_000;
-const maxPort = 30_000;
-
-/** Returns a port that no process uses, and that no connection can take. */
-async function freePort(random: RandomSource): Promise<number> {
-  for (;;) {
-    const port = minPort + Math.floor(random.next() * (maxPort - minPort));
-    const server = createTcpServer();
-    const isFree = await new Promise<boolean>(resolve => {
-      server.once('error', () => resolve(false));
-      server.listen(port, host, () => resolve(true));
-    });
-    if (!isFree) continue;
-    await new Promise(resolve => server.close(resolve));
-    return port;
-  }
-}
-
-/** Creates a store with one upstream and one route, which never changes. */
-function createFixedStore(
-  upstreamPort: number,
-  route: Partial<GatewayRoute>,
-): StateStore {
-  const changes: readonly StateChange[] = [
-    {
-      kind: 'config',
-      config: createConfig({
-        routes: [createRoute({streams: false, retryPolicy: 'never', ...route})],
-        limits: {
-          maxHeaderBytes: 16_384,
-          maxBodyBytes: 100_000,
-          headerTimeoutMs: 3_000,
-          idleTimeoutMs: 15_000,
-        },
-        workspacesByKey: undefined,
-      }),
-    },
-    {kind: 'upstream', entry: createEntry('u', {host, port: upstreamPort})},
-  ];
-  const items = changes.map((_, index) => ({key: `${index}`, value: ''}));
-  return {
-    decode: ({key}) => changes[Number(key)],
-    readAll: () => okAsync({revision: 1, items}),
-    readChanges: revision => okAsync({revision, items: []}),
-    readConfig: () => okAsync(undefined),
-    register: () => errAsync(new PlatformError('not supported', false)),
-    renew: () => okAsync(true),
-  };
-}
-
-async function createSettings(
-  changes: Partial<GatewaySettings>,
-): Promise<GatewaySettings> {
-  const random = createProcessRandom();
-  const address = async () => ({host, port: await freePort(random)});
-  return {
-    instanceId: toInstanceId('i'),
-    failureDomain: 'a',
-    callers: await address(),
-    readiness: await address(),
-    metrics: await address(),
-    peers: await address(),
-    storeAddress: 'unused',
-    stopGraceMs: 8_000,
-    revocationDelayMs: 5_000,
-    configDelayMs: 2_000,
-    leavingDelayMs: 2_000,
-    retryShare: 0.2,
-    retryWindowMs: 10_000,
-    retryAllowance: 50,
-    logLevel: 'error',
-    ...changes,
-  };
-}
-
 /** Starts an upstream that responds after a random time. */
 async function startUpstream(random: RandomSource): Promise<Server> {
   const server = createServer((message, response) => {
@@ -189,38 +97,6 @@
   return answered;
 }
 
-/** Starts a gateway in front of one upstream. */
-async function startGateway(
-  upstream: Server,
-  random: RandomSource,
-  changes: {
-    readonly settings?: Partial<GatewaySettings>;
-    readonly route?: Partial<GatewayRoute>;
-  } = {},
-): Promise<{readonly gateway: Gateway; readonly port: number}> {
-  const settings = await createSettings(changes.settings ?? {});
-  const gateway = createGateway({
-    settings,
-    clock,
-    logger: createLogger({
-      format: 'json',
-      level: 'error',
-      instanceId: settings.instanceId,
-      write: () => undefined,
-    }),
-    random,
-    dialect: testDialect,
-    store: createFixedStore(
-      (upstream.address() as AddressInfo).port,
-      changes.route ?? {},
-    ),
-    readinessPath: '/ready',
-  });
-  await gateway.start();
-  await delay(clock, 100);
-  return {gateway, port: settings.callers.port};
-}
-
 async function stopUnderLoad(seed: number): Promise<readonly string[]> {
   const random = createSeededRandom(seed);
   const upstream = await startUpstream(random);
--- a/packages/gateway/src/peers/LoadExchange.ts
+++ b/packages/gateway/src/peers/LoadExchange.ts
@@ -1,9 +1,10 @@
 /**
  * Exchanges load reports and quarantine reports with peers over UDP.
  */
-import type {RemoteInfo} from 'node:dgram';
+import type {RemoteInfo, Socket} from 'node:dgram';
 import {createSocket} from 'node:dgram';
-import type {Clock, InstanceId} from '@toucanrouter/common';
+import type {Clock, InstanceId, ListenError} from '@toucanrouter/common';
+import {createListener} from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
 import type {QuarantineReport} from '@toucanrouter/policy';
 import type {ListenAddress} from '@toucanrouter/settings';
@@ -50,6 +51,16 @@
 export function createLoadExchange(options: LoadExchangeOptions): LoadExchange {
   const {clock, listen, logger, peers} = options;
   const socket = createSocket('udp4');
+  const listener = createListener({
+    clock,
+    log: logger,
+    purpose: 'reports of peers',
+    target: listen,
+    tryOpen: () => bindOnce(socket, listen),
+    undoOpen: () => undefined,
+    // The instance serves without reports, whatever the error is.
+    isFinal: () => false,
+  });
   const selfId = shortIdOf(options.instanceId);
   const startedAtMs = clock.wallMs();
   let sequence = 0;
@@ -73,6 +84,8 @@
   }
 
   function sendToPeers(datagram: Buffer): void {
+    // Sending binds an unbound socket to another port, for good.
+    if (!listener.isOpen()) return;
     for (const {host, port} of peers.addresses()) {
       socket.send(datagram, port, host, logSendError);
     }
@@ -124,20 +137,16 @@
       });
     } else if (report.instanceId !== selfId) options.onReport(report);
   });
-  const address = `${listen.host}:${listen.port}`;
-  socket.on('listening', () =>
-    logger.info('listener opened', {purpose: 'load reports', address}),
-  );
-  socket.on('error', (error: NodeJS.ErrnoException) =>
+  socket.on('error', (error: ListenError) => {
+    if (!listener.isOpen()) return;
     logger.error('socket of the load exchange failed', {
-      address,
       code: error.code,
       error: error.message,
-    }),
-  );
+    });
+  });
   return {
     start: () => {
-      socket.bind({address: listen.host, port: listen.port, exclusive: true});
+      void listener.open();
       schedule.start();
       quarantineSchedule.start();
     },
@@ -146,7 +155,27 @@
     close: () => {
       schedule.close();
       quarantineSchedule.close();
+      listener.close();
       socket.close();
     },
   };
 }
+
+function bindOnce(
+  socket: Socket,
+  {host, port}: ListenAddress,
+): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const onListening = () => {
+      socket.off('error', onError);
+      resolve(socket.address().port);
+    };
+    const onError = (error: Error) => {
+      socket.off('listening', onListening);
+      reject(error);
+    };
+    socket.once('listening', onListening);
+    socket.once('error', onError);
+    socket.bind({address: host, port, exclusive: true});
+  });
+}
