daemon: open listeners again whose address is taken at the start

A daemon whose port for callers, operators or peers is held by another process ended by itself with exit code 1, in the last case after it had joined the fleet. The holder may be a predecessor within its grace period, so the end says nothing about the settings, and it counts as a process that ended by itself.

Cause: each listener was tried once, as in the gateway. The daemon now uses the same Listener. It needs all three, so it waits for each; exit code 1 remains for errors that do not pass. Readiness names the listener for callers. A stop during the attempts leaves the fleet and ends with exit code 0; before, a stop during the start waited for the end of the start.

The hub listens by itself and hands connections to gRPC. gRPC hides the code of an error in a text, writes a line to standard error for each attempt, keeps a failed attempt as the result for that address, and leaves errors of accept without a handler, which ends the daemon.

An error of accept on the peers port was not played.

--- a/packages/common/src/Listener.ts
+++ b/packages/common/src/Listener.ts
@@ -196,9 +196,10 @@
   return listener;
 }
 
-function listenOnce(
+/** Tries to listen once; resolves with the port. */
+export function listenOnce(
   server: Server,
-  options: ListenTarget & {readonly backlog: number | undefined},
+  options: ListenTarget & {readonly backlog?: number | undefined},
 ): Promise<number> {
   return new Promise((resolve, reject) => {
     const onListening = () => {
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -134,6 +134,7 @@
   createListener,
   createServerListener,
   isLastingListenError,
+  listenOnce,
 } from './Listener.js';
 export type {RandomSource} from './Random.js';
 export {createProcessRandom, createSeededRandom} from './Random.js';
--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -12,7 +12,7 @@
 import {err, ok} from 'neverthrow';
 import type {Instance, InstanceOptions} from './Instance.js';
 import {createInstance} from './Instance.js';
-import {closeServer, listen} from './server/Listening.js';
+import {closeServer, createListening} from './server/Listening.js';
 import type {Servers} from './server/Servers.js';
 import {createServers} from './server/Servers.js';
 
@@ -38,45 +38,53 @@
 
 const drainPollMs = 20;
 
-/** Starts an instance; resolves when it is ready to serve requests. */
+/**
+ * Starts an instance; resolves when it is ready to serve requests. An abort of
+ * `stopSignal` ends a start that waits, with the error `shutting_down`.
+ */
 export async function startDaemon(
   options: InstanceOptions,
+  stopSignal: AbortSignal = new AbortController().signal,
 ): Promise<Result<Daemon, RouterError>> {
   const {clock, logger, settings} = options;
   const instance = createInstance(options);
-  const hub = await createPeerHub({
-    selfId: settings.instanceId,
-    listen: settings.peers,
-    clock,
-    createHeartbeat: instance.fleet.createHeartbeat,
-    onEnvelope: instance.fleet.receive,
-  });
+  const listening = createListening(options, stopSignal);
+  const hub = await listening.openHub(settings.peers, () =>
+    createPeerHub({
+      selfId: settings.instanceId,
+      listen: settings.peers,
+      clock,
+      createHeartbeat: instance.fleet.createHeartbeat,
+      onEnvelope: instance.fleet.receive,
+    }),
+  );
   if (hub.isErr()) return err(hub.error);
-  logger.info('listener opened', {
-    purpose: 'peers',
-    address: `${settings.peers.host}:${hub.value.port}`,
-  });
   instance.fleet.start(hub.value);
   instance.host.start();
   instance.permits.start();
   instance.quarantineExchange.start();
   const servers = createServers(options, instance, hub.value);
-  const adminPort = await listen(servers.admin, settings.admin, 'operators');
-  if (adminPort.isErr()) return err(adminPort.error);
-  logger.info('listener opened', {
-    purpose: 'operators',
-    address: `${settings.admin.host}:${adminPort.value}`,
-  });
+  const {admin, callers} = servers;
+  const adminPort = await listening.openServer(
+    admin,
+    settings.admin,
+    'operators',
+  );
+  if (adminPort.isErr()) return abandon(instance, adminPort.error);
   const listReader = startListReader(options, instance);
   await instance.configSource.start();
-  const {server} = servers.callers;
-  const callersPort = await listen(server, settings.callers, 'callers');
-  if (callersPort.isErr()) return err(callersPort.error);
-  logger.info('listener opened', {
-    purpose: 'callers',
-    address: `${settings.callers.host}:${callersPort.value}`,
-  });
   instance.readiness.markConfigKnown();
+  const callersPort = await listening.openServer(
+    callers.server,
+    settings.callers,
+    'callers',
+  );
+  if (callersPort.isErr()) {
+    listReader.close();
+    void closeServer(admin);
+    return abandon(instance, callersPort.error);
+  }
+  instance.readiness.markListening();
   const ports: DaemonPorts = {
     callersPort: callersPort.value,
     adminPort: adminPort.value,
@@ -87,6 +95,16 @@
   return ok({ports, close});
 }
 
+/** Leaves the fleet, so that its peers do not wait for this instance. */
+async function abandon(
+  instance: Instance,
+  error: RouterError,
+): Promise<Result<Daemon, RouterError>> {
+  instance.fleet.leave();
+  await instance.close();
+  return err(error);
+}
+
 function startListReader(
   {clock, logger, settings}: InstanceOptions,
   instance: Instance,
--- a/packages/daemon/src/bin/toucanrouterd.ts
+++ b/packages/daemon/src/bin/toucanrouterd.ts
@@ -66,6 +66,7 @@
   instanceId: settings.instanceId,
 });
 const clock = createSystemClock();
+const startAborter = new AbortController();
 let stopRequested = false;
 let stop = (): void => undefined;
 
@@ -74,14 +75,22 @@
   // Ignores further signals, so that they cannot cut the graceful stop short.
   if (stopRequested) return;
   stopRequested = true;
+  startAborter.abort();
   stop();
 }
 
 process.on('SIGTERM', requestStop);
 process.on('SIGINT', requestStop);
 
-const started = await startDaemon({settings, clock, logger});
+const started = await startDaemon(
+  {settings, clock, logger},
+  startAborter.signal,
+);
 if (started.isErr()) {
+  if (stopRequested) {
+    logger.info('instance has stopped before it was ready');
+    process.exit(0);
+  }
   logger.error('instance failed to start', {error: started.error.message});
   process.exit(failureExitCode);
 }
--- a/packages/daemon/src/server/Listening.ts
+++ b/packages/daemon/src/server/Listening.ts
@@ -1,28 +1,84 @@
 /**
- * Starts and stops HTTP servers.
+ * Opens the listeners of an instance and closes its HTTP servers.
  */
 import type {Server} from 'node:http';
-import type {AddressInfo} from 'node:net';
-import {RouterError} from '@toucanrouter/common';
-import {err, ok, ResultAsync} from 'neverthrow';
+import type {
+  Listener,
+  ListenerOptions,
+  ListenTarget,
+  RouterError,
+} from '@toucanrouter/common';
+import {
+  createListener,
+  createServerListener,
+  isLastingListenError,
+} from '@toucanrouter/common';
+import type {PeerHub} from '@toucanrouter/peer';
+import type {Result, ResultAsync} from 'neverthrow';
+import {ok} from 'neverthrow';
+import type {InstanceOptions} from '../Instance.js';
 
-/** Starts listening; resolves with the port. */
-export function listen(
-  server: Server,
-  address: {readonly host: string; readonly port: number},
-  purpose: string,
-): ResultAsync<number, RouterError> {
-  const listening = new Promise<Error | number>(resolve => {
-    server.once('error', resolve);
-    server.listen(address.port, address.host, () => {
-      resolve((server.address() as AddressInfo).port);
-    });
-  });
-  return ResultAsync.fromSafePromise(listening).andThen(outcome => {
-    if (typeof outcome === 'number') return ok(outcome);
-    const message = `cannot listen for ${purpose} on ${address.host}:${address.port}: ${outcome.message}`;
-    return err(new RouterError('settings_invalid', message, {cause: outcome}));
-  });
+/** Opens the listeners of one instance, until it is asked to stop. */
+export interface Listening {
+  /** Opens the listener of a server; resolves with the port. */
+  openServer(
+    server: Server,
+    target: ListenTarget,
+    purpose: string,
+  ): Promise<Result<number, RouterError>>;
+  /** Opens the listener for peers; resolves with the hub. */
+  openHub(
+    target: ListenTarget,
+    createHub: () => ResultAsync<PeerHub, RouterError>,
+  ): Promise<Result<PeerHub, RouterError>>;
+}
+
+/** Creates the opener of listeners; `stopSignal` ends its attempts. */
+export function createListening(
+  {clock, logger}: InstanceOptions,
+  stopSignal: AbortSignal,
+): Listening {
+  const optionsFor = (purpose: string, target: ListenTarget) =>
+    ({
+      clock,
+      log: logger,
+      purpose,
+      target,
+      // An instance that lacks one of its listeners is useless.
+      isFinal: isLastingListenError,
+    }) satisfies Partial<ListenerOptions>;
+
+  async function open(
+    listener: Listener,
+  ): Promise<Result<number, RouterError>> {
+    const close = () => listener.close();
+    stopSignal.addEventListener('abort', close);
+    if (stopSignal.aborted) close();
+    const outcome = await listener.open();
+    // From here on the listener is closed with its server.
+    stopSignal.removeEventListener('abort', close);
+    return outcome;
+  }
+
+  return {
+    openServer: (server, target, purpose) =>
+      open(createServerListener({...optionsFor(purpose, target), server})),
+    openHub: async (target, createHub) => {
+      let hub: PeerHub | undefined;
+      const listener = createListener({
+        ...optionsFor('peers', target),
+        tryOpen: async () => {
+          const created = await createHub();
+          if (created.isErr()) throw created.error.cause as Error;
+          hub = created.value;
+          return hub.port;
+        },
+        undoOpen: () => hub?.close(),
+      });
+      const opened = await open(listener);
+      return opened.andThen(() => ok(hub!));
+    },
+  };
 }
 
 /** Stops accepting connections; resolves when all connections are closed. */
--- a/packages/peer/src/PeerHub.ts
+++ b/packages/peer/src/PeerHub.ts
@@ -4,11 +4,13 @@
  * the stream opened by the instance with the lower id is kept and the other one
  * is closed.
  */
+import type {Server as TcpServer} from 'node:net';
+import {createServer as createTcpServer} from 'node:net';
 import type {ClientDuplexStream, ServerDuplexStream} from '@grpc/grpc-js';
 import {credentials, Server, ServerCredentials} from '@grpc/grpc-js';
-import type {Clock, InstanceId} from '@toucanrouter/common';
-import {RouterError, toInstanceId} from '@toucanrouter/common';
-import {errAsync, okAsync, ResultAsync} from 'neverthrow';
+import type {Clock, InstanceId, ListenTarget} from '@toucanrouter/common';
+import {listenOnce, RouterError, toInstanceId} from '@toucanrouter/common';
+import {ResultAsync} from 'neverthrow';
 import type {
   Envelope,
   Envelope__Output,
@@ -31,7 +33,7 @@
 
 export interface PeerHubOptions {
   readonly selfId: InstanceId;
-  readonly listen: {readonly host: string; readonly port: number};
+  readonly listen: ListenTarget;
   readonly clock: Clock;
   /**
    * Creates the heartbeat to send. It is also the first message on each link.
@@ -75,7 +77,7 @@
   | ClientDuplexStream<Envelope, Envelope__Output>
   | ServerDuplexStream<Envelope__Output, Envelope>;
 
-/** Creates a hub that listens for inbound links. */
+/** Creates a hub that listens for inbound links; it tries once to listen. */
 export function createPeerHub(
   options: PeerHubOptions,
 ): ResultAsync<PeerHub, RouterError> {
@@ -252,35 +254,37 @@
     close: () => {
       closed = true;
       for (const link of [...links]) link.close();
+      tcpServer.close();
       server.forceShutdown();
     },
   });
 
-  const {host, port} = options.listen;
-  return bindServer(server, `${host}:${port}`).map(createHub);
+  // The listener is not that of gRPC, which hides the code of an error, keeps
+  // the failed attempt for the address, and leaves errors of accept unhandled.
+  const injector = server.createConnectionInjector(
+    ServerCredentials.createInsecure(),
+  );
+  const tcpServer = createTcpServer(socket =>
+    injector.injectConnection(socket),
+  );
+  return listenForPeers(tcpServer, options.listen).map(port => {
+    // A connection that was not accepted is dialed again by its peer.
+    tcpServer.on('error', () => undefined);
+    return createHub(port);
+  });
 }
 
-function bindServer(
-  server: Server,
-  address: string,
+function listenForPeers(
+  server: TcpServer,
+  target: ListenTarget,
 ): ResultAsync<number, RouterError> {
-  return ResultAsync.fromSafePromise(
-    new Promise<number | Error>(resolve => {
-      server.bindAsync(
-        address,
-        ServerCredentials.createInsecure(),
-        (error, port) => resolve(error ?? port),
-      );
-    }),
-  ).andThen(result =>
-    typeof result === 'number'
-      ? okAsync(result)
-      : errAsync(
-          new RouterError(
-            'settings_invalid',
-            `cannot listen for peers on ${address}: ${result.message}`,
-            {cause: result},
-          ),
-        ),
+  return ResultAsync.fromPromise(
+    listenOnce(server, target),
+    cause =>
+      new RouterError(
+        'settings_invalid',
+        `cannot listen for peers on ${target.host}:${target.port}: ${(cause as Error).message}`,
+        {cause},
+      ),
   );
 }
--- /dev/null
+++ b/packages/standins/src/__tests__/process/DaemonFixtures.ts
@@ -0,0 +1,131 @@
+/**
+ * Fixtures of the tests that run one daemon process: its settings, its log and
+ * how it ended.
+ */
+import {spawn} from 'node:child_process';
+import {cpSync, mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import type {Server} from 'node:net';
+import {createServer} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {fileURLToPath} from 'node:url';
+import {findFreePorts} from '../../deployment/FreePorts.js';
+import {createPlatformStandIn} from '../../store/PlatformStandIn.js';
+
+const root = fileURLToPath(new URL('../../../../../', import.meta.url));
+const program = join(root, 'packages/daemon/src/bin/toucanrouterd.ts');
+const nodeOptions = ['--import=tsx', '--conditions=source'];
+const host = '127.0.0.1';
+const pollMs = 25;
+/** Far above the time that a process needs, also on a busy machine. */
+const waitLimitMs = 20_000;
+
+/** Ports of a daemon, by the key of its settings. */
+export interface DaemonSettingsPorts {
+  readonly callers: number;
+  readonly admin: number;
+  readonly peers: number;
+}
+
+/** A daemon process and its platform. */
+export interface DaemonProcess {
+  readonly ports: DaemonSettingsPorts;
+  output(): string;
+  /** Status and text of `/readyz`; undefined if it does not answer. */
+  readiness(): Promise<string | undefined>;
+  signal(signal: NodeJS.Signals): void;
+  /** The exit code or the signal that ended it; undefined while it runs. */
+  endedBy(): number | string | undefined;
+  close(): Promise<void>;
+}
+
+/** Takes a port as another process does. */
+export async function takePort(port: number): Promise<Server> {
+  const server = createServer(socket => socket.destroy());
+  await new Promise<void>(resolve => server.listen(port, host, resolve));
+  return server;
+}
+
+export function releasePort(server: Server): Promise<void> {
+  return new Promise(resolve => server.close(() => resolve()));
+}
+
+/** Polls until the condition holds; returns whether it did in time. */
+export async function waitUntil(
+  isMet: () => Promise<boolean> | boolean,
+): Promise<boolean> {
+  const endMs = performance.now() + waitLimitMs;
+  while (performance.now() < endMs) {
+    if (await isMet()) return true;
+    await sleep(pollMs);
+  }
+  return false;
+}
+
+export async function findDaemonPorts(): Promise<DaemonSettingsPorts> {
+  const [callers = 0, admin = 0, peers = 0] = await findFreePorts(3);
+  return {callers, admin, peers};
+}
+
+/** Starts a daemon; without a platform its configuration stays unknown. */
+export async function startDaemonProcess(
+  ports: DaemonSettingsPorts,
+  hasPlatform = true,
+): Promise<DaemonProcess> {
+  const platform = await createPlatformStandIn();
+  if (!hasPlatform) platform.setSwitches({outage: true});
+  const directory = mkdtempSync(join(tmpdir(), 'toucanrouter-daemon-'));
+  cpSync(join(root, 'samples'), directory, {recursive: true});
+  const settingsFile = join(directory, 'ports.ini');
+  writeFileSync(
+    settingsFile,
+    `[instance]
+id = router-1
+region = a
+failure_domain = a
+[listen]
+callers = ${host}:${ports.callers}
+admin = ${host}:${ports.admin}
+peers = ${host}:${ports.peers}
+[platform]
+key_value = ${platform.keyValueAddress}
+instance_list = ${platform.instanceListUrl}
+[admin]
+reader_token_file = tokens/reader
+writer_token_file = tokens/writer
+`,
+  );
+  const child = spawn(
+    process.execPath,
+    [...nodeOptions, program, '--settings', settingsFile],
+    {stdio: ['ignore', 'pipe', 'pipe'], cwd: root},
+  );
+  let output = '';
+  let endedBy: number | string | undefined;
+  child.stdout.on('data', chunk => (output += String(chunk)));
+  child.stderr.on('data', chunk => (output += String(chunk)));
+  child.once('exit', (code, signal) => {
+    endedBy = signal ?? code ?? undefined;
+  });
+  return {
+    ports,
+    output: () => output,
+    readiness: async () => {
+      try {
+        const response = await fetch(`http://${host}:${ports.admin}/readyz`);
+        return `${response.status} ${await response.text()}`;
+      } catch {
+        return undefined;
+      }
+    },
+    signal: signal => child.kill(signal),
+    endedBy: () => endedBy,
+    close: async () => {
+      child.kill('SIGKILL');
+      await platform.close();
+      rmSync(directory, {recursive: true});
+    },
+  };
+}
