daemon: end on SIGTERM while the platform does not answer

A daemon that started during an outage of the platform ignored SIGTERM and SIGINT until the platform or a peer had answered, so only SIGKILL ended it.

Cause: the handler waits for the end of the start, and the start reads the configuration until it succeeds.

--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -72,8 +72,8 @@
   );
   if (adminPort.isErr()) return abandon(instance, adminPort.error);
   const listReader = startListReader(options, instance);
-  await instance.configSource.start();
-  instance.readiness.markConfigKnown();
+  await Promise.race([instance.configSource.start(), whenAborted(stopSignal)]);
+  if (!stopSignal.aborted) instance.readiness.markConfigKnown();
   const callersPort = await listening.openServer(
     callers.server,
     settings.callers,
@@ -105,6 +105,13 @@
   return err(error);
 }
 
+function whenAborted(signal: AbortSignal): Promise<void> {
+  return new Promise(resolve => {
+    if (signal.aborted) resolve();
+    signal.addEventListener('abort', () => resolve(), {once: true});
+  });
+}
+
 function startListReader(
   {clock, logger, settings}: InstanceOptions,
   instance: Instance,
--- a/packages/standins/src/__tests__/process/DaemonPorts.test.ts
+++ b/packages/standins/src/__tests__/process/DaemonPorts.test.ts
@@ -56,3 +56,18 @@
     });
   }
 });
+
+describe('daemon without a platform', () => {
+  // Guards against a process that only SIGKILL can end.
+  it('ends with exit code 0 when it is stopped', async () => {
+    const daemon = await startDaemonProcess(await findDaemonPorts(), false);
+    try {
+      await waitUntil(async () => (await daemon.readiness()) !== undefined);
+      daemon.signal('SIGTERM');
+      await waitUntil(() => daemon.endedBy() !== undefined);
+      expect(daemon.endedBy()).to.equal(0);
+    } finally {
+      await daemon.close();
+    }
+  });
+});
