daemon: send nothing to an upstream while the pause that it asked for lasts

An upstream that rejects a request with 503 and Retry-After wants nothing from this instance for that time. It got new, queued and repeated requests, hedges, moves and resumptions all the same. Its rejections counted as faults of the engine, or as very fast responses of the service. Callers were sent there to be rejected again, and got 502 "unknown", or 503 without a time, for calls that had not run.

Cause: neither request path read the header, and the scheduler knows only "failed" and "completed".

The holder of the call keeps the pause (PausedUpstreams), by upstream and incarnation. acquireUpstream excludes upstreams that pause from the permit request, returns a permit unused and asks again with the next attempt number if the granted upstream pauses by then, and asks again when a pause ends, so that queued calls may use the upstream. Reserved permits are checked in the same way. All attempts need a permit, so no kind of them is left out.

If all upstreams pause that a call may use, it waits if the first is back within the target of its class, spread at random, and is refused as no_upstream with retryAfterMs otherwise, never shorter than the shortest pause. A call that has begun keeps waiting; if only the paused engine has its stream, it is resumed there after the pause. A rejection with a pause is released as unused: it is neither a fault nor a response time. It does not exclude the engine for the rest of the call.

The page test passes the two new metric sources.

Not covered: a request whose connection takes longer than half a second to open is sent although the pause began meanwhile.

--- a/packages/cli/src/__tests__/unit/Pages.test.ts
+++ b/packages/cli/src/__tests__/unit/Pages.test.ts
@@ -157,6 +157,8 @@
         allowance: 0,
         usedCount: 0,
       }),
+      pausedCount: zero,
+      refusalCounts: () => ({withPause: 0, withoutPause: 0}),
     });
     const text = await metrics.render();
     const names = [...text.matchAll(/^# TYPE (toucanrouter_\w+) /gm)].map(
--- a/packages/daemon/src/Instance.ts
+++ b/packages/daemon/src/Instance.ts
@@ -43,6 +43,7 @@
 import {createWorkspaceKeys} from './request/Authenticate.js';
 import {probeEngine} from './request/chat/EngineProbe.js';
 import {createPromptGuard} from './request/chat/PromptGuard.js';
+import {createPausedUpstreams} from './request/PausedUpstreams.js';
 import type {UpstreamAccess} from './request/UpstreamAccess.js';
 import {connectUpstream} from './request/UpstreamSocket.js';
 import {dispatchSchedulingMessage} from './scheduling/RemoteSchedulerPort.js';
@@ -130,6 +131,7 @@
     find: directory.find,
     onNews: () => quarantineExchange.notify(),
   });
+  const pausedUpstreams = createPausedUpstreams({clock, logger, directory});
   const quarantineExchange = createQuarantineExchange({
     clock,
     fleet,
@@ -150,6 +152,8 @@
       }),
       hedgeBudget: createHedgeBudget(),
       promptGuard,
+      pausedUpstreams,
+      random: createProcessRandom(),
     },
     claimedCalls: createClaimedCalls(clock, selfId, claims.router),
     configSource: createConfigSource(clock, logger, fleet, holder, configStore),
@@ -170,6 +174,7 @@
       instance.configSource.close();
       quarantineExchange.close();
       promptGuard.close();
+      pausedUpstreams.close();
       scheduling.permits.close();
       scheduling.host.close();
       await claims.close();
--- a/packages/daemon/src/Metrics.ts
+++ b/packages/daemon/src/Metrics.ts
@@ -10,6 +10,7 @@
   Registry,
 } from 'prom-client';
 import type {RetryBudgetStatus} from '@toucanrouter/policy';
+import type {RefusalCounts} from './request/PausedUpstreams.js';
 import type {FinishedCall} from './request/RecordCall.js';
 
 /** Values that are read when metrics are collected. */
@@ -24,6 +25,9 @@
   /** Prompt segments that are blocked now. */
   readonly quarantinedCount: () => number;
   readonly retryBudget: () => RetryBudgetStatus;
+  /** Upstreams that pause for this instance now. */
+  readonly pausedCount: () => number;
+  readonly refusalCounts: () => RefusalCounts;
 }
 
 /** The metrics of an instance. */
@@ -78,6 +82,7 @@
     registers,
   });
   registerGauges(registry, sources);
+  registerRefusals(registry, sources);
 
   function observeCall({exchange, error}: FinishedCall): void {
     const {stats, serviceClass} = exchange;
@@ -155,6 +160,11 @@
       'Retries of the window that are spent or set aside',
       () => sources.retryBudget().usedCount,
     ],
+    [
+      'toucanrouter_upstreams_paused',
+      'Upstreams that get no request now because they asked for a pause',
+      sources.pausedCount,
+    ],
   ];
   for (const [name, help, read] of gauges) {
     new Gauge({
@@ -167,3 +177,18 @@
     });
   }
 }
+
+function registerRefusals(registry: Registry, sources: MetricSources): void {
+  new Counter({
+    name: 'toucanrouter_upstream_refusals_total',
+    help: 'Requests that upstreams rejected for lack of capacity, by whether they asked for a pause',
+    labelNames: ['pause'],
+    registers: [registry],
+    collect() {
+      const {withPause, withoutPause} = sources.refusalCounts();
+      this.reset();
+      this.inc({pause: 'true'}, withPause);
+      this.inc({pause: 'false'}, withoutPause);
+    },
+  });
+}
--- a/packages/daemon/src/__tests__/unit/ChatCallFixture.ts
+++ b/packages/daemon/src/__tests__/unit/ChatCallFixture.ts
@@ -32,6 +32,7 @@
 import {createPromptGuard} from '../../request/chat/PromptGuard.js';
 import {parseChatRequest} from '../../request/chat/ChatRequest.js';
 import type {Exchange} from '../../request/Exchange.js';
+import {createPausedUpstreams} from '../../request/PausedUpstreams.js';
 import type {UpstreamAccess} from '../../request/UpstreamAccess.js';
 import type {
   Permit,
@@ -234,6 +235,12 @@
       retryBudget: createRetryBudget(),
       hedgeBudget: {...createHedgeBudget(), tryHedge: () => true},
       promptGuard,
+      pausedUpstreams: createPausedUpstreams({
+        clock,
+        logger: silentLogger,
+        directory,
+      }),
+      random: createSeededRandom(1),
     };
   }
 
--- a/packages/daemon/src/__tests__/unit/EngineAttempt.test.ts
+++ b/packages/daemon/src/__tests__/unit/EngineAttempt.test.ts
@@ -29,6 +29,7 @@
       body: '{}',
       lastEventId: undefined,
       signal: new AbortController().signal,
+      onRefused: () => undefined,
       onEvents: () => Promise.resolve(ok(undefined)),
     });
     ends.push(end);
--- a/packages/daemon/src/__tests__/unit/SuspectUpstreamsFixture.ts
+++ b/packages/daemon/src/__tests__/unit/SuspectUpstreamsFixture.ts
@@ -26,6 +26,7 @@
 import {createPromptGuard} from '../../request/chat/PromptGuard.js';
 import {formatEvent} from '../../request/chat/SseScanner.js';
 import type {CallTarget, Exchange} from '../../request/Exchange.js';
+import {createPausedUpstreams} from '../../request/PausedUpstreams.js';
 import type {UpstreamAccess} from '../../request/UpstreamAccess.js';
 import type {
   JobEnd,
@@ -243,6 +244,12 @@
     workspaceId: toWorkspaceId('w'),
     serviceClass: testClass,
   };
+  const logger = createLogger({
+    format: 'json',
+    level: 'error',
+    instanceId: toInstanceId('i'),
+    write: () => undefined,
+  });
   const access: UpstreamAccess = {
     clock,
     region: 'here',
@@ -254,17 +261,14 @@
     hedgeBudget,
     promptGuard: createPromptGuard({
       clock,
-      logger: createLogger({
-        format: 'json',
-        level: 'error',
-        instanceId: toInstanceId('i'),
-        write: () => undefined,
-      }),
+      logger,
       random: createSeededRandom(1),
       probe: () => Promise.resolve('unknown'),
       find: directory.find,
       onNews: () => undefined,
     }),
+    pausedUpstreams: createPausedUpstreams({clock, logger, directory}),
+    random: createSeededRandom(1),
   };
   const result = await options.serve(access, exchange);
   undoLimit();
--- a/packages/daemon/src/request/UpstreamAccess.ts
+++ b/packages/daemon/src/request/UpstreamAccess.ts
@@ -1,13 +1,18 @@
 /**
- * Access to upstreams and their permits for the filters that call upstreams.
+ * Access to upstreams and their permits for the filters that call upstreams. An
+ * upstream that pauses is excluded from each permit request; a permit for one
+ * that began to pause meanwhile is returned unused. If all upstreams pause that
+ * a call may use, it waits, or is refused if it would wait too long.
  */
 import type {
   BufferBudget,
   Clock,
+  RandomSource,
   RouterError as RouterErrorType,
+  Undo,
 } from '@toucanrouter/common';
 import type {ShardId, UpstreamId, UpstreamInfo} from '@toucanrouter/common';
-import {RouterError} from '@toucanrouter/common';
+import {RouterError, shardOf} from '@toucanrouter/common';
 import type {HedgeBudget, RetryBudget} from '@toucanrouter/policy';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
@@ -21,6 +26,7 @@
 import type {PromptGuard} from './chat/PromptGuard.js';
 import type {Exchange} from './Exchange.js';
 import {classOf, workspaceOf} from './Exchange.js';
+import type {PausedUpstreams} from './PausedUpstreams.js';
 
 /** The parts of the instance that calls to upstreams use. */
 export interface UpstreamAccess {
@@ -34,6 +40,8 @@
   readonly retryBudget: RetryBudget;
   readonly hedgeBudget: HedgeBudget;
   readonly promptGuard: PromptGuard;
+  readonly pausedUpstreams: PausedUpstreams;
+  readonly random: RandomSource;
 }
 
 /** A permit and the upstream that it grants a slot on. */
@@ -49,6 +57,15 @@
 > &
   Partial<Pick<PermitRequest, 'deadlineAtMs' | 'requestId'>>;
 
+/** The fields on which the use of upstreams that pause depends. */
+export type PauseFields = Pick<
+  AttemptFields,
+  'deadlineAtMs' | 'exclude' | 'hedge'
+>;
+
+/** Longest random delay that spreads the calls after the end of a pause. */
+const maxSpreadMs = 2_000;
+
 /** Returns the shard that serves a call. */
 export function shardFor(
   access: UpstreamAccess,
@@ -65,16 +82,64 @@
   return err(new RouterError('no_upstream', message));
 }
 
-/** Acquires a permit for one attempt of a call. */
+/**
+ * Acquires a permit for one attempt of a call. Permits that are requested again
+ * because of a pause are numbered by `nextAttempt`.
+ */
 export async function acquireUpstream(
   access: UpstreamAccess,
   exchange: Exchange,
   shardId: ShardId,
   fields: AttemptFields,
+  nextAttempt: () => number,
   signal: AbortSignal = exchange.signal,
 ): Promise<Result<GrantedUpstream, RouterErrorType>> {
-  const serviceClass = classOf(exchange);
   const requestedAtMs = access.clock.nowMs();
+  try {
+    for (let {attempt} = fields; ; attempt = nextAttempt()) {
+      await waitForPauses(access, exchange, shardId, fields, signal);
+      const refusal = signal.aborted
+        ? undefined
+        : refuseForPauses(access, exchange, shardId, fields);
+      if (refusal !== undefined) return err(refusal);
+      const numbered = {...fields, attempt};
+      const granted = await requestOnce(
+        access,
+        exchange,
+        shardId,
+        numbered,
+        signal,
+      );
+      if (granted !== undefined) return granted;
+    }
+  } finally {
+    exchange.stats.waitedMs += access.clock.nowMs() - requestedAtMs;
+  }
+}
+
+/**
+ * Requests a permit from upstreams that do not pause. Returns undefined if the
+ * request must be repeated because a pause has begun or ended.
+ */
+async function requestOnce(
+  access: UpstreamAccess,
+  exchange: Exchange,
+  shardId: ShardId,
+  fields: AttemptFields,
+  signal: AbortSignal,
+): Promise<Result<GrantedUpstream, RouterErrorType> | undefined> {
+  const serviceClass = classOf(exchange);
+  const paused = pausedIn(access, shardId);
+  const pauseEnd = new AbortController();
+  const undo =
+    paused.length === 0
+      ? () => undefined
+      : onPauseEnd(
+          access,
+          firstEndMs(access, paused),
+          () => pausedIn(access, shardId).length < paused.length,
+          () => pauseEnd.abort(),
+        );
   const granted = await access.permits.acquire(
     shardId,
     {
@@ -86,11 +151,137 @@
       deadlineAtMs: exchange.deadlineAtMs,
       idempotent: serviceClass.idempotent,
       ...fields,
+      exclude: [...new Set([...fields.exclude, ...paused.map(({id}) => id)])],
     },
-    signal,
+    paused.length === 0 ? signal : AbortSignal.any([signal, pauseEnd.signal]),
+  );
+  undo();
+  if (granted.isErr()) {
+    const isWithdrawn = granted.error.kind === 'canceled' && !signal.aborted;
+    return isWithdrawn && pauseEnd.signal.aborted
+      ? undefined
+      : err(granted.error);
+  }
+  return resolveUpstream(access, granted.value).match(
+    resolved => (returnIfPaused(access, resolved) ? undefined : ok(resolved)),
+    error => err(error),
   );
-  exchange.stats.waitedMs += access.clock.nowMs() - requestedAtMs;
-  return granted.andThen(permit => resolveUpstream(access, permit));
+}
+
+/** Returns the permit unused if its upstream pauses. */
+export function returnIfPaused(
+  access: UpstreamAccess,
+  {permit, upstream}: GrantedUpstream,
+): boolean {
+  if (access.pausedUpstreams.remainingMs(upstream) <= 0) return false;
+  permit.release({outcome: 'unused', wastedTokens: 0});
+  return true;
+}
+
+/** Returns the upstreams of a shard that pause, also those not in service. */
+function pausedIn(access: UpstreamAccess, shardId: ShardId): UpstreamInfo[] {
+  return access.directory
+    .all()
+    .filter(
+      upstream =>
+        shardOf(upstream) === shardId &&
+        access.pausedUpstreams.remainingMs(upstream) > 0,
+    );
+}
+
+function firstEndMs(
+  access: UpstreamAccess,
+  upstreams: readonly UpstreamInfo[],
+): number {
+  return Math.min(...upstreams.map(access.pausedUpstreams.remainingMs));
+}
+
+/** Returns when the first upstream is back; 0 unless all pause. */
+function allPauseMs(
+  access: UpstreamAccess,
+  shardId: ShardId,
+  {exclude}: PauseFields,
+): number {
+  const usable = access.directory
+    .inShard(shardId)
+    .filter(({id, leaving}) => !leaving && !exclude.includes(id));
+  return usable.length === 0 ? 0 : firstEndMs(access, usable);
+}
+
+/** Returns the time by which an upstream must be back for a call to wait. */
+function waitLimitAtMs(exchange: Exchange, fields: PauseFields): number {
+  if (fields.hedge) return -Infinity;
+  if (fields.deadlineAtMs !== undefined) return fields.deadlineAtMs;
+  const {maxWaitMs, target} = classOf(exchange);
+  const limitMs = target.firstTokenMs ?? target.totalMs ?? maxWaitMs;
+  return Math.min(exchange.arrivedAtMs + limitMs, exchange.deadlineAtMs);
+}
+
+/** Returns a random delay, so that calls do not follow a pause all at once. */
+function spreadMs({random}: UpstreamAccess, limitMs: number): number {
+  return random.next() * Math.min(limitMs, maxSpreadMs);
+}
+
+/** Waits while all upstreams pause, if one is back in time. */
+async function waitForPauses(
+  access: UpstreamAccess,
+  exchange: Exchange,
+  shardId: ShardId,
+  fields: PauseFields,
+  signal: AbortSignal,
+): Promise<void> {
+  const limitAtMs = waitLimitAtMs(exchange, fields);
+  for (;;) {
+    const pauseMs = allPauseMs(access, shardId, fields);
+    const slackMs = limitAtMs - access.clock.nowMs() - pauseMs;
+    if (pauseMs <= 0 || slackMs <= 0 || signal.aborted) return;
+    const delayMs = pauseMs + spreadMs(access, Math.min(pauseMs, slackMs));
+    await new Promise<void>(resolve => {
+      const finish = () => {
+        undo();
+        signal.removeEventListener('abort', finish);
+        resolve();
+      };
+      const isBack = () => allPauseMs(access, shardId, fields) <= 0;
+      const undo = onPauseEnd(access, delayMs, isBack, finish);
+      signal.addEventListener('abort', finish);
+    });
+  }
+}
+
+/** Calls `run` after `delayMs`, or when the upstreams change as awaited. */
+function onPauseEnd(
+  {clock, directory}: UpstreamAccess,
+  delayMs: number,
+  hasChanged: () => boolean,
+  run: () => void,
+): Undo {
+  const undos = [
+    clock.after(delayMs, run),
+    directory.registerChangeHandler(() => {
+      if (hasChanged()) run();
+    }),
+  ];
+  return () => undos.forEach(undo => undo());
+}
+
+/**
+ * Returns the refusal of a call if all upstreams pause that it may use, and
+ * none is back in time. Its delay is never shorter than the shortest pause.
+ */
+export function refuseForPauses(
+  access: UpstreamAccess,
+  exchange: Exchange,
+  shardId: ShardId,
+  fields: PauseFields,
+): RouterErrorType | undefined {
+  const pauseMs = allPauseMs(access, shardId, fields);
+  if (pauseMs <= 0) return undefined;
+  const limitAtMs = waitLimitAtMs(exchange, fields);
+  if (access.clock.nowMs() + pauseMs < limitAtMs) return undefined;
+  const message = 'all upstreams that may serve the request ask for a pause';
+  const retryAfterMs = Math.ceil(pauseMs + spreadMs(access, pauseMs));
+  return new RouterError('no_upstream', message, {retryAfterMs});
 }
 
 function resolveUpstream(
@@ -114,3 +305,19 @@
     .inShard(shardId)
     .some(upstream => upstream.id !== upstreamId && !upstream.leaving);
 }
+
+/** Returns whether a shard has another upstream in service that does not pause. */
+export function hasOtherUnpaused(
+  access: UpstreamAccess,
+  shardId: ShardId,
+  upstreamId: UpstreamId,
+): boolean {
+  return access.directory
+    .inShard(shardId)
+    .some(
+      upstream =>
+        upstream.id !== upstreamId &&
+        !upstream.leaving &&
+        access.pausedUpstreams.remainingMs(upstream) <= 0,
+    );
+}
--- a/packages/daemon/src/request/chat/ChatAttempt.ts
+++ b/packages/daemon/src/request/chat/ChatAttempt.ts
@@ -7,11 +7,11 @@
 import {err, ok} from 'neverthrow';
 import type {JobEnd} from '../../scheduling/PermitClient.js';
 import {classOf} from '../Exchange.js';
-import type {GrantedUpstream} from '../UpstreamAccess.js';
+import type {GrantedUpstream, UpstreamAccess} from '../UpstreamAccess.js';
 import {toUpstreamBody} from './ChatRequest.js';
 import type {ChatState, FinishedAttempt} from './ChatState.js';
 import type {AttemptEnd} from './EngineAttempt.js';
-import {runEngineAttempt} from './EngineAttempt.js';
+import {runEngineAttempt, serviceUnavailableStatus} from './EngineAttempt.js';
 import type {ScannedEvents} from './SseScanner.js';
 import type {AttemptStart} from './Transcript.js';
 
@@ -47,6 +47,12 @@
     body: toUpstreamBody(state.request, classOf(exchange).tier, prefix),
     lastEventId: resuming ? transcript.lastEventId : undefined,
     signal: AbortSignal.any([exchange.signal, abort.signal]),
+    onRefused: retryAfter =>
+      access.pausedUpstreams.recordRefusal(
+        upstream,
+        exchange.requestId,
+        retryAfter,
+      ),
     onEvents: events => {
       if (state.winner === undefined) {
         state.winner = granted;
@@ -72,13 +78,32 @@
       access.promptGuard.connectionBroke(upstream, requestId, sharedSegments),
     );
   }
-  permit.release(toJobEnd(state, kind));
+  const asksForPause = isPauseRequest(access, granted, end);
+  permit.release(
+    asksForPause
+      ? // A pause is neither a fault nor slowness of the upstream.
+        {outcome: 'unused', wastedTokens: 0}
+      : toJobEnd(state, kind),
+  );
   if (kind === 'complete' || kind === 'lost_race') {
     return {granted, start: effectiveStart, end: {kind}, preempted};
   }
   return {granted, start: effectiveStart, end, preempted};
 }
 
+/** Returns whether an engine rejected an attempt because it pauses. */
+export function isPauseRequest(
+  {pausedUpstreams}: UpstreamAccess,
+  {upstream}: GrantedUpstream,
+  end: FinishedAttempt['end'],
+): boolean {
+  return (
+    end.kind === 'rejected' &&
+    end.status === serviceUnavailableStatus &&
+    pausedUpstreams.remainingMs(upstream) > 0
+  );
+}
+
 /** Returns whether the engine may have ended while the request ran there. */
 function closedByEngine(end: AttemptEnd): boolean {
   if (end.kind === 'broken') {
--- a/packages/daemon/src/request/chat/ChatCall.ts
+++ b/packages/daemon/src/request/chat/ChatCall.ts
@@ -10,14 +10,22 @@
 import type {Exchange} from '../Exchange.js';
 import {abortError, classOf, permitError} from '../Exchange.js';
 import type {GrantedUpstream, UpstreamAccess} from '../UpstreamAccess.js';
-import {acquireUpstream} from '../UpstreamAccess.js';
+import {
+  acquireUpstream,
+  hasOtherUnpaused,
+  refuseForPauses,
+  returnIfPaused,
+} from '../UpstreamAccess.js';
 import {runAttempt} from './ChatAttempt.js';
 import {
+  canContinueElsewhere,
+  excludeRejecting,
   mayHedge,
   recordFailedCopy,
   recover,
   reserveRetry,
   toCallerError,
+  toRejectionError,
 } from './ChatRecovery.js';
 import type {ChatRequest} from './ChatRequest.js';
 import type {ChatState, FinishedAttempt} from './ChatState.js';
@@ -85,6 +93,11 @@
     const finished = await runWithHedge(state, granted.value, start);
     if (finished.end.kind === 'complete') return finishResponse(state);
     if (exchange.signal.aborted) return err(abortError(exchange, true));
+    excludeRejecting(state, finished);
+    const refusal = refuseUnstarted(state);
+    if (refusal !== undefined) {
+      return err(toRejectionError(finished) ?? refusal);
+    }
     const decision = await recover(state, finished);
     if (decision.kind === 'fail') {
       return err(toCallerError(state, decision, finished));
@@ -93,19 +106,48 @@
   }
 }
 
+/** Returns the refusal of a call that has not run and would wait too long. */
+function refuseUnstarted(state: ChatState): RouterError | undefined {
+  if (state.mayHaveRun || state.reserved !== undefined) return undefined;
+  return refuseForPauses(state.access, state.exchange, state.shardId, {
+    exclude: [...state.excluded],
+    hedge: false,
+  });
+}
+
+/** Waits for the end of a pause if only the paused engine has the stream. */
+async function waitForSameEngine(
+  state: ChatState,
+  start: AttemptStart,
+): Promise<void> {
+  const {access, exchange, lastUpstreamId} = state;
+  if (start !== 'resume' || canContinueElsewhere(state)) return;
+  for (;;) {
+    const upstream = lastUpstreamId && access.directory.find(lastUpstreamId);
+    if (upstream === undefined || exchange.signal.aborted) return;
+    const remainingMs = access.pausedUpstreams.remainingMs(upstream);
+    if (remainingMs <= 0) return;
+    await delayOrAbort(access.clock, remainingMs, exchange.signal);
+  }
+}
+
 async function acquireAttempt(
   state: ChatState,
   start: AttemptStart,
 ): Promise<Result<GrantedUpstream, RouterError>> {
   const {access, exchange, reserved, transcript} = state;
   state.reserved = undefined;
-  if (reserved !== undefined) return ok(reserved);
+  if (reserved !== undefined && !returnIfPaused(access, reserved)) {
+    return ok(reserved);
+  }
+  const nextAttempt = () => ++state.permitsRequested;
+  await waitForSameEngine(state, start);
   for (;;) {
     const started = transcript.tokens > 0;
     const refusal = access.promptGuard.check(state.request.sharedSegments);
     if (refusal !== undefined) return err(refusal);
-    const granted = await acquireUpstream(access, exchange, state.shardId, {
-      attempt: ++state.permitsRequested,
+    const fields = {
+      attempt: nextAttempt(),
       hedge: false,
       exclude: [...state.excluded],
       promptTokens: state.request.promptTokens + transcript.tokens,
@@ -117,7 +159,14 @@
       ...(started
         ? {deadlineAtMs: access.clock.nowMs() + startedPermitTimeoutMs}
         : {}),
-    });
+    };
+    const granted = await acquireUpstream(
+      access,
+      exchange,
+      state.shardId,
+      fields,
+      nextAttempt,
+    );
     if (granted.isOk()) return passGuard(state, granted.value);
     const attempted = exchange.stats.attempts > 0;
     if (!attempted || exchange.signal.aborted) return granted;
@@ -163,6 +212,8 @@
   granted.permit.onSuspect = () => {
     if (hedge !== undefined || move !== undefined) return;
     if (!classOf(state.exchange).idempotent) return;
+    const {access, shardId} = state;
+    if (!hasOtherUnpaused(access, shardId, granted.upstream.id)) return;
     if (state.transcript.tokens > 0) {
       // A later notification may find a free slot or more budget.
       move = moveToOtherUpstream(
@@ -229,6 +280,7 @@
       resume: {upstreamId: running.upstream.id, tokens: transcript.tokens},
       deadlineAtMs: access.clock.nowMs() + startedPermitTimeoutMs,
     },
+    () => ++state.permitsRequested,
     signal,
   );
   if (granted.isOk() && !signal.aborted && canContinueElsewhere(state)) {
@@ -242,11 +294,6 @@
   granted.value.permit.release({outcome: 'unused', wastedTokens: 0});
 }
 
-/** Returns whether another upstream can serve the rest, or the call afresh. */
-function canContinueElsewhere({exchange, transcript}: ChatState): boolean {
-  return !exchange.response.started || transcript.prefix() !== undefined;
-}
-
 async function runHedge(
   state: ChatState,
   first: GrantedUpstream,
@@ -268,6 +315,7 @@
       prefixHash: request.prefixHash,
       resume: undefined,
     },
+    () => ++state.permitsRequested,
     signal,
   );
   if (granted.isErr()) return undefined;
--- a/packages/daemon/src/request/chat/ChatRecovery.ts
+++ b/packages/daemon/src/request/chat/ChatRecovery.ts
@@ -4,7 +4,9 @@
 import {errorResponseFor, RouterError} from '@toucanrouter/common';
 import type {RecoveryDecision} from '@toucanrouter/policy';
 import {decideRecovery, maxAttempts} from '@toucanrouter/policy';
-import {hasOtherUpstream} from '../UpstreamAccess.js';
+import type {GrantedUpstream} from '../UpstreamAccess.js';
+import {hasOtherUnpaused, hasOtherUpstream} from '../UpstreamAccess.js';
+import {isPauseRequest} from './ChatAttempt.js';
 import type {ChatState, FinishedAttempt} from './ChatState.js';
 
 /**
@@ -27,14 +29,13 @@
   const crashes = await countCrashes(state);
   const nowMs = access.clock.nowMs();
   const upstreamId = granted.upstream.id;
-  const currentUpstream = access.directory.find(upstreamId);
+  const asksForPause = isPauseRequest(access, granted, finished.end);
   state.lastUpstreamId = upstreamId;
   if (!preempted) {
     // A response that progresses between faults completes in the end, so only
     // faults without progress count up, and engines that end under the call.
     const progressed = transcript.tokens > state.tokensBeforeAttempt;
     state.faults = progressed ? 1 : state.faults + 1;
-    if (finished.end.kind === 'rejected') state.excluded.add(upstreamId);
   }
   const started = transcript.tokens > 0;
   const decision = decideRecovery(
@@ -50,9 +51,8 @@
         : transcript.tokens,
       relayed: exchange.response.started,
       resumable: transcript.lastEventId !== undefined,
-      sameUpstreamUsable:
-        currentUpstream !== undefined && !state.excluded.has(upstreamId),
-      resumeFailed: finished.start === 'resume' && !preempted,
+      sameUpstreamUsable: isSameUsable(state, granted),
+      resumeFailed: finished.start === 'resume' && !preempted && !asksForPause,
       continuable: transcript.prefix() !== undefined,
       otherUpstreamUsable:
         state.reserved !== undefined ||
@@ -61,7 +61,7 @@
     () => spendRetry(state, nowMs),
   );
   if (decision.kind === 'continue' || decision.kind === 'restart') {
-    if (!preempted) state.excluded.add(upstreamId);
+    if (!preempted && !asksForPause) state.excluded.add(upstreamId);
   }
   if (decision.kind === 'restart') {
     exchange.stats.wastedTokens += transcript.tokens;
@@ -69,6 +69,41 @@
   return decision;
 }
 
+/**
+ * Excludes an upstream that rejected the call. One that asks for a pause is
+ * kept away by the pause, and may be used after it.
+ */
+export function excludeRejecting(
+  {access, excluded}: ChatState,
+  {end, granted, preempted}: FinishedAttempt,
+): void {
+  if (preempted || end.kind !== 'rejected') return;
+  if (!isPauseRequest(access, granted, end)) excluded.add(granted.upstream.id);
+}
+
+/**
+ * Returns whether the upstream of an attempt may be used again. If it pauses,
+ * another upstream is preferred to the wait, as far as the call can move.
+ */
+function isSameUsable(state: ChatState, {upstream}: GrantedUpstream): boolean {
+  const {access, excluded, shardId} = state;
+  const listed = access.directory.find(upstream.id);
+  if (listed === undefined || excluded.has(upstream.id)) return false;
+  return (
+    access.pausedUpstreams.remainingMs(listed) <= 0 ||
+    !canContinueElsewhere(state) ||
+    !hasOtherUnpaused(access, shardId, upstream.id)
+  );
+}
+
+/** Returns whether another upstream can serve the rest, or the call afresh. */
+export function canContinueElsewhere({
+  exchange,
+  transcript,
+}: ChatState): boolean {
+  return !exchange.response.started || transcript.prefix() !== undefined;
+}
+
 /**
  * Sets a retry aside before a running attempt may be given up, so that the call
  * does not fail for lack of one. Returns false if there is none.
@@ -107,6 +142,7 @@
 ): void {
   if (!failedEndKinds.has(end.kind)) return;
   state.faults += 1;
+  if (isPauseRequest(state.access, granted, end)) return;
   state.excluded.add(granted.upstream.id);
 }
 
@@ -129,11 +165,8 @@
   finished: FinishedAttempt,
 ): RouterError {
   const {end} = finished;
-  if (!mayHaveRun && end.kind === 'rejected' && isCallerError(end.status)) {
-    const detail = end.body.toString('utf8');
-    const message = `the engine refused the request: ${detail}`;
-    return new RouterError('bad_request', message);
-  }
+  const rejection = mayHaveRun ? undefined : toRejectionError(finished);
+  if (rejection !== undefined) return rejection;
   const reason =
     end.kind === 'broken'
       ? end.error.message
@@ -143,6 +176,16 @@
   return new RouterError(kind, reason);
 }
 
+/** Returns the error of an attempt that the engine rejected as invalid. */
+export function toRejectionError({
+  end,
+}: FinishedAttempt): RouterError | undefined {
+  if (end.kind !== 'rejected' || !isCallerError(end.status)) return undefined;
+  const detail = end.body.toString('utf8');
+  const message = `the engine refused the request: ${detail}`;
+  return new RouterError('bad_request', message);
+}
+
 function isCallerError(status: number): boolean {
   return status === 400 || status === 413 || status === 422;
 }
--- a/packages/daemon/src/request/chat/EngineAttempt.ts
+++ b/packages/daemon/src/request/chat/EngineAttempt.ts
@@ -48,6 +48,8 @@
   /** If set, the engine resumes the same request after this event. */
   readonly lastEventId: number | undefined;
   readonly signal: AbortSignal;
+  /** Called with the `Retry-After` of a rejection for lack of capacity. */
+  readonly onRefused: (retryAfter: string | string[] | undefined) => void;
   /** Handles complete events; an error ends the attempt as `broken`. */
   readonly onEvents: (
     events: ScannedEvents,
@@ -59,7 +61,9 @@
 
 const maxErrorBodyBytes = 64 * 1024;
 const maxPendingEventBytes = 1024 * 1024;
-const serviceUnavailableStatus = 503;
+
+/** The status of a rejection for lack of capacity. */
+export const serviceUnavailableStatus = 503;
 
 /** Runs one attempt to its end. */
 export async function runEngineAttempt(call: EngineCall): Promise<AttemptEnd> {
@@ -75,6 +79,9 @@
       bodyTimeout: engineIdleTimeoutMs,
     });
     const {statusCode} = response;
+    if (statusCode === serviceUnavailableStatus) {
+      call.onRefused(response.headers['retry-after']);
+    }
     if (isRejection(statusCode)) return await readRejection(response);
     if (statusCode === 200) return await readStream(response.body, call);
     await response.body.dump();
--- a/packages/daemon/src/request/plain/PlainCall.ts
+++ b/packages/daemon/src/request/plain/PlainCall.ts
@@ -9,6 +9,7 @@
   RouterError as RouterErrorType,
   ShardId,
   UpstreamId,
+  UpstreamInfo,
 } from '@toucanrouter/common';
 import {hopByHopHeaders, RouterError} from '@toucanrouter/common';
 import {decideRecovery} from '@toucanrouter/policy';
@@ -17,7 +18,12 @@
 import type {CallTarget, Exchange} from '../Exchange.js';
 import {abortError, classOf, permitError} from '../Exchange.js';
 import type {GrantedUpstream, UpstreamAccess} from '../UpstreamAccess.js';
-import {acquireUpstream, hasOtherUpstream} from '../UpstreamAccess.js';
+import {
+  acquireUpstream,
+  hasOtherUnpaused,
+  hasOtherUpstream,
+  returnIfPaused,
+} from '../UpstreamAccess.js';
 
 /** The complete response of a plain service. */
 export interface PlainResponse {
@@ -50,6 +56,9 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
+/** The status of a rejection for lack of capacity. */
+const serviceUnavailableStatus = 503;
+
 /** A plain call counts as one token in budgets and statistics. */
 const callCostTokens = 1;
 
@@ -125,10 +134,12 @@
 ): Promise<Result<GrantedUpstream, RouterErrorType>> {
   const {reserved} = state;
   state.reserved = undefined;
-  if (reserved !== undefined) return ok(reserved);
-  state.permitsRequested += 1;
-  return acquireUpstream(state.access, state.exchange, state.shardId, {
-    attempt: state.permitsRequested,
+  if (reserved !== undefined && !returnIfPaused(state.access, reserved)) {
+    return ok(reserved);
+  }
+  const nextAttempt = () => ++state.permitsRequested;
+  const fields = {
+    attempt: nextAttempt(),
     exclude: [...state.excluded],
     hedge: false,
     promptTokens: 0,
@@ -138,7 +149,9 @@
       state.preemptedUpstreamId === undefined
         ? undefined
         : {upstreamId: state.preemptedUpstreamId, tokens: 0},
-  });
+  };
+  const {access, exchange, shardId} = state;
+  return acquireUpstream(access, exchange, shardId, fields, nextAttempt);
 }
 
 function deadlineExceededError(): RouterErrorType {
@@ -170,10 +183,22 @@
         ? AbortSignal.any([exchange.signal, abort.signal])
         : undefined,
     });
+    if (response.statusCode === serviceUnavailableStatus) {
+      access.pausedUpstreams.recordRefusal(
+        upstream,
+        exchange.requestId,
+        response.headers['retry-after'],
+      );
+    }
     const body = await readBody(response.body, access.responseBuffers);
-    permit.recordTokens(callCostTokens);
-    access.hedgeBudget.recordWork(callCostTokens);
-    permit.release({outcome: 'completed', wastedTokens: 0});
+    if (isPauseRequest(access, upstream, response.statusCode)) {
+      // The time that a rejection takes says nothing about the upstream.
+      permit.release({outcome: 'unused', wastedTokens: 0});
+    } else {
+      permit.recordTokens(callCostTokens);
+      access.hedgeBudget.recordWork(callCostTokens);
+      permit.release({outcome: 'completed', wastedTokens: 0});
+    }
     exchange.stats.firstTokenMs = access.clock.nowMs() - exchange.arrivedAtMs;
     return ok({
       status: response.statusCode,
@@ -192,6 +217,18 @@
   }
 }
 
+/** Returns whether an upstream rejected a call because it pauses. */
+function isPauseRequest(
+  {pausedUpstreams}: UpstreamAccess,
+  upstream: UpstreamInfo,
+  status: number,
+): boolean {
+  return (
+    status === serviceUnavailableStatus &&
+    pausedUpstreams.remainingMs(upstream) > 0
+  );
+}
+
 async function readBody(
   body: Readable,
   responseBuffers: BufferBudget,
@@ -239,7 +276,7 @@
   permit.onPreempt = () => abort.abort();
   permit.onSuspect = () => {
     if (moving || abort.signal.aborted) return;
-    if (!hasOtherUpstream(state.access, state.shardId, upstream.id)) return;
+    if (!hasOtherUnpaused(state.access, state.shardId, upstream.id)) return;
     if (!state.access.hedgeBudget.tryHedge(callCostTokens)) return;
     moving = true;
     void moveToOtherUpstream(state, granted, abort, withdrawn).finally(
@@ -273,6 +310,7 @@
       prefixHash: undefined,
       resume: {upstreamId: running.upstream.id, tokens: 0},
     },
+    () => ++state.permitsRequested,
     signal,
   );
   if (granted.isOk() && !signal.aborted) {
--- a/packages/daemon/src/server/Servers.ts
+++ b/packages/daemon/src/server/Servers.ts
@@ -95,5 +95,7 @@
     crashCount: access.promptGuard.crashCount,
     quarantinedCount: access.promptGuard.blockedCount,
     retryBudget: () => access.retryBudget.status(access.clock.nowMs()),
+    pausedCount: access.pausedUpstreams.count,
+    refusalCounts: access.pausedUpstreams.refusalCounts,
   });
 }
