daemon: send nothing new to an upstream that announces in a response that it leaves

An upstream that is leaving says so in all its responses, but only the instance list and peers were read. Until the list caught up, it got new calls, hedges, moves, retries and resumptions.

The head of each response is now read for x-upstream-leaving: 1. The report goes the way of the others (UpstreamDirectory.markLeaving): it is an observation of the same fact about the same incarnation, and peers should know it. It marks the incarnation that the request was sent to, nothing else. The scheduler of a shard may run on another instance and learn of it later, so the holder excludes leaving upstreams from its permit requests and returns permits for them unused. What runs there goes on.

The directory kept only the highest reported incarnation of an upstream, so that a wrong report of a later one hid the true report of the present one. It now keeps each incarnation, within the same limit of entries. The header is taken out of what callers send, as a service that returns the headers it gets would seem to leave, and out of the responses to callers.

--- a/packages/daemon/src/__tests__/unit/EngineAttempt.test.ts
+++ b/packages/daemon/src/__tests__/unit/EngineAttempt.test.ts
@@ -29,7 +29,7 @@
       body: '{}',
       lastEventId: undefined,
       signal: new AbortController().signal,
-      onRefused: () => undefined,
+      onHead: () => undefined,
       onEvents: () => Promise.resolve(ok(undefined)),
     });
     ends.push(end);
--- a/packages/daemon/src/__tests__/unit/PausingUpstreamsFixture.ts
+++ b/packages/daemon/src/__tests__/unit/PausingUpstreamsFixture.ts
@@ -2,7 +2,7 @@
  * Calls of one instance, with its real scheduler, to upstreams on loopback that
  * reject requests and ask for pauses when a test says so.
  */
-import type {Server} from 'node:http';
+import type {IncomingHttpHeaders, OutgoingHttpHeaders, Server} from 'node:http';
 import {createServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {
@@ -40,6 +40,7 @@
 import {createPromptGuard} from '../../request/chat/PromptGuard.js';
 import type {Exchange} from '../../request/Exchange.js';
 import {createPausedUpstreams} from '../../request/PausedUpstreams.js';
+import type {PlainResponse} from '../../request/plain/PlainCall.js';
 import {servePlain} from '../../request/plain/PlainCall.js';
 import type {UpstreamAccess} from '../../request/UpstreamAccess.js';
 import type {Permit, PermitClient} from '../../scheduling/PermitClient.js';
@@ -56,6 +57,8 @@
   readonly kind: string;
   /** Status of a plain response. */
   readonly status: number | undefined;
+  /** Headers of a plain response. */
+  readonly headers: OutgoingHttpHeaders | undefined;
   readonly retryAfterMs: number | undefined;
   /** What the caller received as a stream. */
   readonly relayed: string;
@@ -81,6 +84,8 @@
   readonly serviceClass?: Partial<ServiceClass>;
   /** Called with each permit that the scheduler granted. */
   readonly onGranted?: (permit: Permit) => Promise<void> | void;
+  /** The scheduler does not know which upstreams are leaving. */
+  readonly schedulerLags?: boolean;
   /** Called after tokens were recorded; `tokens` counts all of the permit. */
   readonly onTokens?: (permit: Permit, tokens: number) => void;
 }
@@ -94,7 +99,13 @@
   list(entries: readonly (readonly [number, number])[]): void;
   /** An upstream rejects all requests with this header; undefined ends it. */
   reject(index: number, retryAfter: string | undefined): void;
+  /** An upstream says in all its responses that it is leaving, or stops that. */
+  leave(index: number, isLeaving: boolean): void;
+  /** Reports that an incarnation is leaving, as a peer does. */
+  reportLeaving(index: number, incarnation: number): void;
   arrivals(index: number): readonly Arrival[];
+  /** Headers of the requests that reached an upstream. */
+  headers(index: number): readonly IncomingHttpHeaders[];
   /** Returns how each permit was released, by upstream. */
   outcomes(index: number): readonly PermitOutcome[];
   readonly log: readonly LogLine[];
@@ -148,6 +159,8 @@
   const serviceClass = {...testClass, ...options.serviceClass};
   const directory = createUpstreamDirectory();
   const rejections = new Map<number, string>();
+  const leaving = new Set<number>();
+  const headers: IncomingHttpHeaders[][] = options.handlers.map(() => []);
   const arrivals: Arrival[][] = options.handlers.map(() => []);
   const outcomes = new Map<string, PermitOutcome[]>();
   let permitCount = 0;
@@ -159,6 +172,8 @@
   ): Promise<Server> {
     const server = createServer((message, response) => {
       const rejectedWith = rejections.get(index);
+      if (leaving.has(index)) response.setHeader('x-upstream-leaving', '1');
+      headers[index]!.push(message.headers);
       arrivals[index]!.push({atMs: clock.nowMs(), rejectedWith});
       if (rejectedWith !== undefined) {
         message.resume();
@@ -196,7 +211,11 @@
         createPermitId: () => toPermitId(`permit-${++permitCount}`),
       }),
     isOwned: () => true,
-    upstreamsOf: directory.inShard,
+    upstreamsOf: shard =>
+      directory.inShard(shard).map(info => ({
+        ...info,
+        leaving: info.leaving && options.schedulerLags !== true,
+      })),
     classes: () => [serviceClass],
     deliver: (shard, effect) => client.deliver(shard, selfId, effect),
     heartbeatAgeMs: () => 0,
@@ -268,7 +287,7 @@
     return {
       requestId,
       callerRequestId: undefined,
-      headers: {'idempotency-key': requestId},
+      headers: {'idempotency-key': requestId, 'x-upstream-leaving': '1'},
       body: Buffer.from(body),
       target: {kind: 'engine', serves: 'advisor', method: 'POST', path: '/'},
       response: {
@@ -304,7 +323,7 @@
     body: string,
     serve: (
       exchange: Exchange,
-    ) => Promise<Result<{readonly status: number} | void, RouterError>>,
+    ) => Promise<Result<PlainResponse | void, RouterError>>,
   ): Promise<CallOutcome> {
     const relayed: string[] = [];
     const exchange = createExchange(body, relayed);
@@ -313,6 +332,7 @@
     return {
       kind: result.isOk() ? 'answered' : result.error.kind,
       status: value === undefined ? undefined : value.status,
+      headers: value === undefined ? undefined : value.headers,
       retryAfterMs: result.isErr() ? result.error.retryAfterMs : undefined,
       relayed: relayed.join(''),
       totalMs: clock.nowMs() - exchange.arrivedAtMs,
@@ -343,7 +363,16 @@
       if (retryAfter === undefined) rejections.delete(index);
       else rejections.set(index, retryAfter);
     },
+    leave: (index, isLeaving) => {
+      if (isLeaving) leaving.add(index);
+      else leaving.delete(index);
+    },
+    reportLeaving: (index, incarnation) => {
+      const upstreamId = infoOf(index, incarnation).id;
+      directory.markLeaving({upstreamId, incarnation});
+    },
     arrivals: index => arrivals[index]!,
+    headers: index => headers[index]!,
     outcomes: index => outcomes.get(upstreamName(index)) ?? [],
     log,
     nowMs: clock.nowMs,
--- a/packages/daemon/src/fleet/UpstreamDirectory.ts
+++ b/packages/daemon/src/fleet/UpstreamDirectory.ts
@@ -40,17 +40,23 @@
   registerChangeHandler(handler: () => void): Undo;
 }
 
+function leavingKey({incarnation, upstreamId}: LeavingUpstream): string {
+  return `${incarnation}/${upstreamId}`;
+}
+
 /** Creates an empty directory. */
 export function createUpstreamDirectory(): UpstreamDirectory {
   let listed = new Map<UpstreamId, UpstreamInfo>();
   let drained = new Set<UpstreamId>();
-  // The incarnation of each upstream that was last reported as leaving.
-  const leavingIncarnations = new Map<UpstreamId, number>();
+  // Each incarnation stands for itself, so that a wrong report of one neither
+  // affects another nor hides its report.
+  const leavingIncarnations = new Map<string, LeavingUpstream>();
   const handlers = new Set<() => void>();
 
   function withLeaving(upstream: UpstreamInfo): UpstreamInfo {
-    const incarnation = leavingIncarnations.get(upstream.id);
-    const leaving = upstream.leaving || incarnation === upstream.incarnation;
+    const {id, incarnation} = upstream;
+    const key = leavingKey({upstreamId: id, incarnation});
+    const leaving = upstream.leaving || leavingIncarnations.has(key);
     return leaving === upstream.leaving ? upstream : {...upstream, leaving};
   }
 
@@ -58,18 +64,17 @@
     for (const handler of handlers) handler();
   }
 
-  function recordLeaving({upstreamId, incarnation}: LeavingUpstream): boolean {
-    const knownIncarnation = leavingIncarnations.get(upstreamId) ?? -1;
-    if (knownIncarnation >= incarnation) return false;
-    leavingIncarnations.delete(upstreamId);
-    leavingIncarnations.set(upstreamId, incarnation);
+  function recordLeaving(leaving: LeavingUpstream): boolean {
+    const key = leavingKey(leaving);
+    if (leavingIncarnations.has(key)) return false;
+    leavingIncarnations.set(key, leaving);
     if (leavingIncarnations.size > maxLeavingUpstreams) evictOldestLeaving();
     return true;
   }
 
   function evictOldestLeaving(): void {
-    for (const upstreamId of leavingIncarnations.keys()) {
-      leavingIncarnations.delete(upstreamId);
+    for (const key of leavingIncarnations.keys()) {
+      leavingIncarnations.delete(key);
       return;
     }
   }
@@ -116,9 +121,7 @@
       ),
     ],
     leaving: () =>
-      [...leavingIncarnations]
-        .slice(-leavingUpstreamsPerHeartbeat)
-        .map(([upstreamId, incarnation]) => ({upstreamId, incarnation})),
+      [...leavingIncarnations.values()].slice(-leavingUpstreamsPerHeartbeat),
     setListed,
     markLeaving,
     setDrained: upstreamIds => {
--- a/packages/daemon/src/request/UpstreamAccess.ts
+++ b/packages/daemon/src/request/UpstreamAccess.ts
@@ -1,7 +1,8 @@
 /**
  * Access to upstreams and their permits for the filters that call upstreams. An
- * upstream that pauses is excluded from each permit request; a permit for one
- * that began to pause meanwhile is returned unused. If all upstreams pause that
+ * upstream that pauses or is leaving is excluded from each permit request, as
+ * its scheduler may not know yet; a permit for one that began to pause or to
+ * leave meanwhile is returned unused. If all upstreams pause that
  * a call may use, it waits, or is refused if it would wait too long.
  */
 import type {
@@ -130,6 +131,7 @@
 ): Promise<Result<GrantedUpstream, RouterErrorType> | undefined> {
   const serviceClass = classOf(exchange);
   const paused = pausedIn(access, shardId);
+  const unusable = [...paused, ...leavingIn(access, shardId)];
   const pauseEnd = new AbortController();
   const undo =
     paused.length === 0
@@ -151,7 +153,7 @@
       deadlineAtMs: exchange.deadlineAtMs,
       idempotent: serviceClass.idempotent,
       ...fields,
-      exclude: [...new Set([...fields.exclude, ...paused.map(({id}) => id)])],
+      exclude: [...new Set([...fields.exclude, ...unusable.map(({id}) => id)])],
     },
     paused.length === 0 ? signal : AbortSignal.any([signal, pauseEnd.signal]),
   );
@@ -163,17 +165,19 @@
       : err(granted.error);
   }
   return resolveUpstream(access, granted.value).match(
-    resolved => (returnIfPaused(access, resolved) ? undefined : ok(resolved)),
+    resolved => (returnIfUnusable(access, resolved) ? undefined : ok(resolved)),
     error => err(error),
   );
 }
 
-/** Returns the permit unused if its upstream pauses. */
-export function returnIfPaused(
+/** Returns the permit unused if its upstream pauses or is leaving. */
+export function returnIfUnusable(
   access: UpstreamAccess,
   {permit, upstream}: GrantedUpstream,
 ): boolean {
-  if (access.pausedUpstreams.remainingMs(upstream) <= 0) return false;
+  const isPaused = access.pausedUpstreams.remainingMs(upstream) > 0;
+  const isLeaving = access.directory.find(upstream.id)?.leaving === true;
+  if (!isPaused && !isLeaving) return false;
   permit.release({outcome: 'unused', wastedTokens: 0});
   return true;
 }
@@ -189,6 +193,12 @@
     );
 }
 
+function leavingIn(access: UpstreamAccess, shardId: ShardId): UpstreamInfo[] {
+  return access.directory
+    .all()
+    .filter(upstream => upstream.leaving && shardOf(upstream) === shardId);
+}
+
 function firstEndMs(
   access: UpstreamAccess,
   upstreams: readonly UpstreamInfo[],
--- a/packages/daemon/src/request/chat/ChatAttempt.ts
+++ b/packages/daemon/src/request/chat/ChatAttempt.ts
@@ -7,11 +7,12 @@
 import {err, ok} from 'neverthrow';
 import type {JobEnd} from '../../scheduling/PermitClient.js';
 import {classOf} from '../Exchange.js';
+import {receiveHead, serviceUnavailableStatus} from '../ResponseHeads.js';
 import type {GrantedUpstream, UpstreamAccess} from '../UpstreamAccess.js';
 import {toUpstreamBody} from './ChatRequest.js';
 import type {ChatState, FinishedAttempt} from './ChatState.js';
 import type {AttemptEnd} from './EngineAttempt.js';
-import {runEngineAttempt, serviceUnavailableStatus} from './EngineAttempt.js';
+import {runEngineAttempt} from './EngineAttempt.js';
 import type {ScannedEvents} from './SseScanner.js';
 import type {AttemptStart} from './Transcript.js';
 
@@ -47,12 +48,7 @@
     body: toUpstreamBody(state.request, classOf(exchange).tier, prefix),
     lastEventId: resuming ? transcript.lastEventId : undefined,
     signal: AbortSignal.any([exchange.signal, abort.signal]),
-    onRefused: retryAfter =>
-      access.pausedUpstreams.recordRefusal(
-        upstream,
-        exchange.requestId,
-        retryAfter,
-      ),
+    onHead: head => receiveHead(access, upstream, exchange.requestId, head),
     onEvents: events => {
       if (state.winner === undefined) {
         state.winner = granted;
--- a/packages/daemon/src/request/chat/ChatCall.ts
+++ b/packages/daemon/src/request/chat/ChatCall.ts
@@ -14,7 +14,7 @@
   acquireUpstream,
   hasOtherUnpaused,
   refuseForPauses,
-  returnIfPaused,
+  returnIfUnusable,
 } from '../UpstreamAccess.js';
 import {runAttempt} from './ChatAttempt.js';
 import {
@@ -137,7 +137,7 @@
 ): Promise<Result<GrantedUpstream, RouterError>> {
   const {access, exchange, reserved, transcript} = state;
   state.reserved = undefined;
-  if (reserved !== undefined && !returnIfPaused(access, reserved)) {
+  if (reserved !== undefined && !returnIfUnusable(access, reserved)) {
     return ok(reserved);
   }
   const nextAttempt = () => ++state.permitsRequested;
--- a/packages/daemon/src/request/chat/ChatRecovery.ts
+++ b/packages/daemon/src/request/chat/ChatRecovery.ts
@@ -89,6 +89,7 @@
   const {access, excluded, shardId} = state;
   const listed = access.directory.find(upstream.id);
   if (listed === undefined || excluded.has(upstream.id)) return false;
+  if (listed.leaving) return false;
   return (
     access.pausedUpstreams.remainingMs(listed) <= 0 ||
     !canContinueElsewhere(state) ||
--- a/packages/daemon/src/request/chat/EngineAttempt.ts
+++ b/packages/daemon/src/request/chat/EngineAttempt.ts
@@ -14,6 +14,8 @@
 import type {Result} from 'neverthrow';
 import type {Dispatcher} from 'undici';
 import {errors} from 'undici';
+import type {ResponseHead} from '../ResponseHeads.js';
+import {serviceUnavailableStatus} from '../ResponseHeads.js';
 import type {ScannedEvents} from './SseScanner.js';
 import {createSseScanner} from './SseScanner.js';
 
@@ -48,8 +50,7 @@
   /** If set, the engine resumes the same request after this event. */
   readonly lastEventId: number | undefined;
   readonly signal: AbortSignal;
-  /** Called with the `Retry-After` of a rejection for lack of capacity. */
-  readonly onRefused: (retryAfter: string | string[] | undefined) => void;
+  readonly onHead: (head: ResponseHead) => void;
   /** Handles complete events; an error ends the attempt as `broken`. */
   readonly onEvents: (
     events: ScannedEvents,
@@ -62,9 +63,6 @@
 const maxErrorBodyBytes = 64 * 1024;
 const maxPendingEventBytes = 1024 * 1024;
 
-/** The status of a rejection for lack of capacity. */
-export const serviceUnavailableStatus = 503;
-
 /** Runs one attempt to its end. */
 export async function runEngineAttempt(call: EngineCall): Promise<AttemptEnd> {
   try {
@@ -79,9 +77,7 @@
       bodyTimeout: engineIdleTimeoutMs,
     });
     const {statusCode} = response;
-    if (statusCode === serviceUnavailableStatus) {
-      call.onRefused(response.headers['retry-after']);
-    }
+    call.onHead(response);
     if (isRejection(statusCode)) return await readRejection(response);
     if (statusCode === 200) return await readStream(response.body, call);
     await response.body.dump();
--- a/packages/daemon/src/request/plain/PlainCall.ts
+++ b/packages/daemon/src/request/plain/PlainCall.ts
@@ -17,12 +17,17 @@
 import {err, ok} from 'neverthrow';
 import type {CallTarget, Exchange} from '../Exchange.js';
 import {abortError, classOf, permitError} from '../Exchange.js';
+import {
+  leavingHeader,
+  receiveHead,
+  serviceUnavailableStatus,
+} from '../ResponseHeads.js';
 import type {GrantedUpstream, UpstreamAccess} from '../UpstreamAccess.js';
 import {
   acquireUpstream,
   hasOtherUnpaused,
   hasOtherUpstream,
-  returnIfPaused,
+  returnIfUnusable,
 } from '../UpstreamAccess.js';
 
 /** The complete response of a plain service. */
@@ -47,6 +52,8 @@
   'x-request-id',
   'x-request-timeout-ms',
   'x-service-class',
+  // A service may return headers that it received.
+  leavingHeader,
 ]);
 
 const connectFailureCodes = new Set([
@@ -56,9 +63,6 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
-/** The status of a rejection for lack of capacity. */
-const serviceUnavailableStatus = 503;
-
 /** A plain call counts as one token in budgets and statistics. */
 const callCostTokens = 1;
 
@@ -134,7 +138,7 @@
 ): Promise<Result<GrantedUpstream, RouterErrorType>> {
   const {reserved} = state;
   state.reserved = undefined;
-  if (reserved !== undefined && !returnIfPaused(state.access, reserved)) {
+  if (reserved !== undefined && !returnIfUnusable(state.access, reserved)) {
     return ok(reserved);
   }
   const nextAttempt = () => ++state.permitsRequested;
@@ -183,13 +187,7 @@
         ? AbortSignal.any([exchange.signal, abort.signal])
         : undefined,
     });
-    if (response.statusCode === serviceUnavailableStatus) {
-      access.pausedUpstreams.recordRefusal(
-        upstream,
-        exchange.requestId,
-        response.headers['retry-after'],
-      );
-    }
+    receiveHead(access, upstream, exchange.requestId, response);
     const body = await readBody(response.body, access.responseBuffers);
     if (isPauseRequest(access, upstream, response.statusCode)) {
       // The time that a rejection takes says nothing about the upstream.
@@ -388,7 +386,8 @@
 ): OutgoingHttpHeaders {
   const forwarded: OutgoingHttpHeaders = {};
   for (const [name, value] of Object.entries(headers)) {
-    if (value !== undefined && !perConnectionHeaders.has(name)) {
+    if (name === leavingHeader || perConnectionHeaders.has(name)) continue;
+    if (value !== undefined) {
       forwarded[name] = value;
     }
   }
