gateway: send nothing to an upstream that has asked for a pause

Upstreams that reject a request with 503 and Retry-After got further requests of the same instance within that time. Callers lost attempts to upstreams that had said that they would reject them.

The cause: nothing kept the stated time. After a refusal an upstream was only avoided for 150 ms, and was used even then if no other was left.

The placement of every attempt (new requests, hedges, retries, resumptions) now leaves out the processes that pause, and a request that waits for its connection is checked again before it is written. If all upstreams that a request may use pause, it waits if its response can still begin within the target latency; otherwise it gets a true "not run" whose Retry-After ends after the first pause. Pauses are kept by id and start of the process, so a changed or lapsed entry does not end them and a restart does. Such a rejection is no failure of the upstream, and the pools are computed over all engines as before.

--- a/packages/bench/src/placement/FleetSimulation.ts
+++ b/packages/bench/src/placement/FleetSimulation.ts
@@ -170,6 +170,7 @@
       knowledge,
       failureDomain: `domain-${index % scenario.failureDomains}`,
       registry: {usable: () => entries},
+      upstreamNotices: {pauseRemainingMs: () => 0},
       reportSoon: schedule.reportSoon,
     };
     return variant({context, knowledge});
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -145,14 +145,16 @@
   const registry = createUpstreamRegistry({
     clock,
     leavingDelayMs: () => settings.leavingDelayMs,
-    onAdded: entry =>
+    onAdded: entry => {
+      upstreamNotices.upstreamAdded(entry);
       logger.info(
         entry.leaving ? 'upstream is leaving' : 'upstream is usable',
         {
           upstream: entry.id,
           service: entry.service,
         },
-      ),
+      );
+    },
     onRemoved: (entry, reason) => {
       knowledge.forget(entry.id);
       logger.info('upstream removed', {upstream: entry.id, reason});
@@ -176,6 +178,7 @@
     onNews: () => exchange.reportQuarantineSoon(),
   });
   const upstreamNotices = createUpstreamNotices({
+    clock,
     logger,
     onRefused: (entry, asksForPause) =>
       metrics.observeRefusal(entry.service, asksForPause),
@@ -280,6 +283,7 @@
         service,
         ...budget.status(clock.nowMs()),
       })),
+    pausedCount: upstreamNotices.pausedCount,
   });
 
   function notReadyReason(): string | undefined {
@@ -438,6 +442,7 @@
       sync.close();
       exchange.close();
       promptGuard.close();
+      upstreamNotices.close();
       registration.close();
       const cutRequests = gatewayServer.inProgress();
       await answerOpenRequests();
--- a/packages/gateway/src/__tests__/unit/GatewayMetrics.test.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayMetrics.test.ts
@@ -16,6 +16,7 @@
     crashCount: zero,
     quarantinedCount: zero,
     retryBudgets: () => [],
+    pausedCount: () => 0,
     ...overrides,
   };
 }
--- a/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
@@ -28,11 +28,16 @@
 import {testDialect} from './TestDialect.js';
 
 async function startServer(server: Server): Promise<number> {
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  if (!server.listening) {
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  }
   return (server.address() as AddressInfo).port;
 }
 
-/** Starts a gateway in front of `upstreams`, which it closes with itself. */
+/**
+ * Starts a gateway in front of `upstreams`, which it closes with itself. Several
+ * gateways may share them.
+ */
 export async function startGateway(
   route: Partial<GatewayRoute>,
   upstreams: readonly Server[],
@@ -86,6 +91,7 @@
       onNews: () => undefined,
     }),
     upstreamNotices: createUpstreamNotices({
+      clock,
       logger,
       onRefused: () => undefined,
     }),
@@ -99,8 +105,12 @@
   return {
     port,
     ended,
+    registry,
+    upstreamNotices: context.upstreamNotices,
+    knowledge: context.knowledge,
     inProgress: gateway.inProgress,
     close: async () => {
+      context.upstreamNotices.close();
       await connections.close();
       gateway.server.closeAllConnections();
       for (const server of [gateway.server, ...upstreams]) server.close();
--- a/packages/gateway/src/__tests__/unit/RetryDecision.test.ts
+++ b/packages/gateway/src/__tests__/unit/RetryDecision.test.ts
@@ -56,6 +56,16 @@
     });
   });
 
+  // Guards against a failed request, or a spent retry, for a pause of an upstream.
+  it('places a withdrawn request again without a retry, however often', () => {
+    const withdrawn: AttemptResult = {kind: 'withdrawn', reason: 'pause'};
+    const progress = createProgress({retryPolicy: 'never', notSentCount: 9});
+    expect(nextStep(withdrawn, progress)).to.deep.equal({
+      step: 'repeat',
+      costsBudget: false,
+    });
+  });
+
   it('does not report "not run" when an earlier upstream may have run the request', () => {
     const progress = createProgress({mayHaveRun: true, upstreamsUsed: 2});
     expect(nextStep(notRun, progress)).to.deep.equal({
--- a/packages/gateway/src/request/Attempt.ts
+++ b/packages/gateway/src/request/Attempt.ts
@@ -20,6 +20,8 @@
 export type AttemptResult =
   /** The request did not leave this instance. */
   | {readonly kind: 'unsent'; readonly reason: string}
+  /** The request was not sent because the upstream asked for a pause. */
+  | {readonly kind: 'withdrawn'; readonly reason: string}
   /** Another upstream responded at the address. */
   | {readonly kind: 'misdirected'; readonly reason: string}
   /** The upstream states that it did not run the request. */
@@ -46,10 +48,11 @@
 
 /**
  * Returns the outcome that counts for the upstream's health. A misdirected
- * request has none, since another upstream responded.
+ * request has none, since another upstream responded, and neither has one that
+ * was withdrawn.
  */
 export function outcomeOf(
-  result: Exclude<AttemptResult, {kind: 'misdirected'}>,
+  result: Exclude<AttemptResult, {kind: 'misdirected' | 'withdrawn'}>,
 ): UpstreamOutcome {
   switch (result.kind) {
     case 'unsent':
@@ -102,6 +105,8 @@
   /** Longest idle time of a connection that may carry the request. */
   readonly maxIdleMs: number;
   readonly stallLimits: StallLimits;
+  /** Returns why the request must not be sent any more, or undefined. */
+  readonly withdrawalReason: () => string | undefined;
   /** Called with the head of a response that belongs to the request. */
   readonly onResponseHead: (head: UpstreamResponse) => void;
   /** Called when a sent request makes no progress, and again while it lasts. */
@@ -137,6 +142,7 @@
   let response: UpstreamResponse | undefined;
   let streaming = false;
   let sent = false;
+  let withdrawn = false;
   let firstResponseRecorded = false;
   let finished = false;
   let canceled = false;
@@ -282,6 +288,11 @@
       maxIdleMs: options.maxIdleMs,
     },
     {
+      withdrawalReason: () => {
+        const reason = options.withdrawalReason();
+        withdrawn = reason !== undefined;
+        return reason;
+      },
       sent: () => {
         sent = true;
       },
@@ -302,12 +313,10 @@
       },
       data: handleChunk,
       ended: handleEnd,
-      failed: error =>
-        finish(
-          sent
-            ? {kind: 'broken', reason: error.message}
-            : {kind: 'unsent', reason: error.message},
-        ),
+      failed: ({message: reason}) => {
+        if (withdrawn) finish({kind: 'withdrawn', reason});
+        else finish({kind: sent ? 'broken' : 'unsent', reason});
+      },
     },
   );
   return {
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -11,6 +11,7 @@
   RouterError,
 } from '@toucanrouter/common';
 import type {RetryBudget, RetryReservation} from '@toucanrouter/policy';
+import type {GatewayRoute} from '../config/GatewayConfig.js';
 import {pickService} from '../config/RouteTable.js';
 import type {Choice} from '../upstreams/UpstreamChoice.js';
 import type {AdmittedRequest} from './Admission.js';
@@ -35,7 +36,7 @@
 import {createRequestPlacement} from './RequestPlacement.js';
 import {nextStep, stepWithoutRetry} from './RetryDecision.js';
 import {upstreamPriority} from './UpstreamPriority.js';
-import {retryDelayMs} from './RetryAfter.js';
+import {pausedRetryDelayMs, retryDelayMs} from './RetryAfter.js';
 import {createUpstreamUse} from './UpstreamUse.js';
 import type {StallLimits} from './StallWatch.js';
 
@@ -57,6 +58,11 @@
 const betweenEventsGaps = 3;
 const minBetweenEventsLimitMs = 700;
 const shutdownRetryAfterMs = 50;
+/**
+ * Time over which requests that waited for the end of a pause are spread, in
+ * target latencies.
+ */
+const pauseSpreadTargets = 0.2;
 
 /** Serves a request from its head to the end of its response. */
 export async function serveRequest(
@@ -99,6 +105,11 @@
   failWith(error: RouterError): void;
 }
 
+/** True if the upstream that was chosen did not receive the request. */
+function isUnreceived({kind}: AttemptResult): boolean {
+  return kind === 'unsent' || kind === 'withdrawn' || kind === 'misdirected';
+}
+
 function createRequestHandler(
   context: GatewayContext,
   request: CallerRequest,
@@ -107,6 +118,10 @@
   const {clock, config, configAge, knowledge, logger, random} = context;
   const arrivedAtMs = clock.nowMs();
   const upstreams: UpstreamId[] = [];
+  /** Upstreams that are not chosen again, unless they are returnable. */
+  const triedUpstreams = new Set<UpstreamId>();
+  /** Upstreams that rejected the request and asked for a pause. */
+  const pausingUpstreams = new Set<UpstreamId>();
   let admittedRequest: AdmittedRequest | undefined;
   let deadlineMs = Infinity;
   /** When a caller that has got no byte of a response gets its final answer. */
@@ -117,7 +132,9 @@
   const upstreamUse = createUpstreamUse();
   let returnReservation: RetryReservation | undefined;
   let lastChoice: Choice | undefined;
+  let currentPlacement: RequestPlacement | undefined;
   let firstAnswerMs: number | undefined;
+  let lastEventAtMs: number | undefined;
   let eventCount = 0;
   let longestPauseMs = 0;
   let quarantinedSegment: string | undefined;
@@ -126,6 +143,7 @@
   let unhedgedLogged = false;
   let callerDisconnected = false;
   let cancelTimeout = (): void => undefined;
+  let endWait = (): void => undefined;
   const progress = {
     notSentCount: 0,
     misdirectedCount: 0,
@@ -159,6 +177,7 @@
     if (recorded) return;
     recorded = true;
     cancelTimeout();
+    endWait();
     returnReservation?.close();
     context.onEnded({
       requestId: request.requestId,
@@ -196,13 +215,17 @@
   function refuse(kind: ErrorKind, reason: string, backlogMs = 0): void {
     const notRun = kind === 'overloaded' || kind === 'no_upstream';
     if (!notRun || admittedRequest === undefined) return fail(kind, reason);
-    const delayMs = retryDelayMs({
-      tier: admittedRequest.tier,
-      targetLatencyMs: admittedRequest.route.targetLatencyMs,
-      backlogMs,
-      remainingMs: untilDeadlineMs(),
-      random,
-    });
+    const {tier, route} = admittedRequest;
+    const options = {tier, targetLatencyMs: route.targetLatencyMs, random};
+    const pauseMs = currentPlacement?.pauseRemainingMs(() => true) ?? 0;
+    const delayMs =
+      pauseMs > 0
+        ? pausedRetryDelayMs(pauseMs, options)
+        : retryDelayMs({
+            ...options,
+            backlogMs,
+            remainingMs: untilDeadlineMs(),
+          });
     fail(kind, reason, delayMs);
   }
 
@@ -240,6 +263,13 @@
     attempts?.cancel(reason);
   }
 
+  function betweenEventsLimitMs({targetGapMs}: GatewayRoute): number {
+    return Math.max(
+      minBetweenEventsLimitMs,
+      (targetGapMs ?? 0) * betweenEventsGaps,
+    );
+  }
+
   function stallLimitsFor(
     {route}: AdmittedRequest,
     choice: Choice,
@@ -250,27 +280,86 @@
         route.targetLatencyMs * firstResponseTargets,
         choice.expectedMs * expectedResponseFactor,
       ),
-      betweenEventsMs: Math.max(
-        minBetweenEventsLimitMs,
-        (route.targetGapMs ?? 0) * betweenEventsGaps,
-      ),
+      betweenEventsMs: betweenEventsLimitMs(route),
     };
   }
 
+  /** True for an upstream that was not used yet if the class allows one more. */
+  function isUnused({route}: AdmittedRequest, id: UpstreamId): boolean {
+    return upstreamUse.count() < route.maxUpstreams && !triedUpstreams.has(id);
+  }
+
   /**
    * Chooses an upstream for the next attempt: one that was not used yet if the
    * class allows one more, else one that was given up without a failure.
    */
   function chooseNext(
-    {route}: AdmittedRequest,
+    admitted: AdmittedRequest,
     placement: RequestPlacement,
   ): Choice | undefined {
-    const unused =
-      upstreamUse.count() < route.maxUpstreams
-        ? placement.choose(id => !upstreams.includes(id))
-        : undefined;
     const returnable = upstreamUse.returnable();
-    return unused ?? placement.choose(id => returnable.includes(id));
+    return (
+      placement.choose(id => isUnused(admitted, id)) ??
+      placement.choose(id => returnable.includes(id))
+    );
+  }
+
+  /**
+   * Latest time at which an attempt is worth waiting for: its response begins
+   * within the target latency, or a stream goes on before it counts as stalled.
+   */
+  function latestStartMs(
+    {route}: AdmittedRequest,
+    placement: RequestPlacement,
+  ): number {
+    const beginMs =
+      progress.responseStarted && lastEventAtMs !== undefined
+        ? lastEventAtMs + betweenEventsLimitMs(route)
+        : arrivedAtMs + route.targetLatencyMs;
+    return Math.min(beginMs, deadlineMs) - placement.unqueuedResponseMs();
+  }
+
+  /** Time in which all upstreams that the request may use pause. */
+  function pauseAheadMs(
+    admitted: AdmittedRequest,
+    placement: RequestPlacement,
+  ): number {
+    const returnable = upstreamUse.returnable();
+    const pauseMs = placement.pauseRemainingMs(
+      id => isUnused(admitted, id) || returnable.includes(id),
+    );
+    return pauseMs ?? 0;
+  }
+
+  /** Waits for the end of a pause; returns false at once if that is too late. */
+  async function waitForPause(
+    admitted: AdmittedRequest,
+    placement: RequestPlacement,
+    pauseMs: number,
+  ): Promise<boolean> {
+    const slackMs =
+      latestStartMs(admitted, placement) - clock.nowMs() - pauseMs;
+    if (slackMs < 0) return false;
+    const spreadMs = admitted.route.targetLatencyMs * pauseSpreadTargets;
+    const waitMs = pauseMs + random.next() * Math.min(slackMs, spreadMs);
+    await new Promise<void>(resolve => {
+      const cancel = clock.after(waitMs, resolve);
+      endWait = () => {
+        cancel();
+        resolve();
+      };
+    });
+    return true;
+  }
+
+  function refuseWithoutUpstream(placement: RequestPlacement): void {
+    const kind = progress.mayHaveRun ? 'upstream_failed' : 'no_upstream';
+    const pauses = (placement.pauseRemainingMs(() => true) ?? 0) > 0;
+    const reason = pauses
+      ? `all upstreams of service ${placement.service} pause`
+      : `no other upstream available for service ${placement.service}`;
+    if (callerResponse.started) abortResponse(kind, reason);
+    else refuse(kind, reason);
   }
 
   /**
@@ -367,6 +456,7 @@
     const {route, workspace} = admitted;
     const {entry, health} = choice.candidate;
     upstreams.push(entry.id);
+    triedUpstreams.add(entry.id);
     upstreamUse.attemptStarted(entry.id);
     stalledUpstreams.delete(entry.id);
     lastChoice = choice;
@@ -400,8 +490,16 @@
           ? maxIdleNonRetryableMs
           : maxIdleRetryableMs,
       stallLimits: stallLimitsFor(admitted, choice),
-      onResponseHead: head =>
-        context.upstreamNotices.receive(entry, request.requestId, head),
+      withdrawalReason: () =>
+        context.upstreamNotices.pauseRemainingMs(entry) > 0
+          ? 'the upstream asked for a pause'
+          : undefined,
+      onResponseHead: head => {
+        const {upstreamNotices} = context;
+        if (upstreamNotices.receive(entry, request.requestId, head)) {
+          pausingUpstreams.add(entry.id);
+        }
+      },
       onStalled: lastEventId => {
         if (route.retryPolicy !== 'never' && !stalledUpstreams.has(entry.id)) {
           stalledUpstreams.add(entry.id);
@@ -418,6 +516,7 @@
             guardedAttempt.partReceived();
           }
           firstAnswerMs ??= clock.nowMs() - arrivedAtMs;
+          lastEventAtMs = clock.nowMs();
           if (gapMs !== undefined) {
             const perEventMs = gapMs / count;
             const {responseStats} = knowledge;
@@ -449,7 +548,8 @@
   }: EndedAttempt): void {
     const {health, entry} = choice.candidate;
     progress.lastEventId = attempt.lastEventId() ?? progress.lastEventId;
-    if (result.kind === 'unsent' || result.kind === 'misdirected') {
+    if (result.kind === 'withdrawn') triedUpstreams.delete(entry.id);
+    if (isUnreceived(result)) {
       upstreamUse.attemptNotReceived(entry.id);
     } else if (superseded) {
       upstreamUse.attemptSuperseded(entry.id);
@@ -461,8 +561,11 @@
     if (callerDisconnected || recorded || superseded) return;
     // A stall has been recorded as the failure of this attempt.
     if (result.kind === 'broken' && stalledUpstreams.has(entry.id)) return;
+    if (result.kind === 'withdrawn') return;
     if (result.kind === 'misdirected')
       context.registry.addressReassigned(entry.id);
+    else if (pausingUpstreams.has(entry.id))
+      health.recordOutcome('refused', clock.nowMs());
     else health.recordOutcome(outcomeOf(result), clock.nowMs());
   }
 
@@ -521,7 +624,7 @@
     if (service === undefined)
       return refuse('no_upstream', 'the route has no target service');
     const {config: configInForce, route, tier} = admitted;
-    const placement = createRequestPlacement(context, {
+    const placed = createRequestPlacement(context, {
       prompt: request.prompt,
       route,
       tier,
@@ -529,33 +632,36 @@
       servesModels: configInForce.services.get(service)?.servesModels === true,
       leastUrgent: route.tier >= configInForce.leastUrgentTier(service),
     });
+    currentPlacement = placed;
     context.retryBudget(service).recordRequest(clock.nowMs());
     while (!recorded && !callerDisconnected) {
+      const pauseMs = pauseAheadMs(admitted, placed);
+      if (pauseMs > 0) {
+        // The request, the quarantine and the upstreams may change meanwhile.
+        if (await waitForPause(admitted, placed, pauseMs)) continue;
+        return refuseWithoutUpstream(placed);
+      }
       const blocked = guarded.tryPass();
       if (blocked !== undefined) return refuseBlocked(blocked);
-      const choice = chooseNext(admitted, placement);
+      const choice = chooseNext(admitted, placed);
       if (choice === undefined) {
-        const kind = progress.mayHaveRun ? 'upstream_failed' : 'no_upstream';
-        const reason = `no other upstream available for service ${service}`;
-        return callerResponse.started
-          ? abortResponse(kind, reason)
-          : refuse(kind, reason);
+        return refuseWithoutUpstream(placed);
       }
       lastChoice = choice;
-      if (upstreams.length === 0) placement.recordOffered(choice);
+      if (upstreams.length === 0) placed.recordOffered(choice);
       const overloadReason =
         upstreamUse.count() > 0
           ? undefined
-          : placement.overloadReason(choice, remainingMs());
+          : placed.overloadReason(choice, remainingMs());
       if (overloadReason !== undefined) {
         return refuse('overloaded', overloadReason, choice.expectedMs);
       }
       attempts = startAttemptRace({
         choice,
         start: (next, observer) =>
-          startUpstreamAttempt(next, admitted, body, placement, observer),
+          startUpstreamAttempt(next, admitted, body, placed, observer),
         chooseAnother: lastEventId =>
-          chooseBesideStalled(admitted, placement, choice, lastEventId),
+          chooseBesideStalled(admitted, placed, choice, lastEventId),
         // A failure is not final while another attempt runs.
         isFinal: result =>
           nextStep(result, {...snapshotProgress(admitted), canReturn: true})
--- a/packages/gateway/src/request/RequestPlacement.ts
+++ b/packages/gateway/src/request/RequestPlacement.ts
@@ -19,6 +19,10 @@
   GatewayContext,
   'clock' | 'failureDomain' | 'knowledge' | 'random' | 'reportSoon'
 > & {
+  readonly upstreamNotices: Pick<
+    GatewayContext['upstreamNotices'],
+    'pauseRemainingMs'
+  >;
   readonly registry: Pick<GatewayContext['registry'], 'usable'>;
 };
 
@@ -40,6 +44,13 @@
   readonly service: ServiceName;
   /** Returns the best upstream that may be used, or undefined without one. */
   choose(mayUse: (id: UpstreamId) => boolean): Choice | undefined;
+  /**
+   * Time until the first of the upstreams that may be used accepts requests; 0
+   * if one does not pause, and undefined without any.
+   */
+  pauseRemainingMs(mayUse: (id: UpstreamId) => boolean): number | undefined;
+  /** Estimated time to the first response on an upstream without other work. */
+  unqueuedResponseMs(): number;
   /** Returns why the request is shed, or undefined if it is admitted. */
   overloadReason(choice: Choice, remainingMs: number): string | undefined;
   /** Records work that is offered to the engines, also if it is shed. */
@@ -71,6 +82,8 @@
           .assign(context.registry.usable(service), clock.nowMs());
   }
 
+  const {pauseRemainingMs} = context.upstreamNotices;
+
   function recordPrefix(sentPrompt: Prompt, upstream: UpstreamId): void {
     const prefixId = placementPrefixId(sentPrompt);
     if (prefixId === undefined) return;
@@ -84,7 +97,7 @@
     choose: mayUse => {
       const entries = context.registry
         .usable(service)
-        .filter(({id}) => mayUse(id));
+        .filter(entry => mayUse(entry.id) && pauseRemainingMs(entry) === 0);
       const candidates = entries.map(entry => ({
         entry,
         health: knowledge.healthOf(entry),
@@ -107,6 +120,15 @@
         clock.nowMs(),
       );
     },
+    pauseRemainingMs: mayUse => {
+      const remainingMs = context.registry
+        .usable(service)
+        .filter(({id}) => mayUse(id))
+        .map(pauseRemainingMs);
+      return remainingMs.length > 0 ? Math.min(...remainingMs) : undefined;
+    },
+    unqueuedResponseMs: () =>
+      engineModel.firstEventMs(prompt?.promptTokens ?? 0),
     overloadReason: (choice, remainingMs) => {
       if (prompt === undefined) return undefined;
       const input = {
--- a/packages/gateway/src/request/RetryAfter.ts
+++ b/packages/gateway/src/request/RetryAfter.ts
@@ -2,7 +2,8 @@
  * Computes the `Retry-After` delay of a refused request. Delays have jitter, so
  * that the callers of a burst do not retry in another burst. Urgent classes get
  * shorter delays. Requests refused for load are retried when the backlog of the
- * upstreams may be processed.
+ * upstreams may be processed, and requests refused because all upstreams pause
+ * once the first pause has ended.
  */
 import type {RandomSource} from '@toucanrouter/common';
 
@@ -25,15 +26,30 @@
 /** Callers respect a delay of up to a third of their remaining time. */
 const maxRemainingShare = 0.3;
 
-/** Returns the time after which a refused caller should retry. */
-export function retryDelayMs(options: RetryDelayOptions): number {
-  const baseMs = Math.max(
+type ClassOptions = Pick<RetryDelayOptions, 'targetLatencyMs' | 'tier'>;
+
+function minClassDelayMs({targetLatencyMs, tier}: ClassOptions): number {
+  return Math.max(
     minRetryDelayMs,
-    options.backlogMs,
-    options.targetLatencyMs *
-      baseTargetShare *
-      (1 + delayIncreasePerTier * options.tier),
+    targetLatencyMs * baseTargetShare * (1 + delayIncreasePerTier * tier),
   );
+}
+
+/**
+ * Returns the time after which a caller should retry that was refused because
+ * all upstreams pause for `pauseMs` at least. An earlier retry would be in vain,
+ * so the jitter only adds to it.
+ */
+export function pausedRetryDelayMs(
+  pauseMs: number,
+  options: ClassOptions & Pick<RetryDelayOptions, 'random'>,
+): number {
+  return Math.ceil(pauseMs + options.random.next() * minClassDelayMs(options));
+}
+
+/** Returns the time after which a refused caller should retry. */
+export function retryDelayMs(options: RetryDelayOptions): number {
+  const baseMs = Math.max(options.backlogMs, minClassDelayMs(options));
   const jitteredMs = baseMs * (0.5 + options.random.next());
   return Math.max(
     0,
--- a/packages/gateway/src/request/RetryDecision.ts
+++ b/packages/gateway/src/request/RetryDecision.ts
@@ -99,6 +99,10 @@
         progress.remainingMs > minRemainingMs
         ? {step: 'repeat', costsBudget: false}
         : failureStep(progress, 'no_upstream');
+    case 'withdrawn':
+      return progress.remainingMs > minRemainingMs
+        ? {step: 'repeat', costsBudget: false}
+        : failureStep(progress, 'no_upstream');
     case 'misdirected':
       return progress.misdirectedCount < maxConnectionAttempts &&
         progress.remainingMs > minRemainingMs
--- a/packages/gateway/src/server/GatewayMetrics.ts
+++ b/packages/gateway/src/server/GatewayMetrics.ts
@@ -20,6 +20,8 @@
   /** Prompt segments that are blocked now. */
   readonly quarantinedCount: () => number;
   readonly retryBudgets: () => readonly ServiceRetryBudget[];
+  /** Upstreams that pause now. */
+  readonly pausedCount: () => number;
 }
 
 /** The retry budget of one service. */
@@ -167,6 +169,11 @@
       },
     });
   }
+  gauge(
+    'toucanrouter_upstreams_paused',
+    'Upstreams that have asked this instance for a pause that still lasts',
+    sources.pausedCount,
+  );
   return {
     observe: ended => {
       const classLabel = ended.classId ?? noClassLabel;
--- a/packages/gateway/src/upstreams/UpstreamConnections.ts
+++ b/packages/gateway/src/upstreams/UpstreamConnections.ts
@@ -25,6 +25,11 @@
 
 /** Handles the response of an upstream; `ended` or `failed` is called last. */
 export interface ResponseHandler {
+  /**
+   * Returns why the request must not be written after all, or undefined. Called
+   * once the connection is established, right before `sent`.
+   */
+  withdrawalReason?(): string | undefined;
   /** The connection starts to write the request. */
   sent(): void;
   started(
@@ -274,9 +279,9 @@
         {
           onRequestStart: started => {
             controller = started;
-            if (abortReason !== undefined)
-              started.abort(new Error(abortReason));
-            else handler.sent();
+            const reason = abortReason ?? handler.withdrawalReason?.();
+            if (reason === undefined) handler.sent();
+            else started.abort(new Error(reason));
           },
           onResponseStart: (started, status, headers) => {
             if (status < 200) {
