gateway: keep verdicts on prompt segments in the store

Engines got more requests with a segment that crashes them after instances had restarted. Verdicts lived in the instances only: one that started took requests before a peer had told it, and after a restart of all of them nobody knew.

The instance that finds a segment guilty writes the verdict under a lease and repeats a failed write until the verdict is over; if it is lifted, it removes the key. Verdicts are read with the configuration, so an instance knows them before its first request.

The test that restarts two gateways together failed with the write left out (4 requests arrived after the restart) and passes.

Crashes that have not led to a verdict are still forgotten in a restart.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -46,6 +46,7 @@
 import type {StateStore} from './state/StateStore.js';
 import type {StateSync} from './state/StateSync.js';
 import {createStateSync} from './state/StateSync.js';
+import {createVerdictArchive} from './state/VerdictArchive.js';
 import {createUpstreamConnections} from './upstreams/UpstreamConnections.js';
 import {createUpstreamKnowledge} from './upstreams/UpstreamKnowledge.js';
 import {probeUpstream} from './upstreams/UpstreamProbe.js';
@@ -176,7 +177,11 @@
             id === entry.id && startedAtMs === entry.startedAtMs,
         ),
     onNews: () => exchange.reportQuarantineSoon(),
+    onConvicted: ({durationMs, evidenceAgeMs, segment}) =>
+      verdictArchive.save({segment, durationMs, evidenceAgeMs}),
+    onCleared: segment => verdictArchive.remove(segment),
   });
+  const verdictArchive = createVerdictArchive({clock, logger, store});
   const upstreamNotices = createUpstreamNotices({
     clock,
     logger,
@@ -217,6 +222,7 @@
     configAge,
     registry,
     peers,
+    onVerdict: promptGuard.adopt,
     changeDelayMs: () =>
       Math.min(settings.configDelayMs, settings.leavingDelayMs),
   });
@@ -443,6 +449,7 @@
       exchange.close();
       promptGuard.close();
       upstreamNotices.close();
+      verdictArchive.close();
       registration.close();
       const cutRequests = gatewayServer.inProgress();
       await answerOpenRequests();
--- a/packages/gateway/src/__tests__/unit/CrashingPrompts.test.ts
+++ b/packages/gateway/src/__tests__/unit/CrashingPrompts.test.ts
@@ -86,15 +86,21 @@
     readConfig: () => okAsync(undefined),
     register: () => errAsync(new PlatformError('not supported', false)),
     renew: () => okAsync(true),
-  };
-  return {
-    store,
-    publish: (change: StateChange) => {
-      changes.push(change);
-      for (const notify of waiting) notify();
-      waiting.clear();
+    saveVerdict: verdict => {
+      publish({kind: 'verdict', verdict});
+      return okAsync(undefined);
+    },
+    removeVerdict: segment => {
+      publish({kind: 'verdict_removed', segment});
+      return okAsync(undefined);
     },
   };
+  function publish(change: StateChange): void {
+    changes.push(change);
+    for (const notify of waiting) notify();
+    waiting.clear();
+  }
+  return {store, publish};
 }
 
 interface Arrival {
@@ -247,7 +253,7 @@
   for (const {instanceId, peers} of settings) {
     publish({kind: 'peer', entry: {instanceId, address: peers}});
   }
-  const gateways = settings.map((own, index) =>
+  const create = (own: GatewaySettings, index: number) =>
     createGateway({
       settings: own,
       clock,
@@ -261,15 +267,26 @@
       dialect: promptDialect,
       store,
       readinessPath: '/ready',
-    }),
-  );
-  await Promise.all(gateways.map(gateway => gateway.start()));
-  await delay(clock, 100);
+    });
+  async function startAll() {
+    const started = settings.map(create);
+    await Promise.all(started.map(gateway => gateway.start()));
+    await delay(clock, 100);
+    return started;
+  }
+  let gateways = await startAll();
+  const stopAll = async () => {
+    await Promise.all(gateways.map(gateway => gateway.close()));
+  };
   return {
     engines,
     ports: settings.map(({callers}) => callers.port),
+    restartAll: async () => {
+      await stopAll();
+      gateways = await startAll();
+    },
     close: async () => {
-      await Promise.all(gateways.map(gateway => gateway.close()));
+      await stopAll();
       engines.close();
     },
   };
@@ -322,6 +339,33 @@
       checkQuarantine({eventsBeforeCrash, prepareResponse, sharedSegments}));
   }
 
+  // Guards against a verdict that is lost when all instances restart together.
+  it('stops sending such requests after all instances have restarted', async () => {
+    const fleet = await startFleet({
+      eventsBeforeCrash: () => 0,
+      prepareResponse: none,
+    });
+    const prompt = (id: string) => `${crashingSegment}:100,${id}:100`;
+    const answers: Promise<Answer>[] = [];
+    async function sendSome(name: string, count: number): Promise<void> {
+      for (let index = 0; index < count; index += 1) {
+        const port = fleet.ports[index % gatewayCount] ?? 0;
+        const id = `${name}-${index}`;
+        answers.push(send(port, id, prompt(id)));
+        await delay(clock, 300);
+      }
+      await Promise.all(answers);
+    }
+    await sendSome('before', 10);
+    await fleet.restartAll();
+    const arrivedBefore = fleet.engines.arrivals.length;
+    await sendSome('after', 6);
+    const arrivedAfter = fleet.engines.arrivals.length - arrivedBefore;
+    await fleet.close();
+    expect(arrivedBefore).to.be.above(0);
+    expect(arrivedAfter).to.equal(0);
+  });
+
   async function checkQuarantine(options: CheckOptions): Promise<void> {
     const fleet = await startFleet(options);
     const {arrivals, crashTimesMs} = fleet.engines;
--- a/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
@@ -89,6 +89,8 @@
       probe: () => Promise.resolve('unknown'),
       isUsable: () => true,
       onNews: () => undefined,
+      onConvicted: () => undefined,
+      onCleared: () => undefined,
     }),
     upstreamNotices: createUpstreamNotices({
       clock,
--- a/packages/gateway/src/__tests__/unit/RunningGatewayFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/RunningGatewayFixtures.ts
@@ -75,6 +75,8 @@
     readConfig: () => okAsync(undefined),
     register: () => errAsync(new PlatformError('not supported', false)),
     renew: () => okAsync(true),
+    saveVerdict: () => okAsync(undefined),
+    removeVerdict: () => okAsync(undefined),
   };
 }
 
--- a/packages/gateway/src/__tests__/unit/StateSync.test.ts
+++ b/packages/gateway/src/__tests__/unit/StateSync.test.ts
@@ -76,6 +76,8 @@
     },
     register: () => resultOf(1),
     renew: () => resultOf(true),
+    saveVerdict: () => resultOf(undefined),
+    removeVerdict: () => resultOf(undefined),
   };
   return {
     calls,
@@ -132,6 +134,7 @@
     configAge,
     registry,
     peers,
+    onVerdict: () => undefined,
     changeDelayMs: () => 2_000,
   });
   return {clock, config, configAge, log, peers, registry, script, sync};
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -32,6 +32,7 @@
   LeaseId,
   StateChange,
   StateStore,
+  StoredVerdict,
   StateUpdate,
   StoredItem,
   WatchResult,
--- a/packages/gateway/src/request/PromptGuard.ts
+++ b/packages/gateway/src/request/PromptGuard.ts
@@ -17,6 +17,7 @@
   segmentHashOf,
   upstreamStartHashOf,
 } from '@toucanrouter/policy';
+import type {StoredVerdict} from '../state/StateStore.js';
 import type {Prompt} from '../upstreams/Prompt.js';
 import {sharedSegments} from '../upstreams/Prompt.js';
 import type {UpstreamEntry} from '../upstreams/UpstreamEntry.js';
@@ -33,6 +34,10 @@
   readonly isUsable: (entry: UpstreamEntry) => boolean;
   /** There is something new to report to peers. */
   readonly onNews: () => void;
+  /** This instance has found a segment that crashes upstreams. */
+  readonly onConvicted: (conviction: Conviction) => void;
+  /** A verdict was lifted before its end. */
+  readonly onCleared: (segment: SegmentHash) => void;
 }
 
 /** A request that must not be sent. */
@@ -63,6 +68,8 @@
   /** Returns what peers should know now; undefined if there is nothing. */
   takeReport(): QuarantineReport | undefined;
   receiveReport(report: QuarantineReport): void;
+  /** Adopts a verdict that was kept in the store, if it is not known. */
+  adopt(verdict: StoredVerdict): void;
   /** Returns the number of segments that are blocked now. */
   blockedCount(): number;
   /** Returns the number of upstreams that ended under requests. */
@@ -112,9 +119,14 @@
 
   const quarantine = createPromptQuarantine({
     random: options.random,
-    onConvicted: logConviction,
-    onCleared: (segment, reason) =>
-      logger.info('prompt segment cleared', {segment: nameOf(segment), reason}),
+    onConvicted: conviction => {
+      logConviction(conviction);
+      if (!conviction.adopted) options.onConvicted(conviction);
+    },
+    onCleared: (segment, reason) => {
+      logger.info('prompt segment cleared', {segment: nameOf(segment), reason});
+      options.onCleared(segment);
+    },
     onExpired: segment =>
       logger.info('prompt segment is no longer quarantined', {
         segment: nameOf(segment),
@@ -192,6 +204,18 @@
     },
     takeReport: () => quarantine.takeReport(clock.nowMs()),
     receiveReport: report => quarantine.receive(report, clock.nowMs()),
+    adopt: ({durationMs, evidenceAgeMs, segment}) => {
+      const nowMs = clock.nowMs();
+      if (quarantine.blockedMs([segment], nowMs) !== undefined) return;
+      const verdict = {
+        segment,
+        ageMs: 0,
+        evidenceAgeMs,
+        remainingMs: durationMs,
+      };
+      const report = {crashes: [], verdicts: [verdict], clearings: []};
+      quarantine.receive(report, nowMs);
+    },
     blockedCount: () => quarantine.blockedCount(clock.nowMs()),
     crashCount: quarantine.crashCount,
     close: detector.close,
--- a/packages/gateway/src/state/StateStore.ts
+++ b/packages/gateway/src/state/StateStore.ts
@@ -4,11 +4,21 @@
  * follows changes.
  */
 import type {InstanceId, PlatformError, UpstreamId} from '@toucanrouter/common';
+import type {SegmentHash} from '@toucanrouter/policy';
 import type {ResultAsync} from 'neverthrow';
 import type {GatewayConfig} from '../config/GatewayConfig.js';
 import type {PeerEntry} from '../peers/PeerDirectory.js';
 import type {UpstreamEntry} from '../upstreams/UpstreamEntry.js';
 
+/** A verdict on a prompt segment that outlives the instances. */
+export interface StoredVerdict {
+  readonly segment: SegmentHash;
+  /** Time for which requests with the segment are refused. */
+  readonly durationMs: number;
+  /** Time from the first crash on which the verdict rests to the verdict. */
+  readonly evidenceAgeMs: number;
+}
+
 /** A change in the store. */
 export type StateChange =
   | {readonly kind: 'config'; readonly config: GatewayConfig}
@@ -21,6 +31,8 @@
       readonly id: InstanceId;
       readonly failureDomain: string | undefined;
     }
+  | {readonly kind: 'verdict'; readonly verdict: StoredVerdict}
+  | {readonly kind: 'verdict_removed'; readonly segment: SegmentHash}
   /** A value that cannot be decoded; `id` is set for the entry of an upstream. */
   | {
       readonly kind: 'unreadable';
@@ -75,4 +87,13 @@
   ): ResultAsync<LeaseId, PlatformError>;
   /** Renews a lease; resolves to false if it has expired. */
   renew(lease: LeaseId, timeoutMs: number): ResultAsync<boolean, PlatformError>;
+  /** Writes a verdict, which the store removes when its time is over. */
+  saveVerdict(
+    verdict: StoredVerdict,
+    timeoutMs: number,
+  ): ResultAsync<void, PlatformError>;
+  removeVerdict(
+    segment: SegmentHash,
+    timeoutMs: number,
+  ): ResultAsync<void, PlatformError>;
 }
--- a/packages/gateway/src/state/StateSync.ts
+++ b/packages/gateway/src/state/StateSync.ts
@@ -16,7 +16,12 @@
 import type {RelayClient} from './RelayClient.js';
 import type {StateLog} from './StateLog.js';
 import {relayRole} from './StateRelay.js';
-import type {StateChange, StateStore, StoredItem} from './StateStore.js';
+import type {
+  StateChange,
+  StateStore,
+  StoredItem,
+  StoredVerdict,
+} from './StateStore.js';
 import type {
   EndedAbsence,
   ObservedRenewals,
@@ -37,6 +42,7 @@
   readonly configAge: ConfigAge;
   readonly registry: UpstreamRegistry;
   readonly peers: PeerDirectory;
+  readonly onVerdict: (verdict: StoredVerdict) => void;
   /** Time within which a change in the store must be in force. */
   readonly changeDelayMs: () => number;
 }
@@ -138,6 +144,12 @@
       case 'peer_removed':
         peers.remove(change.id);
         return;
+      case 'verdict':
+        options.onVerdict(change.verdict);
+        return;
+      case 'verdict_removed':
+        // Instances lift a verdict by the answers that they and peers report.
+        return;
       case 'unreadable':
         logger.warn('a value in the store cannot be decoded and is not used', {
           key: change.key,
--- a/packages/policy/src/PromptQuarantine.ts
+++ b/packages/policy/src/PromptQuarantine.ts
@@ -187,6 +187,7 @@
       upstreams: crashes.map(({upstream}) => upstream),
       requests: [...requests],
       durationMs,
+      evidenceAgeMs: nowMs - (crashes[0]?.atMs ?? nowMs),
       adopted: false,
     });
   }
@@ -466,6 +467,7 @@
       upstreams: [],
       requests: [],
       durationMs: remaining,
+      evidenceAgeMs: reported.evidenceAgeMs,
       adopted: true,
     });
   }
--- a/packages/policy/src/PromptQuarantineTypes.ts
+++ b/packages/policy/src/PromptQuarantineTypes.ts
@@ -21,6 +21,11 @@
   return hash32(segmentId) as SegmentHash;
 }
 
+/** Converts a number that was written as a segment's hash. */
+export function toSegmentHash(hash: number): SegmentHash {
+  return hash as SegmentHash;
+}
+
 /** Returns the hash of one process of an upstream. */
 export function upstreamStartHashOf(
   upstreamId: string,
@@ -54,6 +59,8 @@
   readonly upstreams: readonly UpstreamStartHash[];
   readonly requests: readonly RequestHash[];
   readonly durationMs: number;
+  /** Time since the first crash on which the verdict rests. */
+  readonly evidenceAgeMs: number;
   /** True if the verdict was received from a peer. */
   readonly adopted: boolean;
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -35,6 +35,7 @@
   defaultQuarantineLimits,
   requestHashOf,
   segmentHashOf,
+  toSegmentHash,
   upstreamStartHashOf,
 } from './PromptQuarantineTypes.js';
 export type {
