daemon: go on when the reader of the log ends

A daemon whose standard output is a pipe ended by itself, with exit code 1, at the first log line after the reader of the pipe had ended.

Cause: the failed write is an error event of the stream, and without a handler that is an uncaught exception.

Evidence: the test fails on the code before (exit code 1) and passes now.

--- a/packages/daemon/src/bin/RunDaemon.ts
+++ b/packages/daemon/src/bin/RunDaemon.ts
@@ -65,6 +65,11 @@
   level: settings.logLevel,
   instanceId: settings.instanceId,
 });
+// Without a handler an error of the log's reader, such as its end, would end
+// the process or be logged for ever.
+for (const stream of [process.stdout, process.stderr]) {
+  stream.on('error', () => undefined);
+}
 const clock = createSystemClock();
 const startAborter = new AbortController();
 let stopRequested = false;
--- a/packages/standins/src/__tests__/process/DaemonFixtures.ts
+++ b/packages/standins/src/__tests__/process/DaemonFixtures.ts
@@ -36,6 +36,8 @@
   /** Status and text of `/readyz`; undefined if it does not answer. */
   readiness(): Promise<string | undefined>;
   signal(signal: NodeJS.Signals): void;
+  /** Closes the pipes that the log is written to. */
+  closeOutput(): void;
   /** The exit code or the signal that ended it; undefined while it runs. */
   endedBy(): number | string | undefined;
   close(): Promise<void>;
@@ -121,6 +123,10 @@
       }
     },
     signal: signal => child.kill(signal),
+    closeOutput: () => {
+      child.stdout.destroy();
+      child.stderr.destroy();
+    },
     endedBy: () => endedBy,
     close: async () => {
       child.kill('SIGKILL');
