gateway: end requests that wait behind another one when their caller leaves

A caller that left while several of its requests were open on one connection left the later ones running: upstreams worked on for nobody, and the requests counted as in progress for ever, so that a stop took its whole grace period.

Cause: Node.js tells only the response that is being sent that its connection has closed.

Every response now emits close when its connection closes, also one that waits.

--- a/packages/common/src/PipelinedRequests.ts
+++ b/packages/common/src/PipelinedRequests.ts
@@ -1,7 +1,8 @@
 /**
  * Requests that a caller sends on a connection before the previous ones are
  * answered. Node.js hands over each of them as it is read, but it drops the
- * responses that follow one with `Connection: close`.
+ * responses that follow one with `Connection: close`, and when the connection
+ * closes it tells only the response that is being sent.
  */
 import type {Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
@@ -44,3 +45,19 @@
     },
   };
 }
+
+/**
+ * Makes every response emit `close` when its connection closes, also one that
+ * waits for the responses before it. Without it, the request of a caller that
+ * has left would go on, and would count as in progress for ever.
+ */
+export function closeWaitingResponses(server: Server): void {
+  server.prependListener('request', ({socket}, response) => {
+    const onConnectionClosed = () => {
+      const isWaiting = response.socket === null;
+      if (isWaiting) response.emit('close');
+    };
+    socket.once('close', onConnectionClosed);
+    response.once('close', () => socket.off('close', onConnectionClosed));
+  });
+}
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -122,7 +122,10 @@
 } from './Permits.js';
 export {lingerAfterLastResponse, maxLingerMs} from './LingeringClose.js';
 export type {PipelinedRequests} from './PipelinedRequests.js';
-export {trackPipelinedRequests} from './PipelinedRequests.js';
+export {
+  closeWaitingResponses,
+  trackPipelinedRequests,
+} from './PipelinedRequests.js';
 export type {
   Listener,
   ListenerOptions,
--- a/packages/gateway/src/__tests__/unit/GatewayRequest.test.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayRequest.test.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createServer, request as sendRequest} from 'node:http';
+import {connect} from 'node:net';
 import {answerReserveFor, createSystemClock, delay} from '@toucanrouter/common';
 import {expect} from 'chai';
 import type {GatewayRoute} from '../../config/GatewayConfig.js';
@@ -13,6 +14,8 @@
 
 type Handler = (message: IncomingMessage, response: ServerResponse) => void;
 
+const maxConditionWaitMs = 5_000;
+
 /** Starts a gateway in front of one upstream for each handler. */
 function startGateway(
   route: Partial<GatewayRoute>,
@@ -26,6 +29,13 @@
   );
 }
 
+/** Waits until a condition holds, or for a time in which it should. */
+async function waitUntil(holds: () => boolean): Promise<void> {
+  const clock = createSystemClock();
+  const endMs = clock.nowMs() + maxConditionWaitMs;
+  while (!holds() && clock.nowMs() < endMs) await delay(clock, 5);
+}
+
 /** Serves one request through a new gateway and closes it. */
 async function serve(
   route: Partial<GatewayRoute>,
@@ -359,6 +369,35 @@
     expect(performance.now() - startedAtMs).to.be.below(2_000);
   });
 
+  // Guards against requests that go on for ever after their caller has left.
+  it('cancels all requests of a connection that closes, also those that wait', async () => {
+    const received = new Set<string>();
+    const canceled = new Set<string>();
+    const silent: Handler = (message, response) => {
+      const id = String(message.headers['id']);
+      received.add(id);
+      response.once('close', () => canceled.add(id));
+    };
+    const gateway = await startGateway(
+      {anonymous: true, retryPolicy: 'never'},
+      [silent],
+    );
+    const ids = ['r1', 'r2', 'r3'];
+    const socket = connect(gateway.port, '127.0.0.1');
+    for (const id of ids) {
+      socket.write(`GET /chat/x HTTP/1.1\r\nhost: h\r\nid: ${id}\r\n\r\n`);
+    }
+    await waitUntil(() => received.size === ids.length);
+    socket.destroy();
+    await waitUntil(() => canceled.size === ids.length);
+    await waitUntil(() => gateway.inProgress() === 0);
+    await gateway.close();
+    expect([...canceled].toSorted()).to.deep.equal(ids);
+    expect(gateway.ended.map(({outcome}) => outcome)).to.deep.equal(
+      ids.map(() => 'canceled'),
+    );
+  });
+
   // Guards against a stop that waits for a request whose caller has left.
   it('ends a request whose caller leaves before its body is read', async () => {
     const confirmMs = 200;
--- a/packages/gateway/src/server/GatewayServer.ts
+++ b/packages/gateway/src/server/GatewayServer.ts
@@ -4,6 +4,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
 import {
+  closeWaitingResponses,
   lingerAfterLastResponse,
   RouterError,
   spareUnsentResponses,
@@ -120,6 +121,7 @@
   );
   spareUnsentResponses(server);
   lingerAfterLastResponse(server, context.clock);
+  closeWaitingResponses(server);
   const pipelined = trackPipelinedRequests(server);
   server.on('connection', socket => {
     openConnections += 1;
