gateway: run no request behind a refusal that closes the connection

Requests behind one whose head or body was too large ran at an upstream, and got no response: the refusal (431 or 413) had closed their connection.

Cause: only the responses of a stop marked their connection as closing.

All responses that close a connection now go through the same mark, and what is read behind them is not passed on.

--- a/packages/gateway/src/__tests__/unit/GatewayRequest.test.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayRequest.test.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createServer, request as sendRequest} from 'node:http';
 import {connect} from 'node:net';
@@ -398,6 +399,40 @@
     );
   });
 
+  for (const [name, head] of [
+    ['head', `x-long: ${'x'.repeat(20_000)}\r\ncontent-length: 0`],
+    ['body', 'content-length: 2000'],
+  ] as const) {
+    // Guards against requests that run although their connection closes with
+    // the refusal of the request before them.
+    it(`runs no request behind one whose ${name} is too large`, async () => {
+      const received: string[] = [];
+      const answer: Handler = (message, response) => {
+        received.push(String(message.headers['id']));
+        response.writeHead(200, {id: message.headers['id'], mark: 'm'});
+        response.end('served');
+      };
+      const gateway = await startGateway({anonymous: true, streams: false}, [
+        answer,
+      ]);
+      const socket = connect(gateway.port, '127.0.0.1');
+      socket.on('error', () => undefined);
+      let text = '';
+      socket.on('data', chunk => (text += String(chunk)));
+      const body = name === 'body' ? 'b'.repeat(2_000) : '';
+      socket.write(
+        `POST /chat/x HTTP/1.1\r\nhost: h\r\nid: r1\r\n${head}\r\n\r\n${body}` +
+          'GET /chat/x HTTP/1.1\r\nhost: h\r\nid: r2\r\n\r\n',
+      );
+      await once(socket, 'close');
+      await waitUntil(() => gateway.inProgress() === 0);
+      expect(gateway.inProgress()).to.equal(0);
+      await gateway.close();
+      expect(text).to.match(/^HTTP\/1.1 4(13|31) /);
+      expect(received).to.deep.equal([]);
+    });
+  }
+
   // Guards against a stop that waits for a request whose caller has left.
   it('ends a request whose caller leaves before its body is read', async () => {
     const confirmMs = 200;
--- a/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
@@ -55,7 +55,8 @@
     registry.put(createEntry(`u${index}`, {port}));
   }
   const config = createActiveConfig(() => undefined);
-  config.applyIfNewer(createConfig({routes: [createRoute(route)]}));
+  const firstConfig = createConfig({routes: [createRoute(route)]});
+  config.applyIfNewer(firstConfig);
   const configAge = createConfigAge(clock);
   configAge.confirmed(configAge.mark());
   const connections = createUpstreamConnections(clock);
@@ -103,6 +104,7 @@
     ...changes,
   };
   const gateway = createGatewayServer(context);
+  gateway.applyLimits(firstConfig.limits);
   const port = await startServer(gateway.server);
   return {
     port,
--- a/packages/gateway/src/request/CallerResponse.ts
+++ b/packages/gateway/src/request/CallerResponse.ts
@@ -36,11 +36,20 @@
   });
 }
 
+/** Decides whether a connection closes after a response. */
+export interface ConnectionClosing {
+  /** True when connections close as soon as they can. */
+  readonly isClosing: () => boolean;
+  /**
+   * Marks the connection as closing after this response. Returns false if a
+   * later request was read on it, whose response has to follow.
+   */
+  readonly tryClose: () => boolean;
+}
+
 /** Options of a caller response. */
-export interface CallerResponseOptions {
+export interface CallerResponseOptions extends ConnectionClosing {
   readonly response: ServerResponse;
-  /** True when the connection closes after this response. */
-  readonly isClosing: () => boolean;
 }
 
 /** Creates the response to one request; nothing is sent yet. */
@@ -49,9 +58,14 @@
 ): CallerResponse {
   const {response} = options;
 
-  function writeHead(status: number, headers: readonly string[]): void {
+  function writeHead(
+    status: number,
+    headers: readonly string[],
+    mustClose = false,
+  ): void {
     const flat = [...headers];
-    if (options.isClosing()) flat.push('Connection', 'close');
+    const closes = mustClose || options.isClosing();
+    if (closes && options.tryClose()) flat.push('Connection', 'close');
     response.sendDate = false;
     response.writeHead(status, flat);
   }
@@ -86,10 +100,8 @@
         headers.push('Retry-After', seconds);
       }
       // The rest of a body that is too large is not read.
-      if (error.kind === 'body_too_large' && !options.isClosing()) {
-        headers.push('Connection', 'close');
-      }
-      writeHead(errorResponseFor(error.kind).status, headers);
+      const mustClose = error.kind === 'body_too_large';
+      writeHead(errorResponseFor(error.kind).status, headers, mustClose);
       response.end(body);
     },
     abort: () => {
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -25,7 +25,7 @@
 } from './AttemptRace.js';
 import {startAttemptRace} from './AttemptRace.js';
 import {readBody} from './CallerBody.js';
-import type {CallerResponse} from './CallerResponse.js';
+import type {CallerResponse, ConnectionClosing} from './CallerResponse.js';
 import {createCallerResponse} from './CallerResponse.js';
 import type {CallerRequest} from './Dialect.js';
 import type {GatewayContext} from './GatewayContext.js';
@@ -69,11 +69,11 @@
   context: GatewayContext,
   message: IncomingMessage,
   response: ServerResponse,
-  isClosing: () => boolean,
+  connectionClosing: ConnectionClosing,
   onOpened: (open: OpenRequest) => void,
 ): Promise<void> {
   const request = context.dialect.readRequest(message);
-  const callerResponse = createCallerResponse({response, isClosing});
+  const callerResponse = createCallerResponse({response, ...connectionClosing});
   const handler = createRequestHandler(context, request, callerResponse);
   onOpened(handler);
   response.once('close', handler.onCallerClosed);
--- a/packages/gateway/src/server/GatewayServer.ts
+++ b/packages/gateway/src/server/GatewayServer.ts
@@ -74,6 +74,7 @@
       const callerResponse = createCallerResponse({
         response,
         isClosing: () => true,
+        tryClose: () => pipelined.tryClose(response),
       });
       const reason = `the headers exceed ${limits.maxHeaderBytes} bytes`;
       callerResponse.sendError(
@@ -82,8 +83,11 @@
       );
       return;
     }
-    const isClosing = () => closing && pipelined.tryClose(response);
-    await serveRequest(context, message, response, isClosing, open => {
+    const connectionClosing = {
+      isClosing: () => closing,
+      tryClose: () => pipelined.tryClose(response),
+    };
+    await serveRequest(context, message, response, connectionClosing, open => {
       openRequests.add(open);
       // The listener comes before the one that records the caller's leaving.
       response.once('close', () => {
