daemon: close a connection with its latest request only

While an instance stopped, requests that a caller had sent on a connection before the previous ones were answered ran, and got no response.

Cause: as in the gateway, each response of a stop closed its connection, and Node.js drops the responses behind such a one.

The daemon uses the same tracking of pipelined requests, also for the response to a body that is too large, and ends waiting requests whose caller has left.

--- a/packages/daemon/src/__tests__/unit/CallerServer.test.ts
+++ b/packages/daemon/src/__tests__/unit/CallerServer.test.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage} from 'node:http';
 import {request as sendRequest} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {connect} from 'node:net';
 import {
   createSystemClock,
   delay,
@@ -70,6 +71,33 @@
     expect(new Set(statuses)).to.deep.equal(new Set([400]));
   });
 
+  // Guards against a request that is run and whose connection closes with the
+  // response to the request before it.
+  it('answers all requests that it reads on a connection while it is closed', async () => {
+    const {callers, port} = await startServer(async exchange => {
+      await delay(clock, 200);
+      exchange.response.send(200, {}, Buffer.from(exchange.target.path));
+      return ok(undefined);
+    });
+    const socket = connect(port, host);
+    let text = '';
+    socket.on('data', chunk => (text += String(chunk)));
+    const request = (path: string) =>
+      `GET /services/s${path} HTTP/1.1\r\nhost: h\r\n\r\n`;
+    socket.write(request('/first'));
+    await delay(clock, 50);
+    callers.drainConnections();
+    const closed = closeServer(callers.server);
+    socket.write(request('/second'));
+    socket.write(request('/third'));
+    await once(socket, 'close');
+    callers.server.closeAllConnections();
+    await closed;
+    for (const path of ['/first', '/second', '/third']) {
+      expect(text).to.include(path);
+    }
+  });
+
   // Guards against a planned stop that cuts the response to a slow caller.
   it('sends a response completely to a caller that reads slowly while it is closed', async () => {
     const body = Buffer.alloc(12 * 1024 * 1024);
--- a/packages/daemon/src/request/CallerResponse.ts
+++ b/packages/daemon/src/request/CallerResponse.ts
@@ -30,11 +30,18 @@
   outgoing: ServerResponse,
   requestId: RequestId,
   callerRequestId: string | undefined,
+  /** Returns whether the connection closes after this response. */
+  tryClose: () => boolean = () => false,
 ): CallerResponse {
   const commonHeaders: OutgoingHttpHeaders = {
     'x-request-id': callerRequestId ?? requestId,
   };
 
+  function writeHead(status: number, headers: OutgoingHttpHeaders): void {
+    if (tryClose()) outgoing.setHeader('connection', 'close');
+    outgoing.writeHead(status, headers);
+  }
+
   function sendErrorDocument(error: RouterError): void {
     const {status, runStatus} = errorResponseFor(error.kind);
     const headers: OutgoingHttpHeaders = {
@@ -48,7 +55,7 @@
     }
     const body = JSON.stringify(toErrorBody(error, callerRequestId));
     headers['content-length'] = Buffer.byteLength(body);
-    outgoing.writeHead(status, headers);
+    writeHead(status, headers);
     outgoing.end(body);
   }
 
@@ -62,7 +69,7 @@
       return outgoing.headersSent;
     },
     startStream: () => {
-      outgoing.writeHead(200, {
+      writeHead(200, {
         ...commonHeaders,
         'content-type': 'text/event-stream',
         'cache-control': 'no-cache',
@@ -84,7 +91,7 @@
       outgoing.end();
     },
     send: (status, headers, body) => {
-      outgoing.writeHead(status, {
+      writeHead(status, {
         ...headers,
         ...commonHeaders,
         'content-length': body.length,
--- a/packages/daemon/src/server/CallerServer.ts
+++ b/packages/daemon/src/server/CallerServer.ts
@@ -10,9 +10,11 @@
 import type {Clock, RequestId} from '@toucanrouter/common';
 import {
   answerReserveFor,
+  closeWaitingResponses,
   lingerAfterLastResponse,
   RouterError,
   spareUnsentResponses,
+  trackPipelinedRequests,
 } from '@toucanrouter/common';
 import {Hono} from 'hono';
 import type {Result} from 'neverthrow';
@@ -65,18 +67,33 @@
     pipeline: readonly Filter[],
     parseTarget: (body: Buffer) => Result<CallTarget, RouterError>,
   ): Promise<void> {
+    // Its connection is about to close, and the caller knows that.
+    if (!pipelined.isAccepted(outgoing)) return;
     inProgress += 1;
     outgoing.once('close', () => {
       if (!outgoing.writableFinished) unanswered += 1;
     });
-    if (isDraining) outgoing.setHeader('connection', 'close');
     const arrivedAtMs = clock.nowMs();
     const requestId = options.createRequestId();
     const callerRequestId = headerOf(incoming, 'x-request-id');
-    const response = createCallerResponse(outgoing, requestId, callerRequestId);
+    let bodyWasRead = true;
+    const response = createCallerResponse(
+      outgoing,
+      requestId,
+      callerRequestId,
+      () => (isDraining || !bodyWasRead) && pipelined.tryClose(outgoing),
+    );
     try {
       const result = await serveRequest(
-        {incoming, outgoing, arrivedAtMs, requestId, callerRequestId, response},
+        {
+          incoming,
+          outgoing,
+          arrivedAtMs,
+          requestId,
+          callerRequestId,
+          response,
+          onBodyNotRead: () => (bodyWasRead = false),
+        },
         pipeline,
         parseTarget,
       );
@@ -102,8 +119,7 @@
     if (timeoutMs.isErr()) return err(timeoutMs.error);
     const body = await readBody(call.incoming, options.maxBodyBytes);
     if (body.isErr()) {
-      // The rest of the body is not read.
-      call.outgoing.setHeader('connection', 'close');
+      call.onBodyNotRead();
       return err(body.error);
     }
     const target = parseTarget(body.value);
@@ -193,6 +209,8 @@
   const server = createAdaptorServer({fetch: app.fetch}) as Server;
   spareUnsentResponses(server);
   lingerAfterLastResponse(server, clock);
+  closeWaitingResponses(server);
+  const pipelined = trackPipelinedRequests(server);
   return {
     server,
     requestsInProgress: () => inProgress,
@@ -211,6 +229,8 @@
   readonly requestId: RequestId;
   readonly callerRequestId: string | undefined;
   readonly response: ReturnType<typeof createCallerResponse>;
+  /** The rest of the body is not read, so the connection has to close. */
+  readonly onBodyNotRead: () => void;
 }
 
 function headerOf(incoming: IncomingMessage, name: string): string | undefined {
