gateway: adopt a verdict of the store once

Requests with a sound prompt segment could be refused again and again: each read of a stored verdict, as after a compaction of the store's history, took it for new evidence, although answers had lifted it. An entry without a lease did so without end, and a verdict that its writer had not removed before it ended was adopted by each later instance.

Cause: a verdict that was read had the age zero each time, and only the instance that had saved a verdict removed it.

Of the two new tests, neither can run on the code before, which has no place for this decision.

An entry is adopted once for as long as it stands, and any instance that lifts a verdict removes the entry that it has read.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -181,7 +181,12 @@
       verdictArchive.save({segment, durationMs, evidenceAgeMs}),
     onCleared: segment => verdictArchive.remove(segment),
   });
-  const verdictArchive = createVerdictArchive({clock, logger, store});
+  const verdictArchive = createVerdictArchive({
+    clock,
+    logger,
+    store,
+    onVerdict: promptGuard.adopt,
+  });
   const upstreamNotices = createUpstreamNotices({
     clock,
     logger,
@@ -222,7 +227,8 @@
     configAge,
     registry,
     peers,
-    onVerdict: promptGuard.adopt,
+    onVerdict: verdictArchive.receive,
+    onVerdictRemoved: verdictArchive.receiveRemoval,
     changeDelayMs: () =>
       Math.min(settings.configDelayMs, settings.leavingDelayMs),
   });
--- a/packages/gateway/src/__tests__/unit/StateSync.test.ts
+++ b/packages/gateway/src/__tests__/unit/StateSync.test.ts
@@ -135,6 +135,7 @@
     registry,
     peers,
     onVerdict: () => undefined,
+    onVerdictRemoved: () => undefined,
     changeDelayMs: () => 2_000,
   });
   return {clock, config, configAge, log, peers, registry, script, sync};
--- a/packages/gateway/src/__tests__/unit/VerdictArchive.test.ts
+++ b/packages/gateway/src/__tests__/unit/VerdictArchive.test.ts
@@ -35,6 +35,7 @@
       saveVerdict: () => call('save'),
       removeVerdict: () => call('remove'),
     },
+    onVerdict: adopted => calls.push(`adopt ${adopted.durationMs}`),
   });
   return {archive, calls, clock};
 }
@@ -47,6 +48,26 @@
 }
 
 describe('VerdictArchive', () => {
+  // Guards against an entry that blocks a segment anew each time it is read.
+  it('adopts a verdict of the store once, until it was removed there', () => {
+    const {archive, calls} = createArchive(0);
+    archive.receive(verdict);
+    archive.receive(verdict);
+    expect(calls).to.deep.equal(['adopt 5000']);
+    archive.receiveRemoval(segment);
+    archive.receive(verdict);
+    expect(calls).to.deep.equal(['adopt 5000', 'adopt 5000']);
+  });
+
+  // Guards against a lifted verdict that later instances read from the store.
+  it('removes a verdict that another instance had saved', async () => {
+    const {archive, calls, clock} = createArchive(0);
+    archive.receive(verdict);
+    archive.remove(segment);
+    await advance(clock, 100);
+    expect(calls).to.deep.equal(['adopt 5000', 'remove']);
+  });
+
   // Guards against a verdict that is lost because the store was away.
   it('saves a verdict once the store is back', async () => {
     const {archive, calls, clock} = createArchive(2);
--- a/packages/gateway/src/state/StateSync.ts
+++ b/packages/gateway/src/state/StateSync.ts
@@ -8,6 +8,7 @@
 import type {Clock, InstanceId, UpstreamId} from '@toucanrouter/common';
 import {delay} from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
+import type {SegmentHash} from '@toucanrouter/policy';
 import type {ActiveConfig} from '../config/ActiveConfig.js';
 import type {ConfigAge, TimeMark} from '../config/ConfigAge.js';
 import {shiftMark} from '../config/ConfigAge.js';
@@ -43,6 +44,7 @@
   readonly registry: UpstreamRegistry;
   readonly peers: PeerDirectory;
   readonly onVerdict: (verdict: StoredVerdict) => void;
+  readonly onVerdictRemoved: (segment: SegmentHash) => void;
   /** Time within which a change in the store must be in force. */
   readonly changeDelayMs: () => number;
 }
@@ -148,7 +150,7 @@
         options.onVerdict(change.verdict);
         return;
       case 'verdict_removed':
-        // Instances lift a verdict by the answers that they and peers report.
+        options.onVerdictRemoved(change.segment);
         return;
       case 'unreadable':
         logger.warn('a value in the store cannot be decoded and is not used', {
--- a/packages/gateway/src/state/VerdictArchive.ts
+++ b/packages/gateway/src/state/VerdictArchive.ts
@@ -2,12 +2,14 @@
  * Keeps the verdicts of this instance on prompt segments in the store, so that
  * instances that start later refuse such prompts from their first request on,
  * also if all instances have ended meanwhile. Calls that fail are repeated until
- * the verdict is over.
+ * the verdict is over. A verdict of the store is adopted once: a later read of
+ * the same entry must not renew it.
  */
 import type {Clock} from '@toucanrouter/common';
 import {delay} from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
 import type {SegmentHash} from '@toucanrouter/policy';
+import {createBoundedMap} from '@toucanrouter/policy';
 import type {StateStore, StoredVerdict} from './StateStore.js';
 
 /** Options of an archive. */
@@ -15,18 +17,26 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly store: Pick<StateStore, 'removeVerdict' | 'saveVerdict'>;
+  /** Called with a verdict of the store that was not read before. */
+  readonly onVerdict: (verdict: StoredVerdict) => void;
 }
 
 /** Keeps verdicts in the store until it is closed. */
 export interface VerdictArchive {
   save(verdict: StoredVerdict): void;
-  /** Removes a verdict, if this instance has saved it. */
+  /** Removes a verdict that this instance has saved or read. */
   remove(segment: SegmentHash): void;
+  /** Handles a verdict that was read from the store. */
+  receive(verdict: StoredVerdict): void;
+  /** Handles the removal of a verdict from the store. */
+  receiveRemoval(segment: SegmentHash): void;
   close(): void;
 }
 
 const callTimeoutMs = 800;
 const retryMs = 1_000;
+/** Bounds the memory that entries of other writers may take. */
+const maxStoredCount = 1_024;
 
 /** What the store should hold for a segment. */
 interface Wanted {
@@ -34,12 +44,19 @@
   readonly untilMs: number;
 }
 
+/** A verdict that the store holds as far as known. */
+interface StoredEntry {
+  readonly untilMs: number;
+  /** True once this instance has asked for its removal. */
+  readonly isLifted: boolean;
+}
+
 /** Creates an archive that holds nothing yet. */
 export function createVerdictArchive(
   options: VerdictArchiveOptions,
 ): VerdictArchive {
   const {clock, logger, store} = options;
-  const saved = new Map<SegmentHash, number>();
+  const stored = createBoundedMap<SegmentHash, StoredEntry>(maxStoredCount);
   const wanted = new Map<SegmentHash, Wanted>();
   let running = false;
   let closed = false;
@@ -79,25 +96,26 @@
     void run();
   }
 
-  function forgetEnded(): void {
-    for (const [segment, untilMs] of saved) {
-      if (clock.nowMs() >= untilMs) saved.delete(segment);
-    }
-  }
-
   return {
     save: verdict => {
-      forgetEnded();
       const untilMs = clock.nowMs() + verdict.durationMs;
-      saved.set(verdict.segment, untilMs);
+      stored.set(verdict.segment, {untilMs, isLifted: false});
       want(verdict.segment, {verdict, untilMs});
     },
     remove: segment => {
-      const untilMs = saved.get(segment);
-      if (untilMs === undefined) return;
-      saved.delete(segment);
+      const entry = stored.get(segment);
+      if (entry === undefined || entry.isLifted) return;
+      const {untilMs} = entry;
+      stored.set(segment, {untilMs, isLifted: true});
       want(segment, {verdict: undefined, untilMs});
     },
+    receive: verdict => {
+      if (stored.has(verdict.segment)) return;
+      const untilMs = clock.nowMs() + verdict.durationMs;
+      stored.set(verdict.segment, {untilMs, isLifted: false});
+      options.onVerdict(verdict);
+    },
+    receiveRemoval: segment => stored.delete(segment),
     close: () => {
       closed = true;
     },
