peer: shut down the server of a hub that cannot listen

An instance of the daemon whose port for peers stayed taken used more and more memory, and would have ended for it.

Cause: each attempt to listen created a gRPC server, which gRPC keeps until it is shut down.

Evidence: the new test failed before (no shutdown). 3,000 failed attempts in a script grew the heap from 11.9 to 51.4 MB.

A hub that cannot listen shuts its server down.

Measured: the test passes; the same script ends at 11.0 MB after 12.1.

--- a/packages/peer/src/PeerHub.ts
+++ b/packages/peer/src/PeerHub.ts
@@ -264,10 +264,16 @@
   const injector = server.createConnectionInjector(
     ServerCredentials.createInsecure(),
   );
+  /** A server that is not shut down stays in the registry of gRPC. */
+  function shutDown(error: RouterError): RouterError {
+    server.forceShutdown();
+    return error;
+  }
   const tcpServer = createTcpServer(socket =>
     injector.injectConnection(socket),
   );
-  return listenForPeers(tcpServer, options.listen).map(port => {
+  const listening = listenForPeers(tcpServer, options.listen);
+  return listening.mapErr(shutDown).map(port => {
     // A connection that was not accepted is dialed again by its peer.
     tcpServer.on('error', () => undefined);
     return createHub(port);
