gateway: send nothing new to an upstream that announces its leaving

Upstreams that say in their responses that they leave went on to get new requests, retries and resumptions until their entry changed.

Cause: the adapter did not read the announcement, and an upstream was leaving only by its entry.

The registry excludes a process that has announced its leaving, whatever its entry says later; a new process begins without the mark. A response of another process at the address is no announcement, nor a request for a pause.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -190,6 +190,14 @@
   const upstreamNotices = createUpstreamNotices({
     clock,
     logger,
+    onLeaving: (entry, requestId) => {
+      if (!registry.markLeaving(entry)) return;
+      logger.info('upstream announces that it leaves', {
+        upstream: entry.id,
+        service: entry.service,
+        requestId,
+      });
+    },
     onRefused: (entry, asksForPause) =>
       metrics.observeRefusal(entry.service, asksForPause),
   });
--- a/packages/gateway/src/__tests__/unit/GatewayRequest.test.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayRequest.test.ts
@@ -399,6 +399,32 @@
     );
   });
 
+  for (const status of [200, 503]) {
+    // Guards against new requests, and retries, at an upstream whose entry does
+    // not show yet that it leaves.
+    it(`sends nothing to an upstream after a ${status} that announces its leaving`, async () => {
+      let arrivedCount = 0;
+      const leaving: Handler = (message, response) => {
+        arrivedCount += 1;
+        const id = message.headers['id'];
+        const notRun = status === 503 ? {'not-run': '1'} : {};
+        response.writeHead(status, {id, mark: 'm', leaving: '1', ...notRun});
+        response.end();
+      };
+      const route = {streams: false, anonymous: true, retryPolicy: 'whole'};
+      const gateway = await startGateway(route as Partial<GatewayRoute>, [
+        leaving,
+        leaving,
+      ]);
+      for (let index = 0; index < 12; index++) {
+        await sendRequestTo(gateway.port, '/chat/x', 'key', `r${index}`);
+      }
+      await gateway.close();
+      // Each of the two upstreams learns of it with its first response.
+      expect(arrivedCount).to.equal(2);
+    });
+  }
+
   for (const [name, head] of [
     ['head', `x-long: ${'x'.repeat(20_000)}\r\ncontent-length: 0`],
     ['body', 'content-length: 2000'],
--- a/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
@@ -96,6 +96,7 @@
     upstreamNotices: createUpstreamNotices({
       clock,
       logger,
+      onLeaving: entry => registry.markLeaving(entry),
       onRefused: () => undefined,
     }),
     retryBudget: () => createRetryBudget(),
--- a/packages/gateway/src/__tests__/unit/PausedUpstreams.test.ts
+++ b/packages/gateway/src/__tests__/unit/PausedUpstreams.test.ts
@@ -112,6 +112,8 @@
     pause: (index: number, seconds: string) =>
       gateway.upstreamNotices.receive(entryAt(index), 'earlier', {
         status: 503,
+        leaving: false,
+        misdirected: false,
         retryAfter: readRetryAfter(seconds),
       }),
     send: (id = 'r1') => sendRequestTo(gateway.port, '/chat/x', 'key', id),
@@ -318,6 +320,7 @@
         instanceId: toInstanceId('i'),
         write: () => undefined,
       }),
+      onLeaving: () => undefined,
       onRefused: () => undefined,
     });
     const connections = createUpstreamConnections(clock);
--- a/packages/gateway/src/__tests__/unit/RetryDecision.test.ts
+++ b/packages/gateway/src/__tests__/unit/RetryDecision.test.ts
@@ -40,6 +40,7 @@
     stamped: true,
     mayBeEventStream: false,
     contentEncoded: false,
+    leaving: false,
     retryAfter: {delayMs: undefined, problem: undefined},
     headers: [],
   };
--- a/packages/gateway/src/__tests__/unit/TestDialect.ts
+++ b/packages/gateway/src/__tests__/unit/TestDialect.ts
@@ -31,6 +31,7 @@
     stamped: headers['mark'] !== undefined,
     mayBeEventStream:
       (headers['content-type'] ?? 'text/event-stream') === 'text/event-stream',
+    leaving: headers['leaving'] !== undefined,
     retryAfter: readRetryAfter(headers['retry-after']),
     contentEncoded: false,
     headers: passedOnHeaders.flatMap(name =>
--- a/packages/gateway/src/__tests__/unit/UpstreamNotices.test.ts
+++ b/packages/gateway/src/__tests__/unit/UpstreamNotices.test.ts
@@ -12,7 +12,12 @@
 const restarted = createEntry('u', {startedAtMs: 2});
 
 function refusal(retryAfter: string | undefined) {
-  return {status: 503, retryAfter: readRetryAfter(retryAfter)};
+  return {
+    status: 503,
+    leaving: false,
+    misdirected: false,
+    retryAfter: readRetryAfter(retryAfter),
+  };
 }
 
 function createNotices() {
@@ -26,6 +31,7 @@
       instanceId: toInstanceId('i'),
       write: line => lines.push(line),
     }),
+    onLeaving: () => undefined,
     onRefused: () => undefined,
   });
   const logged = (message: string) =>
--- a/packages/gateway/src/__tests__/unit/UpstreamRegistry.test.ts
+++ b/packages/gateway/src/__tests__/unit/UpstreamRegistry.test.ts
@@ -38,6 +38,20 @@
     expect(usable()).to.deep.equal([]);
   });
 
+  // Guards against new work for a process that has announced that it leaves.
+  it('excludes a process that announced its leaving until a new one takes over', () => {
+    const {registry, usable} = createRegistry();
+    expect(registry.markLeaving(createEntry('one'))).to.equal(true);
+    expect(registry.markLeaving(createEntry('one'))).to.equal(false);
+    expect(usable()).to.deep.equal(['two']);
+    registry.put(createEntry('one', {slots: 9}));
+    registry.remove(one);
+    registry.put(createEntry('one'));
+    expect(usable()).to.deep.equal(['two']);
+    registry.put(createEntry('one', {startedAtMs: 2}));
+    expect(usable()).to.have.members(['one', 'two']);
+  });
+
   it('keeps entries that expire during an outage of the store for a grace period', () => {
     const {clock, registry, usable} = createRegistry();
     registry.storeLost();
--- a/packages/gateway/src/request/Dialect.ts
+++ b/packages/gateway/src/request/Dialect.ts
@@ -48,6 +48,8 @@
   readonly stamped: boolean;
   /** False when the head names a type other than server-sent events. */
   readonly mayBeEventStream: boolean;
+  /** True when the upstream announces that it leaves. */
+  readonly leaving: boolean;
   /** For how long an upstream that rejects the request wants no other one. */
   readonly retryAfter: RetryAfter;
   /** True when the body has a content encoding. */
--- a/packages/gateway/src/upstreams/UpstreamNotices.ts
+++ b/packages/gateway/src/upstreams/UpstreamNotices.ts
@@ -1,5 +1,6 @@
 /**
- * What upstreams say about themselves in the heads of their responses. An
+ * What upstreams say about themselves in the heads of their responses: that they
+ * leave, which the registry keeps, or that they want a pause. An
  * upstream that rejects a request may state for how long it wants no further
  * one. Until then this instance sends it none. A pause belongs to one process of
  * the upstream, so it outlasts changes of its entry, but not a restart.
@@ -12,7 +13,10 @@
 import type {UpstreamEntry} from './UpstreamEntry.js';
 
 /** The parts of a response head that notices depend on. */
-export type NoticeHead = Pick<UpstreamResponse, 'retryAfter' | 'status'>;
+export type NoticeHead = Pick<
+  UpstreamResponse,
+  'leaving' | 'misdirected' | 'retryAfter' | 'status'
+>;
 
 /** Receives the response heads of upstreams, and tells which ones pause. */
 export interface UpstreamNotices {
@@ -34,6 +38,8 @@
 export interface UpstreamNoticesOptions {
   readonly clock: Clock;
   readonly logger: Logger;
+  /** Called for each response in which an upstream announces that it leaves. */
+  readonly onLeaving: (entry: UpstreamEntry, requestId: string) => void;
   /** Called for each response that rejects a request for lack of capacity. */
   readonly onRefused: (entry: UpstreamEntry, asksForPause: boolean) => void;
 }
@@ -122,7 +128,11 @@
   }
 
   return {
-    receive: (entry, requestId, {retryAfter, status}) => {
+    receive: (entry, requestId, head) => {
+      const {leaving, misdirected, retryAfter, status} = head;
+      // Another process responded at the address.
+      if (misdirected) return false;
+      if (leaving) options.onLeaving(entry, requestId);
       if (status !== serviceUnavailableStatus) return false;
       const {delayMs = 0, problem} = retryAfter;
       options.onRefused(entry, delayMs > 0);
--- a/packages/gateway/src/upstreams/UpstreamRegistry.ts
+++ b/packages/gateway/src/upstreams/UpstreamRegistry.ts
@@ -5,6 +5,7 @@
  * period. If only this instance was cut off from the store, there is none.
  */
 import type {Clock, ServiceName, UpstreamId} from '@toucanrouter/common';
+import {createBoundedMap} from '@toucanrouter/policy';
 import type {StoreAbsence} from '../state/StoreAbsence.js';
 import type {UpstreamEntry} from './UpstreamEntry.js';
 
@@ -31,6 +32,11 @@
   storeLost(): void;
   /** Ends an absence of the store, `agoMs` ago; a grace period starts then. */
   storeRegained(absence: StoreAbsence, agoMs?: number): void;
+  /**
+   * Excludes a process from new work that has announced that it leaves, whatever
+   * its entry says. Returns false if that is known.
+   */
+  markLeaving(entry: UpstreamEntry): boolean;
   /** Removes an upstream whose address now belongs to another one. */
   addressReassigned(id: UpstreamId): void;
 }
@@ -40,6 +46,8 @@
  * rest covers the delay of the watch.
  */
 export const lapsedEntryGraceMs = 2_300;
+/** Bounds the processes to remember, whose entries may return. */
+const maxLeavingProcesses = 4_096;
 /** Covers the time in which a removal becomes known and requests arrive. */
 const leavingReserveMs = 250;
 
@@ -56,6 +64,10 @@
   );
 }
 
+function processKeyOf({id, startedAtMs}: UpstreamEntry): string {
+  return `${startedAtMs ?? ''}/${id}`;
+}
+
 /** Creates a registry without upstreams. */
 export function createUpstreamRegistry(
   options: UpstreamRegistryOptions,
@@ -64,12 +76,16 @@
   const entries = new Map<UpstreamId, UpstreamEntry>();
   const cancelEvictions = new Map<UpstreamId, () => void>();
   const byService = new Map<ServiceName, UpstreamEntry[]>();
+  const announcedLeaving = createBoundedMap<string, true>(maxLeavingProcesses);
   let storeDown = false;
   let graceEndMs = -Infinity;
 
   function reindex(service: ServiceName): void {
     const usable = [...entries.values()].filter(
-      entry => entry.service === service && !entry.leaving,
+      entry =>
+        entry.service === service &&
+        !entry.leaving &&
+        !announcedLeaving.has(processKeyOf(entry)),
     );
     byService.set(service, usable);
   }
@@ -156,6 +172,13 @@
       }
       storeDown = false;
     },
+    markLeaving: entry => {
+      const key = processKeyOf(entry);
+      if (announcedLeaving.has(key)) return false;
+      announcedLeaving.set(key, true);
+      reindex(entry.service);
+      return true;
+    },
     addressReassigned: id =>
       evict(id, 'another upstream answers at its address'),
   };
