gateway, daemon: share the key of a process, and reword head comments

The gateway built the key of an upstream's process in two places, and three head comments had to be read twice. No behaviour changes.

Measured: the tests of the registry, of notices and of pauses in both request paths pass (44).

--- a/packages/common/src/AnswerReserve.ts
+++ b/packages/common/src/AnswerReserve.ts
@@ -4,7 +4,7 @@
  * not reach it, and it cannot know whether its request may have run.
  */
 
-/** Covers the way of the request and of the answer, and the caller's reading. */
+/** Covers the transit of request and answer, and the caller's reading. */
 const answerReserveMs = 150;
 /** Bounds the reserve of callers with short limits. */
 const maxReserveShare = 0.1;
--- a/packages/daemon/src/request/UpstreamAccess.ts
+++ b/packages/daemon/src/request/UpstreamAccess.ts
@@ -2,8 +2,8 @@
  * Access to upstreams and their permits for the filters that call upstreams. An
  * upstream that pauses or is leaving is excluded from each permit request, as
  * its scheduler may not know yet; a permit for one that began to pause or to
- * leave meanwhile is returned unused. If all upstreams pause that
- * a call may use, it waits, or is refused if it would wait too long.
+ * leave meanwhile is returned unused. A call whose upstreams all pause waits, or
+ * is refused if it would wait too long.
  */
 import type {
   BufferBudget,
--- a/packages/gateway/src/upstreams/UpstreamEntry.ts
+++ b/packages/gateway/src/upstreams/UpstreamEntry.ts
@@ -17,3 +17,11 @@
   /** Start of the process, in Unix milliseconds; undefined if not reported. */
   readonly startedAtMs: number | undefined;
 }
+
+/** Returns a key of the process that an entry describes. */
+export function processKeyOf({
+  id,
+  startedAtMs,
+}: Pick<UpstreamEntry, 'id' | 'startedAtMs'>): string {
+  return `${startedAtMs ?? ''}/${id}`;
+}
--- a/packages/gateway/src/upstreams/UpstreamNotices.ts
+++ b/packages/gateway/src/upstreams/UpstreamNotices.ts
@@ -1,9 +1,8 @@
 /**
  * What upstreams say about themselves in the heads of their responses: that they
- * leave, which the registry keeps, or that they want a pause. An
- * upstream that rejects a request may state for how long it wants no further
- * one. Until then this instance sends it none. A pause belongs to one process of
- * the upstream, so it outlasts changes of its entry, but not a restart.
+ * leave, which the registry keeps, or that they want no further request for some
+ * time. Until then this instance sends them none. A pause belongs to one process
+ * of the upstream, so it outlasts changes of its entry, but not a restart.
  */
 import type {Clock} from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
@@ -11,6 +10,7 @@
 import {createUpstreamPauses} from '@toucanrouter/policy';
 import type {UpstreamResponse} from '../request/Dialect.js';
 import type {UpstreamEntry} from './UpstreamEntry.js';
+import {processKeyOf} from './UpstreamEntry.js';
 
 /** The parts of a response head that notices depend on. */
 export type NoticeHead = Pick<
@@ -61,10 +61,6 @@
   return {id, start: startedAtMs};
 }
 
-function keyOf({id, startedAtMs}: UpstreamEntry): string {
-  return `${startedAtMs ?? ''}/${id}`;
-}
-
 /** True if `next` is another process of the upstream, or at its address. */
 function replaces(next: UpstreamEntry, previous: UpstreamEntry): boolean {
   return next.id === previous.id
@@ -89,7 +85,7 @@
 
   function endPause(pause: OpenPause, reason: PauseEnd): void {
     pause.cancelEnd();
-    openPauses.delete(keyOf(pause.entry));
+    openPauses.delete(processKeyOf(pause.entry));
     logger.info('upstream pause ended', {
       ...fieldsOf(pause.entry, pause.requestId),
       reason,
@@ -111,7 +107,7 @@
     requestId: string,
     delayMs: number,
   ): void {
-    const previous = openPauses.get(keyOf(entry));
+    const previous = openPauses.get(processKeyOf(entry));
     if (previous !== undefined) endPause(previous, 'its time has passed');
     logger.info('upstream pause began', {
       ...fieldsOf(entry, requestId),
@@ -123,7 +119,7 @@
       startedAtMs: clock.nowMs(),
       cancelEnd: () => undefined,
     };
-    openPauses.set(keyOf(entry), pause);
+    openPauses.set(processKeyOf(entry), pause);
     scheduleEnd(pause);
   }
 
--- a/packages/gateway/src/upstreams/UpstreamRegistry.ts
+++ b/packages/gateway/src/upstreams/UpstreamRegistry.ts
@@ -8,6 +8,7 @@
 import {createBoundedMap} from '@toucanrouter/policy';
 import type {StoreAbsence} from '../state/StoreAbsence.js';
 import type {UpstreamEntry} from './UpstreamEntry.js';
+import {processKeyOf} from './UpstreamEntry.js';
 
 /** Options of a registry. */
 export interface UpstreamRegistryOptions {
@@ -64,10 +65,6 @@
   );
 }
 
-function processKeyOf({id, startedAtMs}: UpstreamEntry): string {
-  return `${startedAtMs ?? ''}/${id}`;
-}
-
 /** Creates a registry without upstreams. */
 export function createUpstreamRegistry(
   options: UpstreamRegistryOptions,
