daemon: log errors of the open listener for peers

A connection of a peer that could not be accepted left no trace: the hub dropped errors of its listener.

--- a/packages/common/src/Listener.ts
+++ b/packages/common/src/Listener.ts
@@ -156,6 +156,34 @@
   };
 }
 
+/**
+ * Returns a function that logs errors of an open listener. They may come with
+ * each connection, so only the first one of a time is logged.
+ */
+export function createOpenListenerErrorLog({
+  clock,
+  log,
+  purpose,
+  target,
+}: Pick<ListenerOptions, 'clock' | 'log' | 'purpose' | 'target'>): (
+  error: ListenError,
+) => void {
+  let lastLogAtMs: number | undefined;
+  return ({code, message}) => {
+    const nowMs = clock.nowMs();
+    if (lastLogAtMs !== undefined && nowMs - lastLogAtMs < repeatLogAfterMs) {
+      return;
+    }
+    lastLogAtMs = nowMs;
+    log.warn('open listener failed; it stays open', {
+      purpose,
+      address: `${target.host}:${target.port}`,
+      code,
+      error: message,
+    });
+  };
+}
+
 /** Options of the listener of a server. */
 export interface ServerListenerOptions extends Pick<
   ListenerOptions,
@@ -172,26 +200,15 @@
  * without a handler each would end the process.
  */
 export function createServerListener(options: ServerListenerOptions): Listener {
-  const {backlog, clock, log, purpose, server, target} = options;
-  let lastLogAtMs: number | undefined;
+  const {backlog, server, target} = options;
+  const logError = createOpenListenerErrorLog(options);
   const listener = createListener({
     ...options,
     tryOpen: () => listenOnce(server, {...target, backlog}),
     undoOpen: () => server.close(),
   });
-  server.on('error', ({code, message}: ListenError) => {
-    if (!listener.isOpen()) return;
-    const nowMs = clock.nowMs();
-    if (lastLogAtMs !== undefined && nowMs - lastLogAtMs < repeatLogAfterMs) {
-      return;
-    }
-    lastLogAtMs = nowMs;
-    log.warn('open listener failed; it stays open', {
-      purpose,
-      address: `${target.host}:${target.port}`,
-      code,
-      error: message,
-    });
+  server.on('error', (error: ListenError) => {
+    if (listener.isOpen()) logError(error);
   });
   return listener;
 }
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -135,6 +135,7 @@
 } from './Listener.js';
 export {
   createListener,
+  createOpenListenerErrorLog,
   createServerListener,
   isLastingListenError,
   listenOnce,
--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -4,7 +4,7 @@
  * interrupted.
  */
 import type {RouterError} from '@toucanrouter/common';
-import {delay} from '@toucanrouter/common';
+import {createOpenListenerErrorLog, delay} from '@toucanrouter/common';
 import {createPeerHub} from '@toucanrouter/peer';
 import type {InstanceListReader} from '@toucanrouter/keyvalue';
 import {createInstanceListReader} from '@toucanrouter/keyvalue';
@@ -56,6 +56,12 @@
       clock,
       createHeartbeat: instance.fleet.createHeartbeat,
       onEnvelope: instance.fleet.receive,
+      onListenerError: createOpenListenerErrorLog({
+        clock,
+        log: logger,
+        purpose: 'peers',
+        target: settings.peers,
+      }),
     }),
   );
   if (hub.isErr()) return err(hub.error);
--- a/packages/peer/src/PeerHub.ts
+++ b/packages/peer/src/PeerHub.ts
@@ -8,7 +8,12 @@
 import {createServer as createTcpServer} from 'node:net';
 import type {ClientDuplexStream, ServerDuplexStream} from '@grpc/grpc-js';
 import {credentials, Server, ServerCredentials} from '@grpc/grpc-js';
-import type {Clock, InstanceId, ListenTarget} from '@toucanrouter/common';
+import type {
+  Clock,
+  InstanceId,
+  ListenError,
+  ListenTarget,
+} from '@toucanrouter/common';
 import {listenOnce, RouterError, toInstanceId} from '@toucanrouter/common';
 import {ResultAsync} from 'neverthrow';
 import type {
@@ -40,6 +45,8 @@
    */
   readonly createHeartbeat: () => Heartbeat;
   readonly onEnvelope: (from: InstanceId, envelope: Envelope__Output) => void;
+  /** Called with errors of the open listener, which stays open. */
+  readonly onListenerError?: (error: ListenError) => void;
 }
 
 /** Totals since the hub was created. */
@@ -275,7 +282,7 @@
   const listening = listenForPeers(tcpServer, options.listen);
   return listening.mapErr(shutDown).map(port => {
     // A connection that was not accepted is dialed again by its peer.
-    tcpServer.on('error', () => undefined);
+    tcpServer.on('error', error => options.onListenerError?.(error));
     return createHub(port);
   });
 }
