common: watch each connection once for responses that wait

A caller with more than ten requests open on one connection made Node.js warn of a memory leak on standard error.

Evidence: the new test of 20 calls failed before with the warning; without the function it fails because the waiting calls are not aborted within 5 s.

One listener a connection serves all its responses.

--- a/packages/common/src/PipelinedRequests.ts
+++ b/packages/common/src/PipelinedRequests.ts
@@ -52,12 +52,20 @@
  * has left would go on, and would count as in progress for ever.
  */
 export function closeWaitingResponses(server: Server): void {
+  const openResponses = new WeakMap<Socket, Set<ServerResponse>>();
+  server.on('connection', (socket: Socket) => {
+    const responses = new Set<ServerResponse>();
+    openResponses.set(socket, responses);
+    socket.once('close', () => {
+      for (const response of responses) {
+        const isWaiting = response.socket === null;
+        if (isWaiting) response.emit('close');
+      }
+    });
+  });
   server.prependListener('request', ({socket}, response) => {
-    const onConnectionClosed = () => {
-      const isWaiting = response.socket === null;
-      if (isWaiting) response.emit('close');
-    };
-    socket.once('close', onConnectionClosed);
-    response.once('close', () => socket.off('close', onConnectionClosed));
+    const responses = openResponses.get(socket);
+    responses?.add(response);
+    response.once('close', () => responses?.delete(response));
   });
 }
--- a/packages/daemon/src/__tests__/unit/CallerServer.test.ts
+++ b/packages/daemon/src/__tests__/unit/CallerServer.test.ts
@@ -98,6 +98,37 @@
     }
   });
 
+  // Guards against calls that go on for ever after their caller has left, and
+  // against a warning of Node.js for each connection with many calls.
+  it('aborts all calls of a connection that closes, also those that wait', async () => {
+    const callCount = 20;
+    const warnings: string[] = [];
+    const onWarning = ({name}: Error) => warnings.push(name);
+    process.on('warning', onWarning);
+    let openCount = 0;
+    const aborted: Promise<unknown>[] = [];
+    const {callers, port} = await startServer(async ({signal}) => {
+      openCount += 1;
+      const whenAborted = once(signal, 'abort');
+      aborted.push(whenAborted);
+      await whenAborted;
+      return ok(undefined);
+    });
+    const socket = connect(port, host);
+    socket.write(
+      'GET /services/s/x HTTP/1.1\r\nhost: h\r\n\r\n'.repeat(callCount),
+    );
+    while (openCount < callCount) await delay(clock, 5);
+    socket.destroy();
+    const all = Promise.all(aborted).then(() => 'aborted');
+    const outcome = await Promise.race([all, delay(clock, 5_000)]);
+    process.off('warning', onWarning);
+    callers.server.closeAllConnections();
+    await closeServer(callers.server);
+    expect(outcome).to.equal('aborted');
+    expect(warnings).to.deep.equal([]);
+  });
+
   // Guards against a planned stop that cuts the response to a slow caller.
   it('sends a response completely to a caller that reads slowly while it is closed', async () => {
     const body = Buffer.alloc(12 * 1024 * 1024);
