gateway: measure the delay of the event loop and the resident memory

Neither logs nor metrics of a gateway showed whether requests wait unread because the process gets too little processor time, how much memory it has, or how long a stop took, so the hypotheses of the incident could not be told apart. A timer every 100 ms measures by how much the event loop runs late. Metrics show the delay, its recent maximum and the resident memory; the line about the end of a stop has them too, with the time that the stop took.

Nothing depends on the values yet.

--- /dev/null
+++ b/packages/common/src/LoopDelay.ts
@@ -0,0 +1,73 @@
+/**
+ * Measures by how much the event loop of the process runs late. Callers'
+ * requests wait about as long in their sockets before they are read, so the
+ * delay shows that the process has less processor time than it needs, whether
+ * its own work takes it or other processes do.
+ */
+import type {Clock} from './Clock.js';
+
+/** The delay of the event loop. */
+export interface LoopDelay {
+  /** Starts to measure. */
+  start(): void;
+  /** The latest delay, or the time by which the next sample is overdue. */
+  currentMs(): number;
+  /** The longest delay of the recent past. */
+  recentMaxMs(): number;
+  /** The longest delay since the start. */
+  maxMs(): number;
+  /** Ends the measurement. */
+  close(): void;
+}
+
+/** Options of the measurement. */
+export interface LoopDelayOptions {
+  readonly clock: Clock;
+  /** Called with each sample. */
+  readonly onSample?: (delayMs: number) => void;
+}
+
+/** Time between two samples. */
+export const loopDelaySampleMs = 100;
+/** Length of the recent past. */
+export const recentLoopDelayMs = 2_000;
+const recentSamples = recentLoopDelayMs / loopDelaySampleMs;
+
+/** Creates a measurement that has not started. */
+export function createLoopDelay({
+  clock,
+  onSample = () => undefined,
+}: LoopDelayOptions): LoopDelay {
+  const samplesMs: number[] = [];
+  let latestMs = 0;
+  let longestMs = 0;
+  let dueAtMs = Infinity;
+  let cancelNext = (): void => undefined;
+
+  const overdueMs = () => Math.max(0, clock.nowMs() - dueAtMs);
+
+  function scheduleNext(): void {
+    dueAtMs = clock.nowMs() + loopDelaySampleMs;
+    cancelNext = clock.after(loopDelaySampleMs, sample);
+  }
+
+  function sample(): void {
+    latestMs = overdueMs();
+    longestMs = Math.max(longestMs, latestMs);
+    samplesMs.push(latestMs);
+    if (samplesMs.length > recentSamples) samplesMs.shift();
+    scheduleNext();
+    onSample(latestMs);
+  }
+
+  return {
+    start: scheduleNext,
+    currentMs: () => Math.max(latestMs, overdueMs()),
+    recentMaxMs: () => Math.max(overdueMs(), ...samplesMs),
+    maxMs: () => Math.max(longestMs, overdueMs()),
+    close: () => {
+      cancelNext();
+      dueAtMs = Infinity;
+    },
+  };
+}
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -121,6 +121,8 @@
   UpstreamState,
 } from './Permits.js';
 export {lingerAfterLastResponse, maxLingerMs} from './LingeringClose.js';
+export type {LoopDelay, LoopDelayOptions} from './LoopDelay.js';
+export {createLoopDelay} from './LoopDelay.js';
 export type {PipelinedRequests} from './PipelinedRequests.js';
 export {
   closeWaitingResponses,
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -12,6 +12,7 @@
 } from '@toucanrouter/common';
 import {
   createBufferBudget,
+  createLoopDelay,
   createServerListener,
   delay,
   isLastingListenError,
@@ -111,6 +112,7 @@
   let budgetsStartedAtMs = clock.nowMs();
   const budgetsByService = new Map<ServiceName, RetryBudget>();
   const configAge = createConfigAge(clock);
+  const loopDelay = createLoopDelay({clock});
   const knowledge = createUpstreamKnowledge({
     clock,
     selfId: shortIdOf(settings.instanceId),
@@ -304,6 +306,9 @@
         ...budget.status(clock.nowMs()),
       })),
     pausedCount: upstreamNotices.pausedCount,
+    loopDelayMs: loopDelay.currentMs,
+    recentLoopDelayMs: loopDelay.recentMaxMs,
+    residentBytes: () => process.memoryUsage.rss(),
   });
 
   function notReadyReason(): string | undefined {
@@ -419,6 +424,7 @@
 
   return {
     start: async () => {
+      loopDelay.start();
       sync.start();
       exchange.start();
       registration.start();
@@ -473,7 +479,15 @@
       }
       await relays.close();
       await connections.close();
-      logger.info('instance stopped', {cutRequests, unansweredWhileStopping});
+      logger.info('instance stopped', {
+        cutRequests,
+        unansweredWhileStopping,
+        tookMs: Math.round(clock.nowMs() - startedAtMs),
+        loopDelayMs: Math.round(loopDelay.recentMaxMs()),
+        longestLoopDelayMs: Math.round(loopDelay.maxMs()),
+        residentBytes: process.memoryUsage.rss(),
+      });
+      loopDelay.close();
     },
   };
 }
--- a/packages/gateway/src/__tests__/unit/GatewayMetrics.test.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayMetrics.test.ts
@@ -17,6 +17,9 @@
     quarantinedCount: zero,
     retryBudgets: () => [],
     pausedCount: () => 0,
+    loopDelayMs: zero,
+    recentLoopDelayMs: zero,
+    residentBytes: zero,
     ...overrides,
   };
 }
@@ -43,4 +46,21 @@
     expect(text).to.include('toucanrouter_retry_allowance{service="a"} 2.5');
     expect(text).to.include('toucanrouter_retry_allowance_used{service="a"} 2');
   });
+
+  it('shows how late the process runs and how much memory it has', async () => {
+    // Guards against a process at its limits that looks idle.
+    const metrics = createGatewayMetrics(
+      createSources({
+        loopDelayMs: () => 250,
+        recentLoopDelayMs: () => 1_500,
+        residentBytes: () => 64_000_000,
+      }),
+    );
+    const text = await metrics.render();
+    expect(text).to.include('toucanrouter_event_loop_delay_seconds 0.25');
+    expect(text).to.include(
+      'toucanrouter_event_loop_delay_recent_max_seconds 1.5',
+    );
+    expect(text).to.include('toucanrouter_resident_memory_bytes 64000000');
+  });
 });
--- a/packages/gateway/src/server/GatewayMetrics.ts
+++ b/packages/gateway/src/server/GatewayMetrics.ts
@@ -22,6 +22,11 @@
   readonly retryBudgets: () => readonly ServiceRetryBudget[];
   /** Upstreams that pause now. */
   readonly pausedCount: () => number;
+  /** Delay of the event loop: now, and the longest of the recent past. */
+  readonly loopDelayMs: () => number;
+  readonly recentLoopDelayMs: () => number;
+  /** Memory of the process that the operating system counts. */
+  readonly residentBytes: () => number;
 }
 
 /** The retry budget of one service. */
@@ -174,6 +179,21 @@
     'Upstreams that have asked this instance for a pause that still lasts',
     sources.pausedCount,
   );
+  gauge(
+    'toucanrouter_event_loop_delay_seconds',
+    'Time by which the event loop runs late; requests wait unread about as long',
+    () => sources.loopDelayMs() / msPerSecond,
+  );
+  gauge(
+    'toucanrouter_event_loop_delay_recent_max_seconds',
+    'Longest delay of the event loop in the last two seconds',
+    () => sources.recentLoopDelayMs() / msPerSecond,
+  );
+  gauge(
+    'toucanrouter_resident_memory_bytes',
+    'Memory of the process that the operating system counts',
+    sources.residentBytes,
+  );
   return {
     observe: ended => {
       const classLabel = ended.classId ?? noClassLabel;
