scripts: add a fault soak that runs instances as real processes

The faults of the incident show only with real processes, and the repository had no run that disturbs several of them from outside. A seed gives one schedule of load and faults: planned stops, kills, freezes, reloads of half written settings, upstreams that crash, and callers that send large bodies, some slowly. The soak checks memory, exits, the time of stops, responses to the right request, whole streams, at most one run of what may not be repeated, true refusals, and that no call is closed without an answer unless its instance was killed or frozen.

--- /dev/null
+++ b/scripts/soak.js
@@ -0,0 +1,308 @@
+/**
+ * Fault soak: runs instances as real processes beside stand-ins, disturbs them
+ * from outside and checks what callers and upstreams see.
+ *
+ *   node scripts/soak.js --seed 1 --seconds 60 --seeds 1 --instances 5
+ *
+ * A seed gives one schedule of load and faults. `--busy N` starts N processes
+ * that take all processor time they get, and `--cpus LIST` pins the instances
+ * and these processes to the named processors. The exit code is 1 if a promise
+ * was broken; the schedule and the logs are kept then.
+ */
+import console from 'node:console';
+import {spawn, spawnSync} from 'node:child_process';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {performance} from 'node:perf_hooks';
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {clearTimeout, setTimeout} from 'node:timers';
+import {parseArgs} from 'node:util';
+import {
+  answerSoundly,
+  kinds,
+  startDeployment,
+  streamSoundly,
+} from '../review/deployment.js';
+import {root} from '../review/router.js';
+import {createCaller} from './soak/callers.js';
+import {createFleet, gracePeriodMs} from './soak/fleet.js';
+
+const {values} = parseArgs({
+  options: {
+    seed: {type: 'string', default: '1'},
+    seeds: {type: 'string', default: '1'},
+    seconds: {type: 'string', default: '60'},
+    instances: {type: 'string', default: '5'},
+    rate: {type: 'string', default: '1'},
+    busy: {type: 'string', default: '0'},
+    cpus: {type: 'string'},
+  },
+});
+const seconds = Number(values.seconds);
+const startLimitMs = 60_000;
+/** Time in which requests that were sent last get their answer. */
+const settleMs = 16_000;
+const maxBodyBytes = 4 * 1024 * 1024;
+/** Time between two disturbances; several may last at the same time. */
+const minGapMs = 500;
+const maxGapMs = 2_500;
+const maxFreezeMs = 2_500;
+/** Callers that send a large body at the same moment. */
+const largeBodies = 60;
+const largeBodyLimitMs = 8_000;
+
+/** Numbers from 0 to 1 that repeat with the seed. */
+function createRandom(seed) {
+  let state = seed >>> 0;
+  return () => {
+    state = (state + 0x6d2b79f5) >>> 0;
+    let mixed = Math.imul(state ^ (state >>> 15), state | 1);
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
+  };
+}
+
+function startBusyProcesses(count) {
+  const script = 'for (;;);';
+  const pinned =
+    values.cpus === undefined ? [] : ['taskset', '-c', values.cpus];
+  const [program, ...args] = [...pinned, process.execPath, '-e', script];
+  return Array.from({length: count}, () =>
+    spawn(program, args, {stdio: 'ignore'}),
+  );
+}
+
+async function runSeed(seed) {
+  const random = createRandom(seed);
+  const directory = mkdtempSync(join(tmpdir(), 'toucanrouter-soak-'));
+  const startedAtMs = performance.now();
+  const nowMs = () => performance.now() - startedAtMs;
+  const violations = [];
+  const schedule = [];
+  const ended = [];
+  const closers = [];
+  const onViolation = text =>
+    violations.push(`${Math.round(nowMs())} ms: ${text}`);
+
+  const deployment = await startDeployment({
+    onEnd: close => closers.push(close),
+    runModel: streamSoundly,
+    runPlain: answerSoundly,
+  });
+  const fleet = createFleet({
+    count: Number(values.instances),
+    directory,
+    storeAddress: deployment.address,
+    nowMs,
+    basePort: 20_000 + Math.floor(random() * 8_000),
+    cpus: values.cpus,
+    onViolation,
+  });
+  const busy = startBusyProcesses(Number(values.busy));
+  fleet.start();
+  const isStarted = () =>
+    fleet.instances.every(
+      instance => fleet.lifeOf(instance).readyAtMs !== undefined,
+    );
+  while (!isStarted() && nowMs() < startLimitMs) await sleep(50);
+  if (!isStarted()) onViolation('an instance did not become ready');
+
+  const callers = fleet.instances.map(instance =>
+    createCaller({
+      host: instance.host,
+      port: instance.ports.callers,
+      nowMs,
+      onEnded: call => ended.push({...call, instance}),
+    }),
+  );
+  const timers = new Set();
+  let callCount = 0;
+
+  function send(index, kind, overrides = {}) {
+    callCount += 1;
+    const id = `s${seed}x${callCount}`;
+    const ownTokens = kind.ownTokens ?? 0;
+    const headers =
+      kind.parts === undefined
+        ? {}
+        : {
+            Model: 'm',
+            'Token-Counts': `${ownTokens},${kind.events}`,
+            'Prompt-Prefix': `${id}:${ownTokens}`,
+          };
+    callers[index].send({
+      id,
+      kind: kind.name,
+      path: `${kind.path}${callCount}`,
+      limitMs: kind.limitMs,
+      bodyBytes: kind.bodyBytes,
+      events: kind.events,
+      headers,
+      ...overrides,
+    });
+  }
+
+  function scheduleKind(index, kind) {
+    const perSecond = kind.perSecond * Number(values.rate);
+    const waitMs = (-Math.log(1 - random()) * 1_000) / perSecond;
+    const timer = setTimeout(() => {
+      timers.delete(timer);
+      send(index, kind);
+      scheduleKind(index, kind);
+    }, waitMs);
+    timers.add(timer);
+  }
+
+  const order = kinds.find(kind => kind.events === undefined);
+
+  /** Disturbances of an instance that runs undisturbed, by name. */
+  const disturbances = {
+    stop: ({life}) => fleet.stop(life),
+    kill: ({life}) => fleet.kill(life),
+    freeze: ({instance, life}) =>
+      void fleet.freeze(instance, life, random() * maxFreezeMs),
+    reload: ({instance, life}) => {
+      const text = fleet.settingsOf(instance);
+      writeFileSync(instance.settingsFile, text.slice(0, text.length / 2));
+      fleet.signal(life, 'SIGHUP');
+      setTimeout(() => writeFileSync(instance.settingsFile, text), 100);
+    },
+    largeBodies: ({instance}) => {
+      for (let sent = 0; sent < largeBodies; sent += 1) {
+        send(instance.index, order, {
+          bodyBytes: maxBodyBytes,
+          limitMs: largeBodyLimitMs,
+          isLarge: true,
+          isSlow: sent % 3 === 0,
+        });
+      }
+    },
+    engine: () => {
+      const engine =
+        deployment.engines[Math.floor(random() * deployment.engines.length)];
+      if (engine.isDown) return;
+      engine.isDown = true;
+      engine.crash();
+      setTimeout(
+        () =>
+          void engine.restart().then(() => {
+            engine.isDown = false;
+            deployment.store.set(`servers/${engine.id}`, engine.entry());
+          }),
+        1_500,
+      );
+    },
+  };
+  const names = Object.keys(disturbances);
+
+  fleet.instances.forEach((_, index) =>
+    kinds.forEach(kind => scheduleKind(index, kind)),
+  );
+  const endMs = nowMs() + seconds * 1_000;
+  while (nowMs() < endMs) {
+    await sleep(minGapMs + random() * (maxGapMs - minGapMs));
+    const name = names[Math.floor(random() * names.length)];
+    const instance =
+      fleet.instances[Math.floor(random() * fleet.instances.length)];
+    const life = fleet.lifeOf(instance);
+    if (!fleet.isUndisturbed(life)) continue;
+    schedule.push({atMs: Math.round(nowMs()), name, instance: instance.name});
+    disturbances[name]({instance, life});
+  }
+  for (const timer of timers) clearTimeout(timer);
+  await sleep(Math.max(settleMs, gracePeriodMs));
+  checkCalls({ended, deployment, onViolation});
+  callers.forEach(caller => caller.close());
+  fleet.close();
+  busy.forEach(child => child.kill('SIGKILL'));
+  closers.forEach(close => close());
+  const stops = fleet.instances
+    .flatMap(({lives}) => lives)
+    .flatMap(({stopTookMs}) => stopTookMs ?? []);
+  const peakMb = fleet.instances
+    .flatMap(({lives}) => lives)
+    .reduce((peak, {peakBytes}) => Math.max(peak, peakBytes / 2 ** 20), 0);
+  const report = {
+    seed,
+    outcomes: countBy(ended, ({outcome}) => outcome),
+    unanswered: countBy(ended.filter(isUnanswered), ({kind}) => kind),
+    disturbances: countBy(schedule, ({name}) => name),
+    stopsMs: stops,
+    peakMb: Math.round(peakMb),
+    violations,
+  };
+  if (violations.length === 0) rmSync(directory, {recursive: true});
+  else {
+    const file = join(directory, 'schedule.json');
+    writeFileSync(file, JSON.stringify({report, schedule}, null, 2));
+    report.kept = directory;
+  }
+  return report;
+}
+
+function countBy(items, keyOf) {
+  const counts = {};
+  for (const item of items) {
+    const key = keyOf(item);
+    counts[key] = (counts[key] ?? 0) + 1;
+  }
+  return counts;
+}
+
+const isUnanswered = ({outcome}) => outcome === 'no answer';
+/** The process never had the request, or it was gone. */
+const refusedOutcomes = new Set(['ECONNREFUSED']);
+
+/** True if the instance was killed or frozen while the call was open. */
+function isExcused({instance, sentAtMs, endedAtMs}) {
+  const overlaps = (fromMs, toMs) => fromMs <= endedAtMs && toMs >= sentAtMs;
+  return (
+    instance.lives.some(
+      ({killedAtMs, endedAtMs}) =>
+        killedAtMs !== undefined && overlaps(killedAtMs, endedAtMs ?? Infinity),
+    ) || instance.freezes.some(({fromMs, toMs}) => overlaps(fromMs, toMs))
+  );
+}
+
+/** Checks the promises on single calls. */
+function checkCalls({ended, deployment, onViolation}) {
+  const runCounts = countBy(
+    deployment.engines.flatMap(({runs}) => runs),
+    ({id}) => id,
+  );
+  for (const call of ended) {
+    const where = `${call.id} (${call.kind}) at ${call.instance.name}, sent at ${Math.round(call.sentAtMs)} ms`;
+    if (call.fault !== undefined) onViolation(`${where}: ${call.fault}`);
+    const runCount = runCounts[call.id] ?? 0;
+    if (call.events === undefined) {
+      if (runCount > 1) onViolation(`${where}: ran ${runCount} times`);
+      if (call.status === 503 && runCount > 0)
+        onViolation(`${where}: refused as not run, but it ran`);
+    }
+    const isCut =
+      !/^\d+$/.test(call.outcome) &&
+      !isUnanswered(call) &&
+      !refusedOutcomes.has(call.outcome);
+    if (isCut && !isExcused(call)) {
+      onViolation(
+        `${where}: closed without a complete answer (${call.outcome})`,
+      );
+    }
+  }
+}
+
+const built = spawnSync('npm', ['run', '--silent', 'bundle'], {
+  cwd: root,
+  stdio: 'inherit',
+});
+if (built.status !== 0) process.exit(2);
+let hasFailed = false;
+const firstSeed = Number(values.seed);
+for (let seed = firstSeed; seed < firstSeed + Number(values.seeds); seed += 1) {
+  const report = await runSeed(seed);
+  console.log(JSON.stringify(report));
+  hasFailed ||= report.violations.length > 0;
+}
+process.exit(hasFailed ? 1 : 0);
