common: budget of the memory that requests hold

Reserves memory before it is filled, refuses less urgent tiers first, and gives up stalled or less urgent requests that no upstream may have received for others. A plan divides the memory limit of a process among what it holds.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -123,6 +123,16 @@
 export {lingerAfterLastResponse, maxLingerMs} from './LingeringClose.js';
 export type {LoopDelay, LoopDelayOptions} from './LoopDelay.js';
 export {createLoopDelay} from './LoopDelay.js';
+export type {
+  MemoryBudget,
+  MemoryBudgetOptions,
+  MemoryBudgetStatus,
+  MemoryClaim,
+  MemoryReservation,
+} from './MemoryBudget.js';
+export {createMemoryBudget, usableBytes} from './MemoryBudget.js';
+export type {MemoryPlan} from './MemoryPlan.js';
+export {defaultMemoryLimitBytes, planMemory} from './MemoryPlan.js';
 export type {PipelinedRequests} from './PipelinedRequests.js';
 export {
   closeWaitingResponses,
