gateway: bound the memory of callers' bodies by the limit of the process

Callers saw their requests end without an answer when the process was killed: 150 bodies of 4 MB at once, or 300 that never ended, took it far over the memory of its machine.

Nothing added up the bytes of bodies, each body was joined from pieces at twice its size, and the process did not know its limit.

The declared length of a body is reserved before it is read; what does not fit is refused with 503 (not run), less urgent tiers first. Stalled or less urgent bodies that no upstream may have received are given up for others. Large bodies are also refused while resident memory is near the limit. The memory is freed when the request is recorded as ended, which happens once on every path. Metrics show limits, holders and refusals.

The suites of other packages were not run.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -11,7 +11,6 @@
   ServiceName,
 } from '@toucanrouter/common';
 import {
-  createBufferBudget,
   createLoopDelay,
   createServerListener,
   delay,
@@ -37,6 +36,7 @@
 import {createSharedRetryBudget} from './request/SharedRetryBudget.js';
 import {createGatewayMetrics} from './server/GatewayMetrics.js';
 import {createGatewayServer, listenBacklog} from './server/GatewayServer.js';
+import {createProcessMemory} from './server/ProcessMemory.js';
 import {
   createMetricsServer,
   createReadinessServer,
@@ -103,6 +103,8 @@
 const minQuietMs = 300;
 /** The same while connections are open on which a request may be on its way. */
 const minQuietWithConnectionsMs = 1_000;
+/** Bodies that seem to stall while the event loop runs later may have arrived. */
+const maxStalledCheckDelayMs = 500;
 /** Creates a gateway; nothing is started. */
 export function createGateway(options: GatewayOptions): Gateway {
   const {clock, logger, store} = options;
@@ -112,7 +114,15 @@
   let budgetsStartedAtMs = clock.nowMs();
   const budgetsByService = new Map<ServiceName, RetryBudget>();
   const configAge = createConfigAge(clock);
-  const loopDelay = createLoopDelay({clock});
+  const memory = createProcessMemory(clock, settings.memoryLimitBytes);
+  const loopDelay = createLoopDelay({
+    clock,
+    onSample: delayMs => {
+      // After a pause of the process, what has arrived is read first.
+      if (delayMs < maxStalledCheckDelayMs)
+        memory.requestBodies.giveUpStalled();
+    },
+  });
   const knowledge = createUpstreamKnowledge({
     clock,
     selfId: shortIdOf(settings.instanceId),
@@ -276,7 +286,8 @@
     knowledge,
     reportSoon: exchange.reportSoon,
     connections,
-    responseBuffers: createBufferBudget(),
+    requestBodies: memory.requestBodies,
+    responseBuffers: memory.responses,
     promptGuard,
     upstreamNotices,
     retryBudget: retryBudgetOf,
@@ -308,7 +319,10 @@
     pausedCount: upstreamNotices.pausedCount,
     loopDelayMs: loopDelay.currentMs,
     recentLoopDelayMs: loopDelay.recentMaxMs,
-    residentBytes: () => process.memoryUsage.rss(),
+    residentBytes: memory.residentBytes,
+    memoryLimitBytes: () => memory.plan.limitBytes,
+    memoryHolders: memory.holders,
+    bodyMemory: memory.requestBodies.status,
   });
 
   function notReadyReason(): string | undefined {
--- /dev/null
+++ b/packages/gateway/src/__tests__/process/LimitedGateway.ts
@@ -0,0 +1,42 @@
+/**
+ * A gateway in a process of its own, whose memory can be measured from outside:
+ * `LimitedGateway.ts UPSTREAM_PORT MEMORY_LIMIT_BYTES`. It prints its port for
+ * callers and runs until it is killed.
+ */
+import process from 'node:process';
+import {createProcessRandom} from '@toucanrouter/common';
+import {createLogger} from '@toucanrouter/logging';
+import {createGateway} from '../../Gateway.js';
+import {
+  clock,
+  createFixedStore,
+  createSettings,
+  readinessPath,
+} from '../unit/RunningGatewayFixtures.js';
+import {testDialect} from '../unit/TestDialect.js';
+
+const maxBodyBytes = 4 * 1024 * 1024;
+const timeoutMs = 10_000;
+
+const [upstreamPort = 0, memoryLimitBytes] = process.argv.slice(2).map(Number);
+const settings = await createSettings({memoryLimitBytes});
+const gateway = createGateway({
+  settings,
+  clock,
+  logger: createLogger({
+    format: 'json',
+    level: settings.logLevel,
+    instanceId: settings.instanceId,
+    write: line => process.stderr.write(line),
+  }),
+  random: createProcessRandom(),
+  dialect: testDialect,
+  store: createFixedStore(
+    upstreamPort,
+    {timeoutMs, targetLatencyMs: timeoutMs},
+    {maxBodyBytes},
+  ),
+  readinessPath,
+});
+await gateway.start();
+process.stdout.write(`${settings.callers.port}\n`);
--- /dev/null
+++ b/packages/gateway/src/__tests__/process/MemoryLimit.test.ts
@@ -0,0 +1,145 @@
+import type {ChildProcess} from 'node:child_process';
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {readFileSync} from 'node:fs';
+import type {Server} from 'node:http';
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {connect} from 'node:net';
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {fileURLToPath} from 'node:url';
+import {expect} from 'chai';
+
+const program = fileURLToPath(new URL('LimitedGateway.ts', import.meta.url));
+const nodeOptions = [
+  '--max-old-space-size=120',
+  '--import=tsx',
+  '--conditions=source',
+];
+const memoryLimitBytes = 350_000_000;
+const bodyBytes = 4 * 1024 * 1024;
+const body = Buffer.alloc(bodyBytes, 'b');
+const host = '127.0.0.1';
+const answerDelayMs = 100;
+const startTimeMs = 500;
+const maxWaitMs = 20_000;
+const bytesPerKilobyte = 1024;
+
+interface LimitedGateway {
+  readonly port: number;
+  /** The largest resident memory until now. */
+  peakBytes(): number;
+  isRunning(): boolean;
+}
+
+/** An upstream that discards bodies and answers after a while. */
+async function startUpstream(): Promise<Server> {
+  const upstream = createServer((message, response) => {
+    message.resume();
+    message.once('end', () => {
+      setTimeout(() => {
+        const id = String(message.headers['id']);
+        response.writeHead(200, {id, mark: 'm'});
+        response.end('whole');
+      }, answerDelayMs);
+    });
+  });
+  upstream.listen(0, host);
+  await once(upstream, 'listening');
+  return upstream;
+}
+
+function peakBytesOf({pid}: ChildProcess): number {
+  const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+  const [, kilobytes] = /^VmHWM:\s+(\d+) kB$/m.exec(status) ?? [];
+  return Number(kilobytes) * bytesPerKilobyte;
+}
+
+/** Runs `use` with a gateway that has a memory limit. */
+async function withGateway(
+  use: (gateway: LimitedGateway) => Promise<void>,
+): Promise<void> {
+  const upstream = await startUpstream();
+  const {port: upstreamPort} = upstream.address() as AddressInfo;
+  const child = spawn(
+    process.execPath,
+    [...nodeOptions, program, `${upstreamPort}`, `${memoryLimitBytes}`],
+    {stdio: ['ignore', 'pipe', 'inherit']},
+  );
+  try {
+    const [line] = (await once(child.stdout, 'data')) as [Buffer];
+    await sleep(startTimeMs);
+    await use({
+      port: Number(line),
+      peakBytes: () => peakBytesOf(child),
+      isRunning: () => child.exitCode === null && child.signalCode === null,
+    });
+  } finally {
+    child.kill('SIGKILL');
+    upstream.closeAllConnections();
+    upstream.close();
+  }
+}
+
+/** Sends one request; returns the head of its response, or how it ended. */
+function call(port: number, id: string, sent: Buffer): Promise<string> {
+  return new Promise(resolve => {
+    const socket = connect(port, host);
+    let received = '';
+    const finish = (result: string) => {
+      clearTimeout(timer);
+      resolve(result);
+      socket.destroy();
+    };
+    const timer = setTimeout(() => finish('no response'), maxWaitMs);
+    socket.write(
+      `POST /chat/x HTTP/1.1\r\nHost: h\r\nid: ${id}\r\nContent-Length: ${bodyBytes}\r\n\r\n`,
+    );
+    socket.write(sent);
+    socket.on('data', chunk => {
+      received += String(chunk);
+      if (received.includes('\r\n\r\n')) finish(received.slice(9, 12));
+    });
+    socket.on('error', error => finish(error.message));
+    socket.on('close', () => finish('closed'));
+  });
+}
+
+function callTogether(
+  port: number,
+  count: number,
+  sent: Buffer,
+): Promise<string[]> {
+  return Promise.all(
+    Array.from({length: count}, (_, index) => call(port, `r${index}`, sent)),
+  );
+}
+
+describe('Process of a gateway with a memory limit', () => {
+  // Guards against a process that is killed because callers' bodies take more
+  // memory than the machine has.
+  it('stays below it under many large bodies and answers each of them', async () => {
+    await withGateway(async gateway => {
+      const results = await callTogether(gateway.port, 150, body);
+      expect(gateway.isRunning()).to.equal(true);
+      for (const result of results) expect(result).to.match(/^(200|503)$/);
+      expect(results).to.include('200');
+      expect(gateway.peakBytes()).to.be.below(memoryLimitBytes);
+      expect(await call(gateway.port, 'later', body)).to.equal('200');
+    });
+  });
+
+  // Guards against the same through bodies whose callers never finish them.
+  it('stays below it under large bodies that never end', async () => {
+    await withGateway(async gateway => {
+      const unfinished = body.subarray(0, bodyBytes * 0.97);
+      const results = callTogether(gateway.port, 300, unfinished);
+      await sleep(3_000);
+      expect(await call(gateway.port, 'whole', body)).to.equal('200');
+      expect(new Set(await results)).to.deep.equal(new Set(['503']));
+      expect(gateway.peakBytes()).to.be.below(memoryLimitBytes);
+      expect(gateway.isRunning()).to.equal(true);
+    });
+  });
+});
--- a/packages/gateway/src/__tests__/unit/CrashingPrompts.test.ts
+++ b/packages/gateway/src/__tests__/unit/CrashingPrompts.test.ts
@@ -232,6 +232,7 @@
     retryShare: 0.2,
     retryWindowMs: 10_000,
     retryAllowance: 50,
+    memoryLimitBytes: undefined,
     logLevel: 'error',
   };
 }
--- a/packages/gateway/src/__tests__/unit/GatewayMetrics.test.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayMetrics.test.ts
@@ -20,6 +20,14 @@
     loopDelayMs: zero,
     recentLoopDelayMs: zero,
     residentBytes: zero,
+    memoryLimitBytes: zero,
+    memoryHolders: () => [],
+    bodyMemory: () => ({
+      usedBytes: 0,
+      maxBytes: 0,
+      refusedCount: 0,
+      givenUpCount: 0,
+    }),
     ...overrides,
   };
 }
@@ -63,4 +71,35 @@
     );
     expect(text).to.include('toucanrouter_resident_memory_bytes 64000000');
   });
+
+  it('shows what holds memory, and how many requests that cost', async () => {
+    // Guards against refusals for memory whose holder no metric shows.
+    const metrics = createGatewayMetrics(
+      createSources({
+        memoryLimitBytes: () => 500,
+        memoryHolders: () => [
+          {holder: 'request_bodies', usedBytes: 7, maxBytes: 80},
+          {holder: 'responses', usedBytes: 5, maxBytes: 60},
+        ],
+        bodyMemory: () => ({
+          usedBytes: 7,
+          maxBytes: 80,
+          refusedCount: 3,
+          givenUpCount: 2,
+        }),
+      }),
+    );
+    const text = await metrics.render();
+    for (const line of [
+      'toucanrouter_memory_limit_bytes 500',
+      'toucanrouter_memory_held_bytes{holder="request_bodies"} 7',
+      'toucanrouter_memory_held_bytes{holder="responses"} 5',
+      'toucanrouter_memory_budget_bytes{holder="request_bodies"} 80',
+      'toucanrouter_memory_budget_bytes{holder="responses"} 60',
+      'toucanrouter_bodies_refused 3',
+      'toucanrouter_bodies_given_up 2',
+    ]) {
+      expect(text).to.include(line);
+    }
+  });
 });
--- a/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
@@ -6,6 +6,7 @@
 import type {AddressInfo, Server} from 'node:net';
 import {
   createBufferBudget,
+  createMemoryBudget,
   createSeededRandom,
   createSystemClock,
   toInstanceId,
@@ -82,6 +83,7 @@
     knowledge: createUpstreamKnowledge({clock, selfId: shortIdOf('i')}),
     reportSoon: () => undefined,
     connections,
+    requestBodies: createMemoryBudget({clock, maxBytes: 64 * 1024 * 1024}),
     responseBuffers: createBufferBudget(),
     promptGuard: createPromptGuard({
       clock,
--- a/packages/gateway/src/__tests__/unit/RunningGatewayFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/RunningGatewayFixtures.ts
@@ -16,7 +16,7 @@
 import {createLogger} from '@toucanrouter/logging';
 import type {GatewaySettings} from '@toucanrouter/settings';
 import {errAsync, okAsync} from 'neverthrow';
-import type {GatewayRoute} from '../../config/GatewayConfig.js';
+import type {CallerLimits, GatewayRoute} from '../../config/GatewayConfig.js';
 import type {Gateway} from '../../Gateway.js';
 import {createGateway} from '../../Gateway.js';
 import type {StateChange, StateStore} from '../../state/StateStore.js';
@@ -47,9 +47,10 @@
 }
 
 /** Creates a store with one upstream and one route, which never changes. */
-function createFixedStore(
+export function createFixedStore(
   upstreamPort: number,
   route: Partial<GatewayRoute>,
+  limits: Partial<CallerLimits> = {},
 ): StateStore {
   const changes: readonly StateChange[] = [
     {
@@ -61,6 +62,7 @@
           maxBodyBytes: 100_000,
           headerTimeoutMs: 3_000,
           idleTimeoutMs: 15_000,
+          ...limits,
         },
         workspacesByKey: undefined,
       }),
@@ -100,6 +102,7 @@
     retryShare: 0.2,
     retryWindowMs: 10_000,
     retryAllowance: 50,
+    memoryLimitBytes: undefined,
     logLevel: 'error',
     ...changes,
   };
--- a/packages/gateway/src/request/GatewayContext.ts
+++ b/packages/gateway/src/request/GatewayContext.ts
@@ -4,6 +4,7 @@
 import type {
   BufferBudget,
   Clock,
+  MemoryBudget,
   RandomSource,
   ServiceName,
 } from '@toucanrouter/common';
@@ -37,6 +38,8 @@
   /** Reports this instance's work to its peers without waiting long. */
   readonly reportSoon: () => void;
   readonly connections: UpstreamConnections;
+  /** Bounds the memory of callers' bodies. */
+  readonly requestBodies: MemoryBudget;
   /** Bounds the bytes of responses that are buffered at the same time. */
   readonly responseBuffers: BufferBudget;
   readonly promptGuard: PromptGuard;
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -24,7 +24,8 @@
   EndedAttempt,
 } from './AttemptRace.js';
 import {startAttemptRace} from './AttemptRace.js';
-import {readBody} from './CallerBody.js';
+import type {CallerBody} from './CallerBody.js';
+import {openCallerBody} from './CallerBody.js';
 import type {CallerResponse, ConnectionClosing} from './CallerResponse.js';
 import {createCallerResponse} from './CallerResponse.js';
 import type {CallerRequest} from './Dialect.js';
@@ -91,16 +92,15 @@
     return;
   }
   handler.onAdmitted(admitted.value);
-  const body = await readBody(message, admitted.value.config.limits);
-  if (body.isErr()) handler.failWith(body.error);
-  else await handler.forward(admitted.value, body.value);
+  await handler.receive(admitted.value, message);
 }
 
 /** Serves one request; its outcome is recorded once. */
 interface RequestHandler extends OpenRequest {
   onCallerClosed(): void;
   onAdmitted(admitted: AdmittedRequest): void;
-  forward(admitted: AdmittedRequest, body: Buffer): Promise<void>;
+  /** Reads the body and forwards the request. */
+  receive(admitted: AdmittedRequest, message: IncomingMessage): Promise<void>;
   fail(kind: ErrorKind, reason: string, retryAfterMs?: number): void;
   failWith(error: RouterError): void;
 }
@@ -140,6 +140,7 @@
   let quarantinedSegment: string | undefined;
   let recorded = false;
   let bodyRead = false;
+  let callerBody: CallerBody | undefined;
   let unhedgedLogged = false;
   let callerDisconnected = false;
   let cancelTimeout = (): void => undefined;
@@ -179,6 +180,7 @@
     cancelTimeout();
     endWait();
     returnReservation?.close();
+    callerBody?.close();
     context.onEnded({
       requestId: request.requestId,
       classId: admittedRequest?.route.classId,
@@ -615,6 +617,32 @@
     };
   }
 
+  /** Gives up the request for others that need its memory. */
+  function giveUpBody(reason: string): void {
+    refuse('overloaded', reason);
+    attempts?.cancel(reason);
+  }
+
+  async function receive(
+    admitted: AdmittedRequest,
+    message: IncomingMessage,
+  ): Promise<void> {
+    if (recorded) return;
+    callerBody = openCallerBody(message, {
+      limits: admitted.config.limits,
+      memory: context.requestBodies,
+      tier: admitted.tier,
+      canGiveUp: () => !recorded && !callerResponse.started && !mayHaveRun(),
+      onGivenUp: giveUpBody,
+    });
+    const body = await callerBody.received;
+    if (recorded) return;
+    if (body.isOk()) return forward(admitted, body.value);
+    const {kind, message: reason} = body.error;
+    if (kind === 'overloaded') refuse(kind, reason);
+    else failWith(body.error);
+  }
+
   async function forward(
     admitted: AdmittedRequest,
     body: Buffer,
@@ -742,7 +770,7 @@
       const untilAnswerMs = answerAtMs - clock.nowMs();
       cancelTimeout = clock.after(Math.max(0, untilAnswerMs), onAnswerDue);
     },
-    forward,
+    receive,
     fail,
     failWith,
   };
--- a/packages/gateway/src/server/GatewayMetrics.ts
+++ b/packages/gateway/src/server/GatewayMetrics.ts
@@ -2,11 +2,12 @@
  * Prometheus metrics of a gateway. The number of label values is bounded:
  * classes come from the configuration and outcomes from the list of error kinds.
  */
-import type {ServiceName} from '@toucanrouter/common';
+import type {MemoryBudgetStatus, ServiceName} from '@toucanrouter/common';
 import type {RetryBudgetStatus} from '@toucanrouter/policy';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {RequestStage} from '../request/OpenRequest.js';
 import type {EndedRequest} from '../request/EndedRequest.js';
+import type {HolderMemory} from './ProcessMemory.js';
 
 /** Sources of the values that are read when metrics are collected. */
 export interface GatewayMetricSources {
@@ -27,6 +28,9 @@
   readonly recentLoopDelayMs: () => number;
   /** Memory of the process that the operating system counts. */
   readonly residentBytes: () => number;
+  readonly memoryLimitBytes: () => number;
+  readonly memoryHolders: () => readonly HolderMemory[];
+  readonly bodyMemory: () => MemoryBudgetStatus;
 }
 
 /** The retry budget of one service. */
@@ -194,6 +198,47 @@
     'Memory of the process that the operating system counts',
     sources.residentBytes,
   );
+  gauge(
+    'toucanrouter_memory_limit_bytes',
+    'Memory that the process may occupy',
+    sources.memoryLimitBytes,
+  );
+  const holderGauge = (
+    name: string,
+    help: string,
+    read: (memory: HolderMemory) => number,
+  ) =>
+    new Gauge({
+      name,
+      help,
+      labelNames: ['holder'],
+      registers,
+      collect() {
+        for (const memory of sources.memoryHolders()) {
+          this.set({holder: memory.holder}, read(memory));
+        }
+      },
+    });
+  holderGauge(
+    'toucanrouter_memory_held_bytes',
+    'Memory in use, by what holds it',
+    ({usedBytes}) => usedBytes,
+  );
+  holderGauge(
+    'toucanrouter_memory_budget_bytes',
+    'Memory that each holder may use',
+    ({maxBytes}) => maxBytes,
+  );
+  gauge(
+    'toucanrouter_bodies_refused',
+    'Requests refused since the start because their body needs more memory',
+    () => sources.bodyMemory().refusedCount,
+  );
+  gauge(
+    'toucanrouter_bodies_given_up',
+    'Requests whose memory was given up for others since the start',
+    () => sources.bodyMemory().givenUpCount,
+  );
   return {
     observe: ended => {
       const classLabel = ended.classId ?? noClassLabel;
--- /dev/null
+++ b/packages/gateway/src/server/ProcessMemory.ts
@@ -0,0 +1,75 @@
+/**
+ * The memory of the process: its limit, what each kind of holder may use of it,
+ * and what is in use.
+ */
+import {totalmem} from 'node:os';
+import {getHeapStatistics} from 'node:v8';
+import type {
+  BufferBudget,
+  Clock,
+  MemoryBudget,
+  MemoryPlan,
+} from '@toucanrouter/common';
+import {
+  createBufferBudget,
+  createMemoryBudget,
+  defaultMemoryLimitBytes,
+  planMemory,
+} from '@toucanrouter/common';
+
+/** The memory that one kind of holder uses. */
+export interface HolderMemory {
+  readonly holder: 'request_bodies' | 'responses';
+  readonly usedBytes: number;
+  readonly maxBytes: number;
+}
+
+/** The memory of the process. */
+export interface ProcessMemory {
+  readonly plan: MemoryPlan;
+  readonly requestBodies: MemoryBudget;
+  readonly responses: BufferBudget;
+  /** Memory of the process that the operating system counts. */
+  residentBytes(): number;
+  holders(): readonly HolderMemory[];
+}
+
+/** Memory of the machine, or of the container in which the process runs. */
+function machineBytes(): number {
+  const constrainedBytes = process.constrainedMemory();
+  return constrainedBytes > 0
+    ? Math.min(constrainedBytes, totalmem())
+    : totalmem();
+}
+
+/** Divides the limit, or a default that suits the machine. */
+export function createProcessMemory(
+  clock: Clock,
+  limitBytes: number | undefined,
+): ProcessMemory {
+  const plan = planMemory(
+    limitBytes ?? defaultMemoryLimitBytes(machineBytes()),
+    getHeapStatistics().heap_size_limit,
+  );
+  const residentBytes = () => process.memoryUsage.rss();
+  const requestBodies = createMemoryBudget({
+    clock,
+    maxBytes: plan.requestBodyBytes,
+    freeResidentBytes: () => plan.maxResidentBytes - residentBytes(),
+  });
+  const responses = createBufferBudget(plan.responseBytes);
+  return {
+    plan,
+    requestBodies,
+    responses,
+    residentBytes,
+    holders: () => [
+      {holder: 'request_bodies', ...requestBodies.status()},
+      {
+        holder: 'responses',
+        usedBytes: responses.usedBytes(),
+        maxBytes: plan.responseBytes,
+      },
+    ],
+  };
+}
--- a/packages/settings/src/GatewaySettings.ts
+++ b/packages/settings/src/GatewaySettings.ts
@@ -15,6 +15,7 @@
   addressTextField,
   choiceField,
   durationField,
+  memoryField,
   nameField,
   numberField,
 } from './SettingsFields.js';
@@ -44,6 +45,8 @@
   readonly retryWindowMs: number;
   /** Retries allowed per window beyond that share, over all instances. */
   readonly retryAllowance: number;
+  /** Memory that the process may occupy; undefined if it is not set. */
+  readonly memoryLimitBytes: number | undefined;
   readonly logLevel: 'debug' | 'error' | 'info' | 'warn';
 }
 
@@ -66,6 +69,7 @@
     repeat_window: durationField.prefault('10s'),
     repeat_slack: numberField.prefault('50'),
   }),
+  limits: z.strictObject({memory: memoryField.optional()}),
   log: z.strictObject({
     level: choiceField(['debug', 'error', 'info', 'warn']).prefault('info'),
   }),
@@ -74,7 +78,7 @@
 function toGatewaySettings(
   values: SectionValues<typeof gatewaySections>,
 ): GatewaySettings {
-  const {bounds, instance, listen, log, store} = values;
+  const {bounds, instance, limits, listen, log, store} = values;
   return {
     instanceId: toInstanceId(instance.id),
     failureDomain: instance.failure_domain,
@@ -90,6 +94,7 @@
     retryShare: bounds.repeat_share,
     retryWindowMs: bounds.repeat_window,
     retryAllowance: bounds.repeat_slack,
+    memoryLimitBytes: limits.memory,
     logLevel: log.level,
   };
 }
--- a/packages/settings/src/SettingsFields.ts
+++ b/packages/settings/src/SettingsFields.ts
@@ -70,6 +70,26 @@
   };
 });
 
+const memoryUnitsBytes: Readonly<Record<string, number>> = {
+  ...sizeUnitsBytes,
+  MB: 1_000_000,
+};
+
+/**
+ * The memory of a machine in bytes. A text without a number, such as a template
+ * leaves behind that was filled in without the value, counts as not set.
+ */
+export const memoryField = textField(
+  (text): ConversionResult<number | undefined> => {
+    if (!/\d/.test(text)) return {value: undefined};
+    const bytes = parseQuantity(text, memoryUnitsBytes);
+    if (bytes !== undefined && bytes >= 1) return {value: Math.floor(bytes)};
+    return {
+      fault: `"${text}" is not a size; write a number with unit B, KiB, MB or MiB, such as 512MiB`,
+    };
+  },
+);
+
 /** A non-negative number, such as 0.2. */
 export const numberField = textField((text): ConversionResult<number> => {
   const value = Number(text);
--- a/packages/settings/src/__tests__/unit/GatewaySettings.test.ts
+++ b/packages/settings/src/__tests__/unit/GatewaySettings.test.ts
@@ -30,6 +30,30 @@
     expect(settings.peers).to.deep.equal({host: '10.0.0.1', port: 7_340});
   });
 
+  it('reads the memory limit with its unit', () => {
+    const limitOf = (text: string) =>
+      parseGatewaySettings(`${sample}[limits]\n${text}\n`, 'f').map(
+        ({memoryLimitBytes}) => memoryLimitBytes,
+      );
+    expect(limitOf('memory = 64MiB')._unsafeUnwrap()).to.equal(67_108_864);
+    expect(limitOf('memory = 64MB')._unsafeUnwrap()).to.equal(64_000_000);
+    expect(limitOf('memory = 64')._unsafeUnwrapErr().faults).to.have.length(1);
+  });
+
+  // Guards against an instance that does not start because a template had no
+  // value for the limit.
+  it('has no memory limit if there is no value for it', () => {
+    for (const text of [
+      '',
+      '[limits]',
+      '[limits]\nmemory =',
+      '[limits]\nmemory = MB',
+    ]) {
+      const settings = parseGatewaySettings(`${sample}${text}\n`, 'f');
+      expect(settings._unsafeUnwrap().memoryLimitBytes).to.equal(undefined);
+    }
+  });
+
   it('reports all faults at once, with their lines', () => {
     const text = sample
       .replace('8s', '8')
