policy: decide which requests a busy process refuses

A process without enough processor time refused nothing: requests waited unread until their callers gave up. This module decides by the delay of the event loop. While the delay lasts above a target, the share of requests that is admitted falls, the least urgent tiers first; below half of the target it rises again step by step. A delay that falls by itself, as after a freeze, lowers nothing. A request whose time cannot cover the delay is refused at once.

It has no network and no clock of its own. Nothing uses it yet.

--- /dev/null
+++ b/packages/policy/src/LoadShedding.ts
@@ -0,0 +1,156 @@
+/**
+ * Decides which requests a process without enough processor time refuses. While
+ * the delay of its event loop stays above a target, the share of requests that
+ * is admitted falls window by window; once the delay is below the target, the
+ * share rises in growing steps. The least urgent tiers are refused first, and a
+ * tier that can be admitted in part is admitted by chance, so that no caller is
+ * refused every time.
+ *
+ * A process that was stopped for a while, or that collected garbage, has a long
+ * delay that falls by itself. Only a delay that lasts lowers the share.
+ */
+
+/** A request to decide on. */
+export interface SheddingRequest {
+  /** 0 is the most urgent. */
+  readonly tier: number;
+  /** Time from the reading of the request to its caller's limit. */
+  readonly limitMs: number;
+  /** Delay of the event loop, about which the request waited unread. */
+  readonly delayMs: number;
+  /** Random number from 0 to 1 that orders the requests of a tier. */
+  readonly draw: number;
+}
+
+/** Why a request is refused: it cannot end in time, or the load is too high. */
+export type SheddingReason = 'late' | 'overload';
+
+/** Refuses requests while the process has too little processor time. */
+export interface LoadShedding {
+  /** Takes a sample of the delay of the event loop. */
+  observeDelay(delayMs: number, nowMs: number): void;
+  /** Counts a request and returns why it is refused, if it is. */
+  decide(request: SheddingRequest): SheddingReason | undefined;
+  /** Share of the requests that is admitted, from 0 to 1. */
+  admittedShare(): number;
+  /** The delay that has lasted, which further turns of the loop will have. */
+  lastingDelayMs(): number;
+}
+
+/** Options of load shedding. */
+export interface LoadSheddingOptions {
+  /** Delay above which the process has too little processor time. */
+  readonly targetDelayMs: () => number;
+  /** Called when shedding begins and when all requests are admitted again. */
+  readonly onChange?: (isShedding: boolean) => void;
+}
+
+/** Time over which samples of the delay are averaged. */
+export const sheddingWindowMs = 200;
+/** Windows above the target after which the share falls. */
+const windowsBeforeShedding = 2;
+/** A delay that falls below this share of the one before recovers by itself. */
+const fallingDelayShare = 0.8;
+/** Factor by which each window above the target lowers the admitted share. */
+const loweringFactor = 0.8;
+/** The same for a long turn of the loop, which spans several windows. */
+const minLoweringFactor = 0.5;
+/** Rise of the share with a window below the target. */
+const raisingStep = 0.005;
+/** Windows below the target after which each further one adds another step. */
+const windowsOfConstantStep = 10;
+/** Share of the target above which the admitted share does not rise. */
+const holdingTargetShare = 0.5;
+/** Share that is still admitted, so that the process serves what it can. */
+const minAdmittedShare = 0.02;
+/** Share of the counts of arrivals that each window keeps. */
+const keptCountShare = 0.8;
+
+/** Creates load shedding that admits all requests. */
+export function createLoadShedding({
+  targetDelayMs,
+  onChange = () => undefined,
+}: LoadSheddingOptions): LoadShedding {
+  const countsByTier = new Map<number, number>();
+  let admittedShare = 1;
+  let previousDelayMs = 0;
+  let lastingDelayMs = 0;
+  let windowsAbove = 0;
+  let calmWindows = 0;
+  let windowStartMs: number | undefined;
+  let lastSampleMs = 0;
+  let weightedDelay = 0;
+
+  function setShare(next: number): void {
+    const wasShedding = admittedShare < 1;
+    admittedShare = Math.min(1, Math.max(minAdmittedShare, next));
+    const isShedding = admittedShare < 1;
+    if (isShedding !== wasShedding) onChange(isShedding);
+  }
+
+  function lower(elapsedMs: number): void {
+    const factor = Math.max(
+      minLoweringFactor,
+      loweringFactor ** (elapsedMs / sheddingWindowMs),
+    );
+    setShare(admittedShare * factor);
+  }
+
+  function endWindow(delayMs: number, elapsedMs: number): void {
+    for (const [tier, count] of countsByTier) {
+      countsByTier.set(tier, count * keptCountShare);
+    }
+    const isFalling = delayMs < previousDelayMs * fallingDelayShare;
+    lastingDelayMs = isFalling ? 0 : Math.min(delayMs, previousDelayMs);
+    previousDelayMs = delayMs;
+    const targetMs = targetDelayMs();
+    if (delayMs <= targetMs) {
+      windowsAbove = 0;
+      if (delayMs > targetMs * holdingTargetShare) return;
+      calmWindows += 1;
+      const steps = 1 + Math.max(0, calmWindows - windowsOfConstantStep);
+      setShare(admittedShare + raisingStep * steps);
+      return;
+    }
+    calmWindows = 0;
+    if (isFalling) return;
+    windowsAbove += 1;
+    if (windowsAbove >= windowsBeforeShedding) lower(elapsedMs);
+  }
+
+  /** Share of recent requests that are more urgent than this one. */
+  function rankOf(tier: number, draw: number): number {
+    let moreUrgent = 0;
+    let all = 0;
+    for (const [other, count] of countsByTier) {
+      all += count;
+      if (other < tier) moreUrgent += count;
+    }
+    return (moreUrgent + (countsByTier.get(tier) ?? 0) * draw) / all;
+  }
+
+  return {
+    observeDelay: (delayMs, nowMs) => {
+      if (windowStartMs === undefined) {
+        windowStartMs = lastSampleMs = nowMs;
+        return;
+      }
+      // A long turn of the loop has one sample, so each counts by its time.
+      weightedDelay += delayMs * (nowMs - lastSampleMs);
+      lastSampleMs = nowMs;
+      const elapsedMs = nowMs - windowStartMs;
+      if (elapsedMs < sheddingWindowMs) return;
+      endWindow(weightedDelay / elapsedMs, elapsedMs);
+      windowStartMs = nowMs;
+      weightedDelay = 0;
+    },
+    decide: ({tier, limitMs, delayMs, draw}) => {
+      countsByTier.set(tier, (countsByTier.get(tier) ?? 0) + 1);
+      const isDelayed = delayMs > targetDelayMs();
+      if (isDelayed && limitMs - delayMs < lastingDelayMs) return 'late';
+      return rankOf(tier, draw) < admittedShare ? undefined : 'overload';
+    },
+    admittedShare: () => admittedShare,
+    lastingDelayMs: () => lastingDelayMs,
+  };
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -11,6 +11,13 @@
 } from './HedgeBudget.js';
 export type {LengthModel} from './LengthModel.js';
 export {createLengthModel} from './LengthModel.js';
+export type {
+  LoadShedding,
+  LoadSheddingOptions,
+  SheddingReason,
+  SheddingRequest,
+} from './LoadShedding.js';
+export {createLoadShedding} from './LoadShedding.js';
 export type {
   BlockedSegment,
   PromptQuarantine,
