gateway: refuse requests early when processor time runs out

What callers saw: requests to an instance with too little processor time got nothing within their time limit, whatever their tier.

Cause: the gateway did not know how late it ran. It served every request, the oldest first, so that all waited longer with each turn of the event loop, and deadlines counted from the reading of a request, not from its sending.

The change: load control joins the measured delay of the event loop with the decision of LoadShedding. Requests are refused with 503 overloaded after their admission, before the body is read or an upstream is chosen, the least urgent tiers first. While the delay exceeds the target, deadlines count from when the request may have been sent. The delay is sampled every 25 ms, because turns of about 100 ms showed hardly any delay at 100 ms. Readiness does not change.

Why it works: a refusal costs less than a served request, so the delay falls until what is admitted fits the time there is.

--- a/packages/common/src/LoopDelay.ts
+++ b/packages/common/src/LoopDelay.ts
@@ -27,8 +27,8 @@
   readonly onSample?: (delayMs: number) => void;
 }
 
-/** Time between two samples. */
-export const loopDelaySampleMs = 100;
+/** Time between two samples. Shorter turns of the loop may show no delay. */
+export const loopDelaySampleMs = 25;
 /** Length of the recent past. */
 export const recentLoopDelayMs = 2_000;
 const recentSamples = recentLoopDelayMs / loopDelaySampleMs;
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -12,7 +12,6 @@
 } from '@toucanrouter/common';
 import {
   createBufferBudget,
-  createLoopDelay,
   createServerListener,
   delay,
   isLastingListenError,
@@ -33,6 +32,7 @@
 import type {EndedRequest} from './request/EndedRequest.js';
 import {getOrCreate} from './GetOrCreate.js';
 import type {GatewayContext} from './request/GatewayContext.js';
+import {createLoadControl} from './request/LoadControl.js';
 import {createPromptGuard} from './request/PromptGuard.js';
 import {createSharedRetryBudget} from './request/SharedRetryBudget.js';
 import {createGatewayMetrics} from './server/GatewayMetrics.js';
@@ -112,7 +112,6 @@
   let budgetsStartedAtMs = clock.nowMs();
   const budgetsByService = new Map<ServiceName, RetryBudget>();
   const configAge = createConfigAge(clock);
-  const loopDelay = createLoopDelay({clock});
   const knowledge = createUpstreamKnowledge({
     clock,
     selfId: shortIdOf(settings.instanceId),
@@ -145,6 +144,14 @@
       configAgeMs: Math.round(configAge.ageMs()),
     });
   });
+  const loadControl = createLoadControl({
+    clock,
+    logger,
+    random: options.random,
+    config,
+    onRefused: (tier, reason) => metrics.observeShed(tier, reason),
+  });
+  const {loopDelay} = loadControl;
   const registry = createUpstreamRegistry({
     clock,
     leavingDelayMs: () => settings.leavingDelayMs,
@@ -275,6 +282,7 @@
     registry,
     knowledge,
     reportSoon: exchange.reportSoon,
+    loadControl,
     connections,
     responseBuffers: createBufferBudget(),
     promptGuard,
@@ -308,6 +316,7 @@
     pausedCount: upstreamNotices.pausedCount,
     loopDelayMs: loopDelay.currentMs,
     recentLoopDelayMs: loopDelay.recentMaxMs,
+    admittedShare: loadControl.admittedShare,
     residentBytes: () => process.memoryUsage.rss(),
   });
 
--- a/packages/gateway/src/__tests__/unit/GatewayMetrics.test.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayMetrics.test.ts
@@ -19,6 +19,7 @@
     pausedCount: () => 0,
     loopDelayMs: zero,
     recentLoopDelayMs: zero,
+    admittedShare: () => 1,
     residentBytes: zero,
     ...overrides,
   };
@@ -63,4 +64,21 @@
     );
     expect(text).to.include('toucanrouter_resident_memory_bytes 64000000');
   });
+
+  it('shows which requests were refused for lack of processor time', async () => {
+    // Guards against refused requests that look like a lack of upstreams.
+    const metrics = createGatewayMetrics(
+      createSources({admittedShare: () => 0.4}),
+    );
+    metrics.observeShed(2, 'overload');
+    metrics.observeShed(0, 'late');
+    const text = await metrics.render();
+    expect(text).to.include('toucanrouter_admitted_share 0.4');
+    expect(text).to.include(
+      'toucanrouter_shed_requests_total{tier="2",reason="overload"} 1',
+    );
+    expect(text).to.include(
+      'toucanrouter_shed_requests_total{tier="0",reason="late"} 1',
+    );
+  });
 });
--- a/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
@@ -18,6 +18,7 @@
 import {shortIdOf} from '../../peers/ShortIds.js';
 import type {EndedRequest} from '../../request/EndedRequest.js';
 import type {GatewayContext} from '../../request/GatewayContext.js';
+import {createLoadControl} from '../../request/LoadControl.js';
 import {createPromptGuard} from '../../request/PromptGuard.js';
 import {createGatewayServer} from '../../server/GatewayServer.js';
 import {createUpstreamConnections} from '../../upstreams/UpstreamConnections.js';
@@ -81,6 +82,13 @@
     registry,
     knowledge: createUpstreamKnowledge({clock, selfId: shortIdOf('i')}),
     reportSoon: () => undefined,
+    loadControl: createLoadControl({
+      clock,
+      logger,
+      random,
+      config,
+      onRefused: () => undefined,
+    }),
     connections,
     responseBuffers: createBufferBudget(),
     promptGuard: createPromptGuard({
--- a/packages/gateway/src/request/GatewayContext.ts
+++ b/packages/gateway/src/request/GatewayContext.ts
@@ -17,6 +17,7 @@
 import type {UpstreamRegistry} from '../upstreams/UpstreamRegistry.js';
 import type {Dialect} from './Dialect.js';
 import type {EndedRequest} from './EndedRequest.js';
+import type {LoadControl} from './LoadControl.js';
 import type {PromptGuard} from './PromptGuard.js';
 
 /** The dependencies of request handling. */
@@ -36,6 +37,11 @@
   readonly knowledge: UpstreamKnowledge;
   /** Reports this instance's work to its peers without waiting long. */
   readonly reportSoon: () => void;
+  /** Refuses requests for lack of processor time. */
+  readonly loadControl: Pick<
+    LoadControl,
+    'unreadMs' | 'tryAdmit' | 'loopDelay'
+  >;
   readonly connections: UpstreamConnections;
   /** Bounds the bytes of responses that are buffered at the same time. */
   readonly responseBuffers: BufferBudget;
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -91,6 +91,7 @@
     return;
   }
   handler.onAdmitted(admitted.value);
+  if (!handler.tryAdmitLoad(admitted.value)) return;
   const body = await readBody(message, admitted.value.config.limits);
   if (body.isErr()) handler.failWith(body.error);
   else await handler.forward(admitted.value, body.value);
@@ -100,6 +101,8 @@
 interface RequestHandler extends OpenRequest {
   onCallerClosed(): void;
   onAdmitted(admitted: AdmittedRequest): void;
+  /** Refuses the request if the instance lacks the time to serve it. */
+  tryAdmitLoad(admitted: AdmittedRequest): boolean;
   forward(admitted: AdmittedRequest, body: Buffer): Promise<void>;
   fail(kind: ErrorKind, reason: string, retryAfterMs?: number): void;
   failWith(error: RouterError): void;
@@ -117,6 +120,11 @@
 ): RequestHandler {
   const {clock, config, configAge, knowledge, logger, random} = context;
   const arrivedAtMs = clock.nowMs();
+  /**
+   * A request waits unread for up to the delay of the event loop. Its caller
+   * counts from when it was sent, so deadlines assume the longest wait.
+   */
+  const assumedSentAtMs = arrivedAtMs - context.loadControl.unreadMs();
   const upstreams: UpstreamId[] = [];
   /** Upstreams that are not chosen again, unless they are returnable. */
   const triedUpstreams = new Set<UpstreamId>();
@@ -732,9 +740,9 @@
       admittedRequest = admitted;
       const {timeoutMs} = admitted.route;
       const callerLimitMs = request.callerTimeoutMs ?? Infinity;
-      deadlineMs = arrivedAtMs + Math.min(callerLimitMs, timeoutMs);
+      deadlineMs = assumedSentAtMs + Math.min(callerLimitMs, timeoutMs);
       answerAtMs =
-        arrivedAtMs +
+        assumedSentAtMs +
         Math.min(
           timeoutMs + timeoutGraceMs,
           callerLimitMs - answerReserveFor(callerLimitMs),
@@ -742,6 +750,15 @@
       const untilAnswerMs = answerAtMs - clock.nowMs();
       cancelTimeout = clock.after(Math.max(0, untilAnswerMs), onAnswerDue);
     },
+    tryAdmitLoad: ({route, tier}) => {
+      const {loadControl} = context;
+      const callerLimitMs = request.callerTimeoutMs ?? Infinity;
+      const limitMs = Math.min(callerLimitMs, route.timeoutMs);
+      const reason = loadControl.tryAdmit({tier, limitMs});
+      if (reason === undefined) return true;
+      refuse('overloaded', reason, loadControl.loopDelay.recentMaxMs());
+      return false;
+    },
     forward,
     fail,
     failWith,
--- a/packages/gateway/src/server/GatewayMetrics.ts
+++ b/packages/gateway/src/server/GatewayMetrics.ts
@@ -3,7 +3,7 @@
  * classes come from the configuration and outcomes from the list of error kinds.
  */
 import type {ServiceName} from '@toucanrouter/common';
-import type {RetryBudgetStatus} from '@toucanrouter/policy';
+import type {RetryBudgetStatus, SheddingReason} from '@toucanrouter/policy';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {RequestStage} from '../request/OpenRequest.js';
 import type {EndedRequest} from '../request/EndedRequest.js';
@@ -25,6 +25,8 @@
   /** Delay of the event loop: now, and the longest of the recent past. */
   readonly loopDelayMs: () => number;
   readonly recentLoopDelayMs: () => number;
+  /** Share of requests that the processor time allows, from 0 to 1. */
+  readonly admittedShare: () => number;
   /** Memory of the process that the operating system counts. */
   readonly residentBytes: () => number;
 }
@@ -39,6 +41,8 @@
   observe(ended: EndedRequest): void;
   /** Counts a request that an upstream rejected for lack of capacity. */
   observeRefusal(service: ServiceName, asksForPause: boolean): void;
+  /** Counts a request that was refused for lack of processor time. */
+  observeShed(tier: number, reason: SheddingReason): void;
   /** Counts a connection that closed before the response was complete. */
   observeUnanswered(stage: RequestStage, isStopping: boolean): void;
   /** Renders all metrics in the Prometheus text format. */
@@ -104,6 +108,12 @@
     labelNames: ['service', 'pause'],
     registers,
   });
+  const shed = new Counter({
+    name: 'toucanrouter_shed_requests_total',
+    help: 'Requests refused for lack of processor time, by tier and whether their own time was too short or the load too high',
+    labelNames: ['tier', 'reason'],
+    registers,
+  });
   const unanswered = new Counter({
     name: 'toucanrouter_unanswered_requests_total',
     help: 'Requests whose connection closed before their response was complete, by how far they had come and whether the instance was stopping',
@@ -189,6 +199,11 @@
     'Longest delay of the event loop in the last two seconds',
     () => sources.recentLoopDelayMs() / msPerSecond,
   );
+  gauge(
+    'toucanrouter_admitted_share',
+    'Share of requests that the processor time allows; the least urgent tiers are refused first',
+    sources.admittedShare,
+  );
   gauge(
     'toucanrouter_resident_memory_bytes',
     'Memory of the process that the operating system counts',
@@ -208,6 +223,7 @@
     },
     observeRefusal: (service, asksForPause) =>
       refusals.inc({service, pause: String(asksForPause)}),
+    observeShed: (tier, reason) => shed.inc({tier: String(tier), reason}),
     observeUnanswered: (stage, isStopping) =>
       unanswered.inc({stage, stopping: String(isStopping)}),
     render: () => registry.metrics(),
