--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -11,7 +11,6 @@
   ServiceName,
 } from '@toucanrouter/common';
 import {
-  createLoopDelay,
   createServerListener,
   delay,
   isLastingListenError,
@@ -32,6 +31,7 @@
 import type {EndedRequest} from './request/EndedRequest.js';
 import {getOrCreate} from './GetOrCreate.js';
 import type {GatewayContext} from './request/GatewayContext.js';
+import {createLoadControl} from './request/LoadControl.js';
 import {createPromptGuard} from './request/PromptGuard.js';
 import {createSharedRetryBudget} from './request/SharedRetryBudget.js';
 import {createGatewayMetrics} from './server/GatewayMetrics.js';
@@ -115,14 +115,6 @@
   const budgetsByService = new Map<ServiceName, RetryBudget>();
   const configAge = createConfigAge(clock);
   const memory = createProcessMemory(clock, settings.memoryLimitBytes);
-  const loopDelay = createLoopDelay({
-    clock,
-    onSample: delayMs => {
-      // After a pause of the process, what has arrived is read first.
-      if (delayMs < maxStalledCheckDelayMs)
-        memory.requestBodies.giveUpStalled();
-    },
-  });
   const knowledge = createUpstreamKnowledge({
     clock,
     selfId: shortIdOf(settings.instanceId),
@@ -155,6 +147,20 @@
       configAgeMs: Math.round(configAge.ageMs()),
     });
   });
+  const loadControl = createLoadControl({
+    clock,
+    logger,
+    random: options.random,
+    config,
+    onRefused: (tier, reason) => metrics.observeShed(tier, reason),
+    onDelaySample: delayMs => {
+      // After a pause of the process, what has arrived is read first.
+      if (delayMs < maxStalledCheckDelayMs) {
+        memory.requestBodies.giveUpStalled();
+      }
+    },
+  });
+  const {loopDelay} = loadControl;
   const registry = createUpstreamRegistry({
     clock,
     leavingDelayMs: () => settings.leavingDelayMs,
@@ -285,6 +291,7 @@
     registry,
     knowledge,
     reportSoon: exchange.reportSoon,
+    loadControl,
     connections,
     requestBodies: memory.requestBodies,
     responseBuffers: memory.responses,
@@ -319,6 +326,7 @@
     pausedCount: upstreamNotices.pausedCount,
     loopDelayMs: loopDelay.currentMs,
     recentLoopDelayMs: loopDelay.recentMaxMs,
+    admittedShare: loadControl.admittedShare,
     residentBytes: memory.residentBytes,
     memoryLimitBytes: () => memory.plan.limitBytes,
     memoryHolders: memory.holders,
--- a/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
@@ -19,6 +19,7 @@
 import {shortIdOf} from '../../peers/ShortIds.js';
 import type {EndedRequest} from '../../request/EndedRequest.js';
 import type {GatewayContext} from '../../request/GatewayContext.js';
+import {createLoadControl} from '../../request/LoadControl.js';
 import {createPromptGuard} from '../../request/PromptGuard.js';
 import {createGatewayServer} from '../../server/GatewayServer.js';
 import {createUpstreamConnections} from '../../upstreams/UpstreamConnections.js';
@@ -82,6 +83,13 @@
     registry,
     knowledge: createUpstreamKnowledge({clock, selfId: shortIdOf('i')}),
     reportSoon: () => undefined,
+    loadControl: createLoadControl({
+      clock,
+      logger,
+      random,
+      config,
+      onRefused: () => undefined,
+    }),
     connections,
     requestBodies: createMemoryBudget({clock, maxBytes: 64 * 1024 * 1024}),
     responseBuffers: createBufferBudget(),
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -92,6 +92,7 @@
     return;
   }
   handler.onAdmitted(admitted.value);
+  if (!handler.tryAdmitLoad(admitted.value)) return;
   await handler.receive(admitted.value, message);
 }
 
@@ -99,6 +100,8 @@
 interface RequestHandler extends OpenRequest {
   onCallerClosed(): void;
   onAdmitted(admitted: AdmittedRequest): void;
+  /** Refuses the request if the instance lacks the time to serve it. */
+  tryAdmitLoad(admitted: AdmittedRequest): boolean;
   /** Reads the body and forwards the request. */
   receive(admitted: AdmittedRequest, message: IncomingMessage): Promise<void>;
   fail(kind: ErrorKind, reason: string, retryAfterMs?: number): void;
@@ -117,6 +120,11 @@
 ): RequestHandler {
   const {clock, config, configAge, knowledge, logger, random} = context;
   const arrivedAtMs = clock.nowMs();
+  /**
+   * A request waits unread for up to the delay of the event loop. Its caller
+   * counts from when it was sent, so deadlines assume the longest wait.
+   */
+  const assumedSentAtMs = arrivedAtMs - context.loadControl.unreadMs();
   const upstreams: UpstreamId[] = [];
   /** Upstreams that are not chosen again, unless they are returnable. */
   const triedUpstreams = new Set<UpstreamId>();
@@ -760,9 +768,9 @@
       admittedRequest = admitted;
       const {timeoutMs} = admitted.route;
       const callerLimitMs = request.callerTimeoutMs ?? Infinity;
-      deadlineMs = arrivedAtMs + Math.min(callerLimitMs, timeoutMs);
+      deadlineMs = assumedSentAtMs + Math.min(callerLimitMs, timeoutMs);
       answerAtMs =
-        arrivedAtMs +
+        assumedSentAtMs +
         Math.min(
           timeoutMs + timeoutGraceMs,
           callerLimitMs - answerReserveFor(callerLimitMs),
@@ -771,6 +779,15 @@
       cancelTimeout = clock.after(Math.max(0, untilAnswerMs), onAnswerDue);
     },
     receive,
+    tryAdmitLoad: ({route, tier}) => {
+      const {loadControl} = context;
+      const callerLimitMs = request.callerTimeoutMs ?? Infinity;
+      const limitMs = Math.min(callerLimitMs, route.timeoutMs);
+      const reason = loadControl.tryAdmit({tier, limitMs});
+      if (reason === undefined) return true;
+      refuse('overloaded', reason, loadControl.loopDelay.recentMaxMs());
+      return false;
+    },
     fail,
     failWith,
   };
