settings: take the default for a value that the platform leaves empty

A process whose settings lack one field does not start: exit code 2, again after each restart, and no caller gets an answer. The platform fills in a placeholder without a value as nothing, so that a duration becomes "s", which counted as wrong; a default applied only to absent keys. A leaving delay of 0 and a zone named with a space or a letter outside ASCII were refused as well.

A key with a default that is empty, only a unit, or 0 where 0 is not allowed takes its default, and the log names it. Delays that can be 0 may be. Names that the platform gives are opaque texts; an empty id becomes the address for callers. Other faults are refused as before.

--- a/packages/settings/src/GatewaySettings.ts
+++ b/packages/settings/src/GatewaySettings.ts
@@ -1,6 +1,11 @@
 /**
  * The settings file of an instance that runs as a gateway on the users'
  * platform: listen addresses, the store, and the limits that the platform sets.
+ *
+ * The platform fills in the file from a template, and a field that it does not
+ * set is filled in as nothing. A key that has a default and is left without a
+ * value takes its default, and the caller learns which keys did. All other faults
+ * are reported.
  */
 import type {InstanceId} from '@toucanrouter/common';
 import {SettingsError, toInstanceId} from '@toucanrouter/common';
@@ -8,15 +13,25 @@
 import {err} from 'neverthrow';
 import {z} from 'zod';
 import type {ListenAddress} from './InstanceSettings.js';
+import type {IniDocument, IniEntry, IniSection} from './IniDocument.js';
+import {parseIni} from './IniDocument.js';
 import type {SectionValues} from './SectionedFile.js';
-import {parseSections, readTextFile} from './SectionedFile.js';
+import {
+  formatAddress,
+  readTextFile,
+  validateSections,
+} from './SectionedFile.js';
+import type {SectionSchema} from './SectionParser.js';
 import {
   addressField,
   addressTextField,
   choiceField,
   durationField,
-  nameField,
+  durationOrZeroField,
+  isBlank,
+  isZero,
   numberField,
+  opaqueField,
 } from './SettingsFields.js';
 
 /** Settings of a gateway instance. */
@@ -47,9 +62,15 @@
   readonly logLevel: 'debug' | 'error' | 'info' | 'warn';
 }
 
+/** Settings as parsed from a file. */
+export interface ParsedGatewaySettings extends GatewaySettings {
+  /** Keys of the file that have no value, as `section.key`. */
+  readonly unsetKeys: readonly string[];
+}
+
 /** Schemas of the sections of a gateway's settings file, by name. */
 export const gatewaySections = {
-  instance: z.strictObject({id: nameField, failure_domain: nameField}),
+  instance: z.strictObject({id: opaqueField, failure_domain: opaqueField}),
   listen: z.strictObject({
     callers: addressField,
     readiness: addressField,
@@ -58,10 +79,10 @@
   }),
   store: z.strictObject({address: addressTextField}),
   bounds: z.strictObject({
-    stop_grace: durationField.prefault('8s'),
+    stop_grace: durationOrZeroField.prefault('8s'),
     revocation: durationField.prefault('5s'),
-    config_delay: durationField.prefault('2s'),
-    leaving_delay: durationField.prefault('2s'),
+    config_delay: durationOrZeroField.prefault('2s'),
+    leaving_delay: durationOrZeroField.prefault('2s'),
     repeat_share: numberField.prefault('0.2'),
     repeat_window: durationField.prefault('10s'),
     repeat_slack: numberField.prefault('50'),
@@ -76,7 +97,8 @@
 ): GatewaySettings {
   const {bounds, instance, listen, log, store} = values;
   return {
-    instanceId: toInstanceId(instance.id),
+    // The address for callers is unique in the fleet, as an id must be.
+    instanceId: toInstanceId(instance.id || formatAddress(listen.callers)),
     failureDomain: instance.failure_domain,
     callers: listen.callers,
     readiness: listen.readiness,
@@ -94,18 +116,63 @@
   };
 }
 
+function findSchema(section: IniSection, key: string) {
+  const schemas: Readonly<Record<string, SectionSchema>> = gatewaySections;
+  const shape = Object.hasOwn(schemas, section.name)
+    ? schemas[section.name]?.shape
+    : undefined;
+  return shape !== undefined && Object.hasOwn(shape, key)
+    ? shape[key]
+    : undefined;
+}
+
+/** Returns whether an entry has no value that its key, with a default, allows. */
+function isUnset(section: IniSection, {key, value}: IniEntry): boolean {
+  const schema = findSchema(section, key);
+  if (schema === undefined || !z.safeParse(schema, undefined).success) {
+    return false;
+  }
+  return (
+    isBlank(value) || (isZero(value) && !z.safeParse(schema, value).success)
+  );
+}
+
+function withoutUnset(document: IniDocument): IniDocument {
+  return {
+    ...document,
+    sections: document.sections.map(section => ({
+      ...section,
+      entries: section.entries.filter(entry => !isUnset(section, entry)),
+    })),
+  };
+}
+
+function findUnsetKeys({sections}: IniDocument): readonly string[] {
+  return sections.flatMap(section =>
+    section.entries
+      .filter(entry => entry.value === '' || isUnset(section, entry))
+      .map(({key}) => `${section.name}.${key}`),
+  );
+}
+
 /** Parses gateway settings; `file` is the file name in reported faults. */
 export function parseGatewaySettings(
   text: string,
   file: string,
-): Result<GatewaySettings, SettingsError> {
-  return parseSections(text, file, gatewaySections).map(toGatewaySettings);
+): Result<ParsedGatewaySettings, SettingsError> {
+  const document = parseIni(text, file);
+  return validateSections(withoutUnset(document), gatewaySections).map(
+    values => ({
+      ...toGatewaySettings(values),
+      unsetKeys: findUnsetKeys(document),
+    }),
+  );
 }
 
 /** Loads the settings file of a gateway. */
 export async function loadGatewaySettings(
   file: string,
-): Promise<Result<GatewaySettings, SettingsError>> {
+): Promise<Result<ParsedGatewaySettings, SettingsError>> {
   const text = await readTextFile(file);
   if (text !== undefined) return parseGatewaySettings(text, file);
   const message =
--- a/packages/settings/src/SectionedFile.ts
+++ b/packages/settings/src/SectionedFile.ts
@@ -36,7 +36,14 @@
   file: string,
   schemas: Schemas,
 ): Result<SectionValues<Schemas>, SettingsError> {
-  const document = parseIni(text, file);
+  return validateSections(parseIni(text, file), schemas);
+}
+
+/** Validates all sections of a parsed file. */
+export function validateSections<Schemas extends SectionSchemas>(
+  document: IniDocument,
+  schemas: Schemas,
+): Result<SectionValues<Schemas>, SettingsError> {
   const faults = createFaultList(document);
   checkSectionNames(document, schemas, faults);
   const values = parseKnownSections(document, schemas, faults);
@@ -105,6 +112,7 @@
   }
 }
 
-function formatAddress(address: ListenAddress): string {
+/** Formats an address as `host:port`. */
+export function formatAddress(address: ListenAddress): string {
   return `${address.host}:${address.port}`;
 }
--- a/packages/settings/src/SettingsFields.ts
+++ b/packages/settings/src/SettingsFields.ts
@@ -18,6 +18,19 @@
   MiB: 1024 * 1024,
 };
 
+const units = [durationUnitsMs, sizeUnitsBytes].flatMap(Object.keys);
+const zeroPattern = /^0+(?:\.0+)?\s*[A-Za-z]*$/;
+
+/** Returns whether a text has no value: it is empty, or only a unit. */
+export function isBlank(text: string): boolean {
+  return text === '' || units.includes(text);
+}
+
+/** Returns whether a text is 0, with or without a unit. */
+export function isZero(text: string): boolean {
+  return zeroPattern.test(text);
+}
+
 const maxPort = 65_535;
 /** Timers of Node.js overflow beyond 2^31 - 1 milliseconds. */
 const maxDurationMs = 86_400_000;
@@ -45,21 +58,27 @@
   return Number(match[1]) * unit;
 }
 
-function convertDuration(text: string): ConversionResult<number> {
+function convertDuration(
+  text: string,
+  minMs: number,
+): ConversionResult<number> {
   const valueMs = parseQuantity(text, durationUnitsMs);
   if (valueMs === undefined) {
     return {
       fault: `"${text}" is not a duration; write a number with unit ms, s, m or h, such as 400ms or 2s`,
     };
   }
-  if (valueMs < 1 || valueMs > maxDurationMs) {
-    return {fault: `"${text}" is out of range; allowed are 1ms to 24h`};
+  if (valueMs < minMs || valueMs > maxDurationMs) {
+    return {fault: `"${text}" is out of range; allowed are ${minMs}ms to 24h`};
   }
   return {value: valueMs};
 }
 
 /** A duration with its unit, in milliseconds. */
-export const durationField = textField(convertDuration);
+export const durationField = textField(text => convertDuration(text, 1));
+
+/** A duration with its unit, in milliseconds; 0 stands for "at once". */
+export const durationOrZeroField = textField(text => convertDuration(text, 0));
 
 /** A size with its unit, in bytes. */
 export const sizeField = textField((text): ConversionResult<number> => {
@@ -79,6 +98,11 @@
   };
 });
 
+/** Any text, which is compared and passed on but not interpreted. */
+export const opaqueField = textField((text): ConversionResult<string> => ({
+  value: text,
+}));
+
 /** A text that is not empty. */
 export const nonEmptyField = textField((text): ConversionResult<string> =>
   text === '' ? {fault: 'the value is empty'} : {value: text},
