--- a/packages/daemon/src/bin/RunDaemon.ts
+++ b/packages/daemon/src/bin/RunDaemon.ts
@@ -4,7 +4,7 @@
 import {parseArgs} from 'node:util';
 import {createSystemClock} from '@toucanrouter/common';
 import {handleSignals} from '@toucanrouter/common/signals';
-import {loadInstanceSettings} from '@toucanrouter/settings';
+import {loadInstanceSettings, loadWhenWritten} from '@toucanrouter/settings';
 import {startDaemon} from '../Daemon.js';
 import {createLogger} from '@toucanrouter/logging';
 
@@ -52,25 +52,39 @@
 }
 
 const {checkOnly, settingsFile} = parseArguments();
-const loaded = await loadInstanceSettings(settingsFile);
-if (loaded.isErr()) exitWithError(loaded.error.message, usageErrorExitCode);
-const settings = loaded.value;
 if (checkOnly) {
+  const checked = await loadInstanceSettings(settingsFile);
+  if (checked.isErr()) {
+    exitWithError(checked.error.message, usageErrorExitCode);
+  }
   process.stdout.write(`${settingsFile}: settings are valid\n`);
   process.exit(0);
 }
 
+const clock = createSystemClock();
+const loaded = await loadWhenWritten({
+  file: settingsFile,
+  clock,
+  load: loadInstanceSettings,
+});
+if (loaded.settings.isErr()) {
+  exitWithError(loaded.settings.error.message, usageErrorExitCode);
+}
+const settings = loaded.settings.value;
 const logger = createLogger({
   format: settings.logFormat,
   level: settings.logLevel,
   instanceId: settings.instanceId,
 });
+if (loaded.waitedMs > 0) {
+  const waitedMs = Math.round(loaded.waitedMs);
+  logger.warn('the settings file was incomplete at first', {waitedMs});
+}
 // Without a handler an error of the log's reader, such as its end, would end
 // the process or be logged for ever.
 for (const stream of [process.stdout, process.stderr]) {
   stream.on('error', () => undefined);
 }
-const clock = createSystemClock();
 const startAborter = new AbortController();
 let stopRequested = false;
 let stop = (): void => undefined;
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -3,6 +3,7 @@
 export type {ClassesFile} from './ClassesFile.js';
 export {parseClasses} from './ClassesFile.js';
 export type {GatewaySettings} from './GatewaySettings.js';
+export {loadWhenWritten, settledAfterMs} from './FileBeingWritten.js';
 export {loadGatewaySettings, parseGatewaySettings} from './GatewaySettings.js';
 export type {InstanceSettings, ListenAddress} from './InstanceSettings.js';
 export {
