settings: report only files that were incomplete as such

Each start of a program logged "the settings file was incomplete at first" with some milliseconds, since, because the time of the read itself counted. Only a file that is read again counts now.

Measured: the new test failed before (20 ms instead of 0) and passes.

--- a/packages/settings/src/FileBeingWritten.ts
+++ b/packages/settings/src/FileBeingWritten.ts
@@ -21,7 +21,7 @@
   readonly settings: Result<Settings, SettingsError>;
   /** The text of the file; empty if it cannot be read. */
   readonly text: string;
-  /** Time until the result was final. */
+  /** Time for which the file was incomplete; 0 if the first read counted. */
   readonly waitedMs: number;
 }
 
@@ -39,7 +39,7 @@
   const startedAtMs = clock.nowMs();
   let text = await readTextFile(file);
   let changedAtMs = startedAtMs;
-  for (;;) {
+  for (let isFirst = true; ; isFirst = false) {
     const settings = await load(file);
     const next = await readTextFile(file);
     const nowMs = clock.nowMs();
@@ -48,7 +48,7 @@
     text = next;
     const isWritten =
       text?.endsWith('\n') === true || nowMs - changedAtMs >= settledAfterMs;
-    const waitedMs = nowMs - startedAtMs;
+    const waitedMs = isFirst ? 0 : nowMs - startedAtMs;
     if (
       (isSame && isWritten && settings.isOk()) ||
       (waitedMs >= maxWaitMs && (isSame || settings.isErr()))
--- a/packages/settings/src/__tests__/unit/FileBeingWritten.test.ts
+++ b/packages/settings/src/__tests__/unit/FileBeingWritten.test.ts
@@ -56,6 +56,21 @@
     expect({text, waitedMs}).to.deep.equal({text: complete, waitedMs: 0});
   });
 
+  // Guards against a warning about a complete file that takes time to read.
+  it('does not count the time of the read itself', async () => {
+    writeFileSync(file, complete);
+    const clock = createManualClock();
+    const {waitedMs} = await loadWhenWritten({
+      file,
+      clock,
+      load: path => {
+        clock.advance(20);
+        return loadGatewaySettings(path);
+      },
+    });
+    expect(waitedMs).to.equal(0);
+  });
+
   // Guards against a start that fails while the file is replaced.
   it('waits for a file that is missing, empty or cut short', async () => {
     const {settings} = await load(nowMs => {
