gateway: plan a stop from the measured delay of the event loop

Cause: the end of a stop was planned with a fixed margin of 350 ms, while each step of it waits for the event loop. And a stop lasted nearly as long as the grace period in any case, because refused callers open new connections.

Change: StopPlan derives the phases from the grace period and the measured delay of the event loop, again at each step. Closing is bounded, and a last timer exits. The log line of a stop shows its phases and what was refused or cut.

Both new tests of Gateway.test.ts fail with the old Gateway.ts: 3,218 ms instead of less than 3,100, and ten callers with a closed connection. The fixture sendInParts now also goes on when its connection is refused; before, it waited for ever.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -25,6 +25,7 @@
   UpstreamChangeRequest,
   UpstreamStatus,
 } from './AdminApi.js';
+export {acceptWaitingConnections} from './AcceptQueue.js';
 export {answerReserveFor} from './AnswerReserve.js';
 export type {
   BurnAlarm,
@@ -156,6 +157,8 @@
   Workspace,
 } from './ServiceClasses.js';
 export {lowestTier} from './ServiceClasses.js';
+export type {StopPhase, StopPlan, StopPlanOptions} from './StopPlan.js';
+export {createStopPlan} from './StopPlan.js';
 export {spareUnsentResponses} from './UnsentResponses.js';
 export type {UpstreamInfo, UpstreamKind} from './Upstreams.js';
 export {shardOf} from './Upstreams.js';
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -9,11 +9,14 @@
   RandomSource,
   RouterError,
   ServiceName,
+  StopPlan,
 } from '@toucanrouter/common';
 import {
+  acceptWaitingConnections,
   createBufferBudget,
   createLoopDelay,
   createServerListener,
+  createStopPlan,
   delay,
   isLastingListenError,
 } from '@toucanrouter/common';
@@ -33,6 +36,7 @@
 import type {EndedRequest} from './request/EndedRequest.js';
 import {getOrCreate} from './GetOrCreate.js';
 import type {GatewayContext} from './request/GatewayContext.js';
+import type {RequestStage} from './request/OpenRequest.js';
 import {createPromptGuard} from './request/PromptGuard.js';
 import {createSharedRetryBudget} from './request/SharedRetryBudget.js';
 import {createGatewayMetrics} from './server/GatewayMetrics.js';
@@ -90,15 +94,10 @@
  * and removes an instance after two failed checks.
  */
 const loadBalancerDelayMs = 2_600;
-/** Time reserved at the end of the grace period for closing. */
-const closeReserveMs = 350;
-/**
- * Part of that time in which the last answers leave the process. Callers get a
- * final answer to each request that no upstream has begun to answer.
- */
-const lastAnswersMs = 150;
 const graceEndReason = 'the grace period of the instance is over';
 const drainPollMs = 25;
+/** What is not closed after this time ends with the process. */
+const maxCloseMs = 100;
 /** Callers that still send requests do so within this time of each other. */
 const minQuietMs = 300;
 /** The same while connections are open on which a request may be on its way. */
@@ -109,6 +108,7 @@
   let {settings} = options;
   let stopping = false;
   let draining = false;
+  let refusedWhileStopping = 0;
   let budgetsStartedAtMs = clock.nowMs();
   const budgetsByService = new Map<ServiceName, RetryBudget>();
   const configAge = createConfigAge(clock);
@@ -253,6 +253,7 @@
 
   function onEnded(ended: EndedRequest): void {
     metrics.observe(ended);
+    if (ended.outcome === 'shutting_down') refusedWhileStopping += 1;
     logger.info('request ended', {
       ...ended,
       expectedMs: ended.expectedMs && Math.round(ended.expectedMs),
@@ -284,6 +285,7 @@
     onEnded,
   };
   let unansweredWhileStopping = 0;
+  const cutRequestsByStage = new Map<RequestStage, number>();
   const gatewayServer = createGatewayServer(context, unanswered => {
     metrics.observeUnanswered(unanswered.stage, stopping);
     if (!stopping) return;
@@ -380,41 +382,66 @@
    * yet, so the process ends only once the callers are quiet.
    */
   function isDrained(): boolean {
+    if (gatewayServer.inProgress() > 0) return false;
+    const isUnconnected = gatewayServer.openConnections() === 0;
+    if (isUnconnected && !callersListener.isOpen()) return true;
     const requiredQuietMs =
-      gatewayServer.openConnections() === 0
-        ? minQuietMs
-        : minQuietWithConnectionsMs;
-    return (
-      gatewayServer.inProgress() === 0 &&
-      gatewayServer.quietMs() >= requiredQuietMs
-    );
+      (isUnconnected ? minQuietMs : minQuietWithConnectionsMs) +
+      loopDelay.recentMaxMs();
+    return gatewayServer.quietMs() >= requiredQuietMs;
   }
 
-  async function drainRequests(startedAtMs: number): Promise<void> {
-    const endMs = startedAtMs + settings.stopGraceMs - closeReserveMs;
-    await delay(clock, loadBalancerDelayMs);
-    draining = true;
-    gatewayServer.server.closeIdleConnections();
-    while (!isDrained() && clock.nowMs() < endMs) {
+  /**
+   * Drains requests until all are answered or the last answers are due. Resolves
+   * with the time at which callers' connections were no longer accepted.
+   */
+  async function drainRequests(plan: StopPlan): Promise<number | undefined> {
+    let listenerClosedAtMs: number | undefined;
+    for (;;) {
+      const phase = plan.phase(clock.nowMs());
+      if (phase !== 'notice' && !draining) {
+        draining = true;
+        gatewayServer.server.closeIdleConnections();
+      }
+      if (phase === 'last_answers' || phase === 'closing') break;
+      if (phase === 'drain' && listenerClosedAtMs === undefined) {
+        await acceptWaitingConnections(
+          gatewayServer.server,
+          () => plan.untilLastAnswersMs(clock.nowMs()) <= 0,
+        );
+        callersListener.close();
+        listenerClosedAtMs = clock.nowMs();
+      }
+      if (draining && isDrained()) break;
       await delay(clock, drainPollMs);
-      if (gatewayServer.quietMs() >= minQuietMs) {
+      if (draining && gatewayServer.quietMs() >= minQuietMs) {
         gatewayServer.server.closeIdleConnections();
       }
     }
+    return listenerClosedAtMs;
   }
 
-  /** Answers or breaks off the requests that are open at the end of a stop. */
-  async function answerOpenRequests(): Promise<void> {
-    const endMs = clock.nowMs() + lastAnswersMs;
+  /**
+   * Answers or breaks off the requests that are open at the end of a stop, and
+   * waits until their callers have the answers. Requests that are read meanwhile
+   * are refused.
+   */
+  async function answerOpenRequests(plan: StopPlan): Promise<void> {
+    const mustRefuse = !isDrained();
     for (const open of gatewayServer.openRequests()) {
+      const stage = open.stage();
+      cutRequestsByStage.set(stage, (cutRequestsByStage.get(stage) ?? 0) + 1);
       logger.warn('request is cut at the end of the stop', {
         requestId: open.requestId,
-        stage: open.stage(),
+        stage,
         openMs: Math.round(open.openMs()),
       });
       open.end(graceEndReason);
     }
-    while (gatewayServer.inProgress() > 0 && clock.nowMs() < endMs) {
+    const isOpen = () =>
+      gatewayServer.inProgress() > 0 ||
+      (mustRefuse && gatewayServer.openConnections() > 0);
+    while (isOpen() && plan.untilClosingMs(clock.nowMs()) > 0) {
       await delay(clock, drainPollMs);
     }
     for (const open of gatewayServer.openRequests()) {
@@ -422,6 +449,18 @@
     }
   }
 
+  /** Closes what the process uses; nothing of it may hold up the exit. */
+  async function closeConnections(plan: StopPlan): Promise<void> {
+    const limitMs = Math.max(
+      drainPollMs,
+      Math.min(maxCloseMs, plan.untilClosingMs(clock.nowMs())),
+    );
+    await Promise.race([
+      Promise.all([relays.close(), connections.close()]),
+      delay(clock, limitMs),
+    ]);
+  }
+
   return {
     start: async () => {
       loopDelay.start();
@@ -458,13 +497,26 @@
     },
     close: async () => {
       const startedAtMs = clock.nowMs();
+      const plan = createStopPlan({
+        receivedAtMs: startedAtMs,
+        signalDelayMs: loopDelay.currentMs(),
+        graceMs: settings.stopGraceMs,
+        noticeMs: loadBalancerDelayMs,
+        loopDelayMs: loopDelay.recentMaxMs,
+      });
       stopping = true;
       gatewayServer.closeAfterResponses();
       logger.info('instance is stopping', {
         requestsInProgress: gatewayServer.inProgress(),
+        loopDelayMs: Math.round(loopDelay.recentMaxMs()),
+        reserveMs: Math.round(plan.reserveMs()),
       });
+      const sinceStartMs = (atMs: number) => Math.round(atMs - startedAtMs);
       // Without a listener there are no callers to wait for.
-      if (callersListener.isOpen()) await drainRequests(startedAtMs);
+      const listenerClosedAtMs = callersListener.isOpen()
+        ? await drainRequests(plan)
+        : undefined;
+      const drainedMs = sinceStartMs(clock.nowMs());
       sync.close();
       exchange.close();
       promptGuard.close();
@@ -472,17 +524,26 @@
       verdictArchive.close();
       registration.close();
       const cutRequests = gatewayServer.inProgress();
-      await answerOpenRequests();
+      await answerOpenRequests(plan);
+      const answeredMs = sinceStartMs(clock.nowMs());
       for (const [server, listener] of servers) {
         listener.close();
         server.closeAllConnections();
       }
-      await relays.close();
-      await connections.close();
+      await closeConnections(plan);
       logger.info('instance stopped', {
         cutRequests,
+        cutByStage: [...cutRequestsByStage]
+          .map(([stage, count]) => `${stage} ${count}`)
+          .join(', '),
+        refusedWhileStopping,
         unansweredWhileStopping,
-        tookMs: Math.round(clock.nowMs() - startedAtMs),
+        listenerClosedMs:
+          listenerClosedAtMs && sinceStartMs(listenerClosedAtMs),
+        drainedMs,
+        answeredMs,
+        tookMs: sinceStartMs(clock.nowMs()),
+        reserveMs: Math.round(plan.reserveMs()),
         loopDelayMs: Math.round(loopDelay.recentMaxMs()),
         longestLoopDelayMs: Math.round(loopDelay.maxMs()),
         residentBytes: process.memoryUsage.rss(),
--- a/packages/gateway/src/__tests__/unit/Gateway.test.ts
+++ b/packages/gateway/src/__tests__/unit/Gateway.test.ts
@@ -17,8 +17,21 @@
 
 /** Ends shortly after the load balancer's delay. */
 const shortGraceMs = 3_200;
+/** The process needs this time to exit after its gateway has closed. */
+const exitReserveMs = 100;
+/** Enough for callers that learn late of a stop and for their answers. */
+const maxDrainMs = 2_000;
 const silent = () => undefined;
 
+/** Blocks the event loop for `blockMs` again and again; returns the end of it. */
+function keepLoopBusy(blockMs: number): () => void {
+  const timer = setInterval(() => {
+    const endMs = clock.nowMs() + blockMs;
+    while (clock.nowMs() < endMs);
+  }, 1);
+  return () => clearInterval(timer);
+}
+
 /** Starts an upstream that responds after a random time. */
 async function startUpstream(random: RandomSource): Promise<Server> {
   const server = createServer((message, response) => {
@@ -88,7 +101,10 @@
     });
   });
   await new Promise<void>(resolve =>
-    message.on('socket', socket => socket.once('connect', () => resolve())),
+    message.on('socket', socket => {
+      socket.once('connect', () => resolve());
+      socket.once('close', () => resolve());
+    }),
   );
   await delay(clock, random.next() * maxUnusedMs);
   message.write(Buffer.alloc(10_000));
@@ -237,6 +253,41 @@
     expect(wasReset).to.equal(true);
   });
 
+  // Guards against a stop of a busy process that overruns the grace period.
+  it('answers and ends within the grace period although the event loop runs late', async () => {
+    const endBusy = keepLoopBusy(150);
+    const {received, stopMs} = await exchangeBesideStop(
+      silent,
+      'GET /chat/x HTTP/1.1\r\nhost: h\r\nid: r1\r\n\r\n',
+    ).finally(endBusy);
+    expect(received).to.match(/^HTTP\/1\.1 502 /);
+    expect(stopMs).to.be.below(shortGraceMs - exitReserveMs);
+  });
+
+  // Guards against a stop that lasts as long as callers open connections.
+  it('stops soon after the notice although callers go on', async () => {
+    const random = createSeededRandom(1);
+    const upstream = await startUpstream(random);
+    const {gateway, port} = await startGateway(upstream, random);
+    const answers: Promise<string>[] = [];
+    let isStopped = false;
+    const startedAtMs = clock.nowMs();
+    const stopped = gateway.close().then(() => (isStopped = true));
+    for (let index = 0; !isStopped; index++) {
+      answers.push(sendInParts(port, `${index}`, random));
+      await delay(clock, 10);
+    }
+    await stopped;
+    const stopMs = clock.nowMs() - startedAtMs;
+    const texts = await Promise.all(answers);
+    upstream.closeAllConnections();
+    upstream.close();
+    const others = texts.filter(text => !/^(200|503) |ECONNREFUSED/.test(text));
+    expect(others).to.deep.equal([]);
+    expect(texts.some(text => text.includes('ECONNREFUSED'))).to.equal(true);
+    expect(stopMs).to.be.below(loadBalancerDelayMs + maxDrainMs);
+  });
+
   // Guards against a request that an upstream runs and whose connection closes
   // with the response to the request before it.
   it('answers all requests that it reads on a connection while it stops', async () => {
