gateway: count complete responses until their callers have read them

60 callers that asked for plain answers of 8 MB and did not read them took the process to 1,104 MB; a machine with less memory kills it, and all callers lose their requests.

The budget for responses counted a response until it was complete, and the pieces it was joined from stayed referenced while it waited for its caller.

A complete response now counts until it was handed over or its connection closed. Responses that have waited for their callers for two seconds are given up before others, and the pieces are released when they are joined.

--- a/packages/common/src/__tests__/unit/BufferBudget.test.ts
+++ b/packages/common/src/__tests__/unit/BufferBudget.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
-import {createBufferBudget} from '../../index.js';
+import {createBufferBudget, createManualClock} from '../../index.js';
 
 const maxBytes = 1_000;
 
@@ -37,6 +37,27 @@
     );
   });
 
+  // Guards against callers that do not read and take the memory from others.
+  it('gives up a complete response first only if its caller reads too slowly', () => {
+    const clock = createManualClock();
+    const budget = createBufferBudget(maxBytes, clock.nowMs);
+    const givenUp: string[] = [];
+    const open = (name: string) => budget.open(() => givenUp.push(name));
+    const unread = open('unread');
+    unread.sending();
+    unread.resize(600);
+    clock.advance(2_500);
+    const sent = open('sent');
+    sent.sending();
+    sent.resize(300);
+    const arriving = open('arriving');
+    arriving.resize(200);
+    expect(givenUp).to.deep.equal(['unread']);
+    arriving.resize(800);
+    expect(givenUp).to.deep.equal(['unread', 'arriving']);
+    expect(budget.usedBytes()).to.equal(300);
+  });
+
   it('gives up the largest response and keeps the others', () => {
     const budget = createBufferBudget(maxBytes);
     const givenUp: string[] = [];
--- a/packages/gateway/src/request/Attempt.ts
+++ b/packages/gateway/src/request/Attempt.ts
@@ -257,6 +257,7 @@
     } else if (!streaming) {
       recordFirstResponse();
       const body = Buffer.concat(chunks);
+      chunks.length = 0;
       finish({kind: 'answered', response, body, endedByClose});
     } else if (splitter.pendingBytes() > 0) {
       finish({kind: 'broken', reason: 'the stream ended within an event'});
--- a/packages/gateway/src/request/CallerResponse.ts
+++ b/packages/gateway/src/request/CallerResponse.ts
@@ -20,6 +20,8 @@
   /** Closes the connection of a response that cannot be completed. */
   abort(): void;
   onDrain(run: () => void): void;
+  /** Calls `run` once the response was handed over completely, or closed. */
+  onClosed(run: () => void): void;
 }
 
 const msPerSecond = 1_000;
@@ -112,5 +114,9 @@
       response.destroy();
     },
     onDrain: run => response.once('drain', run),
+    onClosed: run => {
+      if (response.destroyed) run();
+      else response.once('close', run);
+    },
   };
 }
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -581,9 +581,24 @@
     });
   }
 
+  /** Counts a response until its caller has read it. */
+  function holdUntilSent(bytes: number): void {
+    const buffered = context.responseBuffers.open(() => {
+      logger.info('response is cut; its caller reads too slowly', {
+        requestId: request.requestId,
+        bytes,
+      });
+      callerResponse.abort();
+    });
+    callerResponse.onClosed(() => buffered.close());
+    buffered.sending();
+    buffered.resize(bytes);
+  }
+
   function passOnResult(result: AttemptResult): void {
     if (result.kind === 'answered') {
       firstAnswerMs ??= clock.nowMs() - arrivedAtMs;
+      holdUntilSent(result.body.length);
       callerResponse.send(
         result.response.status,
         result.response.headers,
--- a/packages/gateway/src/server/ProcessMemory.ts
+++ b/packages/gateway/src/server/ProcessMemory.ts
@@ -57,7 +57,7 @@
     maxBytes: plan.requestBodyBytes,
     freeResidentBytes: () => plan.maxResidentBytes - residentBytes(),
   });
-  const responses = createBufferBudget(plan.responseBytes);
+  const responses = createBufferBudget(plan.responseBytes, clock.nowMs);
   return {
     plan,
     requestBodies,
