--- a/scripts/soak.js
+++ b/scripts/soak.js
@@ -4,14 +4,15 @@
  *
  *   node scripts/soak.js --seed 1 --seconds 60 --seeds 1 --instances 5
  *
- * A seed gives one schedule of load and faults. `--busy N` starts N processes
+ * A seed gives one schedule of load and faults; a fault is skipped if its
+ * instance is not running. `--busy N` starts N processes
  * that take all processor time they get, and `--cpus LIST` pins the instances
  * and these processes to the named processors. The exit code is 1 if a promise
  * was broken; the schedule and the logs are kept then.
  */
 import console from 'node:console';
 import {spawn, spawnSync} from 'node:child_process';
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {performance} from 'node:perf_hooks';
@@ -49,6 +50,8 @@
 const minGapMs = 500;
 const maxGapMs = 2_500;
 const maxFreezeMs = 2_500;
+/** Separates the random numbers of the load, of the faults and of the seeds. */
+const seedStride = 1_000_003;
 /** Callers that send a large body at the same moment. */
 const largeBodies = 60;
 const largeBodyLimitMs = 8_000;
@@ -76,6 +79,7 @@
 
 async function runSeed(seed) {
   const random = createRandom(seed);
+  const randomOfFaults = createRandom(seed + seedStride);
   const directory = mkdtempSync(join(tmpdir(), 'toucanrouter-soak-'));
   const startedAtMs = performance.now();
   const nowMs = () => performance.now() - startedAtMs;
@@ -144,13 +148,13 @@
     });
   }
 
-  function scheduleKind(index, kind) {
+  function scheduleKind(index, kind, randomOfCalls) {
     const perSecond = kind.perSecond * Number(values.rate);
-    const waitMs = (-Math.log(1 - random()) * 1_000) / perSecond;
+    const waitMs = (-Math.log(1 - randomOfCalls()) * 1_000) / perSecond;
     const timer = setTimeout(() => {
       timers.delete(timer);
       send(index, kind);
-      scheduleKind(index, kind);
+      scheduleKind(index, kind, randomOfCalls);
     }, waitMs);
     timers.add(timer);
   }
@@ -161,8 +165,8 @@
   const disturbances = {
     stop: ({life}) => fleet.stop(life),
     kill: ({life}) => fleet.kill(life),
-    freeze: ({instance, life}) =>
-      void fleet.freeze(instance, life, random() * maxFreezeMs),
+    freeze: ({instance, life, draw}) =>
+      void fleet.freeze(instance, life, draw * maxFreezeMs),
     reload: ({instance, life}) => {
       const text = fleet.settingsOf(instance);
       writeFileSync(instance.settingsFile, text.slice(0, text.length / 2));
@@ -179,11 +183,12 @@
         });
       }
     },
-    engine: () => {
+    engine: ({draw}) => {
       const engine =
-        deployment.engines[Math.floor(random() * deployment.engines.length)];
+        deployment.engines[Math.floor(draw * deployment.engines.length)];
       if (engine.isDown) return;
       engine.isDown = true;
+      engine.crashesAtMs = [...(engine.crashesAtMs ?? []), nowMs()];
       engine.crash();
       setTimeout(
         () =>
@@ -198,18 +203,34 @@
   const names = Object.keys(disturbances);
 
   fleet.instances.forEach((_, index) =>
-    kinds.forEach(kind => scheduleKind(index, kind)),
+    kinds.forEach((kind, kindIndex) =>
+      scheduleKind(
+        index,
+        kind,
+        createRandom(
+          seed + seedStride * (2 + index * kinds.length + kindIndex),
+        ),
+      ),
+    ),
   );
   const endMs = nowMs() + seconds * 1_000;
   while (nowMs() < endMs) {
-    await sleep(minGapMs + random() * (maxGapMs - minGapMs));
-    const name = names[Math.floor(random() * names.length)];
+    const [gap, nameDraw, instanceDraw, draw] = Array.from({length: 4}, () =>
+      randomOfFaults(),
+    );
+    await sleep(minGapMs + gap * (maxGapMs - minGapMs));
+    const name = names[Math.floor(nameDraw * names.length)];
     const instance =
-      fleet.instances[Math.floor(random() * fleet.instances.length)];
+      fleet.instances[Math.floor(instanceDraw * fleet.instances.length)];
     const life = fleet.lifeOf(instance);
-    if (!fleet.isUndisturbed(life)) continue;
-    schedule.push({atMs: Math.round(nowMs()), name, instance: instance.name});
-    disturbances[name]({instance, life});
+    const isSkipped = !fleet.isUndisturbed(life);
+    schedule.push({
+      atMs: Math.round(nowMs()),
+      name,
+      instance: instance.name,
+      isSkipped,
+    });
+    if (!isSkipped) disturbances[name]({instance, life, draw});
   }
   for (const timer of timers) clearTimeout(timer);
   await sleep(Math.max(settleMs, gracePeriodMs));
@@ -228,7 +249,10 @@
     seed,
     outcomes: countBy(ended, ({outcome}) => outcome),
     unanswered: countBy(ended.filter(isUnanswered), ({kind}) => kind),
-    disturbances: countBy(schedule, ({name}) => name),
+    disturbances: countBy(
+      schedule.filter(({isSkipped}) => !isSkipped),
+      ({name}) => name,
+    ),
     stopsMs: stops,
     peakMb: Math.round(peakMb),
     violations,
@@ -266,6 +290,24 @@
   );
 }
 
+/**
+ * True if the process has not read the call: it reached no upstream, and the log
+ * of the instance does not name it. A connection that closes may cross a request.
+ */
+function isUnread({id, instance}, runCounts) {
+  if (runCounts[id] !== undefined) return false;
+  return !readFileSync(instance.logFile, 'utf8').includes(`"${id}"`);
+}
+
+/** True if an upstream crashed on which the call had begun to run. */
+function isBrokenOff({id, sentAtMs, endedAtMs}, engines) {
+  return engines.some(
+    ({runs, crashesAtMs = []}) =>
+      runs.some(run => run.id === id) &&
+      crashesAtMs.some(atMs => atMs >= sentAtMs && atMs <= endedAtMs),
+  );
+}
+
 /** Checks the promises on single calls. */
 function checkCalls({ended, deployment, onViolation}) {
   const runCounts = countBy(
@@ -285,7 +327,12 @@
       !/^\d+$/.test(call.outcome) &&
       !isUnanswered(call) &&
       !refusedOutcomes.has(call.outcome);
-    if (isCut && !isExcused(call)) {
+    if (
+      isCut &&
+      !isExcused(call) &&
+      !isBrokenOff(call, deployment.engines) &&
+      !isUnread(call, runCounts)
+    ) {
       onViolation(
         `${where}: closed without a complete answer (${call.outcome})`,
       );
--- a/scripts/soak/fleet.js
+++ b/scripts/soak/fleet.js
@@ -180,6 +180,7 @@
     host: `127.0.3.${index + 1}`,
     ports,
     settingsFile: join(directory, `router-${index}.ini`),
+    logFile: join(directory, `router-${index}.log`),
     log: createWriteStream(join(directory, `router-${index}.log`)),
     lives: [],
     freezes: [],
