gateway: cut a response that has begun only at its caller's full limit

Cause: since load control, the deadline assumes that a request waited unread for the whole delay of the event loop. That is an upper bound. It may bring forward the time by which a caller needs a first answer, but it was also used to cut responses that had begun.

Change: responses that have begun are cut at the limit counted from the reading of their request. What upstreams are told and when a first answer is due stay as they are. The new test failed before (the stream ended after its first event) and passes; the test of the assumed wait passes unchanged.

--- a/packages/gateway/src/__tests__/unit/LoadControl.test.ts
+++ b/packages/gateway/src/__tests__/unit/LoadControl.test.ts
@@ -207,6 +207,39 @@
     expect(tookMs).to.be.lessThan(limitMs - unreadMs + 150);
   });
 
+  // Guards against a stream that is cut before its caller's limit, because the
+  // time for which its request may have waited was taken for certain.
+  it('lets a stream that has begun go on until its full limit', async () => {
+    const limitMs = 1_500;
+    const unreadMs = 1_000;
+    const streaming = createServer((message, response) => {
+      response.writeHead(200, {
+        id: String(message.headers['id']),
+        mark: '1',
+        'content-type': 'text/event-stream',
+      });
+      response.write('id: 1\ndata: x\n\n');
+      clock.after(limitMs - unreadMs + 300, () =>
+        response.end('id: 2\ndata: x\n\n'),
+      );
+    });
+    const gateway = await startGatewayServer({streams: true}, [streaming], {
+      loadControl: createLateControl(unreadMs),
+      dialect: {
+        ...testDialect,
+        readRequest: message => ({
+          ...testDialect.readRequest(message),
+          callerTimeoutMs: limitMs,
+        }),
+      },
+    });
+    const response = await sendRequestTo(gateway.port);
+    streaming.closeAllConnections();
+    await gateway.close();
+    expect(response.body).to.include('id: 2');
+    expect(response.complete).to.equal(true);
+  });
+
   // Guards against a target that fits one deployment only.
   it('derives the acceptable delay from the shortest target latency', () => {
     const late = (targetLatencyMs: number) => {
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -132,6 +132,11 @@
   const pausingUpstreams = new Set<UpstreamId>();
   let admittedRequest: AdmittedRequest | undefined;
   let deadlineMs = Infinity;
+  /**
+   * When a response that has begun is cut. The wait that the deadline assumes is
+   * an upper bound, and the response may still be complete in time.
+   */
+  let cutAtMs = Infinity;
   /** When a caller that has got no byte of a response gets its final answer. */
   let answerAtMs = Infinity;
   let attempts: AttemptRace | undefined;
@@ -167,7 +172,7 @@
   /** Time in which a further attempt can still be of use. */
   const remainingMs = () =>
     callerResponse.started
-      ? untilDeadlineMs()
+      ? cutAtMs - clock.nowMs()
       : Math.min(deadlineMs, answerAtMs) - clock.nowMs();
   const openMs = () => clock.nowMs() - arrivedAtMs;
   const mayHaveRun = () => progress.mayHaveRun || attempts?.wasSent() === true;
@@ -256,7 +261,7 @@
   function onAnswerDue(): void {
     if (recorded) return;
     if (callerResponse.started) {
-      const leftMs = untilDeadlineMs() + timeoutGraceMs;
+      const leftMs = cutAtMs - clock.nowMs() + timeoutGraceMs;
       cancelTimeout = clock.after(Math.max(0, leftMs), onDeadline);
       return;
     }
@@ -783,7 +788,9 @@
       admittedRequest = admitted;
       const {timeoutMs} = admitted.route;
       const callerLimitMs = request.callerTimeoutMs ?? Infinity;
-      deadlineMs = assumedSentAtMs + Math.min(callerLimitMs, timeoutMs);
+      const limitMs = Math.min(callerLimitMs, timeoutMs);
+      deadlineMs = assumedSentAtMs + limitMs;
+      cutAtMs = arrivedAtMs + limitMs;
       answerAtMs =
         assumedSentAtMs +
         Math.min(
