gateway: close the connection of a body that was given up

A caller that stalled within its body got its 503 and could keep the connection, and its descriptor, for as long as it liked: nothing bounds the time of a body. The response to a body that is given up before its end now closes the connection. A body that is refused before it is read keeps it, because its caller is still sending and reads the response afterwards.

The test of the stalled body failed before, without `Connection: close`.

--- a/packages/gateway/src/__tests__/unit/CallerBodyMemory.test.ts
+++ b/packages/gateway/src/__tests__/unit/CallerBodyMemory.test.ts
@@ -7,8 +7,13 @@
   createMemoryBudget,
   createSystemClock,
   delay,
+  toWorkspaceId,
 } from '@toucanrouter/common';
 import {expect} from 'chai';
+import {createActiveConfig} from '../../config/ActiveConfig.js';
+import type {GatewayRoute} from '../../config/GatewayConfig.js';
+import type {GatewayContext} from '../../request/GatewayContext.js';
+import {createConfig, createRoute} from './GatewayFixtures.js';
 import {startGateway} from './GatewayServerFixtures.js';
 
 const clock = createSystemClock();
@@ -33,12 +38,14 @@
 async function startGatewayWithMemory(
   maxBytes: number,
   handler: Handler = answerLength,
+  route: Partial<GatewayRoute> = {},
+  changes: Partial<GatewayContext> = {},
 ) {
   const requestBodies = createMemoryBudget({clock, maxBytes});
   const gateway = await startGateway(
-    {streams: false, retryPolicy: 'never', maxUpstreams: 1},
+    {streams: false, retryPolicy: 'never', maxUpstreams: 1, ...route},
     [createServer(handler)],
-    {requestBodies},
+    {requestBodies, ...changes},
   );
   const usedBytes = () => requestBodies.status().usedBytes;
   return {...gateway, requestBodies, usedBytes};
@@ -54,6 +61,8 @@
   readonly socket: Socket;
   /** What was received until now. */
   received(): string;
+  /** True once the gateway has closed its direction of the connection. */
+  hasEnded(): boolean;
   /** Waits for an answer that contains `text`. */
   answered(text: string): Promise<void>;
 }
@@ -62,6 +71,7 @@
   port: number,
   id: string,
   framing = `Content-Length: ${bodyBytes}`,
+  key = 'key',
 ): Promise<RawCall> {
   const socket = connect(port, '127.0.0.1');
   let text = '';
@@ -69,11 +79,12 @@
   socket.on('error', () => undefined);
   await once(socket, 'connect');
   socket.write(
-    `POST /chat/x HTTP/1.1\r\nHost: h\r\nid: ${id}\r\nauthorization: key\r\n${framing}\r\n\r\n`,
+    `POST /chat/x HTTP/1.1\r\nHost: h\r\nid: ${id}\r\nauthorization: ${key}\r\n${framing}\r\n\r\n`,
   );
   return {
     socket,
     received: () => text,
+    hasEnded: () => socket.readableEnded,
     answered: async expected => {
       await waitUntil(() => text.includes(expected));
     },
@@ -134,6 +145,9 @@
     await stalled.answered('"run_status":"not_run"');
     expect(stalled.received()).to.match(/^HTTP\/1\.1 503 /);
     await waitUntil(() => gateway.usedBytes() === 0);
+    // Guards against stalled callers that keep their connections for ever.
+    expect(stalled.received()).to.match(/\r\nConnection: close\r\n/);
+    await waitUntil(() => stalled.hasEnded());
     stalled.socket.destroy();
     next.socket.destroy();
     await gateway.close();
@@ -205,4 +219,59 @@
     await waitUntil(() => gateway.usedBytes() === 0);
     await gateway.close();
   });
+
+  // Guards against urgent requests that are refused for the bodies of others
+  // which wait for their upstreams.
+  it('gives up a body that waits for a pause for a more urgent request', async () => {
+    const route = {
+      streams: false,
+      retryPolicy: 'never',
+      maxUpstreams: 1,
+      timeoutMs: 8_000,
+      targetLatencyMs: 6_000,
+    } as const;
+    const config = createActiveConfig(() => undefined);
+    config.applyIfNewer(
+      createConfig({
+        routes: [createRoute(route)],
+        workspacesByKey: new Map([
+          ['key', {workspaceId: toWorkspaceId('late'), tier: 2}],
+          ['urgent', {workspaceId: toWorkspaceId('urgent'), tier: 0}],
+        ]),
+      }),
+    );
+    let pauses = true;
+    const gateway = await startGatewayWithMemory(
+      bodyBytes + 100,
+      (message, response) => {
+        if (!pauses) return answerLength(message, response);
+        pauses = false;
+        const id = String(message.headers['id']);
+        response.writeHead(503, {id, 'not-run': '1', 'retry-after': '2'});
+        response.end();
+      },
+      route,
+      {config},
+    );
+    const first = await openCall(gateway.port, 'first', 'Content-Length: 0');
+    await first.answered('HTTP/1.1 503 ');
+    first.socket.destroy();
+    const waiting = await openCall(gateway.port, 'waiting');
+    waiting.socket.write(Buffer.alloc(bodyBytes));
+    await delay(clock, 200);
+    expect(gateway.usedBytes()).to.equal(bodyBytes);
+    const urgent = await openCall(gateway.port, 'urgent', undefined, 'urgent');
+    urgent.socket.write(Buffer.alloc(bodyBytes));
+    await waiting.answered('"run_status":"not_run"');
+    expect(waiting.received()).to.match(/^HTTP\/1\.1 503 /);
+    await urgent.answered(`got ${bodyBytes}`);
+    await waitUntil(() => gateway.usedBytes() === 0);
+    const refused = gateway.ended.find(
+      ({requestId}) => requestId === 'waiting',
+    );
+    expect(refused?.reason).to.include('needed by other requests');
+    waiting.socket.destroy();
+    urgent.socket.destroy();
+    await gateway.close();
+  });
 });
--- a/packages/gateway/src/request/CallerResponse.ts
+++ b/packages/gateway/src/request/CallerResponse.ts
@@ -16,7 +16,8 @@
   /** Writes a chunk; false under backpressure from the caller. */
   write(chunk: Buffer): boolean;
   end(): void;
-  sendError(error: RouterError, requestId: string): void;
+  /** `closes` is true if the rest of the request is not waited for. */
+  sendError(error: RouterError, requestId: string, closes?: boolean): void;
   /** Closes the connection of a response that cannot be completed. */
   abort(): void;
   onDrain(run: () => void): void;
@@ -88,7 +89,7 @@
     },
     write: chunk => response.write(chunk),
     end: () => response.end(),
-    sendError: (error, requestId) => {
+    sendError: (error, requestId, closes = false) => {
       if (!canStart()) return;
       const body = Buffer.from(JSON.stringify(toErrorBody(error, requestId)));
       const headers = [
@@ -102,7 +103,7 @@
         headers.push('Retry-After', seconds);
       }
       // The rest of a body that is too large is not read.
-      const mustClose = error.kind === 'body_too_large';
+      const mustClose = closes || error.kind === 'body_too_large';
       writeHead(errorResponseFor(error.kind).status, headers, mustClose);
       response.end(body);
     },
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -140,6 +140,7 @@
   let quarantinedSegment: string | undefined;
   let recorded = false;
   let bodyRead = false;
+  let bodyGivenUp = false;
   let callerBody: CallerBody | undefined;
   let unhedgedLogged = false;
   let callerDisconnected = false;
@@ -206,7 +207,9 @@
 
   function failWith(error: RouterError): void {
     if (recorded) return;
-    callerResponse.sendError(error, request.requestId);
+    // A caller that stalls would keep its connection for as long as it likes.
+    const closes = bodyGivenUp && !bodyRead;
+    callerResponse.sendError(error, request.requestId, closes);
     record(error.kind, errorResponseFor(error.kind).status, error.message);
   }
 
@@ -634,6 +637,7 @@
 
   /** Gives up the request for others that need its memory. */
   function giveUpBody(reason: string): void {
+    bodyGivenUp = true;
     refuse('overloaded', reason);
     attempts?.cancel(reason);
   }
