logging: bound the backlog of a stalled log reader in characters

While the reader of the log is stalled, up to 2,000 lines wait, and callers choose the ids in them. 1,000 lines of 16 KiB held 16.4 million characters in the test; memory over the limit ends the process and all its requests.

The backlog now also has a limit of 1 Mi characters; further lines are dropped and counted as before. The test failed before and passes now.

--- a/packages/logging/src/RateLimitedLogWriter.ts
+++ b/packages/logging/src/RateLimitedLogWriter.ts
@@ -34,6 +34,8 @@
 const flushIntervalMs = 100;
 /** Lines buffered while the reader of the log is stalled; more are dropped. */
 const maxBacklogLines = 2_000;
+/** The same in characters, since callers choose a part of each line. */
+const maxBacklogChars = 1024 * 1024;
 const secondMs = 1_000;
 
 /** Creates a log writer and starts its flush timer. */
@@ -43,6 +45,7 @@
   const {clock, write} = options;
   const maxLines = options.maxLinesPerSecond ?? defaultMaxLinesPerSecond;
   let lines: string[] = [];
+  let backlogChars = 0;
   let blocked = false;
   let windowStartMs = clock.nowMs();
   let linesInWindow = 0;
@@ -59,6 +62,7 @@
     if (lines.length === 0) return;
     const text = `${lines.join('\n')}\n`;
     lines = [];
+    backlogChars = 0;
     blocked = !write(text);
   }
 
@@ -71,12 +75,16 @@
         linesInWindow = 0;
       }
       const exceedsRate = !bypassRateLimit && linesInWindow >= maxLines;
-      if (exceedsRate || lines.length >= maxBacklogLines) {
+      const exceedsBacklog =
+        lines.length >= maxBacklogLines ||
+        backlogChars + line.length > maxBacklogChars;
+      if (exceedsRate || exceedsBacklog) {
         dropped += 1;
         return;
       }
       linesInWindow += 1;
       lines.push(line);
+      backlogChars += line.length;
     },
     onDrain: () => {
       blocked = false;
--- a/packages/logging/src/__tests__/unit/RateLimitedLogWriter.test.ts
+++ b/packages/logging/src/__tests__/unit/RateLimitedLogWriter.test.ts
@@ -46,4 +46,24 @@
     expect(written).to.deep.equal(['first', 'second']);
     lines.close();
   });
+
+  // Guards against a process that runs out of memory because callers send long
+  // ids while the reader of the log is stalled.
+  it('bounds the memory of lines that wait for a stalled reader', () => {
+    const {clock, lines, written} = createTestWriter(() => false);
+    lines.add('first', true);
+    clock.advance(100);
+    for (let line = 0; line < 1_000; line++)
+      lines.add('x'.repeat(16_384), true);
+    lines.onDrain();
+    clock.advance(100);
+    const chars = written.reduce((sum, text) => sum + text.length, 0);
+    expect(chars).to.be.below(2 * 1024 * 1024);
+    expect(JSON.parse(written.at(-1) ?? '')).to.have.property('dropped');
+    lines.add('next', true);
+    lines.onDrain();
+    clock.advance(100);
+    expect(written.at(-1)).to.equal('next');
+    lines.close();
+  });
 });
