gateway: load less code at the start

A process of the users' platform is started again after each end, on a share of a core, and its machine serves nobody until it accepts callers. A profile shows the time in compiling 2.5 MB of bundle and in loading modules of Node.js that no gateway uses: the main module of undici loads all its parts, and the framework of the readiness, metrics and peer servers loads HTTP/2 and fetch.

--- a/packages/gateway/src/server/StatusServers.ts
+++ b/packages/gateway/src/server/StatusServers.ts
@@ -2,31 +2,34 @@
  * The HTTP servers for readiness checks and for metrics.
  */
 import type {Server} from 'node:http';
-import {createAdaptorServer} from '@hono/node-server';
-import {Hono} from 'hono';
 import type {GatewayMetrics} from './GatewayMetrics.js';
+import {createRouteServer, textResponse} from './RouteServer.js';
+
+const statusOk = 200;
+const statusUnavailable = 503;
 
 /** Creates a server that reports at `path` whether the instance is ready. */
 export function createReadinessServer(
   path: string,
   notReadyReason: () => string | undefined,
 ): Server {
-  const app = new Hono();
-  app.get(path, context => {
-    const reason = notReadyReason();
-    if (reason === undefined) return context.text('ready\n');
-    return context.text(`not ready: ${reason}\n`, 503);
+  return createRouteServer({
+    [path]: () => {
+      const reason = notReadyReason();
+      return reason === undefined
+        ? textResponse('ready\n')
+        : textResponse(`not ready: ${reason}\n`, statusUnavailable);
+    },
   });
-  return createAdaptorServer({fetch: app.fetch}) as Server;
 }
 
 /** Creates a server for the metrics of the instance. */
 export function createMetricsServer(metrics: GatewayMetrics): Server {
-  const app = new Hono();
-  app.get('/metrics', async context =>
-    context.body(await metrics.render(), 200, {
-      'content-type': metrics.contentType,
+  return createRouteServer({
+    '/metrics': async () => ({
+      status: statusOk,
+      contentType: metrics.contentType,
+      body: await metrics.render(),
     }),
-  );
-  return createAdaptorServer({fetch: app.fetch}) as Server;
+  });
 }
--- a/packages/gateway/src/state/RelayClient.ts
+++ b/packages/gateway/src/state/RelayClient.ts
@@ -2,11 +2,11 @@
  * Reads the state of the store through another instance.
  */
 import {connectWithin, PlatformError} from '@toucanrouter/common';
+import {Agent, request} from '@toucanrouter/common/http-client';
 import type {ListenAddress} from '@toucanrouter/settings';
 import {err, ok, ResultAsync} from 'neverthrow';
 import type {Result} from 'neverthrow';
-import {Agent, request} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {RelayResponse} from './RelayServer.js';
 import {relayPath} from './RelayServer.js';
 
--- a/packages/gateway/src/state/RelayServer.ts
+++ b/packages/gateway/src/state/RelayServer.ts
@@ -5,10 +5,14 @@
  * either process in between.
  */
 import type {Server} from 'node:http';
-import {createAdaptorServer} from '@hono/node-server';
 import type {Clock} from '@toucanrouter/common';
-import {Hono} from 'hono';
 import type {ConfigAge} from '../config/ConfigAge.js';
+import type {RouteResponse} from '../server/RouteServer.js';
+import {
+  createRouteServer,
+  jsonResponse,
+  textResponse,
+} from '../server/RouteServer.js';
 import type {LoggedItems, StateLog} from './StateLog.js';
 import type {StoredItem} from './StateStore.js';
 import type {EndedAbsence, StoreAbsence} from './StoreAbsence.js';
@@ -43,6 +47,7 @@
 export const relayPath = '/state';
 /** Longest wait that a peer may ask for. */
 const maxWaitMs = 5_000;
+const statusBadRequest = 400;
 const statusUnavailable = 503;
 
 /** Resolves when the log changed, or after `waitMs`. */
@@ -77,19 +82,21 @@
     return log.since(revision);
   }
 
-  const app = new Hono();
-  app.get(relayPath, async context => {
+  async function relayState(query: URLSearchParams): Promise<RouteResponse> {
     const arrival = configAge.mark();
-    const after = Number(context.req.query('after') ?? '0');
-    const waitMs = Number(context.req.query('wait_ms') ?? '0');
+    const after = Number(query.get('after') ?? '0');
+    const waitMs = Number(query.get('wait_ms') ?? '0');
     if (!Number.isFinite(after) || !(waitMs >= 0)) {
-      return context.text('after and wait_ms must be numbers\n', 400);
+      return textResponse(
+        'after and wait_ms must be numbers\n',
+        statusBadRequest,
+      );
     }
     const logged = options.isConnected()
       ? await itemsSince(after, waitMs)
       : undefined;
     if (logged === undefined || !options.isConnected()) {
-      return context.text(
+      return textResponse(
         'the store is not read at present\n',
         statusUnavailable,
       );
@@ -101,7 +108,8 @@
       regainedAgoMs: absence?.endedAgoMs ?? null,
       absence: absence?.reason,
     };
-    return context.json(response);
-  });
-  return createAdaptorServer({fetch: app.fetch}) as Server;
+    return jsonResponse(response);
+  }
+
+  return createRouteServer({[relayPath]: relayState});
 }
--- a/packages/gateway/src/upstreams/UpstreamConnections.ts
+++ b/packages/gateway/src/upstreams/UpstreamConnections.ts
@@ -6,8 +6,8 @@
 import type {Socket} from 'node:net';
 import {connect} from 'node:net';
 import type {Clock} from '@toucanrouter/common';
+import {Client} from '@toucanrouter/common/http-client';
 import type {Dispatcher} from 'undici';
-import {Client} from 'undici';
 
 /** A request to an upstream. */
 export interface UpstreamRequest {
--- a/packages/settings/src/ClassesSchema.ts
+++ b/packages/settings/src/ClassesSchema.ts
@@ -1,7 +1,7 @@
 /**
  * Schemas of the sections of a classes file.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   choiceField,
   durationField,
--- a/packages/settings/src/GatewaySettings.ts
+++ b/packages/settings/src/GatewaySettings.ts
@@ -11,7 +11,7 @@
 import {SettingsError, toInstanceId} from '@toucanrouter/common';
 import type {Result} from 'neverthrow';
 import {err} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {ListenAddress} from './InstanceSettings.js';
 import type {IniDocument, IniEntry, IniSection} from './IniDocument.js';
 import {parseIni} from './IniDocument.js';
--- a/packages/settings/src/InstanceSettingsSchema.ts
+++ b/packages/settings/src/InstanceSettingsSchema.ts
@@ -2,7 +2,7 @@
  * Schemas of the sections of an instance settings file, with the defaults of
  * optional keys.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   addressField,
   addressListField,
--- a/packages/settings/src/SectionParser.ts
+++ b/packages/settings/src/SectionParser.ts
@@ -3,7 +3,7 @@
  * a fault with its line number.
  */
 import type {SettingsFault} from '@toucanrouter/common';
-import type {z} from 'zod';
+import type * as z from 'zod';
 import type {IniDocument, IniSection} from './IniDocument.js';
 
 /** A schema whose keys are the keys of a section. */
--- a/packages/settings/src/SectionedFile.ts
+++ b/packages/settings/src/SectionedFile.ts
@@ -6,7 +6,7 @@
 import {SettingsError} from '@toucanrouter/common';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
-import type {z} from 'zod';
+import type * as z from 'zod';
 import type {IniDocument, IniSection} from './IniDocument.js';
 import {parseIni} from './IniDocument.js';
 import type {ListenAddress} from './InstanceSettings.js';
--- a/packages/settings/src/SettingsFields.ts
+++ b/packages/settings/src/SettingsFields.ts
@@ -2,7 +2,7 @@
  * Schemas of single values in settings and classes files. Each schema validates
  * the text in the file and converts it.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {ListenAddress} from './InstanceSettings.js';
 
 const durationUnitsMs: Readonly<Record<string, number>> = {
