gateway: handle signals before the loader of ES modules starts

SIGHUP ends a process that is starting, until its handler is set: the entry was an ES module with imports, so Node.js prepared its loader, opened all standard streams for an import of node:process, and read three files first.

--- a/packages/common/src/ProcessSignals.ts
+++ b/packages/common/src/ProcessSignals.ts
@@ -3,7 +3,6 @@
  * most signals ends a process, also one that is still loading its code, so this
  * module is loaded before all others and has an entry of its own.
  */
-import process from 'node:process';
 
 /** What a signal asks of a process; `none` if it is only to be logged. */
 export type SignalRequest = 'none' | 'reload' | 'stop';
