--- a/packages/common/src/Clock.ts
+++ b/packages/common/src/Clock.ts
@@ -43,17 +43,20 @@
   });
 }
 
+/** Timers of Node.js with a longer delay end at once. */
+const maxTimerMs = 2 ** 31 - 1;
+
 /** Creates the clock of the running process. */
 export function createSystemClock(): Clock {
   return {
     nowMs: () => performance.now(),
     wallMs: () => Date.now(),
     after: (delayMs, run) => {
-      const timer = setTimeout(run, delayMs);
+      const timer = setTimeout(run, Math.min(delayMs, maxTimerMs));
       return () => clearTimeout(timer);
     },
     every: (intervalMs, run) => {
-      const timer = setInterval(run, intervalMs);
+      const timer = setInterval(run, Math.min(intervalMs, maxTimerMs));
       return () => clearInterval(timer);
     },
   };
