gateway: learn nothing from prompts whose stated size cannot be true

One caller that states absurd counts changed the estimates for all: after 100 responses to a prompt of 10,000,000 stated tokens, the learned time to the first event of a prompt of 300 tokens fell from 91 ms to 0.09 ms.

An observation that is faster than the bound of the prefill time, which the fitted line already has, does not count.

Measured: the new test failed before with these values and passes; the other tests of the model and of the choice of upstreams pass (28).

--- a/packages/gateway/src/__tests__/unit/EngineModel.test.ts
+++ b/packages/gateway/src/__tests__/unit/EngineModel.test.ts
@@ -127,4 +127,20 @@
     }
     expect(model.idleEventGapMs()).to.be.below(50);
   });
+
+  // Guards against one caller whose wrong counts change the estimates for all.
+  it('ignores sizes of prompts that cannot be true', () => {
+    const speed = {baseMs: 80, prefillMsPerToken: 0.05};
+    const model = createEngineModel();
+    observeMany(model, speed, 200, createSeededRandom(1));
+    const before = {
+      small: model.firstEventMs(300),
+      large: model.firstEventMs(6_000),
+    };
+    for (let index = 0; index < 100; index++) {
+      model.observeFirstEvent({prefilledTokens: 10_000_000, observedMs: 90});
+    }
+    expect(model.firstEventMs(300)).to.be.closeTo(before.small, 1);
+    expect(model.firstEventMs(6_000)).to.be.closeTo(before.large, 1);
+  });
 });
--- a/packages/gateway/src/upstreams/EngineModel.ts
+++ b/packages/gateway/src/upstreams/EngineModel.ts
@@ -8,7 +8,8 @@
  * Observations are grouped by the number of prefilled tokens, and each group
  * counts with a low quantile of its latest observations. Requests that queued
  * behind others unnoticed, and engines that are slow for a moment, only raise
- * single observations, so they hardly move the quantile.
+ * single observations, so they hardly move the quantile. Observations whose size
+ * cannot be true, because no engine is that fast, do not count.
  */
 
 /** The parameters of a model, which instances exchange. */
@@ -70,6 +71,9 @@
 const minInitialWeight = 0.25;
 /** Bounds of the prefill time, as a multiple of the initial estimate. */
 const maxPrefillFactor = 50;
+/** A faster prefill tells that the caller stated a wrong size of its prompt. */
+const minPrefillMsPerToken =
+  initialEstimates.prefillMsPerToken / maxPrefillFactor;
 /** The line is fitted again after this many observations. */
 const observationsPerFit = 4;
 /** Estimates with fewer observations do not count for the fleet. */
@@ -158,7 +162,7 @@
   );
   const initialSlope = initialEstimates.prefillMsPerToken;
   const prefillMsPerToken = Math.min(
-    Math.max(covariance / variance, initialSlope / maxPrefillFactor),
+    Math.max(covariance / variance, minPrefillMsPerToken),
     initialSlope * maxPrefillFactor,
   );
   return {
@@ -218,7 +222,9 @@
     firstEventMs: tokens => evaluate(currentLine(), tokens),
     idleEventGapMs: () => idleEventGapMs,
     observeFirstEvent: observation => {
-      const index = groupIndexOf(observation.prefilledTokens);
+      const {observedMs, prefilledTokens} = observation;
+      if (observedMs < prefilledTokens * minPrefillMsPerToken) return;
+      const index = groupIndexOf(prefilledTokens);
       const group = groups.get(index) ?? {observations: [], next: 0};
       groups.set(index, group);
       group.observations[group.next] = observation;
