daemon: end a stop within a stated grace period

What callers saw: nothing told a stop when to end. It waited for calls and connections as long as they took, so a connection on which nothing is sent kept the process until the service manager killed it, with whatever was open.

Change: the setting stop_grace (90s by default) and the plan of the gateway's stop. The server for callers accepts what waits at its port before it closes the listener, calls in progress at the reserve get 502, or 503 if no upstream can have received them, and closing is bounded by the rest of the grace period. The log line of a stop shows its times and what was cut.

The daemon was not stopped under load on a busy core.

--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -3,8 +3,13 @@
  * before its configuration is known; the stop order ensures that no request is
  * interrupted.
  */
-import type {RouterError} from '@toucanrouter/common';
-import {createOpenListenerErrorLog, delay} from '@toucanrouter/common';
+import type {LoopDelay, RouterError} from '@toucanrouter/common';
+import {
+  createLoopDelay,
+  createOpenListenerErrorLog,
+  createStopPlan,
+  delay,
+} from '@toucanrouter/common';
 import {createPeerHub} from '@toucanrouter/peer';
 import type {InstanceListReader} from '@toucanrouter/keyvalue';
 import {createInstanceListReader} from '@toucanrouter/keyvalue';
@@ -12,6 +17,7 @@
 import {err, ok} from 'neverthrow';
 import type {Instance, InstanceOptions} from './Instance.js';
 import {createInstance} from './Instance.js';
+import {stopCallers} from './server/CallerStop.js';
 import {closeServer, createListening} from './server/Listening.js';
 import type {Servers} from './server/Servers.js';
 import {createServers} from './server/Servers.js';
@@ -36,7 +42,8 @@
  */
 const leavingNoticeMs = 1_500;
 
-const drainPollMs = 20;
+/** Share of the rest of the grace period in which the instance closes. */
+const closeShare = 0.8;
 
 /**
  * Starts an instance; resolves when it is ready to serve requests. An abort of
@@ -48,6 +55,8 @@
 ): Promise<Result<Daemon, RouterError>> {
   const {clock, logger, settings} = options;
   const instance = createInstance(options);
+  const loopDelay = createLoopDelay({clock});
+  loopDelay.start();
   const listening = createListening(options, stopSignal);
   const hub = await listening.openHub(settings.peers, () =>
     createPeerHub({
@@ -97,7 +106,8 @@
     peersPort: hub.value.port,
   };
   logger.info('instance is ready', {...ports});
-  const close = () => stopInstance(options, instance, servers, listReader);
+  const close = () =>
+    stopInstance(options, instance, servers, listReader, loopDelay);
   return ok({ports, close});
 }
 
@@ -137,26 +147,47 @@
 }
 
 async function stopInstance(
-  {clock, logger}: InstanceOptions,
+  {clock, logger, settings}: InstanceOptions,
   instance: Instance,
   servers: Servers,
   listReader: InstanceListReader,
+  loopDelay: LoopDelay,
 ): Promise<void> {
   const {callers} = servers;
+  const startedAtMs = clock.nowMs();
+  const plan = createStopPlan({
+    receivedAtMs: startedAtMs,
+    signalDelayMs: loopDelay.currentMs(),
+    graceMs: settings.stopGraceMs,
+    noticeMs: leavingNoticeMs,
+    loopDelayMs: loopDelay.recentMaxMs,
+  });
   const requestsInProgress = callers.requestsInProgress();
   logger.info('instance is leaving', {requestsInProgress});
   const unansweredBefore = callers.unansweredCount();
   instance.readiness.markLeaving();
   instance.fleet.leave();
-  await delay(clock, leavingNoticeMs);
-  callers.drainConnections();
-  const closed = closeServer(callers.server);
-  while (callers.requestsInProgress() > 0) await delay(clock, drainPollMs);
-  await instance.claimedCalls.idle();
-  await closed;
+  const {cutRequests, listenerClosedAtMs} = await stopCallers({
+    clock,
+    callers,
+    plan,
+    callsRecorded: instance.claimedCalls.idle,
+  });
   listReader.close();
-  await instance.close();
-  await closeServer(servers.admin);
+  const untilGraceEndMs =
+    plan.untilLastAnswersMs(clock.nowMs()) + plan.reserveMs();
+  // What has not been written or closed by then ends with the process.
+  await Promise.race([
+    Promise.all([instance.close(), closeServer(servers.admin)]),
+    delay(clock, untilGraceEndMs * closeShare),
+  ]);
   const unansweredWhileStopping = callers.unansweredCount() - unansweredBefore;
-  logger.info('instance has stopped', {unansweredWhileStopping});
+  logger.info('instance has stopped', {
+    cutRequests,
+    unansweredWhileStopping,
+    listenerClosedMs: Math.round(listenerClosedAtMs - startedAtMs),
+    tookMs: Math.round(clock.nowMs() - startedAtMs),
+    reserveMs: Math.round(plan.reserveMs()),
+  });
+  loopDelay.close();
 }
--- a/packages/daemon/src/__tests__/unit/CallerServer.test.ts
+++ b/packages/daemon/src/__tests__/unit/CallerServer.test.ts
@@ -176,4 +176,27 @@
     expect(response.statusCode).to.equal(502);
     expect(tookMs).to.be.below(timeoutMs);
   });
+
+  for (const [mayHaveRun, status] of [
+    [true, 502],
+    [false, 503],
+  ] as const) {
+    // Guards against a stop that closes calls without an answer or says wrongly
+    // that a call was not run.
+    it(`answers ${status} to a call that a stop ends${mayHaveRun ? ' and that may have run' : ''}`, async () => {
+      const {callers, port} = await startServer(async exchange => {
+        setTimeout(callers.endCalls, 50);
+        await once(exchange.signal, 'abort');
+        return err(abortError(exchange, mayHaveRun));
+      });
+      const message = sendRequest({host, port, path: '/services/s/x'});
+      message.end();
+      const [response] = (await once(message, 'response')) as [IncomingMessage];
+      response.resume();
+      await once(response, 'close');
+      callers.server.closeAllConnections();
+      await closeServer(callers.server);
+      expect(response.statusCode).to.equal(status);
+    });
+  }
 });
--- a/packages/daemon/src/request/Exchange.ts
+++ b/packages/daemon/src/request/Exchange.ts
@@ -80,11 +80,20 @@
 /** Abort reason when the timeout that the caller set expires. */
 export const callerTimeoutReason = 'caller timeout';
 
+/** Abort reason when the instance can serve the call no longer. */
+export const stopReason = 'the instance is stopping';
+
 /** Returns the error of a call whose signal was aborted. */
 export function abortError(
   exchange: Exchange,
   mayHaveRun: boolean,
 ): RouterError {
+  if (exchange.signal.reason === stopReason) {
+    return new RouterError(
+      mayHaveRun ? 'answer_incomplete' : 'shutting_down',
+      stopReason,
+    );
+  }
   if (exchange.signal.reason !== callerTimeoutReason) {
     return new RouterError('canceled', 'the caller closed the connection');
   }
--- a/packages/daemon/src/server/CallerServer.ts
+++ b/packages/daemon/src/server/CallerServer.ts
@@ -22,7 +22,11 @@
 import type {Logger} from '@toucanrouter/logging';
 import {createCallerResponse} from '../request/CallerResponse.js';
 import type {CallTarget, Exchange, Filter} from '../request/Exchange.js';
-import {callerTimeoutReason, runPipeline} from '../request/Exchange.js';
+import {
+  callerTimeoutReason,
+  runPipeline,
+  stopReason,
+} from '../request/Exchange.js';
 import {parseServicePath} from '../request/plain/PlainCall.js';
 
 /** Options of the server for callers. */
@@ -45,6 +49,8 @@
   unansweredCount(): number;
   /** Closes each connection with its next response, so callers reconnect. */
   drainConnections(): void;
+  /** Gives the calls in progress their final answers. */
+  endCalls(): void;
 }
 
 type App = {Bindings: HttpBindings};
@@ -60,6 +66,7 @@
   let inProgress = 0;
   let unanswered = 0;
   let isDraining = false;
+  const calls = new Set<AbortController>();
 
   async function serve(
     incoming: IncomingMessage,
@@ -156,6 +163,7 @@
    */
   function createCallerSignal(call: IncomingCall, timeoutMs: number) {
     const controller = new AbortController();
+    calls.add(controller);
     const reserveMs = answerReserveFor(timeoutMs);
     const abort = () => controller.abort(callerTimeoutReason);
     let undo = (): void => undefined;
@@ -169,6 +177,7 @@
     }
     call.outgoing.on('close', () => {
       undo();
+      calls.delete(controller);
       if (!call.outgoing.writableFinished) controller.abort();
     });
     return controller.signal;
@@ -219,6 +228,9 @@
       isDraining = true;
       server.closeIdleConnections();
     },
+    endCalls: () => {
+      for (const controller of calls) controller.abort(stopReason);
+    },
   };
 }
 
--- a/packages/settings/src/InstanceSettings.ts
+++ b/packages/settings/src/InstanceSettings.ts
@@ -15,6 +15,8 @@
   readonly instanceId: InstanceId;
   readonly region: string;
   readonly failureDomain: string;
+  /** A graceful stop completes within this time. */
+  readonly stopGraceMs: number;
   /** `[listen]` callers, administration (also metrics and health), peers. */
   readonly callers: ListenAddress;
   readonly admin: ListenAddress;
--- a/packages/settings/src/InstanceSettingsFile.ts
+++ b/packages/settings/src/InstanceSettingsFile.ts
@@ -72,6 +72,7 @@
     instanceId: toInstanceId(values.instance.id),
     region: values.instance.region,
     failureDomain: values.instance.failure_domain,
+    stopGraceMs: values.instance.stop_grace,
     callers: values.listen.callers,
     admin: values.listen.admin,
     peers: values.listen.peers,
--- a/packages/settings/src/InstanceSettingsSchema.ts
+++ b/packages/settings/src/InstanceSettingsSchema.ts
@@ -24,6 +24,7 @@
     id: nameField,
     region: nameField,
     failure_domain: nameField,
+    stop_grace: durationField.prefault('90s'),
   }),
   listen: z.strictObject({
     callers: addressField,
--- a/packages/standins/src/__tests__/process/DaemonFixtures.ts
+++ b/packages/standins/src/__tests__/process/DaemonFixtures.ts
@@ -19,6 +19,8 @@
 const nodeOptions = ['--import=tsx', '--conditions=source'];
 const host = '127.0.0.1';
 const pollMs = 25;
+/** A stop completes within this time. */
+export const stopGraceMs = 4_000;
 /** Far above the time that a process needs, also on a busy machine. */
 const waitLimitMs = 20_000;
 
@@ -87,6 +89,7 @@
 id = router-1
 region = a
 failure_domain = a
+stop_grace = ${stopGraceMs}ms
 [listen]
 callers = ${host}:${ports.callers}
 admin = ${host}:${ports.admin}
--- a/packages/standins/src/__tests__/process/DaemonSignals.test.ts
+++ b/packages/standins/src/__tests__/process/DaemonSignals.test.ts
@@ -1,7 +1,11 @@
+import {once} from 'node:events';
+import {connect} from 'node:net';
+import {performance} from 'node:perf_hooks';
 import {expect} from 'chai';
 import {
   findDaemonPorts,
   startDaemonProcess,
+  stopGraceMs,
   waitUntil,
 } from './DaemonFixtures.js';
 
@@ -38,6 +42,25 @@
     }
   });
 
+  // Guards against a stop that waits for ever for a caller that sends nothing.
+  it('ends within its grace period although a connection stays open', async () => {
+    const daemon = await startDaemonProcess(await findDaemonPorts());
+    try {
+      await waitUntil(async () => (await daemon.readiness()) === ready);
+      const socket = connect(daemon.ports.callers, '127.0.0.1');
+      socket.on('error', () => undefined);
+      await once(socket, 'connect');
+      const startedAtMs = performance.now();
+      daemon.signal('SIGTERM');
+      await waitUntil(() => daemon.endedBy() !== undefined);
+      socket.destroy();
+      expect(daemon.endedBy()).to.equal(0);
+      expect(performance.now() - startedAtMs).to.be.below(stopGraceMs);
+    } finally {
+      await daemon.close();
+    }
+  });
+
   for (const signal of stopping) {
     // Guards against a stop that counts as a failed process.
     it(`stops cleanly (${signal})`, async () => {
