daemon: measure the delay of the event loop

Neither logs nor metrics of an instance showed whether callers' requests wait unread because the process gets too little processor time. The measurement that gateways have runs in the daemon too, and its metrics show the delay now and its maximum in the last two seconds. Nothing depends on the values yet.

--- a/packages/cli/src/__tests__/unit/Pages.test.ts
+++ b/packages/cli/src/__tests__/unit/Pages.test.ts
@@ -159,6 +159,8 @@
       }),
       pausedCount: zero,
       refusalCounts: () => ({withPause: 0, withoutPause: 0}),
+      loopDelayMs: zero,
+      recentLoopDelayMs: zero,
     });
     const text = await metrics.render();
     const names = [...text.matchAll(/^# TYPE (toucanrouter_\w+) /gm)].map(
--- a/packages/daemon/src/Instance.ts
+++ b/packages/daemon/src/Instance.ts
@@ -8,8 +8,17 @@
   createClaimWriter,
   createLocalClaimStore,
 } from '@toucanrouter/claims';
-import type {ClaimReference, Clock, KeyValueStore} from '@toucanrouter/common';
-import {createBufferBudget, createProcessRandom} from '@toucanrouter/common';
+import type {
+  ClaimReference,
+  Clock,
+  KeyValueStore,
+  LoopDelay,
+} from '@toucanrouter/common';
+import {
+  createBufferBudget,
+  createLoopDelay,
+  createProcessRandom,
+} from '@toucanrouter/common';
 import {createMemberTable} from '@toucanrouter/membership';
 import type {ConfigStore, InstanceList} from '@toucanrouter/keyvalue';
 import {createConfigStore, createKeyValueClient} from '@toucanrouter/keyvalue';
@@ -68,6 +77,7 @@
   readonly holder: ConfigHolder;
   readonly inspection: FleetInspection;
   readonly keys: WorkspaceKeys;
+  readonly loopDelay: LoopDelay;
   readonly quarantineExchange: QuarantineExchange;
   readonly readiness: Readiness;
   readonly recorder: ServiceLevelRecorder;
@@ -163,6 +173,7 @@
     holder,
     inspection,
     keys,
+    loopDelay: createLoopDelay({clock}),
     quarantineExchange,
     readiness: createReadiness(),
     recorder,
@@ -171,6 +182,7 @@
       fleet.addListedMembers(toListedMembers(list.routers, selfId));
     },
     close: async () => {
+      instance.loopDelay.close();
       instance.configSource.close();
       quarantineExchange.close();
       promptGuard.close();
--- a/packages/daemon/src/Metrics.ts
+++ b/packages/daemon/src/Metrics.ts
@@ -28,6 +28,9 @@
   /** Upstreams that pause for this instance now. */
   readonly pausedCount: () => number;
   readonly refusalCounts: () => RefusalCounts;
+  /** Delay of the event loop: now, and the longest of the recent past. */
+  readonly loopDelayMs: () => number;
+  readonly recentLoopDelayMs: () => number;
 }
 
 /** The metrics of an instance. */
@@ -165,6 +168,16 @@
       'Upstreams that get no request now because they asked for a pause',
       sources.pausedCount,
     ],
+    [
+      'toucanrouter_event_loop_delay_seconds',
+      'Time by which the event loop runs late; requests wait unread about as long',
+      () => sources.loopDelayMs() / msPerSecond,
+    ],
+    [
+      'toucanrouter_event_loop_delay_recent_max_seconds',
+      'Longest delay of the event loop in the last two seconds',
+      () => sources.recentLoopDelayMs() / msPerSecond,
+    ],
   ];
   for (const [name, help, read] of gauges) {
     new Gauge({
--- a/packages/daemon/src/__tests__/unit/PausedUpstreams.test.ts
+++ b/packages/daemon/src/__tests__/unit/PausedUpstreams.test.ts
@@ -471,6 +471,8 @@
       retryBudget: () => createRetryBudget().status(0),
       pausedCount: paused.count,
       refusalCounts: paused.refusalCounts,
+      loopDelayMs: () => 0,
+      recentLoopDelayMs: () => 0,
     });
     const upstream = upstreamInfo('engine-1');
     paused.recordRefusal(upstream, toRequestId('r1'), '2');
--- a/packages/daemon/src/server/Servers.ts
+++ b/packages/daemon/src/server/Servers.ts
@@ -83,7 +83,7 @@
 }
 
 function createInstanceMetrics(
-  {access, fleet, holder, permits}: Instance,
+  {access, fleet, holder, loopDelay, permits}: Instance,
   hub: PeerHub,
 ): Metrics {
   return createMetrics({
@@ -97,5 +97,7 @@
     retryBudget: () => access.retryBudget.status(access.clock.nowMs()),
     pausedCount: access.pausedUpstreams.count,
     refusalCounts: access.pausedUpstreams.refusalCounts,
+    loopDelayMs: loopDelay.currentMs,
+    recentLoopDelayMs: loopDelay.recentMaxMs,
   });
 }
