daemon: refuse calls while the process has too little processor time

A daemon whose event loop ran late accepted every call, so urgent calls waited unread behind all others until their callers gave up. Nothing acted on the delay.

LoadControl feeds the delay of the event loop to LoadShedding. Each call is decided before its body is read if its headers determine its tier, otherwise once the model in its body is known. The refusal is `overloaded` (503, not run, Retry-After) and is made before the pipeline runs, so it is true. Calls without a valid key are neither counted nor shed, as the pipeline refuses them. The most urgent tier is refused last, because the decision ranks calls by tier.

CallLoad.test.ts asks for twice the processor time there is. CallTiers, CallerServer, Metrics and Pages tests pass. Not run: the whole suite; a real process beside busy ones.

--- a/packages/cli/src/__tests__/unit/Pages.test.ts
+++ b/packages/cli/src/__tests__/unit/Pages.test.ts
@@ -161,6 +161,8 @@
       refusalCounts: () => ({withPause: 0, withoutPause: 0}),
       loopDelayMs: zero,
       recentLoopDelayMs: zero,
+      admittedShare: () => 1,
+      shedCounts: () => [],
     });
     const text = await metrics.render();
     const names = [...text.matchAll(/^# TYPE (toucanrouter_\w+) /gm)].map(
--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -66,7 +66,7 @@
   );
   if (hub.isErr()) return err(hub.error);
   instance.fleet.start(hub.value);
-  instance.loopDelay.start();
+  instance.loadControl.loopDelay.start();
   instance.host.start();
   instance.permits.start();
   instance.quarantineExchange.start();
--- a/packages/daemon/src/Instance.ts
+++ b/packages/daemon/src/Instance.ts
@@ -8,17 +8,8 @@
   createClaimWriter,
   createLocalClaimStore,
 } from '@toucanrouter/claims';
-import type {
-  ClaimReference,
-  Clock,
-  KeyValueStore,
-  LoopDelay,
-} from '@toucanrouter/common';
-import {
-  createBufferBudget,
-  createLoopDelay,
-  createProcessRandom,
-} from '@toucanrouter/common';
+import type {ClaimReference, Clock, KeyValueStore} from '@toucanrouter/common';
+import {createBufferBudget, createProcessRandom} from '@toucanrouter/common';
 import {createMemberTable} from '@toucanrouter/membership';
 import type {ConfigStore, InstanceList} from '@toucanrouter/keyvalue';
 import {createConfigStore, createKeyValueClient} from '@toucanrouter/keyvalue';
@@ -52,6 +43,8 @@
 import {createWorkspaceKeys} from './request/Authenticate.js';
 import {probeEngine} from './request/chat/EngineProbe.js';
 import {createPromptGuard} from './request/chat/PromptGuard.js';
+import type {LoadControl} from './request/LoadControl.js';
+import {createLoadControl} from './request/LoadControl.js';
 import {createPausedUpstreams} from './request/PausedUpstreams.js';
 import type {UpstreamAccess} from './request/UpstreamAccess.js';
 import {connectUpstream} from './request/UpstreamSocket.js';
@@ -77,7 +70,7 @@
   readonly holder: ConfigHolder;
   readonly inspection: FleetInspection;
   readonly keys: WorkspaceKeys;
-  readonly loopDelay: LoopDelay;
+  readonly loadControl: LoadControl;
   readonly quarantineExchange: QuarantineExchange;
   readonly readiness: Readiness;
   readonly recorder: ServiceLevelRecorder;
@@ -173,7 +166,7 @@
     holder,
     inspection,
     keys,
-    loopDelay: createLoopDelay({clock}),
+    loadControl: createInstanceLoadControl(options, holder),
     quarantineExchange,
     readiness: createReadiness(),
     recorder,
@@ -182,7 +175,7 @@
       fleet.addListedMembers(toListedMembers(list.routers, selfId));
     },
     close: async () => {
-      instance.loopDelay.close();
+      instance.loadControl.loopDelay.close();
       instance.configSource.close();
       quarantineExchange.close();
       promptGuard.close();
@@ -199,6 +192,18 @@
   return instance;
 }
 
+function createInstanceLoadControl(
+  {clock, logger}: InstanceOptions,
+  holder: ConfigHolder,
+): LoadControl {
+  return createLoadControl({
+    clock,
+    logger,
+    random: createProcessRandom(),
+    classes: () => holder.inForce().classes,
+  });
+}
+
 function createInstanceFleet(
   {clock, settings}: InstanceOptions,
   incarnation: number,
--- a/packages/daemon/src/Metrics.ts
+++ b/packages/daemon/src/Metrics.ts
@@ -10,6 +10,7 @@
   Registry,
 } from 'prom-client';
 import type {RetryBudgetStatus} from '@toucanrouter/policy';
+import type {ShedCount} from './request/LoadControl.js';
 import type {RefusalCounts} from './request/PausedUpstreams.js';
 import type {FinishedCall} from './request/RecordCall.js';
 
@@ -31,6 +32,9 @@
   /** Delay of the event loop: now, and the longest of the recent past. */
   readonly loopDelayMs: () => number;
   readonly recentLoopDelayMs: () => number;
+  /** Share of calls that the processor time allows, from 0 to 1. */
+  readonly admittedShare: () => number;
+  readonly shedCounts: () => readonly ShedCount[];
 }
 
 /** The metrics of an instance. */
@@ -86,6 +90,7 @@
   });
   registerGauges(registry, sources);
   registerRefusals(registry, sources);
+  registerShedding(registry, sources);
 
   function observeCall({exchange, error}: FinishedCall): void {
     const {stats, serviceClass} = exchange;
@@ -178,6 +183,11 @@
       'Longest delay of the event loop in the last two seconds',
       () => sources.recentLoopDelayMs() / msPerSecond,
     ],
+    [
+      'toucanrouter_admitted_share',
+      'Share of calls that the processor time allows; the least urgent tiers are refused first',
+      sources.admittedShare,
+    ],
   ];
   for (const [name, help, read] of gauges) {
     new Gauge({
@@ -205,3 +215,18 @@
     },
   });
 }
+
+function registerShedding(registry: Registry, sources: MetricSources): void {
+  new Counter({
+    name: 'toucanrouter_shed_requests_total',
+    help: 'Calls refused for lack of processor time, by tier and whether their own time was too short or the load too high',
+    labelNames: ['tier', 'reason'],
+    registers: [registry],
+    collect() {
+      this.reset();
+      for (const {count, reason, tier} of sources.shedCounts()) {
+        this.inc({tier: String(tier), reason}, count);
+      }
+    },
+  });
+}
--- a/packages/daemon/src/__tests__/unit/CallerServer.test.ts
+++ b/packages/daemon/src/__tests__/unit/CallerServer.test.ts
@@ -35,6 +35,9 @@
     maxBodyBytes: 1_000,
     chatPipeline: [],
     plainPipeline: [filter],
+    classes: () => [],
+    isKnownCaller: () => true,
+    loadControl: {admit: () => ok(undefined)},
   });
   callers.server.listen(0, host);
   await once(callers.server, 'listening');
--- a/packages/daemon/src/__tests__/unit/Metrics.test.ts
+++ b/packages/daemon/src/__tests__/unit/Metrics.test.ts
@@ -23,6 +23,8 @@
     refusalCounts: () => ({withPause: 0, withoutPause: 0}),
     loopDelayMs: zero,
     recentLoopDelayMs: zero,
+    admittedShare: () => 1,
+    shedCounts: () => [],
     ...overrides,
   };
 }
--- a/packages/daemon/src/__tests__/unit/PausedUpstreams.test.ts
+++ b/packages/daemon/src/__tests__/unit/PausedUpstreams.test.ts
@@ -473,6 +473,8 @@
       refusalCounts: paused.refusalCounts,
       loopDelayMs: () => 0,
       recentLoopDelayMs: () => 0,
+      admittedShare: () => 1,
+      shedCounts: () => [],
     });
     const upstream = upstreamInfo('engine-1');
     paused.recordRefusal(upstream, toRequestId('r1'), '2');
--- a/packages/daemon/src/request/Authenticate.ts
+++ b/packages/daemon/src/request/Authenticate.ts
@@ -2,6 +2,7 @@
  * Authenticates calls by the key of their workspace.
  */
 import {createHash} from 'node:crypto';
+import type {IncomingHttpHeaders} from 'node:http';
 import type {OperatorConfig, WorkspaceId} from '@toucanrouter/common';
 import {RouterError} from '@toucanrouter/common';
 import {err} from 'neverthrow';
@@ -28,10 +29,24 @@
   };
 }
 
+/** Returns the key that a caller sends. */
+function keyOf({authorization}: IncomingHttpHeaders): string | undefined {
+  return bearerPattern.exec(authorization ?? '')?.[1];
+}
+
+/** Returns whether a caller sends a valid key. */
+export function isKnownCaller(
+  keys: WorkspaceKeys,
+  headers: IncomingHttpHeaders,
+): boolean {
+  const key = keyOf(headers);
+  return key !== undefined && keys.find(key) !== undefined;
+}
+
 /** Creates the filter that rejects calls without a valid workspace key. */
 export function createAuthenticateFilter(keys: WorkspaceKeys): Filter {
   return async (exchange, next) => {
-    const key = bearerPattern.exec(exchange.headers.authorization ?? '')?.[1];
+    const key = keyOf(exchange.headers);
     const workspaceId = key === undefined ? undefined : keys.find(key);
     if (workspaceId === undefined) {
       const message =
--- a/packages/daemon/src/request/ClassifyCall.ts
+++ b/packages/daemon/src/request/ClassifyCall.ts
@@ -1,12 +1,13 @@
 /**
  * Assigns each call to its service class.
  */
-import type {ClassId, OperatorConfig} from '@toucanrouter/common';
+import type {IncomingHttpHeaders} from 'node:http';
+import type {ClassId, OperatorConfig, ServiceClass} from '@toucanrouter/common';
 import {RouterError, toClassId} from '@toucanrouter/common';
 import type {ClassifiedCall} from '@toucanrouter/policy';
 import {classify} from '@toucanrouter/policy';
 import {err} from 'neverthrow';
-import type {CallTarget, Exchange, Filter} from './Exchange.js';
+import type {CallTarget, Filter} from './Exchange.js';
 
 const classHeader = 'x-service-class';
 
@@ -22,17 +23,29 @@
   return {kind: 'service', service: serves, method, path, classId};
 }
 
-function requestedClass(exchange: Exchange): ClassId | undefined {
-  const name = exchange.headers[classHeader];
+/** Returns the class that the caller names, whether it exists or not. */
+export function requestedClassId(
+  headers: IncomingHttpHeaders,
+): ClassId | undefined {
+  const name = headers[classHeader];
   return typeof name === 'string' ? toClassId(name) : undefined;
 }
 
+/** Returns the class of a call; undefined if none applies. */
+export function classifyTarget(
+  target: CallTarget,
+  headers: IncomingHttpHeaders,
+  classes: readonly ServiceClass[],
+): ServiceClass | undefined {
+  const call = toClassifiedCall(target, requestedClassId(headers));
+  return classify(call, classes);
+}
+
 /** Creates the filter that rejects calls to which no class applies. */
 export function createClassifyFilter(config: () => OperatorConfig): Filter {
   return async (exchange, next) => {
-    const {target} = exchange;
-    const call = toClassifiedCall(target, requestedClass(exchange));
-    exchange.serviceClass = classify(call, config().classes);
+    const {headers, target} = exchange;
+    exchange.serviceClass = classifyTarget(target, headers, config().classes);
     if (exchange.serviceClass === undefined) {
       const subject = target.kind === 'engine' ? 'model' : 'service';
       const message = `no class of work is configured for ${subject} "${target.serves}" with this method and path`;
--- a/packages/daemon/src/server/CallerServer.ts
+++ b/packages/daemon/src/server/CallerServer.ts
@@ -2,12 +2,16 @@
  * The HTTP server for callers. It turns each request into an exchange and runs
  * the pipeline of its path.
  */
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {
+  IncomingHttpHeaders,
+  IncomingMessage,
+  ServerResponse,
+} from 'node:http';
 import type {Server} from 'node:http';
 import type {HttpBindings} from '@hono/node-server';
 import {createAdaptorServer} from '@hono/node-server';
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
-import type {Clock, RequestId} from '@toucanrouter/common';
+import type {Clock, RequestId, ServiceClass} from '@toucanrouter/common';
 import {
   answerReserveFor,
   closeWaitingResponses,
@@ -21,8 +25,15 @@
 import {err, ok} from 'neverthrow';
 import type {Logger} from '@toucanrouter/logging';
 import {createCallerResponse} from '../request/CallerResponse.js';
+import type {ArrivedTier} from '../request/CallTiers.js';
+import {
+  leastUrgentRank,
+  tierOfArrivedChat,
+  tierOfTarget,
+} from '../request/CallTiers.js';
 import type {CallTarget, Exchange, Filter} from '../request/Exchange.js';
 import {callerTimeoutReason, runPipeline} from '../request/Exchange.js';
+import type {LoadControl} from '../request/LoadControl.js';
 import {parseServicePath} from '../request/plain/PlainCall.js';
 
 /** Options of the server for callers. */
@@ -34,6 +45,10 @@
   readonly maxBodyBytes: number;
   readonly chatPipeline: readonly Filter[];
   readonly plainPipeline: readonly Filter[];
+  readonly classes: () => readonly ServiceClass[];
+  /** Returns whether the headers have a valid key. */
+  readonly isKnownCaller: (headers: IncomingHttpHeaders) => boolean;
+  readonly loadControl: Pick<LoadControl, 'admit'>;
 }
 
 /** The server for callers. */
@@ -50,6 +65,8 @@
 type App = {Bindings: HttpBindings};
 
 const timeoutHeader = 'x-request-timeout-ms';
+/** Largest body that is discarded to keep the connection of a refused call. */
+const maxDiscardedBytes = 64 * 1024;
 const minTimeoutMs = 1;
 const maxTimeoutMs = 24 * 60 * 60 * 1_000;
 
@@ -65,7 +82,7 @@
     incoming: IncomingMessage,
     outgoing: ServerResponse,
     pipeline: readonly Filter[],
-    parseTarget: (body: Buffer) => Result<CallTarget, RouterError>,
+    path: ServedPath,
   ): Promise<void> {
     // Its connection is about to close, and the caller knows that.
     if (!pipelined.isAccepted(outgoing)) return;
@@ -95,7 +112,7 @@
           onBodyNotRead: () => (bodyWasRead = false),
         },
         pipeline,
-        parseTarget,
+        path,
       );
       if (result.isErr()) response.sendError(result.error);
     } catch (cause) {
@@ -113,21 +130,39 @@
   async function serveRequest(
     call: IncomingCall,
     pipeline: readonly Filter[],
-    parseTarget: (body: Buffer) => Result<CallTarget, RouterError>,
+    path: ServedPath,
   ): Promise<Result<void, RouterError>> {
     const timeoutMs = timeoutOf(call.incoming, options.defaultTimeoutMs);
     if (timeoutMs.isErr()) return err(timeoutMs.error);
+    const {headers} = call.incoming;
+    const known = options.isKnownCaller(headers);
+    const arrived = path.arrivedTier(headers);
+    const admit = (tier: number) =>
+      // The pipeline refuses a call without a valid key.
+      known
+        ? options.loadControl.admit({tier, timeoutMs: timeoutMs.value})
+        : ok(undefined);
+    const admitted = arrived.isCertain ? admit(arrived.tier) : ok(undefined);
+    if (admitted.isErr()) {
+      if (isCostlyToDiscard(call.incoming)) call.onBodyNotRead();
+      return err(admitted.error);
+    }
     const body = await readBody(call.incoming, options.maxBodyBytes);
     if (body.isErr()) {
       call.onBodyNotRead();
       return err(body.error);
     }
-    const target = parseTarget(body.value);
+    const target = path.parseTarget(body.value);
     if (target.isErr()) return err(target.error);
+    if (!arrived.isCertain) {
+      const classes = options.classes();
+      const admittedNow = admit(tierOfTarget(target.value, headers, classes));
+      if (admittedNow.isErr()) return err(admittedNow.error);
+    }
     const exchange: Exchange = {
       requestId: call.requestId,
       callerRequestId: call.callerRequestId,
-      headers: call.incoming.headers,
+      headers,
       body: body.value,
       target: target.value,
       response: call.response,
@@ -174,13 +209,34 @@
     return controller.signal;
   }
 
+  function chatPath(): ServedPath {
+    return {
+      arrivedTier: headers => tierOfArrivedChat(headers, options.classes()),
+      parseTarget: parseChatTarget,
+    };
+  }
+
+  function plainPath(incoming: IncomingMessage): ServedPath {
+    const target = parsePlainTarget(incoming);
+    return {
+      arrivedTier: headers => ({
+        tier: target.match(
+          value => tierOfTarget(value, headers, options.classes()),
+          () => leastUrgentRank,
+        ),
+        isCertain: true,
+      }),
+      parseTarget: () => target,
+    };
+  }
+
   app.post('/v1/chat/completions', async context => {
     const {incoming, outgoing} = context.env;
     await serve(
       incoming,
       outgoing as ServerResponse,
       options.chatPipeline,
-      parseChatTarget,
+      chatPath(),
     );
     return RESPONSE_ALREADY_SENT;
   });
@@ -190,7 +246,7 @@
       incoming,
       outgoing as ServerResponse,
       options.plainPipeline,
-      () => parsePlainTarget(incoming),
+      plainPath(incoming),
     );
     return RESPONSE_ALREADY_SENT;
   });
@@ -222,6 +278,12 @@
   };
 }
 
+/** How the calls of a path are received. */
+interface ServedPath {
+  readonly arrivedTier: (headers: IncomingHttpHeaders) => ArrivedTier;
+  readonly parseTarget: (body: Buffer) => Result<CallTarget, RouterError>;
+}
+
 interface IncomingCall {
   readonly incoming: IncomingMessage;
   readonly outgoing: ServerResponse;
@@ -256,6 +318,14 @@
   return err(new RouterError('bad_request', message));
 }
 
+/** A connection is worth more than the discarding of a small body. */
+function isCostlyToDiscard({headers}: IncomingMessage): boolean {
+  return (
+    headers['transfer-encoding'] !== undefined ||
+    Number(headers['content-length'] ?? 0) > maxDiscardedBytes
+  );
+}
+
 async function readBody(
   incoming: IncomingMessage,
   maxBytes: number,
--- a/packages/daemon/src/server/Servers.ts
+++ b/packages/daemon/src/server/Servers.ts
@@ -10,7 +10,10 @@
 import {createRandomId} from '../Instance.js';
 import type {Metrics} from '../Metrics.js';
 import {createMetrics} from '../Metrics.js';
-import {createAuthenticateFilter} from '../request/Authenticate.js';
+import {
+  createAuthenticateFilter,
+  isKnownCaller,
+} from '../request/Authenticate.js';
 import {createClassifyFilter} from '../request/ClassifyCall.js';
 import type {Filter} from '../request/Exchange.js';
 import {createRecordFilter} from '../request/RecordCall.js';
@@ -44,6 +47,9 @@
       toRequestId(createRandomId(settings.instanceId)),
     defaultTimeoutMs: settings.defaultTimeoutMs,
     maxBodyBytes: settings.maxBodyBytes,
+    classes: () => instance.holder.inForce().classes,
+    isKnownCaller: headers => isKnownCaller(instance.keys, headers),
+    loadControl: instance.loadControl,
     chatPipeline: [...commonFilters, createChatFilter(access)],
     plainPipeline: [
       ...commonFilters,
@@ -83,7 +89,7 @@
 }
 
 function createInstanceMetrics(
-  {access, fleet, holder, loopDelay, permits}: Instance,
+  {access, fleet, holder, loadControl, permits}: Instance,
   hub: PeerHub,
 ): Metrics {
   return createMetrics({
@@ -97,7 +103,9 @@
     retryBudget: () => access.retryBudget.status(access.clock.nowMs()),
     pausedCount: access.pausedUpstreams.count,
     refusalCounts: access.pausedUpstreams.refusalCounts,
-    loopDelayMs: loopDelay.currentMs,
-    recentLoopDelayMs: loopDelay.recentMaxMs,
+    loopDelayMs: loadControl.loopDelay.currentMs,
+    recentLoopDelayMs: loadControl.loopDelay.recentMaxMs,
+    admittedShare: loadControl.admittedShare,
+    shedCounts: loadControl.shedCounts,
   });
 }
