daemon: bound the memory of callers' bodies by the limit of the process

Many large bodies at once took the resident memory of an instance far above the memory of its machine, which ends the process and loses all that it accepted. CallerServer held the pieces of each body and joined them, and nothing added up the bodies or knew the limit.

[limits] memory gives the limit. CallerBody reserves the declared length before it reads a byte, and a chunked body as it grows, from the MemoryBudget that gateways use. A call that does not fit gets `overloaded` (503, not run, Retry-After); stalled and less urgent calls that were not sent to an upstream are given up for others. Nothing is read without a reservation and each reservation ends with its call, so the sum stays below the budget.

InstanceSettingsFile.test.ts lists the sections in a message, so it gains `limits`; it is as strict as before. Not run: the whole suite.

--- a/packages/bench/src/slopes/RelayRouter.ts
+++ b/packages/bench/src/slopes/RelayRouter.ts
@@ -38,6 +38,7 @@
       writerTokenFile: plan.tokenFile,
       defaultTimeoutMs: 60_000,
       maxBodyBytes: 1_000_000,
+      memoryLimitBytes: undefined,
       servicesIgnoringFencing: [],
       logFormat: 'json',
       logLevel: 'warn',
--- a/packages/cli/src/__tests__/unit/Pages.test.ts
+++ b/packages/cli/src/__tests__/unit/Pages.test.ts
@@ -163,6 +163,14 @@
       recentLoopDelayMs: zero,
       admittedShare: () => 1,
       shedCounts: () => [],
+      memoryLimitBytes: zero,
+      memoryHolders: () => [],
+      bodyMemory: () => ({
+        usedBytes: 0,
+        maxBytes: 0,
+        refusedCount: 0,
+        givenUpCount: 0,
+      }),
     });
     const text = await metrics.render();
     const names = [...text.matchAll(/^# TYPE (toucanrouter_\w+) /gm)].map(
--- a/packages/daemon/src/Instance.ts
+++ b/packages/daemon/src/Instance.ts
@@ -9,7 +9,7 @@
   createLocalClaimStore,
 } from '@toucanrouter/claims';
 import type {ClaimReference, Clock, KeyValueStore} from '@toucanrouter/common';
-import {createBufferBudget, createProcessRandom} from '@toucanrouter/common';
+import {createProcessRandom} from '@toucanrouter/common';
 import {createMemberTable} from '@toucanrouter/membership';
 import type {ConfigStore, InstanceList} from '@toucanrouter/keyvalue';
 import {createConfigStore, createKeyValueClient} from '@toucanrouter/keyvalue';
@@ -37,6 +37,8 @@
 import type {UpstreamDirectory} from './fleet/UpstreamDirectory.js';
 import {createUpstreamDirectory} from './fleet/UpstreamDirectory.js';
 import type {Logger} from '@toucanrouter/logging';
+import type {ProcessMemory} from './ProcessMemory.js';
+import {createProcessMemory} from './ProcessMemory.js';
 import type {Readiness} from './Readiness.js';
 import {createReadiness} from './Readiness.js';
 import type {WorkspaceKeys} from './request/Authenticate.js';
@@ -71,6 +73,7 @@
   readonly inspection: FleetInspection;
   readonly keys: WorkspaceKeys;
   readonly loadControl: LoadControl;
+  readonly memory: ProcessMemory;
   readonly quarantineExchange: QuarantineExchange;
   readonly readiness: Readiness;
   readonly recorder: ServiceLevelRecorder;
@@ -82,6 +85,8 @@
 
 const randomIdBytes = 12;
 const idleConnectionTimeoutMs = 10_000;
+/** Bodies that seem to stall while the event loop runs later may have arrived. */
+const maxStalledCheckDelayMs = 500;
 
 /** Returns a unique id: `prefix` followed by random bytes in hexadecimal. */
 export function createRandomId(prefix: string): string {
@@ -140,6 +145,10 @@
     fleet,
     guard: promptGuard,
   });
+  const memory = createProcessMemory({
+    clock,
+    limitBytes: settings.memoryLimitBytes,
+  });
   const instance: Instance = {
     ...scheduling,
     access: {
@@ -148,7 +157,7 @@
       directory,
       permits: scheduling.permits,
       dispatcher,
-      responseBuffers: createBufferBudget(),
+      responseBuffers: memory.responses,
       retryBudget: createRetryBudget({
         onDenied: status =>
           logger.info('retry denied for lack of budget', {...status}),
@@ -166,7 +175,8 @@
     holder,
     inspection,
     keys,
-    loadControl: createInstanceLoadControl(options, holder),
+    loadControl: createInstanceLoadControl(options, holder, memory),
+    memory,
     quarantineExchange,
     readiness: createReadiness(),
     recorder,
@@ -195,12 +205,19 @@
 function createInstanceLoadControl(
   {clock, logger}: InstanceOptions,
   holder: ConfigHolder,
+  memory: ProcessMemory,
 ): LoadControl {
   return createLoadControl({
     clock,
     logger,
     random: createProcessRandom(),
     classes: () => holder.inForce().classes,
+    onSample: delayMs => {
+      // After a pause of the process, what has arrived is read first.
+      if (delayMs < maxStalledCheckDelayMs) {
+        memory.requestBodies.giveUpStalled();
+      }
+    },
   });
 }
 
--- a/packages/daemon/src/Metrics.ts
+++ b/packages/daemon/src/Metrics.ts
@@ -9,7 +9,9 @@
   Histogram,
   Registry,
 } from 'prom-client';
+import type {MemoryBudgetStatus} from '@toucanrouter/common';
 import type {RetryBudgetStatus} from '@toucanrouter/policy';
+import type {HolderMemory} from './ProcessMemory.js';
 import type {ShedCount} from './request/LoadControl.js';
 import type {RefusalCounts} from './request/PausedUpstreams.js';
 import type {FinishedCall} from './request/RecordCall.js';
@@ -35,6 +37,10 @@
   /** Share of calls that the processor time allows, from 0 to 1. */
   readonly admittedShare: () => number;
   readonly shedCounts: () => readonly ShedCount[];
+  /** Memory that the process may occupy, and what holds it. */
+  readonly memoryLimitBytes: () => number;
+  readonly memoryHolders: () => readonly HolderMemory[];
+  readonly bodyMemory: () => MemoryBudgetStatus;
 }
 
 /** The metrics of an instance. */
@@ -91,6 +97,7 @@
   registerGauges(registry, sources);
   registerRefusals(registry, sources);
   registerShedding(registry, sources);
+  registerMemory(registry, sources);
 
   function observeCall({exchange, error}: FinishedCall): void {
     const {stats, serviceClass} = exchange;
@@ -188,6 +195,21 @@
       'Share of calls that the processor time allows; the least urgent tiers are refused first',
       sources.admittedShare,
     ],
+    [
+      'toucanrouter_memory_limit_bytes',
+      'Memory that the process may occupy',
+      sources.memoryLimitBytes,
+    ],
+    [
+      'toucanrouter_bodies_refused',
+      'Calls refused since the start because their body needs more memory',
+      () => sources.bodyMemory().refusedCount,
+    ],
+    [
+      'toucanrouter_bodies_given_up',
+      'Calls whose memory was given up for others since the start',
+      () => sources.bodyMemory().givenUpCount,
+    ],
   ];
   for (const [name, help, read] of gauges) {
     new Gauge({
@@ -230,3 +252,31 @@
     },
   });
 }
+
+function registerMemory(registry: Registry, sources: MetricSources): void {
+  const gauges: [string, string, (memory: HolderMemory) => number][] = [
+    [
+      'toucanrouter_memory_held_bytes',
+      'Memory in use, by what holds it',
+      ({usedBytes}) => usedBytes,
+    ],
+    [
+      'toucanrouter_memory_budget_bytes',
+      'Memory that each holder may use',
+      ({maxBytes}) => maxBytes,
+    ],
+  ];
+  for (const [name, help, read] of gauges) {
+    new Gauge({
+      name,
+      help,
+      labelNames: ['holder'],
+      registers: [registry],
+      collect() {
+        for (const memory of sources.memoryHolders()) {
+          this.set({holder: memory.holder}, read(memory));
+        }
+      },
+    });
+  }
+}
--- a/packages/daemon/src/__tests__/unit/CallerServer.test.ts
+++ b/packages/daemon/src/__tests__/unit/CallerServer.test.ts
@@ -4,6 +4,7 @@
 import type {AddressInfo} from 'node:net';
 import {connect} from 'node:net';
 import {
+  createMemoryBudget,
   createSystemClock,
   delay,
   toInstanceId,
@@ -37,7 +38,8 @@
     plainPipeline: [filter],
     classes: () => [],
     isKnownCaller: () => true,
-    loadControl: {admit: () => ok(undefined)},
+    bodyMemory: createMemoryBudget({clock, maxBytes: 1_000_000}),
+    loadControl: {admit: () => ok(undefined), retryAfterMs: () => 1_000},
   });
   callers.server.listen(0, host);
   await once(callers.server, 'listening');
--- a/packages/daemon/src/__tests__/unit/CallerServerFixture.ts
+++ b/packages/daemon/src/__tests__/unit/CallerServerFixture.ts
@@ -5,8 +5,9 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {request as sendRequest} from 'node:http';
 import type {AddressInfo} from 'node:net';
-import type {ServiceClass, Tier} from '@toucanrouter/common';
+import type {MemoryBudget, ServiceClass, Tier} from '@toucanrouter/common';
 import {
+  createMemoryBudget,
   createSeededRandom,
   createSystemClock,
   toClassId,
@@ -42,6 +43,7 @@
 /** A server and the limits that it keeps. */
 export interface LimitedServer {
   readonly port: number;
+  readonly memory: MemoryBudget;
   readonly loadControl: LoadControl;
   close(): Promise<void>;
 }
@@ -52,6 +54,7 @@
   readonly filter: Filter;
   readonly classes?: readonly ServiceClass[];
   readonly maxBodyBytes?: number;
+  readonly memoryBytes?: number;
 }
 
 /** Starts a server whose calls are served by `filter`. */
@@ -59,6 +62,7 @@
   filter,
   classes = tierClasses,
   maxBodyBytes = 1_000_000,
+  memoryBytes = 100_000_000,
 }: LimitedServerOptions): Promise<LimitedServer> {
   const logger = createLogger({
     format: 'json',
@@ -66,6 +70,7 @@
     instanceId: toInstanceId('i'),
     write: () => undefined,
   });
+  const memory = createMemoryBudget({clock, maxBytes: memoryBytes});
   const loadControl = createLoadControl({
     clock,
     logger,
@@ -82,12 +87,14 @@
     plainPipeline: [filter],
     classes: () => classes,
     isKnownCaller: ({authorization}) => authorization !== 'none',
+    bodyMemory: memory,
     loadControl,
   });
   callers.server.listen(0, host);
   await once(callers.server, 'listening');
   return {
     port: (callers.server.address() as AddressInfo).port,
+    memory,
     loadControl,
     close: async () => {
       loadControl.loopDelay.close();
--- a/packages/daemon/src/__tests__/unit/Metrics.test.ts
+++ b/packages/daemon/src/__tests__/unit/Metrics.test.ts
@@ -25,6 +25,14 @@
     recentLoopDelayMs: zero,
     admittedShare: () => 1,
     shedCounts: () => [],
+    memoryLimitBytes: zero,
+    memoryHolders: () => [],
+    bodyMemory: () => ({
+      usedBytes: 0,
+      maxBytes: 0,
+      refusedCount: 0,
+      givenUpCount: 0,
+    }),
     ...overrides,
   };
 }
--- a/packages/daemon/src/__tests__/unit/PausedUpstreams.test.ts
+++ b/packages/daemon/src/__tests__/unit/PausedUpstreams.test.ts
@@ -475,6 +475,14 @@
       recentLoopDelayMs: () => 0,
       admittedShare: () => 1,
       shedCounts: () => [],
+      memoryLimitBytes: () => 0,
+      memoryHolders: () => [],
+      bodyMemory: () => ({
+        usedBytes: 0,
+        maxBytes: 0,
+        refusedCount: 0,
+        givenUpCount: 0,
+      }),
     });
     const upstream = upstreamInfo('engine-1');
     paused.recordRefusal(upstream, toRequestId('r1'), '2');
--- a/packages/daemon/src/request/Exchange.ts
+++ b/packages/daemon/src/request/Exchange.ts
@@ -85,20 +85,26 @@
   exchange: Exchange,
   mayHaveRun: boolean,
 ): RouterError {
-  if (exchange.signal.reason !== callerTimeoutReason) {
+  const {reason} = exchange.signal as {reason: unknown};
+  if (reason instanceof RouterError) {
+    // The instance gave the call up, which it does before the call is sent.
+    return mayHaveRun ? incompleteError(reason.message, reason) : reason;
+  }
+  if (reason !== callerTimeoutReason) {
     return new RouterError('canceled', 'the caller closed the connection');
   }
   return mayHaveRun
-    ? new RouterError(
-        'answer_incomplete',
-        'the response was not complete within the caller timeout',
-      )
+    ? incompleteError('the response was not complete within the caller timeout')
     : new RouterError(
         'deadline_exceeded',
         'the request could not be started within the caller timeout',
       );
 }
 
+function incompleteError(message: string, cause?: unknown): RouterError {
+  return new RouterError('answer_incomplete', message, {cause});
+}
+
 /**
  * Returns the error of a call that was refused a permit. After a first attempt
  * the call may have run, so the error must not report that it was not run.
--- a/packages/daemon/src/server/CallerServer.ts
+++ b/packages/daemon/src/server/CallerServer.ts
@@ -11,7 +11,12 @@
 import type {HttpBindings} from '@hono/node-server';
 import {createAdaptorServer} from '@hono/node-server';
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
-import type {Clock, RequestId, ServiceClass} from '@toucanrouter/common';
+import type {
+  Clock,
+  MemoryBudget,
+  RequestId,
+  ServiceClass,
+} from '@toucanrouter/common';
 import {
   answerReserveFor,
   closeWaitingResponses,
@@ -31,10 +36,16 @@
   tierOfArrivedChat,
   tierOfTarget,
 } from '../request/CallTiers.js';
-import type {CallTarget, Exchange, Filter} from '../request/Exchange.js';
+import type {
+  CallStats,
+  CallTarget,
+  Exchange,
+  Filter,
+} from '../request/Exchange.js';
 import {callerTimeoutReason, runPipeline} from '../request/Exchange.js';
 import type {LoadControl} from '../request/LoadControl.js';
 import {parseServicePath} from '../request/plain/PlainCall.js';
+import {openCallerBody} from './CallerBody.js';
 
 /** Options of the server for callers. */
 export interface CallerServerOptions {
@@ -48,7 +59,9 @@
   readonly classes: () => readonly ServiceClass[];
   /** Returns whether the headers have a valid key. */
   readonly isKnownCaller: (headers: IncomingHttpHeaders) => boolean;
-  readonly loadControl: Pick<LoadControl, 'admit'>;
+  /** Bounds the bodies of calls in progress. */
+  readonly bodyMemory: MemoryBudget;
+  readonly loadControl: Pick<LoadControl, 'admit' | 'retryAfterMs'>;
 }
 
 /** The server for callers. */
@@ -65,6 +78,8 @@
 type App = {Bindings: HttpBindings};
 
 const timeoutHeader = 'x-request-timeout-ms';
+/** The bytes, the parsed document, and the body of the attempt. */
+const chatCopyCount = 3;
 /** Largest body that is discarded to keep the connection of a refused call. */
 const maxDiscardedBytes = 64 * 1024;
 const minTimeoutMs = 1;
@@ -147,40 +162,57 @@
       if (isCostlyToDiscard(call.incoming)) call.onBodyNotRead();
       return err(admitted.error);
     }
-    const body = await readBody(call.incoming, options.maxBodyBytes);
-    if (body.isErr()) {
-      call.onBodyNotRead();
-      return err(body.error);
-    }
-    const target = path.parseTarget(body.value);
-    if (target.isErr()) return err(target.error);
-    if (!arrived.isCertain) {
-      const classes = options.classes();
-      const admittedNow = admit(tierOfTarget(target.value, headers, classes));
-      if (admittedNow.isErr()) return err(admittedNow.error);
-    }
-    const exchange: Exchange = {
-      requestId: call.requestId,
-      callerRequestId: call.callerRequestId,
-      headers,
-      body: body.value,
-      target: target.value,
-      response: call.response,
-      arrivedAtMs: call.arrivedAtMs,
-      deadlineAtMs: call.arrivedAtMs + timeoutMs.value,
-      signal: createCallerSignal(call, timeoutMs.value),
-      stats: {
-        firstTokenMs: undefined,
-        tokenGapMs: undefined,
-        tokens: 0,
-        wastedTokens: 0,
-        waitedMs: 0,
-        attempts: 0,
-      },
-      workspaceId: undefined,
-      serviceClass: undefined,
+    const controller = new AbortController();
+    const stats: CallStats = {
+      firstTokenMs: undefined,
+      tokenGapMs: undefined,
+      tokens: 0,
+      wastedTokens: 0,
+      waitedMs: 0,
+      attempts: 0,
     };
-    return runPipeline(pipeline, exchange);
+    let tier = known ? arrived.tier : leastUrgentRank;
+    const body = openCallerBody(call.incoming, {
+      maxBytes: options.maxBodyBytes,
+      memory: options.bodyMemory,
+      tier: () => tier,
+      copyCount: path.copyCount,
+      retryAfterMs: () => options.loadControl.retryAfterMs(tier),
+      canGiveUp: () => stats.attempts === 0,
+      onGivenUp: error => controller.abort(error),
+    });
+    try {
+      const received = await body.received;
+      if (received.isErr()) {
+        call.onBodyNotRead();
+        return err(received.error);
+      }
+      const target = path.parseTarget(received.value);
+      if (target.isErr()) return err(target.error);
+      if (known) tier = tierOfTarget(target.value, headers, options.classes());
+      if (!arrived.isCertain) {
+        const admittedNow = admit(tier);
+        if (admittedNow.isErr()) return err(admittedNow.error);
+      }
+      abortWithCaller(call, timeoutMs.value, controller);
+      const exchange: Exchange = {
+        requestId: call.requestId,
+        callerRequestId: call.callerRequestId,
+        headers,
+        body: received.value,
+        target: target.value,
+        response: call.response,
+        arrivedAtMs: call.arrivedAtMs,
+        deadlineAtMs: call.arrivedAtMs + timeoutMs.value,
+        signal: controller.signal,
+        stats,
+        workspaceId: undefined,
+        serviceClass: undefined,
+      };
+      return await runPipeline(pipeline, exchange);
+    } finally {
+      body.close();
+    }
   }
 
   /**
@@ -189,8 +221,11 @@
    * any byte of a response gets its error before the timeout, because it may
    * leave when the timeout has passed; a response that has begun goes on.
    */
-  function createCallerSignal(call: IncomingCall, timeoutMs: number) {
-    const controller = new AbortController();
+  function abortWithCaller(
+    call: IncomingCall,
+    timeoutMs: number,
+    controller: AbortController,
+  ): void {
     const reserveMs = answerReserveFor(timeoutMs);
     const abort = () => controller.abort(callerTimeoutReason);
     let undo = (): void => undefined;
@@ -206,11 +241,11 @@
       undo();
       if (!call.outgoing.writableFinished) controller.abort();
     });
-    return controller.signal;
   }
 
   function chatPath(): ServedPath {
     return {
+      copyCount: chatCopyCount,
       arrivedTier: headers => tierOfArrivedChat(headers, options.classes()),
       parseTarget: parseChatTarget,
     };
@@ -219,6 +254,7 @@
   function plainPath(incoming: IncomingMessage): ServedPath {
     const target = parsePlainTarget(incoming);
     return {
+      copyCount: 1,
       arrivedTier: headers => ({
         tier: target.match(
           value => tierOfTarget(value, headers, options.classes()),
@@ -280,6 +316,8 @@
 
 /** How the calls of a path are received. */
 interface ServedPath {
+  /** How often a call holds its body at once, in whatever form. */
+  readonly copyCount: number;
   readonly arrivedTier: (headers: IncomingHttpHeaders) => ArrivedTier;
   readonly parseTarget: (body: Buffer) => Result<CallTarget, RouterError>;
 }
@@ -326,29 +364,6 @@
   );
 }
 
-async function readBody(
-  incoming: IncomingMessage,
-  maxBytes: number,
-): Promise<Result<Buffer, RouterError>> {
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
-  try {
-    // Destroying the request would close the connection before the response.
-    for await (const chunk of incoming.iterator({destroyOnReturn: false})) {
-      sizeBytes += (chunk as Buffer).length;
-      if (sizeBytes > maxBytes) {
-        const message = `the request body is larger than ${maxBytes} bytes`;
-        return err(new RouterError('bad_request', message));
-      }
-      chunks.push(chunk as Buffer);
-    }
-  } catch (cause) {
-    const message = 'the request body was not received completely';
-    return err(new RouterError('canceled', message, {cause}));
-  }
-  return ok(Buffer.concat(chunks));
-}
-
 function parseChatTarget(body: Buffer): Result<CallTarget, RouterError> {
   const model = parseModel(body);
   if (model === undefined) {
--- a/packages/daemon/src/server/Servers.ts
+++ b/packages/daemon/src/server/Servers.ts
@@ -49,6 +49,7 @@
     maxBodyBytes: settings.maxBodyBytes,
     classes: () => instance.holder.inForce().classes,
     isKnownCaller: headers => isKnownCaller(instance.keys, headers),
+    bodyMemory: instance.memory.requestBodies,
     loadControl: instance.loadControl,
     chatPipeline: [...commonFilters, createChatFilter(access)],
     plainPipeline: [
@@ -89,7 +90,7 @@
 }
 
 function createInstanceMetrics(
-  {access, fleet, holder, loadControl, permits}: Instance,
+  {access, fleet, holder, loadControl, memory, permits}: Instance,
   hub: PeerHub,
 ): Metrics {
   return createMetrics({
@@ -107,5 +108,8 @@
     recentLoopDelayMs: loadControl.loopDelay.recentMaxMs,
     admittedShare: loadControl.admittedShare,
     shedCounts: loadControl.shedCounts,
+    memoryLimitBytes: () => memory.limitBytes,
+    memoryHolders: memory.holders,
+    bodyMemory: memory.requestBodies.status,
   });
 }
--- a/packages/settings/src/InstanceSettings.ts
+++ b/packages/settings/src/InstanceSettings.ts
@@ -34,6 +34,8 @@
   /** `[requests]` */
   readonly defaultTimeoutMs: number;
   readonly maxBodyBytes: number;
+  /** `[limits]` memory that the process may occupy, if it is set. */
+  readonly memoryLimitBytes: number | undefined;
   /** `[upstreams]` plain services that ignore fencing tokens. */
   readonly servicesIgnoringFencing: readonly string[];
   /** `[log]` */
--- a/packages/settings/src/InstanceSettingsFile.ts
+++ b/packages/settings/src/InstanceSettingsFile.ts
@@ -84,6 +84,7 @@
     writerTokenFile: resolveRelativeTo(file, values.admin.writer_token_file),
     defaultTimeoutMs: values.requests.default_timeout,
     maxBodyBytes: values.requests.max_body,
+    memoryLimitBytes: values.limits.memory,
     servicesIgnoringFencing: values.upstreams.services_ignoring_fencing,
     logFormat: values.log.format,
     logLevel: values.log.level,
--- a/packages/settings/src/InstanceSettingsSchema.ts
+++ b/packages/settings/src/InstanceSettingsSchema.ts
@@ -45,6 +45,7 @@
     default_timeout: durationField.prefault('5m'),
     max_body: sizeField.prefault('4MiB'),
   }),
+  limits: z.strictObject({memory: sizeField.optional()}),
   upstreams: z.strictObject({
     services_ignoring_fencing: listField(
       item => namePattern.test(item),
--- a/packages/settings/src/__tests__/unit/InstanceSettingsFile.test.ts
+++ b/packages/settings/src/__tests__/unit/InstanceSettingsFile.test.ts
@@ -64,7 +64,7 @@
       '12: timeout: "2 weeks" is not a duration; write a number with unit ms, s, m or h, such as 400ms or 2s',
       '14: max_body: "4MB" is not a size; write a number with unit B, KiB or MiB, such as 4MiB',
       '16: level: "loud" is not allowed; use debug, error, info, warn',
-      '17: section [cluster] is unknown; allowed are instance, listen, platform, peers, admin, requests, upstreams, log',
+      '17: section [cluster] is unknown; allowed are instance, listen, platform, peers, admin, requests, limits, upstreams, log',
     ]);
   });
 
--- a/packages/standins/src/__tests__/process/DaemonFixtures.ts
+++ b/packages/standins/src/__tests__/process/DaemonFixtures.ts
@@ -3,7 +3,13 @@
  * how it ended.
  */
 import {spawn} from 'node:child_process';
-import {cpSync, mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {
+  cpSync,
+  mkdtempSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
 import type {Server} from 'node:net';
 import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
@@ -19,6 +25,7 @@
 const nodeOptions = ['--import=tsx', '--conditions=source'];
 const host = '127.0.0.1';
 const pollMs = 25;
+const bytesPerKilobyte = 1024;
 /** Far above the time that a process needs, also on a busy machine. */
 const waitLimitMs = 20_000;
 
@@ -29,12 +36,20 @@
   readonly peers: number;
 }
 
+/** The memory that a daemon process may occupy. */
+export interface DaemonMemoryLimit {
+  readonly limitBytes: number;
+  readonly maxHeapMib: number;
+}
+
 /** A daemon process and its platform. */
 export interface DaemonProcess {
   readonly ports: DaemonSettingsPorts;
   output(): string;
   /** Status and text of `/readyz`; undefined if it does not answer. */
   readiness(): Promise<string | undefined>;
+  /** The largest resident memory until now. */
+  peakResidentBytes(): number;
   signal(signal: NodeJS.Signals): void;
   /** Closes the pipes that the log is written to. */
   closeOutput(): void;
@@ -75,6 +90,7 @@
 export async function startDaemonProcess(
   ports: DaemonSettingsPorts,
   hasPlatform = true,
+  memoryLimit?: DaemonMemoryLimit,
 ): Promise<DaemonProcess> {
   const platform = await createPlatformStandIn();
   if (!hasPlatform) platform.setSwitches({outage: true});
@@ -97,11 +113,15 @@
 [admin]
 reader_token_file = tokens/reader
 writer_token_file = tokens/writer
-`,
+${memoryLimit === undefined ? '' : `[limits]\nmemory = ${memoryLimit.limitBytes}B\n`}`,
   );
+  const heapOptions =
+    memoryLimit === undefined
+      ? []
+      : [`--max-old-space-size=${memoryLimit.maxHeapMib}`];
   const child = spawn(
     process.execPath,
-    [...nodeOptions, program, '--settings', settingsFile],
+    [...heapOptions, ...nodeOptions, program, '--settings', settingsFile],
     {stdio: ['ignore', 'pipe', 'pipe'], cwd: root},
   );
   let output = '';
@@ -122,6 +142,11 @@
         return undefined;
       }
     },
+    peakResidentBytes: () => {
+      const status = readFileSync(`/proc/${child.pid}/status`, 'utf8');
+      const [, kilobytes] = /^VmHWM:\s+(\d+) kB$/m.exec(status) ?? [];
+      return Number(kilobytes) * bytesPerKilobyte;
+    },
     signal: signal => child.kill(signal),
     closeOutput: () => {
       child.stdout.destroy();
