common: one module for the memory of gateways and daemons

ProcessMemory moves from the gateway to common, and the daemon uses it in place of its own. A process without a configured limit compares its resident memory with that of the machine or container, as the daemon did: with the default limit, an instance on a large machine would refuse larger bodies for good once its heap had grown. The size of [limits] memory in instance settings takes the same units as that of gateways.

No test covers the comparison without a limit.

--- a/packages/gateway/src/server/ProcessMemory.ts
+++ b/packages/common/src/ProcessMemory.ts
@@ -4,18 +4,13 @@
  */
 import {totalmem} from 'node:os';
 import {getHeapStatistics} from 'node:v8';
-import type {
-  BufferBudget,
-  Clock,
-  MemoryBudget,
-  MemoryPlan,
-} from '@toucanrouter/common';
-import {
-  createBufferBudget,
-  createMemoryBudget,
-  defaultMemoryLimitBytes,
-  planMemory,
-} from '@toucanrouter/common';
+import type {BufferBudget} from './BufferBudget.js';
+import {createBufferBudget} from './BufferBudget.js';
+import type {Clock} from './Clock.js';
+import type {MemoryBudget} from './MemoryBudget.js';
+import {createMemoryBudget} from './MemoryBudget.js';
+import type {MemoryPlan} from './MemoryPlan.js';
+import {defaultMemoryLimitBytes, planMemory} from './MemoryPlan.js';
 
 /** The memory that one kind of holder uses. */
 export interface HolderMemory {
@@ -47,15 +42,21 @@
   clock: Clock,
   limitBytes: number | undefined,
 ): ProcessMemory {
+  const maxHeapBytes = getHeapStatistics().heap_size_limit;
   const plan = planMemory(
     limitBytes ?? defaultMemoryLimitBytes(machineBytes()),
-    getHeapStatistics().heap_size_limit,
+    maxHeapBytes,
+  );
+  // A process without a configured limit may occupy what the machine has.
+  const {maxResidentBytes} = planMemory(
+    limitBytes ?? machineBytes(),
+    maxHeapBytes,
   );
   const residentBytes = () => process.memoryUsage.rss();
   const requestBodies = createMemoryBudget({
     clock,
     maxBytes: plan.requestBodyBytes,
-    freeResidentBytes: () => plan.maxResidentBytes - residentBytes(),
+    freeResidentBytes: () => maxResidentBytes - residentBytes(),
   });
   const responses = createBufferBudget(plan.responseBytes, clock.nowMs);
   return {
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -133,6 +133,8 @@
 export {createMemoryBudget, usableBytes} from './MemoryBudget.js';
 export type {MemoryPlan} from './MemoryPlan.js';
 export {defaultMemoryLimitBytes, planMemory} from './MemoryPlan.js';
+export type {HolderMemory, ProcessMemory} from './ProcessMemory.js';
+export {createProcessMemory} from './ProcessMemory.js';
 export type {PipelinedRequests} from './PipelinedRequests.js';
 export {
   closeWaitingResponses,
--- a/packages/daemon/src/Instance.ts
+++ b/packages/daemon/src/Instance.ts
@@ -8,8 +8,13 @@
   createClaimWriter,
   createLocalClaimStore,
 } from '@toucanrouter/claims';
-import type {ClaimReference, Clock, KeyValueStore} from '@toucanrouter/common';
-import {createProcessRandom} from '@toucanrouter/common';
+import type {
+  ClaimReference,
+  Clock,
+  KeyValueStore,
+  ProcessMemory,
+} from '@toucanrouter/common';
+import {createProcessMemory, createProcessRandom} from '@toucanrouter/common';
 import {createMemberTable} from '@toucanrouter/membership';
 import type {ConfigStore, InstanceList} from '@toucanrouter/keyvalue';
 import {createConfigStore, createKeyValueClient} from '@toucanrouter/keyvalue';
@@ -37,8 +42,6 @@
 import type {UpstreamDirectory} from './fleet/UpstreamDirectory.js';
 import {createUpstreamDirectory} from './fleet/UpstreamDirectory.js';
 import type {Logger} from '@toucanrouter/logging';
-import type {ProcessMemory} from './ProcessMemory.js';
-import {createProcessMemory} from './ProcessMemory.js';
 import type {Readiness} from './Readiness.js';
 import {createReadiness} from './Readiness.js';
 import type {WorkspaceKeys} from './request/Authenticate.js';
@@ -145,10 +148,7 @@
     fleet,
     guard: promptGuard,
   });
-  const memory = createProcessMemory({
-    clock,
-    limitBytes: settings.memoryLimitBytes,
-  });
+  const memory = createProcessMemory(clock, settings.memoryLimitBytes);
   const instance: Instance = {
     ...scheduling,
     access: {
--- a/packages/daemon/src/Metrics.ts
+++ b/packages/daemon/src/Metrics.ts
@@ -9,9 +9,8 @@
   Histogram,
   Registry,
 } from 'prom-client';
-import type {MemoryBudgetStatus} from '@toucanrouter/common';
+import type {HolderMemory, MemoryBudgetStatus} from '@toucanrouter/common';
 import type {RetryBudgetStatus} from '@toucanrouter/policy';
-import type {HolderMemory} from './ProcessMemory.js';
 import type {ShedCount} from './request/LoadControl.js';
 import type {RefusalCounts} from './request/PausedUpstreams.js';
 import type {FinishedCall} from './request/RecordCall.js';
--- a/packages/daemon/src/server/Servers.ts
+++ b/packages/daemon/src/server/Servers.ts
@@ -108,7 +108,7 @@
     recentLoopDelayMs: loadControl.loopDelay.recentMaxMs,
     admittedShare: loadControl.admittedShare,
     shedCounts: loadControl.shedCounts,
-    memoryLimitBytes: () => memory.limitBytes,
+    memoryLimitBytes: () => memory.plan.limitBytes,
     memoryHolders: memory.holders,
     bodyMemory: memory.requestBodies.status,
   });
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -12,6 +12,7 @@
 } from '@toucanrouter/common';
 import {
   createLoopDelay,
+  createProcessMemory,
   createServerListener,
   delay,
   isLastingListenError,
@@ -36,7 +37,6 @@
 import {createSharedRetryBudget} from './request/SharedRetryBudget.js';
 import {createGatewayMetrics} from './server/GatewayMetrics.js';
 import {createGatewayServer, listenBacklog} from './server/GatewayServer.js';
-import {createProcessMemory} from './server/ProcessMemory.js';
 import {
   createMetricsServer,
   createReadinessServer,
--- a/packages/gateway/src/server/GatewayMetrics.ts
+++ b/packages/gateway/src/server/GatewayMetrics.ts
@@ -2,12 +2,15 @@
  * Prometheus metrics of a gateway. The number of label values is bounded:
  * classes come from the configuration and outcomes from the list of error kinds.
  */
-import type {MemoryBudgetStatus, ServiceName} from '@toucanrouter/common';
+import type {
+  HolderMemory,
+  MemoryBudgetStatus,
+  ServiceName,
+} from '@toucanrouter/common';
 import type {RetryBudgetStatus} from '@toucanrouter/policy';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {RequestStage} from '../request/OpenRequest.js';
 import type {EndedRequest} from '../request/EndedRequest.js';
-import type {HolderMemory} from './ProcessMemory.js';
 
 /** Sources of the values that are read when metrics are collected. */
 export interface GatewayMetricSources {
--- a/packages/settings/src/InstanceSettingsSchema.ts
+++ b/packages/settings/src/InstanceSettingsSchema.ts
@@ -10,6 +10,7 @@
   choiceField,
   durationField,
   listField,
+  memoryField,
   nameField,
   namePattern,
   nameRule,
@@ -45,7 +46,7 @@
     default_timeout: durationField.prefault('5m'),
     max_body: sizeField.prefault('4MiB'),
   }),
-  limits: z.strictObject({memory: sizeField.optional()}),
+  limits: z.strictObject({memory: memoryField.optional()}),
   upstreams: z.strictObject({
     services_ignoring_fencing: listField(
       item => namePattern.test(item),
