daemon: tell callers that a claimed call was given up for memory

A claimed call that is given up before it is sent ended with 504 `deadline_exceeded` and no Retry-After. It ends with the error that its abort signal carries: `overloaded`, not run. The release of its key comes first, as before. A call whose caller has left is recorded as `canceled` now.

--- a/packages/daemon/src/__tests__/unit/ClaimedCall.test.ts
+++ b/packages/daemon/src/__tests__/unit/ClaimedCall.test.ts
@@ -190,6 +190,26 @@
     });
   });
 
+  // Guards against a refusal without Retry-After, and a key that stays taken.
+  it('refuses a call that the instance gave up before it was sent, and releases its key', async () => {
+    const clock = createManualClock();
+    const {ends, store} = createFakeClaimStore(() => ok(claimed));
+    const calls = createClaimedCalls(clock, toInstanceId('router-1'), store);
+    const reason = new RouterError('overloaded', 'm', {retryAfterMs: 1_000});
+    const exchange = {
+      ...createExchange(clock),
+      signal: AbortSignal.abort(reason),
+    };
+    let sends = 0;
+    const result = await calls.run(exchange, () => {
+      sends += 1;
+      return Promise.resolve(ok(response));
+    });
+    expect(result._unsafeUnwrapErr()).to.equal(reason);
+    expect(ends).to.deep.equal(['not_sent']);
+    expect(sends).to.equal(0);
+  });
+
   it('releases the key of a call whose caller disconnected before it was sent', async () => {
     const callerLeft = new RouterError('canceled', 'left');
     const run = await runCall(
--- a/packages/daemon/src/claims/ClaimedCall.ts
+++ b/packages/daemon/src/claims/ClaimedCall.ts
@@ -21,7 +21,7 @@
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 import type {Exchange} from '../request/Exchange.js';
-import {workspaceOf} from '../request/Exchange.js';
+import {abortError, workspaceOf} from '../request/Exchange.js';
 import type {PlainResponse} from '../request/plain/PlainCall.js';
 
 /** Delay before a claim or its end is retried. */
@@ -128,7 +128,11 @@
     const isPastDeadline = clock.nowMs() >= exchange.deadlineAtMs;
     if (isPastDeadline || exchange.signal.aborted) {
       await release(reference);
-      return err(deadlineExceededError());
+      return err(
+        exchange.signal.aborted
+          ? abortError(exchange, false)
+          : deadlineExceededError(),
+      );
     }
     const response = await send();
     if (response.isOk()) {
