--- a/packages/daemon/src/__tests__/unit/Metrics.test.ts
+++ b/packages/daemon/src/__tests__/unit/Metrics.test.ts
@@ -53,4 +53,36 @@
     );
     expect(text).to.match(/^process_resident_memory_bytes [1-9]/m);
   });
+
+  // Guards against refused calls that look like a lack of upstreams.
+  it('shows what the limits of the process refuse and what holds its memory', async () => {
+    const metrics = createMetrics(
+      createSources({
+        admittedShare: () => 0.4,
+        shedCounts: () => [{tier: 3, reason: 'overload', count: 5}],
+        memoryLimitBytes: () => 350,
+        memoryHolders: () => [
+          {holder: 'request_bodies', usedBytes: 20, maxBytes: 50},
+        ],
+        bodyMemory: () => ({
+          usedBytes: 20,
+          maxBytes: 50,
+          refusedCount: 7,
+          givenUpCount: 2,
+        }),
+      }),
+    );
+    // Counts that are kept elsewhere must not be added up by each reading.
+    await metrics.render();
+    const lines = (await metrics.render()).split('\n');
+    expect(lines).to.include.members([
+      'toucanrouter_admitted_share 0.4',
+      'toucanrouter_shed_requests_total{tier="3",reason="overload"} 5',
+      'toucanrouter_memory_limit_bytes 350',
+      'toucanrouter_memory_held_bytes{holder="request_bodies"} 20',
+      'toucanrouter_memory_budget_bytes{holder="request_bodies"} 50',
+      'toucanrouter_bodies_refused 7',
+      'toucanrouter_bodies_given_up 2',
+    ]);
+  });
 });
