--- a/packages/bench/src/slopes/RelayRouter.ts
+++ b/packages/bench/src/slopes/RelayRouter.ts
@@ -39,6 +39,7 @@
       defaultTimeoutMs: 60_000,
       maxBodyBytes: 1_000_000,
       stopGraceMs: 90_000,
+      memoryLimitBytes: undefined,
       servicesIgnoringFencing: [],
       logFormat: 'json',
       logLevel: 'warn',
--- a/packages/cli/src/__tests__/unit/Pages.test.ts
+++ b/packages/cli/src/__tests__/unit/Pages.test.ts
@@ -159,6 +159,18 @@
       }),
       pausedCount: zero,
       refusalCounts: () => ({withPause: 0, withoutPause: 0}),
+      loopDelayMs: zero,
+      recentLoopDelayMs: zero,
+      admittedShare: () => 1,
+      shedCounts: () => [],
+      memoryLimitBytes: zero,
+      memoryHolders: () => [],
+      bodyMemory: () => ({
+        usedBytes: 0,
+        maxBytes: 0,
+        refusedCount: 0,
+        givenUpCount: 0,
+      }),
     });
     const text = await metrics.render();
     const names = [...text.matchAll(/^# TYPE (toucanrouter_\w+) /gm)].map(
--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -3,9 +3,8 @@
  * before its configuration is known; the stop order ensures that no request is
  * interrupted.
  */
-import type {LoopDelay, RouterError} from '@toucanrouter/common';
+import type {RouterError} from '@toucanrouter/common';
 import {
-  createLoopDelay,
   createOpenListenerErrorLog,
   createStopPlan,
   delay,
@@ -55,8 +54,6 @@
 ): Promise<Result<Daemon, RouterError>> {
   const {clock, logger, settings} = options;
   const instance = createInstance(options);
-  const loopDelay = createLoopDelay({clock});
-  loopDelay.start();
   const listening = createListening(options, stopSignal);
   const hub = await listening.openHub(settings.peers, () =>
     createPeerHub({
@@ -75,6 +72,7 @@
   );
   if (hub.isErr()) return err(hub.error);
   instance.fleet.start(hub.value);
+  instance.loadControl.loopDelay.start();
   instance.host.start();
   instance.permits.start();
   instance.quarantineExchange.start();
@@ -106,8 +104,7 @@
     peersPort: hub.value.port,
   };
   logger.info('instance is ready', {...ports});
-  const close = () =>
-    stopInstance(options, instance, servers, listReader, loopDelay);
+  const close = () => stopInstance(options, instance, servers, listReader);
   return ok({ports, close});
 }
 
@@ -151,9 +148,9 @@
   instance: Instance,
   servers: Servers,
   listReader: InstanceListReader,
-  loopDelay: LoopDelay,
 ): Promise<void> {
   const {callers} = servers;
+  const {loopDelay} = instance.loadControl;
   const startedAtMs = clock.nowMs();
   const plan = createStopPlan({
     receivedAtMs: startedAtMs,
@@ -189,5 +186,4 @@
     tookMs: Math.round(clock.nowMs() - startedAtMs),
     reserveMs: Math.round(plan.reserveMs()),
   });
-  loopDelay.close();
 }
--- a/packages/daemon/src/Instance.ts
+++ b/packages/daemon/src/Instance.ts
@@ -8,8 +8,13 @@
   createClaimWriter,
   createLocalClaimStore,
 } from '@toucanrouter/claims';
-import type {ClaimReference, Clock, KeyValueStore} from '@toucanrouter/common';
-import {createBufferBudget, createProcessRandom} from '@toucanrouter/common';
+import type {
+  ClaimReference,
+  Clock,
+  KeyValueStore,
+  ProcessMemory,
+} from '@toucanrouter/common';
+import {createProcessMemory, createProcessRandom} from '@toucanrouter/common';
 import {createMemberTable} from '@toucanrouter/membership';
 import type {ConfigStore, InstanceList} from '@toucanrouter/keyvalue';
 import {createConfigStore, createKeyValueClient} from '@toucanrouter/keyvalue';
@@ -43,6 +48,8 @@
 import {createWorkspaceKeys} from './request/Authenticate.js';
 import {probeEngine} from './request/chat/EngineProbe.js';
 import {createPromptGuard} from './request/chat/PromptGuard.js';
+import type {LoadControl} from './request/LoadControl.js';
+import {createLoadControl} from './request/LoadControl.js';
 import {createPausedUpstreams} from './request/PausedUpstreams.js';
 import type {UpstreamAccess} from './request/UpstreamAccess.js';
 import {connectUpstream} from './request/UpstreamSocket.js';
@@ -68,6 +75,8 @@
   readonly holder: ConfigHolder;
   readonly inspection: FleetInspection;
   readonly keys: WorkspaceKeys;
+  readonly loadControl: LoadControl;
+  readonly memory: ProcessMemory;
   readonly quarantineExchange: QuarantineExchange;
   readonly readiness: Readiness;
   readonly recorder: ServiceLevelRecorder;
@@ -79,6 +88,8 @@
 
 const randomIdBytes = 12;
 const idleConnectionTimeoutMs = 10_000;
+/** Bodies that seem to stall while the event loop runs later may have arrived. */
+const maxStalledCheckDelayMs = 500;
 
 /** Returns a unique id: `prefix` followed by random bytes in hexadecimal. */
 export function createRandomId(prefix: string): string {
@@ -137,6 +148,7 @@
     fleet,
     guard: promptGuard,
   });
+  const memory = createProcessMemory(clock, settings.memoryLimitBytes);
   const instance: Instance = {
     ...scheduling,
     access: {
@@ -145,7 +157,7 @@
       directory,
       permits: scheduling.permits,
       dispatcher,
-      responseBuffers: createBufferBudget(),
+      responseBuffers: memory.responses,
       retryBudget: createRetryBudget({
         onDenied: status =>
           logger.info('retry denied for lack of budget', {...status}),
@@ -163,6 +175,8 @@
     holder,
     inspection,
     keys,
+    loadControl: createInstanceLoadControl(options, holder, memory),
+    memory,
     quarantineExchange,
     readiness: createReadiness(),
     recorder,
@@ -171,6 +185,7 @@
       fleet.addListedMembers(toListedMembers(list.routers, selfId));
     },
     close: async () => {
+      instance.loadControl.loopDelay.close();
       instance.configSource.close();
       quarantineExchange.close();
       promptGuard.close();
@@ -187,6 +202,25 @@
   return instance;
 }
 
+function createInstanceLoadControl(
+  {clock, logger}: InstanceOptions,
+  holder: ConfigHolder,
+  memory: ProcessMemory,
+): LoadControl {
+  return createLoadControl({
+    clock,
+    logger,
+    random: createProcessRandom(),
+    classes: () => holder.inForce().classes,
+    onSample: delayMs => {
+      // After a pause of the process, what has arrived is read first.
+      if (delayMs < maxStalledCheckDelayMs) {
+        memory.requestBodies.giveUpStalled();
+      }
+    },
+  });
+}
+
 function createInstanceFleet(
   {clock, settings}: InstanceOptions,
   incarnation: number,
--- a/packages/daemon/src/Metrics.ts
+++ b/packages/daemon/src/Metrics.ts
@@ -9,7 +9,9 @@
   Histogram,
   Registry,
 } from 'prom-client';
+import type {HolderMemory, MemoryBudgetStatus} from '@toucanrouter/common';
 import type {RetryBudgetStatus} from '@toucanrouter/policy';
+import type {ShedCount} from './request/LoadControl.js';
 import type {RefusalCounts} from './request/PausedUpstreams.js';
 import type {FinishedCall} from './request/RecordCall.js';
 
@@ -28,6 +30,16 @@
   /** Upstreams that pause for this instance now. */
   readonly pausedCount: () => number;
   readonly refusalCounts: () => RefusalCounts;
+  /** Delay of the event loop: now, and the longest of the recent past. */
+  readonly loopDelayMs: () => number;
+  readonly recentLoopDelayMs: () => number;
+  /** Share of calls that the processor time allows, from 0 to 1. */
+  readonly admittedShare: () => number;
+  readonly shedCounts: () => readonly ShedCount[];
+  /** Memory that the process may occupy, and what holds it. */
+  readonly memoryLimitBytes: () => number;
+  readonly memoryHolders: () => readonly HolderMemory[];
+  readonly bodyMemory: () => MemoryBudgetStatus;
 }
 
 /** The metrics of an instance. */
@@ -83,6 +95,8 @@
   });
   registerGauges(registry, sources);
   registerRefusals(registry, sources);
+  registerShedding(registry, sources);
+  registerMemory(registry, sources);
 
   function observeCall({exchange, error}: FinishedCall): void {
     const {stats, serviceClass} = exchange;
@@ -165,6 +179,36 @@
       'Upstreams that get no request now because they asked for a pause',
       sources.pausedCount,
     ],
+    [
+      'toucanrouter_event_loop_delay_seconds',
+      'Time by which the event loop runs late; requests wait unread about as long',
+      () => sources.loopDelayMs() / msPerSecond,
+    ],
+    [
+      'toucanrouter_event_loop_delay_recent_max_seconds',
+      'Longest delay of the event loop in the last two seconds',
+      () => sources.recentLoopDelayMs() / msPerSecond,
+    ],
+    [
+      'toucanrouter_admitted_share',
+      'Share of calls that the processor time allows; the least urgent tiers are refused first',
+      sources.admittedShare,
+    ],
+    [
+      'toucanrouter_memory_limit_bytes',
+      'Memory that the process may occupy',
+      sources.memoryLimitBytes,
+    ],
+    [
+      'toucanrouter_bodies_refused',
+      'Calls refused since the start because their body needs more memory',
+      () => sources.bodyMemory().refusedCount,
+    ],
+    [
+      'toucanrouter_bodies_given_up',
+      'Calls whose memory was given up for others since the start',
+      () => sources.bodyMemory().givenUpCount,
+    ],
   ];
   for (const [name, help, read] of gauges) {
     new Gauge({
@@ -192,3 +236,46 @@
     },
   });
 }
+
+function registerShedding(registry: Registry, sources: MetricSources): void {
+  new Counter({
+    name: 'toucanrouter_shed_requests_total',
+    help: 'Calls refused for lack of processor time, by tier and whether their own time was too short or the load too high',
+    labelNames: ['tier', 'reason'],
+    registers: [registry],
+    collect() {
+      this.reset();
+      for (const {count, reason, tier} of sources.shedCounts()) {
+        this.inc({tier: String(tier), reason}, count);
+      }
+    },
+  });
+}
+
+function registerMemory(registry: Registry, sources: MetricSources): void {
+  const gauges: [string, string, (memory: HolderMemory) => number][] = [
+    [
+      'toucanrouter_memory_held_bytes',
+      'Memory in use, by what holds it',
+      ({usedBytes}) => usedBytes,
+    ],
+    [
+      'toucanrouter_memory_budget_bytes',
+      'Memory that each holder may use',
+      ({maxBytes}) => maxBytes,
+    ],
+  ];
+  for (const [name, help, read] of gauges) {
+    new Gauge({
+      name,
+      help,
+      labelNames: ['holder'],
+      registers: [registry],
+      collect() {
+        for (const memory of sources.memoryHolders()) {
+          this.set({holder: memory.holder}, read(memory));
+        }
+      },
+    });
+  }
+}
--- a/packages/daemon/src/__tests__/unit/CallerServer.test.ts
+++ b/packages/daemon/src/__tests__/unit/CallerServer.test.ts
@@ -4,6 +4,7 @@
 import type {AddressInfo} from 'node:net';
 import {connect} from 'node:net';
 import {
+  createMemoryBudget,
   createSystemClock,
   delay,
   toInstanceId,
@@ -35,6 +36,10 @@
     maxBodyBytes: 1_000,
     chatPipeline: [],
     plainPipeline: [filter],
+    classes: () => [],
+    isKnownCaller: () => true,
+    bodyMemory: createMemoryBudget({clock, maxBytes: 1_000_000}),
+    loadControl: {admit: () => ok(undefined), retryAfterMs: () => 1_000},
   });
   callers.server.listen(0, host);
   await once(callers.server, 'listening');
--- a/packages/daemon/src/__tests__/unit/PausedUpstreams.test.ts
+++ b/packages/daemon/src/__tests__/unit/PausedUpstreams.test.ts
@@ -471,6 +471,18 @@
       retryBudget: () => createRetryBudget().status(0),
       pausedCount: paused.count,
       refusalCounts: paused.refusalCounts,
+      loopDelayMs: () => 0,
+      recentLoopDelayMs: () => 0,
+      admittedShare: () => 1,
+      shedCounts: () => [],
+      memoryLimitBytes: () => 0,
+      memoryHolders: () => [],
+      bodyMemory: () => ({
+        usedBytes: 0,
+        maxBytes: 0,
+        refusedCount: 0,
+        givenUpCount: 0,
+      }),
     });
     const upstream = upstreamInfo('engine-1');
     paused.recordRefusal(upstream, toRequestId('r1'), '2');
--- a/packages/daemon/src/server/CallerServer.ts
+++ b/packages/daemon/src/server/CallerServer.ts
@@ -2,12 +2,21 @@
  * The HTTP server for callers. It turns each request into an exchange and runs
  * the pipeline of its path.
  */
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {
+  IncomingHttpHeaders,
+  IncomingMessage,
+  ServerResponse,
+} from 'node:http';
 import type {Server} from 'node:http';
 import type {HttpBindings} from '@hono/node-server';
 import {createAdaptorServer} from '@hono/node-server';
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
-import type {Clock, RequestId} from '@toucanrouter/common';
+import type {
+  Clock,
+  MemoryBudget,
+  RequestId,
+  ServiceClass,
+} from '@toucanrouter/common';
 import {
   answerReserveFor,
   closeWaitingResponses,
@@ -21,13 +30,26 @@
 import {err, ok} from 'neverthrow';
 import type {Logger} from '@toucanrouter/logging';
 import {createCallerResponse} from '../request/CallerResponse.js';
-import type {CallTarget, Exchange, Filter} from '../request/Exchange.js';
+import type {ArrivedTier} from '../request/CallTiers.js';
+import {
+  leastUrgentRank,
+  tierOfArrivedChat,
+  tierOfTarget,
+} from '../request/CallTiers.js';
+import type {
+  CallStats,
+  CallTarget,
+  Exchange,
+  Filter,
+} from '../request/Exchange.js';
 import {
   callerTimeoutReason,
   runPipeline,
   stopReason,
 } from '../request/Exchange.js';
+import type {LoadControl} from '../request/LoadControl.js';
 import {parseServicePath} from '../request/plain/PlainCall.js';
+import {openCallerBody} from './CallerBody.js';
 
 /** Options of the server for callers. */
 export interface CallerServerOptions {
@@ -38,6 +60,12 @@
   readonly maxBodyBytes: number;
   readonly chatPipeline: readonly Filter[];
   readonly plainPipeline: readonly Filter[];
+  readonly classes: () => readonly ServiceClass[];
+  /** Returns whether the headers have a valid key. */
+  readonly isKnownCaller: (headers: IncomingHttpHeaders) => boolean;
+  /** Bounds the bodies of calls in progress. */
+  readonly bodyMemory: MemoryBudget;
+  readonly loadControl: Pick<LoadControl, 'admit' | 'retryAfterMs'>;
 }
 
 /** The server for callers. */
@@ -56,6 +84,10 @@
 type App = {Bindings: HttpBindings};
 
 const timeoutHeader = 'x-request-timeout-ms';
+/** The bytes, the parsed document, and the body of the attempt. */
+const chatCopyCount = 3;
+/** Largest body that is discarded to keep the connection of a refused call. */
+const maxDiscardedBytes = 64 * 1024;
 const minTimeoutMs = 1;
 const maxTimeoutMs = 24 * 60 * 60 * 1_000;
 
@@ -72,7 +104,7 @@
     incoming: IncomingMessage,
     outgoing: ServerResponse,
     pipeline: readonly Filter[],
-    parseTarget: (body: Buffer) => Result<CallTarget, RouterError>,
+    path: ServedPath,
   ): Promise<void> {
     // Its connection is about to close, and the caller knows that.
     if (!pipelined.isAccepted(outgoing)) return;
@@ -102,7 +134,7 @@
           onBodyNotRead: () => (bodyWasRead = false),
         },
         pipeline,
-        parseTarget,
+        path,
       );
       if (result.isErr()) response.sendError(result.error);
     } catch (cause) {
@@ -120,39 +152,74 @@
   async function serveRequest(
     call: IncomingCall,
     pipeline: readonly Filter[],
-    parseTarget: (body: Buffer) => Result<CallTarget, RouterError>,
+    path: ServedPath,
   ): Promise<Result<void, RouterError>> {
     const timeoutMs = timeoutOf(call.incoming, options.defaultTimeoutMs);
     if (timeoutMs.isErr()) return err(timeoutMs.error);
-    const body = await readBody(call.incoming, options.maxBodyBytes);
-    if (body.isErr()) {
-      call.onBodyNotRead();
-      return err(body.error);
+    const {headers} = call.incoming;
+    const known = options.isKnownCaller(headers);
+    const arrived = path.arrivedTier(headers);
+    const admit = (tier: number) =>
+      // The pipeline refuses a call without a valid key.
+      known
+        ? options.loadControl.admit({tier, timeoutMs: timeoutMs.value})
+        : ok(undefined);
+    const admitted = arrived.isCertain ? admit(arrived.tier) : ok(undefined);
+    if (admitted.isErr()) {
+      if (isCostlyToDiscard(call.incoming)) call.onBodyNotRead();
+      return err(admitted.error);
     }
-    const target = parseTarget(body.value);
-    if (target.isErr()) return err(target.error);
-    const exchange: Exchange = {
-      requestId: call.requestId,
-      callerRequestId: call.callerRequestId,
-      headers: call.incoming.headers,
-      body: body.value,
-      target: target.value,
-      response: call.response,
-      arrivedAtMs: call.arrivedAtMs,
-      deadlineAtMs: call.arrivedAtMs + timeoutMs.value,
-      signal: createCallerSignal(call, timeoutMs.value),
-      stats: {
-        firstTokenMs: undefined,
-        tokenGapMs: undefined,
-        tokens: 0,
-        wastedTokens: 0,
-        waitedMs: 0,
-        attempts: 0,
-      },
-      workspaceId: undefined,
-      serviceClass: undefined,
+    const controller = new AbortController();
+    const stats: CallStats = {
+      firstTokenMs: undefined,
+      tokenGapMs: undefined,
+      tokens: 0,
+      wastedTokens: 0,
+      waitedMs: 0,
+      attempts: 0,
     };
-    return runPipeline(pipeline, exchange);
+    let tier = known ? arrived.tier : leastUrgentRank;
+    const body = openCallerBody(call.incoming, {
+      maxBytes: options.maxBodyBytes,
+      memory: options.bodyMemory,
+      tier: () => tier,
+      copyCount: path.copyCount,
+      retryAfterMs: () => options.loadControl.retryAfterMs(tier),
+      canGiveUp: () => stats.attempts === 0,
+      onGivenUp: error => controller.abort(error),
+    });
+    try {
+      const received = await body.received;
+      if (received.isErr()) {
+        call.onBodyNotRead();
+        return err(received.error);
+      }
+      const target = path.parseTarget(received.value);
+      if (target.isErr()) return err(target.error);
+      if (known) tier = tierOfTarget(target.value, headers, options.classes());
+      if (!arrived.isCertain) {
+        const admittedNow = admit(tier);
+        if (admittedNow.isErr()) return err(admittedNow.error);
+      }
+      abortWithCaller(call, timeoutMs.value, controller);
+      const exchange: Exchange = {
+        requestId: call.requestId,
+        callerRequestId: call.callerRequestId,
+        headers,
+        body: received.value,
+        target: target.value,
+        response: call.response,
+        arrivedAtMs: call.arrivedAtMs,
+        deadlineAtMs: call.arrivedAtMs + timeoutMs.value,
+        signal: controller.signal,
+        stats,
+        workspaceId: undefined,
+        serviceClass: undefined,
+      };
+      return await runPipeline(pipeline, exchange);
+    } finally {
+      body.close();
+    }
   }
 
   /**
@@ -161,8 +228,11 @@
    * any byte of a response gets its error before the timeout, because it may
    * leave when the timeout has passed; a response that has begun goes on.
    */
-  function createCallerSignal(call: IncomingCall, timeoutMs: number) {
-    const controller = new AbortController();
+  function abortWithCaller(
+    call: IncomingCall,
+    timeoutMs: number,
+    controller: AbortController,
+  ): void {
     calls.add(controller);
     const reserveMs = answerReserveFor(timeoutMs);
     const abort = () => controller.abort(callerTimeoutReason);
@@ -180,7 +250,29 @@
       calls.delete(controller);
       if (!call.outgoing.writableFinished) controller.abort();
     });
-    return controller.signal;
+  }
+
+  function chatPath(): ServedPath {
+    return {
+      copyCount: chatCopyCount,
+      arrivedTier: headers => tierOfArrivedChat(headers, options.classes()),
+      parseTarget: parseChatTarget,
+    };
+  }
+
+  function plainPath(incoming: IncomingMessage): ServedPath {
+    const target = parsePlainTarget(incoming);
+    return {
+      copyCount: 1,
+      arrivedTier: headers => ({
+        tier: target.match(
+          value => tierOfTarget(value, headers, options.classes()),
+          () => leastUrgentRank,
+        ),
+        isCertain: true,
+      }),
+      parseTarget: () => target,
+    };
   }
 
   app.post('/v1/chat/completions', async context => {
@@ -189,7 +281,7 @@
       incoming,
       outgoing as ServerResponse,
       options.chatPipeline,
-      parseChatTarget,
+      chatPath(),
     );
     return RESPONSE_ALREADY_SENT;
   });
@@ -199,7 +291,7 @@
       incoming,
       outgoing as ServerResponse,
       options.plainPipeline,
-      () => parsePlainTarget(incoming),
+      plainPath(incoming),
     );
     return RESPONSE_ALREADY_SENT;
   });
@@ -234,6 +326,14 @@
   };
 }
 
+/** How the calls of a path are received. */
+interface ServedPath {
+  /** How often a call holds its body at once, in whatever form. */
+  readonly copyCount: number;
+  readonly arrivedTier: (headers: IncomingHttpHeaders) => ArrivedTier;
+  readonly parseTarget: (body: Buffer) => Result<CallTarget, RouterError>;
+}
+
 interface IncomingCall {
   readonly incoming: IncomingMessage;
   readonly outgoing: ServerResponse;
@@ -268,27 +368,12 @@
   return err(new RouterError('bad_request', message));
 }
 
-async function readBody(
-  incoming: IncomingMessage,
-  maxBytes: number,
-): Promise<Result<Buffer, RouterError>> {
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
-  try {
-    // Destroying the request would close the connection before the response.
-    for await (const chunk of incoming.iterator({destroyOnReturn: false})) {
-      sizeBytes += (chunk as Buffer).length;
-      if (sizeBytes > maxBytes) {
-        const message = `the request body is larger than ${maxBytes} bytes`;
-        return err(new RouterError('bad_request', message));
-      }
-      chunks.push(chunk as Buffer);
-    }
-  } catch (cause) {
-    const message = 'the request body was not received completely';
-    return err(new RouterError('canceled', message, {cause}));
-  }
-  return ok(Buffer.concat(chunks));
+/** A connection is worth more than the discarding of a small body. */
+function isCostlyToDiscard({headers}: IncomingMessage): boolean {
+  return (
+    headers['transfer-encoding'] !== undefined ||
+    Number(headers['content-length'] ?? 0) > maxDiscardedBytes
+  );
 }
 
 function parseChatTarget(body: Buffer): Result<CallTarget, RouterError> {
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -13,6 +13,7 @@
 } from '@toucanrouter/common';
 import {
   acceptWaitingConnections,
+  createProcessMemory,
   createServerListener,
   createStopPlan,
   delay,
@@ -40,7 +41,6 @@
 import {createSharedRetryBudget} from './request/SharedRetryBudget.js';
 import {createGatewayMetrics} from './server/GatewayMetrics.js';
 import {createGatewayServer, listenBacklog} from './server/GatewayServer.js';
-import {createProcessMemory} from './server/ProcessMemory.js';
 import {
   createMetricsServer,
   createReadinessServer,
--- a/packages/standins/src/__tests__/process/DaemonFixtures.ts
+++ b/packages/standins/src/__tests__/process/DaemonFixtures.ts
@@ -3,7 +3,13 @@
  * how it ended.
  */
 import {spawn} from 'node:child_process';
-import {cpSync, mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {
+  cpSync,
+  mkdtempSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
 import type {Server} from 'node:net';
 import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
@@ -21,6 +27,7 @@
 const pollMs = 25;
 /** A stop completes within this time. */
 export const stopGraceMs = 4_000;
+const bytesPerKilobyte = 1024;
 /** Far above the time that a process needs, also on a busy machine. */
 const waitLimitMs = 20_000;
 
@@ -31,12 +38,20 @@
   readonly peers: number;
 }
 
+/** The memory that a daemon process may occupy. */
+export interface DaemonMemoryLimit {
+  readonly limitBytes: number;
+  readonly maxHeapMib: number;
+}
+
 /** A daemon process and its platform. */
 export interface DaemonProcess {
   readonly ports: DaemonSettingsPorts;
   output(): string;
   /** Status and text of `/readyz`; undefined if it does not answer. */
   readiness(): Promise<string | undefined>;
+  /** The largest resident memory until now. */
+  peakResidentBytes(): number;
   signal(signal: NodeJS.Signals): void;
   /** Closes the pipes that the log is written to. */
   closeOutput(): void;
@@ -77,6 +92,7 @@
 export async function startDaemonProcess(
   ports: DaemonSettingsPorts,
   hasPlatform = true,
+  memoryLimit?: DaemonMemoryLimit,
 ): Promise<DaemonProcess> {
   const platform = await createPlatformStandIn();
   if (!hasPlatform) platform.setSwitches({outage: true});
@@ -100,11 +116,15 @@
 [admin]
 reader_token_file = tokens/reader
 writer_token_file = tokens/writer
-`,
+${memoryLimit === undefined ? '' : `[limits]\nmemory = ${memoryLimit.limitBytes}B\n`}`,
   );
+  const heapOptions =
+    memoryLimit === undefined
+      ? []
+      : [`--max-old-space-size=${memoryLimit.maxHeapMib}`];
   const child = spawn(
     process.execPath,
-    [...nodeOptions, program, '--settings', settingsFile],
+    [...heapOptions, ...nodeOptions, program, '--settings', settingsFile],
     {stdio: ['ignore', 'pipe', 'pipe'], cwd: root},
   );
   let output = '';
@@ -125,6 +145,11 @@
         return undefined;
       }
     },
+    peakResidentBytes: () => {
+      const status = readFileSync(`/proc/${child.pid}/status`, 'utf8');
+      const [, kilobytes] = /^VmHWM:\s+(\d+) kB$/m.exec(status) ?? [];
+      return Number(kilobytes) * bytesPerKilobyte;
+    },
     signal: signal => child.kill(signal),
     closeOutput: () => {
       child.stdout.destroy();
