gateway: count uncaught errors and log one a second at most

A gateway goes on after an uncaught exception. A thrown value without a stack, or a fault of the log while it was logged, ended it anyway (exit code 7), and errors bypass the rate limit of the log, so a fault that repeats could spend the processor on its log.

Any value is accepted, errors are counted, one a second is logged with the count, and logging never throws. Other errors within that second are counted but not described.

The program itself was not made to throw.

--- a/packages/logging/src/index.ts
+++ b/packages/logging/src/index.ts
@@ -6,3 +6,4 @@
   WriteChunk,
 } from './RateLimitedLogWriter.js';
 export {createRateLimitedLogWriter} from './RateLimitedLogWriter.js';
+export {createUncaughtErrorLog} from './UncaughtErrorLog.js';
