gateway: begin one request in each turn of the event loop

What callers saw: beside other busy processes requests got nothing within their limit although the event loop ran late by only 100 ms or so; refusals came after up to 9 s.

Cause: Node.js 20 (libuv 1.46) accepts one connection for each listener in a turn of the event loop. A turn that begins all requests that were read takes long, and connections opened meanwhile wait in the kernel for as many turns as there are of them, unseen by the process.

The change: a request whose body is complete waits for a turn of its own, the most urgent tier first. Load control counts the time of the requests that wait. The acceptable delay is now half of the shortest target latency and at least 100 ms, because a fifth refused requests on a busy machine that had the time.

Why it works: turns stay as short as one request, so connections are accepted as fast as requests begin, and what waits is read, ordered and answered by its timer before its caller gives up.

With the queue before the body was read, GatewayRequest.test.ts failed once (a request behind one with too large a body ran), so the wait comes after the body.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -35,6 +35,7 @@
 import {createLoadControl} from './request/LoadControl.js';
 import {createPromptGuard} from './request/PromptGuard.js';
 import {createSharedRetryBudget} from './request/SharedRetryBudget.js';
+import {createTurnQueue} from './request/TurnQueue.js';
 import {createGatewayMetrics} from './server/GatewayMetrics.js';
 import {createGatewayServer, listenBacklog} from './server/GatewayServer.js';
 import {
@@ -144,11 +145,13 @@
       configAgeMs: Math.round(configAge.ageMs()),
     });
   });
+  const turnQueue = createTurnQueue({clock});
   const loadControl = createLoadControl({
     clock,
     logger,
     random: options.random,
     config,
+    queueWaitMs: turnQueue.waitMs,
     onRefused: (tier, reason) => metrics.observeShed(tier, reason),
   });
   const {loopDelay} = loadControl;
@@ -283,6 +286,7 @@
     knowledge,
     reportSoon: exchange.reportSoon,
     loadControl,
+    turnQueue,
     connections,
     responseBuffers: createBufferBudget(),
     promptGuard,
--- a/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
@@ -21,6 +21,7 @@
 import {createLoadControl} from '../../request/LoadControl.js';
 import {createPromptGuard} from '../../request/PromptGuard.js';
 import {createGatewayServer} from '../../server/GatewayServer.js';
+import {createTurnQueue} from '../../request/TurnQueue.js';
 import {createUpstreamConnections} from '../../upstreams/UpstreamConnections.js';
 import {createUpstreamKnowledge} from '../../upstreams/UpstreamKnowledge.js';
 import {createUpstreamNotices} from '../../upstreams/UpstreamNotices.js';
@@ -87,8 +88,10 @@
       logger,
       random,
       config,
+      queueWaitMs: () => 0,
       onRefused: () => undefined,
     }),
+    turnQueue: createTurnQueue({clock}),
     connections,
     responseBuffers: createBufferBudget(),
     promptGuard: createPromptGuard({
--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/TurnQueue.test.ts
@@ -0,0 +1,151 @@
+import {once} from 'node:events';
+import {Agent, createServer, request as sendRequest} from 'node:http';
+import type {Server} from 'node:http';
+import {connect} from 'node:net';
+import {createManualClock, createSystemClock} from '@toucanrouter/common';
+import {expect} from 'chai';
+import {createTurnQueue} from '../../request/TurnQueue.js';
+import {startGateway} from './GatewayServerFixtures.js';
+import {testDialect} from './TestDialect.js';
+
+const clock = createSystemClock();
+/** Processor time of each request. */
+const requestCostMs = 20;
+const busyCallers = 30;
+const newConnections = 10;
+/** A busy turn that accepts it, one that reads it, and as many to spare. */
+const maxTurnsForConnection = 4;
+
+function spend(durationMs: number): void {
+  const endMs = clock.nowMs() + durationMs;
+  while (clock.nowMs() < endMs);
+}
+
+function createUpstream(): Server {
+  return createServer((message, response) => {
+    message.resume();
+    response.writeHead(200, {id: String(message.headers['id']), mark: 'm'});
+    response.end('served');
+  });
+}
+
+/** Sends one request after the other on a kept connection, until stopped. */
+function startCaller(port: number, agent: Agent, isStopped: () => boolean) {
+  const headers = {id: 'r', authorization: 'key'};
+  const call = sendRequest(
+    {port, path: '/chat/x', method: 'POST', headers, agent},
+    response => {
+      response.resume();
+      response.once('end', () => {
+        if (!isStopped()) startCaller(port, agent, isStopped);
+      });
+    },
+  );
+  call.on('error', () => undefined);
+  call.end('body');
+}
+
+function createManualQueue() {
+  const manual = createManualClock();
+  const turns: (() => void)[] = [];
+  const queue = createTurnQueue({
+    clock: manual,
+    afterTurn: run => turns.push(run),
+  });
+  const started: string[] = [];
+  return {
+    queue,
+    started,
+    advance: manual.advance,
+    add: (name: string, tier = 1) =>
+      void queue.next(tier).then(() => started.push(name)),
+    turn: async () => {
+      for (const run of turns.splice(0)) run();
+      await Promise.resolve();
+    },
+  };
+}
+
+describe('TurnQueue', () => {
+  // Guards against a turn that begins all requests that were read in one.
+  it('begins one request in each turn, in the order of arrival', async () => {
+    const {add, started, turn} = createManualQueue();
+    for (const name of ['a', 'b', 'c']) add(name);
+    expect(started).to.deep.equal([]);
+    await turn();
+    expect(started).to.deep.equal(['a']);
+    add('d');
+    for (let index = 0; index < 3; index += 1) await turn();
+    expect(started).to.deep.equal(['a', 'b', 'c', 'd']);
+    add('e');
+    await turn();
+    expect(started).to.deep.equal(['a', 'b', 'c', 'd', 'e']);
+  });
+
+  // Guards against urgent requests that wait behind a backlog of others.
+  it('begins the most urgent tier first', async () => {
+    const {add, started, turn} = createManualQueue();
+    add('slow', 2);
+    add('soon', 1);
+    add('urgent', 0);
+    add('soon too', 1);
+    for (let index = 0; index < 4; index += 1) await turn();
+    expect(started).to.deep.equal(['urgent', 'soon', 'soon too', 'slow']);
+  });
+
+  // Guards against a backlog of requests that looks like an idle process.
+  it('shows how long the requests that wait will take', async () => {
+    const {add, advance, queue, turn} = createManualQueue();
+    const turnMs = 10;
+    expect(queue.waitMs()).to.equal(0);
+    for (let index = 0; index < 100; index += 1) add(`${index}`);
+    for (let index = 0; index < 60; index += 1) {
+      advance(turnMs);
+      await turn();
+    }
+    expect(queue.waitMs()).to.be.within(39 * turnMs, 40 * turnMs);
+    expect(queue.waitMs(0)).to.equal(0);
+    for (let index = 0; index < 40; index += 1) await turn();
+    expect(queue.waitMs()).to.equal(0);
+  });
+
+  // Guards against connections that wait for as many turns as others arrive
+  // before them, each of which serves all requests that were read.
+  it('accepts connections promptly beside callers that keep theirs', async () => {
+    const gateway = await startGateway({streams: false}, [createUpstream()], {
+      dialect: {
+        ...testDialect,
+        upstreamHeaders: (request, attributes) => {
+          spend(requestCostMs);
+          return testDialect.upstreamHeaders(request, attributes);
+        },
+      },
+    });
+    let stopped = false;
+    const agent = new Agent({keepAlive: true});
+    for (let index = 0; index < busyCallers; index += 1) {
+      startCaller(gateway.port, agent, () => stopped);
+    }
+    while (gateway.ended.length < 3 * busyCallers) {
+      await new Promise(resolve => setTimeout(resolve, requestCostMs));
+    }
+    const startedAtMs = clock.nowMs();
+    await Promise.all(
+      Array.from({length: newConnections}, async () => {
+        const socket = connect(gateway.port, '127.0.0.1');
+        socket.write(
+          'GET /none HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n',
+        );
+        await once(socket, 'data');
+        socket.destroy();
+      }),
+    );
+    const tookMs = clock.nowMs() - startedAtMs;
+    stopped = true;
+    agent.destroy();
+    await gateway.close();
+    expect(tookMs).to.be.lessThan(
+      maxTurnsForConnection * requestCostMs * newConnections,
+    );
+  });
+});
--- a/packages/gateway/src/request/GatewayContext.ts
+++ b/packages/gateway/src/request/GatewayContext.ts
@@ -19,6 +19,7 @@
 import type {EndedRequest} from './EndedRequest.js';
 import type {LoadControl} from './LoadControl.js';
 import type {PromptGuard} from './PromptGuard.js';
+import type {TurnQueue} from './TurnQueue.js';
 
 /** The dependencies of request handling. */
 export interface GatewayContext {
@@ -42,6 +43,8 @@
     LoadControl,
     'unreadMs' | 'tryAdmit' | 'loopDelay'
   >;
+  /** Requests that were admitted and begin one after the other. */
+  readonly turnQueue: TurnQueue;
   readonly connections: UpstreamConnections;
   /** Bounds the bytes of responses that are buffered at the same time. */
   readonly responseBuffers: BufferBudget;
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -93,14 +93,20 @@
   handler.onAdmitted(admitted.value);
   if (!handler.tryAdmitLoad(admitted.value)) return;
   const body = await readBody(message, admitted.value.config.limits);
-  if (body.isErr()) handler.failWith(body.error);
-  else await handler.forward(admitted.value, body.value);
+  if (body.isErr()) {
+    handler.failWith(body.error);
+    return;
+  }
+  await context.turnQueue.next(admitted.value.tier);
+  if (!handler.hasEnded()) await handler.forward(admitted.value, body.value);
 }
 
 /** Serves one request; its outcome is recorded once. */
 interface RequestHandler extends OpenRequest {
   onCallerClosed(): void;
   onAdmitted(admitted: AdmittedRequest): void;
+  /** True once the outcome is recorded. */
+  hasEnded(): boolean;
   /** Refuses the request if the instance lacks the time to serve it. */
   tryAdmitLoad(admitted: AdmittedRequest): boolean;
   forward(admitted: AdmittedRequest, body: Buffer): Promise<void>;
@@ -759,6 +765,7 @@
       refuse('overloaded', reason, loadControl.loopDelay.recentMaxMs());
       return false;
     },
+    hasEnded: () => recorded,
     forward,
     fail,
     failWith,
--- a/packages/gateway/src/request/LoadControl.ts
+++ b/packages/gateway/src/request/LoadControl.ts
@@ -36,15 +36,17 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly random: RandomSource;
+  /** Time until the requests that were read, up to a tier, have begun. */
+  readonly queueWaitMs: (tier?: number) => number;
   readonly config: Pick<ActiveConfig, 'current'>;
   /** Called with each request that is refused. */
   readonly onRefused: (tier: number, reason: SheddingReason) => void;
 }
 
 /** Share of the shortest target latency that requests may wait unread. */
-const targetDelayShare = 0.2;
+const targetDelayShare = 0.5;
 /** Shorter delays are usual when garbage is collected. */
-const minTargetDelayMs = 40;
+const minTargetDelayMs = 100;
 /** Time between two reports that load is shed. */
 const reportIntervalMs = 10_000;
 
@@ -59,6 +61,7 @@
   logger,
   random,
   config,
+  queueWaitMs,
   onRefused,
 }: LoadControlOptions): LoadControl {
   let targetOfRoutes: readonly GatewayRoute[] = [];
@@ -95,7 +98,8 @@
   const shedding = createLoadShedding({targetDelayMs, onChange});
   const loopDelay = createLoopDelay({
     clock,
-    onSample: delayMs => shedding.observeDelay(delayMs, clock.nowMs()),
+    onSample: delayMs =>
+      shedding.observeDelay(delayMs + queueWaitMs(), clock.nowMs()),
   });
 
   return {
@@ -105,7 +109,7 @@
       return delayMs > targetDelayMs() ? delayMs : 0;
     },
     tryAdmit: ({tier, limitMs}) => {
-      const delayMs = loopDelay.currentMs();
+      const delayMs = loopDelay.currentMs() + queueWaitMs(tier);
       const draw = random.next();
       const reason = shedding.decide({tier, limitMs, delayMs, draw});
       if (reason === undefined) return undefined;
--- /dev/null
+++ b/packages/gateway/src/request/TurnQueue.ts
@@ -0,0 +1,70 @@
+/**
+ * Spreads the work of requests over turns of the event loop. Node.js accepts one
+ * connection for each listener in a turn, so callers wait for their connection
+ * as many turns as connections arrive in one. Turns therefore stay short: at most
+ * one request begins in each, the most urgent tier first, and within a tier in
+ * the order of arrival.
+ */
+import type {Clock} from '@toucanrouter/common';
+
+/** Requests that wait for their turn. */
+export interface TurnQueue {
+  /** Resolves in a later turn of the event loop. */
+  next(tier: number): Promise<void>;
+  /**
+   * Time until all of them have begun, or those up to `tier`, as far as recent
+   * turns show.
+   */
+  waitMs(tier?: number): number;
+}
+
+/** Options of a queue. */
+export interface TurnQueueOptions {
+  readonly clock: Clock;
+  /** Calls `run` in the next turn of the event loop. */
+  readonly afterTurn?: (run: () => void) => void;
+}
+
+interface Waiting {
+  readonly tier: number;
+  readonly start: () => void;
+}
+
+/** Weight of the latest turn in the average length of turns. */
+const latestTurnWeight = 0.1;
+
+/** Creates a queue in which no request waits. */
+export function createTurnQueue({
+  clock,
+  afterTurn = run => setImmediate(run),
+}: TurnQueueOptions): TurnQueue {
+  const waiting: Waiting[] = [];
+  let averageTurnMs = 0;
+  let turnStartMs = 0;
+
+  function scheduleNext(): void {
+    turnStartMs = clock.nowMs();
+    afterTurn(startNext);
+  }
+
+  function startNext(): void {
+    const turnMs = clock.nowMs() - turnStartMs;
+    averageTurnMs += (turnMs - averageTurnMs) * latestTurnWeight;
+    const first = waiting.shift();
+    if (waiting.length > 0) scheduleNext();
+    first?.start();
+  }
+
+  return {
+    next: tier =>
+      new Promise(start => {
+        const index = waiting.findLastIndex(other => other.tier <= tier) + 1;
+        waiting.splice(index, 0, {tier, start});
+        if (waiting.length === 1) scheduleNext();
+      }),
+    waitMs: (tier = Infinity) => {
+      const count = waiting.findLastIndex(other => other.tier <= tier) + 1;
+      return count * averageTurnMs;
+    },
+  };
+}
