--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -39,6 +39,7 @@
 import type {RequestStage} from './request/OpenRequest.js';
 import {createPromptGuard} from './request/PromptGuard.js';
 import {createSharedRetryBudget} from './request/SharedRetryBudget.js';
+import {createTurnQueue} from './request/TurnQueue.js';
 import {createGatewayMetrics} from './server/GatewayMetrics.js';
 import {createGatewayServer, listenBacklog} from './server/GatewayServer.js';
 import {
@@ -147,11 +148,13 @@
       configAgeMs: Math.round(configAge.ageMs()),
     });
   });
+  const turnQueue = createTurnQueue({clock});
   const loadControl = createLoadControl({
     clock,
     logger,
     random: options.random,
     config,
+    queueWaitMs: turnQueue.waitMs,
     onRefused: (tier, reason) => metrics.observeShed(tier, reason),
     onDelaySample: delayMs => {
       // After a pause of the process, what has arrived is read first.
@@ -293,6 +296,7 @@
     knowledge,
     reportSoon: exchange.reportSoon,
     loadControl,
+    turnQueue,
     connections,
     requestBodies: memory.requestBodies,
     responseBuffers: memory.responses,
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -669,10 +669,14 @@
     });
     const body = await callerBody.received;
     if (recorded) return;
-    if (body.isOk()) return forward(admitted, body.value);
-    const {kind, message: reason} = body.error;
-    if (kind === 'overloaded') refuse(kind, reason);
-    else failWith(body.error);
+    if (body.isErr()) {
+      const {kind, message: reason} = body.error;
+      if (kind === 'overloaded') refuse(kind, reason);
+      else failWith(body.error);
+      return;
+    }
+    await context.turnQueue.next(admitted.tier);
+    if (!recorded) await forward(admitted, body.value);
   }
 
   async function forward(
--- a/scripts/soak.js
+++ b/scripts/soak.js
@@ -279,9 +279,13 @@
 /** The process never had the request, or it was gone. */
 const refusedOutcomes = new Set(['ECONNREFUSED']);
 
-/** True if the instance was killed or frozen while the call was open. */
+/** A call is not judged if its instance was disturbed so long before it. */
+const disturbedMs = 3_000;
+
+/** True if the instance was killed or frozen shortly before or during the call. */
 function isExcused({instance, sentAtMs, endedAtMs}) {
-  const overlaps = (fromMs, toMs) => fromMs <= endedAtMs && toMs >= sentAtMs;
+  const overlaps = (fromMs, toMs) =>
+    fromMs <= endedAtMs && toMs >= sentAtMs - disturbedMs;
   return (
     instance.lives.some(
       ({killedAtMs, endedAtMs}) =>
