--- a/packages/common/src/ProcessMemory.ts
+++ b/packages/common/src/ProcessMemory.ts
@@ -41,6 +41,7 @@
 export function createProcessMemory(
   clock: Clock,
   limitBytes: number | undefined,
+  readResidentBytes = () => process.memoryUsage.rss(),
 ): ProcessMemory {
   const maxHeapBytes = getHeapStatistics().heap_size_limit;
   const plan = planMemory(
@@ -52,7 +53,17 @@
     limitBytes ?? machineBytes(),
     maxHeapBytes,
   );
-  const residentBytes = () => process.memoryUsage.rss();
+  let latestResidentBytes = 0;
+  function residentBytes(): number {
+    try {
+      latestResidentBytes = readResidentBytes();
+    } catch {
+      // Reading opens a file, which fails while no descriptor is free. Requests
+      // are served then as well, so the latest value is used.
+    }
+    return latestResidentBytes;
+  }
+  residentBytes();
   const requestBodies = createMemoryBudget({
     clock,
     maxBytes: plan.requestBodyBytes,
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -572,7 +572,7 @@
         reserveMs: Math.round(plan.reserveMs()),
         loopDelayMs: Math.round(loopDelay.recentMaxMs()),
         longestLoopDelayMs: Math.round(loopDelay.maxMs()),
-        residentBytes: process.memoryUsage.rss(),
+        residentBytes: memory.residentBytes(),
       });
       loopDelay.close();
     },
