common: keep delays of the event loop by time, not by count

Found by the review. A process that runs late takes fewer samples, so its longest recent delay stayed for up to ten seconds instead of two, and raised Retry-After and the reserve of a stop. The new test failed before (3,000 ms where at most 200 are right).

--- a/packages/common/src/LoopDelay.ts
+++ b/packages/common/src/LoopDelay.ts
@@ -31,14 +31,18 @@
 export const loopDelaySampleMs = 25;
 /** Length of the recent past. */
 export const recentLoopDelayMs = 2_000;
-const recentSamples = recentLoopDelayMs / loopDelaySampleMs;
+
+interface Sample {
+  readonly atMs: number;
+  readonly delayMs: number;
+}
 
 /** Creates a measurement that has not started. */
 export function createLoopDelay({
   clock,
   onSample = () => undefined,
 }: LoopDelayOptions): LoopDelay {
-  const samplesMs: number[] = [];
+  let samples: Sample[] = [];
   let latestMs = 0;
   let longestMs = 0;
   let dueAtMs = Infinity;
@@ -46,6 +50,13 @@
 
   const overdueMs = () => Math.max(0, clock.nowMs() - dueAtMs);
 
+  /** A process that runs late takes fewer samples in the same time. */
+  function dropOldSamples(): void {
+    const oldestMs = clock.nowMs() - recentLoopDelayMs;
+    if ((samples[0]?.atMs ?? Infinity) >= oldestMs) return;
+    samples = samples.filter(({atMs}) => atMs >= oldestMs);
+  }
+
   function scheduleNext(): void {
     dueAtMs = clock.nowMs() + loopDelaySampleMs;
     cancelNext = clock.after(loopDelaySampleMs, sample);
@@ -54,8 +65,8 @@
   function sample(): void {
     latestMs = overdueMs();
     longestMs = Math.max(longestMs, latestMs);
-    samplesMs.push(latestMs);
-    if (samplesMs.length > recentSamples) samplesMs.shift();
+    dropOldSamples();
+    samples.push({atMs: clock.nowMs(), delayMs: latestMs});
     scheduleNext();
     onSample(latestMs);
   }
@@ -63,7 +74,10 @@
   return {
     start: scheduleNext,
     currentMs: () => Math.max(latestMs, overdueMs()),
-    recentMaxMs: () => Math.max(overdueMs(), ...samplesMs),
+    recentMaxMs: () => {
+      dropOldSamples();
+      return Math.max(overdueMs(), ...samples.map(({delayMs}) => delayMs));
+    },
     maxMs: () => Math.max(longestMs, overdueMs()),
     close: () => {
       cancelNext();
--- a/packages/common/src/__tests__/unit/LoopDelay.test.ts
+++ b/packages/common/src/__tests__/unit/LoopDelay.test.ts
@@ -56,6 +56,21 @@
     expect(delay.maxMs()).to.equal(300);
   });
 
+  // Guards against a pause that counts as recent for longer the later a process
+  // runs, because it takes fewer samples.
+  it('forgets a long delay after the recent past also while it runs late', () => {
+    const {advance, clock, delayTimersBy} = createBusyClock();
+    const delay = createLoopDelay({clock});
+    delay.start();
+    delayTimersBy(3_000);
+    advance(loopDelaySampleMs);
+    delayTimersBy(100);
+    advance(loopDelaySampleMs + 3_000);
+    expect(delay.recentMaxMs()).to.equal(3_000);
+    advance(recentLoopDelayMs + 200);
+    expect(delay.recentMaxMs()).to.be.at.most(200);
+  });
+
   // Guards against a decision in a long turn of the loop that sees no delay.
   it('shows an overdue sample before it is taken', () => {
     const {advance, clock, delayTimersBy} = createBusyClock();
