gateway: close the connection of a refused body without a length

A request that is refused before its body is read keeps its connection, and Node.js discards the rest of the body. Bodies with a length stay as they were; they are bounded. The new test failed before with a timeout, because the connection stayed open.

--- a/packages/gateway/src/__tests__/unit/LoadControl.test.ts
+++ b/packages/gateway/src/__tests__/unit/LoadControl.test.ts
@@ -1,5 +1,7 @@
+import {once} from 'node:events';
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
+import {connect} from 'node:net';
 import {
   createManualClock,
   createSeededRandom,
@@ -176,6 +178,26 @@
     ]);
   });
 
+  // Guards against a refused caller that sends bytes without end, which the
+  // instance would read and discard.
+  it('closes the connection of a refused body without a length', async () => {
+    const gateway = await startGatewayServer({}, [createServer()], {
+      loadControl: createLateControl(500, 'busy'),
+    });
+    const socket = connect(gateway.port, '127.0.0.1');
+    socket.write(
+      'POST /chat/x HTTP/1.1\r\nhost: h\r\nid: r1\r\nauthorization: key\r\n' +
+        'transfer-encoding: chunked\r\n\r\n1\r\nx\r\n',
+    );
+    let received = '';
+    socket.on('data', chunk => (received += String(chunk)));
+    await once(socket, 'end');
+    socket.destroy();
+    await gateway.close();
+    expect(received).to.match(/^HTTP\/1\.1 503 /);
+    expect(received.toLowerCase()).to.include('connection: close');
+  });
+
   // Guards against an answer that is sent after the caller has given up.
   it('counts the time that a request waited unread in its deadlines', async () => {
     const limitMs = 1_500;
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -75,7 +75,9 @@
 ): Promise<void> {
   const request = context.dialect.readRequest(message);
   const callerResponse = createCallerResponse({response, ...connectionClosing});
-  const handler = createRequestHandler(context, request, callerResponse);
+  const handler = createRequestHandler(context, request, callerResponse, {
+    isBodyUnbounded: message.headers['transfer-encoding'] !== undefined,
+  });
   onOpened(handler);
   response.once('close', handler.onCallerClosed);
   if (context.isDraining()) {
@@ -117,6 +119,7 @@
   context: GatewayContext,
   request: CallerRequest,
   callerResponse: CallerResponse,
+  {isBodyUnbounded}: {readonly isBodyUnbounded: boolean},
 ): RequestHandler {
   const {clock, config, configAge, knowledge, logger, random} = context;
   const arrivedAtMs = clock.nowMs();
@@ -220,8 +223,9 @@
 
   function failWith(error: RouterError): void {
     if (recorded) return;
-    // A caller that stalls would keep its connection for as long as it likes.
-    const closes = bodyGivenUp && !bodyRead;
+    // A caller that stalls would keep its connection for as long as it likes, and
+    // one whose body has no length could send bytes without end.
+    const closes = !bodyRead && (bodyGivenUp || isBodyUnbounded);
     callerResponse.sendError(error, request.requestId, closes);
     record(error.kind, errorResponseFor(error.kind).status, error.message);
   }
