policy: refuse for load only while the event loop is saturated

Callers of a process that other processes delay were refused, tier after tier, although refusing did not shorten the delay: a review saw a constant delay of 150 ms (target 100 ms) lower the admitted share to 0.31 at 1.9 s and to the floor of 0.02 from 5.4 s on, for good.

The cause is that shedding took every delay that lasts for one that the load causes. The share now falls only while the utilization of the event loop (idle and active time of node:perf_hooks over a window, passed in as a function) is at least 0.9; otherwise it rises as in calm. A loop that waits for events has no queue that refusing could shorten. Requests whose time cannot cover the delay are still refused as late. The gateway and the daemon measure the utilization the same way.

Earlier tests get a utilization of 1, which is what they simulate; a new one lets the simulation measure it. No play of real processes was run with this change.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -124,6 +124,8 @@
 export {lingerAfterLastResponse, maxLingerMs} from './LingeringClose.js';
 export type {LoopDelay, LoopDelayOptions} from './LoopDelay.js';
 export {createLoopDelay} from './LoopDelay.js';
+export type {LoopTimes} from './LoopUtilization.js';
+export {createLoopUtilization} from './LoopUtilization.js';
 export type {
   MemoryBudget,
   MemoryBudgetOptions,
--- a/packages/daemon/src/request/LoadControl.ts
+++ b/packages/daemon/src/request/LoadControl.ts
@@ -11,7 +11,11 @@
   RandomSource,
   ServiceClass,
 } from '@toucanrouter/common';
-import {createLoopDelay, RouterError} from '@toucanrouter/common';
+import {
+  createLoopDelay,
+  createLoopUtilization,
+  RouterError,
+} from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
 import type {SheddingReason} from '@toucanrouter/policy';
 import {createLoadShedding} from '@toucanrouter/policy';
@@ -50,6 +54,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly random: RandomSource;
+  /** Share of the time since its last call in which the loop did not wait. */
+  readonly loopUtilization?: () => number;
   readonly classes: () => readonly ServiceClass[];
   /** Called with each sample of the delay of the event loop. */
   readonly onSample?: (delayMs: number) => void;
@@ -71,6 +77,7 @@
   random,
   classes,
   onSample = () => undefined,
+  loopUtilization = createLoopUtilization(),
 }: LoadControlOptions): LoadControl {
   const shedCounts = new Map<string, ShedCount>();
   let isReported = false;
@@ -103,7 +110,11 @@
     }
   }
 
-  const shedding = createLoadShedding({targetDelayMs, onChange});
+  const shedding = createLoadShedding({
+    targetDelayMs,
+    loopUtilization,
+    onChange,
+  });
   const loopDelay = createLoopDelay({
     clock,
     onSample: delayMs => {
--- a/packages/gateway/src/__tests__/unit/LoadControl.test.ts
+++ b/packages/gateway/src/__tests__/unit/LoadControl.test.ts
@@ -92,7 +92,10 @@
   };
 }
 
-function createControl(routes: readonly Partial<GatewayRoute>[]) {
+function createControl(
+  routes: readonly Partial<GatewayRoute>[],
+  loopUtilization = 1,
+) {
   const manual = createManualClock();
   let lateMs = 0;
   const lines: string[] = [];
@@ -111,6 +114,7 @@
       write: line => lines.push(line),
     }),
     random: createSeededRandom(1),
+    loopUtilization: () => loopUtilization,
     config,
     queueWaitMs: () => 0,
     onRefused: (tier, reason) => refused.push(`${tier} ${reason}`),
@@ -256,6 +260,17 @@
     expect(late(300).unreadMs).to.be.at.least(250);
   });
 
+  // Guards against refusals for a delay that other processes cause.
+  it('refuses for load only while the event loop does not wait', () => {
+    const shareAt = (loopUtilization: number) => {
+      const {control, runLate} = createControl([{}], loopUtilization);
+      runLate(1_000, 10_000);
+      return control.admittedShare();
+    };
+    expect(shareAt(1)).to.be.lessThan(0.5);
+    expect(shareAt(0.3)).to.equal(1);
+  });
+
   // Guards against a flood of log lines, and against shedding without one.
   it('logs once when shedding begins and once when it ends', () => {
     const {control, lines, refused, runLate} = createControl([{}]);
--- a/packages/gateway/src/request/LoadControl.ts
+++ b/packages/gateway/src/request/LoadControl.ts
@@ -6,7 +6,7 @@
  * out its load would go to instances that are as busy.
  */
 import type {Clock, LoopDelay, RandomSource} from '@toucanrouter/common';
-import {createLoopDelay} from '@toucanrouter/common';
+import {createLoopDelay, createLoopUtilization} from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
 import type {SheddingReason} from '@toucanrouter/policy';
 import {createLoadShedding} from '@toucanrouter/policy';
@@ -36,6 +36,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly random: RandomSource;
+  /** Share of the time since its last call in which the loop did not wait. */
+  readonly loopUtilization?: () => number;
   /** Time until the requests that were read, up to a tier, have begun. */
   readonly queueWaitMs: (tier?: number) => number;
   readonly config: Pick<ActiveConfig, 'current'>;
@@ -66,6 +68,7 @@
   queueWaitMs,
   onRefused,
   onDelaySample = () => undefined,
+  loopUtilization = createLoopUtilization(),
 }: LoadControlOptions): LoadControl {
   let targetOfRoutes: readonly GatewayRoute[] = [];
   let targetMs = Infinity;
@@ -98,7 +101,11 @@
     }
   }
 
-  const shedding = createLoadShedding({targetDelayMs, onChange});
+  const shedding = createLoadShedding({
+    targetDelayMs,
+    loopUtilization,
+    onChange,
+  });
   const loopDelay = createLoopDelay({
     clock,
     onSample: delayMs => {
--- a/packages/policy/src/LoadShedding.ts
+++ b/packages/policy/src/LoadShedding.ts
@@ -8,6 +8,10 @@
  *
  * A process that was stopped for a while, or that collected garbage, has a long
  * delay that falls by itself. Only a delay that lasts lowers the share.
+ *
+ * A loop that waits for events for part of the time has no queue that refusing
+ * could shorten: other processes delay it. Such a delay lowers no share; it only
+ * refuses the requests whose time cannot cover it.
  */
 
 /** A request to decide on. */
@@ -41,6 +45,8 @@
 export interface LoadSheddingOptions {
   /** Delay above which the process has too little processor time. */
   readonly targetDelayMs: () => number;
+  /** Share of the time since its last call in which the loop did not wait. */
+  readonly loopUtilization: () => number;
   /** Called when shedding begins and when all requests are admitted again. */
   readonly onChange?: (isShedding: boolean) => void;
 }
@@ -49,6 +55,8 @@
 export const sheddingWindowMs = 200;
 /** Windows above the target after which the share falls. */
 const windowsBeforeLowering = 2;
+/** Utilization of the loop from which its own load may delay it. */
+export const saturatedUtilization = 0.9;
 /** Time above the target before which shedding does not begin. */
 const sheddingDelayMs = 1_000;
 /** A delay that falls below this share of the one before recovers by itself. */
@@ -73,6 +81,7 @@
 /** Creates load shedding that admits all requests. */
 export function createLoadShedding({
   targetDelayMs,
+  loopUtilization,
   onChange = () => undefined,
 }: LoadSheddingOptions): LoadShedding {
   const countsByTier = new Map<number, number>();
@@ -115,10 +124,11 @@
     lastingDelayMs = isFalling ? 0 : Math.min(delayMs, previousDelayMs);
     previousDelayMs = delayMs;
     const targetMs = targetDelayMs();
-    if (delayMs <= targetMs) {
+    const isSaturated = loopUtilization() >= saturatedUtilization;
+    if (delayMs <= targetMs || !isSaturated) {
       windowsAbove = 0;
       aboveMs = 0;
-      if (delayMs > targetMs * holdingTargetShare) return;
+      if (isSaturated && delayMs > targetMs * holdingTargetShare) return;
       calmWindows += 1;
       hasRisen = true;
       const fastEnd = Math.min(admittedShare + fastRaisingStep, probingShare);
@@ -148,6 +158,7 @@
     observeDelay: (delayMs, nowMs) => {
       if (windowStartMs === undefined) {
         windowStartMs = lastSampleMs = nowMs;
+        loopUtilization();
         return;
       }
       // A long turn of the loop has one sample, so each counts by its time.
--- a/packages/policy/src/__tests__/unit/LoadShedding.test.ts
+++ b/packages/policy/src/__tests__/unit/LoadShedding.test.ts
@@ -1,7 +1,11 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {createSeededRandom} from '@toucanrouter/common';
-import {createLoadShedding, sheddingWindowMs} from '../../LoadShedding.js';
+import {
+  createLoadShedding,
+  saturatedUtilization,
+  sheddingWindowMs,
+} from '../../LoadShedding.js';
 import type {SimulatedLoad, TierOutcomes} from './LoadSheddingSimulation.js';
 import {simulateLoad} from './LoadSheddingSimulation.js';
 
@@ -24,8 +28,32 @@
   };
 }
 
-function createShedding(onChange?: (isShedding: boolean) => void) {
-  return createLoadShedding({targetDelayMs: () => targetDelayMs, onChange});
+function createShedding(
+  onChange?: (isShedding: boolean) => void,
+  loopUtilization = () => 1,
+) {
+  return createLoadShedding({
+    targetDelayMs: () => targetDelayMs,
+    loopUtilization,
+    onChange,
+  });
+}
+
+/** Measures the utilization of a simulated loop. */
+function createUtilization() {
+  let idleMs = 0;
+  let allMs = 0;
+  return {
+    onTurnEnd: (turnMs: number, isIdle: boolean) => {
+      allMs += turnMs;
+      if (isIdle) idleMs += turnMs;
+    },
+    read: () => {
+      const share = allMs > 0 ? 1 - idleMs / allMs : 1;
+      idleMs = allMs = 0;
+      return share;
+    },
+  };
 }
 
 function quantileMs({latenciesMs}: TierOutcomes, share: number): number {
@@ -70,6 +98,51 @@
     }
   });
 
+  // Guards against idle moments of a loop that is overloaded all the same, after
+  // which requests are admitted that it cannot serve.
+  it('keeps the most urgent tier fast with the measured utilization', () => {
+    const {onTurnEnd, read} = createUtilization();
+    const shedding = createShedding(undefined, read);
+    const urgent = simulateLoad(createLoad({onTurnEnd}), shedding).get(0)!;
+    expect(servedShare(urgent)).to.be.greaterThan(0.95);
+    expect(quantileMs(urgent, 0.9)).to.be.lessThan(limitMs / 3);
+  });
+
+  // Guards against refusals, of all tiers in the end, for a delay that other
+  // processes cause and that lasts whatever is refused.
+  it('refuses none for load while a loop that waits is late', () => {
+    const changes: boolean[] = [];
+    const shedding = createShedding(
+      isShedding => changes.push(isShedding),
+      () => saturatedUtilization - 0.1,
+    );
+    const random = createSeededRandom(3);
+    const delayMs = 1.5 * targetDelayMs;
+    for (let index = 0; index < 100; index += 1) {
+      shedding.observeDelay(delayMs, index * sheddingWindowMs);
+      for (const tier of tiers) {
+        const request = {tier, limitMs, delayMs, draw: random.next()};
+        expect(shedding.decide(request)).to.equal(undefined);
+      }
+    }
+    expect(changes).to.deep.equal([]);
+    const late = {tier: 0, limitMs: delayMs, delayMs, draw: 0};
+    expect(shedding.decide(late)).to.equal('late');
+  });
+
+  // Guards against a share that stays low because the delay that others cause
+  // lasts when the load has ended.
+  it('admits all requests again once the loop waits, late or not', () => {
+    let utilization = 1;
+    const shedding = createShedding(undefined, () => utilization);
+    const lateWindows = Array.from({length: 40}, () => 2 * targetDelayMs);
+    feed(shedding, lateWindows);
+    expect(shedding.admittedShare()).to.be.lessThan(0.1);
+    utilization = 0.3;
+    feed(shedding, lateWindows, 41 * sheddingWindowMs);
+    expect(shedding.admittedShare()).to.equal(1);
+  });
+
   // Guards against an instance that goes on refusing after a peak.
   it('admits all requests again within seconds after the load', () => {
     const shedding = createShedding();
--- a/packages/policy/src/__tests__/unit/LoadSheddingSimulation.ts
+++ b/packages/policy/src/__tests__/unit/LoadSheddingSimulation.ts
@@ -28,6 +28,8 @@
   /** Times at which the process is frozen, and for how long. */
   readonly freezes?: readonly {readonly atMs: number; readonly forMs: number}[];
   readonly random: () => number;
+  /** Called with the length of each turn, and whether it had work. */
+  readonly onTurnEnd?: (turnMs: number, isIdle: boolean) => void;
 }
 
 /** Runs a load; without `shedding` all requests are served as they are read. */
@@ -65,6 +67,7 @@
 
   let queue: {tier: number; atMs: number}[] = [];
   while (nowMs < load.durationMs) {
+    const turnStartMs = nowMs;
     if (freezes[0] !== undefined && nowMs >= freezes[0].atMs) {
       nowMs += freezes[0].forMs;
       freezes.shift();
@@ -111,6 +114,8 @@
       nowMs += load.servedCostMs;
       answer(tier, atMs, true);
     }
+    const isIdle = read.length === 0 && served.length === 0;
+    load.onTurnEnd?.(nowMs - turnStartMs, isIdle);
     onTurn(nowMs);
   }
   return outcomes;
