gateway: bound what one long turn adds to the estimated wait

After a freeze of the process, callers whose requests waited to begin were refused as late although they had the time: a review saw 25 of 40 requests with 1,500 ms left refused after a freeze of 2 s.

The queue took the whole freeze into its average length of a turn. A turn now counts for at most 100 ms; the rest of a pause says nothing about the turns that follow, and the delay of the event loop shows it while it lasts.

TurnQueue.test.ts "takes one long turn for no more than a usual one" fails without the bound (8,000 ms expected for 40 requests, at most 750 allowed) and passes with it; TurnQueue 5 and the gateway's LoadControl 7 pass. The case of the review was not run again as a whole.

--- a/packages/gateway/src/__tests__/unit/TurnQueue.test.ts
+++ b/packages/gateway/src/__tests__/unit/TurnQueue.test.ts
@@ -109,6 +109,19 @@
     expect(queue.waitMs()).to.equal(0);
   });
 
+  // Guards against requests that are refused as late after a freeze that is over,
+  // because its one long turn counts for all that follow.
+  it('takes one long turn for no more than a usual one', async () => {
+    const {add, advance, queue, turn} = createManualQueue();
+    const waitingCount = 40;
+    const timeLeftMs = 1_500;
+    add('frozen');
+    advance(2_000);
+    await turn();
+    for (let index = 0; index < waitingCount; index += 1) add(`${index}`);
+    expect(queue.waitMs()).to.be.within(1, timeLeftMs / 2);
+  });
+
   // Guards against connections that wait for as many turns as others arrive
   // before them, each of which serves all requests that were read.
   it('accepts connections promptly beside callers that keep theirs', async () => {
--- a/packages/gateway/src/request/TurnQueue.ts
+++ b/packages/gateway/src/request/TurnQueue.ts
@@ -32,6 +32,12 @@
 
 /** Weight of the latest turn in the average length of turns. */
 const latestTurnWeight = 0.1;
+/**
+ * A longer turn counts as this long: it is a pause of the process, which says
+ * nothing about the turns that follow. While it lasts, the delay of the event
+ * loop shows it.
+ */
+const maxCountedTurnMs = 100;
 
 /** Creates a queue in which no request waits. */
 export function createTurnQueue({
@@ -48,7 +54,7 @@
   }
 
   function startNext(): void {
-    const turnMs = clock.nowMs() - turnStartMs;
+    const turnMs = Math.min(clock.nowMs() - turnStartMs, maxCountedTurnMs);
     averageTurnMs += (turnMs - averageTurnMs) * latestTurnWeight;
     const first = waiting.shift();
     if (waiting.length > 0) scheduleNext();
