gateway: bound open requests by the heap

Callers saw connections that ended without answers: pipelined requests to an upstream that does not answer filled the heap, and the process aborted with all requests that it held.

Cause: an open request holds its head, its handler and its attempts on the heap. Nothing counted them, and descriptors do not bound requests that share a connection.

Change: planMemory derives from the limit of the heap what open requests may fill. A request that does not fit is refused after admission of its route and before its body is read, with 503 (not run) and Retry-After; less urgent tiers may use a part of the limit only. It counts until its response is sent or its connection closes. Gauges show open requests, the limit and refusals.

The whole suite was not run.

--- a/packages/common/src/MemoryPlan.ts
+++ b/packages/common/src/MemoryPlan.ts
@@ -14,6 +14,8 @@
   readonly requestBodyBytes: number;
   /** Responses that are buffered until they are complete. */
   readonly responseBytes: number;
+  /** Part of the heap that open requests may fill, bodies not included. */
+  readonly openRequestBytes: number;
 }
 
 const bytesPerMiB = 1024 * 1024;
@@ -22,6 +24,8 @@
 const maxResidentShare = 0.8;
 const requestBodyShare = 0.35;
 const responseShare = 0.25;
+/** The rest of the heap is for all else and for what is garbage. */
+const openRequestHeapShare = 0.2;
 /** Least part of the limit that data gets, however large the heap may grow. */
 const minDataShare = 0.2;
 /** Limit of a process without a setting on a machine with more memory. */
@@ -46,5 +50,6 @@
     maxResidentBytes: Math.floor(limitBytes * maxResidentShare),
     requestBodyBytes: Math.floor(dataBytes * requestBodyShare),
     responseBytes: Math.floor(dataBytes * responseShare),
+    openRequestBytes: Math.floor(maxHeapBytes * openRequestHeapShare),
   };
 }
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -38,6 +38,7 @@
 import {createLoadControl} from './request/LoadControl.js';
 import type {RequestStage} from './request/OpenRequest.js';
 import {createPromptGuard} from './request/PromptGuard.js';
+import {createOpenRequestLimit} from './request/OpenRequestLimit.js';
 import {createSharedRetryBudget} from './request/SharedRetryBudget.js';
 import {createTurnQueue} from './request/TurnQueue.js';
 import {createGatewayMetrics} from './server/GatewayMetrics.js';
@@ -116,6 +117,7 @@
   const budgetsByService = new Map<ServiceName, RetryBudget>();
   const configAge = createConfigAge(clock);
   const memory = createProcessMemory(clock, settings.memoryLimitBytes);
+  const openRequestLimit = createOpenRequestLimit(memory.plan.openRequestBytes);
   const knowledge = createUpstreamKnowledge({
     clock,
     selfId: shortIdOf(settings.instanceId),
@@ -298,6 +300,7 @@
     loadControl,
     turnQueue,
     connections,
+    openRequestLimit,
     requestBodies: memory.requestBodies,
     responseBuffers: memory.responses,
     promptGuard,
@@ -337,6 +340,7 @@
     memoryLimitBytes: () => memory.plan.limitBytes,
     memoryHolders: memory.holders,
     bodyMemory: memory.requestBodies.status,
+    openRequests: openRequestLimit.status,
   });
 
   function notReadyReason(): string | undefined {
--- a/packages/gateway/src/__tests__/process/MemoryLimit.test.ts
+++ b/packages/gateway/src/__tests__/process/MemoryLimit.test.ts
@@ -29,6 +29,10 @@
 const minReceiveMs = 3_000;
 const repeatDelayMs = 300;
 const bytesPerKilobyte = 1024;
+const pipeliningCount = 20;
+const pipelinedRequestsCount = 220;
+/** Slow enough for the processor, so that nothing is refused for its sake. */
+const pipelineIntervalMs = 40;
 
 interface LimitedGateway {
   readonly port: number;
@@ -44,6 +48,7 @@
     message.once('end', () => {
       setTimeout(() => {
         const id = String(message.headers['id']);
+        if (id.startsWith('hang')) return;
         response.writeHead(200, {id, mark: 'm'});
         response.end(
           id.startsWith('long') ? Buffer.alloc(answerBytes) : 'whole',
@@ -122,6 +127,19 @@
   return socket;
 }
 
+/** Sends requests without waiting for their answers, which do not come. */
+async function pipeline(port: number, id: string): Promise<Socket> {
+  const socket = connect(port, host);
+  socket.on('error', () => undefined);
+  await once(socket, 'connect');
+  const head = `GET /chat/x HTTP/1.1\r\nHost: h\r\nid: ${id}\r\n\r\n`;
+  for (let count = 0; count < pipelinedRequestsCount; count += 1) {
+    socket.write(head);
+    await sleep(pipelineIntervalMs);
+  }
+  return socket;
+}
+
 /** Sends a body again while it is refused; returns the last result. */
 async function callUntilServed(port: number, id: string): Promise<string> {
   for (const endMs = performance.now() + maxWaitMs; ;) {
@@ -192,4 +210,22 @@
       expect(gateway.isRunning()).to.equal(true);
     });
   });
+
+  // Guards against a heap that is exhausted by requests that wait for upstreams,
+  // since a caller may send any number of them on one connection.
+  it('survives many open requests and refuses further ones', async () => {
+    await withGateway(async gateway => {
+      const sockets = await Promise.all(
+        Array.from({length: pipeliningCount}, (_, index) =>
+          pipeline(gateway.port, `hang-${index}`),
+        ),
+      );
+      expect(gateway.isRunning()).to.equal(true);
+      expect(await call(gateway.port, 'further', body)).to.equal('503');
+      for (const socket of sockets) socket.destroy();
+      expect(await callUntilServed(gateway.port, 'whole')).to.equal('200');
+      expect(gateway.peakBytes()).to.be.below(memoryLimitBytes);
+      expect(gateway.isRunning()).to.equal(true);
+    });
+  });
 });
--- a/packages/gateway/src/__tests__/unit/GatewayMetrics.test.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayMetrics.test.ts
@@ -29,6 +29,7 @@
       refusedCount: 0,
       givenUpCount: 0,
     }),
+    openRequests: () => ({openCount: 0, maxCount: 0, refusedCount: 0}),
     ...overrides,
   };
 }
@@ -88,6 +89,7 @@
           refusedCount: 3,
           givenUpCount: 2,
         }),
+        openRequests: () => ({openCount: 4, maxCount: 9, refusedCount: 6}),
       }),
     );
     const text = await metrics.render();
@@ -99,6 +101,9 @@
       'toucanrouter_memory_budget_bytes{holder="responses"} 60',
       'toucanrouter_bodies_refused 3',
       'toucanrouter_bodies_given_up 2',
+      'toucanrouter_open_requests 4',
+      'toucanrouter_open_requests_limit 9',
+      'toucanrouter_open_requests_refused 6',
     ]) {
       expect(text).to.include(line);
     }
--- a/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
@@ -22,6 +22,7 @@
 import {createLoadControl} from '../../request/LoadControl.js';
 import {createPromptGuard} from '../../request/PromptGuard.js';
 import {createGatewayServer} from '../../server/GatewayServer.js';
+import {createOpenRequestLimit} from '../../request/OpenRequestLimit.js';
 import {createTurnQueue} from '../../request/TurnQueue.js';
 import {createUpstreamConnections} from '../../upstreams/UpstreamConnections.js';
 import {createUpstreamKnowledge} from '../../upstreams/UpstreamKnowledge.js';
@@ -94,6 +95,7 @@
     }),
     turnQueue: createTurnQueue({clock}),
     connections,
+    openRequestLimit: createOpenRequestLimit(64 * 1024 * 1024),
     requestBodies: createMemoryBudget({clock, maxBytes: 64 * 1024 * 1024}),
     responseBuffers: createBufferBudget(),
     promptGuard: createPromptGuard({
--- a/packages/gateway/src/request/GatewayContext.ts
+++ b/packages/gateway/src/request/GatewayContext.ts
@@ -19,6 +19,7 @@
 import type {Dialect} from './Dialect.js';
 import type {EndedRequest} from './EndedRequest.js';
 import type {LoadControl} from './LoadControl.js';
+import type {OpenRequestLimit} from './OpenRequestLimit.js';
 import type {PromptGuard} from './PromptGuard.js';
 import type {TurnQueue} from './TurnQueue.js';
 
@@ -47,6 +48,8 @@
   /** Requests that were admitted and begin one after the other. */
   readonly turnQueue: TurnQueue;
   readonly connections: UpstreamConnections;
+  /** Bounds the requests that are open at the same time. */
+  readonly openRequestLimit: OpenRequestLimit;
   /** Bounds the memory of callers' bodies. */
   readonly requestBodies: MemoryBudget;
   /** Bounds the bytes of responses that are buffered at the same time. */
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -100,7 +100,7 @@
 interface RequestHandler extends OpenRequest {
   onCallerClosed(): void;
   onAdmitted(admitted: AdmittedRequest): void;
-  /** Refuses the request if the instance lacks the time to serve it. */
+  /** Refuses the request if the instance lacks the time or the heap for it. */
   tryAdmitLoad(admitted: AdmittedRequest): boolean;
   /** Reads the body and forwards the request. */
   receive(admitted: AdmittedRequest, message: IncomingMessage): Promise<void>;
@@ -814,9 +814,18 @@
       const callerLimitMs = request.callerTimeoutMs ?? Infinity;
       const limitMs = Math.min(callerLimitMs, route.timeoutMs);
       const reason = loadControl.tryAdmit({tier, limitMs});
-      if (reason === undefined) return true;
-      refuse('overloaded', reason, loadControl.loopDelay.recentMaxMs());
-      return false;
+      if (reason !== undefined) {
+        refuse('overloaded', reason, loadControl.loopDelay.recentMaxMs());
+        return false;
+      }
+      const {openRequestLimit} = context;
+      if (!openRequestLimit.tryOpen(tier)) {
+        refuse('overloaded', 'the memory for open requests is in use');
+        return false;
+      }
+      // Its response may wait for those of earlier requests on the connection.
+      callerResponse.onClosed(openRequestLimit.close);
+      return true;
     },
     fail,
     failWith,
--- a/packages/gateway/src/server/GatewayMetrics.ts
+++ b/packages/gateway/src/server/GatewayMetrics.ts
@@ -11,6 +11,7 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {RequestStage} from '../request/OpenRequest.js';
 import type {EndedRequest} from '../request/EndedRequest.js';
+import type {OpenRequestStatus} from '../request/OpenRequestLimit.js';
 
 /** Sources of the values that are read when metrics are collected. */
 export interface GatewayMetricSources {
@@ -36,6 +37,7 @@
   readonly memoryLimitBytes: () => number;
   readonly memoryHolders: () => readonly HolderMemory[];
   readonly bodyMemory: () => MemoryBudgetStatus;
+  readonly openRequests: () => OpenRequestStatus;
 }
 
 /** The retry budget of one service. */
@@ -257,6 +259,21 @@
     'Requests whose memory was given up for others since the start',
     () => sources.bodyMemory().givenUpCount,
   );
+  gauge(
+    'toucanrouter_open_requests',
+    'Requests that count with the limit of open requests',
+    () => sources.openRequests().openCount,
+  );
+  gauge(
+    'toucanrouter_open_requests_limit',
+    'Open requests that the heap allows; less urgent tiers may use a part',
+    () => sources.openRequests().maxCount,
+  );
+  gauge(
+    'toucanrouter_open_requests_refused',
+    'Requests refused since the start because too many were open',
+    () => sources.openRequests().refusedCount,
+  );
   return {
     observe: ended => {
       const classLabel = ended.classId ?? noClassLabel;
