--- a/scripts/soak.js
+++ b/scripts/soak.js
@@ -45,6 +45,7 @@
 });
 const seconds = Number(values.seconds);
 const startLimitMs = 60_000;
+const endingSignals = ['SIGINT', 'SIGTERM'];
 const firstSubnet = 3;
 const subnetCount = 250;
 /** Time in which requests that were sent last get their answer. */
@@ -111,6 +112,13 @@
     onViolation,
   });
   const busy = startBusyProcesses(Number(values.busy));
+  // A soak that is ended from outside must not leave its processes behind.
+  const onSignal = () => {
+    fleet.close();
+    busy.forEach(child => child.kill('SIGKILL'));
+    process.exit(1);
+  };
+  for (const signal of endingSignals) process.once(signal, onSignal);
   fleet.start();
   const isStarted = () =>
     fleet.instances.every(
@@ -244,6 +252,7 @@
   callers.forEach(caller => caller.close());
   fleet.close();
   busy.forEach(child => child.kill('SIGKILL'));
+  for (const signal of endingSignals) process.off(signal, onSignal);
   closers.forEach(close => close());
   const stops = fleet.instances
     .flatMap(({lives}) => lives)
