gateway: show the heap with its limit and the start of the process

The metrics could not tell an end at the limit of the heap from one by a signal, and a restart between two readings left no trace where the log is not kept. Adds toucanrouter_heap_used_bytes, toucanrouter_heap_limit_bytes and process_start_time_seconds. The new test fails without them; no behaviour changes.

--- a/packages/common/src/ProcessMemory.ts
+++ b/packages/common/src/ProcessMemory.ts
@@ -26,6 +26,9 @@
   readonly responses: BufferBudget;
   /** Memory of the process that the operating system counts. */
   residentBytes(): number;
+  /** Heap of the runtime in use; the process aborts at its limit. */
+  heapBytes(): number;
+  readonly heapLimitBytes: number;
   holders(): readonly HolderMemory[];
 }
 
@@ -75,6 +78,8 @@
     requestBodies,
     responses,
     residentBytes,
+    heapBytes: () => getHeapStatistics().used_heap_size,
+    heapLimitBytes: maxHeapBytes,
     holders: () => [
       {holder: 'request_bodies', ...requestBodies.status()},
       {
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -98,6 +98,7 @@
 const loadBalancerDelayMs = 2_600;
 const graceEndReason = 'the grace period of the instance is over';
 const drainPollMs = 25;
+const msPerSecond = 1_000;
 /** What is not closed after this time ends with the process. */
 const maxCloseMs = 100;
 /** Callers that still send requests do so within this time of each other. */
@@ -338,6 +339,9 @@
     admittedShare: loadControl.admittedShare,
     residentBytes: memory.residentBytes,
     memoryLimitBytes: () => memory.plan.limitBytes,
+    heapBytes: memory.heapBytes,
+    heapLimitBytes: () => memory.heapLimitBytes,
+    startedAtUnixMs: clock.wallMs() - process.uptime() * msPerSecond,
     memoryHolders: memory.holders,
     bodyMemory: memory.requestBodies.status,
     openRequests: openRequestLimit.status,
--- a/packages/gateway/src/__tests__/unit/GatewayMetrics.test.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayMetrics.test.ts
@@ -21,6 +21,9 @@
     recentLoopDelayMs: zero,
     admittedShare: () => 1,
     residentBytes: zero,
+    heapBytes: zero,
+    heapLimitBytes: zero,
+    startedAtUnixMs: 0,
     memoryLimitBytes: zero,
     memoryHolders: () => [],
     bodyMemory: () => ({
@@ -74,6 +77,22 @@
     expect(text).to.include('toucanrouter_resident_memory_bytes 64000000');
   });
 
+  it('shows the heap with its limit and when the process started', async () => {
+    // Guards against ends that leave no trace: at the limit of the heap, or
+    // between two readings.
+    const metrics = createGatewayMetrics(
+      createSources({
+        heapBytes: () => 90_000_000,
+        heapLimitBytes: () => 120_000_000,
+        startedAtUnixMs: 1_700_000_000_500,
+      }),
+    );
+    const text = await metrics.render();
+    expect(text).to.include('toucanrouter_heap_used_bytes 90000000');
+    expect(text).to.include('toucanrouter_heap_limit_bytes 120000000');
+    expect(text).to.include('process_start_time_seconds 1700000000.5');
+  });
+
   it('shows what holds memory, and how many requests that cost', async () => {
     // Guards against refusals for memory whose holder no metric shows.
     const metrics = createGatewayMetrics(
--- a/packages/gateway/src/server/GatewayMetrics.ts
+++ b/packages/gateway/src/server/GatewayMetrics.ts
@@ -35,6 +35,11 @@
   /** Memory of the process that the operating system counts. */
   readonly residentBytes: () => number;
   readonly memoryLimitBytes: () => number;
+  /** Heap of the runtime in use, and the limit at which the process aborts. */
+  readonly heapBytes: () => number;
+  readonly heapLimitBytes: () => number;
+  /** Start of the process, in Unix milliseconds. */
+  readonly startedAtUnixMs: number;
   readonly memoryHolders: () => readonly HolderMemory[];
   readonly bodyMemory: () => MemoryBudgetStatus;
   readonly openRequests: () => OpenRequestStatus;
@@ -223,6 +228,21 @@
     'Memory that the process may occupy',
     sources.memoryLimitBytes,
   );
+  gauge(
+    'toucanrouter_heap_used_bytes',
+    'Heap of the runtime in use',
+    sources.heapBytes,
+  );
+  gauge(
+    'toucanrouter_heap_limit_bytes',
+    'Heap at which the runtime ends the process',
+    sources.heapLimitBytes,
+  );
+  gauge(
+    'process_start_time_seconds',
+    'Start of the process, in Unix seconds; a change shows a restart',
+    () => sources.startedAtUnixMs / msPerSecond,
+  );
   const holderGauge = (
     name: string,
     help: string,
