--- a/packages/settings/src/FileBeingWritten.ts
+++ b/packages/settings/src/FileBeingWritten.ts
@@ -1,6 +1,8 @@
 /**
  * Loads a settings file that another process may be writing. A file that is
- * empty, cut short or not there yet is read again for a bounded time. A value cut
+ * empty, cut short or not there yet is read again for a bounded time; a process
+ * that is started together with the writer may wait longer for a file that is not
+ * there or empty, since ending would only have it started again. A value cut
  * short can be valid, such as a port without its last digit, so a text whose last
  * line is not complete counts only after it has stayed the same for a while.
  */
@@ -14,6 +16,8 @@
   readonly file: string;
   readonly clock: Clock;
   readonly load: (file: string) => Promise<Result<Settings, SettingsError>>;
+  /** Longest wait for a file that is not there or empty; by default that for faults. */
+  readonly maxAbsenceMs?: number;
 }
 
 /** What a load resulted in. */
@@ -26,7 +30,7 @@
 }
 
 /** The file is read again for this time before its faults are final. */
-const maxWaitMs = 3_000;
+const maxFaultsMs = 3_000;
 const readIntervalMs = 50;
 /** A text is taken as written once it has stayed the same for this time. */
 export const settledAfterMs = 200;
@@ -35,11 +39,14 @@
 export async function loadWhenWritten<Settings>(
   options: FileLoadOptions<Settings>,
 ): Promise<LoadedFile<Settings>> {
-  const {clock, file, load} = options;
+  const {clock, file, load, maxAbsenceMs = maxFaultsMs} = options;
   const startedAtMs = clock.nowMs();
   let text = await readTextFile(file);
   let changedAtMs = startedAtMs;
+  let absentUntilMs = startedAtMs;
   for (let isFirst = true; ; isFirst = false) {
+    // A process may be suspended while it reads, so only the time before counts.
+    const readAtMs = clock.nowMs();
     const settings = await load(file);
     const next = await readTextFile(file);
     const nowMs = clock.nowMs();
@@ -48,11 +55,16 @@
     text = next;
     const isWritten =
       text?.endsWith('\n') === true || nowMs - changedAtMs >= settledAfterMs;
-    const waitedMs = isFirst ? 0 : nowMs - startedAtMs;
+    const isAbsent = text === undefined || text.trim() === '';
+    if (isAbsent) absentUntilMs = readAtMs;
+    const isTimeUp = isAbsent
+      ? readAtMs - startedAtMs >= maxAbsenceMs
+      : readAtMs - absentUntilMs >= maxFaultsMs;
     if (
       (isSame && isWritten && settings.isOk()) ||
-      (waitedMs >= maxWaitMs && (isSame || settings.isErr()))
+      (isTimeUp && (isSame || settings.isErr()))
     ) {
+      const waitedMs = isFirst ? 0 : readAtMs - startedAtMs;
       return {settings, text: text ?? '', waitedMs};
     }
     await delay(clock, readIntervalMs);
--- a/packages/settings/src/__tests__/unit/FileBeingWritten.test.ts
+++ b/packages/settings/src/__tests__/unit/FileBeingWritten.test.ts
@@ -44,9 +44,17 @@
 
   afterEach(() => rmSync(directory, {recursive: true}));
 
-  function load(onWait: (nowMs: number) => void = () => undefined) {
+  function load(
+    onWait: (nowMs: number) => void = () => undefined,
+    maxAbsenceMs?: number,
+  ) {
     const clock = createSteppingClock(onWait);
-    return loadWhenWritten({file, clock, load: loadGatewaySettings});
+    return loadWhenWritten({
+      file,
+      clock,
+      load: loadGatewaySettings,
+      ...(maxAbsenceMs === undefined ? {} : {maxAbsenceMs}),
+    });
   }
 
   it('does not wait for a complete file', async () => {
@@ -97,6 +105,41 @@
     expect(waitedMs).to.be.within(1, 500);
   });
 
+  // Guards against a process that ends for each few seconds without a file.
+  it('waits longer for a file that is missing or empty', async () => {
+    const {settings, waitedMs} = await load(nowMs => {
+      if (nowMs >= 12_000) writeFileSync(file, complete);
+      else if (nowMs >= 10_000) writeFileSync(file, complete.slice(0, 90));
+      else if (nowMs >= 5_000) writeFileSync(file, '');
+    }, 20_000);
+    expect(settings._unsafeUnwrap().instanceId).to.equal('front-1');
+    expect(waitedMs).to.be.within(12_000, 13_000);
+  });
+
+  it('gives up a file that stays missing', async () => {
+    const {settings, waitedMs} = await load(undefined, 20_000);
+    expect(settings.isErr()).to.equal(true);
+    expect(waitedMs).to.be.within(20_000, 21_000);
+  });
+
+  // Guards against a start that fails since the process was suspended.
+  it('reads again after a pause in the middle of a read', async () => {
+    writeFileSync(file, complete.slice(0, 90));
+    const clock = createSteppingClock(() => undefined);
+    let reads = 0;
+    const {settings} = await loadWhenWritten({
+      file,
+      clock: {...clock, nowMs: () => clock.nowMs() + (reads > 1 ? 9_000 : 0)},
+      load: async path => {
+        const loaded = await loadGatewaySettings(path);
+        reads += 1;
+        if (reads === 2) writeFileSync(file, complete);
+        return loaded;
+      },
+    });
+    expect(settings._unsafeUnwrap().instanceId).to.equal('front-1');
+  });
+
   it('reports the faults of a file that stays incomplete', async () => {
     writeFileSync(file, complete.slice(0, 90));
     const {settings, waitedMs} = await load();
