--- a/scripts/soak.js
+++ b/scripts/soak.js
@@ -5,7 +5,9 @@
  *   node scripts/soak.js --seed 1 --seconds 60 --seeds 1 --instances 5
  *
  * A seed gives one schedule of load and faults; a fault is skipped if its
- * instance is not running. `--busy N` starts N processes
+ * instance is not running. Series of SIGHUP overlap all faults and reach processes
+ * that start or stop too, those that were started again from `--signal-from MS`
+ * after their start on. `--busy N` starts N processes
  * that take all processor time they get, and `--cpus LIST` pins the instances
  * and these processes to the named processors. Soaks that run beside each other
  * in one checkout need `--skip-build`. The exit code is 1 if a promise
@@ -40,6 +42,7 @@
     rate: {type: 'string', default: '1'},
     busy: {type: 'string', default: '0'},
     cpus: {type: 'string'},
+    'signal-from': {type: 'string', default: '300'},
     'skip-build': {type: 'boolean', default: false},
   },
 });
@@ -55,6 +58,12 @@
 const minGapMs = 500;
 const maxGapMs = 2_500;
 const maxFreezeMs = 2_500;
+const maxSeriesSignals = 12;
+const maxSignalGapMs = 150;
+/** Each process that was started again gets signals until this time. */
+const startSignalsEndMs = 1_000;
+const startSignalGapMs = 50;
+const signalFromMs = Number(values['signal-from']);
 /** Separates the random numbers of the load, of the faults and of the seeds. */
 const seedStride = 1_000_003;
 /** Callers that send a large body at the same moment. */
@@ -110,7 +119,39 @@
     basePort: 20_000 + Math.floor(random() * 8_000),
     cpus: values.cpus,
     onViolation,
+    onRestart: life => void signalStart(life),
   });
+  const signalCounts = {starting: 0, stopping: 0, running: 0};
+
+  function sendReload(life) {
+    const ageMs = nowMs() - life.startedAtMs;
+    if (life.hasEnded || ageMs < signalFromMs) return;
+    if (life.stoppedAtMs !== undefined) signalCounts.stopping += 1;
+    else if (ageMs < startSignalsEndMs) signalCounts.starting += 1;
+    else signalCounts.running += 1;
+    fleet.signal(life, 'SIGHUP');
+  }
+
+  async function signalStart(life) {
+    await sleep(signalFromMs);
+    while (nowMs() - life.startedAtMs < startSignalsEndMs) {
+      sendReload(life);
+      await sleep(startSignalGapMs);
+    }
+  }
+
+  /** Sends series of signals to the process that an instance has at the time. */
+  async function signalInSeries(instance, randomOfSignals, untilMs) {
+    while (nowMs() < untilMs) {
+      await sleep(minGapMs + randomOfSignals() * (maxGapMs - minGapMs));
+      const count = 1 + Math.floor(randomOfSignals() * maxSeriesSignals);
+      for (let sent = 0; sent < count; sent += 1) {
+        sendReload(fleet.lifeOf(instance));
+        await sleep(randomOfSignals() * maxSignalGapMs);
+      }
+    }
+  }
+
   const busy = startBusyProcesses(Number(values.busy));
   // A soak that is ended from outside must not leave its processes behind.
   const onSignal = () => {
@@ -228,6 +269,12 @@
     ),
   );
   const endMs = nowMs() + seconds * 1_000;
+  const loadStreams = 2 + fleet.instances.length * kinds.length;
+  for (const instance of fleet.instances) {
+    const stream = loadStreams + instance.index;
+    const randomOfSignals = createRandom(seed + seedStride * stream);
+    void signalInSeries(instance, randomOfSignals, endMs);
+  }
   while (nowMs() < endMs) {
     const [gap, nameDraw, instanceDraw, draw] = Array.from({length: 4}, () =>
       randomOfFaults(),
@@ -268,6 +315,7 @@
       schedule.filter(({isSkipped}) => !isSkipped),
       ({name}) => name,
     ),
+    signals: signalCounts,
     stopsMs: stops,
     peakMb: Math.round(peakMb),
     violations,
--- a/scripts/soak/fleet.js
+++ b/scripts/soak/fleet.js
@@ -73,7 +73,8 @@
 
 /**
  * Creates the instances without starting them. `onViolation` is called for each
- * process that ends by itself, stops too late or exceeds its memory.
+ * process that ends by itself, stops too late or exceeds its memory, `onRestart`
+ * for each that replaces one that has ended.
  */
 export function createFleet({
   count,
@@ -84,6 +85,7 @@
   basePort,
   cpus,
   onViolation,
+  onRestart = () => undefined,
 }) {
   const {command, template} = readDeployFile();
   const ports = {
@@ -138,7 +140,9 @@
       checkEnd(instance, life);
       if (!closing) {
         setTimeout(() => {
-          if (!closing) startProcess(instance);
+          if (closing) return;
+          startProcess(instance);
+          onRestart(instance.lives.at(-1));
         }, restartDelayMs);
       }
     });
