common: read waiting requests before idle connections are closed

A stop closes idle connections from a timer, and timers run before sockets are read. After a delay of the event loop the requests that had arrived meanwhile were closed unread. The new test of UnsentResponses failed before with ECONNRESET in place of the response.

--- a/packages/common/src/UnsentResponses.ts
+++ b/packages/common/src/UnsentResponses.ts
@@ -2,10 +2,13 @@
  * Keeps an HTTP server from cutting responses when it closes idle connections.
  * Node.js counts a connection as idle once its response was ended, although a
  * slow caller may not have received the last part yet, and also closes such
- * connections when the server is closed.
+ * connections when the server is closed. Timers run before sockets are read, so
+ * a process that runs late would also close connections on which a request has
+ * been waiting since.
  */
 import type {Server} from 'node:http';
 import type {Socket} from 'node:net';
+import {socketsRead} from './SocketsRead.js';
 
 interface Connection {
   /** Responses whose last byte was not handed to the operating system. */
@@ -20,8 +23,9 @@
 
 /**
  * Makes `server.closeIdleConnections` and `server.close` spare connections with
- * a response that was not sent completely, or on which a request arrives or is
- * yet to arrive for the first time.
+ * a response that was not sent completely, or on which a request arrives, waits
+ * unread or is yet to arrive for the first time. Idle connections are closed
+ * shortly after the call.
  */
 export function spareUnsentResponses(server: Server): void {
   const connections = new Map<Socket, Connection>();
@@ -41,7 +45,7 @@
       connection.bytesReadWhenIdle = socket.bytesRead;
     });
   });
-  server.closeIdleConnections = () => {
+  const closeIdle = () => {
     for (const [socket, connection] of connections) {
       const isIdle =
         connection.unsentResponses === 0 &&
@@ -49,4 +53,5 @@
       if (isIdle) socket.destroy();
     }
   };
+  server.closeIdleConnections = () => void socketsRead().then(closeIdle);
 }
--- a/packages/common/src/__tests__/unit/UnsentResponses.test.ts
+++ b/packages/common/src/__tests__/unit/UnsentResponses.test.ts
@@ -46,6 +46,24 @@
     server.close();
   });
 
+  it('keeps a connection on which a request waits unread', async () => {
+    const {server, socket} = await startServer(1);
+    socket.write(`${bodyHead}ab`);
+    await once(socket, 'data');
+    await new Promise(resolve => setTimeout(resolve, 50));
+    const outcome = Promise.race([
+      once(socket, 'data').then(([response]) => String(response)),
+      once(socket, 'close').then(() => 'closed'),
+    ]).catch((error: unknown) => String(error));
+    // The operating system has the bytes before the next line runs.
+    socket.write(`${bodyHead}ab`);
+    server.closeIdleConnections();
+    const response = await outcome;
+    socket.destroy();
+    server.close();
+    expect(response).to.match(/^HTTP\/1\.1 200 /);
+  });
+
   it('keeps a connection on which a head or a body is arriving', async () => {
     for (const part of ['POST / HT', `${bodyHead}a`]) {
       const {server, socket} = await startServer(1);
