common: close idle connections only after a short turn

On a processor shared with busy processes a single turn of the event loop takes hundreds of milliseconds, and what arrives meanwhile was still closed unread. The new test of UnsentResponses failed before with ECONNRESET.

--- a/packages/common/src/SocketsRead.ts
+++ b/packages/common/src/SocketsRead.ts
@@ -1,15 +1,24 @@
 /**
  * Lets the event loop read what has arrived at its sockets. Timers run first
  * after a delay, so a decision that depends on what peers have sent has to wait
- * for the sockets to be read.
+ * for the sockets to be read. Much may arrive during a long turn too, so it
+ * takes a short one.
  */
+import {performance} from 'node:perf_hooks';
 
-/** A turn that has begun may be past the reading of its sockets. */
-const turnCount = 2;
+/** What arrives during a turn that takes longer has waited for too long. */
+const maxTurnMs = 50;
 
-/** Resolves when the sockets have been read once more. */
+const turnEnded = () => new Promise(resolve => setImmediate(resolve));
+
+/** Resolves at the end of a short turn of the event loop. */
 export async function socketsRead(): Promise<void> {
-  for (let turn = 0; turn < turnCount; turn += 1) {
-    await new Promise(resolve => setImmediate(resolve));
-  }
+  // The turn that has begun may be past the reading of its sockets.
+  await turnEnded();
+  let tookMs: number;
+  do {
+    const startedAtMs = performance.now();
+    await turnEnded();
+    tookMs = performance.now() - startedAtMs;
+  } while (tookMs > maxTurnMs);
 }
--- a/packages/common/src/__tests__/unit/UnsentResponses.test.ts
+++ b/packages/common/src/__tests__/unit/UnsentResponses.test.ts
@@ -64,6 +64,30 @@
     expect(response).to.match(/^HTTP\/1\.1 200 /);
   });
 
+  it('keeps a connection on which a request arrives in a long turn', async () => {
+    const {server, socket} = await startServer(1);
+    socket.write(`${bodyHead}ab`);
+    await once(socket, 'data');
+    await new Promise(resolve => setTimeout(resolve, 50));
+    const outcome = Promise.race([
+      once(socket, 'data').then(([response]) => String(response)),
+      once(socket, 'close').then(() => 'closed'),
+    ]).catch((error: unknown) => String(error));
+    // The second turn has read the sockets and is long then.
+    setImmediate(() =>
+      setImmediate(() => {
+        const untilMs = Date.now() + 200;
+        while (Date.now() < untilMs);
+        socket.write(`${bodyHead}ab`);
+      }),
+    );
+    server.closeIdleConnections();
+    const response = await outcome;
+    socket.destroy();
+    server.close();
+    expect(response).to.match(/^HTTP\/1\.1 200 /);
+  });
+
   it('keeps a connection on which a head or a body is arriving', async () => {
     for (const part of ['POST / HT', `${bodyHead}a`]) {
       const {server, socket} = await startServer(1);
