gateway: test requests that wait behind open ones on many connections

What callers see: the process ends by SIGABRT at the limit of its heap, and every request that it holds ends without an answer.

--- a/packages/gateway/src/__tests__/process/MemoryLimit.test.ts
+++ b/packages/gateway/src/__tests__/process/MemoryLimit.test.ts
@@ -33,6 +33,15 @@
 const pipelinedRequestsCount = 220;
 /** Slow enough for the processor, so that nothing is refused for its sake. */
 const pipelineIntervalMs = 40;
+const manyPipeliningCount = 60;
+const manyPipelinedRequestsCount = 80;
+const manyPipelineIntervalMs = 110;
+const burstConnectionsCount = 20;
+const burstRequestsCount = 2_000;
+/** Time in which a request is passed on. */
+const openingMs = 200;
+/** Time in which a burst is read, or the process ends. */
+const burstMs = 4_000;
 
 interface LimitedGateway {
   readonly port: number;
@@ -127,19 +136,48 @@
   return socket;
 }
 
-/** Sends requests without waiting for their answers, which do not come. */
-async function pipeline(port: number, id: string): Promise<Socket> {
+function headOf(id: string, path = '/chat/x'): string {
+  return `GET ${path} HTTP/1.1\r\nHost: h\r\nid: ${id}\r\n\r\n`;
+}
+
+async function openSocket(port: number): Promise<Socket> {
   const socket = connect(port, host);
   socket.on('error', () => undefined);
   await once(socket, 'connect');
-  const head = `GET /chat/x HTTP/1.1\r\nHost: h\r\nid: ${id}\r\n\r\n`;
-  for (let count = 0; count < pipelinedRequestsCount; count += 1) {
-    socket.write(head);
-    await sleep(pipelineIntervalMs);
+  return socket;
+}
+
+interface PipelineOptions {
+  readonly requestsCount?: number;
+  readonly intervalMs?: number;
+}
+
+/** Sends requests without waiting for their answers, which do not come. */
+async function pipeline(
+  port: number,
+  id: string,
+  {
+    requestsCount = pipelinedRequestsCount,
+    intervalMs = pipelineIntervalMs,
+  }: PipelineOptions = {},
+): Promise<Socket> {
+  const socket = await openSocket(port);
+  for (let count = 0; count < requestsCount; count += 1) {
+    socket.write(headOf(id));
+    await sleep(intervalMs);
   }
   return socket;
 }
 
+/** Sends a request that is not answered, and many to `path` at once behind it. */
+async function burst(port: number, path: string): Promise<Socket> {
+  const socket = await openSocket(port);
+  socket.write(headOf('hang'));
+  await sleep(openingMs);
+  socket.write(headOf('hang', path).repeat(burstRequestsCount));
+  return socket;
+}
+
 /** Sends a body again while it is refused; returns the last result. */
 async function callUntilServed(port: number, id: string): Promise<string> {
   for (const endMs = performance.now() + maxWaitMs; ;) {
@@ -228,4 +266,44 @@
       expect(gateway.isRunning()).to.equal(true);
     });
   });
+
+  // Guards against refusals that fill the heap while they wait for the earlier
+  // responses of their connections.
+  it('survives many connections whose refused requests wait for earlier ones', async () => {
+    await withGateway(async gateway => {
+      const sockets = await Promise.all(
+        Array.from({length: manyPipeliningCount}, (_, index) =>
+          pipeline(gateway.port, `hang-${index}`, {
+            requestsCount: manyPipelinedRequestsCount,
+            intervalMs: manyPipelineIntervalMs,
+          }),
+        ),
+      );
+      expect(gateway.isRunning()).to.equal(true);
+      for (const socket of sockets) socket.destroy();
+      expect(await callUntilServed(gateway.port, 'whole')).to.equal('200');
+      expect(gateway.peakBytes()).to.be.below(memoryLimitBytes);
+      expect(gateway.isRunning()).to.equal(true);
+    });
+  });
+
+  // Guards against a heap that is filled by the requests of a few packets, on
+  // connections that cannot be answered yet.
+  for (const path of ['/chat/x', '/unknown']) {
+    it(`survives bursts of requests to ${path} behind open ones`, async () => {
+      await withGateway(async gateway => {
+        const sockets = await Promise.all(
+          Array.from({length: burstConnectionsCount}, () =>
+            burst(gateway.port, path),
+          ),
+        );
+        await sleep(burstMs);
+        expect(gateway.isRunning()).to.equal(true);
+        for (const socket of sockets) socket.destroy();
+        expect(await callUntilServed(gateway.port, 'whole')).to.equal('200');
+        expect(gateway.peakBytes()).to.be.below(memoryLimitBytes);
+        expect(gateway.isRunning()).to.equal(true);
+      });
+    });
+  }
 });
