gateway: count each request from its head until its response is sent

What callers saw: the process ends by SIGABRT at the limit of its heap, and every request that it holds ends without an answer.

Cause: only admitted requests counted. A refusal or a 404 waits behind the unanswered requests of its connection and holds its request, its response and its handler; Node.js makes more than 1,000 requests of one packet and keeps them, also if nobody serves them; requests that wait for the configuration did not count, nor those of them whose caller had left.

Now a request counts from its head on, with the size of its head. One that is refused while the heap is used up, and has to wait, is the last one on its connection: it gets a true 503 with Connection: close after the answers of all earlier requests, and the parser drops what follows before anything is made of it. The connection is still read, so that its caller's leaving is noticed.

--- a/packages/common/src/MemoryBudget.ts
+++ b/packages/common/src/MemoryBudget.ts
@@ -98,6 +98,11 @@
   return Math.floor(maxBytes * share);
 }
 
+/** Returns the bytes that requests of the least urgent tiers may use. */
+export function leastUsableBytes(maxBytes: number): number {
+  return usableBytes(maxBytes, Infinity);
+}
+
 /** Creates a budget of which nothing is used. */
 export function createMemoryBudget({
   clock,
--- a/packages/common/src/PipelinedRequests.ts
+++ b/packages/common/src/PipelinedRequests.ts
@@ -4,7 +4,7 @@
  * responses that follow one with `Connection: close`, and when the connection
  * closes it tells only the response that is being sent.
  */
-import type {Server, ServerResponse} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
 /** The order of the requests on the connections of a server. */
@@ -19,10 +19,35 @@
 }
 
 interface Connection {
+  readonly socket: Socket;
   latest: ServerResponse;
   isClosing: boolean;
 }
 
+/** The parser of a connection, which Node.js does not declare. */
+interface RequestParser {
+  /** Called with each request whose head was read. */
+  onIncoming?: ((message: IncomingMessage) => number) | null;
+}
+
+/** Tells the parser that the body of a request is read as usual. */
+const usualBody = 0;
+
+/**
+ * Drops each further request as soon as its head is read. Node.js would keep it
+ * and a response for it until the earlier responses are sent, and one packet may
+ * hold thousands. The connection is still read, so that the caller's leaving is
+ * noticed.
+ */
+function dropFurtherRequests(socket: Socket): void {
+  const {parser} = socket as Socket & {parser?: RequestParser | null};
+  if (typeof parser?.onIncoming !== 'function') return;
+  parser.onIncoming = message => {
+    message.resume();
+    return usualBody;
+  };
+}
+
 /** Follows the requests of `server`. */
 export function trackPipelinedRequests(server: Server): PipelinedRequests {
   const bySocket = new WeakMap<Socket, Connection>();
@@ -30,7 +55,7 @@
   server.prependListener('request', ({socket}, response) => {
     const known = bySocket.get(socket);
     if (known?.isClosing === true) return;
-    const connection = known ?? {latest: response, isClosing: false};
+    const connection = known ?? {socket, latest: response, isClosing: false};
     connection.latest = response;
     bySocket.set(socket, connection);
     byResponse.set(response, connection);
@@ -41,6 +66,7 @@
       const connection = byResponse.get(response);
       if (connection?.latest !== response) return false;
       connection.isClosing = true;
+      dropFurtherRequests(connection.socket);
       return true;
     },
   };
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -133,7 +133,11 @@
   MemoryClaim,
   MemoryReservation,
 } from './MemoryBudget.js';
-export {createMemoryBudget, usableBytes} from './MemoryBudget.js';
+export {
+  createMemoryBudget,
+  leastUsableBytes,
+  usableBytes,
+} from './MemoryBudget.js';
 export type {MemoryPlan} from './MemoryPlan.js';
 export {defaultMemoryLimitBytes, planMemory} from './MemoryPlan.js';
 export type {HolderMemory, ProcessMemory} from './ProcessMemory.js';
--- a/packages/gateway/src/request/CallerResponse.ts
+++ b/packages/gateway/src/request/CallerResponse.ts
@@ -10,6 +10,8 @@
 /** Sends the response to one request. */
 export interface CallerResponse {
   readonly started: boolean;
+  /** True while earlier responses on the connection are not sent. */
+  isWaiting(): boolean;
   send(status: number, headers: readonly string[], body: Buffer): void;
   /** Starts a stream, whose length is not known in advance. */
   start(status: number, headers: readonly string[]): void;
@@ -79,6 +81,7 @@
     get started() {
       return response.headersSent;
     },
+    isWaiting: () => response.socket === null,
     send: (status, headers, body) => {
       if (!canStart()) return;
       writeHead(status, headers);
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -31,6 +31,7 @@
 import type {CallerRequest} from './Dialect.js';
 import type {GatewayContext} from './GatewayContext.js';
 import type {OpenRequest, RequestStage} from './OpenRequest.js';
+import type {OpenRequestShare} from './OpenRequestLimit.js';
 import type {BlockedPrompt} from './PromptGuard.js';
 import type {RequestProgress} from './RetryDecision.js';
 import type {RequestPlacement} from './RequestPlacement.js';
@@ -59,6 +60,9 @@
 const betweenEventsGaps = 3;
 const minBetweenEventsLimitMs = 700;
 const shutdownRetryAfterMs = 50;
+/** Open requests usually make room within this time. */
+const openRequestsRetryAfterMs = 500;
+const openRequestsReason = 'the memory for open requests is in use';
 /**
  * Time over which requests that waited for the end of a pause are spread, in
  * target latencies.
@@ -70,6 +74,7 @@
   context: GatewayContext,
   message: IncomingMessage,
   response: ServerResponse,
+  share: OpenRequestShare | undefined,
   connectionClosing: ConnectionClosing,
   onOpened: (open: OpenRequest) => void,
 ): Promise<void> {
@@ -80,7 +85,13 @@
   });
   onOpened(handler);
   response.once('close', handler.onCallerClosed);
+  if (share === undefined) {
+    handler.fail('overloaded', openRequestsReason, openRequestsRetryAfterMs);
+    return;
+  }
   if (context.isDraining()) {
+    share.refused();
+    response.once('close', share.close);
     handler.fail(
       'shutting_down',
       'the instance is stopping',
@@ -88,22 +99,46 @@
     );
     return;
   }
-  const admitted = await admit(context, request);
+  const admitted = await admitUnderShare(context, request, response, share);
   if (admitted.isErr()) {
+    share.refused();
     handler.failWith(admitted.error);
     return;
   }
   handler.onAdmitted(admitted.value);
-  if (!handler.tryAdmitLoad(admitted.value)) return;
+  if (!handler.tryAdmitLoad(admitted.value, share)) return;
   await handler.receive(admitted.value, message);
 }
 
+/**
+ * Admits a request and frees its share once its response is closed, but not
+ * before: a request that waits for the configuration holds memory also after its
+ * caller has left.
+ */
+async function admitUnderShare(
+  context: GatewayContext,
+  request: CallerRequest,
+  response: ServerResponse,
+  share: OpenRequestShare,
+): ReturnType<typeof admit> {
+  let isClosed = false;
+  response.once('close', () => {
+    isClosed = true;
+  });
+  try {
+    return await admit(context, request);
+  } finally {
+    if (isClosed) share.close();
+    else response.once('close', share.close);
+  }
+}
+
 /** Serves one request; its outcome is recorded once. */
 interface RequestHandler extends OpenRequest {
   onCallerClosed(): void;
   onAdmitted(admitted: AdmittedRequest): void;
   /** Refuses the request if the instance lacks the time or the heap for it. */
-  tryAdmitLoad(admitted: AdmittedRequest): boolean;
+  tryAdmitLoad(admitted: AdmittedRequest, share: OpenRequestShare): boolean;
   /** Reads the body and forwards the request. */
   receive(admitted: AdmittedRequest, message: IncomingMessage): Promise<void>;
   fail(kind: ErrorKind, reason: string, retryAfterMs?: number): void;
@@ -221,11 +256,17 @@
     });
   }
 
+  /** True if nothing more is to be read behind responses that are not sent. */
+  function isWaitingInCrowd(): boolean {
+    return callerResponse.isWaiting() && context.openRequestLimit.isCrowded();
+  }
+
   function failWith(error: RouterError): void {
     if (recorded) return;
     // A caller that stalls would keep its connection for as long as it likes, and
     // one whose body has no length could send bytes without end.
-    const closes = !bodyRead && (bodyGivenUp || isBodyUnbounded);
+    const closes =
+      (!bodyRead && (bodyGivenUp || isBodyUnbounded)) || isWaitingInCrowd();
     callerResponse.sendError(error, request.requestId, closes);
     record(error.kind, errorResponseFor(error.kind).status, error.message);
   }
@@ -813,7 +854,7 @@
       cancelTimeout = clock.after(Math.max(0, untilAnswerMs), onAnswerDue);
     },
     receive,
-    tryAdmitLoad: ({route, tier}) => {
+    tryAdmitLoad: ({route, tier}, share) => {
       const {loadControl} = context;
       const callerLimitMs = request.callerTimeoutMs ?? Infinity;
       const limitMs = Math.min(callerLimitMs, route.timeoutMs);
@@ -822,13 +863,10 @@
         refuse('overloaded', reason, loadControl.loopDelay.recentMaxMs());
         return false;
       }
-      const {openRequestLimit} = context;
-      if (!openRequestLimit.tryOpen(tier)) {
-        refuse('overloaded', 'the memory for open requests is in use');
+      if (!share.tryAdmit(tier)) {
+        refuse('overloaded', openRequestsReason);
         return false;
       }
-      // Its response may wait for those of earlier requests on the connection.
-      callerResponse.onClosed(openRequestLimit.close);
       return true;
     },
     fail,
--- a/packages/gateway/src/server/GatewayServer.ts
+++ b/packages/gateway/src/server/GatewayServer.ts
@@ -70,7 +70,12 @@
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    if (limits !== undefined && headerBytes(message) > limits.maxHeaderBytes) {
+    const headersBytes = headerBytes(message);
+    const headBytes = headersBytes + (message.url?.length ?? 0);
+    const share = context.openRequestLimit.tryOpen(headBytes);
+    if (limits !== undefined && headersBytes > limits.maxHeaderBytes) {
+      share?.refused();
+      if (share !== undefined) response.once('close', share.close);
       const callerResponse = createCallerResponse({
         response,
         isClosing: () => true,
@@ -87,14 +92,22 @@
       isClosing: () => closing,
       tryClose: () => pipelined.tryClose(response),
     };
-    await serveRequest(context, message, response, connectionClosing, open => {
+    const onOpened = (open: OpenRequest) => {
       openRequests.add(open);
       // The listener comes before the one that records the caller's leaving.
       response.once('close', () => {
         openRequests.delete(open);
         if (!response.writableFinished) onUnanswered(describe(open));
       });
-    });
+    };
+    await serveRequest(
+      context,
+      message,
+      response,
+      share,
+      connectionClosing,
+      onOpened,
+    );
   }
 
   const server = createServer(
