daemon: bound the calls that are open at the same time

What callers would see: the process ends by SIGABRT at the limit of its heap.

Cause: as in the gateway, nothing counted open calls or the responses that wait behind them on a connection.

The limit moves from the gateway to the common package. A call counts from its head until its response is closed; the last one that is refused while it waits ends its connection after the earlier answers.

--- a/packages/gateway/src/request/OpenRequestLimit.ts
+++ b/packages/common/src/OpenRequestLimit.ts
@@ -6,7 +6,8 @@
  * Connections do not bound the number of requests, because a caller may send
  * many on one of them. Less urgent tiers may use a part of the limit only.
  */
-import {leastUsableBytes, usableBytes} from '@toucanrouter/common';
+import type {IncomingMessage} from 'node:http';
+import {leastUsableBytes, usableBytes} from './MemoryBudget.js';
 
 /** Numbers of the limit, for metrics. */
 export interface OpenRequestStatus {
@@ -41,6 +42,16 @@
 /** Forms in which a head is held: its raw fields and those that are passed on. */
 const headCopyCount = 2;
 
+/** Size of the header fields of a request. */
+export function headerBytesOf({rawHeaders}: IncomingMessage): number {
+  return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+}
+
+/** Size of the head of a request. */
+export function headBytesOf(message: IncomingMessage): number {
+  return headerBytesOf(message) + (message.url?.length ?? 0);
+}
+
 /** Creates a limit for requests that may fill `maxBytes` of the heap together. */
 export function createOpenRequestLimit(maxBytes: number): OpenRequestLimit {
   let openCount = 0;
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -133,11 +133,17 @@
   MemoryClaim,
   MemoryReservation,
 } from './MemoryBudget.js';
+export {createMemoryBudget, usableBytes} from './MemoryBudget.js';
+export type {
+  OpenRequestLimit,
+  OpenRequestShare,
+  OpenRequestStatus,
+} from './OpenRequestLimit.js';
 export {
-  createMemoryBudget,
-  leastUsableBytes,
-  usableBytes,
-} from './MemoryBudget.js';
+  createOpenRequestLimit,
+  headBytesOf,
+  headerBytesOf,
+} from './OpenRequestLimit.js';
 export type {MemoryPlan} from './MemoryPlan.js';
 export {defaultMemoryLimitBytes, planMemory} from './MemoryPlan.js';
 export type {HolderMemory, ProcessMemory} from './ProcessMemory.js';
--- a/packages/daemon/src/__tests__/unit/CallerServer.test.ts
+++ b/packages/daemon/src/__tests__/unit/CallerServer.test.ts
@@ -5,6 +5,7 @@
 import {connect} from 'node:net';
 import {
   createMemoryBudget,
+  createOpenRequestLimit,
   createSystemClock,
   delay,
   toInstanceId,
@@ -20,6 +21,7 @@
 
 const clock = createSystemClock();
 const host = '127.0.0.1';
+const maxOpenRequestBytes = 24_000_000;
 
 /** Starts a server whose calls to plain services are served by `filter`. */
 async function startServer(filter: Filter) {
@@ -39,6 +41,7 @@
     classes: () => [],
     isKnownCaller: () => true,
     bodyMemory: createMemoryBudget({clock, maxBytes: 1_000_000}),
+    openRequests: createOpenRequestLimit(maxOpenRequestBytes),
     loadControl: {admit: () => ok(undefined), retryAfterMs: () => 1_000},
   });
   callers.server.listen(0, host);
--- a/packages/daemon/src/__tests__/unit/CallerServerFixture.ts
+++ b/packages/daemon/src/__tests__/unit/CallerServerFixture.ts
@@ -5,9 +5,15 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {request as sendRequest} from 'node:http';
 import type {AddressInfo} from 'node:net';
-import type {MemoryBudget, ServiceClass, Tier} from '@toucanrouter/common';
+import type {
+  MemoryBudget,
+  OpenRequestLimit,
+  ServiceClass,
+  Tier,
+} from '@toucanrouter/common';
 import {
   createMemoryBudget,
+  createOpenRequestLimit,
   createSeededRandom,
   createSystemClock,
   toClassId,
@@ -44,6 +50,7 @@
 export interface LimitedServer {
   readonly port: number;
   readonly memory: MemoryBudget;
+  readonly openRequests: OpenRequestLimit;
   readonly loadControl: LoadControl;
   close(): Promise<void>;
 }
@@ -55,6 +62,7 @@
   readonly classes?: readonly ServiceClass[];
   readonly maxBodyBytes?: number;
   readonly memoryBytes?: number;
+  readonly openRequestBytes?: number;
 }
 
 /** Starts a server whose calls are served by `filter`. */
@@ -63,6 +71,7 @@
   classes = tierClasses,
   maxBodyBytes = 1_000_000,
   memoryBytes = 100_000_000,
+  openRequestBytes = 24_000_000,
 }: LimitedServerOptions): Promise<LimitedServer> {
   const logger = createLogger({
     format: 'json',
@@ -71,6 +80,7 @@
     write: () => undefined,
   });
   const memory = createMemoryBudget({clock, maxBytes: memoryBytes});
+  const openRequests = createOpenRequestLimit(openRequestBytes);
   const loadControl = createLoadControl({
     clock,
     logger,
@@ -88,6 +98,7 @@
     classes: () => classes,
     isKnownCaller: ({authorization}) => authorization !== 'none',
     bodyMemory: memory,
+    openRequests,
     loadControl,
   });
   callers.server.listen(0, host);
@@ -95,6 +106,7 @@
   return {
     port: (callers.server.address() as AddressInfo).port,
     memory,
+    openRequests,
     loadControl,
     close: async () => {
       loadControl.loopDelay.close();
--- a/packages/daemon/src/server/CallerServer.ts
+++ b/packages/daemon/src/server/CallerServer.ts
@@ -14,12 +14,15 @@
 import type {
   Clock,
   MemoryBudget,
+  OpenRequestLimit,
+  OpenRequestShare,
   RequestId,
   ServiceClass,
 } from '@toucanrouter/common';
 import {
   answerReserveFor,
   closeWaitingResponses,
+  headBytesOf,
   lingerAfterLastResponse,
   RouterError,
   spareUnsentResponses,
@@ -65,6 +68,8 @@
   readonly isKnownCaller: (headers: IncomingHttpHeaders) => boolean;
   /** Bounds the bodies of calls in progress. */
   readonly bodyMemory: MemoryBudget;
+  /** Bounds the calls that are open, bodies not included. */
+  readonly openRequests: OpenRequestLimit;
   readonly loadControl: Pick<LoadControl, 'admit' | 'retryAfterMs'>;
 }
 
@@ -88,6 +93,7 @@
 const chatCopyCount = 3;
 /** Largest body that is discarded to keep the connection of a refused call. */
 const maxDiscardedBytes = 64 * 1024;
+const openRequestsReason = 'the memory for open requests is in use';
 const minTimeoutMs = 1;
 const maxTimeoutMs = 24 * 60 * 60 * 1_000;
 
@@ -116,15 +122,26 @@
     const requestId = options.createRequestId();
     const callerRequestId = headerOf(incoming, 'x-request-id');
     let bodyWasRead = true;
+    let isRefused = false;
+    const share = openShare(incoming, outgoing);
+    const closes = () =>
+      isDraining || !bodyWasRead || (isRefused && waitsInCrowd(outgoing));
     const response = createCallerResponse(
       outgoing,
       requestId,
       callerRequestId,
-      () => (isDraining || !bodyWasRead) && pipelined.tryClose(outgoing),
+      () => closes() && pipelined.tryClose(outgoing),
     );
+    if (share === undefined) {
+      isRefused = true;
+      response.sendError(openRequestsError(leastUrgentRank));
+      inProgress -= 1;
+      return;
+    }
     try {
       const result = await serveRequest(
         {
+          share,
           incoming,
           outgoing,
           arrivedAtMs,
@@ -136,7 +153,11 @@
         pipeline,
         path,
       );
-      if (result.isErr()) response.sendError(result.error);
+      if (result.isErr()) {
+        isRefused = true;
+        share.refused();
+        response.sendError(result.error);
+      }
     } catch (cause) {
       logger.error('request failed unexpectedly', {
         requestId,
@@ -149,6 +170,33 @@
     }
   }
 
+  /** Counts a request until its response is closed. */
+  function openShare(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+  ): OpenRequestShare | undefined {
+    const share = options.openRequests.tryOpen(headBytesOf(incoming));
+    if (share !== undefined) outgoing.once('close', share.close);
+    return share;
+  }
+
+  /** True if nothing more is to be read behind responses that are not sent. */
+  function waitsInCrowd({socket}: ServerResponse): boolean {
+    return socket === null && options.openRequests.isCrowded();
+  }
+
+  function openRequestsError(tier: number): RouterError {
+    const retryAfterMs = options.loadControl.retryAfterMs(tier);
+    return new RouterError('overloaded', openRequestsReason, {retryAfterMs});
+  }
+
+  function admitToHeap(
+    share: OpenRequestShare,
+    tier: number,
+  ): Result<void, RouterError> {
+    return share.tryAdmit(tier) ? ok(undefined) : err(openRequestsError(tier));
+  }
+
   async function serveRequest(
     call: IncomingCall,
     pipeline: readonly Filter[],
@@ -162,7 +210,9 @@
     const admit = (tier: number) =>
       // The pipeline refuses a call without a valid key.
       known
-        ? options.loadControl.admit({tier, timeoutMs: timeoutMs.value})
+        ? options.loadControl
+            .admit({tier, timeoutMs: timeoutMs.value})
+            .andThen(() => admitToHeap(call.share, tier))
         : ok(undefined);
     const admitted = arrived.isCertain ? admit(arrived.tier) : ok(undefined);
     if (admitted.isErr()) {
@@ -296,11 +346,14 @@
     return RESPONSE_ALREADY_SENT;
   });
   app.notFound(async context => {
-    const {outgoing} = context.env;
+    const outgoing = context.env.outgoing as ServerResponse;
+    if (!pipelined.isAccepted(outgoing)) return RESPONSE_ALREADY_SENT;
+    openShare(context.env.incoming, outgoing)?.refused();
     const response = createCallerResponse(
-      outgoing as ServerResponse,
+      outgoing,
       options.createRequestId(),
       undefined,
+      () => waitsInCrowd(outgoing) && pipelined.tryClose(outgoing),
     );
     const message = `no such path: ${context.req.path}`;
     response.sendError(new RouterError('not_found', message));
@@ -335,6 +388,7 @@
 }
 
 interface IncomingCall {
+  readonly share: OpenRequestShare;
   readonly incoming: IncomingMessage;
   readonly outgoing: ServerResponse;
   readonly arrivedAtMs: number;
--- a/packages/daemon/src/server/Servers.ts
+++ b/packages/daemon/src/server/Servers.ts
@@ -3,7 +3,7 @@
  */
 import type {Server} from 'node:http';
 import type {RequestId} from '@toucanrouter/common';
-import {toRequestId} from '@toucanrouter/common';
+import {createOpenRequestLimit, toRequestId} from '@toucanrouter/common';
 import type {PeerHub} from '@toucanrouter/peer';
 import {createAdminDependencies} from '../admin/AdminWiring.js';
 import type {Instance, InstanceOptions} from '../Instance.js';
@@ -50,6 +50,7 @@
     classes: () => instance.holder.inForce().classes,
     isKnownCaller: headers => isKnownCaller(instance.keys, headers),
     bodyMemory: instance.memory.requestBodies,
+    openRequests: createOpenRequestLimit(instance.memory.plan.openRequestBytes),
     loadControl: instance.loadControl,
     chatPipeline: [...commonFilters, createChatFilter(access)],
     plainPipeline: [
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -18,6 +18,7 @@
   createStopPlan,
   delay,
   isLastingListenError,
+  createOpenRequestLimit,
 } from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
 import type {RetryBudget} from '@toucanrouter/policy';
@@ -38,7 +39,6 @@
 import {createLoadControl} from './request/LoadControl.js';
 import type {RequestStage} from './request/OpenRequest.js';
 import {createPromptGuard} from './request/PromptGuard.js';
-import {createOpenRequestLimit} from './request/OpenRequestLimit.js';
 import {createSharedRetryBudget} from './request/SharedRetryBudget.js';
 import {createTurnQueue} from './request/TurnQueue.js';
 import {createGatewayMetrics} from './server/GatewayMetrics.js';
--- a/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
@@ -10,6 +10,7 @@
   createSeededRandom,
   createSystemClock,
   toInstanceId,
+  createOpenRequestLimit,
 } from '@toucanrouter/common';
 import {createLogger} from '@toucanrouter/logging';
 import {createRetryBudget} from '@toucanrouter/policy';
@@ -22,7 +23,6 @@
 import {createLoadControl} from '../../request/LoadControl.js';
 import {createPromptGuard} from '../../request/PromptGuard.js';
 import {createGatewayServer} from '../../server/GatewayServer.js';
-import {createOpenRequestLimit} from '../../request/OpenRequestLimit.js';
 import {createTurnQueue} from '../../request/TurnQueue.js';
 import {createUpstreamConnections} from '../../upstreams/UpstreamConnections.js';
 import {createUpstreamKnowledge} from '../../upstreams/UpstreamKnowledge.js';
--- a/packages/gateway/src/__tests__/unit/OpenRequestLimit.test.ts
+++ b/packages/gateway/src/__tests__/unit/OpenRequestLimit.test.ts
@@ -2,9 +2,8 @@
 import type {ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
 import {connect} from 'node:net';
-import {delay} from '@toucanrouter/common';
+import {delay, createOpenRequestLimit} from '@toucanrouter/common';
 import {expect} from 'chai';
-import {createOpenRequestLimit} from '../../request/OpenRequestLimit.js';
 import {sendRequestTo, startGateway} from './GatewayServerFixtures.js';
 import {clock, host} from './RunningGatewayFixtures.js';
 
--- a/packages/gateway/src/request/GatewayContext.ts
+++ b/packages/gateway/src/request/GatewayContext.ts
@@ -7,6 +7,7 @@
   MemoryBudget,
   RandomSource,
   ServiceName,
+  OpenRequestLimit,
 } from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
 import type {RetryBudget} from '@toucanrouter/policy';
@@ -19,7 +20,6 @@
 import type {Dialect} from './Dialect.js';
 import type {EndedRequest} from './EndedRequest.js';
 import type {LoadControl} from './LoadControl.js';
-import type {OpenRequestLimit} from './OpenRequestLimit.js';
 import type {PromptGuard} from './PromptGuard.js';
 import type {TurnQueue} from './TurnQueue.js';
 
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -4,7 +4,11 @@
  * request's class allows.
  */
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {ErrorKind, UpstreamId} from '@toucanrouter/common';
+import type {
+  ErrorKind,
+  UpstreamId,
+  OpenRequestShare,
+} from '@toucanrouter/common';
 import {
   answerReserveFor,
   errorResponseFor,
@@ -31,7 +35,6 @@
 import type {CallerRequest} from './Dialect.js';
 import type {GatewayContext} from './GatewayContext.js';
 import type {OpenRequest, RequestStage} from './OpenRequest.js';
-import type {OpenRequestShare} from './OpenRequestLimit.js';
 import type {BlockedPrompt} from './PromptGuard.js';
 import type {RequestProgress} from './RetryDecision.js';
 import type {RequestPlacement} from './RequestPlacement.js';
--- a/packages/gateway/src/server/GatewayMetrics.ts
+++ b/packages/gateway/src/server/GatewayMetrics.ts
@@ -6,12 +6,12 @@
   HolderMemory,
   MemoryBudgetStatus,
   ServiceName,
+  OpenRequestStatus,
 } from '@toucanrouter/common';
 import type {RetryBudgetStatus, SheddingReason} from '@toucanrouter/policy';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {RequestStage} from '../request/OpenRequest.js';
 import type {EndedRequest} from '../request/EndedRequest.js';
-import type {OpenRequestStatus} from '../request/OpenRequestLimit.js';
 
 /** Sources of the values that are read when metrics are collected. */
 export interface GatewayMetricSources {
--- a/packages/gateway/src/server/GatewayServer.ts
+++ b/packages/gateway/src/server/GatewayServer.ts
@@ -5,6 +5,8 @@
 import {createServer} from 'node:http';
 import {
   closeWaitingResponses,
+  headBytesOf,
+  headerBytesOf,
   lingerAfterLastResponse,
   RouterError,
   spareUnsentResponses,
@@ -42,10 +44,6 @@
 /** Connections that may queue while the process starts or is busy. */
 export const listenBacklog = 1_024;
 
-function headerBytes({rawHeaders}: IncomingMessage): number {
-  return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
-}
-
 function describe(open: OpenRequest): UnansweredRequest {
   const {requestId} = open;
   return {requestId, stage: open.stage(), openMs: Math.round(open.openMs())};
@@ -70,10 +68,11 @@
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const headersBytes = headerBytes(message);
-    const headBytes = headersBytes + (message.url?.length ?? 0);
-    const share = context.openRequestLimit.tryOpen(headBytes);
-    if (limits !== undefined && headersBytes > limits.maxHeaderBytes) {
+    const share = context.openRequestLimit.tryOpen(headBytesOf(message));
+    if (
+      limits !== undefined &&
+      headerBytesOf(message) > limits.maxHeaderBytes
+    ) {
       share?.refused();
       if (share !== undefined) response.once('close', share.close);
       const callerResponse = createCallerResponse({
