gateway: count requests refused for processor time in the share of their tier

Such a request still counted as undecided while its refusal waited, so less urgent tiers could be admitted beside it beyond their part of the limit. Found by reading; no run showed it. The total was bounded before too.

--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -863,6 +863,7 @@
       const limitMs = Math.min(callerLimitMs, route.timeoutMs);
       const reason = loadControl.tryAdmit({tier, limitMs});
       if (reason !== undefined) {
+        share.refused();
         refuse('overloaded', reason, loadControl.loopDelay.recentMaxMs());
         return false;
       }
