--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -134,6 +134,16 @@
   MemoryReservation,
 } from './MemoryBudget.js';
 export {createMemoryBudget, usableBytes} from './MemoryBudget.js';
+export type {
+  OpenRequestLimit,
+  OpenRequestShare,
+  OpenRequestStatus,
+} from './OpenRequestLimit.js';
+export {
+  createOpenRequestLimit,
+  headBytesOf,
+  headerBytesOf,
+} from './OpenRequestLimit.js';
 export type {MemoryPlan} from './MemoryPlan.js';
 export {defaultMemoryLimitBytes, planMemory} from './MemoryPlan.js';
 export type {HolderMemory, ProcessMemory} from './ProcessMemory.js';
--- a/packages/gateway/src/server/GatewayServer.ts
+++ b/packages/gateway/src/server/GatewayServer.ts
@@ -5,6 +5,8 @@
 import {createServer} from 'node:http';
 import {
   closeWaitingResponses,
+  headBytesOf,
+  headerBytesOf,
   lingerAfterLastResponse,
   RouterError,
   spareUnsentResponses,
@@ -42,10 +44,6 @@
 /** Connections that may queue while the process starts or is busy. */
 export const listenBacklog = 1_024;
 
-function headerBytes({rawHeaders}: IncomingMessage): number {
-  return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
-}
-
 function describe(open: OpenRequest): UnansweredRequest {
   const {requestId} = open;
   return {requestId, stage: open.stage(), openMs: Math.round(open.openMs())};
@@ -70,7 +68,13 @@
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    if (limits !== undefined && headerBytes(message) > limits.maxHeaderBytes) {
+    const share = context.openRequestLimit.tryOpen(headBytesOf(message));
+    if (
+      limits !== undefined &&
+      headerBytesOf(message) > limits.maxHeaderBytes
+    ) {
+      share?.refused();
+      if (share !== undefined) response.once('close', share.close);
       const callerResponse = createCallerResponse({
         response,
         isClosing: () => true,
@@ -87,14 +91,22 @@
       isClosing: () => closing,
       tryClose: () => pipelined.tryClose(response),
     };
-    await serveRequest(context, message, response, connectionClosing, open => {
+    const onOpened = (open: OpenRequest) => {
       openRequests.add(open);
       // The listener comes before the one that records the caller's leaving.
       response.once('close', () => {
         openRequests.delete(open);
         if (!response.writableFinished) onUnanswered(describe(open));
       });
-    });
+    };
+    await serveRequest(
+      context,
+      message,
+      response,
+      share,
+      connectionClosing,
+      onOpened,
+    );
   }
 
   const server = createServer(
