common: count the grace period from the last reading of signals

Now the time since the last reading bounds the wait, in the gateway and in the daemon, and the reserve leaves room for its error.

Two new tests failed before (no such bound; last answers 25 ms too soon) and pass.

--- a/packages/common/src/LoopDelay.ts
+++ b/packages/common/src/LoopDelay.ts
@@ -12,6 +12,11 @@
   start(): void;
   /** The latest delay, or the time by which the next sample is overdue. */
   currentMs(): number;
+  /**
+   * Longest time for which what the process reads now can have waited: the time
+   * since it last read all that had arrived.
+   */
+  unreadMs(): number;
   /** The longest delay of the recent past. */
   recentMaxMs(): number;
   /** The longest delay since the start. */
@@ -23,6 +28,8 @@
 /** Options of the measurement. */
 export interface LoopDelayOptions {
   readonly clock: Clock;
+  /** Runs a function once the sockets and signals have been read. */
+  readonly afterRead?: (run: () => void) => void;
   /** Called with each sample. */
   readonly onSample?: (delayMs: number) => void;
 }
@@ -40,12 +47,14 @@
 /** Creates a measurement that has not started. */
 export function createLoopDelay({
   clock,
+  afterRead = run => void setImmediate(run),
   onSample = () => undefined,
 }: LoopDelayOptions): LoopDelay {
   let samples: Sample[] = [];
   let latestMs = 0;
   let longestMs = 0;
   let dueAtMs = Infinity;
+  let readAtMs = clock.nowMs();
   let cancelNext = (): void => undefined;
 
   const overdueMs = () => Math.max(0, clock.nowMs() - dueAtMs);
@@ -68,12 +77,16 @@
     dropOldSamples();
     samples.push({atMs: clock.nowMs(), delayMs: latestMs});
     scheduleNext();
+    afterRead(() => {
+      readAtMs = clock.nowMs();
+    });
     onSample(latestMs);
   }
 
   return {
     start: scheduleNext,
     currentMs: () => Math.max(latestMs, overdueMs()),
+    unreadMs: () => clock.nowMs() - readAtMs,
     recentMaxMs: () => {
       dropOldSamples();
       return Math.max(overdueMs(), ...samples.map(({delayMs}) => delayMs));
--- a/packages/common/src/StopPlan.ts
+++ b/packages/common/src/StopPlan.ts
@@ -47,8 +47,12 @@
 
 /** Share of the grace period that is reserved without any delay. */
 const minReserveShare = 0.1;
-/** A larger reserve would cut responses that still make progress. */
-const maxReserveShare = 1 / 6;
+/**
+ * Callers may expect responses that make progress to go on for five sixths of
+ * the grace period. A little less is reserved than the rest, since the signal may
+ * have waited for a shorter time than assumed.
+ */
+const maxReserveShare = 0.16;
 /** Steps of the reserve that each may wait for the event loop. */
 const reserveLoopTurns = 4;
 /** Part of the reserve in which final answers are sent. */
--- a/packages/common/src/__tests__/unit/LoopDelay.test.ts
+++ b/packages/common/src/__tests__/unit/LoopDelay.test.ts
@@ -56,6 +56,24 @@
     expect(delay.maxMs()).to.equal(300);
   });
 
+  // Guards against a stop that is planned as if its signal had waited for the
+  // whole of an earlier delay, and cuts streams too soon.
+  it('bounds the wait of what is read now by the time since the last reading', () => {
+    const {advance, clock, delayTimersBy} = createBusyClock();
+    let read = (): void => undefined;
+    const delay = createLoopDelay({clock, afterRead: run => (read = run)});
+    delay.start();
+    delayTimersBy(1_000);
+    advance(loopDelaySampleMs);
+    read();
+    advance(loopDelaySampleMs + 1_000);
+    expect(delay.unreadMs()).to.equal(loopDelaySampleMs + 1_000);
+    read();
+    advance(300);
+    expect(delay.currentMs()).to.equal(1_000);
+    expect(delay.unreadMs()).to.equal(300);
+  });
+
   // Guards against a pause that counts as recent for longer the later a process
   // runs, because it takes fewer samples.
   it('forgets a long delay after the recent past also while it runs late', () => {
--- a/packages/common/src/__tests__/unit/StopPlan.test.ts
+++ b/packages/common/src/__tests__/unit/StopPlan.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {createSeededRandom} from '../../Random.js';
+import {loopDelaySampleMs} from '../../LoopDelay.js';
 import type {StopPhase} from '../../StopPlan.js';
 import {createStopPlan, refusalMs} from '../../StopPlan.js';
 
@@ -61,6 +62,16 @@
     expect(endMs).to.equal(graceMs - 200);
   });
 
+  // Guards against streams that are cut while callers may expect them to go on.
+  it('gives no last answers in the first five sixths of the grace period', () => {
+    for (const waitedMs of [0, 300, 1_000]) {
+      const assumedWaitMs = waitedMs + loopDelaySampleMs;
+      const {plan} = createPlan({signalDelayMs: assumedWaitMs, delayMs: 2_000});
+      const sinceSignalMs = plan.untilLastAnswersMs(0) + waitedMs;
+      expect(sinceSignalMs).to.be.at.least((graceMs * 5) / 6);
+    }
+  });
+
   // Guards against a notice that outlasts a short grace period.
   it('gives last answers within a grace period shorter than the notice', () => {
     const {plan} = createPlan({graceMs: 1_000});
--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -154,7 +154,7 @@
   const startedAtMs = clock.nowMs();
   const plan = createStopPlan({
     receivedAtMs: startedAtMs,
-    signalDelayMs: loopDelay.currentMs(),
+    signalDelayMs: loopDelay.unreadMs(),
     graceMs: settings.stopGraceMs,
     noticeMs: leavingNoticeMs,
     loopDelayMs: loopDelay.recentMaxMs,
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -533,7 +533,7 @@
       const startedAtMs = clock.nowMs();
       const plan = createStopPlan({
         receivedAtMs: startedAtMs,
-        signalDelayMs: loopDelay.currentMs(),
+        signalDelayMs: loopDelay.unreadMs(),
         graceMs: settings.stopGraceMs,
         noticeMs: loadBalancerDelayMs,
         loopDelayMs: loopDelay.recentMaxMs,
--- a/packages/gateway/src/__tests__/unit/LoadControl.test.ts
+++ b/packages/gateway/src/__tests__/unit/LoadControl.test.ts
@@ -87,6 +87,7 @@
     loopDelay: {
       start: () => undefined,
       currentMs: () => unreadMs,
+      unreadMs: () => 0,
       recentMaxMs: () => unreadMs,
       maxMs: () => unreadMs,
       close: () => undefined,
