--- a/packages/gateway/src/__tests__/unit/LoadExchange.test.ts
+++ b/packages/gateway/src/__tests__/unit/LoadExchange.test.ts
@@ -11,8 +11,12 @@
 import {segmentHashOf} from '@toucanrouter/policy';
 import {expect} from 'chai';
 import {createLoadExchange} from '../../peers/LoadExchange.js';
+import {encodeReport} from '../../peers/LoadReportCodec.js';
+import type {LoadReport} from '../../peers/LoadReports.js';
 import {createPeerDirectory} from '../../peers/PeerDirectory.js';
 import {encodeQuarantineReport} from '../../peers/QuarantineCodec.js';
+import {shortIdOf} from '../../peers/ShortIds.js';
+import {zeroCounts} from '../../upstreams/EnginePools.js';
 
 const host = '127.0.0.1';
 const deliveryMs = 50;
@@ -40,6 +44,7 @@
     address: {host, port: peer.address().port},
   });
   const received: QuarantineReport[] = [];
+  const loads: LoadReport[] = [];
   const exchange = createLoadExchange({
     clock: createManualClock(),
     logger: createLogger({
@@ -54,12 +59,12 @@
     takeWork: () => {
       throw new Error('no load report is due');
     },
-    onReport: () => undefined,
+    onReport: load => loads.push(load),
     takeQuarantine: () => undefined,
     onQuarantine: report => received.push(report),
   });
   exchange.start();
-  return {exchange, peer, port, received};
+  return {exchange, loads, peer, port, received};
 }
 
 const report: QuarantineReport = {
@@ -75,7 +80,38 @@
   clearings: [],
 };
 
+const loadReport: LoadReport = {
+  instanceId: shortIdOf(toInstanceId('peer')),
+  startedAtMs: 1,
+  sequence: 1,
+  inFlight: zeroCounts,
+  offered: zeroCounts,
+  poolSizes: zeroCounts,
+  loads: [],
+  estimates: [],
+  sentPrefixes: [],
+};
+
 describe('createLoadExchange', () => {
+  // Guards against reports of instances that don't exist, each of which is kept.
+  it('accepts load reports only from the addresses of peers', async () => {
+    const {exchange, loads, peer, port} = await startExchange();
+    const stranger = await bindSocket();
+    const clock = createSystemClock();
+    try {
+      stranger.send(encodeReport(loadReport), port, host);
+      await delay(clock, deliveryMs);
+      expect(loads).to.have.length(0);
+      peer.send(encodeReport(loadReport), port, host);
+      await delay(clock, deliveryMs);
+      expect(loads).to.have.length(1);
+    } finally {
+      exchange.close();
+      stranger.close();
+      peer.close();
+    }
+  });
+
   it('accepts quarantine reports only from the addresses of peers', async () => {
     const {exchange, peer, port, received} = await startExchange();
     const stranger = await bindSocket();
--- a/packages/gateway/src/peers/LoadExchange.ts
+++ b/packages/gateway/src/peers/LoadExchange.ts
@@ -118,16 +118,21 @@
     send: sendQuarantine,
   });
 
-  function receiveQuarantine(datagram: Buffer, sender: RemoteInfo): void {
-    // A forged verdict would block sound requests.
-    if (!peers.isPeerAddress({host: sender.address, port: sender.port})) return;
+  function receiveQuarantine(datagram: Buffer): void {
     const report = decodeQuarantineReport(datagram);
     if (report !== undefined) options.onQuarantine(report);
   }
 
+  function isFromPeer({address, port}: RemoteInfo): boolean {
+    return peers.isPeerAddress({host: address, port});
+  }
+
   socket.on('message', (datagram, sender) => {
+    // A forged verdict would block sound requests, and forged load reports of
+    // many instances would fill the memory.
+    if (!isFromPeer(sender)) return;
     if (isQuarantineReport(datagram)) {
-      receiveQuarantine(datagram, sender);
+      receiveQuarantine(datagram);
       return;
     }
     const report = decodeReport(datagram);
