gateway: take a load report only of the instance at its address

Now the id has to be that of the instance registered with the sender's address, so the table holds one report for each peer.

The new test failed before (it got the report of the other instance too) and passes.

--- a/packages/gateway/src/__tests__/unit/LoadExchange.test.ts
+++ b/packages/gateway/src/__tests__/unit/LoadExchange.test.ts
@@ -112,6 +112,25 @@
     }
   });
 
+  // Guards against a peer whose reports state very many instances, each of which
+  // is kept.
+  it('accepts a load report only of the instance at its address', async () => {
+    const {exchange, loads, peer, port} = await startExchange();
+    const clock = createSystemClock();
+    const other = {...loadReport, instanceId: shortIdOf(toInstanceId('other'))};
+    try {
+      peer.send(encodeReport(other), port, host);
+      peer.send(encodeReport(loadReport), port, host);
+      await delay(clock, deliveryMs);
+      expect(loads.map(({instanceId}) => instanceId)).to.deep.equal([
+        loadReport.instanceId,
+      ]);
+    } finally {
+      exchange.close();
+      peer.close();
+    }
+  });
+
   it('accepts quarantine reports only from the addresses of peers', async () => {
     const {exchange, peer, port, received} = await startExchange();
     const stranger = await bindSocket();
--- a/packages/gateway/src/peers/LoadExchange.ts
+++ b/packages/gateway/src/peers/LoadExchange.ts
@@ -18,6 +18,7 @@
 } from './QuarantineCodec.js';
 import type {ReportSchedule} from './ReportSchedule.js';
 import {createReportSchedule} from './ReportSchedule.js';
+import type {ShortId} from './ShortIds.js';
 import {shortIdOf} from './ShortIds.js';
 
 /** Options of an exchange. */
@@ -123,14 +124,17 @@
     if (report !== undefined) options.onQuarantine(report);
   }
 
-  function isFromPeer({address, port}: RemoteInfo): boolean {
-    return peers.isPeerAddress({host: address, port});
+  /** The peer that is registered with the sender's address. */
+  function peerOf({address, port}: RemoteInfo): ShortId | undefined {
+    const peer = peers.peerAt({host: address, port});
+    return peer && shortIdOf(peer);
   }
 
   socket.on('message', (datagram, sender) => {
-    // A forged verdict would block sound requests, and forged load reports of
-    // many instances would fill the memory.
-    if (!isFromPeer(sender)) return;
+    // A forged verdict would block sound requests, and load reports of many
+    // instances would fill the memory.
+    const peer = peerOf(sender);
+    if (peer === undefined) return;
     if (isQuarantineReport(datagram)) {
       receiveQuarantine(datagram);
       return;
@@ -140,7 +144,7 @@
       logger.warn('ignored a datagram that is not a valid load report', {
         bytes: datagram.length,
       });
-    } else if (report.instanceId !== selfId) options.onReport(report);
+    } else if (report.instanceId === peer) options.onReport(report);
   });
   socket.on('error', (error: ListenError) => {
     if (!listener.isOpen()) return;
--- a/packages/gateway/src/peers/PeerDirectory.ts
+++ b/packages/gateway/src/peers/PeerDirectory.ts
@@ -17,8 +17,8 @@
   putDomain(instanceId: InstanceId, failureDomain: string | undefined): void;
   remove(instanceId: InstanceId): void;
   addresses(): readonly ListenAddress[];
-  /** Returns whether a peer is registered with this address. */
-  isPeerAddress(address: ListenAddress): boolean;
+  /** Returns the peer that is registered with this address. */
+  peerAt(address: ListenAddress): InstanceId | undefined;
   /** Returns the peers of a failure domain. */
   inDomain(failureDomain: string): readonly PeerEntry[];
 }
@@ -28,13 +28,18 @@
   const entries = new Map<InstanceId, ListenAddress>();
   const domains = new Map<InstanceId, string>();
   let addresses: readonly ListenAddress[] = [];
-  let addressTexts: ReadonlySet<string> = new Set();
+  let idsByAddress: ReadonlyMap<string, InstanceId> = new Map();
 
   const toText = ({host, port}: ListenAddress) => `${host}:${port}`;
 
   const refresh = () => {
     addresses = [...entries.values()];
-    addressTexts = new Set(addresses.map(toText));
+    idsByAddress = new Map(
+      [...entries].map(([instanceId, address]) => [
+        toText(address),
+        instanceId,
+      ]),
+    );
   };
 
   return {
@@ -52,7 +57,7 @@
       refresh();
     },
     addresses: () => addresses,
-    isPeerAddress: address => addressTexts.has(toText(address)),
+    peerAt: address => idsByAddress.get(toText(address)),
     inDomain: failureDomain =>
       [...entries].flatMap(([instanceId, address]) =>
         domains.get(instanceId) === failureDomain
