gateway: a test of request rates that upstreams name

Five whole gateways in one process, stand-in upstreams that count arrivals and name a rate for all instances together in their responses, over 11 s of load. The test counts each 4 s from 3 s after the first statement, and what is used of the rate.

--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/LimitedRequestRates.test.ts
@@ -0,0 +1,115 @@
+import {createSystemClock} from '@toucanrouter/common';
+import {expect} from 'chai';
+import type {GatewayRoute} from '../../config/GatewayConfig.js';
+import type {
+  RatedFleetOptions,
+  RatedTestUpstream,
+} from './RateLimitFixtures.js';
+import {
+  countedFromMs,
+  createRatedUpstream,
+  maxWindowArrivals,
+  startRatedFleet,
+  worstWindow,
+} from './RateLimitFixtures.js';
+
+const clock = createSystemClock();
+const instanceCount = 5;
+const unlimitedMs = 1_000;
+const limitedMs = 11_000;
+const msPerSecond = 1_000;
+/** Part of the rate that must be used while there is more demand than that. */
+const minUsedShare = 0.6;
+
+const streamRoute: Partial<GatewayRoute> = {targetLatencyMs: 1_000};
+const plainRoute: Partial<GatewayRoute> = {
+  streams: false,
+  retryPolicy: 'whole',
+  targetLatencyMs: 1_000,
+};
+
+const startedFleets: {close(): Promise<void>}[] = [];
+
+async function start(options: Omit<RatedFleetOptions, 'instanceCount'>) {
+  const fleet = await startRatedFleet({instanceCount, ...options});
+  startedFleets.push(fleet);
+  return fleet;
+}
+
+interface LimitedLoad {
+  readonly upstreamCount: number;
+  /** Upstreams, from the first one on, that name the limit. */
+  readonly limitedCount: number;
+  readonly limitPerS: number;
+  readonly perS: number;
+  readonly servesModels: boolean;
+}
+
+function usedPerS(upstream: RatedTestUpstream, endMs: number): number {
+  const fromMs = countedFromMs(upstream);
+  const count = upstream.arrivalsMs.filter(
+    atMs => atMs >= fromMs && atMs < endMs,
+  ).length;
+  return (count / (endMs - fromMs)) * msPerSecond;
+}
+
+/** Loads a fleet before and while upstreams name a limit, and checks both. */
+async function checkLimit(load: LimitedLoad): Promise<void> {
+  const {limitPerS, limitedCount, perS, servesModels, upstreamCount} = load;
+  const upstreams = Array.from({length: upstreamCount}, createRatedUpstream);
+  const route = servesModels ? streamRoute : plainRoute;
+  const fleet = await start({upstreams, servesModels, routes: [route, route]});
+  await fleet.load(perS, unlimitedMs);
+  const limited = upstreams.slice(0, limitedCount);
+  for (const upstream of limited) upstream.limit(String(limitPerS));
+  await fleet.load(perS, limitedMs);
+  const endMs = clock.nowMs();
+  await fleet.responses();
+  for (const [index, upstream] of limited.entries()) {
+    const worst = worstWindow(upstream, countedFromMs(upstream));
+    const shown = `upstream ${index}, worst window ${worst}`;
+    expect(worst, shown).to.be.at.most(maxWindowArrivals(limitPerS));
+    const used = usedPerS(upstream, endMs);
+    expect(used, `upstream ${index}, requests a second`).to.be.at.least(
+      limitPerS * minUsedShare,
+    );
+  }
+}
+
+describe('limited request rates', function () {
+  this.timeout(60_000);
+
+  afterEach(async () => {
+    for (const fleet of startedFleets.splice(0)) await fleet.close();
+  });
+
+  // Guards against instances that together exceed the rate an upstream names.
+  it('keeps and uses the rate of one of three model engines', () =>
+    checkLimit({
+      upstreamCount: 3,
+      limitedCount: 1,
+      limitPerS: 1,
+      perS: 30,
+      servesModels: true,
+    }));
+
+  // Guards against the same at services whose load is balanced without prompts.
+  it('keeps and uses the rate of one of two plain upstreams', () =>
+    checkLimit({
+      upstreamCount: 2,
+      limitedCount: 1,
+      limitPerS: 20,
+      perS: 100,
+      servesModels: false,
+    }));
+
+  // Guards against falling back on limited upstreams when no others are left.
+  it('keeps and uses the rates of all upstreams of a service', () =>
+    checkLimit({
+      upstreamCount: 2,
+      limitedCount: 2,
+      limitPerS: 1,
+      perS: 30,
+      servesModels: false,
+    }));
+});
--- a/packages/gateway/src/__tests__/unit/RunningGatewayFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/RunningGatewayFixtures.ts
@@ -46,13 +46,30 @@
   }
 }
 
+/** Creates a store whose content is `changes` from the start on. */
+export function createUnchangingStore(
+  changes: readonly StateChange[],
+): StateStore {
+  const items = changes.map((_, index) => ({key: `${index}`, value: ''}));
+  return {
+    decode: ({key}) => changes[Number(key)],
+    readAll: () => okAsync({revision: 1, items}),
+    readChanges: revision => okAsync({revision, items: []}),
+    readConfig: () => okAsync(undefined),
+    register: () => errAsync(new PlatformError('not supported', false)),
+    renew: () => okAsync(true),
+    saveVerdict: () => okAsync(undefined),
+    removeVerdict: () => okAsync(undefined),
+  };
+}
+
 /** Creates a store with one upstream and one route, which never changes. */
 export function createFixedStore(
   upstreamPort: number,
   route: Partial<GatewayRoute>,
   limits: Partial<CallerLimits> = {},
 ): StateStore {
-  const changes: readonly StateChange[] = [
+  return createUnchangingStore([
     {
       kind: 'config',
       config: createConfig({
@@ -68,18 +85,7 @@
       }),
     },
     {kind: 'upstream', entry: createEntry('u', {host, port: upstreamPort})},
-  ];
-  const items = changes.map((_, index) => ({key: `${index}`, value: ''}));
-  return {
-    decode: ({key}) => changes[Number(key)],
-    readAll: () => okAsync({revision: 1, items}),
-    readChanges: revision => okAsync({revision, items: []}),
-    readConfig: () => okAsync(undefined),
-    register: () => errAsync(new PlatformError('not supported', false)),
-    renew: () => okAsync(true),
-    saveVerdict: () => okAsync(undefined),
-    removeVerdict: () => okAsync(undefined),
-  };
+  ]);
 }
 
 export async function createSettings(
