policy: divide the request rate of an upstream among instances

An upstream may limit the requests a second that it takes from all instances together. Nothing in the project could keep such a limit. The modules under rates/ decide without network: what is known of the limits and which statement is newer, the share of each instance by the demand that all report (a ranking that all compute alike where the rate is small), a bucket that leaves requests to more urgent tiers, and the return to full traffic in steps.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -159,6 +159,8 @@
 } from './Listener.js';
 export type {RandomSource} from './Random.js';
 export {createProcessRandom, createSeededRandom} from './Random.js';
+export type {RequestRate} from './RequestRate.js';
+export {readRequestRate, unlimitedRate} from './RequestRate.js';
 export type {RetryAfter} from './RetryAfter.js';
 export {maxRetryAfterMs, readRetryAfter} from './RetryAfter.js';
 export type {
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -79,3 +79,28 @@
 export {createUpstreamTracker} from './UpstreamTracker.js';
 export type {UpstreamTrackerParameters} from './UpstreamTrackerConstants.js';
 export {defaultUpstreamTrackerParameters} from './UpstreamTrackerConstants.js';
+export type {RateBucket} from './rates/RateBucket.js';
+export {createRateBucket} from './rates/RateBucket.js';
+export type {RateDivision, RateMember, RateShare} from './rates/RateShares.js';
+export {noShare, rateShareOf} from './rates/RateShares.js';
+export type {
+  ProcessHash,
+  RateChange,
+  RateStatement,
+  RateStatements,
+} from './rates/RateStatements.js';
+export {createRateStatements} from './rates/RateStatements.js';
+export {maxDemandTiers} from './rates/TierDemand.js';
+export type {
+  RatedUpstream,
+  RateReport,
+  RateServiceHash,
+  ServiceDemand,
+  UpstreamRates,
+  UpstreamRatesOptions,
+} from './rates/UpstreamRates.js';
+export {
+  createUpstreamRates,
+  processHashOf,
+  rateServiceHashOf,
+} from './rates/UpstreamRates.js';
