policy: take reports on request rates in parts

A report that does not fit into one datagram is split. Its parts have the same sequence, and each took the place of the one before; they are joined now. A process without any limit answers the question for a rate at once, since it is asked for each upstream of each request.

--- a/packages/policy/src/__tests__/unit/UpstreamRates.test.ts
+++ b/packages/policy/src/__tests__/unit/UpstreamRates.test.ts
@@ -1,4 +1,14 @@
+import {
+  readRequestRate,
+  toServiceName,
+  toUpstreamId,
+} from '@toucanrouter/common';
 import {expect} from 'chai';
+import type {RateReport} from '../../rates/UpstreamRates.js';
+import {
+  createUpstreamRates,
+  rateServiceHashOf,
+} from '../../rates/UpstreamRates.js';
 import type {SentRequest} from './RateFleetSimulation.js';
 import {mostWithin, simulateRateFleet} from './RateFleetSimulation.js';
 
@@ -110,3 +120,56 @@
     expect(countIn(18_000, 20_000)).to.be.above(400);
   });
 });
+
+describe('UpstreamRates with reports in parts', () => {
+  const service = toServiceName('s');
+  const process = {id: toUpstreamId('u'), start: 1};
+  const upstream = {process, service};
+
+  /** Creates the rates of an instance with own demand and one peer. */
+  function createLimitedRates() {
+    const rates = createUpstreamRates<number>({
+      selfId: 1,
+      startedAtMs: 0,
+      peerIds: () => [2],
+      upstreamsOf: () => [process],
+    });
+    for (let count = 0; count < 10; count++) rates.recordDemand(service, 0, 0);
+    rates.receive(process, readRequestRate('10'), 0, 0);
+    return rates;
+  }
+
+  function createPart(
+    sequence: number,
+    demands: RateReport<number>['demands'],
+  ): RateReport<number> {
+    return {instanceId: 2, startedAtMs: 0, sequence, statements: [], demands};
+  }
+
+  const other = {service: rateServiceHashOf(toServiceName('other')), perS: [9]};
+  const none = {service: rateServiceHashOf(service), perS: [0]};
+
+  // Guards against a part of a report that takes the place of another one.
+  it('joins the parts of a report, in any order', () => {
+    for (const parts of [
+      [[none], [other]],
+      [[other], [none]],
+    ]) {
+      const rates = createLimitedRates();
+      for (const demands of parts)
+        rates.receiveReport(createPart(1, demands), 0);
+      expect(rates.sharePerS(upstream, 0)).to.be.above(9);
+    }
+  });
+
+  // Guards against reports that arrive late and replace newer ones.
+  it('ignores parts of earlier reports', () => {
+    const rates = createLimitedRates();
+    rates.receiveReport(createPart(2, [none]), 0);
+    const late = {...none, perS: [1_000]};
+    rates.receiveReport(createPart(1, [late]), 0);
+    expect(rates.sharePerS(upstream, 0)).to.be.above(9);
+    rates.receiveReport(createPart(3, [late]), 0);
+    expect(rates.sharePerS(upstream, 200)).to.be.below(2);
+  });
+});
--- a/packages/policy/src/rates/RateStatements.ts
+++ b/packages/policy/src/rates/RateStatements.ts
@@ -42,6 +42,8 @@
    * After the end of a limit the rate rises step by step.
    */
   rateOf(process: ProcessHash, nowMs: number): number | undefined;
+  /** True if no limit is known, nor the end of one. */
+  isEmpty(): boolean;
   /** True while the upstream states the limit. */
   isInForce(process: ProcessHash): boolean;
   /** The processes with a rate. */
@@ -175,6 +177,7 @@
       return ended === 'ended' ? ended : began;
     },
     rateOf,
+    isEmpty: () => known.size === 0,
     isInForce: process => {
       const record = known.get(process);
       return record !== undefined && isInForceBy(record);
--- a/packages/policy/src/rates/UpstreamRates.ts
+++ b/packages/policy/src/rates/UpstreamRates.ts
@@ -30,7 +30,10 @@
   readonly instanceId: Id;
   /** Start of the process; reports of earlier processes are ignored. */
   readonly startedAtMs: number;
-  /** Increases with each report, since datagrams may arrive out of order. */
+  /**
+   * Increases with each report, since datagrams may arrive out of order. The
+   * parts of a report that is split have the same.
+   */
   readonly sequence: number;
   readonly statements: readonly RateStatement[];
   readonly demands: readonly ServiceDemand[];
@@ -99,9 +102,12 @@
 /** Demand of a peer that is gone is kept no longer than this. */
 const maxDemandAgeMs = 60_000;
 
-interface PeerDemand<Id extends number> {
-  readonly report: RateReport<Id>;
+/** The demand at a peer, from the parts of its last report. */
+interface PeerDemand {
+  readonly startedAtMs: number;
+  readonly sequence: number;
   readonly receivedAtMs: number;
+  readonly perSByService: Map<RateServiceHash, readonly number[]>;
 }
 
 interface OwnUse {
@@ -127,12 +133,18 @@
   const {peerIds, selfId, startedAtMs, upstreamsOf} = options;
   const statements: RateStatements = createRateStatements();
   const demands = new Map<ServiceName, TierDemand>();
-  const peerDemands = new Map<Id, PeerDemand<Id>>();
+  const peerDemands = new Map<Id, PeerDemand>();
   const uses = new Map<ProcessHash, OwnUse>();
   let sequence = 0;
 
-  const rateOf = (upstream: UpstreamProcess, nowMs: number) =>
-    statements.rateOf(processHashOf(upstream), nowMs);
+  function rateOf(
+    upstream: UpstreamProcess,
+    nowMs: number,
+  ): number | undefined {
+    // Asked for each upstream that a request may use.
+    if (statements.isEmpty()) return undefined;
+    return statements.rateOf(processHashOf(upstream), nowMs);
+  }
 
   /** The part of the service's demand that is meant for one upstream. */
   function demandPart(
@@ -164,11 +176,7 @@
       {id: selfId, demandPerS: toPart(own)},
       ...peers.map(id => ({
         id,
-        demandPerS: toPart(
-          peerDemands
-            .get(id)
-            ?.report.demands.find(demand => demand.service === service)?.perS,
-        ),
+        demandPerS: toPart(peerDemands.get(id)?.perSByService.get(service)),
       })),
     ];
   }
@@ -200,12 +208,30 @@
     return use;
   }
 
-  function isNewer(report: RateReport<Id>): boolean {
-    const previous = peerDemands.get(report.instanceId)?.report;
-    if (previous === undefined) return true;
-    return report.startedAtMs === previous.startedAtMs
-      ? report.sequence > previous.sequence
-      : report.startedAtMs > previous.startedAtMs;
+  /** Records the demand of a peer; returns false for an outdated report. */
+  function recordPeerDemand(report: RateReport<Id>, nowMs: number): boolean {
+    const {demands: reported, instanceId, sequence: reportSequence} = report;
+    const previous = peerDemands.get(instanceId);
+    const order =
+      previous === undefined
+        ? 1
+        : report.startedAtMs - previous.startedAtMs ||
+          reportSequence - previous.sequence;
+    if (order < 0) return false;
+    const current =
+      previous !== undefined && order === 0
+        ? previous
+        : {
+            startedAtMs: report.startedAtMs,
+            sequence: reportSequence,
+            receivedAtMs: nowMs,
+            perSByService: new Map<RateServiceHash, readonly number[]>(),
+          };
+    for (const {service, perS} of reported) {
+      current.perSByService.set(service, perS);
+    }
+    peerDemands.set(instanceId, current);
+    return true;
   }
 
   function removeOldDemands(nowMs: number): void {
@@ -232,9 +258,9 @@
     },
     receiveReport: (report, nowMs) => {
       const changes = new Map<ProcessHash, RateChange>();
-      if (report.instanceId === selfId || !isNewer(report)) return changes;
+      if (report.instanceId === selfId) return changes;
       removeOldDemands(nowMs);
-      peerDemands.set(report.instanceId, {report, receivedAtMs: nowMs});
+      if (!recordPeerDemand(report, nowMs)) return changes;
       for (const statement of report.statements) {
         const change = statements.adopt(statement, nowMs);
         if (change !== 'unchanged') changes.set(statement.process, change);
