gateway: keep the request rate that an upstream names

Upstreams that name in their responses how many requests a second they take from all instances together went on to get whatever traffic fell to them; callers got answers as before. Cause: the adapter did not read the header, and neither the choice of an upstream nor the exchange between instances knows of a rate.

Change: - The platform's dialect decodes the header once. Each head that belongs to a request is a statement; one without the request's id ends no limit. - UpstreamRateLimits keeps the limits by process of the upstream and counts each request that is sent: first attempts, retries, hedges and resumptions. What did not reach the upstream is taken back, and what was placed before the limit is withdrawn when its connection is established. - RequestPlacement leaves out upstreams that have no turn for the request's tier. A request waits for a turn within its target, the most urgent first (TurnsOfWaiting). Others are refused at once as not run, with a Retry-After that hands out one turn after the other (RetryTurns). - Instances tell peers what they were told, and their demand, in a datagram of its own (RateReportCodec).

Why it works: from the first statement on, the bucket of an instance starts empty and fills at a share that all compute alike from the same reports, so together they send the rate and a bounded burst, whatever way a request takes.

It now limits the upstream with the most requests, and prompts share nothing: with the same prompt for all requests one engine of three got none. Urgent callers at half of the rate beside ten times as many others: at least 80 % are served, which the test asks for.

--- a/packages/bench/src/placement/FleetSimulation.ts
+++ b/packages/bench/src/placement/FleetSimulation.ts
@@ -26,6 +26,7 @@
   decodeReport,
   encodeReport,
   shortIdOf,
+  unlimitedPlacement,
 } from '@toucanrouter/gateway';
 import type {EventLoop} from '../EventLoop.js';
 import {createEventLoop} from '../EventLoop.js';
@@ -171,6 +172,7 @@
       failureDomain: `domain-${index % scenario.failureDomains}`,
       registry: {usable: () => entries},
       upstreamNotices: {pauseRemainingMs: () => 0},
+      upstreamRates: unlimitedPlacement,
       reportSoon: schedule.reportSoon,
     };
     return variant({context, knowledge});
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -58,6 +58,7 @@
 import {createUpstreamKnowledge} from './upstreams/UpstreamKnowledge.js';
 import {probeUpstream} from './upstreams/UpstreamProbe.js';
 import {createUpstreamNotices} from './upstreams/UpstreamNotices.js';
+import {createUpstreamRateLimits} from './upstreams/UpstreamRateLimits.js';
 import {createUpstreamRegistry} from './upstreams/UpstreamRegistry.js';
 
 /** Options of a gateway. */
@@ -171,6 +172,7 @@
     leavingDelayMs: () => settings.leavingDelayMs,
     onAdded: entry => {
       upstreamNotices.upstreamAdded(entry);
+      upstreamRates.upstreamAdded(entry);
       logger.info(
         entry.leaving ? 'upstream is leaving' : 'upstream is usable',
         {
@@ -181,6 +183,7 @@
     },
     onRemoved: (entry, reason) => {
       knowledge.forget(entry.id);
+      upstreamRates.upstreamRemoved(entry);
       logger.info('upstream removed', {upstream: entry.id, reason});
     },
   });
@@ -224,6 +227,15 @@
     onRefused: (entry, asksForPause) =>
       metrics.observeRefusal(entry.service, asksForPause),
   });
+  const upstreamRates = createUpstreamRateLimits({
+    clock,
+    logger,
+    random: options.random,
+    selfId: settings.instanceId,
+    peerIds: peers.ids,
+    usable: registry.usable,
+    onNews: () => exchange.reportRatesSoon(),
+  });
   const exchange: LoadExchange = createLoadExchange({
     clock,
     logger,
@@ -234,6 +246,8 @@
     onReport: knowledge.receiveReport,
     takeQuarantine: promptGuard.takeReport,
     onQuarantine: promptGuard.receiveReport,
+    takeRates: upstreamRates.takeReport,
+    onRates: upstreamRates.receiveReport,
   });
   const registration = createRegistration({
     clock,
@@ -305,6 +319,7 @@
     responseBuffers: memory.responses,
     promptGuard,
     upstreamNotices,
+    upstreamRates,
     retryBudget: retryBudgetOf,
     isDraining: () => draining,
     onEnded,
@@ -333,6 +348,7 @@
         ...budget.status(clock.nowMs()),
       })),
     pausedCount: upstreamNotices.pausedCount,
+    rateLimits: upstreamRates.status,
     loopDelayMs: loopDelay.currentMs,
     recentLoopDelayMs: loopDelay.recentMaxMs,
     admittedShare: loadControl.admittedShare,
--- a/packages/gateway/src/__tests__/unit/GatewayMetrics.test.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayMetrics.test.ts
@@ -17,6 +17,7 @@
     quarantinedCount: zero,
     retryBudgets: () => [],
     pausedCount: () => 0,
+    rateLimits: () => [],
     loopDelayMs: zero,
     recentLoopDelayMs: zero,
     admittedShare: () => 1,
@@ -35,6 +36,34 @@
 }
 
 describe('GatewayMetrics', () => {
+  it('shows the request rates that upstreams limit', async () => {
+    // Guards against held back requests that no metric explains.
+    const metrics = createGatewayMetrics(
+      createSources({
+        rateLimits: () => [
+          {
+            service: 'a' as ServiceName,
+            limitedCount: 2,
+            limitPerS: 3.5,
+            sharePerS: 0.5,
+            sentCount: 7,
+            heldBackCounts: new Map([['waited', 4]]),
+          },
+        ],
+      }),
+    );
+    const text = await metrics.render();
+    for (const line of [
+      'toucanrouter_upstreams_rate_limited{service="a"} 2',
+      'toucanrouter_upstream_rate_limit{service="a"} 3.5',
+      'toucanrouter_upstream_rate_share{service="a"} 0.5',
+      'toucanrouter_rate_limited_requests_sent{service="a"} 7',
+      'toucanrouter_rate_limited_requests_held_back{service="a",outcome="waited"} 4',
+    ]) {
+      expect(text).to.include(line);
+    }
+  });
+
   it('shows the retry budget of each service', async () => {
     // Guards against a used-up budget that no metric shows.
     const metrics = createGatewayMetrics(
--- a/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
@@ -27,6 +27,7 @@
 import {createUpstreamConnections} from '../../upstreams/UpstreamConnections.js';
 import {createUpstreamKnowledge} from '../../upstreams/UpstreamKnowledge.js';
 import {createUpstreamNotices} from '../../upstreams/UpstreamNotices.js';
+import {createUpstreamRateLimits} from '../../upstreams/UpstreamRateLimits.js';
 import {createUpstreamRegistry} from '../../upstreams/UpstreamRegistry.js';
 import {createConfig, createEntry, createRoute} from './GatewayFixtures.js';
 import {testDialect} from './TestDialect.js';
@@ -48,10 +49,26 @@
   changes: Partial<GatewayContext> = {},
 ) {
   const clock = createSystemClock();
+  const random = createSeededRandom(1);
+  const logger = createLogger({
+    format: 'json',
+    level: 'error',
+    instanceId: toInstanceId('i'),
+    write: () => undefined,
+  });
+  const upstreamRates = createUpstreamRateLimits({
+    clock,
+    logger,
+    random,
+    selfId: toInstanceId('i'),
+    peerIds: () => [],
+    usable: service => registry.usable(service),
+    onNews: () => undefined,
+  });
   const registry = createUpstreamRegistry({
     clock,
-    onAdded: () => undefined,
-    onRemoved: () => undefined,
+    onAdded: entry => upstreamRates.upstreamAdded(entry),
+    onRemoved: entry => upstreamRates.upstreamRemoved(entry),
     leavingDelayMs: () => 2_000,
   });
   for (const [index, upstream] of upstreams.entries()) {
@@ -65,13 +82,6 @@
   configAge.confirmed(configAge.mark());
   const connections = createUpstreamConnections(clock);
   const ended: EndedRequest[] = [];
-  const logger = createLogger({
-    format: 'json',
-    level: 'error',
-    instanceId: toInstanceId('i'),
-    write: () => undefined,
-  });
-  const random = createSeededRandom(1);
   const context: GatewayContext = {
     clock,
     logger,
@@ -114,6 +124,7 @@
       onLeaving: entry => registry.markLeaving(entry),
       onRefused: () => undefined,
     }),
+    upstreamRates,
     retryBudget: () => createRetryBudget(),
     isDraining: () => false,
     onEnded: request => ended.push(request),
@@ -127,6 +138,7 @@
     ended,
     registry,
     upstreamNotices: context.upstreamNotices,
+    upstreamRates: context.upstreamRates,
     knowledge: context.knowledge,
     inProgress: gateway.inProgress,
     close: async () => {
--- a/packages/gateway/src/__tests__/unit/LimitedRequestRates.test.ts
+++ b/packages/gateway/src/__tests__/unit/LimitedRequestRates.test.ts
@@ -38,7 +38,7 @@
 
 interface LimitedLoad {
   readonly upstreamCount: number;
-  /** Upstreams, from the first one on, that name the limit. */
+  /** Upstreams that name the limit: those with the most requests before. */
   readonly limitedCount: number;
   readonly limitPerS: number;
   readonly perS: number;
@@ -60,7 +60,9 @@
   const route = servesModels ? streamRoute : plainRoute;
   const fleet = await start({upstreams, servesModels, routes: [route, route]});
   await fleet.load(perS, unlimitedMs);
-  const limited = upstreams.slice(0, limitedCount);
+  const limited = upstreams
+    .toSorted((a, b) => b.arrivalsMs.length - a.arrivalsMs.length)
+    .slice(0, limitedCount);
   for (const upstream of limited) upstream.limit(String(limitPerS));
   await fleet.load(perS, limitedMs);
   const endMs = clock.nowMs();
@@ -112,4 +114,26 @@
       perS: 30,
       servesModels: false,
     }));
+
+  // Guards against turns that go to whoever asks most.
+  it('gives the rate to the most urgent requests first', async () => {
+    const upstreams = [createRatedUpstream(), createRatedUpstream()];
+    const routes = [plainRoute, plainRoute];
+    const fleet = await start({upstreams, servesModels: false, routes});
+    for (const upstream of upstreams) upstream.limit('3');
+    await Promise.all([
+      fleet.load(3, limitedMs, [0]),
+      fleet.load(30, limitedMs, [1]),
+    ]);
+    const fromMs = Math.max(...upstreams.map(countedFromMs));
+    const counted = (await fleet.responses()).filter(
+      ({sentMs}) => sentMs >= fromMs,
+    );
+    const servedShare = (tier: number) => {
+      const all = counted.filter(response => response.tier === tier);
+      return all.filter(({status}) => status === 200).length / all.length;
+    };
+    expect(servedShare(0)).to.be.at.least(0.8);
+    expect(servedShare(1)).to.be.within(0.01, 0.3);
+  });
 });
--- a/packages/gateway/src/__tests__/unit/LoadExchange.test.ts
+++ b/packages/gateway/src/__tests__/unit/LoadExchange.test.ts
@@ -7,12 +7,15 @@
   toInstanceId,
 } from '@toucanrouter/common';
 import {createLogger} from '@toucanrouter/logging';
-import type {QuarantineReport} from '@toucanrouter/policy';
+import type {QuarantineReport, RateReport} from '@toucanrouter/policy';
 import {segmentHashOf} from '@toucanrouter/policy';
 import {expect} from 'chai';
 import {createLoadExchange} from '../../peers/LoadExchange.js';
 import {createPeerDirectory} from '../../peers/PeerDirectory.js';
 import {encodeQuarantineReport} from '../../peers/QuarantineCodec.js';
+import {encodeRateReport} from '../../peers/RateReportCodec.js';
+import type {ShortId} from '../../peers/ShortIds.js';
+import {shortIdOf} from '../../peers/ShortIds.js';
 
 const host = '127.0.0.1';
 const deliveryMs = 50;
@@ -40,6 +43,7 @@
     address: {host, port: peer.address().port},
   });
   const received: QuarantineReport[] = [];
+  const receivedRates: RateReport<ShortId>[] = [];
   const exchange = createLoadExchange({
     clock: createManualClock(),
     logger: createLogger({
@@ -57,9 +61,11 @@
     onReport: () => undefined,
     takeQuarantine: () => undefined,
     onQuarantine: report => received.push(report),
+    takeRates: () => undefined,
+    onRates: report => receivedRates.push(report),
   });
   exchange.start();
-  return {exchange, peer, port, received};
+  return {exchange, peer, port, received, receivedRates};
 }
 
 const report: QuarantineReport = {
@@ -93,4 +99,38 @@
     stranger.close();
     peer.close();
   });
+
+  // Guards against forged limits, and against parts of reports that are lost.
+  it('accepts reports on request rates only from the addresses of peers', async () => {
+    const {exchange, peer, port, receivedRates} = await startExchange();
+    const stranger = await bindSocket();
+    const clock = createSystemClock();
+    const rateReport: RateReport<ShortId> = {
+      instanceId: shortIdOf('peer'),
+      startedAtMs: 1,
+      sequence: 2,
+      statements: [],
+      demands: Array.from({length: 200}, (_, service) => ({
+        service,
+        perS: [1, 2],
+      })),
+    };
+    const datagrams = encodeRateReport(rateReport);
+    expect(datagrams.length).to.be.above(1);
+    for (const datagram of datagrams) stranger.send(datagram, port, host);
+    await delay(clock, deliveryMs);
+    expect(receivedRates).to.have.length(0);
+    for (const datagram of datagrams) {
+      peer.send(datagram.subarray(0, -1), port, host);
+      peer.send(datagram, port, host);
+    }
+    await delay(clock, deliveryMs);
+    expect(receivedRates).to.have.length(datagrams.length);
+    expect(receivedRates.flatMap(({demands}) => demands)).to.deep.equal(
+      rateReport.demands,
+    );
+    exchange.close();
+    stranger.close();
+    peer.close();
+  });
 });
--- a/packages/gateway/src/__tests__/unit/RateLimitFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/RateLimitFixtures.ts
@@ -82,15 +82,21 @@
   };
 }
 
-const prompt: Prompt = {
-  segments: [{id: 'own', tokens: 200}],
-  promptTokens: 200,
-  maxOutputTokens: 20,
-};
+/** Creates a prompt that shares nothing with others. */
+function createOwnPrompt(requestId: string): Prompt {
+  return {
+    segments: [{id: requestId, tokens: 200}],
+    promptTokens: 200,
+    maxOutputTokens: 20,
+  };
+}
 
 const promptDialect: Dialect = {
   ...testDialect,
-  readRequest: message => ({...testDialect.readRequest(message), prompt}),
+  readRequest: message => {
+    const request = testDialect.readRequest(message);
+    return {...request, prompt: createOwnPrompt(request.requestId)};
+  },
 };
 
 /** Options of {@link startRatedFleet}. */
@@ -192,15 +198,19 @@
     logLines,
     metricsPorts: settings.map(({metrics}) => metrics.port),
     /** Sends `perS` requests a second, spread over instances and tiers. */
-    load: async (perS: number, durationMs: number) => {
+    load: async (
+      perS: number,
+      durationMs: number,
+      tiers: readonly number[] = routes.map((_, tier) => tier),
+    ) => {
       const startMs = clock.nowMs();
       for (let count = 0; ; count += 1) {
         const dueMs = (count * msPerSecond) / perS;
         if (dueMs >= durationMs) break;
         const waitMs = startMs + dueMs - clock.nowMs();
         if (waitMs > 0) await delay(clock, waitMs);
-        const tier = Math.floor(count / instanceCount) % routes.length;
-        void send(count % instanceCount, tier);
+        const round = Math.floor(count / instanceCount);
+        void send(count % instanceCount, tiers[round % tiers.length] ?? 0);
       }
     },
     responses: () => Promise.all(responses),
--- a/packages/gateway/src/__tests__/unit/RetryDecision.test.ts
+++ b/packages/gateway/src/__tests__/unit/RetryDecision.test.ts
@@ -1,3 +1,4 @@
+import {unlimitedRate} from '@toucanrouter/common';
 import {createSeededRandom} from '@toucanrouter/common';
 import {expect} from 'chai';
 import type {AttemptResult} from '../../request/Attempt.js';
@@ -42,6 +43,7 @@
     contentEncoded: false,
     leaving: false,
     retryAfter: {delayMs: undefined, problem: undefined},
+    requestRate: unlimitedRate,
     headers: [],
   };
   const body = Buffer.alloc(0);
--- a/packages/gateway/src/__tests__/unit/TestDialect.ts
+++ b/packages/gateway/src/__tests__/unit/TestDialect.ts
@@ -1,4 +1,4 @@
-import {readRetryAfter} from '@toucanrouter/common';
+import {readRequestRate, readRetryAfter} from '@toucanrouter/common';
 import type {Dialect} from '../../request/Dialect.js';
 
 const passedOnHeaders = ['mark', 'content-length', 'content-type'];
@@ -33,6 +33,7 @@
       (headers['content-type'] ?? 'text/event-stream') === 'text/event-stream',
     leaving: headers['leaving'] !== undefined,
     retryAfter: readRetryAfter(headers['retry-after']),
+    requestRate: readRequestRate(headers['rate-limit']),
     contentEncoded: false,
     headers: passedOnHeaders.flatMap(name =>
       headers[name] === undefined ? [] : [name, String(headers[name])],
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -43,5 +43,6 @@
 export {parsePromptSegments} from './upstreams/Prompt.js';
 export type {Choice} from './upstreams/UpstreamChoice.js';
 export type {UpstreamEntry} from './upstreams/UpstreamEntry.js';
+export {unlimitedPlacement} from './upstreams/UpstreamRateLimits.js';
 export type {UpstreamKnowledge} from './upstreams/UpstreamKnowledge.js';
 export {createUpstreamKnowledge} from './upstreams/UpstreamKnowledge.js';
--- a/packages/gateway/src/peers/LoadExchange.ts
+++ b/packages/gateway/src/peers/LoadExchange.ts
@@ -1,12 +1,13 @@
 /**
- * Exchanges load reports and quarantine reports with peers over UDP.
+ * Exchanges reports with peers over UDP: of the load, of the quarantine and of the
+ * request rates of upstreams.
  */
 import type {RemoteInfo, Socket} from 'node:dgram';
 import {createSocket} from 'node:dgram';
 import type {Clock, InstanceId, ListenError} from '@toucanrouter/common';
 import {createListener} from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
-import type {QuarantineReport} from '@toucanrouter/policy';
+import type {QuarantineReport, RateReport} from '@toucanrouter/policy';
 import type {ListenAddress} from '@toucanrouter/settings';
 import {decodeReport, encodeReport} from './LoadReportCodec.js';
 import type {LoadReport, ReportedWork} from './LoadReports.js';
@@ -16,8 +17,14 @@
   encodeQuarantineReport,
   isQuarantineReport,
 } from './QuarantineCodec.js';
+import {
+  decodeRateReport,
+  encodeRateReport,
+  isRateReport,
+} from './RateReportCodec.js';
 import type {ReportSchedule} from './ReportSchedule.js';
 import {createReportSchedule} from './ReportSchedule.js';
+import type {ShortId} from './ShortIds.js';
 import {shortIdOf} from './ShortIds.js';
 
 /** Options of an exchange. */
@@ -35,6 +42,10 @@
   readonly takeQuarantine: () => QuarantineReport | undefined;
   /** Receives the quarantine reports of peers. */
   readonly onQuarantine: (report: QuarantineReport) => void;
+  /** Returns what peers should know of request rates, if anything. */
+  readonly takeRates: () => RateReport<ShortId> | undefined;
+  /** Receives the reports of peers on request rates. */
+  readonly onRates: (report: RateReport<ShortId>) => void;
 }
 
 /** A running exchange. */
@@ -44,6 +55,8 @@
   reportSoon(): void;
   /** The same for a quarantine report. */
   reportQuarantineSoon(): void;
+  /** The same for a report on request rates. */
+  reportRatesSoon(): void;
   close(): void;
 }
 
@@ -97,6 +110,12 @@
     encodeQuarantineReport(report).forEach(sendToPeers);
   }
 
+  function sendRates(): void {
+    const report = options.takeRates();
+    if (report === undefined) return;
+    encodeRateReport(report).forEach(sendToPeers);
+  }
+
   function logSendError(error: Error | null): void {
     const failed = error !== null;
     if (failed && !sendFailed) {
@@ -117,17 +136,34 @@
     peerCount: () => peers.addresses().length,
     send: sendQuarantine,
   });
+  const rateSchedule: ReportSchedule = createReportSchedule({
+    clock,
+    peerCount: () => peers.addresses().length,
+    send: sendRates,
+  });
 
-  function receiveQuarantine(datagram: Buffer, sender: RemoteInfo): void {
-    // A forged verdict would block sound requests.
-    if (!peers.isPeerAddress({host: sender.address, port: sender.port})) return;
+  /** A forged verdict, or a forged rate, would block sound requests. */
+  function isFromPeer({address, port}: RemoteInfo): boolean {
+    return peers.isPeerAddress({host: address, port});
+  }
+
+  function receiveQuarantine(datagram: Buffer): void {
     const report = decodeQuarantineReport(datagram);
     if (report !== undefined) options.onQuarantine(report);
   }
 
+  function receiveRates(datagram: Buffer): void {
+    const report = decodeRateReport(datagram);
+    if (report !== undefined) options.onRates(report);
+  }
+
   socket.on('message', (datagram, sender) => {
     if (isQuarantineReport(datagram)) {
-      receiveQuarantine(datagram, sender);
+      if (isFromPeer(sender)) receiveQuarantine(datagram);
+      return;
+    }
+    if (isRateReport(datagram)) {
+      if (isFromPeer(sender)) receiveRates(datagram);
       return;
     }
     const report = decodeReport(datagram);
@@ -149,12 +185,15 @@
       void listener.open();
       schedule.start();
       quarantineSchedule.start();
+      rateSchedule.start();
     },
     reportSoon: schedule.reportSoon,
     reportQuarantineSoon: quarantineSchedule.reportSoon,
+    reportRatesSoon: rateSchedule.reportSoon,
     close: () => {
       schedule.close();
       quarantineSchedule.close();
+      rateSchedule.close();
       listener.close();
       socket.close();
     },
--- a/packages/gateway/src/peers/PeerDirectory.ts
+++ b/packages/gateway/src/peers/PeerDirectory.ts
@@ -17,6 +17,8 @@
   putDomain(instanceId: InstanceId, failureDomain: string | undefined): void;
   remove(instanceId: InstanceId): void;
   addresses(): readonly ListenAddress[];
+  /** The registered peers, also those that are silent. */
+  ids(): readonly InstanceId[];
   /** Returns whether a peer is registered with this address. */
   isPeerAddress(address: ListenAddress): boolean;
   /** Returns the peers of a failure domain. */
@@ -52,6 +54,7 @@
       refresh();
     },
     addresses: () => addresses,
+    ids: () => [...entries.keys()],
     isPeerAddress: address => addressTexts.has(toText(address)),
     inDomain: failureDomain =>
       [...entries].flatMap(([instanceId, address]) =>
--- a/packages/gateway/src/request/Attempt.ts
+++ b/packages/gateway/src/request/Attempt.ts
@@ -107,8 +107,11 @@
   readonly stallLimits: StallLimits;
   /** Returns why the request must not be sent any more, or undefined. */
   readonly withdrawalReason: () => string | undefined;
-  /** Called with the head of a response that belongs to the request. */
-  readonly onResponseHead: (head: UpstreamResponse) => void;
+  /**
+   * Called with the head of a response that belongs to the request, and the time
+   * at which the request was sent.
+   */
+  readonly onResponseHead: (head: UpstreamResponse, sentAtMs: number) => void;
   /** Called when a sent request makes no progress, and again while it lasts. */
   readonly onStalled: (lastEventId: string | undefined) => void;
   /** Called with the time to the first event, or to a plain response. */
@@ -142,6 +145,7 @@
   let response: UpstreamResponse | undefined;
   let streaming = false;
   let sent = false;
+  let sentAtMs = startedAtMs;
   let withdrawn = false;
   let firstResponseRecorded = false;
   let finished = false;
@@ -296,10 +300,13 @@
       },
       sent: () => {
         sent = true;
+        sentAtMs = clock.nowMs();
       },
       started: (status, headers, rawHeaders, isReused) => {
         const head = dialect.readResponse(status, headers, rawHeaders);
-        if (isFromRequest(head, isReused)) options.onResponseHead(head);
+        if (isFromRequest(head, isReused)) {
+          options.onResponseHead(head, sentAtMs);
+        }
         const invalid = invalidReason(head, isReused);
         if (invalid !== undefined) {
           abort({kind: 'broken', reason: invalid}, invalid);
--- a/packages/gateway/src/request/Dialect.ts
+++ b/packages/gateway/src/request/Dialect.ts
@@ -3,7 +3,12 @@
  * header names; an adapter translates them.
  */
 import type {IncomingMessage} from 'node:http';
-import type {RetryAfter, UpstreamId, WorkspaceId} from '@toucanrouter/common';
+import type {
+  RequestRate,
+  RetryAfter,
+  UpstreamId,
+  WorkspaceId,
+} from '@toucanrouter/common';
 import type {Prompt} from '../upstreams/Prompt.js';
 
 /** A caller's request without its body. */
@@ -52,6 +57,8 @@
   readonly leaving: boolean;
   /** For how long an upstream that rejects the request wants no other one. */
   readonly retryAfter: RetryAfter;
+  /** The rate to which the upstream limits all instances together. */
+  readonly requestRate: RequestRate;
   /** True when the body has a content encoding. */
   readonly contentEncoded: boolean;
   /** Headers to pass on, as alternating names and values. */
--- a/packages/gateway/src/request/GatewayContext.ts
+++ b/packages/gateway/src/request/GatewayContext.ts
@@ -15,6 +15,7 @@
 import type {UpstreamConnections} from '../upstreams/UpstreamConnections.js';
 import type {UpstreamKnowledge} from '../upstreams/UpstreamKnowledge.js';
 import type {UpstreamNotices} from '../upstreams/UpstreamNotices.js';
+import type {UpstreamRateLimits} from '../upstreams/UpstreamRateLimits.js';
 import type {UpstreamRegistry} from '../upstreams/UpstreamRegistry.js';
 import type {Dialect} from './Dialect.js';
 import type {EndedRequest} from './EndedRequest.js';
@@ -56,6 +57,7 @@
   readonly responseBuffers: BufferBudget;
   readonly promptGuard: PromptGuard;
   readonly upstreamNotices: UpstreamNotices;
+  readonly upstreamRates: UpstreamRateLimits;
   readonly retryBudget: (service: ServiceName) => RetryBudget;
   /** True once the instance accepts no new requests. */
   readonly isDraining: () => boolean;
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -33,7 +33,7 @@
 import type {OpenRequest, RequestStage} from './OpenRequest.js';
 import type {BlockedPrompt} from './PromptGuard.js';
 import type {RequestProgress} from './RetryDecision.js';
-import type {RequestPlacement} from './RequestPlacement.js';
+import type {RequestPlacement, SendDelay} from './RequestPlacement.js';
 import {createRequestPlacement} from './RequestPlacement.js';
 import {nextStep, stepWithoutRetry} from './RetryDecision.js';
 import {upstreamPriority} from './UpstreamPriority.js';
@@ -64,6 +64,8 @@
  * target latencies.
  */
 const pauseSpreadTargets = 0.2;
+/** A request that waits for its turn looks again after this time at the latest. */
+const maxTurnStepMs = 100;
 
 /** Serves a request from its head to the end of its response. */
 export async function serveRequest(
@@ -197,6 +199,7 @@
     cancelTimeout();
     endWait();
     returnReservation?.close();
+    currentPlacement?.leaveWaiting();
     callerBody?.close();
     context.onEnded({
       requestId: request.requestId,
@@ -239,10 +242,10 @@
     if (!notRun || admittedRequest === undefined) return fail(kind, reason);
     const {tier, route} = admittedRequest;
     const options = {tier, targetLatencyMs: route.targetLatencyMs, random};
-    const pauseMs = currentPlacement?.pauseRemainingMs(() => true) ?? 0;
+    const sendDelay = currentPlacement?.sendDelay(() => true);
     const delayMs =
-      pauseMs > 0
-        ? pausedRetryDelayMs(pauseMs, options)
+      currentPlacement !== undefined && sendDelay !== undefined
+        ? pausedRetryDelayMs(currentPlacement.returnDelayMs(sendDelay), options)
         : retryDelayMs({
             ...options,
             backlogMs,
@@ -341,29 +344,29 @@
     return Math.min(beginMs, deadlineMs) - placement.unqueuedResponseMs();
   }
 
-  /** Time in which all upstreams that the request may use pause. */
-  function pauseAheadMs(
-    admitted: AdmittedRequest,
-    placement: RequestPlacement,
-  ): number {
-    const returnable = upstreamUse.returnable();
-    const pauseMs = placement.pauseRemainingMs(
-      id => isUnused(admitted, id) || returnable.includes(id),
-    );
-    return pauseMs ?? 0;
+  /** True for an upstream that the next attempt may use. */
+  function mayUseNext(admitted: AdmittedRequest, id: UpstreamId): boolean {
+    return isUnused(admitted, id) || upstreamUse.returnable().includes(id);
   }
 
-  /** Waits for the end of a pause; returns false at once if that is too late. */
-  async function waitForPause(
+  /**
+   * Waits until an upstream takes the request again, or for a part of that time.
+   * Returns false at once if that is too late.
+   */
+  async function waitToSend(
     admitted: AdmittedRequest,
     placement: RequestPlacement,
-    pauseMs: number,
+    {cause, delayMs}: SendDelay,
   ): Promise<boolean> {
     const slackMs =
-      latestStartMs(admitted, placement) - clock.nowMs() - pauseMs;
+      latestStartMs(admitted, placement) - clock.nowMs() - delayMs;
     if (slackMs < 0) return false;
     const spreadMs = admitted.route.targetLatencyMs * pauseSpreadTargets;
-    const waitMs = pauseMs + random.next() * Math.min(slackMs, spreadMs);
+    let waitMs = delayMs + random.next() * Math.min(slackMs, spreadMs);
+    if (cause === 'rate_limit') {
+      placement.joinWaiting(id => mayUseNext(admitted, id));
+      waitMs = Math.min(delayMs, maxTurnStepMs);
+    }
     await new Promise<void>(resolve => {
       const cancel = clock.after(waitMs, resolve);
       endWait = () => {
@@ -376,10 +379,11 @@
 
   function refuseWithoutUpstream(placement: RequestPlacement): void {
     const kind = progress.mayHaveRun ? 'upstream_failed' : 'no_upstream';
-    const pauses = (placement.pauseRemainingMs(() => true) ?? 0) > 0;
-    const reason = pauses
-      ? `all upstreams of service ${placement.service} pause`
-      : `no other upstream available for service ${placement.service}`;
+    const reason = {
+      none: `no other upstream available for service ${placement.service}`,
+      pause: `all upstreams of service ${placement.service} pause`,
+      rate_limit: `no turn at the upstreams of service ${placement.service}, which limit their request rate`,
+    }[placement.sendDelay(() => true)?.cause ?? 'none'];
     if (callerResponse.started) abortResponse(kind, reason);
     else refuse(kind, reason);
   }
@@ -483,6 +487,7 @@
     stalledUpstreams.delete(entry.id);
     lastChoice = choice;
     const guardedAttempt = guarded.startAttempt(entry);
+    const sending = context.upstreamRates.startSending(entry, admitted.tier);
     sentAtMs.set(entry.id, clock.nowMs());
     const recordEnd = placement.recordSent(choice);
     const attempt = startAttempt({
@@ -515,9 +520,10 @@
       withdrawalReason: () =>
         context.upstreamNotices.pauseRemainingMs(entry) > 0
           ? 'the upstream asked for a pause'
-          : undefined,
-      onResponseHead: head => {
-        const {upstreamNotices} = context;
+          : sending.withdrawalReason(),
+      onResponseHead: (head, requestSentAtMs) => {
+        const {upstreamNotices, upstreamRates} = context;
+        upstreamRates.receive(entry, request.requestId, head, requestSentAtMs);
         if (upstreamNotices.receive(entry, request.requestId, head)) {
           pausingUpstreams.add(entry.id);
         }
@@ -557,6 +563,7 @@
     });
     void attempt.result.then(result => {
       recordEnd();
+      if (isUnreceived(result) || !attempt.wasSent()) sending.notReceived();
       if (!attempt.wasCanceled()) guardedAttempt.ended(result);
     });
     return attempt;
@@ -702,11 +709,12 @@
     });
     currentPlacement = placed;
     context.retryBudget(service).recordRequest(clock.nowMs());
+    context.upstreamRates.recordDemand(service, tier);
     while (!recorded && !callerDisconnected) {
-      const pauseMs = pauseAheadMs(admitted, placed);
-      if (pauseMs > 0) {
+      const sendDelay = placed.sendDelay(id => mayUseNext(admitted, id));
+      if (sendDelay !== undefined) {
         // The request, the quarantine and the upstreams may change meanwhile.
-        if (await waitForPause(admitted, placed, pauseMs)) continue;
+        if (await waitToSend(admitted, placed, sendDelay)) continue;
         return refuseWithoutUpstream(placed);
       }
       const blocked = guarded.tryPass();
@@ -715,6 +723,7 @@
       if (choice === undefined) {
         return refuseWithoutUpstream(placed);
       }
+      placed.leaveWaiting();
       lastChoice = choice;
       if (upstreams.length === 0) placed.recordOffered(choice);
       const overloadReason =
--- a/packages/gateway/src/request/RequestPlacement.ts
+++ b/packages/gateway/src/request/RequestPlacement.ts
@@ -7,11 +7,14 @@
 import {refusalReason} from '../upstreams/EngineAdmission.js';
 import {placementPrefixId} from '../upstreams/PrefixAffinity.js';
 import type {Prompt} from '../upstreams/Prompt.js';
+import type {WaitingPlace} from '../upstreams/TurnsOfWaiting.js';
 import type {Choice} from '../upstreams/UpstreamChoice.js';
 import {
   chooseUpstream,
   hasFleetWidePrefix,
 } from '../upstreams/UpstreamChoice.js';
+import type {UpstreamEntry} from '../upstreams/UpstreamEntry.js';
+import type {PlacementRates} from '../upstreams/UpstreamRateLimits.js';
 import type {GatewayContext} from './GatewayContext.js';
 
 /** The parts of the context that a placement depends on. */
@@ -23,9 +26,16 @@
     GatewayContext['upstreamNotices'],
     'pauseRemainingMs'
   >;
+  readonly upstreamRates: PlacementRates;
   readonly registry: Pick<GatewayContext['registry'], 'usable'>;
 };
 
+/** Time until a request may be sent, and why not now. */
+export interface SendDelay {
+  readonly delayMs: number;
+  readonly cause: 'pause' | 'rate_limit';
+}
+
 /** The properties of an admitted request that its placement depends on. */
 export interface PlacedRequest {
   readonly prompt: Prompt | undefined;
@@ -45,10 +55,16 @@
   /** Returns the best upstream that may be used, or undefined without one. */
   choose(mayUse: (id: UpstreamId) => boolean): Choice | undefined;
   /**
-   * Time until the first of the upstreams that may be used accepts requests; 0
-   * if one does not pause, and undefined without any.
+   * Time until the first of the upstreams that may be used takes the request;
+   * undefined if one takes it now, and without any.
    */
-  pauseRemainingMs(mayUse: (id: UpstreamId) => boolean): number | undefined;
+  sendDelay(mayUse: (id: UpstreamId) => boolean): SendDelay | undefined;
+  /** Keeps the request's turn among those that wait for limited upstreams. */
+  joinWaiting(mayUse: (id: UpstreamId) => boolean): void;
+  /** Ends the wait, if there is one. */
+  leaveWaiting(): void;
+  /** Time after which a caller that `delay` kept from being served may return. */
+  returnDelayMs(delay: SendDelay): number;
   /** Estimated time to the first response on an upstream without other work. */
   unqueuedResponseMs(): number;
   /** Returns why the request is shed, or undefined if it is admitted. */
@@ -83,6 +99,23 @@
   }
 
   const {pauseRemainingMs} = context.upstreamNotices;
+  const {upstreamRates} = context;
+  let place: WaitingPlace | undefined;
+
+  const rateDelayMs = (entry: UpstreamEntry) =>
+    upstreamRates.waitMs(entry, request.tier, place);
+
+  function usableEntries(mayUse: (id: UpstreamId) => boolean) {
+    return context.registry.usable(service).filter(({id}) => mayUse(id));
+  }
+
+  function delayAt(entry: UpstreamEntry): SendDelay {
+    const pauseMs = pauseRemainingMs(entry);
+    const rateMs = rateDelayMs(entry);
+    return rateMs > pauseMs
+      ? {delayMs: rateMs, cause: 'rate_limit'}
+      : {delayMs: pauseMs, cause: 'pause'};
+  }
 
   function recordPrefix(sentPrompt: Prompt, upstream: UpstreamId): void {
     const prefixId = placementPrefixId(sentPrompt);
@@ -95,9 +128,13 @@
   return {
     service,
     choose: mayUse => {
-      const entries = context.registry
-        .usable(service)
-        .filter(entry => mayUse(entry.id) && pauseRemainingMs(entry) === 0);
+      const unpaused = usableEntries(mayUse).filter(
+        entry => pauseRemainingMs(entry) === 0,
+      );
+      const entries = unpaused.filter(entry => rateDelayMs(entry) === 0);
+      if (entries.length > 0 && entries.length < unpaused.length) {
+        upstreamRates.recordHeldBack(service, 'placed_elsewhere');
+      }
       const candidates = entries.map(entry => ({
         entry,
         health: knowledge.healthOf(entry),
@@ -120,12 +157,32 @@
         clock.nowMs(),
       );
     },
-    pauseRemainingMs: mayUse => {
-      const remainingMs = context.registry
-        .usable(service)
-        .filter(({id}) => mayUse(id))
+    sendDelay: mayUse => {
+      const [first, ...others] = usableEntries(mayUse).map(delayAt);
+      if (first === undefined) return undefined;
+      const shortest = others.reduce(
+        (least, delay) => (delay.delayMs < least.delayMs ? delay : least),
+        first,
+      );
+      return shortest.delayMs > 0 ? shortest : undefined;
+    },
+    joinWaiting: mayUse => {
+      if (place !== undefined) return;
+      place = upstreamRates.joinWaiting({service, tier: request.tier, mayUse});
+      upstreamRates.recordHeldBack(service, 'waited');
+    },
+    leaveWaiting: () => {
+      place?.close();
+      place = undefined;
+    },
+    returnDelayMs: ({cause, delayMs}) => {
+      if (cause === 'pause') return delayMs;
+      upstreamRates.recordHeldBack(service, 'refused');
+      const pausesMs = usableEntries(() => true)
+        .filter(entry => !upstreamRates.isLimited(entry))
         .map(pauseRemainingMs);
-      return remainingMs.length > 0 ? Math.min(...remainingMs) : undefined;
+      const turnMs = upstreamRates.retryTurnMs(service, request.tier);
+      return Math.min(turnMs, ...pausesMs);
     },
     unqueuedResponseMs: () =>
       engineModel.firstEventMs(prompt?.promptTokens ?? 0),
--- a/packages/gateway/src/server/GatewayMetrics.ts
+++ b/packages/gateway/src/server/GatewayMetrics.ts
@@ -12,6 +12,7 @@
 import type {RequestStage} from '../request/OpenRequest.js';
 import type {EndedRequest} from '../request/EndedRequest.js';
 import type {OpenRequestStatus} from '../request/OpenRequestLimit.js';
+import type {ServiceRateStatus} from '../upstreams/UpstreamRateLimits.js';
 
 /** Sources of the values that are read when metrics are collected. */
 export interface GatewayMetricSources {
@@ -27,6 +28,8 @@
   readonly retryBudgets: () => readonly ServiceRetryBudget[];
   /** Upstreams that pause now. */
   readonly pausedCount: () => number;
+  /** Services whose upstreams limit or limited their request rate. */
+  readonly rateLimits: () => readonly ServiceRateStatus[];
   /** Delay of the event loop: now, and the longest of the recent past. */
   readonly loopDelayMs: () => number;
   readonly recentLoopDelayMs: () => number;
@@ -93,6 +96,34 @@
   ],
 ];
 
+/** Name, help and value of what is shown of each service's request rates. */
+const rateLimitGauges: readonly (readonly [
+  string,
+  string,
+  (status: ServiceRateStatus) => number,
+])[] = [
+  [
+    'toucanrouter_upstreams_rate_limited',
+    'Upstreams that limit the request rate of all instances together, by service',
+    status => status.limitedCount,
+  ],
+  [
+    'toucanrouter_upstream_rate_limit',
+    'Requests a second that limited upstreams take from all instances, by service',
+    status => status.limitPerS,
+  ],
+  [
+    'toucanrouter_upstream_rate_share',
+    'Requests a second of that limit that this instance may send, by service',
+    status => status.sharePerS,
+  ],
+  [
+    'toucanrouter_rate_limited_requests_sent',
+    'Requests sent to limited upstreams since the start, by service',
+    status => status.sentCount,
+  ],
+];
+
 /** Creates the metrics of a gateway. */
 export function createGatewayMetrics(
   sources: GatewayMetricSources,
@@ -179,6 +210,34 @@
     'Prompt segments whose requests are refused now',
     sources.quarantinedCount,
   );
+  for (const [name, help, read] of rateLimitGauges) {
+    new Gauge({
+      name,
+      help,
+      labelNames: ['service'],
+      registers,
+      collect() {
+        this.reset();
+        for (const status of sources.rateLimits()) {
+          this.set({service: status.service}, read(status));
+        }
+      },
+    });
+  }
+  new Gauge({
+    name: 'toucanrouter_rate_limited_requests_held_back',
+    help: 'Requests for which a limited upstream had no turn since the start, by service and what became of them',
+    labelNames: ['service', 'outcome'],
+    registers,
+    collect() {
+      this.reset();
+      for (const {heldBackCounts, service} of sources.rateLimits()) {
+        for (const [outcome, count] of heldBackCounts) {
+          this.set({service, outcome}, count);
+        }
+      }
+    },
+  });
   for (const [name, help, read] of retryBudgetGauges) {
     new Gauge({
       name,
