policy: let ended rate limits be forgotten by all instances

The end of a limit was removed only when another statement came, so an instance with no further one went on to report it. Removed, it came back with the next report of a peer, as an end noticed just then, and traffic was held back for four seconds more. An end that was never in force here now counts from when the upstream named it, and a report removes what is old first. A changed limit takes effect at once; the share before it was used for up to 100 ms.

--- a/packages/policy/src/__tests__/unit/RateStatements.test.ts
+++ b/packages/policy/src/__tests__/unit/RateStatements.test.ts
@@ -48,6 +48,22 @@
     expect(statements.rateOf(engine, 4_020)).to.equal(undefined);
   });
 
+  // Guards against reports that go on, and peers that hold back traffic again,
+  // long after the end.
+  it('forgets an end after some time, whatever peers still report', () => {
+    const statements = createRateStatements();
+    statements.state(engine, 2, 0);
+    statements.stateNone(engine, 10, 20);
+    const ended = statements.received(29_000);
+    expect(ended).to.have.length(1);
+    expect(statements.received(31_000)).to.have.length(0);
+    for (const statement of ended) {
+      expect(statements.adopt(statement, 31_000)).to.equal('unchanged');
+    }
+    expect(statements.rateOf(engine, 31_000)).to.equal(undefined);
+    expect(statements.received(31_000)).to.have.length(0);
+  });
+
   it('lets requests through that show the end of a limit of none', () => {
     const statements = createRateStatements();
     statements.state(engine, 0, 0);
--- a/packages/policy/src/__tests__/unit/UpstreamRates.test.ts
+++ b/packages/policy/src/__tests__/unit/UpstreamRates.test.ts
@@ -162,6 +162,14 @@
     }
   });
 
+  // Guards against a share of the limit before for some time after a change.
+  it('follows a changed limit at once', () => {
+    const rates = createLimitedRates();
+    expect(rates.sharePerS(upstream, 0)).to.be.within(4, 6);
+    rates.receive(process, readRequestRate('2'), 0, 1);
+    expect(rates.sharePerS(upstream, 1)).to.be.within(0.8, 1.2);
+  });
+
   // Guards against reports that arrive late and replace newer ones.
   it('ignores parts of earlier reports', () => {
     const rates = createLimitedRates();
--- a/packages/policy/src/rates/RateStatements.ts
+++ b/packages/policy/src/rates/RateStatements.ts
@@ -99,11 +99,11 @@
   const own = new Map<ProcessHash, RateRecord>();
 
   function removeEnded(nowMs: number): void {
-    for (const records of [known, own]) {
-      for (const [process, record] of records) {
-        const isOld = record.endNoticedAtMs + endedRecordMs <= nowMs;
-        if (!isInForceBy(record) && isOld) records.delete(process);
-      }
+    for (const [process, record] of known) {
+      const isOld = record.endNoticedAtMs + endedRecordMs <= nowMs;
+      if (isInForceBy(record) || !isOld) continue;
+      known.delete(process);
+      own.delete(process);
     }
   }
 
@@ -130,7 +130,7 @@
     records: Map<ProcessHash, RateRecord>,
     process: ProcessHash,
     endedAtMs: number,
-    nowMs: number,
+    noticedAtMs: number,
   ): RateChange {
     const record = records.get(process);
     if (record === undefined || endedAtMs <= record.endedAtMs) {
@@ -139,7 +139,7 @@
     const wasInForce = isInForceBy(record);
     record.endedAtMs = endedAtMs;
     if (!wasInForce || isInForceBy(record)) return 'unchanged';
-    record.endNoticedAtMs = nowMs;
+    record.endNoticedAtMs = noticedAtMs;
     return 'ended';
   }
 
@@ -169,9 +169,13 @@
     },
     adopt: ({process, perS, statedAgeMs, endedAgeMs}, nowMs) => {
       removeEnded(nowMs);
+      const wasKnown = known.has(process);
       const began = recordStated(known, process, perS, nowMs - statedAgeMs);
       if (endedAgeMs === undefined) return began;
-      const ended = recordEnd(known, process, nowMs - endedAgeMs, nowMs);
+      const endedAtMs = nowMs - endedAgeMs;
+      // Traffic that no limit held back has nothing to return from.
+      const noticedAtMs = wasKnown ? nowMs : endedAtMs;
+      const ended = recordEnd(known, process, endedAtMs, noticedAtMs);
       // What had ended before it was heard of was never in force here.
       if (began === 'began' && ended === 'ended') return 'unchanged';
       return ended === 'ended' ? ended : began;
@@ -184,13 +188,15 @@
     },
     limited: nowMs =>
       [...known.keys()].filter(process => rateOf(process, nowMs) !== undefined),
-    received: nowMs =>
-      [...own].map(([process, {perS, statedAtMs, endedAtMs}]) => ({
+    received: nowMs => {
+      removeEnded(nowMs);
+      return [...own].map(([process, {perS, statedAtMs, endedAtMs}]) => ({
         process,
         perS,
         statedAgeMs: nowMs - statedAtMs,
         endedAgeMs: endedAtMs === -Infinity ? undefined : nowMs - endedAtMs,
-      })),
+      }));
+    },
     forget: process => {
       known.delete(process);
       own.delete(process);
--- a/packages/policy/src/rates/UpstreamRates.ts
+++ b/packages/policy/src/rates/UpstreamRates.ts
@@ -208,6 +208,11 @@
     return use;
   }
 
+  function outdateShare(process: ProcessHash): void {
+    const use = uses.get(process);
+    if (use !== undefined) use.computedAtMs = -Infinity;
+  }
+
   /** Records the demand of a peer; returns false for an outdated report. */
   function recordPeerDemand(report: RateReport<Id>, nowMs: number): boolean {
     const {demands: reported, instanceId, sequence: reportSequence} = report;
@@ -252,9 +257,12 @@
     receive: (upstream, {perS, problem}, sentAtMs, nowMs) => {
       if (problem !== undefined) return 'unchanged';
       const process = processHashOf(upstream);
-      return perS === undefined
-        ? statements.stateNone(process, sentAtMs, nowMs)
-        : statements.state(process, perS, nowMs);
+      const change =
+        perS === undefined
+          ? statements.stateNone(process, sentAtMs, nowMs)
+          : statements.state(process, perS, nowMs);
+      if (change !== 'unchanged') outdateShare(process);
+      return change;
     },
     receiveReport: (report, nowMs) => {
       const changes = new Map<ProcessHash, RateChange>();
@@ -263,7 +271,9 @@
       if (!recordPeerDemand(report, nowMs)) return changes;
       for (const statement of report.statements) {
         const change = statements.adopt(statement, nowMs);
-        if (change !== 'unchanged') changes.set(statement.process, change);
+        if (change === 'unchanged') continue;
+        changes.set(statement.process, change);
+        outdateShare(statement.process);
       }
       return changes;
     },
