gateway: compute the hash of an upstream's process once

While a limit holds, each placement asks for the rate of every upstream that the request may use, and each of these questions hashed the id of the process again. The hash is kept with the entry now. 70 tests of the rates pass; the time that it saves was not measured.

--- a/packages/gateway/src/upstreams/UpstreamRateLimits.ts
+++ b/packages/gateway/src/upstreams/UpstreamRateLimits.ts
@@ -147,14 +147,6 @@
   ended: 'upstream request rate limit ended',
 };
 
-function ratedUpstreamOf({
-  id,
-  service,
-  startedAtMs,
-}: UpstreamEntry): RatedUpstream {
-  return {process: {id, start: startedAtMs}, service};
-}
-
 function sum(values: readonly number[]): number {
   return values.reduce((total, value) => total + value, 0);
 }
@@ -176,6 +168,18 @@
   const countsByService = new Map<ServiceName, ServiceCounts>();
   const retryTurnsByService = new Map<ServiceName, RetryTurns>();
 
+  const ratedUpstreams = new WeakMap<UpstreamEntry, RatedUpstream>();
+
+  function ratedUpstreamOf(entry: UpstreamEntry): RatedUpstream {
+    let rated = ratedUpstreams.get(entry);
+    if (rated === undefined) {
+      const {id, service, startedAtMs} = entry;
+      rated = {process: {id, start: startedAtMs}, service};
+      ratedUpstreams.set(entry, rated);
+    }
+    return rated;
+  }
+
   const hashOf = (entry: UpstreamEntry) =>
     processHashOf(ratedUpstreamOf(entry).process);
   const rateOf = (entry: UpstreamEntry) =>
--- a/packages/policy/src/rates/UpstreamRates.ts
+++ b/packages/policy/src/rates/UpstreamRates.ts
@@ -135,15 +135,26 @@
   const demands = new Map<ServiceName, TierDemand>();
   const peerDemands = new Map<Id, PeerDemand>();
   const uses = new Map<ProcessHash, OwnUse>();
+  const hashes = new WeakMap<UpstreamProcess, ProcessHash>();
   let sequence = 0;
 
+  /** Hashes are asked for more often than a process is described anew. */
+  function hashOf(upstream: UpstreamProcess): ProcessHash {
+    let hash = hashes.get(upstream);
+    if (hash === undefined) {
+      hash = processHashOf(upstream);
+      hashes.set(upstream, hash);
+    }
+    return hash;
+  }
+
   function rateOf(
     upstream: UpstreamProcess,
     nowMs: number,
   ): number | undefined {
     // Asked for each upstream that a request may use.
     if (statements.isEmpty()) return undefined;
-    return statements.rateOf(processHashOf(upstream), nowMs);
+    return statements.rateOf(hashOf(upstream), nowMs);
   }
 
   /** The part of the service's demand that is meant for one upstream. */
@@ -186,7 +197,7 @@
     limitPerS: number,
     nowMs: number,
   ): OwnUse {
-    const process = processHashOf(upstream.process);
+    const process = hashOf(upstream.process);
     let use = uses.get(process);
     if (use === undefined) {
       use = {
@@ -256,7 +267,7 @@
     },
     receive: (upstream, {perS, problem}, sentAtMs, nowMs) => {
       if (problem !== undefined) return 'unchanged';
-      const process = processHashOf(upstream);
+      const process = hashOf(upstream);
       const change =
         perS === undefined
           ? statements.stateNone(process, sentAtMs, nowMs)
@@ -304,10 +315,9 @@
       if (limitPerS === undefined) return;
       useOf(upstream, limitPerS, nowMs).bucket.take();
     },
-    giveBack: ({process}) =>
-      uses.get(processHashOf(process))?.bucket.giveBack(),
+    giveBack: ({process}) => uses.get(hashOf(process))?.bucket.giveBack(),
     rateOf,
-    isInForce: upstream => statements.isInForce(processHashOf(upstream)),
+    isInForce: upstream => statements.isInForce(hashOf(upstream)),
     sharePerS: (upstream, nowMs) => {
       const limitPerS = rateOf(upstream.process, nowMs);
       return limitPerS === undefined
@@ -315,7 +325,7 @@
         : useOf(upstream, limitPerS, nowMs).share.perS;
     },
     forget: upstream => {
-      const process = processHashOf(upstream);
+      const process = hashOf(upstream);
       statements.forget(process);
       uses.delete(process);
     },
