--- a/packages/gateway/src/__tests__/unit/RateLimitFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/RateLimitFixtures.ts
@@ -12,6 +12,7 @@
   toInstanceId,
 } from '@toucanrouter/common';
 import {createLogger} from '@toucanrouter/logging';
+import type {GatewaySettings} from '@toucanrouter/settings';
 import type {GatewayRoute} from '../../config/GatewayConfig.js';
 import type {Gateway} from '../../Gateway.js';
 import {createGateway} from '../../Gateway.js';
@@ -29,6 +30,8 @@
 
 const clock = createSystemClock();
 const host = '127.0.0.1';
+/** Nobody listens at this port. */
+const discardPort = 9;
 const answerMs = 20;
 /** Time in which instances learn of a limit that has just begun. */
 const contactMs = 3_000;
@@ -104,6 +107,8 @@
   readonly instanceCount: number;
   readonly upstreams: readonly RatedTestUpstream[];
   readonly servesModels: boolean;
+  /** False if no report of a peer arrives. */
+  readonly reportsArrive?: boolean;
   /** The routes are found at the paths `/tier0/`, `/tier1/` and so on. */
   readonly routes: readonly Partial<GatewayRoute>[];
 }
@@ -118,7 +123,8 @@
 
 /** Starts gateways that are peers of each other and share all upstreams. */
 export async function startRatedFleet(options: RatedFleetOptions) {
-  const {instanceCount, routes, servesModels, upstreams} = options;
+  const {instanceCount, reportsArrive = true} = options;
+  const {routes, servesModels, upstreams} = options;
   for (const {server} of upstreams) {
     await new Promise<void>(resolve => server.listen(0, host, resolve));
   }
@@ -150,11 +156,14 @@
     })),
     ...settings.map(({instanceId, peers}) => ({
       kind: 'peer' as const,
-      entry: {instanceId, address: peers},
+      entry: {
+        instanceId,
+        address: reportsArrive ? peers : {...peers, port: discardPort},
+      },
     })),
   ]);
   const logLines: string[] = [];
-  const gateways: Gateway[] = settings.map((each, index) =>
+  const create = (each: GatewaySettings, index: number): Gateway =>
     createGateway({
       settings: each,
       clock,
@@ -168,8 +177,10 @@
       dialect: servesModels ? promptDialect : testDialect,
       store,
       readinessPath,
-    }),
-  );
+    });
+  const gateways = settings.map(create);
+  /** Instances that get no requests because they restart. */
+  const restarting = new Set<number>();
   await Promise.all(gateways.map(gateway => gateway.start()));
   await delay(clock, 200);
 
@@ -210,9 +221,22 @@
         const waitMs = startMs + dueMs - clock.nowMs();
         if (waitMs > 0) await delay(clock, waitMs);
         const round = Math.floor(count / instanceCount);
-        void send(count % instanceCount, tiers[round % tiers.length] ?? 0);
+        const instance = count % instanceCount;
+        if (restarting.has(instance)) continue;
+        void send(instance, tiers[round % tiers.length] ?? 0);
       }
     },
+    /** Stops an instance and starts another one in its place. */
+    restart: async (instance: number) => {
+      const previous = settings[instance];
+      if (previous === undefined) throw new Error('no such instance');
+      restarting.add(instance);
+      await gateways[instance]?.close();
+      const next = create(previous, instance);
+      gateways[instance] = next;
+      await next.start();
+      restarting.delete(instance);
+    },
     responses: () => Promise.all(responses),
     close: async () => {
       for (const {server} of upstreams) {
