policy: leave the rate to instances that have demand

A report names only services with demand, and a peer whose report did not name the service counted like the average of the others. A service that a peer's report leaves out has no demand there now; only for peers without a report does the average count.

--- a/packages/gateway/src/__tests__/unit/LimitedRequestRates.test.ts
+++ b/packages/gateway/src/__tests__/unit/LimitedRequestRates.test.ts
@@ -47,6 +47,8 @@
   readonly perS: number;
   readonly servesModels: boolean;
   readonly reportsArrive?: boolean;
+  /** Instances that callers reach. */
+  readonly loadedCount?: number;
   /** Instances that restart one after the other while the limit holds. */
   readonly restarted?: readonly number[];
 }
@@ -63,6 +65,7 @@
 async function checkLimit(load: LimitedLoad): Promise<void> {
   const {limitPerS, limitedCount, perS, servesModels, upstreamCount} = load;
   const {instanceCount = 5, reportsArrive, restarted = []} = load;
+  const {loadedCount = instanceCount} = load;
   const upstreams = Array.from({length: upstreamCount}, createRatedUpstream);
   const route = servesModels ? streamRoute : plainRoute;
   const routes = [route, route];
@@ -73,7 +76,7 @@
     servesModels,
     routes,
   });
-  await fleet.load(perS, unlimitedMs);
+  await fleet.load(perS, unlimitedMs, {loadedCount});
   const limited = upstreams
     .toSorted((a, b) => b.arrivalsMs.length - a.arrivalsMs.length)
     .slice(0, limitedCount);
@@ -81,7 +84,7 @@
   const restarts = (async () => {
     for (const instance of restarted) await fleet.restart(instance);
   })();
-  await fleet.load(perS, limitedMs);
+  await fleet.load(perS, limitedMs, {loadedCount});
   await restarts;
   const endMs = clock.nowMs();
   await fleet.responses();
@@ -155,6 +158,17 @@
       reportsArrive: false,
     }));
 
+  // Guards against a rate of which idle instances keep a part.
+  it('uses a rate whose requests come through one instance', () =>
+    checkLimit({
+      upstreamCount: 2,
+      limitedCount: 2,
+      limitPerS: 1,
+      perS: 10,
+      servesModels: false,
+      loadedCount: 1,
+    }));
+
   // Guards against instances that come back with a full share, or unaware.
   it('keeps and uses a rate while instances restart', () =>
     checkLimit({
@@ -173,8 +187,8 @@
     const fleet = await start({upstreams, servesModels: false, routes});
     for (const upstream of upstreams) upstream.limit('3');
     await Promise.all([
-      fleet.load(3, limitedMs, [0]),
-      fleet.load(30, limitedMs, [1]),
+      fleet.load(3, limitedMs, {tiers: [0]}),
+      fleet.load(30, limitedMs, {tiers: [1]}),
     ]);
     const fromMs = Math.max(...upstreams.map(countedFromMs));
     const counted = (await fleet.responses()).filter(
--- a/packages/gateway/src/__tests__/unit/RateLimitFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/RateLimitFixtures.ts
@@ -121,6 +121,13 @@
   readonly receivedMs: number;
 }
 
+/** Where a load goes; by default, to all instances and tiers. */
+export interface LoadSpread {
+  readonly tiers?: readonly number[];
+  /** Instances that get requests, from the first one on. */
+  readonly loadedCount?: number;
+}
+
 /** Starts gateways that are peers of each other and share all upstreams. */
 export async function startRatedFleet(options: RatedFleetOptions) {
   const {instanceCount, reportsArrive = true} = options;
@@ -212,7 +219,10 @@
     load: async (
       perS: number,
       durationMs: number,
-      tiers: readonly number[] = routes.map((_, tier) => tier),
+      {
+        tiers = routes.map((_, tier) => tier),
+        loadedCount = instanceCount,
+      }: LoadSpread = {},
     ) => {
       const startMs = clock.nowMs();
       for (let count = 0; ; count += 1) {
@@ -220,8 +230,8 @@
         if (dueMs >= durationMs) break;
         const waitMs = startMs + dueMs - clock.nowMs();
         if (waitMs > 0) await delay(clock, waitMs);
-        const round = Math.floor(count / instanceCount);
-        const instance = count % instanceCount;
+        const round = Math.floor(count / loadedCount);
+        const instance = count % loadedCount;
         if (restarting.has(instance)) continue;
         void send(instance, tiers[round % tiers.length] ?? 0);
       }
--- a/packages/policy/src/__tests__/unit/UpstreamRates.test.ts
+++ b/packages/policy/src/__tests__/unit/UpstreamRates.test.ts
@@ -162,6 +162,14 @@
     }
   });
 
+  // Guards against shares that wait for demand where there is none.
+  it('leaves the rate to the instances that have demand', () => {
+    const rates = createLimitedRates();
+    expect(rates.sharePerS(upstream, 0)).to.be.within(4, 6);
+    rates.receiveReport(createPart(1, [other]), 0);
+    expect(rates.sharePerS(upstream, 200)).to.be.above(9);
+  });
+
   // Guards against a share of the limit before for some time after a change.
   it('follows a changed limit at once', () => {
     const rates = createLimitedRates();
--- a/packages/policy/src/rates/UpstreamRates.ts
+++ b/packages/policy/src/rates/UpstreamRates.ts
@@ -39,7 +39,7 @@
   readonly demands: readonly ServiceDemand[];
 }
 
-/** Demand for one service at one instance. */
+/** Demand for one service at one instance; there is none for others. */
 export interface ServiceDemand {
   readonly service: RateServiceHash;
   readonly perS: readonly number[];
@@ -185,10 +185,14 @@
     const peers = peerIds().filter(id => id !== selfId);
     return [
       {id: selfId, demandPerS: toPart(own)},
-      ...peers.map(id => ({
-        id,
-        demandPerS: toPart(peerDemands.get(id)?.perSByService.get(service)),
-      })),
+      ...peers.map(id => {
+        const reported = peerDemands.get(id)?.perSByService;
+        // A report names only services that have demand.
+        return {
+          id,
+          demandPerS: reported && toPart(reported.get(service) ?? []),
+        };
+      }),
     ];
   }
 
