--- a/packages/gateway/src/__tests__/unit/LoadExchange.test.ts
+++ b/packages/gateway/src/__tests__/unit/LoadExchange.test.ts
@@ -7,7 +7,7 @@
   toInstanceId,
 } from '@toucanrouter/common';
 import {createLogger} from '@toucanrouter/logging';
-import type {QuarantineReport} from '@toucanrouter/policy';
+import type {QuarantineReport, RateReport} from '@toucanrouter/policy';
 import {segmentHashOf} from '@toucanrouter/policy';
 import {expect} from 'chai';
 import {createLoadExchange} from '../../peers/LoadExchange.js';
@@ -15,6 +15,8 @@
 import type {LoadReport} from '../../peers/LoadReports.js';
 import {createPeerDirectory} from '../../peers/PeerDirectory.js';
 import {encodeQuarantineReport} from '../../peers/QuarantineCodec.js';
+import {encodeRateReport} from '../../peers/RateReportCodec.js';
+import type {ShortId} from '../../peers/ShortIds.js';
 import {shortIdOf} from '../../peers/ShortIds.js';
 import {zeroCounts} from '../../upstreams/EnginePools.js';
 
@@ -45,6 +47,7 @@
   });
   const received: QuarantineReport[] = [];
   const loads: LoadReport[] = [];
+  const receivedRates: RateReport<ShortId>[] = [];
   const exchange = createLoadExchange({
     clock: createManualClock(),
     logger: createLogger({
@@ -62,9 +65,11 @@
     onReport: load => loads.push(load),
     takeQuarantine: () => undefined,
     onQuarantine: report => received.push(report),
+    takeRates: () => undefined,
+    onRates: report => receivedRates.push(report),
   });
   exchange.start();
-  return {exchange, loads, peer, port, received};
+  return {exchange, loads, peer, port, received, receivedRates};
 }
 
 const report: QuarantineReport = {
@@ -148,4 +153,38 @@
     stranger.close();
     peer.close();
   });
+
+  // Guards against forged limits, and against parts of reports that are lost.
+  it('accepts reports on request rates only from the addresses of peers', async () => {
+    const {exchange, peer, port, receivedRates} = await startExchange();
+    const stranger = await bindSocket();
+    const clock = createSystemClock();
+    const rateReport: RateReport<ShortId> = {
+      instanceId: shortIdOf('peer'),
+      startedAtMs: 1,
+      sequence: 2,
+      statements: [],
+      demands: Array.from({length: 200}, (_, service) => ({
+        service,
+        perS: [1, 2],
+      })),
+    };
+    const datagrams = encodeRateReport(rateReport);
+    expect(datagrams.length).to.be.above(1);
+    for (const datagram of datagrams) stranger.send(datagram, port, host);
+    await delay(clock, deliveryMs);
+    expect(receivedRates).to.have.length(0);
+    for (const datagram of datagrams) {
+      peer.send(datagram.subarray(0, -1), port, host);
+      peer.send(datagram, port, host);
+    }
+    await delay(clock, deliveryMs);
+    expect(receivedRates).to.have.length(datagrams.length);
+    expect(receivedRates.flatMap(({demands}) => demands)).to.deep.equal(
+      rateReport.demands,
+    );
+    exchange.close();
+    stranger.close();
+    peer.close();
+  });
 });
--- a/packages/gateway/src/peers/PeerDirectory.ts
+++ b/packages/gateway/src/peers/PeerDirectory.ts
@@ -17,6 +17,8 @@
   putDomain(instanceId: InstanceId, failureDomain: string | undefined): void;
   remove(instanceId: InstanceId): void;
   addresses(): readonly ListenAddress[];
+  /** The registered peers, also those that are silent. */
+  ids(): readonly InstanceId[];
   /** Returns the peer that is registered with this address. */
   peerAt(address: ListenAddress): InstanceId | undefined;
   /** Returns the peers of a failure domain. */
@@ -57,6 +59,7 @@
       refresh();
     },
     addresses: () => addresses,
+    ids: () => [...entries.keys()],
     peerAt: address => idsByAddress.get(toText(address)),
     inDomain: failureDomain =>
       [...entries].flatMap(([instanceId, address]) =>
