policy: keep stated request rates in the shard scheduler

An upstream may state how many requests a second it takes from all instances together. All requests for it meet at the scheduler of its shard, which orders them by urgency and grants one permit for each, but knew of no rate.

The scheduler now counts grants in a token bucket for each upstream process that holders report to limit its rate, built on the modules under rates/. Permits that come back without a request sent are given back. No job is preempted for a slot that the rate does not let be used. Where several regions use one shard, their schedulers divide the rate.

--- a/packages/common/src/Permits.ts
+++ b/packages/common/src/Permits.ts
@@ -65,6 +65,8 @@
       readonly attempt: number;
       readonly permitId: PermitId;
       readonly upstreamId: UpstreamId;
+      /** The rate to which the upstream limits all instances, if it does. */
+      readonly limitPerS?: number;
     }
   | {
       readonly kind: 'refuse';
@@ -115,6 +117,8 @@
   readonly firstTokenMs?: number;
   readonly tokenGapMs?: number;
   readonly serviceMs: number;
+  /** Whether a request was sent; by default, unless the permit is unused. */
+  readonly reachedUpstream?: boolean;
 }
 
 /** A permit that its holder reports to a new scheduler. */
--- a/packages/policy/src/SchedulerDispatch.ts
+++ b/packages/policy/src/SchedulerDispatch.ts
@@ -47,7 +47,9 @@
 function findAvailable(state: SchedulerState, nowMs: number): AvailableByTier {
   const available = new Map<Tier, readonly UpstreamId[]>();
   for (let tier: Tier = 1; tier <= lowestTier; tier++) {
-    const ids = availableUpstreams(state.tracker, tier as Tier, nowMs);
+    const ids = availableUpstreams(state.tracker, tier as Tier, nowMs).filter(
+      id => state.rates.allows(id, tier as Tier, nowMs),
+    );
     if (ids.length > 0) available.set(tier as Tier, ids);
   }
   return available;
--- a/packages/policy/src/SchedulerJobs.ts
+++ b/packages/policy/src/SchedulerJobs.ts
@@ -102,6 +102,7 @@
     idempotent: request.idempotent,
     hedge: request.hedge,
     grantedAtMs: nowMs,
+    usesRate: state.rates.take(upstreamId, nowMs),
     resumedTokens: request.resume?.tokens ?? 0,
     tokens: 0,
     ...initialJobState(state, upstreamId),
@@ -114,11 +115,16 @@
   }
   state.counters.granted += 1;
   if (request.hedge) state.counters.hedged += 1;
-  emitGrant(state, job);
+  emitGrant(state, job, nowMs);
 }
 
 /** Emits the grant of a job to its holder. */
-export function emitGrant(state: SchedulerState, job: RunningJob): void {
+export function emitGrant(
+  state: SchedulerState,
+  job: RunningJob,
+  nowMs: number,
+): void {
+  const limitPerS = state.rates.limitPerS(job.upstreamId, nowMs);
   state.effects.push({
     kind: 'grant',
     holder: job.holder,
@@ -126,6 +132,7 @@
     attempt: job.attempt,
     permitId: job.permitId,
     upstreamId: job.upstreamId,
+    ...(limitPerS === undefined ? {} : {limitPerS}),
   });
 }
 
@@ -149,6 +156,7 @@
     idempotent: permit.idempotent,
     hedge: false,
     grantedAtMs: Math.min(permit.grantedAtMs, nowMs),
+    usesRate: false,
     resumedTokens: 0,
     tokens: permit.tokens,
     ...initialJobState(state, permit.upstreamId),
@@ -173,6 +181,9 @@
   state.jobs.delete(release.permitId);
   if (job.attempt > 0) endAttempt(state, job, release.outcome);
   state.tracker.ended(release, nowMs);
+  if (job.usesRate && !reachedUpstream(release)) {
+    state.rates.giveBack(job.upstreamId);
+  }
   state.counters.tokens += release.tokens;
   state.counters.wastedTokens += release.wastedTokens;
   const slotMs = Math.max(0, nowMs - job.grantedAtMs);
@@ -185,6 +196,11 @@
   return job;
 }
 
+/** Returns whether a request was sent; holders of earlier builds do not say. */
+function reachedUpstream({outcome, reachedUpstream}: PermitRelease): boolean {
+  return reachedUpstream ?? outcome !== 'unused';
+}
+
 /**
  * Records the end of an attempt. An attempt that ran is not granted again. One
  * whose permit was canceled or returned unused may be: a holder that moved to
--- a/packages/policy/src/SchedulerPreemption.ts
+++ b/packages/policy/src/SchedulerPreemption.ts
@@ -75,6 +75,8 @@
   let best: readonly Victim[] | undefined;
   for (const [id, jobs] of groupJobs(state, filter)) {
     if (!live.has(id) || exclude.includes(id)) continue;
+    // The end of a job frees no slot that the rate does not let be used.
+    if (!state.rates.allows(id, tier, nowMs)) continue;
     const needed = victimsNeeded(state, id, jobs.pending, tier, nowMs);
     if (needed > jobs.victims.length) continue;
     const victims = jobs.victims.sort(compareVictims).slice(0, needed);
@@ -164,7 +166,9 @@
   const lower: VictimFilter = job => tierOf(state, job) > tier;
   const victims = findVictims(state, tier, exclude, lower, nowMs);
   if (victims !== undefined) return victims;
-  const job = newestOfLowestTier(state, exclude, lower);
+  const allowed: VictimFilter = job =>
+    lower(job) && state.rates.allows(job.upstreamId, tier, nowMs);
+  const job = newestOfLowestTier(state, exclude, allowed);
   return job === undefined ? undefined : [job];
 }
 
--- a/packages/policy/src/SchedulerState.ts
+++ b/packages/policy/src/SchedulerState.ts
@@ -24,6 +24,8 @@
 import {createSlotUsage} from './SchedulerFairness.js';
 import type {SchedulerParameters} from './SchedulerParameters.js';
 import {defaultSchedulerParameters} from './SchedulerParameters.js';
+import type {RateSharing, SchedulerRates} from './SchedulerRates.js';
+import {createSchedulerRates} from './SchedulerRates.js';
 import type {TokenBucket} from './SchedulerTokenBucket.js';
 import {createTokenBucket} from './SchedulerTokenBucket.js';
 import type {QueuedRequest, RunningJob} from './SchedulerTypes.js';
@@ -39,6 +41,8 @@
   readonly createPermitId: () => PermitId;
   /** Overrides of the default parameters. */
   readonly parameters?: Partial<SchedulerParameters>;
+  /** The other schedulers of the shard's upstreams; none by default. */
+  readonly rateSharing?: RateSharing;
 }
 
 /** Totals since the scheduler was created. */
@@ -70,6 +74,7 @@
   readonly usage: SlotUsage;
   readonly estimates: SchedulerEstimates;
   readonly preemptionBudget: TokenBucket;
+  readonly rates: SchedulerRates;
   /** Upstream that last served each prompt prefix, by prefix hash. */
   readonly upstreamOfPrefix: BoundedMap<string, UpstreamId>;
   /** Value of the grant counter at the last overdue grant of each class. */
@@ -77,6 +82,8 @@
   /** Effects of the call in progress. */
   effects: SchedulerEffect[];
   nextSequence: number;
+  /** Requests that waited because a rate was used up. */
+  heldBackCount: number;
   /** Time of the last review of all queued requests. */
   reviewedAtMs: number;
 }
@@ -108,10 +115,12 @@
     usage,
     estimates: createSchedulerEstimates(parameters.arrivalPeriodMs),
     preemptionBudget: createTokenBucket(),
+    rates: createSchedulerRates(options.rateSharing),
     upstreamOfPrefix: createBoundedMap(parameters.maxTrackedPrefixes),
     grantCountAtOverdue: createBoundedMap(parameters.maxTrackedWorkspaces),
     effects: [],
     nextSequence: 0,
+    heldBackCount: 0,
     reviewedAtMs: -Infinity,
   };
 }
--- a/packages/policy/src/SchedulerTypes.ts
+++ b/packages/policy/src/SchedulerTypes.ts
@@ -43,6 +43,8 @@
   readonly idempotent: boolean;
   readonly hedge: boolean;
   readonly grantedAtMs: number;
+  /** True if the permit was counted against the rate of the upstream. */
+  readonly usesRate: boolean;
   /** Tokens that earlier attempts received and this one continues from. */
   readonly resumedTokens: number;
   /** Tokens received under this permit, as last reported by its holder. */
--- a/packages/policy/src/ShardScheduler.ts
+++ b/packages/policy/src/ShardScheduler.ts
@@ -15,7 +15,8 @@
   ShardSnapshot,
   UpstreamInfo,
 } from '@toucanrouter/common';
-import {liveUpstreams} from './Placement.js';
+import {availableUpstreams, liveUpstreams} from './Placement.js';
+import type {RateStatement} from './rates/RateStatements.js';
 import {attemptKey} from './Queue.js';
 import {dispatch} from './SchedulerDispatch.js';
 import {
@@ -27,6 +28,7 @@
 import {isLong} from './SchedulerLongJobs.js';
 import {limitQueue, resolveUrgent, shedEarly} from './SchedulerOverload.js';
 import {resendPreemptions} from './SchedulerPreemption.js';
+import type {UpstreamRateLimit} from './SchedulerRates.js';
 import {refuse, refuseExpired, refuseUnplaceable} from './SchedulerRefusal.js';
 import {takeSnapshot} from './SchedulerSnapshot.js';
 import type {SchedulerState, ShardSchedulerOptions} from './SchedulerState.js';
@@ -56,6 +58,12 @@
     permits: readonly AnnouncedPermit[],
     nowMs: number,
   ): readonly SchedulerEffect[];
+  /** Records the request rates that upstreams stated to an instance. */
+  receiveRates(
+    from: InstanceId,
+    statements: readonly RateStatement[],
+    nowMs: number,
+  ): readonly SchedulerEffect[];
   setUpstreams(
     upstreams: readonly UpstreamInfo[],
     nowMs: number,
@@ -69,6 +77,14 @@
   /** Handles everything that is due at a point in time. */
   tick(nowMs: number): readonly SchedulerEffect[];
   snapshot(nowMs: number): ShardSnapshot;
+  rateStatus(nowMs: number): RateStatus;
+}
+
+/** The request rates that a scheduler keeps. */
+export interface RateStatus {
+  readonly limits: readonly UpstreamRateLimit[];
+  /** Requests that waited because a rate was used up. */
+  readonly heldBackCount: number;
 }
 
 /** Creates a scheduler without upstreams and classes. */
@@ -108,14 +124,23 @@
       step(nowMs, () => {
         for (const permit of permits) adoptPermit(state, permit, nowMs);
       }),
+    receiveRates: (from, statements, nowMs) =>
+      step(nowMs, () => state.rates.receive(from, statements, nowMs)),
     setUpstreams: (upstreams, nowMs) =>
-      stepAndReview(nowMs, () => state.tracker.setUpstreams(upstreams, nowMs)),
+      stepAndReview(nowMs, () => {
+        state.tracker.setUpstreams(upstreams, nowMs);
+        state.rates.setUpstreams(upstreams, nowMs);
+      }),
     setClasses: (classes, nowMs) =>
       stepAndReview(nowMs, () => state.classes.set(classes)),
     dropHolder: (holder, nowMs) =>
       step(nowMs, () => dropHolder(state, holder, nowMs)),
     tick: nowMs => step(nowMs, () => passTime(state, nowMs)),
     snapshot: nowMs => takeSnapshot(state, nowMs),
+    rateStatus: nowMs => ({
+      limits: state.rates.limits(nowMs),
+      heldBackCount: state.heldBackCount,
+    }),
   };
 }
 
@@ -148,7 +173,7 @@
 ): void {
   const key = attemptKey(request);
   if (state.queue.find(key) !== undefined) return;
-  if (resendResponse(state, key)) return;
+  if (resendResponse(state, key, nowMs)) return;
   const entry = {
     request,
     sequence: state.nextSequence++,
@@ -168,7 +193,11 @@
   nowMs: number,
 ): void {
   const slotMs = expectedSlotMs(state, request.classId);
-  state.estimates.observeArrival(tierOf(state, request), slotMs, nowMs);
+  const tier = tierOf(state, request);
+  state.estimates.observeArrival(tier, slotMs, nowMs);
+  if (request.attempt === 1 && !request.hedge) {
+    state.rates.recordDemand(tier, nowMs);
+  }
 }
 
 function reviewNewEntry(
@@ -193,18 +222,36 @@
     return;
   }
   dispatch(state, nowMs);
+  if (isHeldBack(state, entry, nowMs)) state.heldBackCount += 1;
   shedEarly(state, nowMs);
 }
 
+/** Returns whether an upstream has a slot that its rate does not let be used. */
+function isHeldBack(
+  state: SchedulerState,
+  {request}: QueuedRequest,
+  nowMs: number,
+): boolean {
+  if (state.queue.find(attemptKey(request)) === undefined) return false;
+  const tier = tierOf(state, request);
+  return availableUpstreams(state.tracker, tier, nowMs).some(
+    id => !request.exclude.includes(id) && !state.rates.allows(id, tier, nowMs),
+  );
+}
+
 /**
  * Sends the response to a known attempt again, because the first one may have
  * been lost with its connection.
  */
-function resendResponse(state: SchedulerState, key: string): boolean {
+function resendResponse(
+  state: SchedulerState,
+  key: string,
+  nowMs: number,
+): boolean {
   const permitId = state.permitOfAttempt.get(key);
   const job = permitId === undefined ? undefined : state.jobs.get(permitId);
   if (job !== undefined) {
-    emitGrant(state, job);
+    emitGrant(state, job, nowMs);
     return true;
   }
   const response = state.endedAttempts.get(key);
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -104,3 +104,10 @@
   processHashOf,
   rateServiceHashOf,
 } from './rates/UpstreamRates.js';
+export type {
+  RateSharerId,
+  RateSharing,
+  UpstreamRateLimit,
+} from './SchedulerRates.js';
+export {createSchedulerRates} from './SchedulerRates.js';
+export type {RateStatus} from './ShardScheduler.js';
