--- a/packages/standins/src/__tests__/unit/EngineStandIn.test.ts
+++ b/packages/standins/src/__tests__/unit/EngineStandIn.test.ts
@@ -141,6 +141,19 @@
     expect(refused).to.equal('ECONNREFUSED');
   });
 
+  // Guards against plays of a limit that no response states.
+  it('states a request rate in all responses', async () => {
+    for (const refuse of [true, false]) {
+      engine.switch({rateLimit: '0.5', refuse});
+      const response = await request(`${engine.url}/v1/chat/completions`, {
+        method: 'POST',
+        body: JSON.stringify(bodyOf(1)),
+      });
+      await response.body.dump();
+      expect(response.headers['x-upstream-rate-limit']).to.equal('0.5');
+    }
+  });
+
   it('ends truncated streams cleanly but without the end marker', async () => {
     engine.switch({truncateStreams: {count: 1, afterTokens: 3}});
     const response = await send(engine, bodyOf(12));
--- a/packages/standins/src/__tests__/unit/ServiceStandIn.test.ts
+++ b/packages/standins/src/__tests__/unit/ServiceStandIn.test.ts
@@ -42,6 +42,21 @@
     expect(service.runs()).to.have.length(1);
   });
 
+  // Guards against plays of a limit that no response states.
+  it('states a request rate in all responses', async () => {
+    service.switch({rateLimit: '0.5', refuse: true});
+    const limitOf = async () => {
+      const response = await request(`${service.url}/orders`);
+      await response.body.dump();
+      return response.headers['x-upstream-rate-limit'];
+    };
+    expect(await limitOf()).to.equal('0.5');
+    service.switch({refuse: false});
+    expect(await limitOf()).to.equal('0.5');
+    service.switch({rateLimit: ''});
+    expect(await limitOf()).to.equal(undefined);
+  });
+
   it('runs a call whose response it drops, so that lost responses can be tested', async () => {
     service.switch({dropAnswers: 1});
     const failure = await post(service, 'k3', 1).catch((e: Error) => e);
--- a/packages/standins/src/engine/EngineStandIn.ts
+++ b/packages/standins/src/engine/EngineStandIn.ts
@@ -12,6 +12,7 @@
   parseJson,
   readBody,
   sendJson,
+  stateRateLimit,
 } from '../shared/HttpUtils.js';
 import type {ListRegistration} from '../shared/ListRegistration.js';
 import {registerInList} from '../shared/ListRegistration.js';
@@ -102,6 +103,7 @@
     // The connection broke before the request body was complete.
     const body = await readBody(request).catch(() => undefined);
     if (body === undefined) return;
+    stateRateLimit(response, switches.rateLimit);
     const path = request.url?.split('?')[0];
     switch (`${request.method} ${path}`) {
       case 'POST /v1/chat/completions':
--- a/packages/standins/src/engine/EngineSwitches.ts
+++ b/packages/standins/src/engine/EngineSwitches.ts
@@ -32,6 +32,8 @@
   stall: z.boolean().optional(),
   /** Rejects new requests with status 503 while true. */
   refuse: z.boolean().optional(),
+  /** Requests a second that all responses state; an empty text ends it. */
+  rateLimit: z.string().optional(),
   /**
    * Evicts runs as soon as their connection closes, so that none can be
    * resumed.
@@ -59,6 +61,7 @@
   slowFactor: number;
   stall: boolean;
   refuse: boolean;
+  rateLimit: string;
   forgetRuns: boolean;
   breakStreams: StreamCut;
   truncateStreams: StreamCut;
@@ -72,6 +75,7 @@
     slowFactor: 1,
     stall: false,
     refuse: false,
+    rateLimit: '',
     forgetRuns: false,
     breakStreams: {count: 0, afterTokens: 0},
     truncateStreams: {count: 0, afterTokens: 0},
@@ -92,6 +96,7 @@
   }
   if (change.stall !== undefined) switches.stall = change.stall;
   if (change.refuse !== undefined) switches.refuse = change.refuse;
+  if (change.rateLimit !== undefined) switches.rateLimit = change.rateLimit;
   if (change.forgetRuns !== undefined) switches.forgetRuns = change.forgetRuns;
   if (change.breakStreams) switches.breakStreams = {...change.breakStreams};
   if (change.truncateStreams) {
--- a/packages/standins/src/service/ServiceStandIn.ts
+++ b/packages/standins/src/service/ServiceStandIn.ts
@@ -11,6 +11,7 @@
   parseJson,
   readBody,
   sendJson,
+  stateRateLimit,
 } from '../shared/HttpUtils.js';
 import type {ListRegistration} from '../shared/ListRegistration.js';
 import {registerInList} from '../shared/ListRegistration.js';
@@ -91,6 +92,7 @@
     // The connection broke before the request body was complete.
     const body = await readBody(request).catch(() => undefined);
     if (body === undefined) return;
+    stateRateLimit(response, switches.rateLimit);
     const method = request.method ?? 'GET';
     const path = request.url ?? '/';
     if (method === 'GET' && path === '/runs') {
--- a/packages/standins/src/service/ServiceSwitches.ts
+++ b/packages/standins/src/service/ServiceSwitches.ts
@@ -11,6 +11,8 @@
   dropAnswers: z.number().int().nonnegative().optional(),
   /** Refuses calls with status 503, without running them, while true. */
   refuse: z.boolean().optional(),
+  /** Requests a second that all responses state; an empty text ends it. */
+  rateLimit: z.string().optional(),
   /** Crashes immediately, without a response. */
   crash: z.literal(true).optional(),
 });
@@ -21,11 +23,12 @@
   slowFactor: number;
   dropAnswers: number;
   refuse: boolean;
+  rateLimit: string;
 }
 
 /** Creates switches with no fault active. */
 export function createServiceSwitches(): ServiceSwitches {
-  return {slowFactor: 1, dropAnswers: 0, refuse: false};
+  return {slowFactor: 1, dropAnswers: 0, refuse: false, rateLimit: ''};
 }
 
 /** Applies a change, except for `crash`, which the caller handles. */
@@ -35,6 +38,7 @@
 ): void {
   if (change.slowFactor !== undefined) switches.slowFactor = change.slowFactor;
   if (change.refuse !== undefined) switches.refuse = change.refuse;
+  if (change.rateLimit !== undefined) switches.rateLimit = change.rateLimit;
   if (change.dropAnswers !== undefined) {
     switches.dropAnswers = change.dropAnswers;
   }
--- a/packages/standins/src/shared/HttpUtils.ts
+++ b/packages/standins/src/shared/HttpUtils.ts
@@ -22,6 +22,11 @@
   response.end(JSON.stringify(body));
 }
 
+/** States the request rate of an upstream in a response; empty states none. */
+export function stateRateLimit(response: ServerResponse, value: string): void {
+  if (value !== '') response.setHeader('x-upstream-rate-limit', value);
+}
+
 /** Parses JSON; returns undefined when the text is not valid JSON. */
 export function parseJson(text: string): unknown {
   try {
