daemon: keep the request rates that upstreams state

Seen: an upstream that allowed 4 requests a second for all instances together got 79 within 4 s from three instances, where 29 are allowed (LimitedUpstreams.test.ts). Cause: nothing read the header, and the schedulers, which grant a permit for each request, were not told of it.

Holders now read x-upstream-rate-limit from each response head and report what changes to the scheduler of the shard, and repeat it before their permit requests at most every 200 ms. So a scheduler, also one that has just taken over, knows of a rate before it grants a permit to a holder that was told of it, and keeps it for all holders in its queue. Grants name the rate, so that any holder can find out and report that it has ended. Releases tell whether the request was sent. The new message and fields are optional; earlier builds ignore them.

--- a/packages/bench/src/slopes/MemorySlopes.ts
+++ b/packages/bench/src/slopes/MemorySlopes.ts
@@ -66,6 +66,7 @@
       progress: ignore,
       release: ignore,
       announce: ignore,
+      receiveRates: ignore,
     }),
   });
   for (let i = 0; i < count; i++) {
--- a/packages/cli/src/__tests__/unit/Pages.test.ts
+++ b/packages/cli/src/__tests__/unit/Pages.test.ts
@@ -159,6 +159,8 @@
       }),
       pausedCount: zero,
       refusalCounts: () => ({withPause: 0, withoutPause: 0}),
+      rateLimitedCount: zero,
+      rateStatus: () => ({limits: [], heldBackCount: 0}),
       loopDelayMs: zero,
       recentLoopDelayMs: zero,
       admittedShare: () => 1,
--- a/packages/daemon/src/Instance.ts
+++ b/packages/daemon/src/Instance.ts
@@ -50,6 +50,7 @@
 import {createPromptGuard} from './request/chat/PromptGuard.js';
 import type {LoadControl} from './request/LoadControl.js';
 import {createLoadControl} from './request/LoadControl.js';
+import {createLimitedUpstreams} from './request/LimitedUpstreams.js';
 import {createPausedUpstreams} from './request/PausedUpstreams.js';
 import type {UpstreamAccess} from './request/UpstreamAccess.js';
 import {connectUpstream} from './request/UpstreamSocket.js';
@@ -122,6 +123,13 @@
     directory,
     fleet,
     incarnation,
+    statedRates: shardId => limitedUpstreams.statements(shardId),
+  });
+  const limitedUpstreams = createLimitedUpstreams({
+    clock,
+    logger,
+    directory,
+    onChange: scheduling.permits.reportRates,
   });
   const claims = createClaims(clock, fleet, store);
   const recorder = createServiceLevelRecorder({clock, instanceId: selfId});
@@ -165,6 +173,7 @@
       hedgeBudget: createHedgeBudget(),
       promptGuard,
       pausedUpstreams,
+      limitedUpstreams,
       random: createProcessRandom(),
     },
     claimedCalls: createClaimedCalls(clock, selfId, claims.router),
@@ -190,6 +199,7 @@
       quarantineExchange.close();
       promptGuard.close();
       pausedUpstreams.close();
+      limitedUpstreams.close();
       scheduling.permits.close();
       scheduling.host.close();
       await claims.close();
--- a/packages/daemon/src/Metrics.ts
+++ b/packages/daemon/src/Metrics.ts
@@ -10,7 +10,7 @@
   Registry,
 } from 'prom-client';
 import type {HolderMemory, MemoryBudgetStatus} from '@toucanrouter/common';
-import type {RetryBudgetStatus} from '@toucanrouter/policy';
+import type {RateStatus, RetryBudgetStatus} from '@toucanrouter/policy';
 import type {ShedCount} from './request/LoadControl.js';
 import type {RefusalCounts} from './request/PausedUpstreams.js';
 import type {FinishedCall} from './request/RecordCall.js';
@@ -30,6 +30,10 @@
   /** Upstreams that pause for this instance now. */
   readonly pausedCount: () => number;
   readonly refusalCounts: () => RefusalCounts;
+  /** Upstreams that limit their request rate in responses to this instance. */
+  readonly rateLimitedCount: () => number;
+  /** Request rates that the schedulers on this instance keep. */
+  readonly rateStatus: () => RateStatus;
   /** Delay of the event loop: now, and the longest of the recent past. */
   readonly loopDelayMs: () => number;
   readonly recentLoopDelayMs: () => number;
@@ -95,6 +99,7 @@
   });
   registerGauges(registry, sources);
   registerRefusals(registry, sources);
+  registerRates(registry, sources);
   registerShedding(registry, sources);
   registerMemory(registry, sources);
 
@@ -179,6 +184,11 @@
       'Upstreams that get no request now because they asked for a pause',
       sources.pausedCount,
     ],
+    [
+      'toucanrouter_upstreams_rate_limited',
+      'Upstreams that limit their request rate in responses to this instance',
+      sources.rateLimitedCount,
+    ],
     [
       'toucanrouter_event_loop_delay_seconds',
       'Time by which the event loop runs late; requests wait unread about as long',
@@ -237,6 +247,30 @@
   });
 }
 
+function registerRates(registry: Registry, sources: MetricSources): void {
+  new Gauge({
+    name: 'toucanrouter_upstream_rate_limit',
+    help: 'Requests a second that the schedulers on this instance grant for an upstream that limits its rate',
+    labelNames: ['upstream'],
+    registers: [registry],
+    collect() {
+      this.reset();
+      for (const {perS, upstreamId} of sources.rateStatus().limits) {
+        this.set({upstream: upstreamId}, perS);
+      }
+    },
+  });
+  new Counter({
+    name: 'toucanrouter_rate_limited_requests_total',
+    help: 'Requests that waited for a permit because upstreams limit their rate',
+    registers: [registry],
+    collect() {
+      this.reset();
+      this.inc(sources.rateStatus().heldBackCount);
+    },
+  });
+}
+
 function registerShedding(registry: Registry, sources: MetricSources): void {
   new Counter({
     name: 'toucanrouter_shed_requests_total',
--- a/packages/daemon/src/__tests__/unit/ChatCallFixture.ts
+++ b/packages/daemon/src/__tests__/unit/ChatCallFixture.ts
@@ -32,6 +32,7 @@
 import {createPromptGuard} from '../../request/chat/PromptGuard.js';
 import {parseChatRequest} from '../../request/chat/ChatRequest.js';
 import type {Exchange} from '../../request/Exchange.js';
+import {createLimitedUpstreams} from '../../request/LimitedUpstreams.js';
 import {createPausedUpstreams} from '../../request/PausedUpstreams.js';
 import type {UpstreamAccess} from '../../request/UpstreamAccess.js';
 import type {
@@ -240,6 +241,12 @@
         logger: silentLogger,
         directory,
       }),
+      limitedUpstreams: createLimitedUpstreams({
+        clock,
+        logger: silentLogger,
+        directory,
+        onChange: () => undefined,
+      }),
       random: createSeededRandom(1),
     };
   }
--- a/packages/daemon/src/__tests__/unit/LimitedUpstreams.test.ts
+++ b/packages/daemon/src/__tests__/unit/LimitedUpstreams.test.ts
@@ -9,11 +9,12 @@
   allowedInWindow,
   contactMs,
   createLimitedFleet,
+  limitHeader,
   windowMs,
   worstWindow,
 } from './LimitedUpstreamsFixture.js';
 import type {UpstreamHandler} from './SuspectUpstreamsFixture.js';
-import {engine} from './SuspectUpstreamsFixture.js';
+import {engine, rejecting} from './SuspectUpstreamsFixture.js';
 
 const instanceCount = 3;
 const msPerSecond = 1_000;
@@ -27,6 +28,22 @@
 /** A stand-in takes this long, so that the wait for a permit is the rest. */
 const targetMs = 1_000;
 
+/** Time after which a limit that has ended no longer shows. */
+const restoredMs = 5_000;
+/** Within this time of its end a limit may at most double. */
+const onsetMs = 500;
+/** Calls that this time allows, beside what was saved up. */
+const onsetCallCount = 4;
+
+const beginMessage = 'an upstream limits its request rate';
+const endMessage = 'an upstream no longer limits its request rate';
+
+const breakingOff = engine({
+  pauseAfterTokens: 2,
+  pauseMs: callIntervalMs,
+  breaksOff: true,
+});
+
 const answering: UpstreamHandler = (_message, _body, response) => {
   response.end('done');
 };
@@ -77,6 +94,20 @@
   expect(used.length).to.be.at.least(least);
 }
 
+function expectAnswered(outcomes: readonly LimitedCallOutcome[]): void {
+  const kinds = new Set(outcomes.map(({kind}) => kind));
+  expect([...kinds]).to.deep.equal(['answered']);
+}
+
+function expectRefusedInTime(outcomes: readonly LimitedCallOutcome[]): void {
+  const refused = outcomes.filter(({kind}) => kind !== 'answered');
+  for (const {kind, retryAfterMs, totalMs} of refused) {
+    expect(kind).to.equal('overloaded');
+    expect(totalMs).to.be.at.most(targetMs);
+    expect(retryAfterMs).to.be.greaterThan(0);
+  }
+}
+
 describe('an upstream that limits its request rate', () => {
   for (const kind of ['chat', 'plain'] as const) {
     // Guards against more requests of all instances together than an upstream in need takes, and against a limit that is not used or not by urgent calls first.
@@ -93,6 +124,126 @@
         );
         const least = urgentShare * urgent.length;
         expect(inTime.length).to.be.at.least(least);
+        expectRefusedInTime(outcomes);
+      }));
+  }
+
+  // Guards against a scheduler that takes over and does not know the limit, or uses one of its own.
+  it('is kept to its limit while the scheduler moves', () =>
+    withFleet({instanceCount, handlers: [answering]}, async fleet => {
+      fleet.limit(0, String(limitPerS));
+      const fromMs = fleet.nowMs() + contactMs;
+      for (const owner of [0, 1, 2, 0, 1]) {
+        fleet.setOwner(owner);
+        await sendFor(fleet, 'plain', windowMs / 2);
+      }
+      expectLimitKept(fleet, fromMs);
+      expectLimitUsed(fleet, fromMs);
+    }));
+
+  // Guards against resumptions and retries that do not count.
+  it('is kept to its limit while its streams break', () =>
+    withFleet({instanceCount, handlers: [breakingOff]}, async fleet => {
+      fleet.limit(0, String(limitPerS));
+      const fromMs = fleet.nowMs() + contactMs;
+      await sendFor(fleet, 'chat', contactMs + windowMs);
+      expectLimitKept(fleet, fromMs);
+      expectLimitUsed(fleet, fromMs);
+    }));
+
+  // Guards against a limit that takes upstreams without one down with it.
+  it('leaves the rest to upstreams without a limit', () =>
+    withFleet(
+      {instanceCount, handlers: [answering, answering]},
+      async fleet => {
+        fleet.limit(0, String(limitPerS));
+        const fromMs = fleet.nowMs() + contactMs;
+        expectAnswered(await sendFor(fleet, 'plain', contactMs + windowMs));
+        expectLimitKept(fleet, fromMs);
+      },
+    ));
+
+  // Guards against a limit that outlives the responses that state it, and against a rush at its end.
+  it('is back at full traffic, without a rush, after its limit', () =>
+    withFleet({instanceCount, handlers: [answering]}, async fleet => {
+      fleet.limit(0, String(limitPerS));
+      await sendFor(fleet, 'plain', msPerSecond);
+      fleet.limit(0, undefined);
+      const endedAtMs = fleet.nowMs();
+      await sendFor(fleet, 'plain', restoredMs);
+      expectAnswered(await sendFor(fleet, 'plain', msPerSecond));
+      expect(fleet.limits()).to.deep.equal([]);
+      const atOnce = fleet
+        .arrivalsMs(0)
+        .filter(atMs => atMs >= endedAtMs && atMs < endedAtMs + onsetMs);
+      expect(atOnce.length).to.be.at.most(onsetCallCount);
+      for (const message of [beginMessage, endMessage]) {
+        const lines = fleet.log.filter(line => line.message === message);
+        expect(lines).to.have.length(instanceCount);
+      }
+    }));
+
+  // Guards against a limit that nobody lifts because those who heard of it send nothing more.
+  it('is back at full traffic although only others had heard of its limit', () =>
+    withFleet({instanceCount, handlers: [answering]}, async fleet => {
+      fleet.limit(0, String(limitPerS));
+      await fleet.call('plain', 1, true);
+      fleet.limit(0, undefined);
+      expect(fleet.limits().map(({perS}) => perS)).to.deep.equal([limitPerS]);
+      expect(fleet.limitedCount(2)).to.equal(0);
+      await fleet.wait(msPerSecond);
+      await fleet.call('plain', 2, true);
+      await fleet.wait(restoredMs);
+      expect(fleet.limits()).to.deep.equal([]);
+    }));
+
+  // Guards against a new process that is held to the limit of the last one.
+  it('starts without a limit as a new process', () =>
+    withFleet({instanceCount, handlers: [answering]}, async fleet => {
+      fleet.limit(0, '0');
+      await fleet.call('plain', 0, true);
+      fleet.limit(0, undefined);
+      fleet.list([[0, 2]]);
+      expect(fleet.limits()).to.deep.equal([]);
+      expect(fleet.limitedCount(0)).to.equal(0);
+      expectAnswered(await sendFor(fleet, 'plain', msPerSecond));
+      expect(fleet.log.at(-1)?.fields).to.include({reason: 'replaced'});
+    }));
+
+  // Guards against values of no use that limit an upstream, lift its limit, or fill the log.
+  for (const value of ['-1', 'NaN', '1e308', '', '2/s', '4, x']) {
+    it(`states nothing with the value "${value}", which is logged once`, () =>
+      withFleet({instanceCount, handlers: [answering]}, async fleet => {
+        fleet.limit(0, String(limitPerS));
+        await fleet.call('plain', 0, true);
+        fleet.limit(0, value);
+        await fleet.call('plain', 0, true);
+        await fleet.call('plain', 0, true);
+        expect(fleet.limits().map(({perS}) => perS)).to.deep.equal([limitPerS]);
+        expect(fleet.log.map(({message}) => message)).to.deep.equal([
+          beginMessage,
+          'an upstream sent an unusable limit of its rate',
+        ]);
+        expect(fleet.log[1]?.fields.problem).to.include('requests a second');
       }));
   }
+
+  // Guards against a limit that only successful responses state.
+  it('is limited by a rejection that says so', () =>
+    withFleet({instanceCount, handlers: [rejecting]}, async fleet => {
+      fleet.limit(0, '2');
+      await fleet.call('chat', 0, true);
+      expect(fleet.limits().map(({perS}) => perS)).to.deep.equal([2]);
+      const named = fleet.log.map(({fields}) => fields.limitPerS);
+      expect(named).to.include(2);
+    }));
+
+  // Guards against callers who make a service that returns headers look limited, and against a header of ours in responses.
+  it('is not limited by callers, nor named to them', () =>
+    withFleet({instanceCount, handlers: [answering]}, async fleet => {
+      fleet.limit(0, String(limitPerS));
+      const {headers} = await fleet.call('plain', 0, true);
+      expect(fleet.headers(0)).not.to.have.property(limitHeader);
+      expect(headers).not.to.have.property(limitHeader);
+    }));
 });
--- a/packages/daemon/src/__tests__/unit/LimitedUpstreamsFixture.ts
+++ b/packages/daemon/src/__tests__/unit/LimitedUpstreamsFixture.ts
@@ -2,7 +2,7 @@
  * Several instances that share one real scheduler, with upstreams on loopback
  * that count what arrives and limit the request rate when a test says so.
  */
-import type {Server} from 'node:http';
+import type {IncomingHttpHeaders, OutgoingHttpHeaders, Server} from 'node:http';
 import {createServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {
@@ -23,6 +23,7 @@
   toWorkspaceId,
 } from '@toucanrouter/common';
 import type {LogFields, Logger} from '@toucanrouter/logging';
+import type {UpstreamRateLimit} from '@toucanrouter/policy';
 import {
   createHedgeBudget,
   createLengthModel,
@@ -38,7 +39,9 @@
 import {parseChatRequest} from '../../request/chat/ChatRequest.js';
 import {createPromptGuard} from '../../request/chat/PromptGuard.js';
 import type {Exchange} from '../../request/Exchange.js';
+import {createLimitedUpstreams} from '../../request/LimitedUpstreams.js';
 import {createPausedUpstreams} from '../../request/PausedUpstreams.js';
+import type {PlainResponse} from '../../request/plain/PlainCall.js';
 import {servePlain} from '../../request/plain/PlainCall.js';
 import type {UpstreamAccess} from '../../request/UpstreamAccess.js';
 import type {PermitClient} from '../../scheduling/PermitClient.js';
@@ -58,6 +61,8 @@
   readonly kind: string;
   readonly isUrgent: boolean;
   readonly retryAfterMs: number | undefined;
+  /** Headers of a plain response. */
+  readonly headers: OutgoingHttpHeaders | undefined;
   readonly totalMs: number;
 }
 
@@ -87,6 +92,12 @@
   setOwner(instance: number): void;
   /** Times at which requests reached an upstream. */
   arrivalsMs(index: number): readonly number[];
+  /** Headers of the last request that reached an upstream. */
+  headers(index: number): IncomingHttpHeaders | undefined;
+  /** Request rates that the scheduler of the owner keeps. */
+  limits(): readonly UpstreamRateLimit[];
+  /** Number of upstreams whose limit an instance was told of. */
+  limitedCount(instance: number): number;
   readonly log: readonly LimitedLogLine[];
   nowMs(): number;
   wait(forMs: number): Promise<void>;
@@ -147,6 +158,7 @@
   const log: LimitedLogLine[] = [];
   const limits = new Map<number, string>();
   const arrivals: number[][] = options.handlers.map(() => []);
+  const headers = new Map<number, IncomingHttpHeaders>();
   let ownerIndex = 0;
   let callCount = 0;
 
@@ -156,6 +168,7 @@
   ): Promise<Server> {
     const server = createServer((message, response) => {
       arrivals[index]!.push(clock.nowMs());
+      headers.set(index, message.headers);
       const limit = limits.get(index);
       if (limit !== undefined) response.setHeader(limitHeader, limit);
       const chunks: Buffer[] = [];
@@ -230,6 +243,13 @@
       selfId,
       ownerOf: () => ids[ownerIndex]!,
       portOf: hostOf,
+      statedRates: shard => limitedUpstreams.statements(shard),
+    });
+    const limitedUpstreams = createLimitedUpstreams({
+      clock,
+      logger,
+      directory,
+      onChange: permits.reportRates,
     });
     const pausedUpstreams = createPausedUpstreams({clock, logger, directory});
     const hedgeBudget = createHedgeBudget();
@@ -253,6 +273,7 @@
         onNews: () => undefined,
       }),
       pausedUpstreams,
+      limitedUpstreams,
       random: createSeededRandom(1),
     };
     directory.registerChangeHandler(host.refreshUpstreams);
@@ -268,6 +289,7 @@
       },
       close: async () => {
         pausedUpstreams.close();
+        limitedUpstreams.close();
         permits.close();
         host.close();
         await dispatcher.destroy();
@@ -282,7 +304,7 @@
     return {
       requestId,
       callerRequestId: undefined,
-      headers: {},
+      headers: {[limitHeader]: '1'},
       body: Buffer.from(body),
       target: {kind: 'engine', serves: 'advisor', method: 'POST', path: '/'},
       response: {
@@ -323,7 +345,7 @@
     kind: CallKind,
     access: UpstreamAccess,
     exchange: Exchange,
-  ): Promise<Result<unknown, RouterError>> {
+  ): Promise<Result<PlainResponse | void, RouterError>> {
     if (kind === 'plain') return servePlain(access, exchange, shardId, {});
     const request = parseChatRequest(exchange.body)._unsafeUnwrap();
     return serveChat(access, exchange, request, shardId);
@@ -336,9 +358,11 @@
       const serviceClass = isUrgent ? urgentClass : patientClass;
       const exchange = createExchange(body, serviceClass);
       const result = await serve(kind, instances[instance]!.access, exchange);
+      const response = result.isOk() ? result.value : undefined;
       return {
         kind: result.isOk() ? 'answered' : result.error.kind,
         isUrgent,
+        headers: response === undefined ? undefined : response.headers,
         retryAfterMs: result.isErr() ? result.error.retryAfterMs : undefined,
         totalMs: clock.nowMs() - exchange.arrivedAtMs,
       };
@@ -359,6 +383,10 @@
       }
     },
     arrivalsMs: index => arrivals[index]!,
+    headers: index => headers.get(index),
+    limits: () => instances[ownerIndex]!.host.rateStatus().limits,
+    limitedCount: instance =>
+      instances[instance]!.access.limitedUpstreams.count(),
     log,
     nowMs: clock.nowMs,
     wait: forMs => delay(clock, forMs),
--- a/packages/daemon/src/__tests__/unit/Metrics.test.ts
+++ b/packages/daemon/src/__tests__/unit/Metrics.test.ts
@@ -21,6 +21,8 @@
     }),
     pausedCount: zero,
     refusalCounts: () => ({withPause: 0, withoutPause: 0}),
+    rateLimitedCount: zero,
+    rateStatus: () => ({limits: [], heldBackCount: 0}),
     loopDelayMs: zero,
     recentLoopDelayMs: zero,
     admittedShare: () => 1,
--- a/packages/daemon/src/__tests__/unit/PausedUpstreams.test.ts
+++ b/packages/daemon/src/__tests__/unit/PausedUpstreams.test.ts
@@ -471,6 +471,8 @@
       retryBudget: () => createRetryBudget().status(0),
       pausedCount: paused.count,
       refusalCounts: paused.refusalCounts,
+      rateLimitedCount: () => 0,
+      rateStatus: () => ({limits: [], heldBackCount: 0}),
       loopDelayMs: () => 0,
       recentLoopDelayMs: () => 0,
       admittedShare: () => 1,
--- a/packages/daemon/src/__tests__/unit/PausingUpstreamsFixture.ts
+++ b/packages/daemon/src/__tests__/unit/PausingUpstreamsFixture.ts
@@ -39,6 +39,7 @@
 import {parseChatRequest} from '../../request/chat/ChatRequest.js';
 import {createPromptGuard} from '../../request/chat/PromptGuard.js';
 import type {Exchange} from '../../request/Exchange.js';
+import {createLimitedUpstreams} from '../../request/LimitedUpstreams.js';
 import {createPausedUpstreams} from '../../request/PausedUpstreams.js';
 import type {PlainResponse} from '../../request/plain/PlainCall.js';
 import {servePlain} from '../../request/plain/PlainCall.js';
@@ -277,6 +278,12 @@
       onNews: () => undefined,
     }),
     pausedUpstreams,
+    limitedUpstreams: createLimitedUpstreams({
+      clock,
+      logger,
+      directory,
+      onChange: client.reportRates,
+    }),
     random: createSeededRandom(1),
   };
   const claims = createClaimedCalls(clock, selfId, claimStore);
--- a/packages/daemon/src/__tests__/unit/PermitClient.test.ts
+++ b/packages/daemon/src/__tests__/unit/PermitClient.test.ts
@@ -21,6 +21,7 @@
     cancel: () => undefined,
     progress: () => undefined,
     announce: () => undefined,
+    receiveRates: () => undefined,
     release: (_shardId, release) => released.push({to, release}),
   });
   const clock = createManualClock();
--- a/packages/daemon/src/__tests__/unit/SchedulingFixture.ts
+++ b/packages/daemon/src/__tests__/unit/SchedulingFixture.ts
@@ -191,6 +191,7 @@
       progress: (...args) => sendCall(host => host.progress(...args)),
       release: (...args) => sendCall(host => host.release(...args)),
       announce: (...args) => sendCall(host => host.announce(...args)),
+      receiveRates: (...args) => sendCall(host => host.receiveRates(...args)),
     };
   }
 
--- a/packages/daemon/src/__tests__/unit/SuspectUpstreamsFixture.ts
+++ b/packages/daemon/src/__tests__/unit/SuspectUpstreamsFixture.ts
@@ -26,6 +26,7 @@
 import {createPromptGuard} from '../../request/chat/PromptGuard.js';
 import {formatEvent} from '../../request/chat/SseScanner.js';
 import type {CallTarget, Exchange} from '../../request/Exchange.js';
+import {createLimitedUpstreams} from '../../request/LimitedUpstreams.js';
 import {createPausedUpstreams} from '../../request/PausedUpstreams.js';
 import type {UpstreamAccess} from '../../request/UpstreamAccess.js';
 import type {
@@ -268,6 +269,12 @@
       onNews: () => undefined,
     }),
     pausedUpstreams: createPausedUpstreams({clock, logger, directory}),
+    limitedUpstreams: createLimitedUpstreams({
+      clock,
+      logger,
+      directory,
+      onChange: () => undefined,
+    }),
     random: createSeededRandom(1),
   };
   const result = await options.serve(access, exchange);
--- a/packages/daemon/src/request/ResponseHeads.ts
+++ b/packages/daemon/src/request/ResponseHeads.ts
@@ -1,6 +1,7 @@
 /**
  * What upstreams say about themselves in the heads of their responses: that
- * they are leaving, or that they want no request for some time.
+ * they are leaving, that they want no request for some time, or how many
+ * requests a second they take from all instances together.
  */
 import type {RequestId, UpstreamInfo} from '@toucanrouter/common';
 import type {UpstreamAccess} from './UpstreamAccess.js';
@@ -13,19 +14,33 @@
 
 const leavingValue = '1';
 
+/**
+ * Sent in all responses of an upstream in need: the requests a second, as a
+ * decimal number, that it takes from all instances together.
+ */
+export const rateLimitHeader = 'x-upstream-rate-limit';
+
 /** The parts of a response head that are read here. */
 export interface ResponseHead {
   readonly statusCode: number;
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
 }
 
-/** Handles the head of a response of `upstream`. */
+/** The request to which a response belongs. */
+export interface SentRequest {
+  readonly upstream: UpstreamInfo;
+  readonly requestId: RequestId;
+  readonly sentAtMs: number;
+}
+
+/** Handles the head of a response. */
 export function receiveHead(
-  {directory, pausedUpstreams}: UpstreamAccess,
-  upstream: UpstreamInfo,
-  requestId: RequestId,
+  {directory, limitedUpstreams, pausedUpstreams}: UpstreamAccess,
+  {requestId, sentAtMs, upstream}: SentRequest,
   {headers, statusCode}: ResponseHead,
 ): void {
+  const value = headers[rateLimitHeader];
+  limitedUpstreams.recordHead({upstream, requestId, value, sentAtMs});
   if (headers[leavingHeader] === leavingValue) {
     const {id, incarnation} = upstream;
     directory.markLeaving({upstreamId: id, incarnation});
--- a/packages/daemon/src/request/UpstreamAccess.ts
+++ b/packages/daemon/src/request/UpstreamAccess.ts
@@ -27,6 +27,7 @@
 import type {PromptGuard} from './chat/PromptGuard.js';
 import type {Exchange} from './Exchange.js';
 import {classOf, workspaceOf} from './Exchange.js';
+import type {LimitedUpstreams} from './LimitedUpstreams.js';
 import type {PausedUpstreams} from './PausedUpstreams.js';
 
 /** The parts of the instance that calls to upstreams use. */
@@ -42,6 +43,7 @@
   readonly hedgeBudget: HedgeBudget;
   readonly promptGuard: PromptGuard;
   readonly pausedUpstreams: PausedUpstreams;
+  readonly limitedUpstreams: LimitedUpstreams;
   readonly random: RandomSource;
 }
 
@@ -164,7 +166,7 @@
       ? undefined
       : err(granted.error);
   }
-  return resolveUpstream(access, granted.value).match(
+  return resolveUpstream(access, exchange, granted.value).match(
     resolved => (returnIfUnusable(access, resolved) ? undefined : ok(resolved)),
     error => err(error),
   );
@@ -296,10 +298,17 @@
 
 function resolveUpstream(
   access: UpstreamAccess,
+  {requestId}: Exchange,
   permit: Permit,
 ): Result<GrantedUpstream, RouterErrorType> {
   const upstream = access.directory.find(permit.upstreamId);
-  if (upstream !== undefined) return ok({permit, upstream});
+  if (upstream !== undefined) {
+    const {limitPerS} = permit;
+    if (limitPerS !== undefined) {
+      access.limitedUpstreams.recordGrant(upstream, requestId, limitPerS);
+    }
+    return ok({permit, upstream});
+  }
   permit.release({outcome: 'unused', wastedTokens: 0});
   const message = `upstream ${permit.upstreamId} is not in the instance list`;
   return err(new RouterError('no_upstream', message));
--- a/packages/daemon/src/request/chat/ChatAttempt.ts
+++ b/packages/daemon/src/request/chat/ChatAttempt.ts
@@ -40,15 +40,17 @@
     effectiveStart === 'continue' && transcript.tokens > 0
       ? transcript.prefix()
       : undefined;
+  const {requestId} = exchange;
+  const sentAtMs = access.clock.nowMs();
   const end = await runEngineAttempt({
     dispatcher: access.dispatcher,
     responseBuffers: access.responseBuffers,
     address: upstream.address,
-    requestId: exchange.requestId,
+    requestId,
     body: toUpstreamBody(state.request, classOf(exchange).tier, prefix),
     lastEventId: resuming ? transcript.lastEventId : undefined,
     signal: AbortSignal.any([exchange.signal, abort.signal]),
-    onHead: head => receiveHead(access, upstream, exchange.requestId, head),
+    onHead: head => receiveHead(access, {upstream, requestId, sentAtMs}, head),
     onEvents: events => {
       if (state.winner === undefined) {
         state.winner = granted;
@@ -69,7 +71,6 @@
   if (kind === 'complete') {
     access.promptGuard.answered(upstream, sharedSegments);
   } else if (closedByEngine(end)) {
-    const {requestId} = exchange;
     state.breaks.push(
       access.promptGuard.connectionBroke(upstream, requestId, sharedSegments),
     );
@@ -78,8 +79,8 @@
   permit.release(
     asksForPause
       ? // A pause is neither a fault nor slowness of the upstream.
-        {outcome: 'unused', wastedTokens: 0}
-      : toJobEnd(state, kind),
+        {outcome: 'unused', wastedTokens: 0, reachedUpstream: true}
+      : {...toJobEnd(state, kind), reachedUpstream: reachedEngine(end)},
   );
   if (kind === 'complete' || kind === 'lost_race') {
     return {granted, start: effectiveStart, end: {kind}, preempted};
@@ -100,6 +101,11 @@
   );
 }
 
+/** Returns whether a request was sent, as far as is known. */
+function reachedEngine(end: AttemptEnd): boolean {
+  return end.kind !== 'broken' || end.connected;
+}
+
 /** Returns whether the engine may have ended while the request ran there. */
 function closedByEngine(end: AttemptEnd): boolean {
   if (end.kind === 'broken') {
--- a/packages/daemon/src/request/plain/PlainCall.ts
+++ b/packages/daemon/src/request/plain/PlainCall.ts
@@ -19,6 +19,7 @@
 import {abortError, classOf, permitError} from '../Exchange.js';
 import {
   leavingHeader,
+  rateLimitHeader,
   receiveHead,
   serviceUnavailableStatus,
 } from '../ResponseHeads.js';
@@ -54,6 +55,7 @@
   'x-service-class',
   // A service may return headers that it received.
   leavingHeader,
+  rateLimitHeader,
 ]);
 
 const connectFailureCodes = new Set([
@@ -174,6 +176,7 @@
   const abort = new AbortController();
   const withdrawal = new AbortController();
   if (idempotent) registerAborts(state, granted, abort, withdrawal.signal);
+  const sentAtMs = access.clock.nowMs();
   try {
     const response = await access.dispatcher.request({
       origin: `http://${upstream.address}`,
@@ -187,11 +190,16 @@
         ? AbortSignal.any([exchange.signal, abort.signal])
         : undefined,
     });
-    receiveHead(access, upstream, exchange.requestId, response);
+    const {requestId} = exchange;
+    receiveHead(access, {upstream, requestId, sentAtMs}, response);
     const body = await readBody(response.body, access.responseBuffers);
     if (isPauseRequest(access, upstream, response.statusCode)) {
       // The time that a rejection takes says nothing about the upstream.
-      permit.release({outcome: 'unused', wastedTokens: 0});
+      permit.release({
+        outcome: 'unused',
+        wastedTokens: 0,
+        reachedUpstream: true,
+      });
     } else {
       permit.recordTokens(callCostTokens);
       access.hedgeBudget.recordWork(callCostTokens);
@@ -208,6 +216,7 @@
     permit.release({
       outcome: exchange.signal.aborted ? 'canceled' : permitOutcomes[endReason],
       wastedTokens: 0,
+      reachedUpstream: !wasNotSent(cause),
     });
     return err({endReason, cause});
   } finally {
@@ -386,8 +395,8 @@
 ): OutgoingHttpHeaders {
   const forwarded: OutgoingHttpHeaders = {};
   for (const [name, value] of Object.entries(headers)) {
-    if (name === leavingHeader || perConnectionHeaders.has(name)) continue;
-    if (value !== undefined) {
+    if (name === leavingHeader || name === rateLimitHeader) continue;
+    if (value !== undefined && !perConnectionHeaders.has(name)) {
       forwarded[name] = value;
     }
   }
--- a/packages/daemon/src/scheduling/PermitClient.ts
+++ b/packages/daemon/src/scheduling/PermitClient.ts
@@ -21,10 +21,12 @@
 import {RouterError} from '@toucanrouter/common';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
+import type {RateStatement} from '@toucanrouter/policy';
 import type {SchedulerPort} from './SchedulerHost.js';
 import {
   progressIntervalMs,
   progressTickMs,
+  rateReportIntervalMs,
   acquireResendIntervalMs,
   stalledAfterMs,
 } from './SchedulingConstants.js';
@@ -33,12 +35,16 @@
 export interface JobEnd {
   readonly outcome: PermitOutcome;
   readonly wastedTokens: number;
+  /** Whether a request was sent; by default, unless the permit is unused. */
+  readonly reachedUpstream?: boolean;
 }
 
 /** Permission to run one job on one upstream. */
 export interface Permit {
   readonly permitId: PermitId;
   readonly upstreamId: UpstreamId;
+  /** The rate to which the upstream limits all instances, if it does. */
+  readonly limitPerS?: number;
   /** Records new tokens; the response of a plain call counts as one token. */
   recordTokens(count: number): void;
   /** Called when the scheduler preempts the job. */
@@ -59,6 +65,8 @@
   readonly ownerOf: (shardId: ShardId) => InstanceId;
   /** The port of a scheduler, on this instance or another. */
   readonly portOf: (scheduler: InstanceId) => SchedulerPort;
+  /** The request rates that upstreams of a shard stated to this instance. */
+  readonly statedRates?: (shardId: ShardId) => readonly RateStatement[];
 }
 
 /** Requests and holds the permits of one instance. */
@@ -71,6 +79,8 @@
   ): Promise<Result<Permit, RouterError>>;
   /** Handles a decision of a scheduler. */
   deliver(shardId: ShardId, from: InstanceId, effect: SchedulerEffect): void;
+  /** Reports at once what upstreams of a shard stated. */
+  reportRates(shardId: ShardId): void;
   /** Moves each shard whose owner has changed to its new scheduler. */
   refreshOwners(): void;
   counts(): {readonly pending: number; readonly held: number};
@@ -101,6 +111,7 @@
   schedulerId: InstanceId;
   readonly pending: Map<RequestId, PendingRequest>;
   readonly held: Map<PermitId, HeldPermit>;
+  ratesReportedAtMs: number;
 }
 
 /** Creates a client without permits. */
@@ -113,7 +124,13 @@
     let shard = shards.get(shardId);
     if (shard === undefined) {
       const schedulerId = options.ownerOf(shardId);
-      shard = {shardId, schedulerId, pending: new Map(), held: new Map()};
+      shard = {
+        shardId,
+        schedulerId,
+        pending: new Map(),
+        held: new Map(),
+        ratesReportedAtMs: -Infinity,
+      };
       shards.set(shardId, shard);
     }
     return shard;
@@ -142,10 +159,21 @@
       signal.addEventListener('abort', onAbort);
       const sentAtMs = clock.nowMs();
       shard.pending.set(request.requestId, {request, sentAtMs, complete});
+      reportRatesIfDue(shard);
       portFor(shard).acquire(shardId, request);
     });
   }
 
+  /** A scheduler must know of a rate before it grants a permit to a holder that does. */
+  function reportRatesIfDue(shard: ShardState): void {
+    const nowMs = clock.nowMs();
+    if (nowMs - shard.ratesReportedAtMs < rateReportIntervalMs) return;
+    const statements = options.statedRates?.(shard.shardId) ?? [];
+    if (statements.length === 0) return;
+    shard.ratesReportedAtMs = nowMs;
+    portFor(shard).receiveRates(shard.shardId, selfId, statements);
+  }
+
   function portFor(shard: ShardState): SchedulerPort {
     return options.portOf(shard.schedulerId);
   }
@@ -227,6 +255,7 @@
     const permit: HeldPermit = {
       permitId: effect.permitId,
       upstreamId: effect.upstreamId,
+      limitPerS: effect.limitPerS,
       request,
       grantedAtMs,
       schedulerIds: new Set([from]),
@@ -262,6 +291,7 @@
         firstTokenMs,
         tokenGapMs: meanTokenGapMs(permit),
         serviceMs: clock.nowMs() - grantedAtMs,
+        reachedUpstream: end.reachedUpstream,
       });
     }
   }
@@ -274,6 +304,7 @@
       previous.cancel(shard.shardId, selfId, request.requestId);
     }
     shard.schedulerId = ownerId;
+    shard.ratesReportedAtMs = -Infinity;
     const next = portFor(shard);
     next.announce(
       shard.shardId,
@@ -281,10 +312,12 @@
       [...shard.held.values()].map(toAnnouncedPermit),
     );
     for (const permit of shard.held.values()) permit.schedulerIds.add(ownerId);
+    reportRatesIfDue(shard);
     for (const pending of [...shard.pending.values()]) resend(shard, pending);
   }
 
   function resend(shard: ShardState, pending: PendingRequest): void {
+    reportRatesIfDue(shard);
     pending.sentAtMs = clock.nowMs();
     portFor(shard).acquire(shard.shardId, pending.request);
   }
@@ -316,6 +349,12 @@
   return {
     acquire,
     deliver,
+    reportRates: shardId => {
+      const shard = ensureShard(shardId);
+      refreshOwner(shard);
+      shard.ratesReportedAtMs = -Infinity;
+      reportRatesIfDue(shard);
+    },
     refreshOwners: () => {
       for (const shard of [...shards.values()]) refreshOwner(shard);
     },
--- a/packages/daemon/src/scheduling/RemoteSchedulerPort.ts
+++ b/packages/daemon/src/scheduling/RemoteSchedulerPort.ts
@@ -9,7 +9,12 @@
   ShardId,
 } from '@toucanrouter/common';
 import {toRequestId, toShardId} from '@toucanrouter/common';
-import type {Envelope, ReceivedEnvelope} from '@toucanrouter/peer';
+import type {
+  Envelope,
+  ReceivedEnvelope,
+  ReceivedStatedRates,
+  StatedRate,
+} from '@toucanrouter/peer';
 import {
   decodeAcquire,
   decodeEffect,
@@ -20,6 +25,7 @@
   encodePermit,
   encodeRelease,
 } from '@toucanrouter/peer';
+import type {ProcessHash, RateStatement} from '@toucanrouter/policy';
 import type {SchedulerPort} from './SchedulerHost.js';
 
 /** Creates the port of a scheduler that runs on another instance. */
@@ -40,9 +46,32 @@
       const wirePermits = permits.map(permit => encodePermit(permit, nowMs));
       send({announce: {shardId, permits: wirePermits}});
     },
+    receiveRates: (shardId, _from, statements) =>
+      send({statedRates: {shardId, rates: statements.map(encodeRate)}}),
   };
 }
 
+function encodeRate({
+  endedAgeMs,
+  perS,
+  process,
+  statedAgeMs,
+}: RateStatement): StatedRate {
+  return {process, perS, statedAgoMs: statedAgeMs, endedAgoMs: endedAgeMs};
+}
+
+/** Decodes the request rates that an instance was told. */
+export function decodeRates({
+  rates,
+}: ReceivedStatedRates): readonly RateStatement[] {
+  return rates.map(({endedAgoMs, perS, process, statedAgoMs}) => ({
+    process: process as ProcessHash,
+    perS,
+    statedAgeMs: statedAgoMs,
+    endedAgeMs: endedAgoMs,
+  }));
+}
+
 /** Handlers of received scheduling messages. */
 export interface SchedulingReceivers {
   readonly host: SchedulerPort;
@@ -61,7 +90,7 @@
   envelope: ReceivedEnvelope,
 ): void {
   const {host} = receivers;
-  const {acquire, announce, cancel, progress, release} = envelope;
+  const {acquire, announce, cancel, progress, release, statedRates} = envelope;
   const nowMs = clock.nowMs();
   if (acquire) {
     const shardId = toShardId(acquire.shardId);
@@ -79,6 +108,9 @@
       decodePermit(permit, from, nowMs),
     );
     host.announce(toShardId(announce.shardId), from, permits);
+  } else if (statedRates) {
+    const statements = decodeRates(statedRates);
+    host.receiveRates(toShardId(statedRates.shardId), from, statements);
   } else {
     const decoded = decodeEffect(envelope, from);
     if (decoded === undefined) return;
--- a/packages/daemon/src/scheduling/SchedulerHost.ts
+++ b/packages/daemon/src/scheduling/SchedulerHost.ts
@@ -20,7 +20,11 @@
   Undo,
   UpstreamInfo,
 } from '@toucanrouter/common';
-import type {ShardScheduler} from '@toucanrouter/policy';
+import type {
+  RateStatement,
+  RateStatus,
+  ShardScheduler,
+} from '@toucanrouter/policy';
 import {
   idleShardTimeoutMs,
   holderTimeoutMs,
@@ -44,6 +48,12 @@
     holder: InstanceId,
     permits: readonly AnnouncedPermit[],
   ): void;
+  /** Passes on the request rates that upstreams stated to an instance. */
+  receiveRates(
+    shardId: ShardId,
+    from: InstanceId,
+    statements: readonly RateStatement[],
+  ): void;
 }
 
 /** Dependencies of a scheduler host. */
@@ -67,6 +77,8 @@
   refreshUpstreams(): void;
   refreshClasses(): void;
   snapshots(): readonly ShardSnapshot[];
+  /** The request rates that the schedulers on this instance keep. */
+  rateStatus(): RateStatus;
   start(): void;
   close(): void;
 }
@@ -95,6 +107,7 @@
   const {clock, selfId} = options;
   const shards = new Map<ShardId, HostedShard>();
   const undos: Undo[] = [];
+  let removedHeldBackCount = 0;
 
   function ensureShard(shardId: ShardId): HostedShard {
     const nowMs = clock.nowMs();
@@ -196,6 +209,34 @@
     apply(shard, shard.scheduler.adopt(permits, nowMs));
   }
 
+  function receiveRates(
+    shardId: ShardId,
+    from: InstanceId,
+    statements: readonly RateStatement[],
+  ): void {
+    const shard = ensureShard(shardId);
+    const nowMs = clock.nowMs();
+    apply(shard, shard.scheduler.receiveRates(from, statements, nowMs));
+  }
+
+  function rateStatus(): RateStatus {
+    const nowMs = clock.nowMs();
+    const all = [...shards.values()].map(({scheduler}) =>
+      scheduler.rateStatus(nowMs),
+    );
+    return {
+      limits: all.flatMap(({limits}) => limits),
+      heldBackCount:
+        removedHeldBackCount +
+        all.reduce((count, {heldBackCount}) => count + heldBackCount, 0),
+    };
+  }
+
+  function removeShard({scheduler, shardId}: HostedShard): void {
+    removedHeldBackCount += scheduler.rateStatus(clock.nowMs()).heldBackCount;
+    shards.delete(shardId);
+  }
+
   function reclaimPermit(shard: HostedShard, permitId: PermitId): void {
     release(shard.shardId, {
       permitId,
@@ -251,7 +292,7 @@
       expireHolders(shard, nowMs);
       reclaimUnreportedPermits(shard, nowMs);
       apply(shard, shard.scheduler.tick(nowMs));
-      if (isIdle(shard, nowMs)) shards.delete(shard.shardId);
+      if (isIdle(shard, nowMs)) removeShard(shard);
     }
   }
 
@@ -261,6 +302,8 @@
     progress,
     release,
     announce,
+    receiveRates,
+    rateStatus,
     warmUp: shardIds => {
       for (const shardId of shardIds) {
         if (!shards.has(shardId) && options.isOwned(shardId))
--- a/packages/daemon/src/scheduling/Scheduling.ts
+++ b/packages/daemon/src/scheduling/Scheduling.ts
@@ -8,8 +8,9 @@
   OperatorConfig,
   ShardId,
 } from '@toucanrouter/common';
-import {createProcessRandom, toPermitId} from '@toucanrouter/common';
+import {createProcessRandom, hash32, toPermitId} from '@toucanrouter/common';
 import {encodeEffect} from '@toucanrouter/peer';
+import type {RateSharing, RateStatement} from '@toucanrouter/policy';
 import {
   createLengthModel,
   createShardScheduler,
@@ -31,6 +32,8 @@
   readonly config: () => OperatorConfig;
   /** Keeps permit ids distinct from those of earlier incarnations. */
   readonly incarnation: number;
+  /** The request rates that upstreams of a shard stated to this instance. */
+  readonly statedRates: (shardId: ShardId) => readonly RateStatement[];
 }
 
 /** Both sides of the permit exchange. */
@@ -68,6 +71,7 @@
         lengths: createLengthModel(),
         random: createProcessRandom(),
         createPermitId,
+        rateSharing: createRateSharing(shardId, fleet, directory),
       }),
     isOwned: shardId => fleet.owner(shardId) === selfId,
     upstreamsOf: directory.inShard,
@@ -83,10 +87,38 @@
     selfId,
     ownerOf: (shardId: ShardId) => fleet.owner(shardId),
     portOf,
+    statedRates: options.statedRates,
   });
   return {host, permits};
 }
 
+/**
+ * Each region whose calls go to a shard has a scheduler for it, so the shard's
+ * rates are divided among these regions.
+ */
+function createRateSharing(
+  shardId: ShardId,
+  fleet: Fleet,
+  directory: UpstreamDirectory,
+): RateSharing {
+  const sharerIdOf = (region: string) => hash32(`region ${region}`);
+
+  function usesShard(region: string): boolean {
+    const [upstream] = directory.inShard(shardId);
+    if (upstream === undefined) return false;
+    const {kind, serves} = upstream;
+    return directory.shardsServing(kind, serves, region)[0] === shardId;
+  }
+
+  return {
+    selfId: sharerIdOf(fleet.region),
+    peerIds: () =>
+      [...new Set(fleet.alive().map(({region}) => region))]
+        .filter(region => region !== fleet.region && usesShard(region))
+        .map(sharerIdOf),
+  };
+}
+
 function createPermitIds(selfId: InstanceId, incarnation: number) {
   const prefix = `${selfId}.${incarnation.toString(36)}`;
   let lastPermit = 0;
--- a/packages/daemon/src/scheduling/SchedulingConstants.ts
+++ b/packages/daemon/src/scheduling/SchedulingConstants.ts
@@ -30,5 +30,8 @@
 /** A job without a new token for this long is reported on each tick. */
 export const stalledAfterMs = 150;
 
+/** Request rates are reported this often while requests are sent. */
+export const rateReportIntervalMs = 200;
+
 /** A pending request is resent at this interval, as a broken link may lose it. */
 export const acquireResendIntervalMs = 1_000;
--- a/packages/daemon/src/server/Servers.ts
+++ b/packages/daemon/src/server/Servers.ts
@@ -90,7 +90,7 @@
 }
 
 function createInstanceMetrics(
-  {access, fleet, holder, loadControl, memory, permits}: Instance,
+  {access, fleet, holder, host, loadControl, memory, permits}: Instance,
   hub: PeerHub,
 ): Metrics {
   return createMetrics({
@@ -104,6 +104,8 @@
     retryBudget: () => access.retryBudget.status(access.clock.nowMs()),
     pausedCount: access.pausedUpstreams.count,
     refusalCounts: access.pausedUpstreams.refusalCounts,
+    rateLimitedCount: access.limitedUpstreams.count,
+    rateStatus: host.rateStatus,
     loopDelayMs: loadControl.loopDelay.currentMs,
     recentLoopDelayMs: loadControl.loopDelay.recentMaxMs,
     admittedShare: loadControl.admittedShare,
--- a/packages/peer/src/PeerCodec.ts
+++ b/packages/peer/src/PeerCodec.ts
@@ -109,8 +109,10 @@
   const {requestId} = effect;
   switch (effect.kind) {
     case 'grant': {
-      const {attempt, permitId, upstreamId} = effect;
-      return {grant: {shardId, requestId, attempt, permitId, upstreamId}};
+      const {attempt, limitPerS, permitId, upstreamId} = effect;
+      return {
+        grant: {shardId, requestId, attempt, permitId, upstreamId, limitPerS},
+      };
     }
     case 'refuse': {
       const {attempt, error, retryAfterMs} = effect;
@@ -150,6 +152,7 @@
         attempt: grant.attempt,
         permitId: toPermitId(grant.permitId),
         upstreamId: toUpstreamId(grant.upstreamId),
+        ...(grant.limitPerS === undefined ? {} : {limitPerS: grant.limitPerS}),
       },
     };
   }
@@ -210,6 +213,9 @@
     firstTokenMs: wire.firstTokenMs,
     tokenGapMs: wire.tokenGapMs,
     serviceMs: wire.serviceMs,
+    ...(wire.reachedUpstream === undefined
+      ? {}
+      : {reachedUpstream: wire.reachedUpstream}),
   };
 }
 
--- a/packages/peer/src/__tests__/unit/PeerCodec.test.ts
+++ b/packages/peer/src/__tests__/unit/PeerCodec.test.ts
@@ -102,6 +102,15 @@
         permitId,
         upstreamId: toUpstreamId('e1'),
       },
+      {
+        kind: 'grant',
+        holder,
+        requestId,
+        attempt: 1,
+        permitId,
+        upstreamId: toUpstreamId('e1'),
+        limitPerS: 0.5,
+      },
       {
         kind: 'refuse',
         holder,
@@ -119,6 +128,22 @@
     }
   });
 
+  // Guards against holders of earlier builds whose requests count as not sent.
+  it('distinguishes a request that was not sent from one of which nothing is said', () => {
+    const release: PermitRelease = {
+      permitId: toPermitId('p1'),
+      outcome: 'failed',
+      tokens: 0,
+      wastedTokens: 0,
+      serviceMs: 10,
+    };
+    for (const sent of [undefined, false, true]) {
+      const expected: PermitRelease = {...release, reachedUpstream: sent};
+      const wire = roundTrip(encodeRelease(shardId, expected));
+      expect(decodeRelease(wire.release!).reachedUpstream).to.equal(sent);
+    }
+  });
+
   it('distinguishes an absent first-token time from zero', () => {
     const release: PermitRelease = {
       permitId: toPermitId('p1'),
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -11,6 +11,8 @@
   Member__Output as ReceivedMember,
 } from './generated/toucanrouter/peer/v1/Member.js';
 export type {QuarantineReport__Output as ReceivedQuarantineReport} from './generated/toucanrouter/peer/v1/QuarantineReport.js';
+export type {StatedRate} from './generated/toucanrouter/peer/v1/StatedRate.js';
+export type {StatedRates__Output as ReceivedStatedRates} from './generated/toucanrouter/peer/v1/StatedRates.js';
 export {
   decodeAcquire,
   decodeConfig,
--- a/packages/policy/src/SchedulerJobs.ts
+++ b/packages/policy/src/SchedulerJobs.ts
@@ -124,7 +124,7 @@
   job: RunningJob,
   nowMs: number,
 ): void {
-  const limitPerS = state.rates.limitPerS(job.upstreamId, nowMs);
+  const limitPerS = state.rates.statedPerS(job.upstreamId, nowMs);
   state.effects.push({
     kind: 'grant',
     holder: job.holder,
--- a/packages/policy/src/SchedulerRates.ts
+++ b/packages/policy/src/SchedulerRates.ts
@@ -56,8 +56,8 @@
   take(upstreamId: UpstreamId, nowMs: number): boolean;
   /** Returns a grant that was counted and whose request was not sent. */
   giveBack(upstreamId: UpstreamId): void;
-  /** The rate that holds for all instances together, if any. */
-  limitPerS(upstreamId: UpstreamId, nowMs: number): number | undefined;
+  /** The rate that the upstream states now, if any. */
+  statedPerS(upstreamId: UpstreamId, nowMs: number): number | undefined;
   /** Requests a second that this scheduler may grant; Infinity if unlimited. */
   sharePerS(upstreamId: UpstreamId, nowMs: number): number;
   hasLimits(): boolean;
@@ -188,9 +188,11 @@
         ? Infinity
         : rates.sharePerS(upstream, nowMs);
     },
-    limitPerS: (upstreamId, nowMs) => {
+    statedPerS: (upstreamId, nowMs) => {
       const upstream = limited.get(upstreamId);
-      return upstream === undefined ? undefined : perSOf(upstream, nowMs);
+      return upstream !== undefined && rates.isInForce(upstream.process)
+        ? perSOf(upstream, nowMs)
+        : undefined;
     },
     hasLimits: () => limited.size > 0,
     limits: nowMs => {
--- a/packages/policy/src/SchedulerWait.ts
+++ b/packages/policy/src/SchedulerWait.ts
@@ -49,7 +49,7 @@
   if (!state.rates.hasLimits()) return undefined;
   const live = liveUpstreams(state.tracker);
   const isLimited = (id: UpstreamId) =>
-    state.rates.limitPerS(id, nowMs) !== undefined;
+    state.rates.sharePerS(id, nowMs) !== Infinity;
   if (live.length === 0 || !live.every(isLimited)) return undefined;
   return Math.min(...live.map(id => state.rates.waitMs(id, tier, nowMs)));
 }
