daemon: resume at a limited engine what only it can continue

Seen: a call of a tool whose stream broke at an engine that limits its request rate was sent to another engine as new, because the scheduler prefers, but does not wait for, the engine that has the stream (LimitedUpstreams.test.ts, one request at the engine where two are expected).

While a rate holds for the engine, other engines are excluded from the permit request of a call that none of them can continue, as calls wait for the end of a pause.

--- a/packages/daemon/src/__tests__/unit/LimitedUpstreams.test.ts
+++ b/packages/daemon/src/__tests__/unit/LimitedUpstreams.test.ts
@@ -44,6 +44,13 @@
   breaksOff: true,
 });
 
+const breakingOffTools = engine({
+  pauseAfterTokens: 2,
+  pauseMs: 2 * callIntervalMs,
+  breaksOff: true,
+  callsTool: true,
+});
+
 const answering: UpstreamHandler = (_message, _body, response) => {
   response.end('done');
 };
@@ -151,6 +158,24 @@
       expectLimitUsed(fleet, fromMs);
     }));
 
+  // Guards against calls of tools that are broken off because another engine cannot continue them.
+  it('gets the resumptions that only it can serve', () =>
+    withFleet(
+      {instanceCount, handlers: [breakingOffTools, engine()]},
+      async fleet => {
+        fleet.list([[0, 1]]);
+        fleet.limit(0, '1');
+        const call = fleet.call('chat', 0, false);
+        await fleet.wait(callIntervalMs);
+        fleet.list([
+          [0, 1],
+          [1, 1],
+        ]);
+        expectAnswered([await call]);
+        expect(fleet.arrivalsMs(0)).to.have.length(2);
+      },
+    ));
+
   // Guards against a limit that takes upstreams without one down with it.
   it('leaves the rest to upstreams without a limit', () =>
     withFleet(
--- a/packages/daemon/src/request/LimitedUpstreams.ts
+++ b/packages/daemon/src/request/LimitedUpstreams.ts
@@ -54,6 +54,8 @@
   ): void;
   /** Returns what the upstreams of a shard stated, for their scheduler. */
   statements(shardId: ShardId): readonly RateStatement[];
+  /** Returns whether a rate holds for an upstream. */
+  isLimited(upstream: UpstreamInfo): boolean;
   /** Returns the number of upstreams that state a rate now. */
   count(): number;
   close(): void;
@@ -193,6 +195,11 @@
     },
     statements: shardId =>
       statementsByShard.get(shardId)?.received(clock.nowMs()) ?? [],
+    isLimited: upstream => {
+      const statements = statementsByShard.get(shardOf(upstream));
+      const process = processHashOf(toProcess(upstream));
+      return statements?.rateOf(process, clock.nowMs()) !== undefined;
+    },
     count: () =>
       [...rated.values()].filter(({upstream}) =>
         statementsByShard
--- a/packages/daemon/src/request/chat/ChatCall.ts
+++ b/packages/daemon/src/request/chat/ChatCall.ts
@@ -3,7 +3,7 @@
  * preemption or a fault the recovery policy decides whether to resume on the
  * same engine, continue on another from the received prefix, or restart.
  */
-import type {RouterError, ShardId} from '@toucanrouter/common';
+import type {RouterError, ShardId, UpstreamId} from '@toucanrouter/common';
 import {delayOrAbort, toRequestId} from '@toucanrouter/common';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
@@ -131,6 +131,25 @@
   }
 }
 
+/**
+ * Returns the other upstreams if only the last one has the stream and its rate
+ * may let the call wait: they could not continue it.
+ */
+function otherThanSameEngine(
+  state: ChatState,
+  start: AttemptStart,
+): readonly UpstreamId[] {
+  const {access, lastUpstreamId, shardId} = state;
+  if (start !== 'resume' || canContinueElsewhere(state)) return [];
+  const upstream = lastUpstreamId && access.directory.find(lastUpstreamId);
+  if (upstream === undefined || upstream.leaving) return [];
+  if (!access.limitedUpstreams.isLimited(upstream)) return [];
+  return access.directory
+    .inShard(shardId)
+    .filter(({id}) => id !== upstream.id)
+    .map(({id}) => id);
+}
+
 async function acquireAttempt(
   state: ChatState,
   start: AttemptStart,
@@ -149,7 +168,7 @@
     const fields = {
       attempt: nextAttempt(),
       hedge: false,
-      exclude: [...state.excluded],
+      exclude: [...state.excluded, ...otherThanSameEngine(state, start)],
       promptTokens: state.request.promptTokens + transcript.tokens,
       prefixHash: state.request.prefixHash,
       resume:
