daemon: test that requests without a connection are given back to a rate

A call whose connection is refused takes a permit of a limited upstream and does not reach it. The two tests (chat and plain) ask that the next call is served at once at 0.5 requests a second.

--- a/packages/daemon/src/__tests__/unit/LimitedUpstreams.test.ts
+++ b/packages/daemon/src/__tests__/unit/LimitedUpstreams.test.ts
@@ -148,6 +148,25 @@
       expectLimitUsed(fleet, fromMs);
     }));
 
+  for (const kind of ['chat', 'plain'] as const) {
+    // Guards against a rate that is used up by requests that never reached the upstream.
+    it(`gets a ${kind} call at once after one that found no connection`, () =>
+      withFleet({instanceCount, handlers: [handlers[kind]]}, async fleet => {
+        fleet.limit(0, '0.5');
+        await fleet.call(kind, 0, true);
+        // Enough for one call.
+        await fleet.wait(2 * msPerSecond + 2 * callIntervalMs);
+        await fleet.stop(0);
+        const failing = fleet.call(kind, 0, true);
+        await fleet.wait(2 * callIntervalMs);
+        await fleet.start(0);
+        const outcome = await fleet.call(kind, 1, true);
+        expect(outcome.kind).to.equal('answered');
+        expect(outcome.totalMs).to.be.lessThan(targetMs / 2);
+        expect((await failing).kind).not.to.equal('answered');
+      }));
+  }
+
   // Guards against resumptions and retries that do not count.
   it('is kept to its limit while its streams break', () =>
     withFleet({instanceCount, handlers: [breakingOff]}, async fleet => {
--- a/packages/daemon/src/__tests__/unit/LimitedUpstreamsFixture.ts
+++ b/packages/daemon/src/__tests__/unit/LimitedUpstreamsFixture.ts
@@ -88,6 +88,9 @@
   limit(index: number, value: string | undefined): void;
   /** Puts these upstreams on the instance list, by index and incarnation. */
   list(entries: readonly (readonly [number, number])[]): void;
+  /** An upstream refuses connections until it is started again. */
+  stop(index: number): Promise<void>;
+  start(index: number): Promise<void>;
   /** Makes an instance the owner of all shards. */
   setOwner(instance: number): void;
   /** Times at which requests reached an upstream. */
@@ -182,15 +185,17 @@
   }
 
   const servers = await Promise.all(options.handlers.map(startUpstream));
+  const addresses = servers.map(
+    server => `127.0.0.1:${(server.address() as AddressInfo).port}`,
+  );
   const ids = Array.from({length: options.instanceCount}, (_, index) =>
     toInstanceId(`router-${index}`),
   );
   const instances = ids.map(createTestInstance);
 
   function infoOf(index: number, incarnation: number): UpstreamInfo {
-    const {port} = servers[index]!.address() as AddressInfo;
     const info = upstreamInfo(upstreamName(index));
-    return {...info, address: `127.0.0.1:${port}`, incarnation};
+    return {...info, address: addresses[index]!, incarnation};
   }
 
   function hostOf(id: InstanceId): SchedulerHost {
@@ -375,6 +380,18 @@
       const listed = entries.map(entry => infoOf(...entry));
       for (const {directory} of instances) directory.setListed(listed);
     },
+    stop: async index => {
+      const server = servers[index]!;
+      server.closeAllConnections();
+      await new Promise(resolve => server.close(resolve));
+    },
+    start: async index => {
+      const {port} = new URL(`http://${addresses[index]!}`);
+      const server = servers[index]!;
+      await new Promise<void>(resolve =>
+        server.listen(Number(port), '127.0.0.1', resolve),
+      );
+    },
     setOwner: instance => {
       ownerIndex = instance;
       for (const {host, permits} of instances) {
