--- a/packages/daemon/src/scheduling/PermitClient.ts
+++ b/packages/daemon/src/scheduling/PermitClient.ts
@@ -164,7 +164,10 @@
     });
   }
 
-  /** A scheduler must know of a rate before it grants a permit to a holder that does. */
+  /**
+   * Reports stated rates, ahead of requests: a scheduler must know of a rate
+   * before it grants a permit to a holder that was told of it.
+   */
   function reportRatesIfDue(shard: ShardState): void {
     const nowMs = clock.nowMs();
     if (nowMs - shard.ratesReportedAtMs < rateReportIntervalMs) return;
