--- a/packages/common/src/UnsentResponses.ts
+++ b/packages/common/src/UnsentResponses.ts
@@ -53,5 +53,13 @@
       if (isIdle) socket.destroy();
     }
   };
-  server.closeIdleConnections = () => void socketsRead().then(closeIdle);
+  let isClosing = false;
+  async function closeIdleOnceRead(): Promise<void> {
+    if (isClosing) return;
+    isClosing = true;
+    await socketsRead();
+    isClosing = false;
+    closeIdle();
+  }
+  server.closeIdleConnections = () => void closeIdleOnceRead();
 }
--- a/packages/common/src/__tests__/unit/UnsentResponses.test.ts
+++ b/packages/common/src/__tests__/unit/UnsentResponses.test.ts
@@ -88,6 +88,28 @@
     expect(response).to.match(/^HTTP\/1\.1 200 /);
   });
 
+  // Guards against connections that stay open, and hold up a stop, where each
+  // turn of the event loop is long.
+  it('closes idle connections while all turns are long', async () => {
+    const {server, socket} = await startServer(1);
+    socket.write(`${bodyHead}ab`);
+    await once(socket, 'data');
+    await new Promise(resolve => setTimeout(resolve, 50));
+    let isClosed = false;
+    socket.on('close', () => (isClosed = true)).resume();
+    const turnMs = 60;
+    const endMs = performance.now() + 3_000;
+    server.closeIdleConnections();
+    while (!isClosed && performance.now() < endMs) {
+      const untilMs = performance.now() + turnMs;
+      while (performance.now() < untilMs);
+      await new Promise(resolve => setImmediate(resolve));
+    }
+    socket.destroy();
+    server.close();
+    expect(isClosed).to.equal(true);
+  });
+
   it('keeps a connection on which a head or a body is arriving', async () => {
     for (const part of ['POST / HT', `${bodyHead}a`]) {
       const {server, socket} = await startServer(1);
