servers: count the requests that Node.js refuses by itself

What callers saw: the gateway, and the daemon's server for callers, end by SIGABRT at the limit of their heap, and every request they hold ends without an answer.

Cause: Node.js answers a request without a Host (400) or with an unknown Expect (417) without an event, and Hono one with an invalid host (400). Their answers wait behind an unanswered request of the connection, and nothing counted them.

Why it works: the servers are created without the check of Node.js for a Host and listen for both kinds of expectations, so that every request takes the counted path. It gives the same answers, and closes the connection where one waits while the limit is crowded. After a 400 that closes, what follows is not served either: its answer would be dropped.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -169,6 +169,12 @@
 } from './Listener.js';
 export type {RandomSource} from './Random.js';
 export {createProcessRandom, createSeededRandom} from './Random.js';
+export type {Refusal, RefusedRequests} from './RefusedRequests.js';
+export {
+  handOverRefusedRequests,
+  sendRefusal,
+  unrefusedOptions,
+} from './RefusedRequests.js';
 export type {RequestRate} from './RequestRate.js';
 export {readRequestRate, unlimitedRate} from './RequestRate.js';
 export type {RetryAfter} from './RetryAfter.js';
--- a/packages/daemon/src/__tests__/unit/OpenCalls.test.ts
+++ b/packages/daemon/src/__tests__/unit/OpenCalls.test.ts
@@ -39,8 +39,17 @@
 describe('Open calls', () => {
   // Guards against a heap that is filled by requests behind unanswered ones, and
   // against a connection that closes before what was passed on is answered.
-  for (const path of ['/services/tier-1/x', '/unknown']) {
-    it(`are bounded and answered before a burst to ${path} ends its connection`, async () => {
+  for (const [name, head] of [
+    ['to /services/tier-1/x', headOf('/services/tier-1/x')],
+    ['to /unknown', headOf('/unknown')],
+    [
+      'with an unknown expectation',
+      'GET / HTTP/1.1\r\nHost: h\r\nExpect: x\r\n\r\n',
+    ],
+    ['without a host', 'GET / HTTP/1.1\r\n\r\n'],
+    ['with an invalid host', 'GET / HTTP/1.1\r\nHost: [\r\n\r\n'],
+  ] as const) {
+    it(`are bounded and answered before a burst ${name} ends its connection`, async () => {
       const {filter, held, release} = createHeldFilter();
       const server = await startLimitedServer({filter, openRequestBytes});
       const {maxCount} = server.openRequests.status();
@@ -50,9 +59,9 @@
       const ended = once(socket, 'end');
       socket.write(headOf('/services/tier-1/x'));
       await waitUntil(() => held.length === 1);
-      socket.write(headOf(path).repeat(burstCount));
+      socket.write(head.repeat(burstCount));
       await delay(clock, 200);
-      socket.write(headOf(path).repeat(burstCount));
+      socket.write(head.repeat(burstCount));
       await delay(clock, 200);
       const {openCount} = server.openRequests.status();
       release();
--- a/packages/daemon/src/server/CallerServer.ts
+++ b/packages/daemon/src/server/CallerServer.ts
@@ -8,25 +8,30 @@
   ServerResponse,
 } from 'node:http';
 import type {Server} from 'node:http';
+import {createServer} from 'node:http';
 import type {HttpBindings} from '@hono/node-server';
-import {createAdaptorServer} from '@hono/node-server';
+import {getRequestListener, RequestError} from '@hono/node-server';
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import type {
   Clock,
   MemoryBudget,
   OpenRequestLimit,
   OpenRequestShare,
+  Refusal,
   RequestId,
   ServiceClass,
 } from '@toucanrouter/common';
 import {
   answerReserveFor,
   closeWaitingResponses,
+  handOverRefusedRequests,
   headBytesOf,
   lingerAfterLastResponse,
   RouterError,
+  sendRefusal,
   spareUnsentResponses,
   trackPipelinedRequests,
+  unrefusedOptions,
 } from '@toucanrouter/common';
 import {Hono} from 'hono';
 import type {Result} from 'neverthrow';
@@ -93,6 +98,8 @@
 const chatCopyCount = 3;
 /** Largest body that is discarded to keep the connection of a refused call. */
 const maxDiscardedBytes = 64 * 1024;
+/** Its host or its target is none, which Hono finds. */
+const invalidRequest: Refusal = {status: 400, mustClose: false};
 const openRequestsReason = 'the memory for open requests is in use';
 const minTimeoutMs = 1;
 const maxTimeoutMs = 24 * 60 * 60 * 1_000;
@@ -360,11 +367,49 @@
     return RESPONSE_ALREADY_SENT;
   });
 
-  const server = createAdaptorServer({fetch: app.fetch}) as Server;
+  /** Answers a request whose head is not valid; it counts like a refused call. */
+  function refuse(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    {status, mustClose}: Refusal,
+  ): void {
+    if (!pipelined.isAccepted(outgoing)) return;
+    const share = openShare(incoming, outgoing);
+    share?.refused();
+    const hasNoRoom = share === undefined || options.openRequests.isCrowded();
+    const waitsWithoutRoom = outgoing.socket === null && hasNoRoom;
+    const closes = mustClose || isDraining || waitsWithoutRoom;
+    sendRefusal(outgoing, status, closes && pipelined.tryClose(outgoing));
+  }
+
+  function listen(incoming: IncomingMessage, outgoing: ServerResponse): void {
+    const refusal = refusedRequests.refusalOf(incoming);
+    if (refusal !== undefined) {
+      refuse(incoming, outgoing, refusal);
+      return;
+    }
+    const listener = getRequestListener(app.fetch, {
+      // Called in the same turn for a request that Hono does not take.
+      errorHandler: error => {
+        if (!(error instanceof RequestError)) return failedResponse(error);
+        refuse(incoming, outgoing, invalidRequest);
+        return undefined;
+      },
+    });
+    void listener(incoming, outgoing);
+  }
+
+  function failedResponse(error: unknown): Response {
+    logger.error('request handling failed', {error: String(error)});
+    return new Response(null, {status: 500});
+  }
+
+  const server = createServer(unrefusedOptions, listen);
   spareUnsentResponses(server);
   lingerAfterLastResponse(server, clock);
   closeWaitingResponses(server);
   const pipelined = trackPipelinedRequests(server);
+  const refusedRequests = handOverRefusedRequests(server);
   return {
     server,
     requestsInProgress: () => inProgress,
--- a/packages/gateway/src/__tests__/process/MemoryLimit.test.ts
+++ b/packages/gateway/src/__tests__/process/MemoryLimit.test.ts
@@ -38,6 +38,8 @@
 const manyPipelineIntervalMs = 110;
 const burstConnectionsCount = 20;
 const burstRequestsCount = 2_000;
+const refusedConnectionsCount = 120;
+const packetBytes = 65_000;
 /** Time in which a request is passed on. */
 const openingMs = 200;
 /** Time in which a burst is read, or the process ends. */
@@ -178,6 +180,15 @@
   return socket;
 }
 
+/** Sends a request that is not answered, and a packet full of `head` behind it. */
+async function burstOfHeads(port: number, head: string): Promise<Socket> {
+  const socket = await openSocket(port);
+  socket.write(headOf('hang'));
+  await sleep(openingMs);
+  socket.write(head.repeat(Math.floor(packetBytes / head.length)));
+  return socket;
+}
+
 /** Sends a body again while it is refused; returns the last result. */
 async function callUntilServed(port: number, id: string): Promise<string> {
   for (const endMs = performance.now() + maxWaitMs; ;) {
@@ -306,4 +317,27 @@
       });
     });
   }
+
+  // Guards against a heap that is filled by requests that Node.js would refuse
+  // without handing them over, so that nothing counts them.
+  for (const [name, head] of [
+    ['an unknown expectation', 'GET / HTTP/1.1\r\nHost:h\r\nExpect:x\r\n\r\n'],
+    ['no host', 'GET / HTTP/1.1\r\n\r\n'],
+  ] as const) {
+    it(`survives bursts of requests with ${name} behind open ones`, async () => {
+      await withGateway(async gateway => {
+        const sockets = await Promise.all(
+          Array.from({length: refusedConnectionsCount}, () =>
+            burstOfHeads(gateway.port, head),
+          ),
+        );
+        await sleep(burstMs);
+        expect(gateway.isRunning()).to.equal(true);
+        for (const socket of sockets) socket.destroy();
+        expect(await callUntilServed(gateway.port, 'whole')).to.equal('200');
+        expect(gateway.peakBytes()).to.be.below(memoryLimitBytes);
+        expect(gateway.isRunning()).to.equal(true);
+      });
+    });
+  }
 });
--- a/packages/gateway/src/server/GatewayServer.ts
+++ b/packages/gateway/src/server/GatewayServer.ts
@@ -3,14 +3,18 @@
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
+import type {OpenRequestShare, Refusal} from '@toucanrouter/common';
 import {
   closeWaitingResponses,
+  handOverRefusedRequests,
   headBytesOf,
   headerBytesOf,
   lingerAfterLastResponse,
   RouterError,
+  sendRefusal,
   spareUnsentResponses,
   trackPipelinedRequests,
+  unrefusedOptions,
 } from '@toucanrouter/common';
 import type {CallerLimits} from '../config/GatewayConfig.js';
 import {createCallerResponse} from '../request/CallerResponse.js';
@@ -64,11 +68,30 @@
   let lastRequestAtMs = context.clock.nowMs();
   let limits: CallerLimits | undefined;
 
+  function refuse(
+    response: ServerResponse,
+    share: OpenRequestShare | undefined,
+    {status, mustClose}: Refusal,
+  ): void {
+    share?.refused();
+    if (share !== undefined) response.once('close', share.close);
+    const hasNoRoom =
+      share === undefined || context.openRequestLimit.isCrowded();
+    const waitsWithoutRoom = response.socket === null && hasNoRoom;
+    const closes = mustClose || closing || waitsWithoutRoom;
+    sendRefusal(response, status, closes && pipelined.tryClose(response));
+  }
+
   async function handle(
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
     const share = context.openRequestLimit.tryOpen(headBytesOf(message));
+    const refusal = refusedRequests.refusalOf(message);
+    if (refusal !== undefined) {
+      refuse(response, share, refusal);
+      return;
+    }
     if (
       limits !== undefined &&
       headerBytesOf(message) > limits.maxHeaderBytes
@@ -111,6 +134,7 @@
 
   const server = createServer(
     {
+      ...unrefusedOptions,
       maxHeaderSize: maxHeaderBytes,
       connectionsCheckingInterval: connectionCheckMs,
       requestTimeout: 0,
@@ -139,6 +163,7 @@
   lingerAfterLastResponse(server, context.clock);
   closeWaitingResponses(server);
   const pipelined = trackPipelinedRequests(server);
+  const refusedRequests = handOverRefusedRequests(server);
   server.on('connection', socket => {
     openConnections += 1;
     socket.once('close', () => {
