gateway: serve one request of a connection at a time for peers and checks

Seen: 120 connections with one packet of long polls each at the TCP port for peers ended the gateway with SIGABRT (heap limit of 120 MB) after 1.1 s.

Cause: Node.js hands over every request of a packet as it is read, over 1,000 here, and each of them waited for up to 5 s in waitForChange. The relay accepts any sender. The servers of readiness and metrics have the same RouteServer.

A RouteServer now serves one request of a connection at a time. The next one gets 503 and closes the connection, and the parser drops what follows before Node.js creates anything for it. The relay also refuses polls with 503 when 512 wait on any connections; it still answers polls that need no wait. Peers of earlier builds are served as before, since their client does not pipeline.

--- a/packages/gateway/src/__tests__/unit/RouteServer.test.ts
+++ b/packages/gateway/src/__tests__/unit/RouteServer.test.ts
@@ -1,6 +1,8 @@
 import type {Server} from 'node:http';
-import {request} from 'node:http';
+import {Agent, request} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {connect} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {
   createRouteServer,
@@ -14,10 +16,15 @@
   readonly body: string;
 }
 
-function ask(server: Server, path: string, method = 'GET'): Promise<Answer> {
+function ask(
+  server: Server,
+  path: string,
+  method = 'GET',
+  agent: Agent | false = false,
+): Promise<Answer> {
   const {port} = server.address() as AddressInfo;
   return new Promise((resolve, reject) => {
-    const call = request({port, path, method, agent: false}, response => {
+    const call = request({port, path, method, agent}, response => {
       let body = '';
       response.on('data', chunk => (body += String(chunk)));
       response.on('end', () => {
@@ -30,11 +37,40 @@
   });
 }
 
+/** Sends a text on one connection; returns what is received until it closes. */
+function exchange(server: Server, sent: string): Promise<string> {
+  const {port} = server.address() as AddressInfo;
+  return new Promise((resolve, reject) => {
+    const socket = connect(port);
+    let received = '';
+    socket.on('data', chunk => (received += String(chunk)));
+    socket.on('error', reject);
+    socket.on('close', () => resolve(received));
+    socket.write(sent);
+  });
+}
+
+function statusesIn(received: string): readonly string[] {
+  return [...received.matchAll(/HTTP\/1\.1 (\d+)/g)].map(
+    ([, code]) => `${code}`,
+  );
+}
+
+const pipelinedCount = 1_000;
+const slowRouteMs = 50;
+
 describe('RouteServer', () => {
   let server: Server;
+  let slowCallsCount: number;
 
   beforeEach(done => {
+    slowCallsCount = 0;
     server = createRouteServer({
+      '/slow': async () => {
+        slowCallsCount += 1;
+        await sleep(slowRouteMs);
+        return textResponse('slow\n');
+      },
       '/text': () => textResponse('no\n', 503),
       '/json': query => jsonResponse({after: query.get('after')}),
       '/broken': () => Promise.reject(new Error('broken')),
@@ -76,4 +112,22 @@
   it('responds 500 when a route fails', async () => {
     expect((await ask(server, '/broken')).status).to.equal(500);
   });
+
+  // Guards against requests of one packet that fill the heap while they wait.
+  it('serves one request of a connection at a time', async () => {
+    const head = 'GET /slow HTTP/1.1\r\nHost: h\r\n\r\n';
+    const received = await exchange(server, head.repeat(pipelinedCount));
+    expect(statusesIn(received)).to.deep.equal(['200', '503']);
+    expect(slowCallsCount).to.equal(1);
+  });
+
+  it('serves one request after the other on a connection', async () => {
+    const agent = new Agent({keepAlive: true, maxSockets: 1});
+    const codes = [];
+    for (const path of ['/slow', '/json', '/slow']) {
+      codes.push((await ask(server, path, 'GET', agent)).status);
+    }
+    agent.destroy();
+    expect(codes).to.deep.equal([200, 200, 200]);
+  });
 });
--- a/packages/gateway/src/server/RouteServer.ts
+++ b/packages/gateway/src/server/RouteServer.ts
@@ -1,10 +1,15 @@
 /**
  * An HTTP server with a few fixed paths. Load pattern: checks and reads by the
  * platform and by peers, a few per second. It has no framework, because loading
- * one takes a large share of the processor time of a start.
+ * one takes a large share of the processor time of a start. It serves one request
+ * of a connection at a time: what follows in the same packet would be held until
+ * the first one is answered. The next request is refused and closes the
+ * connection, later ones are dropped.
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
+import type {Socket} from 'node:net';
+import {trackPipelinedRequests} from '@toucanrouter/common';
 
 /** The response to a request. */
 export interface RouteResponse {
@@ -21,6 +26,7 @@
 const statusOk = 200;
 const statusNotFound = 404;
 const statusFailed = 500;
+const statusUnavailable = 503;
 const methods: ReadonlySet<string | undefined> = new Set(['GET', 'HEAD']);
 
 /** Creates a response of plain text. */
@@ -37,6 +43,11 @@
   };
 }
 
+const tooEarlyResponse = textResponse(
+  'the previous request on this connection is not answered yet\n',
+  statusUnavailable,
+);
+
 function send(response: ServerResponse, content: RouteResponse): void {
   response.writeHead(content.status, {
     'content-type': content.contentType,
@@ -60,11 +71,25 @@
     return route(new URLSearchParams(query));
   }
 
-  return createServer((request, response) => {
+  const busySockets = new WeakSet<Socket>();
+
+  const server = createServer((request, response) => {
+    const {socket} = request;
     request.resume();
+    if (busySockets.has(socket)) {
+      if (pipelined.tryClose(response)) {
+        response.setHeader('connection', 'close');
+        send(response, tooEarlyResponse);
+      }
+      return;
+    }
+    busySockets.add(socket);
+    response.once('close', () => busySockets.delete(socket));
     respond(request)
       .catch(() => textResponse('Internal Server Error', statusFailed))
       .then(content => send(response, content))
       .catch(() => response.destroy());
   });
+  const pipelined = trackPipelinedRequests(server);
+  return server;
 }
--- a/packages/gateway/src/state/RelayServer.ts
+++ b/packages/gateway/src/state/RelayServer.ts
@@ -47,6 +47,8 @@
 export const relayPath = '/state';
 /** Longest wait that a peer may ask for. */
 const maxWaitMs = 5_000;
+/** Bounds memory: polls that wait at the same time; further ones are refused. */
+export const maxWaitingPolls = 512;
 const statusBadRequest = 400;
 const statusUnavailable = 503;
 
@@ -69,7 +71,9 @@
 /** Creates the server without listening. */
 export function createRelayServer(options: RelayServerOptions): Server {
   const {configAge, log} = options;
+  let waitingPollsCount = 0;
 
+  /** Also undefined if too many polls wait. */
   async function itemsSince(
     revision: number,
     waitMs: number,
@@ -78,7 +82,10 @@
     if (atOnce === undefined || atOnce.complete || atOnce.items.length > 0) {
       return atOnce;
     }
+    if (waitingPollsCount >= maxWaitingPolls) return undefined;
+    waitingPollsCount += 1;
     await waitForChange(options, Math.min(waitMs, maxWaitMs));
+    waitingPollsCount -= 1;
     return log.since(revision);
   }
 
@@ -97,7 +104,7 @@
       : undefined;
     if (logged === undefined || !options.isConnected()) {
       return textResponse(
-        'the store is not read at present\n',
+        'the store is not read at present, or too many peers wait\n',
         statusUnavailable,
       );
     }
