gateway: bound the values in responses of peers

Seen: a peer's relay that answers with 15 MB of empty objects ended the reader with SIGABRT (heap limit of 120 MB).

Cause: responses of up to 16 MiB were parsed whatever they hold, and a value of two bytes occupies over ten times as much then. Below that, the schema describes each unsound item: 250,000 empty objects in 750 kB ended the process as well, in an error of many MB.

Items are checked one by one, and the first unsound one ends the reading.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -97,6 +97,7 @@
   toWorkspaceId,
 } from './Ids.js';
 export {invariant} from './Invariant.js';
+export {hasTooManyValues} from './JsonValues.js';
 export type {
   KeyValue,
   KeyValueStore,
--- a/packages/gateway/src/state/RelayClient.ts
+++ b/packages/gateway/src/state/RelayClient.ts
@@ -1,7 +1,11 @@
 /**
  * Reads the state of the store through another instance.
  */
-import {connectWithin, PlatformError} from '@toucanrouter/common';
+import {
+  connectWithin,
+  hasTooManyValues,
+  PlatformError,
+} from '@toucanrouter/common';
 import {Agent, request} from '@toucanrouter/common/http-client';
 import type {ListenAddress} from '@toucanrouter/settings';
 import {err, ok, ResultAsync} from 'neverthrow';
@@ -22,14 +26,18 @@
   close(): Promise<void>;
 }
 
+const itemSchema = z
+  .object({key: z.string(), value: z.string().optional()})
+  .transform(({key, value}) => ({key, value}));
+
 const responseSchema = z.object({
   revision: z.number(),
   complete: z.boolean(),
-  items: z.array(
-    z
-      .object({key: z.string(), value: z.string().optional()})
-      .transform(({key, value}) => ({key, value})),
-  ),
+  // Ends at the first unsound item: an array of the schema would hold an issue
+  // for each of them.
+  items: z
+    .array(z.unknown())
+    .transform(items => items.map(item => itemSchema.parse(item))),
   confirmedAfterMs: z.number(),
   regainedAgoMs: z.number().nullable(),
   absence: z.enum(['outage', 'cut_off', 'unknown']).optional(),
@@ -71,6 +79,9 @@
       if (response.statusCode !== statusOk) {
         return err(failure(address, `status ${response.statusCode}`));
       }
+      if (hasTooManyValues(text)) {
+        return err(failure(address, 'the response has too many values'));
+      }
       return ok(responseSchema.parse(JSON.parse(text)));
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
