keyvalue: bound the list of a prefix

Seen: a service that answers with the same page of 1,000 keys again and again ended the process of its client with SIGABRT within 4 s (heap limit of 120 MB; the service of the test runs in the same process).

Cause: nothing bounded the pages or their entries, all entries were copied with each page, and no page had to lead to the next one. An empty page that was not the last one ended the list as if it were complete.

A list of over 128 MiB or 100,000 entries is an error now, and so is a further page whose last key does not follow the previous one. Entries go into one list.

--- a/packages/keyvalue/src/KeyValueClient.ts
+++ b/packages/keyvalue/src/KeyValueClient.ts
@@ -2,14 +2,11 @@
  * Client of the platform's key-value service over gRPC.
  */
 import {credentials} from '@grpc/grpc-js';
-import type {
-  Clock,
-  KeyValue,
-  KeyValueStore,
-  PlatformError,
-} from '@toucanrouter/common';
-import type {ResultAsync} from 'neverthrow';
-import {okAsync} from 'neverthrow';
+import type {Clock, KeyValue, KeyValueStore} from '@toucanrouter/common';
+import {PlatformError} from '@toucanrouter/common';
+import type {Result} from 'neverthrow';
+import {err, ok, ResultAsync} from 'neverthrow';
+import type {KeyValue__Output} from './generated/etcdserverpb/KeyValue.js';
 import type {KVClient} from './generated/etcdserverpb/KV.js';
 import type {RangeRequest} from './generated/etcdserverpb/RangeRequest.js';
 import type {RangeResponse__Output} from './generated/etcdserverpb/RangeResponse.js';
@@ -20,6 +17,8 @@
   keepaliveIntervalMs,
   keepaliveTimeoutMs,
   keysPerListPage,
+  maxListBytes,
+  maxListEntries,
   maxReconnectBackoffMs,
   maxReceiveBytes,
   minReconnectBackoffMs,
@@ -131,25 +130,49 @@
   context: CallContext,
   prefix: string,
 ): ResultAsync<Listing, PlatformError> {
-  const startKey = Buffer.from(prefix);
-  const rangeEnd = prefixEnd(startKey);
+  return new ResultAsync(listPages(kv, context, Buffer.from(prefix)));
+}
 
-  function listFrom(
-    key: Uint8Array,
-    revision: number,
-    precedingEntries: readonly KeyValue[],
-  ): ResultAsync<Listing, PlatformError> {
+async function listPages(
+  kv: KVClient,
+  context: CallContext,
+  prefix: Uint8Array,
+): Promise<Result<Listing, PlatformError>> {
+  const rangeEnd = prefixEnd(prefix);
+  const entries: KeyValue[] = [];
+  let sizeBytes = 0;
+  let revision = 0;
+  let key = prefix;
+  for (;;) {
     const request = {key, rangeEnd, revision, limit: keysPerListPage};
-    return callRange(kv, context, request).andThen(page => {
-      const entries = [...precedingEntries, ...page.kvs.map(toKeyValue)];
-      const listedRevision = revision || (page.header?.revision ?? 0);
-      const last = page.kvs.at(-1);
-      if (!page.more || last === undefined) {
-        return okAsync({entries, revision: listedRevision});
-      }
-      return listFrom(keyAfter(last.key), listedRevision, entries);
-    });
+    const response = await callRange(kv, context, request);
+    if (response.isErr()) return err(response.error);
+    const {header, kvs, more} = response.value;
+    sizeBytes += sizeOf(kvs);
+    if (
+      sizeBytes > maxListBytes ||
+      entries.length + kvs.length > maxListEntries
+    ) {
+      return err(listError('the list is too large'));
+    }
+    for (const message of kvs) entries.push(toKeyValue(message));
+    revision ||= header?.revision ?? 0;
+    if (!more) return ok({entries, revision});
+    const last = kvs.at(-1);
+    if (last === undefined || Buffer.compare(last.key, key) < 0) {
+      return err(listError('a page does not lead to the next one'));
+    }
+    key = keyAfter(last.key);
   }
+}
+
+function sizeOf(messages: readonly KeyValue__Output[]): number {
+  return messages.reduce(
+    (sum, {key, value}) => sum + key.length + value.length,
+    0,
+  );
+}
 
-  return listFrom(startKey, 0, []);
+function listError(reason: string): PlatformError {
+  return new PlatformError(`key-value list failed: ${reason}`, false);
 }
--- a/packages/keyvalue/src/KeyValueConstants.ts
+++ b/packages/keyvalue/src/KeyValueConstants.ts
@@ -10,6 +10,13 @@
 /** Room for one full page of a list and its overhead. */
 export const maxReceiveBytes = 72 * 1024 * 1024;
 
+/**
+ * Bounds memory: all pages of a list are held until the last one is read. More
+ * than a full page fits, and less than the memory limit of a process.
+ */
+export const maxListBytes = 128 * 1024 * 1024;
+export const maxListEntries = 100_000;
+
 /** Delay before a reconnection attempt. It doubles up to the maximum. */
 export const minReconnectBackoffMs = 100;
 export const maxReconnectBackoffMs = 2000;
