servers: send earlier answers before an error of their connection

What callers saw: a request that was passed on ended without its answer. Bytes behind it, such as a head that did not arrive in time or was malformed, got 408 or 400 in its place, and the connection closed.

Cause: Node.js answers such an error as soon as it finds it, unless the head of the response that is being sent has gone out, and destroys the connection.

Now both servers handle these errors. Where an earlier request is open, nothing more is read as requests, its answer and all others before the fault are sent whole and in order, then the error, and the connection closes. A request whose body is broken gets the error as its own answer. Its caller's leaving is still noticed. Where no earlier request is open, and where the caller has left, the connection ends as before.

A caller that closes its own side of the connection still counts as one that has left, as before.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -169,6 +169,7 @@
 } from './Listener.js';
 export type {RandomSource} from './Random.js';
 export {createProcessRandom, createSeededRandom} from './Random.js';
+export {answerBeforeErrors} from './ConnectionErrors.js';
 export type {Refusal, RefusedRequests} from './RefusedRequests.js';
 export {
   handOverRefusedRequests,
--- a/packages/daemon/src/__tests__/unit/OpenCalls.test.ts
+++ b/packages/daemon/src/__tests__/unit/OpenCalls.test.ts
@@ -79,4 +79,27 @@
       expect(received.match(/connection: close/gi)).to.have.length(1);
     });
   }
+
+  // Guards against a call that is run and ends without its answer, because of
+  // bytes that follow it.
+  it('are answered before an error of their connection', async () => {
+    const {filter, held, release} = createHeldFilter();
+    const server = await startLimitedServer({filter});
+    const socket = connect(server.port, host);
+    let received = '';
+    socket.on('data', chunk => (received += String(chunk)));
+    const ended = once(socket, 'end');
+    socket.write(headOf('/services/tier-1/x').repeat(2));
+    await waitUntil(() => held.length === 2);
+    socket.write('\u0001\u0002 bad\r\n\r\n');
+    await delay(clock, 200);
+    release();
+    await ended;
+    await server.close();
+    const statuses = [...received.matchAll(/HTTP\/1\.1 (\d+)/g)].map(
+      ([, status]) => status,
+    );
+    expect(statuses).to.deep.equal(['200', '200', '400']);
+    expect(received.match(/whole/g)).to.have.length(2);
+  });
 });
--- a/packages/daemon/src/server/CallerServer.ts
+++ b/packages/daemon/src/server/CallerServer.ts
@@ -22,6 +22,7 @@
   ServiceClass,
 } from '@toucanrouter/common';
 import {
+  answerBeforeErrors,
   answerReserveFor,
   closeWaitingResponses,
   handOverRefusedRequests,
@@ -408,6 +409,7 @@
   spareUnsentResponses(server);
   lingerAfterLastResponse(server, clock);
   closeWaitingResponses(server);
+  answerBeforeErrors(server);
   const pipelined = trackPipelinedRequests(server);
   const refusedRequests = handOverRefusedRequests(server);
   return {
--- a/packages/gateway/src/server/GatewayServer.ts
+++ b/packages/gateway/src/server/GatewayServer.ts
@@ -5,6 +5,7 @@
 import {createServer} from 'node:http';
 import type {OpenRequestShare, Refusal} from '@toucanrouter/common';
 import {
+  answerBeforeErrors,
   closeWaitingResponses,
   handOverRefusedRequests,
   headBytesOf,
@@ -162,6 +163,7 @@
   spareUnsentResponses(server);
   lingerAfterLastResponse(server, context.clock);
   closeWaitingResponses(server);
+  answerBeforeErrors(server);
   const pipelined = trackPipelinedRequests(server);
   const refusedRequests = handOverRefusedRequests(server);
   server.on('connection', socket => {
