daemon: let a test of the end of a limit reach all instances

It did not make sure that each instance gets a response under the limit, without which it has nothing to log. Each makes a call now, which has to be answered; all earlier assertions stay.

That this was the cause is not shown: the failure was not reproduced (13 runs alone and side by side, 5 on one core beside up to nine busy processes), and a stall put into the test fails in another way.

--- a/packages/daemon/src/__tests__/unit/LimitedUpstreams.test.ts
+++ b/packages/daemon/src/__tests__/unit/LimitedUpstreams.test.ts
@@ -211,6 +211,10 @@
   it('is back at full traffic, without a rush, after its limit', () =>
     withFleet({instanceCount, handlers: [answering]}, async fleet => {
       fleet.limit(0, String(limitPerS));
+      // A process that stalls may make too few calls to reach all instances.
+      for (let instance = 0; instance < instanceCount; instance++) {
+        expectAnswered([await fleet.call('plain', instance, true)]);
+      }
       await sendFor(fleet, 'plain', msPerSecond);
       fleet.limit(0, undefined);
       const endedAtMs = fleet.nowMs();
