servers: refuse requests by their head in one place

The gateway and the daemon each had the rule by which a request that Node.js would refuse counts as open and closes its connection. It stands once now, in refuseOpenRequest. No behaviour changes; their tests pass unchanged.

--- a/packages/common/src/ConnectionErrors.ts
+++ b/packages/common/src/ConnectionErrors.ts
@@ -87,8 +87,8 @@
     const isOfCaller =
       code === timeoutCode || code.startsWith(parserCodePrefix);
     const status = statusByCode.get(code) ?? badRequestStatus;
-    const isLeft = !isOfCaller || code === endCode;
-    if (lastServed === undefined || isLeft) {
+    const hasLeft = !isOfCaller || code === endCode;
+    if (lastServed === undefined || hasLeft) {
       if (lastServed === undefined) writeError(socket, status);
       socket.destroy(error);
       return;
--- a/packages/common/src/RefusedRequests.ts
+++ b/packages/common/src/RefusedRequests.ts
@@ -5,6 +5,7 @@
  * of such requests, so a server has to see and count them like any other.
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {OpenRequestLimit, OpenRequestShare} from './OpenRequestLimit.js';
 
 /** Options with which a server has to be created to see all of its requests. */
 export const unrefusedOptions = {requireHostHeader: false} as const;
@@ -48,6 +49,33 @@
   };
 }
 
+/** The place of a refused request among those that are open. */
+export interface RefusedPlace {
+  /** Its part of the limit; undefined if it does not fit. */
+  readonly share: OpenRequestShare | undefined;
+  readonly limit: Pick<OpenRequestLimit, 'isCrowded'>;
+  /** True if the server closes connections after their responses. */
+  readonly isStopping: boolean;
+  /** Returns whether the response may close its connection. */
+  readonly tryClose: (response: ServerResponse) => boolean;
+}
+
+/**
+ * Refuses a request that counts as open until its response is sent. One that has
+ * to wait while there is no room is the last one of its connection.
+ */
+export function refuseOpenRequest(
+  response: ServerResponse,
+  {status, mustClose}: Refusal,
+  {isStopping, limit, share, tryClose}: RefusedPlace,
+): void {
+  share?.refused();
+  const hasNoRoom = share === undefined || limit.isCrowded();
+  const waitsWithoutRoom = response.socket === null && hasNoRoom;
+  const closes = mustClose || isStopping || waitsWithoutRoom;
+  sendRefusal(response, status, closes && tryClose(response));
+}
+
 /** Sends the answer of Node.js to a request that it would have refused. */
 export function sendRefusal(
   response: ServerResponse,
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -171,9 +171,14 @@
 export type {RandomSource} from './Random.js';
 export {createProcessRandom, createSeededRandom} from './Random.js';
 export {answerBeforeErrors} from './ConnectionErrors.js';
-export type {Refusal, RefusedRequests} from './RefusedRequests.js';
+export type {
+  Refusal,
+  RefusedPlace,
+  RefusedRequests,
+} from './RefusedRequests.js';
 export {
   handOverRefusedRequests,
+  refuseOpenRequest,
   sendRefusal,
   unrefusedOptions,
 } from './RefusedRequests.js';
--- a/packages/daemon/src/server/CallerServer.ts
+++ b/packages/daemon/src/server/CallerServer.ts
@@ -28,8 +28,8 @@
   handOverRefusedRequests,
   headBytesOf,
   lingerAfterLastResponse,
+  refuseOpenRequest,
   RouterError,
-  sendRefusal,
   spareUnsentResponses,
   trackPipelinedRequests,
   unrefusedOptions,
@@ -372,15 +372,15 @@
   function refuse(
     incoming: IncomingMessage,
     outgoing: ServerResponse,
-    {status, mustClose}: Refusal,
+    refusal: Refusal,
   ): void {
     if (!pipelined.isAccepted(outgoing)) return;
-    const share = openShare(incoming, outgoing);
-    share?.refused();
-    const hasNoRoom = share === undefined || options.openRequests.isCrowded();
-    const waitsWithoutRoom = outgoing.socket === null && hasNoRoom;
-    const closes = mustClose || isDraining || waitsWithoutRoom;
-    sendRefusal(outgoing, status, closes && pipelined.tryClose(outgoing));
+    refuseOpenRequest(outgoing, refusal, {
+      share: openShare(incoming, outgoing),
+      limit: options.openRequests,
+      isStopping: isDraining,
+      tryClose: pipelined.tryClose,
+    });
   }
 
   function listen(incoming: IncomingMessage, outgoing: ServerResponse): void {
--- a/packages/gateway/src/server/GatewayServer.ts
+++ b/packages/gateway/src/server/GatewayServer.ts
@@ -3,7 +3,6 @@
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
-import type {OpenRequestShare, Refusal} from '@toucanrouter/common';
 import {
   answerBeforeErrors,
   closeWaitingResponses,
@@ -11,8 +10,8 @@
   headBytesOf,
   headerBytesOf,
   lingerAfterLastResponse,
+  refuseOpenRequest,
   RouterError,
-  sendRefusal,
   spareUnsentResponses,
   trackPipelinedRequests,
   unrefusedOptions,
@@ -69,20 +68,6 @@
   let lastRequestAtMs = context.clock.nowMs();
   let limits: CallerLimits | undefined;
 
-  function refuse(
-    response: ServerResponse,
-    share: OpenRequestShare | undefined,
-    {status, mustClose}: Refusal,
-  ): void {
-    share?.refused();
-    if (share !== undefined) response.once('close', share.close);
-    const hasNoRoom =
-      share === undefined || context.openRequestLimit.isCrowded();
-    const waitsWithoutRoom = response.socket === null && hasNoRoom;
-    const closes = mustClose || closing || waitsWithoutRoom;
-    sendRefusal(response, status, closes && pipelined.tryClose(response));
-  }
-
   async function handle(
     message: IncomingMessage,
     response: ServerResponse,
@@ -90,7 +75,13 @@
     const share = context.openRequestLimit.tryOpen(headBytesOf(message));
     const refusal = refusedRequests.refusalOf(message);
     if (refusal !== undefined) {
-      refuse(response, share, refusal);
+      if (share !== undefined) response.once('close', share.close);
+      refuseOpenRequest(response, refusal, {
+        share,
+        limit: context.openRequestLimit,
+        isStopping: closing,
+        tryClose: pipelined.tryClose,
+      });
       return;
     }
     if (
