gateway: say which limit a refused poll of a peer has met

The relay answered a poll that it refused because too many wait with the same text as one while the store is not read. The text names the number of polls now.

--- a/packages/gateway/src/state/RelayServer.ts
+++ b/packages/gateway/src/state/RelayServer.ts
@@ -73,16 +73,15 @@
   const {configAge, log} = options;
   let waitingPollsCount = 0;
 
-  /** Also undefined if too many polls wait. */
   async function itemsSince(
     revision: number,
     waitMs: number,
-  ): Promise<LoggedItems | undefined> {
+  ): Promise<LoggedItems | 'too_many_polls' | undefined> {
     const atOnce = log.since(revision);
     if (atOnce === undefined || atOnce.complete || atOnce.items.length > 0) {
       return atOnce;
     }
-    if (waitingPollsCount >= maxWaitingPolls) return undefined;
+    if (waitingPollsCount >= maxWaitingPolls) return 'too_many_polls';
     waitingPollsCount += 1;
     await waitForChange(options, Math.min(waitMs, maxWaitMs));
     waitingPollsCount -= 1;
@@ -102,9 +101,15 @@
     const logged = options.isConnected()
       ? await itemsSince(after, waitMs)
       : undefined;
+    if (logged === 'too_many_polls') {
+      return textResponse(
+        `${maxWaitingPolls} polls wait for a change already\n`,
+        statusUnavailable,
+      );
+    }
     if (logged === undefined || !options.isConnected()) {
       return textResponse(
-        'the store is not read at present, or too many peers wait\n',
+        'the store is not read at present\n',
         statusUnavailable,
       );
     }
