gateway, policy: one way to split and read reports, and plainer rates

The codecs of quarantine reports and of request rates each split items over datagrams and read them; ReportDatagrams serves both now, with the same bytes on the wire. The bucket of a rate had a constant of its own that had to agree with the least burst of a share; it uses that one. The hash of a service in reports is branded, and a share without a rate is written once. Requests of less urgent tiers wait for 1.25 instead of 1.24 saved up at the least.

--- a/packages/gateway/src/__tests__/unit/LoadExchange.test.ts
+++ b/packages/gateway/src/__tests__/unit/LoadExchange.test.ts
@@ -7,7 +7,11 @@
   toInstanceId,
 } from '@toucanrouter/common';
 import {createLogger} from '@toucanrouter/logging';
-import type {QuarantineReport, RateReport} from '@toucanrouter/policy';
+import type {
+  QuarantineReport,
+  RateReport,
+  RateServiceHash,
+} from '@toucanrouter/policy';
 import {segmentHashOf} from '@toucanrouter/policy';
 import {expect} from 'chai';
 import {createLoadExchange} from '../../peers/LoadExchange.js';
@@ -165,7 +169,7 @@
       sequence: 2,
       statements: [],
       demands: Array.from({length: 200}, (_, service) => ({
-        service,
+        service: service as RateServiceHash,
         perS: [1, 2],
       })),
     };
--- a/packages/gateway/src/__tests__/unit/RateReportCodec.test.ts
+++ b/packages/gateway/src/__tests__/unit/RateReportCodec.test.ts
@@ -1,4 +1,8 @@
-import type {ProcessHash, RateReport} from '@toucanrouter/policy';
+import type {
+  ProcessHash,
+  RateReport,
+  RateServiceHash,
+} from '@toucanrouter/policy';
 import {maxDemandTiers} from '@toucanrouter/policy';
 import {expect} from 'chai';
 import fc from 'fast-check';
@@ -30,7 +34,7 @@
   ),
   demands: fc.array(
     fc.record({
-      service: uint32,
+      service: uint32.map(hash => hash as RateServiceHash),
       perS: fc.array(rate, {maxLength: maxDemandTiers}),
     }),
     {maxLength: 100},
--- a/packages/gateway/src/peers/QuarantineCodec.ts
+++ b/packages/gateway/src/peers/QuarantineCodec.ts
@@ -13,14 +13,19 @@
   UpstreamStartHash,
   InterruptedRequest,
 } from '@toucanrouter/policy';
+import type {DatagramReader} from './ReportDatagrams.js';
+import {
+  decodeDatagram,
+  joinItems,
+  maxDatagramBytes,
+  timeToUint32,
+} from './ReportDatagrams.js';
 
 const formatVersion = 0x51;
 const crashTag = 1;
 const verdictTag = 2;
 const clearingTag = 3;
 
-/** Fits into one packet on common networks. */
-const maxDatagramBytes = 1_200;
 const hashBytes = 4;
 const timeBytes = 4;
 const tagBytes = 1;
@@ -29,11 +34,6 @@
 const crashHeaderBytes = tagBytes + hashBytes + timeBytes + countBytes;
 /** Fits into one byte, and several parts into a datagram. */
 const maxSegmentsPerPart = 128;
-const maxUint32 = 0xffffffff;
-
-function timeToUint32(ms: number): number {
-  return Math.min(Math.max(0, Math.round(ms)), maxUint32);
-}
 
 function uint32s(...values: readonly number[]): Buffer {
   const buffer = Buffer.alloc(values.length * hashBytes);
@@ -109,16 +109,7 @@
     ...report.verdicts.map(encodeVerdict),
     ...report.crashes.flatMap(encodeCrash),
   ];
-  const datagrams: Buffer[] = [];
-  for (const item of items) {
-    const last = datagrams.at(-1);
-    if (last !== undefined && last.length + item.length <= maxDatagramBytes) {
-      datagrams[datagrams.length - 1] = Buffer.concat([last, item]);
-    } else {
-      datagrams.push(Buffer.concat([Buffer.of(formatVersion), item]));
-    }
-  }
-  return datagrams;
+  return joinItems(Buffer.of(formatVersion), items);
 }
 
 /** Returns whether a datagram claims to be a quarantine report. */
@@ -126,23 +117,7 @@
   return datagram.length > 0 && datagram.readUInt8(0) === formatVersion;
 }
 
-/** Reads a datagram from its start; throws a `RangeError` after its end. */
-function createReader(datagram: Buffer) {
-  let at = versionBytes;
-  return {
-    isAtEnd: () => at >= datagram.length,
-    byte: () => datagram.readUInt8(at++),
-    uint32: () => {
-      const value = datagram.readUInt32BE(at);
-      at += hashBytes;
-      return value;
-    },
-  };
-}
-
-type Reader = ReturnType<typeof createReader>;
-
-function readCrash(reader: Reader): ReportedCrash {
+function readCrash(reader: DatagramReader): ReportedCrash {
   const upstream = reader.uint32() as UpstreamStartHash;
   const ageMs = reader.uint32();
   const requests = Array.from({length: reader.byte()}, () => ({
@@ -155,7 +130,7 @@
   return {upstream, ageMs, requests};
 }
 
-function readVerdict(reader: Reader): ReportedVerdict {
+function readVerdict(reader: DatagramReader): ReportedVerdict {
   return {
     segment: reader.uint32() as SegmentHash,
     ageMs: reader.uint32(),
@@ -164,7 +139,7 @@
   };
 }
 
-function readClearing(reader: Reader): ReportedClearing {
+function readClearing(reader: DatagramReader): ReportedClearing {
   return {segment: reader.uint32() as SegmentHash, ageMs: reader.uint32()};
 }
 
@@ -173,12 +148,11 @@
   datagram: Buffer,
 ): QuarantineReport | undefined {
   if (!isQuarantineReport(datagram)) return undefined;
-  if (datagram.length > maxDatagramBytes) return undefined;
-  const reader = createReader(datagram);
-  const crashes: ReportedCrash[] = [];
-  const verdicts: ReportedVerdict[] = [];
-  const clearings: ReportedClearing[] = [];
-  try {
+  return decodeDatagram(datagram, reader => {
+    const crashes: ReportedCrash[] = [];
+    const verdicts: ReportedVerdict[] = [];
+    const clearings: ReportedClearing[] = [];
+    reader.byte();
     while (!reader.isAtEnd()) {
       const tag = reader.byte();
       if (tag === crashTag) crashes.push(readCrash(reader));
@@ -186,9 +160,6 @@
       else if (tag === clearingTag) clearings.push(readClearing(reader));
       else return undefined;
     }
-  } catch (error) {
-    if (error instanceof RangeError) return undefined;
-    throw error;
-  }
-  return {crashes, verdicts, clearings};
+    return {crashes, verdicts, clearings};
+  });
 }
--- a/packages/gateway/src/peers/RateReportCodec.ts
+++ b/packages/gateway/src/peers/RateReportCodec.ts
@@ -7,10 +7,13 @@
 import type {
   ProcessHash,
   RateReport,
+  RateServiceHash,
   RateStatement,
   ServiceDemand,
 } from '@toucanrouter/policy';
 import {maxDemandTiers} from '@toucanrouter/policy';
+import type {DatagramReader} from './ReportDatagrams.js';
+import {decodeDatagram, joinItems, timeToUint32} from './ReportDatagrams.js';
 import type {ShortId} from './ShortIds.js';
 
 const formatVersion = 0x72;
@@ -18,11 +21,8 @@
 const endedStatementTag = 2;
 const demandTag = 3;
 
-/** Fits into one packet on common networks. */
-const maxDatagramBytes = 1_200;
 const uint32Bytes = 4;
 const doubleBytes = 8;
-const maxUint32 = 0xffffffff;
 
 /** Writes values one after the other. */
 function createWriter() {
@@ -37,8 +37,7 @@
   return {
     byte: (value: number) => parts.push(Buffer.of(value)),
     uint32,
-    timeMs: (ms: number) =>
-      uint32(Math.min(Math.max(0, Math.round(ms)), maxUint32)),
+    timeMs: (ms: number) => uint32(timeToUint32(ms)),
     float: (value: number) =>
       add(uint32Bytes, buffer => buffer.writeFloatBE(value)),
     double: (value: number) =>
@@ -82,20 +81,12 @@
   report: RateReport<ShortId>,
 ): readonly Buffer[] {
   const head = encodeHead(report);
-  const datagrams: Buffer[] = [];
-  let current = head;
-  const items = [
+  const datagrams = joinItems(head, [
     ...report.statements.map(encodeStatement),
     ...report.demands.map(encodeDemand),
-  ];
-  for (const item of items) {
-    if (current.length + item.length > maxDatagramBytes) {
-      datagrams.push(current);
-      current = head;
-    }
-    current = Buffer.concat([current, item]);
-  }
-  return [...datagrams, current];
+  ]);
+  // Without items the report says that there is no demand.
+  return datagrams.length > 0 ? datagrams : [head];
 }
 
 /** Returns whether a datagram claims to be a report on request rates. */
@@ -103,26 +94,7 @@
   return datagram.length > 0 && datagram.readUInt8(0) === formatVersion;
 }
 
-/** Reads a datagram from its start; throws a `RangeError` after its end. */
-function createReader(datagram: Buffer) {
-  let at = 0;
-  const advance = (bytes: number) => {
-    const from = at;
-    at += bytes;
-    return from;
-  };
-  return {
-    isAtEnd: () => at >= datagram.length,
-    byte: () => datagram.readUInt8(advance(1)),
-    uint32: () => datagram.readUInt32BE(advance(uint32Bytes)),
-    float: () => datagram.readFloatBE(advance(uint32Bytes)),
-    double: () => datagram.readDoubleBE(advance(doubleBytes)),
-  };
-}
-
-type Reader = ReturnType<typeof createReader>;
-
-function readStatement(reader: Reader, hasEnd: boolean): RateStatement {
+function readStatement(reader: DatagramReader, hasEnd: boolean): RateStatement {
   const process = reader.uint32() as ProcessHash;
   const perS = reader.double();
   const statedAgeMs = reader.uint32();
@@ -130,8 +102,8 @@
   return {process, perS, statedAgeMs, endedAgeMs};
 }
 
-function readDemand(reader: Reader): ServiceDemand {
-  const service = reader.uint32();
+function readDemand(reader: DatagramReader): ServiceDemand {
+  const service = reader.uint32() as RateServiceHash;
   const perS = Array.from({length: reader.byte()}, reader.float);
   return {service, perS};
 }
@@ -153,11 +125,9 @@
   datagram: Buffer,
 ): RateReport<ShortId> | undefined {
   if (!isRateReport(datagram)) return undefined;
-  if (datagram.length > maxDatagramBytes) return undefined;
-  const reader = createReader(datagram);
-  const statements: RateStatement[] = [];
-  const demands: ServiceDemand[] = [];
-  try {
+  return decodeDatagram(datagram, reader => {
+    const statements: RateStatement[] = [];
+    const demands: ServiceDemand[] = [];
     reader.byte();
     const head = {
       instanceId: reader.uint32() as ShortId,
@@ -173,8 +143,5 @@
     }
     const report = {...head, statements, demands};
     return isValid(report) ? report : undefined;
-  } catch (error) {
-    if (error instanceof RangeError) return undefined;
-    throw error;
-  }
+  });
 }
--- a/packages/gateway/src/request/RequestPlacement.ts
+++ b/packages/gateway/src/request/RequestPlacement.ts
@@ -63,7 +63,10 @@
   joinWaiting(mayUse: (id: UpstreamId) => boolean): void;
   /** Ends the wait, if there is one. */
   leaveWaiting(): void;
-  /** Time after which a caller that `delay` kept from being served may return. */
+  /**
+   * Time after which a caller that `delay` kept from being served may return. It
+   * hands out a turn if a limited rate is the cause.
+   */
   returnDelayMs(delay: SendDelay): number;
   /** Estimated time to the first response on an upstream without other work. */
   unqueuedResponseMs(): number;
--- a/packages/policy/src/rates/RateBucket.ts
+++ b/packages/policy/src/rates/RateBucket.ts
@@ -4,7 +4,7 @@
  * present one allows it.
  */
 import type {RateShare} from './RateShares.js';
-import {noShare} from './RateShares.js';
+import {minOwnBurst, noShare} from './RateShares.js';
 
 /** A token bucket with a changing rate. It starts empty. */
 export interface RateBucket {
@@ -18,10 +18,8 @@
 }
 
 const msPerSecond = 1_000;
-/** Part of the burst that less urgent requests leave to the others. */
+/** Part of the burst that has to be saved up before less urgent requests go. */
 const reservedShare = 0.75;
-/** The same in requests, as far as the burst is larger than one. */
-const minReserved = 0.24;
 
 /** Creates a bucket that fills from `nowMs` on. */
 export function createRateBucket(startMs: number): RateBucket {
@@ -41,7 +39,11 @@
       const isOpen = tier < share.openTierCount;
       const needed = isOpen
         ? 1
-        : Math.max(1 + minReserved, share.burst * reservedShare);
+        : Math.max(
+            1,
+            Math.min(minOwnBurst, share.burst),
+            share.burst * reservedShare,
+          );
       if (tokens >= needed) return 0;
       return share.perS > 0
         ? ((needed - tokens) / share.perS) * msPerSecond
--- a/packages/policy/src/rates/RateShares.ts
+++ b/packages/policy/src/rates/RateShares.ts
@@ -48,7 +48,7 @@
  * Least requests that one instance may save up. More than one, so that less
  * urgent requests can leave one for the others.
  */
-const minOwnBurst = 1.25;
+export const minOwnBurst = 1.25;
 /** Part of the rate that is divided equally, for demand that is about to rise. */
 const equalShare = 0.1;
 const hashRange = 2 ** 64;
--- a/packages/policy/src/rates/UpstreamRates.ts
+++ b/packages/policy/src/rates/UpstreamRates.ts
@@ -11,7 +11,7 @@
 import type {RateBucket} from './RateBucket.js';
 import {createRateBucket} from './RateBucket.js';
 import type {RateMember, RateShare} from './RateShares.js';
-import {rateShareOf} from './RateShares.js';
+import {noShare, rateShareOf} from './RateShares.js';
 import type {
   ProcessHash,
   RateChange,
@@ -23,7 +23,10 @@
 import {createTierDemand} from './TierDemand.js';
 
 /** Short hash of a service's name, as reports have it. */
-export type RateServiceHash = number;
+export type RateServiceHash = number & {
+  readonly [rateServiceHashBrand]: true;
+};
+declare const rateServiceHashBrand: unique symbol;
 
 /** What an instance tells its peers while a limit is in force. */
 export interface RateReport<Id extends number> {
@@ -123,7 +126,7 @@
 
 /** Returns the hash by which instances name a service. */
 export function rateServiceHashOf(service: ServiceName): RateServiceHash {
-  return hash32(service);
+  return hash32(service) as RateServiceHash;
 }
 
 /** Creates the limits of an instance that has just started. */
@@ -206,7 +209,7 @@
     if (use === undefined) {
       use = {
         bucket: createRateBucket(nowMs),
-        share: {perS: 0, burst: 0, openTierCount: 0},
+        share: noShare,
         computedAtMs: -Infinity,
       };
       uses.set(process, use);
