--- a/packages/gateway/src/server/GatewayMetrics.ts
+++ b/packages/gateway/src/server/GatewayMetrics.ts
@@ -73,12 +73,15 @@
 ];
 const noClassLabel = 'none';
 
-/** Name, help and value of what is shown of each service's retry budget. */
-const retryBudgetGauges: readonly (readonly [
+/** Name, help and value of a number that is shown for each service. */
+type ServiceGauge<Status> = readonly [
   string,
   string,
-  (status: RetryBudgetStatus) => number,
-])[] = [
+  (status: Status) => number,
+];
+
+/** What is shown of each service's retry budget. */
+const retryBudgetGauges: readonly ServiceGauge<RetryBudgetStatus>[] = [
   [
     'toucanrouter_retries_spent',
     'Retries that the budget of this instance allowed, by service',
@@ -101,12 +104,8 @@
   ],
 ];
 
-/** Name, help and value of what is shown of each service's request rates. */
-const rateLimitGauges: readonly (readonly [
-  string,
-  string,
-  (status: ServiceRateStatus) => number,
-])[] = [
+/** What is shown of each service's request rates. */
+const rateLimitGauges: readonly ServiceGauge<ServiceRateStatus>[] = [
   [
     'toucanrouter_upstreams_rate_limited',
     'Upstreams that limit the request rate of all instances together, by service',
@@ -129,6 +128,28 @@
   ],
 ];
 
+/** Registers gauges of the services that have a status when they are read. */
+function registerServiceGauges<Status extends {readonly service: ServiceName}>(
+  registry: Registry,
+  gauges: readonly ServiceGauge<Status>[],
+  statuses: () => readonly Status[],
+): void {
+  for (const [name, help, read] of gauges) {
+    new Gauge({
+      name,
+      help,
+      labelNames: ['service'],
+      registers: [registry],
+      collect() {
+        this.reset();
+        for (const status of statuses()) {
+          this.set({service: status.service}, read(status));
+        }
+      },
+    });
+  }
+}
+
 /** Creates the metrics of a gateway. */
 export function createGatewayMetrics(
   sources: GatewayMetricSources,
@@ -215,20 +236,7 @@
     'Prompt segments whose requests are refused now',
     sources.quarantinedCount,
   );
-  for (const [name, help, read] of rateLimitGauges) {
-    new Gauge({
-      name,
-      help,
-      labelNames: ['service'],
-      registers,
-      collect() {
-        this.reset();
-        for (const status of sources.rateLimits()) {
-          this.set({service: status.service}, read(status));
-        }
-      },
-    });
-  }
+  registerServiceGauges(registry, rateLimitGauges, sources.rateLimits);
   new Gauge({
     name: 'toucanrouter_rate_limited_requests_held_back',
     help: 'Requests for which a limited upstream had no turn since the start, by service and what became of them',
@@ -243,20 +251,7 @@
       }
     },
   });
-  for (const [name, help, read] of retryBudgetGauges) {
-    new Gauge({
-      name,
-      help,
-      labelNames: ['service'],
-      registers,
-      collect() {
-        this.reset();
-        for (const budget of sources.retryBudgets()) {
-          this.set({service: budget.service}, read(budget));
-        }
-      },
-    });
-  }
+  registerServiceGauges(registry, retryBudgetGauges, sources.retryBudgets);
   gauge(
     'toucanrouter_upstreams_paused',
     'Upstreams that have asked this instance for a pause that still lasts',
