tests: share the fixtures of calls, idle connections and bursts

Four fixtures of the daemon built the same call, two process tests repeated the same burst, and two tests the same race for a response. Each stands once now. No assertion changed; 101 tests that use them pass.

--- a/packages/common/src/__tests__/unit/UnsentResponses.test.ts
+++ b/packages/common/src/__tests__/unit/UnsentResponses.test.ts
@@ -24,6 +24,23 @@
 
 const bodyHead = 'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n';
 
+/** The next response, or how the connection ends without one. */
+function outcomeOf(socket: Socket): Promise<string> {
+  return Promise.race([
+    once(socket, 'data').then(([response]) => String(response)),
+    once(socket, 'close').then(() => 'closed'),
+  ]).catch((error: unknown) => String(error));
+}
+
+/** Starts a server and makes a call, after which its connection is idle. */
+async function startIdle() {
+  const started = await startServer(1);
+  started.socket.write(`${bodyHead}ab`);
+  await once(started.socket, 'data');
+  await new Promise(resolve => setTimeout(resolve, 50));
+  return started;
+}
+
 describe('spareUnsentResponses', () => {
   it('closes a connection whose response was received', async () => {
     const {server, socket} = await startServer(1);
@@ -47,14 +64,8 @@
   });
 
   it('keeps a connection on which a request waits unread', async () => {
-    const {server, socket} = await startServer(1);
-    socket.write(`${bodyHead}ab`);
-    await once(socket, 'data');
-    await new Promise(resolve => setTimeout(resolve, 50));
-    const outcome = Promise.race([
-      once(socket, 'data').then(([response]) => String(response)),
-      once(socket, 'close').then(() => 'closed'),
-    ]).catch((error: unknown) => String(error));
+    const {server, socket} = await startIdle();
+    const outcome = outcomeOf(socket);
     // The operating system has the bytes before the next line runs.
     socket.write(`${bodyHead}ab`);
     server.closeIdleConnections();
@@ -65,14 +76,8 @@
   });
 
   it('keeps a connection on which a request arrives in a long turn', async () => {
-    const {server, socket} = await startServer(1);
-    socket.write(`${bodyHead}ab`);
-    await once(socket, 'data');
-    await new Promise(resolve => setTimeout(resolve, 50));
-    const outcome = Promise.race([
-      once(socket, 'data').then(([response]) => String(response)),
-      once(socket, 'close').then(() => 'closed'),
-    ]).catch((error: unknown) => String(error));
+    const {server, socket} = await startIdle();
+    const outcome = outcomeOf(socket);
     // The second turn has read the sockets and is long then.
     setImmediate(() =>
       setImmediate(() => {
@@ -91,10 +96,7 @@
   // Guards against connections that stay open, and hold up a stop, where each
   // turn of the event loop is long.
   it('closes idle connections while all turns are long', async () => {
-    const {server, socket} = await startServer(1);
-    socket.write(`${bodyHead}ab`);
-    await once(socket, 'data');
-    await new Promise(resolve => setTimeout(resolve, 50));
+    const {server, socket} = await startIdle();
     let isClosed = false;
     socket.on('close', () => (isClosed = true)).resume();
     const turnMs = 60;
--- a/packages/daemon/src/__tests__/unit/ChatCallFixture.ts
+++ b/packages/daemon/src/__tests__/unit/ChatCallFixture.ts
@@ -14,7 +14,6 @@
   toPermitId,
   toRequestId,
   toShardId,
-  toWorkspaceId,
 } from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
 import type {ReceivedEnvelope} from '@toucanrouter/peer';
@@ -41,6 +40,7 @@
   PermitRequest,
 } from '../../scheduling/PermitClient.js';
 import {testClass, upstreamInfo} from './SchedulingFixture.js';
+import {createTestExchange} from './ExchangeFixture.js';
 
 /** How a call ended: `answered`, or the kind of its error. */
 export interface CallOutcome {
@@ -252,35 +252,14 @@
   }
 
   function createExchange(body: Buffer): Exchange {
-    const nowMs = clock.nowMs();
-    return {
+    return createTestExchange({
       requestId: toRequestId(`request-${++calls}`),
-      callerRequestId: undefined,
-      headers: {},
       body,
       target: {kind: 'engine', serves: model, method: 'POST', path: '/'},
-      response: {
-        started: false,
-        startStream: () => undefined,
-        write: () => Promise.resolve(),
-        endStream: () => undefined,
-        send: () => undefined,
-        sendError: () => undefined,
-      },
-      arrivedAtMs: nowMs,
-      deadlineAtMs: nowMs + deadlineMs,
-      signal: new AbortController().signal,
-      stats: {
-        firstTokenMs: undefined,
-        tokenGapMs: undefined,
-        tokens: 0,
-        wastedTokens: 0,
-        waitedMs: 0,
-        attempts: 0,
-      },
-      workspaceId: toWorkspaceId('w'),
       serviceClass: testClass,
-    };
+      nowMs: clock.nowMs(),
+      limitMs: deadlineMs,
+    });
   }
 
   const entries = Array.from({length: options.entryCount}, (_, index) =>
--- a/packages/daemon/src/__tests__/unit/LimitedUpstreamsFixture.ts
+++ b/packages/daemon/src/__tests__/unit/LimitedUpstreamsFixture.ts
@@ -20,7 +20,6 @@
   toInstanceId,
   toPermitId,
   toRequestId,
-  toWorkspaceId,
 } from '@toucanrouter/common';
 import type {LogFields, Logger} from '@toucanrouter/logging';
 import type {UpstreamRateLimit} from '@toucanrouter/policy';
@@ -51,6 +50,7 @@
 import {shardId, testClass, upstreamInfo} from './SchedulingFixture.js';
 import type {UpstreamHandler} from './SuspectUpstreamsFixture.js';
 import {upstreamName} from './SuspectUpstreamsFixture.js';
+import {createTestExchange, discardedResponse} from './ExchangeFixture.js';
 
 /** A kind of call. */
 export type CallKind = 'chat' | 'plain';
@@ -303,41 +303,29 @@
   }
 
   function createExchange(body: string, serviceClass: ServiceClass): Exchange {
-    const nowMs = clock.nowMs();
-    const requestId = toRequestId(`r${++callCount}`);
     let started = false;
-    return {
-      requestId,
-      callerRequestId: undefined,
-      headers: {[limitHeader]: '1'},
-      body: Buffer.from(body),
-      target: {kind: 'engine', serves: 'advisor', method: 'POST', path: '/'},
-      response: {
-        get started() {
-          return started;
-        },
-        startStream: () => {
-          started = true;
-        },
-        write: () => Promise.resolve(),
-        endStream: () => undefined,
-        send: () => undefined,
-        sendError: () => undefined,
+    return createTestExchange(
+      {
+        requestId: toRequestId(`r${++callCount}`),
+        body: Buffer.from(body),
+        target: {kind: 'engine', serves: 'advisor', method: 'POST', path: '/'},
+        serviceClass,
+        nowMs: clock.nowMs(),
+        limitMs: deadlineMs,
       },
-      arrivedAtMs: nowMs,
-      deadlineAtMs: nowMs + deadlineMs,
-      signal: new AbortController().signal,
-      stats: {
-        firstTokenMs: undefined,
-        tokenGapMs: undefined,
-        tokens: 0,
-        wastedTokens: 0,
-        waitedMs: 0,
-        attempts: 0,
+      {
+        headers: {[limitHeader]: '1'},
+        response: {
+          ...discardedResponse,
+          get started() {
+            return started;
+          },
+          startStream: () => {
+            started = true;
+          },
+        },
       },
-      workspaceId: toWorkspaceId('w'),
-      serviceClass,
-    };
+    );
   }
 
   const chatBody = JSON.stringify({
--- a/packages/daemon/src/__tests__/unit/PausingUpstreamsFixture.ts
+++ b/packages/daemon/src/__tests__/unit/PausingUpstreamsFixture.ts
@@ -20,7 +20,6 @@
   toInstanceId,
   toPermitId,
   toRequestId,
-  toWorkspaceId,
 } from '@toucanrouter/common';
 import type {LogFields, Logger} from '@toucanrouter/logging';
 import {
@@ -51,6 +50,7 @@
 import {shardId, testClass, upstreamInfo} from './SchedulingFixture.js';
 import type {UpstreamHandler} from './SuspectUpstreamsFixture.js';
 import {upstreamName} from './SuspectUpstreamsFixture.js';
+import {createTestExchange, discardedResponse} from './ExchangeFixture.js';
 
 /** How a call ended. */
 export interface CallOutcome {
@@ -289,41 +289,31 @@
   const claims = createClaimedCalls(clock, selfId, claimStore);
 
   function createExchange(body: string, relayed: string[]): Exchange {
-    const nowMs = clock.nowMs();
     const requestId = toRequestId(`r${++callCount}`);
-    return {
-      requestId,
-      callerRequestId: undefined,
-      headers: {'idempotency-key': requestId, 'x-upstream-leaving': '1'},
-      body: Buffer.from(body),
-      target: {kind: 'engine', serves: 'advisor', method: 'POST', path: '/'},
-      response: {
-        get started() {
-          return relayed.length > 0;
-        },
-        startStream: () => relayed.push(''),
-        write: bytes => {
-          relayed.push(Buffer.from(bytes).toString());
-          return Promise.resolve();
-        },
-        endStream: () => undefined,
-        send: () => undefined,
-        sendError: () => undefined,
+    return createTestExchange(
+      {
+        requestId,
+        body: Buffer.from(body),
+        target: {kind: 'engine', serves: 'advisor', method: 'POST', path: '/'},
+        serviceClass,
+        nowMs: clock.nowMs(),
+        limitMs: deadlineMs,
       },
-      arrivedAtMs: nowMs,
-      deadlineAtMs: nowMs + deadlineMs,
-      signal: new AbortController().signal,
-      stats: {
-        firstTokenMs: undefined,
-        tokenGapMs: undefined,
-        tokens: 0,
-        wastedTokens: 0,
-        waitedMs: 0,
-        attempts: 0,
+      {
+        headers: {'idempotency-key': requestId, 'x-upstream-leaving': '1'},
+        response: {
+          ...discardedResponse,
+          get started() {
+            return relayed.length > 0;
+          },
+          startStream: () => relayed.push(''),
+          write: bytes => {
+            relayed.push(Buffer.from(bytes).toString());
+            return Promise.resolve();
+          },
+        },
       },
-      workspaceId: toWorkspaceId('w'),
-      serviceClass,
-    };
+    );
   }
 
   async function run(
--- a/packages/daemon/src/__tests__/unit/SuspectUpstreamsFixture.ts
+++ b/packages/daemon/src/__tests__/unit/SuspectUpstreamsFixture.ts
@@ -14,7 +14,6 @@
   toInstanceId,
   toPermitId,
   toRequestId,
-  toWorkspaceId,
 } from '@toucanrouter/common';
 import {createLogger} from '@toucanrouter/logging';
 import type {RetryBudget} from '@toucanrouter/policy';
@@ -36,6 +35,7 @@
   PermitRequest,
 } from '../../scheduling/PermitClient.js';
 import {testClass, upstreamInfo} from './SchedulingFixture.js';
+import {createTestExchange, discardedResponse} from './ExchangeFixture.js';
 
 /** Handles one request at an upstream. */
 export type UpstreamHandler = (
@@ -212,39 +212,31 @@
   const limitMs = options.limitMs ?? defaultLimitMs;
   const caller = options.caller ?? new AbortController();
   const undoLimit = clock.after(limitMs, () => caller.abort());
-  const exchange: Exchange = {
-    requestId: toRequestId('r1'),
-    callerRequestId: undefined,
-    headers: {},
-    body: Buffer.from(options.body),
-    target: options.target,
-    response: {
-      get started() {
-        return started;
-      },
-      startStream: () => (started = true),
-      write: chunk => {
-        relayed.push(Buffer.from(chunk));
-        return Promise.resolve();
-      },
-      endStream: () => (ended = true),
-      send: () => undefined,
-      sendError: () => undefined,
+  const exchange = createTestExchange(
+    {
+      requestId: toRequestId('r1'),
+      body: Buffer.from(options.body),
+      target: options.target,
+      serviceClass: testClass,
+      nowMs,
+      limitMs,
     },
-    arrivedAtMs: nowMs,
-    deadlineAtMs: nowMs + limitMs,
-    signal: caller.signal,
-    stats: {
-      firstTokenMs: undefined,
-      tokenGapMs: undefined,
-      tokens: 0,
-      wastedTokens: 0,
-      waitedMs: 0,
-      attempts: 0,
+    {
+      signal: caller.signal,
+      response: {
+        ...discardedResponse,
+        get started() {
+          return started;
+        },
+        startStream: () => (started = true),
+        write: chunk => {
+          relayed.push(Buffer.from(chunk));
+          return Promise.resolve();
+        },
+        endStream: () => (ended = true),
+      },
     },
-    workspaceId: toWorkspaceId('w'),
-    serviceClass: testClass,
-  };
+  );
   const logger = createLogger({
     format: 'json',
     level: 'error',
--- a/packages/gateway/src/__tests__/process/MemoryLimit.test.ts
+++ b/packages/gateway/src/__tests__/process/MemoryLimit.test.ts
@@ -208,6 +208,24 @@
   );
 }
 
+/** Checks that a gateway outlives bursts on connections, and serves others then. */
+async function expectSurvival(
+  connectionsCount: number,
+  start: (port: number) => Promise<Socket>,
+): Promise<void> {
+  await withGateway(async gateway => {
+    const sockets = await Promise.all(
+      Array.from({length: connectionsCount}, () => start(gateway.port)),
+    );
+    await sleep(burstMs);
+    expect(gateway.isRunning()).to.equal(true);
+    for (const socket of sockets) socket.destroy();
+    expect(await callUntilServed(gateway.port, 'whole')).to.equal('200');
+    expect(gateway.peakBytes()).to.be.below(memoryLimitBytes);
+    expect(gateway.isRunning()).to.equal(true);
+  });
+}
+
 describe('Process of a gateway with a memory limit', () => {
   // Guards against a process that is killed because callers' bodies take more
   // memory than the machine has.
@@ -302,19 +320,7 @@
   // connections that cannot be answered yet.
   for (const path of ['/chat/x', '/unknown']) {
     it(`survives bursts of requests to ${path} behind open ones`, async () => {
-      await withGateway(async gateway => {
-        const sockets = await Promise.all(
-          Array.from({length: burstConnectionsCount}, () =>
-            burst(gateway.port, path),
-          ),
-        );
-        await sleep(burstMs);
-        expect(gateway.isRunning()).to.equal(true);
-        for (const socket of sockets) socket.destroy();
-        expect(await callUntilServed(gateway.port, 'whole')).to.equal('200');
-        expect(gateway.peakBytes()).to.be.below(memoryLimitBytes);
-        expect(gateway.isRunning()).to.equal(true);
-      });
+      await expectSurvival(burstConnectionsCount, port => burst(port, path));
     });
   }
 
@@ -325,19 +331,9 @@
     ['no host', 'GET / HTTP/1.1\r\n\r\n'],
   ] as const) {
     it(`survives bursts of requests with ${name} behind open ones`, async () => {
-      await withGateway(async gateway => {
-        const sockets = await Promise.all(
-          Array.from({length: refusedConnectionsCount}, () =>
-            burstOfHeads(gateway.port, head),
-          ),
-        );
-        await sleep(burstMs);
-        expect(gateway.isRunning()).to.equal(true);
-        for (const socket of sockets) socket.destroy();
-        expect(await callUntilServed(gateway.port, 'whole')).to.equal('200');
-        expect(gateway.peakBytes()).to.be.below(memoryLimitBytes);
-        expect(gateway.isRunning()).to.equal(true);
-      });
+      await expectSurvival(refusedConnectionsCount, port =>
+        burstOfHeads(port, head),
+      );
     });
   }
 });
