gateway, settings: serve callers although listeners share a port

What operators would see: the settings are filled in by the platform. If the port for callers or readiness checks is that of metrics (fixed, 9464) or of peers, each process ended with exit code 2 a few seconds after each start. If the addresses differed in text only, the process ran and was never ready.

Cause: packages/settings refused any two equal addresses, and the gateway opened its optional listeners before the required ones.

The settings now require different addresses for callers and readiness checks only. A listener for metrics or peers on a port that these need is opened once they are open, so it cannot take the port, not even while a predecessor gives it up. A metric shows which listeners are open. The daemon is left as it is: operators write its settings and check them before a start, and it has no readiness without its admin port.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -361,6 +361,13 @@
     memoryHolders: memory.holders,
     bodyMemory: memory.requestBodies.status,
     openRequests: openRequestLimit.status,
+    listeners: () => [
+      {purpose: 'callers', isOpen: callersListener.isOpen()},
+      {purpose: 'readiness checks', isOpen: readinessListener.isOpen()},
+      {purpose: 'metrics', isOpen: metricsListener.isOpen()},
+      {purpose: 'peers', isOpen: peersListener.isOpen()},
+      {purpose: 'reports of peers', isOpen: exchange.isOpen()},
+    ],
   });
 
   function notReadyReason(): string | undefined {
@@ -420,6 +427,18 @@
     settings.peers,
     false,
   );
+  const requiredPorts = [settings.callers.port, settings.readiness.port];
+
+  /** The settings may give one port to several listeners; the required ones win. */
+  async function openOptional(
+    listener: Listener,
+    {port}: ListenAddress,
+    requiredOpened: Promise<unknown>,
+  ): Promise<void> {
+    if (requiredPorts.includes(port)) await requiredOpened;
+    await listener.open();
+  }
+
   const servers: readonly (readonly [Server, Listener])[] = [
     [gatewayServer.server, callersListener],
     [readinessServer, readinessListener],
@@ -517,12 +536,13 @@
       sync.start();
       exchange.start();
       registration.start();
-      for (const listener of [metricsListener, peersListener]) {
-        void listener.open();
-      }
-      const opened = Result.combine(
-        await Promise.all([callersListener.open(), readinessListener.open()]),
-      );
+      const requiredOpened = Promise.all([
+        callersListener.open(),
+        readinessListener.open(),
+      ]);
+      void openOptional(metricsListener, settings.metrics, requiredOpened);
+      void openOptional(peersListener, settings.peers, requiredOpened);
+      const opened = Result.combine(await requiredOpened);
       if (opened.isErr()) return err(opened.error);
       logger.info('instance started', {
         callers: `${settings.callers.host}:${settings.callers.port}`,
--- a/packages/gateway/src/__tests__/unit/GatewayMetrics.test.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayMetrics.test.ts
@@ -34,11 +34,27 @@
       givenUpCount: 0,
     }),
     openRequests: () => ({openCount: 0, maxCount: 0, refusedCount: 0}),
+    listeners: () => [],
     ...overrides,
   };
 }
 
 describe('GatewayMetrics', () => {
+  it('shows which listeners are open', async () => {
+    // Guards against a function that is lost without a number that shows it.
+    const metrics = createGatewayMetrics(
+      createSources({
+        listeners: () => [
+          {purpose: 'callers', isOpen: true},
+          {purpose: 'peers', isOpen: false},
+        ],
+      }),
+    );
+    const text = await metrics.render();
+    expect(text).to.include('toucanrouter_listener_open{purpose="callers"} 1');
+    expect(text).to.include('toucanrouter_listener_open{purpose="peers"} 0');
+  });
+
   it('shows the request rates that upstreams limit', async () => {
     // Guards against held back requests that no metric explains.
     const metrics = createGatewayMetrics(
--- a/packages/gateway/src/peers/LoadExchange.ts
+++ b/packages/gateway/src/peers/LoadExchange.ts
@@ -51,6 +51,8 @@
 /** A running exchange. */
 export interface LoadExchange {
   start(): void;
+  /** Whether reports of peers are received. */
+  isOpen(): boolean;
   /** Sends a report as soon as the rate limit allows. */
   reportSoon(): void;
   /** The same for a quarantine report. */
@@ -192,6 +194,7 @@
       quarantineSchedule.start();
       rateSchedule.start();
     },
+    isOpen: listener.isOpen,
     reportSoon: schedule.reportSoon,
     reportQuarantineSoon: quarantineSchedule.reportSoon,
     reportRatesSoon: rateSchedule.reportSoon,
--- a/packages/gateway/src/server/GatewayMetrics.ts
+++ b/packages/gateway/src/server/GatewayMetrics.ts
@@ -46,6 +46,7 @@
   readonly memoryHolders: () => readonly HolderMemory[];
   readonly bodyMemory: () => MemoryBudgetStatus;
   readonly openRequests: () => OpenRequestStatus;
+  readonly listeners: () => readonly ListenerStatus[];
 }
 
 /** The retry budget of one service. */
@@ -73,6 +74,12 @@
 ];
 const noClassLabel = 'none';
 
+/** Whether a listener is open, by whom it serves. */
+export interface ListenerStatus {
+  readonly purpose: string;
+  readonly isOpen: boolean;
+}
+
 /** Name, help and value of a number that is shown for each service. */
 type ServiceGauge<Status> = readonly [
   string,
@@ -348,6 +355,17 @@
     'Requests refused since the start because too many were open',
     () => sources.openRequests().refusedCount,
   );
+  new Gauge({
+    name: 'toucanrouter_listener_open',
+    help: '1 while a listener is open, by whom it serves',
+    labelNames: ['purpose'],
+    registers,
+    collect() {
+      for (const {isOpen, purpose} of sources.listeners()) {
+        this.set({purpose}, Number(isOpen));
+      }
+    },
+  });
   return {
     observe: ended => {
       const classLabel = ended.classId ?? noClassLabel;
--- a/packages/settings/src/GatewaySettings.ts
+++ b/packages/settings/src/GatewaySettings.ts
@@ -96,6 +96,12 @@
   }),
 } as const;
 
+/**
+ * Listeners without which a gateway serves its callers. The platform chooses the
+ * other ports, so one of them may be the port of such a listener.
+ */
+const optionalListeners = ['metrics', 'peers'];
+
 function toGatewaySettings(
   values: SectionValues<typeof gatewaySections>,
 ): GatewaySettings {
@@ -166,12 +172,14 @@
   file: string,
 ): Result<ParsedGatewaySettings, SettingsError> {
   const document = parseIni(text, file);
-  return validateSections(withoutUnset(document), gatewaySections).map(
-    values => ({
-      ...toGatewaySettings(values),
-      unsetKeys: findUnsetKeys(document),
-    }),
-  );
+  return validateSections(
+    withoutUnset(document),
+    gatewaySections,
+    optionalListeners,
+  ).map(values => ({
+    ...toGatewaySettings(values),
+    unsetKeys: findUnsetKeys(document),
+  }));
 }
 
 /** Loads the settings file of a gateway. */
--- a/packages/settings/src/SectionedFile.ts
+++ b/packages/settings/src/SectionedFile.ts
@@ -39,17 +39,21 @@
   return validateSections(parseIni(text, file), schemas);
 }
 
-/** Validates all sections of a parsed file. */
+/**
+ * Validates all sections of a parsed file. The addresses of `[listen]` must
+ * differ, except those whose keys are `sharable`.
+ */
 export function validateSections<Schemas extends SectionSchemas>(
   document: IniDocument,
   schemas: Schemas,
+  sharable: readonly string[] = [],
 ): Result<SectionValues<Schemas>, SettingsError> {
   const faults = createFaultList(document);
   checkSectionNames(document, schemas, faults);
   const values = parseKnownSections(document, schemas, faults);
   const listen = document.sections.find(section => section.name === 'listen');
   if (listen !== undefined && values['listen'] !== undefined) {
-    checkDistinctAddresses(listen, values['listen'], faults);
+    checkDistinctAddresses(listen, values['listen'], sharable, faults);
   }
   if (faults.faults.length > 0) return err(toSettingsError(faults.faults));
   return ok(values as SectionValues<Schemas>);
@@ -97,10 +101,12 @@
 function checkDistinctAddresses(
   section: IniSection,
   listen: Record<string, unknown>,
+  sharable: readonly string[],
   faults: FaultList,
 ): void {
   const seen = new Map<string, string>();
   for (const [key, address] of Object.entries(listen)) {
+    if (sharable.includes(key)) continue;
     const text = formatAddress(address as ListenAddress);
     const otherKey = seen.get(text);
     seen.set(text, key);
--- a/packages/settings/src/__tests__/unit/GatewaySettings.test.ts
+++ b/packages/settings/src/__tests__/unit/GatewaySettings.test.ts
@@ -54,6 +54,27 @@
     }
   });
 
+  // Guards against a process that does not start because the platform gave the
+  // port of a required listener to one that callers do without.
+  it('accepts a port for metrics or peers that another listener has', () => {
+    for (const port of ['8080', '8081', '9464']) {
+      const withPeers = sample.replace(':7340', `:${port}`);
+      const settings = parseGatewaySettings(withPeers, 'f')._unsafeUnwrap();
+      expect(settings.peers.port).to.equal(Number(port));
+    }
+    for (const port of ['8080', '8081']) {
+      const withMetrics = sample.replace(':9464', `:${port}`);
+      const settings = parseGatewaySettings(withMetrics, 'f')._unsafeUnwrap();
+      expect(settings.metrics.port).to.equal(Number(port));
+    }
+  });
+
+  it('refuses one address for callers and readiness checks', () => {
+    const text = sample.replace(':8081', ':8080');
+    const {faults} = parseGatewaySettings(text, 'f')._unsafeUnwrapErr();
+    expect(faults.map(({line}) => line)).to.deep.equal([7]);
+  });
+
   it('reports all faults at once, with their lines', () => {
     const text = sample
       .replace('8s', '8')
