settings: read the names of a gateway as the platform writes them

What operators would see: instances whose names differ only behind a ";" or "#" have one id, so they never count each other as peers.

Cause: the platform fills in names without quotes, and the parser takes ";" and "#" as the beginning of a comment and removes quotes.

The id and the failure domain are now the rest of their line. The daemon's names follow a pattern without such characters.

--- a/packages/settings/src/GatewaySettings.ts
+++ b/packages/settings/src/GatewaySettings.ts
@@ -71,9 +71,11 @@
   readonly unsetKeys: readonly string[];
 }
 
+const instanceShape = {id: opaqueField, failure_domain: opaqueField};
+
 /** Schemas of the sections of a gateway's settings file, by name. */
 export const gatewaySections = {
-  instance: z.strictObject({id: opaqueField, failure_domain: opaqueField}),
+  instance: z.strictObject(instanceShape),
   listen: z.strictObject({
     callers: addressField,
     readiness: addressField,
@@ -127,6 +129,11 @@
   };
 }
 
+/** The platform fills in names without quotes, so no character is special. */
+function isName(section: string, key: string): boolean {
+  return section === 'instance' && Object.hasOwn(instanceShape, key);
+}
+
 function findSchema(section: IniSection, key: string) {
   const schemas: Readonly<Record<string, SectionSchema>> = gatewaySections;
   const shape = Object.hasOwn(schemas, section.name)
@@ -171,7 +178,7 @@
   text: string,
   file: string,
 ): Result<ParsedGatewaySettings, SettingsError> {
-  const document = parseIni(text, file);
+  const document = parseIni(text, file, isName);
   return validateSections(
     withoutUnset(document),
     gatewaySections,
--- a/packages/settings/src/IniDocument.ts
+++ b/packages/settings/src/IniDocument.ts
@@ -35,15 +35,22 @@
 const sectionPattern = /^\[([^\]]*)\]\s*(?:[;#].*)?$/;
 const commentPattern = /^[;#]/;
 
+/** Returns whether the value of a key is the rest of its line as it is. */
+export type IsVerbatim = (section: string, key: string) => boolean;
+
 /** Parses INI text. Duplicate sections and keys are faults. */
-export function parseIni(text: string, file: string): IniDocument {
+export function parseIni(
+  text: string,
+  file: string,
+  isVerbatim: IsVerbatim = () => false,
+): IniDocument {
   const sections: OpenSection[] = [];
   const faults: SettingsFault[] = [];
   text.split(/\r?\n/).forEach((raw, index) => {
     const line = index + 1;
     const content = raw.trim();
     if (content === '' || commentPattern.test(content)) return;
-    const message = parseLine(content, line, sections);
+    const message = parseLine(content, line, sections, isVerbatim);
     if (message !== undefined) faults.push({file, line, message});
   });
   return {file, sections, faults};
@@ -53,12 +60,13 @@
   content: string,
   line: number,
   sections: OpenSection[],
+  isVerbatim: IsVerbatim,
 ): string | undefined {
   const header = sectionPattern.exec(content);
   if (header !== null) {
     return openSection((header[1] ?? '').trim(), line, sections);
   }
-  return addEntry(content, line, sections.at(-1));
+  return addEntry(content, line, sections.at(-1), isVerbatim);
 }
 
 function openSection(
@@ -76,6 +84,7 @@
   content: string,
   line: number,
   section: OpenSection | undefined,
+  isVerbatim: IsVerbatim,
 ): string | undefined {
   const entry = parseEntry(content, line);
   if (entry === undefined) {
@@ -88,7 +97,11 @@
   if (earlier !== undefined) {
     return `key "${entry.key}" is a duplicate of line ${earlier.line}; keep one of them`;
   }
-  section.entries.push(entry);
+  section.entries.push(
+    isVerbatim(section.name, entry.key)
+      ? {...entry, value: content.slice(content.indexOf('=') + 1).trim()}
+      : entry,
+  );
   return undefined;
 }
 
