settings: let a gateway start without the addresses callers do not need

What operators would see: a process that ends with exit code 2 at each start if the platform sets no internal ports or no ip_address.

Cause: an address for metrics or peers that cannot be read made the settings invalid, although callers are served without either.

Such an entry takes the address for callers, where its TCP listener does not open, and is logged with the keys without a value. A file that lacks the line is still refused, because it may be cut short.

--- a/packages/settings/src/GatewaySettings.ts
+++ b/packages/settings/src/GatewaySettings.ts
@@ -33,6 +33,7 @@
   memoryField,
   numberField,
   opaqueField,
+  optionalAddressField,
 } from './SettingsFields.js';
 
 /** Settings of a gateway instance. */
@@ -79,8 +80,8 @@
   listen: z.strictObject({
     callers: addressField,
     readiness: addressField,
-    metrics: addressField,
-    peers: addressField,
+    metrics: optionalAddressField,
+    peers: optionalAddressField,
   }),
   store: z.strictObject({address: addressTextField}),
   bounds: z.strictObject({
@@ -114,8 +115,9 @@
     failureDomain: instance.failure_domain,
     callers: listen.callers,
     readiness: listen.readiness,
-    metrics: listen.metrics,
-    peers: listen.peers,
+    // Beside the listener for callers these do not open, except UDP for peers.
+    metrics: listen.metrics ?? listen.callers,
+    peers: listen.peers ?? listen.callers,
     storeAddress: store.address,
     stopGraceMs: bounds.stop_grace,
     revocationDelayMs: bounds.revocation,
@@ -144,6 +146,17 @@
     : undefined;
 }
 
+/** Returns whether an entry should be the address of an optional listener. */
+function isUnusableAddress(
+  section: IniSection,
+  {key, value}: IniEntry,
+): boolean {
+  return (
+    findSchema(section, key) === optionalAddressField &&
+    !z.safeParse(addressField, value).success
+  );
+}
+
 /** Returns whether an entry has no value that its key, with a default, allows. */
 function isUnset(section: IniSection, {key, value}: IniEntry): boolean {
   const schema = findSchema(section, key);
@@ -168,7 +181,12 @@
 function findUnsetKeys({sections}: IniDocument): readonly string[] {
   return sections.flatMap(section =>
     section.entries
-      .filter(entry => entry.value === '' || isUnset(section, entry))
+      .filter(
+        entry =>
+          entry.value === '' ||
+          isUnset(section, entry) ||
+          isUnusableAddress(section, entry),
+      )
       .map(({key}) => `${section.name}.${key}`),
   );
 }
--- a/packages/settings/src/SettingsFields.ts
+++ b/packages/settings/src/SettingsFields.ts
@@ -200,6 +200,17 @@
 /** `host:port`, converted to host and port. */
 export const addressField = textField(convertAddress);
 
+/**
+ * `host:port`, or undefined for a text that is no address, such as a template
+ * leaves behind that was filled in without the host or the port.
+ */
+export const optionalAddressField = textField(
+  (text): ConversionResult<ListenAddress | undefined> => {
+    const result = convertAddress(text);
+    return 'value' in result ? result : {value: undefined};
+  },
+);
+
 /** `host:port`, validated but kept as text. */
 export const addressTextField = textField((text): ConversionResult<string> => {
   const result = convertAddress(text);
