gateway: let a slow store answer the first read

What callers see: instances that start while the store takes 2 s for an answer never have a configuration and are never ready.

Cause: the first read was given up after 1.5 s and sent again, for ever.

The new test with such a store failed with the fix stashed ("expected undefined to equal 2").

A first read now goes on for 4 s while the next is sent after 1.5 s as before, two at most, and the first answer counts. A silent connection holds up the start no longer than before.

--- a/packages/gateway/src/__tests__/unit/StateSync.test.ts
+++ b/packages/gateway/src/__tests__/unit/StateSync.test.ts
@@ -1,6 +1,7 @@
 import type {ManualClock} from '@toucanrouter/common';
 import {
   createManualClock,
+  delay,
   hash64,
   PlatformError,
   toInstanceId,
@@ -177,6 +178,69 @@
     sync.close();
   });
 
+  /** Answers a read after a time, unless its caller gives up before. */
+  function answerAfter(
+    clock: ManualClock,
+    answerMs: number,
+    timeoutMs: number,
+  ): ResultAsync<StateUpdate, PlatformError> {
+    const answered = delay(clock, Math.min(answerMs, timeoutMs)).then(() =>
+      resultOf<StateUpdate>(
+        answerMs < timeoutMs ? {revision: 5, items: [version(2)]} : 'lost',
+      ),
+    );
+    return new ResultAsync(answered);
+  }
+
+  // Guards against an instance that never has a configuration, and is never
+  // ready, because it gives up each read before a slow store answers.
+  it('takes the first state from a store that answers after 2 s', async () => {
+    const {clock, config, script, sync} = createSyncedState();
+    script.store.readAll = timeoutMs => answerAfter(clock, 2_000, timeoutMs);
+    sync.start();
+    await advance(clock, 2_500);
+    const current = config.current()?.version;
+    sync.close();
+    expect(current).to.equal(2);
+  });
+
+  // Guards against a start that waits for a connection that has gone silent.
+  it('reads the first state beside a read that gets no answer', async () => {
+    const {clock, config, script, sync} = createSyncedState();
+    const answerTimesMs = [Infinity, 100];
+    script.store.readAll = timeoutMs =>
+      answerAfter(clock, answerTimesMs.shift() ?? 100, timeoutMs);
+    sync.start();
+    await advance(clock, 2_500);
+    const current = config.current()?.version;
+    // The failure of the first read comes later and changes nothing.
+    await advance(clock, 2_500);
+    const isConnected = sync.connected();
+    sync.close();
+    expect({current, isConnected}).to.deep.equal({
+      current: 2,
+      isConnected: true,
+    });
+  });
+
+  // Guards against a start in an outage that fills the memory with snapshots.
+  it('keeps at most two first reads open', async () => {
+    const {clock, script, sync} = createSyncedState();
+    let open = 0;
+    let most = 0;
+    script.store.readAll = timeoutMs => {
+      open += 1;
+      most = Math.max(most, open);
+      const answered = answerAfter(clock, Infinity, timeoutMs);
+      void answered.then(() => (open -= 1));
+      return answered;
+    };
+    sync.start();
+    await advance(clock, 30_000);
+    sync.close();
+    expect(most).to.equal(2);
+  });
+
   // Guards against an instance that stops following the store for ever because
   // of one item of another writer.
   it('goes on to follow changes after an item that cannot be applied', async () => {
--- a/packages/gateway/src/state/StateSync.ts
+++ b/packages/gateway/src/state/StateSync.ts
@@ -5,10 +5,16 @@
  * and else from the store itself, with a minimum interval that bounds the number
  * of calls.
  */
-import type {Clock, InstanceId, UpstreamId} from '@toucanrouter/common';
+import type {
+  Clock,
+  InstanceId,
+  PlatformError,
+  UpstreamId,
+} from '@toucanrouter/common';
 import {delay} from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
 import type {SegmentHash} from '@toucanrouter/policy';
+import type {Result} from 'neverthrow';
 import type {ActiveConfig} from '../config/ActiveConfig.js';
 import type {ConfigAge, TimeMark} from '../config/ConfigAge.js';
 import {shiftMark} from '../config/ConfigAge.js';
@@ -20,6 +26,7 @@
 import type {
   StateChange,
   StateStore,
+  StateUpdate,
   StoredItem,
   StoredVerdict,
 } from './StateStore.js';
@@ -76,6 +83,10 @@
 /** Time after the end of its wait at which a watch call is cancelled. */
 const responseTimeoutMs = 700;
 const readAllTimeoutMs = 1_500;
+/** Until an instance has a state, late responses of a slow store count too. */
+const firstReadTimeoutMs = 4_000;
+/** Bounds memory: each read may hold a whole snapshot. */
+const maxFirstReads = 2;
 /** Calls during an outage are short, to notice its end early. */
 const probeTimeoutMs = 600;
 const initialProbeDelayMs = 250;
@@ -123,6 +134,7 @@
   let confirming: Promise<void> | undefined;
   let lastConfirmAtMs = -Infinity;
   let consecutiveFailures = 0;
+  let firstReads = 0;
   let absenceEnd: {reason: StoreAbsence; atMs: number} | undefined;
   let currentRelay: InstanceId | undefined;
 
@@ -274,10 +286,18 @@
   }
 
   async function readAll(): Promise<boolean> {
+    if (!everConnected) return readFirst();
     const mark = configAge.mark();
     const update = await store.readAll(
-      everConnected && !connected ? probeTimeoutMs : readAllTimeoutMs,
+      connected ? readAllTimeoutMs : probeTimeoutMs,
     );
+    return applyFullState(mark, update);
+  }
+
+  function applyFullState(
+    mark: TimeMark,
+    update: Result<StateUpdate, PlatformError>,
+  ): boolean {
     if (update.isErr()) {
       onStoreFailure(update.error.message);
       return false;
@@ -288,6 +308,28 @@
     return true;
   }
 
+  /**
+   * Reads the state for the first time. Reads overlap: a store that is slow
+   * answers the first one late, and one on a connection that went silent gets no
+   * answer although the store is back.
+   */
+  async function readFirst(): Promise<boolean> {
+    const waited = delay(clock, readAllTimeoutMs);
+    await (firstReads < maxFirstReads
+      ? Promise.race([waited, takeFirstState()])
+      : waited);
+    return everConnected;
+  }
+
+  async function takeFirstState(): Promise<void> {
+    const mark = configAge.mark();
+    firstReads += 1;
+    const update = await store.readAll(firstReadTimeoutMs);
+    firstReads -= 1;
+    // Another read may have been answered first.
+    if (revision === undefined && !closed) applyFullState(mark, update);
+  }
+
   async function readChanges(after: number): Promise<boolean> {
     const mark = configAge.mark();
     const update = await store.readChanges(
