common: read what has arrived before an idle timeout closes

Callers saw a reset for a request that they had sent on a kept connection within its idle limit, when the process was paused meanwhile or got no processor time. Node.js closes idle connections from a timer, and timers run before the sockets are read, so the request was never read.

The listener for the timeout of a connection waits until the sockets are read, and closes the connection only if nothing came. Both servers for callers use it.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -171,6 +171,7 @@
 export type {RandomSource} from './Random.js';
 export {createProcessRandom, createSeededRandom} from './Random.js';
 export {answerBeforeErrors} from './ConnectionErrors.js';
+export {readBeforeIdleTimeout} from './IdleConnections.js';
 export type {
   Refusal,
   RefusedPlace,
--- a/packages/daemon/src/server/CallerServer.ts
+++ b/packages/daemon/src/server/CallerServer.ts
@@ -28,6 +28,7 @@
   handOverRefusedRequests,
   headBytesOf,
   lingerAfterLastResponse,
+  readBeforeIdleTimeout,
   refuseOpenRequest,
   RouterError,
   spareUnsentResponses,
@@ -410,6 +411,7 @@
   lingerAfterLastResponse(server, clock);
   closeWaitingResponses(server);
   answerBeforeErrors(server);
+  readBeforeIdleTimeout(server);
   const pipelined = trackPipelinedRequests(server);
   const refusedRequests = handOverRefusedRequests(server);
   return {
--- a/packages/gateway/src/server/GatewayServer.ts
+++ b/packages/gateway/src/server/GatewayServer.ts
@@ -10,6 +10,7 @@
   headBytesOf,
   headerBytesOf,
   lingerAfterLastResponse,
+  readBeforeIdleTimeout,
   refuseOpenRequest,
   RouterError,
   spareUnsentResponses,
@@ -155,6 +156,7 @@
   lingerAfterLastResponse(server, context.clock);
   closeWaitingResponses(server);
   answerBeforeErrors(server);
+  readBeforeIdleTimeout(server);
   const pipelined = trackPipelinedRequests(server);
   const refusedRequests = handOverRefusedRequests(server);
   server.on('connection', socket => {
