common: read what has arrived before a head counts as late

Callers got 408 for a head that had arrived within its timeout, when the process was paused before it read the rest. Node.js looks for late heads from a timer, and timers run before the sockets are read.

A second test holds that a head that is still not complete is ended with 408.

The timeout of a head is answered only after the sockets have been read, and not at all if the request has arrived.

--- a/packages/common/src/ConnectionErrors.ts
+++ b/packages/common/src/ConnectionErrors.ts
@@ -4,10 +4,15 @@
  * once and closes the connection, in place of the answers to earlier requests
  * that are still open. These are sent whole and in order here; the error follows
  * and ends the connection.
+ *
+ * Timers run before the sockets are read, so after a pause of the process a head
+ * looks late that has arrived in time. Its timeout counts only if the head is
+ * still not complete once the sockets have been read.
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {STATUS_CODES} from 'node:http';
 import type {Socket} from 'node:net';
+import {socketsRead} from './SocketsRead.js';
 
 const timeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
 /** The caller closed its side in the middle of a request. */
@@ -65,6 +70,7 @@
 /** Makes `server` answer earlier requests before errors of their connection. */
 export function answerBeforeErrors(server: Server): void {
   const openBySocket = new WeakMap<Socket, Set<OpenResponse>>();
+  const latestBySocket = new WeakMap<Socket, IncomingMessage>();
   const failed = new WeakSet<Socket>();
   server.on('connection', (socket: Socket) => {
     openBySocket.set(socket, new Set());
@@ -73,10 +79,11 @@
     const open = {message, response};
     const all = openBySocket.get(message.socket);
     all?.add(open);
+    latestBySocket.set(message.socket, message);
     response.once('close', () => all?.delete(open));
   });
-  server.on('clientError', (error: NodeJS.ErrnoException, duplex) => {
-    const socket = duplex as Socket;
+
+  function fail(socket: Socket, error: NodeJS.ErrnoException): void {
     if (failed.has(socket)) return;
     failed.add(socket);
     const code = error.code ?? '';
@@ -103,5 +110,21 @@
       latest.response.writeHead(status, ['Connection', 'close']);
       latest.response.end();
     }
+  }
+
+  async function failOnceRead(
+    socket: Socket,
+    error: NodeJS.ErrnoException,
+  ): Promise<void> {
+    const latest = latestBySocket.get(socket);
+    await socketsRead();
+    const hasArrived = latestBySocket.get(socket) !== latest;
+    if (!hasArrived && !socket.destroyed) fail(socket, error);
+  }
+
+  server.on('clientError', (error: NodeJS.ErrnoException, duplex) => {
+    const socket = duplex as Socket;
+    if (error.code === timeoutCode) void failOnceRead(socket, error);
+    else fail(socket, error);
   });
 }
--- a/packages/common/src/__tests__/unit/TimeoutsAfterPause.test.ts
+++ b/packages/common/src/__tests__/unit/TimeoutsAfterPause.test.ts
@@ -19,6 +19,7 @@
 /** Far above the time that the server waits once a timeout has ended. */
 const closedWithinMs = 5_000;
 const head = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n';
+const partOfHead = head.slice(0, 20);
 
 /** Keeps the process from reading and from noticing the time. */
 function pause(): void {
@@ -80,4 +81,28 @@
     expect(isClosed()).to.equal(true);
     close();
   });
+
+  // Guards against a 408 for a head that arrived in time, while the process was
+  // paused.
+  it('serve a request whose head arrived before its timeout', async () => {
+    const {close, socket, statuses} = await startConnection();
+    socket.write(partOfHead);
+    await delay(clock, timeoutMs / 4);
+    socket.write(head.slice(partOfHead.length));
+    pause();
+    expect(await statuses()).to.deep.equal([200]);
+    close();
+  });
+
+  // Guards against heads that never end and keep their connection after a pause.
+  it('still end a head that is not complete after a pause', async () => {
+    const {close, isClosed, socket, statuses} = await startConnection();
+    socket.write(partOfHead.slice(0, 5));
+    await delay(clock, timeoutMs / 4);
+    socket.write(partOfHead.slice(5));
+    pause();
+    expect(await statuses()).to.deep.equal([408]);
+    expect(isClosed()).to.equal(true);
+    close();
+  });
 });
