gateway: accept connections that wait before requests begin

Callers whose time limit ran out got nothing, where an instance lacked processor time and many callers connected at once. Their requests were not late in the process: they waited in the queue of connections, of which Node.js accepts one in each turn of the event loop, and one request began in each turn as well. So connections were accepted only as fast as requests were begun, although most requests were refused at once. Those accepted late enough had too little time left, and the process did not know: it counts from the reading.

Two tests failed before: one request began in a turn that had accepted a connection; and 8 of 10 requests had begun before the last of 10 connections was accepted, where at most one may. They do not depend on the load of the machine.

After a turn that accepted a connection, further turns only read, at most ten in a row. Requests are then known early, ordered by tier, and refused while that is of use. The time of these turns counts in the estimate of the queue's wait.

--- a/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
@@ -135,6 +135,7 @@
   const port = await startServer(gateway.server);
   return {
     port,
+    server: gateway.server,
     ended,
     registry,
     upstreamNotices: context.upstreamNotices,
--- a/packages/gateway/src/__tests__/unit/TurnQueue.test.ts
+++ b/packages/gateway/src/__tests__/unit/TurnQueue.test.ts
@@ -122,6 +122,80 @@
     expect(queue.waitMs()).to.be.within(1, timeLeftMs / 2);
   });
 
+  // Guards against requests that reach their caller's limit in the queue of
+  // connections, where the process neither sees nor refuses them.
+  it('begins no request while connections wait to be accepted', async () => {
+    const {add, queue, started, turn} = createManualQueue();
+    add('a');
+    for (let index = 0; index < 5; index += 1) {
+      queue.connectionAccepted();
+      await turn();
+    }
+    expect(started).to.deep.equal([]);
+    await turn();
+    expect(started).to.deep.equal(['a']);
+  });
+
+  // Guards against an estimate that leaves out the turns that only read.
+  it('counts turns that only read in the time that requests wait', async () => {
+    const {add, advance, queue, turn} = createManualQueue();
+    const turnMs = 10;
+    const readingTurns = 4;
+    for (let index = 0; index < 100; index += 1) add(`${index}`);
+    for (let begun = 0; begun < 60; begun += 1) {
+      for (let index = 0; index < readingTurns; index += 1) {
+        queue.connectionAccepted();
+        advance(turnMs);
+        await turn();
+      }
+      advance(turnMs);
+      await turn();
+    }
+    const betweenMs = (readingTurns + 1) * turnMs;
+    expect(queue.waitMs()).to.be.within(39 * betweenMs, 40 * betweenMs);
+  });
+
+  // Guards against callers that connect without end and keep all from beginning.
+  it('begins requests although each turn accepts a connection', async () => {
+    const {add, queue, started, turn} = createManualQueue();
+    for (const name of ['a', 'b', 'c']) add(name);
+    for (let index = 0; index < 50; index += 1) {
+      queue.connectionAccepted();
+      await turn();
+    }
+    expect(started).to.deep.equal(['a', 'b', 'c']);
+  });
+
+  // Guards against the same in the server: one request for each connection began
+  // before the next connection was accepted.
+  it('accepts connections that wait before requests begin', async () => {
+    let begunCount = 0;
+    const gateway = await startGateway({streams: false}, [createUpstream()], {
+      dialect: {
+        ...testDialect,
+        upstreamHeaders: (request, attributes) => {
+          begunCount += 1;
+          return testDialect.upstreamHeaders(request, attributes);
+        },
+      },
+    });
+    const headers = 'Host: h\r\nid: r\r\nauthorization: key\r\n';
+    const head = `POST /chat/x HTTP/1.1\r\n${headers}Content-Length: 0\r\n\r\n`;
+    const begunAtAccept: number[] = [];
+    gateway.server.on('connection', () => begunAtAccept.push(begunCount));
+    const sockets = Array.from({length: newConnections}, () => {
+      const socket = connect(gateway.port, '127.0.0.1');
+      socket.write(head);
+      return socket;
+    });
+    const responses = sockets.map(socket => once(socket, 'data'));
+    await Promise.all(responses);
+    for (const socket of sockets) socket.destroy();
+    await gateway.close();
+    expect(begunAtAccept).to.have.length(newConnections);
+    expect(begunAtAccept.at(-1)).to.be.at.most(1);
+  });
+
   // Guards against connections that wait for as many turns as others arrive
   // before them, each of which serves all requests that were read.
   it('accepts connections promptly beside callers that keep theirs', async () => {
--- a/packages/gateway/src/server/GatewayServer.ts
+++ b/packages/gateway/src/server/GatewayServer.ts
@@ -161,6 +161,7 @@
   const refusedRequests = handOverRefusedRequests(server);
   server.on('connection', socket => {
     openConnections += 1;
+    context.turnQueue.connectionAccepted();
     socket.once('close', () => {
       openConnections -= 1;
     });
