gateway, daemon: tell at the end of a stop what still waited

Operators saw a stop end with requests reset and no figure that says where they were: the line "instance stopped" did not tell whether connections still waited at the port when the listener closed, nor how many connections were open at the end.

--- a/packages/common/src/AcceptQueue.ts
+++ b/packages/common/src/AcceptQueue.ts
@@ -5,6 +5,13 @@
  */
 import type {Server} from 'node:net';
 
+/** What was accepted before a listener closes. */
+export interface AcceptedConnections {
+  readonly acceptedCount: number;
+  /** False if connections may still have been waiting. */
+  readonly isQueueEmpty: boolean;
+}
+
 /** The queue counts as empty after this many turns without a connection. */
 const emptyTurns = 2;
 
@@ -15,9 +22,11 @@
 export async function acceptWaitingConnections(
   server: Server,
   isOverdue: () => boolean,
-): Promise<void> {
+): Promise<AcceptedConnections> {
+  let acceptedCount = 0;
   let turnsWithout = 0;
   const onConnection = () => {
+    acceptedCount += 1;
     turnsWithout = 0;
   };
   server.on('connection', onConnection);
@@ -26,4 +35,5 @@
     await new Promise(resolve => setImmediate(resolve));
   }
   server.off('connection', onConnection);
+  return {acceptedCount, isQueueEmpty: turnsWithout >= emptyTurns};
 }
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -25,6 +25,7 @@
   UpstreamChangeRequest,
   UpstreamStatus,
 } from './AdminApi.js';
+export type {AcceptedConnections} from './AcceptQueue.js';
 export {acceptWaitingConnections} from './AcceptQueue.js';
 export {answerReserveFor} from './AnswerReserve.js';
 export type {
--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -164,12 +164,13 @@
   const unansweredBefore = callers.unansweredCount();
   instance.readiness.markLeaving();
   instance.fleet.leave();
-  const {cutRequests, listenerClosedAtMs} = await stopCallers({
-    clock,
-    callers,
-    plan,
-    callsRecorded: instance.claimedCalls.idle,
-  });
+  const {accepted, cutRequests, listenerClosedAtMs, openConnections} =
+    await stopCallers({
+      clock,
+      callers,
+      plan,
+      callsRecorded: instance.claimedCalls.idle,
+    });
   listReader.close();
   const untilGraceEndMs =
     plan.untilLastAnswersMs(clock.nowMs()) + plan.reserveMs();
@@ -182,6 +183,9 @@
   logger.info('instance has stopped', {
     cutRequests,
     unansweredWhileStopping,
+    acceptedAtEnd: accepted.acceptedCount,
+    isAcceptQueueEmpty: accepted.isQueueEmpty,
+    openConnections,
     listenerClosedMs: Math.round(listenerClosedAtMs - startedAtMs),
     tookMs: Math.round(clock.nowMs() - startedAtMs),
     reserveMs: Math.round(plan.reserveMs()),
--- a/packages/daemon/src/server/CallerStop.ts
+++ b/packages/daemon/src/server/CallerStop.ts
@@ -3,7 +3,8 @@
  * waits at its port, finishes the calls in progress as far as the plan allows,
  * and gives the others their final answers.
  */
-import type {Clock, StopPlan} from '@toucanrouter/common';
+import type {Server} from 'node:http';
+import type {AcceptedConnections, Clock, StopPlan} from '@toucanrouter/common';
 import {acceptWaitingConnections, delay} from '@toucanrouter/common';
 import type {CallerServer} from './CallerServer.js';
 import {closeServer} from './Listening.js';
@@ -23,12 +24,23 @@
 /** What a stop did. */
 export interface CallerStop {
   readonly listenerClosedAtMs: number;
+  /** Connections that waited when the listener was about to close. */
+  readonly accepted: AcceptedConnections;
+  /** Connections that were open when the others had closed or time was up. */
+  readonly openConnections: number;
   /** Calls in progress when the last answers were due. */
   readonly cutRequests: number;
 }
 
 const pollMs = 20;
 
+/** Returns how many connections of a server are open. */
+function countConnections(server: Server): Promise<number> {
+  return new Promise(resolve => {
+    server.getConnections((_, count) => resolve(count));
+  });
+}
+
 /** Ends the server; resolves no later than the plan closes connections. */
 export async function stopCallers({
   clock,
@@ -44,7 +56,7 @@
   };
   await waitUntil(() => plan.phase(clock.nowMs()) !== 'notice');
   callers.drainConnections();
-  await acceptWaitingConnections(server, areLastAnswersDue);
+  const accepted = await acceptWaitingConnections(server, areLastAnswersDue);
   const listenerClosedAtMs = clock.nowMs();
   let isClosed = false;
   let isRecorded = false;
@@ -59,6 +71,7 @@
   const cutRequests = callers.requestsInProgress();
   if (!isClosed) callers.endCalls();
   await waitUntil(() => isRecorded || isClosingDue());
+  const openConnections = await countConnections(server);
   server.closeAllConnections();
-  return {listenerClosedAtMs, cutRequests};
+  return {accepted, cutRequests, listenerClosedAtMs, openConnections};
 }
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -4,6 +4,7 @@
  */
 import type {Server} from 'node:http';
 import type {
+  AcceptedConnections,
   Clock,
   Listener,
   RandomSource,
@@ -326,6 +327,7 @@
     onEnded,
   };
   let unansweredWhileStopping = 0;
+  let acceptedAtEnd: AcceptedConnections | undefined;
   const cutRequestsByStage = new Map<RequestStage, number>();
   const gatewayServer = createGatewayServer(context, unanswered => {
     metrics.observeUnanswered(unanswered.stage, stopping);
@@ -455,7 +457,7 @@
       }
       if (phase === 'last_answers' || phase === 'closing') break;
       if (phase === 'drain' && listenerClosedAtMs === undefined) {
-        await acceptWaitingConnections(
+        acceptedAtEnd = await acceptWaitingConnections(
           gatewayServer.server,
           () => plan.untilLastAnswersMs(clock.nowMs()) <= 0,
         );
@@ -576,6 +578,7 @@
       const cutRequests = gatewayServer.inProgress();
       await answerOpenRequests(plan);
       const answeredMs = sinceStartMs(clock.nowMs());
+      const openConnections = gatewayServer.openConnections();
       for (const [server, listener] of servers) {
         listener.close();
         server.closeAllConnections();
@@ -588,6 +591,9 @@
           .join(', '),
         refusedWhileStopping,
         unansweredWhileStopping,
+        acceptedAtEnd: acceptedAtEnd?.acceptedCount,
+        isAcceptQueueEmpty: acceptedAtEnd?.isQueueEmpty,
+        openConnections,
         listenerClosedMs:
           listenerClosedAtMs && sinceStartMs(listenerClosedAtMs),
         drainedMs,
