gateway, daemon: accept what waits at the port before a stop closes it

Callers of an instance without processor time saw their requests reset during a planned stop: none had been passed on and none was refused.

The cause: a stop accepts the connections that wait at its port until the queue is empty, one in a turn of the event loop. As long as callers connect sooner than that, the queue never is, so the listener stayed open until the last answers were due and its closing reset all that waited. A stop whose signal may have waited for most of the grace period closed the listener without accepting anything.

Now a listener that has been closing for 400 ms, or whose last answers are due, lets no further connections queue (its backlog becomes the shortest one), accepts those that wait, and closes in the moment in which nothing waits behind the connection just accepted. Callers that connect meanwhile try again and are refused a connection. The gateway does so beside its requests, also when the last answers are due; a stop that begins too late by the worst assumption takes the time of the last answers for it. Sockets are read once more before connections close.

--- a/packages/common/src/SocketsRead.ts
+++ b/packages/common/src/SocketsRead.ts
@@ -10,7 +10,13 @@
 const maxTurnMs = 50;
 const maxWaitMs = 1_000;
 
-const turnEnded = () => new Promise(resolve => setImmediate(resolve));
+/**
+ * Resolves when the sockets have been read in the turn of the event loop that has
+ * begun, if it is not past that.
+ */
+export function turnEnded(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
 
 /** Resolves at the end of a short turn of the event loop. */
 export async function socketsRead(): Promise<void> {
--- a/packages/common/src/StopPlan.ts
+++ b/packages/common/src/StopPlan.ts
@@ -29,6 +29,11 @@
   untilClosingMs(nowMs: number): number;
   /** Time that is set aside at the end of the grace period. */
   reserveMs(): number;
+  /**
+   * Part of the reserve for the last answers. A stop whose signal may have waited
+   * for most of the grace period takes it too, since it is not known to have.
+   */
+  lastAnswersMs(): number;
 }
 
 /** Options of a stop plan. */
@@ -98,5 +103,6 @@
     untilLastAnswersMs: nowMs => lastAnswersAtMs() - nowMs,
     untilClosingMs: nowMs => closingAtMs() - nowMs,
     reserveMs,
+    lastAnswersMs: () => reserveMs() * lastAnswersShare,
   };
 }
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -26,7 +26,7 @@
   UpstreamStatus,
 } from './AdminApi.js';
 export type {AcceptedConnections} from './AcceptQueue.js';
-export {acceptWaitingConnections} from './AcceptQueue.js';
+export {closeOnceAccepted} from './AcceptQueue.js';
 export {answerReserveFor} from './AnswerReserve.js';
 export type {
   BurnAlarm,
@@ -197,6 +197,7 @@
   Workspace,
 } from './ServiceClasses.js';
 export {lowestTier} from './ServiceClasses.js';
+export {turnEnded} from './SocketsRead.js';
 export type {StopPhase, StopPlan, StopPlanOptions} from './StopPlan.js';
 export {createStopPlan} from './StopPlan.js';
 export {spareUnsentResponses} from './UnsentResponses.js';
--- a/packages/daemon/src/server/CallerStop.ts
+++ b/packages/daemon/src/server/CallerStop.ts
@@ -5,7 +5,7 @@
  */
 import type {Server} from 'node:http';
 import type {AcceptedConnections, Clock, StopPlan} from '@toucanrouter/common';
-import {acceptWaitingConnections, delay} from '@toucanrouter/common';
+import {closeOnceAccepted, delay, turnEnded} from '@toucanrouter/common';
 import type {CallerServer} from './CallerServer.js';
 import {closeServer} from './Listening.js';
 
@@ -33,6 +33,8 @@
 }
 
 const pollMs = 20;
+/** Time after which further connections may no longer queue at the port. */
+const maxQueueingMs = 400;
 
 /** Returns how many connections of a server are open. */
 function countConnections(server: Server): Promise<number> {
@@ -50,27 +52,45 @@
 }: CallerStopOptions): Promise<CallerStop> {
   const {server} = callers;
   const areLastAnswersDue = () => plan.untilLastAnswersMs(clock.nowMs()) <= 0;
-  const isClosingDue = () => plan.untilClosingMs(clock.nowMs()) <= 0;
   const waitUntil = async (isMet: () => boolean) => {
     while (!isMet()) await delay(clock, pollMs);
   };
   await waitUntil(() => plan.phase(clock.nowMs()) !== 'notice');
   callers.drainConnections();
-  const accepted = await acceptWaitingConnections(server, areLastAnswersDue);
-  const listenerClosedAtMs = clock.nowMs();
   let isClosed = false;
   let isRecorded = false;
-  void closeServer(server).then(async () => {
-    isClosed = true;
-    // A call goes on after its connection has closed.
-    await waitUntil(() => callers.requestsInProgress() === 0);
-    await callsRecorded();
-    isRecorded = true;
+  const close = () =>
+    void closeServer(server).then(async () => {
+      isClosed = true;
+      // A call goes on after its connection has closed.
+      await waitUntil(() => callers.requestsInProgress() === 0);
+      await callsRecorded();
+      isRecorded = true;
+    });
+  let cutRequests = 0;
+  const endCalls = () => {
+    cutRequests = Math.max(cutRequests, callers.requestsInProgress());
+    if (!isClosed) callers.endCalls();
+  };
+  if (areLastAnswersDue()) endCalls();
+  const startedAtMs = clock.nowMs();
+  const lateAtMs = startedAtMs + maxQueueingMs;
+  const isTooLate = plan.untilClosingMs(startedAtMs) <= 0;
+  const minEndMs = startedAtMs + (isTooLate ? plan.lastAnswersMs() : 0);
+  const isClosingDue = () =>
+    plan.untilClosingMs(clock.nowMs()) <= 0 && clock.nowMs() >= minEndMs;
+  const accepted = await closeOnceAccepted({
+    server,
+    close,
+    isLate: () => areLastAnswersDue() || clock.nowMs() >= lateAtMs,
+    isOverdue: () => areLastAnswersDue() && clock.nowMs() >= minEndMs,
   });
+  const listenerClosedAtMs = clock.nowMs();
   await waitUntil(() => isRecorded || areLastAnswersDue());
-  const cutRequests = callers.requestsInProgress();
-  if (!isClosed) callers.endCalls();
+  endCalls();
   await waitUntil(() => isRecorded || isClosingDue());
+  // Timers run before sockets are read, and what has arrived gets its answer.
+  await turnEnded();
   const openConnections = await countConnections(server);
   server.closeAllConnections();
   return {accepted, cutRequests, listenerClosedAtMs, openConnections};
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -13,12 +13,13 @@
   StopPlan,
 } from '@toucanrouter/common';
 import {
-  acceptWaitingConnections,
+  closeOnceAccepted,
   createProcessMemory,
   createServerListener,
   createStopPlan,
   delay,
   isLastingListenError,
+  turnEnded,
   createOpenRequestLimit,
 } from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
@@ -98,6 +99,10 @@
  * and removes an instance after two failed checks.
  */
 const loadBalancerDelayMs = 2_600;
+/** Time after which further connections may no longer queue at the port. */
+const maxQueueingMs = 400;
+/** Time before the last answers in which to accept what waits at the port. */
+const minAcceptMs = 300;
 const graceEndReason = 'the grace period of the instance is over';
 const drainPollMs = 25;
 const msPerSecond = 1_000;
@@ -328,6 +333,9 @@
   };
   let unansweredWhileStopping = 0;
   let acceptedAtEnd: AcceptedConnections | undefined;
+  let isListenerClosing = false;
+  let listenerClosedAtMs: number | undefined;
+  let minEndMs = 0;
   const cutRequestsByStage = new Map<RequestStage, number>();
   const gatewayServer = createGatewayServer(context, unanswered => {
     metrics.observeUnanswered(unanswered.stage, stopping);
@@ -444,11 +452,30 @@
   }
 
   /**
-   * Drains requests until all are answered or the last answers are due. Resolves
-   * with the time at which callers' connections were no longer accepted.
+   * Accepts what waits at the port of callers and closes it. Further connections
+   * may queue for a short time, and not once the last answers are due.
    */
-  async function drainRequests(plan: StopPlan): Promise<number | undefined> {
-    let listenerClosedAtMs: number | undefined;
+  async function closeCallersListener(plan: StopPlan): Promise<void> {
+    const startedAtMs = clock.nowMs();
+    isListenerClosing = true;
+    acceptedAtEnd = await closeOnceAccepted({
+      server: gatewayServer.server,
+      close: callersListener.close,
+      isLate: () =>
+        clock.nowMs() >= startedAtMs + maxQueueingMs ||
+        plan.untilLastAnswersMs(clock.nowMs()) <= 0,
+      isOverdue: () => isOver(plan),
+    });
+    listenerClosedAtMs = clock.nowMs();
+  }
+
+  function isOver(plan: StopPlan): boolean {
+    const nowMs = clock.nowMs();
+    return plan.untilClosingMs(nowMs) <= 0 && nowMs >= minEndMs;
+  }
+
+  /** Drains requests until all are answered or the last answers are due. */
+  async function drainRequests(plan: StopPlan): Promise<void> {
     for (;;) {
       const phase = plan.phase(clock.nowMs());
       if (phase !== 'notice' && !draining) {
@@ -456,30 +483,24 @@
         gatewayServer.server.closeIdleConnections();
       }
       if (phase === 'last_answers' || phase === 'closing') break;
-      if (phase === 'drain' && listenerClosedAtMs === undefined) {
-        acceptedAtEnd = await acceptWaitingConnections(
-          gatewayServer.server,
-          () => plan.untilLastAnswersMs(clock.nowMs()) <= 0,
-        );
-        callersListener.close();
-        listenerClosedAtMs = clock.nowMs();
-      }
+      const mustClose =
+        phase === 'drain' ||
+        (draining && plan.untilLastAnswersMs(clock.nowMs()) <= minAcceptMs);
+      if (mustClose && !isListenerClosing) void closeCallersListener(plan);
       if (draining && isDrained()) break;
       await delay(clock, drainPollMs);
       if (draining && gatewayServer.quietMs() >= minQuietMs) {
         gatewayServer.server.closeIdleConnections();
       }
     }
-    return listenerClosedAtMs;
   }
 
   /**
    * Answers or breaks off the requests that are open at the end of a stop, and
    * waits until their callers have the answers. Requests that are read meanwhile
-   * are refused.
+   * are refused; those that wait at the port until then are accepted first.
    */
   async function answerOpenRequests(plan: StopPlan): Promise<void> {
-    const mustRefuse = !isDrained();
     for (const open of gatewayServer.openRequests()) {
       const stage = open.stage();
       cutRequestsByStage.set(stage, (cutRequestsByStage.get(stage) ?? 0) + 1);
@@ -490,12 +511,20 @@
       });
       open.end(graceEndReason);
     }
+    const wasDrained = isDrained();
+    const wasListening = callersListener.isOpen();
+    if (wasListening && !isListenerClosing) void closeCallersListener(plan);
+    const mustRefuse = () =>
+      !wasDrained || (wasListening && (acceptedAtEnd?.acceptedCount ?? 0) > 0);
     const isOpen = () =>
+      callersListener.isOpen() ||
       gatewayServer.inProgress() > 0 ||
-      (mustRefuse && gatewayServer.openConnections() > 0);
-    while (isOpen() && plan.untilClosingMs(clock.nowMs()) > 0) {
+      (mustRefuse() && gatewayServer.openConnections() > 0);
+    while (isOpen() && !isOver(plan)) {
       await delay(clock, drainPollMs);
     }
+    // Timers run before sockets are read, and what has arrived gets its answer.
+    await turnEnded();
     for (const open of gatewayServer.openRequests()) {
       open.breakOff(graceEndReason);
     }
@@ -556,6 +585,9 @@
         noticeMs: loadBalancerDelayMs,
         loopDelayMs: loopDelay.recentMaxMs,
       });
+      if (plan.untilClosingMs(startedAtMs) <= 0) {
+        minEndMs = startedAtMs + plan.lastAnswersMs();
+      }
       stopping = true;
       gatewayServer.closeAfterResponses();
       logger.info('instance is stopping', {
@@ -565,9 +597,7 @@
       });
       const sinceStartMs = (atMs: number) => Math.round(atMs - startedAtMs);
       // Without a listener there are no callers to wait for.
-      const listenerClosedAtMs = callersListener.isOpen()
-        ? await drainRequests(plan)
-        : undefined;
+      if (callersListener.isOpen()) await drainRequests(plan);
       const drainedMs = sinceStartMs(clock.nowMs());
       sync.close();
       exchange.close();
--- a/packages/gateway/src/__tests__/unit/Gateway.test.ts
+++ b/packages/gateway/src/__tests__/unit/Gateway.test.ts
@@ -3,6 +3,7 @@
 import {createServer, request as sendRequest} from 'node:http';
 import type {Socket} from 'node:net';
 import {connect} from 'node:net';
+import {Worker} from 'node:worker_threads';
 import type {RandomSource} from '@toucanrouter/common';
 import {createSeededRandom, delay} from '@toucanrouter/common';
 import {expect} from 'chai';
@@ -23,6 +24,22 @@
 const maxDrainMs = 2_000;
 const silent = () => undefined;
 
+const waitingCallerCount = 100;
+/** Sends requests while the thread of the gateway is blocked. */
+const waitingCallers = `
+  const {workerData} = require('node:worker_threads');
+  const {connect} = require('node:net');
+  const {port, host, count, counts} = workerData;
+  for (let index = 0; index < count; index++) {
+    const socket = connect(port, host, () => Atomics.add(counts, 0, 1));
+    socket.write('GET /chat/x HTTP/1.1\\r\\nhost: h\\r\\nid: r\\r\\n\\r\\n');
+    socket.once('data', answer => {
+      if (/^HTTP.1.1 503 /.test(String(answer))) Atomics.add(counts, 1, 1);
+    });
+    socket.on('error', () => undefined);
+  }
+`;
+
 /** Blocks the event loop for `blockMs` again and again; returns the end of it. */
 function keepLoopBusy(blockMs: number): () => void {
   const timer = setInterval(() => {
@@ -264,6 +281,32 @@
     expect(stopMs).to.be.below(shortGraceMs - exitReserveMs);
   });
 
+  // Guards against a stop that learns of its signal so late that it resets what
+  // waits at its port, although the platform lets the process live.
+  it('refuses what waits at its port although the signal may have waited for long', async () => {
+    const upstream = await startUpstream(createSeededRandom(1));
+    const {gateway, port} = await startGateway(
+      upstream,
+      createSeededRandom(1),
+      {settings: {stopGraceMs: shortGraceMs}},
+    );
+    const counts = new Int32Array(new SharedArrayBuffer(8));
+    const workerData = {port, host, count: waitingCallerCount, counts};
+    const worker = new Worker(waitingCallers, {eval: true, workerData});
+    await once(worker, 'online');
+    const endMs = clock.nowMs() + shortGraceMs;
+    while (
+      Atomics.load(counts, 0) < waitingCallerCount ||
+      clock.nowMs() < endMs
+    );
+    await gateway.close();
+    upstream.closeAllConnections();
+    upstream.close();
+    await delay(clock, 100);
+    await worker.terminate();
+    expect(counts[1]).to.equal(waitingCallerCount);
+  });
+
   // Guards against a stop that lasts as long as callers open connections.
   it('stops soon after the notice although callers go on', async () => {
     const random = createSeededRandom(1);
