--- a/packages/daemon/src/server/CallerStop.ts
+++ b/packages/daemon/src/server/CallerStop.ts
@@ -3,8 +3,9 @@
  * waits at its port, finishes the calls in progress as far as the plan allows,
  * and gives the others their final answers.
  */
-import type {Clock, StopPlan} from '@toucanrouter/common';
-import {acceptWaitingConnections, delay} from '@toucanrouter/common';
+import type {Server} from 'node:http';
+import type {AcceptedConnections, Clock, StopPlan} from '@toucanrouter/common';
+import {closeOnceAccepted, delay, turnEnded} from '@toucanrouter/common';
 import type {CallerServer} from './CallerServer.js';
 import {closeServer} from './Listening.js';
 
@@ -23,11 +24,24 @@
 /** What a stop did. */
 export interface CallerStop {
   readonly listenerClosedAtMs: number;
+  /** Connections that waited when the listener was about to close. */
+  readonly accepted: AcceptedConnections;
+  /** Connections that were open when the others had closed or time was up. */
+  readonly openConnections: number;
   /** Calls in progress when the last answers were due. */
   readonly cutRequests: number;
 }
 
 const pollMs = 20;
+/** Time after which further connections may no longer queue at the port. */
+const maxQueueingMs = 400;
+
+/** Returns how many connections of a server are open. */
+function countConnections(server: Server): Promise<number> {
+  return new Promise(resolve => {
+    server.getConnections((_, count) => resolve(count));
+  });
+}
 
 /** Ends the server; resolves no later than the plan closes connections. */
 export async function stopCallers({
@@ -38,27 +52,46 @@
 }: CallerStopOptions): Promise<CallerStop> {
   const {server} = callers;
   const areLastAnswersDue = () => plan.untilLastAnswersMs(clock.nowMs()) <= 0;
-  const isClosingDue = () => plan.untilClosingMs(clock.nowMs()) <= 0;
   const waitUntil = async (isMet: () => boolean) => {
     while (!isMet()) await delay(clock, pollMs);
   };
   await waitUntil(() => plan.phase(clock.nowMs()) !== 'notice');
   callers.drainConnections();
-  await acceptWaitingConnections(server, areLastAnswersDue);
-  const listenerClosedAtMs = clock.nowMs();
   let isClosed = false;
   let isRecorded = false;
-  void closeServer(server).then(async () => {
-    isClosed = true;
-    // A call goes on after its connection has closed.
-    await waitUntil(() => callers.requestsInProgress() === 0);
-    await callsRecorded();
-    isRecorded = true;
+  const close = () =>
+    void closeServer(server).then(async () => {
+      isClosed = true;
+      // A call goes on after its connection has closed.
+      await waitUntil(() => callers.requestsInProgress() === 0);
+      await callsRecorded();
+      isRecorded = true;
+    });
+  let cutRequests = 0;
+  const endCalls = () => {
+    cutRequests = Math.max(cutRequests, callers.requestsInProgress());
+    if (!isClosed) callers.endCalls();
+  };
+  if (areLastAnswersDue()) endCalls();
+  const startedAtMs = clock.nowMs();
+  const lateAtMs = startedAtMs + maxQueueingMs;
+  const isTooLate = plan.untilClosingMs(startedAtMs) <= 0;
+  const minEndMs = startedAtMs + (isTooLate ? plan.lastAnswersMs() : 0);
+  const isClosingDue = () =>
+    plan.untilClosingMs(clock.nowMs()) <= 0 && clock.nowMs() >= minEndMs;
+  const accepted = await closeOnceAccepted({
+    server,
+    close,
+    isLate: () => areLastAnswersDue() || clock.nowMs() >= lateAtMs,
+    isOverdue: () => areLastAnswersDue() && clock.nowMs() >= minEndMs,
   });
+  const listenerClosedAtMs = clock.nowMs();
   await waitUntil(() => isRecorded || areLastAnswersDue());
-  const cutRequests = callers.requestsInProgress();
-  if (!isClosed) callers.endCalls();
+  endCalls();
   await waitUntil(() => isRecorded || isClosingDue());
+  // Timers run before sockets are read, and what has arrived gets its answer.
+  await turnEnded();
+  const openConnections = await countConnections(server);
   server.closeAllConnections();
-  return {listenerClosedAtMs, cutRequests};
+  return {accepted, cutRequests, listenerClosedAtMs, openConnections};
 }
