gateway: show the era of the store

A line says when a new history begins, with the era and the revision before and after, and a gauge shows the era. What instances do is otherwise unchanged.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -51,6 +51,7 @@
 import {createRelayServer} from './state/RelayServer.js';
 import {createStateLog} from './state/StateLog.js';
 import type {StateStore} from './state/StateStore.js';
+import {createStoreHistory} from './state/StoreHistory.js';
 import type {StateSync} from './state/StateSync.js';
 import {createStateSync} from './state/StateSync.js';
 import {createVerdictArchive} from './state/VerdictArchive.js';
@@ -190,6 +191,7 @@
   });
   const peers = createPeerDirectory(settings.instanceId);
   const stateLog = createStateLog(clock);
+  const storeHistory = createStoreHistory();
   const relays = createRelayClient();
   const promptGuard = createPromptGuard({
     clock,
@@ -269,6 +271,7 @@
     store,
     relays,
     log: stateLog,
+    history: storeHistory,
     config,
     configAge,
     registry,
@@ -341,6 +344,7 @@
     requestsInProgress: gatewayServer.inProgress,
     connectionsOpened: connections.opened,
     storeConnected: sync.connected,
+    storeEra: storeHistory.era,
     crashCount: promptGuard.crashCount,
     quarantinedCount: promptGuard.blockedCount,
     retryBudgets: () =>
--- a/packages/gateway/src/__tests__/unit/CrashingPrompts.test.ts
+++ b/packages/gateway/src/__tests__/unit/CrashingPrompts.test.ts
@@ -85,7 +85,7 @@
       ResultAsync.fromSafePromise(waitForChange(revision, waitMs)),
     readConfig: () => okAsync(undefined),
     register: () => errAsync(new PlatformError('not supported', false)),
-    renew: () => okAsync(true),
+    renew: () => okAsync({exists: true}),
     saveVerdict: verdict => {
       publish({kind: 'verdict', verdict});
       return okAsync(undefined);
--- a/packages/gateway/src/__tests__/unit/GatewayMetrics.test.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayMetrics.test.ts
@@ -13,6 +13,7 @@
     requestsInProgress: zero,
     connectionsOpened: zero,
     storeConnected: () => true,
+    storeEra: () => 3,
     crashCount: zero,
     quarantinedCount: zero,
     retryBudgets: () => [],
--- a/packages/gateway/src/__tests__/unit/RunningGatewayFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/RunningGatewayFixtures.ts
@@ -57,7 +57,7 @@
     readChanges: revision => okAsync({revision, items: []}),
     readConfig: () => okAsync(undefined),
     register: () => errAsync(new PlatformError('not supported', false)),
-    renew: () => okAsync(true),
+    renew: () => okAsync({exists: true}),
     saveVerdict: () => okAsync(undefined),
     removeVerdict: () => okAsync(undefined),
   };
--- a/packages/gateway/src/__tests__/unit/StateSync.test.ts
+++ b/packages/gateway/src/__tests__/unit/StateSync.test.ts
@@ -24,6 +24,7 @@
   WatchResult,
 } from '../../state/StateStore.js';
 import {createStateSync} from '../../state/StateSync.js';
+import {createStoreHistory} from '../../state/StoreHistory.js';
 import {createUpstreamRegistry} from '../../upstreams/UpstreamRegistry.js';
 import {createConfig, createEntry, idsOf, service} from './GatewayFixtures.js';
 
@@ -74,8 +75,8 @@
       calls.push('config');
       return resultOf({revision: 3, items: [version(9)]});
     },
-    register: () => resultOf(1),
-    renew: () => resultOf(true),
+    register: () => resultOf({id: 1}),
+    renew: () => resultOf({exists: true}),
     saveVerdict: () => resultOf(undefined),
     removeVerdict: () => resultOf(undefined),
   };
@@ -130,6 +131,7 @@
     store: script.store,
     relays: {read},
     log,
+    history: createStoreHistory(),
     config,
     configAge,
     registry,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -29,14 +29,18 @@
 export {upstreamPriority} from './request/UpstreamPriority.js';
 export type {
   InstanceEntry,
+  Lease,
   LeaseId,
+  LeaseRenewal,
   StateChange,
   StateStore,
   StoredVerdict,
   StateUpdate,
   StoredItem,
+  StoreEra,
   WatchResult,
 } from './state/StateStore.js';
+export {toStoreEra} from './state/StateStore.js';
 export type {EngineModel} from './upstreams/EngineModel.js';
 export {createEngineModel, initialEstimates} from './upstreams/EngineModel.js';
 export type {Prompt, PromptSegment} from './upstreams/Prompt.js';
--- a/packages/gateway/src/peers/Registration.ts
+++ b/packages/gateway/src/peers/Registration.ts
@@ -5,7 +5,7 @@
 import type {Clock} from '@toucanrouter/common';
 import {delay} from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
-import type {InstanceEntry, LeaseId, StateStore} from '../state/StateStore.js';
+import type {InstanceEntry, Lease, StateStore} from '../state/StateStore.js';
 
 /** Options of a registration. */
 export interface RegistrationOptions {
@@ -30,7 +30,7 @@
 /** Creates a registration that has not started. */
 export function createRegistration(options: RegistrationOptions): Registration {
   const {clock, entry, logger, store} = options;
-  let lease: LeaseId | undefined;
+  let lease: Lease | undefined;
   let closed = false;
 
   async function register(): Promise<boolean> {
@@ -46,16 +46,16 @@
     return true;
   }
 
-  async function renew(currentLease: LeaseId): Promise<boolean> {
-    const renewed = await store.renew(currentLease, callTimeoutMs);
+  async function renew({id}: Lease): Promise<boolean> {
+    const renewed = await store.renew(id, callTimeoutMs);
     if (renewed.isErr()) {
       logger.warn('renewing the registration failed; retrying', {
         reason: renewed.error.message,
       });
       return false;
     }
-    if (!renewed.value) lease = undefined;
-    return renewed.value;
+    if (!renewed.value.exists) lease = undefined;
+    return renewed.value.exists;
   }
 
   async function run(): Promise<void> {
--- a/packages/gateway/src/server/GatewayMetrics.ts
+++ b/packages/gateway/src/server/GatewayMetrics.ts
@@ -21,6 +21,8 @@
   readonly requestsInProgress: () => number;
   readonly connectionsOpened: () => number;
   readonly storeConnected: () => boolean;
+  /** Undefined if the store does not tell its era. */
+  readonly storeEra: () => number | undefined;
   /** Upstreams that ended under requests. */
   readonly crashCount: () => number;
   /** Prompt segments that are blocked now. */
@@ -226,6 +228,11 @@
   gauge('toucanrouter_store_connected', '1 while the store answers', () =>
     Number(sources.storeConnected()),
   );
+  gauge(
+    'toucanrouter_store_era',
+    'History of the store, which rises when it comes back from a copy',
+    () => sources.storeEra() ?? 0,
+  );
   gauge(
     'toucanrouter_upstream_crashes',
     'Upstreams that ended under requests waiting for their first event',
--- a/packages/gateway/src/state/StateStore.ts
+++ b/packages/gateway/src/state/StateStore.ts
@@ -41,6 +41,16 @@
       readonly id: UpstreamId | undefined;
     };
 
+declare const brand: unique symbol;
+
+/**
+ * Number of a history of the store. It rises by one each time the store comes
+ * back from a copy.
+ */
+export type StoreEra = number & {readonly [brand]: 'StoreEra'};
+
+export const toStoreEra = (value: number): StoreEra => value as StoreEra;
+
 /** An item of the store; its value is undefined if it was removed. */
 export interface StoredItem {
   readonly key: string;
@@ -51,6 +61,8 @@
 export interface StateUpdate {
   readonly revision: number;
   readonly items: readonly StoredItem[];
+  /** The history that `revision` belongs to, if the store tells. */
+  readonly era?: StoreEra | undefined;
 }
 
 /** Changes after a revision; `compacted` if the store no longer keeps them. */
@@ -61,9 +73,22 @@
   readonly failureDomain: string;
 }
 
-/** Id of a lease in the store. */
+/** Id of a lease in the store; another history may give it out again. */
 export type LeaseId = number;
 
+/** A lease and the history of the store that granted it. */
+export interface Lease {
+  readonly id: LeaseId;
+  readonly era?: StoreEra | undefined;
+}
+
+/** The response to a renewal. */
+export interface LeaseRenewal {
+  /** False if the store knows no lease with the id. */
+  readonly exists: boolean;
+  readonly era?: StoreEra | undefined;
+}
+
 /** Reads the platform's state and registers this instance. */
 export interface StateStore {
   /** Decodes one item; undefined if the gateway does not use it. */
@@ -84,9 +109,11 @@
     entry: InstanceEntry,
     leaseMs: number,
     timeoutMs: number,
-  ): ResultAsync<LeaseId, PlatformError>;
-  /** Renews a lease; resolves to false if it has expired. */
-  renew(lease: LeaseId, timeoutMs: number): ResultAsync<boolean, PlatformError>;
+  ): ResultAsync<Lease, PlatformError>;
+  renew(
+    lease: LeaseId,
+    timeoutMs: number,
+  ): ResultAsync<LeaseRenewal, PlatformError>;
   /** Writes a verdict, which the store removes when its time is over. */
   saveVerdict(
     verdict: StoredVerdict,
--- a/packages/gateway/src/state/StateSync.ts
+++ b/packages/gateway/src/state/StateSync.ts
@@ -17,11 +17,13 @@
 import type {RelayClient} from './RelayClient.js';
 import type {StateLog} from './StateLog.js';
 import {relayRole} from './StateRelay.js';
+import type {StoreHistory} from './StoreHistory.js';
 import type {
   StateChange,
   StateStore,
   StoredItem,
   StoredVerdict,
+  StoreEra,
 } from './StateStore.js';
 import type {
   EndedAbsence,
@@ -39,6 +41,7 @@
   readonly store: StateStore;
   readonly relays: Pick<RelayClient, 'read'>;
   readonly log: StateLog;
+  readonly history: StoreHistory;
   readonly config: ActiveConfig;
   readonly configAge: ConfigAge;
   readonly registry: UpstreamRegistry;
@@ -111,8 +114,17 @@
 
 /** Creates a synchronization that has not started. */
 export function createStateSync(options: StateSyncOptions): StateSync {
-  const {clock, config, configAge, log, logger, peers, registry, store} =
-    options;
+  const {
+    clock,
+    config,
+    configAge,
+    history,
+    log,
+    logger,
+    peers,
+    registry,
+    store,
+  } = options;
   const relayFailedAtMs = new Map<InstanceId, number>();
   const absenceJudge = createStoreAbsenceJudge();
   let lastReadAtMs: number | undefined;
@@ -211,6 +223,18 @@
     applyUpdate([...removed, ...items], nextRevision);
   }
 
+  function observeEra(era: StoreEra | undefined, nextRevision?: number): void {
+    const previousEra = history.era();
+    if (history.observe(era) !== 'begun') return;
+    logger.warn('the store came back from a copy', {
+      era,
+      previousEra,
+      revision: nextRevision,
+      previousRevision: revision,
+      configVersion: config.current()?.version,
+    });
+  }
+
   /** Counts the renewals of entries that exist before and after `items`. */
   function countRenewals(
     items: readonly StoredItem[],
@@ -283,6 +307,7 @@
       return false;
     }
     onStoreResponse(mark);
+    observeEra(update.value.era, update.value.revision);
     applySnapshot(update.value.items, update.value.revision);
     lastReadAtMs = clock.nowMs();
     return true;
@@ -306,7 +331,8 @@
       revision = undefined;
       return true;
     }
-    const {items, revision: nextRevision} = update.value;
+    const {era, items, revision: nextRevision} = update.value;
+    observeEra(era, nextRevision);
     const nowMs = clock.nowMs();
     if (lastReadAtMs !== undefined) {
       const renewals = countRenewals(items, nowMs - lastReadAtMs);
@@ -455,6 +481,7 @@
       return;
     }
     if (latest.value !== undefined) {
+      observeEra(latest.value.era);
       applyItems(latest.value.items, latest.value.revision);
     }
     configAge.confirmed(mark);
