gateway: keep lapsed entries for the grace period of a second absence

An upstream whose entry had lapsed in one absence of the store was removed at the end of that grace period, also if the store had been away again meanwhile and the upstream could not write its entry: the timer of the first absence went on. With two drills in a row, upstreams that live were lost until their next write.

The timer looks at the grace period again when it ends. A removal in an outage whose end is not known keeps its own limit, as before.

The new test of UpstreamRegistry.test.ts failed before ("expected [ 'two' ] to deeply equal [ 'one', 'two' ]") and passes; the others of the file pass in both.

--- a/packages/gateway/src/__tests__/unit/UpstreamRegistry.test.ts
+++ b/packages/gateway/src/__tests__/unit/UpstreamRegistry.test.ts
@@ -110,6 +110,22 @@
     expect(usable()).to.deep.equal(['two']);
   });
 
+  // Guards against the loss of upstreams in the second of two drills: the timer of
+  // the first one evicted them before they could write their entries again.
+  it('keeps an entry for the grace period of a later absence', () => {
+    const {clock, registry, usable} = createRegistry();
+    registry.storeLost();
+    registry.storeRegained('outage');
+    registry.remove(one);
+    clock.advance(lapsedEntryGraceMs - 300);
+    registry.storeLost();
+    registry.storeRegained('outage');
+    clock.advance(lapsedEntryGraceMs - 300);
+    expect(usable()).to.deep.equal(['one', 'two']);
+    clock.advance(600);
+    expect(usable()).to.deep.equal(['two']);
+  });
+
   it('removes a leaving upstream at once, even during an outage', () => {
     const {registry, removed} = createRegistry();
     registry.storeLost();
--- a/packages/gateway/src/upstreams/UpstreamRegistry.ts
+++ b/packages/gateway/src/upstreams/UpstreamRegistry.ts
@@ -141,13 +141,18 @@
       evict(id, 'its entry was removed');
       return;
     }
-    if (cancelEvictions.has(id)) return;
+    if (!cancelEvictions.has(id)) scheduleEviction(id);
+  }
+
+  function scheduleEviction(id: UpstreamId): void {
     const remainingMs = storeDown
       ? lapsedEntryGraceMs
       : graceEndMs - clock.nowMs();
-    const cancel = clock.after(remainingMs, () =>
-      evict(id, 'its entry did not return within the grace period'),
-    );
+    const cancel = clock.after(remainingMs, () => {
+      // A later absence of the store has a grace period of its own.
+      if (clock.nowMs() < graceEndMs) scheduleEviction(id);
+      else evict(id, 'its entry did not return within the grace period');
+    });
     cancelEvictions.set(id, cancel);
   }
 
