gateway: begin anew when the store comes back from a copy

Upstreams that had left came back, and upstreams, peers and verdicts that had not been written again yet were dropped.

Cause: a revision was kept without the history that it belongs to. A watch from a revision that the new history gives out again is no error, so changes up to it were never seen; a full read was applied as if it were newer; a read of an older configuration confirmed the newer one in force; relays and their readers mixed revisions of two histories.

The cursor is now era and revision. Any response of a new era, also one to another call, ends the read or the wait that goes on and leads to a full read at once; responses of an earlier era are dropped. A store that tells no era is known by a revision that goes back. An older configuration is neither used nor passed on, and only a read that shows the version in force or a newer one confirms its age. The age of the last read is kept apart from that, so that readers stay with a relay while the operator has not written yet. The poll of a reader names its era; a relay of another one answers with everything, and a relay of an earlier history is passed over. Fields are optional on the wire; builds that lack them are read as before.

RelayServer.test.ts got the two new required options, nothing else.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -285,6 +285,8 @@
     clock,
     log: stateLog,
     configAge,
+    readAge: sync.readAge,
+    shownConfigVersion: sync.shownConfigVersion,
     isConnected: sync.connected,
     lastAbsence: sync.lastAbsence,
   });
--- /dev/null
+++ b/packages/gateway/src/__tests__/unit/RelayEras.test.ts
@@ -0,0 +1,290 @@
+import type {Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import type {ManualClock} from '@toucanrouter/common';
+import {
+  createManualClock,
+  createSystemClock,
+  hash64,
+} from '@toucanrouter/common';
+import {expect} from 'chai';
+import {createConfigAge} from '../../config/ConfigAge.js';
+import type {RelayClient} from '../../state/RelayClient.js';
+import {createRelayClient} from '../../state/RelayClient.js';
+import type {RelayResponse} from '../../state/RelayServer.js';
+import {createRelayServer} from '../../state/RelayServer.js';
+import {createStateLog} from '../../state/StateLog.js';
+import {toStoreEra} from '../../state/StateStore.js';
+import {
+  advance,
+  createFollower,
+  createModelStore,
+  fail,
+  succeed,
+} from './RestoredStoreFixtures.js';
+
+const ready = 'ready born 1 seq 1';
+/** Ids in the order in which instances read through one another. */
+const ids = ['i', 'j', 'k', 'l', 'm']
+  .sort((a, b) => (hash64(a) < hash64(b) ? -1 : 1))
+  .slice(0, 4);
+const firstId = ids[0] ?? '';
+const lastId = ids[3] ?? '';
+
+type Follower = ReturnType<typeof createFollower>;
+
+/** Serves the state of `relay` without a network or a wait. */
+function relayOf(relay: Follower): RelayClient['read'] {
+  return (_, revision, _waitMs, _timeoutMs, era) => {
+    const logged = relay.log.since(revision, era);
+    if (logged === undefined || !relay.sync.connected()) {
+      return fail<RelayResponse>();
+    }
+    const arrival = relay.configAge.mark();
+    const absence = relay.sync.lastAbsence();
+    return succeed<RelayResponse>({
+      ...logged,
+      confirmedAfterMs: relay.configAge.confirmedAfterMs(arrival),
+      regainedAgoMs: absence?.endedAgoMs ?? null,
+      absence: absence?.reason,
+      era: relay.log.era(),
+      readAfterMs: relay.sync.readAge.confirmedAfterMs(arrival),
+      configVersion: relay.sync.shownConfigVersion(),
+    });
+  };
+}
+
+function createDomain() {
+  const model = createModelStore();
+  model.write('config', '5');
+  model.write('upstream/one', ready);
+  for (const id of ids) {
+    model.write(`peer/${id}`, id);
+    model.write(`domain/${id}`, 'a');
+  }
+  return model;
+}
+
+/** Starts a relay and an instance that reads the store through it. */
+async function startPair(change: (read: RelayClient['read']) => typeof read) {
+  const clock: ManualClock = createManualClock(1_000);
+  const model = createDomain();
+  // The reader's own calls to the store are counted apart.
+  const ownCalls: string[] = [];
+  const {store} = model;
+  const relay = createFollower(model, {clock, selfId: firstId});
+  const reader = createFollower(
+    {
+      store: {
+        ...store,
+        readAll: timeoutMs => {
+          ownCalls.push('all');
+          return store.readAll(timeoutMs);
+        },
+        readChanges: (...rest) => {
+          ownCalls.push('changes');
+          return store.readChanges(...rest);
+        },
+      },
+    },
+    {clock, selfId: lastId, readRelay: change(relayOf(relay))},
+  );
+  relay.sync.start();
+  reader.sync.start();
+  await advance(clock, 2_000);
+  return {
+    clock,
+    model,
+    ownCalls,
+    relay,
+    reader,
+    close: () => {
+      relay.sync.close();
+      reader.sync.close();
+    },
+  };
+}
+
+const unchanged = (read: RelayClient['read']) => read;
+
+describe('Instances that read a restored store through another one', () => {
+  // Guards against an instance that stays with the lost history of its relay's
+  // cursor because the revisions of the new one are lower.
+  it('receive the whole state of a new history from the relay', async () => {
+    const {clock, close, model, ownCalls, reader} = await startPair(unchanged);
+    const copy = model.copy();
+    model.writeOthers(40);
+    await advance(clock, 1_500);
+    const before = ownCalls.length;
+    model.restore(copy);
+    model.write('config', '7');
+    model.write('upstream/two', ready);
+    await advance(clock, 1_500);
+    expect(reader.version()).to.equal(7);
+    expect(reader.usable()).to.deep.equal(['one', 'two']);
+    expect(reader.history.era()).to.equal(model.era());
+    expect(reader.log.revision()).to.equal(model.revision());
+    expect(ownCalls.length).to.equal(before);
+    close();
+  });
+
+  // Guards against the state of a relay that has not noticed the drill yet.
+  it('drop a relay that follows an earlier history', async () => {
+    const {clock, close, model, reader, relay} = await startPair(unchanged);
+    const copy = model.copy();
+    model.writeOthers(40);
+    await advance(clock, 1_500);
+    relay.sync.close();
+    await advance(clock, 100);
+    model.restore(copy);
+    model.write('config', '7');
+    reader.history.observe(model.era());
+    await advance(clock, 100);
+    expect(reader.version()).to.equal(7);
+    expect(reader.history.era()).to.equal(model.era());
+    close();
+  });
+
+  // Guards against all instances calling the store because their relay waits
+  // for the operator to write the newest configuration again.
+  it('stay with a relay whose configuration is newer than the copy', async () => {
+    const {clock, close, model, ownCalls, reader} = await startPair(unchanged);
+    const copy = model.copy();
+    model.write('config', '6');
+    await advance(clock, 2_500);
+    model.restore(copy);
+    await advance(clock, 1_500);
+    const before = ownCalls.length;
+    await advance(clock, 4_000);
+    expect(ownCalls.length).to.equal(before);
+    expect(reader.version()).to.equal(6);
+    expect(reader.configAge.ageMs()).to.be.at.least(4_000);
+    model.write('config', '6');
+    await advance(clock, 1_500);
+    expect(reader.configAge.ageMs()).to.be.below(1_500);
+    close();
+  });
+
+  // Guards against a relay that started within the drill: it confirms the older
+  // configuration of the copy, but not the one in force here.
+  it('are not confirmed by a relay that knows an older configuration', async () => {
+    let configVersion: number | undefined;
+    const state = await startPair(
+      read =>
+        (...request) =>
+          read(...request).map(response => ({
+            ...response,
+            ...(configVersion === undefined
+              ? {}
+              : {configVersion, confirmedAfterMs: 0}),
+          })),
+    );
+    const {clock, close, reader} = state;
+    configVersion = 4;
+    await advance(clock, 3_000);
+    expect(reader.configAge.ageMs()).to.be.at.least(2_500);
+    configVersion = 5;
+    await advance(clock, 500);
+    expect(reader.configAge.ageMs()).to.be.below(500);
+    close();
+  });
+
+  it('read through relays of earlier builds', async () => {
+    const state = await startPair(
+      read => (address, revision, waitMs, timeoutMs) =>
+        read(address, revision, waitMs, timeoutMs).map(
+          ({
+            complete,
+            confirmedAfterMs,
+            items,
+            regainedAgoMs,
+            revision: next,
+          }) => ({
+            complete,
+            confirmedAfterMs,
+            items,
+            regainedAgoMs,
+            revision: next,
+          }),
+        ),
+    );
+    const {clock, close, model, ownCalls, reader} = state;
+    const before = ownCalls.length;
+    model.write('config', '6');
+    await advance(clock, 1_500);
+    expect(reader.version()).to.equal(6);
+    expect(reader.configAge.ageMs()).to.be.below(1_500);
+    expect(ownCalls.length).to.equal(before);
+    close();
+  });
+});
+
+describe('RelayServer of a restored store', () => {
+  let server: Server;
+  let client: RelayClient;
+  const host = '127.0.0.1';
+
+  beforeEach(done => {
+    const clock = createSystemClock();
+    const configAge = createConfigAge(clock);
+    configAge.confirmed(configAge.mark());
+    const log = createStateLog(clock);
+    const change = {
+      kind: 'unreadable' as const,
+      key: 'k',
+      reason: '',
+      id: undefined,
+    };
+    log.nameHistory(toStoreEra(1));
+    log.record({key: 'k', value: 'v'}, change, 50);
+    log.advance(50);
+    log.beginHistory(toStoreEra(2), 40);
+    log.advance(40);
+    server = createRelayServer({
+      clock,
+      log,
+      configAge,
+      readAge: configAge,
+      shownConfigVersion: () => 3,
+      isConnected: () => true,
+      lastAbsence: () => undefined,
+    });
+    client = createRelayClient();
+    server.listen(0, host, done);
+  });
+
+  afterEach(async () => {
+    await client.close();
+    await new Promise(resolve => server.close(resolve));
+  });
+
+  const read = (revision: number, era?: number) => {
+    const {port} = server.address() as AddressInfo;
+    const known = era === undefined ? undefined : toStoreEra(era);
+    return client.read({host, port}, revision, 0, 2_000, known);
+  };
+
+  // Guards against a cursor of one history that is taken for one of another.
+  it('sends everything to a reader with a cursor of another era', async () => {
+    for (const revision of [50, 40, 30]) {
+      const response = (await read(revision, 1))._unsafeUnwrap();
+      expect(response).to.include({
+        era: 2,
+        revision: 40,
+        complete: true,
+        configVersion: 3,
+      });
+      expect(response.items).to.have.length(1);
+    }
+  });
+
+  it('sends changes to a reader with a cursor of its era', async () => {
+    const response = (await read(40, 2))._unsafeUnwrap();
+    expect(response.complete).to.equal(false);
+    expect(response.items).to.deep.equal([]);
+  });
+
+  it('answers readers that name no era as before', async () => {
+    expect((await read(50)).isErr()).to.equal(true);
+    expect((await read(40))._unsafeUnwrap().complete).to.equal(false);
+  });
+});
--- a/packages/gateway/src/__tests__/unit/RelayServer.test.ts
+++ b/packages/gateway/src/__tests__/unit/RelayServer.test.ts
@@ -33,6 +33,8 @@
       clock,
       log,
       configAge,
+      readAge: configAge,
+      shownConfigVersion: () => 0,
       isConnected: () => connected,
       lastAbsence: () => undefined,
     });
--- a/packages/gateway/src/state/RelayClient.ts
+++ b/packages/gateway/src/state/RelayClient.ts
@@ -13,15 +13,18 @@
 import * as z from 'zod';
 import type {RelayResponse} from './RelayServer.js';
 import {relayPath} from './RelayServer.js';
+import type {StoreEra} from './StateStore.js';
+import {toStoreEra} from './StateStore.js';
 
 /** Reads from other instances until it is closed. */
 export interface RelayClient {
-  /** Waits up to `waitMs` for items after `revision`. */
+  /** Waits up to `waitMs` for items after `revision` of the history `era`. */
   read(
     address: ListenAddress,
     revision: number,
     waitMs: number,
     timeoutMs: number,
+    era?: StoreEra,
   ): ResultAsync<RelayResponse, PlatformError>;
   close(): Promise<void>;
 }
@@ -41,6 +44,9 @@
   confirmedAfterMs: z.number(),
   regainedAgoMs: z.number().nullable(),
   absence: z.enum(['outage', 'cut_off', 'unknown']).optional(),
+  era: z.number().int().transform(toStoreEra).optional(),
+  readAfterMs: z.number().optional(),
+  configVersion: z.number().optional(),
 });
 
 /** Bounds memory; a full snapshot of a large fleet is far smaller. */
@@ -90,8 +96,9 @@
   }
 
   return {
-    read: (address, revision, waitMs, timeoutMs) => {
-      const path = `${relayPath}?after=${revision}&wait_ms=${waitMs}`;
+    read: (address, revision, waitMs, timeoutMs, era) => {
+      const eraQuery = era === undefined ? '' : `&era=${era}`;
+      const path = `${relayPath}?after=${revision}&wait_ms=${waitMs}${eraQuery}`;
       return new ResultAsync(read(address, path, timeoutMs));
     },
     close: () => dispatcher.destroy(),
--- a/packages/gateway/src/state/RelayServer.ts
+++ b/packages/gateway/src/state/RelayServer.ts
@@ -14,7 +14,8 @@
   textResponse,
 } from '../server/RouteServer.js';
 import type {LoggedItems, StateLog} from './StateLog.js';
-import type {StoredItem} from './StateStore.js';
+import type {StoredItem, StoreEra} from './StateStore.js';
+import {toStoreEra} from './StateStore.js';
 import type {EndedAbsence, StoreAbsence} from './StoreAbsence.js';
 
 /** A response to a peer. */
@@ -32,6 +33,15 @@
   readonly regainedAgoMs: number | null;
   /** Why the store was absent then; earlier builds do not tell. */
   readonly absence?: StoreAbsence | undefined;
+  /** History of the store that the revision belongs to. */
+  readonly era?: StoreEra | undefined;
+  /**
+   * Time from the arrival of the request to the last read of the store, which
+   * may show an older configuration than the one in force.
+   */
+  readonly readAfterMs?: number | undefined;
+  /** Version of the configuration that this read showed. */
+  readonly configVersion?: number | undefined;
 }
 
 /** Options of a relay server. */
@@ -39,6 +49,10 @@
   readonly clock: Clock;
   readonly log: StateLog;
   readonly configAge: ConfigAge;
+  /** Age of the last read of the store. */
+  readonly readAge: Pick<ConfigAge, 'confirmedAfterMs'>;
+  /** Version of the configuration that the store shows. */
+  readonly shownConfigVersion: () => number;
   /** True while this instance reads the store, or an instance that does. */
   readonly isConnected: () => boolean;
   readonly lastAbsence: () => EndedAbsence | undefined;
@@ -75,9 +89,10 @@
 
   async function itemsSince(
     revision: number,
+    era: StoreEra | undefined,
     waitMs: number,
   ): Promise<LoggedItems | 'too_many_polls' | undefined> {
-    const atOnce = log.since(revision);
+    const atOnce = log.since(revision, era);
     if (atOnce === undefined || atOnce.complete || atOnce.items.length > 0) {
       return atOnce;
     }
@@ -85,21 +100,30 @@
     waitingPollsCount += 1;
     await waitForChange(options, Math.min(waitMs, maxWaitMs));
     waitingPollsCount -= 1;
-    return log.since(revision);
+    return log.since(revision, era);
   }
 
   async function relayState(query: URLSearchParams): Promise<RouteResponse> {
     const arrival = configAge.mark();
     const after = Number(query.get('after') ?? '0');
     const waitMs = Number(query.get('wait_ms') ?? '0');
-    if (!Number.isFinite(after) || !(waitMs >= 0)) {
+    const era = query.has('era') ? Number(query.get('era')) : undefined;
+    if (
+      !Number.isFinite(after) ||
+      !(waitMs >= 0) ||
+      (era !== undefined && !Number.isSafeInteger(era))
+    ) {
       return textResponse(
-        'after and wait_ms must be numbers\n',
+        'after, era and wait_ms must be numbers\n',
         statusBadRequest,
       );
     }
     const logged = options.isConnected()
-      ? await itemsSince(after, waitMs)
+      ? await itemsSince(
+          after,
+          era === undefined ? undefined : toStoreEra(era),
+          waitMs,
+        )
       : undefined;
     if (logged === 'too_many_polls') {
       return textResponse(
@@ -119,6 +143,9 @@
       confirmedAfterMs: configAge.confirmedAfterMs(arrival),
       regainedAgoMs: absence?.endedAgoMs ?? null,
       absence: absence?.reason,
+      era: log.era(),
+      readAfterMs: options.readAge.confirmedAfterMs(arrival),
+      configVersion: options.shownConfigVersion(),
     };
     return jsonResponse(response);
   }
--- a/packages/gateway/src/state/StateLog.ts
+++ b/packages/gateway/src/state/StateLog.ts
@@ -6,7 +6,7 @@
  * learn.
  */
 import type {Clock} from '@toucanrouter/common';
-import type {StateChange, StoredItem} from './StateStore.js';
+import type {StateChange, StoredItem, StoreEra} from './StateStore.js';
 
 /** Items after a revision. */
 export interface LoggedItems {
@@ -17,8 +17,25 @@
   readonly items: readonly StoredItem[];
 }
 
+/** What the log knows of a key. */
+export interface KnownItem {
+  readonly change: StateChange;
+  readonly isRemoved: boolean;
+}
+
 /** Holds the latest relevant items until the instance stops. */
 export interface StateLog {
+  /** History of the store that the revisions belong to, if it tells. */
+  era(): StoreEra | undefined;
+  /**
+   * Continues with the revisions of another history. What is known goes over to
+   * it at `revision`; peers with a cursor of another history receive all items.
+   */
+  beginHistory(era: StoreEra | undefined, revision: number): void;
+  /** Names the history of the revisions, which was not known before. */
+  nameHistory(era: StoreEra): void;
+  /** Returns the latest item of a key, also one removed a short time ago. */
+  known(key: string): KnownItem | undefined;
   /** Latest revision of the store; undefined before the first snapshot. */
   revision(): number | undefined;
   /** Records an item that was written at `revision` and what it means. */
@@ -27,8 +44,11 @@
   keys(): readonly string[];
   /** Completes an update that leads to `revision`. */
   advance(revision: number): void;
-  /** Returns the items after a revision, or all of them if too much is gone. */
-  since(revision: number): LoggedItems | undefined;
+  /**
+   * Returns the items after a revision, or all of them if too much is gone or
+   * the revision belongs to another history than `era()`.
+   */
+  since(revision: number, era?: StoreEra): LoggedItems | undefined;
   /** Calls `run` after each update that recorded an item; returns an undo. */
   onChange(run: () => void): () => void;
 }
@@ -38,6 +58,7 @@
 
 interface LoggedItem {
   readonly item: StoredItem;
+  readonly change: StateChange;
   readonly meaning: string;
   readonly revision: number;
   readonly recordedAtMs: number;
@@ -63,6 +84,7 @@
 export function createStateLog(clock: Clock): StateLog {
   const logged = new Map<string, LoggedItem>();
   const listeners = new Set<() => void>();
+  let currentEra: StoreEra | undefined;
   let currentRevision: number | undefined;
   /** Removals up to this revision may be gone. */
   let oldestRevision = -Infinity;
@@ -78,6 +100,21 @@
   }
 
   return {
+    era: () => currentEra,
+    beginHistory: (era, revision) => {
+      currentEra = era;
+      currentRevision = revision;
+      oldestRevision = revision;
+      for (const [key, entry] of logged) logged.set(key, {...entry, revision});
+      changed = true;
+    },
+    nameHistory: era => {
+      currentEra = era;
+    },
+    known: key => {
+      const entry = logged.get(key);
+      return entry && {change: entry.change, isRemoved: isRemoved(entry)};
+    },
     revision: () => currentRevision,
     record: (item, change, revision) => {
       const meaning = meaningOf(change);
@@ -86,7 +123,7 @@
         previous === undefined && item.value === undefined;
       if (isUnknownRemoval || previous?.meaning === meaning) return;
       const recordedAtMs = clock.nowMs();
-      logged.set(item.key, {item, meaning, revision, recordedAtMs});
+      logged.set(item.key, {item, change, meaning, revision, recordedAtMs});
       changed = true;
     },
     keys: () =>
@@ -99,11 +136,12 @@
       changed = false;
       for (const listener of [...listeners]) listener();
     },
-    since: revision => {
-      if (currentRevision === undefined || revision > currentRevision) {
-        return undefined;
-      }
-      const complete = revision < oldestRevision;
+    since: (revision, era) => {
+      if (currentRevision === undefined) return undefined;
+      const isOtherHistory =
+        era !== undefined && currentEra !== undefined && era !== currentEra;
+      if (!isOtherHistory && revision > currentRevision) return undefined;
+      const complete = isOtherHistory || revision < oldestRevision;
       const items = [...logged.values()]
         .filter(entry =>
           complete ? !isRemoved(entry) : entry.revision > revision,
--- a/packages/gateway/src/state/StateSync.ts
+++ b/packages/gateway/src/state/StateSync.ts
@@ -11,16 +11,20 @@
 import type {SegmentHash} from '@toucanrouter/policy';
 import type {ActiveConfig} from '../config/ActiveConfig.js';
 import type {ConfigAge, TimeMark} from '../config/ConfigAge.js';
-import {shiftMark} from '../config/ConfigAge.js';
+import {createConfigAge, shiftMark} from '../config/ConfigAge.js';
 import type {PeerDirectory, PeerEntry} from '../peers/PeerDirectory.js';
 import type {UpstreamRegistry} from '../upstreams/UpstreamRegistry.js';
 import type {RelayClient} from './RelayClient.js';
+import type {RelayResponse} from './RelayServer.js';
+import type {DecodedItem} from './RestoredState.js';
+import {createRestoredState} from './RestoredState.js';
 import type {StateLog} from './StateLog.js';
 import {relayRole} from './StateRelay.js';
-import type {StoreHistory} from './StoreHistory.js';
+import type {HistoryChange, StoreHistory} from './StoreHistory.js';
 import type {
   StateChange,
   StateStore,
+  StateUpdate,
   StoredItem,
   StoredVerdict,
   StoreEra,
@@ -48,6 +52,8 @@
   readonly peers: PeerDirectory;
   readonly onVerdict: (verdict: StoredVerdict) => void;
   readonly onVerdictRemoved: (segment: SegmentHash) => void;
+  /** Called when the store no longer holds the entry of this instance. */
+  readonly onOwnEntryRemoved?: (() => void) | undefined;
   /** Time within which a change in the store must be in force. */
   readonly changeDelayMs: () => number;
 }
@@ -61,6 +67,10 @@
   connected(): boolean;
   /** The last absence of the store that may have made entries expire. */
   lastAbsence(): EndedAbsence | undefined;
+  /** Age of the last read, which may show an older configuration. */
+  readonly readAge: Pick<ConfigAge, 'confirmedAfterMs'>;
+  /** Version of the configuration that the store shows; 0 if none. */
+  shownConfigVersion(): number;
   close(): void;
 }
 
@@ -101,6 +111,21 @@
 /** An instance that failed to respond is not asked for this time. */
 const relayBackoffMs = 3_000;
 
+/** Where to continue reading: a revision is valid in its history only. */
+interface Cursor {
+  readonly era: StoreEra | undefined;
+  readonly revision: number;
+}
+
+/** What was known when a new history of the store began. */
+interface PreviousHistory {
+  readonly era: StoreEra | undefined;
+  readonly revision: number | undefined;
+}
+
+/** A read that is of no use because another history began meanwhile. */
+const supersededRead = Symbol('superseded read');
+
 function toErrorText(error: unknown): string {
   return error instanceof Error
     ? (error.stack ?? error.message)
@@ -127,8 +152,16 @@
   } = options;
   const relayFailedAtMs = new Map<InstanceId, number>();
   const absenceJudge = createStoreAbsenceJudge();
+  const restored = createRestoredState(clock);
+  const readAge = createConfigAge(clock);
   let lastReadAtMs: number | undefined;
-  let revision: number | undefined;
+  let cursor: Cursor | undefined;
+  /** Latest revision of the present history. */
+  let latestRevision: number | undefined;
+  /** Set until the first snapshot of a new history has been applied. */
+  let previousHistory: PreviousHistory | undefined;
+  let shownConfigVersion = 0;
+  const historyWaiters = new Set<() => void>();
   let connected = false;
   let everConnected = false;
   let closed = false;
@@ -138,7 +171,7 @@
   let absenceEnd: {reason: StoreAbsence; atMs: number} | undefined;
   let currentRelay: InstanceId | undefined;
 
-  function apply(change: StateChange): void {
+  function apply(key: string, change: StateChange): void {
     switch (change.kind) {
       case 'config':
         config.applyIfNewer(change.config);
@@ -153,16 +186,23 @@
         peers.put(change.entry);
         return;
       case 'peer_domain':
-        peers.putDomain(change.id, change.failureDomain);
+        if (change.failureDomain === undefined) {
+          restored.deferRemoval(key, () =>
+            peers.putDomain(change.id, undefined),
+          );
+        } else peers.putDomain(change.id, change.failureDomain);
         return;
       case 'peer_removed':
-        peers.remove(change.id);
+        if (change.id === options.instanceId) options.onOwnEntryRemoved?.();
+        restored.deferRemoval(key, () => peers.remove(change.id));
         return;
       case 'verdict':
         options.onVerdict(change.verdict);
         return;
       case 'verdict_removed':
-        options.onVerdictRemoved(change.segment);
+        restored.deferRemoval(key, () =>
+          options.onVerdictRemoved(change.segment),
+        );
         return;
       case 'unreadable':
         logger.warn('a value in the store cannot be decoded and is not used', {
@@ -187,52 +227,148 @@
     }
   }
 
-  function applyItem(item: StoredItem, atRevision: number): void {
-    const change = decode(item);
+  /** True for a configuration that is older than the one in force. */
+  function isOlderConfig(change: StateChange): boolean {
+    return (
+      change.kind === 'config' &&
+      change.config.version < (config.current()?.version ?? -Infinity)
+    );
+  }
+
+  function applyItem({change, item}: DecodedItem, atRevision: number): void {
     if (change === undefined) return;
-    apply(change);
+    if (change.kind === 'config') shownConfigVersion = change.config.version;
+    // Peers would receive it in place of the newer one.
+    if (isOlderConfig(change)) return;
+    apply(item.key, change);
     log.record(item, change, atRevision);
   }
 
-  function applyItems(items: readonly StoredItem[], atRevision: number): void {
-    for (const item of items) {
+  function applyItems(items: readonly DecodedItem[], atRevision: number): void {
+    for (const decoded of items) {
       try {
-        applyItem(item, atRevision);
+        applyItem(decoded, atRevision);
       } catch (error) {
         logger.error('a value in the store cannot be applied', {
-          key: item.key,
+          key: decoded.item.key,
           error: toErrorText(error),
         });
       }
     }
   }
 
-  function applyUpdate(items: readonly StoredItem[], nextRevision: number) {
-    applyItems(items, nextRevision);
-    revision = nextRevision;
-    log.advance(nextRevision);
+  const toDecoded = (item: StoredItem): DecodedItem => ({
+    item,
+    change: decode(item),
+  });
+
+  function advanceTo(next: Cursor): void {
+    if (next.era !== undefined && log.era() === undefined) {
+      log.nameHistory(next.era);
+    }
+    cursor = next;
+    latestRevision = next.revision;
+    log.advance(next.revision);
+  }
+
+  /** Applies the changes since the last read. */
+  function applyUpdate(items: readonly StoredItem[], next: Cursor): void {
+    for (const {key} of items) restored.noteWritten(key);
+    // Peers at the same revision would not receive them.
+    const overdue =
+      next.revision > (cursor?.revision ?? -Infinity)
+        ? restored.takeOverdue()
+        : [];
+    applyItems([...overdue, ...items].map(toDecoded), next.revision);
+    advanceTo(next);
   }
 
   /** Applies a full snapshot: what it does not contain has been removed. */
-  function applySnapshot(items: readonly StoredItem[], nextRevision: number) {
+  function applySnapshot(items: readonly StoredItem[], next: Cursor): void {
+    const previous = previousHistory;
+    previousHistory = undefined;
+    shownConfigVersion = 0;
     const present = new Set(items.map(({key}) => key));
     const removed = log
       .keys()
       .filter(key => !present.has(key))
-      .map(key => ({key, value: undefined}));
-    applyUpdate([...removed, ...items], nextRevision);
-  }
-
-  function observeEra(era: StoreEra | undefined, nextRevision?: number): void {
-    const previousEra = history.era();
-    if (history.observe(era) !== 'begun') return;
+      .map(key => toDecoded({key, value: undefined}));
+    const admitted = restored.admit(
+      items.map(toDecoded),
+      previous === undefined ? undefined : log.known,
+    );
+    if (previous !== undefined) log.beginHistory(next.era, next.revision);
+    applyItems([...removed, ...admitted], next.revision);
+    advanceTo(next);
+    if (previous === undefined) return;
     logger.warn('the store came back from a copy', {
-      era,
-      previousEra,
-      revision: nextRevision,
-      previousRevision: revision,
+      era: next.era,
+      previousEra: previous.era,
+      revision: next.revision,
+      previousRevision: previous.revision,
       configVersion: config.current()?.version,
+      copyConfigVersion: shownConfigVersion,
+      lackingItems: removed.length,
+      itemsHeldBack: restored.heldBackCount,
+    });
+  }
+
+  function beginHistory(): void {
+    previousHistory ??= {era: cursorEra(), revision: latestRevision};
+    cursor = undefined;
+    latestRevision = undefined;
+    // Renewals of two histories cannot be compared.
+    lastReadAtMs = undefined;
+    restored.begin();
+    registry.storeLost();
+    noteAbsenceEnd('outage', 0);
+    for (const run of [...historyWaiters]) run();
+  }
+
+  const cursorEra = () => cursor?.era ?? log.era();
+
+  /**
+   * Records which history a response belongs to. Revisions of one history only
+   * rise, which tells a new one of a store that does not tell eras.
+   */
+  function observeHistory(
+    era: StoreEra | undefined,
+    revision: number,
+    knownRevision: number | undefined,
+  ): HistoryChange {
+    const change = history.observe(era);
+    if (era !== undefined || revision >= (knownRevision ?? -Infinity)) {
+      return change;
+    }
+    history.begin();
+    return 'begun';
+  }
+
+  /** Gives up waiting for `promise` when a new history begins. */
+  async function untilNewHistory<T>(
+    promise: PromiseLike<T>,
+  ): Promise<T | typeof supersededRead> {
+    let run = () => undefined as void;
+    const begun = new Promise<typeof supersededRead>(resolve => {
+      run = () => resolve(supersededRead);
     });
+    historyWaiters.add(run);
+    try {
+      return await Promise.race([promise, begun]);
+    } finally {
+      historyWaiters.delete(run);
+    }
+  }
+
+  /**
+   * The configuration in force is confirmed only by a read that shows it or a
+   * newer one: a copy may lack the newest one.
+   */
+  function confirmConfigBy(mark: TimeMark): void {
+    const inForce = config.current()?.version;
+    if (inForce === undefined || shownConfigVersion >= inForce) {
+      configAge.confirmed(mark);
+    }
   }
 
   /** Counts the renewals of entries that exist before and after `items`. */
@@ -272,7 +408,7 @@
     mark: TimeMark,
     absence: () => StoreAbsence = () => 'unknown',
   ): void {
-    configAge.confirmed(mark);
+    readAge.confirmed(mark);
     if (connected) return;
     connected = true;
     const reason = absence();
@@ -280,7 +416,7 @@
     else registry.storeRegained(reason);
     logger.info(everConnected ? 'store regained' : 'store connected', {
       absence: everConnected ? reason : undefined,
-      revision,
+      revision: cursor?.revision,
       configVersion: config.current()?.version,
     });
     everConnected = true;
@@ -299,27 +435,37 @@
 
   async function readAll(): Promise<boolean> {
     const mark = configAge.mark();
-    const update = await store.readAll(
-      everConnected && !connected ? probeTimeoutMs : readAllTimeoutMs,
+    const update = await untilNewHistory(
+      store.readAll(
+        everConnected && !connected ? probeTimeoutMs : readAllTimeoutMs,
+      ),
     );
+    if (update === supersededRead) return true;
     if (update.isErr()) {
       onStoreFailure(update.error.message);
       return false;
     }
-    onStoreResponse(mark);
-    observeEra(update.value.era, update.value.revision);
-    applySnapshot(update.value.items, update.value.revision);
+    const {era, items, revision} = update.value;
+    const change = observeHistory(era, revision, latestRevision);
+    if (change === 'outdated') return false;
+    const isRestored = previousHistory !== undefined;
+    onStoreResponse(mark, () => (isRestored ? 'outage' : 'unknown'));
+    applySnapshot(items, {era, revision});
+    confirmConfigBy(mark);
     lastReadAtMs = clock.nowMs();
     return true;
   }
 
-  async function readChanges(after: number): Promise<boolean> {
+  async function readChanges({revision: after}: Cursor): Promise<boolean> {
     const mark = configAge.mark();
-    const update = await store.readChanges(
-      after,
-      connected ? watchWaitMs : 0,
-      connected ? watchWaitMs + responseTimeoutMs : probeTimeoutMs,
+    const update = await untilNewHistory(
+      store.readChanges(
+        after,
+        connected ? watchWaitMs : 0,
+        connected ? watchWaitMs + responseTimeoutMs : probeTimeoutMs,
+      ),
     );
+    if (update === supersededRead) return true;
     if (update.isErr()) {
       onStoreFailure(update.error.message);
       return false;
@@ -328,11 +474,12 @@
       logger.info('the store compacted its history; reading a full snapshot', {
         after,
       });
-      revision = undefined;
+      cursor = undefined;
       return true;
     }
-    const {era, items, revision: nextRevision} = update.value;
-    observeEra(era, nextRevision);
+    const {era, items, revision} = update.value;
+    // These changes do not follow the revision of another history.
+    if (observeHistory(era, revision, after) !== 'none') return true;
     const nowMs = clock.nowMs();
     if (lastReadAtMs !== undefined) {
       const renewals = countRenewals(items, nowMs - lastReadAtMs);
@@ -342,7 +489,8 @@
       onStoreResponse(mark);
     }
     lastReadAtMs = nowMs;
-    applyUpdate(items, nextRevision);
+    applyUpdate(items, {era, revision});
+    confirmConfigBy(mark);
     return true;
   }
 
@@ -365,32 +513,57 @@
     });
   }
 
-  async function readFrom(relay: PeerEntry, after: number): Promise<boolean> {
+  /** Returns the part of a response that can be applied, by its history. */
+  function usableFrom(
+    relay: PeerEntry,
+    {complete, era}: RelayResponse,
+  ): 'complete' | 'changes' | undefined {
+    if (history.observe(era) === 'outdated') {
+      noteRelayFailure(relay, 'its state belongs to an earlier history');
+      return undefined;
+    }
+    if (complete) return 'complete';
+    // Without a cursor, a new history has just begun.
+    return cursor === undefined ? undefined : 'changes';
+  }
+
+  async function readFrom(relay: PeerEntry, from: Cursor): Promise<boolean> {
     const mark = configAge.mark();
-    const response = await options.relays.read(
-      relay.address,
-      after,
-      relayWaitMs,
-      relayTimeoutMs,
+    const response = await untilNewHistory(
+      options.relays.read(
+        relay.address,
+        from.revision,
+        relayWaitMs,
+        relayTimeoutMs,
+        from.era,
+      ),
     );
+    if (response === supersededRead) return false;
     if (response.isErr()) {
       noteRelayFailure(relay, response.error.message);
       return false;
     }
-    const {absence, complete, confirmedAfterMs, items, regainedAgoMs} =
+    const {absence, confirmedAfterMs, era, items, regainedAgoMs, revision} =
       response.value;
-    if (-confirmedAfterMs > options.changeDelayMs() * maxRelayAgeShare) {
+    const readAfterMs = response.value.readAfterMs ?? confirmedAfterMs;
+    if (-readAfterMs > options.changeDelayMs() * maxRelayAgeShare) {
       noteRelayFailure(relay, 'its state is old');
       return false;
     }
+    const usable = usableFrom(relay, response.value);
+    if (usable === undefined) return false;
     // Renewals are not passed on, but the other instance has judged by them.
-    onStoreResponse(shiftMark(mark, confirmedAfterMs), () => 'cut_off');
+    onStoreResponse(shiftMark(mark, readAfterMs), () => 'cut_off');
     lastReadAtMs = undefined;
     if (regainedAgoMs !== null) {
       noteAbsenceEnd(absence ?? 'unknown', regainedAgoMs);
     }
-    const update = complete ? applySnapshot : applyUpdate;
-    update(items, response.value.revision);
+    const update = usable === 'complete' ? applySnapshot : applyUpdate;
+    update(items, {era, revision});
+    // Earlier builds confirm whatever the store shows.
+    shownConfigVersion =
+      response.value.configVersion ?? config.current()?.version ?? 0;
+    confirmConfigBy(shiftMark(mark, confirmedAfterMs));
     return true;
   }
 
@@ -410,10 +583,9 @@
 
   /** Reads through another instance; returns false if none responded. */
   async function readThroughRelays(): Promise<boolean> {
-    if (revision === undefined) return false;
     for (const relay of relaysToTry()) {
-      if (closed) return false;
-      if (await readFrom(relay, revision)) {
+      if (closed || cursor === undefined) return false;
+      if (await readFrom(relay, cursor)) {
         noteRelay(relay);
         return true;
       }
@@ -423,7 +595,7 @@
 
   async function readStore(): Promise<boolean> {
     noteRelay(undefined);
-    return revision === undefined ? readAll() : readChanges(revision);
+    return cursor === undefined ? readAll() : readChanges(cursor);
   }
 
   function callIntervalMs(): number {
@@ -435,7 +607,7 @@
 
   async function waitSince(startedAtMs: number, intervalMs: number) {
     const elapsedMs = clock.nowMs() - startedAtMs;
-    await delay(clock, Math.max(0, intervalMs - elapsedMs));
+    await untilNewHistory(delay(clock, Math.max(0, intervalMs - elapsedMs)));
   }
 
   async function readOnce(): Promise<void> {
@@ -448,8 +620,9 @@
     const succeeded = await readStore();
     if (closed) return;
     consecutiveFailures = succeeded ? 0 : consecutiveFailures + 1;
-    if (!succeeded) await delay(clock, probeDelayMs(consecutiveFailures));
-    else if (revision !== undefined) {
+    if (!succeeded) {
+      await untilNewHistory(delay(clock, probeDelayMs(consecutiveFailures)));
+    } else if (cursor !== undefined) {
       await waitSince(startedAtMs, callIntervalMs());
     }
   }
@@ -480,13 +653,30 @@
       });
       return;
     }
-    if (latest.value !== undefined) {
-      observeEra(latest.value.era);
-      applyItems(latest.value.items, latest.value.revision);
+    const change = history.observe(latest.value?.era);
+    if (change === 'outdated') return;
+    applyConfirmed(latest.value);
+    confirmConfigBy(mark);
+  }
+
+  /** Applies what a read of the configuration alone returned. */
+  function applyConfirmed(latest: StateUpdate | undefined): void {
+    shownConfigVersion = 0;
+    if (latest === undefined) return;
+    const items = latest.items.map(toDecoded);
+    // The snapshot that follows passes it on in the revisions of its history.
+    if (previousHistory === undefined) applyItems(items, latest.revision);
+    else {
+      for (const {change} of items) {
+        if (change?.kind !== 'config') continue;
+        shownConfigVersion = change.config.version;
+        config.applyIfNewer(change.config);
+      }
     }
-    configAge.confirmed(mark);
   }
 
+  history.onBegin(beginHistory);
+
   return {
     start: () => void run(),
     connected: () => connected,
@@ -506,6 +696,8 @@
       });
       return confirming;
     },
+    readAge,
+    shownConfigVersion: () => shownConfigVersion,
     close: () => {
       closed = true;
     },
--- a/packages/gateway/src/state/StoreHistory.ts
+++ b/packages/gateway/src/state/StoreHistory.ts
@@ -22,6 +22,8 @@
   era(): StoreEra | undefined;
   /** Records the era that a response shows. */
   observe(era: StoreEra | undefined): HistoryChange;
+  /** Begins a new history of a store that does not tell eras. */
+  begin(): void;
   /** Calls `run` whenever a new history begins. Returns an undo. */
   onBegin(run: () => void): () => void;
 }
@@ -31,6 +33,10 @@
   let latest: StoreEra | undefined;
   const listeners = new Set<() => void>();
 
+  const notify = () => {
+    for (const listener of [...listeners]) listener();
+  };
+
   return {
     era: () => latest,
     observe: era => {
@@ -39,9 +45,10 @@
       const isFirst = latest === undefined;
       latest = era;
       if (isFirst) return 'none';
-      for (const listener of [...listeners]) listener();
+      notify();
       return 'begun';
     },
+    begin: notify,
     onBegin: run => {
       listeners.add(run);
       return () => listeners.delete(run);
