gateway: ask other instances for the configuration at the start

After its first read it asks up to three others, chosen differently by each instance, for their state and takes a newer configuration, with the age that this one has there. Until they answer, or 300 ms have passed, a read confirms nothing. If nobody answers it uses what the store shows, as before.

The first new test of RelayEras.test.ts failed before ("expected 5 to equal 6") and passes; StateSync and RestoredStore pass.

--- a/packages/gateway/src/__tests__/unit/RelayEras.test.ts
+++ b/packages/gateway/src/__tests__/unit/RelayEras.test.ts
@@ -218,6 +218,53 @@
   });
 });
 
+describe('An instance that starts while the store shows a copy', () => {
+  async function startWithin(readRelay: RelayClient['read'] | undefined) {
+    const clock = createManualClock(1_000);
+    const model = createDomain();
+    const copy = model.copy();
+    const running = createFollower(model, {clock, selfId: firstId});
+    running.sync.start();
+    model.write('config', '6');
+    await advance(clock, 2_000);
+    model.restore(copy);
+    const starting = createFollower(model, {
+      clock,
+      selfId: lastId,
+      readRelay: readRelay ?? relayOf(running),
+    });
+    starting.sync.start();
+    await advance(clock, 2_000);
+    return {clock, model, running, starting};
+  }
+
+  // Guards against keys that were taken away before the drill: the copy shows
+  // the older configuration, and the instance knows no other.
+  it('learns the newest configuration from others', async () => {
+    const {clock, model, running, starting} = await startWithin(undefined);
+    expect(starting.version()).to.equal(6);
+    // It is as old as it is there: the store has not shown it again.
+    expect(starting.configAge.ageMs()).to.be.within(
+      1_900,
+      running.configAge.ageMs() + 100,
+    );
+    model.write('config', '6');
+    await advance(clock, 1_500);
+    expect(starting.configAge.ageMs()).to.be.below(1_500);
+    running.sync.close();
+    starting.sync.close();
+  });
+
+  // Guards against an instance that never serves because nobody answers it.
+  it('uses what the store shows if no other instance responds', async () => {
+    const {running, starting} = await startWithin(() => fail<RelayResponse>());
+    expect(starting.version()).to.equal(5);
+    expect(starting.configAge.ageMs()).to.be.below(1_500);
+    running.sync.close();
+    starting.sync.close();
+  });
+});
+
 describe('RelayServer of a restored store', () => {
   let server: Server;
   let client: RelayClient;
--- a/packages/gateway/src/state/StateSync.ts
+++ b/packages/gateway/src/state/StateSync.ts
@@ -6,7 +6,7 @@
  * of calls.
  */
 import type {Clock, InstanceId, UpstreamId} from '@toucanrouter/common';
-import {delay} from '@toucanrouter/common';
+import {delay, hash64} from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
 import type {SegmentHash} from '@toucanrouter/policy';
 import type {ActiveConfig} from '../config/ActiveConfig.js';
@@ -108,6 +108,11 @@
 const maxRelayAgeShare = 0.5;
 /** Minimum time between reads from another instance. */
 const minRelayIntervalMs = 100;
+/** Instances that a starting one asks for a newer configuration. */
+const maxAskedPeers = 3;
+const askTimeoutMs = 300;
+/** Precedes all revisions, so the response holds the whole state. */
+const beforeAllRevisions = 0;
 /** An instance that failed to respond is not asked for this time. */
 const relayBackoffMs = 3_000;
 
@@ -161,6 +166,9 @@
   /** Set until the first snapshot of a new history has been applied. */
   let previousHistory: PreviousHistory | undefined;
   let shownConfigVersion = 0;
+  let hasAskedPeers = false;
+  /** True while peers may tell of a configuration that a copy lacks. */
+  let isAskingPeers = false;
   const historyWaiters = new Set<() => void>();
   let connected = false;
   let everConnected = false;
@@ -366,6 +374,7 @@
    */
   function confirmConfigBy(mark: TimeMark): void {
     const inForce = config.current()?.version;
+    if (isAskingPeers) return;
     if (inForce === undefined || shownConfigVersion >= inForce) {
       configAge.confirmed(mark);
     }
@@ -433,6 +442,62 @@
     });
   }
 
+  /** Peers that an instance asks, different ones for each instance. */
+  function peersToAsk() {
+    const rankOf = ({host, port}: PeerEntry['address']) =>
+      hash64(`${options.instanceId} ${host}:${port}`);
+    return [...peers.addresses()]
+      .sort((a, b) => (rankOf(a) < rankOf(b) ? -1 : 1))
+      .slice(0, maxAskedPeers);
+  }
+
+  /** Takes a newer configuration, with the time of its confirmation there. */
+  function learnConfig(response: RelayResponse, mark: TimeMark): void {
+    for (const item of response.items) {
+      const change = decode(item);
+      if (change?.kind !== 'config' || isOlderConfig(change)) continue;
+      if (config.applyIfNewer(change.config) && cursor !== undefined) {
+        log.record(item, change, cursor.revision);
+      }
+      configAge.confirmed(shiftMark(mark, response.confirmedAfterMs));
+    }
+  }
+
+  /**
+   * A copy may lack the newest configuration. An instance that starts knows only
+   * what the store shows, so it asks others before it serves anything.
+   */
+  async function askPeersForConfig(): Promise<void> {
+    const mark = configAge.mark();
+    let answered = 0;
+    isAskingPeers = true;
+    const asked = peersToAsk().map(async address => {
+      const response = await options.relays.read(
+        address,
+        beforeAllRevisions,
+        0,
+        askTimeoutMs,
+      );
+      if (response.isErr()) return;
+      answered += 1;
+      history.observe(response.value.era);
+      learnConfig(response.value, mark);
+    });
+    try {
+      // A call may take longer than its timeout until it is connected.
+      await Promise.race([Promise.all(asked), delay(clock, askTimeoutMs)]);
+    } finally {
+      isAskingPeers = false;
+    }
+    if (asked.length === 0) return;
+    logger.info('asked other instances for the configuration', {
+      asked: asked.length,
+      answered,
+      configVersion: config.current()?.version,
+      copyConfigVersion: shownConfigVersion,
+    });
+  }
+
   async function readAll(): Promise<boolean> {
     const mark = configAge.mark();
     const update = await untilNewHistory(
@@ -451,8 +516,13 @@
     const isRestored = previousHistory !== undefined;
     onStoreResponse(mark, () => (isRestored ? 'outage' : 'unknown'));
     applySnapshot(items, {era, revision});
-    confirmConfigBy(mark);
     lastReadAtMs = clock.nowMs();
+    if (!hasAskedPeers) {
+      const asked = await untilNewHistory(askPeersForConfig());
+      if (asked === supersededRead) return true;
+      hasAskedPeers = true;
+    }
+    confirmConfigBy(mark);
     return true;
   }
 
