gateway: confirm by the newest version that a history has shown

Within a history the newest version that was shown counts; a confirmation is judged by what it shows itself.

--- a/packages/gateway/src/__tests__/unit/RestoredStore.test.ts
+++ b/packages/gateway/src/__tests__/unit/RestoredStore.test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import {ResultAsync} from 'neverthrow';
 import type {StateUpdate} from '../../state/StateStore.js';
 import {toStoreEra} from '../../state/StateStore.js';
 import {service} from './GatewayFixtures.js';
@@ -7,6 +8,7 @@
   createFollower,
   createModelStore,
   fail,
+  succeed,
 } from './RestoredStoreFixtures.js';
 
 const ready = 'ready born 1 seq 1';
@@ -283,6 +285,46 @@
     sync.close();
   });
 
+  // Guards against a configuration that ages although the store shows it: a late
+  // response of a confirmation must not hide what a later read has shown.
+  it('confirms by the newest version that it showed in its history', async () => {
+    const state = await startFollower();
+    const {clock, configAge, model, sync, version} = state;
+    const late = await model.store.readConfig(400);
+    model.store.readConfig = () => new ResultAsync(Promise.resolve(late));
+    model.write('config', '6');
+    await advance(clock, 1_100);
+    await sync.confirmConfig();
+    await advance(clock, 3_000);
+    expect(version()).to.equal(6);
+    expect(configAge.ageMs()).to.be.below(1_200);
+    sync.close();
+  });
+
+  // Guards against an instance that stops serving because a build that cannot
+  // read the newest configuration takes it for a missing one.
+  it('confirms after a compaction with a configuration that cannot be read', async () => {
+    const state = await startFollower();
+    const {clock, configAge, model, sync} = state;
+    const {decode, readChanges} = model.store;
+    model.store.decode = item =>
+      item.value === '6'
+        ? {kind: 'unreadable', key: item.key, reason: 'odd', id: undefined}
+        : decode(item);
+    model.write('config', '6');
+    await advance(clock, 1_500);
+    let compacted = false;
+    model.store.readChanges = (...request) => {
+      if (compacted) return readChanges(...request);
+      compacted = true;
+      return succeed('compacted' as const);
+    };
+    await advance(clock, 4_000);
+    expect(compacted).to.equal(true);
+    expect(configAge.ageMs()).to.be.below(1_200);
+    sync.close();
+  });
+
   it('tells when the entry of this instance is gone', async () => {
     const state = await startFollower();
     const {clock, model, ownRemovals, sync} = state;
--- a/packages/gateway/src/state/StateSync.ts
+++ b/packages/gateway/src/state/StateSync.ts
@@ -243,9 +243,14 @@
     );
   }
 
+  /** Responses may arrive in another order than they were sent. */
+  function noteShown(version: number): void {
+    shownConfigVersion = Math.max(shownConfigVersion, version);
+  }
+
   function applyItem({change, item}: DecodedItem, atRevision: number): void {
     if (change === undefined) return;
-    if (change.kind === 'config') shownConfigVersion = change.config.version;
+    if (change.kind === 'config') noteShown(change.config.version);
     // Peers would receive it in place of the newer one.
     if (isOlderConfig(change)) return;
     apply(item.key, change);
@@ -295,14 +300,17 @@
   function applySnapshot(items: readonly StoredItem[], next: Cursor): void {
     const previous = previousHistory;
     previousHistory = undefined;
-    shownConfigVersion = 0;
     const present = new Set(items.map(({key}) => key));
     const removed = log
       .keys()
       .filter(key => !present.has(key))
       .map(key => toDecoded({key, value: undefined}));
+    const decoded = items.map(toDecoded);
+    for (const {change} of decoded) {
+      if (change?.kind === 'config') shownConfigVersion = change.config.version;
+    }
     const admitted = restored.admit(
-      items.map(toDecoded),
+      decoded,
       previous === undefined ? undefined : log.known,
     );
     if (previous !== undefined) log.beginHistory(next.era, next.revision);
@@ -325,6 +333,7 @@
     previousHistory ??= {era: cursorEra(), revision: latestRevision};
     cursor = undefined;
     latestRevision = undefined;
+    shownConfigVersion = 0;
     // Renewals of two histories cannot be compared.
     lastReadAtMs = undefined;
     restored.begin();
@@ -372,10 +381,10 @@
    * The configuration in force is confirmed only by a read that shows it or a
    * newer one: a copy may lack the newest one.
    */
-  function confirmConfigBy(mark: TimeMark): void {
+  function confirmConfigBy(mark: TimeMark, shown = shownConfigVersion): void {
     const inForce = config.current()?.version;
     if (isAskingPeers) return;
-    if (inForce === undefined || shownConfigVersion >= inForce) {
+    if (inForce === undefined || shown >= inForce) {
       configAge.confirmed(mark);
     }
   }
@@ -725,24 +734,26 @@
     }
     const change = history.observe(latest.value?.era);
     if (change === 'outdated') return;
-    applyConfirmed(latest.value);
-    confirmConfigBy(mark);
+    confirmConfigBy(mark, applyConfirmed(latest.value));
   }
 
-  /** Applies what a read of the configuration alone returned. */
-  function applyConfirmed(latest: StateUpdate | undefined): void {
-    shownConfigVersion = 0;
-    if (latest === undefined) return;
-    const items = latest.items.map(toDecoded);
+  /**
+   * Applies what a read of the configuration alone returned, and returns the
+   * version that it showed.
+   */
+  function applyConfirmed(latest: StateUpdate | undefined): number {
+    const items = latest?.items.map(toDecoded) ?? [];
     // The snapshot that follows passes it on in the revisions of its history.
-    if (previousHistory === undefined) applyItems(items, latest.revision);
-    else {
-      for (const {change} of items) {
-        if (change?.kind !== 'config') continue;
-        shownConfigVersion = change.config.version;
-        config.applyIfNewer(change.config);
-      }
+    if (latest !== undefined && previousHistory === undefined) {
+      applyItems(items, latest.revision);
+    }
+    let shown = 0;
+    for (const {change} of items) {
+      if (change?.kind !== 'config') continue;
+      shown = change.config.version;
+      if (previousHistory !== undefined) config.applyIfNewer(change.config);
     }
+    return shown;
   }
 
   history.onBegin(beginHistory);
