gateway: release what was held back after a copy

Upstreams do not change their entry while it says what is true, so an entry that was held back may see no further write. Two cases lost an upstream that lives: one that the first of two copies lacked and the second one held again (it had been written between them, unseen), and one whose release waited for a revision that did not rise.

Nobody is known to have removed what an earlier copy only lacked, so such an entry is not held back. The release after the longest time no longer waits for the revision.

The two new tests of RestoredStore.test.ts failed before ("expected [ 'one', 'two' ] to include 'three'", "expected [ 'two' ] to include 'one'") and pass, with the other tests of StateSync, RestoredStore and RelayEras.

--- a/packages/gateway/src/__tests__/unit/RestoredStore.test.ts
+++ b/packages/gateway/src/__tests__/unit/RestoredStore.test.ts
@@ -325,6 +325,42 @@
     sync.close();
   });
 
+  // Guards against the loss of an upstream that the first of two copies lacked:
+  // its entry was written again between them, so it does not change any more.
+  it('holds nothing back that only an earlier copy lacked', async () => {
+    const state = await startFollower();
+    const {clock, model, sync, usable} = state;
+    const copy = model.copy();
+    model.write('upstream/three', ready);
+    await advance(clock, 2_000);
+    model.restore(copy);
+    await advance(clock, 1_100);
+    model.setReachable(false);
+    model.write('upstream/three', ready);
+    const second = model.copy();
+    await advance(clock, 500);
+    model.restore(second);
+    model.setReachable(true);
+    await advance(clock, 5_000);
+    expect(usable()).to.include('three');
+    sync.close();
+  });
+
+  // Guards against an entry that is never used again although the store holds it.
+  it('uses an entry that is still there long after it was held back', async () => {
+    const state = await startFollower();
+    const {clock, model, sync, usable} = state;
+    const copy = model.copy();
+    model.remove('upstream/one');
+    await advance(clock, 2_000);
+    await drill(state, copy);
+    await advance(clock, 10_000);
+    expect(usable()).to.deep.equal(['two']);
+    await advance(clock, 12_000);
+    expect(usable()).to.include('one');
+    sync.close();
+  });
+
   it('tells when the entry of this instance is gone', async () => {
     const state = await startFollower();
     const {clock, model, ownRemovals, sync} = state;
--- a/packages/gateway/src/state/RestoredState.ts
+++ b/packages/gateway/src/state/RestoredState.ts
@@ -25,6 +25,11 @@
     items: readonly DecodedItem[],
     known: ((key: string) => KnownItem | undefined) | undefined,
   ): readonly DecodedItem[];
+  /**
+   * Notes the keys that the first snapshot of a history lacks. Nobody is known to
+   * have removed them, so the snapshot of a further history may hold them.
+   */
+  noteLacking(keys: readonly string[]): void;
   /** Notes that an item has been written or removed in the present history. */
   noteWritten(key: string): void;
   /** Takes the items that have been held back for the longest time allowed. */
@@ -68,6 +73,7 @@
 /** Creates a state without a copy. */
 export function createRestoredState(clock: Clock): RestoredState {
   const heldBack = new Map<string, StoredItem>();
+  const lacking = new Set<string>();
   const cancelRemovals = new Map<string, () => void>();
   let graceEndMs = -Infinity;
   let heldBackUntilMs = -Infinity;
@@ -106,17 +112,26 @@
             ? held?.value === item.value && held !== undefined
             : change !== undefined &&
               knownItem !== undefined &&
+              !lacking.has(item.key) &&
               isOutdated(change, knownItem);
         if (isOld) heldBack.set(item.key, item);
-        else cancelRemoval(item.key);
+        else {
+          lacking.delete(item.key);
+          cancelRemoval(item.key);
+        }
         return !isOld;
       });
     },
+    noteLacking: keys => {
+      for (const key of keys) lacking.add(key);
+    },
     noteWritten: key => {
+      lacking.delete(key);
       heldBack.delete(key);
       cancelRemoval(key);
     },
     takeOverdue: () => {
+      if (clock.nowMs() >= heldBackUntilMs) lacking.clear();
       if (heldBack.size === 0 || clock.nowMs() < heldBackUntilMs) return [];
       const overdue = [...heldBack.values()];
       heldBack.clear();
--- a/packages/gateway/src/state/StateSync.ts
+++ b/packages/gateway/src/state/StateSync.ts
@@ -287,11 +287,7 @@
   /** Applies the changes since the last read. */
   function applyUpdate(items: readonly StoredItem[], next: Cursor): void {
     for (const {key} of items) restored.noteWritten(key);
-    // Peers at the same revision would not receive them.
-    const overdue =
-      next.revision > (cursor?.revision ?? -Infinity)
-        ? restored.takeOverdue()
-        : [];
+    const overdue = restored.takeOverdue();
     applyItems([...overdue, ...items].map(toDecoded), next.revision);
     advanceTo(next);
   }
@@ -313,7 +309,10 @@
       decoded,
       previous === undefined ? undefined : log.known,
     );
-    if (previous !== undefined) log.beginHistory(next.era, next.revision);
+    if (previous !== undefined) {
+      restored.noteLacking(removed.map(({item}) => item.key));
+      log.beginHistory(next.era, next.revision);
+    }
     applyItems([...removed, ...admitted], next.revision);
     advanceTo(next);
     if (previous === undefined) return;
