--- a/packages/gateway/src/state/StateSync.ts
+++ b/packages/gateway/src/state/StateSync.ts
@@ -3,7 +3,8 @@
  * the age of the configuration. It reads a full snapshot once and then follows
  * changes: through another instance of the failure domain where there is one,
  * and else from the store itself, with a minimum interval that bounds the number
- * of calls.
+ * of calls. A revision is valid only in the history of the store that it belongs
+ * to, so another history begins with a full snapshot.
  */
 import type {Clock, InstanceId, UpstreamId} from '@toucanrouter/common';
 import {delay, hash64} from '@toucanrouter/common';
@@ -755,7 +756,7 @@
     return shown;
   }
 
-  history.onBegin(beginHistory);
+  const stopListening = history.onBegin(beginHistory);
 
   return {
     start: () => void run(),
@@ -780,6 +781,7 @@
     shownConfigVersion: () => shownConfigVersion,
     close: () => {
       closed = true;
+      stopListening();
     },
   };
 }
