gateway: hold back the entries of leaving processes for good

The entry of a process that is known to be leaving was used again 20 s after a drill if its engine had not written it again, although rule DRAIN binds an instance that has acknowledged the leaving. And an instance that started within the drill took the age of the newest configuration from another instance that did not have it.

Only an entry that was known to be removed is released after that time: the store would have removed it again if nobody renewed it. The age is taken from the instances that told the version that is now in force.

The two new tests failed before ("expected [ 'one', 'two' ] to deeply equal [ 'two' ]", "expected 2000 to be at least 3400") and pass, with the other tests of StateSync, RestoredStore and RelayEras.

--- a/packages/gateway/src/__tests__/unit/RelayEras.test.ts
+++ b/packages/gateway/src/__tests__/unit/RelayEras.test.ts
@@ -219,7 +219,10 @@
 });
 
 describe('An instance that starts while the store shows a copy', () => {
-  async function startWithin(readRelay: RelayClient['read'] | undefined) {
+  async function startWithin(
+    readRelay: RelayClient['read'] | undefined,
+    change: (read: RelayClient['read']) => typeof read = unchanged,
+  ) {
     const clock = createManualClock(1_000);
     const model = createDomain();
     const copy = model.copy();
@@ -228,10 +231,11 @@
     model.write('config', '6');
     await advance(clock, 2_000);
     model.restore(copy);
+    await advance(clock, 1_500);
     const starting = createFollower(model, {
       clock,
       selfId: lastId,
-      readRelay: readRelay ?? relayOf(running),
+      readRelay: change(readRelay ?? relayOf(running)),
     });
     starting.sync.start();
     await advance(clock, 2_000);
@@ -255,6 +259,32 @@
     starting.sync.close();
   });
 
+  // Guards against a configuration that seems confirmed because another instance
+  // without it has read the store a moment ago.
+  it('takes over the age of the instance that it learned from', async () => {
+    const {running, starting} = await startWithin(undefined, read => {
+      let request = 0;
+      return (...rest) => {
+        request += 1;
+        return request > 1
+          ? read(...rest)
+          : succeed<RelayResponse>({
+              revision: 100,
+              complete: true,
+              items: [{key: 'config', value: '5'}],
+              confirmedAfterMs: 0,
+              regainedAgoMs: null,
+            });
+      };
+    });
+    expect(starting.version()).to.equal(6);
+    expect(starting.configAge.ageMs()).to.be.at.least(
+      running.configAge.ageMs() - 100,
+    );
+    running.sync.close();
+    starting.sync.close();
+  });
+
   // Guards against an instance that never serves because nobody answers it.
   it('uses what the store shows if no other instance responds', async () => {
     const {running, starting} = await startWithin(() => fail<RelayResponse>());
--- a/packages/gateway/src/__tests__/unit/RestoredStore.test.ts
+++ b/packages/gateway/src/__tests__/unit/RestoredStore.test.ts
@@ -361,6 +361,23 @@
     sync.close();
   });
 
+  // Guards against requests to an upstream whose leaving was confirmed, also long
+  // after the drill.
+  it('never uses the entry of a process that is known to be leaving', async () => {
+    const state = await startFollower();
+    const {clock, model, sync, usable} = state;
+    const copy = model.copy();
+    model.write('upstream/one', 'leaving born 1 seq 2');
+    await advance(clock, 2_000);
+    await drill(state, copy);
+    await advance(clock, 30_000);
+    expect(usable()).to.deep.equal(['two']);
+    model.write('upstream/one', 'ready born 2 seq 1');
+    await advance(clock, 1_100);
+    expect(usable()).to.include('one');
+    sync.close();
+  });
+
   it('tells when the entry of this instance is gone', async () => {
     const state = await startFollower();
     const {clock, model, ownRemovals, sync} = state;
--- a/packages/gateway/src/state/RestoredState.ts
+++ b/packages/gateway/src/state/RestoredState.ts
@@ -32,7 +32,10 @@
   noteLacking(keys: readonly string[]): void;
   /** Notes that an item has been written or removed in the present history. */
   noteWritten(key: string): void;
-  /** Takes the items that have been held back for the longest time allowed. */
+  /**
+   * Takes the items that have been held back for the longest time allowed. One
+   * that is known to be leaving, or to be over, stays.
+   */
   takeOverdue(): readonly StoredItem[];
   readonly heldBackCount: number;
   /** Runs `remove` at the end of the grace period unless `key` is written. */
@@ -50,6 +53,12 @@
  */
 export const maxHeldBackMs = 20_000;
 
+interface HeldBackItem {
+  readonly item: StoredItem;
+  /** True if it was only removed, so its owner may have written it again. */
+  readonly wasRemoved: boolean;
+}
+
 /** True if an item of the copy is older than what is known. */
 function isOutdated(change: StateChange, known: KnownItem): boolean {
   switch (change.kind) {
@@ -72,7 +81,7 @@
 
 /** Creates a state without a copy. */
 export function createRestoredState(clock: Clock): RestoredState {
-  const heldBack = new Map<string, StoredItem>();
+  const heldBack = new Map<string, HeldBackItem>();
   const lacking = new Set<string>();
   const cancelRemovals = new Map<string, () => void>();
   let graceEndMs = -Infinity;
@@ -109,12 +118,13 @@
         const knownItem = known?.(item.key);
         const isOld =
           known === undefined
-            ? held?.value === item.value && held !== undefined
+            ? held !== undefined && held.item.value === item.value
             : change !== undefined &&
               knownItem !== undefined &&
               !lacking.has(item.key) &&
               isOutdated(change, knownItem);
-        if (isOld) heldBack.set(item.key, item);
+        const wasRemoved = knownItem?.isRemoved ?? held?.wasRemoved ?? false;
+        if (isOld) heldBack.set(item.key, {item, wasRemoved});
         else {
           lacking.delete(item.key);
           cancelRemoval(item.key);
@@ -133,8 +143,10 @@
     takeOverdue: () => {
       if (clock.nowMs() >= heldBackUntilMs) lacking.clear();
       if (heldBack.size === 0 || clock.nowMs() < heldBackUntilMs) return [];
-      const overdue = [...heldBack.values()];
-      heldBack.clear();
+      const overdue = [...heldBack.values()]
+        .filter(({wasRemoved}) => wasRemoved)
+        .map(({item}) => item);
+      for (const {key} of overdue) heldBack.delete(key);
       return overdue;
     },
     get heldBackCount() {
--- a/packages/gateway/src/state/StateSync.ts
+++ b/packages/gateway/src/state/StateSync.ts
@@ -460,15 +460,28 @@
       .slice(0, maxAskedPeers);
   }
 
-  /** Takes a newer configuration, with the time of its confirmation there. */
-  function learnConfig(response: RelayResponse, mark: TimeMark): void {
-    for (const item of response.items) {
-      const change = decode(item);
-      if (change?.kind !== 'config' || isOlderConfig(change)) continue;
+  /** Takes the newest configuration of peers, with the age that it has there. */
+  function learnConfig(
+    responses: readonly RelayResponse[],
+    mark: TimeMark,
+  ): void {
+    const learned = responses.flatMap(({confirmedAfterMs, items}) =>
+      items.flatMap(item => {
+        const change = decode(item);
+        return change?.kind === 'config'
+          ? [{change, confirmedAfterMs, item}]
+          : [];
+      }),
+    );
+    for (const {change, item} of learned) {
       if (config.applyIfNewer(change.config) && cursor !== undefined) {
         log.record(item, change, cursor.revision);
       }
-      configAge.confirmed(shiftMark(mark, response.confirmedAfterMs));
+    }
+    const inForce = config.current()?.version;
+    for (const {change, confirmedAfterMs} of learned) {
+      if (change.config.version !== inForce) continue;
+      configAge.confirmed(shiftMark(mark, confirmedAfterMs));
     }
   }
 
@@ -478,7 +491,7 @@
    */
   async function askPeersForConfig(): Promise<void> {
     const mark = configAge.mark();
-    let answered = 0;
+    const responses: RelayResponse[] = [];
     isAskingPeers = true;
     const asked = peersToAsk().map(async address => {
       const response = await options.relays.read(
@@ -488,20 +501,20 @@
         askTimeoutMs,
       );
       if (response.isErr()) return;
-      answered += 1;
       history.observe(response.value.era);
-      learnConfig(response.value, mark);
+      responses.push(response.value);
     });
     try {
       // A call may take longer than its timeout until it is connected.
       await Promise.race([Promise.all(asked), delay(clock, askTimeoutMs)]);
+      learnConfig(responses, mark);
     } finally {
       isAskingPeers = false;
     }
     if (asked.length === 0) return;
     logger.info('asked other instances for the configuration', {
       asked: asked.length,
-      answered,
+      answered: responses.length,
       configVersion: config.current()?.version,
       copyConfigVersion: shownConfigVersion,
     });
