gateway: use a lease only in the history of the store that granted it

Its lease had been granted after the copy was made, and the store gave the number out again, so the instance renewed the lease of another one. No load reports reach such an instance, and others divide budgets and rates without it.

The registration keeps the lease with its era.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -256,6 +256,7 @@
     clock,
     logger,
     store,
+    history: storeHistory,
     entry: {
       instanceId: settings.instanceId,
       address: settings.peers,
