gateway: write verdicts again that a restored store lacks

Callers saw nothing yet; by reading: a verdict on a prompt that crashes engines is written once. A store that came back from a copy made before that lacks it, so instances that start later send such prompts to engines again; a verdict that was lifted since comes back with the copy and blocks sound prompts at those instances.

When a new history begins, the archive writes the rest of the verdicts that it saved, and after two seconds those of others that the store does not show by then, since the instance that saved them may have ended. A lifted verdict that the new history holds is removed again.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -214,6 +214,7 @@
     clock,
     logger,
     store,
+    history: storeHistory,
     onVerdict: promptGuard.adopt,
   });
   const upstreamNotices = createUpstreamNotices({
--- a/packages/gateway/src/__tests__/unit/VerdictArchive.test.ts
+++ b/packages/gateway/src/__tests__/unit/VerdictArchive.test.ts
@@ -8,6 +8,9 @@
 import {segmentHashOf} from '@toucanrouter/policy';
 import {expect} from 'chai';
 import {errAsync, okAsync} from 'neverthrow';
+import type {StoredVerdict} from '../../state/StateStore.js';
+import {toStoreEra} from '../../state/StateStore.js';
+import {createStoreHistory} from '../../state/StoreHistory.js';
 import {createVerdictArchive} from '../../state/VerdictArchive.js';
 
 const segment = segmentHashOf('crashing');
@@ -23,8 +26,12 @@
       ? okAsync<void, PlatformError>(undefined)
       : errAsync<void, PlatformError>(new PlatformError('down', false));
   };
+  const history = createStoreHistory();
+  history.observe(toStoreEra(1));
+  const saved: StoredVerdict[] = [];
   const archive = createVerdictArchive({
     clock,
+    history,
     logger: createLogger({
       format: 'json',
       level: 'error',
@@ -32,12 +39,16 @@
       write: () => undefined,
     }),
     store: {
-      saveVerdict: () => call('save'),
+      saveVerdict: next => {
+        saved.push(next);
+        return call('save');
+      },
       removeVerdict: () => call('remove'),
     },
     onVerdict: adopted => calls.push(`adopt ${adopted.durationMs}`),
   });
-  return {archive, calls, clock};
+  const beginHistory = () => history.observe(toStoreEra(2));
+  return {archive, beginHistory, calls, clock, saved};
 }
 
 async function advance(clock: ManualClock, ms: number): Promise<void> {
@@ -95,4 +106,64 @@
     await advance(clock, 200);
     expect(calls).to.deep.equal(['save', 'remove']);
   });
+
+  // Guards against a verdict that later instances do not know, because the
+  // store came back from a copy that was made before it was saved.
+  it('saves the rest of its verdicts again in a new history', async () => {
+    const {archive, beginHistory, calls, clock, saved} = createArchive(0);
+    archive.save(verdict);
+    await advance(clock, 2_000);
+    beginHistory();
+    await advance(clock, 100);
+    expect(calls).to.deep.equal(['save', 'save']);
+    expect(saved[1]).to.deep.equal({
+      segment,
+      durationMs: 3_000,
+      evidenceAgeMs: 3_000,
+    });
+  });
+
+  // Guards against a verdict that is lost because the instance that saved it
+  // has ended.
+  it('saves verdicts of others that a new history lacks', async () => {
+    const {archive, beginHistory, calls, clock} = createArchive(0);
+    archive.receive(verdict);
+    beginHistory();
+    await advance(clock, 1_000);
+    expect(calls).to.deep.equal(['adopt 5000']);
+    await advance(clock, 2_000);
+    expect(calls).to.deep.equal(['adopt 5000', 'save']);
+  });
+
+  it('leaves verdicts of others that a new history holds', async () => {
+    const {archive, beginHistory, calls, clock} = createArchive(0);
+    archive.receive(verdict);
+    beginHistory();
+    archive.receive(verdict);
+    await advance(clock, 3_000);
+    expect(calls).to.deep.equal(['adopt 5000']);
+  });
+
+  // Guards against a lifted verdict that comes back with the copy.
+  it('removes a lifted verdict that a new history holds', async () => {
+    const {archive, beginHistory, calls, clock} = createArchive(0);
+    archive.save(verdict);
+    archive.remove(segment);
+    await advance(clock, 200);
+    beginHistory();
+    archive.receive(verdict);
+    archive.receive(verdict);
+    await advance(clock, 200);
+    expect(calls.at(-1)).to.equal('remove');
+    expect(calls.filter(call => call === 'remove')).to.have.length(2);
+  });
+
+  it('does not save a verdict again that is nearly over', async () => {
+    const {archive, beginHistory, calls, clock} = createArchive(0);
+    archive.save(verdict);
+    await advance(clock, 4_500);
+    beginHistory();
+    await advance(clock, 400);
+    expect(calls).to.deep.equal(['save']);
+  });
 });
--- a/packages/gateway/src/state/VerdictArchive.ts
+++ b/packages/gateway/src/state/VerdictArchive.ts
@@ -3,7 +3,9 @@
  * instances that start later refuse such prompts from their first request on,
  * also if all instances have ended meanwhile. Calls that fail are repeated until
  * the verdict is over. A verdict of the store is adopted once: a later read of
- * the same entry must not renew it.
+ * the same entry must not renew it. When the store comes back from a copy, what
+ * the copy lacks is written again, and lifted verdicts that it holds are removed
+ * again.
  */
 import type {Clock} from '@toucanrouter/common';
 import {delay} from '@toucanrouter/common';
@@ -11,12 +13,14 @@
 import type {SegmentHash} from '@toucanrouter/policy';
 import {createBoundedMap} from '@toucanrouter/policy';
 import type {StateStore, StoredVerdict} from './StateStore.js';
+import type {StoreHistory} from './StoreHistory.js';
 
 /** Options of an archive. */
 export interface VerdictArchiveOptions {
   readonly clock: Clock;
   readonly logger: Logger;
   readonly store: Pick<StateStore, 'removeVerdict' | 'saveVerdict'>;
+  readonly history: StoreHistory;
   /** Called with a verdict of the store that was not read before. */
   readonly onVerdict: (verdict: StoredVerdict) => void;
 }
@@ -37,6 +41,10 @@
 const retryMs = 1_000;
 /** Bounds the memory that entries of other writers may take. */
 const maxStoredCount = 1_024;
+/** Verdicts of others are left to the instance that saved them for this time. */
+const rewriteDelayMs = 2_000;
+/** A shorter rest of a verdict is not worth a lease. */
+const minRewrittenMs = 1_000;
 
 /** What the store should hold for a segment. */
 interface Wanted {
@@ -46,7 +54,13 @@
 
 /** A verdict that the store holds as far as known. */
 interface StoredEntry {
+  readonly verdict: StoredVerdict;
+  readonly sinceMs: number;
   readonly untilMs: number;
+  /** True if this instance saved it. */
+  readonly isOwn: boolean;
+  /** The number of histories that had begun when the store last held it. */
+  readonly seenInHistory: number;
   /** True once this instance has asked for its removal. */
   readonly isLifted: boolean;
 }
@@ -55,11 +69,13 @@
 export function createVerdictArchive(
   options: VerdictArchiveOptions,
 ): VerdictArchive {
-  const {clock, logger, store} = options;
+  const {clock, history, logger, store} = options;
   const stored = createBoundedMap<SegmentHash, StoredEntry>(maxStoredCount);
   const wanted = new Map<SegmentHash, Wanted>();
   let running = false;
   let closed = false;
+  let historyCount = 0;
+  let cancelRewrite: () => void = () => undefined;
 
   async function write(segment: SegmentHash, next: Wanted): Promise<boolean> {
     const result = await (next.verdict === undefined
@@ -96,28 +112,76 @@
     void run();
   }
 
+  function put(verdict: StoredVerdict, isOwn: boolean): StoredEntry {
+    const sinceMs = clock.nowMs();
+    const entry = {
+      verdict,
+      sinceMs,
+      untilMs: sinceMs + verdict.durationMs,
+      isOwn,
+      seenInHistory: historyCount,
+      isLifted: false,
+    };
+    stored.set(verdict.segment, entry);
+    return entry;
+  }
+
+  /** Writes what is left of a verdict again. */
+  function rewrite({sinceMs, untilMs, verdict}: StoredEntry): void {
+    const elapsedMs = clock.nowMs() - sinceMs;
+    const rest = {
+      segment: verdict.segment,
+      durationMs: verdict.durationMs - elapsedMs,
+      evidenceAgeMs: verdict.evidenceAgeMs + elapsedMs,
+    };
+    if (rest.durationMs >= minRewrittenMs) {
+      want(verdict.segment, {verdict: rest, untilMs});
+    }
+  }
+
+  function rewriteMissing(isOwn: boolean): void {
+    for (const entry of stored.values()) {
+      const isMissing = entry.seenInHistory !== historyCount;
+      if (isMissing && !entry.isLifted && entry.isOwn === isOwn) rewrite(entry);
+    }
+  }
+
+  const stopListening = history.onBegin(() => {
+    historyCount += 1;
+    rewriteMissing(true);
+    cancelRewrite();
+    cancelRewrite = clock.after(rewriteDelayMs, () => rewriteMissing(false));
+  });
+
   return {
     save: verdict => {
-      const untilMs = clock.nowMs() + verdict.durationMs;
-      stored.set(verdict.segment, {untilMs, isLifted: false});
+      const {untilMs} = put(verdict, true);
       want(verdict.segment, {verdict, untilMs});
     },
     remove: segment => {
       const entry = stored.get(segment);
       if (entry === undefined || entry.isLifted) return;
-      const {untilMs} = entry;
-      stored.set(segment, {untilMs, isLifted: true});
-      want(segment, {verdict: undefined, untilMs});
+      stored.set(segment, {...entry, isLifted: true});
+      want(segment, {verdict: undefined, untilMs: entry.untilMs});
     },
     receive: verdict => {
-      if (stored.has(verdict.segment)) return;
-      const untilMs = clock.nowMs() + verdict.durationMs;
-      stored.set(verdict.segment, {untilMs, isLifted: false});
-      options.onVerdict(verdict);
+      const entry = stored.get(verdict.segment);
+      if (entry === undefined) {
+        put(verdict, false);
+        options.onVerdict(verdict);
+        return;
+      }
+      if (entry.seenInHistory === historyCount) return;
+      stored.set(verdict.segment, {...entry, seenInHistory: historyCount});
+      if (entry.isLifted) {
+        want(verdict.segment, {verdict: undefined, untilMs: entry.untilMs});
+      }
     },
     receiveRemoval: segment => stored.delete(segment),
     close: () => {
       closed = true;
+      stopListening();
+      cancelRewrite();
     },
   };
 }
--- a/packages/policy/src/BoundedMap.ts
+++ b/packages/policy/src/BoundedMap.ts
@@ -10,6 +10,8 @@
   has(key: Key): boolean;
   set(key: Key, value: Value): void;
   delete(key: Key): void;
+  /** Returns the values that the map holds now. */
+  values(): readonly Value[];
   readonly size: number;
 }
 
@@ -37,6 +39,7 @@
     delete: key => {
       entries.delete(key);
     },
+    values: () => [...entries.values()],
     get size() {
       return entries.size;
     },
