soak: let the store come back from copies of itself

No test played a drill with real processes. Changes of the configuration come around each drill. Checked from outside, for instances that are in touch: each confirmed version is in force in time, no process goes back to an older one, and each instance is listed.

--- a/scripts/soak.js
+++ b/scripts/soak.js
@@ -7,12 +7,14 @@
  * A seed gives one schedule of load and faults; a fault is skipped if its
  * instance is not running. Series of SIGHUP overlap all faults and reach processes
  * that start or stop too, those that were started again from `--signal-from MS`
- * after their start on. `--busy N` starts N processes
+ * after their start on. `--drills` lets the store come back from copies of itself.
+ * `--busy N` starts N processes
  * that take all processor time they get, and `--cpus LIST` pins the instances
  * and these processes to the named processors. Soaks that run beside each other
  * in one checkout need `--skip-build`. The exit code is 1 if a promise
  * was broken; the schedule and the logs are kept then.
  */
+import {Buffer} from 'node:buffer';
 import console from 'node:console';
 import {spawn, spawnSync} from 'node:child_process';
 import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
@@ -31,7 +33,9 @@
 } from '../review/deployment.js';
 import {root} from '../review/router.js';
 import {createCaller} from './soak/callers.js';
+import {createDrills} from './soak/drills.js';
 import {createFleet, gracePeriodMs} from './soak/fleet.js';
+import {createRestorableStore, readJson} from './soak/restorableStore.js';
 
 const {values} = parseArgs({
   options: {
@@ -42,6 +46,7 @@
     rate: {type: 'string', default: '1'},
     busy: {type: 'string', default: '0'},
     cpus: {type: 'string'},
+    drills: {type: 'boolean', default: false},
     'signal-from': {type: 'string', default: '300'},
     'skip-build': {type: 'boolean', default: false},
   },
@@ -69,6 +74,8 @@
 /** Callers that send a large body at the same moment. */
 const largeBodies = 60;
 const largeBodyLimitMs = 8_000;
+/** Above the streams of load and signals of any number of instances. */
+const drillStream = 1_009;
 
 /** Numbers from 0 to 1 that repeat with the seed. */
 function createRandom(seed) {
@@ -81,6 +88,12 @@
   };
 }
 
+/** Returns the configuration that the deployment's operator has written. */
+async function readConfiguration(address) {
+  const {value} = await readJson(`http://${address}/kv-key?key=op/config`);
+  return JSON.parse(Buffer.from(value, 'base64').toString());
+}
+
 function startBusyProcesses(count) {
   const script = 'for (;;);';
   const pinned =
@@ -109,10 +122,14 @@
     runModel: streamSoundly,
     runPlain: answerSoundly,
   });
+  const restorable = values.drills
+    ? createRestorableStore({sourceAddress: deployment.address, nowMs})
+    : undefined;
+  if (restorable !== undefined) closers.push(restorable.close);
   const fleet = createFleet({
     count: Number(values.instances),
     directory,
-    storeAddress: deployment.address,
+    storeAddress: (await restorable?.listen()) ?? deployment.address,
     nowMs,
     // Soaks that run beside each other have addresses of their own.
     subnet: `127.0.${firstSubnet + (process.pid % subnetCount)}`,
@@ -268,6 +285,17 @@
       ),
     ),
   );
+  const drills =
+    restorable &&
+    createDrills({
+      source: deployment.store,
+      store: restorable,
+      configuration: await readConfiguration(deployment.address),
+      fleet,
+      random: createRandom(seed + seedStride * drillStream),
+      nowMs,
+      onViolation,
+    });
   const endMs = nowMs() + seconds * 1_000;
   const loadStreams = 2 + fleet.instances.length * kinds.length;
   for (const instance of fleet.instances) {
@@ -295,6 +323,7 @@
   }
   for (const timer of timers) clearTimeout(timer);
   await sleep(Math.max(settleMs, gracePeriodMs));
+  drills?.close();
   checkCalls({ended, deployment, onViolation});
   callers.forEach(caller => caller.close());
   fleet.close();
@@ -318,6 +347,7 @@
     signals: signalCounts,
     stopsMs: stops,
     peakMb: Math.round(peakMb),
+    drills: drills?.report,
     violations,
   };
   if (violations.length === 0) rmSync(directory, {recursive: true});
