--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -220,6 +220,7 @@
     clock,
     logger,
     store,
+    history: storeHistory,
     onVerdict: promptGuard.adopt,
   });
   const upstreamNotices = createUpstreamNotices({
@@ -262,6 +263,7 @@
     clock,
     logger,
     store,
+    history: storeHistory,
     entry: {
       instanceId: settings.instanceId,
       address: settings.peers,
