standins: let the key-value service come back from a copy

In a drill the platform's key-value service comes back from a copy that is some seconds old. The stand-in could not play that: its revisions only grew, and responses carried no cluster id, so no test could show what an instance makes of it.

The service and the controlled one keep copies of their state and leases and go back to one: the revisions and lease ids since are given out again, watches break, and each restore has another cluster id in the header of all responses.

--- a/packages/common/src/KeyValue.ts
+++ b/packages/common/src/KeyValue.ts
@@ -16,6 +16,11 @@
 export interface RevisionCompare {
   readonly key: string;
   readonly modRevision: number;
+  /**
+   * Value that the key must have, too. A revision is given out again when the
+   * service comes back from a copy; a value that no other write has isn't.
+   */
+  readonly value?: Uint8Array;
 }
 
 /** Puts and deletes that are applied atomically if all compares succeed. */
--- a/packages/standins/src/store/ControlledKeyValue.ts
+++ b/packages/standins/src/store/ControlledKeyValue.ts
@@ -156,9 +156,11 @@
   state: KeyValueState,
   transaction: KeyValueTransaction,
 ): TransactionResponse {
-  const succeeded = transaction.compares.every(
-    ({key, modRevision}) => (state.get(key)?.modRevision ?? 0) === modRevision,
-  );
+  const succeeded = transaction.compares.every(({key, modRevision, value}) => {
+    const entry = state.get(key);
+    if ((entry?.modRevision ?? 0) !== modRevision) return false;
+    return value === undefined || entry?.value.equals(value) === true;
+  });
   if (succeeded) {
     state.commit(writer => {
       for (const {key, value} of transaction.puts) {
--- a/packages/standins/src/store/KeyValueServer.ts
+++ b/packages/standins/src/store/KeyValueServer.ts
@@ -8,12 +8,13 @@
 import {loadKeyValueProto} from '@toucanrouter/keyvalue';
 import {createCallRunner} from './CallRunner.js';
 import type {Counters} from './Counters.js';
-import type {KeyValueState} from './KeyValueState.js';
+import type {KeyValueState, StateCopy} from './KeyValueState.js';
 import {createKeyValueState} from './KeyValueState.js';
 import {
   createTransactionExecutor,
   StatusError,
 } from './KeyValueTransactions.js';
+import type {LeaseCopy} from './LeaseTable.js';
 import {createLeaseTable} from './LeaseTable.js';
 import type {Switches} from './Switches.js';
 import {createWatchHandler} from './WatchHandler.js';
@@ -26,10 +27,19 @@
   readonly switches: Switches;
 }
 
+/** What the service holds at one moment. */
+export interface StoreCopy {
+  readonly state: StateCopy;
+  readonly leases: LeaseCopy;
+}
+
 export interface KeyValueServer {
   readonly port: number;
   readonly state: KeyValueState;
   cutWatches(): void;
+  copy(): StoreCopy;
+  /** Goes back to a copy under a new cluster id and breaks all watches. */
+  restore(copy: StoreCopy): void;
   close(): void;
 }
 
@@ -76,7 +86,7 @@
   };
 
   function header() {
-    return {revision: state.revision()};
+    return {clusterId: state.clusterId(), revision: state.revision()};
   }
 
   function grantLease(id: number, ttlSeconds: number) {
@@ -110,6 +120,12 @@
     port,
     state,
     cutWatches: watches.cutAll,
+    copy: () => ({state: state.copy(), leases: leases.copy()}),
+    restore: copy => {
+      watches.cutAll();
+      leases.restore(copy.leases);
+      state.restore(copy.state);
+    },
     close: () => {
       stopListener();
       leases.close();
--- a/packages/standins/src/store/KeyValueState.ts
+++ b/packages/standins/src/store/KeyValueState.ts
@@ -41,6 +41,8 @@
  */
 const retainedRevisions = 1000;
 
+const firstClusterId = 1;
+
 /** Receives the versions written by one revision. */
 export type CommitListener = (entries: readonly VersionedEntry[]) => void;
 
@@ -59,7 +61,17 @@
   }
 }
 
+/** The state at one moment, from which a service can be restored. */
+export interface StateCopy {
+  readonly revision: number;
+  readonly compactedRevision: number;
+  readonly versions: ReadonlyMap<string, readonly VersionedEntry[]>;
+  readonly commitLog: readonly (readonly VersionedEntry[])[];
+}
+
 export interface KeyValueState {
+  /** Identifies the history: a service that is restored gets another one. */
+  clusterId(): number;
   revision(): number;
   compactedRevision(): number;
   get(key: string): VersionedEntry | undefined;
@@ -70,6 +82,14 @@
   /** Returns the versions written since `revision`, inclusive, by revision. */
   changesSince(revision: number): readonly (readonly VersionedEntry[])[];
   compact(revision: number): void;
+  copy(): StateCopy;
+  /**
+   * Goes back to a copy under a new cluster id. What was written since is gone,
+   * and its revisions are given out again.
+   */
+  restore(copy: StateCopy): void;
+  /** Registers a listener to restores; returns a function that removes it. */
+  registerRestoreListener(listener: () => void): () => void;
   /** Registers a listener; returns a function that removes it. */
   registerCommitListener(listener: CommitListener): () => void;
 }
@@ -86,6 +106,8 @@
 export function createKeyValueState(): KeyValueState {
   const versions = new Map<string, VersionedEntry[]>();
   const listeners = new Set<CommitListener>();
+  const restoreListeners = new Set<() => void>();
+  let clusterId = firstClusterId;
   let commitLog: (readonly VersionedEntry[])[] = [];
   let current = 1;
   let compacted = 0;
@@ -191,7 +213,18 @@
     else versions.set(key, retained);
   }
 
+  function restore(copy: StateCopy): void {
+    versions.clear();
+    for (const [key, all] of copy.versions) versions.set(key, [...all]);
+    commitLog = [...copy.commitLog];
+    current = copy.revision;
+    compacted = copy.compactedRevision;
+    clusterId += 1;
+    for (const listener of [...restoreListeners]) listener();
+  }
+
   return {
+    clusterId: () => clusterId,
     revision: () => current,
     compactedRevision: () => compacted,
     get: key => entryAt(key, current),
@@ -210,6 +243,17 @@
       );
     },
     compact,
+    copy: () => ({
+      revision: current,
+      compactedRevision: compacted,
+      versions: new Map([...versions].map(([key, all]) => [key, [...all]])),
+      commitLog: [...commitLog],
+    }),
+    restore,
+    registerRestoreListener: listener => {
+      restoreListeners.add(listener);
+      return () => restoreListeners.delete(listener);
+    },
     registerCommitListener: listener => {
       listeners.add(listener);
       return () => listeners.delete(listener);
--- a/packages/standins/src/store/KeyValueTransactions.ts
+++ b/packages/standins/src/store/KeyValueTransactions.ts
@@ -43,7 +43,7 @@
   leases: LeaseTable,
 ): TransactionExecutor {
   function header() {
-    return {revision: state.revision()};
+    return {clusterId: state.clusterId(), revision: state.revision()};
   }
 
   function range(
@@ -163,7 +163,9 @@
   compare: Compare,
   entry: VersionedEntry | undefined,
 ): boolean {
-  const [actual, expected] = comparedValues(compare, entry);
+  const {target} = compare;
+  if (target === 'VALUE') return valueCompareHolds(compare, entry);
+  const [actual, expected] = comparedNumbers(compare, target, entry);
   switch (compare.result) {
     case 'EQUAL':
       return actual === expected;
@@ -176,11 +178,31 @@
   }
 }
 
-function comparedValues(
+/** The value of an absent key equals nothing. */
+function valueCompareHolds(
   compare: Compare,
   entry: VersionedEntry | undefined,
+): boolean {
+  if (entry === undefined) return false;
+  const order = Buffer.compare(entry.value, compare.value ?? Buffer.alloc(0));
+  switch (compare.result) {
+    case 'EQUAL':
+      return order === 0;
+    case 'NOT_EQUAL':
+      return order !== 0;
+    case 'GREATER':
+      return order > 0;
+    case 'LESS':
+      return order < 0;
+  }
+}
+
+function comparedNumbers(
+  compare: Compare,
+  target: Exclude<Compare['target'], 'VALUE'>,
+  entry: VersionedEntry | undefined,
 ): [actual: number, expected: number] {
-  switch (compare.target) {
+  switch (target) {
     case 'VERSION':
       return [entry?.version ?? 0, compare.version ?? 0];
     case 'CREATE':
--- a/packages/standins/src/store/LeaseTable.ts
+++ b/packages/standins/src/store/LeaseTable.ts
@@ -10,6 +10,12 @@
   readonly ttlSeconds: number;
 }
 
+/** The leases at one moment, from which a service can be restored. */
+export interface LeaseCopy {
+  readonly leases: readonly Lease[];
+  readonly nextId: number;
+}
+
 /** Leases and their expiry. */
 export interface LeaseTable {
   /** Grants a lease; id 0 allocates an id. Undefined if the id is in use. */
@@ -19,6 +25,9 @@
   /** Revokes a lease and deletes its keys; false if it has expired. */
   revoke(id: number): boolean;
   has(id: number): boolean;
+  copy(): LeaseCopy;
+  /** Goes back to the leases of a copy; each runs its whole time again. */
+  restore(copy: LeaseCopy): void;
   close(): void;
 }
 
@@ -77,6 +86,22 @@
     },
     revoke,
     has: id => leases.has(id),
+    copy: () => ({
+      leases: [...leases.values()].map(({id, ttlSeconds}) => ({
+        id,
+        ttlSeconds,
+      })),
+      nextId,
+    }),
+    restore: copy => {
+      for (const lease of leases.values()) lease.stopTimer();
+      leases.clear();
+      nextId = copy.nextId;
+      for (const {id, ttlSeconds} of copy.leases) {
+        const stopTimer = startTimer(id, ttlSeconds);
+        leases.set(id, {id, ttlSeconds, stopTimer});
+      }
+    },
     close: () => {
       for (const lease of leases.values()) lease.stopTimer();
     },
--- a/packages/standins/src/store/PlatformStandIn.ts
+++ b/packages/standins/src/store/PlatformStandIn.ts
@@ -9,6 +9,7 @@
 import {createSystemClock} from '@toucanrouter/common';
 import type {CallCounts} from './Counters.js';
 import {createCounters} from './Counters.js';
+import type {StoreCopy} from './KeyValueServer.js';
 import {startKeyValueServer} from './KeyValueServer.js';
 import type {ListedInstance} from './LaggingInstanceList.js';
 import {createLaggingInstanceList} from './LaggingInstanceList.js';
@@ -35,6 +36,10 @@
   switches(): SwitchState;
   /** Changes switches; absent fields keep their value. */
   setSwitches(change: SwitchChangeInput): void;
+  /** Copies what the key-value service holds. */
+  copyStore(): StoreCopy;
+  /** Goes back to a copy under a new cluster id and breaks all watches. */
+  restoreStore(copy: StoreCopy): void;
   setInstance(id: string, entry: ListedInstance): void;
   removeInstance(id: string): void;
   close(): Promise<void>;
@@ -76,6 +81,8 @@
     counters: counters.counts,
     switches: switches.state,
     setSwitches: change => applySwitches(switchChangeSchema.parse(change)),
+    copyStore: keyValue.copy,
+    restoreStore: keyValue.restore,
     setInstance: instances.set,
     removeInstance: instances.remove,
     close: async () => {
--- a/packages/standins/src/store/WatchHandler.ts
+++ b/packages/standins/src/store/WatchHandler.ts
@@ -54,7 +54,8 @@
     }
 
     function responseHeader() {
-      return {header: {revision: options.state.revision()}};
+      const clusterId = options.state.clusterId();
+      return {header: {clusterId, revision: options.state.revision()}};
     }
 
     function create(request: KeyValueMessages['watchCreate']): void {
