keyvalue: let a watch notice that its service came back from a copy

What operators saw: after the key-value service came back from a copy, an instance that watches the configuration reported nothing any more. Changes reached it only by polls, up to 300 s apart.

Cause: a watch kept its cursor, a revision, without the history it belongs to. After a restore it asked for a revision that the service had not reached, which the protocol accepts and answers with silence; once other writes had carried the counter past it, what was written at the revisions that were given out twice was never reported. A relisting reported no deletions, neither after a restore nor after a compaction.

StoreHistory tells histories apart: by the cluster id in the header of each response, and, since a copy may be brought up under the same id, by a response with a revision below one seen when its request was sent. Reads of the newest state and writes can't go back within one history; the "created" response of a watch can, from a replica that is behind, so it only leads to a listing, which decides. Responses that were sent before the restore and arrive after it stay with their history. A watch belongs to a history: when another one begins, or its revision is ahead of the service, it lists the prefix and reports as deleted what it had reported and the list lacks.

The event log of KeyValueClient.test.ts moved to a fixture, unchanged.

--- a/packages/bench/src/slopes/CountingStore.ts
+++ b/packages/bench/src/slopes/CountingStore.ts
@@ -80,6 +80,8 @@
       return okAsync({succeeded, revision});
     },
     watch: () => () => {},
+    history: () => ({id: undefined, clusterId: 0, revision, count: 1}),
+    registerHistoryHandler: () => () => {},
     close: () => {},
     traffic: () => ({...traffic}),
   };
--- a/packages/common/src/Ids.ts
+++ b/packages/common/src/Ids.ts
@@ -21,6 +21,8 @@
 export type ServiceName = Branded<'ServiceName'>;
 /** Identifies a set of upstreams that share one scheduler. */
 export type ShardId = Branded<'ShardId'>;
+/** Identifies a history of the key-value service, within this process. */
+export type StoreHistoryId = Branded<'StoreHistoryId'>;
 /** Identifies a model engine or an instance of a plain service. */
 export type UpstreamId = Branded<'UpstreamId'>;
 /** Identifies a workspace whose requests the router serves. */
@@ -34,6 +36,8 @@
 export const toServiceName = (value: string): ServiceName =>
   value as ServiceName;
 export const toShardId = (value: string): ShardId => value as ShardId;
+export const toStoreHistoryId = (value: string): StoreHistoryId =>
+  value as StoreHistoryId;
 export const toUpstreamId = (value: string): UpstreamId => value as UpstreamId;
 export const toWorkspaceId = (value: string): WorkspaceId =>
   value as WorkspaceId;
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -82,6 +82,7 @@
   RequestId,
   ServiceName,
   ShardId,
+  StoreHistoryId,
   UpstreamId,
   WorkspaceId,
 } from './Ids.js';
@@ -93,6 +94,7 @@
   toRequestId,
   toServiceName,
   toShardId,
+  toStoreHistoryId,
   toUpstreamId,
   toWorkspaceId,
 } from './Ids.js';
@@ -102,7 +104,9 @@
   KeyValue,
   KeyValueStore,
   KeyValueTransaction,
+  NewStoreHistory,
   RevisionCompare,
+  StoreHistoryStatus,
   TransactionResponse,
   WatchEvent,
 } from './KeyValue.js';
--- a/packages/keyvalue/src/KeyValueClient.ts
+++ b/packages/keyvalue/src/KeyValueClient.ts
@@ -2,7 +2,12 @@
  * Client of the platform's key-value service over gRPC.
  */
 import {credentials} from '@grpc/grpc-js';
-import type {Clock, KeyValue, KeyValueStore} from '@toucanrouter/common';
+import type {
+  Clock,
+  KeyValue,
+  KeyValueStore,
+  StoreHistoryId,
+} from '@toucanrouter/common';
 import {PlatformError} from '@toucanrouter/common';
 import type {Result} from 'neverthrow';
 import {err, ok, ResultAsync} from 'neverthrow';
@@ -32,6 +37,8 @@
 } from './KeyValueUtils.js';
 import type {Listing} from './KeyValueWatch.js';
 import {startWatch} from './KeyValueWatch.js';
+import type {StoreHistory} from './StoreHistory.js';
+import {createStoreHistory} from './StoreHistory.js';
 
 export interface KeyValueClientOptions {
   /** `host:port` of the service. */
@@ -66,27 +73,28 @@
     security,
     channelOptions,
   );
-  const context = {client: kvClient, clock, timeoutMs};
+  const history = createStoreHistory();
+  const context = {client: kvClient, clock, timeoutMs, history};
   const activeWatches = new Set<() => void>();
 
   return {
     get: key =>
-      callRange(kvClient, context, {key: Buffer.from(key)}).map(response => {
+      callRange(context, {key: Buffer.from(key)}).map(({response}) => {
         const message = response.kvs[0];
         return message === undefined ? undefined : toKeyValue(message);
       }),
 
-    list: prefix =>
-      listPrefix(kvClient, context, prefix).map(listing => listing.entries),
+    list: prefix => listPrefix(context, prefix).map(listing => listing.entries),
 
     transact: transaction => {
       const request = toTxnRequest(transaction);
+      const mark = history.mark();
       return callUnary<TxnResponse__Output>(context, 'Txn', 'write', callback =>
         kvClient.txn(request, callback),
-      ).map(response => ({
-        succeeded: response.succeeded,
-        revision: response.header?.revision ?? 0,
-      }));
+      ).map(({header, succeeded}) => {
+        if (header !== null) history.observe(header, mark);
+        return {succeeded, revision: header?.revision ?? 0};
+      });
     },
 
     watch: (prefix, onEvents) => {
@@ -94,8 +102,9 @@
         prefix,
         clock,
         timeoutMs,
+        history,
         openStream: () => watchClient.watch(),
-        listPrefix: listed => listPrefix(kvClient, context, listed),
+        listPrefix: listed => listPrefix(context, listed),
         onEvents,
       });
       activeWatches.add(stop);
@@ -105,6 +114,9 @@
       };
     },
 
+    history: history.status,
+    registerHistoryHandler: history.registerHandler,
+
     close: () => {
       for (const stop of activeWatches) stop();
       activeWatches.clear();
@@ -114,40 +126,58 @@
   };
 }
 
+interface ReadContext extends CallContext {
+  readonly client: KVClient;
+  readonly history: StoreHistory;
+}
+
+interface RangeRead {
+  readonly response: RangeResponse__Output;
+  readonly historyId: StoreHistoryId | undefined;
+}
+
 function callRange(
-  kv: KVClient,
-  context: CallContext,
+  context: ReadContext,
   request: RangeRequest,
-): ResultAsync<RangeResponse__Output, PlatformError> {
+): ResultAsync<RangeRead, PlatformError> {
+  const {client, history} = context;
+  const mark = history.mark();
   return callUnary<RangeResponse__Output>(context, 'Range', 'read', callback =>
-    kv.range(request, callback),
-  );
+    client.range(request, callback),
+  ).map(response => {
+    const {header} = response;
+    const historyId = header ? history.observe(header, mark) : undefined;
+    return {response, historyId};
+  });
 }
 
 /** Lists a prefix in pages, all at the revision of the first page. */
 function listPrefix(
-  kv: KVClient,
-  context: CallContext,
+  context: ReadContext,
   prefix: string,
 ): ResultAsync<Listing, PlatformError> {
-  return new ResultAsync(listPages(kv, context, Buffer.from(prefix)));
+  return new ResultAsync(listPages(context, Buffer.from(prefix)));
 }
 
 async function listPages(
-  kv: KVClient,
-  context: CallContext,
+  context: ReadContext,
   prefix: Uint8Array,
 ): Promise<Result<Listing, PlatformError>> {
   const rangeEnd = prefixEnd(prefix);
   const entries: KeyValue[] = [];
   let sizeBytes = 0;
   let revision = 0;
+  let historyId: StoreHistoryId | undefined;
   let key = prefix;
   for (;;) {
     const request = {key, rangeEnd, revision, limit: keysPerListPage};
-    const response = await callRange(kv, context, request);
+    const response = await callRange(context, request);
     if (response.isErr()) return err(response.error);
-    const {header, kvs, more} = response.value;
+    const {header, kvs, more} = response.value.response;
+    if (revision > 0 && response.value.historyId !== historyId) {
+      return err(listError('the service came back from a copy meanwhile'));
+    }
+    ({historyId} = response.value);
     sizeBytes += sizeOf(kvs);
     if (
       sizeBytes > maxListBytes ||
@@ -157,7 +187,7 @@
     }
     for (const message of kvs) entries.push(toKeyValue(message));
     revision ||= header?.revision ?? 0;
-    if (!more) return ok({entries, revision});
+    if (!more) return ok({entries, revision, historyId});
     const last = kvs.at(-1);
     if (last === undefined || Buffer.compare(last.key, key) < 0) {
       return err(listError('a page does not lead to the next one'));
--- a/packages/keyvalue/src/__tests__/unit/KeyValueClient.test.ts
+++ b/packages/keyvalue/src/__tests__/unit/KeyValueClient.test.ts
@@ -1,9 +1,10 @@
-import type {KeyValueStore, WatchEvent} from '@toucanrouter/common';
+import type {KeyValueStore} from '@toucanrouter/common';
 import {createSystemClock} from '@toucanrouter/common';
 import type {PlatformStandIn} from '@toucanrouter/standins';
 import {createPlatformStandIn} from '@toucanrouter/standins';
 import {expect} from 'chai';
 import {createKeyValueClient} from '../../index.js';
+import {createEventLog} from './EventLogFixture.js';
 
 const toBytes = (text: string) => Buffer.from(text);
 
@@ -15,28 +16,6 @@
   };
 }
 
-/** Collects watch events, and can wait for a number of them. */
-function createEventLog() {
-  const seen: string[] = [];
-  let check = () => {};
-  return {
-    seen,
-    add: (events: readonly WatchEvent[]) => {
-      for (const {key, entry} of events) {
-        seen.push(entry ? `${key}=${Buffer.from(entry.value)}` : `${key} gone`);
-      }
-      check();
-    },
-    waitFor: (count: number) =>
-      new Promise<void>(resolve => {
-        check = () => {
-          if (seen.length >= count) resolve();
-        };
-        check();
-      }),
-  };
-}
-
 describe('createKeyValueClient', () => {
   let standIn: PlatformStandIn;
   let store: KeyValueStore;
--- a/packages/standins/src/store/ControlledKeyValue.ts
+++ b/packages/standins/src/store/ControlledKeyValue.ts
@@ -8,8 +8,10 @@
   KeyValueStore,
   KeyValueTransaction,
   TransactionResponse,
+  Undo,
+  WatchEvent,
 } from '@toucanrouter/common';
-import {PlatformError} from '@toucanrouter/common';
+import {PlatformError, toStoreHistoryId} from '@toucanrouter/common';
 import {ResultAsync} from 'neverthrow';
 import type {KeyValueState, VersionedEntry} from './KeyValueState.js';
 import {createKeyValueState} from './KeyValueState.js';
@@ -71,13 +73,23 @@
       list: prefix => submit(client, 'list', () => readPrefix(state, prefix)),
       transact: transaction =>
         submit(client, 'transact', () => runTransaction(state, transaction)),
-      watch: (prefix, onEvents) =>
-        state.registerCommitListener(entries => {
-          const matching = entries.filter(entry =>
-            entry.key.startsWith(prefix),
-          );
-          if (matching.length > 0) onEvents(matching.map(toWatchEvent));
-        }),
+      watch: (prefix, onEvents) => watchPrefix(state, prefix, onEvents),
+      history: () => historyOf(state),
+      registerHistoryHandler: handler => {
+        let before = historyOf(state);
+        return state.registerRestoreListener(previousRevision => {
+          const {clusterId, id, revision} = historyOf(state);
+          const previousClusterId = before.clusterId;
+          before = historyOf(state);
+          handler({
+            id,
+            clusterId,
+            revision,
+            previousClusterId,
+            previousRevision,
+          });
+        });
+      },
       close: () => {},
     }),
   };
@@ -172,6 +184,46 @@
   return {succeeded, revision: state.revision()};
 }
 
+function historyOf(state: KeyValueState) {
+  const clusterId = state.clusterId();
+  const id = toStoreHistoryId(String(clusterId));
+  return {id, clusterId, revision: state.revision(), count: clusterId};
+}
+
+/** Reports commits, and after a restore all entries and the missing keys. */
+function watchPrefix(
+  state: KeyValueState,
+  prefix: string,
+  onEvents: (events: readonly WatchEvent[]) => void,
+): Undo {
+  const reportedKeys = new Set<string>();
+
+  function report(events: readonly WatchEvent[]): void {
+    for (const {key, entry} of events) {
+      if (entry === undefined) reportedKeys.delete(key);
+      else reportedKeys.add(key);
+    }
+    if (events.length > 0) onEvents(events);
+  }
+
+  const stopCommits = state.registerCommitListener(entries =>
+    report(entries.filter(({key}) => key.startsWith(prefix)).map(toWatchEvent)),
+  );
+  const stopRestores = state.registerRestoreListener(() => {
+    const entries = readPrefix(state, prefix);
+    const keys = new Set(entries.map(({key}) => key));
+    const deletedKeys = [...reportedKeys].filter(key => !keys.has(key));
+    report([
+      ...deletedKeys.map(key => ({key, entry: undefined})),
+      ...entries.map(entry => ({key: entry.key, entry})),
+    ]);
+  });
+  return () => {
+    stopCommits();
+    stopRestores();
+  };
+}
+
 function toWatchEvent(entry: VersionedEntry) {
   const deleted = entry.version === 0;
   return {key: entry.key, entry: deleted ? undefined : toKeyValue(entry)};
--- a/packages/standins/src/store/KeyValueState.ts
+++ b/packages/standins/src/store/KeyValueState.ts
@@ -46,6 +46,9 @@
 /** Receives the versions written by one revision. */
 export type CommitListener = (entries: readonly VersionedEntry[]) => void;
 
+/** Receives the revision that the service had before it was restored. */
+export type RestoreListener = (lostRevision: number) => void;
+
 /** Thrown by a read below the compacted revision or above the current one. */
 export class RevisionError extends Error {
   readonly reason: 'compacted' | 'future';
@@ -89,7 +92,7 @@
    */
   restore(copy: StateCopy): void;
   /** Registers a listener to restores; returns a function that removes it. */
-  registerRestoreListener(listener: () => void): () => void;
+  registerRestoreListener(listener: RestoreListener): () => void;
   /** Registers a listener; returns a function that removes it. */
   registerCommitListener(listener: CommitListener): () => void;
 }
@@ -106,7 +109,7 @@
 export function createKeyValueState(): KeyValueState {
   const versions = new Map<string, VersionedEntry[]>();
   const listeners = new Set<CommitListener>();
-  const restoreListeners = new Set<() => void>();
+  const restoreListeners = new Set<RestoreListener>();
   let clusterId = firstClusterId;
   let commitLog: (readonly VersionedEntry[])[] = [];
   let current = 1;
@@ -214,13 +217,14 @@
   }
 
   function restore(copy: StateCopy): void {
+    const lostRevision = current;
     versions.clear();
     for (const [key, all] of copy.versions) versions.set(key, [...all]);
     commitLog = [...copy.commitLog];
     current = copy.revision;
     compacted = copy.compactedRevision;
     clusterId += 1;
-    for (const listener of [...restoreListeners]) listener();
+    for (const listener of [...restoreListeners]) listener(lostRevision);
   }
 
   return {
