keyvalue, daemon: keep the newest configuration when the store has an older one

What operators saw: after the key-value service came back from a copy, a version that had been accepted was in force but no longer stored. A change based on it was refused as a conflict with the older version. A change based on the older version was accepted under a number that the fleet had seen, so that no instance ever applied it. And a change that was sent before replaced a version of the other history, unseen, if that had the same revision.

Cause: nothing wrote again what the copy lacked; versions were compared by their number alone; and the transaction compared a revision, which is given out again.

Now compares of the configuration include the value, which is unique to its write by the write id, so they hold in one history only, also for a transaction that was sent before the restore and is carried out after it. Watchers compare what is stored with the configuration in force. An instance that changes the configuration does so first.

--- a/packages/daemon/src/Instance.ts
+++ b/packages/daemon/src/Instance.ts
@@ -114,6 +114,12 @@
     store,
     clock,
     createWriteId: () => createRandomId(selfId),
+    inForce: holder.stored,
+    onRestored: ({replaced, written}) =>
+      logger.warn('configuration was written again', {
+        version: written.version,
+        replacedVersion: replaced?.version ?? 0,
+      }),
   });
   const fleet = createInstanceFleet(options, incarnation, directory, holder);
   const config = holder.inForce;
--- a/packages/keyvalue/src/ConfigChange.ts
+++ b/packages/keyvalue/src/ConfigChange.ts
@@ -7,6 +7,7 @@
  */
 import type {
   Clock,
+  KeyValue,
   KeyValueStore,
   KeyValueTransaction,
   StoredConfig,
@@ -20,7 +21,12 @@
   maxRetryDelayMs,
   minRetryDelayMs,
 } from './ConfigStoreConstants.js';
-import {decodeConfig, encodeConfig, historyKey} from './ConfigStoreUtils.js';
+import {
+  compareOf,
+  decodeConfig,
+  encodeConfig,
+  historyKey,
+} from './ConfigStoreUtils.js';
 
 export type ConfigChangeResult =
   | {readonly kind: 'accepted'; readonly config: StoredConfig}
@@ -53,16 +59,15 @@
   | {readonly kind: 'unreadable'; readonly error: PlatformError};
 
 /**
- * Replaces the entry at `modRevision` (0 if absent) by `proposed` and
- * determines whether the write took effect. An error means that nothing was
+ * Replaces `entry` (undefined if absent) by `proposed` and determines whether the write took effect. An error means that nothing was
  * written.
  */
 export async function writeConfig(
   context: ConfigChangeContext,
   proposed: StoredConfig,
-  modRevision: number,
+  entry: KeyValue | undefined,
 ): Promise<Result<ConfigChangeResult, PlatformError>> {
-  const transaction = toTransaction(proposed, modRevision);
+  const transaction = toTransaction(proposed, entry);
   const resolveDeadlineMs = context.clock.nowMs() + context.resolveTimeoutMs;
   let retryDelayMs = minRetryDelayMs;
   let mayBeStored = false;
@@ -95,12 +100,12 @@
 
 function toTransaction(
   proposed: StoredConfig,
-  modRevision: number,
+  entry: KeyValue | undefined,
 ): KeyValueTransaction {
   const value = encodeConfig(proposed);
   const evictedVersion = proposed.version - maxHistoryVersions;
   return {
-    compares: [{key: configKey, modRevision}],
+    compares: [compareOf(configKey, entry)],
     puts: [
       {key: configKey, value},
       {key: historyKey(proposed.version), value},
--- a/packages/keyvalue/src/ConfigStore.ts
+++ b/packages/keyvalue/src/ConfigStore.ts
@@ -15,6 +15,8 @@
 import {errAsync, okAsync, ResultAsync} from 'neverthrow';
 import type {ConfigChangeResult} from './ConfigChange.js';
 import {writeConfig} from './ConfigChange.js';
+import type {RestoredConfig} from './ConfigRestore.js';
+import {isBehind, restoreConfig} from './ConfigRestore.js';
 import {
   configKey,
   defaultResolveTimeoutMs,
@@ -45,6 +47,13 @@
    * 5 s if absent.
    */
   readonly resolveTimeoutMs?: number;
+  /**
+   * The configuration in force, which the store may lack after it came back
+   * from a copy.
+   */
+  readonly inForce?: () => StoredConfig | undefined;
+  /** Called when a configuration was written because the store was behind. */
+  readonly onRestored?: (restored: RestoredConfig) => void;
 }
 
 export interface ConfigStore {
@@ -67,7 +76,7 @@
 }
 
 export function createConfigStore(options: ConfigStoreOptions): ConfigStore {
-  const {store, clock} = options;
+  const {store, clock, inForce = () => undefined} = options;
   const resolveTimeoutMs = options.resolveTimeoutMs ?? defaultResolveTimeoutMs;
 
   function createProposal(request: ConfigChangeRequest): StoredConfig {
@@ -90,8 +99,42 @@
       return okAsync({kind: 'conflict', winner: current});
     }
     const context = {store, clock, resolveTimeoutMs};
-    const revision = entry?.modRevision ?? 0;
-    return new ResultAsync(writeConfig(context, proposed, revision));
+    return new ResultAsync(writeConfig(context, proposed, entry));
+  }
+
+  function writeProposal(
+    proposed: StoredConfig,
+    beforeWrite: (
+      current: StoredConfig | undefined,
+    ) => ResultAsync<'ready' | 'read_again', PlatformError>,
+  ): ResultAsync<ConfigChangeResult, PlatformError> {
+    return store
+      .get(configKey)
+      .andThen(entry =>
+        decodeConfig(entry).asyncAndThen(current =>
+          beforeWrite(current).andThen(next =>
+            next === 'ready'
+              ? writeIfCurrent(entry, current, proposed)
+              : writeProposal(proposed, () => okAsync('ready')),
+          ),
+        ),
+      );
+  }
+
+  function catchUpIfBehind(
+    current: StoredConfig | undefined,
+  ): ResultAsync<'ready' | 'read_again', PlatformError> {
+    if (!isBehind(current, inForce())) return okAsync('ready');
+    return catchUp().map(() => 'read_again');
+  }
+
+  /** Writes what the store lacks, if it is behind the configuration in force. */
+  function catchUp(): ResultAsync<void, PlatformError> {
+    const known = inForce();
+    if (known === undefined) return okAsync(undefined);
+    return new ResultAsync(restoreConfig(store, known)).map(restored => {
+      if (restored !== undefined) options.onRestored?.(restored);
+    });
   }
 
   function readVersions(
@@ -114,13 +157,7 @@
       const proposed = createProposal(request);
       const sizeError = checkSize(proposed);
       if (sizeError !== undefined) return errAsync(sizeError);
-      return store
-        .get(configKey)
-        .andThen(entry =>
-          decodeConfig(entry).asyncAndThen(current =>
-            writeIfCurrent(entry, current, proposed),
-          ),
-        );
+      return writeProposal(proposed, catchUpIfBehind);
     },
 
     history: limit =>
@@ -130,7 +167,7 @@
         .andThen(current => readVersions(current?.version ?? 0, limit)),
 
     watchConfig: (onConfig, onError = () => {}) =>
-      startConfigWatch({store, clock, onConfig, onError}),
+      startConfigWatch({store, clock, inForce, catchUp, onConfig, onError}),
   };
 }
 
--- a/packages/keyvalue/src/ConfigStoreUtils.ts
+++ b/packages/keyvalue/src/ConfigStoreUtils.ts
@@ -1,7 +1,11 @@
 /**
  * Keys and JSON encoding of stored configurations.
  */
-import type {KeyValue, StoredConfig} from '@toucanrouter/common';
+import type {
+  KeyValue,
+  RevisionCompare,
+  StoredConfig,
+} from '@toucanrouter/common';
 import {PlatformError, toUpstreamId} from '@toucanrouter/common';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
@@ -25,6 +29,18 @@
   return Buffer.from(JSON.stringify(config));
 }
 
+/**
+ * Requires that a key still has `entry`. The value is unique to its write, so
+ * the compare fails in a history that gave the revision to another write.
+ */
+export function compareOf(
+  key: string,
+  entry: KeyValue | undefined,
+): RevisionCompare {
+  if (entry === undefined) return {key, modRevision: 0};
+  return {key, modRevision: entry.modRevision, value: entry.value};
+}
+
 /**
  * Decodes and validates a stored entry. Returns undefined for an absent one.
  */
--- a/packages/keyvalue/src/KeyValueUtils.ts
+++ b/packages/keyvalue/src/KeyValueUtils.ts
@@ -5,8 +5,10 @@
 import type {
   KeyValue,
   KeyValueTransaction,
+  RevisionCompare,
   WatchEvent,
 } from '@toucanrouter/common';
+import type {Compare} from './generated/etcdserverpb/Compare.js';
 import type {Event__Output} from './generated/etcdserverpb/Event.js';
 import type {KeyValue__Output} from './generated/etcdserverpb/KeyValue.js';
 import type {TxnRequest} from './generated/etcdserverpb/TxnRequest.js';
@@ -44,6 +46,13 @@
   return {key: entry.key, entry: deleted ? undefined : entry};
 }
 
+function toCompares({key, modRevision, value}: RevisionCompare): Compare[] {
+  const common = {result: 'EQUAL' as const, key: Buffer.from(key)};
+  const compares: Compare[] = [{...common, target: 'MOD', modRevision}];
+  if (value !== undefined) compares.push({...common, target: 'VALUE', value});
+  return compares;
+}
+
 /** Converts a transaction. A compare with revision 0 requires an absent key. */
 export function toTxnRequest(transaction: KeyValueTransaction): TxnRequest {
   const puts = transaction.puts.map(put => ({
@@ -53,12 +62,7 @@
     requestDeleteRange: {key: Buffer.from(key)},
   }));
   return {
-    compare: transaction.compares.map(compare => ({
-      result: 'EQUAL',
-      target: 'MOD',
-      key: Buffer.from(compare.key),
-      modRevision: compare.modRevision,
-    })),
+    compare: transaction.compares.flatMap(toCompares),
     success: [...puts, ...deletes],
   };
 }
--- a/packages/keyvalue/src/__tests__/unit/KeyValueClient.test.ts
+++ b/packages/keyvalue/src/__tests__/unit/KeyValueClient.test.ts
@@ -55,6 +55,21 @@
     expect(entry?.modRevision).to.equal(first.revision);
   });
 
+  // Guards against a revision that was given out again, to another value.
+  it('rejects a write whose compared value differs at the same revision', async () => {
+    const {revision} = await put('/k', 'a');
+    async function replaceIf(value: string) {
+      const compares = [
+        {key: '/k', modRevision: revision, value: toBytes(value)},
+      ];
+      const puts = [{key: '/k', value: toBytes('b')}];
+      const response = await store.transact({compares, puts, deletes: []});
+      return response._unsafeUnwrap().succeeded;
+    }
+    expect(await replaceIf('other')).to.equal(false);
+    expect(await replaceIf('a')).to.equal(true);
+  });
+
   it('lists all pages of a prefix in order and no other keys', async () => {
     const keys = Array.from({length: 150}, (_, i) => `/p/${1000 + i}`);
     for (const key of [...keys, '/q', '/o']) await put(key, 'v');
--- a/packages/keyvalue/src/index.ts
+++ b/packages/keyvalue/src/index.ts
@@ -4,6 +4,7 @@
   ConfigStore,
   ConfigStoreOptions,
 } from './ConfigStore.js';
+export type {RestoredConfig} from './ConfigRestore.js';
 export {createConfigStore} from './ConfigStore.js';
 export type {
   InstanceList,
