claims: compare which log a shard's head belongs to, not its revision alone

What callers could see: after the key-value service came back from a copy, a key whose claim was stored was free again, and a call could run twice. No drill is needed twice for it: one writer of the shard holds a copy of the shard from before, another one stores a claim at the head revision that is given out again.

Cause: a transaction compared the revision of the head. When the service gives a revision out again, the compare of the writer with the outdated copy holds, and its transaction replaces the segment, and with it the other's claims. A confirmation of a claim by the head's revision held likewise.

The head now has a digest of all batches up to it, and transactions and confirmations compare the value of the head as well as its revision. A digest stands for one log, whichever history of the service stores it, so nothing needs to notice the restore first, and a transaction that was sent before it and is carried out after it fails, too. Heads of earlier releases have no digest and are read as before.

The unit tests and the fuzz test of claims pass; the fuzz test has no restores.

--- a/packages/claims/src/ClaimConstants.ts
+++ b/packages/claims/src/ClaimConstants.ts
@@ -14,6 +14,9 @@
 /** Segment numbers are zero-padded in keys, so that keys sort by number. */
 export const segmentKeyDigits = 10;
 
+/** Length of the base64 digest of a log: 144 bits. */
+export const digestCharacters = 24;
+
 /** A batch that would exceed this size starts a new segment. */
 export const maxSegmentBytes = 64 * 1024;
 
--- a/packages/claims/src/ClaimRecords.ts
+++ b/packages/claims/src/ClaimRecords.ts
@@ -5,6 +5,7 @@
  * takes 184 bytes, its release 117, and its end 503 with a response of 200
  * bytes.
  */
+import {createHash} from 'node:crypto';
 import type {
   ClaimId,
   InstanceId,
@@ -13,7 +14,11 @@
 } from '@toucanrouter/common';
 import {toClaimId, toInstanceId, toWorkspaceId} from '@toucanrouter/common';
 import {z} from 'zod';
-import {claimsKeyPrefix, segmentKeyDigits} from './ClaimConstants.js';
+import {
+  claimsKeyPrefix,
+  digestCharacters,
+  segmentKeyDigits,
+} from './ClaimConstants.js';
 
 /** One entry of the log. */
 export type ClaimRecord =
@@ -67,6 +72,11 @@
 export interface ClaimHead {
   readonly first: number;
   readonly last: number;
+  /**
+   * Digest of all batches up to this head. A revision of the head is given out
+   * again when the service comes back from a copy; a digest stands for one log.
+   */
+  readonly digest: string;
 }
 
 const identity = {
@@ -133,6 +143,8 @@
 const headSchema = z.object({
   first: z.number().int().positive(),
   last: z.number().int().positive(),
+  // Heads of earlier releases have none.
+  digest: z.string().default(''),
 });
 
 export function shardPrefix(shard: number): string {
@@ -189,6 +201,12 @@
   return `{"after":${afterRevision},"records":[${encodedRecords.join(',')}]}`;
 }
 
+/** Returns the digest of the log that `batch` extends. */
+export function extendDigest(digest: string, batch: string): string {
+  const hash = createHash('sha256').update(digest).update(batch);
+  return hash.digest('base64').slice(0, digestCharacters);
+}
+
 /** Encodes a segment from batches that are already encoded. */
 export function encodeSegment(
   startedAtWallMs: number,
--- a/packages/claims/src/ClaimWriter.ts
+++ b/packages/claims/src/ClaimWriter.ts
@@ -40,7 +40,7 @@
 import type {Operation} from './Operation.js';
 import {createOperation} from './Operation.js';
 import type {AppendPlan, LoadedShard, SegmentLimits} from './ShardLog.js';
-import {decodeShard, planAppend} from './ShardLog.js';
+import {decodeShard, isHeadOf, planAppend} from './ShardLog.js';
 
 export interface ClaimWriterOptions {
   readonly store: KeyValueStore;
@@ -200,8 +200,7 @@
     counters.confirmations++;
     const head = await store.get(headKey(shard));
     if (head.isErr()) return completeFinalDecisions(head.error);
-    const headRevision = head.value?.modRevision ?? 0;
-    isCacheCurrent = headRevision === loaded.log.headRevision;
+    isCacheCurrent = isHeadOf(loaded.log, head.value);
     if (isCacheCurrent) completeAll(batch, undefined);
     return true;
   }
--- a/packages/claims/src/ShardLog.ts
+++ b/packages/claims/src/ShardLog.ts
@@ -1,7 +1,8 @@
 /**
  * Log of a claim shard: decodes it and plans the transactions that append to
- * it. Every transaction compares the revision of the head, so that a writer
- * with an outdated copy changes nothing.
+ * it. Every transaction compares the revision and the value of the head, so that
+ * a writer with an outdated copy changes nothing, also when the service gave the
+ * revision out again after it came back from a copy.
  */
 import type {KeyValue, KeyValueTransaction} from '@toucanrouter/common';
 import {PlatformError} from '@toucanrouter/common';
@@ -18,6 +19,7 @@
   encodeHead,
   encodeRecord,
   encodeSegment,
+  extendDigest,
   headKey,
   segmentKey,
 } from './ClaimRecords.js';
@@ -47,6 +49,9 @@
 export interface LogState {
   /** Revision of the head; 0 while the shard is empty. */
   readonly headRevision: number;
+  /** Value of the head, which names this log; undefined while it is empty. */
+  readonly headValue: Uint8Array | undefined;
+  readonly digest: string;
   readonly closedSegments: readonly ClosedSegment[];
   /** Undefined while the shard is empty. */
   readonly openSegment: OpenSegment | undefined;
@@ -102,12 +107,20 @@
   const head = {
     first: closedSegments[0]?.number ?? openSegment.number,
     last: openSegment.number,
+    digest: extendDigest(log.digest, batch),
   };
+  const headValue = encodeHead(head);
   return {
     transaction: {
-      compares: [{key: headKey(shard), modRevision: log.headRevision}],
+      compares: [
+        {
+          key: headKey(shard),
+          modRevision: log.headRevision,
+          ...(log.headValue && {value: log.headValue}),
+        },
+      ],
       puts: [
-        {key: headKey(shard), value: encodeHead(head)},
+        {key: headKey(shard), value: headValue},
         {
           key: segmentKey(shard, openSegment.number),
           value: encodeSegment(
@@ -121,7 +134,13 @@
     },
     segment: openSegment.number,
     deletedThrough: expired.at(-1)?.number ?? 0,
-    logStateAt: headRevision => ({headRevision, closedSegments, openSegment}),
+    logStateAt: headRevision => ({
+      headRevision,
+      headValue,
+      digest: head.digest,
+      closedSegments,
+      openSegment,
+    }),
   };
 }
 
@@ -171,6 +190,16 @@
   return closed.slice(0, Math.min(count, maxSegmentDeletesPerWrite));
 }
 
+/** Whether the service still has the head that `log` was read or written at. */
+export function isHeadOf(log: LogState, entry: KeyValue | undefined): boolean {
+  if (entry === undefined) return log.headRevision === 0;
+  return (
+    entry.modRevision === log.headRevision &&
+    log.headValue !== undefined &&
+    Buffer.compare(entry.value, log.headValue) === 0
+  );
+}
+
 /** Decodes a shard from all of its entries, read at one revision. */
 export function decodeShard(
   shard: number,
@@ -182,7 +211,7 @@
   const head = decodeHead(headEntry.value);
   if (head === undefined) return malformedError(headEntry.key);
   return decodeSegments(shard, head, values).map(segments => ({
-    log: toLogState(head, headEntry.modRevision, segments),
+    log: toLogState(head, headEntry, segments),
     claims: replay(head, headEntry.modRevision, segments),
   }));
 }
@@ -193,7 +222,13 @@
 ): Result<LoadedShard, PlatformError> {
   // Segments without a head may be an incomplete log.
   if (entries.length > 0) return malformedError(headKey(shard));
-  const log = {headRevision: 0, closedSegments: [], openSegment: undefined};
+  const log = {
+    headRevision: 0,
+    headValue: undefined,
+    digest: '',
+    closedSegments: [],
+    openSegment: undefined,
+  };
   return ok({log, claims: createClaimIndex()});
 }
 
@@ -215,7 +250,7 @@
 
 function toLogState(
   head: ClaimHead,
-  headRevision: number,
+  headEntry: KeyValue,
   segments: readonly ClaimSegment[],
 ): LogState {
   const closedSegments = segments.slice(0, -1).map((segment, i) => ({
@@ -224,7 +259,9 @@
   }));
   const last = segments.at(-1);
   return {
-    headRevision,
+    headRevision: headEntry.modRevision,
+    headValue: headEntry.value,
+    digest: head.digest,
     closedSegments,
     openSegment: last && toOpenSegment(head.last, last),
   };
