claims: write claims again that a restored store has lost

What callers saw: a call with an idempotency key that had been claimed, run and answered a few seconds before the key-value service came back from a copy could run a second time: its claim was gone, and the writer of the shard accepted the key again although it had the claim in memory.

Cause: a writer whose compare failed reloaded the shard and forgot what it knew. Nothing told it that what it read was older than that.

The log of a shard only grows, apart from segments that expire. So whatever a writer knows to be stored and an unexpired log lacks was lost; this holds without any sign of a restore, and in usual operation nothing is lacking. After each reload the writer compares, and writes lost claims, ends and releases again, in batches of the usual size, before it accepts other operations. A key that another claim got since stays with it.

Evidence: with the change set aside four tests of RestoredClaims.test.ts fail (a key whose claim is lost: "claimed" instead of "in_progress", through the same writer and through the next one; a lost outcome: "in_progress" instead of "completed"; "key a"). With it all seven pass, and so do the other unit tests of claims, those of claimed calls, and the fuzz test, which has no restores: its oracle rejects a record that is written a second time.

The index keeps the newest record of each claim, so that it can be written again: one more object for each claim in memory. Its size was not measured.

--- a/packages/claims/src/Batch.ts
+++ b/packages/claims/src/Batch.ts
@@ -36,3 +36,15 @@
   }
   return {prepared, records};
 }
+
+/** Returns records from the front, up to `maxBatchBytes` and at least one. */
+export function takeBatch(
+  records: readonly ClaimRecord[],
+): readonly ClaimRecord[] {
+  let sizeBytes = 0;
+  const full = records.findIndex(record => {
+    sizeBytes += Buffer.byteLength(encodeRecord(record));
+    return sizeBytes >= maxBatchBytes;
+  });
+  return full < 0 ? records : records.slice(0, full + 1);
+}
--- a/packages/claims/src/ClaimIndex.ts
+++ b/packages/claims/src/ClaimIndex.ts
@@ -19,6 +19,15 @@
   readonly revision: number | undefined;
   /** Number of the segment that holds the claim's newest record. */
   readonly segment: number;
+  /** The claim's newest record. */
+  readonly record: ClaimRecord;
+}
+
+/** A claim that was released. */
+export interface KnownRelease {
+  /** Number of the segment that holds the release. */
+  readonly segment: number;
+  readonly record: ClaimRecord;
 }
 
 /** Idempotency keys are unique within a workspace. */
@@ -44,12 +53,14 @@
    * `segment`.
    */
   dropThrough(segment: number): void;
+  entries(): readonly ClaimEntry[];
+  releases(): readonly KnownRelease[];
   readonly size: number;
 }
 
 export function createClaimIndex(): ClaimIndex {
   const entries = new Map<string, ClaimEntry>();
-  const released = new Map<ClaimId, number>();
+  const released = new Map<ClaimId, KnownRelease>();
 
   return {
     find: key => entries.get(toMapKey(key)),
@@ -58,7 +69,7 @@
       const mapKey = toMapKey(record);
       const before = entries.get(mapKey);
       if (record.kind === 'released') {
-        released.set(record.claimId, position.segment);
+        released.set(record.claimId, {segment: position.segment, record});
         if (before?.claimId === record.claimId) entries.delete(mapKey);
       } else entries.set(mapKey, toEntry(record, position, before));
     },
@@ -66,10 +77,12 @@
       for (const [key, entry] of entries) {
         if (entry.segment <= segment) entries.delete(key);
       }
-      for (const [claimId, position] of released) {
-        if (position <= segment) released.delete(claimId);
+      for (const [claimId, release] of released) {
+        if (release.segment <= segment) released.delete(claimId);
       }
     },
+    entries: () => [...entries.values()],
+    releases: () => [...released.values()],
     get size() {
       return entries.size;
     },
@@ -122,10 +135,10 @@
   const {segment} = position;
   if (record.kind === 'claimed') {
     const {revision} = position;
-    return {claimId, requestHash, state: 'claimed', revision, segment};
+    return {claimId, requestHash, state: 'claimed', revision, segment, record};
   }
   const {outcome} = record;
   const state = outcome === undefined ? 'outcome_unknown' : 'completed';
   const revision = before?.revision ?? position.revision;
-  return {claimId, requestHash, state, outcome, revision, segment};
+  return {claimId, requestHash, state, outcome, revision, segment, record};
 }
--- a/packages/claims/src/ClaimWriter.ts
+++ b/packages/claims/src/ClaimWriter.ts
@@ -9,6 +9,9 @@
  * operations again: a claim that the write stored is found by its id, and one
  * that it didn't store is written again. The first write can't take effect
  * after the second, because both compare the same revision.
+ *
+ * When the service comes back from a copy, the writer reloads the shard and
+ * writes what it knows to be lost again, before it accepts other operations.
  */
 import type {
   ClaimEnd,
@@ -23,7 +26,7 @@
 import type {ResultAsync} from 'neverthrow';
 import {errAsync} from 'neverthrow';
 import type {Batch} from './Batch.js';
-import {planBatch} from './Batch.js';
+import {planBatch, takeBatch} from './Batch.js';
 import {
   defaultOperationTimeoutMs,
   maxRetryDelayMs,
@@ -34,9 +37,11 @@
   retentionMs,
 } from './ClaimConstants.js';
 import type {ClaimView} from './ClaimIndex.js';
+import type {ClaimRecord} from './ClaimRecords.js';
 import {headKey, shardPrefix} from './ClaimRecords.js';
 import type {Decision} from './ClaimRules.js';
 import {decideClaim, decideEnd} from './ClaimRules.js';
+import {findLostRecords, stillLost} from './LostRecords.js';
 import type {Operation} from './Operation.js';
 import {createOperation} from './Operation.js';
 import type {AppendPlan, LoadedShard, SegmentLimits} from './ShardLog.js';
@@ -61,12 +66,19 @@
   readonly writesWithoutResponse: number;
   readonly loads: number;
   readonly confirmations: number;
+  /** Records written again because the service had lost them. */
+  readonly recordsRestored: number;
 }
 
 export interface ClaimWriter {
   claim(request: ClaimRequest): ResultAsync<ClaimReply, RouterError>;
   end(reference: ClaimReference, end: ClaimEnd): ResultAsync<void, RouterError>;
   counters(): ClaimWriterCounters;
+  /**
+   * Reads the head if the writer has loaded its shard and is idle, so that it
+   * notices when the service came back from a copy.
+   */
+  checkHistory(): void;
   /**
    * Rejects new operations and resolves when the pending ones have completed.
    */
@@ -91,6 +103,7 @@
     writesWithoutResponse: 0,
     loads: 0,
     confirmations: 0,
+    recordsRestored: 0,
   };
   let queue: Operation[] = [];
   let queueRun: Promise<void> | undefined;
@@ -98,6 +111,9 @@
   /** The shard as last loaded or written; outdated unless `isCacheCurrent`. */
   let cachedShard: LoadedShard | undefined;
   let isCacheCurrent = false;
+  /** Records that the service lost, until they are stored again. */
+  let lostRecords: readonly ClaimRecord[] = [];
+  let mustReload = false;
   let lastBatchAtMs = -Infinity;
   let retryDelayMs = minRetryDelayMs;
 
@@ -111,21 +127,30 @@
     }
     const {operation, result} = createOperation(decide, clock, timeoutMs);
     queue.push(operation);
+    startQueue();
+    return result;
+  }
+
+  function startQueue(): void {
     queueRun ??= processQueue().finally(() => {
       queueRun = undefined;
     });
-    return result;
   }
 
   async function processQueue(): Promise<void> {
-    while (hasPendingOperations()) {
+    while (hasWork()) {
       await waitForWriteSpacing();
-      const succeeded = hasPendingOperations() ? await processBatch() : true;
+      const succeeded = hasWork() ? await processBatch() : true;
       if (succeeded) retryDelayMs = minRetryDelayMs;
       else await waitForRetry();
     }
   }
 
+  function hasWork(): boolean {
+    const mustRestore = mustReload || lostRecords.length > 0;
+    return hasPendingOperations() || (mustRestore && !closing);
+  }
+
   function hasPendingOperations(): boolean {
     queue = queue.filter(operation => !operation.completed);
     return queue.length > 0;
@@ -144,13 +169,18 @@
 
   /** Returns false when a platform call failed. */
   async function processBatch(): Promise<boolean> {
-    if (!isCacheCurrent) {
+    if (!isCacheCurrent || mustReload) {
+      // A restore while the shard is being read asks for another reload.
+      mustReload = false;
       const loaded = await loadShard();
-      if (loaded.isErr()) return completeFinalDecisions(loaded.error);
-      cachedShard = loaded.value;
-      isCacheCurrent = true;
+      if (loaded.isErr()) {
+        mustReload = cachedShard !== undefined;
+        return completeFinalDecisions(loaded.error);
+      }
+      useLoaded(loaded.value);
     }
     invariant(cachedShard !== undefined, 'the current shard must be loaded');
+    if (lostRecords.length > 0) return restoreRecords(cachedShard);
     // Operations may have timed out while the shard was loading.
     if (!hasPendingOperations()) return true;
     const batch = planBatch(cachedShard.claims, queue);
@@ -166,6 +196,26 @@
       .andThen(entries => decodeShard(shard, entries));
   }
 
+  /** Records that the writer knows and `loaded` lacks are written first. */
+  function useLoaded(loaded: LoadedShard): void {
+    const missing = cachedShard ? findLostRecords(cachedShard, loaded) : [];
+    lostRecords = stillLost([...lostRecords, ...missing], loaded.claims);
+    cachedShard = loaded;
+    isCacheCurrent = true;
+  }
+
+  /** Writes lost records again, as many as fit into one write. */
+  async function restoreRecords(loaded: LoadedShard): Promise<boolean> {
+    const records = takeBatch(lostRecords);
+    const batch = {prepared: [], records};
+    const written = await writeBatch(loaded, batch);
+    if (written && isCacheCurrent) {
+      lostRecords = lostRecords.slice(records.length);
+      counters.recordsRestored += records.length;
+    }
+    return written;
+  }
+
   async function writeBatch(
     loaded: LoadedShard,
     batch: Batch,
@@ -221,13 +271,25 @@
     return false;
   }
 
+  const unregisterHistory = store.registerHistoryHandler(() => {
+    if (cachedShard === undefined || closing) return;
+    mustReload = true;
+    startQueue();
+  });
+
   return {
     claim: request => submit(claims => decideClaim(claims, request)),
     end: (reference, end) =>
       submit(claims => decideEnd(claims, reference, end)),
     counters: () => ({...counters}),
+    checkHistory: () => {
+      if (cachedShard === undefined || queueRun !== undefined) return;
+      // The store compares the response's history with the one it knows.
+      void store.get(headKey(shard)).unwrapOr(undefined);
+    },
     close: async () => {
       closing = true;
+      unregisterHistory();
       await queueRun;
     },
   };
--- a/packages/claims/src/ShardLog.ts
+++ b/packages/claims/src/ShardLog.ts
@@ -200,6 +200,14 @@
   );
 }
 
+/** Returns the number of the first segment that is not deleted. */
+export function firstSegmentOf({
+  closedSegments,
+  openSegment,
+}: LogState): number {
+  return closedSegments[0]?.number ?? openSegment?.number ?? 0;
+}
+
 /** Decodes a shard from all of its entries, read at one revision. */
 export function decodeShard(
   shard: number,
--- a/packages/daemon/src/Instance.ts
+++ b/packages/daemon/src/Instance.ts
@@ -92,6 +92,12 @@
 /** Bodies that seem to stall while the event loop runs later may have arrived. */
 const maxStalledCheckDelayMs = 500;
 
+/**
+ * An idle instance with claims in memory notices that the key-value service came
+ * back from a copy within this time. Only instances that wrote claims ask.
+ */
+const historyCheckIntervalMs = 2_000;
+
 /** Returns a unique id: `prefix` followed by random bytes in hexadecimal. */
 export function createRandomId(prefix: string): string {
   return `${prefix}-${randomBytes(randomIdBytes).toString('hex')}`;
@@ -275,6 +281,9 @@
   const writers = Array.from({length: claimShardCount}, (_, shard) =>
     createClaimWriter({store, shard, clock}),
   );
+  const stopChecks = clock.every(historyCheckIntervalMs, () => {
+    for (const writer of writers) writer.checkHistory();
+  });
   const router = createClaimRouter({
     clock,
     selfId: fleet.selfId,
@@ -286,6 +295,7 @@
   return {
     router,
     close: async () => {
+      stopChecks();
       await Promise.all(writers.map(writer => writer.close()));
     },
   };
