daemon: show when the key-value service comes back from a copy

Neither a line nor a metric told operators that a drill took place, from which revision to which, or what was written again.

Not measured: fleets of several processes, and drills beside load.

--- a/packages/claims/src/ClaimWriter.ts
+++ b/packages/claims/src/ClaimWriter.ts
@@ -57,6 +57,8 @@
   /** Minimum time between the starts of two writes. */
   readonly minWriteSpacingMs?: number;
   readonly limits?: Partial<SegmentLimits>;
+  /** Called when so many records were written again that the service lost. */
+  readonly onRestored?: (records: number) => void;
 }
 
 /** Totals since the writer was created. */
@@ -212,6 +214,7 @@
     if (written && isCacheCurrent) {
       lostRecords = lostRecords.slice(records.length);
       counters.recordsRestored += records.length;
+      options.onRestored?.(records.length);
     }
     return written;
   }
--- a/packages/cli/src/__tests__/unit/Pages.test.ts
+++ b/packages/cli/src/__tests__/unit/Pages.test.ts
@@ -145,6 +145,8 @@
     const zero = () => 0;
     const metrics = createMetrics({
       configVersion: zero,
+      storeHistory: () => ({count: 0, revision: 0}),
+      claimRecordsRestored: zero,
       membersAlive: zero,
       peerMessagesSent: zero,
       permitsHeld: zero,
--- a/packages/daemon/src/Instance.ts
+++ b/packages/daemon/src/Instance.ts
@@ -13,6 +13,7 @@
   Clock,
   KeyValueStore,
   ProcessMemory,
+  StoreHistoryStatus,
 } from '@toucanrouter/common';
 import {createProcessMemory, createProcessRandom} from '@toucanrouter/common';
 import {createMemberTable} from '@toucanrouter/membership';
@@ -81,6 +82,9 @@
   readonly quarantineExchange: QuarantineExchange;
   readonly readiness: Readiness;
   readonly recorder: ServiceLevelRecorder;
+  storeHistory(): StoreHistoryStatus;
+  /** Records of claims written again because the service had lost them. */
+  claimRecordsRestored(): number;
   /** Applies a response of the platform's instance list. */
   applyInstanceList(list: InstanceList): void;
   /** Closes all components; no request may be in progress. */
@@ -116,6 +120,15 @@
     timeoutMs: settings.platformTimeoutMs,
     clock,
   });
+  const unregisterHistory = store.registerHistoryHandler(
+    ({clusterId, previousClusterId, previousRevision, revision}) =>
+      logger.warn('the key-value service came back from a copy', {
+        previousClusterId,
+        clusterId,
+        previousRevision,
+        revision,
+      }),
+  );
   const configStore = createConfigStore({
     store,
     clock,
@@ -143,7 +156,7 @@
     directory,
     onChange: scheduling.permits.reportRates,
   });
-  const claims = createClaims(clock, fleet, store);
+  const claims = createClaims(options, fleet, store);
   const recorder = createServiceLevelRecorder({clock, instanceId: selfId});
   const inspection = createFleetInspection(clock, fleet, {
     shards: scheduling.host.snapshots,
@@ -201,6 +214,8 @@
     quarantineExchange,
     readiness: createReadiness(),
     recorder,
+    storeHistory: store.history,
+    claimRecordsRestored: claims.recordsRestored,
     applyInstanceList: list => {
       directory.setListed(list.upstreams);
       fleet.addListedMembers(toListedMembers(list.routers, selfId));
@@ -215,6 +230,7 @@
       scheduling.permits.close();
       scheduling.host.close();
       await claims.close();
+      unregisterHistory();
       fleet.close();
       store.close();
       await dispatcher.close();
@@ -270,16 +286,23 @@
 
 interface Claims {
   readonly router: ClaimRouter;
+  recordsRestored(): number;
   close(): Promise<void>;
 }
 
 function createClaims(
-  clock: Clock,
+  {clock, logger}: InstanceOptions,
   fleet: Fleet,
   store: KeyValueStore,
 ): Claims {
   const writers = Array.from({length: claimShardCount}, (_, shard) =>
-    createClaimWriter({store, shard, clock}),
+    createClaimWriter({
+      store,
+      shard,
+      clock,
+      onRestored: records =>
+        logger.warn('lost claims were written again', {shard, records}),
+    }),
   );
   const stopChecks = clock.every(historyCheckIntervalMs, () => {
     for (const writer of writers) writer.checkHistory();
@@ -294,6 +317,8 @@
   });
   return {
     router,
+    recordsRestored: () =>
+      writers.reduce((sum, w) => sum + w.counters().recordsRestored, 0),
     close: async () => {
       stopChecks();
       await Promise.all(writers.map(writer => writer.close()));
--- a/packages/daemon/src/Metrics.ts
+++ b/packages/daemon/src/Metrics.ts
@@ -9,7 +9,11 @@
   Histogram,
   Registry,
 } from 'prom-client';
-import type {HolderMemory, MemoryBudgetStatus} from '@toucanrouter/common';
+import type {
+  HolderMemory,
+  MemoryBudgetStatus,
+  StoreHistoryStatus,
+} from '@toucanrouter/common';
 import type {RateStatus, RetryBudgetStatus} from '@toucanrouter/policy';
 import type {ShedCount} from './request/LoadControl.js';
 import type {RefusalCounts} from './request/PausedUpstreams.js';
@@ -19,6 +23,10 @@
 export interface MetricSources {
   readonly membersAlive: () => number;
   readonly configVersion: () => number;
+  /** What is known of the history of the key-value service. */
+  readonly storeHistory: () => Pick<StoreHistoryStatus, 'count' | 'revision'>;
+  /** Records of claims written again because the service had lost them. */
+  readonly claimRecordsRestored: () => number;
   readonly permitsHeld: () => number;
   readonly permitsPending: () => number;
   readonly peerMessagesSent: () => number;
@@ -134,6 +142,21 @@
       'Version of the configuration in force',
       sources.configVersion,
     ],
+    [
+      'toucanrouter_store_histories',
+      'Histories of the key-value service seen since the start; one more each time it came back from a copy',
+      () => sources.storeHistory().count,
+    ],
+    [
+      'toucanrouter_store_revision',
+      'Highest revision seen in the current history of the key-value service',
+      () => sources.storeHistory().revision,
+    ],
+    [
+      'toucanrouter_claim_records_restored',
+      'Records of claims written again since the start because the key-value service had lost them',
+      sources.claimRecordsRestored,
+    ],
     [
       'toucanrouter_permits_held',
       'Permits that this instance holds',
--- a/packages/daemon/src/__tests__/unit/Metrics.test.ts
+++ b/packages/daemon/src/__tests__/unit/Metrics.test.ts
@@ -8,6 +8,8 @@
   return {
     membersAlive: zero,
     configVersion: zero,
+    storeHistory: () => ({count: 0, revision: 0}),
+    claimRecordsRestored: zero,
     permitsHeld: zero,
     permitsPending: zero,
     peerMessagesSent: zero,
--- a/packages/daemon/src/server/Servers.ts
+++ b/packages/daemon/src/server/Servers.ts
@@ -90,13 +90,13 @@
   ];
 }
 
-function createInstanceMetrics(
-  {access, fleet, holder, host, loadControl, memory, permits}: Instance,
-  hub: PeerHub,
-): Metrics {
+function createInstanceMetrics(instance: Instance, hub: PeerHub): Metrics {
+  const {access, fleet, holder, host, loadControl, memory, permits} = instance;
   return createMetrics({
     membersAlive: () => fleet.alive().length,
     configVersion: () => holder.inForce().version,
+    storeHistory: instance.storeHistory,
+    claimRecordsRestored: instance.claimRecordsRestored,
     permitsHeld: () => permits.counts().held,
     permitsPending: () => permits.counts().pending,
     peerMessagesSent: () => hub.traffic().sentMessages,
--- a/packages/standins/src/__tests__/process/DaemonFixtures.ts
+++ b/packages/standins/src/__tests__/process/DaemonFixtures.ts
@@ -18,6 +18,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {findFreePorts} from '../../deployment/FreePorts.js';
+import type {PlatformStandIn} from '../../store/PlatformStandIn.js';
 import {createPlatformStandIn} from '../../store/PlatformStandIn.js';
 
 const root = fileURLToPath(new URL('../../../../../', import.meta.url));
@@ -46,6 +47,7 @@
 
 /** A daemon process and its platform. */
 export interface DaemonProcess {
+  readonly platform: PlatformStandIn;
   readonly ports: DaemonSettingsPorts;
   output(): string;
   /** Status and text of `/readyz`; undefined if it does not answer. */
@@ -136,6 +138,7 @@
   });
   return {
     ports,
+    platform,
     output: () => output,
     readiness: async () => {
       try {
