--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -83,6 +83,7 @@
   RequestId,
   ServiceName,
   ShardId,
+  StoreHistoryId,
   UpstreamId,
   WorkspaceId,
 } from './Ids.js';
@@ -94,6 +95,7 @@
   toRequestId,
   toServiceName,
   toShardId,
+  toStoreHistoryId,
   toUpstreamId,
   toWorkspaceId,
 } from './Ids.js';
@@ -103,7 +105,9 @@
   KeyValue,
   KeyValueStore,
   KeyValueTransaction,
+  NewStoreHistory,
   RevisionCompare,
+  StoreHistoryStatus,
   TransactionResponse,
   WatchEvent,
 } from './KeyValue.js';
