--- a/scripts/soak/drills.js
+++ b/scripts/soak/drills.js
@@ -16,11 +16,15 @@
 const maxAwayMs = 4_000;
 const minAwayMs = 300;
 const maxCopyAgeMs = 9_000;
+/** The revisions of such a copy are soon given out again. */
+const maxRecentAgeMs = 1_000;
 const maxWriteAgainMs = 600;
 const minGapMs = 3_500;
 const maxGapMs = 9_000;
 /** Changes of the configuration around a drill come so long after its end. */
 const maxChangeDelayMs = 900;
+/** Such a change may come before the instances notice that the store is back. */
+const maxSoonChangeDelayMs = 200;
 
 function readVersion(host) {
   return new Promise(resolve => {
@@ -81,7 +85,8 @@
   async function drill() {
     store.leave();
     await sleep(minAwayMs + random() * (maxAwayMs - minAwayMs));
-    store.restore(random() * maxCopyAgeMs, random() * maxWriteAgainMs);
+    const maxAgeMs = random() < 0.5 ? maxRecentAgeMs : maxCopyAgeMs;
+    store.restore(random() * maxAgeMs, random() * maxWriteAgainMs);
     returnedAtMs = nowMs();
     report.drills += 1;
   }
@@ -94,7 +99,10 @@
       if (closed) return;
       await drill();
       if (random() < 0.25) await drill();
-      await sleep(random() * maxChangeDelayMs);
+      const isSoon = random() < 0.5;
+      await sleep(
+        random() * (isSoon ? maxSoonChangeDelayMs : maxChangeDelayMs),
+      );
       await changeWhenThere();
     }
   }
--- a/scripts/soak/restorableStore.js
+++ b/scripts/soak/restorableStore.js
@@ -276,7 +276,10 @@
       copies.length = 0;
       isAway = false;
       keepCopy();
-      setTimeout(writeAgain, writeAfterMs);
+      setTimeout(() => {
+        writeAgain();
+        beat();
+      }, writeAfterMs);
     },
     close: () => {
       closed = true;
