--- a/packages/daemon/src/Instance.ts
+++ b/packages/daemon/src/Instance.ts
@@ -13,6 +13,7 @@
   Clock,
   KeyValueStore,
   ProcessMemory,
+  StoreHistoryStatus,
 } from '@toucanrouter/common';
 import {createProcessMemory, createProcessRandom} from '@toucanrouter/common';
 import {createMemberTable} from '@toucanrouter/membership';
@@ -81,6 +82,9 @@
   readonly quarantineExchange: QuarantineExchange;
   readonly readiness: Readiness;
   readonly recorder: ServiceLevelRecorder;
+  storeHistory(): StoreHistoryStatus;
+  /** Records of claims written again because the service had lost them. */
+  claimRecordsRestored(): number;
   /** Applies a response of the platform's instance list. */
   applyInstanceList(list: InstanceList): void;
   /** Closes all components; no request may be in progress. */
@@ -92,6 +96,12 @@
 /** Bodies that seem to stall while the event loop runs later may have arrived. */
 const maxStalledCheckDelayMs = 500;
 
+/**
+ * An idle instance with claims in memory notices that the key-value service came
+ * back from a copy within this time. Only instances that wrote claims ask.
+ */
+const historyCheckIntervalMs = 2_000;
+
 /** Returns a unique id: `prefix` followed by random bytes in hexadecimal. */
 export function createRandomId(prefix: string): string {
   return `${prefix}-${randomBytes(randomIdBytes).toString('hex')}`;
@@ -110,10 +120,25 @@
     timeoutMs: settings.platformTimeoutMs,
     clock,
   });
+  const unregisterHistory = store.registerHistoryHandler(
+    ({clusterId, previousClusterId, previousRevision, revision}) =>
+      logger.warn('the key-value service came back from a copy', {
+        previousClusterId,
+        clusterId,
+        previousRevision,
+        revision,
+      }),
+  );
   const configStore = createConfigStore({
     store,
     clock,
     createWriteId: () => createRandomId(selfId),
+    inForce: holder.stored,
+    onRestored: ({replaced, written}) =>
+      logger.warn('configuration was written again', {
+        version: written.version,
+        replacedVersion: replaced?.version ?? 0,
+      }),
   });
   const fleet = createInstanceFleet(options, incarnation, directory, holder);
   const config = holder.inForce;
@@ -131,7 +156,7 @@
     directory,
     onChange: scheduling.permits.reportRates,
   });
-  const claims = createClaims(clock, fleet, store);
+  const claims = createClaims(options, fleet, store);
   const recorder = createServiceLevelRecorder({clock, instanceId: selfId});
   const inspection = createFleetInspection(clock, fleet, {
     shards: scheduling.host.snapshots,
@@ -189,6 +214,8 @@
     quarantineExchange,
     readiness: createReadiness(),
     recorder,
+    storeHistory: store.history,
+    claimRecordsRestored: claims.recordsRestored,
     applyInstanceList: list => {
       directory.setListed(list.upstreams);
       fleet.addListedMembers(toListedMembers(list.routers, selfId));
@@ -203,6 +230,7 @@
       scheduling.permits.close();
       scheduling.host.close();
       await claims.close();
+      unregisterHistory();
       fleet.close();
       store.close();
       await dispatcher.close();
@@ -258,17 +286,27 @@
 
 interface Claims {
   readonly router: ClaimRouter;
+  recordsRestored(): number;
   close(): Promise<void>;
 }
 
 function createClaims(
-  clock: Clock,
+  {clock, logger}: InstanceOptions,
   fleet: Fleet,
   store: KeyValueStore,
 ): Claims {
   const writers = Array.from({length: claimShardCount}, (_, shard) =>
-    createClaimWriter({store, shard, clock}),
+    createClaimWriter({
+      store,
+      shard,
+      clock,
+      onRestored: records =>
+        logger.warn('lost claims were written again', {shard, records}),
+    }),
   );
+  const stopChecks = clock.every(historyCheckIntervalMs, () => {
+    for (const writer of writers) writer.checkHistory();
+  });
   const router = createClaimRouter({
     clock,
     selfId: fleet.selfId,
@@ -279,7 +317,10 @@
   });
   return {
     router,
+    recordsRestored: () =>
+      writers.reduce((sum, w) => sum + w.counters().recordsRestored, 0),
     close: async () => {
+      stopChecks();
       await Promise.all(writers.map(writer => writer.close()));
     },
   };
--- a/packages/keyvalue/src/__tests__/unit/KeyValueClient.test.ts
+++ b/packages/keyvalue/src/__tests__/unit/KeyValueClient.test.ts
@@ -1,9 +1,10 @@
-import type {KeyValueStore, WatchEvent} from '@toucanrouter/common';
+import type {KeyValueStore} from '@toucanrouter/common';
 import {createSystemClock} from '@toucanrouter/common';
 import type {PlatformStandIn} from '@toucanrouter/standins';
 import {createPlatformStandIn} from '@toucanrouter/standins';
 import {expect} from 'chai';
 import {createKeyValueClient} from '../../index.js';
+import {createEventLog} from './EventLogFixture.js';
 
 const toBytes = (text: string) => Buffer.from(text);
 
@@ -15,28 +16,6 @@
   };
 }
 
-/** Collects watch events, and can wait for a number of them. */
-function createEventLog() {
-  const seen: string[] = [];
-  let check = () => {};
-  return {
-    seen,
-    add: (events: readonly WatchEvent[]) => {
-      for (const {key, entry} of events) {
-        seen.push(entry ? `${key}=${Buffer.from(entry.value)}` : `${key} gone`);
-      }
-      check();
-    },
-    waitFor: (count: number) =>
-      new Promise<void>(resolve => {
-        check = () => {
-          if (seen.length >= count) resolve();
-        };
-        check();
-      }),
-  };
-}
-
 describe('createKeyValueClient', () => {
   let standIn: PlatformStandIn;
   let store: KeyValueStore;
@@ -76,6 +55,21 @@
     expect(entry?.modRevision).to.equal(first.revision);
   });
 
+  // Guards against a revision that was given out again, to another value.
+  it('rejects a write whose compared value differs at the same revision', async () => {
+    const {revision} = await put('/k', 'a');
+    async function replaceIf(value: string) {
+      const compares = [
+        {key: '/k', modRevision: revision, value: toBytes(value)},
+      ];
+      const puts = [{key: '/k', value: toBytes('b')}];
+      const response = await store.transact({compares, puts, deletes: []});
+      return response._unsafeUnwrap().succeeded;
+    }
+    expect(await replaceIf('other')).to.equal(false);
+    expect(await replaceIf('a')).to.equal(true);
+  });
+
   it('lists all pages of a prefix in order and no other keys', async () => {
     const keys = Array.from({length: 150}, (_, i) => `/p/${1000 + i}`);
     for (const key of [...keys, '/q', '/o']) await put(key, 'v');
