gateway: pass on what is written again in a new history

What callers saw (in tests without a network): an instance that started while the store showed a copy, and whose peers did not answer it in time, stayed at the older configuration of the copy for good, and counted it as confirmed. It also went on using upstreams of the copy that were leaving or gone.

Cause: such an instance reads through another one that knew the newest state before the drill. That one did not record what was written again, or removed, because it said nothing new to itself. The log took its own knowledge from an earlier history for what its readers know.

Evidence: two tests in RelayEras.test.ts. Without the change: version 5 where 6 was written again 2 s before; usable upstreams one, two and three in place of three alone.

Why this works: what the log carries over to a new history has no meaning to compare with, so the next write or removal of each item is passed on. A configuration is passed on whenever it is written at a later revision, since an instance that starts may have learned it from peers first. Configurations are rarely written, so this costs next to nothing.

--- a/packages/gateway/src/__tests__/unit/RelayEras.test.ts
+++ b/packages/gateway/src/__tests__/unit/RelayEras.test.ts
@@ -293,6 +293,61 @@
     running.sync.close();
     starting.sync.close();
   });
+
+  // Guards against an instance that stays at the copy's configuration: the one
+  // through which it reads knew the version that was written again.
+  it('receives the newest configuration when it is written again', async () => {
+    const {clock, model, running, starting} = await startWithin(
+      undefined,
+      read => {
+        let request = 0;
+        return (...rest) => {
+          request += 1;
+          // None of the instances that it asks answers.
+          return request > 4 ? read(...rest) : fail<RelayResponse>();
+        };
+      },
+    );
+    expect(starting.version()).to.equal(5);
+    await advance(clock, 4_000);
+    model.write('config', '6');
+    await advance(clock, 2_000);
+    expect(starting.version()).to.equal(6);
+    running.sync.close();
+    starting.sync.close();
+  });
+
+  // Guards against requests to an upstream that an instance knows from the copy
+  // only: the one through which it reads knew that it leaves, or is gone.
+  it('learns from others which upstreams of the copy leave or are gone', async () => {
+    const clock = createManualClock(1_000);
+    const model = createDomain();
+    model.write('upstream/two', ready);
+    model.write('upstream/three', ready);
+    const copy = model.copy();
+    const running = createFollower(model, {clock, selfId: firstId});
+    running.sync.start();
+    await advance(clock, 500);
+    model.write('upstream/one', 'leaving born 1 seq 2');
+    model.remove('upstream/two');
+    await advance(clock, 2_000);
+    model.restore(copy);
+    await advance(clock, 1_500);
+    const starting = createFollower(model, {
+      clock,
+      selfId: lastId,
+      readRelay: relayOf(running),
+    });
+    starting.sync.start();
+    await advance(clock, 2_000);
+    expect(running.usable()).to.deep.equal(['three']);
+    model.write('upstream/one', 'leaving born 1 seq 3');
+    model.remove('upstream/two');
+    await advance(clock, 6_000);
+    expect(starting.usable()).to.deep.equal(['three']);
+    running.sync.close();
+    starting.sync.close();
+  });
 });
 
 describe('RelayServer of a restored store', () => {
--- a/packages/gateway/src/state/StateLog.ts
+++ b/packages/gateway/src/state/StateLog.ts
@@ -59,7 +59,11 @@
 interface LoggedItem {
   readonly item: StoredItem;
   readonly change: StateChange;
-  readonly meaning: string;
+  /**
+   * Undefined for what is only known from an earlier history: peers that joined
+   * in the present one may know something else until it is written again.
+   */
+  readonly meaning: string | undefined;
   readonly revision: number;
   readonly recordedAtMs: number;
 }
@@ -105,7 +109,9 @@
       currentEra = era;
       currentRevision = revision;
       oldestRevision = revision;
-      for (const [key, entry] of logged) logged.set(key, {...entry, revision});
+      for (const [key, entry] of logged) {
+        logged.set(key, {...entry, meaning: undefined, revision});
+      }
       changed = true;
     },
     nameHistory: era => {
@@ -121,7 +127,12 @@
       const previous = logged.get(item.key);
       const isUnknownRemoval =
         previous === undefined && item.value === undefined;
-      if (isUnknownRemoval || previous?.meaning === meaning) return;
+      // A configuration may be known from peers before the store shows it.
+      const isWrittenConfig =
+        change.kind === 'config' &&
+        revision > (previous?.revision ?? -Infinity);
+      const saysNothingNew = previous?.meaning === meaning && !isWrittenConfig;
+      if (isUnknownRemoval || saysNothingNew) return;
       const recordedAtMs = clock.nowMs();
       logged.set(item.key, {item, change, meaning, revision, recordedAtMs});
       changed = true;
