gateway: keep lapsed upstreams while the store is away again

What callers saw (in a test without a network): when the store went away a second time within the grace period after the first absence, upstreams whose entries had lapsed were given up before it was back, although they could not write their entries again.

Cause: the timer of the first grace period looked only for a later one that had begun already. A later absence that still goes on has none yet.

Evidence: a test in UpstreamRegistry.test.ts. Without the change the upstream is gone 5 s into the second absence ("two" in place of "one, two").

Why this works: such entries wait for the end of the absence, and then have its grace period. Entries that are removed while the store is away are handled as before (their test is unchanged).

--- a/packages/gateway/src/__tests__/unit/UpstreamRegistry.test.ts
+++ b/packages/gateway/src/__tests__/unit/UpstreamRegistry.test.ts
@@ -126,6 +126,24 @@
     expect(usable()).to.deep.equal(['two']);
   });
 
+  // Guards against the loss of upstreams while the store is away for the second
+  // time: they could not write their entries again.
+  it('keeps an entry during a later absence that goes on', () => {
+    const {clock, registry, usable} = createRegistry();
+    registry.storeLost();
+    registry.storeRegained('outage');
+    registry.remove(one);
+    clock.advance(lapsedEntryGraceMs - 300);
+    registry.storeLost();
+    clock.advance(5_000);
+    expect(usable()).to.deep.equal(['one', 'two']);
+    registry.storeRegained('outage');
+    clock.advance(lapsedEntryGraceMs - 300);
+    expect(usable()).to.deep.equal(['one', 'two']);
+    clock.advance(600);
+    expect(usable()).to.deep.equal(['two']);
+  });
+
   it('removes a leaving upstream at once, even during an outage', () => {
     const {registry, removed} = createRegistry();
     registry.storeLost();
--- a/packages/gateway/src/upstreams/UpstreamRegistry.ts
+++ b/packages/gateway/src/upstreams/UpstreamRegistry.ts
@@ -72,6 +72,8 @@
   const {clock} = options;
   const entries = new Map<UpstreamId, UpstreamEntry>();
   const cancelEvictions = new Map<UpstreamId, () => void>();
+  /** Entries whose grace period ended while the store was away again. */
+  const lapsedInAbsence = new Set<UpstreamId>();
   const byService = new Map<ServiceName, UpstreamEntry[]>();
   const announcedLeaving = createBoundedMap<string, true>(maxLeavingProcesses);
   let storeDown = false;
@@ -148,14 +150,22 @@
     const remainingMs = storeDown
       ? lapsedEntryGraceMs
       : graceEndMs - clock.nowMs();
-    const cancel = clock.after(remainingMs, () => {
+    const wasStoreDown = storeDown;
+    const cancel = clock.after(Math.max(0, remainingMs), () => {
       // A later absence of the store has a grace period of its own.
       if (clock.nowMs() < graceEndMs) scheduleEviction(id);
+      else if (storeDown && !wasStoreDown) keepUntilRegained(id);
       else evict(id, 'its entry did not return within the grace period');
     });
     cancelEvictions.set(id, cancel);
   }
 
+  /** While the store is away, the upstream cannot write its entry again. */
+  function keepUntilRegained(id: UpstreamId): void {
+    lapsedInAbsence.add(id);
+    cancelEvictions.set(id, () => lapsedInAbsence.delete(id));
+  }
+
   return {
     usable: service => byService.get(service) ?? [],
     has: id => entries.has(id),
@@ -173,6 +183,9 @@
         graceEndMs = Math.max(graceEndMs, endMs);
       }
       storeDown = false;
+      const lapsed = [...lapsedInAbsence];
+      lapsedInAbsence.clear();
+      for (const id of lapsed) scheduleEviction(id);
     },
     markLeaving: entry => {
       const key = processKeyOf(entry);
