gateway: hold lifted verdicts of a copy back to their end

What callers saw (in a test without a network): a verdict that had been lifted before the drill, and that the copy still held, was adopted again 20 s after the drill, so sound requests would be refused for up to its whole duration.

Cause: items that were removed before the drill are used after 20 s if the store still holds them, because their owners must have renewed them. Nobody renews a verdict: its lease lasts as long as the verdict.

Evidence: a test in RestoredStore.test.ts. Without the change: verdict, removed, verdict within 30 s of the drill.

Why this works: a held back verdict is used only once it is written again.

Open: it stays in the store until its lease ends, so an instance that starts meanwhile adopts it.

--- a/packages/gateway/src/__tests__/unit/RestoredStore.test.ts
+++ b/packages/gateway/src/__tests__/unit/RestoredStore.test.ts
@@ -361,6 +361,25 @@
     sync.close();
   });
 
+  // Guards against sound requests that are refused because of a verdict that was
+  // lifted before the drill: nobody renews it, and the copy holds it to its end.
+  it('never uses a verdict that is known to be lifted', async () => {
+    const state = await startFollower();
+    const {clock, model, sync, verdictEvents} = state;
+    model.write('verdict/lifted', 'v');
+    await advance(clock, 1_100);
+    const copy = model.copy();
+    model.remove('verdict/lifted');
+    await advance(clock, 1_100);
+    await drill(state, copy);
+    await advance(clock, 30_000);
+    expect(verdictEvents).to.deep.equal(['verdict', 'removed']);
+    model.write('verdict/lifted', 'v');
+    await advance(clock, 1_100);
+    expect(verdictEvents).to.deep.equal(['verdict', 'removed', 'verdict']);
+    sync.close();
+  });
+
   // Guards against requests to an upstream whose leaving was confirmed, also long
   // after the drill.
   it('never uses the entry of a process that is known to be leaving', async () => {
--- a/packages/gateway/src/state/RestoredState.ts
+++ b/packages/gateway/src/state/RestoredState.ts
@@ -34,7 +34,7 @@
   noteWritten(key: string): void;
   /**
    * Takes the items that have been held back for the longest time allowed. One
-   * that is known to be leaving, or to be over, stays.
+   * that is known to be leaving, to be over or to be a lifted verdict stays.
    */
   takeOverdue(): readonly StoredItem[];
   readonly heldBackCount: number;
@@ -57,6 +57,8 @@
   readonly item: StoredItem;
   /** True if it was only removed, so its owner may have written it again. */
   readonly wasRemoved: boolean;
+  /** False for verdicts: the store holds them to their end without an owner. */
+  readonly isRenewed: boolean;
 }
 
 /** True if an item of the copy is older than what is known. */
@@ -124,7 +126,8 @@
               !lacking.has(item.key) &&
               isOutdated(change, knownItem);
         const wasRemoved = knownItem?.isRemoved ?? held?.wasRemoved ?? false;
-        if (isOld) heldBack.set(item.key, {item, wasRemoved});
+        const isRenewed = change?.kind !== 'verdict';
+        if (isOld) heldBack.set(item.key, {item, wasRemoved, isRenewed});
         else {
           lacking.delete(item.key);
           cancelRemoval(item.key);
@@ -144,7 +147,7 @@
       if (clock.nowMs() >= heldBackUntilMs) lacking.clear();
       if (heldBack.size === 0 || clock.nowMs() < heldBackUntilMs) return [];
       const overdue = [...heldBack.values()]
-        .filter(({wasRemoved}) => wasRemoved)
+        .filter(({isRenewed, wasRemoved}) => wasRemoved && isRenewed)
         .map(({item}) => item);
       for (const {key} of overdue) heldBack.delete(key);
       return overdue;
