gateway: register again when the own entry is gone from the store

What operators saw (in a test with a running gateway and a scripted store): an instance whose entry is removed from the store while the renewals of its lease succeed stays missing in the list of instances.

Cause: Registration handles the removal of the entry, but nothing called it: the gateway did not connect it with the state.

Why this works: the removal is reported after all items of a read are applied, and only if none of them writes the entry again, so an instance whose lease has expired, and that has registered again, mostly does not write twice. A closed registration does not say that it writes the entry again.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -280,6 +280,7 @@
     peers,
     onVerdict: verdictArchive.receive,
     onVerdictRemoved: verdictArchive.receiveRemoval,
+    onOwnEntryRemoved: registration.entryRemoved,
     changeDelayMs: () =>
       Math.min(settings.configDelayMs, settings.leavingDelayMs),
   });
--- a/packages/gateway/src/__tests__/unit/RestoredStore.test.ts
+++ b/packages/gateway/src/__tests__/unit/RestoredStore.test.ts
@@ -409,6 +409,22 @@
     sync.close();
   });
 
+  // Guards against needless writes of entries that are back already.
+  it('does not tell so if the entry was written again meanwhile', async () => {
+    const state = await startFollower();
+    const {clock, model, ownRemovals, sync} = state;
+    model.write('peer/i', 'i');
+    await advance(clock, 1_100);
+    model.remove('peer/i');
+    model.write('peer/i', 'i');
+    await advance(clock, 1_100);
+    expect(ownRemovals()).to.equal(0);
+    model.remove('peer/i');
+    await advance(clock, 1_100);
+    expect(ownRemovals()).to.equal(1);
+    sync.close();
+  });
+
   it('leaves one line with both revisions', async () => {
     const state = await startFollower();
     const {clock, lines, model, sync} = state;
--- a/packages/gateway/src/peers/Registration.ts
+++ b/packages/gateway/src/peers/Registration.ts
@@ -122,7 +122,7 @@
   return {
     start: () => void run(),
     entryRemoved: () => {
-      if (lease === undefined) return;
+      if (closed || lease === undefined) return;
       logger.warn('the entry of this instance is gone; writing it again', {
         instanceId: entry.instanceId,
       });
--- a/packages/gateway/src/state/StateSync.ts
+++ b/packages/gateway/src/state/StateSync.ts
@@ -177,6 +177,8 @@
   /** Set until the first snapshot of a new history has been applied. */
   let previousHistory: PreviousHistory | undefined;
   let shownConfigVersion = 0;
+  /** Set while items are applied; the entry may be written again among them. */
+  let isOwnEntryGone = false;
   let hasAskedPeers = false;
   /** True while peers may tell of a configuration that a copy lacks. */
   let isAskingPeers = false;
@@ -203,6 +205,9 @@
         registry.remove(change.id);
         return;
       case 'peer':
+        if (change.entry.instanceId === options.instanceId) {
+          isOwnEntryGone = false;
+        }
         peers.put(change.entry);
         return;
       case 'peer_domain':
@@ -213,7 +218,7 @@
         } else peers.putDomain(change.id, change.failureDomain);
         return;
       case 'peer_removed':
-        if (change.id === options.instanceId) options.onOwnEntryRemoved?.();
+        if (change.id === options.instanceId) isOwnEntryGone = true;
         restored.deferRemoval(key, () => peers.remove(change.id));
         return;
       case 'verdict':
@@ -280,6 +285,9 @@
         });
       }
     }
+    if (!isOwnEntryGone) return;
+    isOwnEntryGone = false;
+    options.onOwnEntryRemoved?.();
   }
 
   const toDecoded = (item: StoredItem): DecodedItem => ({
