gateway: drop first reads that end late for good

What operators saw (in a test without a network): an instance whose first read gets no answer counted the store as lost 4 s after the start, although a second read had been answered, if it read the state in full again at that moment (after a compaction or a drill).

Cause: a late first read is dropped if there is a cursor. There is none while the state is read in full again.

Evidence: a test in StateSync.test.ts. Without the change the instance is not connected within 5 s of its start.

Why this works: once any read was answered, the first reads are over.

--- a/packages/gateway/src/__tests__/unit/StateSync.test.ts
+++ b/packages/gateway/src/__tests__/unit/StateSync.test.ts
@@ -225,6 +225,26 @@
     });
   });
 
+  // Guards against an outdated state, and a store that counts as lost, because a
+  // first read ends while the state is read in full again.
+  it('ignores a first read that ends after another one was answered', async () => {
+    const {clock, config, script, sync} = createSyncedState();
+    const answerTimesMs = [Infinity, 100];
+    script.store.readAll = timeoutMs =>
+      answerAfter(clock, answerTimesMs.shift() ?? 1_000, timeoutMs);
+    sync.start();
+    await advance(clock, 2_500);
+    expect(config.current()?.version).to.equal(2);
+    expect(sync.connected()).to.equal(true);
+    script.store.readChanges = () => resultOf<WatchResult>('compacted');
+    // The first read ends 4 s after the start.
+    for (let waited = 0; waited < 2_500; waited += 50) {
+      await advance(clock, 50);
+      expect(sync.connected()).to.equal(true);
+    }
+    sync.close();
+  });
+
   // Guards against a start in an outage that fills the memory with snapshots.
   it('keeps at most two first reads open', async () => {
     const {clock, script, sync} = createSyncedState();
--- a/packages/gateway/src/state/StateSync.ts
+++ b/packages/gateway/src/state/StateSync.ts
@@ -592,7 +592,7 @@
     const update = await store.readAll(firstReadTimeoutMs);
     firstReads -= 1;
     // Another read may have been answered first.
-    if (cursor === undefined && !closed) await applyFullState(mark, update);
+    if (!everConnected && !closed) await applyFullState(mark, update);
   }
 
   async function readChanges({revision: after}: Cursor): Promise<boolean> {
