keyvalue: pause between listings while histories alternate

What operators would see (in a test with scripted calls): while members of the service answer from two histories, as when one that was not restored still runs, each watch lists its prefix again and again without any pause.

Cause: each change of the history began a listing at once, also one that the response to that listing showed.

Why this works: after a listing that no watch has continued yet, the next one waits for the backoff. A watch that works lists at once, as before.

--- a/packages/keyvalue/src/KeyValueWatch.ts
+++ b/packages/keyvalue/src/KeyValueWatch.ts
@@ -60,6 +60,8 @@
   let historyId: StoreHistoryId | undefined;
   const reportedKeys = new Set<string>();
   let backoffMs = minReconnectBackoffMs;
+  /** True unless a listing has begun that no watch has continued yet. */
+  let isListingConfirmed = true;
 
   function connect(): void {
     const mark = history.markReplicaRead();
@@ -97,6 +99,7 @@
     if (response.compactRevision > 0) return relist();
     if (response.canceled) return reconnect(opened);
     backoffMs = minReconnectBackoffMs;
+    isListingConfirmed = true;
     const revision = response.header?.revision ?? 0;
     nextRevision = nextRevisionAfter(response, revision);
     report(
@@ -154,6 +157,7 @@
 
   function relist(): void {
     disconnect();
+    isListingConfirmed = false;
     const started = options.listPrefix(options.prefix);
     listing = started;
     void started.match(
@@ -180,7 +184,10 @@
 
   // Without a cursor, the watch belongs to whichever history it starts in.
   const unregisterHistory = history.registerHandler(() => {
-    if (nextRevision > 0) relist();
+    if (nextRevision === 0) return;
+    // Members that answer from two histories would cause calls without a pause.
+    if (isListingConfirmed) relist();
+    else relistLater();
   });
   connect();
   return () => {
