common: check in which turn an overdue listener closes

The test "ends when it is overdue" said in which turn the wait ended (its condition was asked 4 times) until it was changed to call the new function. Since then it would have passed for a listener that goes on for any number of turns without a connection. It checks the number of times again: 5, since the listener closes with the connection after the one that found it overdue.

--- a/packages/common/src/__tests__/unit/AcceptQueue.test.ts
+++ b/packages/common/src/__tests__/unit/AcceptQueue.test.ts
@@ -117,6 +117,8 @@
       isOverdue: () => (turns += 1) > 3,
     });
     await worker.terminate();
+    // The fourth time it is overdue, and the next connection is the last one.
+    expect(turns).to.equal(5);
     expect(server.listening).to.equal(false);
     expect(accepted.acceptedCount).to.be.at.most(4);
     expect(accepted.isQueueEmpty).to.equal(false);
