daemon: accept what waits at the port until connections close

What callers saw: calls that wait at the port of a daemon are reset when the last answers of a stop are due, none of them passed on or refused. This is so although the time for last answers has just begun; the gateway takes it for them. It needs a signal that may have waited for most of the grace period, or a queue that is not accepted until then.

The cause: the listener counted as overdue when the last answers were due, and the stop awaited it before it gave them.

Now the listener closes beside the last answers, and is overdue only when connections close. Calls that are read meanwhile get their final answer too.

--- a/packages/daemon/src/server/CallerStop.ts
+++ b/packages/daemon/src/server/CallerStop.ts
@@ -72,23 +72,30 @@
     cutRequests = Math.max(cutRequests, callers.requestsInProgress());
     if (!isClosed) callers.endCalls();
   };
-  if (areLastAnswersDue()) endCalls();
   const startedAtMs = clock.nowMs();
   const lateAtMs = startedAtMs + maxQueueingMs;
   const isTooLate = plan.untilClosingMs(startedAtMs) <= 0;
   const minEndMs = startedAtMs + (isTooLate ? plan.lastAnswersMs() : 0);
   const isClosingDue = () =>
     plan.untilClosingMs(clock.nowMs()) <= 0 && clock.nowMs() >= minEndMs;
-  const accepted = await closeOnceAccepted({
+  let listenerClosedAtMs = startedAtMs;
+  const listenerClosed = closeOnceAccepted({
     server,
     close,
     isLate: () => areLastAnswersDue() || clock.nowMs() >= lateAtMs,
-    isOverdue: () => areLastAnswersDue() && clock.nowMs() >= minEndMs,
+    isOverdue: isClosingDue,
+  }).then(accepted => {
+    listenerClosedAtMs = clock.nowMs();
+    return accepted;
   });
-  const listenerClosedAtMs = clock.nowMs();
   await waitUntil(() => isRecorded || areLastAnswersDue());
+  // Connections that wait at the port until then bring further calls.
+  while (!isRecorded && !isClosingDue()) {
+    endCalls();
+    await delay(clock, pollMs);
+  }
+  const accepted = await listenerClosed;
   endCalls();
-  await waitUntil(() => isRecorded || isClosingDue());
   // Timers run before sockets are read, and what has arrived gets its answer.
   await turnEnded();
   const openConnections = await countConnections(server);
