daemon: serve callers although the port for operators is taken

What callers saw: a daemon whose administration port is held by another process (by default 9090, which other programs use too) accepts no calls for as long as it is held. An error that does not pass, such as a lack of permission, ended the process.

The cause: the start awaited this listener before it opened that of callers.

Now the listener for operators is tried beside the start until it opens or the instance stops, as the gateway does with the listeners that callers do not need. Readiness is on this port, so a load balancer that asks for it still keeps such an instance out. The port for peers stays required.

Evidence: the new process test failed with the fix stashed (callers got no connection within the 20 s that it waits); with it the call is answered and a stop beside the taken port ends with exit code 0.

--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -3,7 +3,7 @@
  * before its configuration is known; the stop order ensures that no request is
  * interrupted.
  */
-import type {RouterError} from '@toucanrouter/common';
+import type {Listener, RouterError} from '@toucanrouter/common';
 import {
   createOpenListenerErrorLog,
   createStopPlan,
@@ -17,14 +17,19 @@
 import type {Instance, InstanceOptions} from './Instance.js';
 import {createInstance} from './Instance.js';
 import {stopCallers} from './server/CallerStop.js';
-import {closeServer, createListening} from './server/Listening.js';
+import {
+  closeServer,
+  createListening,
+  listeningPort,
+} from './server/Listening.js';
 import type {Servers} from './server/Servers.js';
 import {createServers} from './server/Servers.js';
 
 /** The ports on which an instance listens. */
 export interface DaemonPorts {
   readonly callersPort: number;
-  readonly adminPort: number;
+  /** Undefined if it was not open yet when callers were served. */
+  readonly adminPort: number | undefined;
   readonly peersPort: number;
 }
 
@@ -78,12 +83,11 @@
   instance.quarantineExchange.start();
   const servers = createServers(options, instance, hub.value);
   const {admin, callers} = servers;
-  const adminPort = await listening.openServer(
+  const adminListener = listening.openOptional(
     admin,
     settings.admin,
     'operators',
   );
-  if (adminPort.isErr()) return abandon(instance, adminPort.error);
   const listReader = startListReader(options, instance);
   await Promise.race([instance.configSource.start(), whenAborted(stopSignal)]);
   if (!stopSignal.aborted) instance.readiness.markConfigKnown();
@@ -95,16 +99,18 @@
   if (callersPort.isErr()) {
     listReader.close();
     void closeServer(admin);
+    adminListener.close();
     return abandon(instance, callersPort.error);
   }
   instance.readiness.markListening();
   const ports: DaemonPorts = {
     callersPort: callersPort.value,
-    adminPort: adminPort.value,
+    adminPort: listeningPort(admin),
     peersPort: hub.value.port,
   };
   logger.info('instance is ready', {...ports});
-  const close = () => stopInstance(options, instance, servers, listReader);
+  const close = () =>
+    stopInstance(options, instance, servers, listReader, adminListener);
   return ok({ports, close});
 }
 
@@ -148,6 +154,7 @@
   instance: Instance,
   servers: Servers,
   listReader: InstanceListReader,
+  adminListener: Listener,
 ): Promise<void> {
   const {callers} = servers;
   const {loopDelay} = instance.loadControl;
@@ -174,9 +181,12 @@
   listReader.close();
   const untilGraceEndMs =
     plan.untilLastAnswersMs(clock.nowMs()) + plan.reserveMs();
+  const adminClosed = closeServer(servers.admin);
+  // Ends its attempts if it is not open yet.
+  adminListener.close();
   // What has not been written or closed by then ends with the process.
   await Promise.race([
-    Promise.all([instance.close(), closeServer(servers.admin)]),
+    Promise.all([instance.close(), adminClosed]),
     delay(clock, untilGraceEndMs * closeShare),
   ]);
   const unansweredWhileStopping = callers.unansweredCount() - unansweredBefore;
--- a/packages/daemon/src/server/Listening.ts
+++ b/packages/daemon/src/server/Listening.ts
@@ -26,6 +26,11 @@
     target: ListenTarget,
     purpose: string,
   ): Promise<Result<number, RouterError>>;
+  /**
+   * Opens the listener of a server without which callers are served; its attempts
+   * go on until it is closed.
+   */
+  openOptional(server: Server, target: ListenTarget, purpose: string): Listener;
   /** Opens the listener for peers; resolves with the hub. */
   openHub(
     target: ListenTarget,
@@ -44,7 +49,7 @@
       log: logger,
       purpose,
       target,
-      // An instance that lacks one of its listeners is useless.
+      // An instance that lacks a required listener is useless.
       isFinal: isLastingListenError,
     }) satisfies Partial<ListenerOptions>;
 
@@ -63,6 +68,15 @@
   return {
     openServer: (server, target, purpose) =>
       open(createServerListener({...optionsFor(purpose, target), server})),
+    openOptional: (server, target, purpose) => {
+      const listener = createServerListener({
+        ...optionsFor(purpose, target),
+        server,
+        isFinal: () => false,
+      });
+      void listener.open();
+      return listener;
+    },
     openHub: async (target, createHub) => {
       let hub: PeerHub | undefined;
       const listener = createListener({
@@ -81,6 +95,12 @@
   };
 }
 
+/** Returns the port of a server; undefined if it does not listen. */
+export function listeningPort(server: Server): number | undefined {
+  const address = server.address();
+  return typeof address === 'object' ? address?.port : undefined;
+}
+
 /** Stops accepting connections; resolves when all connections are closed. */
 export function closeServer(server: Server): Promise<void> {
   return new Promise(resolve => {
--- a/packages/standins/src/__tests__/process/DaemonPorts.test.ts
+++ b/packages/standins/src/__tests__/process/DaemonPorts.test.ts
@@ -57,6 +57,35 @@
   }
 });
 
+describe('daemon whose port for operators is taken', () => {
+  // Guards against callers who are not served because operators cannot be.
+  it('serves callers', async () => {
+    const ports = await findDaemonPorts();
+    const holder = await takePort(ports.admin);
+    const daemon = await startDaemonProcess(ports);
+    try {
+      await waitUntil(() => daemon.output().includes('EADDRINUSE'));
+      const url = `http://127.0.0.1:${ports.callers}/services/s/x`;
+      let status: number | undefined;
+      await waitUntil(async () => {
+        status = await fetch(url).then(
+          response => response.status,
+          () => undefined,
+        );
+        return status !== undefined;
+      });
+      // The call has no key, so this is the answer of a daemon that serves.
+      expect(status).to.equal(401);
+      daemon.signal('SIGTERM');
+      await waitUntil(() => daemon.endedBy() !== undefined);
+      expect(daemon.endedBy()).to.equal(0);
+    } finally {
+      await daemon.close();
+      await releasePort(holder);
+    }
+  });
+});
+
 describe('daemon without a platform', () => {
   // Guards against a process that only SIGKILL can end.
   it('ends with exit code 0 when it is stopped', async () => {
