gateway: send first reads on while earlier ones get no answer

Cause: a first read is given up after 4 s since, and only two were open at a time. Both were on connections that stayed silent, so the next one was sent up to 2.9 s after the store was back. Meanwhile a read of the configuration alone had put the version of that moment in force.

A read is sent each 1.5 s again, as before; late answers count. The timeout bounds them to three.

--- a/packages/gateway/src/state/StateSync.ts
+++ b/packages/gateway/src/state/StateSync.ts
@@ -96,10 +96,11 @@
 /** Time after the end of its wait at which a watch call is cancelled. */
 const responseTimeoutMs = 700;
 const readAllTimeoutMs = 1_500;
-/** Until an instance has a state, late responses of a slow store count too. */
+/**
+ * Until an instance has a state, late responses of a slow store count too. Reads
+ * that get no response overlap for this time, which bounds their number.
+ */
 const firstReadTimeoutMs = 4_000;
-/** Bounds memory: each read may hold a whole snapshot. */
-const maxFirstReads = 2;
 /** Calls during an outage are short, to notice its end early. */
 const probeTimeoutMs = 600;
 const initialProbeDelayMs = 250;
@@ -189,7 +190,6 @@
   let confirming: Promise<void> | undefined;
   let lastConfirmAtMs = -Infinity;
   let consecutiveFailures = 0;
-  let firstReads = 0;
   let absenceEnd: {reason: StoreAbsence; atMs: number} | undefined;
   let currentRelay: InstanceId | undefined;
 
@@ -579,18 +579,13 @@
    * answer although the store is back.
    */
   async function readFirst(): Promise<boolean> {
-    const waited = delay(clock, readAllTimeoutMs);
-    await (firstReads < maxFirstReads
-      ? Promise.race([waited, takeFirstState()])
-      : waited);
+    await Promise.race([delay(clock, readAllTimeoutMs), takeFirstState()]);
     return everConnected;
   }
 
   async function takeFirstState(): Promise<void> {
     const mark = configAge.mark();
-    firstReads += 1;
     const update = await store.readAll(firstReadTimeoutMs);
-    firstReads -= 1;
     // Another read may have been answered first.
     if (!everConnected && !closed) await applyFullState(mark, update);
   }
