common: let the plan of a stop keep the time for its last answers

Both request paths computed by themselves how long a stop goes on whose signal seems to have waited for the whole grace period, and each had a constant of its own for the time in which connections may queue at the port. StopPlan decides the first now, and the constant stands beside the code that uses it. What a stop does is the same: the new test states what the tests of the gateway and the daemon with a late signal need, and both still pass.

--- a/packages/common/src/AcceptQueue.ts
+++ b/packages/common/src/AcceptQueue.ts
@@ -27,6 +27,8 @@
   readonly isOverdue: () => boolean;
 }
 
+/** Time after which further connections may no longer queue at a port. */
+export const maxQueueingMs = 400;
 /** The queue counts as empty after this many turns without a connection. */
 const emptyTurns = 2;
 /** With this backlog one connection waits at most. */
--- a/packages/common/src/StopPlan.ts
+++ b/packages/common/src/StopPlan.ts
@@ -29,11 +29,6 @@
   untilClosingMs(nowMs: number): number;
   /** Time that is set aside at the end of the grace period. */
   reserveMs(): number;
-  /**
-   * Part of the reserve for the last answers. A stop whose signal may have waited
-   * for most of the grace period takes it too, since it is not known to have.
-   */
-  lastAnswersMs(): number;
 }
 
 /** Options of a stop plan. */
@@ -91,7 +86,15 @@
   // A notice that would leave no time to refuse what arrives is cut short.
   const refusalAtMs = () =>
     Math.min(receivedAtMs + noticeMs, lastAnswersAtMs() - refusalMs);
-  const closingAtMs = () => graceEndMs - reserveMs() * (1 - lastAnswersShare);
+  const plannedClosingAtMs = () =>
+    graceEndMs - reserveMs() * (1 - lastAnswersShare);
+  // The signal may have waited for a shorter time than the longest one, so there
+  // may be time for the last answers although the plan leaves none.
+  const minClosingAtMs =
+    plannedClosingAtMs() > receivedAtMs
+      ? -Infinity
+      : receivedAtMs + reserveMs() * lastAnswersShare;
+  const closingAtMs = () => Math.max(plannedClosingAtMs(), minClosingAtMs);
 
   return {
     phase: nowMs => {
@@ -103,6 +106,5 @@
     untilLastAnswersMs: nowMs => lastAnswersAtMs() - nowMs,
     untilClosingMs: nowMs => closingAtMs() - nowMs,
     reserveMs,
-    lastAnswersMs: () => reserveMs() * lastAnswersShare,
   };
 }
--- a/packages/common/src/__tests__/unit/StopPlan.test.ts
+++ b/packages/common/src/__tests__/unit/StopPlan.test.ts
@@ -72,6 +72,16 @@
     }
   });
 
+  // Guards against a stop without answers because its signal seems to have waited
+  // for the whole grace period.
+  it('leaves time for last answers however long the signal may have waited', () => {
+    const {plan} = createPlan({signalDelayMs: 2 * graceMs, delayMs: 4_000});
+    expect(plan.phase(0)).to.equal('last_answers');
+    const closingMs = plan.untilClosingMs(0);
+    expect(closingMs).to.be.within(1, plan.reserveMs());
+    expect(plan.phase(closingMs)).to.equal('closing');
+  });
+
   // Guards against a notice that outlasts a short grace period.
   it('gives last answers within a grace period shorter than the notice', () => {
     const {plan} = createPlan({graceMs: 1_000});
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -26,7 +26,7 @@
   UpstreamStatus,
 } from './AdminApi.js';
 export type {AcceptedConnections} from './AcceptQueue.js';
-export {closeOnceAccepted} from './AcceptQueue.js';
+export {closeOnceAccepted, maxQueueingMs} from './AcceptQueue.js';
 export {answerReserveFor} from './AnswerReserve.js';
 export type {
   BurnAlarm,
--- a/packages/daemon/src/server/CallerStop.ts
+++ b/packages/daemon/src/server/CallerStop.ts
@@ -5,7 +5,12 @@
  */
 import type {Server} from 'node:http';
 import type {AcceptedConnections, Clock, StopPlan} from '@toucanrouter/common';
-import {closeOnceAccepted, delay, turnEnded} from '@toucanrouter/common';
+import {
+  closeOnceAccepted,
+  delay,
+  maxQueueingMs,
+  turnEnded,
+} from '@toucanrouter/common';
 import type {CallerServer} from './CallerServer.js';
 import {closeServer} from './Listening.js';
 
@@ -33,8 +38,6 @@
 }
 
 const pollMs = 20;
-/** Time after which further connections may no longer queue at the port. */
-const maxQueueingMs = 400;
 
 /** Returns how many connections of a server are open. */
 function countConnections(server: Server): Promise<number> {
@@ -74,10 +77,7 @@
   };
   const startedAtMs = clock.nowMs();
   const lateAtMs = startedAtMs + maxQueueingMs;
-  const isTooLate = plan.untilClosingMs(startedAtMs) <= 0;
-  const minEndMs = startedAtMs + (isTooLate ? plan.lastAnswersMs() : 0);
-  const isClosingDue = () =>
-    plan.untilClosingMs(clock.nowMs()) <= 0 && clock.nowMs() >= minEndMs;
+  const isClosingDue = () => plan.untilClosingMs(clock.nowMs()) <= 0;
   let listenerClosedAtMs = startedAtMs;
   const listenerClosed = closeOnceAccepted({
     server,
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -19,6 +19,7 @@
   createStopPlan,
   delay,
   isLastingListenError,
+  maxQueueingMs,
   turnEnded,
   createOpenRequestLimit,
 } from '@toucanrouter/common';
@@ -100,8 +101,6 @@
  * and removes an instance after two failed checks.
  */
 const loadBalancerDelayMs = 2_600;
-/** Time after which further connections may no longer queue at the port. */
-const maxQueueingMs = 400;
 /** Time before the last answers in which to accept what waits at the port. */
 const minAcceptMs = 300;
 const graceEndReason = 'the grace period of the instance is over';
@@ -343,7 +342,6 @@
   let acceptedAtEnd: AcceptedConnections | undefined;
   let isListenerClosing = false;
   let listenerClosedAtMs: number | undefined;
-  let minEndMs = 0;
   const cutRequestsByStage = new Map<RequestStage, number>();
   const gatewayServer = createGatewayServer(context, unanswered => {
     metrics.observeUnanswered(unanswered.stage, stopping);
@@ -492,16 +490,11 @@
       isLate: () =>
         clock.nowMs() >= startedAtMs + maxQueueingMs ||
         plan.untilLastAnswersMs(clock.nowMs()) <= 0,
-      isOverdue: () => isOver(plan),
+      isOverdue: () => plan.untilClosingMs(clock.nowMs()) <= 0,
     });
     listenerClosedAtMs = clock.nowMs();
   }
 
-  function isOver(plan: StopPlan): boolean {
-    const nowMs = clock.nowMs();
-    return plan.untilClosingMs(nowMs) <= 0 && nowMs >= minEndMs;
-  }
-
   /** Drains requests until all are answered or the last answers are due. */
   async function drainRequests(plan: StopPlan): Promise<void> {
     for (;;) {
@@ -548,7 +541,7 @@
       callersListener.isOpen() ||
       gatewayServer.inProgress() > 0 ||
       (mustRefuse() && gatewayServer.openConnections() > 0);
-    while (isOpen() && !isOver(plan)) {
+    while (isOpen() && plan.untilClosingMs(clock.nowMs()) > 0) {
       await delay(clock, drainPollMs);
     }
     // Timers run before sockets are read, and what has arrived gets its answer.
@@ -614,9 +607,6 @@
         noticeMs: loadBalancerDelayMs,
         loopDelayMs: loopDelay.recentMaxMs,
       });
-      if (plan.untilClosingMs(startedAtMs) <= 0) {
-        minEndMs = startedAtMs + plan.lastAnswersMs();
-      }
       stopping = true;
       gatewayServer.closeAfterResponses();
       logger.info('instance is stopping', {
