gateway: confirm nothing while any instance is still being asked

An instance that starts asks others for a configuration that the copy may lack, and confirms nothing meanwhile. If another drill came within that time it asked again, and the end of the first questions ended the wait for the second ones: the copy's configuration counted as confirmed, and a key that had been taken away could have been accepted.

Rounds of questions are counted. The new test failed before (age 0 instead of infinite after the first round).

--- a/packages/gateway/src/__tests__/unit/RelayEras.test.ts
+++ b/packages/gateway/src/__tests__/unit/RelayEras.test.ts
@@ -7,6 +7,7 @@
   hash64,
 } from '@toucanrouter/common';
 import {expect} from 'chai';
+import {ResultAsync} from 'neverthrow';
 import {createConfigAge} from '../../config/ConfigAge.js';
 import type {RelayClient} from '../../state/RelayClient.js';
 import {createRelayClient} from '../../state/RelayClient.js';
@@ -285,6 +286,34 @@
     starting.sync.close();
   });
 
+  // Guards against a configuration that seems confirmed although the instances
+  // that were asked last may still tell of a newer one.
+  it('confirms nothing while any instance is being asked', async () => {
+    const clock = createManualClock(1_000);
+    const model = createDomain();
+    const copy = model.copy();
+    const silentUntilMs = clock.nowMs() + 400;
+    const starting = createFollower(model, {
+      clock,
+      selfId: lastId,
+      readRelay: () =>
+        clock.nowMs() < silentUntilMs
+          ? new ResultAsync(new Promise(() => undefined))
+          : fail<RelayResponse>(),
+    });
+    starting.sync.start();
+    await advance(clock, 100);
+    model.restore(copy);
+    starting.history.observe(model.era());
+    // The first questions end after 300 ms, the second ones 100 ms later.
+    await advance(clock, 250);
+    await starting.sync.confirmConfig();
+    expect(starting.configAge.ageMs()).to.equal(Infinity);
+    await advance(clock, 1_500);
+    expect(starting.configAge.ageMs()).to.be.below(1_500);
+    starting.sync.close();
+  });
+
   // Guards against an instance that never serves because nobody answers it.
   it('uses what the store shows if no other instance responds', async () => {
     const {running, starting} = await startWithin(() => fail<RelayResponse>());
--- a/packages/gateway/src/state/StateSync.ts
+++ b/packages/gateway/src/state/StateSync.ts
@@ -181,8 +181,8 @@
   /** Set while items are applied; the entry may be written again among them. */
   let isOwnEntryGone = false;
   let hasAskedPeers = false;
-  /** True while peers may tell of a configuration that a copy lacks. */
-  let isAskingPeers = false;
+  /** Rounds of questions that may tell of a configuration that a copy lacks. */
+  let openRounds = 0;
   const historyWaiters = new Set<() => void>();
   let connected = false;
   let everConnected = false;
@@ -402,7 +402,7 @@
    */
   function confirmConfigBy(mark: TimeMark, shown = shownConfigVersion): void {
     const inForce = config.current()?.version;
-    if (isAskingPeers) return;
+    if (openRounds > 0) return;
     if (inForce === undefined || shown >= inForce) {
       configAge.confirmed(mark);
     }
@@ -511,7 +511,7 @@
   async function askPeersForConfig(): Promise<void> {
     const mark = configAge.mark();
     const responses: RelayResponse[] = [];
-    isAskingPeers = true;
+    openRounds += 1;
     const asked = peersToAsk().map(async address => {
       const response = await options.relays.read(
         address,
@@ -528,7 +528,7 @@
       await Promise.race([Promise.all(asked), delay(clock, askTimeoutMs)]);
       learnConfig(responses, mark);
     } finally {
-      isAskingPeers = false;
+      openRounds -= 1;
     }
     if (asked.length === 0) return;
     logger.info('asked other instances for the configuration', {
