gateway: tell what a drill leaves unused and what is written again

What operators could not see: a store that goes on in a lower era than the latest one left an instance without a confirmed configuration, and without a line that says why; neither a lease that was granted in an earlier era nor the verdicts that an instance writes again left one.

One line names the era of responses that are not used, once for each such era, one the unused lease and one the number of verdicts. The new test of RestoredStore.test.ts failed before (0 lines instead of 1); the other two lines change nothing else.

--- a/packages/gateway/src/__tests__/unit/RestoredStore.test.ts
+++ b/packages/gateway/src/__tests__/unit/RestoredStore.test.ts
@@ -210,6 +210,18 @@
     sync.close();
   });
 
+  // Guards against an instance that goes on without a confirmed configuration and
+  // does not say why.
+  it('leaves one line while its responses are of an earlier era', async () => {
+    const {clock, history, lines, model, sync} = await startFollower();
+    history.observe(toStoreEra(9));
+    await advance(clock, 5_000);
+    const unused = lines.filter(({message}) => message.includes('not used'));
+    expect(unused).to.have.length(1);
+    expect(unused[0]).to.include({era: model.era(), latestEra: 9});
+    sync.close();
+  });
+
   // Guards against a read of the lost history that arrives after the new one.
   it('ignores responses of an earlier era', async () => {
     const state = await startFollower();
--- a/packages/gateway/src/peers/Registration.ts
+++ b/packages/gateway/src/peers/Registration.ts
@@ -63,7 +63,13 @@
     }
     const granted = registered.value;
     history.observe(granted.era);
-    if (isOutdated(granted)) return false;
+    if (isOutdated(granted)) {
+      logger.warn('the lease is of an earlier era; registering again', {
+        era: granted.era,
+        latestEra: history.era(),
+      });
+      return false;
+    }
     lease = granted;
     logger.info('instance registered', {
       instanceId: entry.instanceId,
--- a/packages/gateway/src/state/StateSync.ts
+++ b/packages/gateway/src/state/StateSync.ts
@@ -184,6 +184,8 @@
   /** Rounds of questions that may tell of a configuration that a copy lacks. */
   let openRounds = 0;
   const historyWaiters = new Set<() => void>();
+  /** The era of unused responses that is in the log already. */
+  let reportedEra: StoreEra | undefined;
   let connected = false;
   let everConnected = false;
   let closed = false;
@@ -363,6 +365,21 @@
 
   const cursorEra = () => cursor?.era ?? log.era();
 
+  /** A store that goes on in an earlier era would leave no other line. */
+  function observeEra(era: StoreEra | undefined): HistoryChange {
+    const change = history.observe(era);
+    if (change !== 'outdated') reportedEra = undefined;
+    else if (era !== reportedEra) {
+      reportedEra = era;
+      logger.warn('responses of the store are not used: their era has passed', {
+        era,
+        latestEra: history.era(),
+        configAgeMs: Math.round(configAge.ageMs()),
+      });
+    }
+    return change;
+  }
+
   /**
    * Records which history a response belongs to. Revisions of one history only
    * rise, which tells a new one of a store that does not tell eras.
@@ -372,7 +389,7 @@
     revision: number,
     knownRevision: number | undefined,
   ): HistoryChange {
-    const change = history.observe(era);
+    const change = observeEra(era);
     if (era !== undefined || revision >= (knownRevision ?? -Infinity)) {
       return change;
     }
@@ -787,8 +804,7 @@
       });
       return;
     }
-    const change = history.observe(latest.value?.era);
-    if (change === 'outdated') return;
+    if (observeEra(latest.value?.era) === 'outdated') return;
     confirmConfigBy(mark, applyConfirmed(latest.value));
   }
 
--- a/packages/gateway/src/state/VerdictArchive.ts
+++ b/packages/gateway/src/state/VerdictArchive.ts
@@ -126,24 +126,34 @@
     return entry;
   }
 
-  /** Writes what is left of a verdict again. */
-  function rewrite({sinceMs, untilMs, verdict}: StoredEntry): void {
+  /** Writes what is left of a verdict again; returns false if it is too short. */
+  function rewrite({sinceMs, untilMs, verdict}: StoredEntry): boolean {
     const elapsedMs = clock.nowMs() - sinceMs;
     const rest = {
       segment: verdict.segment,
       durationMs: verdict.durationMs - elapsedMs,
       evidenceAgeMs: verdict.evidenceAgeMs + elapsedMs,
     };
-    if (rest.durationMs >= minRewrittenMs) {
-      want(verdict.segment, {verdict: rest, untilMs});
-    }
+    if (rest.durationMs < minRewrittenMs) return false;
+    want(verdict.segment, {verdict: rest, untilMs});
+    return true;
   }
 
   function rewriteMissing(isOwn: boolean): void {
-    for (const entry of stored.values()) {
-      const isMissing = entry.seenInHistory !== historyCount;
-      if (isMissing && !entry.isLifted && entry.isOwn === isOwn) rewrite(entry);
-    }
+    const rewritten = stored
+      .values()
+      .filter(
+        entry =>
+          entry.seenInHistory !== historyCount &&
+          !entry.isLifted &&
+          entry.isOwn === isOwn,
+      )
+      .filter(rewrite);
+    if (rewritten.length === 0) return;
+    logger.info('verdicts are written to the restored store again', {
+      verdicts: rewritten.length,
+      savedByThisInstance: isOwn,
+    });
   }
 
   const stopListening = history.onBegin(() => {
