gateway, soak: plainer names

The lines on drills and on starts called the version that the store shows that of a copy, also where no drill has taken place: storeConfigVersion. The soak counted the same checks under two names, and its store repeated status codes.

--- a/packages/gateway/src/__tests__/unit/RestoredStore.test.ts
+++ b/packages/gateway/src/__tests__/unit/RestoredStore.test.ts
@@ -457,7 +457,7 @@
       revision: 104,
       previousRevision: 107,
       configVersion: 6,
-      copyConfigVersion: 5,
+      storeConfigVersion: 5,
       lackingItems: 1,
       itemsHeldBack: 1,
     });
--- a/packages/gateway/src/state/StateSync.ts
+++ b/packages/gateway/src/state/StateSync.ts
@@ -344,7 +344,7 @@
       revision: next.revision,
       previousRevision: previous.revision,
       configVersion: config.current()?.version,
-      copyConfigVersion: shownConfigVersion,
+      storeConfigVersion: shownConfigVersion,
       lackingItems: removed.length,
       itemsHeldBack: restored.heldBackCount,
     });
@@ -552,7 +552,7 @@
       asked: asked.length,
       answered: responses.length,
       configVersion: config.current()?.version,
-      copyConfigVersion: shownConfigVersion,
+      storeConfigVersion: shownConfigVersion,
     });
   }
 
--- a/scripts/soak/drills.js
+++ b/scripts/soak/drills.js
@@ -56,7 +56,7 @@
   onViolation,
 }) {
   const changes = [{version: configuration.version, atMs: 0}];
-  const report = {drills: 0, changes: 0, lateReads: 0, listReads: 0};
+  const report = {drills: 0, changes: 0, checks: 0};
   let returnedAtMs = 0;
   let closed = false;
 
@@ -127,7 +127,7 @@
     );
     const version = await readVersion(instance.host);
     if (version === undefined || !isInTouch(instance, life)) return;
-    report.lateReads += 1;
+    report.checks += 1;
     const where = `${instance.name}, started at ${Math.round(life.startedAtMs)} ms`;
     if (version < due.version) {
       onViolation(
@@ -138,7 +138,6 @@
       onViolation(`${where}: back from ${life.configVersion} to ${version}`);
     }
     life.configVersion = version;
-    report.listReads += 1;
     if (!store.instanceNames().includes(instance.name)) {
       onViolation(
         `${where}: is not listed, store back at ${Math.round(returnedAtMs)} ms`,
--- a/scripts/soak/restorableStore.js
+++ b/scripts/soak/restorableStore.js
@@ -15,6 +15,10 @@
 } from 'node:timers';
 import {URL} from 'node:url';
 
+const statusOk = 200;
+const statusNotFound = 404;
+/** The store does not have the revision that a watch asks for. */
+const statusGone = 410;
 const copyIntervalMs = 250;
 const maxCopies = 60;
 /** Upstreams rewrite their entries, which carries the revision on. */
@@ -143,7 +147,7 @@
 
   function watch(query, reply, response) {
     const after = Number(query.get('after') ?? '0');
-    if (after > revision) return reply(410, {at: revision});
+    if (after > revision) return reply(statusGone, {at: revision});
     const prefix = query.get('prefix') ?? '';
     const select = () =>
       events.filter(
@@ -152,7 +156,7 @@
     const finish = () => {
       waiting.delete(onChange);
       clearTimeout(timer);
-      reply(200, {events: select(), at: revision});
+      reply(statusOk, {events: select(), at: revision});
     };
     const onChange = () => {
       if (select().length > 0) finish();
@@ -169,11 +173,11 @@
 
   function transact({removals = [], set_keys: sets = []}, reply) {
     if (sets.some(({lease}) => lease && !leases.has(lease))) {
-      return reply(404, {});
+      return reply(statusNotFound, {});
     }
     for (const {key, lease, value} of sets) set(key, value, lease ?? 0);
     for (const key of removals) remove(key);
-    reply(200, {revision});
+    reply(statusOk, {revision});
   }
 
   async function handle(message, response) {
@@ -195,8 +199,8 @@
     };
     if (call === 'kv-key') {
       const item = items.get(query.get('key') ?? '');
-      if (item === undefined) reply(404, {at: revision});
-      else reply(200, {...item, at: revision});
+      if (item === undefined) reply(statusNotFound, {at: revision});
+      else reply(statusOk, {...item, at: revision});
     } else if (call === 'kv-range') {
       const found = [...items.values()].filter(
         ({key}) =>
@@ -204,7 +208,7 @@
           key > (query.get('after') ?? ''),
       );
       found.sort((a, b) => (a.key < b.key ? -1 : 1));
-      reply(200, {items: found, has_more: false, at: revision});
+      reply(statusOk, {items: found, has_more: false, at: revision});
     } else if (call === 'kv-watch') {
       watch(query, reply, response);
     } else if (call === 'kv-txn') {
@@ -213,13 +217,13 @@
       lastLease += 1;
       const ttlMs = body.ttl_ms;
       leases.set(lastLease, {ttlMs, endsAtMs: nowMs() + ttlMs});
-      reply(200, {lease: lastLease, ttl_ms: ttlMs});
+      reply(statusOk, {lease: lastLease, ttl_ms: ttlMs});
     } else if (call === 'kv-keep') {
       const lease = leases.get(Number(id));
-      if (lease === undefined) return reply(404, {});
+      if (lease === undefined) return reply(statusNotFound, {});
       leases.set(Number(id), {...lease, endsAtMs: nowMs() + lease.ttlMs});
-      reply(200, {ttl_ms: lease.ttlMs});
-    } else reply(404, {});
+      reply(statusOk, {ttl_ms: lease.ttlMs});
+    } else reply(statusNotFound, {});
   }
 
   const server = createServer((message, response) => {
