gateway, keyvalue, soak: a plain loop, a wrapped comment, named shares

The count of rewritten verdicts came from a filter that also wrote them. The shares and pauses of the drills in the soak stood as bare numbers. No behaviour changes; VerdictArchive.test.ts passes.

--- a/packages/gateway/src/state/VerdictArchive.ts
+++ b/packages/gateway/src/state/VerdictArchive.ts
@@ -140,18 +140,15 @@
   }
 
   function rewriteMissing(isOwn: boolean): void {
-    const rewritten = stored
-      .values()
-      .filter(
-        entry =>
-          entry.seenInHistory !== historyCount &&
-          !entry.isLifted &&
-          entry.isOwn === isOwn,
-      )
-      .filter(rewrite);
-    if (rewritten.length === 0) return;
+    let rewrittenCount = 0;
+    for (const entry of stored.values()) {
+      const isMissing = entry.seenInHistory !== historyCount;
+      if (!isMissing || entry.isLifted || entry.isOwn !== isOwn) continue;
+      if (rewrite(entry)) rewrittenCount += 1;
+    }
+    if (rewrittenCount === 0) return;
     logger.info('verdicts are written to the restored store again', {
-      verdicts: rewritten.length,
+      verdicts: rewrittenCount,
       savedByThisInstance: isOwn,
     });
   }
--- a/packages/keyvalue/src/ConfigChange.ts
+++ b/packages/keyvalue/src/ConfigChange.ts
@@ -59,8 +59,8 @@
   | {readonly kind: 'unreadable'; readonly error: PlatformError};
 
 /**
- * Replaces `entry` (undefined if absent) by `proposed` and determines whether the write took effect. An error means that nothing was
- * written.
+ * Replaces `entry` (undefined if absent) by `proposed` and determines whether
+ * the write took effect. An error means that nothing was written.
  */
 export async function writeConfig(
   context: ConfigChangeContext,
--- a/scripts/soak/drills.js
+++ b/scripts/soak/drills.js
@@ -21,6 +21,15 @@
 const maxWriteAgainMs = 600;
 const minGapMs = 3_500;
 const maxGapMs = 9_000;
+/** Pause between a change before a drill and the drill. */
+const maxPauseMs = 2_000;
+/** Shares of the drills that follow a change and that are played twice. */
+const changedBeforeShare = 0.7;
+const repeatedShare = 0.25;
+/** Shares of the copies that are recent and of the changes that come soon. */
+const recentShare = 0.5;
+const soonShare = 0.5;
+const awayPollMs = 10;
 /** Changes of the configuration around a drill come so long after its end. */
 const maxChangeDelayMs = 900;
 /** Such a change may come before the instances notice that the store is back. */
@@ -78,14 +87,14 @@
 
   /** The store confirms a change only while it is there. */
   async function changeWhenThere() {
-    while (store.isAway()) await sleep(10);
+    while (store.isAway()) await sleep(awayPollMs);
     if (!closed) change();
   }
 
   async function drill() {
     store.leave();
     await sleep(minAwayMs + random() * (maxAwayMs - minAwayMs));
-    const maxAgeMs = random() < 0.5 ? maxRecentAgeMs : maxCopyAgeMs;
+    const maxAgeMs = random() < recentShare ? maxRecentAgeMs : maxCopyAgeMs;
     store.restore(random() * maxAgeMs, random() * maxWriteAgainMs);
     returnedAtMs = nowMs();
     report.drills += 1;
@@ -94,12 +103,12 @@
   async function run() {
     while (!closed) {
       await sleep(minGapMs + random() * (maxGapMs - minGapMs));
-      if (random() < 0.7) await changeWhenThere();
-      await sleep(random() * 2_000);
+      if (random() < changedBeforeShare) await changeWhenThere();
+      await sleep(random() * maxPauseMs);
       if (closed) return;
       await drill();
-      if (random() < 0.25) await drill();
-      const isSoon = random() < 0.5;
+      if (random() < repeatedShare) await drill();
+      const isSoon = random() < soonShare;
       await sleep(
         random() * (isSoon ? maxSoonChangeDelayMs : maxChangeDelayMs),
       );
@@ -108,13 +117,13 @@
   }
 
   function isInTouch(instance, life) {
-    const nowIs = nowMs();
+    const atMs = nowMs();
     return (
       fleet.isUndisturbed(life) &&
-      nowIs - life.readyAtMs > contactMs &&
+      atMs - life.readyAtMs > contactMs &&
       !store.isAway() &&
-      nowIs - returnedAtMs > contactMs &&
-      instance.freezes.every(({toMs}) => nowIs - toMs > contactMs)
+      atMs - returnedAtMs > contactMs &&
+      instance.freezes.every(({toMs}) => atMs - toMs > contactMs)
     );
   }
 
