--- /dev/null
+++ b/packages/gateway/src/__tests__/process/LimitedGatewayFixtures.ts
@@ -0,0 +1,59 @@
+/**
+ * Runs a gateway in a process of its own, with the heap of the users' platform
+ * and a memory limit, in front of one upstream.
+ */
+import type {ChildProcess} from 'node:child_process';
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {readFileSync} from 'node:fs';
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {fileURLToPath} from 'node:url';
+
+const program = fileURLToPath(new URL('LimitedGateway.ts', import.meta.url));
+const nodeOptions = [
+  '--max-old-space-size=120',
+  '--import=tsx',
+  '--conditions=source',
+];
+const startTimeMs = 500;
+const bytesPerKilobyte = 1024;
+
+export const memoryLimitBytes = 350_000_000;
+
+/** A running gateway process. */
+export interface LimitedGateway {
+  readonly port: number;
+  /** The largest resident memory until now. */
+  peakBytes(): number;
+  isRunning(): boolean;
+}
+
+function peakBytesOf({pid}: ChildProcess): number {
+  const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+  const [, kilobytes] = /^VmHWM:\s+(\d+) kB$/m.exec(status) ?? [];
+  return Number(kilobytes) * bytesPerKilobyte;
+}
+
+/** Runs `use` with a gateway in front of the upstream at a port. */
+export async function withLimitedGateway(
+  upstreamPort: number,
+  use: (gateway: LimitedGateway) => Promise<void>,
+): Promise<void> {
+  const child = spawn(
+    process.execPath,
+    [...nodeOptions, program, `${upstreamPort}`, `${memoryLimitBytes}`],
+    {stdio: ['ignore', 'pipe', 'inherit']},
+  );
+  try {
+    const [line] = (await once(child.stdout, 'data')) as [Buffer];
+    await sleep(startTimeMs);
+    await use({
+      port: Number(line),
+      peakBytes: () => peakBytesOf(child),
+      isRunning: () => child.exitCode === null && child.signalCode === null,
+    });
+  } finally {
+    child.kill('SIGKILL');
+  }
+}
--- a/packages/gateway/src/__tests__/process/MemoryLimit.test.ts
+++ b/packages/gateway/src/__tests__/process/MemoryLimit.test.ts
@@ -1,34 +1,25 @@
-import type {ChildProcess} from 'node:child_process';
-import {spawn} from 'node:child_process';
 import {once} from 'node:events';
-import {readFileSync} from 'node:fs';
 import type {Server} from 'node:http';
 import {createServer} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import {connect} from 'node:net';
-import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {fileURLToPath} from 'node:url';
 import {expect} from 'chai';
+import type {LimitedGateway} from './LimitedGatewayFixtures.js';
+import {
+  memoryLimitBytes,
+  withLimitedGateway,
+} from './LimitedGatewayFixtures.js';
 
-const program = fileURLToPath(new URL('LimitedGateway.ts', import.meta.url));
-const nodeOptions = [
-  '--max-old-space-size=120',
-  '--import=tsx',
-  '--conditions=source',
-];
-const memoryLimitBytes = 350_000_000;
 const bodyBytes = 4 * 1024 * 1024;
 const body = Buffer.alloc(bodyBytes, 'b');
 const host = '127.0.0.1';
 const answerDelayMs = 100;
-const startTimeMs = 500;
 const answerBytes = 8_000_000;
 const maxWaitMs = 20_000;
 /** Time in which most of the bodies arrive. */
 const minReceiveMs = 3_000;
 const repeatDelayMs = 300;
-const bytesPerKilobyte = 1024;
 const pipeliningCount = 20;
 const pipelinedRequestsCount = 220;
 /** Slow enough for the processor, so that nothing is refused for its sake. */
@@ -45,13 +36,6 @@
 /** Time in which a burst is read, or the process ends. */
 const burstMs = 4_000;
 
-interface LimitedGateway {
-  readonly port: number;
-  /** The largest resident memory until now. */
-  peakBytes(): number;
-  isRunning(): boolean;
-}
-
 /** An upstream that discards bodies and answers after a while, or at length. */
 async function startUpstream(): Promise<Server> {
   const upstream = createServer((message, response) => {
@@ -72,33 +56,15 @@
   return upstream;
 }
 
-function peakBytesOf({pid}: ChildProcess): number {
-  const status = readFileSync(`/proc/${pid}/status`, 'utf8');
-  const [, kilobytes] = /^VmHWM:\s+(\d+) kB$/m.exec(status) ?? [];
-  return Number(kilobytes) * bytesPerKilobyte;
-}
-
 /** Runs `use` with a gateway that has a memory limit. */
 async function withGateway(
   use: (gateway: LimitedGateway) => Promise<void>,
 ): Promise<void> {
   const upstream = await startUpstream();
   const {port: upstreamPort} = upstream.address() as AddressInfo;
-  const child = spawn(
-    process.execPath,
-    [...nodeOptions, program, `${upstreamPort}`, `${memoryLimitBytes}`],
-    {stdio: ['ignore', 'pipe', 'inherit']},
-  );
   try {
-    const [line] = (await once(child.stdout, 'data')) as [Buffer];
-    await sleep(startTimeMs);
-    await use({
-      port: Number(line),
-      peakBytes: () => peakBytesOf(child),
-      isRunning: () => child.exitCode === null && child.signalCode === null,
-    });
+    await withLimitedGateway(upstreamPort, use);
   } finally {
-    child.kill('SIGKILL');
     upstream.closeAllConnections();
     upstream.close();
   }
