--- /dev/null
+++ b/packages/gateway/src/__tests__/process/EndlessPieces.test.ts
@@ -0,0 +1,141 @@
+import {once} from 'node:events';
+import {request} from 'node:http';
+import type {AddressInfo, Server, Socket} from 'node:net';
+import {createServer} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import {
+  memoryLimitBytes,
+  withLimitedGateway,
+} from './LimitedGatewayFixtures.js';
+
+const host = '127.0.0.1';
+const endlessCallsCount = 8;
+const soundCallsCount = 20;
+const soundIntervalMs = 400;
+const callTimeoutMs = 9_000;
+const writtenBytes = 64 * 1024;
+
+/** Writes `piece` for as long as the connection is open. */
+function writeWithoutEnd(socket: Socket, piece: string): void {
+  const block = Buffer.from(piece.repeat(writtenBytes / piece.length));
+  const write = () => {
+    while (!socket.destroyed && socket.write(block));
+  };
+  socket.on('drain', write);
+  write();
+}
+
+function headOf(id: string, framing: string, status = 200): string {
+  return `HTTP/1.1 ${status} OK\r\nid: ${id}\r\nmark: m\r\n${framing}\r\n\r\n`;
+}
+
+/**
+ * Serves one request on each connection. Requests whose id begins with `endless`
+ * get `head` and then `piece` without end, and others a whole response.
+ */
+async function startUpstream(
+  headFor: (id: string) => string,
+  piece: string,
+): Promise<Server> {
+  const server = createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.once('data', data => {
+      const id = /^id: (.*)\r$/m.exec(String(data))?.[1] ?? '';
+      if (!id.startsWith('endless')) {
+        socket.end(
+          `${headOf(id, 'Content-Length: 5\r\nConnection: close')}whole`,
+        );
+        return;
+      }
+      socket.write(headFor(id));
+      writeWithoutEnd(socket, piece);
+    });
+  });
+  server.listen(0, host);
+  await once(server, 'listening');
+  return server;
+}
+
+/** Sends one request; returns the status, or undefined without a response. */
+function call(port: number, id: string): Promise<number | undefined> {
+  return new Promise(resolve => {
+    const sent = request(
+      {
+        host,
+        port,
+        path: '/chat/x',
+        headers: {id},
+        agent: false,
+        timeout: callTimeoutMs,
+      },
+      response => {
+        response.on('error', () => undefined);
+        response.resume();
+        resolve(response.statusCode);
+      },
+    );
+    sent.on('timeout', () => sent.destroy());
+    sent.on('error', () => resolve(undefined));
+    sent.end();
+  });
+}
+
+const chunked = 'Transfer-Encoding: chunked';
+const eventStream = `${chunked}\r\nContent-Type: text/event-stream`;
+
+const plays: readonly (readonly [string, (id: string) => string, string])[] = [
+  ['chunks of one byte', id => headOf(id, chunked), '1\r\na\r\n'],
+  [
+    'chunks of one byte of an event stream',
+    id => headOf(id, eventStream),
+    '1\r\na\r\n',
+  ],
+  [
+    'chunks that hold an empty line',
+    id => headOf(id, eventStream),
+    '1\r\n\n\r\n',
+  ],
+  [
+    'chunks that hold a comment',
+    id => headOf(id, eventStream),
+    '4\r\n: a\n\r\n',
+  ],
+  [
+    'chunks of one byte in a failure',
+    id => headOf(id, chunked, 500),
+    '1\r\na\r\n',
+  ],
+  [
+    'chunks of one byte in a rejection',
+    id => headOf(id, `${chunked}\r\nnot-run: 1`, 421),
+    '1\r\na\r\n',
+  ],
+];
+
+describe('Process of a gateway whose upstream sends small pieces without end', () => {
+  for (const [name, headFor, piece] of plays) {
+    // Guards against a heap that is filled by the objects of small chunks, which
+    // ends the requests of all callers.
+    it(`survives ${name} and serves others`, async () => {
+      const upstream = await startUpstream(headFor, piece);
+      const {port: upstreamPort} = upstream.address() as AddressInfo;
+      try {
+        await withLimitedGateway(upstreamPort, async gateway => {
+          const endless = Array.from({length: endlessCallsCount}, (_, index) =>
+            call(gateway.port, `endless-${index}`),
+          );
+          for (let index = 0; index < soundCallsCount; index += 1) {
+            expect(await call(gateway.port, `sound-${index}`)).to.equal(200);
+            await sleep(soundIntervalMs);
+          }
+          await Promise.all(endless);
+          expect(gateway.isRunning()).to.equal(true);
+          expect(gateway.peakBytes()).to.be.below(memoryLimitBytes);
+        });
+      } finally {
+        upstream.close();
+      }
+    });
+  }
+});
