common: collect bytes in blocks, and limit the pieces of a message

Limits of buffered messages count bytes, while a list of chunks costs some hundred bytes of heap a chunk. ByteCollector copies chunks into blocks; PieceLimit counts pieces. Nothing uses them yet.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -40,6 +40,10 @@
 } from './BurnReport.js';
 export type {BufferBudget, BufferShare} from './BufferBudget.js';
 export {createBufferBudget, defaultBufferBudgetBytes} from './BufferBudget.js';
+export type {ByteCollector} from './ByteCollector.js';
+export {createByteCollector} from './ByteCollector.js';
+export type {PieceLimit} from './PieceLimit.js';
+export {createPieceLimit} from './PieceLimit.js';
 export type {
   ClaimEnd,
   ClaimReference,
