common: read bodies with limits of bytes and of pieces

Readers of bodies kept or handled each chunk that arrived. What a chunk costs does not follow its size, so a limit of bytes bounds neither memory nor processor time.

readBatches counts pieces as they arrive and joins them for its reader; readLimitedBody reads a whole body up to a number of bytes. Nothing uses them yet.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -42,6 +42,13 @@
 export {createBufferBudget, defaultBufferBudgetBytes} from './BufferBudget.js';
 export type {ByteCollector} from './ByteCollector.js';
 export {createByteCollector} from './ByteCollector.js';
+export type {LimitedBody} from './LimitedBody.js';
+export {
+  maxBatchBytes,
+  PieceLimitError,
+  readBatches,
+  readLimitedBody,
+} from './LimitedBody.js';
 export type {PieceLimit} from './PieceLimit.js';
 export {createPieceLimit} from './PieceLimit.js';
 export type {
