daemon: limit a plain response in bytes and in pieces

Cause: a plain response had no limit of its own, only its share of the 64 MiB of all buffered responses, and was kept as a list of chunks.

Change: a response is given up beyond 8 MiB, or when its chunks are too small for their number, and is collected in blocks.

A response of 10,000 chunks of one byte is still returned.

--- a/packages/daemon/src/__tests__/unit/PlainCallSuspects.test.ts
+++ b/packages/daemon/src/__tests__/unit/PlainCallSuspects.test.ts
@@ -9,6 +9,7 @@
   UpstreamHandler,
 } from './SuspectUpstreamsFixture.js';
 import {runCall, upstreamName} from './SuspectUpstreamsFixture.js';
+import {countBytesRead, writeWithoutEnd} from './SmallPiecesFixture.js';
 
 const pauseMs = 200;
 const suspectAfterMs = 50;
@@ -43,6 +44,52 @@
   return permits.map(({releases}) => releases[0]?.outcome);
 }
 
+function servePlainFrom(handler: UpstreamHandler): Promise<EndedCall> {
+  return runCall({
+    handlers: [handler],
+    target: {kind: 'service', serves: 'tool', method: 'GET', path: '/'},
+    body: '',
+    serve: (access, exchange) => servePlain(access, exchange, shardId, {}),
+  });
+}
+
+describe('servePlain with small pieces', () => {
+  // Guards against memory and processor time that follow the number of chunks.
+  it('gives up a response whose chunks have one byte each', async () => {
+    const read = await countBytesRead(async () => {
+      const call = await servePlainFrom((_message, _body, {socket}) => {
+        if (socket === null) return;
+        socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n');
+        writeWithoutEnd(socket, 'a');
+      });
+      expect(call.kind).to.equal('upstream_failed');
+    });
+    expect(read).to.be.below(1024 * 1024);
+  });
+
+  // Guards against one response that uses the memory of all of them.
+  it('gives up a response that is larger than one may be', async () => {
+    const read = await countBytesRead(async () => {
+      const call = await servePlainFrom((_message, _body, response) =>
+        response.end(Buffer.alloc(40 * 1024 * 1024)),
+      );
+      expect(call.kind).to.equal('upstream_failed');
+    });
+    expect(read).to.be.below(10 * 1024 * 1024);
+  });
+
+  // Guards against limits that cut sound responses.
+  it('returns a response of many chunks of one byte', async () => {
+    const piecesCount = 10_000;
+    const call = await servePlainFrom((_message, _body, response) => {
+      for (let index = 0; index < piecesCount; index += 1) response.write('a');
+      response.end();
+    });
+    expect(call.kind).to.equal('answered');
+    expect((call.value as {body: Buffer}).body).to.have.length(piecesCount);
+  });
+});
+
 describe('servePlain', () => {
   // Guards against an instance that keeps the bytes of a service without end.
   it('gives up a response that does not end', async () => {
--- a/packages/daemon/src/request/plain/PlainCall.ts
+++ b/packages/daemon/src/request/plain/PlainCall.ts
@@ -11,7 +11,12 @@
   UpstreamId,
   UpstreamInfo,
 } from '@toucanrouter/common';
-import {hopByHopHeaders, RouterError} from '@toucanrouter/common';
+import {
+  hopByHopHeaders,
+  maxBatchBytes,
+  readLimitedBody,
+  RouterError,
+} from '@toucanrouter/common';
 import {decideRecovery} from '@toucanrouter/policy';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
@@ -65,6 +70,9 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
+/** A response is buffered whole, so that an attempt that breaks is retried. */
+const maxResponseBytes = 8 * 1024 * 1024;
+
 /** A plain call counts as one token in budgets and statistics. */
 const callCostTokens = 1;
 
@@ -189,6 +197,7 @@
       signal: idempotent
         ? AbortSignal.any([exchange.signal, abort.signal])
         : undefined,
+      highWaterMark: maxBatchBytes,
     });
     const {requestId} = exchange;
     receiveHead(access, {upstream, requestId, sentAtMs}, response);
@@ -243,15 +252,16 @@
   const share = responseBuffers.open(() =>
     body.destroy(new Error('the buffered responses exceed their memory')),
   );
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
   try {
-    for await (const chunk of body) {
-      chunks.push(chunk as Buffer);
-      sizeBytes += (chunk as Buffer).length;
-      share.resize(sizeBytes);
-    }
-    return Buffer.concat(chunks);
+    const {bytes, complete} = await readLimitedBody(
+      body,
+      maxResponseBytes,
+      sizeBytes => share.resize(sizeBytes),
+    );
+    if (complete) return bytes;
+    throw new Error(
+      `the response exceeds ${maxResponseBytes} bytes or consists of too many small pieces`,
+    );
   } finally {
     share.close();
   }
