daemon: give up streams that bring no event

Cause: the limit of a stream counted the bytes of an event that does not end. Empty lines and comments end at once, so that a stream of them was read, and relayed, without end. A chunk of one byte cost as much as one of 64 KiB.

Change: bytes and pieces are counted since the last event. Chunks that arrive while an event is handled are joined. Bodies of rejections and of other statuses are read up to 64 KiB with the same limit of pieces. An engine that exceeds it has not ended, so the prompt is not suspect.

A stream of 1,000 events in chunks of one byte is still read whole.

--- a/packages/daemon/src/__tests__/unit/EngineAttempt.test.ts
+++ b/packages/daemon/src/__tests__/unit/EngineAttempt.test.ts
@@ -6,11 +6,14 @@
 import {Agent} from 'undici';
 import type {AttemptEnd} from '../../request/chat/EngineAttempt.js';
 import {runEngineAttempt} from '../../request/chat/EngineAttempt.js';
+import type {SseEvent} from '../../request/chat/SseScanner.js';
+import {countBytesRead, writeWithoutEnd} from './SmallPiecesFixture.js';
 
 /** Runs one attempt for each of `responses`, which an engine writes raw. */
 async function runAttempts(
   responses: readonly string[],
   close: (socket: Socket, text: string) => void,
+  onEvents: (events: readonly SseEvent[]) => void = () => undefined,
 ): Promise<readonly AttemptEnd[]> {
   let text = '';
   const server = createServer(socket => {
@@ -30,7 +33,10 @@
       lastEventId: undefined,
       signal: new AbortController().signal,
       onHead: () => undefined,
-      onEvents: () => Promise.resolve(ok(undefined)),
+      onEvents: ({events}) => {
+        onEvents(events);
+        return Promise.resolve(ok(undefined));
+      },
     });
     ends.push(end);
   }
@@ -47,6 +53,79 @@
   return `HTTP/1.1 ${status} X\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`;
 }
 
+function chunkedHead(status: number): string {
+  return `HTTP/1.1 ${status} X\r\nTransfer-Encoding: chunked\r\n\r\n`;
+}
+
+/** Small pieces of an event stream that hold no event. */
+const piecesWithoutEvent = {
+  'one byte': 'a',
+  'an empty line': '\n',
+  'two empty lines': '\n\n',
+  'a comment line': ': a\n',
+  'a comment and an empty line': ': a\n\n',
+};
+
+/** Bytes with which an engine shows that it sends no response. */
+const maxReadBytes = 1024 * 1024;
+
+describe('EngineAttempt with small pieces', () => {
+  for (const [name, piece] of Object.entries(piecesWithoutEvent)) {
+    // Guards against a call, its memory and its slot that are held by a stream
+    // without an event, and against its processor time.
+    it(`gives up a stream of chunks that hold ${name}`, async () => {
+      const read = await countBytesRead(async () => {
+        const [end] = await runAttempts([chunkedHead(200)], (socket, head) => {
+          socket.write(head);
+          writeWithoutEnd(socket, piece);
+        });
+        expect(end?.kind).to.equal('broken');
+        // The engine has not ended, so that the prompt is not suspect.
+        if (end?.kind !== 'broken') return;
+        expect(end.error.kind).to.equal('answer_incomplete');
+      });
+      expect(read).to.be.below(maxReadBytes);
+    });
+  }
+
+  for (const status of [429, 503, 500, 302]) {
+    // Guards against a response that is no stream and is read for too long.
+    it(`stops reading a response of status ${status}`, async () => {
+      const read = await countBytesRead(async () => {
+        const [end] = await runAttempts(
+          [chunkedHead(status)],
+          (socket, head) => {
+            socket.write(head);
+            writeWithoutEnd(socket, 'a');
+          },
+        );
+        expect(end?.kind).to.be.oneOf(['broken', 'rejected']);
+      });
+      expect(read).to.be.below(maxReadBytes);
+    });
+  }
+
+  // Guards against limits that cut sound streams.
+  it('reads a long stream whose chunks have one byte each', async () => {
+    const event = `data: ${'x'.repeat(100)}\n\n`;
+    const eventsCount = 1_000;
+    let receivedCount = 0;
+    const [end] = await runAttempts(
+      [chunkedHead(200)],
+      (socket, head) => {
+        const chunks = Array.from(
+          event.repeat(eventsCount),
+          byte => `1\r\n${byte}\r\n`,
+        );
+        socket.end(`${head}${chunks.join('')}0\r\n\r\n`);
+      },
+      events => (receivedCount += events.length),
+    );
+    expect(end?.kind).to.equal('ended');
+    expect(receivedCount).to.equal(eventsCount);
+  });
+});
+
 describe('EngineAttempt', () => {
   // Guards against "not run" for a call that an engine failed while running it.
   it('takes only statuses that an engine returns before a run for rejections', async () => {
--- a/packages/daemon/src/request/chat/EngineAttempt.ts
+++ b/packages/daemon/src/request/chat/EngineAttempt.ts
@@ -10,7 +10,14 @@
   RequestId,
   RouterError,
 } from '@toucanrouter/common';
-import {RouterError as RouterErrorClass} from '@toucanrouter/common';
+import {
+  createPieceLimit,
+  maxBatchBytes,
+  PieceLimitError,
+  readBatches,
+  readLimitedBody,
+  RouterError as RouterErrorClass,
+} from '@toucanrouter/common';
 import type {Result} from 'neverthrow';
 import type {Dispatcher} from 'undici';
 import {errors} from 'undici';
@@ -61,7 +68,8 @@
 const engineIdleTimeoutMs = 20_000;
 
 const maxErrorBodyBytes = 64 * 1024;
-const maxPendingEventBytes = 1024 * 1024;
+/** Bytes of a stream without a complete event, comments included. */
+const maxBytesWithoutEvent = 1024 * 1024;
 
 /** Runs one attempt to its end. */
 export async function runEngineAttempt(call: EngineCall): Promise<AttemptEnd> {
@@ -75,12 +83,14 @@
       signal: call.signal,
       headersTimeout: engineIdleTimeoutMs,
       bodyTimeout: engineIdleTimeoutMs,
+      highWaterMark: maxBatchBytes,
     });
     const {statusCode} = response;
     call.onHead(response);
     if (isRejection(statusCode)) return await readRejection(response);
     if (statusCode === 200) return await readStream(response.body, call);
-    await response.body.dump();
+    // Reads a short body to its end, so that the connection can be used again.
+    await readLimitedBody(response.body, maxErrorBodyBytes);
     const error = statusError(call, statusCode);
     return {kind: 'broken', error, connected: true};
   } catch (cause) {
@@ -130,11 +140,18 @@
   share: BufferShare,
 ): Promise<AttemptEnd> {
   const scanner = createSseScanner();
-  for await (const chunk of body) {
-    const scanned = scanner.push(chunk as Buffer);
+  const pieces = createPieceLimit();
+  let bytesWithoutEvent = 0;
+  for await (const batch of readBatches(body, pieces)) {
+    const scanned = scanner.push(batch);
     share.resize(scanner.pendingBytes());
-    if (scanner.pendingBytes() > maxPendingEventBytes) {
-      const message = `an event of upstream ${call.address} exceeds ${maxPendingEventBytes} bytes`;
+    bytesWithoutEvent += batch.length;
+    if (scanned !== undefined && scanned.events.length > 0) {
+      pieces.reset();
+      bytesWithoutEvent = scanner.pendingBytes();
+    }
+    if (bytesWithoutEvent > maxBytesWithoutEvent) {
+      const message = `upstream ${call.address} sent more than ${maxBytesWithoutEvent} bytes without a complete event`;
       const error = new RouterErrorClass('answer_incomplete', message);
       return {kind: 'broken', error, connected: true};
     }
@@ -151,19 +168,12 @@
 async function readRejection(
   response: Dispatcher.ResponseData,
 ): Promise<AttemptEnd> {
-  const parts: Buffer[] = [];
-  let sizeBytes = 0;
-  for await (const chunk of response.body) {
-    const part = chunk as Buffer;
-    sizeBytes += part.length;
-    if (sizeBytes > maxErrorBodyBytes) break;
-    parts.push(part);
-  }
+  const {bytes} = await readLimitedBody(response.body, maxErrorBodyBytes);
   const contentType = response.headers['content-type'];
   return {
     kind: 'rejected',
     status: response.statusCode,
-    body: Buffer.concat(parts),
+    body: bytes,
     contentType: typeof contentType === 'string' ? contentType : 'text/plain',
   };
 }
@@ -181,6 +191,10 @@
 }
 
 function connectionError(call: EngineCall, cause: unknown): RouterError {
+  if (cause instanceof PieceLimitError) {
+    const message = `upstream ${call.address}: ${cause.message}`;
+    return new RouterErrorClass('answer_incomplete', message);
+  }
   const reason = cause instanceof Error ? cause.message : String(cause);
   const message = `the connection to upstream ${call.address} failed: ${reason}`;
   return new RouterErrorClass('upstream_failed', message, {cause});
--- a/packages/daemon/src/request/chat/SseScanner.ts
+++ b/packages/daemon/src/request/chat/SseScanner.ts
@@ -3,6 +3,8 @@
  * bytes, so that complete events can be relayed unchanged.
  */
 
+import {createByteCollector} from '@toucanrouter/common';
+
 /** The complete events of one scan. */
 export interface ScannedEvents {
   /** The bytes of all events, with their separators. */
@@ -33,8 +35,7 @@
 
 /** Creates a scanner at the start of a stream. */
 export function createSseScanner(): SseScanner {
-  let pending: Buffer[] = [];
-  let pendingBytes = 0;
+  const pending = createByteCollector();
   let endsWithNewline = false;
 
   /** Returns the end of the last separator in `chunk`, or 0. */
@@ -50,22 +51,17 @@
     const end = separatorEnd(normalized);
     const endsEvent = end > 0;
     const rest = endsEvent ? normalized.subarray(end) : normalized;
-    // Joined only when an event is complete, so that the work does not grow with
-    // each chunk of an event that does not end.
-    const bytes = endsEvent
-      ? Buffer.concat([...pending, normalized.subarray(0, end)])
-      : undefined;
+    let bytes: Buffer | undefined;
     if (endsEvent) {
-      pending = [];
-      pendingBytes = 0;
+      pending.add(normalized.subarray(0, end));
+      bytes = pending.take();
     }
-    if (rest.length > 0) pending.push(rest);
-    pendingBytes += rest.length;
+    pending.add(rest);
     endsWithNewline = rest.at(-1) === newline;
     return bytes && {bytes, events: parseEvents(bytes)};
   }
 
-  return {push, pendingBytes: () => pendingBytes};
+  return {push, pendingBytes: () => pending.sizeBytes};
 }
 
 /** Lines may end with CR LF, while the separator search expects LF only. */
