daemon: test how much is read for a caller that does not read

A stream of small pieces was read ahead of its caller by up to 64 KiB, each byte an object of its own.

--- a/packages/daemon/src/__tests__/unit/EngineAttempt.test.ts
+++ b/packages/daemon/src/__tests__/unit/EngineAttempt.test.ts
@@ -1,5 +1,6 @@
 import type {AddressInfo, Socket} from 'node:net';
 import {createServer} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {createBufferBudget, toRequestId} from '@toucanrouter/common';
 import {expect} from 'chai';
 import {ok} from 'neverthrow';
@@ -13,7 +14,7 @@
 async function runAttempts(
   responses: readonly string[],
   close: (socket: Socket, text: string) => void,
-  onEvents: (events: readonly SseEvent[]) => void = () => undefined,
+  onEvents: (events: readonly SseEvent[]) => unknown = () => undefined,
 ): Promise<readonly AttemptEnd[]> {
   let text = '';
   const server = createServer(socket => {
@@ -33,9 +34,9 @@
       lastEventId: undefined,
       signal: new AbortController().signal,
       onHead: () => undefined,
-      onEvents: ({events}) => {
-        onEvents(events);
-        return Promise.resolve(ok(undefined));
+      onEvents: async ({events}) => {
+        await onEvents(events);
+        return ok(undefined);
       },
     });
     ends.push(end);
@@ -69,6 +70,9 @@
 /** Bytes with which an engine shows that it sends no response. */
 const maxReadBytes = 1024 * 1024;
 
+const handlingMs = 500;
+const maxReadWhileHandlingBytes = 200 * 1024;
+
 describe('EngineAttempt with small pieces', () => {
   for (const [name, piece] of Object.entries(piecesWithoutEvent)) {
     // Guards against a call, its memory and its slot that are held by a stream
@@ -105,6 +109,23 @@
     });
   }
 
+  // Guards against a heap that is filled by the pieces which wait for callers
+  // that do not read.
+  it('reads only a few pieces while an event is handled', async () => {
+    const read = await countBytesRead(async () => {
+      await runAttempts(
+        [chunkedHead(200)],
+        (socket, head) => {
+          socket.write(`${head}9\r\ndata: a\n\n\r\n`);
+          writeWithoutEnd(socket, 'a');
+          setTimeout(() => socket.destroy(), handlingMs / 2);
+        },
+        () => sleep(handlingMs),
+      );
+    });
+    expect(read).to.be.below(maxReadWhileHandlingBytes);
+  });
+
   // Guards against limits that cut sound streams.
   it('reads a long stream whose chunks have one byte each', async () => {
     const event = `data: ${'x'.repeat(100)}\n\n`;
