--- a/packages/common/src/LimitedBody.ts
+++ b/packages/common/src/LimitedBody.ts
@@ -115,3 +115,16 @@
   }
   return {bytes: collector.take(), complete: true};
 }
+
+/** Reads a body like `readLimitedBody`; rejects if it exceeds a limit. */
+export async function readWholeBody(
+  body: Readable,
+  maxBytes: number,
+  onSize?: (bytes: number) => void,
+): Promise<Buffer> {
+  const {bytes, complete} = await readLimitedBody(body, maxBytes, onSize);
+  if (complete) return bytes;
+  throw new Error(
+    `the body exceeds ${maxBytes} bytes or consists of too many small pieces`,
+  );
+}
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -48,6 +48,7 @@
   PieceLimitError,
   readBatches,
   readLimitedBody,
+  readWholeBody,
 } from './LimitedBody.js';
 export type {PieceLimit} from './PieceLimit.js';
 export {createPieceLimit} from './PieceLimit.js';
--- a/packages/daemon/src/request/plain/PlainCall.ts
+++ b/packages/daemon/src/request/plain/PlainCall.ts
@@ -14,7 +14,7 @@
 import {
   hopByHopHeaders,
   maxBatchBytes,
-  readLimitedBody,
+  readWholeBody,
   RouterError,
 } from '@toucanrouter/common';
 import {decideRecovery} from '@toucanrouter/policy';
@@ -253,14 +253,8 @@
     body.destroy(new Error('the buffered responses exceed their memory')),
   );
   try {
-    const {bytes, complete} = await readLimitedBody(
-      body,
-      maxResponseBytes,
-      sizeBytes => share.resize(sizeBytes),
-    );
-    if (complete) return bytes;
-    throw new Error(
-      `the response exceeds ${maxResponseBytes} bytes or consists of too many small pieces`,
+    return await readWholeBody(body, maxResponseBytes, sizeBytes =>
+      share.resize(sizeBytes),
     );
   } finally {
     share.close();
