gateway: limit the pieces of a relayed state

Cause: the text of a response was collected from a list of its chunks; the limit of 16 MiB counts bytes. A peer that sends chunks of one byte ended a process with a heap of 120 MB after one response ("Reached heap limit").

Change: the body is collected in blocks, and given up when its chunks are too small for their number.

--- a/packages/gateway/src/__tests__/unit/RelayClient.test.ts
+++ b/packages/gateway/src/__tests__/unit/RelayClient.test.ts
@@ -18,9 +18,29 @@
   return server;
 }
 
+const smallChunk = '1\r\na\r\n';
+
+/** Starts a peer that answers with chunks of one byte without end. */
+async function startEndlessPeer(): Promise<Server> {
+  const server = createServer((_, {socket}) => {
+    const chunks = Buffer.from(smallChunk.repeat(1_000));
+    const write = () => {
+      while (socket?.destroyed === false && socket.write(chunks));
+    };
+    socket?.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n');
+    socket?.on('drain', write);
+    write();
+  });
+  await new Promise<void>(resolve => server.listen(0, host, resolve));
+  return server;
+}
+
 /** Reads a response of a peer. */
 async function readFrom(text: string) {
-  const server = await startPeer(text);
+  return readFromServer(await startPeer(text));
+}
+
+async function readFromServer(server: Server) {
   const client = createRelayClient();
   const {port} = server.address() as AddressInfo;
   try {
@@ -37,6 +57,13 @@
 }
 
 describe('RelayClient', () => {
+  // Guards against a heap that is filled by the objects of small chunks.
+  it('gives up a response whose chunks have one byte each', async () => {
+    const response = await readFromServer(await startEndlessPeer());
+    const {message} = response._unsafeUnwrapErr();
+    expect(message).to.include('too many small pieces');
+  });
+
   // Guards against a response whose values occupy much more memory than its text.
   it('gives up a response of very many values', async () => {
     const items = `${'{},'.repeat(itemsCount)}{}`;
--- a/packages/gateway/src/state/RelayClient.ts
+++ b/packages/gateway/src/state/RelayClient.ts
@@ -5,6 +5,7 @@
   connectWithin,
   hasTooManyValues,
   PlatformError,
+  readWholeBody,
 } from '@toucanrouter/common';
 import {Agent, request} from '@toucanrouter/common/http-client';
 import type {ListenAddress} from '@toucanrouter/settings';
@@ -68,7 +69,6 @@
     connections: 1,
     connect: connectWithin(connectTimeoutMs),
     keepAliveTimeout: keepAliveTimeoutMs,
-    maxResponseSize: maxResponseBytes,
   });
 
   async function read(
@@ -81,7 +81,8 @@
         `http://${address.host}:${address.port}${path}`,
         {dispatcher, signal: AbortSignal.timeout(timeoutMs)},
       );
-      const text = await response.body.text();
+      const body = await readWholeBody(response.body, maxResponseBytes);
+      const text = body.toString();
       if (response.statusCode !== statusOk) {
         return err(failure(address, `status ${response.statusCode}`));
       }
