keyvalue: bound the size, pieces and values of an instance list

Cause: the list was read without a limit of bytes, pieces or values. A source that sends chunks of one byte ended a process with a heap of 120 MB after one response ("Reached heap limit").

Change: a list beyond 16 MiB, in too many small pieces or of too many values is an error, and the last valid list stays in effect.

--- a/packages/keyvalue/src/InstanceListReader.ts
+++ b/packages/keyvalue/src/InstanceListReader.ts
@@ -3,7 +3,12 @@
  * is malformed, the last valid list stays in effect.
  */
 import type {Clock} from '@toucanrouter/common';
-import {connectWithin, PlatformError} from '@toucanrouter/common';
+import {
+  connectWithin,
+  hasTooManyValues,
+  PlatformError,
+  readWholeBody,
+} from '@toucanrouter/common';
 import {ResultAsync} from 'neverthrow';
 import {Agent, request} from 'undici';
 import type {
@@ -16,6 +21,8 @@
 const defaultTimeoutMs = 2000;
 /** `undici` does not cancel a call before its connection is established. */
 const connectTimeoutMs = 500;
+/** Bounds memory; the list of a large fleet is far smaller. */
+const maxListBytes = 16 * 1024 * 1024;
 
 export interface InstanceListReaderOptions {
   readonly url: string;
@@ -111,9 +118,13 @@
       dispatcher,
       signal: abort.signal,
     });
-    if (response.statusCode === 200) return await response.body.json();
-    await response.body.dump();
-    throw new Error(`status ${response.statusCode}`);
+    const body = await readWholeBody(response.body, maxListBytes);
+    if (response.statusCode !== 200) {
+      throw new Error(`status ${response.statusCode}`);
+    }
+    const text = body.toString();
+    if (hasTooManyValues(text)) throw new Error('it has too many values');
+    return JSON.parse(text) as unknown;
   } finally {
     stopTimer();
   }
--- a/packages/keyvalue/src/__tests__/unit/InstanceListReader.test.ts
+++ b/packages/keyvalue/src/__tests__/unit/InstanceListReader.test.ts
@@ -1,3 +1,6 @@
+import type {Server, ServerResponse} from 'node:http';
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
 import {createManualClock} from '@toucanrouter/common';
 import type {PlatformStandIn} from '@toucanrouter/standins';
 import {createPlatformStandIn} from '@toucanrouter/standins';
@@ -5,6 +8,41 @@
 import type {InstanceList, InstanceListFault} from '../../index.js';
 import {createInstanceListReader, parseInstanceList} from '../../index.js';
 
+const smallChunk = '1\r\na\r\n';
+
+/** Answers with chunks of one byte without end. */
+function answerWithoutEnd({socket}: ServerResponse): void {
+  const chunks = Buffer.from(smallChunk.repeat(1_000));
+  const write = () => {
+    while (socket?.destroyed === false && socket.write(chunks));
+  };
+  socket?.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n');
+  socket?.on('drain', write);
+  write();
+}
+
+/** Returns the error of a poll of a source that answers as given. */
+async function pollErrorOf(
+  answer: (response: ServerResponse) => void,
+): Promise<string | undefined> {
+  const server: Server = createServer((_, response) => answer(response));
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as AddressInfo;
+  let message: string | undefined;
+  const reader = createInstanceListReader({
+    url: `http://127.0.0.1:${port}/`,
+    pollMs: 1000,
+    clock: createManualClock(),
+    onList: () => undefined,
+    onError: error => (message = error.message),
+  });
+  await reader.poll();
+  reader.close();
+  server.close();
+  server.closeAllConnections();
+  return message;
+}
+
 function engineEntry(id: string, labels: Record<string, string> = {}) {
   return {
     targets: ['127.0.0.1:9001'],
@@ -98,3 +136,27 @@
     expect(faults).to.deep.equal([]);
   });
 });
+
+describe('createInstanceListReader with a source that is unsound', () => {
+  // Guards against a heap that is filled by the objects of small chunks.
+  it('gives up a list whose chunks have one byte each', async () => {
+    const message = await pollErrorOf(answerWithoutEnd);
+    expect(message).to.include('too many small pieces');
+  });
+
+  // Guards against memory that is used up by a list without end.
+  it('gives up a list that is too large', async () => {
+    const message = await pollErrorOf(response =>
+      response.end(`[${' '.repeat(17 * 1024 * 1024)}]`),
+    );
+    expect(message).to.include('exceeds');
+  });
+
+  // Guards against values that occupy much more memory than their text.
+  it('gives up a list of very many values', async () => {
+    const message = await pollErrorOf(response =>
+      response.end(`[${'[],'.repeat(1_000_000)}[]]`),
+    );
+    expect(message).to.include('too many values');
+  });
+});
