daemon, gateway: limit the pieces of a caller's body

Cause: the limits of a caller's body count bytes, but each chunk costs processor time whatever its size, which the calls of others wait for.

--- a/packages/daemon/src/server/CallerBody.ts
+++ b/packages/daemon/src/server/CallerBody.ts
@@ -5,7 +5,7 @@
  */
 import type {IncomingMessage} from 'node:http';
 import type {MemoryBudget, MemoryReservation} from '@toucanrouter/common';
-import {RouterError} from '@toucanrouter/common';
+import {createPieceLimit, RouterError} from '@toucanrouter/common';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 
@@ -48,6 +48,7 @@
   const {copyCount, memory} = options;
   const memoryBytes = Math.floor(memory.status().maxBytes / copyCount);
   const maxBytes = Math.min(options.maxBytes, memoryBytes);
+  const pieces = createPieceLimit();
   let reservation: MemoryReservation | undefined;
   let buffer = Buffer.alloc(0);
   let filledBytes = 0;
@@ -118,6 +119,10 @@
   }
 
   function onData(chunk: Buffer): void {
+    if (!pieces.tryAdd(chunk.length)) {
+      const message = 'the request body consists of too many small pieces';
+      return refuse(new RouterError('bad_request', message));
+    }
     const bytes = filledBytes + chunk.length;
     if (bytes > maxBytes) return refuseTooLarge();
     if (bytes > buffer.length) {
--- a/packages/gateway/src/request/CallerBody.ts
+++ b/packages/gateway/src/request/CallerBody.ts
@@ -6,7 +6,7 @@
  */
 import type {IncomingMessage} from 'node:http';
 import type {MemoryBudget, MemoryReservation} from '@toucanrouter/common';
-import {RouterError} from '@toucanrouter/common';
+import {createPieceLimit, RouterError} from '@toucanrouter/common';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 import type {CallerLimits} from '../config/GatewayConfig.js';
@@ -52,6 +52,7 @@
     memory.status().maxBytes,
   );
   const declared = declaredBytes(message);
+  const pieces = createPieceLimit();
   let reservation: MemoryReservation | undefined;
   let buffer = empty;
   let filledBytes = 0;
@@ -79,9 +80,8 @@
     discard();
   }
 
-  function refuseTooLarge(): void {
+  function refuseTooLarge(reason = `the body exceeds ${maxBytes} bytes`): void {
     message.pause();
-    const reason = `the body exceeds ${maxBytes} bytes`;
     refuse(new RouterError('body_too_large', reason));
   }
 
@@ -109,6 +109,9 @@
 
   function onData(chunk: Buffer): void {
     if (settled) return;
+    if (!pieces.tryAdd(chunk.length)) {
+      return refuseTooLarge('the body consists of too many small pieces');
+    }
     const bytes = filledBytes + chunk.length;
     if (bytes > maxBytes) return refuseTooLarge();
     if (bytes > buffer.length) {
