gateway, daemon: drop the pieces that follow a refused body

Cause: a body that is refused for its pieces was paused at once, which queues those that the parser has read already, each as an object.

Change: they are dropped, and the message is paused in the next turn.

--- a/packages/daemon/src/server/CallerBody.ts
+++ b/packages/daemon/src/server/CallerBody.ts
@@ -81,6 +81,14 @@
     refuse(new RouterError('bad_request', message));
   }
 
+  function refusePieces(): void {
+    const message = 'the request body consists of too many small pieces';
+    refuse(new RouterError('bad_request', message));
+    // A paused message would keep the pieces that the parser holds already.
+    incoming.resume();
+    setImmediate(() => incoming.pause());
+  }
+
   function overloadedError(message: string): RouterError {
     const retryAfterMs = options.retryAfterMs();
     return new RouterError('overloaded', message, {retryAfterMs});
@@ -119,10 +127,7 @@
   }
 
   function onData(chunk: Buffer): void {
-    if (!pieces.tryAdd(chunk.length)) {
-      const message = 'the request body consists of too many small pieces';
-      return refuse(new RouterError('bad_request', message));
-    }
+    if (!pieces.tryAdd(chunk.length)) return refusePieces();
     const bytes = filledBytes + chunk.length;
     if (bytes > maxBytes) return refuseTooLarge();
     if (bytes > buffer.length) {
--- a/packages/gateway/src/request/CallerBody.ts
+++ b/packages/gateway/src/request/CallerBody.ts
@@ -85,6 +85,13 @@
     refuse(new RouterError('body_too_large', reason));
   }
 
+  function refusePieces(): void {
+    const reason = 'the body consists of too many small pieces';
+    refuse(new RouterError('body_too_large', reason));
+    // A paused message would keep the pieces that the parser holds already.
+    setImmediate(() => message.pause());
+  }
+
   /** Reserves memory and makes the buffer large enough. */
   function tryExtend(bytes: number): boolean {
     if (reservation === undefined) {
@@ -110,7 +117,7 @@
   function onData(chunk: Buffer): void {
     if (settled) return;
     if (!pieces.tryAdd(chunk.length)) {
-      return refuseTooLarge('the body consists of too many small pieces');
+      return refusePieces();
     }
     const bytes = filledBytes + chunk.length;
     if (bytes > maxBytes) return refuseTooLarge();
