--- a/packages/daemon/src/server/CallerBody.ts
+++ b/packages/daemon/src/server/CallerBody.ts
@@ -5,7 +5,7 @@
  */
 import type {IncomingMessage} from 'node:http';
 import type {MemoryBudget, MemoryReservation} from '@toucanrouter/common';
-import {RouterError} from '@toucanrouter/common';
+import {createPieceLimit, RouterError} from '@toucanrouter/common';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 
@@ -48,6 +48,7 @@
   const {copyCount, memory} = options;
   const memoryBytes = Math.floor(memory.status().maxBytes / copyCount);
   const maxBytes = Math.min(options.maxBytes, memoryBytes);
+  const pieces = createPieceLimit();
   let reservation: MemoryReservation | undefined;
   let buffer = Buffer.alloc(0);
   let filledBytes = 0;
@@ -80,6 +81,14 @@
     refuse(new RouterError('bad_request', message));
   }
 
+  function refusePieces(): void {
+    const message = 'the request body consists of too many small pieces';
+    refuse(new RouterError('bad_request', message));
+    // A paused message would keep the pieces that the parser holds already.
+    incoming.resume();
+    setImmediate(() => incoming.pause());
+  }
+
   function overloadedError(message: string): RouterError {
     const retryAfterMs = options.retryAfterMs();
     return new RouterError('overloaded', message, {retryAfterMs});
@@ -118,6 +127,7 @@
   }
 
   function onData(chunk: Buffer): void {
+    if (!pieces.tryAdd(chunk.length)) return refusePieces();
     const bytes = filledBytes + chunk.length;
     if (bytes > maxBytes) return refuseTooLarge();
     if (bytes > buffer.length) {
