gateway: collect the bytes of an incomplete event in blocks

Cause: the splitter kept each chunk of an incomplete event, up to 1,024 of them, each with the read buffer of its socket, and joined all of them after every 1,024 chunks, which copies with the square of the event. Each line start was built as a string, piece by piece.

Change: pending bytes go into a ByteCollector, and the scanner copies the start of a line into a fixed buffer. Ids are looked for only where a block is an event.

--- a/packages/gateway/src/__tests__/unit/EventSplitter.test.ts
+++ b/packages/gateway/src/__tests__/unit/EventSplitter.test.ts
@@ -49,6 +49,20 @@
     expect(splitter.pendingBytes()).to.equal(0);
   });
 
+  // Guards against a heap that is filled by the objects of small chunks.
+  it('does not keep the chunks of an event', () => {
+    const splitter = createEventSplitter();
+    const text = `data: ${'x'.repeat(3_000)}\n\n`;
+    const chunk = Buffer.alloc(1);
+    let passed = '';
+    for (const character of text) {
+      chunk.write(character);
+      passed += String(splitter.push(chunk)?.bytes ?? '');
+    }
+    expect(passed).to.equal(text);
+    expect(splitter.pendingBytes()).to.equal(0);
+  });
+
   it('passes on every byte in order, wherever chunks are cut', () => {
     const stream = ': a\n\nid: 1\r\ndata: x\r\n\r\n: b\n\n\ndata: y\n\n: c\n\n';
     fc.assert(
--- a/packages/gateway/src/request/EventSplitter.ts
+++ b/packages/gateway/src/request/EventSplitter.ts
@@ -3,6 +3,7 @@
  * fails within an event, the caller does not receive a partial event, and
  * another upstream can resume after the last complete one.
  */
+import {createByteCollector} from '@toucanrouter/common';
 
 /** Complete events, or comments between events, that arrived together. */
 export interface CompleteEvents {
@@ -24,18 +25,12 @@
 }
 
 const newline = 0x0a;
-/** Bounds the overhead of an event that arrives in many small chunks. */
-const maxPendingChunks = 1_024;
+const carriageReturn = 0x0d;
 /** A block without any of these fields is a comment, or means nothing. */
-const eventFields: readonly string[] = ['data', 'id'];
-const maxFieldLength = Math.max(...eventFields.map(({length}) => length));
+const eventFields: readonly Buffer[] = [Buffer.from('data'), Buffer.from('id')];
+const maxFieldBytes = Math.max(...eventFields.map(({length}) => length));
 const idLine = /^id:\s*(.*?)\r?$/gm;
 
-/** Returns whether a line with this start has a field of an event. */
-function hasEventField(lineStart: string): boolean {
-  return eventFields.some(field => lineStart.startsWith(field));
-}
-
 /** Finds the ends of blocks, which are lines that end with a blank line. */
 interface BlockScanner {
   /** Scans the next bytes; returns the number of events that they complete. */
@@ -53,25 +48,31 @@
   let scanned = 0;
   let end = 0;
   let eventEnd = 0;
-  let lineStart = '';
-  let lineLength = 0;
+  const lineStart = Buffer.alloc(maxFieldBytes);
+  let lineBytes = 0;
   let hasField = false;
 
-  function extendLine(bytes: Buffer): void {
-    if (lineStart.length < maxFieldLength) {
-      const missing = maxFieldLength - lineStart.length;
-      lineStart += bytes.toString('latin1', 0, missing);
+  /** Allocates nothing, since a line may arrive byte by byte. */
+  function extendLine(chunk: Buffer, from: number, to: number): void {
+    if (lineBytes < maxFieldBytes) {
+      chunk.copy(lineStart, lineBytes, from, to);
     }
-    lineLength += bytes.length;
+    lineBytes += to - from;
+  }
+
+  function startsWith(field: Buffer): boolean {
+    return (
+      lineBytes >= field.length &&
+      lineStart.compare(field, 0, field.length, 0, field.length) === 0
+    );
   }
 
   /** Returns whether the line completes an event. */
   function endLine(atOffset: number): boolean {
     const isBlank =
-      lineLength === 0 || (lineLength === 1 && lineStart === '\r');
-    if (!isBlank) hasField ||= hasEventField(lineStart);
-    lineStart = '';
-    lineLength = 0;
+      lineBytes === 0 || (lineBytes === 1 && lineStart[0] === carriageReturn);
+    if (!isBlank) hasField ||= eventFields.some(startsWith);
+    lineBytes = 0;
     if (!isBlank) return false;
     end = atOffset;
     if (!hasField) return false;
@@ -89,11 +90,11 @@
         index >= 0;
         index = chunk.indexOf(newline, from)
       ) {
-        extendLine(chunk.subarray(from, index));
+        extendLine(chunk, from, index);
         from = index + 1;
         if (endLine(scanned + from)) count += 1;
       }
-      extendLine(chunk.subarray(from));
+      extendLine(chunk, from, chunk.length);
       scanned += chunk.length;
       return count;
     },
@@ -123,8 +124,7 @@
  */
 export function createEventSplitter(previousEventId?: string): EventSplitter {
   const scanner = createBlockScanner();
-  let pending: Buffer[] = [];
-  let pendingBytes = 0;
+  const pending = createByteCollector();
   let lastEventId: string | undefined;
   let started = false;
   let repeatsEvents = false;
@@ -142,30 +142,30 @@
   return {
     push: chunk => {
       const count = scanner.scan(chunk);
-      pending.push(chunk);
-      pendingBytes += chunk.length;
-      if (pending.length > maxPendingChunks) pending = [Buffer.concat(pending)];
       started ||= count > 0;
       // Comments before the first event wait for it: the response of another
       // upstream may still replace this one.
       const completeEnd = started ? scanner.end() : scanner.eventEnd();
-      if (completeEnd === 0) return undefined;
-      // Joined only now, so that the work does not grow with each chunk of an
-      // event that does not end.
-      const bytes = Buffer.concat(pending);
-      const rest = bytes.subarray(completeEnd);
-      pending = rest.length > 0 ? [rest] : [];
-      pendingBytes = rest.length;
-      scanner.drop(completeEnd);
+      if (completeEnd === 0) {
+        pending.add(chunk);
+        return undefined;
+      }
+      const bytes =
+        pending.sizeBytes === 0
+          ? chunk
+          : Buffer.concat([pending.take(), chunk]);
       const complete = bytes.subarray(0, completeEnd);
-      const ids = eventIds(complete);
+      pending.add(bytes.subarray(completeEnd));
+      scanner.drop(completeEnd);
+      // A block with an id is an event.
+      const ids = count > 0 ? eventIds(complete) : [];
       repeatsEvents ||= isRepeated(ids);
       if (repeatsEvents) return undefined;
       lastEventId = ids.at(-1) ?? lastEventId;
       return {bytes: complete, count};
     },
     repeatsEvents: () => repeatsEvents,
-    pendingBytes: () => pendingBytes,
+    pendingBytes: () => pending.sizeBytes,
     lastEventId: () => lastEventId,
   };
 }
