gateway: write events that arrive together at once

Cause: each event was a write of its own. In a chunked response a write puts four entries into the queue of the socket, each with objects that cost more than a small event, while the high-water mark counts bytes only. A slow caller of small events holds thousands of them.

Change: EventWriter collects the events of one callback and writes them within the same turn; while a write is in progress, later ones wait in one block of bytes. Backpressure counts both.

--- a/packages/gateway/src/request/CallerResponse.ts
+++ b/packages/gateway/src/request/CallerResponse.ts
@@ -6,6 +6,7 @@
 import type {ServerResponse} from 'node:http';
 import type {RouterError} from '@toucanrouter/common';
 import {errorResponseFor, toErrorBody} from '@toucanrouter/common';
+import {createEventWriter} from './EventWriter.js';
 
 /** Sends the response to one request. */
 export interface CallerResponse {
@@ -15,8 +16,8 @@
   send(status: number, headers: readonly string[], body: Buffer): void;
   /** Starts a stream, whose length is not known in advance. */
   start(status: number, headers: readonly string[]): void;
-  /** Writes a chunk; false under backpressure from the caller. */
-  write(chunk: Buffer): boolean;
+  /** Writes events; false under backpressure from the caller. */
+  write(events: Buffer): boolean;
   end(): void;
   /** `closes` is true if the rest of the request is not waited for. */
   sendError(error: RouterError, requestId: string, closes?: boolean): void;
@@ -62,6 +63,10 @@
   options: CallerResponseOptions,
 ): CallerResponse {
   const {response} = options;
+  const writer = createEventWriter({
+    write: (bytes, done) => response.write(bytes, done),
+    maxUnsentBytes: () => response.writableHighWaterMark,
+  });
 
   function writeHead(
     status: number,
@@ -90,8 +95,8 @@
     start: (status, headers) => {
       if (canStart()) writeHead(status, withoutLength(headers));
     },
-    write: chunk => response.write(chunk),
-    end: () => response.end(),
+    write: events => writer.write(events),
+    end: () => response.end(writer.close()),
     sendError: (error, requestId, closes = false) => {
       if (!canStart()) return;
       const body = Buffer.from(JSON.stringify(toErrorBody(error, requestId)));
@@ -111,13 +116,14 @@
       response.end(body);
     },
     abort: () => {
+      writer.close();
       // Only a reset shows that a body without a length or chunks is incomplete.
       if (response.headersSent && !response.chunkedEncoding) {
         response.socket?.resetAndDestroy();
       }
       response.destroy();
     },
-    onDrain: run => response.once('drain', run),
+    onDrain: writer.onDrain,
     onClosed: run => {
       if (response.destroyed) run();
       else response.once('close', run);
