gateway: bound the pieces of a response that one turn handles

Cause: one read of a socket may hold thousands of chunks, and all of them, and those of further reads, were handled before another request went on.

What a flood costs other callers in milliseconds was not measured.

--- a/packages/gateway/src/__tests__/unit/UpstreamConnections.test.ts
+++ b/packages/gateway/src/__tests__/unit/UpstreamConnections.test.ts
@@ -249,6 +249,53 @@
     server.close();
   });
 
+  // Guards against a turn of the event loop that one upstream fills alone.
+  it('hands over nothing more of a read after a pause', async () => {
+    const piecesCount = 1_000;
+    const text = `${head}Transfer-Encoding: chunked\r\n\r\n`;
+    const server = await startUpstream(socket =>
+      socket.end(`${text}${'1\r\na\r\n'.repeat(piecesCount)}0\r\n\r\n`),
+    );
+    const connections = createUpstreamConnections(createSystemClock());
+    const {port} = server.address() as AddressInfo;
+    let receivedCount = 0;
+    let isPaused = false;
+    const outcome = await new Promise<string>(resolve => {
+      const exchange = connections.send(
+        {
+          requestId: 'r1',
+          host: '127.0.0.1',
+          port,
+          method: 'GET',
+          target: '/a',
+          headers: [],
+          body: Buffer.alloc(0),
+          maxIdleMs: 1_000,
+        },
+        {
+          sent: () => undefined,
+          started: () => undefined,
+          data: () => {
+            expect(isPaused).to.equal(false);
+            receivedCount += 1;
+            isPaused = true;
+            exchange.pause();
+            setImmediate(() => {
+              isPaused = false;
+              exchange.resume();
+            });
+          },
+          ended: () => resolve('ended'),
+          failed: ({message}) => resolve(message),
+        },
+      );
+    });
+    expect(outcome).to.equal('ended');
+    expect(receivedCount).to.equal(piecesCount);
+    await connections.close();
+    server.close();
+  });
+
   // Guards against a response whose head was cut off but that counts as complete.
   it('fails a response whose head is cut off at any byte', async () => {
     const interim = 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n';
--- a/packages/gateway/src/request/Attempt.ts
+++ b/packages/gateway/src/request/Attempt.ts
@@ -13,6 +13,7 @@
 import type {Dialect, UpstreamResponse} from './Dialect.js';
 import type {CompleteEvents, EventSplitter} from './EventSplitter.js';
 import {createEventSplitter} from './EventSplitter.js';
+import {createResponseFlow} from './ResponseFlow.js';
 import type {StallLimits} from './StallWatch.js';
 import {createStallWatch} from './StallWatch.js';
 
@@ -159,6 +160,7 @@
     if (finished) return;
     finished = true;
     stallWatch.close();
+    flow.close();
     buffered.close();
     health.requestEnded(work, firstResponseRecorded);
     resolveResult(result);
@@ -216,6 +218,7 @@
 
   function handleChunk(chunk: Buffer): void {
     if (finished || response === undefined) return;
+    flow.pieceReceived();
     if (!streaming) {
       chunks.push(chunk);
       bufferedBytes += chunk.length;
@@ -244,11 +247,11 @@
     if (completed.count > 0) recordFirstResponse();
     if (gapMs !== undefined) health.recordEventGap(gapMs, clock.nowMs());
     if (receiver.events(response, completed, gapMs)) return;
-    exchange.pause();
+    flow.waitForDrain();
     stallWatch.pause();
     receiver.onDrain(() => {
-      exchange.resume();
       stallWatch.resume();
+      flow.drained();
     });
   }
 
@@ -281,6 +284,10 @@
     limits: options.stallLimits,
     onStalled,
   });
+  const flow = createResponseFlow({
+    pause: () => exchange.pause(),
+    resume: () => exchange.resume(),
+  });
   const exchange: UpstreamExchange = connections.send(
     {
       requestId: options.requestId,
