gateway: give up responses that consist of small pieces

Cause: limits counted bytes, and what was kept was a list of chunks, each with objects of some hundred bytes and the read buffer of its socket. The heap was full long before a limit was reached. Comments of a stream and the bodies of rejections had no limit at all.

Change: bodies are collected in blocks, and a body with too many small pieces is given up; that of a failure may have 1 MiB. A stream is given up that brings no event within 1 MiB or too many small pieces. The body of a rejection is counted, not held: if it does not end, breaks off or stalls, the head decides that the request did not run. Such a response is not taken for proof that another upstream has the address, so the entry is kept.

--- a/packages/gateway/src/request/Attempt.ts
+++ b/packages/gateway/src/request/Attempt.ts
@@ -10,7 +10,11 @@
   UpstreamConnections,
   UpstreamExchange,
 } from '../upstreams/UpstreamConnections.js';
+import type {BufferedBody} from './BufferedBody.js';
+import {createBufferedBody, isRejection} from './BufferedBody.js';
 import type {Dialect, UpstreamResponse} from './Dialect.js';
+import {minServerErrorStatus} from './Dialect.js';
+import {createEventProgress} from './EventProgress.js';
 import type {CompleteEvents, EventSplitter} from './EventSplitter.js';
 import {createEventSplitter} from './EventSplitter.js';
 import {createResponseFlow} from './ResponseFlow.js';
@@ -44,9 +48,6 @@
       readonly endedByClose: boolean;
     };
 
-/** Statuses from this one on count as failures of the upstream. */
-export const minServerErrorStatus = 500;
-
 /**
  * Returns the outcome that counts for the upstream's health. A misdirected
  * request has none, since another upstream responded, and neither has one that
@@ -71,6 +72,19 @@
   }
 }
 
+/**
+ * Returns the result of a response whose body did not end, if its head states
+ * that the request did not run. Nothing more is concluded from such a response:
+ * the upstream is not taken for another one.
+ */
+function resultOfHead(
+  head: UpstreamResponse | undefined,
+): AttemptResult | undefined {
+  return head !== undefined && isRejection(head)
+    ? {kind: 'not_run', status: head.status}
+    : undefined;
+}
+
 /** Receives events of a stream as they arrive. */
 export interface StreamReceiver {
   /**
@@ -130,10 +144,6 @@
   cancel(reason: string): void;
 }
 
-/** Bounds memory, since responses that are not streamed are buffered. */
-const maxBufferedResponseBytes = 8 * 1024 * 1024;
-const maxPendingEventBytes = 1024 * 1024;
-
 /** Starts an attempt. */
 export function startAttempt(options: AttemptOptions): Attempt {
   const {choice, clock, connections, dialect, receiver} = options;
@@ -141,10 +151,9 @@
   const startedAtMs = clock.nowMs();
   const work = {promptTokens: choice.uncachedPromptTokens};
   const splitter: EventSplitter = createEventSplitter(options.passedOnEventId);
-  const chunks: Buffer[] = [];
-  let bufferedBytes = 0;
+  const eventProgress = createEventProgress();
+  let body: BufferedBody | undefined;
   let response: UpstreamResponse | undefined;
-  let streaming = false;
   let sent = false;
   let sentAtMs = startedAtMs;
   let withdrawn = false;
@@ -178,6 +187,11 @@
       abort({kind: 'unsent', reason}, reason);
       return true;
     }
+    const rejection = resultOfHead(response);
+    if (rejection !== undefined) {
+      abort(rejection, reason);
+      return true;
+    }
     options.onStalled(splitter.lastEventId());
     return finished;
   }
@@ -216,29 +230,28 @@
     return undefined;
   }
 
+  function handleBodyChunk(body: BufferedBody, chunk: Buffer): void {
+    const reason = body.add(chunk);
+    buffered.resize(body.sizeBytes);
+    if (finished || reason === undefined) return;
+    abort(resultOfHead(response) ?? {kind: 'broken', reason}, reason);
+  }
+
   function handleChunk(chunk: Buffer): void {
     if (finished || response === undefined) return;
     flow.pieceReceived();
-    if (!streaming) {
-      chunks.push(chunk);
-      bufferedBytes += chunk.length;
-      buffered.resize(bufferedBytes);
-      if (bufferedBytes > maxBufferedResponseBytes) {
-        const reason = `the response exceeds ${maxBufferedResponseBytes} bytes`;
-        abort({kind: 'broken', reason}, reason);
-      }
+    if (body !== undefined) {
+      handleBodyChunk(body, chunk);
       return;
     }
     const completed = splitter.push(chunk);
-    buffered.resize(splitter.pendingBytes());
+    const pendingBytes = splitter.pendingBytes();
+    buffered.resize(pendingBytes);
     if (finished) return;
-    if (splitter.repeatsEvents()) {
-      const reason = 'the stream repeats events of an earlier attempt';
-      abort({kind: 'broken', reason}, reason);
-      return;
-    }
-    if (splitter.pendingBytes() > maxPendingEventBytes) {
-      const reason = `an event exceeds ${maxPendingEventBytes} bytes`;
+    const reason = splitter.repeatsEvents()
+      ? 'the stream repeats events of an earlier attempt'
+      : eventProgress.add(chunk.length, completed?.count ?? 0, pendingBytes);
+    if (reason !== undefined) {
       abort({kind: 'broken', reason}, reason);
       return;
     }
@@ -261,11 +274,9 @@
       finish({kind: 'misdirected', reason: 'another upstream responded'});
     } else if (response.notRun) {
       finish({kind: 'not_run', status: response.status});
-    } else if (!streaming) {
+    } else if (body !== undefined) {
       recordFirstResponse();
-      const body = Buffer.concat(chunks);
-      chunks.length = 0;
-      finish({kind: 'answered', response, body, endedByClose});
+      finish({kind: 'answered', response, body: body.take(), endedByClose});
     } else if (splitter.pendingBytes() > 0) {
       finish({kind: 'broken', reason: 'the stream ended within an event'});
     } else {
@@ -275,7 +286,7 @@
 
   const buffered = options.responseBuffers.open(() => {
     const reason = 'the responses that are buffered exceed their memory';
-    chunks.length = 0;
+    body?.take();
     abort({kind: 'broken', reason}, reason);
   });
   health.requestStarted(work);
@@ -320,16 +331,20 @@
           return;
         }
         response = head;
-        streaming =
+        const isStream =
           options.streams &&
           head.mayBeEventStream &&
           status >= 200 &&
           status < 300;
+        body =
+          isStream && !isRejection(head) ? undefined : createBufferedBody(head);
       },
       data: handleChunk,
       ended: handleEnd,
       failed: ({message: reason}) => {
+        const rejection = resultOfHead(response);
         if (withdrawn) finish({kind: 'withdrawn', reason});
+        else if (rejection !== undefined) finish(rejection);
         else finish({kind: sent ? 'broken' : 'unsent', reason});
       },
     },
--- a/packages/gateway/src/request/Dialect.ts
+++ b/packages/gateway/src/request/Dialect.ts
@@ -40,6 +40,9 @@
   readonly resumeAfterId: string | undefined;
 }
 
+/** Statuses from this one on count as failures of the upstream. */
+export const minServerErrorStatus = 500;
+
 /** The head of an upstream's response. */
 export interface UpstreamResponse {
   readonly status: number;
--- a/packages/gateway/src/request/RetryDecision.ts
+++ b/packages/gateway/src/request/RetryDecision.ts
@@ -6,7 +6,7 @@
 import type {ErrorKind} from '@toucanrouter/common';
 import type {RetryPolicy} from '../config/GatewayConfig.js';
 import type {AttemptResult} from './Attempt.js';
-import {minServerErrorStatus} from './Attempt.js';
+import {minServerErrorStatus} from './Dialect.js';
 
 /** The progress of a request over its attempts. */
 export interface RequestProgress {
