gateway: wait for the end of a turn only for responses in many pieces

Each piece of a stream armed a callback for the end of its turn, which costs a further poll of the event loop for every event. It is armed from the sixteenth piece on; the bound of pieces in one turn stays. The tests of ResponseFlow are unchanged.

--- a/packages/gateway/src/request/ResponseFlow.ts
+++ b/packages/gateway/src/request/ResponseFlow.ts
@@ -26,6 +26,12 @@
 /** Pieces of one response that are handled in one turn. */
 export const maxPiecesPerTurnCount = 256;
 
+/**
+ * Pieces from which on the end of the turn is waited for. A usual stream brings
+ * one in a turn, and an event loop that has nothing else to do should sleep.
+ */
+const minCountedPiecesCount = 16;
+
 /** Creates the flow of a response that is being read. */
 export function createResponseFlow(options: ResponseFlowOptions): ResponseFlow {
   const {afterTurn = run => void setImmediate(run)} = options;
@@ -54,7 +60,7 @@
   return {
     pieceReceived: () => {
       piecesCount += 1;
-      if (!isTurnCounted) {
+      if (!isTurnCounted && piecesCount >= minCountedPiecesCount) {
         isTurnCounted = true;
         afterTurn(beginTurn);
       }
