soak: engines of two software versions, and streams that are taken up

A stream joined from two versions, and take-ups that mostly do not go on while two engines of their version serve, count as broken promises.

--- a/scripts/soak.js
+++ b/scripts/soak.js
@@ -8,6 +8,8 @@
  * instance is not running. Series of SIGHUP overlap all faults and reach processes
  * that start or stop too, those that were started again from `--signal-from MS`
  * after their start on. `--drills` lets the store come back from copies of itself.
+ * `--versions` lets engines of two software versions serve side by side, kills all
+ * instances at once now and then, and lets callers take up streams.
  * `--busy N` starts N processes
  * that take all processor time they get, and `--cpus LIST` pins the instances
  * and these processes to the named processors. Soaks that run beside each other
@@ -36,6 +38,7 @@
 import {createDrills} from './soak/drills.js';
 import {createFleet, gracePeriodMs} from './soak/fleet.js';
 import {createRestorableStore, readJson} from './soak/restorableStore.js';
+import {createVersions} from './soak/versions.js';
 
 const {values} = parseArgs({
   options: {
@@ -47,6 +50,7 @@
     busy: {type: 'string', default: '0'},
     cpus: {type: 'string'},
     drills: {type: 'boolean', default: false},
+    versions: {type: 'boolean', default: false},
     'signal-from': {type: 'string', default: '300'},
     'skip-build': {type: 'boolean', default: false},
   },
@@ -76,6 +80,8 @@
 const largeBodyLimitMs = 8_000;
 /** Above the streams of load and signals of any number of instances. */
 const drillStream = 1_009;
+const versionStream = 1_013;
+const takeUpStream = 1_019;
 
 /** Numbers from 0 to 1 that repeat with the seed. */
 function createRandom(seed) {
@@ -117,11 +123,18 @@
   const onViolation = text =>
     violations.push(`${Math.round(nowMs())} ms: ${text}`);
 
+  const versions = values.versions
+    ? createVersions({
+        random: createRandom(seed + seedStride * versionStream),
+        onViolation,
+      })
+    : undefined;
   const deployment = await startDeployment({
     onEnd: close => closers.push(close),
-    runModel: streamSoundly,
+    runModel: versions?.runModel ?? streamSoundly,
     runPlain: answerSoundly,
   });
+  versions?.follow(deployment);
   const restorable = values.drills
     ? createRestorableStore({sourceAddress: deployment.address, nowMs})
     : undefined;
@@ -190,7 +203,10 @@
       host: instance.host,
       port: instance.ports.callers,
       nowMs,
-      onEnded: call => ended.push({...call, instance}),
+      onEnded: call => {
+        ended.push({...call, text: undefined, instance});
+        versions?.onEnded(call, overrides => takeUp(call, overrides));
+      },
     }),
   );
   const timers = new Set();
@@ -216,10 +232,18 @@
       bodyBytes: kind.bodyBytes,
       events: kind.events,
       headers,
+      keepsText: versions !== undefined,
       ...overrides,
     });
   }
 
+  /** Sends a call again, to an instance that the load draws. */
+  function takeUp(call, overrides) {
+    const kind = kinds.find(({name}) => name === call.kind);
+    const index = Math.floor(randomOfTakeUps() * fleet.instances.length);
+    send(index, kind, overrides);
+  }
+
   function scheduleKind(index, kind, randomOfCalls) {
     const perSecond = kind.perSecond * Number(values.rate);
     const waitMs = (-Math.log(1 - randomOfCalls()) * 1_000) / perSecond;
@@ -231,6 +255,7 @@
     timers.add(timer);
   }
 
+  const randomOfTakeUps = createRandom(seed + seedStride * takeUpStream);
   const order = kinds.find(kind => kind.events === undefined);
 
   /** Disturbances of an instance that runs undisturbed, by name. */
@@ -262,6 +287,7 @@
       engine.isDown = true;
       engine.crashesAtMs = [...(engine.crashesAtMs ?? []), nowMs()];
       engine.crash();
+      versions?.draw(engine);
       setTimeout(
         () =>
           void engine.restart().then(() => {
@@ -272,6 +298,14 @@
       );
     },
   };
+  if (versions !== undefined) {
+    disturbances.killAll = () => {
+      for (const instance of fleet.instances) {
+        const life = fleet.lifeOf(instance);
+        if (fleet.isUndisturbed(life)) fleet.kill(life);
+      }
+    };
+  }
   const names = Object.keys(disturbances);
 
   fleet.instances.forEach((_, index) =>
@@ -324,6 +358,7 @@
   for (const timer of timers) clearTimeout(timer);
   await sleep(Math.max(settleMs, gracePeriodMs));
   drills?.close();
+  versions?.close();
   checkCalls({ended, deployment, onViolation});
   callers.forEach(caller => caller.close());
   fleet.close();
@@ -348,6 +383,7 @@
     stopsMs: stops,
     peakMb: Math.round(peakMb),
     drills: drills?.report,
+    versions: versions?.report,
     violations,
   };
   if (violations.length === 0) rmSync(directory, {recursive: true});
--- a/scripts/soak/callers.js
+++ b/scripts/soak/callers.js
@@ -10,13 +10,15 @@
 
 /** Returns what is wrong with a complete response, or undefined. */
 function faultOf(call, status, body) {
+  const firstEvent = call.firstEvent ?? 1;
   if (status !== 200) return undefined;
   if (call.events === undefined) {
     return body.includes(` ${call.id} `) ? undefined : 'another response';
   }
   const ids = [...body.matchAll(eventIdPattern)].map(([, id]) => Number(id));
   const isWhole =
-    ids.length === call.events && ids.every((id, index) => id === index + 1);
+    ids.length === call.events - firstEvent + 1 &&
+    ids.every((id, index) => id === firstEvent + index);
   return isWhole ? undefined : `events ${ids.length} of ${call.events}`;
 }
 
@@ -42,6 +44,7 @@
           status,
           fault,
           retryAfter,
+          text: call.keepsText ? text : undefined,
         });
       };
       const message = request(
