--- a/scripts/soak.js
+++ b/scripts/soak.js
@@ -8,6 +8,7 @@
  * instance is not running. Series of SIGHUP overlap all faults and reach processes
  * that start or stop too, those that were started again from `--signal-from MS`
  * after their start on. `--drills` lets the store come back from copies of itself.
+ * `--endless` lets upstreams answer with small pieces without end.
  * `--versions` lets engines of two software versions serve side by side, kills all
  * instances at once now and then, and lets callers take up streams.
  * `--busy N` starts N processes
@@ -36,6 +37,7 @@
 import {root} from '../review/router.js';
 import {createCaller} from './soak/callers.js';
 import {createDrills} from './soak/drills.js';
+import {createEndlessPieces} from './soak/endlessPieces.js';
 import {createFleet, gracePeriodMs} from './soak/fleet.js';
 import {createRestorableStore, readJson} from './soak/restorableStore.js';
 import {createVersions} from './soak/versions.js';
@@ -51,6 +53,7 @@
     cpus: {type: 'string'},
     drills: {type: 'boolean', default: false},
     versions: {type: 'boolean', default: false},
+    endless: {type: 'boolean', default: false},
     'signal-from': {type: 'string', default: '300'},
     'skip-build': {type: 'boolean', default: false},
   },
@@ -82,6 +85,7 @@
 const drillStream = 1_009;
 const versionStream = 1_013;
 const takeUpStream = 1_019;
+const endlessStream = 1_021;
 
 /** Numbers from 0 to 1 that repeat with the seed. */
 function createRandom(seed) {
@@ -129,10 +133,14 @@
         onViolation,
       })
     : undefined;
+  const endless = createEndlessPieces({
+    random: createRandom(seed + seedStride * endlessStream),
+    nowMs,
+  });
   const deployment = await startDeployment({
     onEnd: close => closers.push(close),
-    runModel: versions?.runModel ?? streamSoundly,
-    runPlain: answerSoundly,
+    runModel: endless.wrap(versions?.runModel ?? streamSoundly),
+    runPlain: endless.wrap(answerSoundly),
   });
   versions?.follow(deployment);
   const restorable = values.drills
@@ -306,6 +314,12 @@
       }
     };
   }
+  if (values.endless) {
+    disturbances.endless = ({draw}) =>
+      endless.begin(
+        deployment.engines[Math.floor(draw * deployment.engines.length)],
+      );
+  }
   const names = Object.keys(disturbances);
 
   fleet.instances.forEach((_, index) =>
@@ -359,7 +373,7 @@
   await sleep(Math.max(settleMs, gracePeriodMs));
   drills?.close();
   versions?.close();
-  checkCalls({ended, deployment, onViolation});
+  checkCalls({ended, deployment, endless, onViolation});
   callers.forEach(caller => caller.close());
   fleet.close();
   busy.forEach(child => child.kill('SIGKILL'));
@@ -384,6 +398,7 @@
     peakMb: Math.round(peakMb),
     drills: drills?.report,
     versions: versions?.report,
+    endless: values.endless ? endless.report : undefined,
     violations,
   };
   if (violations.length === 0) rmSync(directory, {recursive: true});
@@ -458,7 +473,7 @@
 }
 
 /** Checks the promises on single calls. */
-function checkCalls({ended, deployment, onViolation}) {
+function checkCalls({ended, deployment, endless, onViolation}) {
   const runCounts = countBy(
     deployment.engines.flatMap(({runs}) => runs),
     ({id}) => id,
@@ -480,6 +495,7 @@
       isCut &&
       !isExcused(call) &&
       !isBrokenOff(call, deployment.engines) &&
+      !endless.hasAnswered(call.id) &&
       !isLateInStop(call) &&
       !isUnread(call, runCounts)
     ) {
