--- a/scripts/soak.js
+++ b/scripts/soak.js
@@ -8,6 +8,9 @@
  * instance is not running. Series of SIGHUP overlap all faults and reach processes
  * that start or stop too, those that were started again from `--signal-from MS`
  * after their start on. `--drills` lets the store come back from copies of itself.
+ * `--endless` lets upstreams answer with small pieces without end.
+ * `--versions` lets engines of two software versions serve side by side, kills all
+ * instances at once now and then, and lets callers take up streams.
  * `--busy N` starts N processes
  * that take all processor time they get, and `--cpus LIST` pins the instances
  * and these processes to the named processors. Soaks that run beside each other
@@ -34,8 +37,10 @@
 import {root} from '../review/router.js';
 import {createCaller} from './soak/callers.js';
 import {createDrills} from './soak/drills.js';
+import {createEndlessPieces} from './soak/endlessPieces.js';
 import {createFleet, gracePeriodMs} from './soak/fleet.js';
 import {createRestorableStore, readJson} from './soak/restorableStore.js';
+import {createVersions} from './soak/versions.js';
 
 const {values} = parseArgs({
   options: {
@@ -47,6 +52,8 @@
     busy: {type: 'string', default: '0'},
     cpus: {type: 'string'},
     drills: {type: 'boolean', default: false},
+    versions: {type: 'boolean', default: false},
+    endless: {type: 'boolean', default: false},
     'signal-from': {type: 'string', default: '300'},
     'skip-build': {type: 'boolean', default: false},
   },
@@ -76,6 +83,9 @@
 const largeBodyLimitMs = 8_000;
 /** Above the streams of load and signals of any number of instances. */
 const drillStream = 1_009;
+const versionStream = 1_013;
+const takeUpStream = 1_019;
+const endlessStream = 1_021;
 
 /** Numbers from 0 to 1 that repeat with the seed. */
 function createRandom(seed) {
@@ -117,11 +127,22 @@
   const onViolation = text =>
     violations.push(`${Math.round(nowMs())} ms: ${text}`);
 
+  const versions = values.versions
+    ? createVersions({
+        random: createRandom(seed + seedStride * versionStream),
+        onViolation,
+      })
+    : undefined;
+  const endless = createEndlessPieces({
+    random: createRandom(seed + seedStride * endlessStream),
+    nowMs,
+  });
   const deployment = await startDeployment({
     onEnd: close => closers.push(close),
-    runModel: streamSoundly,
-    runPlain: answerSoundly,
+    runModel: endless.wrap(versions?.runModel ?? streamSoundly),
+    runPlain: endless.wrap(answerSoundly),
   });
+  versions?.follow(deployment);
   const restorable = values.drills
     ? createRestorableStore({sourceAddress: deployment.address, nowMs})
     : undefined;
@@ -190,7 +211,10 @@
       host: instance.host,
       port: instance.ports.callers,
       nowMs,
-      onEnded: call => ended.push({...call, instance}),
+      onEnded: call => {
+        ended.push({...call, text: undefined, instance});
+        versions?.onEnded(call, overrides => takeUp(call, overrides));
+      },
     }),
   );
   const timers = new Set();
@@ -216,10 +240,18 @@
       bodyBytes: kind.bodyBytes,
       events: kind.events,
       headers,
+      keepsText: versions !== undefined,
       ...overrides,
     });
   }
 
+  /** Sends a call again, to an instance that the load draws. */
+  function takeUp(call, overrides) {
+    const kind = kinds.find(({name}) => name === call.kind);
+    const index = Math.floor(randomOfTakeUps() * fleet.instances.length);
+    send(index, kind, overrides);
+  }
+
   function scheduleKind(index, kind, randomOfCalls) {
     const perSecond = kind.perSecond * Number(values.rate);
     const waitMs = (-Math.log(1 - randomOfCalls()) * 1_000) / perSecond;
@@ -231,6 +263,7 @@
     timers.add(timer);
   }
 
+  const randomOfTakeUps = createRandom(seed + seedStride * takeUpStream);
   const order = kinds.find(kind => kind.events === undefined);
 
   /** Disturbances of an instance that runs undisturbed, by name. */
@@ -262,6 +295,7 @@
       engine.isDown = true;
       engine.crashesAtMs = [...(engine.crashesAtMs ?? []), nowMs()];
       engine.crash();
+      versions?.draw(engine);
       setTimeout(
         () =>
           void engine.restart().then(() => {
@@ -272,6 +306,20 @@
       );
     },
   };
+  if (versions !== undefined) {
+    disturbances.killAll = () => {
+      for (const instance of fleet.instances) {
+        const life = fleet.lifeOf(instance);
+        if (fleet.isUndisturbed(life)) fleet.kill(life);
+      }
+    };
+  }
+  if (values.endless) {
+    disturbances.endless = ({draw}) =>
+      endless.begin(
+        deployment.engines[Math.floor(draw * deployment.engines.length)],
+      );
+  }
   const names = Object.keys(disturbances);
 
   fleet.instances.forEach((_, index) =>
@@ -324,7 +372,8 @@
   for (const timer of timers) clearTimeout(timer);
   await sleep(Math.max(settleMs, gracePeriodMs));
   drills?.close();
-  checkCalls({ended, deployment, onViolation});
+  versions?.close();
+  checkCalls({ended, deployment, endless, onViolation});
   callers.forEach(caller => caller.close());
   fleet.close();
   busy.forEach(child => child.kill('SIGKILL'));
@@ -348,6 +397,8 @@
     stopsMs: stops,
     peakMb: Math.round(peakMb),
     drills: drills?.report,
+    versions: versions?.report,
+    endless: values.endless ? endless.report : undefined,
     violations,
   };
   if (violations.length === 0) rmSync(directory, {recursive: true});
@@ -422,7 +473,7 @@
 }
 
 /** Checks the promises on single calls. */
-function checkCalls({ended, deployment, onViolation}) {
+function checkCalls({ended, deployment, endless, onViolation}) {
   const runCounts = countBy(
     deployment.engines.flatMap(({runs}) => runs),
     ({id}) => id,
@@ -444,6 +495,7 @@
       isCut &&
       !isExcused(call) &&
       !isBrokenOff(call, deployment.engines) &&
+      !endless.hasAnswered(call.id) &&
       !isLateInStop(call) &&
       !isUnread(call, runCounts)
     ) {
