--- a/packages/bench/src/placement/FleetSimulation.ts
+++ b/packages/bench/src/placement/FleetSimulation.ts
@@ -124,6 +124,7 @@
     slots: scenario.shape.slots,
     leaving: false,
     startedAtMs: undefined,
+    softwareVersion: undefined,
   }));
 }
 
--- a/packages/common/src/Ids.ts
+++ b/packages/common/src/Ids.ts
@@ -25,6 +25,8 @@
 export type StoreHistoryId = Branded<'StoreHistoryId'>;
 /** Identifies a model engine or an instance of a plain service. */
 export type UpstreamId = Branded<'UpstreamId'>;
+/** Version of the software that an upstream runs, not of its model's weights. */
+export type SoftwareVersion = Branded<'SoftwareVersion'>;
 /** Identifies a workspace whose requests the router serves. */
 export type WorkspaceId = Branded<'WorkspaceId'>;
 
@@ -39,5 +41,7 @@
 export const toStoreHistoryId = (value: string): StoreHistoryId =>
   value as StoreHistoryId;
 export const toUpstreamId = (value: string): UpstreamId => value as UpstreamId;
+export const toSoftwareVersion = (value: string): SoftwareVersion =>
+  value as SoftwareVersion;
 export const toWorkspaceId = (value: string): WorkspaceId =>
   value as WorkspaceId;
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -84,6 +84,7 @@
   ServiceName,
   ShardId,
   StoreHistoryId,
+  SoftwareVersion,
   UpstreamId,
   WorkspaceId,
 } from './Ids.js';
@@ -96,6 +97,7 @@
   toServiceName,
   toShardId,
   toStoreHistoryId,
+  toSoftwareVersion,
   toUpstreamId,
   toWorkspaceId,
 } from './Ids.js';
--- a/packages/gateway/src/__tests__/unit/GatewayFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayFixtures.ts
@@ -2,6 +2,7 @@
 import {
   toClassId,
   toServiceName,
+  toSoftwareVersion,
   toUpstreamId,
   toWorkspaceId,
 } from '@toucanrouter/common';
@@ -85,6 +86,7 @@
     slots: 64,
     leaving: false,
     startedAtMs: 1,
+    softwareVersion: toSoftwareVersion('v1'),
     ...changes,
   };
 }
--- a/packages/gateway/src/upstreams/UpstreamEntry.ts
+++ b/packages/gateway/src/upstreams/UpstreamEntry.ts
@@ -1,7 +1,11 @@
 /**
  * The entries by which upstreams register themselves in the platform's store.
  */
-import type {ServiceName, UpstreamId} from '@toucanrouter/common';
+import type {
+  ServiceName,
+  SoftwareVersion,
+  UpstreamId,
+} from '@toucanrouter/common';
 
 /** One upstream of a service. */
 export interface UpstreamEntry {
@@ -16,6 +20,11 @@
   readonly leaving: boolean;
   /** Start of the process, in Unix milliseconds; undefined if not reported. */
   readonly startedAtMs: number | undefined;
+  /**
+   * Version of the upstream's software; undefined if not reported. A stream may
+   * go on only at the version that began it.
+   */
+  readonly softwareVersion: SoftwareVersion | undefined;
 }
 
 /** Returns a key of the process that an entry describes. */
--- a/packages/gateway/src/upstreams/UpstreamRegistry.ts
+++ b/packages/gateway/src/upstreams/UpstreamRegistry.ts
@@ -61,7 +61,8 @@
     a.failureDomain === b.failureDomain &&
     a.slots === b.slots &&
     a.leaving === b.leaving &&
-    a.startedAtMs === b.startedAtMs
+    a.startedAtMs === b.startedAtMs &&
+    a.softwareVersion === b.softwareVersion
   );
 }
 
