gateway, platform: know which software version began a stream

Change: createStreamOrigins keeps one list of versions for each service in the store and lets streams begin only at listed versions. With one version the list is the origin; with several, or on routes to several services, origins are recorded in batches under leases. A take-up is looked up by a linearizable read that starts after it arrived; what is not certain is unknown. Lists and records are written again when the store comes back from a copy, and a list of a copy counts as complete only once it is confirmed.

Fixtures of existing tests get the four new calls of StateStore and the two new callbacks of StateSync; no expectation changed.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -58,6 +58,8 @@
 import type {StateSync} from './state/StateSync.js';
 import {createStateSync} from './state/StateSync.js';
 import {createVerdictArchive} from './state/VerdictArchive.js';
+import type {StreamOriginArchive} from './streams/StreamOriginArchive.js';
+import {createStreamOrigins} from './streams/StreamOriginArchive.js';
 import {createUpstreamConnections} from './upstreams/UpstreamConnections.js';
 import {createUpstreamKnowledge} from './upstreams/UpstreamKnowledge.js';
 import {probeUpstream} from './upstreams/UpstreamProbe.js';
@@ -151,6 +153,7 @@
 
   const config: ActiveConfig = createActiveConfig(next => {
     gatewayServer.applyLimits(next.limits);
+    streamOrigins.routesChanged();
     logger.info('configuration in force', {
       configVersion: next.version,
       routes: next.routes.length,
@@ -158,6 +161,7 @@
       configAgeMs: Math.round(configAge.ageMs()),
     });
   });
+  const routes = () => config.current()?.routes ?? [];
   const turnQueue = createTurnQueue({clock});
   const loadControl = createLoadControl({
     clock,
@@ -180,6 +184,7 @@
     onAdded: entry => {
       upstreamNotices.upstreamAdded(entry);
       upstreamRates.upstreamAdded(entry);
+      streamOrigins.upstreamAdded(entry);
       logger.info(
         entry.leaving ? 'upstream is leaving' : 'upstream is usable',
         {
@@ -222,6 +227,24 @@
     history: storeHistory,
     onVerdict: promptGuard.adopt,
   });
+  const streamOrigins: StreamOriginArchive = createStreamOrigins({
+    clock,
+    logger,
+    random: options.random,
+    instanceId: settings.instanceId,
+    store,
+    history: storeHistory,
+    usable: registry.usable,
+    isInSync: () => sync.connected(),
+    longestTimeoutMs: () =>
+      Math.max(0, ...routes().map(({timeoutMs}) => timeoutMs)),
+    sharesRoute: service =>
+      routes().some(
+        ({targets}) =>
+          targets.some(target => target.service === service) &&
+          targets.some(target => target.service !== service),
+      ),
+  });
   const upstreamNotices = createUpstreamNotices({
     clock,
     logger,
@@ -285,6 +308,8 @@
     peers,
     onVerdict: verdictArchive.receive,
     onVerdictRemoved: verdictArchive.receiveRemoval,
+    onVersionHistory: streamOrigins.receive,
+    onVersionHistoryRemoved: streamOrigins.receiveRemoval,
     onOwnEntryRemoved: registration.entryRemoved,
     changeDelayMs: () =>
       Math.min(settings.configDelayMs, settings.leavingDelayMs),
@@ -334,6 +359,7 @@
     promptGuard,
     upstreamNotices,
     upstreamRates,
+    streamOrigins,
     retryBudget: retryBudgetOf,
     isDraining: () => draining,
     onEnded,
@@ -623,6 +649,7 @@
       promptGuard.close();
       upstreamNotices.close();
       verdictArchive.close();
+      streamOrigins.close();
       registration.close();
       const cutRequests = gatewayServer.inProgress();
       await answerOpenRequests(plan);
--- a/packages/gateway/src/__tests__/unit/CrashingPrompts.test.ts
+++ b/packages/gateway/src/__tests__/unit/CrashingPrompts.test.ts
@@ -23,6 +23,7 @@
 import {parsePromptSegments} from '../../upstreams/Prompt.js';
 import {createConfig, createEntry, createRoute} from './GatewayFixtures.js';
 import {testDialect} from './TestDialect.js';
+import {emptyOriginStore} from './StreamOriginFixtures.js';
 
 const clock = createSystemClock();
 const host = '127.0.0.1';
@@ -79,6 +80,7 @@
     return updateFrom(revision);
   }
   const store: StateStore = {
+    ...emptyOriginStore,
     decode: ({key}) => changes[Number(key)],
     readAll: () => okAsync(updateFrom(0)),
     readChanges: (revision, waitMs) =>
--- a/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
@@ -31,6 +31,7 @@
 import {createUpstreamRegistry} from '../../upstreams/UpstreamRegistry.js';
 import {createConfig, createEntry, createRoute} from './GatewayFixtures.js';
 import {testDialect} from './TestDialect.js';
+import {unknownOrigins} from './StreamOriginFixtures.js';
 
 async function startServer(server: Server): Promise<number> {
   if (!server.listening) {
@@ -125,6 +126,7 @@
       onRefused: () => undefined,
     }),
     upstreamRates,
+    streamOrigins: unknownOrigins,
     retryBudget: () => createRetryBudget(),
     isDraining: () => false,
     onEnded: request => ended.push(request),
--- a/packages/gateway/src/__tests__/unit/OwnEntry.test.ts
+++ b/packages/gateway/src/__tests__/unit/OwnEntry.test.ts
@@ -11,6 +11,7 @@
   readinessPath,
 } from './RunningGatewayFixtures.js';
 import {testDialect} from './TestDialect.js';
+import {emptyOriginStore} from './StreamOriginFixtures.js';
 
 const configItem = {key: 'config', value: ''};
 const ownKey = 'own';
@@ -31,6 +32,7 @@
         : {kind: 'peer', entry: {instanceId, address: settings.peers}};
     };
     const store: StateStore = {
+      ...emptyOriginStore,
       decode: ({key, value}) => decode(key, value),
       readAll: () =>
         okAsync({revision, items: [configItem, {key: ownKey, value: ''}]}),
--- a/packages/gateway/src/__tests__/unit/RestoredStoreFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/RestoredStoreFixtures.ts
@@ -30,6 +30,7 @@
 import {createStoreHistory} from '../../state/StoreHistory.js';
 import {createUpstreamRegistry} from '../../upstreams/UpstreamRegistry.js';
 import {createConfig, createEntry, service} from './GatewayFixtures.js';
+import {emptyOriginStore} from './StreamOriginFixtures.js';
 
 type Read<T> = ResultAsync<T, PlatformError>;
 
@@ -115,6 +116,7 @@
   }
 
   const store: StateStore = {
+    ...emptyOriginStore,
     decode,
     readAll: () =>
       read('all', () => ({
@@ -243,6 +245,8 @@
     configAge,
     registry,
     peers,
+    onVersionHistory: () => undefined,
+    onVersionHistoryRemoved: () => undefined,
     onVerdict: () => verdictEvents.push('verdict'),
     onVerdictRemoved: () => verdictEvents.push('removed'),
     onOwnEntryRemoved: () => {
--- a/packages/gateway/src/__tests__/unit/RunningGatewayFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/RunningGatewayFixtures.ts
@@ -22,6 +22,7 @@
 import type {StateChange, StateStore} from '../../state/StateStore.js';
 import {createConfig, createEntry, createRoute} from './GatewayFixtures.js';
 import {testDialect} from './TestDialect.js';
+import {emptyOriginStore} from './StreamOriginFixtures.js';
 
 export const clock = createSystemClock();
 export const host = '127.0.0.1';
@@ -52,6 +53,7 @@
 ): StateStore {
   const items = changes.map((_, index) => ({key: `${index}`, value: ''}));
   return {
+    ...emptyOriginStore,
     decode: ({key}) => changes[Number(key)],
     readAll: () => okAsync({revision: 1, items}),
     readChanges: revision => okAsync({revision, items: []}),
--- a/packages/gateway/src/__tests__/unit/StateSync.test.ts
+++ b/packages/gateway/src/__tests__/unit/StateSync.test.ts
@@ -28,6 +28,7 @@
 import {createStoreHistory} from '../../state/StoreHistory.js';
 import {createUpstreamRegistry} from '../../upstreams/UpstreamRegistry.js';
 import {createConfig, createEntry, idsOf, service} from './GatewayFixtures.js';
+import {emptyOriginStore} from './StreamOriginFixtures.js';
 
 type ScriptedResult<T> = T | 'lost';
 
@@ -61,6 +62,7 @@
   let snapshot: ScriptedResult<StateUpdate> = {revision: 1, items: []};
   const watchResults: ScriptedResult<WatchResult>[] = [];
   const store: StateStore = {
+    ...emptyOriginStore,
     decode,
     readAll: () => {
       calls.push('all');
@@ -137,6 +139,8 @@
     configAge,
     registry,
     peers,
+    onVersionHistory: () => undefined,
+    onVersionHistoryRemoved: () => undefined,
     onVerdict: () => undefined,
     onVerdictRemoved: () => undefined,
     changeDelayMs: () => 2_000,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -38,9 +38,17 @@
   StateUpdate,
   StoredItem,
   StoreEra,
+  ConditionalWrite,
+  StoredVersionHistory,
+  StreamHash,
+  StreamRecord,
+  StreamRecordBatch,
+  StreamRecords,
+  VersionHistories,
+  VersionHistory,
   WatchResult,
 } from './state/StateStore.js';
-export {toStoreEra} from './state/StateStore.js';
+export {toStoreEra, toStreamHash} from './state/StateStore.js';
 export type {EngineModel} from './upstreams/EngineModel.js';
 export {createEngineModel, initialEstimates} from './upstreams/EngineModel.js';
 export type {Prompt, PromptSegment} from './upstreams/Prompt.js';
--- a/packages/gateway/src/request/GatewayContext.ts
+++ b/packages/gateway/src/request/GatewayContext.ts
@@ -13,6 +13,7 @@
 import type {RetryBudget} from '@toucanrouter/policy';
 import type {ActiveConfig} from '../config/ActiveConfig.js';
 import type {ConfigAge} from '../config/ConfigAge.js';
+import type {StreamOrigins} from '../streams/StreamOrigins.js';
 import type {UpstreamConnections} from '../upstreams/UpstreamConnections.js';
 import type {UpstreamKnowledge} from '../upstreams/UpstreamKnowledge.js';
 import type {UpstreamNotices} from '../upstreams/UpstreamNotices.js';
@@ -58,6 +59,7 @@
   readonly promptGuard: PromptGuard;
   readonly upstreamNotices: UpstreamNotices;
   readonly upstreamRates: UpstreamRateLimits;
+  readonly streamOrigins: StreamOrigins;
   readonly retryBudget: (service: ServiceName) => RetryBudget;
   /** True once the instance accepts no new requests. */
   readonly isDraining: () => boolean;
--- a/packages/gateway/src/state/StateStore.ts
+++ b/packages/gateway/src/state/StateStore.ts
@@ -3,11 +3,18 @@
  * of upstreams and peers. The gateway reads a full snapshot first and then
  * follows changes.
  */
-import type {InstanceId, PlatformError, UpstreamId} from '@toucanrouter/common';
+import type {
+  InstanceId,
+  PlatformError,
+  ServiceName,
+  SoftwareVersion,
+  UpstreamId,
+} from '@toucanrouter/common';
 import type {SegmentHash} from '@toucanrouter/policy';
 import type {ResultAsync} from 'neverthrow';
 import type {GatewayConfig} from '../config/GatewayConfig.js';
 import type {PeerEntry} from '../peers/PeerDirectory.js';
+import type {StreamOrigin} from '../streams/StreamOrigins.js';
 import type {UpstreamEntry} from '../upstreams/UpstreamEntry.js';
 
 /** A verdict on a prompt segment that outlives the instances. */
@@ -33,6 +40,8 @@
     }
   | {readonly kind: 'verdict'; readonly verdict: StoredVerdict}
   | {readonly kind: 'verdict_removed'; readonly segment: SegmentHash}
+  | {readonly kind: 'service_versions'; readonly history: VersionHistory}
+  | {readonly kind: 'service_versions_removed'; readonly service: ServiceName}
   /** A value that cannot be decoded; `id` is set for the entry of an upstream. */
   | {
       readonly kind: 'unreadable';
@@ -89,8 +98,84 @@
   readonly era?: StoreEra | undefined;
 }
 
+/**
+ * The software versions of a service that may have begun streams which callers
+ * can still take up.
+ */
+export interface VersionHistory {
+  readonly service: ServiceName;
+  readonly versions: readonly SoftwareVersion[];
+  /**
+   * The history of the store in which the list was confirmed to be complete. A
+   * list of a copy may lack versions until it is confirmed again.
+   */
+  readonly era: StoreEra | undefined;
+}
+
+/** A version history as the store holds it; revision 0 if it holds none. */
+export interface StoredVersionHistory extends VersionHistory {
+  readonly revision: number;
+}
+
+/** All version histories at one time. */
+export interface VersionHistories {
+  readonly histories: readonly StoredVersionHistory[];
+  readonly era: StoreEra | undefined;
+}
+
+/** The response to a conditional write; a conflict changes nothing. */
+export interface ConditionalWrite {
+  readonly isWritten: boolean;
+  readonly era: StoreEra | undefined;
+}
+
+/** Hash of the key of a stream. */
+export type StreamHash = string & {readonly [brand]: 'StreamHash'};
+
+export const toStreamHash = (value: string): StreamHash => value as StreamHash;
+
+/** The origin of a stream; undefined if several streams share the key. */
+export interface StreamRecord {
+  readonly hash: StreamHash;
+  readonly origin: StreamOrigin | undefined;
+}
+
+/** Records of streams that are written together. */
+export interface StreamRecordBatch {
+  readonly id: string;
+  readonly records: readonly StreamRecord[];
+}
+
+/** All records of streams at one time. */
+export interface StreamRecords {
+  readonly records: readonly StreamRecord[];
+  readonly era: StoreEra | undefined;
+}
+
+/** Keeps the origins of streams beyond the life of the instances. */
+export interface StreamOriginStore {
+  readVersionHistories(
+    timeoutMs: number,
+  ): ResultAsync<VersionHistories, PlatformError>;
+  /** Writes a history unless it changed since `history.revision`. */
+  writeVersionHistory(
+    history: StoredVersionHistory,
+    timeoutMs: number,
+  ): ResultAsync<ConditionalWrite, PlatformError>;
+  readStreamRecords(
+    timeoutMs: number,
+  ): ResultAsync<StreamRecords, PlatformError>;
+  /** Replaces a batch, under a new lease of `leaseMs` unless one is given. */
+  writeStreamRecords(
+    batch: StreamRecordBatch,
+    lease: Lease | undefined,
+    leaseMs: number,
+    timeoutMs: number,
+  ): ResultAsync<Lease, PlatformError>;
+}
+
 /** Reads the platform's state and registers this instance. */
-export interface StateStore {
+export interface StateStore extends StreamOriginStore {
   /** Decodes one item; undefined if the gateway does not use it. */
   decode(item: StoredItem): StateChange | undefined;
   readAll(timeoutMs: number): ResultAsync<StateUpdate, PlatformError>;
--- a/packages/gateway/src/state/StateSync.ts
+++ b/packages/gateway/src/state/StateSync.ts
@@ -10,6 +10,7 @@
   Clock,
   InstanceId,
   PlatformError,
+  ServiceName,
   UpstreamId,
 } from '@toucanrouter/common';
 import {delay, hash64} from '@toucanrouter/common';
@@ -35,6 +36,7 @@
   StoredItem,
   StoredVerdict,
   StoreEra,
+  VersionHistory,
 } from './StateStore.js';
 import type {
   EndedAbsence,
@@ -59,6 +61,8 @@
   readonly peers: PeerDirectory;
   readonly onVerdict: (verdict: StoredVerdict) => void;
   readonly onVerdictRemoved: (segment: SegmentHash) => void;
+  readonly onVersionHistory: (history: VersionHistory) => void;
+  readonly onVersionHistoryRemoved: (service: ServiceName) => void;
   /** Called when the store no longer holds the entry of this instance. */
   readonly onOwnEntryRemoved?: (() => void) | undefined;
   /** Time within which a change in the store must be in force. */
@@ -231,6 +235,12 @@
           options.onVerdictRemoved(change.segment),
         );
         return;
+      case 'service_versions':
+        options.onVersionHistory(change.history);
+        return;
+      case 'service_versions_removed':
+        options.onVersionHistoryRemoved(change.service);
+        return;
       case 'unreadable':
         logger.warn('a value in the store cannot be decoded and is not used', {
           key: change.key,
