--- a/packages/gateway/src/__tests__/unit/RelayEras.test.ts
+++ b/packages/gateway/src/__tests__/unit/RelayEras.test.ts
@@ -108,6 +108,30 @@
 const unchanged = (read: RelayClient['read']) => read;
 
 describe('Instances that read a restored store through another one', () => {
+  // Guards against instances that do not learn which versions may begin streams
+  // because they read the store through another one.
+  it('pass on the software versions of services', async () => {
+    const {clock, close, model, ownCalls, reader, relay} =
+      await startPair(unchanged);
+    const ownCallCount = ownCalls.length;
+    model.write('versions/chat', 'v1');
+    await advance(clock, 3_000);
+    model.write('versions/chat', 'v1 v2');
+    await advance(clock, 3_000);
+    const copy = model.copy();
+    model.remove('versions/chat');
+    await advance(clock, 3_000);
+    const expected = ['chat: v1', 'chat: v1 v2', 'chat: none'];
+    expect(relay.versionEvents).to.deep.equal(expected);
+    expect(reader.versionEvents).to.deep.equal(expected);
+    expect(ownCalls).to.have.length(ownCallCount);
+    model.restore(copy);
+    await advance(clock, 6_000);
+    expect(relay.versionEvents.at(-1)).to.equal('chat: v1 v2');
+    expect(reader.versionEvents.at(-1)).to.equal('chat: v1 v2');
+    close();
+  });
+
   // Guards against an instance that stays with the lost history of its relay's
   // cursor because the revisions of the new one are lower.
   it('receive the whole state of a new history from the relay', async () => {
--- a/packages/gateway/src/__tests__/unit/RestoredStoreFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/RestoredStoreFixtures.ts
@@ -7,6 +7,8 @@
   createManualClock,
   PlatformError,
   toInstanceId,
+  toServiceName,
+  toSoftwareVersion,
   toUpstreamId,
 } from '@toucanrouter/common';
 import {createLogger} from '@toucanrouter/logging';
@@ -80,6 +82,16 @@
         id: toInstanceId(id),
         failureDomain: value,
       };
+    case 'versions': {
+      const name = toServiceName(id);
+      const versions = value?.split(' ').map(toSoftwareVersion) ?? [];
+      return value === undefined
+        ? {kind: 'service_versions_removed', service: name}
+        : {
+            kind: 'service_versions',
+            history: {service: name, versions, era: undefined},
+          };
+    }
     case 'verdict': {
       const segment = segmentOf(id);
       return value === undefined
@@ -231,6 +243,7 @@
   const log = createStateLog(clock);
   const history = createStoreHistory();
   const verdictEvents: string[] = [];
+  const versionEvents: string[] = [];
   let ownRemovals = 0;
   const sync = createStateSync({
     clock,
@@ -245,8 +258,9 @@
     configAge,
     registry,
     peers,
-    onVersionHistory: () => undefined,
-    onVersionHistoryRemoved: () => undefined,
+    onVersionHistory: ({service, versions}) =>
+      versionEvents.push(`${service}: ${versions.join(' ')}`),
+    onVersionHistoryRemoved: service => versionEvents.push(`${service}: none`),
     onVerdict: () => verdictEvents.push('verdict'),
     onVerdictRemoved: () => verdictEvents.push('removed'),
     onOwnEntryRemoved: () => {
@@ -265,6 +279,7 @@
     registry,
     sync,
     verdictEvents,
+    versionEvents,
     ownRemovals: () => ownRemovals,
     version: () => config.current()?.version,
     usable: () => registry.usable(service).map(({id}): string => id),
--- a/packages/gateway/src/streams/StreamOriginArchive.ts
+++ b/packages/gateway/src/streams/StreamOriginArchive.ts
@@ -70,11 +70,21 @@
   });
   const lookup = createStreamOriginLookup(options);
 
-  function unknownAfter(delayMs: number): Promise<OriginLookup> {
-    const reason = 'the store did not answer in time';
-    return new Promise(resolve => {
-      clock.after(delayMs, () => resolve({kind: 'unknown', reason}));
+  /** Bounds the wait of the caller; the read itself may be shared. */
+  async function findWithin(
+    timeoutMs: number,
+    found: Promise<OriginLookup>,
+  ): Promise<OriginLookup> {
+    let cancel = () => undefined as void;
+    const late = new Promise<OriginLookup>(resolve => {
+      const reason = 'the store did not answer in time';
+      cancel = clock.after(timeoutMs, () => resolve({kind: 'unknown', reason}));
     });
+    try {
+      return await Promise.race([found, late]);
+    } finally {
+      cancel();
+    }
   }
 
   return {
@@ -89,10 +99,7 @@
       if (remembered !== undefined) {
         return {kind: 'unknown', reason: 'several streams have this id'};
       }
-      return Promise.race([
-        lookup.find(hash, services),
-        unknownAfter(timeoutMs),
-      ]);
+      return findWithin(timeoutMs, lookup.find(hash, services));
     },
     upstreamAdded: versions.upstreamAdded,
     receive: versions.receive,
--- a/packages/gateway/src/streams/VersionHistoryKeeper.ts
+++ b/packages/gateway/src/streams/VersionHistoryKeeper.ts
@@ -227,7 +227,7 @@
     let retryMs = initialRetryMs;
     await delay(clock, options.random.next() * maxWriteDelayMs);
     while (!closed && !isUpToDate(state)) {
-      if (await tryUpdate(service, state)) continue;
+      if ((await tryUpdate(service, state)) && isUpToDate(state)) break;
       await delay(clock, retryMs);
       retryMs = Math.min(retryMs * 2, maxRetryMs);
     }
