--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -96,6 +96,7 @@
   ServiceName,
   ShardId,
   StoreHistoryId,
+  SoftwareVersion,
   UpstreamId,
   WorkspaceId,
 } from './Ids.js';
@@ -108,6 +109,7 @@
   toServiceName,
   toShardId,
   toStoreHistoryId,
+  toSoftwareVersion,
   toUpstreamId,
   toWorkspaceId,
 } from './Ids.js';
--- a/packages/gateway/src/__tests__/unit/RestoredStoreFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/RestoredStoreFixtures.ts
@@ -7,6 +7,8 @@
   createManualClock,
   PlatformError,
   toInstanceId,
+  toServiceName,
+  toSoftwareVersion,
   toUpstreamId,
 } from '@toucanrouter/common';
 import {createLogger} from '@toucanrouter/logging';
@@ -30,6 +32,7 @@
 import {createStoreHistory} from '../../state/StoreHistory.js';
 import {createUpstreamRegistry} from '../../upstreams/UpstreamRegistry.js';
 import {createConfig, createEntry, service} from './GatewayFixtures.js';
+import {emptyOriginStore} from './StreamOriginFixtures.js';
 
 type Read<T> = ResultAsync<T, PlatformError>;
 
@@ -79,6 +82,16 @@
         id: toInstanceId(id),
         failureDomain: value,
       };
+    case 'versions': {
+      const name = toServiceName(id);
+      const versions = value?.split(' ').map(toSoftwareVersion) ?? [];
+      return value === undefined
+        ? {kind: 'service_versions_removed', service: name}
+        : {
+            kind: 'service_versions',
+            history: {service: name, versions, era: undefined},
+          };
+    }
     case 'verdict': {
       const segment = segmentOf(id);
       return value === undefined
@@ -115,6 +128,7 @@
   }
 
   const store: StateStore = {
+    ...emptyOriginStore,
     decode,
     readAll: () =>
       read('all', () => ({
@@ -229,6 +243,7 @@
   const log = createStateLog(clock);
   const history = createStoreHistory();
   const verdictEvents: string[] = [];
+  const versionEvents: string[] = [];
   let ownRemovals = 0;
   const sync = createStateSync({
     clock,
@@ -243,6 +258,9 @@
     configAge,
     registry,
     peers,
+    onVersionHistory: ({service, versions}) =>
+      versionEvents.push(`${service}: ${versions.join(' ')}`),
+    onVersionHistoryRemoved: service => versionEvents.push(`${service}: none`),
     onVerdict: () => verdictEvents.push('verdict'),
     onVerdictRemoved: () => verdictEvents.push('removed'),
     onOwnEntryRemoved: () => {
@@ -261,6 +279,7 @@
     registry,
     sync,
     verdictEvents,
+    versionEvents,
     ownRemovals: () => ownRemovals,
     version: () => config.current()?.version,
     usable: () => registry.usable(service).map(({id}): string => id),
