gateway, platform: read which request began a stream that is resumed

A caller that takes a stream up names in Resumes the request that brought its first event; nothing read it.

--- a/packages/gateway/src/__tests__/unit/TestDialect.ts
+++ b/packages/gateway/src/__tests__/unit/TestDialect.ts
@@ -14,7 +14,8 @@
     key: message.headers.authorization,
     callerTimeoutMs: undefined,
     prompt: undefined,
-    resumeAfterId: undefined,
+    resumeAfterId: message.headers['after'] as string | undefined,
+    resumesRequestId: message.headers['resumes'] as string | undefined,
     headers: ['id', String(message.headers['id'] ?? '')],
   }),
   upstreamHeaders: (request, attributes) => [
--- a/packages/gateway/src/request/Dialect.ts
+++ b/packages/gateway/src/request/Dialect.ts
@@ -26,6 +26,11 @@
   readonly prompt: Prompt | undefined;
   /** Id of the event after which the caller resumes a stream. */
   readonly resumeAfterId: string | undefined;
+  /**
+   * Id of the request that brought the first event of the stream that the caller
+   * resumes.
+   */
+  readonly resumesRequestId: string | undefined;
   /** Headers to pass on, as alternating names and values. */
   readonly headers: readonly string[];
 }
