gateway: take an entry with another software version for another process

An entry that changed its version with the same id and start kept what was known of the old process, such as that it leaves. It is evicted like that of a process that was restarted. The registry tells the latest entry of an upstream and counts the software versions in service.

Measured: unit tests of UpstreamRegistry pass; the new one fails without the change to processKeyOf.

--- a/packages/gateway/src/__tests__/unit/UpstreamRegistry.test.ts
+++ b/packages/gateway/src/__tests__/unit/UpstreamRegistry.test.ts
@@ -1,4 +1,8 @@
-import {createManualClock, toUpstreamId} from '@toucanrouter/common';
+import {
+  createManualClock,
+  toSoftwareVersion,
+  toUpstreamId,
+} from '@toucanrouter/common';
 import {expect} from 'chai';
 import {
   createUpstreamRegistry,
@@ -52,6 +56,18 @@
     expect(usable()).to.have.members(['one', 'two']);
   });
 
+  // Guards against what is known of a process that is kept for other software.
+  it('takes an entry with another software version for another process', () => {
+    const {registry, usable} = createRegistry();
+    registry.markLeaving(createEntry('one'));
+    const changed = createEntry('one', {
+      softwareVersion: toSoftwareVersion('v2'),
+    });
+    registry.put(changed);
+    expect(usable()).to.have.members(['one', 'two']);
+    expect(registry.entryOf(one)).to.equal(changed);
+  });
+
   it('keeps entries that expire during an outage of the store for a grace period', () => {
     const {clock, registry, usable} = createRegistry();
     registry.storeLost();
--- a/packages/gateway/src/upstreams/UpstreamEntry.ts
+++ b/packages/gateway/src/upstreams/UpstreamEntry.ts
@@ -27,10 +27,25 @@
   readonly softwareVersion: SoftwareVersion | undefined;
 }
 
+type ProcessFields = Pick<
+  UpstreamEntry,
+  'id' | 'softwareVersion' | 'startedAtMs'
+>;
+
 /** Returns a key of the process that an entry describes. */
 export function processKeyOf({
   id,
+  softwareVersion,
   startedAtMs,
-}: Pick<UpstreamEntry, 'id' | 'startedAtMs'>): string {
-  return `${startedAtMs ?? ''}/${id}`;
+}: ProcessFields): string {
+  return JSON.stringify([startedAtMs ?? '', softwareVersion ?? '', id]);
+}
+
+/** True if two entries of an upstream describe the same process. */
+export function isSameProcess(a: ProcessFields, b: ProcessFields): boolean {
+  return (
+    a.id === b.id &&
+    a.startedAtMs === b.startedAtMs &&
+    a.softwareVersion === b.softwareVersion
+  );
 }
--- a/packages/gateway/src/upstreams/UpstreamRegistry.ts
+++ b/packages/gateway/src/upstreams/UpstreamRegistry.ts
@@ -4,11 +4,16 @@
  * still run, so an entry that disappears around an outage is kept for a grace
  * period. If only this instance was cut off from the store, there is none.
  */
-import type {Clock, ServiceName, UpstreamId} from '@toucanrouter/common';
+import type {
+  Clock,
+  ServiceName,
+  SoftwareVersion,
+  UpstreamId,
+} from '@toucanrouter/common';
 import {createBoundedMap} from '@toucanrouter/policy';
 import type {StoreAbsence} from '../state/StoreAbsence.js';
 import type {UpstreamEntry} from './UpstreamEntry.js';
-import {processKeyOf} from './UpstreamEntry.js';
+import {isSameProcess, processKeyOf} from './UpstreamEntry.js';
 
 /** Options of a registry. */
 export interface UpstreamRegistryOptions {
@@ -19,12 +24,24 @@
   readonly leavingDelayMs: () => number;
 }
 
+/** Upstreams of a service that run the same software version. */
+export interface UpstreamVersionCount {
+  readonly service: ServiceName;
+  /** Undefined for upstreams that do not tell their version. */
+  readonly softwareVersion: SoftwareVersion | undefined;
+  readonly count: number;
+}
+
 /** The registered upstreams by service. */
 export interface UpstreamRegistry {
   /** Upstreams of a service that accept new work. */
   usable(service: ServiceName): readonly UpstreamEntry[];
   has(id: UpstreamId): boolean;
+  /** The latest entry of an upstream, also of one that leaves. */
+  entryOf(id: UpstreamId): UpstreamEntry | undefined;
   readonly size: number;
+  /** Counts the upstreams that accept new work. */
+  versionCounts(): readonly UpstreamVersionCount[];
   /** Adds or replaces one entry. */
   put(entry: UpstreamEntry): void;
   /** Handles the removal of an entry from the store. */
@@ -108,7 +125,7 @@
     cancelEviction(entry.id);
     const previous = entries.get(entry.id);
     if (previous !== undefined && isUnchanged(previous, entry)) return;
-    if (previous !== undefined && previous.startedAtMs !== entry.startedAtMs) {
+    if (previous !== undefined && !isSameProcess(previous, entry)) {
       evict(previous.id, 'its process was restarted');
     }
     entries.set(entry.id, entry);
@@ -119,6 +136,20 @@
     options.onAdded(entry);
   }
 
+  function versionCounts(): readonly UpstreamVersionCount[] {
+    return [...byService].flatMap(([service, usable]) => {
+      const counts = new Map<SoftwareVersion | undefined, number>();
+      for (const {softwareVersion} of usable) {
+        counts.set(softwareVersion, (counts.get(softwareVersion) ?? 0) + 1);
+      }
+      return [...counts].map(([softwareVersion, count]) => ({
+        service,
+        softwareVersion,
+        count,
+      }));
+    });
+  }
+
   function isInGracePeriod(): boolean {
     return storeDown || clock.nowMs() < graceEndMs;
   }
@@ -170,9 +201,11 @@
   return {
     usable: service => byService.get(service) ?? [],
     has: id => entries.has(id),
+    entryOf: id => entries.get(id),
     get size() {
       return entries.size;
     },
+    versionCounts,
     put,
     remove,
     storeLost: () => {
