gateway: keep a resumable stream at the software version that began it

Cause: attempts that resume a stream, ones beside a stalled one and streams that callers take up were placed on any upstream of the service, so that a response, or a stream over the tries of its caller, held events of several software versions.

Change: the version is fixed when the first part of a stream is passed on. All later attempts, and the waits for pauses and rate limits, see only upstreams of that version. A stream that is taken up goes on at the version that began it, as StreamOrigins knows; if that is unknown, or no upstream of the version is registered, the request is refused as not run. An upstream without a version counts as one of its own. A request is withdrawn if the entry of the chosen upstream names another version when it is written, and a first part is not passed on if it does by then. The version is in the lines of attempts, and metrics show the versions in service and what became of take-ups.

StreamOrigins are those of this instance only until they are kept in the store.

--- a/packages/bench/src/placement/SimulatedRequest.ts
+++ b/packages/bench/src/placement/SimulatedRequest.ts
@@ -119,6 +119,8 @@
     service,
     servesModels: true,
     leastUrgent: promptClass.tier >= fleet.leastUrgentTier,
+    mayServe: () => true,
+    isPreferred: () => true,
   });
   const used: Choice[] = [];
   const remainingMs = () => arrival.atMs + promptClass.timeoutMs - loop.nowMs();
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -44,6 +44,7 @@
 import {createPromptGuard} from './request/PromptGuard.js';
 import {createSharedRetryBudget} from './request/SharedRetryBudget.js';
 import {createTurnQueue} from './request/TurnQueue.js';
+import {createLocalStreamOrigins} from './streams/LocalStreamOrigins.js';
 import {createGatewayMetrics} from './server/GatewayMetrics.js';
 import {createGatewayServer, listenBacklog} from './server/GatewayServer.js';
 import {
@@ -334,6 +335,8 @@
     promptGuard,
     upstreamNotices,
     upstreamRates,
+    streamOrigins: createLocalStreamOrigins(),
+    onTakeUpEnded: outcome => metrics.observeTakeUp(outcome),
     retryBudget: retryBudgetOf,
     isDraining: () => draining,
     onEnded,
@@ -365,6 +368,7 @@
         service,
         ...budget.status(clock.nowMs()),
       })),
+    upstreamVersions: registry.versionCounts,
     pausedCount: upstreamNotices.pausedCount,
     rateLimits: upstreamRates.status,
     loopDelayMs: loopDelay.currentMs,
--- a/packages/gateway/src/__tests__/unit/GatewayMetrics.test.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayMetrics.test.ts
@@ -1,4 +1,5 @@
 import type {ServiceName} from '@toucanrouter/common';
+import {toSoftwareVersion} from '@toucanrouter/common';
 import {expect} from 'chai';
 import type {GatewayMetricSources} from '../../server/GatewayMetrics.js';
 import {createGatewayMetrics} from '../../server/GatewayMetrics.js';
@@ -17,6 +18,7 @@
     crashCount: zero,
     quarantinedCount: zero,
     retryBudgets: () => [],
+    upstreamVersions: () => [],
     pausedCount: () => 0,
     rateLimits: () => [],
     loopDelayMs: zero,
@@ -56,6 +58,28 @@
     expect(text).to.include('toucanrouter_listener_open{purpose="peers"} 0');
   });
 
+  it('shows the software versions in service and what became of take-ups', async () => {
+    // Guards against a release whose versions and lost streams no metric shows.
+    const service = 'a' as ServiceName;
+    const metrics = createGatewayMetrics(
+      createSources({
+        upstreamVersions: () => [
+          {service, softwareVersion: toSoftwareVersion('v1'), count: 3},
+          {service, softwareVersion: undefined, count: 1},
+        ],
+      }),
+    );
+    metrics.observeTakeUp('went_on');
+    const text = await metrics.render();
+    for (const line of [
+      'toucanrouter_upstreams{service="a",version="v1"} 3',
+      'toucanrouter_upstreams{service="a",version="none"} 1',
+      'toucanrouter_stream_take_ups_total{outcome="went_on"} 1',
+    ]) {
+      expect(text).to.include(line);
+    }
+  });
+
   it('shows the request rates that upstreams limit', async () => {
     // Guards against held back requests that no metric explains.
     const metrics = createGatewayMetrics(
--- a/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
@@ -23,7 +23,10 @@
 import {createLoadControl} from '../../request/LoadControl.js';
 import {createPromptGuard} from '../../request/PromptGuard.js';
 import {createGatewayServer} from '../../server/GatewayServer.js';
+import type {TakeUpOutcome} from '../../request/ResponseStream.js';
 import {createTurnQueue} from '../../request/TurnQueue.js';
+import {createLocalStreamOrigins} from '../../streams/LocalStreamOrigins.js';
+import type {UpstreamEntry} from '../../upstreams/UpstreamEntry.js';
 import {createUpstreamConnections} from '../../upstreams/UpstreamConnections.js';
 import {createUpstreamKnowledge} from '../../upstreams/UpstreamKnowledge.js';
 import {createUpstreamNotices} from '../../upstreams/UpstreamNotices.js';
@@ -47,6 +50,7 @@
   route: Partial<GatewayRoute>,
   upstreams: readonly Server[],
   changes: Partial<GatewayContext> = {},
+  entryChanges: (index: number) => Partial<UpstreamEntry> = () => ({}),
 ) {
   const clock = createSystemClock();
   const random = createSeededRandom(1);
@@ -73,7 +77,7 @@
   });
   for (const [index, upstream] of upstreams.entries()) {
     const port = await startServer(upstream);
-    registry.put(createEntry(`u${index}`, {port}));
+    registry.put(createEntry(`u${index}`, {port, ...entryChanges(index)}));
   }
   const config = createActiveConfig(() => undefined);
   const firstConfig = createConfig({routes: [createRoute(route)]});
@@ -82,6 +86,7 @@
   configAge.confirmed(configAge.mark());
   const connections = createUpstreamConnections(clock);
   const ended: EndedRequest[] = [];
+  const takeUps: TakeUpOutcome[] = [];
   const context: GatewayContext = {
     clock,
     logger,
@@ -125,6 +130,8 @@
       onRefused: () => undefined,
     }),
     upstreamRates,
+    streamOrigins: createLocalStreamOrigins(),
+    onTakeUpEnded: outcome => takeUps.push(outcome),
     retryBudget: () => createRetryBudget(),
     isDraining: () => false,
     onEnded: request => ended.push(request),
@@ -137,6 +144,7 @@
     port,
     server: gateway.server,
     ended,
+    takeUps,
     registry,
     upstreamNotices: context.upstreamNotices,
     upstreamRates: context.upstreamRates,
@@ -167,9 +175,10 @@
   path = '/chat/x',
   key = 'key',
   id = 'r1',
+  extraHeaders: Readonly<Record<string, string>> = {},
 ): Promise<CallerResponse> {
   return new Promise((resolve, reject) => {
-    const headers = {id, authorization: key};
+    const headers = {id, authorization: key, ...extraHeaders};
     const call = sendRequest(
       {host: '127.0.0.1', port, path, method: 'POST', headers, agent: false},
       response => {
--- a/packages/gateway/src/request/GatewayContext.ts
+++ b/packages/gateway/src/request/GatewayContext.ts
@@ -13,6 +13,7 @@
 import type {RetryBudget} from '@toucanrouter/policy';
 import type {ActiveConfig} from '../config/ActiveConfig.js';
 import type {ConfigAge} from '../config/ConfigAge.js';
+import type {StreamOrigins} from '../streams/StreamOrigins.js';
 import type {UpstreamConnections} from '../upstreams/UpstreamConnections.js';
 import type {UpstreamKnowledge} from '../upstreams/UpstreamKnowledge.js';
 import type {UpstreamNotices} from '../upstreams/UpstreamNotices.js';
@@ -22,6 +23,7 @@
 import type {EndedRequest} from './EndedRequest.js';
 import type {LoadControl} from './LoadControl.js';
 import type {PromptGuard} from './PromptGuard.js';
+import type {TakeUpOutcome} from './ResponseStream.js';
 import type {TurnQueue} from './TurnQueue.js';
 
 /** The dependencies of request handling. */
@@ -58,6 +60,10 @@
   readonly promptGuard: PromptGuard;
   readonly upstreamNotices: UpstreamNotices;
   readonly upstreamRates: UpstreamRateLimits;
+  /** Knows which software versions began the streams of callers. */
+  readonly streamOrigins: StreamOrigins;
+  /** A stream that its caller took up has ended, or was refused. */
+  readonly onTakeUpEnded: (outcome: TakeUpOutcome) => void;
   readonly retryBudget: (service: ServiceName) => RetryBudget;
   /** True once the instance accepts no new requests. */
   readonly isDraining: () => boolean;
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -16,7 +16,6 @@
 } from '@toucanrouter/common';
 import type {RetryBudget, RetryReservation} from '@toucanrouter/policy';
 import type {GatewayRoute} from '../config/GatewayConfig.js';
-import {pickService} from '../config/RouteTable.js';
 import type {Choice} from '../upstreams/UpstreamChoice.js';
 import type {AdmittedRequest} from './Admission.js';
 import {admit} from './Admission.js';
@@ -39,6 +38,8 @@
 import type {RequestProgress} from './RetryDecision.js';
 import type {RequestPlacement, SendDelay} from './RequestPlacement.js';
 import {createRequestPlacement} from './RequestPlacement.js';
+import type {ResponseStream} from './ResponseStream.js';
+import {createResponseStream} from './ResponseStream.js';
 import {nextStep, stepWithoutRetry} from './RetryDecision.js';
 import {upstreamPriority} from './UpstreamPriority.js';
 import {pausedRetryDelayMs, retryDelayMs} from './RetryAfter.js';
@@ -186,6 +187,9 @@
   const sentAtMs = new Map<UpstreamId, number>();
   const stalledUpstreams = new Set<UpstreamId>();
   const upstreamUse = createUpstreamUse();
+  /** Attempts whose last part was not passed on. */
+  const withheldAttempts = new Set<Attempt>();
+  let stream: ResponseStream | undefined;
   let returnReservation: RetryReservation | undefined;
   let lastChoice: Choice | undefined;
   let currentPlacement: RequestPlacement | undefined;
@@ -237,6 +241,7 @@
     cancelTimeout();
     endWait();
     returnReservation?.close();
+    stream?.close(outcome === 'served');
     currentPlacement?.leaveWaiting();
     callerBody?.close();
     context.onEnded({
@@ -423,10 +428,14 @@
 
   function refuseWithoutUpstream(placement: RequestPlacement): void {
     const kind = progress.mayHaveRun ? 'upstream_failed' : 'no_upstream';
+    const version = stream?.version();
+    const group =
+      `service ${placement.service}` +
+      (version === undefined ? '' : ` at software version ${version}`);
     const reason = {
-      none: `no other upstream available for service ${placement.service}`,
-      pause: `all upstreams of service ${placement.service} pause`,
-      rate_limit: `no turn at the upstreams of service ${placement.service}, which limit their request rate`,
+      none: `no other upstream available for ${group}`,
+      pause: `all upstreams of ${group} pause`,
+      rate_limit: `no turn at the upstreams of ${group}, which limit their request rate`,
     }[placement.sendDelay(() => true)?.cause ?? 'none'];
     if (callerResponse.started) abortResponse(kind, reason);
     else refuse(kind, reason);
@@ -464,6 +473,7 @@
     logger.info('attempt has stalled; no other upstream is asked', {
       requestId: request.requestId,
       stalled: stalled.candidate.entry.id,
+      upstreamVersion: stalled.candidate.entry.softwareVersion,
       reason,
       remainingMs: Math.round(remainingMs()),
     });
@@ -510,6 +520,7 @@
       requestId: request.requestId,
       stalled: stalled.candidate.entry.id,
       upstream: next.candidate.entry.id,
+      upstreamVersion: next.candidate.entry.softwareVersion,
       lastEventId,
       remainingMs: Math.round(remainingMs()),
     });
@@ -521,6 +532,7 @@
     admitted: AdmittedRequest,
     body: Buffer,
     placement: RequestPlacement,
+    responseStream: ResponseStream,
     observer: AttemptObserver,
   ): Attempt {
     const {route, workspace} = admitted;
@@ -531,6 +543,7 @@
     stalledUpstreams.delete(entry.id);
     lastChoice = choice;
     const guardedAttempt = guarded.startAttempt(entry);
+    const streamAttempt = responseStream.startAttempt(entry);
     const sending = context.upstreamRates.startSending(entry, admitted.tier);
     sentAtMs.set(entry.id, clock.nowMs());
     const recordEnd = placement.recordSent(choice);
@@ -564,7 +577,8 @@
       withdrawalReason: () =>
         context.upstreamNotices.pauseRemainingMs(entry) > 0
           ? 'the upstream asked for a pause'
-          : sending.withdrawalReason(),
+          : (responseStream.withdrawalReason(entry) ??
+            sending.withdrawalReason()),
       onResponseHead: (head, requestSentAtMs) => {
         const {upstreamNotices, upstreamRates} = context;
         upstreamRates.receive(entry, request.requestId, head, requestSentAtMs);
@@ -583,6 +597,12 @@
         placement.recordFirstResponse(choice, observedMs),
       receiver: {
         events: (response, {bytes, count}, gapMs) => {
+          const refusalReason = streamAttempt.refusalReason();
+          if (refusalReason !== undefined) {
+            withheldAttempts.add(attempt);
+            attempt.cancel(refusalReason);
+            return true;
+          }
           if (count > 0) {
             observer.onProgress();
             guardedAttempt.partReceived();
@@ -620,7 +640,10 @@
     superseded,
   }: EndedAttempt): void {
     const {health, entry} = choice.candidate;
-    progress.lastEventId = attempt.lastEventId() ?? progress.lastEventId;
+    const isWithheld = withheldAttempts.has(attempt);
+    if (!isWithheld) {
+      progress.lastEventId = attempt.lastEventId() ?? progress.lastEventId;
+    }
     if (result.kind === 'withdrawn') triedUpstreams.delete(entry.id);
     if (isUnreceived(result)) {
       upstreamUse.attemptNotReceived(entry.id);
@@ -631,7 +654,7 @@
     if (result.kind === 'misdirected') progress.misdirectedCount += 1;
     progress.mayHaveRun ||=
       result.kind === 'broken' || result.kind === 'answered';
-    if (callerDisconnected || recorded || superseded) return;
+    if (callerDisconnected || recorded || superseded || isWithheld) return;
     // A stall has been recorded as the failure of this attempt.
     if (result.kind === 'broken' && stalledUpstreams.has(entry.id)) return;
     if (result.kind === 'withdrawn') return;
@@ -646,6 +669,7 @@
     logger.info('attempt ended while another one goes on', {
       requestId: request.requestId,
       upstream: choice.candidate.entry.id,
+      upstreamVersion: choice.candidate.entry.softwareVersion,
       ended: result.kind,
       reason: 'reason' in result ? result.reason : result.kind,
       superseded,
@@ -739,7 +763,15 @@
     body: Buffer,
   ): Promise<void> {
     bodyRead = true;
-    const service = pickService(admitted.route, random);
+    const responseStream = createResponseStream(context, request, admitted);
+    stream = responseStream;
+    const place = await responseStream.place(remainingMs());
+    if (recorded || callerDisconnected) return;
+    if (place.kind === 'unknown') {
+      const reason = `it is not known which software version began the stream: ${place.reason}`;
+      return refuse('no_upstream', reason);
+    }
+    const {service} = place;
     if (service === undefined)
       return refuse('no_upstream', 'the route has no target service');
     const {config: configInForce, route, tier} = admitted;
@@ -750,6 +782,8 @@
       service,
       servesModels: configInForce.services.get(service)?.servesModels === true,
       leastUrgent: route.tier >= configInForce.leastUrgentTier(service),
+      mayServe: responseStream.mayServe,
+      isPreferred: responseStream.isPreferred,
     });
     currentPlacement = placed;
     context.retryBudget(service).recordRequest(clock.nowMs());
@@ -780,7 +814,14 @@
       attempts = startAttemptRace({
         choice,
         start: (next, observer) =>
-          startUpstreamAttempt(next, admitted, body, placed, observer),
+          startUpstreamAttempt(
+            next,
+            admitted,
+            body,
+            placed,
+            responseStream,
+            observer,
+          ),
         chooseAnother: lastEventId =>
           chooseBesideStalled(admitted, placed, choice, lastEventId),
         // A failure is not final while another attempt runs.
@@ -807,6 +848,7 @@
       logger.info('attempt did not serve the request', {
         requestId: request.requestId,
         upstream: ended.choice.candidate.entry.id,
+        upstreamVersion: ended.choice.candidate.entry.softwareVersion,
         ended: result.kind,
         reason,
         next: decision.step,
--- a/packages/gateway/src/request/RequestPlacement.ts
+++ b/packages/gateway/src/request/RequestPlacement.ts
@@ -47,6 +47,10 @@
   readonly servesModels: boolean;
   /** True when no other class of the service is less urgent. */
   readonly leastUrgent: boolean;
+  /** False for an upstream that must not get the request now. */
+  readonly mayServe: (entry: UpstreamEntry) => boolean;
+  /** False for an upstream that is chosen only if no other one can be. */
+  readonly isPreferred: (entry: UpstreamEntry) => boolean;
 }
 
 /** Chooses the upstreams for the attempts of one request. */
@@ -109,7 +113,9 @@
     upstreamRates.waitMs(entry, request.tier, place);
 
   function usableEntries(mayUse: (id: UpstreamId) => boolean) {
-    return context.registry.usable(service).filter(({id}) => mayUse(id));
+    return context.registry
+      .usable(service)
+      .filter(entry => mayUse(entry.id) && request.mayServe(entry));
   }
 
   function delayAt(entry: UpstreamEntry): SendDelay {
@@ -138,13 +144,18 @@
       if (entries.length > 0 && entries.length < unpaused.length) {
         upstreamRates.recordHeldBack(service, 'placed_elsewhere');
       }
+      const nowMs = clock.nowMs();
       const candidates = entries.map(entry => ({
         entry,
         health: knowledge.healthOf(entry),
         peerLoad: knowledge.peerLoads.loadAt(entry.id),
       }));
+      const preferred = candidates.filter(
+        ({entry, health}) =>
+          request.isPreferred(entry) && !health.isEjected(nowMs),
+      );
       return chooseUpstream(
-        candidates,
+        preferred.length > 0 ? preferred : candidates,
         {
           prompt,
           servesModels: request.servesModels,
@@ -157,7 +168,7 @@
           enginePools: assignPools(),
           tieBreak: context.random.next,
         },
-        clock.nowMs(),
+        nowMs,
       );
     },
     sendDelay: mayUse => {
@@ -171,7 +182,11 @@
     },
     joinWaiting: mayUse => {
       if (place !== undefined) return;
-      place = upstreamRates.joinWaiting({service, tier: request.tier, mayUse});
+      place = upstreamRates.joinWaiting({
+        service,
+        tier: request.tier,
+        mayUse: id => usableEntries(mayUse).some(entry => entry.id === id),
+      });
       upstreamRates.recordHeldBack(service, 'waited');
     },
     leaveWaiting: () => {
--- a/packages/gateway/src/server/GatewayMetrics.ts
+++ b/packages/gateway/src/server/GatewayMetrics.ts
@@ -12,6 +12,8 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {RequestStage} from '../request/OpenRequest.js';
 import type {EndedRequest} from '../request/EndedRequest.js';
+import type {TakeUpOutcome} from '../request/ResponseStream.js';
+import type {UpstreamVersionCount} from '../upstreams/UpstreamRegistry.js';
 import type {ServiceRateStatus} from '../upstreams/UpstreamRateLimits.js';
 
 /** Sources of the values that are read when metrics are collected. */
@@ -28,6 +30,8 @@
   /** Prompt segments that are blocked now. */
   readonly quarantinedCount: () => number;
   readonly retryBudgets: () => readonly ServiceRetryBudget[];
+  /** Upstreams that take new work. */
+  readonly upstreamVersions: () => readonly UpstreamVersionCount[];
   /** Upstreams that pause now. */
   readonly pausedCount: () => number;
   /** Services whose upstreams limit or limited their request rate. */
@@ -63,6 +67,8 @@
   observeRefusal(service: ServiceName, asksForPause: boolean): void;
   /** Counts a request that was refused for lack of processor time. */
   observeShed(tier: number, reason: SheddingReason): void;
+  /** Counts a stream that its caller took up. */
+  observeTakeUp(outcome: TakeUpOutcome): void;
   /** Counts a connection that closed before the response was complete. */
   observeUnanswered(stage: RequestStage, isStopping: boolean): void;
   /** Renders all metrics in the Prometheus text format. */
@@ -75,6 +81,7 @@
   0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1, 1.5, 2, 4, 8, 16,
 ];
 const noClassLabel = 'none';
+const noVersionLabel = 'none';
 
 /** Whether a listener is open, by whom it serves. */
 export interface ListenerStatus {
@@ -195,6 +202,25 @@
     labelNames: ['stage', 'stopping'],
     registers,
   });
+  const takeUps = new Counter({
+    name: 'toucanrouter_stream_take_ups_total',
+    help: 'Streams that callers took up, by whether they went on, nobody knew their software version, no upstream of it was left, or its upstreams failed',
+    labelNames: ['outcome'],
+    registers,
+  });
+  new Gauge({
+    name: 'toucanrouter_upstreams',
+    help: 'Upstreams that take new work, by service and software version',
+    labelNames: ['service', 'version'],
+    registers,
+    collect() {
+      this.reset();
+      for (const group of sources.upstreamVersions()) {
+        const version = group.softwareVersion ?? noVersionLabel;
+        this.set({service: group.service, version}, group.count);
+      }
+    },
+  });
   const firstResponse = new Histogram({
     name: 'toucanrouter_first_answer_seconds',
     help: 'Time from arrival to the first event, or to the plain answer',
@@ -387,6 +413,7 @@
     },
     observeRefusal: (service, asksForPause) =>
       refusals.inc({service, pause: String(asksForPause)}),
+    observeTakeUp: outcome => takeUps.inc({outcome}),
     observeShed: (tier, reason) => shed.inc({tier: String(tier), reason}),
     observeUnanswered: (stage, isStopping) =>
       unanswered.inc({stage, stopping: String(isStopping)}),
