--- a/packages/gateway/src/request/GatewayContext.ts
+++ b/packages/gateway/src/request/GatewayContext.ts
@@ -23,6 +23,7 @@
 import type {EndedRequest} from './EndedRequest.js';
 import type {LoadControl} from './LoadControl.js';
 import type {PromptGuard} from './PromptGuard.js';
+import type {TakeUpOutcome} from './ResponseStream.js';
 import type {TurnQueue} from './TurnQueue.js';
 
 /** The dependencies of request handling. */
@@ -59,7 +60,10 @@
   readonly promptGuard: PromptGuard;
   readonly upstreamNotices: UpstreamNotices;
   readonly upstreamRates: UpstreamRateLimits;
+  /** Knows which software versions began the streams of callers. */
   readonly streamOrigins: StreamOrigins;
+  /** A stream that its caller took up has ended, or was refused. */
+  readonly onTakeUpEnded: (outcome: TakeUpOutcome) => void;
   readonly retryBudget: (service: ServiceName) => RetryBudget;
   /** True once the instance accepts no new requests. */
   readonly isDraining: () => boolean;
--- a/packages/gateway/src/streams/StreamOriginArchive.ts
+++ b/packages/gateway/src/streams/StreamOriginArchive.ts
@@ -91,8 +91,8 @@
     mayBegin: versions.isListed,
     streamBegan: recorder.add,
     find: async (key, services, timeoutMs) => {
-      const hash = streamHashOf(key);
-      const remembered = recorder.get(hash);
+      const hash = key && streamHashOf(key);
+      const remembered = hash && recorder.get(hash);
       if (remembered?.origin !== undefined) {
         return {kind: 'known', origin: remembered.origin};
       }
--- a/packages/gateway/src/streams/StreamOriginLookup.ts
+++ b/packages/gateway/src/streams/StreamOriginLookup.ts
@@ -27,7 +27,7 @@
 /** Reads origins from the store. */
 export interface StreamOriginLookup {
   find(
-    hash: StreamHash,
+    hash: StreamHash | undefined,
     services: readonly ServiceName[],
   ): Promise<OriginLookup>;
 }
@@ -123,7 +123,7 @@
     find: async (hash, services) => {
       const view = await joinNext(services).view;
       if (typeof view === 'string') return unknown(view);
-      if (view.records.has(hash)) {
+      if (hash !== undefined && view.records.has(hash)) {
         const origin = view.records.get(hash);
         return origin === undefined
           ? unknown('several streams have this id')
--- a/packages/gateway/src/streams/StreamOrigins.ts
+++ b/packages/gateway/src/streams/StreamOrigins.ts
@@ -42,10 +42,11 @@
   streamBegan(key: StreamKey, origin: StreamOrigin): void;
   /**
    * Finds the origin of a stream; `services` are those that the caller's route
-   * leads to. Resolves within `timeoutMs`.
+   * leads to. A stream without a key is known only where all streams have the
+   * same origin. Resolves within `timeoutMs`.
    */
   find(
-    key: StreamKey,
+    key: StreamKey | undefined,
     services: readonly ServiceName[],
     timeoutMs: number,
   ): Promise<OriginLookup>;
--- a/packages/gateway/src/streams/VersionHistoryKeeper.ts
+++ b/packages/gateway/src/streams/VersionHistoryKeeper.ts
@@ -26,6 +26,7 @@
 import type {StoreHistory} from '../state/StoreHistory.js';
 import type {UpstreamEntry} from '../upstreams/UpstreamEntry.js';
 import type {StreamOrigin} from './StreamOrigins.js';
+import {streamVersionOf} from './StreamVersion.js';
 
 /** Options of a keeper. */
 export interface VersionHistoryKeeperOptions {
@@ -105,9 +106,8 @@
     }));
 
   function noteUsable(service: ServiceName, state: ServiceState): void {
-    for (const {softwareVersion} of options.usable(service)) {
-      if (softwareVersion === undefined) continue;
-      state.lastSeenMs.set(softwareVersion, clock.nowMs());
+    for (const entry of options.usable(service)) {
+      state.lastSeenMs.set(streamVersionOf(entry), clock.nowMs());
     }
   }
 
@@ -275,10 +275,10 @@
         isConfirmed(listed, history.era())
       );
     },
-    upstreamAdded: ({service, softwareVersion}) => {
-      if (softwareVersion === undefined) return;
+    upstreamAdded: entry => {
+      const {service} = entry;
       const state = stateOf(service);
-      state.lastSeenMs.set(softwareVersion, clock.nowMs());
+      state.lastSeenMs.set(streamVersionOf(entry), clock.nowMs());
       if (!isUpToDate(state)) void update(service, state);
     },
     receive: adopt,
