common, keyvalue, standins: carry the software version of an upstream

The label software_version of an upstream's entry was not read, so that the daemon could not tell which engines run the same software. UpstreamInfo has it now. A number is as good as a text; a value of another type counts as absent and does not take the upstream out of service. The stand-in engine registers a version if it is given one.

--- a/packages/bench/src/Simulation.ts
+++ b/packages/bench/src/Simulation.ts
@@ -57,6 +57,7 @@
     region: 'region',
     failureDomain: `domain${index % 4}`,
     incarnation,
+    softwareVersion: undefined,
     leaving: false,
   };
 }
--- a/packages/bench/src/slopes/SampleRequests.ts
+++ b/packages/bench/src/slopes/SampleRequests.ts
@@ -89,6 +89,7 @@
     region: 'region-3',
     failureDomain: `region-3-${index % 3}`,
     incarnation: 1_764_800_000_000 + index,
+    softwareVersion: undefined,
     leaving: false,
   }));
 }
--- a/packages/common/src/Upstreams.ts
+++ b/packages/common/src/Upstreams.ts
@@ -1,7 +1,7 @@
 /**
  * Upstreams as described by the platform's instance list.
  */
-import type {ShardId, UpstreamId} from './Ids.js';
+import type {ShardId, SoftwareVersion, UpstreamId} from './Ids.js';
 import {toShardId} from './Ids.js';
 
 /** Whether an upstream is a model engine or a plain service. */
@@ -19,6 +19,8 @@
   readonly failureDomain: string;
   /** Increases with each restart of the upstream. */
   readonly incarnation: number;
+  /** Undefined if the entry does not name one. */
+  readonly softwareVersion: SoftwareVersion | undefined;
   readonly leaving: boolean;
 }
 
--- a/packages/daemon/src/__tests__/unit/SchedulingFixture.ts
+++ b/packages/daemon/src/__tests__/unit/SchedulingFixture.ts
@@ -57,6 +57,7 @@
     region: 'here',
     failureDomain: 'a',
     incarnation: 1,
+    softwareVersion: undefined,
     leaving: false,
   };
 }
--- a/packages/keyvalue/src/InstanceListParser.ts
+++ b/packages/keyvalue/src/InstanceListParser.ts
@@ -3,7 +3,11 @@
  * JSON format: an array of groups with targets and labels.
  */
 import type {InstanceId, UpstreamInfo} from '@toucanrouter/common';
-import {toInstanceId, toUpstreamId} from '@toucanrouter/common';
+import {
+  toInstanceId,
+  toSoftwareVersion,
+  toUpstreamId,
+} from '@toucanrouter/common';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 import {z} from 'zod';
@@ -54,6 +58,15 @@
   state: z.enum(['live', 'leaving']),
 };
 
+/**
+ * Versions are compared, not interpreted. One of another type counts as absent,
+ * as it does not keep the upstream from serving.
+ */
+const softwareVersionSchema = z
+  .union([z.string().min(1), z.number().transform(String)])
+  .optional()
+  .catch(undefined);
+
 const labelsSchema = z.discriminatedUnion('role', [
   z.object({
     ...commonLabels,
@@ -63,11 +76,13 @@
   z.object({
     ...commonLabels,
     role: z.literal('engine'),
+    software_version: softwareVersionSchema,
     model: z.string().min(1),
   }),
   z.object({
     ...commonLabels,
     role: z.literal('service'),
+    software_version: softwareVersionSchema,
     service: z.string().min(1),
   }),
 ]);
@@ -146,6 +161,10 @@
     region: labels.region,
     failureDomain: labels.failure_domain,
     incarnation: labels.incarnation,
+    softwareVersion:
+      labels.software_version === undefined
+        ? undefined
+        : toSoftwareVersion(labels.software_version),
     leaving: labels.state === 'leaving',
   };
 }
--- a/packages/keyvalue/src/__tests__/unit/InstanceListReader.test.ts
+++ b/packages/keyvalue/src/__tests__/unit/InstanceListReader.test.ts
@@ -53,6 +53,20 @@
     expect(faults).to.have.length(body.length);
   });
 
+  // Guards against upstreams out of service because of a version of another type.
+  it('reads versions of software, and takes those of no usable type as absent', () => {
+    const versions = ['v1', 7, '', null, undefined];
+    const body = versions.map((version, index) => {
+      const entry = engineEntry(`e${index}`);
+      return {...entry, labels: {...entry.labels, software_version: version}};
+    });
+    const {list, faults} = parseInstanceList(body)._unsafeUnwrap();
+    expect(faults).to.deep.equal([]);
+    expect(
+      list.upstreams.map(({softwareVersion}) => softwareVersion),
+    ).to.deep.equal(['v1', '7', undefined, undefined, undefined]);
+  });
+
   it('prefers the newest incarnation and "leaving" among duplicates', () => {
     const body = [
       engineEntry('e1', {state: 'leaving'}),
--- a/packages/policy/src/__tests__/unit/SchedulerFixtures.ts
+++ b/packages/policy/src/__tests__/unit/SchedulerFixtures.ts
@@ -97,6 +97,7 @@
     region: 'region',
     failureDomain: 'a',
     incarnation: 1,
+    softwareVersion: undefined,
     leaving: false,
     ...overrides,
   };
--- a/packages/policy/src/__tests__/unit/UpstreamTrackerFixtures.ts
+++ b/packages/policy/src/__tests__/unit/UpstreamTrackerFixtures.ts
@@ -26,6 +26,7 @@
     region: 'region',
     failureDomain: 'domain',
     incarnation: 1,
+    softwareVersion: undefined,
     leaving: false,
     ...changes,
   };
--- a/packages/standins/src/bin/engine.ts
+++ b/packages/standins/src/bin/engine.ts
@@ -19,6 +19,7 @@
     region: {type: 'string', default: 'local'},
     'failure-domain': {type: 'string', default: 'a'},
     incarnation: {type: 'string'},
+    'software-version': {type: 'string'},
     'runs-file': {type: 'string'},
     'token-gap-ms': {type: 'string'},
     'knee-jobs': {type: 'string'},
@@ -44,6 +45,7 @@
   listUrl: values['list-url'],
   region: values.region,
   failureDomain: values['failure-domain'],
+  softwareVersion: values['software-version'],
   incarnation: numberFlagOr('incarnation', values.incarnation, Date.now()),
   profile: {
     tokenGapMs: numberFlagOr(
--- a/packages/standins/src/engine/EngineStandIn.ts
+++ b/packages/standins/src/engine/EngineStandIn.ts
@@ -44,6 +44,8 @@
   readonly region?: string;
   readonly failureDomain?: string;
   readonly incarnation?: number;
+  /** Registers as the version of the engine's software; none if absent. */
+  readonly softwareVersion?: string;
   /** Persists the run records in this file, across restarts. */
   readonly runsFile?: string;
   /** Handles the `crash` switch; by default all connections are destroyed. */
@@ -217,6 +219,9 @@
         region: options.region ?? 'local',
         failure_domain: options.failureDomain ?? 'a',
         incarnation: String(options.incarnation ?? clock.wallMs()),
+        ...(options.softwareVersion === undefined
+          ? {}
+          : {software_version: options.softwareVersion}),
       },
     });
   }
