daemon: go on with a response only at the version that began it

Cause: attempts that resume or continue, and moves of a running call, chose any upstream of the shard, so that a response could be joined from the texts of two software versions.

Change: the upstream that began the response is kept with the call. Once events arrived, upstreams of other versions are excluded from each permit request, also of hedges and moves; a permit whose upstream changed its version on the way is returned unused; a stream is resumed at its upstream only if that still runs the same version. If no upstream of the version is left, a call of which nothing was relayed begins afresh, and any other ends as answer_incomplete instead of waiting. Shards whose entries name no version behave as before. The log line of a broken connection names the version.

The fixture `forgetful` moved to SuspectUpstreamsFixture, unchanged.

--- a/packages/daemon/src/__tests__/unit/ChatCallSuspects.test.ts
+++ b/packages/daemon/src/__tests__/unit/ChatCallSuspects.test.ts
@@ -5,13 +5,10 @@
 import type {Exchange} from '../../request/Exchange.js';
 import type {UpstreamAccess} from '../../request/UpstreamAccess.js';
 import {shardId} from './SchedulingFixture.js';
-import type {
-  EndedCall,
-  TestCallOptions,
-  UpstreamHandler,
-} from './SuspectUpstreamsFixture.js';
+import type {EndedCall, TestCallOptions} from './SuspectUpstreamsFixture.js';
 import {
   engine,
+  forgetful,
   rejecting,
   relayedIds,
   relayedTokens,
@@ -48,17 +45,6 @@
   });
 }
 
-/** Makes an engine that cannot resume its streams. */
-function forgetful(handler: UpstreamHandler): UpstreamHandler {
-  return (message, body, response) => {
-    if (message.headers['last-event-id'] === undefined) {
-      return handler(message, body, response);
-    }
-    response.writeHead(410);
-    response.end();
-  };
-}
-
 function expectWholeStream(call: EndedCall): void {
   expect(call.kind).to.equal('answered');
   expect(call.ended).to.equal(true);
--- a/packages/daemon/src/__tests__/unit/SuspectUpstreamsFixture.ts
+++ b/packages/daemon/src/__tests__/unit/SuspectUpstreamsFixture.ts
@@ -14,6 +14,7 @@
   toInstanceId,
   toPermitId,
   toRequestId,
+  toSoftwareVersion,
 } from '@toucanrouter/common';
 import {createLogger} from '@toucanrouter/logging';
 import type {RetryBudget} from '@toucanrouter/policy';
@@ -21,6 +22,7 @@
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 import {Agent} from 'undici';
+import type {UpstreamDirectory} from '../../fleet/UpstreamDirectory.js';
 import {createUpstreamDirectory} from '../../fleet/UpstreamDirectory.js';
 import {createPromptGuard} from '../../request/chat/PromptGuard.js';
 import {formatEvent} from '../../request/chat/SseScanner.js';
@@ -66,10 +68,15 @@
 
 export interface TestCallOptions {
   readonly handlers: readonly UpstreamHandler[];
+  /** Software versions of the upstreams, by index; none if absent. */
+  readonly softwareVersions?: readonly (string | undefined)[];
   readonly target: CallTarget;
   readonly body: string;
   /** By default the first upstream that is not excluded is granted. */
-  readonly decide?: (request: PermitRequest) => PermitDecision | undefined;
+  readonly decide?: (
+    request: PermitRequest,
+    directory: UpstreamDirectory,
+  ) => PermitDecision | undefined;
   /** Retries that the budget allows; ample if absent. */
   readonly retryCount?: number;
   /** The call is canceled after this time. */
@@ -79,7 +86,11 @@
     exchange: Exchange,
   ) => Promise<Result<unknown, RouterError>>;
   /** Called after tokens were recorded; `tokens` counts all of the permit. */
-  readonly onTokens?: (permit: TestPermit, tokens: number) => void;
+  readonly onTokens?: (
+    permit: TestPermit,
+    tokens: number,
+    directory: UpstreamDirectory,
+  ) => void;
   /** Called in a later turn after a grant. */
   readonly onGranted?: (permit: TestPermit) => void;
   /** Aborted by the test when the caller leaves. */
@@ -134,7 +145,12 @@
 export async function runCall(options: TestCallOptions): Promise<EndedCall> {
   const clock = createSystemClock();
   const servers = await Promise.all(options.handlers.map(startUpstream));
-  const infos = servers.map(toInfo);
+  const infos = servers.map((server, index) => {
+    const version = options.softwareVersions?.[index];
+    const softwareVersion =
+      version === undefined ? undefined : toSoftwareVersion(version);
+    return {...toInfo(server, index), softwareVersion};
+  });
   const directory = createUpstreamDirectory();
   directory.setListed(infos);
   const permitRequests: TestPermitRequest[] = [];
@@ -156,7 +172,7 @@
       recordTokens: count => {
         tokens += count;
         const total = tokens;
-        setImmediate(() => options.onTokens?.(permit, total));
+        setImmediate(() => options.onTokens?.(permit, total, directory));
       },
       onPreempt: undefined,
       onSuspect: undefined,
@@ -182,7 +198,8 @@
       withdrawn: false,
     };
     permitRequests.push(entry);
-    const decision = options.decide?.(request) ?? defaultDecision(request);
+    const decision =
+      options.decide?.(request, directory) ?? defaultDecision(request);
     const canceled = err(new RouterError('canceled', 'withdrawn'));
     if (signal.aborted) return Promise.resolve(canceled);
     if (typeof decision === 'object') {
@@ -368,6 +385,17 @@
   };
 }
 
+/** Makes an engine that cannot resume its streams. */
+export function forgetful(handler: UpstreamHandler): UpstreamHandler {
+  return (message, body, response) => {
+    if (message.headers['last-event-id'] === undefined) {
+      return handler(message, body, response);
+    }
+    response.writeHead(410);
+    response.end();
+  };
+}
+
 /** An upstream that rejects each request without running it. */
 export const rejecting: UpstreamHandler = (_message, _body, response) => {
   response.writeHead(503);
--- a/packages/daemon/src/request/UpstreamAccess.ts
+++ b/packages/daemon/src/request/UpstreamAccess.ts
@@ -325,17 +325,22 @@
     .some(upstream => upstream.id !== upstreamId && !upstream.leaving);
 }
 
-/** Returns whether a shard has another upstream in service that does not pause. */
+/**
+ * Returns whether a shard has another upstream in service that does not pause
+ * and is not excluded.
+ */
 export function hasOtherUnpaused(
   access: UpstreamAccess,
   shardId: ShardId,
   upstreamId: UpstreamId,
+  exclude: readonly UpstreamId[] = [],
 ): boolean {
   return access.directory
     .inShard(shardId)
     .some(
       upstream =>
         upstream.id !== upstreamId &&
+        !exclude.includes(upstream.id) &&
         !upstream.leaving &&
         access.pausedUpstreams.remainingMs(upstream) <= 0,
     );
--- a/packages/daemon/src/request/chat/ChatAttempt.ts
+++ b/packages/daemon/src/request/chat/ChatAttempt.ts
@@ -55,6 +55,7 @@
       if (state.winner === undefined) {
         state.winner = granted;
         transcript.begin(effectiveStart);
+        if (effectiveStart === 'fresh') state.origin = upstream;
         onWin();
       }
       if (state.winner !== granted) {
--- a/packages/daemon/src/request/chat/ChatCall.ts
+++ b/packages/daemon/src/request/chat/ChatCall.ts
@@ -3,8 +3,8 @@
  * preemption or a fault the recovery policy decides whether to resume on the
  * same engine, continue on another from the received prefix, or restart.
  */
-import type {RouterError, ShardId, UpstreamId} from '@toucanrouter/common';
-import {delayOrAbort, toRequestId} from '@toucanrouter/common';
+import type {ShardId, UpstreamId} from '@toucanrouter/common';
+import {delayOrAbort, RouterError, toRequestId} from '@toucanrouter/common';
 import type {Result} from 'neverthrow';
 import {err, ok} from 'neverthrow';
 import type {Exchange} from '../Exchange.js';
@@ -19,8 +19,11 @@
 import {runAttempt} from './ChatAttempt.js';
 import {
   canContinueElsewhere,
+  discardResponse,
   excludeRejecting,
+  hasUpstreamToGoOn,
   mayHedge,
+  otherVersionIds,
   recordFailedCopy,
   recover,
   reserveRetry,
@@ -66,6 +69,7 @@
     breaks: [],
     tokensBeforeAttempt: 0,
     lastUpstreamId: undefined,
+    origin: undefined,
     mayHaveRun: false,
     winner: undefined,
     hedgeRunning: false,
@@ -88,7 +92,14 @@
   let start: AttemptStart = 'fresh';
   for (;;) {
     const granted = await acquireAttempt(state, start);
-    if (granted.isErr()) return err(permitError(exchange, granted.error));
+    if (granted.isErr()) {
+      if (exchange.signal.aborted || hasUpstreamToGoOn(state)) {
+        return err(permitError(exchange, granted.error));
+      }
+      if (!discardResponse(state)) return err(versionGoneError());
+      start = 'fresh';
+      continue;
+    }
     state.tokensBeforeAttempt = state.transcript.tokens;
     const finished = await runWithHedge(state, granted.value, start);
     if (finished.end.kind === 'complete') return finishResponse(state);
@@ -106,6 +117,11 @@
   }
 }
 
+function versionGoneError(): RouterError {
+  const message = 'no upstream of the version that began the response is left';
+  return new RouterError('answer_incomplete', message);
+}
+
 /** Returns the refusal of a call that has not run and would wait too long. */
 function refuseUnstarted(state: ChatState): RouterError | undefined {
   if (state.mayHaveRun || state.reserved !== undefined) return undefined;
@@ -156,19 +172,28 @@
 ): Promise<Result<GrantedUpstream, RouterError>> {
   const {access, exchange, reserved, transcript} = state;
   state.reserved = undefined;
-  if (reserved !== undefined && !returnIfUnusable(access, reserved)) {
+  if (
+    reserved !== undefined &&
+    !returnIfUnusable(access, reserved) &&
+    !returnIfOtherVersion(state, reserved)
+  ) {
     return ok(reserved);
   }
   const nextAttempt = () => ++state.permitsRequested;
   await waitForSameEngine(state, start);
   for (;;) {
+    if (!hasUpstreamToGoOn(state)) return err(versionGoneError());
     const started = transcript.tokens > 0;
     const refusal = access.promptGuard.check(state.request.sharedSegments);
     if (refusal !== undefined) return err(refusal);
     const fields = {
       attempt: nextAttempt(),
       hedge: false,
-      exclude: [...state.excluded, ...otherThanSameEngine(state, start)],
+      exclude: [
+        ...state.excluded,
+        ...otherVersionIds(state),
+        ...otherThanSameEngine(state, start),
+      ],
       promptTokens: state.request.promptTokens + transcript.tokens,
       prefixHash: state.request.prefixHash,
       resume:
@@ -186,7 +211,11 @@
       fields,
       nextAttempt,
     );
-    if (granted.isOk()) return passGuard(state, granted.value);
+    if (granted.isOk()) {
+      // Its entry may have changed while the permit was on its way.
+      if (returnIfOtherVersion(state, granted.value)) continue;
+      return passGuard(state, granted.value);
+    }
     const attempted = exchange.stats.attempts > 0;
     if (!attempted || exchange.signal.aborted) return granted;
     const delayMs = granted.error.retryAfterMs ?? startedRetryDelayMs;
@@ -199,6 +228,19 @@
   }
 }
 
+/**
+ * Returns the permit unused if its upstream runs another version than the one
+ * that began the response.
+ */
+function returnIfOtherVersion(
+  state: ChatState,
+  {permit, upstream}: GrantedUpstream,
+): boolean {
+  if (!otherVersionIds(state).includes(upstream.id)) return false;
+  permit.release({outcome: 'unused', wastedTokens: 0});
+  return true;
+}
+
 /**
  * Returns the permit unused if the prompt was quarantined while the call waited
  * for it.
@@ -232,7 +274,9 @@
     if (hedge !== undefined || move !== undefined) return;
     if (!classOf(state.exchange).idempotent) return;
     const {access, shardId} = state;
-    if (!hasOtherUnpaused(access, shardId, granted.upstream.id)) return;
+    const exclude = otherVersionIds(state);
+    const {upstream} = granted;
+    if (!hasOtherUnpaused(access, shardId, upstream.id, exclude)) return;
     if (state.transcript.tokens > 0) {
       // A later notification may find a free slot or more budget.
       move = moveToOtherUpstream(
@@ -293,7 +337,11 @@
     {
       attempt: ++state.permitsRequested,
       hedge: true,
-      exclude: [...state.excluded, running.upstream.id],
+      exclude: [
+        ...state.excluded,
+        ...otherVersionIds(state),
+        running.upstream.id,
+      ],
       promptTokens: request.promptTokens + transcript.tokens,
       prefixHash: request.prefixHash,
       resume: {upstreamId: running.upstream.id, tokens: transcript.tokens},
@@ -329,7 +377,11 @@
       requestId: toRequestId(`${exchange.requestId}~hedge`),
       attempt: state.permitsRequested,
       hedge: true,
-      exclude: [...state.excluded, first.upstream.id],
+      exclude: [
+        ...state.excluded,
+        ...otherVersionIds(state),
+        first.upstream.id,
+      ],
       promptTokens: request.promptTokens,
       prefixHash: request.prefixHash,
       resume: undefined,
--- a/packages/daemon/src/request/chat/ChatRecovery.ts
+++ b/packages/daemon/src/request/chat/ChatRecovery.ts
@@ -1,13 +1,15 @@
 /**
  * Recovery of a chat-completion call after an attempt that ended early.
  */
-import {errorResponseFor, RouterError} from '@toucanrouter/common';
+import type {UpstreamId} from '@toucanrouter/common';
+import {errorResponseFor, RouterError, shardOf} from '@toucanrouter/common';
 import type {RecoveryDecision} from '@toucanrouter/policy';
 import {decideRecovery, maxAttempts} from '@toucanrouter/policy';
 import type {GrantedUpstream} from '../UpstreamAccess.js';
 import {hasOtherUnpaused, hasOtherUpstream} from '../UpstreamAccess.js';
 import {isPauseRequest} from './ChatAttempt.js';
 import type {ChatState, FinishedAttempt} from './ChatState.js';
+import {findOtherVersions} from './ResponseVersion.js';
 
 /**
  * Returns the number of engines that ended while they ran the call. It waits to
@@ -30,6 +32,7 @@
   const nowMs = access.clock.nowMs();
   const upstreamId = granted.upstream.id;
   const asksForPause = isPauseRequest(access, granted, finished.end);
+  const staysUsable = preempted || asksForPause;
   state.lastUpstreamId = upstreamId;
   if (!preempted) {
     // A response that progresses between faults completes in the end, so only
@@ -53,7 +56,9 @@
       resumable: transcript.lastEventId !== undefined,
       sameUpstreamUsable: isSameUsable(state, granted),
       resumeFailed: finished.start === 'resume' && !preempted && !asksForPause,
-      continuable: transcript.prefix() !== undefined,
+      continuable:
+        transcript.prefix() !== undefined &&
+        hasUpstreamToGoOn(state, staysUsable ? undefined : upstreamId),
       otherUpstreamUsable:
         state.reserved !== undefined ||
         hasOtherUpstream(access, state.shardId, upstreamId),
@@ -61,10 +66,11 @@
     () => spendRetry(state, nowMs),
   );
   if (decision.kind === 'continue' || decision.kind === 'restart') {
-    if (!preempted && !asksForPause) state.excluded.add(upstreamId);
+    if (!staysUsable) state.excluded.add(upstreamId);
   }
   if (decision.kind === 'restart') {
     exchange.stats.wastedTokens += transcript.tokens;
+    state.origin = undefined;
   }
   return decision;
 }
@@ -90,10 +96,11 @@
   const listed = access.directory.find(upstream.id);
   if (listed === undefined || excluded.has(upstream.id)) return false;
   if (listed.leaving) return false;
+  if (otherVersionIds(state).includes(upstream.id)) return false;
   return (
     access.pausedUpstreams.remainingMs(listed) <= 0 ||
     !canContinueElsewhere(state) ||
-    !hasOtherUnpaused(access, shardId, upstream.id)
+    !hasOtherUnpaused(access, shardId, upstream.id, otherVersionIds(state))
   );
 }
 
@@ -105,6 +112,53 @@
   return !exchange.response.started || transcript.prefix() !== undefined;
 }
 
+/** Returns the upstreams of versions that may not go on with the response. */
+export function otherVersionIds({
+  access,
+  origin,
+  shardId,
+}: ChatState): readonly UpstreamId[] {
+  const listed = access.directory
+    .all()
+    .filter(upstream => shardOf(upstream) === shardId);
+  return findOtherVersions(origin, listed).map(({id}) => id);
+}
+
+/**
+ * Returns whether an upstream in service, other than `exceptId`, may go on with
+ * the response. Only the version decides: where versions do not differ, a call
+ * waits for an upstream.
+ */
+export function hasUpstreamToGoOn(
+  state: ChatState,
+  exceptId?: UpstreamId,
+): boolean {
+  const {access, excluded, shardId} = state;
+  const otherIds = otherVersionIds(state);
+  if (otherIds.length === 0) return true;
+  return access.directory
+    .inShard(shardId)
+    .some(
+      ({id, leaving}) =>
+        id !== exceptId &&
+        !leaving &&
+        !excluded.has(id) &&
+        !otherIds.includes(id),
+    );
+}
+
+/**
+ * Forgets a response that no upstream may go on with, so that the call begins
+ * afresh. Returns false if the caller has received part of it.
+ */
+export function discardResponse(state: ChatState): boolean {
+  const {exchange, transcript} = state;
+  if (exchange.response.started) return false;
+  exchange.stats.wastedTokens += transcript.tokens;
+  state.origin = undefined;
+  return true;
+}
+
 /**
  * Sets a retry aside before a running attempt may be given up, so that the call
  * does not fail for lack of one. Returns false if there is none.
--- a/packages/daemon/src/request/chat/ChatState.ts
+++ b/packages/daemon/src/request/chat/ChatState.ts
@@ -1,7 +1,7 @@
 /**
  * State of a chat-completion call across its attempts.
  */
-import type {ShardId, UpstreamId} from '@toucanrouter/common';
+import type {ShardId, UpstreamId, UpstreamInfo} from '@toucanrouter/common';
 import type {RetryReservation} from '@toucanrouter/policy';
 import type {Exchange} from '../Exchange.js';
 import type {GrantedUpstream, UpstreamAccess} from '../UpstreamAccess.js';
@@ -33,6 +33,8 @@
   /** Tokens received before the attempt in progress. */
   tokensBeforeAttempt: number;
   lastUpstreamId: UpstreamId | undefined;
+  /** The upstream that began the response in the transcript. */
+  origin: UpstreamInfo | undefined;
   /** True once an attempt ended other than by a rejection. */
   mayHaveRun: boolean;
   /** The attempt that delivered events first; a competing one is discarded. */
--- a/packages/daemon/src/request/chat/PromptGuard.ts
+++ b/packages/daemon/src/request/chat/PromptGuard.ts
@@ -148,6 +148,7 @@
       logger.info('connection broke before the end of the response', {
         requestId,
         upstream: engine.id,
+        softwareVersion: engine.softwareVersion,
         upstreamHash: toHex(upstreamStartHashOf(engine.id, engine.incarnation)),
         requestHash: toHex(requestHashOf(requestId)),
         segments: segments.map(toHex),
