common, gateway, daemon: treat a status outside 100 to 599 as broken

Cause: 600 and 999 were passed on to callers as they came, by the gateway and by plain calls of the daemon.

Change: isResponseStatus decides in one place. A response with another status is broken: its connection is closed, and the call may have run.

Measured: with the check switched off the tests of UpstreamConnections and PlainCall fail (600 is taken for an answer); with it they pass. The test of EngineAttempt passes either way: engine calls took only 200 for an answer. That a call with status 000 now and then gets nothing was not reproduced: in the tests 000 and 099 end at once with and without the check.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -75,6 +75,7 @@
 } from './Errors.js';
 export {hash32, hash64, partitionOf} from './Hash.js';
 export {hopByHopHeaders} from './HttpHeaders.js';
+export {isResponseStatus} from './HttpStatuses.js';
 export type {
   ClaimId,
   ClassId,
--- a/packages/daemon/src/__tests__/unit/EngineAttempt.test.ts
+++ b/packages/daemon/src/__tests__/unit/EngineAttempt.test.ts
@@ -61,6 +61,16 @@
     );
   });
 
+  // Guards against an invalid status that counts as an answer or as a rejection.
+  it('ends as broken at once when the status is not valid', async () => {
+    const texts = ['000', '099', '600', '999'].map(
+      status => `HTTP/1.1 ${status} X\r\nContent-Length: 0\r\n\r\n`,
+    );
+    const leaveOpen = (socket: Socket, text: string) => socket.write(text);
+    const ends = await runAttempts(texts, leaveOpen);
+    expect(ends.map(({kind}) => kind)).to.deep.equal(texts.map(() => 'broken'));
+  }).timeout(5_000);
+
   // Guards against an instance that keeps the bytes of an engine without end.
   it('ends as broken when an event does not end', async () => {
     const head = 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n';
--- a/packages/daemon/src/__tests__/unit/PlainCallSuspects.test.ts
+++ b/packages/daemon/src/__tests__/unit/PlainCallSuspects.test.ts
@@ -44,6 +44,23 @@
 }
 
 describe('servePlain', () => {
+  // Guards against a status that no caller understands and that is passed on.
+  it('fails a call at once whose upstream returns an invalid status', async () => {
+    for (const status of ['000', '099', '600', '999']) {
+      const invalid: UpstreamHandler = (_message, _body, response) => {
+        const head = `HTTP/1.1 ${status} X\r\nContent-Length: 0\r\n\r\n`;
+        response.socket?.write(head);
+      };
+      const call = await runCall({
+        handlers: [invalid],
+        target: {kind: 'service', serves: 'tool', method: 'GET', path: '/'},
+        body: '',
+        serve: (access, exchange) => servePlain(access, exchange, shardId, {}),
+      });
+      expect(call.kind).to.equal('upstream_failed');
+    }
+  });
+
   // Guards against an instance that keeps the bytes of a service without end.
   it('gives up a response that does not end', async () => {
     const endless: UpstreamHandler = (_message, _body, response) => {
--- a/packages/daemon/src/request/ResponseHeads.ts
+++ b/packages/daemon/src/request/ResponseHeads.ts
@@ -3,7 +3,9 @@
  * they are leaving, that they want no request for some time, or how many
  * requests a second they take from all instances together.
  */
+import type {Readable} from 'node:stream';
 import type {RequestId, UpstreamInfo} from '@toucanrouter/common';
+import {isResponseStatus} from '@toucanrouter/common';
 import type {UpstreamAccess} from './UpstreamAccess.js';
 
 /** The status of a rejection for lack of capacity. */
@@ -33,6 +35,19 @@
   readonly sentAtMs: number;
 }
 
+/**
+ * Throws if a status is not valid, and closes the connection. Also for interim
+ * responses, as the HTTP client takes any status below 200 for one of them.
+ */
+export function checkStatus({
+  body,
+  statusCode,
+}: Pick<ResponseHead, 'statusCode'> & {readonly body?: Readable}): void {
+  if (isResponseStatus(statusCode)) return;
+  body?.on('error', () => undefined).destroy();
+  throw new Error(`the response has the invalid status ${statusCode}`);
+}
+
 /** Handles the head of a response. */
 export function receiveHead(
   {directory, limitedUpstreams, pausedUpstreams}: UpstreamAccess,
--- a/packages/daemon/src/request/chat/EngineAttempt.ts
+++ b/packages/daemon/src/request/chat/EngineAttempt.ts
@@ -15,7 +15,7 @@
 import type {Dispatcher} from 'undici';
 import {errors} from 'undici';
 import type {ResponseHead} from '../ResponseHeads.js';
-import {serviceUnavailableStatus} from '../ResponseHeads.js';
+import {checkStatus, serviceUnavailableStatus} from '../ResponseHeads.js';
 import type {ScannedEvents} from './SseScanner.js';
 import {createSseScanner} from './SseScanner.js';
 
@@ -75,7 +75,9 @@
       signal: call.signal,
       headersTimeout: engineIdleTimeoutMs,
       bodyTimeout: engineIdleTimeoutMs,
+      onInfo: checkStatus,
     });
+    checkStatus(response);
     const {statusCode} = response;
     call.onHead(response);
     if (isRejection(statusCode)) return await readRejection(response);
--- a/packages/daemon/src/request/plain/PlainCall.ts
+++ b/packages/daemon/src/request/plain/PlainCall.ts
@@ -18,6 +18,7 @@
 import type {CallTarget, Exchange} from '../Exchange.js';
 import {abortError, classOf, permitError} from '../Exchange.js';
 import {
+  checkStatus,
   leavingHeader,
   rateLimitHeader,
   receiveHead,
@@ -189,7 +190,9 @@
       signal: idempotent
         ? AbortSignal.any([exchange.signal, abort.signal])
         : undefined,
+      onInfo: checkStatus,
     });
+    checkStatus(response);
     const {requestId} = exchange;
     receiveHead(access, {upstream, requestId, sentAtMs}, response);
     const body = await readBody(response.body, access.responseBuffers);
--- a/packages/gateway/src/__tests__/unit/UpstreamConnections.test.ts
+++ b/packages/gateway/src/__tests__/unit/UpstreamConnections.test.ts
@@ -233,6 +233,23 @@
     server.close();
   });
 
+  // Guards against a status that no caller understands and that is passed on.
+  it('fails a response whose status is not valid, at once', async () => {
+    for (const status of ['000', '099', '600', '999']) {
+      const server = await startUpstream(socket => {
+        socket.write(`HTTP/1.1 ${status} X\r\nContent-Length: 0\r\n\r\n`);
+      });
+      const connections = createUpstreamConnections(createSystemClock());
+      expect(await send(connections, server)).to.deep.equal({
+        outcome: 'failed',
+        body: '',
+        started: false,
+      });
+      await connections.close();
+      server.close();
+    }
+  });
+
   it('fails a response whose trailers never end', async () => {
     const trailer = `X-Filler: ${'x'.repeat(1_000)}\r\n`;
     const endless = (socket: Socket) => {
--- a/packages/gateway/src/upstreams/UpstreamConnections.ts
+++ b/packages/gateway/src/upstreams/UpstreamConnections.ts
@@ -6,6 +6,7 @@
 import type {Socket} from 'node:net';
 import {connect} from 'node:net';
 import type {Clock} from '@toucanrouter/common';
+import {isResponseStatus} from '@toucanrouter/common';
 import {Client} from '@toucanrouter/common/http-client';
 import type {Dispatcher} from 'undici';
 
@@ -284,14 +285,21 @@
             else started.abort(new Error(reason));
           },
           onResponseStart: (started, status, headers) => {
-            if (status < 200) {
-              interimResponses += 1;
-              if (interimResponses <= maxInterimResponses) return;
-              const error = new Error(
-                `more than ${maxInterimResponses} interim responses`,
-              );
+            const giveUp = (reason: string) => {
+              const error = new Error(reason);
               started.abort(error);
               fail(error);
+            };
+            // The client takes any status below 200 for an interim one.
+            if (!isResponseStatus(status)) {
+              giveUp(`the response has the invalid status ${status}`);
+              return;
+            }
+            if (status < 200) {
+              interimResponses += 1;
+              if (interimResponses > maxInterimResponses) {
+                giveUp(`more than ${maxInterimResponses} interim responses`);
+              }
               return;
             }
             framing = framingOf(request.method, status, headers);
