daemon: fail a response by close that ends before its request was written

Cause: a body without length or chunks counts as whole if its connection ends cleanly. Whether it did was found out by a write behind the pending upload, so that the verdict depended on whether the upstream read the upload afterwards.

Change: an end that arrives while part of the request is still to be written fails the response.

Bytes that the kernel took but the upstream never read count as written.

--- a/packages/daemon/src/__tests__/unit/UpstreamSocket.test.ts
+++ b/packages/daemon/src/__tests__/unit/UpstreamSocket.test.ts
@@ -58,6 +58,29 @@
     ]);
   });
 
+  // Guards against part of a body that counts as whole, depending on when the upload is read.
+  it('fails a response without length that ends before the request was written', async () => {
+    const server = createServer(socket => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => {
+        socket.pause();
+        socket.end(undelimited);
+        setTimeout(() => socket.resume(), 50);
+      });
+    });
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+    const agent = new Agent({pipelining: 1, connect: connectUpstream});
+    const origin = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const body = Buffer.alloc(64 * 1024 * 1024);
+    const received = await agent
+      .request({origin, path: '/', method: 'POST', body})
+      .then(response => response.body.text())
+      .catch(() => undefined);
+    await agent.destroy();
+    server.close();
+    expect(received).to.equal(undefined);
+  });
+
   // Guards against a response whose head or body was cut off but that counts as complete.
   it('fails a response that is cut off at any byte before its end', async () => {
     const closing = 'HTTP/1.1 200 OK\r\nConnection: close\r\n';
--- a/packages/daemon/src/request/UpstreamSocket.ts
+++ b/packages/daemon/src/request/UpstreamSocket.ts
@@ -26,6 +26,11 @@
    */
   override push(chunk: unknown, encoding?: BufferEncoding): boolean {
     if (chunk !== null) return super.push(chunk, encoding);
+    // The upstream did not wait for the request, so its end proves nothing.
+    if (this.writableLength > 0) {
+      super.destroy(new Error('the upstream ended before the request did'));
+      return false;
+    }
     this.write('\r\n', error => {
       if (error) super.destroy(resetError(error));
       else super.push(null);
