--- a/packages/daemon/src/request/chat/EngineAttempt.ts
+++ b/packages/daemon/src/request/chat/EngineAttempt.ts
@@ -22,7 +22,7 @@
 import type {Dispatcher} from 'undici';
 import {errors} from 'undici';
 import type {ResponseHead} from '../ResponseHeads.js';
-import {serviceUnavailableStatus} from '../ResponseHeads.js';
+import {checkStatus, serviceUnavailableStatus} from '../ResponseHeads.js';
 import type {ScannedEvents} from './SseScanner.js';
 import {createSseScanner} from './SseScanner.js';
 
@@ -84,7 +84,9 @@
       headersTimeout: engineIdleTimeoutMs,
       bodyTimeout: engineIdleTimeoutMs,
       highWaterMark: maxBatchBytes,
+      onInfo: checkStatus,
     });
+    checkStatus(response);
     const {statusCode} = response;
     call.onHead(response);
     if (isRejection(statusCode)) return await readRejection(response);
--- a/packages/daemon/src/request/plain/PlainCall.ts
+++ b/packages/daemon/src/request/plain/PlainCall.ts
@@ -23,6 +23,7 @@
 import type {CallTarget, Exchange} from '../Exchange.js';
 import {abortError, classOf, permitError} from '../Exchange.js';
 import {
+  checkStatus,
   leavingHeader,
   rateLimitHeader,
   receiveHead,
@@ -198,7 +199,9 @@
         ? AbortSignal.any([exchange.signal, abort.signal])
         : undefined,
       highWaterMark: maxBatchBytes,
+      onInfo: checkStatus,
     });
+    checkStatus(response);
     const {requestId} = exchange;
     receiveHead(access, {upstream, requestId, sentAtMs}, response);
     const body = await readBody(response.body, access.responseBuffers);
