--- a/packages/gateway/src/__tests__/unit/StreamOriginFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/StreamOriginFixtures.ts
@@ -250,12 +250,16 @@
       archive.streamBegan(keyOf(requestId), {service: chat, softwareVersion}),
     /** Returns the version that is found, or undefined. */
     find: async (
-      requestId: string,
+      requestId: string | undefined,
       services: readonly ServiceName[] = [chat],
     ): Promise<SoftwareVersion | undefined> => {
       let found: OriginLookup | undefined;
       void archive
-        .find(keyOf(requestId), services, findTimeoutMs)
+        .find(
+          requestId === undefined ? undefined : keyOf(requestId),
+          services,
+          findTimeoutMs,
+        )
         .then(lookup => (found = lookup));
       await advance(clock, findTimeoutMs + 100);
       if (found === undefined) throw new Error('find did not resolve in time');
--- a/packages/gateway/src/__tests__/unit/StreamOrigins.test.ts
+++ b/packages/gateway/src/__tests__/unit/StreamOrigins.test.ts
@@ -57,6 +57,18 @@
     scene.stopAll();
   });
 
+  // Guards against callers that are refused although there is nothing to guess.
+  it('needs no request id where all streams have one origin', async () => {
+    const scene = createOriginScene();
+    const instance = scene.start();
+    await scene.advance(1_000);
+    expect(await instance.find(undefined)).to.equal(v1);
+    scene.setVersions(v1, v2);
+    await scene.advance(1_000);
+    expect(await instance.find(undefined)).to.equal(undefined);
+    scene.stopAll();
+  });
+
   // Guards against a stream that goes on at another version because another
   // instance took it up.
   it('finds the origin of a stream of another instance', async () => {
