gateway: verify the version of an upstream before a stream goes on there

Before an attempt that goes on with a stream, the entry of the chosen upstream is read from the store; a later process is registered at once and another upstream is chosen. Without an answer within 200 ms the known entry counts, so streams go on while the store is away.

The new test of StreamVersions failed without the check (4 of 6 take-ups went to the other version).

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -360,6 +360,8 @@
     upstreamNotices,
     upstreamRates,
     streamOrigins,
+    readUpstream: async (id, timeoutMs) =>
+      (await store.readUpstream(id, timeoutMs)).unwrapOr(undefined),
     onTakeUpEnded: outcome => metrics.observeTakeUp(outcome),
     retryBudget: retryBudgetOf,
     isDraining: () => draining,
--- a/packages/gateway/src/__tests__/unit/CrashingPrompts.test.ts
+++ b/packages/gateway/src/__tests__/unit/CrashingPrompts.test.ts
@@ -86,6 +86,7 @@
     readChanges: (revision, waitMs) =>
       ResultAsync.fromSafePromise(waitForChange(revision, waitMs)),
     readConfig: () => okAsync(undefined),
+    readUpstream: () => okAsync(undefined),
     register: () => errAsync(new PlatformError('not supported', false)),
     renew: () => okAsync({exists: true}),
     saveVerdict: verdict => {
--- a/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
@@ -131,6 +131,7 @@
     }),
     upstreamRates,
     streamOrigins: createLocalStreamOrigins(),
+    readUpstream: () => Promise.resolve(undefined),
     onTakeUpEnded: outcome => takeUps.push(outcome),
     retryBudget: () => createRetryBudget(),
     isDraining: () => false,
--- a/packages/gateway/src/__tests__/unit/OwnEntry.test.ts
+++ b/packages/gateway/src/__tests__/unit/OwnEntry.test.ts
@@ -42,6 +42,7 @@
         return okAsync({revision, items});
       },
       readConfig: () => okAsync({revision, items: [configItem]}),
+      readUpstream: () => okAsync(undefined),
       register: () => {
         registerCount += 1;
         return okAsync({id: registerCount});
--- a/packages/gateway/src/__tests__/unit/RestoredStoreFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/RestoredStoreFixtures.ts
@@ -14,7 +14,7 @@
 import {createLogger} from '@toucanrouter/logging';
 import type {SegmentHash} from '@toucanrouter/policy';
 import {toSegmentHash} from '@toucanrouter/policy';
-import {err, ok, ResultAsync} from 'neverthrow';
+import {err, ok, ResultAsync, okAsync} from 'neverthrow';
 import {createActiveConfig} from '../../config/ActiveConfig.js';
 import {createConfigAge} from '../../config/ConfigAge.js';
 import {createPeerDirectory} from '../../peers/PeerDirectory.js';
@@ -148,6 +148,7 @@
                 .map(({key, value}) => ({key, value})),
             },
       ),
+    readUpstream: () => okAsync(undefined),
     readConfig: () =>
       read('config', () => {
         const item = items.get('config');
--- a/packages/gateway/src/__tests__/unit/RunningGatewayFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/RunningGatewayFixtures.ts
@@ -58,6 +58,7 @@
     readAll: () => okAsync({revision: 1, items}),
     readChanges: revision => okAsync({revision, items: []}),
     readConfig: () => okAsync(undefined),
+    readUpstream: () => okAsync(undefined),
     register: () => errAsync(new PlatformError('not supported', false)),
     renew: () => okAsync({exists: true}),
     saveVerdict: () => okAsync(undefined),
--- a/packages/gateway/src/__tests__/unit/StateSync.test.ts
+++ b/packages/gateway/src/__tests__/unit/StateSync.test.ts
@@ -9,7 +9,7 @@
 } from '@toucanrouter/common';
 import {createLogger} from '@toucanrouter/logging';
 import {expect} from 'chai';
-import {err, ok, ResultAsync} from 'neverthrow';
+import {err, ok, ResultAsync, okAsync} from 'neverthrow';
 import {createActiveConfig} from '../../config/ActiveConfig.js';
 import {createConfigAge} from '../../config/ConfigAge.js';
 import {createPeerDirectory} from '../../peers/PeerDirectory.js';
@@ -74,6 +74,7 @@
         watchResults.shift() ?? {revision, items: []},
       );
     },
+    readUpstream: () => okAsync(undefined),
     readConfig: () => {
       calls.push('config');
       return resultOf({revision: 3, items: [version(9)]});
--- a/packages/gateway/src/__tests__/unit/StreamVersions.test.ts
+++ b/packages/gateway/src/__tests__/unit/StreamVersions.test.ts
@@ -1,5 +1,10 @@
-import {createSeededRandom, createSystemClock} from '@toucanrouter/common';
+import {
+  createSeededRandom,
+  createSystemClock,
+  toSoftwareVersion,
+} from '@toucanrouter/common';
 import {expect} from 'chai';
+import {createEntry} from './GatewayFixtures.js';
 import {createLocalStreamOrigins} from './LocalStreamOrigins.js';
 import type {UpstreamConnections} from '../../upstreams/UpstreamConnections.js';
 import {createUpstreamConnections} from '../../upstreams/UpstreamConnections.js';
@@ -284,6 +289,36 @@
     expect(gateway.takeUps).to.deep.equal(['failed']);
   });
 
+  // Guards against a stream that goes on at an upstream that has restarted under
+  // its id with other software, before the watch of the store shows it.
+  it('is not sent to an upstream that the store shows with another version', async () => {
+    const gateway = await startVersionedGateway({
+      versions: ['v1', 'v1'],
+      behave: writeAll,
+      changes: {
+        readUpstream: id =>
+          Promise.resolve(
+            id === 'u0'
+              ? createEntry('u0', {
+                  startedAtMs: 2,
+                  softwareVersion: toSoftwareVersion('v2'),
+                })
+              : undefined,
+          ),
+      },
+    });
+    recordOrigin(gateway.streamOrigins, 'r1', 'v1');
+    for (let index = 0; index < 6; index += 1) {
+      const headers = {after: '1', resumes: 'r1'};
+      const response = await gateway.send(`take-up-${index}`, headers);
+      expect(response.status).to.equal(200);
+    }
+    await gateway.close();
+    expect(gateway.calls.map(call => call.index)).to.deep.equal(
+      Array.from({length: 6}, () => 1),
+    );
+  });
+
   // Guards against a request that is written to software that came after the choice.
   it('is not sent to an upstream whose version changed since it was chosen', async () => {
     const connections = createUpstreamConnections(createSystemClock());
--- a/packages/gateway/src/request/GatewayContext.ts
+++ b/packages/gateway/src/request/GatewayContext.ts
@@ -7,6 +7,7 @@
   MemoryBudget,
   RandomSource,
   ServiceName,
+  UpstreamId,
   OpenRequestLimit,
 } from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
@@ -16,6 +17,7 @@
 import type {StreamOrigins} from '../streams/StreamOrigins.js';
 import type {UpstreamConnections} from '../upstreams/UpstreamConnections.js';
 import type {UpstreamKnowledge} from '../upstreams/UpstreamKnowledge.js';
+import type {UpstreamEntry} from '../upstreams/UpstreamEntry.js';
 import type {UpstreamNotices} from '../upstreams/UpstreamNotices.js';
 import type {UpstreamRateLimits} from '../upstreams/UpstreamRateLimits.js';
 import type {UpstreamRegistry} from '../upstreams/UpstreamRegistry.js';
@@ -62,6 +64,11 @@
   readonly upstreamRates: UpstreamRateLimits;
   /** Knows which software versions began the streams of callers. */
   readonly streamOrigins: StreamOrigins;
+  /** Reads the entry of an upstream from the store; undefined without news. */
+  readonly readUpstream: (
+    id: UpstreamId,
+    timeoutMs: number,
+  ) => Promise<UpstreamEntry | undefined>;
   /** A stream that its caller took up has ended, or was refused. */
   readonly onTakeUpEnded: (outcome: TakeUpOutcome) => void;
   readonly retryBudget: (service: ServiceName) => RetryBudget;
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -811,6 +811,9 @@
       if (overloadReason !== undefined) {
         return refuse('overloaded', overloadReason, choice.expectedMs);
       }
+      const {entry} = choice.candidate;
+      if (!(await responseStream.verify(entry, remainingMs()))) continue;
+      if (recorded || callerDisconnected) return;
       attempts = startAttemptRace({
         choice,
         start: (next, observer) =>
--- a/packages/gateway/src/request/ResponseStream.ts
+++ b/packages/gateway/src/request/ResponseStream.ts
@@ -13,6 +13,7 @@
   streamVersionOf,
 } from '../streams/StreamVersion.js';
 import type {UpstreamEntry} from '../upstreams/UpstreamEntry.js';
+import {isSameProcess} from '../upstreams/UpstreamEntry.js';
 import type {AdmittedRequest} from './Admission.js';
 import type {CallerRequest} from './Dialect.js';
 import type {GatewayContext} from './GatewayContext.js';
@@ -51,6 +52,12 @@
   mayServe(entry: UpstreamEntry): boolean;
   /** False for an upstream that serves the request only if no other one can. */
   isPreferred(entry: UpstreamEntry): boolean;
+  /**
+   * Verifies with the store that an upstream still runs the version that the
+   * stream goes on at. Returns false if the upstream was replaced, which the
+   * registry knows then.
+   */
+  verify(entry: UpstreamEntry, remainingMs: number): Promise<boolean>;
   /** Returns why a chosen upstream must not get the request, or undefined. */
   withdrawalReason(entry: UpstreamEntry): string | undefined;
   startAttempt(entry: UpstreamEntry): StreamAttempt;
@@ -60,13 +67,18 @@
 
 type StreamContext = Pick<
   GatewayContext,
-  'logger' | 'onTakeUpEnded' | 'random' | 'streamOrigins'
+  'logger' | 'onTakeUpEnded' | 'random' | 'readUpstream' | 'streamOrigins'
 > & {
-  readonly registry: Pick<GatewayContext['registry'], 'entryOf' | 'usable'>;
+  readonly registry: Pick<
+    GatewayContext['registry'],
+    'entryOf' | 'put' | 'usable'
+  >;
 };
 
 /** Bounds the time that a caller waits for the origin of its stream. */
 const maxOriginLookupMs = 500;
+/** Without an answer of the store, the entry that is known is trusted. */
+const maxVerificationMs = 200;
 
 function createUnversionedStream(
   {random}: Pick<StreamContext, 'random'>,
@@ -78,6 +90,7 @@
     version: () => undefined,
     mayServe: () => true,
     isPreferred: () => true,
+    verify: () => Promise.resolve(true),
     withdrawalReason: () => undefined,
     startAttempt: () => ({refusalReason: () => undefined}),
     close: () => undefined,
@@ -150,7 +163,28 @@
     );
   }
 
+  /** True for an entry that was written by a later process of the upstream. */
+  function isLaterProcess(read: UpstreamEntry, known: UpstreamEntry): boolean {
+    const isEarlier =
+      read.startedAtMs !== undefined &&
+      known.startedAtMs !== undefined &&
+      read.startedAtMs < known.startedAtMs;
+    return !isSameProcess(read, known) && !isEarlier;
+  }
+
   return {
+    verify: async (entry, remainingMs) => {
+      if (version.current() === undefined) return true;
+      const timeoutMs = Math.min(maxVerificationMs, Math.max(0, remainingMs));
+      const read = await context.readUpstream(entry.id, timeoutMs);
+      if (read === undefined || !isLaterProcess(read, entry)) return true;
+      // The watch may have shown a still later one meanwhile.
+      const latest = registry.entryOf(entry.id);
+      if (latest !== undefined && isLaterProcess(read, latest)) {
+        registry.put(read);
+      }
+      return false;
+    },
     place: async remainingMs => {
       const place: StreamPlace = isTakeUp
         ? await placeTakeUp(remainingMs)
--- a/packages/gateway/src/state/StateStore.ts
+++ b/packages/gateway/src/state/StateStore.ts
@@ -183,6 +183,11 @@
   readConfig(
     timeoutMs: number,
   ): ResultAsync<StateUpdate | undefined, PlatformError>;
+  /** Reads the entry of one upstream; undefined if there is none to use. */
+  readUpstream(
+    id: UpstreamId,
+    timeoutMs: number,
+  ): ResultAsync<UpstreamEntry | undefined, PlatformError>;
   /** Waits up to `waitMs` for changes after `revision`. */
   readChanges(
     revision: number,
