gateway, daemon: limit the header lines of responses

Cause: undici limits the bytes of the names and values of a head or of trailers to 16 KiB, and keeps two buffer objects for each line. Lines of one byte ("a:") cost some 3 MB of heap within this limit. An upstream that sends such lines and does not end its head holds them in every call.

The two new process tests failed without the change.

--- a/packages/common/src/HttpClient.ts
+++ b/packages/common/src/HttpClient.ts
@@ -13,6 +13,8 @@
 import agent from 'undici/lib/dispatcher/agent.js';
 import client from 'undici/lib/dispatcher/client.js';
 
+export {limitHeaderLines, maxHeaderLinesCount} from './HeaderLines.js';
+
 /** Sends requests to any origin. */
 export const Agent = agent as typeof UndiciAgent;
 
--- a/packages/common/src/UndiciParts.d.ts
+++ b/packages/common/src/UndiciParts.d.ts
@@ -13,3 +13,8 @@
   const client: unknown;
   export default client;
 }
+
+declare module 'undici/lib/core/symbols.js' {
+  const symbols: {readonly kParser: symbol; readonly kSocket: symbol};
+  export default symbols;
+}
--- a/packages/daemon/src/Instance.ts
+++ b/packages/daemon/src/Instance.ts
@@ -15,6 +15,7 @@
   ProcessMemory,
   StoreHistoryStatus,
 } from '@toucanrouter/common';
+import {limitHeaderLines} from '@toucanrouter/common/http-client';
 import {createProcessMemory, createProcessRandom} from '@toucanrouter/common';
 import {createMemberTable} from '@toucanrouter/membership';
 import type {ConfigStore, InstanceList} from '@toucanrouter/keyvalue';
@@ -167,6 +168,7 @@
     pipelining: 1,
     keepAliveTimeout: idleConnectionTimeoutMs,
   });
+  limitHeaderLines(dispatcher);
   const promptGuard = createPromptGuard({
     clock,
     logger,
--- a/packages/gateway/src/__tests__/process/EndlessPieces.test.ts
+++ b/packages/gateway/src/__tests__/process/EndlessPieces.test.ts
@@ -11,6 +11,8 @@
 
 const host = '127.0.0.1';
 const endlessCallsCount = 8;
+const unendedHeadsCount = 100;
+const headerLines = 'a:\r\n'.repeat(16_000);
 const soundCallsCount = 20;
 const soundIntervalMs = 400;
 const callTimeoutMs = 9_000;
@@ -32,11 +34,12 @@
 
 /**
  * Serves one request on each connection. Requests whose id begins with `endless`
- * get `head` and then `piece` without end, and others a whole response.
+ * get `head` and then `piece` without end, if there is one, and others a whole
+ * response.
  */
 async function startUpstream(
   headFor: (id: string) => string,
-  piece: string,
+  piece?: string,
 ): Promise<Server> {
   const server = createServer(socket => {
     socket.on('error', () => undefined);
@@ -49,7 +52,7 @@
         return;
       }
       socket.write(headFor(id));
-      writeWithoutEnd(socket, piece);
+      if (piece !== undefined) writeWithoutEnd(socket, piece);
     });
   });
   server.listen(0, host);
@@ -113,29 +116,49 @@
   ],
 ];
 
+/** Lets upstreams respond to `callsCount` calls, and serves others meanwhile. */
+async function playBeside(
+  callsCount: number,
+  headFor: (id: string) => string,
+  piece?: string,
+): Promise<void> {
+  const upstream = await startUpstream(headFor, piece);
+  const {port: upstreamPort} = upstream.address() as AddressInfo;
+  try {
+    await withLimitedGateway(upstreamPort, async gateway => {
+      const endless = Array.from({length: callsCount}, (_, index) =>
+        call(gateway.port, `endless-${index}`),
+      );
+      for (let index = 0; index < soundCallsCount; index += 1) {
+        expect(await call(gateway.port, `sound-${index}`)).to.equal(200);
+        await sleep(soundIntervalMs);
+      }
+      await Promise.all(endless);
+      expect(gateway.isRunning()).to.equal(true);
+      expect(gateway.peakBytes()).to.be.below(memoryLimitBytes);
+    });
+  } finally {
+    upstream.close();
+  }
+}
+
 describe('Process of a gateway whose upstream sends small pieces without end', () => {
   for (const [name, headFor, piece] of plays) {
     // Guards against a heap that is filled by the objects of small chunks, which
     // ends the requests of all callers.
-    it(`survives ${name} and serves others`, async () => {
-      const upstream = await startUpstream(headFor, piece);
-      const {port: upstreamPort} = upstream.address() as AddressInfo;
-      try {
-        await withLimitedGateway(upstreamPort, async gateway => {
-          const endless = Array.from({length: endlessCallsCount}, (_, index) =>
-            call(gateway.port, `endless-${index}`),
-          );
-          for (let index = 0; index < soundCallsCount; index += 1) {
-            expect(await call(gateway.port, `sound-${index}`)).to.equal(200);
-            await sleep(soundIntervalMs);
-          }
-          await Promise.all(endless);
-          expect(gateway.isRunning()).to.equal(true);
-          expect(gateway.peakBytes()).to.be.below(memoryLimitBytes);
-        });
-      } finally {
-        upstream.close();
-      }
-    });
+    it(`survives ${name} and serves others`, () =>
+      playBeside(endlessCallsCount, headFor, piece));
   }
+
+  // Guards against a heap that is filled by the objects of short header lines.
+  it('survives heads of many short lines and serves others', () =>
+    playBeside(unendedHeadsCount, id =>
+      headOf(id, headerLines).slice(0, -'\r\n\r\n'.length),
+    ));
+
+  it('survives trailers of many short lines and serves others', () =>
+    playBeside(unendedHeadsCount, id => {
+      const body = `1\r\na\r\n0\r\n${headerLines}`;
+      return `${headOf(id, chunked)}${body}`;
+    }));
 });
--- a/packages/gateway/src/upstreams/UpstreamConnections.ts
+++ b/packages/gateway/src/upstreams/UpstreamConnections.ts
@@ -6,7 +6,7 @@
 import type {Socket} from 'node:net';
 import {connect} from 'node:net';
 import type {Clock} from '@toucanrouter/common';
-import {Client} from '@toucanrouter/common/http-client';
+import {Client, limitHeaderLines} from '@toucanrouter/common/http-client';
 import type {Dispatcher} from 'undici';
 
 /** A request to an upstream. */
@@ -209,6 +209,7 @@
       closedCleanly: undefined,
     };
     connections.add(connection);
+    limitHeaderLines(connection.client);
     connection.client.on('disconnect', () => {
       remove(address, connection);
       if (!connection.client.destroyed) void connection.client.destroy();
