gateway: read responses in slices of the socket's buffer

Cause: a response that is paused within a read is returned to its socket. On each resume undici reads the whole buffer again, which also makes the socket ask the system for more. So the buffer grew by up to 64 KiB with each pause, and each resume copied all of it. A stream that consists of small events never exceeds the limit of pieces between events, so this had no bound but the time of the request.

Change: one read returns at most 16 KiB. What remains stays in the socket, above its high-water mark, and stops its reading.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -216,6 +216,7 @@
 export {lowestTier} from './ServiceClasses.js';
 export {turnEnded} from './SocketsRead.js';
 export type {StopPhase, StopPlan, StopPlanOptions} from './StopPlan.js';
+export {limitReads} from './SocketReads.js';
 export {createStopPlan} from './StopPlan.js';
 export {spareUnsentResponses} from './UnsentResponses.js';
 export type {UpstreamInfo, UpstreamKind} from './Upstreams.js';
--- a/packages/gateway/src/upstreams/UpstreamConnections.ts
+++ b/packages/gateway/src/upstreams/UpstreamConnections.ts
@@ -6,6 +6,7 @@
 import type {Socket} from 'node:net';
 import {connect} from 'node:net';
 import type {Clock} from '@toucanrouter/common';
+import {limitReads} from '@toucanrouter/common';
 import {Client, limitHeaderLines} from '@toucanrouter/common/http-client';
 import type {Dispatcher} from 'undici';
 
@@ -157,6 +158,7 @@
       keepAlive: true,
       keepAliveInitialDelay: tcpKeepAliveDelayMs,
     });
+    limitReads(socket);
     let finished = false;
     const finish = (error: Error | null) => {
       if (finished) return;
