--- a/packages/gateway/src/upstreams/UpstreamConnections.ts
+++ b/packages/gateway/src/upstreams/UpstreamConnections.ts
@@ -6,8 +6,8 @@
 import type {Socket} from 'node:net';
 import {connect} from 'node:net';
 import type {Clock} from '@toucanrouter/common';
-import {isResponseStatus} from '@toucanrouter/common';
-import {Client} from '@toucanrouter/common/http-client';
+import {isResponseStatus, limitReads} from '@toucanrouter/common';
+import {Client, limitHeaderLines} from '@toucanrouter/common/http-client';
 import type {Dispatcher} from 'undici';
 
 /** A request to an upstream. */
@@ -158,6 +158,7 @@
       keepAlive: true,
       keepAliveInitialDelay: tcpKeepAliveDelayMs,
     });
+    limitReads(socket);
     let finished = false;
     const finish = (error: Error | null) => {
       if (finished) return;
@@ -210,6 +211,7 @@
       closedCleanly: undefined,
     };
     connections.add(connection);
+    limitHeaderLines(connection.client);
     connection.client.on('disconnect', () => {
       remove(address, connection);
       if (!connection.client.destroyed) void connection.client.destroy();
