gateway: play endless pieces on routes that stream, and endless events

They run on both now, with a play of small events without end. The sound responses name their type, without which a streaming route takes them for a stream.

--- a/packages/gateway/src/__tests__/process/EndlessPieces.test.ts
+++ b/packages/gateway/src/__tests__/process/EndlessPieces.test.ts
@@ -47,7 +47,7 @@
       const id = /^id: (.*)\r$/m.exec(String(data))?.[1] ?? '';
       if (!id.startsWith('endless')) {
         socket.end(
-          `${headOf(id, 'Content-Length: 5\r\nConnection: close')}whole`,
+          `${headOf(id, 'Content-Length: 5\r\nContent-Type: text/plain\r\nConnection: close')}whole`,
         );
         return;
       }
@@ -87,8 +87,9 @@
 const chunked = 'Transfer-Encoding: chunked';
 const eventStream = `${chunked}\r\nContent-Type: text/event-stream`;
 
-const plays: readonly (readonly [string, (id: string) => string, string])[] = [
-  ['chunks of one byte', id => headOf(id, chunked), '1\r\na\r\n'],
+type Play = readonly [string, (id: string) => string, string];
+
+const streamPlays: readonly Play[] = [
   [
     'chunks of one byte of an event stream',
     id => headOf(id, eventStream),
@@ -104,6 +105,16 @@
     id => headOf(id, eventStream),
     '4\r\n: a\n\r\n',
   ],
+  [
+    'chunks that hold an event',
+    id => headOf(id, eventStream),
+    'f\r\nid: 1\ndata: a\n\n\r\n',
+  ],
+];
+
+const plays: readonly Play[] = [
+  ...streamPlays,
+  ['chunks of one byte', id => headOf(id, chunked), '1\r\na\r\n'],
   [
     'chunks of one byte in a failure',
     id => headOf(id, chunked, 500),
@@ -121,22 +132,27 @@
   callsCount: number,
   headFor: (id: string) => string,
   piece?: string,
+  mode?: 'responses' | 'streams',
 ): Promise<void> {
   const upstream = await startUpstream(headFor, piece);
   const {port: upstreamPort} = upstream.address() as AddressInfo;
   try {
-    await withLimitedGateway(upstreamPort, async gateway => {
-      const endless = Array.from({length: callsCount}, (_, index) =>
-        call(gateway.port, `endless-${index}`),
-      );
-      for (let index = 0; index < soundCallsCount; index += 1) {
-        expect(await call(gateway.port, `sound-${index}`)).to.equal(200);
-        await sleep(soundIntervalMs);
-      }
-      await Promise.all(endless);
-      expect(gateway.isRunning()).to.equal(true);
-      expect(gateway.peakBytes()).to.be.below(memoryLimitBytes);
-    });
+    await withLimitedGateway(
+      upstreamPort,
+      async gateway => {
+        const endless = Array.from({length: callsCount}, (_, index) =>
+          call(gateway.port, `endless-${index}`),
+        );
+        for (let index = 0; index < soundCallsCount; index += 1) {
+          expect(await call(gateway.port, `sound-${index}`)).to.equal(200);
+          await sleep(soundIntervalMs);
+        }
+        await Promise.all(endless);
+        expect(gateway.isRunning()).to.equal(true);
+        expect(gateway.peakBytes()).to.be.below(memoryLimitBytes);
+      },
+      mode,
+    );
   } finally {
     upstream.close();
   }
@@ -150,6 +166,13 @@
       playBeside(endlessCallsCount, headFor, piece));
   }
 
+  for (const [name, headFor, piece] of streamPlays) {
+    // Guards against the same where events are passed on as they arrive, and
+    // against a buffer that grows with each pause of the stream.
+    it(`survives ${name} on a route that streams and serves others`, () =>
+      playBeside(endlessCallsCount, headFor, piece, 'streams'));
+  }
+
   // Guards against a heap that is filled by the objects of short header lines.
   it('survives heads of many short lines and serves others', () =>
     playBeside(unendedHeadsCount, id =>
--- a/packages/gateway/src/__tests__/process/LimitedGateway.ts
+++ b/packages/gateway/src/__tests__/process/LimitedGateway.ts
@@ -1,6 +1,6 @@
 /**
  * A gateway in a process of its own, whose memory can be measured from outside:
- * `LimitedGateway.ts UPSTREAM_PORT MEMORY_LIMIT_BYTES`. It prints its port for
+ * `LimitedGateway.ts UPSTREAM_PORT MEMORY_LIMIT_BYTES [streams]`. It prints its port for
  * callers and runs until it is killed.
  */
 import process from 'node:process';
@@ -18,8 +18,10 @@
 const maxBodyBytes = 4 * 1024 * 1024;
 const timeoutMs = 10_000;
 
-const [upstreamPort = 0, memoryLimitBytes] = process.argv.slice(2).map(Number);
-const settings = await createSettings({memoryLimitBytes});
+const [upstreamPort, memoryLimitBytes, mode] = process.argv.slice(2);
+const settings = await createSettings({
+  memoryLimitBytes: Number(memoryLimitBytes),
+});
 const gateway = createGateway({
   settings,
   clock,
@@ -32,8 +34,12 @@
   random: createProcessRandom(),
   dialect: testDialect,
   store: createFixedStore(
-    upstreamPort,
-    {timeoutMs, targetLatencyMs: timeoutMs},
+    Number(upstreamPort),
+    {
+      timeoutMs,
+      targetLatencyMs: timeoutMs,
+      streams: mode === 'streams',
+    },
     {maxBodyBytes},
   ),
   readinessPath,
--- a/packages/gateway/src/__tests__/process/LimitedGatewayFixtures.ts
+++ b/packages/gateway/src/__tests__/process/LimitedGatewayFixtures.ts
@@ -39,10 +39,11 @@
 export async function withLimitedGateway(
   upstreamPort: number,
   use: (gateway: LimitedGateway) => Promise<void>,
+  mode: 'responses' | 'streams' = 'responses',
 ): Promise<void> {
   const child = spawn(
     process.execPath,
-    [...nodeOptions, program, `${upstreamPort}`, `${memoryLimitBytes}`],
+    [...nodeOptions, program, `${upstreamPort}`, `${memoryLimitBytes}`, mode],
     {stdio: ['ignore', 'pipe', 'inherit']},
   );
   try {
