gateway: do not rely on a version list that lacks a seen version

A stream may begin at an unlisted version if no other upstream is left. Until the list was written, the store showed one version, so that such a stream was not recorded, and an instance that it was taken up at went on at the listed version.

A list that lacks a version which this instance has seen decides nothing, and streams are recorded meanwhile.

The new test found v1 for a stream that began at v2 before, and finds v2 now.

--- a/packages/gateway/src/__tests__/unit/StreamOrigins.test.ts
+++ b/packages/gateway/src/__tests__/unit/StreamOrigins.test.ts
@@ -82,6 +82,23 @@
     stopAll();
   });
 
+  // Guards against a guess at the listed version for a stream that began at
+  // another one because no upstream of the listed version was left.
+  it('does not rely on a list that lacks a version it has seen', async () => {
+    const scene = createOriginScene();
+    const first = scene.start({id: 'a'});
+    const second = scene.start({id: 'bb'});
+    await scene.advance(1_000);
+    scene.origins.addConflicts(1_000);
+    scene.setVersions(v2);
+    expect(first.mayBegin(v2)).to.equal(false);
+    first.begin('r1', v2);
+    expect(await second.find('other')).to.equal(undefined);
+    expect(await second.find('r1')).to.equal(v2);
+    expect(scene.origins.versionsOf(chat)).to.deep.equal([v1]);
+    scene.stopAll();
+  });
+
   // Guards against origins that are lost with the memory of all instances, and
   // with the last upstream of a version.
   it('finds origins after all instances were restarted', async () => {
--- a/packages/gateway/src/streams/StreamOriginArchive.ts
+++ b/packages/gateway/src/streams/StreamOriginArchive.ts
@@ -68,7 +68,10 @@
     isRecorded: service =>
       !versions.isSingle(service) || options.sharesRoute(service),
   });
-  const lookup = createStreamOriginLookup(options);
+  const lookup = createStreamOriginLookup({
+    ...options,
+    coversSeen: versions.coversSeen,
+  });
 
   /** Bounds the wait of the caller; the read itself may be shared. */
   async function findWithin(
--- a/packages/gateway/src/streams/StreamOriginLookup.ts
+++ b/packages/gateway/src/streams/StreamOriginLookup.ts
@@ -9,6 +9,7 @@
   StateStore,
   StoredVersionHistory,
   StreamHash,
+  VersionHistory,
 } from '../state/StateStore.js';
 import type {StoreHistory} from '../state/StoreHistory.js';
 import type {OriginLookup, StreamOrigin} from './StreamOrigins.js';
@@ -22,6 +23,8 @@
     'readStreamRecords' | 'readVersionHistories'
   >;
   readonly history: StoreHistory;
+  /** False if a version is known that a list lacks. */
+  readonly coversSeen: (history: VersionHistory) => boolean;
 }
 
 /** Reads origins from the store. */
@@ -82,7 +85,8 @@
         const [softwareVersion, ...others] = versions;
         return softwareVersion === undefined ||
           others.length > 0 ||
-          !isConfirmed(stored, era)
+          !isConfirmed(stored, era) ||
+          !options.coversSeen(stored)
           ? []
           : [[service, {service, softwareVersion}] as const];
       }),
--- a/packages/gateway/src/streams/VersionHistoryKeeper.ts
+++ b/packages/gateway/src/streams/VersionHistoryKeeper.ts
@@ -52,6 +52,8 @@
 export interface VersionHistoryKeeper {
   /** True if the store is known to list the version. */
   isListed(origin: StreamOrigin): boolean;
+  /** False if this instance has seen a version that a list lacks. */
+  coversSeen(history: VersionHistory): boolean;
   /** True if the origins of all streams follow from the list of a service. */
   isSingle(service: ServiceName): boolean;
   /** Handles an upstream that was added or has changed. */
@@ -147,6 +149,12 @@
     );
   }
 
+  /** A stream may begin at an unlisted version if no other upstream is left. */
+  function coversSeen({service, versions}: VersionHistory): boolean {
+    const seen = states.get(service)?.lastSeenMs.keys() ?? [];
+    return [...seen].every(version => versions.includes(version));
+  }
+
   function isUpToDate(state: ServiceState): boolean {
     const {listed} = state;
     if (listed === undefined) return state.lastSeenMs.size === 0;
@@ -267,12 +275,14 @@
   return {
     isListed: ({service, softwareVersion}) =>
       states.get(service)?.listed?.versions.includes(softwareVersion) ?? false,
+    coversSeen,
     isSingle: service => {
       const listed = states.get(service)?.listed;
       return (
         listed !== undefined &&
         listed.versions.length === 1 &&
-        isConfirmed(listed, history.era())
+        isConfirmed(listed, history.era()) &&
+        coversSeen(listed)
       );
     },
     upstreamAdded: entry => {
