gateway: keep versions listed whose absence a frozen process did not see

A process that stood still for part of the retention time took a version for gone that others had seen meanwhile, and removed it from the list, so that streams of that version could be taken up at the one that was left.

The new test found the list [v2] instead of [v1, v2] before, and passes now.

--- a/packages/gateway/src/__tests__/unit/StreamOrigins.test.ts
+++ b/packages/gateway/src/__tests__/unit/StreamOrigins.test.ts
@@ -1,4 +1,8 @@
-import {toServiceName, toSoftwareVersion} from '@toucanrouter/common';
+import {
+  createManualClock,
+  toServiceName,
+  toSoftwareVersion,
+} from '@toucanrouter/common';
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {
@@ -6,6 +10,7 @@
   chat,
   createOriginScene,
   retentionMs,
+  startInstance,
   v1,
   v2,
 } from './StreamOriginFixtures.js';
@@ -158,6 +163,28 @@
     scene.stopAll();
   });
 
+  // Guards against a version that is dropped although it came and went while the
+  // process of an instance stood still.
+  it('counts no time in which its process stood still', async () => {
+    const scene = await createTwoVersions();
+    const ownClock = createManualClock(scene.clock.nowMs());
+    let pausedMs = 0;
+    const pausing = {...ownClock, nowMs: () => ownClock.nowMs() + pausedMs};
+    let seen = [v1, v2];
+    const paused = startInstance(pausing, scene.origins, () => seen, {id: 'c'});
+    await advance(ownClock, 1_000);
+    seen = [v2];
+    await advance(ownClock, 2_000);
+    scene.first.begin('r1', v1);
+    await scene.advance(500);
+    pausedMs = retentionMs;
+    await advance(ownClock, 2_000);
+    expect(scene.origins.versionsOf(chat)).to.have.members([v1, v2]);
+    expect(await scene.second.find('r1')).to.equal(v1);
+    paused.stop();
+    scene.stopAll();
+  });
+
   // Guards against records without end in the store.
   it('lets records expire', async () => {
     const {advance, first, second, stopAll} = await createTwoVersions();
--- a/packages/gateway/src/streams/VersionHistoryKeeper.ts
+++ b/packages/gateway/src/streams/VersionHistoryKeeper.ts
@@ -70,6 +70,8 @@
 /** Spreads the writes of instances that see a new version at the same time. */
 const maxWriteDelayMs = 150;
 const sweepIntervalMs = 1_000;
+/** After a longer time the process stood still and followed nothing. */
+const maxSweepGapMs = 3_000;
 
 interface ServiceState {
   /** The list in the present history of the store. */
@@ -96,6 +98,7 @@
   const {clock, history, logger, store} = options;
   const states = new Map<ServiceName, ServiceState>();
   let historyBeganAtMs = clock.nowMs();
+  let lastSweepAtMs = clock.nowMs();
   let hasWarned = false;
   let closed = false;
 
@@ -243,7 +246,9 @@
   }
 
   function sweep(): void {
-    const isInSync = options.isInSync();
+    const stoodStill = clock.nowMs() - lastSweepAtMs > maxSweepGapMs;
+    lastSweepAtMs = clock.nowMs();
+    const isInSync = options.isInSync() && !stoodStill;
     for (const [service, state] of states) {
       noteUsable(service, state);
       for (const [version, seenMs] of state.lastSeenMs) {
