gateway: end reads of origins for which no caller waits any more

A read whose response was lost kept the next one from starting for 1.5 s, or 3 s with the records, while callers wait for 0.5 s, so that later ones were refused without need.

A read ends with the wait of the callers that joined it.

The new test found nothing within 1 s of a lost response before, and the origin now.

--- a/packages/gateway/src/__tests__/unit/StreamOrigins.test.ts
+++ b/packages/gateway/src/__tests__/unit/StreamOrigins.test.ts
@@ -213,6 +213,21 @@
     stopAll();
   });
 
+  // Guards against streams that are refused because an earlier read, for which
+  // no caller waits any more, has no response.
+  it('does not wait long for a read without a response', async () => {
+    const {advance, first, origins, second, stopAll} =
+      await createTwoVersions();
+    first.begin('r1', v1);
+    await advance(500);
+    origins.setDelayMs(3_000);
+    void second.archive.find(undefined, [chat], 500);
+    await advance(50);
+    origins.setDelayMs(0);
+    expect(await second.find('r1')).to.equal(v1);
+    stopAll();
+  });
+
   // Guards against records that are lost because the store was away when their
   // streams began.
   it('writes records once the store is back', async () => {
--- a/packages/gateway/src/request/ResponseStream.ts
+++ b/packages/gateway/src/request/ResponseStream.ts
@@ -7,6 +7,7 @@
 import type {ServiceName, SoftwareVersion} from '@toucanrouter/common';
 import type {GatewayRoute} from '../config/GatewayConfig.js';
 import {pickService} from '../config/RouteTable.js';
+import {maxOriginLookupMs} from '../streams/StreamOriginLookup.js';
 import type {StreamKey} from '../streams/StreamOrigins.js';
 import {
   createStreamVersion,
@@ -75,8 +76,6 @@
   >;
 };
 
-/** Bounds the time that a caller waits for the origin of its stream. */
-const maxOriginLookupMs = 500;
 /** Without an answer of the store, the entry that is known is trusted. */
 const maxVerificationMs = 200;
 
--- a/packages/gateway/src/streams/StreamOriginLookup.ts
+++ b/packages/gateway/src/streams/StreamOriginLookup.ts
@@ -35,8 +35,8 @@
   ): Promise<OriginLookup>;
 }
 
-/** Callers wait for a time of their own, so this only bounds the call. */
-const callTimeoutMs = 1_500;
+/** Callers wait no longer, and each one joined a read before it started. */
+export const maxOriginLookupMs = 500;
 
 /** What the store showed. */
 interface OriginView {
@@ -74,7 +74,7 @@
   async function read(
     serviceLists: readonly (readonly ServiceName[])[],
   ): Promise<OriginView | string> {
-    const listed = await store.readVersionHistories(callTimeoutMs);
+    const listed = await store.readVersionHistories(maxOriginLookupMs);
     if (listed.isErr()) return listed.error.message;
     const {era, histories} = listed.value;
     if (history.observe(era) === 'outdated')
@@ -96,7 +96,7 @@
       services => onlyOriginOf(services, onlyOrigins) === undefined,
     );
     if (!needsRecords) return {onlyOrigins, records};
-    const recorded = await store.readStreamRecords(callTimeoutMs);
+    const recorded = await store.readStreamRecords(maxOriginLookupMs);
     if (recorded.isErr()) return recorded.error.message;
     if (recorded.value.era !== era) return 'the store came back from a copy';
     for (const {hash, origin} of recorded.value.records) {
