--- a/packages/gateway/src/__tests__/unit/StreamOrigins.test.ts
+++ b/packages/gateway/src/__tests__/unit/StreamOrigins.test.ts
@@ -1,4 +1,8 @@
-import {toServiceName, toSoftwareVersion} from '@toucanrouter/common';
+import {
+  createManualClock,
+  toServiceName,
+  toSoftwareVersion,
+} from '@toucanrouter/common';
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {
@@ -6,6 +10,7 @@
   chat,
   createOriginScene,
   retentionMs,
+  startInstance,
   v1,
   v2,
 } from './StreamOriginFixtures.js';
@@ -82,6 +87,23 @@
     stopAll();
   });
 
+  // Guards against a guess at the listed version for a stream that began at
+  // another one because no upstream of the listed version was left.
+  it('does not rely on a list that lacks a version it has seen', async () => {
+    const scene = createOriginScene();
+    const first = scene.start({id: 'a'});
+    const second = scene.start({id: 'bb'});
+    await scene.advance(1_000);
+    scene.origins.addConflicts(1_000);
+    scene.setVersions(v2);
+    expect(first.mayBegin(v2)).to.equal(false);
+    first.begin('r1', v2);
+    expect(await second.find('other')).to.equal(undefined);
+    expect(await second.find('r1')).to.equal(v2);
+    expect(scene.origins.versionsOf(chat)).to.deep.equal([v1]);
+    scene.stopAll();
+  });
+
   // Guards against origins that are lost with the memory of all instances, and
   // with the last upstream of a version.
   it('finds origins after all instances were restarted', async () => {
@@ -141,6 +163,28 @@
     scene.stopAll();
   });
 
+  // Guards against a version that is dropped although it came and went while the
+  // process of an instance stood still.
+  it('counts no time in which its process stood still', async () => {
+    const scene = await createTwoVersions();
+    const ownClock = createManualClock(scene.clock.nowMs());
+    let pausedMs = 0;
+    const pausing = {...ownClock, nowMs: () => ownClock.nowMs() + pausedMs};
+    let seen = [v1, v2];
+    const paused = startInstance(pausing, scene.origins, () => seen, {id: 'c'});
+    await advance(ownClock, 1_000);
+    seen = [v2];
+    await advance(ownClock, 2_000);
+    scene.first.begin('r1', v1);
+    await scene.advance(500);
+    pausedMs = retentionMs;
+    await advance(ownClock, 2_000);
+    expect(scene.origins.versionsOf(chat)).to.have.members([v1, v2]);
+    expect(await scene.second.find('r1')).to.equal(v1);
+    paused.stop();
+    scene.stopAll();
+  });
+
   // Guards against records without end in the store.
   it('lets records expire', async () => {
     const {advance, first, second, stopAll} = await createTwoVersions();
@@ -169,6 +213,21 @@
     stopAll();
   });
 
+  // Guards against streams that are refused because an earlier read, for which
+  // no caller waits any more, has no response.
+  it('does not wait long for a read without a response', async () => {
+    const {advance, first, origins, second, stopAll} =
+      await createTwoVersions();
+    first.begin('r1', v1);
+    await advance(500);
+    origins.setDelayMs(3_000);
+    void second.archive.find(undefined, [chat], 500);
+    await advance(50);
+    origins.setDelayMs(0);
+    expect(await second.find('r1')).to.equal(v1);
+    stopAll();
+  });
+
   // Guards against records that are lost because the store was away when their
   // streams began.
   it('writes records once the store is back', async () => {
--- a/packages/gateway/src/streams/StreamOriginLookup.ts
+++ b/packages/gateway/src/streams/StreamOriginLookup.ts
@@ -9,6 +9,7 @@
   StateStore,
   StoredVersionHistory,
   StreamHash,
+  VersionHistory,
 } from '../state/StateStore.js';
 import type {StoreHistory} from '../state/StoreHistory.js';
 import type {OriginLookup, StreamOrigin} from './StreamOrigins.js';
@@ -22,6 +23,8 @@
     'readStreamRecords' | 'readVersionHistories'
   >;
   readonly history: StoreHistory;
+  /** False if a version is known that a list lacks. */
+  readonly coversSeen: (history: VersionHistory) => boolean;
 }
 
 /** Reads origins from the store. */
@@ -32,8 +35,8 @@
   ): Promise<OriginLookup>;
 }
 
-/** Callers wait for a time of their own, so this only bounds the call. */
-const callTimeoutMs = 1_500;
+/** Callers wait no longer, and each one joined a read before it started. */
+export const maxOriginLookupMs = 500;
 
 /** What the store showed. */
 interface OriginView {
@@ -71,7 +74,7 @@
   async function read(
     serviceLists: readonly (readonly ServiceName[])[],
   ): Promise<OriginView | string> {
-    const listed = await store.readVersionHistories(callTimeoutMs);
+    const listed = await store.readVersionHistories(maxOriginLookupMs);
     if (listed.isErr()) return listed.error.message;
     const {era, histories} = listed.value;
     if (history.observe(era) === 'outdated')
@@ -82,7 +85,8 @@
         const [softwareVersion, ...others] = versions;
         return softwareVersion === undefined ||
           others.length > 0 ||
-          !isConfirmed(stored, era)
+          !isConfirmed(stored, era) ||
+          !options.coversSeen(stored)
           ? []
           : [[service, {service, softwareVersion}] as const];
       }),
@@ -92,7 +96,7 @@
       services => onlyOriginOf(services, onlyOrigins) === undefined,
     );
     if (!needsRecords) return {onlyOrigins, records};
-    const recorded = await store.readStreamRecords(callTimeoutMs);
+    const recorded = await store.readStreamRecords(maxOriginLookupMs);
     if (recorded.isErr()) return recorded.error.message;
     if (recorded.value.era !== era) return 'the store came back from a copy';
     for (const {hash, origin} of recorded.value.records) {
--- a/packages/gateway/src/streams/VersionHistoryKeeper.ts
+++ b/packages/gateway/src/streams/VersionHistoryKeeper.ts
@@ -52,6 +52,8 @@
 export interface VersionHistoryKeeper {
   /** True if the store is known to list the version. */
   isListed(origin: StreamOrigin): boolean;
+  /** False if this instance has seen a version that a list lacks. */
+  coversSeen(history: VersionHistory): boolean;
   /** True if the origins of all streams follow from the list of a service. */
   isSingle(service: ServiceName): boolean;
   /** Handles an upstream that was added or has changed. */
@@ -68,6 +70,8 @@
 /** Spreads the writes of instances that see a new version at the same time. */
 const maxWriteDelayMs = 150;
 const sweepIntervalMs = 1_000;
+/** After a longer time the process stood still and followed nothing. */
+const maxSweepGapMs = 3_000;
 
 interface ServiceState {
   /** The list in the present history of the store. */
@@ -94,6 +98,7 @@
   const {clock, history, logger, store} = options;
   const states = new Map<ServiceName, ServiceState>();
   let historyBeganAtMs = clock.nowMs();
+  let lastSweepAtMs = clock.nowMs();
   let hasWarned = false;
   let closed = false;
 
@@ -147,6 +152,12 @@
     );
   }
 
+  /** A stream may begin at an unlisted version if no other upstream is left. */
+  function coversSeen({service, versions}: VersionHistory): boolean {
+    const seen = states.get(service)?.lastSeenMs.keys() ?? [];
+    return [...seen].every(version => versions.includes(version));
+  }
+
   function isUpToDate(state: ServiceState): boolean {
     const {listed} = state;
     if (listed === undefined) return state.lastSeenMs.size === 0;
@@ -235,7 +246,9 @@
   }
 
   function sweep(): void {
-    const isInSync = options.isInSync();
+    const stoodStill = clock.nowMs() - lastSweepAtMs > maxSweepGapMs;
+    lastSweepAtMs = clock.nowMs();
+    const isInSync = options.isInSync() && !stoodStill;
     for (const [service, state] of states) {
       noteUsable(service, state);
       for (const [version, seenMs] of state.lastSeenMs) {
@@ -267,12 +280,14 @@
   return {
     isListed: ({service, softwareVersion}) =>
       states.get(service)?.listed?.versions.includes(softwareVersion) ?? false,
+    coversSeen,
     isSingle: service => {
       const listed = states.get(service)?.listed;
       return (
         listed !== undefined &&
         listed.versions.length === 1 &&
-        isConfirmed(listed, history.era())
+        isConfirmed(listed, history.era()) &&
+        coversSeen(listed)
       );
     },
     upstreamAdded: entry => {
