daemon: limit what one read of an upstream's socket returns

Each pause of a response returns the rest to the socket, and the next read takes all of it and asks for more, so the buffer grows with each pause of a slow reader, and each read copies it. The daemon's connections lacked the limit.

Measured: the new test of UpstreamSocket reads 300 batches of events without end slowly.

--- a/packages/daemon/src/__tests__/unit/UpstreamSocket.test.ts
+++ b/packages/daemon/src/__tests__/unit/UpstreamSocket.test.ts
@@ -1,8 +1,16 @@
+import {subscribe, unsubscribe} from 'node:diagnostics_channel';
 import type {AddressInfo, Socket} from 'node:net';
 import {createServer} from 'node:net';
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {
+  createPieceLimit,
+  maxBatchBytes,
+  readBatches,
+} from '@toucanrouter/common';
 import {expect} from 'chai';
 import {Agent} from 'undici';
 import {connectUpstream} from '../../request/UpstreamSocket.js';
+import {writeWithoutEnd} from './SmallPiecesFixture.js';
 
 type Close = (socket: Socket, text: string) => void;
 
@@ -40,6 +48,48 @@
   return bodies;
 }
 
+const readBatchesCount = 300;
+const maxSocketBytes = 256 * 1024;
+
+/** Reads events without end slowly; returns the most that the socket held. */
+async function readSlowly(): Promise<number> {
+  const server = createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n');
+      writeWithoutEnd(socket, 'data: a\n\n');
+    });
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const origin = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const agent = new Agent({pipelining: 1, connect: connectUpstream});
+  let socket: Socket | undefined;
+  const onConnected = (message: unknown) => {
+    socket = (message as {socket: Socket}).socket;
+  };
+  subscribe('undici:client:connected', onConnected);
+  const {body} = await agent.request({
+    origin,
+    path: '/',
+    method: 'GET',
+    highWaterMark: maxBatchBytes,
+  });
+  unsubscribe('undici:client:connected', onConnected);
+  const pieces = createPieceLimit();
+  let batchesCount = 0;
+  let heldBytes = 0;
+  for await (const batch of readBatches(body, pieces)) {
+    if (batch.length > 0) pieces.reset();
+    await nextTurn();
+    heldBytes = Math.max(heldBytes, socket?.readableLength ?? Infinity);
+    batchesCount += 1;
+    if (batchesCount === readBatchesCount) break;
+  }
+  await agent.destroy();
+  server.close();
+  return heldBytes;
+}
+
 const undelimited = 'HTTP/1.1 200 OK\r\n\r\nabc';
 
 describe('UpstreamSocket', () => {
@@ -97,4 +147,10 @@
       }
     }
   });
+
+  // Guards against a buffer that grows with each pause of the reader, as streams
+  // without end make it do.
+  it('holds little of a response that is read slowly', async () => {
+    expect(await readSlowly()).to.be.below(maxSocketBytes);
+  });
 });
--- a/packages/daemon/src/request/UpstreamSocket.ts
+++ b/packages/daemon/src/request/UpstreamSocket.ts
@@ -4,6 +4,7 @@
  * if that connection was closed cleanly.
  */
 import {Socket} from 'node:net';
+import {limitReads} from '@toucanrouter/common';
 import type {buildConnector} from 'undici';
 import {errors} from 'undici';
 
@@ -47,6 +48,7 @@
 /** Opens a connection to an upstream. */
 export const connectUpstream: buildConnector.connector = (options, done) => {
   const socket = new UpstreamSocket();
+  limitReads(socket);
   socket.setNoDelay(true);
   socket.setKeepAlive(true, tcpKeepAliveDelayMs);
   const fail = (error: Error) => {
