--- a/packages/gateway/src/__tests__/process/EndlessPieces.test.ts
+++ b/packages/gateway/src/__tests__/process/EndlessPieces.test.ts
@@ -11,6 +11,7 @@
 
 const host = '127.0.0.1';
 const endlessCallsCount = 8;
+const manyEndlessCallsCount = 200;
 const unendedHeadsCount = 100;
 const headerLines = 'a:\r\n'.repeat(16_000);
 const soundCallsCount = 20;
@@ -173,6 +174,11 @@
       playBeside(endlessCallsCount, headFor, piece, 'streams'));
   }
 
+  // Guards against requests that get no answer in time because the pieces of many
+  // responses take all of the processor time.
+  it('serves others beside many responses in chunks of one byte', () =>
+    playBeside(manyEndlessCallsCount, id => headOf(id, chunked), '1\r\na\r\n'));
+
   // Guards against a heap that is filled by the objects of short header lines.
   it('survives heads of many short lines and serves others', () =>
     playBeside(unendedHeadsCount, id =>
