gateway: verify the version of an upstream that is asked beside a stalled stream

Cause: the choice beside a stalled attempt trusted the entry that the watch showed last, so an upstream that has restarted under its id with other software could go on with the stream (found by reading, in the review). Its entry is read from the store while the attempt starts; if it shows another process, the registry does too when the first event arrives, which is then not passed on.

Measured: the new test of StreamVersions was joined from both upstreams before, and waits for the stalled one now; all 20 of the file pass.

--- a/packages/gateway/src/__tests__/unit/StreamVersions.test.ts
+++ b/packages/gateway/src/__tests__/unit/StreamVersions.test.ts
@@ -89,6 +89,35 @@
     expect(calls).to.have.length(1);
   });
 
+  // Guards against an upstream that is asked beside a stalled stream although it
+  // has restarted under its id with other software.
+  it('does not go on beside a stall at an upstream that was replaced', async () => {
+    let begunAt: number | undefined;
+    const gateway = await startVersionedGateway({
+      versions: ['v1', 'v1'],
+      behave: call => {
+        begunAt ??= call.index;
+        stallFirst(call);
+      },
+      changes: {
+        readUpstream: id =>
+          Promise.resolve(
+            id === `u${begunAt}`
+              ? undefined
+              : createEntry(id, {
+                  startedAtMs: 2,
+                  softwareVersion: toSoftwareVersion('v2'),
+                }),
+          ),
+      },
+    });
+    const response = await gateway.send('r1');
+    await gateway.close();
+    expect(response.complete).to.equal(true);
+    expect(eventIdsOf(response.body)).to.deep.equal(allIds);
+    expect(writersOf(response.body)).to.deep.equal([begunAt]);
+  });
+
   // Guards against a stalled stream that waits although its version is left.
   it('goes on beside a stall at an upstream of its version', async () => {
     const versions = ['v1', 'v2', 'v1', 'v2'];
--- a/packages/gateway/src/request/GatewayRequest.ts
+++ b/packages/gateway/src/request/GatewayRequest.ts
@@ -516,6 +516,8 @@
       return logUnhedged(stalled, 'the retry budget is exhausted');
     }
     progress.lastEventId = lastEventId ?? progress.lastEventId;
+    // The registry shows a replaced upstream before its first event is passed on.
+    void stream?.verify(next.candidate.entry, remainingMs());
     logger.info('attempt has stalled; another upstream is asked as well', {
       requestId: request.requestId,
       stalled: stalled.candidate.entry.id,
