common, gateway, daemon: errors that name the limit or the version

A body that exceeded a limit told two limits at once, a rejection that was too long was said not to end, an entry that could not be verified with the store left no line, and a response whose version is gone did not name it. No limit changes.

--- a/packages/common/src/LimitedBody.ts
+++ b/packages/common/src/LimitedBody.ts
@@ -5,6 +5,7 @@
  * closed with its connection.
  */
 import type {Readable} from 'node:stream';
+import type {ByteCollector} from './ByteCollector.js';
 import {createByteCollector} from './ByteCollector.js';
 import type {PieceLimit} from './PieceLimit.js';
 import {createPieceLimit} from './PieceLimit.js';
@@ -25,6 +26,13 @@
   }
 }
 
+/** A body was closed because it has too many bytes. */
+class BodySizeError extends Error {
+  constructor(maxBytes: number) {
+    super(`the body exceeds ${maxBytes} bytes`);
+  }
+}
+
 function closedError(): Error {
   return new Error('the body was closed before its end');
 }
@@ -90,41 +98,48 @@
   }
 }
 
-/**
- * Reads a body up to `maxBytes`; `onSize` is told how much is held. Rejects if
- * the body breaks.
- */
+/** Adds a body to a collector; throws if the body breaks or exceeds a limit. */
+async function collectBody(
+  body: Readable,
+  collector: ByteCollector,
+  maxBytes: number,
+  onSize: (bytes: number) => void,
+): Promise<void> {
+  for await (const batch of readBatches(body, createPieceLimit())) {
+    const freeBytes = maxBytes - collector.sizeBytes;
+    collector.add(batch.subarray(0, freeBytes));
+    if (batch.length > freeBytes) throw new BodySizeError(maxBytes);
+    onSize(collector.sizeBytes);
+  }
+}
+
+/** Reads a body up to its end or a limit. Rejects if the body breaks. */
 export async function readLimitedBody(
   body: Readable,
   maxBytes: number,
-  onSize: (bytes: number) => void = () => undefined,
 ): Promise<LimitedBody> {
   const collector = createByteCollector();
   try {
-    for await (const batch of readBatches(body, createPieceLimit())) {
-      const freeBytes = maxBytes - collector.sizeBytes;
-      collector.add(batch.subarray(0, freeBytes));
-      if (batch.length > freeBytes) {
-        return {bytes: collector.take(), complete: false};
-      }
-      onSize(collector.sizeBytes);
-    }
+    await collectBody(body, collector, maxBytes, () => undefined);
+    return {bytes: collector.take(), complete: true};
   } catch (cause) {
-    if (!(cause instanceof PieceLimitError)) throw cause;
+    const isLimit =
+      cause instanceof PieceLimitError || cause instanceof BodySizeError;
+    if (!isLimit) throw cause;
     return {bytes: collector.take(), complete: false};
   }
-  return {bytes: collector.take(), complete: true};
 }
 
-/** Reads a body like `readLimitedBody`; rejects if it exceeds a limit. */
+/**
+ * Reads a whole body; `onSize` is told how much is held. Rejects if the body
+ * breaks or exceeds a limit.
+ */
 export async function readWholeBody(
   body: Readable,
   maxBytes: number,
-  onSize?: (bytes: number) => void,
+  onSize: (bytes: number) => void = () => undefined,
 ): Promise<Buffer> {
-  const {bytes, complete} = await readLimitedBody(body, maxBytes, onSize);
-  if (complete) return bytes;
-  throw new Error(
-    `the body exceeds ${maxBytes} bytes or consists of too many small pieces`,
-  );
+  const collector = createByteCollector();
+  await collectBody(body, collector, maxBytes, onSize);
+  return collector.take();
 }
--- a/packages/daemon/src/request/chat/ChatCall.ts
+++ b/packages/daemon/src/request/chat/ChatCall.ts
@@ -96,7 +96,7 @@
       if (exchange.signal.aborted || hasUpstreamToGoOn(state)) {
         return err(permitError(exchange, granted.error));
       }
-      if (!discardResponse(state)) return err(versionGoneError());
+      if (!discardResponse(state)) return err(versionGoneError(state));
       start = 'fresh';
       continue;
     }
@@ -117,8 +117,9 @@
   }
 }
 
-function versionGoneError(): RouterError {
-  const message = 'no upstream of the version that began the response is left';
+function versionGoneError({origin}: ChatState): RouterError {
+  const version = origin?.softwareVersion ?? 'not named';
+  const message = `no upstream is left that may go on with the response (software version: ${version})`;
   return new RouterError('answer_incomplete', message);
 }
 
@@ -182,7 +183,7 @@
   const nextAttempt = () => ++state.permitsRequested;
   await waitForSameEngine(state, start);
   for (;;) {
-    if (!hasUpstreamToGoOn(state)) return err(versionGoneError());
+    if (!hasUpstreamToGoOn(state)) return err(versionGoneError(state));
     const started = transcript.tokens > 0;
     const refusal = access.promptGuard.check(state.request.sharedSegments);
     if (refusal !== undefined) return err(refusal);
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -360,8 +360,15 @@
     upstreamNotices,
     upstreamRates,
     streamOrigins,
-    readUpstream: async (id, timeoutMs) =>
-      (await store.readUpstream(id, timeoutMs)).unwrapOr(undefined),
+    readUpstream: async (id, timeoutMs) => {
+      const read = await store.readUpstream(id, timeoutMs);
+      if (read.isOk()) return read.value;
+      logger.info(
+        'the entry of an upstream could not be verified; the known one counts',
+        {upstream: id, reason: read.error.message},
+      );
+      return undefined;
+    },
     onTakeUpEnded: outcome => metrics.observeTakeUp(outcome),
     retryBudget: retryBudgetOf,
     isDraining: () => draining,
--- a/packages/gateway/src/request/BufferedBody.ts
+++ b/packages/gateway/src/request/BufferedBody.ts
@@ -40,7 +40,7 @@
       readBytes += chunk.length;
       return piecesCount > maxRejectionPiecesCount ||
         readBytes > maxRejectionBodyBytes
-        ? 'the body of a rejection does not end'
+        ? `the body of a rejection exceeds ${maxRejectionBodyBytes} bytes or ${maxRejectionPiecesCount} pieces`
         : undefined;
     },
     take: () => Buffer.alloc(0),
