gateway, platform: call the list of software versions a list

Code called it a version history, its comments and docs/design.md a list, and the same modules use the history of the store, which is something else. No behaviour changes; tests keep their assertions, with the new names.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -308,8 +308,8 @@
     peers,
     onVerdict: verdictArchive.receive,
     onVerdictRemoved: verdictArchive.receiveRemoval,
-    onVersionHistory: streamOrigins.receive,
-    onVersionHistoryRemoved: streamOrigins.receiveRemoval,
+    onVersionList: streamOrigins.receive,
+    onVersionListRemoved: streamOrigins.receiveRemoval,
     onOwnEntryRemoved: registration.entryRemoved,
     changeDelayMs: () =>
       Math.min(settings.configDelayMs, settings.leavingDelayMs),
--- a/packages/gateway/src/__tests__/unit/RestoredStoreFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/RestoredStoreFixtures.ts
@@ -89,7 +89,7 @@
         ? {kind: 'service_versions_removed', service: name}
         : {
             kind: 'service_versions',
-            history: {service: name, versions, era: undefined},
+            list: {service: name, versions, era: undefined},
           };
     }
     case 'verdict': {
@@ -259,9 +259,9 @@
     configAge,
     registry,
     peers,
-    onVersionHistory: ({service, versions}) =>
+    onVersionList: ({service, versions}) =>
       versionEvents.push(`${service}: ${versions.join(' ')}`),
-    onVersionHistoryRemoved: service => versionEvents.push(`${service}: none`),
+    onVersionListRemoved: service => versionEvents.push(`${service}: none`),
     onVerdict: () => verdictEvents.push('verdict'),
     onVerdictRemoved: () => verdictEvents.push('removed'),
     onOwnEntryRemoved: () => {
--- a/packages/gateway/src/__tests__/unit/StreamOriginFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/StreamOriginFixtures.ts
@@ -20,10 +20,10 @@
 import {createLogger} from '@toucanrouter/logging';
 import {err, errAsync, ok, ResultAsync} from 'neverthrow';
 import type {
-  StoredVersionHistory,
+  StoredVersionList,
   StreamOriginStore,
   StreamRecordBatch,
-  VersionHistory,
+  VersionList,
 } from '../../state/StateStore.js';
 import {toStoreEra} from '../../state/StateStore.js';
 import {createStoreHistory} from '../../state/StoreHistory.js';
@@ -52,8 +52,8 @@
 
 /** A store that holds nothing, for tests of other matters. */
 export const emptyOriginStore: StreamOriginStore = {
-  readVersionHistories: () => errAsync(notReachable()),
-  writeVersionHistory: () => errAsync(notReachable()),
+  readVersionLists: () => errAsync(notReachable()),
+  writeVersionList: () => errAsync(notReachable()),
   readStreamRecords: () => errAsync(notReachable()),
   writeStreamRecords: () => errAsync(notReachable()),
 };
@@ -71,7 +71,7 @@
 }
 
 interface Copy {
-  readonly histories: ReadonlyMap<ServiceName, StoredVersionHistory>;
+  readonly lists: ReadonlyMap<ServiceName, StoredVersionList>;
   readonly batches: ReadonlyMap<string, StoredBatch>;
 }
 
@@ -82,7 +82,7 @@
   let isReachable = true;
   let delayMs = 0;
   let conflictsLeft = 0;
-  let histories = new Map<ServiceName, StoredVersionHistory>();
+  let lists = new Map<ServiceName, StoredVersionList>();
   let batches = new Map<string, StoredBatch>();
   const calls: string[] = [];
   const followers = new Set<() => void>();
@@ -106,18 +106,18 @@
   };
 
   const store: StreamOriginStore = {
-    readVersionHistories: timeoutMs =>
+    readVersionLists: timeoutMs =>
       call('read versions', timeoutMs, () => ({
-        histories: [...histories.values()],
+        lists: [...lists.values()],
         era: toStoreEra(era),
       })),
-    writeVersionHistory: (history, timeoutMs) =>
+    writeVersionList: (list, timeoutMs) =>
       call('write versions', timeoutMs, () => {
-        const current = histories.get(history.service)?.revision ?? 0;
-        const isWritten = conflictsLeft === 0 && current === history.revision;
+        const current = lists.get(list.service)?.revision ?? 0;
+        const isWritten = conflictsLeft === 0 && current === list.revision;
         if (isWritten) {
           revision += 1;
-          histories.set(history.service, {...history, revision});
+          lists.set(list.service, {...list, revision});
           notify();
         }
         conflictsLeft = Math.max(0, conflictsLeft - 1);
@@ -145,9 +145,9 @@
     countOf: (name: string) => calls.filter(call => call === name).length,
     era: () => toStoreEra(era),
     isReachable: () => isReachable,
-    histories: (): readonly VersionHistory[] => [...histories.values()],
+    lists: (): readonly VersionList[] => [...lists.values()],
     versionsOf: (service: ServiceName): readonly SoftwareVersion[] =>
-      histories.get(service)?.versions ?? [],
+      lists.get(service)?.versions ?? [],
     follow: (run: () => void) => {
       followers.add(run);
       return () => followers.delete(run);
@@ -164,12 +164,12 @@
       conflictsLeft += count;
     },
     copy: (): Copy => ({
-      histories: new Map(histories),
+      lists: new Map(lists),
       batches: new Map(batches),
     }),
     restore: (copy: Copy) => {
       era += 1;
-      histories = new Map(copy.histories);
+      lists = new Map(copy.lists);
       batches = new Map(copy.batches);
       notify();
     },
@@ -230,7 +230,7 @@
   function readState(): void {
     if (isStopped || !origins.isReachable()) return;
     history.observe(origins.era());
-    for (const stored of origins.histories()) archive.receive(stored);
+    for (const stored of origins.lists()) archive.receive(stored);
   }
   const stopFollowing = origins.follow(() => {
     clock.after(watchDelayMs, readState);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -39,13 +39,13 @@
   StoredItem,
   StoreEra,
   ConditionalWrite,
-  StoredVersionHistory,
+  StoredVersionList,
   StreamHash,
   StreamRecord,
   StreamRecordBatch,
   StreamRecords,
-  VersionHistories,
-  VersionHistory,
+  VersionLists,
+  VersionList,
   WatchResult,
 } from './state/StateStore.js';
 export {toStoreEra, toStreamHash} from './state/StateStore.js';
--- a/packages/gateway/src/state/StateStore.ts
+++ b/packages/gateway/src/state/StateStore.ts
@@ -40,7 +40,7 @@
     }
   | {readonly kind: 'verdict'; readonly verdict: StoredVerdict}
   | {readonly kind: 'verdict_removed'; readonly segment: SegmentHash}
-  | {readonly kind: 'service_versions'; readonly history: VersionHistory}
+  | {readonly kind: 'service_versions'; readonly list: VersionList}
   | {readonly kind: 'service_versions_removed'; readonly service: ServiceName}
   /** A value that cannot be decoded; `id` is set for the entry of an upstream. */
   | {
@@ -102,7 +102,7 @@
  * The software versions of a service that may have begun streams which callers
  * can still take up.
  */
-export interface VersionHistory {
+export interface VersionList {
   readonly service: ServiceName;
   readonly versions: readonly SoftwareVersion[];
   /**
@@ -112,14 +112,14 @@
   readonly era: StoreEra | undefined;
 }
 
-/** A version history as the store holds it; revision 0 if it holds none. */
-export interface StoredVersionHistory extends VersionHistory {
+/** A version list as the store holds it; revision 0 if it holds none. */
+export interface StoredVersionList extends VersionList {
   readonly revision: number;
 }
 
-/** All version histories at one time. */
-export interface VersionHistories {
-  readonly histories: readonly StoredVersionHistory[];
+/** All version lists at one time. */
+export interface VersionLists {
+  readonly lists: readonly StoredVersionList[];
   readonly era: StoreEra | undefined;
 }
 
@@ -154,12 +154,10 @@
 
 /** Keeps the origins of streams beyond the life of the instances. */
 export interface StreamOriginStore {
-  readVersionHistories(
-    timeoutMs: number,
-  ): ResultAsync<VersionHistories, PlatformError>;
-  /** Writes a history unless it changed since `history.revision`. */
-  writeVersionHistory(
-    history: StoredVersionHistory,
+  readVersionLists(timeoutMs: number): ResultAsync<VersionLists, PlatformError>;
+  /** Writes a list unless it changed since `list.revision`. */
+  writeVersionList(
+    list: StoredVersionList,
     timeoutMs: number,
   ): ResultAsync<ConditionalWrite, PlatformError>;
   readStreamRecords(
--- a/packages/gateway/src/state/StateSync.ts
+++ b/packages/gateway/src/state/StateSync.ts
@@ -36,7 +36,7 @@
   StoredItem,
   StoredVerdict,
   StoreEra,
-  VersionHistory,
+  VersionList,
 } from './StateStore.js';
 import type {
   EndedAbsence,
@@ -61,8 +61,8 @@
   readonly peers: PeerDirectory;
   readonly onVerdict: (verdict: StoredVerdict) => void;
   readonly onVerdictRemoved: (segment: SegmentHash) => void;
-  readonly onVersionHistory: (history: VersionHistory) => void;
-  readonly onVersionHistoryRemoved: (service: ServiceName) => void;
+  readonly onVersionList: (list: VersionList) => void;
+  readonly onVersionListRemoved: (service: ServiceName) => void;
   /** Called when the store no longer holds the entry of this instance. */
   readonly onOwnEntryRemoved?: (() => void) | undefined;
   /** Time within which a change in the store must be in force. */
@@ -236,10 +236,10 @@
         );
         return;
       case 'service_versions':
-        options.onVersionHistory(change.history);
+        options.onVersionList(change.list);
         return;
       case 'service_versions_removed':
-        options.onVersionHistoryRemoved(change.service);
+        options.onVersionListRemoved(change.service);
         return;
       case 'unreadable':
         logger.warn('a value in the store cannot be decoded and is not used', {
--- a/packages/gateway/src/streams/StreamOriginArchive.ts
+++ b/packages/gateway/src/streams/StreamOriginArchive.ts
@@ -12,13 +12,13 @@
   ServiceName,
 } from '@toucanrouter/common';
 import type {Logger} from '@toucanrouter/logging';
-import type {StreamOriginStore, VersionHistory} from '../state/StateStore.js';
+import type {StreamOriginStore, VersionList} from '../state/StateStore.js';
 import type {StoreHistory} from '../state/StoreHistory.js';
 import type {UpstreamEntry} from '../upstreams/UpstreamEntry.js';
 import {createStreamOriginLookup} from './StreamOriginLookup.js';
 import type {OriginLookup, StreamOrigins} from './StreamOrigins.js';
 import {createStreamRecorder, streamHashOf} from './StreamRecorder.js';
-import {createVersionHistoryKeeper} from './VersionHistoryKeeper.js';
+import {createVersionListKeeper} from './VersionListKeeper.js';
 
 /** Options of an archive. */
 export interface StreamOriginsOptions {
@@ -39,7 +39,7 @@
 /** Origins that follow the state of the store until they are closed. */
 export interface StreamOriginArchive extends StreamOrigins {
   upstreamAdded(entry: UpstreamEntry): void;
-  receive(history: VersionHistory): void;
+  receive(list: VersionList): void;
   receiveRemoval(service: ServiceName): void;
   /** Handles a change of the routes. */
   routesChanged(): void;
@@ -57,7 +57,7 @@
   const {clock} = options;
   const retentionMs = () =>
     Math.max(minRetentionMs, options.longestTimeoutMs() + takeUpReserveMs);
-  const versions = createVersionHistoryKeeper({
+  const versions = createVersionListKeeper({
     ...options,
     retentionMs,
     onChange: () => recorder.recordedChanged(),
--- a/packages/gateway/src/streams/StreamOriginLookup.ts
+++ b/packages/gateway/src/streams/StreamOriginLookup.ts
@@ -7,24 +7,21 @@
 import type {ServiceName} from '@toucanrouter/common';
 import type {
   StateStore,
-  StoredVersionHistory,
+  StoredVersionList,
   StreamHash,
-  VersionHistory,
+  VersionList,
 } from '../state/StateStore.js';
 import type {StoreHistory} from '../state/StoreHistory.js';
 import type {OriginLookup, StreamOrigin} from './StreamOrigins.js';
 import {mergeOrigins} from './StreamRecorder.js';
-import {isConfirmed} from './VersionHistoryKeeper.js';
+import {isConfirmed} from './VersionListKeeper.js';
 
 /** Options of a lookup. */
 export interface StreamOriginLookupOptions {
-  readonly store: Pick<
-    StateStore,
-    'readStreamRecords' | 'readVersionHistories'
-  >;
+  readonly store: Pick<StateStore, 'readStreamRecords' | 'readVersionLists'>;
   readonly history: StoreHistory;
   /** False if a version is known that a list lacks. */
-  readonly coversSeen: (history: VersionHistory) => boolean;
+  readonly coversSeen: (list: VersionList) => boolean;
 }
 
 /** Reads origins from the store. */
@@ -74,13 +71,13 @@
   async function read(
     serviceLists: readonly (readonly ServiceName[])[],
   ): Promise<OriginView | string> {
-    const listed = await store.readVersionHistories(maxOriginLookupMs);
+    const listed = await store.readVersionLists(maxOriginLookupMs);
     if (listed.isErr()) return listed.error.message;
-    const {era, histories} = listed.value;
+    const {era, lists} = listed.value;
     if (history.observe(era) === 'outdated')
       return 'the store shows an old era';
     const onlyOrigins = new Map(
-      histories.flatMap((stored: StoredVersionHistory) => {
+      lists.flatMap((stored: StoredVersionList) => {
         const {service, versions} = stored;
         const [softwareVersion, ...others] = versions;
         return softwareVersion === undefined ||
--- a/packages/gateway/src/streams/VersionHistoryKeeper.ts
+++ b/packages/gateway/src/streams/VersionListKeeper.ts
@@ -19,9 +19,9 @@
 import {restoredEntryGraceMs} from '../state/RestoredState.js';
 import type {
   StateStore,
-  StoredVersionHistory,
+  StoredVersionList,
   StoreEra,
-  VersionHistory,
+  VersionList,
 } from '../state/StateStore.js';
 import type {StoreHistory} from '../state/StoreHistory.js';
 import type {UpstreamEntry} from '../upstreams/UpstreamEntry.js';
@@ -29,14 +29,11 @@
 import {streamVersionOf} from './StreamVersion.js';
 
 /** Options of a keeper. */
-export interface VersionHistoryKeeperOptions {
+export interface VersionListKeeperOptions {
   readonly clock: Clock;
   readonly logger: Logger;
   readonly random: RandomSource;
-  readonly store: Pick<
-    StateStore,
-    'readVersionHistories' | 'writeVersionHistory'
-  >;
+  readonly store: Pick<StateStore, 'readVersionLists' | 'writeVersionList'>;
   readonly history: StoreHistory;
   /** Upstreams of a service at which streams may begin. */
   readonly usable: (service: ServiceName) => readonly UpstreamEntry[];
@@ -49,17 +46,17 @@
 }
 
 /** Keeps the lists until it is closed. */
-export interface VersionHistoryKeeper {
+export interface VersionListKeeper {
   /** True if the store is known to list the version. */
   isListed(origin: StreamOrigin): boolean;
   /** False if this instance has seen a version that a list lacks. */
-  coversSeen(history: VersionHistory): boolean;
+  coversSeen(list: VersionList): boolean;
   /** True if the origins of all streams follow from the list of a service. */
   isSingle(service: ServiceName): boolean;
   /** Handles an upstream that was added or has changed. */
   upstreamAdded(entry: UpstreamEntry): void;
   /** Handles a list that was read from the store. */
-  receive(history: VersionHistory): void;
+  receive(list: VersionList): void;
   receiveRemoval(service: ServiceName): void;
   close(): void;
 }
@@ -75,7 +72,7 @@
 
 interface ServiceState {
   /** The list in the present history of the store. */
-  listed: VersionHistory | undefined;
+  listed: VersionList | undefined;
   /** When each version was last known to begin streams. */
   readonly lastSeenMs: Map<SoftwareVersion, number>;
   /** True if this instance knew the list before the store came from a copy. */
@@ -85,16 +82,16 @@
 
 /** Returns whether a list is complete in the era of the store that shows it. */
 export function isConfirmed(
-  history: VersionHistory,
+  list: VersionList,
   storeEra: StoreEra | undefined,
 ): boolean {
-  return storeEra === undefined || history.era === storeEra;
+  return storeEra === undefined || list.era === storeEra;
 }
 
 /** Creates a keeper that knows no lists. */
-export function createVersionHistoryKeeper(
-  options: VersionHistoryKeeperOptions,
-): VersionHistoryKeeper {
+export function createVersionListKeeper(
+  options: VersionListKeeperOptions,
+): VersionListKeeper {
   const {clock, history, logger, store} = options;
   const states = new Map<ServiceName, ServiceState>();
   let historyBeganAtMs = clock.nowMs();
@@ -131,9 +128,9 @@
   /** Returns what the store should hold in place of `current`. */
   function wantedFor(
     state: ServiceState,
-    current: StoredVersionHistory,
+    current: StoredVersionList,
     storeEra: StoreEra | undefined,
-  ): StoredVersionHistory {
+  ): StoredVersionList {
     const versions = new Set(current.versions);
     for (const [version, seenMs] of state.lastSeenMs) {
       if (isExpired(seenMs)) versions.delete(version);
@@ -144,7 +141,7 @@
     return {...current, versions: [...versions], era};
   }
 
-  function isSame(a: VersionHistory, b: VersionHistory): boolean {
+  function isSame(a: VersionList, b: VersionList): boolean {
     return (
       a.era === b.era &&
       a.versions.length === b.versions.length &&
@@ -153,7 +150,7 @@
   }
 
   /** A stream may begin at an unlisted version if no other upstream is left. */
-  function coversSeen({service, versions}: VersionHistory): boolean {
+  function coversSeen({service, versions}: VersionList): boolean {
     const seen = states.get(service)?.lastSeenMs.keys() ?? [];
     return [...seen].every(version => versions.includes(version));
   }
@@ -165,7 +162,7 @@
     return isSame(listed, wantedFor(state, current, history.era()));
   }
 
-  function adopt(next: VersionHistory): void {
+  function adopt(next: VersionList): void {
     const state = stateOf(next.service);
     const removed = (state.listed?.versions ?? []).filter(
       version => !next.versions.includes(version),
@@ -193,11 +190,11 @@
     service: ServiceName,
     state: ServiceState,
   ): Promise<boolean> {
-    const read = await store.readVersionHistories(callTimeoutMs);
+    const read = await store.readVersionLists(callTimeoutMs);
     if (read.isErr()) return failed(read.error.message);
-    const {era, histories} = read.value;
+    const {era, lists} = read.value;
     if (history.observe(era) === 'outdated') return false;
-    const current = histories.find(stored => stored.service === service) ?? {
+    const current = lists.find(stored => stored.service === service) ?? {
       service,
       versions: [],
       era: undefined,
@@ -206,7 +203,7 @@
     noteUsable(service, state);
     const wanted = wantedFor(state, current, era);
     if (!isSame(current, wanted)) {
-      const written = await store.writeVersionHistory(wanted, callTimeoutMs);
+      const written = await store.writeVersionList(wanted, callTimeoutMs);
       if (written.isErr()) return failed(written.error.message);
       const {era: writtenEra, isWritten} = written.value;
       if (history.observe(writtenEra) === 'outdated') return false;
