gateway: log lines on versions that name the service and what follows

The lines on the list of versions and on records of streams did not say for which service, for how many streams, and that the write is repeated. Also a parameter that nobody passes, a shadowed name, an assertion that a batch exists and two comments on how a limit relates to usual sizes are gone. No behaviour changes.

--- a/packages/common/src/HeaderLines.ts
+++ b/packages/common/src/HeaderLines.ts
@@ -8,7 +8,7 @@
 import type {Dispatcher} from 'undici';
 import symbols from 'undici/lib/core/symbols.js';
 
-/** Header lines of a head or of trailers; usual heads have a few dozen. */
+/** Header lines of a head, or of trailers. */
 export const maxHeaderLinesCount = 256;
 
 /** The parts of `undici`'s parser of responses that are used here. */
--- a/packages/gateway/src/request/Attempt.ts
+++ b/packages/gateway/src/request/Attempt.ts
@@ -230,9 +230,9 @@
     return undefined;
   }
 
-  function handleBodyChunk(body: BufferedBody, chunk: Buffer): void {
-    const reason = body.add(chunk);
-    buffered.resize(body.sizeBytes);
+  function handleBodyChunk(bufferedBody: BufferedBody, chunk: Buffer): void {
+    const reason = bufferedBody.add(chunk);
+    buffered.resize(bufferedBody.sizeBytes);
     if (finished || reason === undefined) return;
     abort(resultOfHead(response) ?? {kind: 'broken', reason}, reason);
   }
--- a/packages/gateway/src/request/CallerBody.ts
+++ b/packages/gateway/src/request/CallerBody.ts
@@ -80,8 +80,9 @@
     discard();
   }
 
-  function refuseTooLarge(reason = `the body exceeds ${maxBytes} bytes`): void {
+  function refuseTooLarge(): void {
     message.pause();
+    const reason = `the body exceeds ${maxBytes} bytes`;
     refuse(new RouterError('body_too_large', reason));
   }
 
@@ -116,9 +117,7 @@
 
   function onData(chunk: Buffer): void {
     if (settled) return;
-    if (!pieces.tryAdd(chunk.length)) {
-      return refusePieces();
-    }
+    if (!pieces.tryAdd(chunk.length)) return refusePieces();
     const bytes = filledBytes + chunk.length;
     if (bytes > maxBytes) return refuseTooLarge();
     if (bytes > buffer.length) {
--- a/packages/gateway/src/streams/StreamOriginArchive.ts
+++ b/packages/gateway/src/streams/StreamOriginArchive.ts
@@ -78,7 +78,7 @@
     timeoutMs: number,
     found: Promise<OriginLookup>,
   ): Promise<OriginLookup> {
-    let cancel = () => undefined as void;
+    let cancel = (): void => undefined;
     const late = new Promise<OriginLookup>(resolve => {
       const reason = 'the store did not answer in time';
       cancel = clock.after(timeoutMs, () => resolve({kind: 'unknown', reason}));
--- a/packages/gateway/src/streams/StreamRecorder.ts
+++ b/packages/gateway/src/streams/StreamRecorder.ts
@@ -125,15 +125,17 @@
     };
   }
 
+  function isFull({openedAtMs, records}: OpenBatch): boolean {
+    return (
+      clock.nowMs() - openedAtMs >= batchMs || records.size >= maxBatchRecords
+    );
+  }
+
   /** Writes queued records; on failure they stay queued. */
   async function writeBatch(): Promise<boolean> {
     forgetOldest();
-    const isClosed =
-      batch === undefined ||
-      clock.nowMs() - batch.openedAtMs >= batchMs ||
-      batch.records.size >= maxBatchRecords;
-    const target = isClosed ? openBatch() : batch!;
-    batch = target;
+    if (batch === undefined || isFull(batch)) batch = openBatch();
+    const target = batch;
     const taken: StreamHash[] = [];
     for (const hash of queued) {
       if (target.records.size >= maxBatchRecords) break;
@@ -163,9 +165,13 @@
       }
     } else if (!hasWarned) {
       hasWarned = true;
-      logger.warn('records of streams cannot be written', {
-        reason: written.error.message,
-      });
+      logger.warn(
+        'origins of streams cannot be recorded in the store; trying again',
+        {
+          streams: taken.length,
+          reason: written.error.message,
+        },
+      );
     }
     if (isCurrent) batch = undefined;
     for (const hash of taken) if (remembered.has(hash)) queued.add(hash);
--- a/packages/gateway/src/streams/VersionListKeeper.ts
+++ b/packages/gateway/src/streams/VersionListKeeper.ts
@@ -177,7 +177,7 @@
     const isChanged = state.listed === undefined || !isSame(state.listed, next);
     state.listed = next;
     if (!isChanged) return;
-    logger.info('software versions of a service', {
+    logger.info('the list of software versions in the store has changed', {
       service: next.service,
       versions: next.versions.join(', '),
       isConfirmed: isConfirmed(next, history.era()),
@@ -191,7 +191,7 @@
     state: ServiceState,
   ): Promise<boolean> {
     const read = await store.readVersionLists(callTimeoutMs);
-    if (read.isErr()) return failed(read.error.message);
+    if (read.isErr()) return failed(service, read.error.message);
     const {era, lists} = read.value;
     if (history.observe(era) === 'outdated') return false;
     const current = lists.find(stored => stored.service === service) ?? {
@@ -204,7 +204,7 @@
     const wanted = wantedFor(state, current, era);
     if (!isSame(current, wanted)) {
       const written = await store.writeVersionList(wanted, callTimeoutMs);
-      if (written.isErr()) return failed(written.error.message);
+      if (written.isErr()) return failed(service, written.error.message);
       const {era: writtenEra, isWritten} = written.value;
       if (history.observe(writtenEra) === 'outdated') return false;
       // The write may have gone to another history than the read.
@@ -216,11 +216,12 @@
     return true;
   }
 
-  function failed(reason: string): false {
+  function failed(service: ServiceName, reason: string): false {
     if (!hasWarned) {
-      logger.warn('the software versions of a service cannot be written', {
-        reason,
-      });
+      logger.warn(
+        'the list of software versions cannot be updated in the store; trying again',
+        {service, reason},
+      );
     }
     hasWarned = true;
     return false;
--- a/packages/keyvalue/src/InstanceListReader.ts
+++ b/packages/keyvalue/src/InstanceListReader.ts
@@ -21,7 +21,7 @@
 const defaultTimeoutMs = 2000;
 /** `undici` does not cancel a call before its connection is established. */
 const connectTimeoutMs = 500;
-/** Bounds memory; the list of a large fleet is far smaller. */
+/** Bounds memory, since the list is held as a whole. */
 const maxListBytes = 16 * 1024 * 1024;
 
 export interface InstanceListReaderOptions {
