common, gateway, daemon: one place for the limits of responses

The two request paths had a copy each of the limits of a buffered body, of the bytes between two events and of the body of a rejection, under other names.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -52,6 +52,11 @@
 } from './LimitedBody.js';
 export type {PieceLimit} from './PieceLimit.js';
 export {createPieceLimit} from './PieceLimit.js';
+export {
+  maxBufferedBodyBytes,
+  maxBytesWithoutEvent,
+  maxRejectionBodyBytes,
+} from './ResponseLimits.js';
 export type {
   ClaimEnd,
   ClaimReference,
--- a/packages/daemon/src/request/chat/EngineAttempt.ts
+++ b/packages/daemon/src/request/chat/EngineAttempt.ts
@@ -13,6 +13,8 @@
 import {
   createPieceLimit,
   maxBatchBytes,
+  maxBytesWithoutEvent,
+  maxRejectionBodyBytes,
   PieceLimitError,
   readBatches,
   readLimitedBody,
@@ -67,10 +69,6 @@
 /** An engine that sends no data for this long is considered to have failed. */
 const engineIdleTimeoutMs = 20_000;
 
-const maxErrorBodyBytes = 64 * 1024;
-/** Bytes of a stream without a complete event, comments included. */
-const maxBytesWithoutEvent = 1024 * 1024;
-
 /** Runs one attempt to its end. */
 export async function runEngineAttempt(call: EngineCall): Promise<AttemptEnd> {
   try {
@@ -92,7 +90,7 @@
     if (isRejection(statusCode)) return await readRejection(response);
     if (statusCode === 200) return await readStream(response.body, call);
     // Reads a short body to its end, so that the connection can be used again.
-    await readLimitedBody(response.body, maxErrorBodyBytes);
+    await readLimitedBody(response.body, maxRejectionBodyBytes);
     const error = statusError(call, statusCode);
     return {kind: 'broken', error, connected: true};
   } catch (cause) {
@@ -170,7 +168,7 @@
 async function readRejection(
   response: Dispatcher.ResponseData,
 ): Promise<AttemptEnd> {
-  const {bytes} = await readLimitedBody(response.body, maxErrorBodyBytes);
+  const {bytes} = await readLimitedBody(response.body, maxRejectionBodyBytes);
   const contentType = response.headers['content-type'];
   return {
     kind: 'rejected',
--- a/packages/daemon/src/request/plain/PlainCall.ts
+++ b/packages/daemon/src/request/plain/PlainCall.ts
@@ -14,6 +14,7 @@
 import {
   hopByHopHeaders,
   maxBatchBytes,
+  maxBufferedBodyBytes,
   readWholeBody,
   RouterError,
 } from '@toucanrouter/common';
@@ -71,9 +72,6 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
-/** A response is buffered whole, so that an attempt that breaks is retried. */
-const maxResponseBytes = 8 * 1024 * 1024;
-
 /** A plain call counts as one token in budgets and statistics. */
 const callCostTokens = 1;
 
@@ -256,7 +254,7 @@
     body.destroy(new Error('the buffered responses exceed their memory')),
   );
   try {
-    return await readWholeBody(body, maxResponseBytes, sizeBytes =>
+    return await readWholeBody(body, maxBufferedBodyBytes, sizeBytes =>
       share.resize(sizeBytes),
     );
   } finally {
--- a/packages/gateway/src/request/BufferedBody.ts
+++ b/packages/gateway/src/request/BufferedBody.ts
@@ -3,7 +3,12 @@
  * use of its bytes: the body of a rejection is not passed on, and a failure needs
  * no more than a description.
  */
-import {createByteCollector, createPieceLimit} from '@toucanrouter/common';
+import {
+  createByteCollector,
+  createPieceLimit,
+  maxBufferedBodyBytes,
+  maxRejectionBodyBytes,
+} from '@toucanrouter/common';
 import type {UpstreamResponse} from './Dialect.js';
 import {minServerErrorStatus} from './Dialect.js';
 
@@ -17,11 +22,7 @@
   take(): Buffer;
 }
 
-/** Bounds memory, since bodies that are not streamed are held as a whole. */
-const maxBodyBytes = 8 * 1024 * 1024;
 const maxFailureBodyBytes = 1024 * 1024;
-/** A body that ends within these limits leaves its connection for reuse. */
-const maxRejectionBodyBytes = 64 * 1024;
 const maxRejectionPiecesCount = 256;
 
 /** True if the head states that the request did not run at its upstream. */
@@ -51,7 +52,9 @@
 export function createBufferedBody(head: UpstreamResponse): BufferedBody {
   if (isRejection(head)) return createRejectionBody();
   const maxBytes =
-    head.status >= minServerErrorStatus ? maxFailureBodyBytes : maxBodyBytes;
+    head.status >= minServerErrorStatus
+      ? maxFailureBodyBytes
+      : maxBufferedBodyBytes;
   const collector = createByteCollector();
   const pieces = createPieceLimit();
   return {
--- a/packages/gateway/src/request/EventProgress.ts
+++ b/packages/gateway/src/request/EventProgress.ts
@@ -3,7 +3,7 @@
  * lines are passed on, so they never add up in a buffer, but an upstream that
  * sends nothing else makes no progress.
  */
-import {createPieceLimit} from '@toucanrouter/common';
+import {createPieceLimit, maxBytesWithoutEvent} from '@toucanrouter/common';
 
 /** Counts what a stream brings since its last event. */
 export interface EventProgress {
@@ -18,8 +18,6 @@
   ): string | undefined;
 }
 
-const maxBytesWithoutEvent = 1024 * 1024;
-
 /** Creates the progress of a stream that has not begun. */
 export function createEventProgress(): EventProgress {
   const pieces = createPieceLimit();
