gateway, soak, docs: streams that callers resume

The code called the same thing a resumption within a response and a take-up, a word of the users' pages, over a caller's requests; the request headers are called Resumes and Last-Event-Id. The metric toucanrouter_stream_take_ups_total, which has not been released, is toucanrouter_stream_resumptions_total. No behaviour changes; tests keep their assertions, with the new names.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -369,7 +369,7 @@
       );
       return undefined;
     },
-    onTakeUpEnded: outcome => metrics.observeTakeUp(outcome),
+    onResumptionEnded: outcome => metrics.observeResumption(outcome),
     retryBudget: retryBudgetOf,
     isDraining: () => draining,
     onEnded,
--- a/packages/gateway/src/__tests__/unit/GatewayMetrics.test.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayMetrics.test.ts
@@ -58,7 +58,7 @@
     expect(text).to.include('toucanrouter_listener_open{purpose="peers"} 0');
   });
 
-  it('shows the software versions in service and what became of take-ups', async () => {
+  it('shows the software versions in service and what became of resumptions', async () => {
     // Guards against a release whose versions and lost streams no metric shows.
     const service = 'a' as ServiceName;
     const metrics = createGatewayMetrics(
@@ -69,12 +69,12 @@
         ],
       }),
     );
-    metrics.observeTakeUp('went_on');
+    metrics.observeResumption('went_on');
     const text = await metrics.render();
     for (const line of [
       'toucanrouter_upstreams{service="a",version="v1"} 3',
       'toucanrouter_upstreams{service="a",version="none"} 1',
-      'toucanrouter_stream_take_ups_total{outcome="went_on"} 1',
+      'toucanrouter_stream_resumptions_total{outcome="went_on"} 1',
     ]) {
       expect(text).to.include(line);
     }
--- a/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
@@ -23,7 +23,7 @@
 import {createLoadControl} from '../../request/LoadControl.js';
 import {createPromptGuard} from '../../request/PromptGuard.js';
 import {createGatewayServer} from '../../server/GatewayServer.js';
-import type {TakeUpOutcome} from '../../request/ResponseStream.js';
+import type {ResumptionOutcome} from '../../request/ResponseStream.js';
 import {createTurnQueue} from '../../request/TurnQueue.js';
 import {createLocalStreamOrigins} from './LocalStreamOrigins.js';
 import type {UpstreamEntry} from '../../upstreams/UpstreamEntry.js';
@@ -86,7 +86,7 @@
   configAge.confirmed(configAge.mark());
   const connections = createUpstreamConnections(clock);
   const ended: EndedRequest[] = [];
-  const takeUps: TakeUpOutcome[] = [];
+  const resumptions: ResumptionOutcome[] = [];
   const context: GatewayContext = {
     clock,
     logger,
@@ -132,7 +132,7 @@
     upstreamRates,
     streamOrigins: createLocalStreamOrigins(),
     readUpstream: () => Promise.resolve(undefined),
-    onTakeUpEnded: outcome => takeUps.push(outcome),
+    onResumptionEnded: outcome => resumptions.push(outcome),
     retryBudget: () => createRetryBudget(),
     isDraining: () => false,
     onEnded: request => ended.push(request),
@@ -145,7 +145,7 @@
     port,
     server: gateway.server,
     ended,
-    takeUps,
+    resumptions,
     registry,
     upstreamNotices: context.upstreamNotices,
     upstreamRates: context.upstreamRates,
--- a/packages/gateway/src/__tests__/unit/StreamOrigins.test.ts
+++ b/packages/gateway/src/__tests__/unit/StreamOrigins.test.ts
@@ -137,7 +137,7 @@
   });
 
   // Guards against lists that only grow, and lists that lose a version while
-  // its streams can be taken up.
+  // its streams can be resumed.
   it('drops a version that was away for the retention time', async () => {
     const scene = await createTwoVersions();
     scene.setVersions(v2);
@@ -258,7 +258,7 @@
     scene.stopAll();
   });
 
-  // Guards against a read for each stream that is taken up, and against joining
+  // Guards against a read for each stream that is resumed, and against joining
   // a read that began before the stream did.
   it('shares the next read between streams', async () => {
     const {advance, origins, second, first, stopAll} =
@@ -459,7 +459,7 @@
               case 'find': {
                 const stream = began.at(-1 - next.n);
                 if (stream === undefined) break;
-                // Callers cannot take up streams that are older.
+                // Callers cannot resume streams that are older.
                 if (scene.clock.nowMs() - stream.atMs > 25_000) break;
                 const found = await running[next.instance]!.find(stream.id);
                 if (found !== undefined) foundCount += 1;
--- a/packages/gateway/src/__tests__/unit/StreamVersions.test.ts
+++ b/packages/gateway/src/__tests__/unit/StreamVersions.test.ts
@@ -181,7 +181,7 @@
     expect(writersOf(response.body)).to.deep.equal([gateway.calls[1]?.index]);
   });
 
-  // Guards against streams that nobody can take up while others could begin.
+  // Guards against streams that nobody can resume while others could begin.
   it('begins at versions that all instances know of, or else at any', async () => {
     const streamOrigins = {
       ...createLocalStreamOrigins(),
@@ -219,9 +219,9 @@
   });
 });
 
-describe('a stream that its caller takes up', () => {
-  // Guards against a take-up that is placed like a new stream.
-  it('goes on at the version that began it, also when it is taken up twice', async () => {
+describe('a stream that its caller resumes', () => {
+  // Guards against a resumption that is placed like a new stream.
+  it('goes on at the version that began it, also when it is resumed twice', async () => {
     for (let request = 0; request < requestCount; request++) {
       const gateway = await startVersionedGateway({
         versions: ['v1', 'v2', 'v3', 'v4'],
@@ -245,7 +245,7 @@
       expect(third.complete).to.equal(true);
       expect(eventIdsOf(body)).to.deep.equal(allIds);
       expect(versionsOf(body)).to.have.length(1);
-      expect(gateway.takeUps).to.deep.equal(['went_on', 'went_on']);
+      expect(gateway.resumptions).to.deep.equal(['went_on', 'went_on']);
     }
   });
 
@@ -265,7 +265,7 @@
       expect(response.status).to.equal(503);
       expect(Number(response.retryAfter)).to.be.above(0);
       expect(gateway.calls).to.have.length(0);
-      expect(gateway.takeUps).to.deep.equal(['unknown']);
+      expect(gateway.resumptions).to.deep.equal(['unknown']);
       expect(gateway.ended[0]?.outcome).to.equal('no_upstream');
     });
   }
@@ -298,7 +298,7 @@
     expect(response.status).to.equal(503);
     expect(Number(response.retryAfter)).to.be.above(0);
     expect(gateway.calls).to.have.length(0);
-    expect(gateway.takeUps).to.deep.equal(['no_upstream']);
+    expect(gateway.resumptions).to.deep.equal(['no_upstream']);
   });
 
   // Guards against a full upstream whose stream goes on at another version.
@@ -315,7 +315,7 @@
     await gateway.close();
     expect(response.status).to.equal(503);
     expect(gateway.calls.map(({version}) => version)).to.deep.equal(['v1']);
-    expect(gateway.takeUps).to.deep.equal(['failed']);
+    expect(gateway.resumptions).to.deep.equal(['failed']);
   });
 
   // Guards against a stream that goes on at an upstream that has restarted under
@@ -339,7 +339,7 @@
     recordOrigin(gateway.streamOrigins, 'r1', 'v1');
     for (let index = 0; index < 6; index += 1) {
       const headers = {after: '1', resumes: 'r1'};
-      const response = await gateway.send(`take-up-${index}`, headers);
+      const response = await gateway.send(`resumption-${index}`, headers);
       expect(response.status).to.equal(200);
     }
     await gateway.close();
@@ -369,6 +369,6 @@
     await connections.close();
     expect(response.status).to.equal(503);
     expect(gateway.calls).to.have.length(0);
-    expect(gateway.takeUps).to.deep.equal(['no_upstream']);
+    expect(gateway.resumptions).to.deep.equal(['no_upstream']);
   });
 });
--- a/packages/gateway/src/request/GatewayContext.ts
+++ b/packages/gateway/src/request/GatewayContext.ts
@@ -25,7 +25,7 @@
 import type {EndedRequest} from './EndedRequest.js';
 import type {LoadControl} from './LoadControl.js';
 import type {PromptGuard} from './PromptGuard.js';
-import type {TakeUpOutcome} from './ResponseStream.js';
+import type {ResumptionOutcome} from './ResponseStream.js';
 import type {TurnQueue} from './TurnQueue.js';
 
 /** The dependencies of request handling. */
@@ -69,8 +69,8 @@
     id: UpstreamId,
     timeoutMs: number,
   ) => Promise<UpstreamEntry | undefined>;
-  /** A stream that its caller took up has ended, or was refused. */
-  readonly onTakeUpEnded: (outcome: TakeUpOutcome) => void;
+  /** A stream that its caller resumed has ended, or was refused. */
+  readonly onResumptionEnded: (outcome: ResumptionOutcome) => void;
   readonly retryBudget: (service: ServiceName) => RetryBudget;
   /** True once the instance accepts no new requests. */
   readonly isDraining: () => boolean;
--- a/packages/gateway/src/request/ResponseStream.ts
+++ b/packages/gateway/src/request/ResponseStream.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps a resumable stream at one software version. The version is that of the
  * upstream whose part of the response was passed on first. A stream that the
- * caller takes up goes on at the version that began it, and is refused if that
+ * caller resumes goes on at the version that began it, and is refused if that
  * is not known.
  */
 import type {ServiceName, SoftwareVersion} from '@toucanrouter/common';
@@ -19,8 +19,8 @@
 import type {CallerRequest} from './Dialect.js';
 import type {GatewayContext} from './GatewayContext.js';
 
-/** What became of a stream that its caller took up. */
-export type TakeUpOutcome =
+/** What became of a stream that its caller resumed. */
+export type ResumptionOutcome =
   /** A part of the response was passed on. */
   | 'went_on'
   /** Nobody knows which version began the stream. */
@@ -62,13 +62,13 @@
   /** Returns why a chosen upstream must not get the request, or undefined. */
   withdrawalReason(entry: UpstreamEntry): string | undefined;
   startAttempt(entry: UpstreamEntry): StreamAttempt;
-  /** Counts what became of a stream that was taken up. */
+  /** Counts what became of a stream that was resumed. */
   close(isServed: boolean): void;
 }
 
 type StreamContext = Pick<
   GatewayContext,
-  'logger' | 'onTakeUpEnded' | 'random' | 'readUpstream' | 'streamOrigins'
+  'logger' | 'onResumptionEnded' | 'random' | 'readUpstream' | 'streamOrigins'
 > & {
   readonly registry: Pick<
     GatewayContext['registry'],
@@ -111,13 +111,13 @@
   const {logger, random, registry, streamOrigins} = context;
   const {requestId, resumeAfterId, resumesRequestId} = request;
   const workspaceId = workspace?.workspaceId;
-  const isTakeUp = resumeAfterId !== undefined;
+  const isResumption = resumeAfterId !== undefined;
   const version = createStreamVersion();
   let service: ServiceName | undefined;
   let hasBegun = false;
   let isUnknown = false;
 
-  async function placeTakeUp(remainingMs: number): Promise<StreamPlace> {
+  async function placeResumption(remainingMs: number): Promise<StreamPlace> {
     const services = route.targets.map(target => target.service);
     const key: StreamKey | undefined =
       resumesRequestId === undefined
@@ -128,7 +128,7 @@
     if (found.kind === 'unknown') return found;
     const {origin} = found;
     version.fix(origin.softwareVersion);
-    logger.info('stream is taken up', {
+    logger.info('caller resumes a stream', {
       requestId,
       resumesRequestId,
       service: origin.service,
@@ -148,7 +148,7 @@
     );
   }
 
-  function takeUpOutcome(isServed: boolean): TakeUpOutcome {
+  function resumptionOutcome(isServed: boolean): ResumptionOutcome {
     if (isServed || hasBegun) return 'went_on';
     if (isUnknown) return 'unknown';
     return hasUpstream() ? 'failed' : 'no_upstream';
@@ -185,8 +185,8 @@
       return false;
     },
     place: async remainingMs => {
-      const place: StreamPlace = isTakeUp
-        ? await placeTakeUp(remainingMs)
+      const place: StreamPlace = isResumption
+        ? await placeResumption(remainingMs)
         : {kind: 'placed', service: pickService(route, random)};
       if (place.kind === 'placed') service = place.service;
       else isUnknown = true;
@@ -219,7 +219,7 @@
           version.fix(softwareVersion);
           if (hasBegun) return undefined;
           hasBegun = true;
-          if (!isTakeUp) {
+          if (!isResumption) {
             const origin = {service: entry.service, softwareVersion};
             streamOrigins.streamBegan({workspaceId, requestId}, origin);
           }
@@ -228,7 +228,7 @@
       };
     },
     close: isServed => {
-      if (isTakeUp) context.onTakeUpEnded(takeUpOutcome(isServed));
+      if (isResumption) context.onResumptionEnded(resumptionOutcome(isServed));
     },
   };
 }
--- a/packages/gateway/src/server/GatewayMetrics.ts
+++ b/packages/gateway/src/server/GatewayMetrics.ts
@@ -12,7 +12,7 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {RequestStage} from '../request/OpenRequest.js';
 import type {EndedRequest} from '../request/EndedRequest.js';
-import type {TakeUpOutcome} from '../request/ResponseStream.js';
+import type {ResumptionOutcome} from '../request/ResponseStream.js';
 import type {UpstreamVersionCount} from '../upstreams/UpstreamRegistry.js';
 import type {ServiceRateStatus} from '../upstreams/UpstreamRateLimits.js';
 
@@ -67,8 +67,8 @@
   observeRefusal(service: ServiceName, asksForPause: boolean): void;
   /** Counts a request that was refused for lack of processor time. */
   observeShed(tier: number, reason: SheddingReason): void;
-  /** Counts a stream that its caller took up. */
-  observeTakeUp(outcome: TakeUpOutcome): void;
+  /** Counts a stream that its caller resumed. */
+  observeResumption(outcome: ResumptionOutcome): void;
   /** Counts a connection that closed before the response was complete. */
   observeUnanswered(stage: RequestStage, isStopping: boolean): void;
   /** Renders all metrics in the Prometheus text format. */
@@ -202,9 +202,9 @@
     labelNames: ['stage', 'stopping'],
     registers,
   });
-  const takeUps = new Counter({
-    name: 'toucanrouter_stream_take_ups_total',
-    help: 'Streams that callers took up, by whether they went on, nobody knew their software version, no upstream of it was left, or its upstreams failed',
+  const resumptions = new Counter({
+    name: 'toucanrouter_stream_resumptions_total',
+    help: 'Streams that callers resumed, by whether they went on, nobody knew their software version, no upstream of it was left, or its upstreams failed',
     labelNames: ['outcome'],
     registers,
   });
@@ -413,7 +413,7 @@
     },
     observeRefusal: (service, asksForPause) =>
       refusals.inc({service, pause: String(asksForPause)}),
-    observeTakeUp: outcome => takeUps.inc({outcome}),
+    observeResumption: outcome => resumptions.inc({outcome}),
     observeShed: (tier, reason) => shed.inc({tier: String(tier), reason}),
     observeUnanswered: (stage, isStopping) =>
       unanswered.inc({stage, stopping: String(isStopping)}),
--- a/packages/gateway/src/state/StateStore.ts
+++ b/packages/gateway/src/state/StateStore.ts
@@ -100,7 +100,7 @@
 
 /**
  * The software versions of a service that may have begun streams which callers
- * can still take up.
+ * can still resume.
  */
 export interface VersionList {
   readonly service: ServiceName;
--- a/packages/gateway/src/streams/StreamOriginArchive.ts
+++ b/packages/gateway/src/streams/StreamOriginArchive.ts
@@ -1,5 +1,5 @@
 /**
- * The origins of streams that callers may still take up. Those that began at this
+ * The origins of streams that callers may still resume. Those that began at this
  * instance are remembered; those of others are found in the store. While a
  * service has one software version, its list in the store tells the origin of
  * all its streams, and nothing is recorded. While it has several, each stream is
@@ -46,8 +46,8 @@
   close(): void;
 }
 
-/** Callers take streams up soon after they broke off. */
-const takeUpReserveMs = 15_000;
+/** Callers resume streams soon after they broke off. */
+const resumptionReserveMs = 15_000;
 const minRetentionMs = 30_000;
 
 /** Creates an archive that knows no streams. */
@@ -56,7 +56,7 @@
 ): StreamOriginArchive {
   const {clock} = options;
   const retentionMs = () =>
-    Math.max(minRetentionMs, options.longestTimeoutMs() + takeUpReserveMs);
+    Math.max(minRetentionMs, options.longestTimeoutMs() + resumptionReserveMs);
   const versions = createVersionListKeeper({
     ...options,
     retentionMs,
--- a/packages/gateway/src/streams/StreamOriginLookup.ts
+++ b/packages/gateway/src/streams/StreamOriginLookup.ts
@@ -1,6 +1,6 @@
 /**
  * Finds the origins of streams in the store. Only a read that starts after a
- * caller has taken a stream up is sure to show the versions that the stream may
+ * caller has asked to resume is sure to show the versions that the stream may
  * have begun at, so callers that wait share the next read and never join one
  * that has started.
  */
--- a/packages/gateway/src/streams/StreamOrigins.ts
+++ b/packages/gateway/src/streams/StreamOrigins.ts
@@ -1,7 +1,7 @@
 /**
  * Which software version began a stream. What two versions write does not fit
  * together, so a stream may go on only at the version that began it, also when
- * its caller takes it up at another instance, or after all instances were
+ * its caller resumes it at another instance, or after all instances were
  * restarted.
  */
 import type {
@@ -25,17 +25,17 @@
   readonly requestId: string;
 }
 
-/** What is known of a stream that a caller takes up. */
+/** What is known of a stream that a caller resumes. */
 export type OriginLookup =
   | {readonly kind: 'known'; readonly origin: StreamOrigin}
   /** Going on would be a guess. */
   | {readonly kind: 'unknown'; readonly reason: string};
 
-/** Knows the origins of the streams that callers may still take up. */
+/** Knows the origins of the streams that callers may still resume. */
 export interface StreamOrigins {
   /**
    * Returns whether resumable streams may begin at a version: its presence is
-   * known to all instances that streams are taken up at.
+   * known to all instances that streams are resumed at.
    */
   mayBegin(origin: StreamOrigin): boolean;
   /** Records the origin of a stream when its first event is passed on. */
--- a/packages/gateway/src/streams/VersionListKeeper.ts
+++ b/packages/gateway/src/streams/VersionListKeeper.ts
@@ -1,9 +1,9 @@
 /**
  * Keeps the list of the software versions of each service that may have begun
- * streams which callers can still take up. A stream begins only at a version that
+ * streams which callers can still resume. A stream begins only at a version that
  * the store is known to list, so whoever reads a list with one version knows the
  * origin of every stream of the service. A version leaves the list when no
- * upstream had it for as long as callers can take streams up. A list that came
+ * upstream had it for as long as callers can resume streams. A list that came
  * back with a copy of the store may lack versions: instances add what they know,
  * and it counts as complete only once it is confirmed.
  */
@@ -39,7 +39,7 @@
   readonly usable: (service: ServiceName) => readonly UpstreamEntry[];
   /** True while the state of this instance follows the store. */
   readonly isInSync: () => boolean;
-  /** Time for which callers can take a stream up. */
+  /** Time for which callers can resume a stream. */
   readonly retentionMs: () => number;
   /** Called when what is known of the list of a service has changed. */
   readonly onChange: () => void;
--- a/scripts/soak.js
+++ b/scripts/soak.js
@@ -10,7 +10,7 @@
  * after their start on. `--drills` lets the store come back from copies of itself.
  * `--endless` lets upstreams answer with small pieces without end.
  * `--versions` lets engines of two software versions serve side by side, kills all
- * instances at once now and then, and lets callers take up streams.
+ * instances at once now and then, and lets callers resume streams.
  * `--busy N` starts N processes
  * that take all processor time they get, and `--cpus LIST` pins the instances
  * and these processes to the named processors. Soaks that run beside each other
@@ -84,7 +84,7 @@
 /** Above the streams of load and signals of any number of instances. */
 const drillStream = 1_009;
 const versionStream = 1_013;
-const takeUpStream = 1_019;
+const resumptionStream = 1_019;
 const endlessStream = 1_021;
 
 /** Numbers from 0 to 1 that repeat with the seed. */
@@ -213,7 +213,7 @@
       nowMs,
       onEnded: call => {
         ended.push({...call, text: undefined, instance});
-        versions?.onEnded(call, overrides => takeUp(call, overrides));
+        versions?.onEnded(call, overrides => resume(call, overrides));
       },
     }),
   );
@@ -246,9 +246,9 @@
   }
 
   /** Sends a call again, to an instance that the load draws. */
-  function takeUp(call, overrides) {
+  function resume(call, overrides) {
     const kind = kinds.find(({name}) => name === call.kind);
-    const index = Math.floor(randomOfTakeUps() * fleet.instances.length);
+    const index = Math.floor(randomOfResumptions() * fleet.instances.length);
     send(index, kind, overrides);
   }
 
@@ -263,7 +263,9 @@
     timers.add(timer);
   }
 
-  const randomOfTakeUps = createRandom(seed + seedStride * takeUpStream);
+  const randomOfResumptions = createRandom(
+    seed + seedStride * resumptionStream,
+  );
   const order = kinds.find(kind => kind.events === undefined);
 
   /** Disturbances of an instance that runs undisturbed, by name. */
--- a/scripts/soak/versions.js
+++ b/scripts/soak/versions.js
@@ -1,6 +1,6 @@
 /**
  * Engines of two software versions in a soak. Engines write their version into
- * each event, and callers take up streams that broke off, at any instance. Checks
+ * each event, and callers resume streams that broke off, at any instance. Checks
  * that no stream is joined from two versions, and that most streams go on while
  * engines of their version serve.
  */
@@ -11,14 +11,14 @@
 const firstEventMs = 40;
 const eventGapMs = 35;
 const resumedKind = 'fitting-chat';
-const maxTakeUps = 6;
-const minTakeUpDelayMs = 20;
-const maxTakeUpDelayMs = 600;
+const maxResumptions = 6;
+const minResumptionDelayMs = 20;
+const maxResumptionDelayMs = 600;
 const refusal = '503';
-/** The instance is gone, so the take-up says nothing about it. */
+/** The instance is gone, so the resumption says nothing about it. */
 const unreachedOutcomes = new Set(['ECONNREFUSED', 'ECONNRESET']);
 const eventPattern = /^id: (\d+)\ndata: (\S+)$/gm;
-const minJudgedTakeUps = 12;
+const minJudgedResumptions = 12;
 const minWentOnShare = 0.5;
 
 /** Returns the ids of the events in a text, and the versions that wrote them. */
@@ -30,12 +30,12 @@
   };
 }
 
-/** Creates the engines' versions and the callers' take-ups. */
+/** Creates the engines' versions and the callers' resumptions. */
 export function createVersions({random, onViolation}) {
   const versionByEngine = new Map();
   const streams = new Map();
   const report = {
-    takeUps: 0,
+    resumptions: 0,
     wentOn: 0,
     refused: 0,
     joined: 0,
@@ -93,19 +93,20 @@
     return serving.length >= 2;
   }
 
-  function isTakenUp(call) {
+  function isResumable(call) {
     return call.kind === resumedKind && call.text !== undefined;
   }
 
-  /** Takes a stream up that has broken off, or a take-up that was refused. */
-  function takeUp(call, stream, send) {
-    if (closed || stream.takeUps >= maxTakeUps) return;
-    stream.takeUps += 1;
+  /** Resumes a stream that has broken off, also after a refusal. */
+  function resume(call, stream, send) {
+    if (closed || stream.resumptions >= maxResumptions) return;
+    stream.resumptions += 1;
     const delayMs =
-      minTakeUpDelayMs + random() * (maxTakeUpDelayMs - minTakeUpDelayMs);
+      minResumptionDelayMs +
+      random() * (maxResumptionDelayMs - minResumptionDelayMs);
     setTimeout(() => {
       if (closed) return;
-      report.takeUps += 1;
+      report.resumptions += 1;
       send({
         firstEvent: stream.ids.length + 1,
         originId: stream.originId,
@@ -130,14 +131,14 @@
       ),
     /** Handles the end of a call; `send` sends it again to some instance. */
     onEnded: (call, send) => {
-      if (!isTakenUp(call)) return;
+      if (!isResumable(call)) return;
       const {ids, versions: writers} = eventsOf(call.text);
       const originId = call.originId ?? call.id;
       const stream = streams.get(originId) ?? {
         originId,
         ids: [],
         writers: new Set(),
-        takeUps: 0,
+        resumptions: 0,
       };
       if (call.originId === undefined && ids.length === 0) return;
       streams.set(originId, stream);
@@ -162,14 +163,17 @@
       if (stream.ids.some((id, index) => id !== index + 1)) {
         onViolation(`the stream ${originId} has a gap or repeats events`);
       }
-      if (call.outcome !== '200') takeUp(call, stream, send);
+      if (call.outcome !== '200') resume(call, stream, send);
     },
     close: () => {
       closed = true;
       const wentOnShare = report.judgedWentOn / report.judged;
-      if (report.judged >= minJudgedTakeUps && wentOnShare < minWentOnShare) {
+      if (
+        report.judged >= minJudgedResumptions &&
+        wentOnShare < minWentOnShare
+      ) {
         onViolation(
-          `${report.judgedWentOn} of ${report.judged} streams went on that were taken up while two engines of their version served`,
+          `${report.judgedWentOn} of ${report.judged} streams went on that were resumed while two engines of their version served`,
         );
       }
     },
