--- a/packages/gateway/src/__tests__/process/LimitedGatewayFixtures.ts
+++ b/packages/gateway/src/__tests__/process/LimitedGatewayFixtures.ts
@@ -7,16 +7,21 @@
 import {once} from 'node:events';
 import {readdirSync, readFileSync} from 'node:fs';
 import {request} from 'node:http';
+import {join} from 'node:path';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
+import {build} from 'esbuild';
 
 const program = fileURLToPath(new URL('LimitedGateway.ts', import.meta.url));
-const nodeOptions = [
-  '--max-old-space-size=120',
-  '--import=tsx',
-  '--conditions=source',
-];
+const compilerOptions = ['--import=tsx', '--conditions=source'];
+/** Heap of the users' platform. */
+const defaultMaxHeapMib = 120;
+/** Dependencies that are CommonJS modules require modules of Node.js. */
+const requireBanner = [
+  'import {createRequire as createBundleRequire} from "node:module";',
+  'const require = createBundleRequire(import.meta.url);',
+].join(' ');
 const startTimeMs = 500;
 const callTimeoutMs = 9_000;
 const host = '127.0.0.1';
@@ -27,6 +32,7 @@
 /** A running gateway process. */
 export interface LimitedGateway {
   readonly port: number;
+  readonly pid: number;
   /** The largest resident memory until now. */
   peakBytes(): number;
   /** Descriptors that are open now. */
@@ -40,6 +46,9 @@
   readonly limitBytes?: number;
   /** Limit of the operating system; by default that of the test. */
   readonly maxDescriptors?: number;
+  readonly maxHeapMib?: number;
+  /** The gateway as one bundled file; by default it is compiled at its start. */
+  readonly bundleFile?: string;
 }
 
 function peakBytesOf({pid}: ChildProcess): number {
@@ -56,6 +65,8 @@
     mode = 'responses',
     limitBytes = memoryLimitBytes,
     maxDescriptors,
+    maxHeapMib = defaultMaxHeapMib,
+    bundleFile,
   }: LimitedGatewayOptions = {},
 ): Promise<void> {
   const lowerLimit =
@@ -66,8 +77,10 @@
       '-c',
       `${lowerLimit}exec "$0" "$@"`,
       process.execPath,
-      ...nodeOptions,
-      program,
+      `--max-old-space-size=${maxHeapMib}`,
+      ...(bundleFile === undefined
+        ? [...compilerOptions, program]
+        : [bundleFile]),
       `${upstreamPort}`,
       `${limitBytes}`,
       mode,
@@ -79,6 +92,7 @@
     await sleep(startTimeMs);
     await use({
       port: Number(line),
+      pid: child.pid ?? 0,
       peakBytes: () => peakBytesOf(child),
       openDescriptors: () => readdirSync(`/proc/${child.pid}/fd`).length,
       isRunning: () => child.exitCode === null && child.signalCode === null,
@@ -88,6 +102,25 @@
   }
 }
 
+/**
+ * Bundles the gateway process, which takes less memory than one that is compiled
+ * at its start; returns the file.
+ */
+export async function bundleLimitedGateway(directory: string): Promise<string> {
+  const outfile = join(directory, 'LimitedGateway.mjs');
+  await build({
+    entryPoints: [program],
+    outfile,
+    bundle: true,
+    platform: 'node',
+    format: 'esm',
+    conditions: ['source'],
+    banner: {js: requireBanner},
+    logLevel: 'warning',
+  });
+  return outfile;
+}
+
 /** Sends one request; returns the status, or undefined without a response. */
 export function call(port: number, id: string): Promise<number | undefined> {
   return new Promise(resolve => {
--- a/packages/standins/src/__tests__/process/DaemonFixtures.ts
+++ b/packages/standins/src/__tests__/process/DaemonFixtures.ts
@@ -23,6 +23,8 @@
 
 const root = fileURLToPath(new URL('../../../../../', import.meta.url));
 const program = join(root, 'packages/daemon/src/bin/toucanrouterd.ts');
+/** Needs `npm run build`. */
+const builtProgram = join(root, 'packages/daemon/dist/bin/toucanrouterd.js');
 const nodeOptions = ['--import=tsx', '--conditions=source'];
 const host = '127.0.0.1';
 const pollMs = 25;
@@ -43,10 +45,18 @@
 export interface DaemonMemoryLimit {
   readonly limitBytes: number;
   readonly maxHeapMib: number;
+  /** Limit of the operating system; by default that of the test. */
+  readonly maxDescriptors?: number;
+  /**
+   * Whether the process runs the compiled program, which takes less memory than
+   * one that is compiled at its start.
+   */
+  readonly isBuilt?: boolean;
 }
 
 /** A daemon process and its platform. */
 export interface DaemonProcess {
+  readonly pid: number;
   readonly platform: PlatformStandIn;
   readonly ports: DaemonSettingsPorts;
   output(): string;
@@ -124,9 +134,22 @@
     memoryLimit === undefined
       ? []
       : [`--max-old-space-size=${memoryLimit.maxHeapMib}`];
+  const programArgs =
+    memoryLimit?.isBuilt === true ? [builtProgram] : [...nodeOptions, program];
+  const maxDescriptors = memoryLimit?.maxDescriptors;
+  const lowerLimit =
+    maxDescriptors === undefined ? '' : `ulimit -n ${maxDescriptors}; `;
   const child = spawn(
-    process.execPath,
-    [...heapOptions, ...nodeOptions, program, '--settings', settingsFile],
+    'sh',
+    [
+      '-c',
+      `${lowerLimit}exec "$0" "$@"`,
+      process.execPath,
+      ...heapOptions,
+      ...programArgs,
+      '--settings',
+      settingsFile,
+    ],
     {stdio: ['ignore', 'pipe', 'pipe'], cwd: root},
   );
   let output = '';
@@ -137,6 +160,7 @@
     endedBy = signal ?? code ?? undefined;
   });
   return {
+    pid: child.pid ?? 0,
     ports,
     platform,
     output: () => output,
