--- a/packages/gateway/src/__tests__/process/LimitedGatewayFixtures.ts
+++ b/packages/gateway/src/__tests__/process/LimitedGatewayFixtures.ts
@@ -14,6 +14,9 @@
 import {build} from 'esbuild';
 
 const program = fileURLToPath(new URL('LimitedGateway.ts', import.meta.url));
+const deployFile = fileURLToPath(
+  new URL('../../../../../deploy/system.toml', import.meta.url),
+);
 const compilerOptions = ['--import=tsx', '--conditions=source'];
 /** Heap of the users' platform. */
 const defaultMaxHeapMib = 120;
@@ -51,6 +54,13 @@
   readonly bundleFile?: string;
 }
 
+/** Options of the runtime in the deploy file, with a heap of another size. */
+function deployedOptions(maxHeapMib: number): readonly string[] {
+  const [, options = ''] =
+    /^run = "node (.*) \S+"$/m.exec(readFileSync(deployFile, 'utf8')) ?? [];
+  return options.replace(/(?<=old-space-size=)\d+/, `${maxHeapMib}`).split(' ');
+}
+
 function peakBytesOf({pid}: ChildProcess): number {
   const status = readFileSync(`/proc/${pid}/status`, 'utf8');
   const [, kilobytes] = /^VmHWM:\s+(\d+) kB$/m.exec(status) ?? [];
@@ -77,7 +87,7 @@
       '-c',
       `${lowerLimit}exec "$0" "$@"`,
       process.execPath,
-      `--max-old-space-size=${maxHeapMib}`,
+      ...deployedOptions(maxHeapMib),
       ...(bundleFile === undefined
         ? [...compilerOptions, program]
         : [bundleFile]),
