--- a/packages/common/src/PipelinedRequests.ts
+++ b/packages/common/src/PipelinedRequests.ts
@@ -3,6 +3,9 @@
  * answered. Node.js hands over each of them as it is read, but it drops the
  * responses that follow one with `Connection: close`, and when the connection
  * closes it tells only the response that is being sent.
+ *
+ * Responses that are not read wait in the system, where nothing counts them. So a
+ * caller may send only some requests on a connection without waiting.
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
@@ -16,6 +19,11 @@
    * earlier one of its connection, so its caller did not wait for the answer.
    */
   isPipelined(response: ServerResponse): boolean;
+  /**
+   * True for the last request that is served on its connection, because the caller
+   * has sent too many without waiting. Its response has to close the connection.
+   */
+  isLast(response: ServerResponse): boolean;
   /**
    * Returns whether the connection can close with this response. No request that
    * is read on the connection later is accepted then.
@@ -27,9 +35,14 @@
   readonly socket: Socket;
   latest: ServerResponse;
   latestTurn: number;
+  /** Requests since the latest one for which the caller waited. */
+  pipelinedCount: number;
   isClosing: boolean;
 }
 
+/** Requests that are served on a connection whose caller does not wait. */
+const maxPipelinedCount = 64;
+
 /** The parser of a connection, which Node.js does not declare. */
 interface RequestParser {
   /** Called with each request whose head was read. */
@@ -54,6 +67,10 @@
   };
 }
 
+function isExhausted({pipelinedCount}: Connection): boolean {
+  return pipelinedCount >= maxPipelinedCount;
+}
+
 /** Follows the requests of `server`. */
 export function trackPipelinedRequests(server: Server): PipelinedRequests {
   const bySocket = new WeakMap<Socket, Connection>();
@@ -75,23 +92,32 @@
 
   server.prependListener('request', ({socket}, response) => {
     const known = bySocket.get(socket);
-    if (known?.isClosing === true) return;
+    const isOver = known !== undefined && isExhausted(known);
+    if (known?.isClosing === true || isOver) return;
     const latestTurn = currentTurn();
-    if (known?.latestTurn === latestTurn) pipelined.add(response);
+    const isPipelined = known?.latestTurn === latestTurn;
+    if (isPipelined) pipelined.add(response);
     const connection = known ?? {
       socket,
       latest: response,
       latestTurn,
+      pipelinedCount: 0,
       isClosing: false,
     };
     connection.latest = response;
     connection.latestTurn = latestTurn;
+    connection.pipelinedCount = isPipelined ? connection.pipelinedCount + 1 : 0;
+    if (isExhausted(connection)) dropFurtherRequests(socket);
     bySocket.set(socket, connection);
     byResponse.set(response, connection);
   });
   return {
     isAccepted: response => byResponse.has(response),
     isPipelined: response => pipelined.has(response),
+    isLast: response => {
+      const connection = byResponse.get(response);
+      return connection?.latest === response && isExhausted(connection);
+    },
     tryClose: response => {
       const connection = byResponse.get(response);
       if (connection?.latest !== response) return false;
--- a/packages/daemon/src/server/CallerServer.ts
+++ b/packages/daemon/src/server/CallerServer.ts
@@ -134,7 +134,10 @@
     let isRefused = false;
     const share = openShare(incoming, outgoing);
     const closes = () =>
-      isDraining || !bodyWasRead || (isRefused && waitsInCrowd(outgoing));
+      isDraining ||
+      !bodyWasRead ||
+      pipelined.isLast(outgoing) ||
+      (isRefused && waitsInCrowd(outgoing));
     const response = createCallerResponse(
       outgoing,
       requestId,
@@ -362,7 +365,9 @@
       outgoing,
       options.createRequestId(),
       undefined,
-      () => waitsInCrowd(outgoing) && pipelined.tryClose(outgoing),
+      () =>
+        (pipelined.isLast(outgoing) || waitsInCrowd(outgoing)) &&
+        pipelined.tryClose(outgoing),
     );
     const message = `no such path: ${context.req.path}`;
     response.sendError(new RouterError('not_found', message));
@@ -379,7 +384,7 @@
     refuseOpenRequest(outgoing, refusal, {
       share: openShare(incoming, outgoing),
       limit: options.openRequests,
-      isStopping: isDraining,
+      isStopping: isDraining || pipelined.isLast(outgoing),
       tryClose: pipelined.tryClose,
     });
   }
--- a/packages/gateway/src/server/GatewayServer.ts
+++ b/packages/gateway/src/server/GatewayServer.ts
@@ -82,7 +82,7 @@
       refuseOpenRequest(response, refusal, {
         share,
         limit: context.openRequestLimit,
-        isStopping: closing,
+        isStopping: closing || pipelined.isLast(response),
         tryClose: pipelined.tryClose,
       });
       return;
@@ -107,7 +107,7 @@
       return;
     }
     const connectionClosing = {
-      isClosing: () => closing,
+      isClosing: () => closing || pipelined.isLast(response),
       tryClose: () => pipelined.tryClose(response),
       isPipelined: () => pipelined.isPipelined(response),
     };
