--- a/packages/common/src/DescriptorPlan.ts
+++ b/packages/common/src/DescriptorPlan.ts
@@ -11,6 +11,12 @@
   readonly callerCount: number;
   /** Connections at each port for checks and metrics. */
   readonly statusCount: number;
+  /** Callers that may still send when their connection was answered and closed. */
+  readonly lingeringCallerCount: number;
+  /** Connections that may wait to be accepted at the port of callers. */
+  readonly waitingCallerCount: number;
+  /** The same at each other port. */
+  readonly waitingCount: number;
 }
 
 /** Descriptors of files and of the runtime, of which small limits hold fewer. */
@@ -23,6 +29,14 @@
 const connectionBytes = 16 * 1024;
 /** Part of the memory limit that the connections of callers may fill. */
 const connectionMemoryShare = 0.1;
+/** Bytes that the system receives for a connection before they are read. */
+const unreadBytes = 128 * 1024;
+/** Parts of the memory limit that bytes which are not read may fill. */
+const waitingCallerMemoryShare = 0.05;
+const waitingMemoryShare = 0.01;
+const lingeringMemoryShare = 0.025;
+/** Connections that come together are not turned away for a small limit. */
+const minUnreadCount = 16;
 const limitsFile = '/proc/self/limits';
 /** Usual limit of systems that do not show it. */
 const defaultLimitCount = 1_024;
@@ -37,10 +51,18 @@
     (memoryLimitBytes * connectionMemoryShare) / connectionBytes;
   const part = (share: number) =>
     Math.max(1, Math.floor(Math.min(freeCount * share, maxConnectionCount)));
+  const unreadPart = (share: number) =>
+    Math.max(
+      minUnreadCount,
+      Math.floor((memoryLimitBytes * share) / unreadBytes),
+    );
   return {
     limitCount,
     callerCount: part(callerShare),
     statusCount: part(statusShare),
+    lingeringCallerCount: unreadPart(lingeringMemoryShare),
+    waitingCallerCount: unreadPart(waitingCallerMemoryShare),
+    waitingCount: unreadPart(waitingMemoryShare),
   };
 }
 
--- a/packages/common/src/__tests__/unit/ConnectionBudget.test.ts
+++ b/packages/common/src/__tests__/unit/ConnectionBudget.test.ts
@@ -93,6 +93,20 @@
     expect(planDescriptors(2_212, 210_000_000).callerCount).to.equal(1_006);
   });
 
+  // Guards against connections whose bytes the system has received, and which
+  // wait to be accepted, beyond the memory of the machine.
+  it('bounds the connections that hold unread bytes by the memory', () => {
+    for (const memoryLimitBytes of [130_000_000, 870_000_000]) {
+      const plan = planDescriptors(4_100, memoryLimitBytes);
+      const unreadCount =
+        plan.waitingCallerCount +
+        3 * plan.waitingCount +
+        plan.lingeringCallerCount;
+      expect(unreadCount * 128 * 1024).to.be.below(memoryLimitBytes * 0.15);
+      expect(plan.waitingCallerCount).to.be.above(40);
+    }
+  });
+
   it('reads the limit of the process', () => {
     const row =
       'Max open files            2212                 4096     files\n';
--- a/packages/common/src/__tests__/unit/LingeringClose.test.ts
+++ b/packages/common/src/__tests__/unit/LingeringClose.test.ts
@@ -4,7 +4,9 @@
 import type {AddressInfo, Socket} from 'node:net';
 import {connect} from 'node:net';
 import {expect} from 'chai';
+import type {Clock} from '../../index.js';
 import {
+  createManualClock,
   createSystemClock,
   delay,
   lingerAfterLastResponse,
@@ -17,12 +19,15 @@
 const rejectedStatus = 413;
 
 /** Starts a server that rejects each request before its body has arrived. */
-async function startRejectingServer(): Promise<Server> {
+async function startRejectingServer(
+  lingerClock: Clock = clock,
+  maxSendingCount?: number,
+): Promise<Server> {
   const server = createServer((_, response) => {
     response.writeHead(rejectedStatus, {connection: 'close'});
     response.end('too large');
   });
-  lingerAfterLastResponse(server, clock);
+  lingerAfterLastResponse(server, lingerClock, maxSendingCount);
   server.listen(0, host);
   await once(server, 'listening');
   return server;
@@ -50,6 +55,19 @@
   });
 }
 
+/** Sends a body without end, also after the response. */
+function sendOn(port: number): Socket {
+  const socket = connect({host, port, allowHalfOpen: true});
+  socket.on('error', () => undefined);
+  socket.resume();
+  socket.write(
+    'POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 90000000\r\n\r\n',
+  );
+  const timer = setInterval(() => socket.write(chunk), 1);
+  socket.once('close', () => clearInterval(timer));
+  return socket;
+}
+
 describe('LingeringClose', () => {
   // Guards against a reset that overtakes the response to a caller that is
   // still sending its body.
@@ -99,4 +117,24 @@
     server.close();
     expect(wasClosed).to.equal(true);
   });
+
+  // Guards against callers that send on after their refusal and keep connections
+  // whose unread bytes fill the memory of the machine.
+  it('bounds the connections of callers that still send', async () => {
+    const maxSendingCount = 2;
+    const server = await startRejectingServer(
+      createManualClock(),
+      maxSendingCount,
+    );
+    const sockets = Array.from({length: 6}, () => sendOn(portOf(server)));
+    const openCount = () => sockets.filter(({closed}) => !closed).length;
+    for (let polls = 0; polls < 200 && openCount() > maxSendingCount; polls++) {
+      await delay(clock, 10);
+    }
+    await delay(clock, 100);
+    expect(openCount()).to.equal(maxSendingCount);
+    for (const socket of sockets) socket.destroy();
+    server.closeAllConnections();
+    server.close();
+  });
 });
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -56,6 +56,11 @@
   maxBufferedBodyBytes,
   maxBytesWithoutEvent,
   maxRejectionBodyBytes,
+export type {
+  PortConnections,
+  PortConnectionsOptions,
+} from './PortConnections.js';
+export {createPortConnections} from './PortConnections.js';
 } from './ResponseLimits.js';
 export type {
   ClaimEnd,
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -7,6 +7,7 @@
   AcceptedConnections,
   Clock,
   Listener,
+  ListenError,
   RandomSource,
   RouterError,
   ServiceName,
@@ -48,7 +49,7 @@
 import {createTurnQueue} from './request/TurnQueue.js';
 import {createConnectionBudgets} from './server/ConnectionBudgets.js';
 import {createGatewayMetrics} from './server/GatewayMetrics.js';
-import {createGatewayServer, listenBacklog} from './server/GatewayServer.js';
+import {createGatewayServer} from './server/GatewayServer.js';
 import {
   createMetricsServer,
   createReadinessServer,
@@ -135,7 +136,7 @@
   const openRequestLimit = createOpenRequestLimit(memory.plan.openRequestBytes);
   const ports = createConnectionBudgets({
     clock,
-    logger,
+    log: logger,
     maxDescriptors: settings.maxDescriptors,
     memoryLimitBytes: memory.plan.limitBytes,
   });
@@ -385,6 +386,7 @@
     turnQueue,
     connections,
     callerConnections: ports.callers,
+    lingeringCallerCount: ports.lingeringCallerCount,
     openRequestLimit,
     requestBodies: memory.requestBodies,
     responseBuffers: memory.responses,
@@ -481,22 +483,19 @@
     server: Server,
     target: ListenAddress,
     required: boolean,
+    backlog = ports.waitingCount,
   ): Listener {
-    return createServerListener({
-      clock,
-      log: logger,
-      purpose,
-      server,
-      target,
-      backlog: listenBacklog,
-      isFinal: error => required && isLastingListenError(error),
-    });
+    const isFinal = (error: ListenError) =>
+      required && isLastingListenError(error);
+    const common = {clock, log: logger, purpose, isFinal};
+    return createServerListener({...common, server, target, backlog});
   }
   const callersListener = createListenerFor(
     'callers',
     gatewayServer.server,
     settings.callers,
     true,
+    ports.waitingCallerCount,
   );
   const readinessListener = createListenerFor(
     'readiness checks',
--- a/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
+++ b/packages/gateway/src/__tests__/unit/GatewayServerFixtures.ts
@@ -114,6 +114,7 @@
     callerConnections: createConnectionBudget({clock, maxCount: 1_000}),
     openRequestLimit: createOpenRequestLimit(64 * 1024 * 1024),
     requestBodies: createMemoryBudget({clock, maxBytes: 64 * 1024 * 1024}),
+    lingeringCallerCount: Infinity,
     responseBuffers: createBufferBudget(),
     promptGuard: createPromptGuard({
       clock,
--- a/packages/gateway/src/request/GatewayContext.ts
+++ b/packages/gateway/src/request/GatewayContext.ts
@@ -57,6 +57,8 @@
   readonly connections: UpstreamConnections;
   /** Bounds the connections of callers. */
   readonly callerConnections: ConnectionBudget;
+  /** Callers that may still send when their connection was answered and closed. */
+  readonly lingeringCallerCount: number;
   /** Bounds the requests that are open at the same time. */
   readonly openRequestLimit: OpenRequestLimit;
   /** Bounds the memory of callers' bodies. */
--- a/packages/gateway/src/server/GatewayServer.ts
+++ b/packages/gateway/src/server/GatewayServer.ts
@@ -48,9 +48,6 @@
 const maxHeaderBytes = 64 * 1024;
 const connectionCheckMs = 1_000;
 
-/** Connections that may queue while the process starts or is busy. */
-export const listenBacklog = 1_024;
-
 function describe(open: OpenRequest): UnansweredRequest {
   const {requestId} = open;
   return {requestId, stage: open.stage(), openMs: Math.round(open.openMs())};
@@ -157,7 +154,7 @@
     },
   );
   spareUnsentResponses(server);
-  lingerAfterLastResponse(server, context.clock);
+  lingerAfterLastResponse(server, context.clock, context.lingeringCallerCount);
   limitConnections(server, context.callerConnections);
   closeUnfinishedBodies(server, context.clock);
   closeWaitingResponses(server);
