--- a/packages/common/src/ConnectionErrors.ts
+++ b/packages/common/src/ConnectionErrors.ts
@@ -12,6 +12,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {STATUS_CODES} from 'node:http';
 import type {Socket} from 'node:net';
+import {bufferGarbage} from './BufferGarbage.js';
 import {socketsRead} from './SocketsRead.js';
 
 const timeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
@@ -31,8 +32,9 @@
   readonly response: ServerResponse;
 }
 
-function discard(): void {
-  // What follows an error is not read as requests.
+/** What follows an error is not read as requests. */
+function discard({length}: Buffer): void {
+  bufferGarbage.received(length);
 }
 
 /** Reads on without serving, so that the caller's leaving is noticed. */
--- a/packages/common/src/LingeringClose.ts
+++ b/packages/common/src/LingeringClose.ts
@@ -8,6 +8,7 @@
  */
 import type {IncomingMessage, Server} from 'node:http';
 import type {Socket} from 'node:net';
+import {bufferGarbage} from './BufferGarbage.js';
 import type {Clock} from './Clock.js';
 
 /** A peer that has not closed the connection after this time is cut off. */
@@ -38,7 +39,10 @@
   function linger(socket: Socket): void {
     const message = latestMessages.get(socket);
     // The peer may send a body whose response is complete already.
-    const discard = () => stillSends(socket);
+    const discard = ({length}: Buffer) => {
+      bufferGarbage.received(length);
+      stillSends(socket);
+    };
     if (message?.complete === false) stillSends(socket);
     // A request that follows must not be served: its response cannot be sent.
     socket.removeAllListeners('data');
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -38,6 +38,12 @@
   ReportSource,
   WorkspaceBurn,
 } from './BurnReport.js';
+export type {BufferGarbage, Collector} from './BufferGarbage.js';
+export {
+  bufferGarbage,
+  countReceivedBodies,
+  createBufferGarbage,
+} from './BufferGarbage.js';
 export type {BufferBudget, BufferShare} from './BufferBudget.js';
 export {createBufferBudget, defaultBufferBudgetBytes} from './BufferBudget.js';
 export type {ByteCollector} from './ByteCollector.js';
@@ -50,17 +56,17 @@
   readLimitedBody,
   readWholeBody,
 } from './LimitedBody.js';
+export type {
+  PortConnections,
+  PortConnectionsOptions,
+} from './PortConnections.js';
+export {createPortConnections} from './PortConnections.js';
 export type {PieceLimit} from './PieceLimit.js';
 export {createPieceLimit} from './PieceLimit.js';
 export {
   maxBufferedBodyBytes,
   maxBytesWithoutEvent,
   maxRejectionBodyBytes,
-export type {
-  PortConnections,
-  PortConnectionsOptions,
-} from './PortConnections.js';
-export {createPortConnections} from './PortConnections.js';
 } from './ResponseLimits.js';
 export type {
   ClaimEnd,
--- a/packages/gateway/src/server/GatewayServer.ts
+++ b/packages/gateway/src/server/GatewayServer.ts
@@ -7,6 +7,7 @@
   answerBeforeErrors,
   closeUnfinishedBodies,
   closeWaitingResponses,
+  countReceivedBodies,
   handOverRefusedRequests,
   headBytesOf,
   headerBytesOf,
@@ -155,6 +156,7 @@
   );
   spareUnsentResponses(server);
   lingerAfterLastResponse(server, context.clock, context.lingeringCallerCount);
+  countReceivedBodies(server);
   limitConnections(server, context.callerConnections);
   closeUnfinishedBodies(server, context.clock);
   closeWaitingResponses(server);
