--- a/packages/cli/src/__tests__/unit/Pages.test.ts
+++ b/packages/cli/src/__tests__/unit/Pages.test.ts
@@ -175,6 +175,12 @@
         refusedCount: 0,
         givenUpCount: 0,
       }),
+      callerConnections: () => ({
+        openCount: 0,
+        maxCount: 1,
+        refusedCount: 0,
+        displacedCount: 0,
+      }),
     });
     const text = await metrics.render();
     const names = [...text.matchAll(/^# TYPE (toucanrouter_\w+) /gm)].map(
--- a/packages/daemon/src/Daemon.ts
+++ b/packages/daemon/src/Daemon.ts
@@ -87,6 +87,7 @@
     admin,
     settings.admin,
     'operators',
+    instance.ports.plan.waitingCount,
   );
   const listReader = startListReader(options, instance);
   await Promise.race([instance.configSource.start(), whenAborted(stopSignal)]);
@@ -95,6 +96,7 @@
     callers.server,
     settings.callers,
     'callers',
+    instance.ports.plan.waitingCallerCount,
   );
   if (callersPort.isErr()) {
     listReader.close();
--- a/packages/daemon/src/Instance.ts
+++ b/packages/daemon/src/Instance.ts
@@ -11,12 +11,18 @@
 import type {
   ClaimReference,
   Clock,
+  ConnectionBudget,
+  DescriptorPlan,
   KeyValueStore,
   ProcessMemory,
   StoreHistoryStatus,
 } from '@toucanrouter/common';
 import {limitHeaderLines} from '@toucanrouter/common/http-client';
-import {createProcessMemory, createProcessRandom} from '@toucanrouter/common';
+import {
+  createPortConnections,
+  createProcessMemory,
+  createProcessRandom,
+} from '@toucanrouter/common';
 import {createMemberTable} from '@toucanrouter/membership';
 import type {ConfigStore, InstanceList} from '@toucanrouter/keyvalue';
 import {createConfigStore, createKeyValueClient} from '@toucanrouter/keyvalue';
@@ -67,6 +73,13 @@
   readonly logger: Logger;
 }
 
+/** The connections that the ports of an instance may hold. */
+export interface InstancePorts {
+  readonly plan: DescriptorPlan;
+  readonly callers: ConnectionBudget;
+  readonly admin: ConnectionBudget;
+}
+
 /** The components of an instance. */
 export interface Instance extends Scheduling {
   readonly access: UpstreamAccess;
@@ -80,6 +93,7 @@
   readonly keys: WorkspaceKeys;
   readonly loadControl: LoadControl;
   readonly memory: ProcessMemory;
+  readonly ports: InstancePorts;
   readonly quarantineExchange: QuarantineExchange;
   readonly readiness: Readiness;
   readonly recorder: ServiceLevelRecorder;
@@ -184,6 +198,11 @@
     guard: promptGuard,
   });
   const memory = createProcessMemory(clock, settings.memoryLimitBytes);
+  const portConnections = createPortConnections({
+    clock,
+    log: logger,
+    memoryLimitBytes: memory.plan.limitBytes,
+  });
   const instance: Instance = {
     ...scheduling,
     access: {
@@ -213,6 +232,11 @@
     keys,
     loadControl: createInstanceLoadControl(options, holder, memory),
     memory,
+    ports: {
+      plan: portConnections.plan,
+      callers: portConnections.createCallerBudget(),
+      admin: portConnections.createStatusBudget('operators'),
+    },
     quarantineExchange,
     readiness: createReadiness(),
     recorder,
--- a/packages/daemon/src/Metrics.ts
+++ b/packages/daemon/src/Metrics.ts
@@ -10,6 +10,7 @@
   Registry,
 } from 'prom-client';
 import type {
+  ConnectionBudgetStatus,
   HolderMemory,
   MemoryBudgetStatus,
   StoreHistoryStatus,
@@ -52,6 +53,7 @@
   readonly memoryLimitBytes: () => number;
   readonly memoryHolders: () => readonly HolderMemory[];
   readonly bodyMemory: () => MemoryBudgetStatus;
+  readonly callerConnections: () => ConnectionBudgetStatus;
 }
 
 /** The metrics of an instance. */
@@ -242,6 +244,26 @@
       'Calls whose memory was given up for others since the start',
       () => sources.bodyMemory().givenUpCount,
     ],
+    [
+      'toucanrouter_caller_connections',
+      'Connections of callers that are open',
+      () => sources.callerConnections().openCount,
+    ],
+    [
+      'toucanrouter_caller_connections_limit',
+      'Connections of callers that the descriptors and the memory allow',
+      () => sources.callerConnections().maxCount,
+    ],
+    [
+      'toucanrouter_caller_connections_refused',
+      'Connections of callers closed at once since the start, because too many were open',
+      () => sources.callerConnections().refusedCount,
+    ],
+    [
+      'toucanrouter_caller_connections_displaced',
+      'Silent, idle or stalled connections of callers closed since the start in favor of others',
+      () => sources.callerConnections().displacedCount,
+    ],
   ];
   for (const [name, help, read] of gauges) {
     new Gauge({
--- a/packages/daemon/src/__tests__/unit/CallerServer.test.ts
+++ b/packages/daemon/src/__tests__/unit/CallerServer.test.ts
@@ -4,6 +4,7 @@
 import type {AddressInfo} from 'node:net';
 import {connect} from 'node:net';
 import {
+  createConnectionBudget,
   createMemoryBudget,
   createOpenRequestLimit,
   createSystemClock,
@@ -41,6 +42,8 @@
     classes: () => [],
     isKnownCaller: () => true,
     bodyMemory: createMemoryBudget({clock, maxBytes: 1_000_000}),
+    connections: createConnectionBudget({clock, maxCount: Infinity}),
+    lingeringCount: Infinity,
     openRequests: createOpenRequestLimit(maxOpenRequestBytes),
     loadControl: {admit: () => ok(undefined), retryAfterMs: () => 1_000},
   });
--- a/packages/daemon/src/__tests__/unit/CallerServerFixture.ts
+++ b/packages/daemon/src/__tests__/unit/CallerServerFixture.ts
@@ -12,6 +12,7 @@
   Tier,
 } from '@toucanrouter/common';
 import {
+  createConnectionBudget,
   createMemoryBudget,
   createOpenRequestLimit,
   createSeededRandom,
@@ -98,6 +99,8 @@
     classes: () => classes,
     isKnownCaller: ({authorization}) => authorization !== 'none',
     bodyMemory: memory,
+    connections: createConnectionBudget({clock, maxCount: Infinity}),
+    lingeringCount: Infinity,
     openRequests,
     loadControl,
   });
--- a/packages/daemon/src/__tests__/unit/Metrics.test.ts
+++ b/packages/daemon/src/__tests__/unit/Metrics.test.ts
@@ -37,6 +37,12 @@
       refusedCount: 0,
       givenUpCount: 0,
     }),
+    callerConnections: () => ({
+      openCount: 0,
+      maxCount: 1,
+      refusedCount: 0,
+      displacedCount: 0,
+    }),
     ...overrides,
   };
 }
@@ -74,6 +80,12 @@
           refusedCount: 7,
           givenUpCount: 2,
         }),
+        callerConnections: () => ({
+          openCount: 0,
+          maxCount: 1,
+          refusedCount: 0,
+          displacedCount: 0,
+        }),
       }),
     );
     // Counts that are kept elsewhere must not be added up by each reading.
--- a/packages/daemon/src/__tests__/unit/PausedUpstreams.test.ts
+++ b/packages/daemon/src/__tests__/unit/PausedUpstreams.test.ts
@@ -487,6 +487,12 @@
         refusedCount: 0,
         givenUpCount: 0,
       }),
+      callerConnections: () => ({
+        openCount: 0,
+        maxCount: 1,
+        refusedCount: 0,
+        displacedCount: 0,
+      }),
     });
     const upstream = upstreamInfo('engine-1');
     paused.recordRefusal(upstream, toRequestId('r1'), '2');
--- a/packages/daemon/src/server/AdminServer.ts
+++ b/packages/daemon/src/server/AdminServer.ts
@@ -3,6 +3,12 @@
  */
 import type {Server} from 'node:http';
 import {createAdaptorServer} from '@hono/node-server';
+import type {Clock, ConnectionBudget} from '@toucanrouter/common';
+import {
+  closeUnfinishedBodies,
+  countReceivedBodies,
+  limitConnections,
+} from '@toucanrouter/common';
 import {Hono} from 'hono';
 import type {AdminDependencies} from '../admin/AdminDependencies.js';
 import {createAdminApp} from '../admin/AdminApp.js';
@@ -10,6 +16,9 @@
 
 /** Options of the server for operators. */
 export interface AdminServerOptions {
+  readonly clock: Clock;
+  /** Bounds the connections of operators and checks. */
+  readonly connections: ConnectionBudget;
   readonly admin: AdminDependencies;
   readonly metrics: Metrics;
   /** Returns why the instance is not ready; undefined if it is ready. */
@@ -32,5 +41,9 @@
     });
   });
   app.route('/', createAdminApp(options.admin));
-  return createAdaptorServer({fetch: app.fetch}) as Server;
+  const server = createAdaptorServer({fetch: app.fetch}) as Server;
+  limitConnections(server, options.connections);
+  closeUnfinishedBodies(server, options.clock);
+  countReceivedBodies(server);
+  return server;
 }
--- a/packages/daemon/src/server/CallerServer.ts
+++ b/packages/daemon/src/server/CallerServer.ts
@@ -14,6 +14,7 @@
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import type {
   Clock,
+  ConnectionBudget,
   MemoryBudget,
   OpenRequestLimit,
   OpenRequestShare,
@@ -24,9 +25,12 @@
 import {
   answerBeforeErrors,
   answerReserveFor,
+  closeUnfinishedBodies,
   closeWaitingResponses,
+  countReceivedBodies,
   handOverRefusedRequests,
   headBytesOf,
+  limitConnections,
   lingerAfterLastResponse,
   readBeforeIdleTimeout,
   refuseOpenRequest,
@@ -75,6 +79,10 @@
   readonly isKnownCaller: (headers: IncomingHttpHeaders) => boolean;
   /** Bounds the bodies of calls in progress. */
   readonly bodyMemory: MemoryBudget;
+  /** Bounds the connections of callers. */
+  readonly connections: ConnectionBudget;
+  /** Callers that may still send when their connection was answered and closed. */
+  readonly lingeringCount: number;
   /** Bounds the calls that are open, bodies not included. */
   readonly openRequests: OpenRequestLimit;
   readonly loadControl: Pick<LoadControl, 'admit' | 'retryAfterMs'>;
@@ -413,7 +421,10 @@
 
   const server = createServer(unrefusedOptions, listen);
   spareUnsentResponses(server);
-  lingerAfterLastResponse(server, clock);
+  lingerAfterLastResponse(server, clock, options.lingeringCount);
+  limitConnections(server, options.connections);
+  closeUnfinishedBodies(server, clock);
+  countReceivedBodies(server);
   closeWaitingResponses(server);
   answerBeforeErrors(server);
   readBeforeIdleTimeout(server);
--- a/packages/daemon/src/server/Listening.ts
+++ b/packages/daemon/src/server/Listening.ts
@@ -25,12 +25,18 @@
     server: Server,
     target: ListenTarget,
     purpose: string,
+    backlog: number,
   ): Promise<Result<number, RouterError>>;
   /**
    * Opens the listener of a server without which callers are served; its attempts
    * go on until it is closed.
    */
-  openOptional(server: Server, target: ListenTarget, purpose: string): Listener;
+  openOptional(
+    server: Server,
+    target: ListenTarget,
+    purpose: string,
+    backlog: number,
+  ): Listener;
   /** Opens the listener for peers; resolves with the hub. */
   openHub(
     target: ListenTarget,
@@ -66,12 +72,19 @@
   }
 
   return {
-    openServer: (server, target, purpose) =>
-      open(createServerListener({...optionsFor(purpose, target), server})),
-    openOptional: (server, target, purpose) => {
+    openServer: (server, target, purpose, backlog) =>
+      open(
+        createServerListener({
+          ...optionsFor(purpose, target),
+          server,
+          backlog,
+        }),
+      ),
+    openOptional: (server, target, purpose, backlog) => {
       const listener = createServerListener({
         ...optionsFor(purpose, target),
         server,
+        backlog,
         isFinal: () => false,
       });
       void listener.open();
--- a/packages/daemon/src/server/Servers.ts
+++ b/packages/daemon/src/server/Servers.ts
@@ -50,6 +50,8 @@
     classes: () => instance.holder.inForce().classes,
     isKnownCaller: headers => isKnownCaller(instance.keys, headers),
     bodyMemory: instance.memory.requestBodies,
+    connections: instance.ports.callers,
+    lingeringCount: instance.ports.plan.lingeringCallerCount,
     openRequests: createOpenRequestLimit(instance.memory.plan.openRequestBytes),
     loadControl: instance.loadControl,
     chatPipeline: [...commonFilters, createChatFilter(access)],
@@ -63,6 +65,8 @@
     ],
   });
   const admin = createAdminServer({
+    clock,
+    connections: instance.ports.admin,
     admin: createAdminDependencies(options, instance),
     metrics,
     notReadyReason: readiness.notReadyReason,
@@ -91,7 +95,8 @@
 }
 
 function createInstanceMetrics(instance: Instance, hub: PeerHub): Metrics {
-  const {access, fleet, holder, host, loadControl, memory, permits} = instance;
+  const {access, fleet, holder, host, loadControl, memory, permits, ports} =
+    instance;
   return createMetrics({
     membersAlive: () => fleet.alive().length,
     configVersion: () => holder.inForce().version,
@@ -114,5 +119,6 @@
     memoryLimitBytes: () => memory.plan.limitBytes,
     memoryHolders: memory.holders,
     bodyMemory: memory.requestBodies.status,
+    callerConnections: ports.callers.status,
   });
 }
