--- a/packages/gateway/src/__tests__/process/CallerCrowds.test.ts
+++ b/packages/gateway/src/__tests__/process/CallerCrowds.test.ts
@@ -1,7 +1,5 @@
-import {once} from 'node:events';
 import {mkdtempSync, rmSync} from 'node:fs';
 import type {Server} from 'node:http';
-import {createServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -14,10 +12,10 @@
 import {
   bundleLimitedGateway,
   call,
+  startUpstream,
   withLimitedGateway,
 } from './LimitedGatewayFixtures.js';
 
-const host = '127.0.0.1';
 const limits = {
   limitBytes: 130_000_000,
   maxHeapMib: 48,
@@ -25,17 +23,6 @@
 };
 const path = '/chat/x';
 
-async function startUpstream(): Promise<Server> {
-  const server = createServer((message, response) => {
-    message.resume();
-    response.writeHead(200, {id: String(message.headers['id']), mark: 'm'});
-    response.end('whole');
-  });
-  server.listen(0, host);
-  await once(server, 'listening');
-  return server;
-}
-
 describe('Process of a small gateway beside a crowd of callers', () => {
   const directory = mkdtempSync(join(tmpdir(), 'toucanrouter-crowds-'));
   let bundleFile: string;
--- a/packages/gateway/src/__tests__/process/LimitedGatewayFixtures.ts
+++ b/packages/gateway/src/__tests__/process/LimitedGatewayFixtures.ts
@@ -6,7 +6,8 @@
 import {spawn} from 'node:child_process';
 import {once} from 'node:events';
 import {readdirSync, readFileSync} from 'node:fs';
-import {request} from 'node:http';
+import type {Server} from 'node:http';
+import {createServer, request} from 'node:http';
 import {join} from 'node:path';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -131,6 +132,18 @@
   return outfile;
 }
 
+/** Starts an upstream that answers each request as soon as its head is read. */
+export async function startUpstream(): Promise<Server> {
+  const server = createServer((message, response) => {
+    message.resume();
+    response.writeHead(200, {id: String(message.headers['id']), mark: 'm'});
+    response.end('whole');
+  });
+  server.listen(0, host);
+  await once(server, 'listening');
+  return server;
+}
+
 /** Sends one request; returns the status, or undefined without a response. */
 export function call(port: number, id: string): Promise<number | undefined> {
   return new Promise(resolve => {
--- a/packages/gateway/src/__tests__/process/OutsideLimits.test.ts
+++ b/packages/gateway/src/__tests__/process/OutsideLimits.test.ts
@@ -1,6 +1,3 @@
-import {once} from 'node:events';
-import type {Server} from 'node:http';
-import {createServer} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import {connect} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -12,6 +9,7 @@
 import {
   call,
   memoryLimitBytes,
+  startUpstream,
   withLimitedGateway,
 } from './LimitedGatewayFixtures.js';
 
@@ -34,17 +32,6 @@
 const pipelinedRequestsCount = 4_000;
 const pollMs = 100;
 
-async function startUpstream(): Promise<Server> {
-  const server = createServer((message, response) => {
-    message.resume();
-    response.writeHead(200, {id: String(message.headers['id']), mark: 'm'});
-    response.end('whole');
-  });
-  server.listen(0, host);
-  await once(server, 'listening');
-  return server;
-}
-
 /** Calls again while it is refused; returns the last status. */
 async function callUntilServed(port: number): Promise<number | undefined> {
   for (let waitedMs = 0; ; waitedMs += pollMs) {
--- a/packages/gateway/src/__tests__/process/SmallPieceBodies.test.ts
+++ b/packages/gateway/src/__tests__/process/SmallPieceBodies.test.ts
@@ -1,6 +1,3 @@
-import {once} from 'node:events';
-import type {Server} from 'node:http';
-import {createServer} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import {connect} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -9,6 +6,7 @@
 import {
   call,
   memoryLimitBytes,
+  startUpstream,
   withLimitedGateway,
 } from './LimitedGatewayFixtures.js';
 
@@ -19,17 +17,6 @@
 const head =
   'POST /chat/x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n';
 
-async function startUpstream(): Promise<Server> {
-  const server = createServer((message, response) => {
-    message.resume();
-    response.writeHead(200, {id: String(message.headers['id']), mark: 'm'});
-    response.end('whole');
-  });
-  server.listen(0, host);
-  await once(server, 'listening');
-  return server;
-}
-
 /** Sends a body of chunks of one byte for as long as it is read. */
 function sendWithoutEnd(port: number, id: string): Socket {
   const socket = connect(port, host);
