--- a/packages/common/src/LingeringClose.ts
+++ b/packages/common/src/LingeringClose.ts
@@ -13,27 +13,43 @@
 
 /** A peer that has not closed the connection after this time is cut off. */
 export const maxLingerMs = 1_000;
+/** Time that each peer has to read its response, however many still send. */
+export const minLingerMs = 500;
 
 /**
  * Makes `server` close only its own direction of a connection after the last
  * response, and read on until the peer has closed too, for a bounded time. When
- * more peers than `maxSendingCount` still send, the first of them is cut off.
+ * more peers than `maxSendingCount` still send, those that have had time to read
+ * their response are cut off.
  */
 export function lingerAfterLastResponse(
   server: Server,
   clock: Clock,
   maxSendingCount = Infinity,
 ): void {
-  /** In the order in which their bytes began to arrive. */
-  const sendingSockets = new Set<Socket>();
+  /** When each peer was seen to send on, in that order. */
+  const sendingSinceMs = new Map<Socket, number>();
   const latestMessages = new WeakMap<Socket, IncomingMessage>();
 
+  /** Cuts off the first of too many peers that have had time to read. */
+  function cutOffSurplus(): void {
+    for (const [socket, sinceMs] of sendingSinceMs) {
+      const isWithinLimit = sendingSinceMs.size <= maxSendingCount;
+      if (isWithinLimit || clock.nowMs() - sinceMs < minLingerMs) return;
+      sendingSinceMs.delete(socket);
+      socket.destroy();
+    }
+  }
+
   function stillSends(socket: Socket): void {
-    sendingSockets.add(socket);
-    const [first] = sendingSockets;
-    if (first === undefined || sendingSockets.size <= maxSendingCount) return;
-    sendingSockets.delete(first);
-    first.destroy();
+    if (sendingSinceMs.has(socket)) return;
+    sendingSinceMs.set(socket, clock.nowMs());
+    cutOffSurplus();
+    const cancel = clock.after(minLingerMs, cutOffSurplus);
+    socket.once('close', () => {
+      cancel();
+      sendingSinceMs.delete(socket);
+    });
   }
 
   function linger(socket: Socket): void {
@@ -41,7 +57,7 @@
     // The peer may send a body whose response is complete already.
     const discard = ({length}: Buffer) => {
       bufferGarbage.received(length);
-      stillSends(socket);
+      if (!socket.destroyed) stillSends(socket);
     };
     if (message?.complete === false) stillSends(socket);
     // A request that follows must not be served: its response cannot be sent.
@@ -53,10 +69,7 @@
     socket.end();
     const cancelTimeout = clock.after(maxLingerMs, () => socket.destroy());
     socket.once('end', () => socket.destroy());
-    socket.once('close', () => {
-      cancelTimeout();
-      sendingSockets.delete(socket);
-    });
+    socket.once('close', cancelTimeout);
   }
 
   server.on('connection', (socket: Socket) => {
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -172,7 +172,11 @@
   UpstreamSnapshot,
   UpstreamState,
 } from './Permits.js';
-export {lingerAfterLastResponse, maxLingerMs} from './LingeringClose.js';
+export {
+  lingerAfterLastResponse,
+  maxLingerMs,
+  minLingerMs,
+} from './LingeringClose.js';
 export type {LoopDelay, LoopDelayOptions} from './LoopDelay.js';
 export {createLoopDelay} from './LoopDelay.js';
 export type {LoopTimes} from './LoopUtilization.js';
