review: keep the stand-ins of the second review beside its cases

The folders of review/ are cases; the stand-ins are files beside them, as those of the first review are.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 # dependencies: nothing has to be compiled. This checks that all files parse.
 set -euo pipefail
 cd "$(dirname "$0")"
-for file in standins-2/*.js 6/*.js 7/*.js; do
+for file in *-2.js [6-9]/*.js; do
   node --check "$file"
 done
--- a/review/standins-2/case.js
+++ b/review/case-2.js
@@ -5,8 +5,8 @@
 import process from 'node:process';
 import {writeFileSync} from 'node:fs';
 import {fileURLToPath, URL} from 'node:url';
-import {createFolder, createRouter} from './router.js';
-import {startStore} from './store.js';
+import {createFolder, createRouter} from './router-2.js';
+import {startStore} from './store-2.js';
 import {performance} from 'node:perf_hooks';
 import {setTimeout} from 'node:timers';
 import console from 'node:console';
--- a/review/standins-2/chat.js
+++ b/review/chat-2.js
@@ -2,7 +2,7 @@
  * A configuration with one route of resumable streams, like `repairchat` of
  * plamenik-router, and its requests.
  */
-import {newRequestId, send} from './client.js';
+import {newRequestId, send} from './client-2.js';
 
 export const chatHost = 'ficu95.example';
 export const chatPath = '/chat/2f';
--- a/review/standins-2/router.js
+++ b/review/router-2.js
@@ -19,7 +19,7 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout} from 'node:timers';
 
-const root = fileURLToPath(new URL('../..', import.meta.url));
+const root = fileURLToPath(new URL('..', import.meta.url));
 const runLine = /^run = "(.*)"$/m;
 
 /** Bounds of the small deployments (`sites/`). */
