review: show streams of two versions after a crash without other trouble

Seen: an engine crashes in a calm moment and is back under its id with the next version just as many users come. 2 s later it crashes again, and its streams go on at engines of the version before. Clients get complete answers with events of both.

Cause: the version of a new stream is that of the known entry, which may be a second old; only streams that go on are verified with the store.

--- a/review/engine-2.js
+++ b/review/engine-2.js
@@ -65,7 +65,8 @@
     ended.close();
   }
 
-  function crash() {
+  /** Crashes; `nextVersion` is the software with which it starts again. */
+  function crash(nextVersion = software) {
     if (server === undefined) return;
     onCrash(id);
     const endedId = id;
@@ -76,7 +77,11 @@
     setTimeout(() => {
       if (!closed && born === endedBorn) store.remove(`servers/${endedId}`);
     }, 3 * beatMs);
-    setTimeout(() => !closed && void start(), restartMs);
+    setTimeout(() => {
+      if (closed) return;
+      software = nextVersion;
+      void start();
+    }, restartMs);
   }
 
   /**
--- a/review/router-2.js
+++ b/review/router-2.js
@@ -34,18 +34,25 @@
   retry_budget_slack: 56,
 };
 
-/** Returns a port that is free on all addresses. */
-export function freePort(host) {
+function listenAnywhere(host) {
   return new Promise((resolve, reject) => {
     const server = createServer();
     server.once('error', reject);
-    server.listen(0, host, () => {
-      const {port} = server.address();
-      server.close(() => resolve(port));
-    });
+    server.listen(0, host, () => resolve(server));
   });
 }
 
+/** Returns different ports that are free at `host`. */
+async function freePorts(host, count) {
+  const servers = [];
+  while (servers.length < count) servers.push(await listenAnywhere(host));
+  const ports = servers.map(server => server.address().port);
+  for (const server of servers) {
+    await new Promise(resolve => server.close(resolve));
+  }
+  return ports;
+}
+
 function lookUp(fields, path) {
   return path.split('.').reduce((value, name) => value?.[name], fields);
 }
@@ -78,9 +85,7 @@
   folder,
   bounds = smallBounds,
 }) {
-  const ports = [];
-  for (let index = 0; index < 4; index += 1) ports.push(await freePort(host));
-  const [front, ready, metrics, peers] = ports;
+  const [front, ready, metrics, peers] = await freePorts(host, 4);
   const fields = {
     node_name: name,
     zone,
